--- /dev/null
+++ b/packages/cli/src/carobspool_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of carobspool."""
--- /dev/null
+++ b/packages/core/src/carobspool_core/errors.py
@@ -0,0 +1,7 @@
+"""Errors of the core."""
+
+from __future__ import annotations
+
+
+class CoreError(Exception):
+    """Base of all errors that ``carobspool_core`` raises."""
--- /dev/null
+++ b/packages/node/src/carobspool_node/__init__.py
@@ -0,0 +1,1 @@
+"""The processes of carobspool: entry and sidecar."""
