--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -1,6 +1,20 @@
 """Data classes, ports and decisions of carobspool: no network, no threads."""
 
 from carobspool_core._clock import Clock, ManualClock, Millis, monotonic_clock, wall_millis
+from carobspool_core._config import (
+    BatchShaping,
+    Caller,
+    CallerRole,
+    DesiredState,
+    Limits,
+    Model,
+    OnlineSlowdown,
+    Organisation,
+    Route,
+    Service,
+    Upstream,
+    UpstreamKind,
+)
 from carobspool_core._messages import (
     PROTOCOL_VERSION,
     Attach,
@@ -40,6 +54,18 @@
 )
 
 __all__ = [
+    "BatchShaping",
+    "Caller",
+    "CallerRole",
+    "DesiredState",
+    "Limits",
+    "Model",
+    "OnlineSlowdown",
+    "Organisation",
+    "Route",
+    "Service",
+    "Upstream",
+    "UpstreamKind",
     "PROTOCOL_VERSION",
     "Attach",
     "Cancel",
