--- /dev/null
+++ b/packages/standins/src/carobspool_standins/memory_store.py
@@ -0,0 +1,247 @@
+"""An in-memory object store with injectable faults, for tests of what stands on the port.
+
+Several views of one store stand for several processes: each has faults of its own, so that one
+process can be cut off or paused while the others go on.
+"""
+
+from __future__ import annotations
+
+import json
+import threading
+from bisect import bisect_right
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TypeVar
+
+from returns.result import Failure, Result, Success
+
+from carobspool_core import (
+    Json,
+    Millis,
+    ObjectChange,
+    ObjectPage,
+    StoredObject,
+    StoreFailure,
+    StoreFault,
+    WatchBatch,
+)
+
+MAX_VALUE_BYTES = 1_048_576
+
+_T = TypeVar("_T")
+
+
+class FaultKind(StrEnum):
+    """What becomes of a write that a `FaultRule` matches."""
+
+    UNKNOWN_AFTER = "unknown_after"
+    UNKNOWN_BEFORE = "unknown_before"
+    REFUSED = "refused"
+
+
+@dataclass(slots=True, kw_only=True)
+class FaultRule:
+    """Faults for the next ``count`` writes of the given kinds under a prefix."""
+
+    kind: FaultKind
+    prefix: str = ""
+    operations: tuple[str, ...] = ("create", "update", "delete")
+    count: int = 1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WriteRecord:
+    """One write that took effect; ``writer`` names the view."""
+
+    key: str
+    version: int
+    value: Json
+    deleted: bool
+    writer: str
+
+
+@dataclass(slots=True)
+class MemoryObjects:
+    """The state that all views share."""
+
+    revision: int = 0
+    floor: int = 0
+    texts: dict[str, tuple[int, str]] = field(default_factory=dict)
+    history: list[WriteRecord] = field(default_factory=list)
+    changed: threading.Condition = field(default_factory=threading.Condition)
+
+    def compact(self) -> None:
+        """Forget the events up to now: a watch from an older revision fails."""
+        with self.changed:
+            self.floor = self.revision
+            self.changed.notify_all()
+
+    def value(self, key: str) -> Json:
+        """Return the value of a key, ``None`` if there is none."""
+        with self.changed:
+            found = self.texts.get(key)
+        return None if found is None else json.loads(found[1])
+
+
+class MemoryStore:
+    """One process's view of a `MemoryObjects`; an `ObjectStore`."""
+
+    def __init__(self, objects: MemoryObjects, name: str) -> None:
+        self._objects = objects
+        self._name = name
+        self._rules: list[FaultRule] = []
+        self._running = threading.Event()
+        self._running.set()
+        self.outage = False
+        self.calls: dict[str, int] = {}
+
+    def inject(self, rule: FaultRule) -> None:
+        """Let a rule take hold of coming writes."""
+        with self._objects.changed:
+            self._rules.append(rule)
+
+    def pause(self) -> None:
+        """Hold every call of this view before it does anything, as a paused process would."""
+        self._running.clear()
+
+    def resume(self) -> None:
+        """Let held calls go on."""
+        self._running.set()
+
+    def get(self, key: str) -> Result[StoredObject, StoreFailure]:
+        """Read one object."""
+        with self._begin("get"):
+            if self.outage:
+                return _fail(StoreFault.UNAVAILABLE, key)
+            found = self._objects.texts.get(key)
+            if found is None:
+                return _fail(StoreFault.NOT_FOUND, key)
+            return Success(_stored(key, found))
+
+    def list(
+        self, prefix: str, *, after: str = "", limit: int = 500
+    ) -> Result[ObjectPage, StoreFailure]:
+        """Read a page of objects in key order."""
+        with self._begin("list"):
+            if self.outage:
+                return _fail(StoreFault.UNAVAILABLE, prefix)
+            keys = sorted(key for key in self._objects.texts if key.startswith(prefix))
+            keys = keys[bisect_right(keys, after) :]
+            objects = [_stored(key, self._objects.texts[key]) for key in keys[:limit]]
+            revision = self._objects.revision
+            return Success(ObjectPage(revision=revision, objects=objects, more=len(keys) > limit))
+
+    def create(self, key: str, value: Json) -> Result[StoredObject, StoreFailure]:
+        """Write an object that must not exist yet."""
+        return self._write("create", key, value, 0)
+
+    def update(self, key: str, value: Json, *, version: int) -> Result[StoredObject, StoreFailure]:
+        """Replace an object whose version must be ``version``."""
+        return self._write("update", key, value, version)
+
+    def delete(self, key: str, *, version: int) -> Result[None, StoreFailure]:
+        """Remove an object whose version must be ``version``."""
+        with self._begin("delete"):
+            fault = self._fault("delete", key)
+            if fault is FaultKind.REFUSED:
+                return _fail(StoreFault.UNAVAILABLE, key)
+            if fault is FaultKind.UNKNOWN_BEFORE:
+                return _fail(StoreFault.UNKNOWN, key)
+            found = self._objects.texts.get(key)
+            if found is None:
+                return _fail(StoreFault.NOT_FOUND, key)
+            if found[0] != version:
+                return Failure(self._conflict(key))
+            del self._objects.texts[key]
+            self._record(key, None, deleted=True)
+            if fault is FaultKind.UNKNOWN_AFTER:
+                return _fail(StoreFault.UNKNOWN, key)
+            return Success(None)
+
+    def watch(
+        self, prefix: str, *, revision: int, timeout: Millis
+    ) -> Result[WatchBatch, StoreFailure]:
+        """Wait for changes under ``prefix`` after ``revision``."""
+        objects = self._objects
+        with self._begin("watch"):
+            if self.outage:
+                return _fail(StoreFault.UNAVAILABLE, prefix)
+            if revision < objects.floor:
+                return _fail(StoreFault.COMPACTED, prefix)
+            objects.changed.wait_for(
+                lambda: bool(self._changes(prefix, revision)), timeout=timeout / 1000.0
+            )
+            changes = self._changes(prefix, revision)
+            return Success(WatchBatch(revision=objects.revision, changes=changes))
+
+    def _changes(self, prefix: str, revision: int) -> Sequence[ObjectChange]:
+        history = self._objects.history
+        start = bisect_right(history, revision, key=lambda record: record.version)
+        changes = []
+        for record in history[start:]:
+            if not record.key.startswith(prefix):
+                continue
+            stored = StoredObject(key=record.key, version=record.version, value=record.value)
+            changes.append(ObjectChange(object=stored, deleted=record.deleted))
+        return changes
+
+    def _begin(self, operation: str) -> threading.Condition:
+        self._running.wait()
+        self.calls[operation] = self.calls.get(operation, 0) + 1
+        return self._objects.changed
+
+    def _write(
+        self, operation: str, key: str, value: Json, version: int
+    ) -> Result[StoredObject, StoreFailure]:
+        text = json.dumps(value)
+        with self._begin(operation):
+            fault = self._fault(operation, key)
+            if fault is FaultKind.REFUSED:
+                return _fail(StoreFault.UNAVAILABLE, key)
+            if fault is FaultKind.UNKNOWN_BEFORE:
+                return _fail(StoreFault.UNKNOWN, key)
+            if len(text) > MAX_VALUE_BYTES:
+                return _fail(StoreFault.TOO_LARGE, key)
+            found = self._objects.texts.get(key)
+            if (found[0] if found else 0) != version:
+                return Failure(self._conflict(key))
+            self._objects.texts[key] = (self._objects.revision + 1, text)
+            self._record(key, json.loads(text), deleted=False)
+            if fault is FaultKind.UNKNOWN_AFTER:
+                return _fail(StoreFault.UNKNOWN, key)
+            return Success(_stored(key, self._objects.texts[key]))
+
+    def _record(self, key: str, value: Json, *, deleted: bool) -> None:
+        objects = self._objects
+        objects.revision += 1
+        record = WriteRecord(
+            key=key, version=objects.revision, value=value, deleted=deleted, writer=self._name
+        )
+        objects.history.append(record)
+        objects.changed.notify_all()
+
+    def _fault(self, operation: str, key: str) -> FaultKind | None:
+        if self.outage:
+            return FaultKind.REFUSED
+        for rule in self._rules:
+            if rule.count < 1 or operation not in rule.operations:
+                continue
+            if not key.startswith(rule.prefix):
+                continue
+            rule.count -= 1
+            return rule.kind
+        return None
+
+    def _conflict(self, key: str) -> StoreFailure:
+        found = self._objects.texts.get(key)
+        current = None if found is None else _stored(key, found)
+        return StoreFailure(fault=StoreFault.CONFLICT, key=key, current=current)
+
+
+def _stored(key: str, found: tuple[int, str]) -> StoredObject:
+    return StoredObject(key=key, version=found[0], value=json.loads(found[1]))
+
+
+def _fail(fault: StoreFault, key: str) -> Result[_T, StoreFailure]:
+    return Failure(StoreFailure(fault=fault, key=key))
