--- a/packages/core/src/carobspool_core/_chunks.py
+++ b/packages/core/src/carobspool_core/_chunks.py
@@ -106,7 +106,7 @@
 
     A chunk costs three to four writes however many items it holds, and the store takes a few
     hundred writes a second for the whole fleet. Growth with the square root of the job keeps both
-    the number of chunks and their size moderate: a job of 560,000 items has 375 chunks of 1,496,
+    the number of chunks and their size moderate: a job of 560,000 items has 375 chunks of 1,497,
     where the fixed 256 would make 2,188.
     """
     grown = math.ceil(CHUNK_GROWTH * math.sqrt(items))
--- /dev/null
+++ b/packages/core/tests/test_jobs.py
@@ -0,0 +1,74 @@
+"""Tests of jobs."""
+
+from __future__ import annotations
+
+from returns.result import Failure
+
+from carobspool_core import (
+    AuditRecord,
+    Job,
+    JobCounts,
+    JobRefusal,
+    JobStatus,
+    cancel_job,
+    content_job_id,
+    end_job,
+    job_value,
+    keyed_job_id,
+    progress_is_due,
+    read_job,
+)
+
+JOB = Job(
+    id=keyed_job_id("press", "k"),
+    organisation="press",
+    caller="editor",
+    content="c",
+    input_file="file-1",
+    input_id="i",
+    endpoint="/v1/chat/completions",
+    metadata={"a": "b"},
+    chunk_sizes=(4, 2),
+    created_at=1.0,
+    due_at=2.0,
+)
+RECORD = AuditRecord(
+    at=5.0, who="editor", kind="cancel", subject=JOB.id, reason="", before="", after=""
+)
+
+
+def test_ids_follow_from_organisation_and_key() -> None:
+    """Equal submissions give equal ids; another organisation, key or generation gives another."""
+    assert keyed_job_id("press", "k") == JOB.id
+    others = {keyed_job_id("tabosa", "k"), keyed_job_id("press", "l")}
+    others |= {content_job_id("press", "k", 0), content_job_id("press", "k", 1)}
+    assert len(others | {JOB.id}) == 5
+
+
+def test_job_ends_when_all_chunks_are_done() -> None:
+    """A job completes with all results, and keeps going while a chunk is open."""
+    counts = JobCounts(completed=5, failed=1)
+    assert end_job(JOB, counts, chunks_done=1, at=9.0) == Failure(JobRefusal.CHUNKS_OPEN)
+    ended = end_job(JOB, counts, chunks_done=2, at=9.0).unwrap()
+    assert ended.status is JobStatus.COMPLETED
+    assert ended.changed_at == {"finalizing": 9.0, "completed": 9.0}
+    assert end_job(ended, counts, chunks_done=2, at=9.0) == Failure(JobRefusal.ENDED)
+    assert read_job(job_value(ended)) == ended
+
+
+def test_cancel_is_recorded_once() -> None:
+    """A cancel stands in the job with its record, ends as cancelled, and does not repeat."""
+    cancelling = cancel_job(JOB, RECORD).unwrap()
+    assert cancelling.status is JobStatus.CANCELLING
+    assert cancelling.audit == (RECORD,)
+    assert read_job(job_value(cancelling)) == cancelling
+    assert cancel_job(cancelling, RECORD) == Failure(JobRefusal.CANCELLING)
+    ended = end_job(cancelling, JobCounts(completed=1), chunks_done=2, at=9.0).unwrap()
+    assert ended.status is JobStatus.CANCELLED
+    assert cancel_job(ended, RECORD) == Failure(JobRefusal.ENDED)
+
+
+def test_progress_is_told_in_quarters() -> None:
+    """A count is worth a write once a quarter of the items ended since the last one."""
+    assert not progress_is_due(JOB, JobCounts(completed=1))
+    assert progress_is_due(JOB, JobCounts(completed=1, failed=1))
