--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -52,8 +52,26 @@
     StoreFault,
     WatchBatch,
 )
+from carobspool_core._rendezvous import first, owner, rank
+from carobspool_core._routing import (
+    Choice,
+    Router,
+    RouteRequest,
+    RoutingSettings,
+    Target,
+    make_router,
+)
 
 __all__ = [
+    "rank",
+    "owner",
+    "first",
+    "make_router",
+    "Target",
+    "RoutingSettings",
+    "RouteRequest",
+    "Router",
+    "Choice",
     "BatchShaping",
     "Caller",
     "CallerRole",
--- /dev/null
+++ b/packages/core/tests/test_routing.py
@@ -0,0 +1,122 @@
+"""Routing: whom a request is sent to."""
+
+from __future__ import annotations
+
+from random import Random
+
+from returns.result import Success
+
+from carobspool_core import (
+    Choice,
+    Failure,
+    Load,
+    ManualClock,
+    Outcome,
+    Priority,
+    Router,
+    RouteRequest,
+    RoutingSettings,
+    SidecarState,
+    Target,
+    make_router,
+)
+
+MODEL = "reading-desk"
+
+
+def report(tokens: int = 0, **changes: object) -> Load:
+    """Return a load report of an idle ready upstream, with changes."""
+    values: dict[str, object] = {
+        "state": SidecarState.READY,
+        "running": 0,
+        "queued": 0,
+        "tokens": tokens,
+        "slots": 8,
+        "batch_credits": 0,
+        "targets": (MODEL,),
+        "revision": 1,
+        "first_token": 0.0,
+        "fencing_epoch": 1,
+    }
+    return Load(**(values | changes))  # type: ignore[arg-type]
+
+
+def router_of(count: int, settings: RoutingSettings | None = None, seed: int = 1) -> Router:
+    """Return a router before ``count`` idle upstreams in three failure domains."""
+    router = make_router(ManualClock(), Random(seed), settings)
+    router.set_upstreams(
+        [
+            Target(host=f"up-{n}", failure_domain=f"domain-{n % 3}", targets=(MODEL,), slots=8)
+            for n in range(count)
+        ]
+    )
+    for n in range(count):
+        router.observe(f"up-{n}", report(), 0.0)
+    return router
+
+
+def pick(router: Router, now: float = 0.0, **values: object) -> Choice | Failure:
+    """Return the choice or the failure for a request of 100 tokens."""
+    request = RouteRequest(**({"target": MODEL, "cost_tokens": 100} | values))  # type: ignore
+    result = router.pick(request, now)
+    return result.unwrap() if isinstance(result, Success) else result.failure()
+
+
+def picked(router: Router, now: float = 0.0, **values: object) -> str:
+    """Return the host chosen for a request."""
+    choice = pick(router, now, **values)
+    assert isinstance(choice, Choice)
+    return choice.host
+
+
+def test_unknown_target_is_the_callers_mistake() -> None:
+    """A target that nobody declares is answered with 404 and was not run."""
+    failure = pick(router_of(3), target="unknown")
+    assert isinstance(failure, Failure)
+    assert (failure.status, failure.code) == (404, "model_not_found")
+    assert failure.outcome is Outcome.NOT_RUN
+
+
+def test_no_candidate_tells_when_to_come_back() -> None:
+    """When every upstream is lost the caller gets 503, not run, and a time to come back."""
+    router = router_of(3)
+    for n in range(3):
+        router.lost(f"up-{n}", 1.0)
+    failure = pick(router, 2.0)
+    assert isinstance(failure, Failure)
+    assert (failure.status, failure.outcome) == (503, Outcome.NOT_RUN)
+    assert failure.retry_after_ms is not None and failure.retry_after_ms >= 500
+
+
+def test_lost_and_leaving_get_nothing_and_found_is_used_again() -> None:
+    """An upstream that is lost or leaving gets no request until it is back."""
+    router = router_of(3)
+    router.lost("up-0", 1.0)
+    router.leaving("up-1")
+    assert {picked(router) for _ in range(50)} == {"up-2"}
+    router.observe("up-1", report(), 2.0)
+    router.found("up-0", 3.0)
+    assert {picked(router) for _ in range(50)} == {"up-0", "up-2"}
+
+
+def test_burst_within_one_report_spreads() -> None:
+    """A burst that no report shows yet spreads evenly, for this entry counts what it sent."""
+    router = router_of(9)
+    counts = dict.fromkeys((f"up-{n}" for n in range(9)), 0)
+    for n in range(180):
+        host = picked(router)
+        router.started(host, n, 100, 0.0)
+        counts[host] += 1
+    assert max(counts.values()) <= 24
+    assert min(counts.values()) >= 16
+
+
+def test_batch_goes_only_where_credits_are_left() -> None:
+    """A batch request takes a granted credit, and is refused as not run when none is left."""
+    router = router_of(3)
+    router.observe("up-1", report(batch_credits=2), 1.0)
+    for n in range(2):
+        host = picked(router, 20.0, priority=Priority.BATCH)
+        assert host == "up-1"
+        router.started(host, n, 10, 20.0, priority=Priority.BATCH)
+    assert isinstance(pick(router, 20.0, priority=Priority.BATCH), Failure)
