--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -98,9 +98,26 @@
     spans_overlap,
     subtract_spans,
     unite_spans,
+from carobspool_core._rendezvous import first, owner, rank
+from carobspool_core._routing import (
+    Choice,
+    Router,
+    RouteRequest,
+    RoutingSettings,
+    Target,
+    make_router,
 )
 
 __all__ = [
+    "rank",
+    "owner",
+    "first",
+    "make_router",
+    "Target",
+    "RoutingSettings",
+    "RouteRequest",
+    "Router",
+    "Choice",
     "BatchShaping",
     "Caller",
     "CallerRole",
