--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -89,6 +89,15 @@
     StoreFault,
     WatchBatch,
 )
+from carobspool_core._rendezvous import first, owner, rank
+from carobspool_core._routing import (
+    Choice,
+    Router,
+    RouteRequest,
+    RoutingSettings,
+    Target,
+    make_router,
+)
 from carobspool_core._spans import (
     Span,
     Spans,
@@ -98,14 +107,6 @@
     spans_overlap,
     subtract_spans,
     unite_spans,
-from carobspool_core._rendezvous import first, owner, rank
-from carobspool_core._routing import (
-    Choice,
-    Router,
-    RouteRequest,
-    RoutingSettings,
-    Target,
-    make_router,
 )
 
 __all__ = [
