Links between processes, typed upstream calls, ordered answers, caller keys

Cause: the path from caller to upstream needs a transport whose every break is typed. Ruled out: libcurl's connection reuse for upstream calls: it silently sends a request again when a reused connection dies, which would run a non-idempotent request twice. Ruled out: the pre-transfer time as the sign of 'not sent'; it is set on refused connections, the connect time is not. Conclusion: codec, handshake with HMAC proofs, replay buffer and reordering stand with their tests.

--- a/packages/core/src/carobspool_core/_messages.py
+++ b/packages/core/src/carobspool_core/_messages.py
@@ -65,6 +65,18 @@
     role: str
     failure_domain: str
     nonce: str
+    sent: Millis
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Beat:
+    """Heartbeat of a side that has nothing else to tell.
+
+    Attributes:
+        sent: Sender's monotonic clock, from which the receiver learns the clocks' offset.
+    """
+
+    sent: Millis
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -96,6 +108,8 @@
         idempotent: Whether running it twice is harmless.
         stream: Whether the caller wants server-sent events as they come.
         fingerprint: Digest of organisation and body, to recognise requests that crash upstreams.
+        suspect: Whether it must not run beside another suspect.
+        sent: Sender's monotonic clock; a receiver that was paused refuses what is too old.
     """
 
     id: RequestId
@@ -114,6 +128,8 @@
     idempotent: bool
     stream: bool
     fingerprint: str
+    suspect: bool
+    sent: Millis
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/packages/node/src/carobspool_node/_hints.py
@@ -0,0 +1,229 @@
+"""Hints between entries: news that spares a read of the object store, passed on peer to peer.
+
+Each entry keeps connections to a few others. A hint is told to all of them and passed on once by
+each that had not heard it, so it reaches every entry in a few steps without a full mesh.
+"""
+
+from __future__ import annotations
+
+import itertools
+import threading
+from collections import OrderedDict
+from collections.abc import Callable, Mapping
+
+from absl import logging
+from websockets.sync.server import Server, ServerConnection, serve
+
+from carobspool_core import (
+    Beat,
+    Clock,
+    Configuration,
+    Hint,
+    HintKind,
+    Message,
+    Millis,
+)
+from carobspool_node._link import MAX_FRAME_BYTES, Identity, Link, dial, establish, send_quietly
+from carobspool_node._peer_keys import PeerKeys
+from carobspool_node.errors import CodecError, HandshakeError
+
+RECONNECT_DELAY: Millis = 500.0
+SILENCE_LIMIT: Millis = 5_000.0
+MAX_SEEN_HINTS = 20_000
+
+
+class HintExchange:
+    """An entry's connections to other entries. Since 0.1.
+
+    Args:
+        address: IP number to listen on.
+        port: Port to listen on; 0 takes a free one.
+        identity: This entry.
+        keys: Shared keys.
+        clock: This process's clock.
+        on_hint: Receives each hint once.
+        on_configuration: Receives a peer's offer or request, with the link to answer on.
+        greeting: Returns the message to send on each new connection, or ``None``.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        *,
+        identity: Identity,
+        keys: PeerKeys,
+        clock: Clock,
+        on_hint: Callable[[Hint], None],
+        on_configuration: Callable[[Configuration, Link], None],
+        greeting: Callable[[], Message | None],
+    ) -> None:
+        self._address = address
+        self._port = port
+        self._identity = identity
+        self._keys = keys
+        self._clock = clock
+        self._on_hint = on_hint
+        self._on_configuration = on_configuration
+        self._greeting = greeting
+        self._lock = threading.Lock()
+        self._links: set[Link] = set()
+        self._heard: dict[Link, Millis] = {}
+        self._dialled: dict[str, threading.Event] = {}
+        self._seen: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._counter = itertools.count(1)
+        self._server: Server | None = None
+
+    @property
+    def port(self) -> int:
+        """The port on which it listens."""
+        assert self._server is not None
+        port: int = self._server.socket.getsockname()[1]
+        return port
+
+    @property
+    def peers(self) -> list[str]:
+        """Names of the connected entries."""
+        with self._lock:
+            return sorted({link.peer.node for link in self._links})
+
+    def start(self) -> None:
+        """Listen in a task of its own."""
+        self._server = serve(
+            self._accept,
+            self._address,
+            self._port,
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            ping_interval=None,
+        )
+        threading.Thread(target=self._server.serve_forever, name="peers", daemon=True).start()
+
+    def set_peers(self, peers: Mapping[str, str]) -> None:
+        """Keep connections to these entries, and let go of others that this side had dialled.
+
+        Args:
+            peers: Address (``ip:port``) by name.
+        """
+        with self._lock:
+            for address, stop in list(self._dialled.items()):
+                if address not in peers.values():
+                    stop.set()
+                    del self._dialled[address]
+            fresh = [address for address in peers.values() if address not in self._dialled]
+            for address in fresh:
+                self._dialled[address] = threading.Event()
+        for address in fresh:
+            stop = self._dialled[address]
+            thread = threading.Thread(
+                target=self._keep_connected, args=(address, stop), name="hints", daemon=True
+            )
+            thread.start()
+
+    def tell(self, kind: HintKind, subject: str, values: Mapping[str, str] | None = None) -> None:
+        """Tell a hint of this entry's own to the other entries."""
+        hint = Hint(
+            kind=kind,
+            subject=subject,
+            origin=self._identity.incarnation,
+            sequence=next(self._counter),
+            values=dict(values or {}),
+        )
+        self._is_new(hint)
+        self.broadcast(hint)
+
+    def pass_on(self, hint: Hint) -> None:
+        """Take a hint from a sidecar: tell it here and to the other entries, if it is new."""
+        if not self._is_new(hint):
+            return
+        self._on_hint(hint)
+        self.broadcast(hint)
+
+    def broadcast(self, message: Message, *, but: Link | None = None) -> None:
+        """Send a message to every connected entry except one."""
+        with self._lock:
+            links = [link for link in self._links if link is not but]
+        for link in links:
+            send_quietly(link, message)
+
+    def tick(self) -> None:
+        """Send heartbeats and close connections that have fallen silent."""
+        now = self._clock.now()
+        self.broadcast(Beat(sent=now))
+        with self._lock:
+            silent = [link for link, at in self._heard.items() if now - at > SILENCE_LIMIT]
+        for link in silent:
+            link.close()
+
+    def stop(self) -> None:
+        """Close all connections."""
+        with self._lock:
+            links = list(self._links)
+            for stop in self._dialled.values():
+                stop.set()
+        for link in links:
+            link.flush(500.0)
+            link.close()
+        if self._server is not None:
+            self._server.shutdown()
+
+    def _accept(self, socket: ServerConnection) -> None:
+        try:
+            link = establish(
+                socket, identity=self._identity, keys=self._keys, clock=self._clock, server=True
+            )
+        except (HandshakeError, CodecError) as error:
+            logging.warning("event=handshake_refused error=%s", error)
+            return
+        self._serve(link)
+
+    def _keep_connected(self, address: str, stop: threading.Event) -> None:
+        while not stop.is_set():
+            link = self._connect(address)
+            if link is not None:
+                self._serve(link)
+            stop.wait(RECONNECT_DELAY / 1000.0)
+
+    def _connect(self, address: str) -> Link | None:
+        return dial(address, identity=self._identity, keys=self._keys, clock=self._clock)
+
+    def _serve(self, link: Link) -> None:
+        if link.peer.role != "entry":
+            logging.warning("event=peer_refused role=%s", link.peer.role)
+            link.close()
+            return
+        with self._lock:
+            self._links.add(link)
+            self._heard[link] = self._clock.now()
+        greeting = self._greeting()
+        if greeting is not None:
+            send_quietly(link, greeting)
+        try:
+            for message in link.messages():
+                self._heard[link] = self._clock.now()
+                self._receive(link, message)
+        except CodecError as error:
+            logging.warning("event=link_broken peer=%s error=%s", link.peer.node, error)
+            link.close()
+        with self._lock:
+            self._links.discard(link)
+            self._heard.pop(link, None)
+
+    def _receive(self, link: Link, message: Message) -> None:
+        if isinstance(message, Configuration):
+            self._on_configuration(message, link)
+            return
+        if not isinstance(message, Hint) or not self._is_new(message):
+            return
+        self._on_hint(message)
+        self.broadcast(message, but=link)
+
+    def _is_new(self, hint: Hint) -> bool:
+        identity = (hint.origin, hint.sequence)
+        with self._lock:
+            if identity in self._seen:
+                return False
+            self._seen[identity] = None
+            if len(self._seen) > MAX_SEEN_HINTS:
+                self._seen.popitem(last=False)
+            return True
--- /dev/null
+++ b/packages/node/src/carobspool_node/_link.py
@@ -0,0 +1,317 @@
+"""One websocket between two processes: handshake, and a writer that joins waiting messages.
+
+Frames are bounded in size and the queue of unsent messages in bytes, so a peer that stops reading
+costs this process a bounded amount of memory and then its connection.
+"""
+
+from __future__ import annotations
+
+import queue
+import threading
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Protocol
+
+from absl import logging
+from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.sync.client import connect
+
+from carobspool_core import (
+    PROTOCOL_VERSION,
+    Clock,
+    Data,
+    Hello,
+    Message,
+    Millis,
+    Open,
+    Proof,
+)
+from carobspool_node._codec import decode_frame, encode_frame
+from carobspool_node._peer_keys import PeerKeys, check_proof, make_proof, new_nonce
+from carobspool_node.errors import CodecError, HandshakeError, LinkClosedError
+
+MAX_FRAME_BYTES = 32 * 1024 * 1024
+JOIN_MESSAGES = 128
+JOIN_BYTES = 1024 * 1024
+MAX_QUEUED_BYTES = 64 * 1024 * 1024
+HANDSHAKE_TIMEOUT: Millis = 3_000.0
+CLOSE_TIMEOUT: Millis = 1_000.0
+SMALL_MESSAGE_BYTES = 128
+
+
+class Socket(Protocol):
+    """What a link needs of a websocket connection of either side."""
+
+    def send(self, message: bytes) -> None: ...
+
+    def recv(self, timeout: float | None = None) -> str | bytes: ...
+
+    def close(self) -> None: ...
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Identity:
+    """Who this process is, as told to its peers.
+
+    Attributes:
+        node: Name of the process, unique in the fleet.
+        incarnation: Random id of this run of the process.
+        role: ``entry`` or ``sidecar``.
+        failure_domain: Where it runs.
+    """
+
+    node: str
+    incarnation: str
+    role: str
+    failure_domain: str
+
+
+class Link:
+    """An established connection to a peer.
+
+    Messages are queued by `send` from any thread and written by one writer task; `messages` is
+    read by one reader task. Since 0.1.
+    """
+
+    def __init__(self, socket: Socket, peer: Hello, clock_offset: Millis) -> None:
+        self._socket = socket
+        self._peer = peer
+        self._clock_offset = clock_offset
+        self._queue: queue.SimpleQueue[Message | None] = queue.SimpleQueue()
+        self._queued_bytes = 0
+        self._lock = threading.Lock()
+        self._closed = threading.Event()
+        self._writer = threading.Thread(
+            target=self._write_all, name=f"write-{peer.node}", daemon=True
+        )
+        self._writer.start()
+
+    @property
+    def peer(self) -> Hello:
+        """What the peer said of itself."""
+        return self._peer
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection is gone."""
+        return self._closed.is_set()
+
+    def age(self, sent: Millis, now: Millis) -> Millis:
+        """Return how long ago a message was sent, beyond the fastest delivery seen so far.
+
+        Args:
+            sent: The peer's clock when it sent the message.
+            now: This process's clock.
+        """
+        offset = now - sent
+        self._clock_offset = min(self._clock_offset, offset)
+        return offset - self._clock_offset
+
+    def send(self, message: Message) -> None:
+        """Queue a message.
+
+        Raises:
+            LinkClosedError: If the connection is gone or the peer has stopped reading.
+        """
+        if self._closed.is_set():
+            raise LinkClosedError(f"connection to {self._peer.node} is closed")
+        size = _size(message)
+        with self._lock:
+            self._queued_bytes += size
+            overflow = self._queued_bytes > MAX_QUEUED_BYTES
+        if overflow:
+            self.close()
+            raise LinkClosedError(f"{self._peer.node} does not read")
+        self._queue.put(message)
+
+    def messages(self) -> Iterator[Message]:
+        """Yield the peer's messages until the connection is gone.
+
+        Raises:
+            CodecError: If the peer sends a malformed frame.
+        """
+        while True:
+            try:
+                frame = self._socket.recv()
+            except (ConnectionClosed, OSError):
+                self.close()
+                return
+            if isinstance(frame, str):
+                self.close()
+                raise CodecError("text frame")
+            yield from decode_frame(frame)
+
+    def close(self) -> None:
+        """Close the connection; safe to call more than once and from any thread."""
+        if self._closed.is_set():
+            return
+        self._closed.set()
+        self._queue.put(None)
+        threading.Thread(target=self._close_socket, name="close", daemon=True).start()
+
+    def flush(self, timeout: Millis) -> None:
+        """Wait until the queued messages are written or the time is over."""
+        self._queue.put(None)
+        self._writer.join(timeout / 1000.0)
+
+    def _close_socket(self) -> None:
+        # Closing waits for the peer's closing frame, which a frozen peer never sends.
+        try:
+            self._socket.close()
+        except Exception:  # noqa: BLE001, S110
+            return
+
+    def _write_all(self) -> None:
+        while True:
+            first = self._queue.get()
+            if first is None:
+                return
+            batch, last = self._join(first)
+            try:
+                self._socket.send(encode_frame(batch))
+            except (ConnectionClosed, OSError):
+                self.close()
+                return
+            if last:
+                return
+
+    def _join(self, first: Message) -> tuple[list[Message], bool]:
+        batch = [first]
+        size = _size(first)
+        last = False
+        while len(batch) < JOIN_MESSAGES and size < JOIN_BYTES:
+            try:
+                message = self._queue.get_nowait()
+            except queue.Empty:
+                break
+            if message is None:
+                last = True
+                break
+            batch.append(message)
+            size += _size(message)
+        with self._lock:
+            self._queued_bytes -= size
+        return batch, last
+
+
+def establish(
+    socket: Socket, *, identity: Identity, keys: PeerKeys, clock: Clock, server: bool
+) -> Link:
+    """Run the handshake on a new connection.
+
+    Both sides send `Hello`, then each proves by an HMAC over both nonces that it holds a shared
+    key. The client proves itself first, so a stranger learns nothing from a server.
+
+    Raises:
+        HandshakeError: If the peer speaks another version or fails its proof.
+        CodecError: If the peer sends a malformed frame.
+    """
+    nonce = new_nonce()
+    hello = Hello(
+        version=PROTOCOL_VERSION,
+        node=identity.node,
+        incarnation=identity.incarnation,
+        role=identity.role,
+        failure_domain=identity.failure_domain,
+        nonce=nonce,
+        sent=clock.now(),
+    )
+    _send_one(socket, hello)
+    peer = _receive_one(socket)
+    offset = clock.now()
+    if not isinstance(peer, Hello):
+        raise HandshakeError(f"expected Hello, got {type(peer).__name__}")
+    if peer.version != PROTOCOL_VERSION:
+        raise HandshakeError(f"peer speaks version {peer.version}, not {PROTOCOL_VERSION}")
+    offset -= peer.sent
+    side, other = ("server", "client") if server else ("client", "server")
+    key_id, mac = make_proof(keys, own_nonce=nonce, peer_nonce=peer.nonce, role=side)
+    proof = Proof(key_id=key_id, mac=mac)
+    if not server:
+        _send_one(socket, proof)
+    _check_peer(_receive_one(socket), keys, nonce, peer.nonce, other)
+    if server:
+        _send_one(socket, proof)
+    return Link(socket, peer, offset)
+
+
+def dial(address: str, *, identity: Identity, keys: PeerKeys, clock: Clock) -> Link | None:
+    """Connect to a peer and run the handshake; ``None`` when that fails.
+
+    Args:
+        address: ``ip:port``.
+        identity: This process.
+        keys: Shared keys.
+        clock: This process's clock.
+    """
+    try:
+        socket = connect(
+            f"ws://{address}",
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            ping_interval=None,
+            open_timeout=HANDSHAKE_TIMEOUT / 1000.0,
+            close_timeout=CLOSE_TIMEOUT / 1000.0,
+            proxy=None,
+            legacy=True,
+        )
+    except (OSError, TimeoutError, WebSocketException) as error:
+        logging.vlog(1, "event=peer_not_reached address=%s error=%s", address, error)
+        return None
+    try:
+        return establish(socket, identity=identity, keys=keys, clock=clock, server=False)
+    except (HandshakeError, CodecError) as error:
+        logging.warning("event=handshake_failed address=%s error=%s", address, error)
+        socket.close()
+        return None
+
+
+def send_quietly(link: Link, message: Message) -> None:
+    """Send a message whose loss does no harm when the connection is gone."""
+    try:
+        link.send(message)
+    except LinkClosedError:
+        return
+
+
+def _check_peer(
+    message: Message, keys: PeerKeys, own_nonce: str, peer_nonce: str, role: str
+) -> None:
+    if not isinstance(message, Proof):
+        raise HandshakeError(f"expected Proof, got {type(message).__name__}")
+    check_proof(
+        keys,
+        key_id=message.key_id,
+        mac=message.mac,
+        own_nonce=own_nonce,
+        peer_nonce=peer_nonce,
+        role=role,
+    )
+
+
+def _send_one(socket: Socket, message: Message) -> None:
+    try:
+        socket.send(encode_frame([message]))
+    except (ConnectionClosed, OSError) as error:
+        raise HandshakeError(f"connection lost in the handshake: {error}") from error
+
+
+def _receive_one(socket: Socket) -> Message:
+    try:
+        frame = socket.recv(timeout=HANDSHAKE_TIMEOUT / 1000.0)
+    except (ConnectionClosed, OSError, TimeoutError) as error:
+        raise HandshakeError(f"no answer in the handshake: {error}") from error
+    if isinstance(frame, str):
+        raise HandshakeError("text frame in the handshake")
+    messages = decode_frame(frame)
+    if len(messages) != 1:
+        raise HandshakeError(f"{len(messages)} messages in a handshake frame")
+    return messages[0]
+
+
+def _size(message: Message) -> int:
+    if isinstance(message, Data):
+        return len(message.payload) + SMALL_MESSAGE_BYTES
+    if isinstance(message, Open):
+        return len(message.body) + SMALL_MESSAGE_BYTES
+    return SMALL_MESSAGE_BYTES
--- /dev/null
+++ b/packages/node/tests/test_runs.py
@@ -0,0 +1,109 @@
+"""Tests of what a sidecar remembers of requests."""
+
+from __future__ import annotations
+
+from carobspool_core import (
+    Data,
+    End,
+    Head,
+    Message,
+    Open,
+    Outcome,
+    Priority,
+    RequestId,
+    unavailable,
+)
+from carobspool_node._runs import MAX_ENDED_RUNS, REPLAY_TTL, Run, RunState, RunTable
+
+
+def _open(counter: int = 1) -> Open:
+    return Open(
+        id=RequestId("e", counter),
+        priority=Priority.ONLINE,
+        target="m",
+        method="POST",
+        path="/",
+        headers={},
+        body=b"",
+        caller="c",
+        organisation="o",
+        weight=1.0,
+        cost_tokens=1,
+        prompt_tokens=1,
+        timeout=1.0,
+        idempotent=True,
+        stream=True,
+        fingerprint="f",
+        suspect=False,
+        sent=0.0,
+    )
+
+
+def test_replay_sends_the_rest_of_an_answer() -> None:
+    """An entry that lost its connection gets head, missing pieces and end again."""
+    sent: list[Message] = []
+    run = Run(_open(), sent.append)
+    assert run.begin()
+    run.head(200, {})
+    run.data(b"a")
+    run.data(b"b")
+    run.end(None, 1.0)
+    before = list(sent)
+    sent.clear()
+    run.replay(1)
+    assert [type(message) for message in sent] == [Head, Data, End]
+    assert sent[1] == before[2]
+
+
+def test_a_started_request_is_never_said_not_to_have_run() -> None:
+    """A request that gave way and is refused while it waits again ends as unknown."""
+    sent: list[Message] = []
+    run = Run(_open(), sent.append)
+    assert run.begin()
+    run.give_way()
+    assert run.end_waiting(unavailable("x", "y"), 1.0)
+    end = sent[-1]
+    assert isinstance(end, End)
+    assert end.failure is not None
+    assert end.failure.outcome is Outcome.UNKNOWN
+
+
+def test_a_cancelled_request_cannot_begin() -> None:
+    """A request that was ended as not run is not started by a decision already taken."""
+    run = Run(_open(), lambda _: None)
+    assert run.end_waiting(unavailable("x", "y"), 1.0)
+    assert not run.begin()
+    assert run.state is RunState.ENDED
+
+
+def test_a_running_request_is_not_ended_as_waiting() -> None:
+    """A request at the upstream cannot be ended as if it still waited."""
+    run = Run(_open(), lambda _: None)
+    assert run.begin()
+    assert not run.end_waiting(unavailable("x", "y"), 1.0)
+
+
+def test_forgotten_requests_are_still_known_to_have_been_here() -> None:
+    """A request whose pieces have expired is neither run again nor taken for unknown."""
+    table = RunTable()
+    run = Run(_open(), lambda _: None)
+    assert table.add(run)
+    run.begin()
+    run.end(None, 1.0)
+    table.expire(2.0 + REPLAY_TTL)
+    assert table.get(run.open.id) is None
+    assert table.forgotten(run.open.id)
+    assert not table.add(Run(_open(), lambda _: None))
+
+
+def test_ended_requests_are_bounded() -> None:
+    """The oldest ended requests go first when there are too many."""
+    table = RunTable()
+    for counter in range(MAX_ENDED_RUNS + 5):
+        run = Run(_open(counter), lambda _: None)
+        table.add(run)
+        run.begin()
+        run.end(None, float(counter) / MAX_ENDED_RUNS)
+    table.expire(1.0)
+    assert table.get(RequestId("e", 0)) is None
+    assert table.get(RequestId("e", MAX_ENDED_RUNS)) is not None
