--- /dev/null
+++ b/packages/standins/src/carobspool_standins/_answers.py
@@ -0,0 +1,120 @@
+"""Requests and answers of the engine: what a prompt is and which text answers it."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import random
+from dataclasses import dataclass
+from typing import Any
+
+from carobspool_standins._prefix_cache import prompt_tokens
+from carobspool_standins.errors import StandinError
+
+_VOCABULARY = (
+    "amber answer arrow autumn barley beacon before bell birch border branch bridge brook "
+    "candle canvas carob cedar chalk chapter clause cloud clover copper corner cradle "
+    "current dawn deep distant draft echo edge ember evening fallow feather fern field "
+    "figure finch folio ford frost garden gentle glass grain gravel green grove harbour "
+    "hazel hearth hedge hill hollow horizon image ink island ivory kernel kindle lantern "
+    "larch ledger letter light line linen loam margin marsh meadow measure mellow mill "
+    "mirror moss narrow night note oak orchard order page paper pattern pebble plain poem "
+    "press quarry quiet rain reader reed rhythm ridge river root sail salt season shadow "
+    "shelf shore silver slate sound spool spring stanza stone summer table tide timber "
+    "title tone tower thread valley verse voice water weather wheat willow winter wood"
+)
+_WORDS = tuple(_VOCABULARY.split())
+
+
+class InvalidBody(StandinError):
+    """A request body is not what the endpoint takes."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Prompt:
+    """A request as the simulated engine sees it.
+
+    Attributes:
+        model: Name of the model.
+        text: All messages as one text.
+        tokens: Estimated prompt tokens.
+        max_tokens: Bound of the answer, if given.
+        min_tokens: Least length of the answer.
+        stream: Whether server-sent events are wanted.
+        chat: Whether it came as a chat completion.
+    """
+
+    model: str
+    text: str
+    tokens: int
+    max_tokens: int | None
+    min_tokens: int
+    stream: bool
+    chat: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlannedAnswer:
+    """The whole answer, known from the start; ``finish_reason`` is how it ends if not cancelled."""
+
+    words: tuple[str, ...]
+    finish_reason: str
+
+
+def parse_prompt(body: bytes, *, chat: bool) -> Prompt:
+    """Read a request body.
+
+    Raises:
+        InvalidBody: If it is not JSON or lacks what the endpoint needs.
+    """
+    try:
+        value = json.loads(body)
+        model = value["model"]
+        text = _chat_text(value["messages"]) if chat else _plain_text(value["prompt"])
+        max_tokens = value.get("max_completion_tokens") or value.get("max_tokens")
+        return Prompt(
+            model=str(model),
+            text=text,
+            tokens=prompt_tokens(text),
+            max_tokens=int(max_tokens) if max_tokens is not None else None,
+            min_tokens=int(value.get("min_tokens") or 0),
+            stream=bool(value.get("stream", False)),
+            chat=chat,
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise InvalidBody(f"{type(error).__name__}: {error}") from error
+
+
+def plan_answer(prompt: Prompt, least: int, most: int) -> PlannedAnswer:
+    """Return the answer: a pure function of the model and the text of the prompt.
+
+    Args:
+        prompt: The request.
+        least: Least natural length in tokens.
+        most: Greatest natural length in tokens.
+    """
+    digest = hashlib.sha256(f"{prompt.model}\n{prompt.text}".encode()).digest()
+    source = random.Random(digest)
+    natural = max(source.randint(least, max(least, most)), prompt.min_tokens)
+    length = natural if prompt.max_tokens is None else min(natural, prompt.max_tokens)
+    words = source.choices(_WORDS, k=max(1, length))
+    pieces = [words[0], *(f" {word}" for word in words[1:])]
+    return PlannedAnswer(
+        words=tuple(pieces), finish_reason="stop" if length == natural else "length"
+    )
+
+
+def _chat_text(messages: list[dict[str, Any]]) -> str:
+    return "".join(f"{message['role']}: {_content(message['content'])}\n" for message in messages)
+
+
+def _content(content: Any) -> str:
+    if isinstance(content, str):
+        return content
+    return "".join(part["text"] for part in content if part["type"] == "text")
+
+
+def _plain_text(prompt: Any) -> str:
+    if isinstance(prompt, str):
+        return prompt
+    return "".join(prompt)
--- /dev/null
+++ b/packages/standins/src/carobspool_standins/_faults.py
@@ -0,0 +1,78 @@
+"""Faults of a stand-in that tests and operators switch over HTTP."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Mapping
+from typing import Any, Generic, TypeVar
+
+from pydantic import BaseModel, ConfigDict
+
+
+class Faults(BaseModel):
+    """Base of the switchable faults of one stand-in; the defaults mean no fault."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+FaultsT = TypeVar("FaultsT", bound=Faults)
+
+
+class FaultBoard(Generic[FaultsT]):
+    """Holds the faults in force; safe to use from several threads.
+
+    Args:
+        model: Model of the faults, whose defaults mean no fault.
+        on_change: Called after each change, outside the lock.
+    """
+
+    def __init__(self, model: type[FaultsT], on_change: Callable[[], None] | None = None) -> None:
+        self._lock = threading.Lock()
+        self._model = model
+        self._current = model()
+        self._on_change = on_change
+        self._changed = threading.Condition(self._lock)
+
+    @property
+    def current(self) -> FaultsT:
+        """The faults in force."""
+        return self._current
+
+    def merge(self, values: Mapping[str, Any]) -> FaultsT:
+        """Change the given faults and keep the others.
+
+        Raises:
+            pydantic.ValidationError: If a name or a value is not known; nothing changes then.
+        """
+        with self._lock:
+            merged = self._current.model_dump() | dict(values)
+            self._current = self._model.model_validate(merged)
+            self._changed.notify_all()
+        if self._on_change is not None:
+            self._on_change()
+        return self._current
+
+    def reset(self) -> FaultsT:
+        """Return to no fault."""
+        return self.merge(self._model().model_dump())
+
+    def wait_while(self, present: Callable[[FaultsT], bool]) -> None:
+        """Block for as long as ``present`` holds for the faults in force."""
+        with self._lock:
+            self._changed.wait_for(lambda: not present(self._current))
+
+    def take(self, choose: Callable[[FaultsT], Mapping[str, Any] | None]) -> bool:
+        """Use up one occurrence of a counted fault.
+
+        Args:
+            choose: Returns the changed values when the fault applies, else ``None``.
+
+        Returns:
+            Whether the fault applied.
+        """
+        with self._lock:
+            values = choose(self._current)
+            if values is None:
+                return False
+            self._current = self._current.model_copy(update=dict(values))
+            return True
