--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -17,6 +17,7 @@
     release_chunk,
     stop_chunk,
     unfinished,
+    withdraw_intents,
 )
 from carobspool_core._clock import Clock, ManualClock, Millis, monotonic_clock, wall_millis
 from carobspool_core._config import (
@@ -33,6 +34,7 @@
     Upstream,
     UpstreamKind,
 )
+from carobspool_core._item_retry import PREEMPTED, ItemOutcome, ItemRetry, item_retry
 from carobspool_core._job_records import chunk_value, job_value, read_chunk, read_job
 from carobspool_core._jobs import (
     IDEMPOTENT_METADATA,
@@ -110,6 +112,11 @@
 )
 
 __all__ = [
+    "PREEMPTED",
+    "ItemOutcome",
+    "ItemRetry",
+    "item_retry",
+    "withdraw_intents",
     "rank",
     "owner",
     "first",
--- a/packages/core/src/carobspool_core/_chunks.py
+++ b/packages/core/src/carobspool_core/_chunks.py
@@ -178,6 +178,15 @@
     return Success(replace(state, intents=unite_spans(state.intents, spans)))
 
 
+def withdraw_intents(
+    state: ChunkState, holder: Holder, spans: Spans
+) -> Result[ChunkState, ChunkRefusal]:
+    """Take back the intents of items that the holder knows it never started."""
+    if refusal := _refusal(state, holder):
+        return Failure(refusal)
+    return Success(replace(state, intents=subtract_spans(state.intents, spans)))
+
+
 def commit_part(
     state: ChunkState, holder: Holder, part: ResultPart
 ) -> Result[ChunkState, ChunkRefusal]:
