--- a/packages/node/src/carobspool_node/errors.py
+++ b/packages/node/src/carobspool_node/errors.py
@@ -1,4 +1,4 @@
-"""Errors of the node's adapters."""
+"""Errors of the node."""
 
 from __future__ import annotations
 
@@ -21,3 +21,11 @@
 
 class PeerKeysError(NodeError):
     """The file of shared keys cannot be read or holds no usable key."""
+
+
+class ContentUnavailableError(NodeError):
+    """The rest of a file cannot be read at present.
+
+    Raised from a content iterator after a part may already have gone to the caller, so the HTTP
+    layer has to break the connection: a clean end would pass a part off as the whole.
+    """
