--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -1,5 +1,12 @@
 """Data classes, ports and decisions of carobspool: no network, no threads."""
 
+from carobspool_core._audit import (
+    AuditError,
+    AuditKind,
+    AuditRecord,
+    audit_from_json,
+    audit_to_json,
+)
 from carobspool_core._clock import Clock, ManualClock, Millis, monotonic_clock, wall_millis
 from carobspool_core._config import (
     BatchShaping,
@@ -54,6 +61,9 @@
 )
 
 __all__ = [
+    "AuditError",
+    "AuditKind",
+    "AuditRecord",
     "BatchShaping",
     "Caller",
     "CallerRole",
@@ -96,6 +106,8 @@
     "StoreFault",
     "StoredObject",
     "WatchBatch",
+    "audit_from_json",
+    "audit_to_json",
     "broken_upstream",
     "invalid_request",
     "monotonic_clock",
--- /dev/null
+++ b/packages/core/src/carobspool_core/_audit.py
@@ -0,0 +1,100 @@
+"""Audit records: who changed what, when and why.
+
+A record is stored in the same conditional write as the change that it tells of, so that neither
+exists without the other.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from pydantic import Field
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from carobspool_core._ports import Json
+from carobspool_core.border import BorderModel, validate
+
+
+class AuditKind(StrEnum):
+    """What was changed."""
+
+    CONFIGURATION = "configuration"
+    DRAIN = "drain"
+    CANCEL = "cancel"
+    QUARANTINE = "quarantine"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AuditRecord:
+    """One accepted change.
+
+    Attributes:
+        at: When it was accepted, in milliseconds since the Unix epoch.
+        who: Caller id of the operator, or the node that acted by itself.
+        kind: What was changed.
+        subject: Revision number, host, job id or fingerprint.
+        reason: Why, in the words of who did it.
+        before: What stood there before; ``None`` when there was nothing.
+        after: What stands there since; ``None`` when it was removed.
+
+    Since 0.1.
+    """
+
+    at: int
+    who: str
+    kind: AuditKind
+    subject: str
+    reason: str
+    before: Json
+    after: Json
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AuditError:
+    """A stored audit record that cannot be read."""
+
+    detail: str
+
+
+class _AuditModel(BorderModel):
+    at: int
+    who: str
+    kind: str = Field(pattern="^(configuration|drain|cancel|quarantine)$")
+    subject: str
+    reason: str
+    before: Json = None
+    after: Json = None
+
+
+def audit_to_json(record: AuditRecord) -> Json:
+    """Return an audit record as it is stored."""
+    return {
+        "at": record.at,
+        "who": record.who,
+        "kind": str(record.kind),
+        "subject": record.subject,
+        "reason": record.reason,
+        "before": record.before,
+        "after": record.after,
+    }
+
+
+def audit_from_json(value: Json) -> Result[AuditRecord, AuditError]:
+    """Read a stored audit record."""
+    model = validate(_AuditModel, value)
+    if not is_successful(model):
+        return Failure(AuditError(detail="; ".join(str(each) for each in model.failure())))
+    found = model.unwrap()
+    return Success(
+        AuditRecord(
+            at=found.at,
+            who=found.who,
+            kind=AuditKind(found.kind),
+            subject=found.subject,
+            reason=found.reason,
+            before=found.before,
+            after=found.after,
+        )
+    )
--- /dev/null
+++ b/packages/core/src/carobspool_core/revision/_record.py
@@ -0,0 +1,183 @@
+"""The immutable object of one revision: what was changed, by whom, when and why."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+import zlib
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from pydantic import Field
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from carobspool_core._audit import AuditKind, AuditRecord
+from carobspool_core._ports import Json
+from carobspool_core.border import BorderModel, validate
+from carobspool_core.revision._diff import Change
+from carobspool_core.schema import entry_to_json
+
+CHANGES_LIMIT = 500_000
+"""Characters of the changes kept in a revision; over it only their summary is kept.
+
+The parts of the revision and of the one before it still tell them.
+"""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RecordedChange:
+    """A change as the audit trail keeps it; entries in JSON, as they were at the time."""
+
+    section: str
+    name: str
+    before: Json
+    after: Json
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Revision:
+    """One accepted revision of the desired state.
+
+    Attributes:
+        number: Its number; one more than the revision that it follows.
+        base: Revision that the author saw; older than ``number - 1`` when it was rebased.
+        author: Caller id of the operator.
+        reason: Why, in the author's words.
+        at: When it was written, in milliseconds since the Unix epoch.
+        write: Unique id of the write, by which the author's process knows its own.
+        summary: One line for each change, or for the first of many.
+        count: Number of changes.
+        parts: Digest of each part by name.
+        changes: The changes, or ``None`` when they were too many to keep.
+
+    Since 0.1.
+    """
+
+    number: int
+    base: int
+    author: str
+    reason: str
+    at: int
+    write: str
+    summary: tuple[str, ...]
+    count: int
+    parts: Mapping[str, str]
+    changes: tuple[RecordedChange, ...] | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RevisionError:
+    """A stored revision that cannot be read."""
+
+    detail: str
+
+
+class _RevisionModel(BorderModel):
+    number: int = Field(gt=0)
+    base: int = Field(ge=0)
+    author: str
+    reason: str
+    at: int
+    write: str
+    summary: list[str]
+    count: int = Field(ge=0)
+    parts: dict[str, str]
+    changes: str | None = None
+
+
+def record_changes(changes: Sequence[Change]) -> tuple[RecordedChange, ...] | None:
+    """Return the changes to keep, or ``None`` when they are too many for one object."""
+    recorded = tuple(_recorded(change) for change in changes)
+    return recorded if len(_pack(recorded)) <= CHANGES_LIMIT else None
+
+
+def revision_to_json(revision: Revision) -> Json:
+    """Return a revision as it is stored."""
+    changes = revision.changes
+    return {
+        "number": revision.number,
+        "base": revision.base,
+        "author": revision.author,
+        "reason": revision.reason,
+        "at": revision.at,
+        "write": revision.write,
+        "summary": list(revision.summary),
+        "count": revision.count,
+        "parts": dict(revision.parts),
+        "changes": None if changes is None else _pack(changes),
+    }
+
+
+def revision_from_json(value: Json) -> Result[Revision, RevisionError]:
+    """Read a stored revision."""
+    model = validate(_RevisionModel, value)
+    if not is_successful(model):
+        detail = "; ".join(str(problem) for problem in model.failure())
+        return Failure(RevisionError(detail=detail))
+    found = model.unwrap()
+    changes = None if found.changes is None else _unpack(found.changes)
+    return Success(
+        Revision(
+            number=found.number,
+            base=found.base,
+            author=found.author,
+            reason=found.reason,
+            at=found.at,
+            write=found.write,
+            summary=tuple(found.summary),
+            count=found.count,
+            parts=found.parts,
+            changes=changes,
+        )
+    )
+
+
+def revision_audit(revision: Revision) -> AuditRecord:
+    """Return a revision as an audit record; entries under their section and name."""
+    changes = revision.changes
+    before: Json = {"changes": revision.count}
+    after: Json = {"changes": revision.count}
+    if changes is not None:
+        before = {_subject(each): each.before for each in changes}
+        after = {_subject(each): each.after for each in changes}
+    return AuditRecord(
+        at=revision.at,
+        who=revision.author,
+        kind=AuditKind.CONFIGURATION,
+        subject=str(revision.number),
+        reason=revision.reason,
+        before=before,
+        after=after,
+    )
+
+
+def _recorded(change: Change) -> RecordedChange:
+    return RecordedChange(
+        section=str(change.section),
+        name=change.name,
+        before=None if change.before is None else entry_to_json(change.before),
+        after=None if change.after is None else entry_to_json(change.after),
+    )
+
+
+def _subject(change: RecordedChange) -> str:
+    return f"{change.section}/{change.name}" if change.name else change.section
+
+
+def _pack(changes: Sequence[RecordedChange]) -> str:
+    rows = [[each.section, each.name, each.before, each.after] for each in changes]
+    content = json.dumps(rows, separators=(",", ":")).encode("utf-8")
+    return base64.b64encode(zlib.compress(content)).decode("ascii")
+
+
+def _unpack(value: str) -> tuple[RecordedChange, ...] | None:
+    try:
+        rows = json.loads(zlib.decompress(base64.b64decode(value)))
+    except (binascii.Error, zlib.error, ValueError):
+        return None
+    return tuple(
+        RecordedChange(section=section, name=name, before=before, after=after)
+        for section, name, before, after in rows
+    )
--- /dev/null
+++ b/packages/core/tests/test_revision.py
@@ -0,0 +1,134 @@
+"""Tests of revisions of the desired state."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carobspool_core import Caller, DesiredState, OnlineSlowdown, Organisation
+from carobspool_core.revision import (
+    Change,
+    Part,
+    Revision,
+    Section,
+    decode_part,
+    diff,
+    join,
+    rebase,
+    record_changes,
+    revision_audit,
+    revision_from_json,
+    revision_to_json,
+    split,
+    summarise,
+)
+
+names = st.text("abcdef", min_size=1, max_size=3)
+organisations = st.dictionaries(names, st.sampled_from([1.0, 2.0, 3.0]), max_size=8)
+slowdowns = st.sampled_from([1.1, 1.2])
+
+
+def state_of(weights: dict[str, float], slowdown: float = 1.1) -> DesiredState:
+    """Return a state with organisations of the given weights."""
+    entries = {name: Organisation(name=name, weight=each) for name, each in weights.items()}
+    return DesiredState(organisations=entries, online_slowdown=OnlineSlowdown(first_token=slowdown))
+
+
+states = st.builds(state_of, organisations, slowdowns)
+
+
+@given(states)
+def test_parts_join_to_the_same_state(state: DesiredState) -> None:
+    """A state cut into parts, shipped and put together is the same."""
+    parts: dict[str, Part] = {}
+    for part in split(state).unwrap().values():
+        parts[part.name] = decode_part(part.name, part.digest, part.value).unwrap()
+    assert join(parts, 0) == state
+
+
+@given(states, states, states)
+def test_rebase_keeps_both_sides_or_names_the_clash(
+    base: DesiredState, mine: DesiredState, head: DesiredState
+) -> None:
+    """Every change of both sides is in the merged state, unless both changed one entry apart."""
+    ours = {(each.section, each.name): each.after for each in diff(base, mine)}
+    theirs = {(each.section, each.name): each.after for each in diff(base, head)}
+    apart = {key for key in ours.keys() & theirs.keys() if ours[key] != theirs[key]}
+    result = rebase(base, mine, head)
+    if apart:
+        assert {(each.mine.section, each.mine.name) for each in result.failure()} == apart
+        return
+    merged = {(each.section, each.name): each.after for each in diff(base, result.unwrap())}
+    assert merged == ours | theirs
+
+
+def test_a_change_of_one_entry_changes_one_part() -> None:
+    """Parts without a change keep their digest, and are not written again."""
+    before = split(state_of({f"o{number}": 1.0 for number in range(500)})).unwrap()
+    changed = state_of({f"o{number}": 1.0 for number in range(500)} | {"o7": 9.0})
+    after = split(changed, before).unwrap()
+    assert sum(after[name] is not before[name] for name in after) == 1
+
+
+@pytest.mark.parametrize("value", ["", "@@", "eJwDAAAAAAE="])
+def test_a_damaged_part_is_refused(value: str) -> None:
+    """A part whose content is not what its digest names is never taken."""
+    part = split(state_of({"a": 1.0})).unwrap()["batch"]
+    assert decode_part(part.name, part.digest, value).failure().part == "batch"
+    assert "not ffff" in decode_part(part.name, "ffff", part.value).failure().detail
+
+
+def test_too_large_a_part_is_refused() -> None:
+    """A part over the platform's limit is an error before anything is written."""
+    hashes = tuple(f"{number:064x}"[::-1] for number in range(40_000))
+    caller = Caller(id="x", organisation="o", key_hashes=hashes)
+    state = DesiredState(callers={"x": caller})
+    oversized = replace(state, callers={"x": replace(caller, key_hashes=hashes * 12)})
+    assert split(state).unwrap()
+    (error,) = split(oversized).failure()
+    assert error.part.startswith("callers/")
+
+
+def test_summary_names_each_change() -> None:
+    """Additions, removals and changed fields are told in words; key hashes are not."""
+    lines = summarise(diff(state_of({"a": 1.0, "b": 1.0}), state_of({"a": 2.0, "c": 1.0})))
+    assert lines == (
+        "organisations/a: weight 1.0 -> 2.0",
+        "organisations/b: removed",
+        "organisations/c: added",
+    )
+
+
+def test_revision_survives_its_storage() -> None:
+    """A stored revision reads back with its changes, and tells them to the audit trail."""
+    changes = diff(state_of({"a": 1.0}), state_of({"a": 2.0}))
+    revision = Revision(
+        number=3,
+        base=2,
+        author="ana",
+        reason="more",
+        at=5,
+        write="w",
+        summary=summarise(changes),
+        count=len(changes),
+        parts={"models": "d"},
+        changes=record_changes(changes),
+    )
+    stored = json.loads(json.dumps(revision_to_json(revision)))
+    assert revision_from_json(stored).unwrap() == revision
+    record = revision_audit(revision)
+    assert (record.who, record.subject) == ("ana", "3")
+    assert record.before["organisations/a"]["weight"] == 1.0
+    assert record.after["organisations/a"]["weight"] == 2.0
+    assert revision_from_json({"number": 0}).failure().detail
+
+
+def test_change_of_a_single_section_has_its_name() -> None:
+    """A section with one entry is named by itself."""
+    (change,) = diff(state_of({}, 1.1), state_of({}, 1.2))
+    assert isinstance(change, Change)
+    assert (change.section, change.subject) == (Section.ONLINE_SLOWDOWN, "online_slowdown")
