--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -43,7 +43,6 @@
 from carobspool_core._job_records import chunk_value, job_value, read_chunk, read_job
 from carobspool_core._jobs import (
     IDEMPOTENT_METADATA,
-    AuditRecord,
     BatchItem,
     Job,
     JobCounts,
@@ -181,7 +180,6 @@
     "rate_limited",
     "unavailable",
     "wall_millis",
-    "AuditRecord",
     "BatchItem",
     "ChunkChange",
     "ChunkRefusal",
--- a/packages/core/src/carobspool_core/_audit.py
+++ b/packages/core/src/carobspool_core/_audit.py
@@ -13,6 +13,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from carobspool_core._clock import Millis
 from carobspool_core._ports import Json
 from carobspool_core.border import BorderModel, validate
 
@@ -33,7 +34,7 @@
     Attributes:
         at: When it was accepted, in milliseconds since the Unix epoch.
         who: Caller id of the operator, or the node that acted by itself.
-        kind: What was changed.
+        kind: What was changed, one of `AuditKind`.
         subject: Revision number, host, job id or fingerprint.
         reason: Why, in the words of who did it.
         before: What stood there before; ``None`` when there was nothing.
@@ -42,9 +43,9 @@
     Since 0.1.
     """
 
-    at: int
+    at: Millis
     who: str
-    kind: AuditKind
+    kind: str
     subject: str
     reason: str
     before: Json
@@ -59,7 +60,7 @@
 
 
 class _AuditModel(BorderModel):
-    at: int
+    at: float
     who: str
     kind: str = Field(pattern="^(configuration|drain|cancel|quarantine)$")
     subject: str
@@ -91,7 +92,7 @@
         AuditRecord(
             at=found.at,
             who=found.who,
-            kind=AuditKind(found.kind),
+            kind=found.kind,
             subject=found.subject,
             reason=found.reason,
             before=found.before,
--- a/packages/core/src/carobspool_core/_job_records.py
+++ b/packages/core/src/carobspool_core/_job_records.py
@@ -4,8 +4,9 @@
 
 import dataclasses
 
+from carobspool_core._audit import AuditRecord
 from carobspool_core._chunks import ChunkState, ChunkStatus, Holder, ResultPart
-from carobspool_core._jobs import AuditRecord, Job, JobCounts, JobStatus
+from carobspool_core._jobs import Job, JobCounts, JobStatus
 from carobspool_core._ports import Json
 from carobspool_core._spans import Spans
 
--- a/packages/core/src/carobspool_core/_jobs.py
+++ b/packages/core/src/carobspool_core/_jobs.py
@@ -9,6 +9,7 @@
 
 from returns.result import Failure, Result, Success
 
+from carobspool_core._audit import AuditRecord
 from carobspool_core._clock import Millis
 
 DIGEST_LENGTH = 32
@@ -72,19 +73,6 @@
     idempotent: bool = True
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AuditRecord:
-    """Who changed what, when and why; stands in the value that the change wrote."""
-
-    at: Millis
-    who: str
-    kind: str
-    subject: str
-    reason: str
-    before: str
-    after: str
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class JobCounts:
     """Finished items of a job and the size of its result files in bytes."""
