--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -1,5 +1,12 @@
 """Data classes, ports and decisions of carobspool: no network, no threads."""
 
+from carobspool_core._audit import (
+    AuditError,
+    AuditKind,
+    AuditRecord,
+    audit_from_json,
+    audit_to_json,
+)
 from carobspool_core._chunks import (
     MAX_CHUNK_BYTES,
     ChunkChange,
@@ -38,7 +45,6 @@
 from carobspool_core._job_records import chunk_value, job_value, read_chunk, read_job
 from carobspool_core._jobs import (
     IDEMPOTENT_METADATA,
-    AuditRecord,
     BatchItem,
     Job,
     JobCounts,
@@ -118,6 +124,9 @@
     "ItemRetry",
     "item_retry",
     "withdraw_intents",
+    "AuditError",
+    "AuditKind",
+    "AuditRecord",
     "rank",
     "owner",
     "first",
@@ -170,13 +179,14 @@
     "StoreFault",
     "StoredObject",
     "WatchBatch",
+    "audit_from_json",
+    "audit_to_json",
     "broken_upstream",
     "invalid_request",
     "monotonic_clock",
     "rate_limited",
     "unavailable",
     "wall_millis",
-    "AuditRecord",
     "BatchItem",
     "ChunkChange",
     "ChunkRefusal",
--- a/packages/node/src/carobspool_node/_job_intake.py
+++ b/packages/node/src/carobspool_node/_job_intake.py
@@ -142,7 +142,7 @@
         record = AuditRecord(
             at=now,
             who=who,
-            kind="cancel_job",
+            kind="cancel",
             subject=job.id,
             reason=reason,
             before=current.status.value,
