--- /dev/null
+++ b/packages/node/src/carobspool_node/_engine_runs.py
@@ -0,0 +1,325 @@
+"""Running one request at the upstream, from its first byte to its end.
+
+Online requests are passed on as they come. Batch requests are run as streams so that they can give
+way: the engine is told to cancel and keep the KV cache, and the stream is resumed later.
+"""
+
+from __future__ import annotations
+
+import json
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from absl import logging
+
+from carobspool_core import (
+    Clock,
+    Failure,
+    Open,
+    Outcome,
+    Priority,
+    RequestId,
+    broken_upstream,
+    unavailable,
+)
+from carobspool_node._event_stream import AnswerCollector, EventCutter
+from carobspool_node._runs import Run
+from carobspool_node._scheduler import Scheduler
+from carobspool_node._upstream_http import (
+    CONTROL_TIMEOUT,
+    CallEnd,
+    CallResult,
+    Exchange,
+    UpstreamCall,
+    call_whole,
+)
+
+_EVENT_STREAM = "text/event-stream"
+_CHAT_PATH = "/v1/chat/completions"
+_NOT_FOUND = 404
+_CANCELLED = broken_upstream("cancelled", "the request was cancelled", outcome=Outcome.UNKNOWN)
+
+
+@dataclass(slots=True)
+class _Progress:
+    """Mutable state of a request between its runs at the upstream."""
+
+    exchange: Exchange = field(default_factory=Exchange)
+    cutter: EventCutter = field(default_factory=EventCutter)
+    collector: AnswerCollector | None = None
+    kept: bool = False
+    preempting: bool = False
+    cancelled: bool = False
+    started: bool = False
+    status: int = 0
+    error_body: bytes = b""
+
+
+class EngineRuns:
+    """The requests at one upstream. Since 0.1.
+
+    Args:
+        upstream: Base URL of the upstream.
+        clock: This process's clock.
+        on_broken: Called when the upstream broke a connection, before that request's end is told.
+    """
+
+    def __init__(
+        self,
+        upstream: str,
+        clock: Clock,
+        *,
+        on_broken: Callable[[], None],
+    ) -> None:
+        self._upstream = upstream.rstrip("/")
+        self._clock = clock
+        self._on_broken = on_broken
+        self._scheduler: Scheduler | None = None
+        self._lock = threading.Lock()
+        self._progress: dict[RequestId, _Progress] = {}
+
+    def attach(self, scheduler: Scheduler) -> None:
+        """Set the scheduler that is told of tokens and ends."""
+        self._scheduler = scheduler
+
+    def run(self, run: Run) -> None:
+        """Run a request, or go on with one that gave way; returns when it has left the upstream."""
+        request = run.open
+        with self._lock:
+            progress = self._progress.setdefault(request.id, _Progress())
+            progress.exchange = Exchange()
+            progress.cutter = EventCutter()
+            progress.preempting = False
+            cancelled = progress.cancelled
+        if cancelled:
+            self._end(run, _CANCELLED)
+            return
+        try:
+            if request.priority is Priority.BATCH:
+                self._run_batch(run, progress)
+            else:
+                self._run_online(run, progress)
+        except Exception as error:  # noqa: BLE001
+            # A fault of ours must not leave the caller without an answer or the slot taken.
+            logging.exception("event=run_failed id=%s error=%r", request.id, error)
+            failure = broken_upstream("internal", "the sidecar failed", outcome=Outcome.UNKNOWN)
+            self._end(run, failure)
+
+    def preempt(self, run: Run) -> None:
+        """Make a running batch request give way; returns when the engine has answered.
+
+        A request that may run only once is left alone: resuming it could run it again.
+        """
+        if not run.open.idempotent:
+            return
+        with self._lock:
+            progress = self._progress.get(run.open.id)
+            if progress is None or progress.cancelled:
+                return
+            progress.preempting = True
+        progress.kept = self._cancel_at_engine(run.open.id, keep_kv=True)
+        if not progress.kept:
+            progress.exchange.abort()
+
+    def cancel(self, run: Run) -> None:
+        """Stop a request for good; returns when the engine has answered."""
+        with self._lock:
+            progress = self._progress.setdefault(run.open.id, _Progress())
+            progress.cancelled = True
+        self._cancel_at_engine(run.open.id, keep_kv=False)
+        progress.exchange.abort()
+
+    def forget(self, identity: RequestId) -> None:
+        """Drop what is kept of a request that will not run again."""
+        with self._lock:
+            self._progress.pop(identity, None)
+
+    def _tell(self) -> Scheduler:
+        assert self._scheduler is not None
+        return self._scheduler
+
+    def _run_online(self, run: Run, progress: _Progress) -> None:
+        request = run.open
+        streaming = False
+
+        def on_head(status: int, headers: dict[str, str]) -> None:
+            nonlocal streaming
+            streaming = _EVENT_STREAM in headers.get("content-type", "")
+            run.head(status, headers)
+
+        def on_data(data: bytes) -> None:
+            first = not progress.started
+            progress.started = True
+            if not streaming:
+                run.data(data)
+                if first:
+                    self._tell().first_token(request.id)
+                return
+            whole = progress.cutter.feed(data)
+            if not whole:
+                return
+            run.data(whole)
+            self._count(request.id, first, whole.count(b"\n\n"))
+
+        result = progress.exchange.run(self._call(request), on_head, on_data)
+        failure = self._failure_of(result, progress)
+        if failure is None and streaming and not progress.cutter.done:
+            failure = broken_upstream(
+                "stream_cut", "the upstream's stream ended early", outcome=Outcome.UNKNOWN
+            )
+        self._end(run, failure)
+
+    def _run_batch(self, run: Run, progress: _Progress) -> None:
+        request = run.open
+        if not _is_completion(request):
+            self._run_online(run, progress)
+            return
+        if progress.collector is None:
+            progress.collector = AnswerCollector(chat=request.path.startswith(_CHAT_PATH))
+        collector = progress.collector
+        if collector.tokens and progress.kept:
+            result = self._stream_batch(run, progress, self._resume_call(request, collector))
+            if progress.status == _NOT_FOUND and result.end is CallEnd.COMPLETE:
+                collector.restart()
+                result = self._stream_batch(run, progress, self._stream_call(request))
+        else:
+            collector.restart()
+            result = self._stream_batch(run, progress, self._stream_call(request))
+        self._finish_batch(run, progress, collector, result)
+
+    def _stream_batch(self, run: Run, progress: _Progress, call: UpstreamCall) -> CallResult:
+        collector = progress.collector
+        assert collector is not None
+        collector.continue_stream()
+        progress.cutter = EventCutter()
+        progress.error_body = b""
+
+        def on_head(status: int, headers: dict[str, str]) -> None:
+            progress.status = status
+
+        def on_data(data: bytes) -> None:
+            if progress.status != 200:
+                progress.error_body += data
+                return
+            first = collector.tokens == 0
+            count = collector.feed(progress.cutter.feed(data))
+            if count:
+                self._count(run.open.id, first, count)
+
+        return progress.exchange.run(call, on_head, on_data)
+
+    def _finish_batch(
+        self, run: Run, progress: _Progress, collector: AnswerCollector, result: CallResult
+    ) -> None:
+        gave_way = collector.cancelled or result.end is not CallEnd.COMPLETE
+        if progress.preempting and not progress.cancelled and gave_way:
+            run.give_way()
+            self._tell().preempted(run.open.id, kept_tokens=collector.tokens, kept=progress.kept)
+            return
+        failure = self._failure_of(result, progress)
+        if failure is None and progress.status != 200:
+            run.head(progress.status, {"content-type": "application/json"})
+            run.data(progress.error_body)
+            self._end(run, None)
+            return
+        if failure is None and not (collector.finished and progress.cutter.done):
+            failure = broken_upstream(
+                "stream_cut", "the upstream's stream ended early", outcome=Outcome.UNKNOWN
+            )
+        if failure is None:
+            run.head(200, {"content-type": "application/json"})
+            run.data(collector.body())
+        self._end(run, failure)
+
+    def _end(self, run: Run, failure: Failure | None) -> None:
+        with self._lock:
+            self._progress.pop(run.open.id, None)
+        run.end(failure, self._clock.now())
+        self._tell().finished(run.open.id)
+
+    def _count(self, identity: RequestId, first: bool, count: int) -> None:
+        if first:
+            self._tell().first_token(identity)
+            count -= 1
+        if count > 0:
+            self._tell().tokens(identity, count)
+
+    def _failure_of(self, result: CallResult, progress: _Progress) -> Failure | None:
+        if result.end is CallEnd.COMPLETE:
+            return None
+        if progress.cancelled:
+            return _CANCELLED
+        if result.end is CallEnd.NOT_SENT:
+            return unavailable("upstream_down", f"the upstream did not answer: {result.detail}")
+        if result.end is CallEnd.TIMED_OUT:
+            return Failure(
+                status=504,
+                type="timeout_error",
+                code="upstream_timeout",
+                message="the upstream did not answer in time",
+                outcome=Outcome.UNKNOWN,
+                retry_after_ms=1000.0,
+            )
+        # The probe finds out whether the upstream crashed. Its sidecar then tells the entries which
+        # requests were in flight, before their callers hear of it and may send them again.
+        self._on_broken()
+        return broken_upstream(
+            "upstream_broken", "the upstream broke the connection", outcome=Outcome.UNKNOWN
+        )
+
+    def _call(self, request: Open) -> UpstreamCall:
+        headers = {**request.headers, "X-Request-Id": engine_id(request.id)}
+        return UpstreamCall(
+            method=request.method,
+            url=self._upstream + request.path,
+            headers=headers,
+            body=request.body,
+            timeout=0.0 if request.stream else request.timeout,
+        )
+
+    def _stream_call(self, request: Open) -> UpstreamCall:
+        body = json.loads(request.body)
+        body["stream"] = True
+        body["stream_options"] = {"include_usage": True}
+        headers = {**request.headers, "X-Request-Id": engine_id(request.id)}
+        return UpstreamCall(
+            method="POST",
+            url=self._upstream + request.path,
+            headers=headers,
+            body=json.dumps(body, ensure_ascii=False).encode(),
+        )
+
+    def _resume_call(self, request: Open, collector: AnswerCollector) -> UpstreamCall:
+        body = json.dumps({"from_token": collector.tokens}).encode()
+        return UpstreamCall(
+            method="POST",
+            url=f"{self._upstream}/streams/{engine_id(request.id)}/resume",
+            headers={"Content-Type": "application/json"},
+            body=body,
+        )
+
+    def _cancel_at_engine(self, identity: RequestId, *, keep_kv: bool) -> bool:
+        call = UpstreamCall(
+            method="POST",
+            url=f"{self._upstream}/streams/{engine_id(identity)}/cancel",
+            headers={"Content-Type": "application/json"},
+            body=json.dumps({"keep_kv": keep_kv}).encode(),
+            timeout=CONTROL_TIMEOUT,
+        )
+        result, body = call_whole(call)
+        if result.end is not CallEnd.COMPLETE or result.status != 200:
+            return False
+        try:
+            return bool(json.loads(body)["kept"]) or not keep_kv
+        except (ValueError, KeyError, TypeError):
+            return False
+
+
+def engine_id(identity: RequestId) -> str:
+    """Return the stream id under which an attempt runs at the engine."""
+    return f"{identity.incarnation}-{identity.counter}"
+
+
+def _is_completion(request: Open) -> bool:
+    return request.path.startswith(("/v1/chat/completions", "/v1/completions"))
--- a/packages/node/src/carobspool_node/_online_requests.py
+++ b/packages/node/src/carobspool_node/_online_requests.py
@@ -260,7 +260,8 @@
         start = json.dumps(completion.messages[0])[:PREFIX_CHARACTERS]
     else:
         start = str(completion.prompt)[:PREFIX_CHARACTERS]
-    return xxhash.xxh3_64_hexdigest(f"{organisation}|{completion.model}|{start}")
+    text = f"{organisation}|{completion.model}|{start}"
+    return xxhash.xxh3_64_hexdigest(text.encode())
 
 
 def fingerprint(organisation: str, body: bytes) -> str:
--- /dev/null
+++ b/packages/node/src/carobspool_node/_sidecar.py
@@ -0,0 +1,453 @@
+"""The sidecar: the only door to its upstream.
+
+Every request to the upstream, online or batch and from whichever entry, passes through here, so
+that admission is decided in one place that sees everything without lag.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from absl import logging
+from returns.pipeline import is_successful
+from websockets.sync.server import Server, ServerConnection, serve
+
+from carobspool_core import (
+    Attach,
+    Beat,
+    Cancel,
+    Clock,
+    Configuration,
+    End,
+    Failure,
+    Hint,
+    HintKind,
+    Load,
+    Message,
+    Millis,
+    Open,
+    Outcome,
+    RequestId,
+    SidecarState,
+    Work,
+    broken_upstream,
+    unavailable,
+)
+from carobspool_node._engine_runs import EngineRuns
+from carobspool_node._link import MAX_FRAME_BYTES, Identity, Link, establish, send_quietly
+from carobspool_node._peer_keys import PeerKeys
+from carobspool_node._runs import Run, RunState, RunTable
+from carobspool_node._scheduler import Scheduler
+from carobspool_node._upstream_health import UpstreamHealth
+from carobspool_node.errors import CodecError, HandshakeError, LinkClosedError
+
+MAX_OPEN_AGE: Millis = 2_500.0
+"""Requests older than this on arrival are refused as not run.
+
+Without it, a sidecar that was frozen would on waking start what its entries have long given up or
+run elsewhere, and a host that is leaving would get new work. Entries count a sidecar as lost after
+3 s, so nothing they still hope for is refused.
+"""
+REATTACH_GRACE: Millis = 5_000.0
+LOAD_INTERVAL: Millis = 5_000.0
+_LEAVING = unavailable("leaving", "the upstream is leaving", retry_after_ms=0.0)
+_NEVER_RECEIVED = unavailable(
+    "never_received", "the request never reached the upstream's host", retry_after_ms=0.0
+)
+_FORGOTTEN = broken_upstream(
+    "replay_expired", "the answer is no longer kept", outcome=Outcome.UNKNOWN
+)
+_CANCELLED = Failure(
+    status=499,
+    type="cancelled_error",
+    code="cancelled",
+    message="the request was cancelled",
+    outcome=Outcome.NOT_RUN,
+)
+
+
+@dataclass(slots=True)
+class _EntryLink:
+    """The current connection of one entry process."""
+
+    link: Link
+    lost_at: Millis | None = None
+    last_load: Load | None = None
+    load_sent_at: Millis = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SidecarOptions:
+    """What a sidecar needs to know.
+
+    Attributes:
+        address: IP number to listen on.
+        port: Port to listen on; 0 takes a free one.
+        upstream: Base URL of the upstream.
+        host: The upstream's host name.
+        targets: Names of the service behind it, for a plain service.
+        slots: Requests that the upstream runs side by side.
+        heartbeat: Milliseconds between heartbeats.
+    """
+
+    address: str
+    port: int
+    upstream: str
+    host: str
+    targets: tuple[str, ...]
+    slots: int
+    heartbeat: Millis = 1_000.0
+
+
+class Sidecar:
+    """Serves entries over websockets and drives one upstream. Since 0.1."""
+
+    def __init__(
+        self,
+        options: SidecarOptions,
+        identity: Identity,
+        keys: PeerKeys,
+        clock: Clock,
+        make_scheduler: Callable[..., Scheduler],
+    ) -> None:
+        self._options = options
+        self._identity = identity
+        self._keys = keys
+        self._clock = clock
+        self._runs = RunTable()
+        self._links: dict[str, _EntryLink] = {}
+        self._lock = threading.Lock()
+        self._state = SidecarState.READY
+        self._targets = options.targets
+        self._revision = 0
+        self._epoch = 0
+        self._hints = 0
+        self._stopped = threading.Event()
+        self._pool = ThreadPoolExecutor(options.slots * 2 + 16, thread_name_prefix="run")
+        self._control = ThreadPoolExecutor(16, thread_name_prefix="control")
+        self._health = UpstreamHealth(
+            options.upstream, clock, on_down=self._upstream_down, on_up=self._push_load
+        )
+        self._engine = EngineRuns(options.upstream, clock, on_broken=self._health.probe_now)
+        self._scheduler = make_scheduler(
+            start=self._start, preempt=self._preempt, refuse=self._refuse
+        )
+        self._engine.attach(self._scheduler)
+        self._server: Server | None = None
+        self.on_configuration: Callable[[Configuration, Link], None] = _ignore_configuration
+        self.on_link: Callable[[Link], None] = _ignore_link
+
+    @property
+    def port(self) -> int:
+        """The port on which it listens."""
+        assert self._server is not None
+        port: int = self._server.socket.getsockname()[1]
+        return port
+
+    @property
+    def state(self) -> SidecarState:
+        """Whether it takes new work."""
+        if self._state is SidecarState.LEAVING:
+            return self._state
+        return self._state if self._health.up else SidecarState.UPSTREAM_DOWN
+
+    @property
+    def open_runs(self) -> int:
+        """Requests that have not ended."""
+        return self._runs.open_count()
+
+    def start(self) -> None:
+        """Listen and serve in tasks of its own."""
+        self._health.start()
+        self._server = serve(
+            self._serve,
+            self._options.address,
+            self._options.port,
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            ping_interval=None,
+        )
+        threading.Thread(target=self._server.serve_forever, name="listen", daemon=True).start()
+        threading.Thread(target=self._beat, name="beat", daemon=True).start()
+
+    def set_targets(self, targets: tuple[str, ...], *, revision: int, epoch: int) -> None:
+        """Tell what is ready at the upstream and which configuration is in force."""
+        changed = (targets, revision, epoch) != (self._targets, self._revision, self._epoch)
+        self._targets = targets
+        self._revision = revision
+        self._epoch = epoch
+        if changed:
+            self._push_load()
+
+    def leave(self) -> None:
+        """Refuse new work and tell every entry at once."""
+        self._state = SidecarState.LEAVING
+        logging.info("event=leaving open=%d", self._runs.open_count())
+        self._push_load()
+        for run in self._runs.waiting():
+            self._end_waiting(run, _LEAVING)
+
+    def return_to_work(self) -> None:
+        """Take new work again after `leave`."""
+        self._state = SidecarState.READY
+        logging.info("event=returned")
+        self._push_load()
+
+    def drain(self, limit: Millis) -> int:
+        """Wait until all requests have ended; return how many the time limit cut off."""
+        until = self._clock.now() + limit
+        while self._clock.now() < until:
+            count = self._runs.open_count()
+            if count == 0:
+                return 0
+            self._stopped.wait(0.05)
+        return self._runs.open_count()
+
+    def stop(self) -> None:
+        """Close all connections and end the tasks."""
+        self._stopped.set()
+        self._health.stop()
+        self._scheduler.stop()
+        for entry in self._entries():
+            entry.link.flush(1_000.0)
+            entry.link.close()
+        if self._server is not None:
+            self._server.shutdown()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+        self._control.shutdown(wait=False, cancel_futures=True)
+
+    def _serve(self, socket: ServerConnection) -> None:
+        try:
+            link = establish(
+                socket, identity=self._identity, keys=self._keys, clock=self._clock, server=True
+            )
+        except (HandshakeError, CodecError) as error:
+            logging.warning("event=handshake_refused error=%s", error)
+            return
+        if link.peer.role != "entry":
+            logging.warning("event=peer_refused role=%s", link.peer.role)
+            link.close()
+            return
+        self._adopt(link)
+        try:
+            for message in link.messages():
+                self._receive(link, message)
+        except (CodecError, LinkClosedError) as error:
+            logging.warning("event=link_broken entry=%s error=%s", link.peer.node, error)
+            link.close()
+        self._lose(link)
+
+    def _adopt(self, link: Link) -> None:
+        with self._lock:
+            previous = self._links.get(link.peer.incarnation)
+            self._links[link.peer.incarnation] = _EntryLink(link=link)
+        if previous is not None:
+            previous.link.close()
+        logging.info("event=entry_connected entry=%s", link.peer.node)
+        self.on_link(link)
+        self._push_load()
+
+    def _lose(self, link: Link) -> None:
+        with self._lock:
+            entry = self._links.get(link.peer.incarnation)
+            if entry is None or entry.link is not link:
+                return
+            entry.lost_at = self._clock.now()
+        logging.info("event=entry_lost entry=%s", link.peer.node)
+
+    def _receive(self, link: Link, message: Message) -> None:
+        if isinstance(message, Open):
+            self._open(link, message)
+            return
+        if isinstance(message, Cancel):
+            self._cancel(message.id)
+            return
+        if isinstance(message, Attach):
+            self._attach(message)
+            return
+        if isinstance(message, Beat):
+            link.age(message.sent, self._clock.now())
+            return
+        if isinstance(message, Configuration):
+            self.on_configuration(message, link)
+
+    def _open(self, link: Link, message: Open) -> None:
+        run = Run(message, self._deliver(message.id.incarnation))
+        with self._lock:
+            # An entry that has connected again asks about its requests on the new connection;
+            # what the old one still holds must not start after it was told "not run".
+            current = self._links.get(link.peer.incarnation)
+            if current is None or current.link is not link:
+                return
+            if not self._runs.add(run):
+                return
+        refusal = self._refusal(link, message)
+        if refusal is not None:
+            run.end(refusal, self._clock.now())
+            return
+        offered = self._scheduler.offer(self._work(message))
+        if not is_successful(offered):
+            run.end(offered.failure(), self._clock.now())
+
+    def _refusal(self, link: Link, message: Open) -> Failure | None:
+        age = link.age(message.sent, self._clock.now())
+        if age > MAX_OPEN_AGE:
+            return unavailable(
+                "stale", f"the request reached the upstream's host {age:.0f} ms late"
+            )
+        if self._state is SidecarState.LEAVING:
+            return _LEAVING
+        if not self._health.up:
+            return unavailable("upstream_down", "the upstream is down", retry_after_ms=1000.0)
+        return None
+
+    def _work(self, message: Open) -> Work:
+        deadline = self._clock.now() + message.timeout
+        return Work(
+            id=message.id,
+            priority=message.priority,
+            caller=message.caller,
+            weight=message.weight,
+            prompt_tokens=message.prompt_tokens,
+            cost_tokens=message.cost_tokens,
+            deadline=deadline,
+            fingerprint=message.fingerprint,
+            suspect=message.suspect,
+        )
+
+    def _attach(self, message: Attach) -> None:
+        run = self._runs.get(message.id)
+        if run is not None:
+            run.replay(message.sequence)
+            return
+        # Under the lock of `_open` no request of an older connection can be added any more, so a
+        # request unknown here never reached the upstream.
+        failure = _NEVER_RECEIVED
+        if self._runs.forgotten(message.id):
+            failure = _FORGOTTEN
+        self._deliver(message.id.incarnation)(End(id=message.id, count=0, failure=failure))
+
+    def _cancel(self, identity: RequestId) -> None:
+        run = self._runs.get(identity)
+        if run is None or run.state is RunState.ENDED:
+            return
+        if self._end_waiting(run, _CANCELLED):
+            return
+        self._control.submit(self._engine.cancel, run)
+
+    def _start(self, identity: RequestId) -> None:
+        run = self._runs.get(identity)
+        if run is None or not run.begin():
+            self._scheduler.finished(identity)
+            return
+        self._pool.submit(self._engine.run, run)
+
+    def _preempt(self, identity: RequestId) -> None:
+        run = self._runs.get(identity)
+        if run is not None:
+            self._control.submit(self._engine.preempt, run)
+
+    def _refuse(self, identity: RequestId, failure: Failure) -> None:
+        run = self._runs.get(identity)
+        if run is not None and run.end_waiting(failure, self._clock.now()):
+            self._engine.forget(identity)
+
+    def _end_waiting(self, run: Run, failure: Failure) -> bool:
+        if not run.end_waiting(failure, self._clock.now()):
+            return False
+        self._scheduler.cancelled(run.open.id)
+        self._engine.forget(run.open.id)
+        return True
+
+    def _deliver(self, incarnation: str) -> Callable[[Message], None]:
+        def deliver(message: Message) -> None:
+            entry = self._links.get(incarnation)
+            if entry is None:
+                return
+            try:
+                entry.link.send(message)
+            except LinkClosedError:
+                return
+
+        return deliver
+
+    def _upstream_down(self) -> None:
+        # All that was in flight is suspected together; the entries find what two crashes share.
+        running = [run.open.fingerprint for run in self._runs.running()]
+        self._hints += 1
+        hint = Hint(
+            kind=HintKind.SUSPECT,
+            subject=self._options.host,
+            origin=self._identity.incarnation,
+            sequence=self._hints,
+            values=dict.fromkeys(running, "in_flight"),
+        )
+        for entry in self._entries():
+            send_quietly(entry.link, hint)
+        self._push_load()
+
+    def _entries(self) -> list[_EntryLink]:
+        with self._lock:
+            return [entry for entry in self._links.values() if entry.lost_at is None]
+
+    def _load(self) -> Load:
+        snapshot = self._scheduler.snapshot()
+        return Load(
+            state=self.state,
+            running=snapshot.running_online + snapshot.running_batch,
+            queued=snapshot.queued_online + snapshot.queued_batch,
+            tokens=snapshot.tokens,
+            slots=self._options.slots,
+            batch_credits=self._scheduler.batch_credits(),
+            targets=self._targets,
+            revision=self._revision,
+            first_token=round(snapshot.first_token_ewma, 1),
+            fencing_epoch=self._epoch,
+        )
+
+    def _push_load(self) -> None:
+        load = self._load()
+        now = self._clock.now()
+        for entry in self._entries():
+            entry.last_load = load
+            entry.load_sent_at = now
+            send_quietly(entry.link, load)
+
+    def _beat(self) -> None:
+        interval = self._options.heartbeat
+        while not self._stopped.wait(interval / 1000.0):
+            now = self._clock.now()
+            load = self._load()
+            for entry in self._entries():
+                if entry.last_load == load and now - entry.load_sent_at < LOAD_INTERVAL:
+                    send_quietly(entry.link, Beat(sent=now))
+                    continue
+                entry.last_load = load
+                entry.load_sent_at = now
+                send_quietly(entry.link, load)
+            self._runs.expire(now)
+            self._cancel_orphans(now)
+
+    def _cancel_orphans(self, now: Millis) -> None:
+        with self._lock:
+            gone = [
+                incarnation
+                for incarnation, entry in self._links.items()
+                if entry.lost_at is not None and now - entry.lost_at > REATTACH_GRACE
+            ]
+            for incarnation in gone:
+                del self._links[incarnation]
+        for incarnation in gone:
+            for run in self._runs.of_incarnation(incarnation):
+                self._cancel(run.open.id)
+
+
+def _ignore_configuration(message: Configuration, link: Link) -> None:
+    """Stand in until the configuration follower is attached."""
+
+
+def _ignore_link(link: Link) -> None:
+    """Stand in until the configuration follower is attached."""
--- a/packages/node/tests/test_caller_keys.py
+++ b/packages/node/tests/test_caller_keys.py
@@ -5,9 +5,10 @@
 import hashlib
 
 import pytest
+from returns.pipeline import is_successful
+
 from carobspool_core import Caller, CallerRole, DesiredState, Organisation
 from carobspool_node._caller_keys import CallerKeys
-from returns.pipeline import is_successful
 
 
 def _hash(key: str) -> str:
