--- /dev/null
+++ b/packages/node/src/carobspool_node/_job_runner.py
@@ -0,0 +1,536 @@
+"""Runs the items of batch jobs: claims chunks, starts items, commits results, ends jobs.
+
+One loop owns all state. Store calls run on a small pool and post what they found back to the loop,
+as do the outcomes of items. Nothing here decides what is finished; the chunk states do.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import queue
+import threading
+from collections.abc import Callable, Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Protocol, TypeVar
+
+from absl import logging
+from returns.result import Failure, Result
+
+from carobspool_core import (
+    BatchItem,
+    BatchShaping,
+    ChunkStatus,
+    Clock,
+    Holder,
+    ItemOutcome,
+    Job,
+    JobCounts,
+    JobStatus,
+    Millis,
+    ObjectStore,
+    StoreFailure,
+    owner,
+    progress_is_due,
+    wall_millis,
+)
+from carobspool_node._chunk_store import (
+    ChunkWrite,
+    Claimed,
+    Ending,
+    Standing,
+    claim,
+    read_standing,
+    write_chunk,
+)
+from carobspool_node._follow import WATCH_TIMEOUT
+from carobspool_node._job_ending import (
+    StoredJob,
+    done_counts,
+    finish_job,
+    probe_chunks,
+    seal_chunks,
+    write_progress,
+)
+from carobspool_node._job_table import JobTable, watch_jobs
+from carobspool_node._job_work import JobWork
+from carobspool_node._members import Members
+from carobspool_node._owned_chunk import Attempt, ItemHandle, OwnedChunk
+
+_T = TypeVar("_T")
+
+TICK: Millis = 20.0
+PAUSE_NOTICED: Millis = 1_000.0
+COORDINATE_INTERVAL: Millis = 500.0
+PROBE_AFTER: Millis = 15_000.0
+LOOK_AGAIN_INTERVAL: Millis = 10_000.0
+PROBED_AT_ONCE = 16
+CLAIMS_AT_ONCE = 4
+STORE_WORKERS = 8
+CLAIM_PAUSE: Millis = 500.0
+
+
+class ItemRunner(Protocol):
+    """Starts attempts of items at upstreams."""
+
+    def __call__(self, item: BatchItem, on_done: Callable[[ItemOutcome], None]) -> ItemHandle:
+        """Start an attempt without waiting; ``on_done`` is called once, on any thread."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ChunkDone:
+    """A chunk reached its final state; told to the job's coordinator."""
+
+    job: str
+    chunk: int
+    counts: JobCounts
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunnerPorts:
+    """What the runner needs from the rest of the process.
+
+    Attributes:
+        run: Starts an item.
+        credits: How many more items could start now.
+        choose: Picks the job whose item or chunk comes next, among jobs that have one.
+        shaping: The batch shaping in force.
+        tell_done: Passes a finished chunk to the node that coordinates the job.
+    """
+
+    run: ItemRunner
+    credits: Callable[[], int]
+    choose: Callable[[Sequence[Job]], str]
+    shaping: Callable[[], BatchShaping]
+    tell_done: Callable[[str, ChunkDone], None]
+
+
+class JobRunner:
+    """The runner of one process. Made by `make_job_runner`."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        holder: Holder,
+        clock: Clock,
+        members: Members,
+        ports: RunnerPorts,
+        table: JobTable,
+        inbox: queue.SimpleQueue[Callable[[], None]],
+        may_claim: Callable[[], bool],
+        probe_after: Millis,
+    ) -> None:
+        self._store = store
+        self._holder = holder
+        self._clock = clock
+        self._members = members
+        self._ports = ports
+        self._table = table
+        self._inbox = inbox
+        self._may_claim = may_claim
+        self._probe_after = probe_after
+        self._pool = ThreadPoolExecutor(max_workers=STORE_WORKERS, thread_name_prefix="job-store")
+        self._thread = threading.Thread(target=self._run, name="job-runner", daemon=True)
+        self._works: dict[str, JobWork] = {}
+        self._owned: dict[tuple[str, int], OwnedChunk] = {}
+        self._claiming = 0
+        self._claim_at: Millis = 0.0
+        self._live: tuple[str, ...] = ()
+        self._coordinated_at: Millis = 0.0
+        self._looked_at: Millis = 0.0
+        self._last_round: Millis | None = None
+        self._releasing_until: Millis | None = None
+        self._stopped = threading.Event()
+
+    @property
+    def chunks_held(self) -> int:
+        """Number of chunks that this process holds."""
+        return len(self._owned)
+
+    def start(self) -> None:
+        """Start the loop."""
+        self._table.start()
+        self._thread.start()
+
+    def job_changed(self, job_id: str, *, cancelling: bool = False) -> None:
+        """Take a hint that a job changed; with ``cancelling`` its items stop at once."""
+        if cancelling:
+            self._table.take_cancel_hint(job_id)
+        self._submit(lambda: self._table.refresh(job_id), lambda _: None)
+
+    def chunk_done(self, done: ChunkDone) -> None:
+        """Take a hint from the node that finished a chunk."""
+        self._inbox.put(lambda: self._take_done(done.job, done.chunk, done.counts))
+
+    def release_all(self, timeout: Millis) -> int:
+        """Finish what runs, write it, release all claims and end the loop.
+
+        Args:
+            timeout: Time to wait for running items, in milliseconds; then they are cancelled.
+
+        Returns:
+            Number of chunks that could not be released.
+        """
+        until = self._clock.now() + timeout
+        self._inbox.put(lambda: self._begin_release(until))
+        self._stopped.wait(timeout / 1000.0 + STORE_WORKERS)
+        self.stop()
+        return len(self._owned)
+
+    def stop(self) -> None:
+        """End the loop and leave the claims behind, as a killed process does."""
+        self._stopped.set()
+        self._table.stop()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                self._round()
+            except Exception:
+                # A damaged value in the store must not end the work on all other jobs. Claims are
+                # kept and the next round goes on; the log names the place.
+                logging.exception("event=runner_round_failed node=%s", self._holder.node)
+
+    def _round(self) -> None:
+        self._take_news()
+        now = self._clock.now()
+        if self._last_round is not None and now - self._last_round > PAUSE_NOTICED:
+            self._look_after_pause()
+        self._forget_ended(now)
+        if self._releasing_until is None:
+            credits = self._dispatch(now)
+            self._claim_ahead(now, credits)
+        self._write_due(now)
+        self._coordinate(now)
+        self._last_round = self._clock.now()
+        self._end_release(now)
+
+    def _take_news(self) -> None:
+        """Wait for one piece of news for a tick, then take all that there are."""
+        try:
+            news = self._inbox.get(timeout=TICK / 1000.0)
+        except queue.Empty:
+            return
+        while True:
+            news()
+            try:
+                news = self._inbox.get_nowait()
+            except queue.Empty:
+                return
+
+    def _look_after_pause(self) -> None:
+        """Read everything again after a pause of this process.
+
+        A process that was frozen wakes with jobs that were cancelled and claims that were taken
+        over meanwhile. Its writes would be refused, but it would start items first. Both are read
+        here before anything starts; the time from here to the start is too short to matter.
+        """
+        logging.warning("event=pause_noticed node=%s", self._holder.node)
+        for job_id in {job_id for job_id, _ in self._owned}:
+            self._table.refresh(job_id)
+        for (job_id, number), chunk in list(self._owned.items()):
+            found = read_standing(self._store, job_id, number)
+            if isinstance(found, Failure):
+                continue
+            if not chunk.adopt(found.unwrap(), self._holder):
+                self._drop(job_id, number, found.unwrap())
+
+    def _forget_ended(self, now: Millis) -> None:
+        """Bring the known jobs up to date; stop what belongs to cancelled ones."""
+        jobs = {job.id: job for job in self._table.open_jobs()}
+        for job_id, job in jobs.items():
+            if job_id not in self._works:
+                self._works[job_id] = JobWork(job, now)
+            self._works[job_id].job = job
+        for job_id in [job_id for job_id in self._works if job_id not in jobs]:
+            del self._works[job_id]
+        for (job_id, number), chunk in list(self._owned.items()):
+            if job_id not in jobs:
+                chunk.cancel_running()
+                del self._owned[job_id, number]
+                continue
+            if jobs[job_id].status is JobStatus.CANCELLING and chunk.ending is not Ending.STOP:
+                chunk.part(Ending.STOP, cancel=True)
+        live = self._members.live()
+        if live != self._live or now - self._looked_at > LOOK_AGAIN_INTERVAL:
+            self._live = live
+            self._looked_at = now
+            for work in self._works.values():
+                work.look_again()
+
+    def _dispatch(self, now: Millis) -> int:
+        """Start items while there is capacity; return what is left of it."""
+        credits = self._ports.credits()
+        ready: dict[str, list[OwnedChunk]] = {}
+        for (job_id, _), chunk in self._owned.items():
+            if chunk.has_ready(now):
+                ready.setdefault(job_id, []).append(chunk)
+        while credits > 0 and ready:
+            job_id = self._ports.choose([self._works[job_id].job for job_id in ready])
+            chunk = ready[job_id][-1]
+            self._start_item(chunk)
+            credits -= 1
+            if chunk.has_ready(now):
+                continue
+            ready[job_id].pop()
+            if not ready[job_id]:
+                del ready[job_id]
+        return credits
+
+    def _start_item(self, chunk: OwnedChunk) -> None:
+        attempt = chunk.start_next()
+
+        def on_done(outcome: ItemOutcome) -> None:
+            self._inbox.put(lambda: self._take_outcome(chunk, attempt, outcome))
+
+        chunk.started(attempt, self._ports.run(attempt.item, on_done))
+
+    def _take_outcome(self, chunk: OwnedChunk, attempt: Attempt, outcome: ItemOutcome) -> None:
+        limit = self._ports.shaping().max_attempts
+        chunk.ended(attempt, outcome, max_attempts=limit, now=self._clock.now())
+
+    def _claim_ahead(self, now: Millis, credits: int) -> None:
+        """Claim just enough chunks to keep the capacity busy while the next claim is made."""
+        if now < self._claim_at or not self._may_claim() or self._holder.node not in self._live:
+            return
+        waiting = sum(chunk.waiting for chunk in self._owned.values())
+        running = sum(chunk.running for chunk in self._owned.values())
+        wanted = max(credits, running // 2)
+        jobs = {
+            job_id: work.job
+            for job_id, work in self._works.items()
+            if work.job.status is not JobStatus.CANCELLING
+        }
+        while self._claiming < CLAIMS_AT_ONCE and waiting < wanted and jobs:
+            job_id = self._ports.choose(list(jobs.values()))
+            work = self._works[job_id]
+            number = work.next_candidate(self._holder.node, self._live, self._members.is_dead)
+            if number is None:
+                del jobs[job_id]
+                continue
+            waiting += work.job.chunk_sizes[number]
+            self._claim(work, number)
+
+    def _claim(self, work: JobWork, number: int) -> None:
+        job = work.job
+        work.mark_taken(number)
+        self._claiming += 1
+        self._submit(
+            lambda: claim(
+                self._store, job, number, self._holder, is_dead=self._members.confirm_dead
+            ),
+            lambda found: self._take_claim(job.id, number, found),
+        )
+
+    def _take_claim(
+        self, job_id: str, number: int, found: Result[Claimed | Standing, StoreFailure]
+    ) -> None:
+        self._claiming -= 1
+        now = self._clock.now()
+        work = self._works.get(job_id)
+        if isinstance(found, Failure):
+            self._claim_at = now + CLAIM_PAUSE
+            if work is not None:
+                work.mark_free(number)
+                work.look_again()
+            return
+        claimed = found.unwrap()
+        if isinstance(claimed, Claimed):
+            self._owned[job_id, number] = OwnedChunk(claimed.standing, claimed.items, now)
+            if self._releasing_until is not None:
+                self._owned[job_id, number].part(Ending.RELEASE, cancel=False)
+            logging.info("event=chunk_claimed job=%s chunk=%d", job_id, number)
+            return
+        counts = done_counts(claimed)
+        if counts is not None:
+            self._take_done(job_id, number, counts)
+            return
+        self._take_held(job_id, number, claimed)
+
+    def _take_held(self, job_id: str, number: int, standing: Standing) -> None:
+        """Take in that a chunk is not this process's."""
+        work = self._works.get(job_id)
+        if work is None:
+            return
+        work.mark_free(number)
+        if standing.state.status is ChunkStatus.CLAIMED and standing.state.holder != self._holder:
+            work.mark_held(number, standing.state.holder)
+
+    def _write_due(self, now: Millis) -> None:
+        for (job_id, number), chunk in self._owned.items():
+            write = chunk.next_write(now)
+            if write is not None:
+                self._write(job_id, number, chunk, write)
+
+    def _write(self, job_id: str, number: int, chunk: OwnedChunk, write: ChunkWrite) -> None:
+        job = self._works[job_id].job
+        standing = chunk.standing
+        self._submit(
+            lambda: write_chunk(self._store, job, number, standing, write),
+            lambda found: self._take_written(job_id, number, chunk, found),
+        )
+
+    def _take_written(
+        self, job_id: str, number: int, chunk: OwnedChunk, found: Result[Standing, StoreFailure]
+    ) -> None:
+        now = self._clock.now()
+        if isinstance(found, Failure):
+            chunk.write_failed(now)
+            return
+        if chunk.wrote(found.unwrap(), self._holder, now):
+            return
+        if self._owned.get((job_id, number)) is chunk:
+            self._drop(job_id, number, found.unwrap())
+
+    def _drop(self, job_id: str, number: int, standing: Standing) -> None:
+        """Part with a chunk that the store says is done, released or another's."""
+        chunk = self._owned.pop((job_id, number))
+        chunk.cancel_running()
+        counts = done_counts(standing)
+        if counts is None:
+            logging.info("event=chunk_left job=%s chunk=%d", job_id, number)
+            self._take_held(job_id, number, standing)
+            return
+        self._take_done(job_id, number, counts)
+        coordinator = owner(job_id, self._live)
+        if coordinator is not None and coordinator != self._holder.node:
+            self._ports.tell_done(coordinator, ChunkDone(job=job_id, chunk=number, counts=counts))
+
+    def _take_done(self, job_id: str, number: int, counts: JobCounts) -> None:
+        work = self._works.get(job_id)
+        if work is not None:
+            work.mark_done(number, counts, self._clock.now())
+
+    def _coordinate(self, now: Millis) -> None:
+        if now - self._coordinated_at < COORDINATE_INTERVAL or not self._may_claim():
+            return
+        self._coordinated_at = now
+        for job_id, work in self._works.items():
+            if work.busy or owner(job_id, self._live) != self._holder.node:
+                continue
+            self._coordinate_job(work, now)
+
+    def _coordinate_job(self, work: JobWork, now: Millis) -> None:
+        job = work.job
+        counts = work.counts()
+        if work.all_done:
+            self._job_step(
+                work,
+                lambda: finish_job(
+                    self._store, job.id, counts, chunks_done=work.done, now=wall_millis()
+                ),
+            )
+            return
+        if job.status is JobStatus.CANCELLING:
+            self._chunk_step(
+                work,
+                lambda numbers: seal_chunks(
+                    self._store, job, numbers, self._holder, is_dead=self._members.confirm_dead
+                ),
+            )
+            return
+        if progress_is_due(job, counts):
+            self._job_step(work, lambda: write_progress(self._store, job.id, counts))
+            return
+        if now - work.last_news > self._probe_after:
+            work.last_news = now
+            self._chunk_step(work, lambda numbers: probe_chunks(self._store, job, numbers))
+
+    def _job_step(self, work: JobWork, step: Callable[[], Result[StoredJob, StoreFailure]]) -> None:
+        work.busy = True
+
+        def take(found: Result[StoredJob, StoreFailure]) -> None:
+            work.busy = False
+            if isinstance(found, Failure):
+                return
+            job, version = found.unwrap()
+            self._table.take(job, version)
+
+        self._submit(step, take)
+
+    def _chunk_step(
+        self, work: JobWork, step: Callable[[list[int]], list[tuple[int, JobCounts]]]
+    ) -> None:
+        numbers = work.not_done(PROBED_AT_ONCE)
+        if not numbers:
+            return
+        work.busy = True
+
+        def take(done: list[tuple[int, JobCounts]]) -> None:
+            work.busy = False
+            for number, counts in done:
+                work.mark_done(number, counts, self._clock.now())
+
+        self._submit(lambda: step(numbers), take)
+
+    def _begin_release(self, until: Millis) -> None:
+        self._releasing_until = until
+        for chunk in self._owned.values():
+            if chunk.ending is None:
+                chunk.part(Ending.RELEASE, cancel=False)
+
+    def _end_release(self, now: Millis) -> None:
+        if self._releasing_until is None:
+            return
+        if not self._owned and not self._claiming:
+            self._stopped.set()
+            return
+        if now < self._releasing_until:
+            return
+        for chunk in self._cut_off():
+            chunk.cancel_running()
+
+    def _cut_off(self) -> Iterator[OwnedChunk]:
+        for (job_id, number), chunk in self._owned.items():
+            if chunk.running:
+                logging.warning(
+                    "event=items_cut job=%s chunk=%d items=%d", job_id, number, chunk.running
+                )
+                yield chunk
+
+    def _submit(self, call: Callable[[], _T], take: Callable[[_T], None]) -> None:
+        """Run a store call on the pool and post its result to the loop."""
+
+        def work() -> None:
+            found = call()
+            self._inbox.put(lambda: take(found))
+
+        with contextlib.suppress(RuntimeError):  # the pool was shut down meanwhile
+            self._pool.submit(work)
+
+
+def make_job_runner(
+    store: ObjectStore,
+    holder: Holder,
+    clock: Clock,
+    members: Members,
+    ports: RunnerPorts,
+    *,
+    may_claim: Callable[[], bool],
+    watch_timeout: Millis = WATCH_TIMEOUT,
+    probe_after: Millis = PROBE_AFTER,
+) -> JobRunner:
+    """Return a runner; `JobRunner.start` begins.
+
+    Args:
+        store: The object store.
+        holder: This process.
+        clock: The process's clock.
+        members: The live entries.
+        ports: The rest of the process.
+        may_claim: Whether this process holds its node lease. While it does not, it claims nothing
+            and goes on with what it has.
+        watch_timeout: Longest wait of the watch on jobs, in milliseconds.
+        probe_after: Silence about a job after which its coordinator reads its chunks, in
+            milliseconds.
+
+    Since 0.1.
+    """
+    inbox: queue.SimpleQueue[Callable[[], None]] = queue.SimpleQueue()
+    table = watch_jobs(store, lambda: inbox.put(_nothing), watch_timeout=watch_timeout)
+    return JobRunner(store, holder, clock, members, ports, table, inbox, may_claim, probe_after)
+
+
+def _nothing() -> None:
+    return None
