--- a/packages/standins/src/carobspool_standins/_engine.py
+++ b/packages/standins/src/carobspool_standins/_engine.py
@@ -80,11 +80,11 @@
 
     def start(self, job: Job) -> None:
         """Queue a request that was read."""
+        self._hold(job)
+        self.gpu.submit(job.stream)
         marker = self.board.current.crash_marker
         if marker and marker in job.prompt.text:
             self._crash()
-        self._hold(job)
-        self.gpu.submit(job.stream)
 
     def fails_at_random(self) -> bool:
         """Whether the fault ``error_rate`` hits this request."""
--- a/packages/standins/src/carobspool_standins/_gpu.py
+++ b/packages/standins/src/carobspool_standins/_gpu.py
@@ -169,7 +169,8 @@
         if stream in self._running:
             self._running.remove(stream)
             return
-        self._waiting.remove(stream)
+        if stream in self._waiting:
+            self._waiting.remove(stream)
 
     def _run(self) -> None:
         step_at = 0.0
--- a/packages/standins/src/carobspool_standins/_http.py
+++ b/packages/standins/src/carobspool_standins/_http.py
@@ -71,7 +71,7 @@
             status = error.code or HTTPStatus.INTERNAL_SERVER_ERROR
             response = error_response(status, "refused", error.name)
         start_response(response.status, list(response.headers))
-        pieces: Iterable[bytes] = response.response  # type: ignore[assignment]
+        pieces: Iterable[bytes] = response.response
         return pieces
 
     return run
@@ -133,6 +133,11 @@
         except (ConnectionError, TimeoutError):
             self.close_connection = True
 
+    def finish(self) -> None:
+        """Close the connection; a client that has gone is no error."""
+        with contextlib.suppress(ConnectionError):
+            super().finish()
+
     def log_request(self, code: int | str = "-", size: int | str = "-") -> None:
         """Log nothing: the records of a stand-in tell what it was asked."""
 
--- a/packages/standins/src/carobspool_standins/engine.py
+++ b/packages/standins/src/carobspool_standins/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import select
+import time
 from collections.abc import Callable, Iterator
 from dataclasses import asdict
 from http import HTTPStatus
@@ -122,6 +123,7 @@
         CutConnection: If the engine crashed.
     """
     known = job.first
+    check_at = time.monotonic() + CLIENT_CHECK_SECONDS
     while True:
         produced, end = job.stream.wait(known, CLIENT_CHECK_SECONDS)
         if end is StreamEnd.CRASHED:
@@ -129,10 +131,13 @@
         if produced > known or end is not None:
             yield produced, end
             known = produced
-        elif _client_left(request):
-            raise ClientGone(job.stream.id)
         if end is not None:
             return
+        if time.monotonic() < check_at:
+            continue
+        if _client_left(request):
+            raise ClientGone(job.stream.id)
+        check_at = time.monotonic() + CLIENT_CHECK_SECONDS
 
 
 def _events(request: Request, engine: Engine, job: Job) -> Iterator[bytes]:
