--- /dev/null
+++ b/packages/node/src/carobspool_node/_config_apply.py
@@ -0,0 +1,378 @@
+"""Applies a desired state as a unit: all of it is accepted as one revision, or nothing is.
+
+The parts are written first, then the revision object under the next number, created only if absent.
+That creation is the moment of acceptance: no two appliers can both create one number, and whoever
+reads the revision finds its parts. The head that follows only spares readers a search.
+"""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from carobspool_core import DesiredState, ObjectStore, StoreFailure, StoreFault, wall_millis
+from carobspool_core.revision import (
+    Change,
+    Clash,
+    PartError,
+    Parts,
+    Revision,
+    diff,
+    join,
+    part_name,
+    rebase,
+    record_changes,
+    revision_from_json,
+    revision_to_json,
+    split,
+    summarise,
+)
+from carobspool_core.schema import ConfigError, check_state
+from carobspool_node._config_follower import ConfigurationFollower
+from carobspool_node._config_history import history
+from carobspool_node._config_objects import (
+    HEAD_KEY,
+    ConfigReadError,
+    collect_parts,
+    part_key,
+    part_value,
+    read_revision,
+    revision_key,
+)
+
+MAX_ROUNDS = 16
+"""Times that an apply moves onto a newer head before it gives up; each loss means another's win."""
+
+LOOK_BACK = 500
+"""Revisions searched for the author of a conflicting change."""
+
+UNKNOWN_RETRIES = 3
+"""Times that a write with a lost answer is repeated; the repetition tells what became of it."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Applied:
+    """An accepted apply.
+
+    Attributes:
+        revision: Revision in which it is in force.
+        changes: What it changed against the revision before.
+        over: Revisions by others, newer than the base, onto which it was moved.
+        written: Whether a revision was written; not when nothing differed.
+
+    Since 0.1.
+    """
+
+    revision: int
+    changes: tuple[Change, ...]
+    over: tuple[int, ...] = ()
+    written: bool = True
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConflictItem:
+    """One entry that both the apply and another's newer revision changed.
+
+    Attributes:
+        mine: The refused change.
+        theirs: What stands there now, against the common base.
+        by: The other's revision: author, time and reason; ``None`` when it can't be read.
+    """
+
+    mine: Change
+    theirs: Change
+    by: Revision | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Conflict:
+    """Another operator changed the same entries since the base; nothing was applied."""
+
+    head: int
+    items: tuple[ConflictItem, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InvalidTogether:
+    """The change fits its base, but not what others made of it since; nothing was applied."""
+
+    head: int
+    errors: tuple[ConfigError, ...]
+    over: tuple[Revision, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnknownBase:
+    """The base is a revision that does not exist, or no longer; nothing was applied."""
+
+    base: int
+    head: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TooLarge:
+    """A part is larger than the platform holds; nothing was applied."""
+
+    errors: tuple[PartError, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreDown:
+    """The store could not be read or written; nothing was applied."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OutcomeUnknown:
+    """The store's last answer was lost and cannot be settled yet.
+
+    Applying the same state on the same base again is harmless: it changes nothing when the first
+    took effect.
+    """
+
+    revision: int
+    detail: str
+
+
+ApplyError = Conflict | InvalidTogether | UnknownBase | TooLarge | StoreDown | OutcomeUnknown
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Merged:
+    state: DesiredState
+    over: tuple[int, ...]
+
+
+def apply_state(
+    store: ObjectStore,
+    follower: ConfigurationFollower,
+    base: int,
+    new_state: DesiredState,
+    author: str,
+    reason: str,
+    *,
+    now: Callable[[], int] = wall_millis,
+) -> Result[Applied, ApplyError]:
+    """Make a desired state the newest revision.
+
+    When others applied since ``base``, changes of different entries merge; changes of one entry are
+    a conflict.
+
+    Args:
+        store: The object store.
+        follower: The configuration in force here; takes the new revision at once.
+        base: Revision from which the state was made.
+        new_state: The whole state, validated.
+        author: Caller id of the operator.
+        reason: Why.
+        now: Wall clock in milliseconds since the Unix epoch, for the audit trail.
+
+    Since 0.1.
+    """
+    write = uuid.uuid4().hex
+    for _ in range(MAX_ROUNDS):
+        fresh = follower.refresh()
+        if not is_successful(fresh):
+            return Failure(StoreDown(detail=fresh.failure().detail))
+        head = follower.state
+        head_parts = follower.parts
+        merged = _merge(store, base, new_state, head, head_parts)
+        if not is_successful(merged):
+            return Failure(merged.failure())
+        wanted = merged.unwrap()
+        changes = diff(head, wanted.state)
+        if not changes:
+            return Success(
+                Applied(revision=head.revision, changes=(), over=wanted.over, written=False)
+            )
+        parts = split(wanted.state, head_parts)
+        if not is_successful(parts):
+            return Failure(TooLarge(errors=parts.failure()))
+        revision = Revision(
+            number=head.revision + 1,
+            base=base,
+            author=author,
+            reason=reason,
+            at=now(),
+            write=write,
+            summary=summarise(changes),
+            count=len(changes),
+            parts={name: part.digest for name, part in parts.unwrap().items()},
+            changes=record_changes(changes),
+        )
+        accepted = _write(store, revision, parts.unwrap(), head_parts)
+        if not is_successful(accepted):
+            return Failure(accepted.failure())
+        if not accepted.unwrap():
+            continue
+        _move_head(store, revision.number)
+        follower.take(revision.number, parts.unwrap())
+        return Success(Applied(revision=revision.number, changes=changes, over=wanted.over))
+    return Failure(StoreDown(detail=f"others applied first {MAX_ROUNDS} times"))
+
+
+def preview_state(
+    store: ObjectStore, follower: ConfigurationFollower, base: int, new_state: DesiredState
+) -> Result[Applied, ApplyError]:
+    """Return what `apply_state` would do now, and write nothing.
+
+    Since 0.1.
+    """
+    fresh = follower.refresh()
+    if not is_successful(fresh):
+        return Failure(StoreDown(detail=fresh.failure().detail))
+    head = follower.state
+    merged = _merge(store, base, new_state, head, follower.parts)
+    if not is_successful(merged):
+        return Failure(merged.failure())
+    wanted = merged.unwrap()
+    changes = diff(head, wanted.state)
+    return Success(
+        Applied(revision=head.revision, changes=changes, over=wanted.over, written=False)
+    )
+
+
+def _merge(
+    store: ObjectStore, base: int, mine: DesiredState, head: DesiredState, head_parts: Parts
+) -> Result[_Merged, ApplyError]:
+    if base == head.revision:
+        return Success(_Merged(state=mine, over=()))
+    if base > head.revision:
+        return Failure(UnknownBase(base=base, head=head.revision))
+    base_state = _state_at(store, base, head_parts)
+    if not is_successful(base_state):
+        return Failure(_base_error(base_state.failure(), base, head.revision))
+    result = rebase(base_state.unwrap(), mine, head)
+    if not is_successful(result):
+        others = _others(store, base, head.revision)
+        items = tuple(_conflict_item(clash, others) for clash in result.failure())
+        return Failure(Conflict(head=head.revision, items=items))
+    errors = check_state(result.unwrap())
+    if errors:
+        others = _others(store, base, head.revision)
+        return Failure(InvalidTogether(head=head.revision, errors=errors, over=others))
+    over = tuple(range(base + 1, head.revision + 1))
+    return Success(_Merged(state=result.unwrap(), over=over))
+
+
+def _state_at(
+    store: ObjectStore, number: int, known: Parts
+) -> Result[DesiredState, ConfigReadError]:
+    if number == 0:
+        return Success(DesiredState())
+    revision = read_revision(store, number)
+    if not is_successful(revision):
+        return Failure(revision.failure())
+    found = revision.unwrap()
+    if found is None:
+        return Failure(ConfigReadError(detail=f"revision {number}", missing=True))
+    parts = collect_parts(store, found.parts, known, {})
+    return parts.map(lambda read: join(read, number))
+
+
+def _base_error(error: ConfigReadError, base: int, head: int) -> ApplyError:
+    if error.missing:
+        return UnknownBase(base=base, head=head)
+    return StoreDown(detail=error.detail)
+
+
+def _others(store: ObjectStore, base: int, head: int) -> tuple[Revision, ...]:
+    """Return the revisions after ``base``, as far back as an operator is told of them."""
+    return history(store, max(base, head - LOOK_BACK), LOOK_BACK).value_or(())
+
+
+def _conflict_item(clash: Clash, others: Sequence[Revision]) -> ConflictItem:
+    author = None
+    for revision in reversed(others):
+        if _touches(revision, clash.theirs):
+            author = revision
+            break
+    return ConflictItem(mine=clash.mine, theirs=clash.theirs, by=author)
+
+
+def _touches(revision: Revision, change: Change) -> bool:
+    if revision.changes is None:
+        return part_name(change.section, change.name) in revision.parts
+    return any(
+        (each.section, each.name) == (change.section, change.name) for each in revision.changes
+    )
+
+
+def _write(
+    store: ObjectStore, revision: Revision, parts: Parts, head_parts: Parts
+) -> Result[bool, ApplyError]:
+    """Write parts and revision; ``False`` when another took the number first."""
+    present = {part.digest for part in head_parts.values()}
+    for part in parts.values():
+        if part.digest in present:
+            continue
+        stored = _create(store, part_key(part.digest), part_value(part))
+        if isinstance(stored, StoreFailure) and stored.fault is not StoreFault.CONFLICT:
+            return Failure(StoreDown(detail=f"{stored.key}: {stored.fault} {stored.detail}"))
+    return _write_revision(store, revision)
+
+
+def _write_revision(store: ObjectStore, revision: Revision) -> Result[bool, ApplyError]:
+    key = revision_key(revision.number)
+    failure = _create(store, key, revision_to_json(revision))
+    if failure is None:
+        return Success(True)
+    if failure.fault is StoreFault.CONFLICT:
+        return _own_write(store, revision)
+    if failure.fault is StoreFault.UNKNOWN:
+        return Failure(OutcomeUnknown(revision=revision.number, detail=failure.detail))
+    return Failure(StoreDown(detail=f"{key}: {failure.fault} {failure.detail}"))
+
+
+def _own_write(store: ObjectStore, revision: Revision) -> Result[bool, ApplyError]:
+    """Return whether the revision that stands under this number is the one written here.
+
+    A repeated write conflicts with the first one when that took effect and only its answer was
+    lost. Taken for another's it would be rebased on itself and told as if it were not accepted.
+    """
+    found = store.get(revision_key(revision.number))
+    if not is_successful(found):
+        return Failure(OutcomeUnknown(revision=revision.number, detail=found.failure().detail))
+    standing = revision_from_json(found.unwrap().value)
+    return Success(is_successful(standing) and standing.unwrap().write == revision.write)
+
+
+def _create(store: ObjectStore, key: str, value: object) -> StoreFailure | None:
+    """Create an object; an unknown outcome is settled by creating it again.
+
+    The repetition succeeds, or conflicts with what stands there. Reading back alone would not do:
+    a write that is still on its way can take effect after the reading.
+    """
+    lost: StoreFailure | None = None
+    for _ in range(UNKNOWN_RETRIES):
+        result = store.create(key, value)
+        if is_successful(result):
+            return None
+        failure = result.failure()
+        if failure.fault is StoreFault.CONFLICT:
+            return failure
+        if failure.fault is not StoreFault.UNKNOWN:
+            return lost or failure
+        lost = failure
+    return lost
+
+
+def _move_head(store: ObjectStore, number: int) -> None:
+    """Point the head at a revision unless it is there or beyond.
+
+    A failure is harmless: the revision is accepted, and readers look beyond the head.
+    """
+    value = {"revision": number}
+    found = store.get(HEAD_KEY)
+    if is_successful(found):
+        stored = found.unwrap()
+        if stored.value["revision"] < number:
+            store.update(HEAD_KEY, value, version=stored.version)
+        return
+    if found.failure().fault is StoreFault.NOT_FOUND:
+        store.create(HEAD_KEY, value)
--- /dev/null
+++ b/packages/node/src/carobspool_node/_config_follower.py
@@ -0,0 +1,318 @@
+"""Follows the accepted configuration: from the object store, and from peers while it is down.
+
+A follower only ever moves to a higher revision. It keeps the state and its encoded parts in memory,
+so that it answers, and serves peers, through any outage of the store.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections import OrderedDict
+from collections.abc import Callable, Collection, Mapping, Sequence
+
+from absl import logging
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from carobspool_core import (
+    Clock,
+    Configuration,
+    DesiredState,
+    Millis,
+    ObjectChange,
+    ObjectStore,
+    StoreFault,
+)
+from carobspool_core.revision import Part, Parts, Revision, decode_part, join
+from carobspool_node._config_objects import (
+    CONFIG_PREFIX,
+    HEAD_KEY,
+    PARTS_PREFIX,
+    REVISIONS_PREFIX,
+    ConfigReadError,
+    collect_parts,
+    parse_revision,
+    read_error,
+    read_head,
+    read_revision,
+    stored_part_text,
+)
+
+LOOSE_VALUES = 128
+"""Values of parts kept from watch events until the revision that names them arrives."""
+
+WATCH_TIME: Millis = 30_000.0
+RETRY_PAUSE: Millis = 1_000.0
+
+StateCallback = Callable[[DesiredState], None]
+
+
+class ConfigurationFollower:
+    """The configuration in force at this process.
+
+    Safe to call from several threads. Callbacks run one at a time, in the order of revisions; they
+    must be short and must not call back into the follower's writing methods.
+
+    Since 0.1.
+    """
+
+    def __init__(self, store: ObjectStore, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+        self._lock = threading.RLock()
+        self._parts: Parts = {}
+        self._state = DesiredState()
+        self._callbacks: list[StateCallback] = []
+        self._loose: OrderedDict[str, str] = OrderedDict()
+        self._confirmed: Millis | None = None
+
+    @property
+    def state(self) -> DesiredState:
+        """The state in force."""
+        return self._state
+
+    @property
+    def revision(self) -> int:
+        """Number of the revision in force, 0 before the first."""
+        return self._state.revision
+
+    @property
+    def parts(self) -> Parts:
+        """Parts of the state in force by name."""
+        return self._parts
+
+    @property
+    def digests(self) -> frozenset[str]:
+        """Digests of the parts in force, to tell a peer what need not be sent."""
+        return frozenset(part.digest for part in self._parts.values())
+
+    @property
+    def unconfirmed_for(self) -> Millis | None:
+        """Milliseconds since the store last confirmed the revision; ``None`` before the first."""
+        if self._confirmed is None:
+            return None
+        return self._clock.now() - self._confirmed
+
+    def on_change(self, callback: StateCallback) -> None:
+        """Have a callback called with each later state."""
+        with self._lock:
+            self._callbacks.append(callback)
+
+    def take(self, revision: int, parts: Parts) -> bool:
+        """Take an accepted revision whole; ``False`` when it is not newer.
+
+        An older revision can arrive late, from a peer or from a read that was held up. Taking it
+        would undo an accepted change, so only a higher number counts, whatever its source.
+        """
+        with self._lock:
+            if revision <= self._state.revision:
+                return False
+            self._parts = dict(parts)
+            self._state = join(parts, revision)
+            self._loose.clear()
+            logging.info("event=configuration_in_force revision=%d", revision)
+            for callback in self._callbacks:
+                callback(self._state)
+            return True
+
+    def offer(self, message: Configuration) -> bool:
+        """Take a peer's revision when it is newer and all its parts are at hand.
+
+        Returns:
+            Whether it was taken. When it is newer and parts are missing, answer the peer with
+            `lacking`: it sends what is missing.
+        """
+        if message.revision <= self.revision:
+            return False
+        parts = self._from_message(message)
+        return parts is not None and self.take(message.revision, parts)
+
+    def lacking(self, message: Configuration) -> bool:
+        """Return whether a newer revision was offered of which parts are missing here."""
+        if message.revision <= self.revision:
+            return False
+        known = self.digests | message.values.keys()
+        return any(digest not in known for digest in message.parts.values())
+
+    def message_for(self, known_digests: Collection[str]) -> Configuration:
+        """Return the revision in force with the values of the parts that a peer lacks.
+
+        Args:
+            known_digests: Digests that the peer holds; give them all to announce the revision
+                without values.
+        """
+        with self._lock:
+            parts = self._parts
+            revision = self._state.revision
+        known = frozenset(known_digests)
+        values = {part.digest: part.value for part in parts.values() if part.digest not in known}
+        digests = {name: part.digest for name, part in parts.items()}
+        return Configuration(revision=revision, parts=digests, values=values)
+
+    def refresh(self) -> Result[bool, ConfigReadError]:
+        """Read the head, and what it names that is not at hand.
+
+        A process can die between writing a revision and moving the head. The revision was accepted
+        all the same, so those after the head are looked for too.
+
+        Returns:
+            Whether a newer revision was taken; the state stays as it is when the read fails.
+        """
+        head = read_head(self._store)
+        if not is_successful(head):
+            return Failure(head.failure())
+        newest = self._newest_from(max(head.unwrap(), self.revision))
+        if not is_successful(newest):
+            return Failure(newest.failure())
+        revision = newest.unwrap()
+        if revision is None:
+            self._confirmed = self._clock.now()
+            return Success(False)
+        return self._load(revision, {})
+
+    def observe(self, changes: Sequence[ObjectChange]) -> Result[bool, ConfigReadError]:
+        """Take what a watch of ``config/`` reported."""
+        newest: Revision | None = None
+        for change in changes:
+            stored = change.object
+            if change.deleted:
+                continue
+            if stored.key.startswith(PARTS_PREFIX):
+                digest = stored.key.removeprefix(PARTS_PREFIX)
+                self._keep_loose(digest, stored_part_text(stored.value))
+                continue
+            if stored.key.startswith(REVISIONS_PREFIX):
+                revision = parse_revision(stored)
+                if not is_successful(revision):
+                    return Failure(revision.failure())
+                newest = _newer(newest, revision.unwrap())
+        if newest is None or newest.number <= self.revision:
+            return Success(False)
+        with self._lock:
+            values = dict(self._loose)
+        return self._load(newest, values)
+
+    def _newest_from(self, number: int) -> Result[Revision | None, ConfigReadError]:
+        """Return the newest revision from ``number`` on, or ``None`` when it is in force here."""
+        newest: Revision | None = None
+        following = number if number > self.revision else number + 1
+        while True:
+            read = read_revision(self._store, following)
+            if not is_successful(read):
+                return Failure(read.failure())
+            found = read.unwrap()
+            if found is None:
+                return Success(newest)
+            newest = found
+            following += 1
+
+    def _load(self, revision: Revision, values: Mapping[str, str]) -> Result[bool, ConfigReadError]:
+        parts = collect_parts(self._store, revision.parts, self._parts, values)
+        if not is_successful(parts):
+            return Failure(parts.failure())
+        self._confirmed = self._clock.now()
+        return Success(self.take(revision.number, parts.unwrap()))
+
+    def _from_message(self, message: Configuration) -> dict[str, Part] | None:
+        present = self._parts
+        parts: dict[str, Part] = {}
+        for name, digest in message.parts.items():
+            own = present.get(name)
+            if own is not None and own.digest == digest:
+                parts[name] = own
+                continue
+            value = message.values.get(digest)
+            if value is None:
+                return None
+            decoded = decode_part(name, digest, value)
+            if not is_successful(decoded):
+                error = decoded.failure()
+                logging.warning(
+                    "event=configuration_refused revision=%d part=%s detail=%r",
+                    message.revision,
+                    error.part,
+                    error.detail,
+                )
+                return None
+            parts[name] = decoded.unwrap()
+        return parts
+
+    def _keep_loose(self, digest: str, value: str) -> None:
+        with self._lock:
+            self._loose[digest] = value
+            while len(self._loose) > LOOSE_VALUES:
+                self._loose.popitem(last=False)
+
+
+def _newer(first: Revision | None, second: Revision | None) -> Revision | None:
+    if first is None or (second is not None and second.number > first.number):
+        return second
+    return first
+
+
+def make_follower(store: ObjectStore, clock: Clock) -> ConfigurationFollower:
+    """Return a follower that holds nothing yet.
+
+    Args:
+        store: The object store.
+        clock: The process's clock.
+
+    Since 0.1.
+    """
+    return ConfigurationFollower(store, clock)
+
+
+def follow(
+    store: ObjectStore,
+    follower: ConfigurationFollower,
+    stop: threading.Event,
+    *,
+    watch_time: Millis = WATCH_TIME,
+    retry_pause: Millis = RETRY_PAUSE,
+) -> None:
+    """Keep a follower up to date by a watch of ``config/`` until ``stop`` is set.
+
+    Runs on a thread of its own. While the store is down the follower keeps what it has, and peers
+    may still bring something newer.
+
+    Args:
+        store: The object store.
+        follower: The follower.
+        stop: Ends the loop, at the latest after one watch.
+        watch_time: Longest wait of one watch, in milliseconds.
+        retry_pause: Pause after a failed read, in milliseconds.
+
+    Since 0.1.
+    """
+    since: int | None = None
+    while not stop.is_set():
+        step = (
+            _start(store, follower) if since is None else _step(store, follower, since, watch_time)
+        )
+        if is_successful(step):
+            since = step.unwrap()
+            continue
+        since = None
+        logging.warning("event=configuration_unread detail=%r", step.failure().detail)
+        stop.wait(retry_pause / 1000.0)
+
+
+def _start(store: ObjectStore, follower: ConfigurationFollower) -> Result[int, ConfigReadError]:
+    """Refresh, and return the store's revision from before the reading, so that no gap is left."""
+    page = store.list(HEAD_KEY, limit=1)
+    if not is_successful(page):
+        return Failure(read_error(page.failure()))
+    return follower.refresh().map(lambda _: page.unwrap().revision)
+
+
+def _step(
+    store: ObjectStore, follower: ConfigurationFollower, since: int, watch_time: Millis
+) -> Result[int, ConfigReadError]:
+    batch = store.watch(CONFIG_PREFIX, revision=since, timeout=watch_time)
+    if not is_successful(batch):
+        failure = batch.failure()
+        if failure.fault is StoreFault.COMPACTED:
+            return _start(store, follower)
+        return Failure(read_error(failure))
+    events = batch.unwrap()
+    return follower.observe(events.changes).map(lambda _: events.revision)
