--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -1,5 +1,6 @@
 """Data classes, ports and decisions of carobspool: no network, no threads."""
 
+from carobspool_core._admission import Admission, make_admission
 from carobspool_core._clock import Clock, ManualClock, Millis, monotonic_clock, wall_millis
 from carobspool_core._config import (
     BatchShaping,
@@ -15,6 +16,7 @@
     Upstream,
     UpstreamKind,
 )
+from carobspool_core._fairqueue import FairQueue, QueueBounds, Ticket, make_fair_queue
 from carobspool_core._messages import (
     PROTOCOL_VERSION,
     Attach,
@@ -52,8 +54,26 @@
     StoreFault,
     WatchBatch,
 )
+from carobspool_core._work import (
+    AdmissionMode,
+    AdmissionSettings,
+    AdmissionSnapshot,
+    Decision,
+    Work,
+)
 
 __all__ = [
+    "Admission",
+    "AdmissionMode",
+    "AdmissionSettings",
+    "AdmissionSnapshot",
+    "Decision",
+    "FairQueue",
+    "QueueBounds",
+    "Ticket",
+    "Work",
+    "make_admission",
+    "make_fair_queue",
     "BatchShaping",
     "Caller",
     "CallerRole",
--- /dev/null
+++ b/packages/core/src/carobspool_core/_admission.py
@@ -0,0 +1,334 @@
+"""Admission of requests to one upstream: online first, batch into what is left.
+
+Load pattern: bursts of online requests over a standing backlog of batch work, before an engine that
+knows no priorities and admits in arrival order. Passed straight through, online requests wait
+behind batch prompts for seconds.
+
+- Online requests start first, in fair order over callers, and may take every slot; when no slot is
+  free a batch stream is preempted at once.
+- With no online request present, batch fills every slot; only prompts in prefill are bounded, since
+  the first request of a burst waits for the step that is under way.
+- With online requests present, streams whose KV cache is kept are resumed freely, since they need
+  no prefill, and the start of batch prompts is paced.
+- Of the requests suspected of crashing upstreams at most one runs at a time, so that a crash tells
+  which one it was.
+
+The figures behind this stand in docs/design/admission.md.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from carobspool_core._batchqueue import BatchQueue, Waiting
+from carobspool_core._clock import Clock, Millis
+from carobspool_core._fairqueue import FairQueue, Ticket, make_fair_queue
+from carobspool_core._messages import Priority, RequestId
+from carobspool_core._outcome import Failure, Outcome, unavailable
+from carobspool_core._pacing import Pacer
+from carobspool_core._refusals import deadline_unreachable, queue_full
+from carobspool_core._servicetime import ServiceTime
+from carobspool_core._streams import Stream, Streams
+from carobspool_core._victims import choose_victim
+from carobspool_core._work import (
+    AdmissionMode,
+    AdmissionSettings,
+    AdmissionSnapshot,
+    Decision,
+    Work,
+)
+
+
+class Admission:
+    """Decides which requests run at one upstream. Made by `make_admission`.
+
+    Not safe for use from several threads; its owner serialises the calls.
+
+    Since 0.1.
+    """
+
+    def __init__(self, settings: AdmissionSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._streams = Streams()
+        self._online: FairQueue[Waiting] = make_fair_queue(settings.online_bounds)
+        self._suspects: deque[Waiting] = deque()
+        self._batch = BatchQueue()
+        self._pacer = Pacer()
+        self._times = ServiceTime()
+        self._refused: list[tuple[RequestId, Failure]] = []
+        self._prompt_starts = 0
+        self._preemptions = 0
+
+    def offer(self, work: Work) -> Result[None, Failure]:
+        """Hand in a request.
+
+        Args:
+            work: The request.
+
+        Returns:
+            Nothing when it waits here from now on, or the refusal to send to its caller at once.
+        """
+        now = self._clock.now()
+        waiting = Waiting(work=work, offered=now, tokens=work.resume_tokens)
+        ticket = self._ticket(waiting)
+        if ticket.start_by < now:
+            return Failed(deadline_unreachable(now - ticket.start_by))
+        if work.suspect:
+            return self._offer_suspect(waiting)
+        if work.priority is Priority.BATCH:
+            return self._batch.fresh.push(ticket, now).map(lambda _: None)
+        self._online.set_rate(self._times.rate(self._settings.slots))
+        return self._online.push(ticket, now).map(self._refuse_pushed_out)
+
+    def next(self, now: Millis) -> Decision:
+        """Decide what to do at ``now``; to be asked after every event and at ``wake_at``."""
+        self._refuse_late(now)
+        refuse = tuple(self._refused)
+        self._refused.clear()
+        start: list[RequestId] = []
+        preempt: list[RequestId] = []
+        self._start_suspect(start, now)
+        self._start_online(start, preempt, now)
+        self._start_batch(start, now)
+        return Decision(
+            start=tuple(start), preempt=tuple(preempt), refuse=refuse, wake_at=self._wake_at(now)
+        )
+
+    def first_token(self, id: RequestId, now: Millis) -> None:
+        """Note the first token of a request since it was started."""
+        stream = self._streams.get(id)
+        if stream is None:
+            return
+        self._streams.end_prefill(stream)
+        if stream.is_online and stream.last_token is None:
+            self._times.first_token(now - stream.offered)
+        self._count_tokens(stream, now, 1)
+
+    def token(self, id: RequestId, now: Millis, count: int = 1) -> None:
+        """Note further tokens of a request.
+
+        Args:
+            id: The request.
+            now: When they came.
+            count: How many came together.
+        """
+        stream = self._streams.get(id)
+        if stream is None:
+            return
+        if stream.is_online and stream.last_token is not None:
+            self._times.between_tokens((now - stream.last_token) / count)
+        self._count_tokens(stream, now, count)
+
+    def finished(self, id: RequestId, now: Millis) -> None:
+        """Note that a request has ended at the upstream, well or not."""
+        stream = self._streams.remove(id)
+        if stream is not None and stream.last_token is not None:
+            self._times.finished(now - stream.started, stream.work.cost_tokens)
+
+    def cancelled(self, id: RequestId, now: Millis) -> None:
+        """Note that the caller gave a request up, wherever it was."""
+        if self._streams.remove(id) is not None:
+            return
+        if self._online.remove(id) is not None or self._batch.remove(id) is not None:
+            return
+        self._suspects = deque(entry for entry in self._suspects if entry.work.id != id)
+
+    def preempted(self, id: RequestId, now: Millis, kept_tokens: int, kept: bool) -> None:
+        """Note that a preemption took effect; the request waits again, before fresh ones.
+
+        Args:
+            id: The request.
+            now: When it was cancelled at the upstream.
+            kept_tokens: Answer tokens that it holds.
+            kept: Whether the upstream keeps its KV cache.
+        """
+        stream = self._streams.remove(id)
+        if stream is None:
+            return
+        waiting = Waiting(
+            work=stream.work,
+            offered=stream.offered,
+            tokens=kept_tokens,
+            kept=kept,
+            preemptions=stream.preemptions + 1,
+        )
+        if stream.work.suspect:
+            self._suspects.appendleft(waiting)
+            return
+        self._batch.put_back(waiting)
+
+    def batch_credits(self, now: Millis) -> int:
+        """Return how many batch requests it would take beyond those that it holds."""
+        settings = self._settings
+        if settings.mode is not AdmissionMode.POLICY:
+            held = self._streams.batch + len(self._batch)
+            return max(0, settings.slots + settings.batch_backlog - held)
+        free = max(0, settings.slots - len(self._streams) - self._batch.parked)
+        return max(0, settings.batch_backlog + free - len(self._batch.fresh))
+
+    def snapshot(self, now: Millis) -> AdmissionSnapshot:
+        """Return the present state."""
+        running = sum(stream.work.cost_tokens for stream in self._streams)
+        suspects = sum(entry.work.cost_tokens for entry in self._suspects)
+        return AdmissionSnapshot(
+            running_online=self._streams.online,
+            running_batch=self._streams.batch,
+            queued_online=len(self._online) + len(self._suspects),
+            queued_batch=len(self._batch),
+            parked=self._batch.parked,
+            tokens=int(running + suspects + self._online.cost + self._batch.cost),
+            first_token_ewma=self._times.first_token_ewma,
+            between_tokens_ewma=self._times.between_tokens_ewma,
+            width=self._width(),
+            prompt_starts=self._prompt_starts,
+            preemptions=self._preemptions,
+        )
+
+    def _ticket(self, waiting: Waiting) -> Ticket[Waiting]:
+        work = waiting.work
+        return Ticket(
+            id=work.id,
+            caller=work.caller,
+            weight=work.weight,
+            cost=work.cost_tokens,
+            start_by=work.deadline - self._times.least_duration(work.cost_tokens),
+            item=waiting,
+        )
+
+    def _offer_suspect(self, waiting: Waiting) -> Result[None, Failure]:
+        if len(self._suspects) >= self._settings.online_bounds.per_caller:
+            return Failed(queue_full(0.0))
+        self._suspects.append(waiting)
+        return Success(None)
+
+    def _refuse_pushed_out(self, tickets: tuple[Ticket[Waiting], ...]) -> None:
+        for ticket in tickets:
+            wait = self._online.predicted_wait(ticket.caller, ticket.weight)
+            self._refused.append((ticket.id, queue_full(wait)))
+
+    def _refuse_late(self, now: Millis) -> None:
+        late = [ticket.item for ticket in self._online.expire(now)]
+        late += self._batch.expire(now)
+        late += [entry for entry in self._suspects if entry.work.deadline < now]
+        self._suspects = deque(entry for entry in self._suspects if entry.work.deadline >= now)
+        for waiting in late:
+            self._refused.append((waiting.work.id, _late_refusal(waiting, now)))
+
+    def _start_suspect(self, start: list[RequestId], now: Millis) -> None:
+        if not self._suspects or self._streams.suspects or self._free() <= 0:
+            return
+        self._start(self._suspects.popleft(), start, now)
+
+    def _start_online(self, start: list[RequestId], preempt: list[RequestId], now: Millis) -> None:
+        straight = self._settings.mode is not AdmissionMode.POLICY
+        while len(self._online):
+            if not straight and self._free() <= 0 and not self._preempt_one(preempt):
+                return
+            ticket = self._online.pop()
+            if ticket is not None:
+                self._start(ticket.item, start, now)
+
+    def _preempt_one(self, preempt: list[RequestId]) -> bool:
+        victim = choose_victim(self._streams, keep_kv=self._settings.keep_kv)
+        if victim is None:
+            return False
+        self._streams.begin_preemption(victim)
+        self._preemptions += 1
+        preempt.append(victim.work.id)
+        return True
+
+    def _start_batch(self, start: list[RequestId], now: Millis) -> None:
+        while self._streams.batch < self._width():
+            waiting = self._next_batch(now)
+            if waiting is None:
+                return
+            self._start(waiting, start, now)
+
+    def _width(self) -> int:
+        settings = self._settings
+        if settings.mode is AdmissionMode.STRAIGHT:
+            return settings.slots + settings.batch_backlog
+        if settings.mode is AdmissionMode.CAP:
+            return settings.cap
+        return max(0, settings.slots - self._streams.online)
+
+    def _next_batch(self, now: Millis) -> Waiting | None:
+        if self._settings.mode is not AdmissionMode.POLICY:
+            return self._batch.take_parked() or self._batch.take_prompt()
+        if not self._online_present():
+            return self._next_when_quiet()
+        parked = self._batch.take_parked()
+        if parked is not None:
+            return parked
+        if self._settings.paced and not self._pacer.may_start(self._streams, now):
+            return None
+        waiting = self._batch.take_prompt()
+        if waiting is not None:
+            self._pacer.started(now)
+        return waiting
+
+    def _next_when_quiet(self) -> Waiting | None:
+        parked = self._batch.take_parked()
+        if parked is not None:
+            return parked
+        prompt = self._batch.peek_prompt()
+        if prompt is None:
+            return None
+        in_prefill = self._streams.batch_prefill
+        if in_prefill and in_prefill + prompt.prefill_tokens > self._settings.prefill_tokens:
+            return None
+        return self._batch.take_prompt()
+
+    def _online_present(self) -> bool:
+        return self._streams.online > 0 or len(self._online) > 0
+
+    def _free(self) -> int:
+        return self._settings.slots - len(self._streams)
+
+    def _start(self, waiting: Waiting, start: list[RequestId], now: Millis) -> None:
+        stream = Stream(
+            work=waiting.work,
+            offered=waiting.offered,
+            started=now,
+            prefill_tokens=waiting.prefill_tokens,
+            tokens=waiting.tokens,
+            preemptions=waiting.preemptions,
+        )
+        self._streams.add(stream)
+        self._prompt_starts += int(not stream.is_online and stream.is_prefilling)
+        start.append(waiting.work.id)
+
+    def _count_tokens(self, stream: Stream, now: Millis, count: int) -> None:
+        stream.tokens += count
+        stream.last_token = now
+
+    def _wake_at(self, now: Millis) -> Millis | None:
+        instants = [self._online.next_expiry(), self._batch.fresh.next_expiry()]
+        if self._online_present() and len(self._batch):
+            instants.append(self._pacer.wake_at(now))
+        return min((instant for instant in instants if instant is not None), default=None)
+
+
+def make_admission(settings: AdmissionSettings, clock: Clock) -> Admission:
+    """Return the admission before one upstream.
+
+    Args:
+        settings: How it decides.
+        clock: Read by `Admission.offer` alone; every other call is told the time.
+
+    Since 0.1.
+    """
+    return Admission(settings, clock)
+
+
+def _late_refusal(waiting: Waiting, now: Millis) -> Failure:
+    if waiting.tokens == 0:
+        return deadline_unreachable(now - waiting.work.deadline)
+    # It has been run in part, so "not run" would be untrue and would let it be repeated freely.
+    return unavailable(
+        "deadline_passed", "The deadline passed before the end of the answer.", outcome=Outcome.RAN
+    )
