--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -26,6 +26,7 @@
     unfinished,
     withdraw_intents,
 )
+from carobspool_core._admission import Admission, make_admission
 from carobspool_core._clock import Clock, ManualClock, Millis, monotonic_clock, wall_millis
 from carobspool_core._config import (
     BatchShaping,
@@ -60,6 +61,7 @@
     report_progress,
 )
 from carobspool_core._leases import LEASE_TTL, RENEWALS_PER_TTL, LeaseObserver, NodeLease
+from carobspool_core._fairqueue import FairQueue, QueueBounds, Ticket, make_fair_queue
 from carobspool_core._messages import (
     PROTOCOL_VERSION,
     Attach,
@@ -136,6 +138,26 @@
     "RouteRequest",
     "Router",
     "Choice",
+from carobspool_core._work import (
+    AdmissionMode,
+    AdmissionSettings,
+    AdmissionSnapshot,
+    Decision,
+    Work,
+)
+
+__all__ = [
+    "Admission",
+    "AdmissionMode",
+    "AdmissionSettings",
+    "AdmissionSnapshot",
+    "Decision",
+    "FairQueue",
+    "QueueBounds",
+    "Ticket",
+    "Work",
+    "make_admission",
+    "make_fair_queue",
     "BatchShaping",
     "Caller",
     "CallerRole",
