--- a/packages/core/src/carobspool_core/_admission.py
+++ b/packages/core/src/carobspool_core/_admission.py
@@ -63,6 +63,14 @@
         self._prompt_starts = 0
         self._preemptions = 0
 
+    def reconfigure(self, settings: AdmissionSettings) -> None:
+        """Follow other slots or another target; what runs and waits stays.
+
+        Args:
+            settings: The settings from now on.
+        """
+        self._settings = settings
+
     def offer(self, work: Work) -> Result[None, Failure]:
         """Hand in a request.
 
