--- a/packages/core/src/carobspool_core/_messages.py
+++ b/packages/core/src/carobspool_core/_messages.py
@@ -237,4 +237,6 @@
     values: dict[str, str] = field(default_factory=dict)
 
 
-Message = Hello | Proof | Open | Head | Data | End | Cancel | Attach | Load | Configuration | Hint
+Message = (
+    Hello | Proof | Beat | Open | Head | Data | End | Cancel | Attach | Load | Configuration | Hint
+)
--- a/packages/node/src/carobspool_node/_api.py
+++ b/packages/node/src/carobspool_node/_api.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from http import HTTPStatus
@@ -135,7 +135,7 @@
 
 
 def _handle(
-    route: ApiRoute, request: Request, who: Identified | None, arguments: dict[str, Any]
+    route: ApiRoute, request: Request, who: Identified | None, arguments: Mapping[str, Any]
 ) -> Response:
     try:
         return route.handler(request, who, **arguments)
--- /dev/null
+++ b/packages/node/src/carobspool_node/_configuration_exchange.py
@@ -0,0 +1,34 @@
+"""Passing the configuration from process to process.
+
+Each side announces the revision it has with the digests of its parts; a side that lacks some says
+so by announcing its own, and gets just the parts that it lacks. So a change reaches every process
+also while the store is down, and costs what it changed.
+"""
+
+from __future__ import annotations
+
+from carobspool_core import Configuration
+from carobspool_node._config_store import ConfigurationFollower
+from carobspool_node._link import Link, send_quietly
+
+
+def announcement(follower: ConfigurationFollower) -> Configuration:
+    """Return the message that tells which revision and parts this process has."""
+    return follower.message_for(follower.digests)
+
+
+def exchange(follower: ConfigurationFollower, message: Configuration, link: Link) -> bool:
+    """Take or answer a peer's message.
+
+    Returns:
+        Whether a newer revision was taken and should be announced to the other peers.
+    """
+    if message.revision > follower.revision:
+        if follower.offer(message):
+            return True
+        if follower.lacking(message):
+            send_quietly(link, announcement(follower))
+        return False
+    if message.revision < follower.revision:
+        send_quietly(link, follower.message_for(message.parts.values()))
+    return False
--- a/packages/node/src/carobspool_node/_fleet.py
+++ b/packages/node/src/carobspool_node/_fleet.py
@@ -50,13 +50,11 @@
         *,
         on_hint: Callable[[Hint], None],
         on_configuration: Callable[[str, Configuration], None],
-        on_capacity: Callable[[], None],
     ) -> None:
         self._identity = identity
         self._keys = keys
         self._clock = clock
         self._router = router
-        self._on_capacity = on_capacity
         self._lock = threading.Lock()
         self._peers: dict[str, SidecarPeer] = {}
         self._loads: dict[str, Load] = {}
@@ -196,8 +194,6 @@
                 return
             self._loads[host] = load
             self._router.observe(host, load, self._clock.now())
-        if load.batch_credits > 0:
-            self._on_capacity()
 
     def _lost(self, host: str) -> None:
         with self._lock:
--- a/packages/node/src/carobspool_node/_forward.py
+++ b/packages/node/src/carobspool_node/_forward.py
@@ -181,13 +181,16 @@
             return Success(progress)
 
     def _may_retry(self, request: ForwardRequest, failure: Failure, number: int) -> bool:
+        if request.open.suspect:
+            # A suspect has one claimed run; its caller may ask for another.
+            return False
         with self._retries_lock:
             return self._retries.may_retry(
                 failure,
                 request.open.idempotent,
                 number,
                 request.deadline,
-                0,
+                False,
                 self._clock.now(),
             )
 
--- a/packages/node/src/carobspool_node/_members.py
+++ b/packages/node/src/carobspool_node/_members.py
@@ -39,6 +39,7 @@
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="members", daemon=True)
         self._known: set[str] = set()
+        self._addresses: dict[str, str] = {}
 
     def start(self) -> None:
         """Start to follow."""
@@ -53,6 +54,12 @@
         with self._lock:
             return self._observer.live()
 
+    def addresses(self) -> dict[str, str]:
+        """Return the address of each live node by its name."""
+        with self._lock:
+            live = self._observer.live()
+            return {node: self._addresses[node] for node in live if node in self._addresses}
+
     def is_dead(self, holder: Holder) -> bool:
         """Tell whether a holder's lease has expired, or is another process's."""
         with self._lock:
@@ -110,6 +117,7 @@
                 self._known.add(change.object.key)
 
     def _see(self, stored: StoredObject) -> None:
+        self._addresses[stored.key.removeprefix(PREFIX)] = stored.value["address"]
         self._observer.seen(
             node=stored.key.removeprefix(PREFIX),
             incarnation=stored.value["incarnation"],
--- a/packages/node/src/carobspool_node/_online.py
+++ b/packages/node/src/carobspool_node/_online.py
@@ -200,6 +200,12 @@
                 fits = whole and kept_bytes <= MAX_STORED_ANSWER
                 self._settle(reservation, answer, b"".join(kept) if fits else None)
 
+    def _close_suspect(self, request: OnlineRequest, *, whole: bool) -> None:
+        if whole:
+            self._isolation.completed(request.open.fingerprint)
+            return
+        self._isolation.released(request.open.fingerprint)
+
     def _settle(self, reservation: Reservation, answer: Answer, body: bytes | None) -> None:
         stored = None
         if body is not None:
--- a/packages/node/src/carobspool_node/_online_requests.py
+++ b/packages/node/src/carobspool_node/_online_requests.py
@@ -107,8 +107,8 @@
         return Failed(parsed.failure())
     completion = parsed.unwrap()
     if completion.model not in state.models:
-        message = f"the model {completion.model!r} does not exist"
-        return Failed(invalid_request("model_not_found", message, status=404))
+        text = f"the model {completion.model!r} does not exist"
+        return Failed(invalid_request("model_not_found", text, status=404))
     timeout = _timeout(headers, default_timeout)
     if not isinstance(timeout, Success):
         return Failed(timeout.failure())
@@ -186,12 +186,12 @@
     """
     service = state.services.get(name)
     if service is None:
-        message = f"the service {name!r} does not exist"
-        return Failed(invalid_request("service_not_found", message, status=404))
+        text = f"the service {name!r} does not exist"
+        return Failed(invalid_request("service_not_found", text, status=404))
     route = find_route(service.routes, method, path)
     if route is None:
-        message = f"the service {name!r} has no route for {method} {path.partition('?')[0]}"
-        return Failed(invalid_request("route_not_found", message, status=404))
+        text = f"the service {name!r} has no route for {method} {path.partition('?')[0]}"
+        return Failed(invalid_request("route_not_found", text, status=404))
     timeout = _timeout(headers, route.timeout)
     if not isinstance(timeout, Success):
         return Failed(timeout.failure())
--- a/packages/node/src/carobspool_node/_scheduler.py
+++ b/packages/node/src/carobspool_node/_scheduler.py
@@ -9,6 +9,7 @@
 
 from carobspool_core import (
     Admission,
+    AdmissionSettings,
     AdmissionSnapshot,
     Clock,
     Decision,
@@ -93,6 +94,10 @@
         with self._lock:
             return self._admission.snapshot(self._clock.now())
 
+    def reconfigure(self, settings: AdmissionSettings) -> None:
+        """Follow other slots or another target; what runs goes on."""
+        self._event(lambda now: self._admission.reconfigure(settings))
+
     def stop(self) -> None:
         """End the timer task."""
         with self._lock:
--- /dev/null
+++ b/packages/node/src/carobspool_node/_sidecar_node.py
@@ -0,0 +1,153 @@
+"""The sidecar process: composition, configuration, graceful shutdown."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+
+from absl import logging
+
+from carobspool_core import (
+    AdmissionMode,
+    Configuration,
+    DesiredState,
+    Failure,
+    RequestId,
+    UpstreamKind,
+    make_admission,
+    monotonic_clock,
+)
+from carobspool_core import AdmissionSettings as DecisionSettings
+from carobspool_node._config_store import ConfigurationFollower, make_follower
+from carobspool_node._configuration_exchange import announcement, exchange
+from carobspool_node._link import Identity, Link, send_quietly
+from carobspool_node._logs import set_up_logs
+from carobspool_node._metrics import Metrics, make_metrics
+from carobspool_node._object_api import http_object_store
+from carobspool_node._peer_keys import load_peer_keys
+from carobspool_node._scheduler import Scheduler
+from carobspool_node._settings import SidecarSettings
+from carobspool_node._shutdown import ShutdownRequest
+from carobspool_node._sidecar import Sidecar, SidecarOptions
+
+DEFAULT_SLOTS = 32
+BETWEEN_TOKENS_ALLOWANCE = 78.0
+"""Milliseconds between tokens that users accept whatever the ratio (letter 1, 95 in 100)."""
+
+
+class SidecarNode:
+    """One sidecar process. Since 0.1."""
+
+    def __init__(self, settings: SidecarSettings) -> None:
+        self._settings = settings
+        self._clock = monotonic_clock()
+        self._identity = Identity(
+            node=settings.node,
+            incarnation=secrets.token_hex(8),
+            role="sidecar",
+            failure_domain=settings.failure_domain,
+        )
+        self._metrics = make_metrics(settings.statsd, role="sidecar", node=settings.node)
+        self._store = http_object_store(settings.object_api)
+        self._follower: ConfigurationFollower = make_follower(self._store, self._clock)
+        self._admission = make_admission(_decision_settings(settings, None), self._clock)
+        self._sidecar = Sidecar(
+            SidecarOptions(
+                address=settings.listen.address,
+                port=settings.listen.port,
+                upstream=settings.upstream,
+                host=settings.host,
+                targets=(),
+                slots=DEFAULT_SLOTS,
+                heartbeat=settings.heartbeat,
+            ),
+            self._identity,
+            load_peer_keys(settings.peer_keys),
+            self._clock,
+            self._make_scheduler,
+        )
+
+    @property
+    def port(self) -> int:
+        """The port on which entries connect."""
+        return self._sidecar.port
+
+    @property
+    def metrics(self) -> Metrics:
+        """Where measurements go."""
+        return self._metrics
+
+    def start(self) -> None:
+        """Serve in tasks of its own."""
+        self._follower.on_change(self._take_state)
+        self._sidecar.on_configuration = self._exchange
+        self._sidecar.on_link = self._greet
+        self._sidecar.start()
+
+    def stop(self, shutdown: ShutdownRequest | None = None) -> None:
+        """Refuse new work, finish what is in progress, then close."""
+        self._sidecar.leave()
+        cut = self._sidecar.drain(self._settings.shutdown_limit)
+        if cut:
+            logging.error("event=shutdown_cut requests=%d", cut)
+        self._sidecar.stop()
+        logging.info("event=stopped")
+
+    def _make_scheduler(
+        self,
+        *,
+        start: Callable[[RequestId], None],
+        preempt: Callable[[RequestId], None],
+        refuse: Callable[[RequestId, Failure], None],
+    ) -> Scheduler:
+        self._scheduler = Scheduler(
+            self._admission, self._clock, start=start, preempt=preempt, refuse=refuse
+        )
+        return self._scheduler
+
+    def _greet(self, link: Link) -> None:
+        send_quietly(link, announcement(self._follower))
+
+    def _exchange(self, message: Configuration, link: Link) -> None:
+        exchange(self._follower, message, link)
+
+    def _take_state(self, state: DesiredState) -> None:
+        self._scheduler.reconfigure(_decision_settings(self._settings, state))
+        declared = state.upstreams.get(self._settings.host)
+        if declared is None:
+            logging.warning("event=not_declared host=%s", self._settings.host)
+            self._sidecar.set_targets((), revision=state.revision, epoch=0)
+            return
+        targets = declared.models
+        if declared.kind is UpstreamKind.SERVICE and declared.service is not None:
+            targets = (declared.service,)
+        self._sidecar.set_targets(targets, revision=state.revision, epoch=0)
+
+
+def run_sidecar(settings: SidecarSettings) -> int:
+    """Run a sidecar until it is told to stop; return the process exit code."""
+    set_up_logs(settings.node, settings.log_level)
+    shutdown = ShutdownRequest()
+    node = SidecarNode(settings)
+    node.start()
+    logging.info("event=ready role=sidecar host=%s port=%d", settings.host, node.port)
+    print(f"ready port={node.port}", flush=True)
+    shutdown.wait()
+    node.stop(shutdown)
+    return 0
+
+
+def _decision_settings(settings: SidecarSettings, state: DesiredState | None) -> DecisionSettings:
+    slots = DEFAULT_SLOTS
+    slowdown = DesiredState().online_slowdown
+    if state is not None:
+        slowdown = state.online_slowdown
+        declared = state.upstreams.get(settings.host)
+        slots = declared.slots if declared is not None else slots
+    return DecisionSettings(
+        mode=AdmissionMode(settings.admission.mode.value),
+        cap=settings.admission.cap,
+        slots=slots,
+        slowdown=slowdown,
+        between_tokens_allowance=BETWEEN_TOKENS_ALLOWANCE,
+    )
