--- a/packages/node/src/carobspool_node/_config_apply.py
+++ b/packages/node/src/carobspool_node/_config_apply.py
@@ -14,11 +14,10 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from carobspool_core import DesiredState, ObjectStore, StoreFailure, StoreFault, wall_millis
+from carobspool_core import DesiredState, ObjectStore, wall_millis
 from carobspool_core.revision import (
     Change,
     Clash,
-    PartError,
     Parts,
     Revision,
     diff,
@@ -26,23 +25,28 @@
     part_name,
     rebase,
     record_changes,
-    revision_from_json,
-    revision_to_json,
     split,
     summarise,
 )
-from carobspool_core.schema import ConfigError, check_state
+from carobspool_core.schema import check_state
 from carobspool_node._config_follower import ConfigurationFollower
 from carobspool_node._config_history import history
 from carobspool_node._config_objects import (
-    HEAD_KEY,
     ConfigReadError,
     collect_parts,
-    part_key,
-    part_value,
     read_revision,
-    revision_key,
 )
+from carobspool_node._config_outcomes import (
+    Applied,
+    ApplyError,
+    Conflict,
+    ConflictItem,
+    InvalidTogether,
+    StoreDown,
+    TooLarge,
+    UnknownBase,
+)
+from carobspool_node._config_write import move_head, write_revision
 
 MAX_ROUNDS = 16
 """Times that an apply moves onto a newer head before it gives up; each loss means another's win."""
@@ -50,97 +54,6 @@
 LOOK_BACK = 500
 """Revisions searched for the author of a conflicting change."""
 
-UNKNOWN_RETRIES = 3
-"""Times that a write with a lost answer is repeated; the repetition tells what became of it."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Applied:
-    """An accepted apply.
-
-    Attributes:
-        revision: Revision in which it is in force.
-        changes: What it changed against the revision before.
-        over: Revisions by others, newer than the base, onto which it was moved.
-        written: Whether a revision was written; not when nothing differed.
-
-    Since 0.1.
-    """
-
-    revision: int
-    changes: tuple[Change, ...]
-    over: tuple[int, ...] = ()
-    written: bool = True
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ConflictItem:
-    """One entry that both the apply and another's newer revision changed.
-
-    Attributes:
-        mine: The refused change.
-        theirs: What stands there now, against the common base.
-        by: The other's revision: author, time and reason; ``None`` when it can't be read.
-    """
-
-    mine: Change
-    theirs: Change
-    by: Revision | None
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Conflict:
-    """Another operator changed the same entries since the base; nothing was applied."""
-
-    head: int
-    items: tuple[ConflictItem, ...]
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class InvalidTogether:
-    """The change fits its base, but not what others made of it since; nothing was applied."""
-
-    head: int
-    errors: tuple[ConfigError, ...]
-    over: tuple[Revision, ...]
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class UnknownBase:
-    """The base is a revision that does not exist, or no longer; nothing was applied."""
-
-    base: int
-    head: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class TooLarge:
-    """A part is larger than the platform holds; nothing was applied."""
-
-    errors: tuple[PartError, ...]
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StoreDown:
-    """The store could not be read or written; nothing was applied."""
-
-    detail: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class OutcomeUnknown:
-    """The store's last answer was lost and cannot be settled yet.
-
-    Applying the same state on the same base again is harmless: it changes nothing when the first
-    took effect.
-    """
-
-    revision: int
-    detail: str
-
-
-ApplyError = Conflict | InvalidTogether | UnknownBase | TooLarge | StoreDown | OutcomeUnknown
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Merged:
@@ -205,12 +118,12 @@
             parts={name: part.digest for name, part in parts.unwrap().items()},
             changes=record_changes(changes),
         )
-        accepted = _write(store, revision, parts.unwrap(), head_parts)
+        accepted = write_revision(store, revision, parts.unwrap(), head_parts)
         if not is_successful(accepted):
             return Failure(accepted.failure())
         if not accepted.unwrap():
             continue
-        _move_head(store, revision.number)
+        move_head(store, revision.number)
         follower.take(revision.number, parts.unwrap())
         return Success(Applied(revision=revision.number, changes=changes, over=wanted.over))
     return Failure(StoreDown(detail=f"others applied first {MAX_ROUNDS} times"))
@@ -301,78 +214,3 @@
     return any(
         (each.section, each.name) == (change.section, change.name) for each in revision.changes
     )
-
-
-def _write(
-    store: ObjectStore, revision: Revision, parts: Parts, head_parts: Parts
-) -> Result[bool, ApplyError]:
-    """Write parts and revision; ``False`` when another took the number first."""
-    present = {part.digest for part in head_parts.values()}
-    for part in parts.values():
-        if part.digest in present:
-            continue
-        stored = _create(store, part_key(part.digest), part_value(part))
-        if isinstance(stored, StoreFailure) and stored.fault is not StoreFault.CONFLICT:
-            return Failure(StoreDown(detail=f"{stored.key}: {stored.fault} {stored.detail}"))
-    return _write_revision(store, revision)
-
-
-def _write_revision(store: ObjectStore, revision: Revision) -> Result[bool, ApplyError]:
-    key = revision_key(revision.number)
-    failure = _create(store, key, revision_to_json(revision))
-    if failure is None:
-        return Success(True)
-    if failure.fault is StoreFault.CONFLICT:
-        return _own_write(store, revision)
-    if failure.fault is StoreFault.UNKNOWN:
-        return Failure(OutcomeUnknown(revision=revision.number, detail=failure.detail))
-    return Failure(StoreDown(detail=f"{key}: {failure.fault} {failure.detail}"))
-
-
-def _own_write(store: ObjectStore, revision: Revision) -> Result[bool, ApplyError]:
-    """Return whether the revision that stands under this number is the one written here.
-
-    A repeated write conflicts with the first one when that took effect and only its answer was
-    lost. Taken for another's it would be rebased on itself and told as if it were not accepted.
-    """
-    found = store.get(revision_key(revision.number))
-    if not is_successful(found):
-        return Failure(OutcomeUnknown(revision=revision.number, detail=found.failure().detail))
-    standing = revision_from_json(found.unwrap().value)
-    return Success(is_successful(standing) and standing.unwrap().write == revision.write)
-
-
-def _create(store: ObjectStore, key: str, value: object) -> StoreFailure | None:
-    """Create an object; an unknown outcome is settled by creating it again.
-
-    The repetition succeeds, or conflicts with what stands there. Reading back alone would not do:
-    a write that is still on its way can take effect after the reading.
-    """
-    lost: StoreFailure | None = None
-    for _ in range(UNKNOWN_RETRIES):
-        result = store.create(key, value)
-        if is_successful(result):
-            return None
-        failure = result.failure()
-        if failure.fault is StoreFault.CONFLICT:
-            return failure
-        if failure.fault is not StoreFault.UNKNOWN:
-            return lost or failure
-        lost = failure
-    return lost
-
-
-def _move_head(store: ObjectStore, number: int) -> None:
-    """Point the head at a revision unless it is there or beyond.
-
-    A failure is harmless: the revision is accepted, and readers look beyond the head.
-    """
-    value = {"revision": number}
-    found = store.get(HEAD_KEY)
-    if is_successful(found):
-        stored = found.unwrap()
-        if stored.value["revision"] < number:
-            store.update(HEAD_KEY, value, version=stored.version)
-        return
-    if found.failure().fault is StoreFault.NOT_FOUND:
-        store.create(HEAD_KEY, value)
--- a/packages/node/src/carobspool_node/_config_follower.py
+++ b/packages/node/src/carobspool_node/_config_follower.py
@@ -21,18 +21,14 @@
     Millis,
     ObjectChange,
     ObjectStore,
-    StoreFault,
 )
 from carobspool_core.revision import Part, Parts, Revision, decode_part, join
 from carobspool_node._config_objects import (
-    CONFIG_PREFIX,
-    HEAD_KEY,
     PARTS_PREFIX,
     REVISIONS_PREFIX,
     ConfigReadError,
     collect_parts,
     parse_revision,
-    read_error,
     read_head,
     read_revision,
     stored_part_text,
@@ -41,9 +37,6 @@
 LOOSE_VALUES = 128
 """Values of parts kept from watch events until the revision that names them arrives."""
 
-WATCH_TIME: Millis = 30_000.0
-RETRY_PAUSE: Millis = 1_000.0
-
 StateCallback = Callable[[DesiredState], None]
 
 
@@ -260,59 +253,3 @@
     Since 0.1.
     """
     return ConfigurationFollower(store, clock)
-
-
-def follow(
-    store: ObjectStore,
-    follower: ConfigurationFollower,
-    stop: threading.Event,
-    *,
-    watch_time: Millis = WATCH_TIME,
-    retry_pause: Millis = RETRY_PAUSE,
-) -> None:
-    """Keep a follower up to date by a watch of ``config/`` until ``stop`` is set.
-
-    Runs on a thread of its own. While the store is down the follower keeps what it has, and peers
-    may still bring something newer.
-
-    Args:
-        store: The object store.
-        follower: The follower.
-        stop: Ends the loop, at the latest after one watch.
-        watch_time: Longest wait of one watch, in milliseconds.
-        retry_pause: Pause after a failed read, in milliseconds.
-
-    Since 0.1.
-    """
-    since: int | None = None
-    while not stop.is_set():
-        step = (
-            _start(store, follower) if since is None else _step(store, follower, since, watch_time)
-        )
-        if is_successful(step):
-            since = step.unwrap()
-            continue
-        since = None
-        logging.warning("event=configuration_unread detail=%r", step.failure().detail)
-        stop.wait(retry_pause / 1000.0)
-
-
-def _start(store: ObjectStore, follower: ConfigurationFollower) -> Result[int, ConfigReadError]:
-    """Refresh, and return the store's revision from before the reading, so that no gap is left."""
-    page = store.list(HEAD_KEY, limit=1)
-    if not is_successful(page):
-        return Failure(read_error(page.failure()))
-    return follower.refresh().map(lambda _: page.unwrap().revision)
-
-
-def _step(
-    store: ObjectStore, follower: ConfigurationFollower, since: int, watch_time: Millis
-) -> Result[int, ConfigReadError]:
-    batch = store.watch(CONFIG_PREFIX, revision=since, timeout=watch_time)
-    if not is_successful(batch):
-        failure = batch.failure()
-        if failure.fault is StoreFault.COMPACTED:
-            return _start(store, follower)
-        return Failure(read_error(failure))
-    events = batch.unwrap()
-    return follower.observe(events.changes).map(lambda _: events.revision)
--- a/packages/node/src/carobspool_node/_config_store.py
+++ b/packages/node/src/carobspool_node/_config_store.py
@@ -1,6 +1,10 @@
 """The configuration in the object store: following, applying, history and audit."""
 
-from carobspool_node._config_apply import (
+from carobspool_node._config_apply import apply_state, preview_state
+from carobspool_node._config_follower import ConfigurationFollower, make_follower
+from carobspool_node._config_history import audit, history
+from carobspool_node._config_objects import ConfigReadError
+from carobspool_node._config_outcomes import (
     Applied,
     ApplyError,
     Conflict,
@@ -10,12 +14,8 @@
     StoreDown,
     TooLarge,
     UnknownBase,
-    apply_state,
-    preview_state,
 )
-from carobspool_node._config_follower import ConfigurationFollower, follow, make_follower
-from carobspool_node._config_history import audit, history
-from carobspool_node._config_objects import ConfigReadError
+from carobspool_node._config_watch import follow
 
 __all__ = [
     "Applied",
