--- /dev/null
+++ b/packages/standins/src/carobspool_standins/_processes.py
@@ -0,0 +1,157 @@
+"""A group of processes: start, wait until ready, signal, and end every one of them."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from carobspool_standins.errors import ClusterError
+
+LOOPBACK = "127.0.0.1"
+# Below the range from which the operating system takes ports for outgoing connections, so that
+# none of those can take a port between its choice here and its use.
+LOWEST_PORT = 20_000
+HIGHEST_PORT = 32_000
+POLL_SECONDS = 0.01
+READY_SECONDS = 30.0
+READY_MARK = b"ready port="
+
+
+class PortChooser:
+    """Chooses loopback ports that are free; never the same twice."""
+
+    def __init__(self) -> None:
+        self._next = random.randrange(LOWEST_PORT, HIGHEST_PORT)
+
+    def choose(self) -> int:
+        """Return a free port.
+
+        Raises:
+            ClusterError: If there is none.
+        """
+        for _ in range(HIGHEST_PORT - LOWEST_PORT):
+            port = self._next
+            self._next = port + 1 if port + 1 < HIGHEST_PORT else LOWEST_PORT
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind((LOOPBACK, port))
+                except OSError:
+                    continue
+            return port
+        raise ClusterError("no free port")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Command:
+    """How a process is started: module of this interpreter, its arguments, its log."""
+
+    module: str
+    arguments: Sequence[str]
+    log: Path
+
+
+class ProcessGroup:
+    """Processes by name; all have ended when the group is closed."""
+
+    def __init__(self) -> None:
+        self._commands: dict[str, Command] = {}
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._log_starts: dict[str, int] = {}
+
+    @property
+    def names(self) -> list[str]:
+        """Names in the order of their first start."""
+        return list(self._commands)
+
+    def start(self, name: str, command: Command) -> None:
+        """Start a process and return at once.
+
+        Raises:
+            ClusterError: If one of this name is running.
+        """
+        if self.is_running(name):
+            raise ClusterError(f"{name} is running")
+        with command.log.open("ab") as log:
+            self._log_starts[name] = log.tell()
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, "-m", command.module, *command.arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        self._commands[name] = command
+
+    def restart(self, name: str) -> None:
+        """Start a process that has ended once more, as before."""
+        self.start(name, self._commands[name])
+
+    def wait_ready(self, names: Sequence[str], seconds: float = READY_SECONDS) -> None:
+        """Wait until each process has told that it is ready.
+
+        Raises:
+            ClusterError: If one ends or is not ready in time; its log is quoted.
+        """
+        deadline = time.monotonic() + seconds
+        for name in names:
+            while not self._is_ready(name):
+                if not self.is_running(name):
+                    raise ClusterError(f"{name} ended at its start:\n{self.log(name)}")
+                if time.monotonic() > deadline:
+                    raise ClusterError(f"{name} is not ready in time:\n{self.log(name)}")
+                time.sleep(POLL_SECONDS)
+
+    def is_running(self, name: str) -> bool:
+        """Whether a process of this name was started and has not ended."""
+        process = self._processes.get(name)
+        return process is not None and process.poll() is None
+
+    def pid(self, name: str) -> int:
+        """Return the id of a process."""
+        return self._processes[name].pid
+
+    def log(self, name: str) -> str:
+        """Return all that a process has written, over all its starts."""
+        return self._commands[name].log.read_text(encoding="utf-8", errors="replace")
+
+    def send(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process, unless it has ended."""
+        process = self._processes[name]
+        if process.poll() is None:
+            process.send_signal(number)
+
+    def wait(self, name: str, seconds: float) -> int:
+        """Wait for the end of a process and return its exit code.
+
+        Raises:
+            ClusterError: If it does not end in time.
+        """
+        try:
+            return self._processes[name].wait(seconds)
+        except subprocess.TimeoutExpired as error:
+            raise ClusterError(f"{name} has not ended after {seconds} s") from error
+
+    def close(self, seconds: float) -> None:
+        """End all: politely in reverse order of start, then by force after ``seconds``."""
+        for name in reversed(self.names):
+            self.send(name, signal.SIGCONT)
+            self.send(name, signal.SIGTERM)
+        deadline = time.monotonic() + seconds
+        for name in reversed(self.names):
+            with contextlib.suppress(ClusterError):
+                self.wait(name, max(0.0, deadline - time.monotonic()))
+            self.send(name, signal.SIGKILL)
+            self._processes[name].wait()
+
+    def _is_ready(self, name: str) -> bool:
+        with self._commands[name].log.open("rb") as log:
+            log.seek(self._log_starts[name])
+            return READY_MARK in log.read()
--- /dev/null
+++ b/packages/standins/tests/test_cluster.py
@@ -0,0 +1,45 @@
+"""The launcher of process clusters, with stand-ins only."""
+
+from __future__ import annotations
+
+import os
+
+import pytest
+
+from carobspool_standins._client import NoAnswer
+from carobspool_standins._cluster import Cluster
+from carobspool_standins.errors import ClusterError
+
+
+def test_processes_are_controlled_and_all_end(tmp_path):
+    """Processes start side by side, take faults, are killed and restarted, and end on close."""
+    with Cluster(tmp_path) as cluster:
+        with cluster.together():
+            cluster.start_objects()
+            cluster.start_plain("up-1", service="orders")
+        assert cluster.client("objects").call("GET", "/calls").status == 200
+        cluster.faults("up-1", status=503)
+        assert cluster.client("up-1").call("GET", "/").status == 503
+        first = cluster.pid("up-1")
+        cluster.kill("up-1")
+        with pytest.raises(NoAnswer):
+            cluster.client("up-1").call("GET", "/")
+        cluster.restart("up-1")
+        assert cluster.client("up-1").call("GET", "/").status == 200
+        cluster.freeze("up-1")
+        with pytest.raises(NoAnswer):
+            cluster.client("up-1", timeout_ms=50).call("GET", "/")
+        cluster.thaw("up-1")
+        assert cluster.client("up-1").call("GET", "/").status == 200
+        pids = [first, cluster.pid("up-1"), cluster.pid("objects")]
+        assert cluster.stop("up-1") == 0
+        cluster.freeze("objects")
+    for pid in pids:
+        with pytest.raises(ProcessLookupError):
+            os.kill(pid, 0)
+
+
+def test_failed_start_quotes_the_log(tmp_path):
+    """A process that ends at its start is an error that tells why."""
+    with Cluster(tmp_path) as cluster, pytest.raises(ClusterError, match="not valid"):
+        cluster.start_standin("plain", "up-1", portt=1)
