--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -12,12 +12,12 @@
     audit_to_json,
 )
 from carobspool_core._chunks import (
-    MAX_CHUNK_BYTES,
     ChunkChange,
     ChunkRefusal,
     ChunkState,
     ChunkStatus,
     Holder,
+    MAX_CHUNK_BYTES,
     ResultPart,
     chunk_bytes,
     chunk_items,
@@ -51,16 +51,26 @@
     Upstream,
     UpstreamKind,
 )
+from carobspool_core._dispatch import (
+    Dispatcher,
+    JobShare,
+    make_dispatcher,
+)
 from carobspool_core._fairqueue import (
     FairQueue,
     QueueBounds,
     Ticket,
     make_fair_queue,
 )
+from carobspool_core._gossip import (
+    Gossip,
+    make_gossip,
+    peers_to_dial,
+)
 from carobspool_core._item_retry import (
-    PREEMPTED,
     ItemOutcome,
     ItemRetry,
+    PREEMPTED,
     item_retry,
 )
 from carobspool_core._job_records import (
@@ -70,8 +80,8 @@
     read_job,
 )
 from carobspool_core._jobs import (
-    IDEMPOTENT_METADATA,
     BatchItem,
+    IDEMPOTENT_METADATA,
     Job,
     JobCounts,
     JobRefusal,
@@ -87,12 +97,16 @@
 )
 from carobspool_core._leases import (
     LEASE_TTL,
-    RENEWALS_PER_TTL,
     LeaseObserver,
     NodeLease,
+    RENEWALS_PER_TTL,
+)
+from carobspool_core._membership import (
+    Membership,
+    heartbeat_interval,
+    make_membership,
 )
 from carobspool_core._messages import (
-    PROTOCOL_VERSION,
     Attach,
     Beat,
     Cancel,
@@ -106,11 +120,21 @@
     Load,
     Message,
     Open,
+    PROTOCOL_VERSION,
     Priority,
     Proof,
     RequestId,
     SidecarState,
 )
+from carobspool_core._modelloads import (
+    LoadOrder,
+    LoadOrderKind,
+    ModelVersion,
+    UpstreamModels,
+    WeightStoreLimits,
+    blocked_model_loads,
+    plan_model_loads,
+)
 from carobspool_core._outcome import (
     Failure,
     Outcome,
@@ -124,9 +148,9 @@
     ObjectChange,
     ObjectPage,
     ObjectStore,
-    StoredObject,
     StoreFailure,
     StoreFault,
+    StoredObject,
     WatchBatch,
 )
 from carobspool_core._rendezvous import (
@@ -134,10 +158,15 @@
     owner,
     rank,
 )
+from carobspool_core._retry import (
+    RetryPolicy,
+    RetrySettings,
+    make_retry_policy,
+)
 from carobspool_core._routing import (
     Choice,
-    Router,
     RouteRequest,
+    Router,
     RoutingSettings,
     Target,
     make_router,
@@ -152,6 +181,22 @@
     subtract_spans,
     unite_spans,
 )
+from carobspool_core._subsets import (
+    Subsets,
+    make_subsets,
+    subset_size,
+)
+from carobspool_core._suspect_gate import (
+    SuspectGate,
+    make_suspect_gate,
+)
+from carobspool_core._suspects import (
+    SuspectChange,
+    Suspects,
+    Verdict,
+    VerdictKind,
+    make_suspects,
+)
 from carobspool_core._work import (
     AdmissionMode,
     AdmissionSettings,
@@ -185,9 +230,11 @@
     "Data",
     "Decision",
     "DesiredState",
+    "Dispatcher",
     "End",
     "Failure",
     "FairQueue",
+    "Gossip",
     "Head",
     "Hello",
     "Hint",
@@ -199,17 +246,22 @@
     "Job",
     "JobCounts",
     "JobRefusal",
+    "JobShare",
     "JobStatus",
     "Json",
     "LEASE_TTL",
     "LeaseObserver",
     "Limits",
     "Load",
+    "LoadOrder",
+    "LoadOrderKind",
     "MAX_CHUNK_BYTES",
     "ManualClock",
+    "Membership",
     "Message",
     "Millis",
     "Model",
+    "ModelVersion",
     "NodeLease",
     "ObjectChange",
     "ObjectPage",
@@ -226,6 +278,8 @@
     "RENEWALS_PER_TTL",
     "RequestId",
     "ResultPart",
+    "RetryPolicy",
+    "RetrySettings",
     "Route",
     "RouteRequest",
     "Router",
@@ -237,15 +291,24 @@
     "StoreFailure",
     "StoreFault",
     "StoredObject",
+    "Subsets",
+    "SuspectChange",
+    "SuspectGate",
+    "Suspects",
     "Target",
     "Ticket",
     "Upstream",
     "UpstreamKind",
+    "UpstreamModels",
+    "Verdict",
+    "VerdictKind",
     "WatchBatch",
+    "WeightStoreLimits",
     "Work",
     "add_counts",
     "audit_from_json",
     "audit_to_json",
+    "blocked_model_loads",
     "broken_upstream",
     "cancel_job",
     "chunk_bytes",
@@ -258,16 +321,26 @@
     "end_job",
     "finished",
     "first",
+    "heartbeat_interval",
     "invalid_request",
     "item_retry",
     "job_value",
     "keyed_job_id",
     "make_admission",
+    "make_dispatcher",
     "make_fair_queue",
+    "make_gossip",
+    "make_membership",
+    "make_retry_policy",
     "make_router",
+    "make_subsets",
+    "make_suspect_gate",
+    "make_suspects",
     "monotonic_clock",
     "organisation_digest",
     "owner",
+    "peers_to_dial",
+    "plan_model_loads",
     "progress_is_due",
     "rank",
     "rate_limited",
@@ -280,6 +353,7 @@
     "spans_of",
     "spans_overlap",
     "stop_chunk",
+    "subset_size",
     "subtract_spans",
     "unavailable",
     "unfinished",
