--- a/packages/core/src/carobspool_core/_chunks.py
+++ b/packages/core/src/carobspool_core/_chunks.py
@@ -25,7 +25,7 @@
 
 MAX_CHUNK_ITEMS = 2_048
 MAX_CHUNK_BYTES = 524_288
-CHUNK_GROWTH = 2.0
+CHUNKS_BEFORE_GROWTH = 64
 
 
 class ChunkStatus(StrEnum):
@@ -105,12 +105,13 @@
     """Return how many items a chunk of a job of ``items`` items holds at most.
 
     A chunk costs three to four writes however many items it holds, and the store takes a few
-    hundred writes a second for the whole fleet. Growth with the square root of the job keeps both
-    the number of chunks and their size moderate: a job of 560,000 items has 375 chunks of 1,497,
+    hundred writes a second for the whole fleet. Above 64 chunks, growth with the square root of the
+    job keeps both the number of chunks and their size moderate: a job of 560,000 items has 375 chunks of 1,497,
     where the fixed 256 would make 2,188.
     """
-    grown = math.ceil(CHUNK_GROWTH * math.sqrt(items))
-    return max(1, min(max(shaping.chunk_items, grown), MAX_CHUNK_ITEMS))
+    least = max(1, shaping.chunk_items)
+    grown = math.ceil(least * math.sqrt(items / (least * CHUNKS_BEFORE_GROWTH)))
+    return min(max(least, grown), MAX_CHUNK_ITEMS)
 
 
 def chunk_bytes(shaping: BatchShaping, items: int) -> int:
