--- a/packages/node/src/carobspool_node/_settings_models.py
+++ b/packages/node/src/carobspool_node/_settings_models.py
@@ -43,12 +43,7 @@
     """An address and port."""
 
     address: IpAddress = setting("Address to use.", unit="IP number")
-    port: int = setting(
-        "Port to use; 0 takes a free one, which is printed at start.",
-        unit="port",
-        ge=0,
-        le=HIGHEST_PORT,
-    )
+    port: int = setting("Port to use.", unit="port", ge=1, le=HIGHEST_PORT)
 
 
 class HttpModel(EndpointModel):
