--- a/packages/core/src/carobspool_core/_chunks.py
+++ b/packages/core/src/carobspool_core/_chunks.py
@@ -105,9 +105,9 @@
     """Return how many items a chunk of a job of ``items`` items holds at most.
 
     A chunk costs three to four writes however many items it holds, and the store takes a few
-    hundred writes a second for the whole fleet. Above 64 chunks, growth with the square root of the
-    job keeps both the number of chunks and their size moderate: a job of 560,000 items has 375 chunks of 1,497,
-    where the fixed 256 would make 2,188.
+    hundred writes a second for the whole fleet. Above 64 chunks, growth with the square root of
+    the job keeps both the number of chunks and their size moderate: a job of 560,000 items has 375
+    chunks of 1,497, where the fixed 256 would make 2,188.
     """
     least = max(1, shaping.chunk_items)
     grown = math.ceil(least * math.sqrt(items / (least * CHUNKS_BEFORE_GROWTH)))
