--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -12,12 +12,12 @@
     audit_to_json,
 )
 from carobspool_core._chunks import (
+    MAX_CHUNK_BYTES,
     ChunkChange,
     ChunkRefusal,
     ChunkState,
     ChunkStatus,
     Holder,
-    MAX_CHUNK_BYTES,
     ResultPart,
     chunk_bytes,
     chunk_items,
@@ -68,9 +68,9 @@
     peers_to_dial,
 )
 from carobspool_core._item_retry import (
+    PREEMPTED,
     ItemOutcome,
     ItemRetry,
-    PREEMPTED,
     item_retry,
 )
 from carobspool_core._job_records import (
@@ -80,8 +80,8 @@
     read_job,
 )
 from carobspool_core._jobs import (
-    BatchItem,
     IDEMPOTENT_METADATA,
+    BatchItem,
     Job,
     JobCounts,
     JobRefusal,
@@ -97,16 +97,18 @@
 )
 from carobspool_core._leases import (
     LEASE_TTL,
+    RENEWALS_PER_TTL,
     LeaseObserver,
     NodeLease,
-    RENEWALS_PER_TTL,
 )
+from carobspool_core._limits import Grant, Limiter, make_limiter
 from carobspool_core._membership import (
     Membership,
     heartbeat_interval,
     make_membership,
 )
 from carobspool_core._messages import (
+    PROTOCOL_VERSION,
     Attach,
     Beat,
     Cancel,
@@ -120,7 +122,6 @@
     Load,
     Message,
     Open,
-    PROTOCOL_VERSION,
     Priority,
     Proof,
     RequestId,
@@ -148,9 +149,9 @@
     ObjectChange,
     ObjectPage,
     ObjectStore,
+    StoredObject,
     StoreFailure,
     StoreFault,
-    StoredObject,
     WatchBatch,
 )
 from carobspool_core._rendezvous import (
@@ -165,8 +166,8 @@
 )
 from carobspool_core._routing import (
     Choice,
-    RouteRequest,
     Router,
+    RouteRequest,
     RoutingSettings,
     Target,
     make_router,
@@ -207,6 +208,9 @@
 
 __all__ = [
     "Admission",
+    "Grant",
+    "Limiter",
+    "make_limiter",
     "AdmissionMode",
     "AdmissionSettings",
     "AdmissionSnapshot",
--- a/packages/node/src/carobspool_node/_entry_node.py
+++ b/packages/node/src/carobspool_node/_entry_node.py
@@ -149,8 +149,8 @@
 
     @property
     def ready(self) -> bool:
-        """Whether it takes requests: not leaving, and a configuration is in force."""
-        return not self._leaving and self._follower.revision > 0
+        """Whether it takes requests: not leaving, configured, and connected."""
+        return not self._leaving and self._follower.revision > 0 and self._fleet.settled
 
     def start(self) -> None:
         """Serve in tasks of its own."""
@@ -203,7 +203,7 @@
                 lambda: self._follower.state,
                 default_timeout=self._settings.http.request_timeout,
             ),
-            *job_routes(self._jobs),
+            *job_routes(self._jobs.api),
             *operator_routes(
                 self._store,
                 self._follower,
--- a/packages/node/src/carobspool_node/_fleet.py
+++ b/packages/node/src/carobspool_node/_fleet.py
@@ -16,6 +16,7 @@
     Hint,
     Load,
     Message,
+    Millis,
     Open,
     RequestId,
     Router,
@@ -28,6 +29,9 @@
 from carobspool_node._peer_keys import PeerKeys
 from carobspool_node._sidecar_peer import PeerEvents, SidecarPeer
 
+SETTLE_LIMIT: Millis = 3_000.0
+"""As long as a sidecar may be silent before it counts as lost."""
+
 
 class Fleet:
     """All sidecars of an entry. Since 0.1.
@@ -58,6 +62,7 @@
         self._lock = threading.Lock()
         self._peers: dict[str, SidecarPeer] = {}
         self._loads: dict[str, Load] = {}
+        self._declared_at: Millis = clock.now()
         self._drained: frozenset[str] = frozenset()
         self._counter = itertools.count(1)
         self._events = PeerEvents(
@@ -73,6 +78,16 @@
         """The last load report of each host."""
         return dict(self._loads)
 
+    @property
+    def settled(self) -> bool:
+        """Whether every sidecar has told what it has ready, or was given the time to.
+
+        An entry that takes requests before that would refuse them for want of an upstream.
+        """
+        if self._clock.now() - self._declared_at > SETTLE_LIMIT:
+            return True
+        return all(host in self._loads and self._loads[host].targets for host in self._peers)
+
     @property
     def connected(self) -> dict[str, bool]:
         """Whether each host's sidecar is connected and heard."""
@@ -96,6 +111,7 @@
             for host, declared in upstreams.items():
                 if host in self._peers:
                     continue
+                self._declared_at = self._clock.now()
                 self._peers[host] = self._new_peer(host, declared.address)
                 started.append(self._peers[host])
             self._router.set_upstreams([_target(declared) for declared in upstreams.values()])
--- a/packages/standins/src/carobspool_standins/quickstart.py
+++ b/packages/standins/src/carobspool_standins/quickstart.py
@@ -88,7 +88,7 @@
         for entry, domain in zip(ENTRIES, DOMAINS, strict=False):
             cluster.start_entry(entry, failure_domain=domain)
     tour.tell(
-        "started the object API, the host list, 2 engines, 1 plain service, 3 sidecars and 2 entries"
+        "started the object API, host list, 2 engines, 1 plain service, 3 sidecars and 2 entries"
     )
 
 
