--- a/packages/node/tests/test_object_api.py
+++ b/packages/node/tests/test_object_api.py
@@ -2,22 +2,49 @@
 
 from __future__ import annotations
 
+import json
 import threading
 from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
 
 import pytest
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from carobspool_core import Json, ObjectStore, StoreFailure, StoreFault
 from carobspool_node._object_api import http_object_store
+from carobspool_standins._client import HttpClient
+from carobspool_standins._http import make_http_server
+from carobspool_standins._settings import ServerSettings
 from carobspool_standins.memory_store import MemoryObjects, MemoryStore
+from carobspool_standins.objects import ObjectsSettings, make_application
 
 
 def _memory() -> Iterator[ObjectStore]:
     yield MemoryStore(MemoryObjects(), "test")
 
 
-MAKERS: dict[str, Callable[[], Iterator[ObjectStore]]] = {"memory": _memory}
+def _http() -> Iterator[ObjectStore]:
+    with _serve() as url:
+        yield http_object_store(url)
+
+
+MAKERS: dict[str, Callable[[], Iterator[ObjectStore]]] = {"memory": _memory, "http": _http}
+
+
+@contextmanager
+def _serve(**settings: int) -> Iterator[str]:
+    """Serve the stand-in of the object API; yield its address."""
+    app = make_application(ObjectsSettings(port=0, **settings))
+    server = make_http_server(ServerSettings(port=0), app)
+    thread = threading.Thread(target=server.serve_forever, args=(0.01,), daemon=True)
+    thread.start()
+    try:
+        yield f"http://127.0.0.1:{server.port}"
+    finally:
+        server.shutdown()
+        server.server_close()
+        thread.join()
 
 
 @pytest.fixture(params=sorted(MAKERS))
@@ -95,3 +122,109 @@
     assert _fault(absent.get("a")) is StoreFault.UNAVAILABLE
     assert _fault(absent.create("a", 1)) is StoreFault.UNAVAILABLE
     assert _fault(absent.delete("a", version=1)) is StoreFault.UNAVAILABLE
+
+
+def _fault_board(url: str, **faults: Json) -> None:
+    client = HttpClient(url)
+    assert client.call("POST", "/faults", body=json.dumps(faults)).status == 200
+
+
+@pytest.mark.parametrize("fault", ["lose_answer", "drop_before"])
+@pytest.mark.parametrize("count", [1, 2])
+@pytest.mark.parametrize("operation", ["create", "update", "delete"])
+def test_lost_answers_are_settled(fault: str, count: int, operation: str) -> None:
+    """A caller sees a plain success although the connection broke around the write.
+
+    The connection is cut with the write applied, or before it, once or twice in a row, on a kept
+    connection. The adapter reads back by write id and repeats only what did not take effect; the
+    store's history holds the write once.
+    """
+    with _serve() as url:
+        store = http_object_store(url)
+        version = 0
+        if operation != "create":
+            version = store.create("k", "old").unwrap().version
+        _fault_board(url, **{fault: {"prefix": "k", "ops": [operation], "count": count}})
+        if operation == "delete":
+            assert isinstance(store.delete("k", version=version), Success)
+        elif operation == "update":
+            assert store.update("k", "new", version=version).unwrap().value == "new"
+        else:
+            assert store.create("k", "new").unwrap().value == "new"
+        history = HttpClient(url).call("GET", "/history?after=0").json["events"]
+        assert len(history) == (1 if operation == "create" else 2)
+
+
+def test_lost_answer_then_another_writer() -> None:
+    """Nothing is claimed that cannot be known.
+
+    A write takes effect and its answer is lost. Before the adapter reads back, another process
+    updates the object, so its value tells nothing about ours: the result is "unknown", with the
+    object as it stands. A plain conflict, whose answer arrived, stays a conflict.
+    """
+    with _serve() as url:
+        store = http_object_store(url)
+        other = http_object_store(url)
+        first = store.create("k", 1).unwrap()
+        _fault_board(url, lose_answer={"prefix": "k", "ops": ["update"], "count": 1})
+        assert store.update("k", 2, version=first.version).unwrap().value == 2
+        second = store.get("k").unwrap()
+        _fault_board(url, lose_answer={"prefix": "k", "ops": ["update"], "count": 1}, delay_ms=150)
+        done: list[Result[Json, StoreFailure]] = []
+        thread = threading.Thread(
+            target=lambda: done.append(store.update("k", 3, version=second.version))
+        )
+        thread.start()
+        _until_value(other, 3)
+        other.update("k", 4, version=other.get("k").unwrap().version)
+        thread.join()
+        if done[0] == other.get("k"):
+            pytest.fail("another writer's value was taken for ours")
+        settled = done[0]
+        if isinstance(settled, Failure):
+            assert settled.failure().fault is StoreFault.UNKNOWN
+            assert settled.failure().current == other.get("k").unwrap()
+        else:
+            assert settled.unwrap().value == 3
+
+
+def _until_value(store: ObjectStore, value: Json) -> None:
+    for _ in range(200):
+        if store.get("k").unwrap().value == value:
+            return
+    pytest.fail("the write did not appear")
+
+
+def test_outage_and_freeze() -> None:
+    """In an outage writes are known not to be made; with a hanging store they are unknown."""
+    with _serve() as url:
+        store = http_object_store(url, request_timeout=100.0, settle_time=200.0)
+        version = store.create("k", 1).unwrap().version
+        _fault_board(url, outage=True)
+        assert _fault(store.update("k", 2, version=version)) is StoreFault.UNAVAILABLE
+        assert _fault(store.get("k")) is StoreFault.UNAVAILABLE
+        assert _fault(store.watch("k", revision=0, timeout=50.0)) is StoreFault.UNAVAILABLE
+        _fault_board(url, outage=False, freeze=True)
+        assert _fault(store.update("k", 2, version=version)) is StoreFault.UNKNOWN
+        assert _fault(store.list("k")) is StoreFault.UNAVAILABLE
+        _fault_board(url, freeze=False)
+        assert store.get("k").unwrap().value in (1, 2)
+
+
+def test_watch_from_a_forgotten_revision() -> None:
+    """A watch from a revision that is no longer held says so."""
+    with _serve(max_history=3) as url:
+        store = http_object_store(url)
+        for number in range(10):
+            store.create(f"w/{number}", number).unwrap()
+        assert _fault(store.watch("w/", revision=1, timeout=50.0)) is StoreFault.COMPACTED
+        assert store.watch("w/", revision=9, timeout=50.0).unwrap().changes[0].object.value == 9
+
+
+def test_each_thread_keeps_a_connection() -> None:
+    """Many threads share one store; every write is made once."""
+    with _serve() as url:
+        store = http_object_store(url)
+        with ThreadPoolExecutor(8) as pool:
+            results = list(pool.map(lambda number: store.create("same", number), range(40)))
+        assert sum(isinstance(result, Success) for result in results) == 1
