--- a/packages/standins/src/carobspool_standins/_answers.py
+++ b/packages/standins/src/carobspool_standins/_answers.py
@@ -104,6 +104,17 @@
     )
 
 
+def random_words(source: random.Random, characters: int) -> str:
+    """Return a text of that many characters, drawn from the words of the answers."""
+    parts: list[str] = []
+    length = 0
+    while length < characters:
+        word = source.choice(_WORDS)
+        parts.append(word)
+        length += len(word) + 1
+    return " ".join(parts)[:characters]
+
+
 def _chat_text(messages: list[dict[str, Any]]) -> str:
     return "".join(f"{message['role']}: {_content(message['content'])}\n" for message in messages)
 
--- a/packages/standins/src/carobspool_standins/_cluster.py
+++ b/packages/standins/src/carobspool_standins/_cluster.py
@@ -6,19 +6,24 @@
 from __future__ import annotations
 
 import contextlib
-import hashlib
 import json
 import secrets
 import signal
 import time
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
 from typing import Any
 
 from carobspool_standins._client import HttpClient, NoAnswer
-from carobspool_standins._processes import LOOPBACK, Command, PortChooser, ProcessGroup
+from carobspool_standins._member import Key, Member
+from carobspool_standins._processes import (
+    LOOPBACK,
+    Command,
+    PortChooser,
+    ProcessGroup,
+    process_seconds,
+)
 from carobspool_standins.errors import ClusterError
 
 CLOSE_SECONDS = 10.0
@@ -30,41 +35,6 @@
 DEFAULT_DOMAIN = "leicester-hall"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Member:
-    """One process of a cluster.
-
-    Attributes:
-        name: Its name, also that of its node.
-        port: Port of its HTTP interface; of a sidecar, the port on which it takes entries.
-    """
-
-    name: str
-    port: int
-
-    @property
-    def address(self) -> str:
-        """``ip:port``."""
-        return f"{LOOPBACK}:{self.port}"
-
-    @property
-    def url(self) -> str:
-        """URL without a path."""
-        return f"http://{self.address}"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Key:
-    """A bearer key and the hash of it that a configuration holds."""
-
-    value: str = field(default_factory=lambda: secrets.token_urlsafe(24))
-
-    @property
-    def hash(self) -> str:
-        """SHA-256 in hex."""
-        return hashlib.sha256(self.value.encode()).hexdigest()
-
-
 class Cluster:
     """Starts processes and ends them all when it is closed; use it in a ``with`` statement.
 
@@ -216,6 +186,28 @@
             values["host_list"] = self._members[HOSTS].url
         return self._start(name, "carobspool_node", values | settings, port)
 
+    def start_relay(self, name: str, *, delay_ms: float) -> Member:
+        """Put a relay before all sidecars started so far; later configurations name its ports.
+
+        Args:
+            name: Name in this cluster.
+            delay_ms: One-way delay.
+        """
+        routes: list[dict[str, int]] = []
+        for upstream in self._upstreams.values():
+            port = self._ports.choose()
+            routes.append({"port": port, "target": int(upstream["address"].rpartition(":")[2])})
+            upstream["address"] = f"{LOOPBACK}:{port}"
+        return self.start_standin("relay", name, delay_ms=delay_ms, routes=routes)
+
+    def processor_seconds(self) -> dict[str, float]:
+        """Return the processor time that each running process has used so far."""
+        return {
+            name: process_seconds(self._group.pid(name))
+            for name in self._members
+            if self._group.is_running(name)
+        }
+
     def member(self, name: str) -> Member:
         """Return a process by its name."""
         return self._members[name]
--- a/packages/standins/src/carobspool_standins/_processes.py
+++ b/packages/standins/src/carobspool_standins/_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import os
 import random
 import signal
 import socket
@@ -23,6 +24,7 @@
 POLL_SECONDS = 0.01
 READY_SECONDS = 30.0
 READY_MARK = b"ready port="
+_UTIME_FIELD = 11  # Counted from the field after the name of the process.
 
 
 class PortChooser:
@@ -50,6 +52,13 @@
         raise ClusterError("no free port")
 
 
+def process_seconds(pid: int) -> float:
+    """Return the processor time that a process has used, in user and system mode."""
+    fields = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
+    ticks = int(fields[_UTIME_FIELD]) + int(fields[_UTIME_FIELD + 1])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Command:
     """How a process is started: module of this interpreter, its arguments, its log."""
--- a/packages/standins/src/carobspool_standins/quickstart.py
+++ b/packages/standins/src/carobspool_standins/quickstart.py
@@ -17,7 +17,8 @@
 from typing import Any, NoReturn
 
 from carobspool_standins._client import HttpClient
-from carobspool_standins._cluster import Cluster, Key
+from carobspool_standins._cluster import Cluster
+from carobspool_standins._member import Key
 from carobspool_standins._openai_calls import (
     BATCH_ENDINGS,
     create_batch,
@@ -88,7 +89,8 @@
         for entry, domain in zip(ENTRIES, DOMAINS, strict=False):
             cluster.start_entry(entry, failure_domain=domain)
     tour.tell(
-        "started the object API, the host list, 2 engines, 1 plain service, 3 sidecars and 2 entries"
+        "started the object API, the host list, 2 engines, 1 plain service, 3 sidecars and "
+        "2 entries"
     )
 
 
