--- a/packages/standins/src/carobspool_standins/_load_result.py
+++ b/packages/standins/src/carobspool_standins/_load_result.py
@@ -45,8 +45,8 @@
 
     Attributes:
         histograms: Encoded histograms by measure.
-        endings: How many requests ended in which way: ``whole``, ``broken``, ``timeout``, or
-            status and code of a refusal.
+        endings: How many requests ended in which way: ``whole``, ``broken``, ``timeout``,
+            ``unfinished``, or status and code of a refusal.
         refusals_with_return: Refusals that tell when to come back.
         callers: Tokens by caller.
         sent: Requests sent in the counted time.
--- a/packages/standins/src/carobspool_standins/_load_worker.py
+++ b/packages/standins/src/carobspool_standins/_load_worker.py
@@ -106,7 +106,7 @@
                 break
             self._wait(self._due(waiting[0][1]) if waiting else end)
         for transfer in self._active.values():
-            self._end(transfer, "timeout")
+            self._end(transfer, "unfinished")
         return self._recorder.finish()
 
     def _due(self, planned: PlannedRequest) -> float:
@@ -193,7 +193,7 @@
         result = self._recorder.result
         result.endings[f"{transfer.planned.kind} {ending}"] += 1
         taken = time.monotonic() - transfer.started
-        if ending not in ("whole", "broken", "timeout"):
+        if ending not in ("whole", "broken", "timeout", "unfinished"):
             self._recorder.record(Measure.REFUSAL, taken)
             result.refusals_with_return += transfer.retry_after
         if transfer.planned.kind is Kind.SERVICE:
--- /dev/null
+++ b/packages/standins/tests/test_arrivals.py
@@ -0,0 +1,77 @@
+"""Arrivals and sizes of an experiment's load."""
+
+from __future__ import annotations
+
+import json
+import random
+
+import pytest
+
+from carobspool_standins._answers import parse_prompt
+from carobspool_standins._arrivals import OnOff, Ramp, Steady, arrival_times
+from carobspool_standins._experiment_settings import Arm, BatchLoad, Experiment, Fleet, OnlineLoad
+from carobspool_standins._workload import batch_lines, plan_requests
+
+SECONDS = 1200.0
+
+
+def experiment(**changes) -> Experiment:
+    """Return an experiment of one engine."""
+    values = {
+        "name": "trial",
+        "seeds": (1,),
+        "run_s": 20.0,
+        "fleet": Fleet(engines=1),
+        "online": OnlineLoad(arrivals=Steady(kind="steady", rate=5)),
+        "arms": (Arm(name="direct", direct=True, batch=False),),
+    }
+    return Experiment(**(values | changes))
+
+
+@pytest.mark.parametrize(
+    ("arrivals", "early", "late"),
+    [
+        (Steady(kind="steady", rate=5), 5.0, 5.0),
+        (Ramp(kind="ramp", rate=10, start_rate=2), 4.0, 8.0),
+        (OnOff(kind="on_off", rate=20, on_s=3, off_s=9), 5.0, 5.0),
+    ],
+)
+def test_rates(arrivals, early, late):
+    """The mean rate of each half of a long run is that of the pattern, within a tenth."""
+    times = arrival_times(arrivals, SECONDS, random.Random(3))
+    half = SECONDS / 2
+    assert sum(at < half for at in times) / half == pytest.approx(early, rel=0.1)
+    assert sum(at >= half for at in times) / half == pytest.approx(late, rel=0.1)
+    assert times == sorted(times)
+
+
+def test_bursts_are_apart():
+    """Between bursts nothing arrives, and a factor scales the rate."""
+    arrivals = OnOff(kind="on_off", rate=20, on_s=3, off_s=9)
+    times = arrival_times(arrivals, SECONDS, random.Random(3), factor=2.0)
+    assert all(at % 12 < 3 for at in times)
+    assert len(times) / SECONDS == pytest.approx(10, rel=0.1)
+
+
+def test_same_seed_same_load():
+    """Arms with the same seed get the same requests; another seed gives others."""
+    one, again, other = (plan_requests(experiment(), Arm(name="a"), seed) for seed in (1, 1, 2))
+    assert one == again != other
+
+
+def test_hot_caller():
+    """A hot caller sends its share of the requests."""
+    load = OnlineLoad(arrivals=Steady(kind="steady", rate=50), callers=10, hot_share=0.5)
+    planned = plan_requests(experiment(online=load), Arm(name="a"), 1)
+    share = sum(request.caller == 0 for request in planned) / len(planned)
+    assert share == pytest.approx(0.55, abs=0.06)
+
+
+def test_batch_input():
+    """A batch job's lines are valid items of the sizes asked for."""
+    lines = batch_lines(BatchLoad(items=6, jobs=2), 1, 1).decode().splitlines()
+    items = [json.loads(line) for line in lines]
+    assert len({item["custom_id"] for item in items}) == 3
+    prompt = parse_prompt(json.dumps(items[0]["body"]).encode(), chat=True)
+    assert prompt.tokens == pytest.approx(1200, rel=0.02)
+    assert (prompt.max_tokens, prompt.min_tokens) == (300, 300)
