--- a/packages/standins/src/carobspool_standins/_experiment_settings.py
+++ b/packages/standins/src/carobspool_standins/_experiment_settings.py
@@ -8,6 +8,7 @@
 
 from carobspool_standins._arrivals import Arrivals
 from carobspool_standins._settings import Settings
+from carobspool_standins.errors import ExperimentError
 
 MAX_SECONDS = 3600.0
 MAX_PROCESSES = 200
@@ -119,6 +120,7 @@
         fleet: The processes.
         state: Sections of the desired state beside those the tool makes.
         online: Requests of people who wait.
+        patterns: Further patterns of online arrivals by name, of which a run may choose one.
         services: Calls of plain services.
         batch: Batch work.
         arms: What is compared; the first one is what the others are related to.
@@ -133,6 +135,18 @@
     fleet: Fleet
     state: dict[str, Any] = {}
     online: OnlineLoad
+    patterns: dict[str, Arrivals] = {}
     services: ServiceLoad | None = None
     batch: BatchLoad | None = None
     arms: tuple[Arm, ...] = Field(min_length=1, max_length=12)
+
+    def with_pattern(self, name: str) -> Experiment:
+        """Return this experiment with another pattern of online arrivals.
+
+        Raises:
+            ExperimentError: If the file has no pattern of this name.
+        """
+        if name not in self.patterns:
+            raise ExperimentError(f"no pattern {name!r}, only {sorted(self.patterns)}")
+        online = self.online.model_copy(update={"arrivals": self.patterns[name]})
+        return self.model_copy(update={"online": online, "name": f"{self.name}-{name}"})
--- a/packages/standins/src/carobspool_standins/experiment.py
+++ b/packages/standins/src/carobspool_standins/experiment.py
@@ -18,7 +18,7 @@
 from carobspool_standins._experiment_run import run_once
 from carobspool_standins._experiment_settings import Experiment
 from carobspool_standins._settings import load_settings
-from carobspool_standins.errors import SettingsError, StandinError
+from carobspool_standins.errors import ExperimentError, SettingsError, StandinError
 
 EXIT_USAGE = 2
 EXIT_TERMINATED = 143
@@ -53,11 +53,14 @@
     parser.add_argument("file", type=Path, help="experiment file (JSON with comments)")
     parser.add_argument("--results", type=Path, default=Path("var/experiments"))
     parser.add_argument("--seeds", type=int, nargs="+", help="in place of those of the file")
+    parser.add_argument("--pattern", help="a pattern of arrivals that the file names")
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, _terminated)
     try:
         experiment = load_settings(options.file, Experiment)
-    except SettingsError as error:
+        if options.pattern:
+            experiment = experiment.with_pattern(options.pattern)
+    except (SettingsError, ExperimentError) as error:
         print(error, file=sys.stderr)
         return EXIT_USAGE
     if options.seeds:
--- a/packages/standins/tests/test_arrivals.py
+++ b/packages/standins/tests/test_arrivals.py
@@ -4,13 +4,16 @@
 
 import json
 import random
+from pathlib import Path
 
 import pytest
 
 from carobspool_standins._answers import parse_prompt
 from carobspool_standins._arrivals import OnOff, Ramp, Steady, arrival_times
 from carobspool_standins._experiment_settings import Arm, BatchLoad, Experiment, Fleet, OnlineLoad
+from carobspool_standins._settings import load_settings
 from carobspool_standins._workload import batch_lines, plan_requests
+from carobspool_standins.errors import ExperimentError
 
 SECONDS = 1200.0
 
@@ -75,3 +78,17 @@
     prompt = parse_prompt(json.dumps(items[0]["body"]).encode(), chat=True)
     assert prompt.tokens == pytest.approx(1200, rel=0.02)
     assert (prompt.max_tokens, prompt.min_tokens) == (300, 300)
+
+
+FILES = sorted((Path(__file__).parents[1] / "experiments").glob("*.json"))
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+def test_checked_in_experiments_are_valid(path):
+    """Each experiment file is valid, also with each of its patterns, and has requests."""
+    whole = load_settings(path, Experiment)
+    assert whole.name == path.stem
+    variants = [whole, *(whole.with_pattern(name) for name in whole.patterns)]
+    assert all(plan_requests(variant, whole.arms[0], 1) for variant in variants)
+    with pytest.raises(ExperimentError):
+        whole.with_pattern("none")
