--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -111,6 +111,13 @@
     RequestId,
     SidecarState,
 )
+from carobspool_core._order_epochs import (
+    EpochError,
+    EpochRecord,
+    epoch_from_json,
+    epoch_to_json,
+    take_over_wait,
+)
 from carobspool_core._outcome import (
     Failure,
     Outcome,
@@ -129,6 +136,20 @@
     StoreFault,
     WatchBatch,
 )
+from carobspool_core._reconcile import (
+    DeclaredEngine,
+    EngineOrders,
+    EngineState,
+    Fence,
+    Order,
+    OrderFailure,
+    OrderFault,
+    OrderKind,
+    RunningModel,
+    declared_engine,
+    differences,
+    next_order,
+)
 from carobspool_core._rendezvous import (
     first,
     owner,
@@ -161,6 +182,23 @@
 )
 
 __all__ = [
+    "DeclaredEngine",
+    "EngineOrders",
+    "EngineState",
+    "EpochError",
+    "EpochRecord",
+    "Fence",
+    "Order",
+    "OrderFailure",
+    "OrderFault",
+    "OrderKind",
+    "RunningModel",
+    "declared_engine",
+    "differences",
+    "epoch_from_json",
+    "epoch_to_json",
+    "next_order",
+    "take_over_wait",
     "Admission",
     "AdmissionMode",
     "AdmissionSettings",
--- /dev/null
+++ b/packages/core/src/carobspool_core/_order_epochs.py
@@ -0,0 +1,104 @@
+"""The right to give orders to an engine: an epoch for each holder, and a lease on it.
+
+Engines that refuse an old fencing number need no more than the epoch. For the others the lease
+keeps two holders apart in time: a holder sends an order only within its lease, which starts before
+the conditional write that confirms it, and a successor's own write ends all later confirmations.
+After the old lease and the longest order have passed, no order sent in time can still be under way.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from pydantic import Field
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from carobspool_core._clock import Millis
+from carobspool_core._ports import Json
+from carobspool_core.border import BorderModel, validate
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EpochRecord:
+    """Who may give orders to an upstream, as it stands in the object store.
+
+    Attributes:
+        epoch: Grows with each holder.
+        holder: Node name of the holder.
+        incarnation: Random id of the holder's process.
+        lease_ttl: How long the holder's lease lasts after a confirmation, in milliseconds.
+        order_timeout: Longest time of one of its orders, in milliseconds.
+        released: Whether the holder gave the right back with no order under way.
+
+    Since 0.1.
+    """
+
+    epoch: int
+    holder: str
+    incarnation: str
+    lease_ttl: Millis
+    order_timeout: Millis
+    released: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EpochError:
+    """A stored epoch record that cannot be read."""
+
+    detail: str
+
+
+class _EpochModel(BorderModel):
+    epoch: int = Field(ge=0)
+    holder: str
+    incarnation: str
+    lease_ttl_ms: float = Field(ge=0)
+    order_timeout_ms: float = Field(ge=0)
+    released: bool = False
+
+
+def epoch_to_json(record: EpochRecord) -> Json:
+    """Return an epoch record as it is stored."""
+    return {
+        "epoch": record.epoch,
+        "holder": record.holder,
+        "incarnation": record.incarnation,
+        "lease_ttl_ms": record.lease_ttl,
+        "order_timeout_ms": record.order_timeout,
+        "released": record.released,
+    }
+
+
+def epoch_from_json(value: Json) -> Result[EpochRecord, EpochError]:
+    """Read a stored epoch record."""
+    model = validate(_EpochModel, value)
+    if not is_successful(model):
+        return Failure(EpochError(detail="; ".join(str(each) for each in model.failure())))
+    found = model.unwrap()
+    return Success(
+        EpochRecord(
+            epoch=found.epoch,
+            holder=found.holder,
+            incarnation=found.incarnation,
+            lease_ttl=found.lease_ttl_ms,
+            order_timeout=found.order_timeout_ms,
+            released=found.released,
+        )
+    )
+
+
+def take_over_wait(previous: EpochRecord | None) -> Millis:
+    """Return how long a new holder waits before orders to an engine that ignores fencing.
+
+    Args:
+        previous: The record that it replaced; ``None`` if there was none.
+
+    Returns:
+        Milliseconds from the new holder's own conditional write.
+
+    Since 0.1.
+    """
+    if previous is None or previous.released:
+        return 0.0
+    return previous.lease_ttl + previous.order_timeout
--- /dev/null
+++ b/packages/core/src/carobspool_core/_reconcile.py
@@ -0,0 +1,221 @@
+"""What an engine should run against what it runs, and the next order that brings them together.
+
+Pure logic: the caller reads the engine, sends the order, and reads again. Only one order is chosen
+at a time. An engine may have done half of what it was told, or restarted in between, so a plan made
+ahead would soon be wrong.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Protocol
+
+from returns.result import Result
+
+from carobspool_core._clock import Millis
+from carobspool_core._config import DesiredState, Model, UpstreamKind
+
+
+class OrderKind(StrEnum):
+    """What an order asks of an engine."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+    ADAPTER = "adapter"
+    ROLE = "role"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Order:
+    """One order to an engine; fields that its kind does not need are ``None``.
+
+    Since 0.1.
+    """
+
+    kind: OrderKind
+    model: str | None = None
+    version: str | None = None
+    adapter: str | None = None
+    role: str | None = None
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Fence:
+    """A fencing number. A later holder has a higher epoch, a later order a higher sequence.
+
+    Since 0.1.
+    """
+
+    epoch: int
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunningModel:
+    """A model at an engine; not ready while it loads."""
+
+    version: str
+    adapters: tuple[str, ...] = ()
+    ready: bool = True
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineState:
+    """What an engine says that it runs, and the highest fencing number that it saw."""
+
+    models: Mapping[str, RunningModel] = field(default_factory=dict)
+    role: str = ""
+    fence: Fence = Fence(0, 0)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DeclaredEngine:
+    """What an engine should run.
+
+    Attributes:
+        models: Models by name.
+        role: Role to take.
+        checks_fencing: Whether the engine refuses an old fencing number.
+    """
+
+    models: Mapping[str, Model] = field(default_factory=dict)
+    role: str = "serve"
+    checks_fencing: bool = False
+
+
+class OrderFault(StrEnum):
+    """Why an order, or a reading of an engine's state, had no success."""
+
+    UNREACHABLE = "unreachable"
+    OLD_FENCE = "old_fence"
+    FORBIDDEN = "forbidden"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderFailure:
+    """A failed order or reading.
+
+    Attributes:
+        fault: ``UNREACHABLE``: no whole answer, the order may have taken effect. ``OLD_FENCE``: the
+            engine has seen a higher number. ``FORBIDDEN``: it does not accept who gives the order.
+            ``FAILED``: it answered that the order failed.
+        detail: For logs.
+        fence: With ``OLD_FENCE``: the highest number that the engine saw.
+
+    Since 0.1.
+    """
+
+    fault: OrderFault
+    detail: str = ""
+    fence: Fence | None = None
+
+
+class EngineOrders(Protocol):
+    """The port to an engine's state and orders; adapters never raise for faults of the engine."""
+
+    def state(self) -> Result[EngineState, OrderFailure]:
+        """Read what the engine runs."""
+
+    def order(self, order: Order, fence: Fence, *, timeout: Millis) -> Result[None, OrderFailure]:
+        """Give one order and wait until it is carried out, ``timeout`` milliseconds at most."""
+
+
+def declared_engine(state: DesiredState, host: str) -> DeclaredEngine | None:
+    """Return what the engine of a host should run.
+
+    Returns:
+        ``None`` when the host is not declared, or as a plain service: then nothing is ordered.
+
+    Since 0.1.
+    """
+    upstream = state.upstreams.get(host)
+    if upstream is None or upstream.kind is not UpstreamKind.ENGINE:
+        return None
+    models = {name: state.models[name] for name in upstream.models if name in state.models}
+    return DeclaredEngine(models=models, role=upstream.role, checks_fencing=upstream.checks_fencing)
+
+
+def next_order(declared: DeclaredEngine, actual: EngineState) -> Order | None:
+    """Return the next order, or ``None`` when nothing is to be ordered now.
+
+    Unloads come first, since they free the memory that a load needs. An engine has no order that
+    removes one adapter, so a model with an undeclared adapter is unloaded and loaded again.
+
+    Since 0.1.
+    """
+    return (
+        _next_unload(declared, actual)
+        or _next_load(declared, actual)
+        or _next_adapter(declared, actual)
+        or _next_role(declared, actual)
+    )
+
+
+def differences(declared: DeclaredEngine, actual: EngineState) -> tuple[str, ...]:
+    """Return every difference in words, for operators; empty when the engine runs what it should.
+
+    Since 0.1.
+    """
+    found: list[str] = []
+    for name in sorted(actual.models.keys() - declared.models.keys()):
+        found.append(f"{name}: runs, not declared")
+    for name, model in sorted(declared.models.items()):
+        running = actual.models.get(name)
+        if running is None:
+            found.append(f"{name}: declared {model.version}, not loaded")
+            continue
+        found.extend(_model_differences(model, running))
+    if actual.role != declared.role:
+        found.append(f"role: declared {declared.role}, is {actual.role}")
+    return tuple(found)
+
+
+def _model_differences(model: Model, running: RunningModel) -> list[str]:
+    found = []
+    if running.version != model.version:
+        found.append(f"{model.name}: declared {model.version}, runs {running.version}")
+    if not running.ready:
+        found.append(f"{model.name}: loading {running.version}")
+    if set(running.adapters) != set(model.adapters):
+        declared = ", ".join(sorted(model.adapters)) or "none"
+        present = ", ".join(sorted(running.adapters)) or "none"
+        found.append(f"{model.name}: adapters declared {declared}, present {present}")
+    return found
+
+
+def _next_unload(declared: DeclaredEngine, actual: EngineState) -> Order | None:
+    for name, running in sorted(actual.models.items()):
+        model = declared.models.get(name)
+        if model is None or set(running.adapters) - set(model.adapters):
+            return Order(kind=OrderKind.UNLOAD, model=name, version=running.version)
+    return None
+
+
+def _next_load(declared: DeclaredEngine, actual: EngineState) -> Order | None:
+    for name, model in sorted(declared.models.items()):
+        running = actual.models.get(name)
+        if running is not None and running.version == model.version:
+            continue
+        return Order(kind=OrderKind.LOAD, model=name, version=model.version)
+    return None
+
+
+def _next_adapter(declared: DeclaredEngine, actual: EngineState) -> Order | None:
+    for name, model in sorted(declared.models.items()):
+        running = actual.models[name]
+        if not running.ready:
+            continue
+        for adapter in model.adapters:
+            if adapter in running.adapters:
+                continue
+            return Order(kind=OrderKind.ADAPTER, model=name, version=model.version, adapter=adapter)
+    return None
+
+
+def _next_role(declared: DeclaredEngine, actual: EngineState) -> Order | None:
+    if actual.role == declared.role:
+        return None
+    return Order(kind=OrderKind.ROLE, role=declared.role)
--- /dev/null
+++ b/packages/core/tests/test_reconcile.py
@@ -0,0 +1,118 @@
+"""Tests of the choice of orders to an engine."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carobspool_core import (
+    DeclaredEngine,
+    DesiredState,
+    EngineState,
+    EpochRecord,
+    Model,
+    Order,
+    OrderKind,
+    RunningModel,
+    Upstream,
+    UpstreamKind,
+    declared_engine,
+    differences,
+    epoch_from_json,
+    epoch_to_json,
+    next_order,
+    take_over_wait,
+)
+
+versions = st.sampled_from(["1", "2"])
+adapters = st.lists(st.sampled_from(["a", "b", "c"]), unique=True).map(tuple)
+names = st.sampled_from(["m", "n", "o"])
+running = st.builds(RunningModel, version=versions, adapters=adapters, ready=st.booleans())
+engines = st.builds(
+    EngineState, models=st.dictionaries(names, running), role=st.sampled_from(["serve", "off"])
+)
+wanted = st.builds(
+    DeclaredEngine,
+    models=st.dictionaries(
+        names, st.builds(Model, name=names, version=versions, adapters=adapters)
+    ),
+    role=st.just("serve"),
+)
+
+
+def obey(state: EngineState, order: Order) -> EngineState:
+    """Return the state of an engine that has carried out an order."""
+    models = dict(state.models)
+    name = order.model or ""
+    if order.kind is OrderKind.ROLE:
+        return replace(state, role=order.role or "")
+    if order.kind is OrderKind.UNLOAD:
+        del models[name]
+    if order.kind is OrderKind.LOAD:
+        kept = models[name].adapters if name in models else ()
+        models[name] = RunningModel(version=order.version or "", adapters=kept)
+    if order.kind is OrderKind.ADAPTER:
+        more = (*models[name].adapters, order.adapter or "")
+        models[name] = replace(models[name], adapters=more)
+    return replace(state, models=models)
+
+
+@given(wanted, engines)
+def test_orders_lead_to_what_is_declared(declared: DeclaredEngine, state: EngineState) -> None:
+    """From any state an obedient engine runs what is declared after a bounded number of orders."""
+    models = {name: replace(model, ready=True) for name, model in state.models.items()}
+    state = replace(state, models=models)
+    for _ in range(20):
+        order = next_order(declared, state)
+        if order is None:
+            break
+        state = obey(state, order)
+    assert differences(declared, state) == ()
+
+
+@given(wanted, engines)
+def test_an_order_is_given_only_for_a_difference(
+    declared: DeclaredEngine, state: EngineState
+) -> None:
+    """An engine that runs what is declared is left alone."""
+    if not differences(declared, state):
+        assert next_order(declared, state) is None
+
+
+def test_a_model_that_loads_is_waited_for() -> None:
+    """No second load is ordered while the right version loads."""
+    declared = DeclaredEngine(models={"m": Model(name="m", version="2", adapters=("a",))})
+    state = EngineState(models={"m": RunningModel(version="2", ready=False)}, role="serve")
+    assert next_order(declared, state) is None
+    assert "m: loading 2" in differences(declared, state)
+
+
+def test_only_declared_engines_are_ordered() -> None:
+    """A host that is not declared, or is a plain service, gets no orders."""
+    service = Upstream(
+        host="s", address="127.0.0.1:1", failure_domain="d", kind=UpstreamKind.SERVICE
+    )
+    engine = Upstream(host="e", address="127.0.0.1:2", failure_domain="d", models=("m",))
+    state = DesiredState(
+        models={"m": Model(name="m", version="1")}, upstreams={"s": service, "e": engine}
+    )
+    assert declared_engine(state, "s") is None
+    assert declared_engine(state, "none") is None
+    found = declared_engine(state, "e")
+    assert found is not None
+    assert list(found.models) == ["m"]
+
+
+@pytest.mark.parametrize(("released", "wait"), [(True, 0.0), (False, 75.0)])
+def test_a_successor_waits_out_lease_and_longest_order(released: bool, wait: float) -> None:
+    """Only a right that was given back can be taken over at once."""
+    record = EpochRecord(
+        epoch=4, holder="a", incarnation="i", lease_ttl=15.0, order_timeout=60.0, released=released
+    )
+    assert epoch_from_json(epoch_to_json(record)).unwrap() == record
+    assert take_over_wait(record) == wait
+    assert take_over_wait(None) == 0.0
+    assert epoch_from_json({"epoch": -1}).failure().detail
--- a/packages/node/src/carobspool_node/_isolation.py
+++ b/packages/node/src/carobspool_node/_isolation.py
@@ -12,6 +12,10 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from absl import logging
+from returns.pipeline import is_successful
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
 from carobspool_core import (
     Clock,
     Failure,
@@ -30,10 +34,6 @@
     unavailable,
     wall_millis,
 )
-from returns.pipeline import is_successful
-from returns.result import Failure as Failed
-from returns.result import Result, Success
-
 from carobspool_node._follow import Followed, follow
 from carobspool_node._store_access import list_all
 
