--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -12,12 +12,12 @@
     audit_to_json,
 )
 from carobspool_core._chunks import (
-    MAX_CHUNK_BYTES,
     ChunkChange,
     ChunkRefusal,
     ChunkState,
     ChunkStatus,
     Holder,
+    MAX_CHUNK_BYTES,
     ResultPart,
     chunk_bytes,
     chunk_items,
@@ -68,9 +68,9 @@
     peers_to_dial,
 )
 from carobspool_core._item_retry import (
-    PREEMPTED,
     ItemOutcome,
     ItemRetry,
+    PREEMPTED,
     item_retry,
 )
 from carobspool_core._job_records import (
@@ -80,8 +80,8 @@
     read_job,
 )
 from carobspool_core._jobs import (
-    IDEMPOTENT_METADATA,
     BatchItem,
+    IDEMPOTENT_METADATA,
     Job,
     JobCounts,
     JobRefusal,
@@ -97,18 +97,21 @@
 )
 from carobspool_core._leases import (
     LEASE_TTL,
-    RENEWALS_PER_TTL,
     LeaseObserver,
     NodeLease,
+    RENEWALS_PER_TTL,
+)
+from carobspool_core._limits import (
+    Grant,
+    Limiter,
+    make_limiter,
 )
-from carobspool_core._limits import Grant, Limiter, make_limiter
 from carobspool_core._membership import (
     Membership,
     heartbeat_interval,
     make_membership,
 )
 from carobspool_core._messages import (
-    PROTOCOL_VERSION,
     Attach,
     Beat,
     Cancel,
@@ -122,6 +125,7 @@
     Load,
     Message,
     Open,
+    PROTOCOL_VERSION,
     Priority,
     Proof,
     RequestId,
@@ -136,6 +140,13 @@
     blocked_model_loads,
     plan_model_loads,
 )
+from carobspool_core._order_epochs import (
+    EpochError,
+    EpochRecord,
+    epoch_from_json,
+    epoch_to_json,
+    take_over_wait,
+)
 from carobspool_core._outcome import (
     Failure,
     Outcome,
@@ -149,11 +160,25 @@
     ObjectChange,
     ObjectPage,
     ObjectStore,
-    StoredObject,
     StoreFailure,
     StoreFault,
+    StoredObject,
     WatchBatch,
 )
+from carobspool_core._reconcile import (
+    DeclaredEngine,
+    EngineOrders,
+    EngineState,
+    Fence,
+    Order,
+    OrderFailure,
+    OrderFault,
+    OrderKind,
+    RunningModel,
+    declared_engine,
+    differences,
+    next_order,
+)
 from carobspool_core._rendezvous import (
     first,
     owner,
@@ -166,8 +191,8 @@
 )
 from carobspool_core._routing import (
     Choice,
-    Router,
     RouteRequest,
+    Router,
     RoutingSettings,
     Target,
     make_router,
@@ -208,9 +233,6 @@
 
 __all__ = [
     "Admission",
-    "Grant",
-    "Limiter",
-    "make_limiter",
     "AdmissionMode",
     "AdmissionSettings",
     "AdmissionSnapshot",
@@ -233,12 +255,19 @@
     "Configuration",
     "Data",
     "Decision",
+    "DeclaredEngine",
     "DesiredState",
     "Dispatcher",
     "End",
+    "EngineOrders",
+    "EngineState",
+    "EpochError",
+    "EpochRecord",
     "Failure",
     "FairQueue",
+    "Fence",
     "Gossip",
+    "Grant",
     "Head",
     "Hello",
     "Hint",
@@ -255,6 +284,7 @@
     "Json",
     "LEASE_TTL",
     "LeaseObserver",
+    "Limiter",
     "Limits",
     "Load",
     "LoadOrder",
@@ -272,6 +302,10 @@
     "ObjectStore",
     "OnlineSlowdown",
     "Open",
+    "Order",
+    "OrderFailure",
+    "OrderFault",
+    "OrderKind",
     "Organisation",
     "Outcome",
     "PREEMPTED",
@@ -288,6 +322,7 @@
     "RouteRequest",
     "Router",
     "RoutingSettings",
+    "RunningModel",
     "Service",
     "SidecarState",
     "Span",
@@ -322,7 +357,11 @@
     "commit_part",
     "content_job_id",
     "declare_intents",
+    "declared_engine",
+    "differences",
     "end_job",
+    "epoch_from_json",
+    "epoch_to_json",
     "finished",
     "first",
     "heartbeat_interval",
@@ -334,6 +373,7 @@
     "make_dispatcher",
     "make_fair_queue",
     "make_gossip",
+    "make_limiter",
     "make_membership",
     "make_retry_policy",
     "make_router",
@@ -341,6 +381,7 @@
     "make_suspect_gate",
     "make_suspects",
     "monotonic_clock",
+    "next_order",
     "organisation_digest",
     "owner",
     "peers_to_dial",
@@ -359,6 +400,7 @@
     "stop_chunk",
     "subset_size",
     "subtract_spans",
+    "take_over_wait",
     "unavailable",
     "unfinished",
     "unite_spans",
