--- a/packages/node/src/carobspool_node/_reconciler.py
+++ b/packages/node/src/carobspool_node/_reconciler.py
@@ -270,7 +270,12 @@
 
 
 def run_reconciler(
-    reconciler: Reconciler, stop: threading.Event, changed: threading.Event, pause: Millis
+    reconciler: Reconciler,
+    stop: threading.Event,
+    changed: threading.Event,
+    pause: Millis,
+    *,
+    after_step: Callable[[], None] = lambda: None,
 ) -> None:
     """Step until ``stop`` is set, at once after an order and otherwise at a steady pace.
 
@@ -281,12 +286,15 @@
         stop: Ends the loop.
         changed: Set by a new configuration or at the stop, to step without waiting.
         pause: Milliseconds between steps that had nothing to order.
+        after_step: Called after each step, to pass on what is ready.
 
     Since 0.1.
     """
     while not stop.is_set():
         changed.clear()
-        if reconciler.step() is None:
+        ordered = reconciler.step()
+        after_step()
+        if ordered is None:
             changed.wait(pause / 1000.0)
     reconciler.release()
 
--- a/packages/node/src/carobspool_node/_sidecar_node.py
+++ b/packages/node/src/carobspool_node/_sidecar_node.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import secrets
+import threading
 from collections.abc import Callable
 
 from absl import logging
+from returns.pipeline import is_successful
 
 from carobspool_core import (
     AdmissionMode,
@@ -14,17 +16,20 @@
     Failure,
     RequestId,
     UpstreamKind,
+    declared_engine,
     make_admission,
     monotonic_clock,
 )
 from carobspool_core import AdmissionSettings as DecisionSettings
 from carobspool_node._config_store import ConfigurationFollower, make_follower
 from carobspool_node._configuration_exchange import announcement, exchange
+from carobspool_node._engine_orders import http_engine_orders
 from carobspool_node._link import Identity, Link, send_quietly
 from carobspool_node._logs import set_up_logs
 from carobspool_node._metrics import Metrics, make_metrics
 from carobspool_node._object_api import http_object_store
 from carobspool_node._peer_keys import load_peer_keys
+from carobspool_node._reconciler import Reconciler, make_reconciler, run_reconciler
 from carobspool_node._scheduler import Scheduler
 from carobspool_node._settings import SidecarSettings
 from carobspool_node._shutdown import ShutdownRequest
@@ -51,6 +56,9 @@
         self._store = http_object_store(settings.object_api)
         self._follower: ConfigurationFollower = make_follower(self._store, self._clock)
         self._admission = make_admission(_decision_settings(settings, None), self._clock)
+        self._stopping = threading.Event()
+        self._changed = threading.Event()
+        self._reconciler = self._make_reconciler()
         self._sidecar = Sidecar(
             SidecarOptions(
                 address=settings.listen.address,
@@ -83,6 +91,8 @@
         self._sidecar.on_configuration = self._exchange
         self._sidecar.on_link = self._greet
         self._sidecar.start()
+        if self._reconciler is not None:
+            threading.Thread(target=self._reconcile, name="reconciler", daemon=True).start()
 
     def stop(self, shutdown: ShutdownRequest | None = None) -> None:
         """Refuse new work, finish what is in progress, then close."""
@@ -90,6 +100,8 @@
         cut = self._sidecar.drain(self._settings.shutdown_limit)
         if cut:
             logging.error("event=shutdown_cut requests=%d", cut)
+        self._stopping.set()
+        self._changed.set()
         self._sidecar.stop()
         logging.info("event=stopped")
 
@@ -118,10 +130,44 @@
             logging.warning("event=not_declared host=%s", self._settings.host)
             self._sidecar.set_targets((), revision=state.revision, epoch=0)
             return
-        targets = declared.models
+        self._changed.set()
         if declared.kind is UpstreamKind.SERVICE and declared.service is not None:
-            targets = (declared.service,)
-        self._sidecar.set_targets(targets, revision=state.revision, epoch=0)
+            self._sidecar.set_targets((declared.service,), revision=state.revision, epoch=0)
+            return
+        self._publish()
+
+    def _make_reconciler(self) -> Reconciler | None:
+        if self._settings.kind is UpstreamKind.SERVICE:
+            return None
+        return make_reconciler(
+            store=self._store,
+            engine=http_engine_orders(self._settings.upstream, key=self._settings.order_key),
+            clock=self._clock,
+            host=self._settings.host,
+            node=self._settings.node,
+            incarnation=self._identity.incarnation,
+            settings=self._settings.orders,
+            declared=lambda: declared_engine(self._follower.state, self._settings.host),
+            refresh=lambda: is_successful(self._follower.refresh()),
+        )
+
+    def _reconcile(self) -> None:
+        assert self._reconciler is not None
+        run_reconciler(
+            self._reconciler,
+            self._stopping,
+            self._changed,
+            self._settings.orders.check,
+            after_step=self._publish,
+        )
+
+    def _publish(self) -> None:
+        """Tell the entries which declared models the engine has ready."""
+        assert self._reconciler is not None
+        status = self._reconciler.status
+        self._sidecar.set_targets(
+            status.ready_models, revision=self._follower.revision, epoch=status.epoch
+        )
 
 
 def run_sidecar(settings: SidecarSettings) -> int:
