--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,355 @@
+"""A small site as real processes on loopback, for the tests of the whole system.
+
+One place starts the platform, upstreams, sidecars and entries, and speaks to them as a caller, an
+operator or the platform would. The stand-ins' own records tell what really ran.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import threading
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from carobspool_standins._client import HttpClient, NoAnswer, Reply
+from carobspool_standins._cluster import Cluster, Key
+
+MODEL = "notes"
+SERVICE = "orders"
+ORGANISATION = "hollowbrook"
+OTHER_ORGANISATION = "tabosa"
+DOMAINS = ("leicester-hall", "nottingham-hall", "derby-hall")
+FAST_ENGINE = {"step_base_ms": 4.0, "step_stream_ms": 0.1, "step_prefill_ms": 0.01}
+READY_SECONDS = 20.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Plan:
+    """What a site is made of.
+
+    Attributes:
+        entries: Number of entries, named ``entry-1`` and so on.
+        engines: Number of engines, named ``engine-1`` and so on, each with ``sidecar-N``.
+        plains: Number of plain services, named ``plain-1``, with ``sidecar-plain-N``.
+        engine: Settings of the engines.
+        entry: Settings of the entries.
+        sidecar: Settings of the sidecars.
+        state: Further sections of the desired state.
+    """
+
+    entries: int = 2
+    engines: int = 2
+    plains: int = 0
+    engine: Mapping[str, Any] = field(default_factory=lambda: dict(FAST_ENGINE))
+    entry: Mapping[str, Any] = field(default_factory=dict)
+    sidecar: Mapping[str, Any] = field(default_factory=dict)
+    state: Mapping[str, Any] = field(default_factory=dict)
+
+
+class Site:
+    """A running site."""
+
+    def __init__(self, cluster: Cluster, plan: Plan) -> None:
+        self.cluster = cluster
+        self.plan = plan
+        self.key = Key()
+        self.other_key = Key()
+        self.revision = 0
+
+    @property
+    def entries(self) -> list[str]:
+        """Names of the entries."""
+        return [f"entry-{number + 1}" for number in range(self.plan.entries)]
+
+    @property
+    def engines(self) -> list[str]:
+        """Names of the engines."""
+        return [f"engine-{number + 1}" for number in range(self.plan.engines)]
+
+    def caller(self, entry: str = "entry-1", *, timeout_ms: int = 60_000) -> HttpClient:
+        """Return a client with the caller's key."""
+        return self.cluster.client(entry, self.key, timeout_ms=timeout_ms)
+
+    def operator(self, entry: str = "entry-1") -> HttpClient:
+        """Return a client with the operator's key."""
+        return self.cluster.client(entry, self.cluster.operator_key)
+
+    def platform(self, name: str) -> HttpClient:
+        """Return a client of a stand-in."""
+        return self.cluster.client(name)
+
+    def state(self, **sections: Any) -> dict[str, Any]:
+        """Return the site's desired state with some sections replaced."""
+        state: dict[str, Any] = {
+            "organisations": [{"name": ORGANISATION}, {"name": OTHER_ORGANISATION}],
+            "callers": [
+                {"id": "editor", "organisation": ORGANISATION, "key_hashes": [self.key.hash]},
+                {
+                    "id": "officer",
+                    "organisation": OTHER_ORGANISATION,
+                    "key_hashes": [self.other_key.hash],
+                },
+                {
+                    "id": "operator",
+                    "organisation": ORGANISATION,
+                    "key_hashes": [self.cluster.operator_key.hash],
+                    "role": "operator",
+                },
+            ],
+            "models": [{"name": MODEL, "version": "1"}],
+            "upstreams": self.cluster.upstreams,
+            "services": [
+                {
+                    "name": SERVICE,
+                    "routes": [
+                        {"prefix": "/", "methods": ["GET"]},
+                        {"prefix": "/orders", "methods": ["POST"], "idempotent": False},
+                    ],
+                }
+            ],
+        }
+        if not self.plan.plains:
+            state["services"] = []
+        return {**state, **self.plan.state, **sections}
+
+    def apply(self, entry: str = "entry-1", **sections: Any) -> int:
+        """Apply the desired state on the last revision that this site applied."""
+        self.revision = self.cluster.apply(entry, self.state(**sections), base=self.revision)
+        return self.revision
+
+    def wait_ready(self, *entries: str) -> None:
+        """Wait until entries take requests."""
+        for entry in entries or tuple(self.entries):
+            client = self.platform(entry)
+            self.cluster.wait_until(
+                f"{entry} ready",
+                lambda client=client: client.call("GET", "/readyz").status == 200,  # type: ignore[misc]
+                READY_SECONDS,
+            )
+
+    def chat(
+        self,
+        text: str,
+        *,
+        entry: str = "entry-1",
+        stream: bool = False,
+        tokens: int = 20,
+        headers: Mapping[str, str] | None = None,
+        key: Key | None = None,
+        timeout_ms: int = 60_000,
+        on_data: Callable[[bytes], int | None] | None = None,
+    ) -> Reply:
+        """Send a chat completion.
+
+        Raises:
+            NoAnswer: If the connection broke before the answer was whole.
+        """
+        client = self.cluster.client(entry, key or self.key, timeout_ms=timeout_ms)
+        body = chat_body(text, stream=stream, tokens=tokens)
+        return client.call(
+            "POST", "/v1/chat/completions", json_body=body, headers=headers, on_data=on_data
+        )
+
+    def submit(
+        self,
+        items: list[dict[str, Any]],
+        *,
+        entry: str = "entry-1",
+        headers: Mapping[str, str] | None = None,
+        metadata: Mapping[str, str] | None = None,
+    ) -> dict[str, Any]:
+        """Upload items and create their batch; return the batch object."""
+        file_id = self.upload(items, entry=entry)
+        reply = self.create_batch(file_id, entry=entry, headers=headers, metadata=metadata)
+        assert reply.status == 200, reply.text
+        batch: dict[str, Any] = reply.json
+        return batch
+
+    def upload(self, items: list[dict[str, Any]], *, entry: str = "entry-1") -> str:
+        """Upload items as a file and return its id."""
+        content = "".join(json.dumps(item) + "\n" for item in items)
+        reply = upload(self.caller(entry), content.encode())
+        assert reply.status == 200, reply.text
+        return str(reply.json["id"])
+
+    def create_batch(
+        self,
+        file_id: str,
+        *,
+        entry: str = "entry-1",
+        headers: Mapping[str, str] | None = None,
+        metadata: Mapping[str, str] | None = None,
+    ) -> Reply:
+        """Create a batch over an uploaded file."""
+        body = {
+            "input_file_id": file_id,
+            "endpoint": "/v1/chat/completions",
+            "completion_window": "24h",
+            "metadata": dict(metadata or {}),
+        }
+        return self.caller(entry).call("POST", "/v1/batches", json_body=body, headers=headers)
+
+    def batch(self, batch_id: str, *, entry: str = "entry-1") -> dict[str, Any]:
+        """Return a batch object."""
+        reply = self.caller(entry).call("GET", f"/v1/batches/{batch_id}")
+        assert reply.status == 200, reply.text
+        batch: dict[str, Any] = reply.json
+        return batch
+
+    def wait_ended(
+        self, batch_id: str, *, entry: str = "entry-1", seconds: float = 60.0
+    ) -> dict[str, Any]:
+        """Wait until a batch has ended and return it."""
+        ended = {"completed", "cancelled", "failed", "expired"}
+        self.cluster.wait_until(
+            f"{batch_id} ended",
+            lambda: self.batch(batch_id, entry=entry)["status"] in ended,
+            seconds,
+        )
+        return self.batch(batch_id, entry=entry)
+
+    def content(self, file_id: str, *, entry: str = "entry-1") -> bytes:
+        """Return a file's content."""
+        reply = self.caller(entry).call("GET", f"/v1/files/{file_id}/content")
+        assert reply.status == 200, reply.text
+        return reply.body
+
+    def results(self, batch: Mapping[str, Any], *, entry: str = "entry-1") -> list[dict[str, Any]]:
+        """Return the lines of a batch's output and error files."""
+        lines: list[dict[str, Any]] = []
+        for name in ("output_file_id", "error_file_id"):
+            if batch[name] is None:
+                continue
+            content = self.content(batch[name], entry=entry)
+            lines.extend(json.loads(line) for line in content.splitlines())
+        return lines
+
+    def runs(self, engine: str | None = None) -> list[dict[str, Any]]:
+        """Return what the engines themselves recorded as run, over all or for one."""
+        found: list[dict[str, Any]] = []
+        for name in [engine] if engine else self.engines:
+            found.extend(self.platform(name).call("GET", "/record").json["runs"])
+        return found
+
+
+@contextmanager
+def running_site(folder: Path, plan: Plan | None = None) -> Iterator[Site]:
+    """Start a site, apply its desired state and wait until every entry takes requests."""
+    plan = plan or Plan()
+    with Cluster(folder) as cluster:
+        site = Site(cluster, plan)
+        with cluster.together():
+            cluster.start_objects()
+            cluster.start_hosts()
+            engines = [
+                cluster.start_engine(name, models=[MODEL], **plan.engine) for name in site.engines
+            ]
+            plains = [
+                cluster.start_plain(f"plain-{number + 1}", service=SERVICE)
+                for number in range(plan.plains)
+            ]
+        with cluster.together():
+            for number, engine in enumerate(engines):
+                cluster.start_sidecar(
+                    f"sidecar-{number + 1}",
+                    engine,
+                    models=[MODEL],
+                    failure_domain=DOMAINS[number % len(DOMAINS)],
+                    **plan.sidecar,
+                )
+            for number, plain in enumerate(plains):
+                cluster.start_sidecar(
+                    f"sidecar-plain-{number + 1}", plain, service=SERVICE, **plan.sidecar
+                )
+            for number, entry in enumerate(site.entries):
+                cluster.start_entry(
+                    entry, failure_domain=DOMAINS[number % len(DOMAINS)], **plan.entry
+                )
+        site.apply()
+        site.wait_ready()
+        yield site
+
+
+def chat_body(text: str, *, stream: bool = False, tokens: int = 20) -> dict[str, Any]:
+    """Return a chat completion request with an answer of exactly ``tokens`` tokens."""
+    return {
+        "model": MODEL,
+        "messages": [{"role": "user", "content": text}],
+        "max_tokens": tokens,
+        "min_tokens": tokens,
+        "stream": stream,
+    }
+
+
+def batch_items(count: int, *, tokens: int = 10, name: str = "item") -> list[dict[str, Any]]:
+    """Return the lines of a batch of different short prompts."""
+    return [
+        {
+            "custom_id": f"{name}-{number}",
+            "method": "POST",
+            "url": "/v1/chat/completions",
+            "body": chat_body(f"{name} {number}: a note, please", tokens=tokens),
+        }
+        for number in range(count)
+    ]
+
+
+def upload(client: HttpClient, content: bytes, *, purpose: str = "batch") -> Reply:
+    """Upload a file as a multipart form."""
+    boundary = hashlib.sha256(content).hexdigest()
+    parts = (
+        f'--{boundary}\r\nContent-Disposition: form-data; name="purpose"\r\n\r\n{purpose}\r\n'
+        f'--{boundary}\r\nContent-Disposition: form-data; name="file"; filename="in.jsonl"\r\n'
+        "Content-Type: application/jsonl\r\n\r\n"
+    ).encode()
+    body = parts + content + f"\r\n--{boundary}--\r\n".encode()
+    headers = {"Content-Type": f"multipart/form-data; boundary={boundary}"}
+    return client.call("POST", "/v1/files", body=body, headers=headers)
+
+
+def events(body: bytes) -> list[dict[str, Any]]:
+    """Return the JSON events of a stream; the closing ``[DONE]`` is left out."""
+    found = []
+    for event in body.split(b"\n\n"):
+        payload = event.removeprefix(b"data:").strip()
+        if payload and payload != b"[DONE]":
+            found.append(json.loads(payload))
+    return found
+
+
+def ended_clean(body: bytes) -> bool:
+    """Whether a stream ended with its closing event."""
+    return body.rstrip().endswith(b"data: [DONE]")
+
+
+def stream_text(body: bytes) -> str:
+    """Return the text of a chat stream."""
+    pieces = []
+    for event in events(body):
+        for choice in event.get("choices", ()):
+            pieces.append(choice.get("delta", {}).get("content") or "")
+    return "".join(pieces)
+
+
+def in_threads(calls: list[Callable[[], Any]], *, seconds: float = 90.0) -> list[Any]:
+    """Make calls at the same time; an exception stands in the place of its result."""
+    results: list[Any] = [None] * len(calls)
+
+    def run(number: int, call: Callable[[], Any]) -> None:
+        try:
+            results[number] = call()
+        except (NoAnswer, AssertionError) as error:
+            results[number] = error
+
+    threads = [
+        threading.Thread(target=run, args=(number, call)) for number, call in enumerate(calls)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(seconds)
+    return results
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -58,7 +58,7 @@
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "report.xml"
         command = [sys.executable, "-m", "pytest", f"--junitxml={report}", "-n", str(workers)]
-        command += ["--dist", "loadgroup", *present]
+        command += ["--dist", "loadfile", *present]
         code = subprocess.run(command, cwd=ROOT, check=False).returncode
         return code, _read_report(report)
 
