--- a/packages/node/src/carobspool_node/_job_runner.py
+++ b/packages/node/src/carobspool_node/_job_runner.py
@@ -6,33 +6,23 @@
 
 from __future__ import annotations
 
-import contextlib
-import queue
 import threading
-from collections.abc import Callable, Iterator, Sequence
-from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
-from typing import Protocol, TypeVar
+from collections.abc import Callable, Iterator
 
 from absl import logging
 from returns.result import Failure, Result
 
 from carobspool_core import (
-    BatchItem,
-    BatchShaping,
     ChunkStatus,
     Clock,
     Holder,
     ItemOutcome,
-    Job,
     JobCounts,
     JobStatus,
     Millis,
     ObjectStore,
     StoreFailure,
     owner,
-    progress_is_due,
-    wall_millis,
 )
 from carobspool_node._chunk_store import (
     ChunkWrite,
@@ -44,67 +34,26 @@
     write_chunk,
 )
 from carobspool_node._follow import WATCH_TIMEOUT
-from carobspool_node._job_ending import (
-    StoredJob,
-    done_counts,
-    finish_job,
-    probe_chunks,
-    seal_chunks,
-    write_progress,
-)
+from carobspool_node._job_coordinator import JobCoordinator
+from carobspool_node._job_ending import done_counts
 from carobspool_node._job_table import JobTable, watch_jobs
 from carobspool_node._job_work import JobWork
 from carobspool_node._members import Members
-from carobspool_node._owned_chunk import Attempt, ItemHandle, OwnedChunk
+from carobspool_node._owned_chunk import Attempt, OwnedChunk
+from carobspool_node._runner_ports import ChunkDone, ItemRunner, RunnerPorts
+from carobspool_node._store_calls import StoreCalls
 
-_T = TypeVar("_T")
+__all__ = ["ChunkDone", "ItemRunner", "JobRunner", "RunnerPorts", "make_job_runner"]
 
 TICK: Millis = 20.0
 PAUSE_NOTICED: Millis = 1_000.0
-COORDINATE_INTERVAL: Millis = 500.0
 PROBE_AFTER: Millis = 15_000.0
 LOOK_AGAIN_INTERVAL: Millis = 10_000.0
-PROBED_AT_ONCE = 16
 CLAIMS_AT_ONCE = 4
-STORE_WORKERS = 8
+RELEASE_SLACK: Millis = 5_000.0
 CLAIM_PAUSE: Millis = 500.0
 
 
-class ItemRunner(Protocol):
-    """Starts attempts of items at upstreams."""
-
-    def __call__(self, item: BatchItem, on_done: Callable[[ItemOutcome], None]) -> ItemHandle:
-        """Start an attempt without waiting; ``on_done`` is called once, on any thread."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ChunkDone:
-    """A chunk reached its final state; told to the job's coordinator."""
-
-    job: str
-    chunk: int
-    counts: JobCounts
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RunnerPorts:
-    """What the runner needs from the rest of the process.
-
-    Attributes:
-        run: Starts an item.
-        credits: How many more items could start now.
-        choose: Picks the job whose item or chunk comes next, among jobs that have one.
-        shaping: The batch shaping in force.
-        tell_done: Passes a finished chunk to the node that coordinates the job.
-    """
-
-    run: ItemRunner
-    credits: Callable[[], int]
-    choose: Callable[[Sequence[Job]], str]
-    shaping: Callable[[], BatchShaping]
-    tell_done: Callable[[str, ChunkDone], None]
-
-
 class JobRunner:
     """The runner of one process. Made by `make_job_runner`."""
 
@@ -116,9 +65,9 @@
         members: Members,
         ports: RunnerPorts,
         table: JobTable,
-        inbox: queue.SimpleQueue[Callable[[], None]],
+        calls: StoreCalls,
+        coordinator: JobCoordinator,
         may_claim: Callable[[], bool],
-        probe_after: Millis,
     ) -> None:
         self._store = store
         self._holder = holder
@@ -126,17 +75,15 @@
         self._members = members
         self._ports = ports
         self._table = table
-        self._inbox = inbox
+        self._calls = calls
+        self._coordinator = coordinator
         self._may_claim = may_claim
-        self._probe_after = probe_after
-        self._pool = ThreadPoolExecutor(max_workers=STORE_WORKERS, thread_name_prefix="job-store")
         self._thread = threading.Thread(target=self._run, name="job-runner", daemon=True)
         self._works: dict[str, JobWork] = {}
         self._owned: dict[tuple[str, int], OwnedChunk] = {}
         self._claiming = 0
         self._claim_at: Millis = 0.0
         self._live: tuple[str, ...] = ()
-        self._coordinated_at: Millis = 0.0
         self._looked_at: Millis = 0.0
         self._last_round: Millis | None = None
         self._releasing_until: Millis | None = None
@@ -156,11 +103,11 @@
         """Take a hint that a job changed; with ``cancelling`` its items stop at once."""
         if cancelling:
             self._table.take_cancel_hint(job_id)
-        self._submit(lambda: self._table.refresh(job_id), lambda _: None)
+        self._calls.submit(lambda: self._table.refresh(job_id), lambda _: None)
 
     def chunk_done(self, done: ChunkDone) -> None:
         """Take a hint from the node that finished a chunk."""
-        self._inbox.put(lambda: self._take_done(done.job, done.chunk, done.counts))
+        self._calls.post(lambda: self._take_done(done.job, done.chunk, done.counts))
 
     def release_all(self, timeout: Millis) -> int:
         """Finish what runs, write it, release all claims and end the loop.
@@ -172,8 +119,8 @@
             Number of chunks that could not be released.
         """
         until = self._clock.now() + timeout
-        self._inbox.put(lambda: self._begin_release(until))
-        self._stopped.wait(timeout / 1000.0 + STORE_WORKERS)
+        self._calls.post(lambda: self._begin_release(until))
+        self._stopped.wait((timeout + RELEASE_SLACK) / 1000.0)
         self.stop()
         return len(self._owned)
 
@@ -181,7 +128,7 @@
         """End the loop and leave the claims behind, as a killed process does."""
         self._stopped.set()
         self._table.stop()
-        self._pool.shutdown(wait=False, cancel_futures=True)
+        self._calls.stop()
 
     def _run(self) -> None:
         while not self._stopped.is_set():
@@ -193,7 +140,7 @@
                 logging.exception("event=runner_round_failed node=%s", self._holder.node)
 
     def _round(self) -> None:
-        self._take_news()
+        self._calls.take_news(TICK)
         now = self._clock.now()
         if self._last_round is not None and now - self._last_round > PAUSE_NOTICED:
             self._look_after_pause()
@@ -202,23 +149,11 @@
             credits = self._dispatch(now)
             self._claim_ahead(now, credits)
         self._write_due(now)
-        self._coordinate(now)
+        if self._may_claim():
+            self._coordinator.coordinate(self._works, self._live, now)
         self._last_round = self._clock.now()
         self._end_release(now)
 
-    def _take_news(self) -> None:
-        """Wait for one piece of news for a tick, then take all that there are."""
-        try:
-            news = self._inbox.get(timeout=TICK / 1000.0)
-        except queue.Empty:
-            return
-        while True:
-            news()
-            try:
-                news = self._inbox.get_nowait()
-            except queue.Empty:
-                return
-
     def _look_after_pause(self) -> None:
         """Read everything again after a pause of this process.
 
@@ -282,7 +217,7 @@
         attempt = chunk.start_next()
 
         def on_done(outcome: ItemOutcome) -> None:
-            self._inbox.put(lambda: self._take_outcome(chunk, attempt, outcome))
+            self._calls.post(lambda: self._take_outcome(chunk, attempt, outcome))
 
         chunk.started(attempt, self._ports.run(attempt.item, on_done))
 
@@ -316,7 +251,7 @@
         job = work.job
         work.mark_taken(number)
         self._claiming += 1
-        self._submit(
+        self._calls.submit(
             lambda: claim(
                 self._store, job, number, self._holder, is_dead=self._members.confirm_dead
             ),
@@ -366,7 +301,7 @@
     def _write(self, job_id: str, number: int, chunk: OwnedChunk, write: ChunkWrite) -> None:
         job = self._works[job_id].job
         standing = chunk.standing
-        self._submit(
+        self._calls.submit(
             lambda: write_chunk(self._store, job, number, standing, write),
             lambda found: self._take_written(job_id, number, chunk, found),
         )
@@ -402,68 +337,6 @@
         if work is not None:
             work.mark_done(number, counts, self._clock.now())
 
-    def _coordinate(self, now: Millis) -> None:
-        if now - self._coordinated_at < COORDINATE_INTERVAL or not self._may_claim():
-            return
-        self._coordinated_at = now
-        for job_id, work in self._works.items():
-            if work.busy or owner(job_id, self._live) != self._holder.node:
-                continue
-            self._coordinate_job(work, now)
-
-    def _coordinate_job(self, work: JobWork, now: Millis) -> None:
-        job = work.job
-        counts = work.counts()
-        if work.all_done:
-            self._job_step(
-                work,
-                lambda: finish_job(
-                    self._store, job.id, counts, chunks_done=work.done, now=wall_millis()
-                ),
-            )
-            return
-        if job.status is JobStatus.CANCELLING:
-            self._chunk_step(
-                work,
-                lambda numbers: seal_chunks(
-                    self._store, job, numbers, self._holder, is_dead=self._members.confirm_dead
-                ),
-            )
-            return
-        if progress_is_due(job, counts):
-            self._job_step(work, lambda: write_progress(self._store, job.id, counts))
-            return
-        if now - work.last_news > self._probe_after:
-            work.last_news = now
-            self._chunk_step(work, lambda numbers: probe_chunks(self._store, job, numbers))
-
-    def _job_step(self, work: JobWork, step: Callable[[], Result[StoredJob, StoreFailure]]) -> None:
-        work.busy = True
-
-        def take(found: Result[StoredJob, StoreFailure]) -> None:
-            work.busy = False
-            if isinstance(found, Failure):
-                return
-            job, version = found.unwrap()
-            self._table.take(job, version)
-
-        self._submit(step, take)
-
-    def _chunk_step(
-        self, work: JobWork, step: Callable[[list[int]], list[tuple[int, JobCounts]]]
-    ) -> None:
-        numbers = work.not_done(PROBED_AT_ONCE)
-        if not numbers:
-            return
-        work.busy = True
-
-        def take(done: list[tuple[int, JobCounts]]) -> None:
-            work.busy = False
-            for number, counts in done:
-                work.mark_done(number, counts, self._clock.now())
-
-        self._submit(lambda: step(numbers), take)
-
     def _begin_release(self, until: Millis) -> None:
         self._releasing_until = until
         for chunk in self._owned.values():
@@ -489,16 +362,6 @@
                 )
                 yield chunk
 
-    def _submit(self, call: Callable[[], _T], take: Callable[[_T], None]) -> None:
-        """Run a store call on the pool and post its result to the loop."""
-
-        def work() -> None:
-            found = call()
-            self._inbox.put(lambda: take(found))
-
-        with contextlib.suppress(RuntimeError):  # the pool was shut down meanwhile
-            self._pool.submit(work)
-
 
 def make_job_runner(
     store: ObjectStore,
@@ -527,10 +390,7 @@
 
     Since 0.1.
     """
-    inbox: queue.SimpleQueue[Callable[[], None]] = queue.SimpleQueue()
-    table = watch_jobs(store, lambda: inbox.put(_nothing), watch_timeout=watch_timeout)
-    return JobRunner(store, holder, clock, members, ports, table, inbox, may_claim, probe_after)
-
-
-def _nothing() -> None:
-    return None
+    calls = StoreCalls()
+    table = watch_jobs(store, calls.wake, watch_timeout=watch_timeout)
+    coordinator = JobCoordinator(store, holder, clock, members, table, calls, probe_after)
+    return JobRunner(store, holder, clock, members, ports, table, calls, coordinator, may_claim)
