--- a/packages/node/tests/test_job_runner.py
+++ b/packages/node/tests/test_job_runner.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
+from random import Random
 
 import pytest
 
@@ -51,7 +52,7 @@
     """Runs items; keeps an append-only record of starts."""
 
     delay: float = 0.001
-    starts: list[tuple[str, str, float]] = field(default_factory=list)
+    starts: list[tuple[str, str, str, float]] = field(default_factory=list)
     cancels: list[str] = field(default_factory=list)
     answer: Callable[[BatchItem], ItemOutcome | None] = lambda item: None
     gate: threading.Event = field(default_factory=threading.Event)
@@ -59,7 +60,7 @@
 
     def runner(self, node: str) -> Callable[[BatchItem, Callable[[ItemOutcome], None]], _Handle]:
         def run(item: BatchItem, on_done: Callable[[ItemOutcome], None]) -> _Handle:
-            self.starts.append((node, item.custom_id, time.monotonic()))
+            self.starts.append((node, item.job, item.custom_id, time.monotonic()))
             handle = _Handle(self, item)
             self.pool.submit(self._serve, item, on_done, handle)
             return handle
@@ -436,7 +437,7 @@
     fleet.nodes["b"].thaw()
     assert fleet.wait_for_end(job).status is JobStatus.COMPLETED
     _assert_whole(fleet, job, 150)
-    starts = Counter(custom_id for _, custom_id, _ in fleet.upstreams.starts)
+    starts = Counter(custom_id for _, _, custom_id, _ in fleet.upstreams.starts)
     assert max(starts.values()) == 1
     for custom_id, line in fleet.results(job).items():
         if line["error"] is None:
@@ -474,7 +475,7 @@
     job = fleet.submit(12)
     ended = fleet.wait_for_end(job)
     assert (ended.counts.completed, ended.counts.failed) == (11, 1)
-    starts = Counter(custom_id for _, custom_id, _ in fleet.upstreams.starts)
+    starts = Counter(custom_id for _, _, custom_id, _ in fleet.upstreams.starts)
     assert starts["poem-3"] == SHAPING.max_attempts
     assert fleet.results(job)["poem-3"]["error"]["code"] == "crashed"
 
@@ -509,3 +510,50 @@
     assert fleet.wait_for_end(job).status is JobStatus.COMPLETED
     _assert_whole(fleet, job, 300)
     assert len(fleet.upstreams.starts) == 300
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_many_faults_together(fleet: Fleet, seed: int) -> None:
+    """A caller sees each item once, and each letter at most sent once, under faults at random.
+
+    Entries are killed and restarted under their old name, frozen and thawed, cut off from the
+    store, and answers to their writes are lost, several at once and the same twice. When the
+    faults end, both jobs end whole.
+    """
+    random = Random(seed)
+    names = ("a", "b", "c")
+    fleet.start(*names)
+    fleet.upstreams.delay = 0.01
+    fleet.lose_hints = seed % 2 == 0
+    poems = fleet.submit(400, key="poems")
+    letters = fleet.submit(120, idempotent=False, key="letters")
+    for _ in range(25):
+        _break_something(fleet, random)
+        time.sleep(random.uniform(0.0, 0.25))
+    for name in names:
+        node = fleet.nodes[name]
+        node.thaw()
+        node.store.outage = False
+    for job, items in ((poems, 400), (letters, 120)):
+        assert fleet.wait_for_end(job).status is JobStatus.COMPLETED
+        _assert_whole(fleet, job, items)
+    sent = Counter((job, item) for _, job, item, _ in fleet.upstreams.starts)
+    assert max(count for (job, _), count in sent.items() if job == letters.id) == 1
+
+
+def _break_something(fleet: Fleet, random: Random) -> None:
+    name = random.choice(sorted(fleet.nodes))
+    node = fleet.nodes[name]
+    kind = random.choice(["kill", "freeze", "thaw", "thaw", "outage", "mend", "mend", "lose"])
+    if kind == "kill":
+        node.kill()
+        fleet.nodes[name] = Node(fleet, name)
+    elif kind == "freeze":
+        node.freeze()
+    elif kind == "thaw":
+        node.thaw()
+    elif kind in ("outage", "mend"):
+        node.store.outage = kind == "outage"
+    else:
+        lost = random.choice([FaultKind.UNKNOWN_AFTER, FaultKind.UNKNOWN_BEFORE])
+        node.store.inject(FaultRule(kind=lost, count=random.randint(1, 4)))
