--- /dev/null
+++ b/packages/cli/src/carobspool_cli/_exit_codes.py
@@ -0,0 +1,31 @@
+"""Exit codes of ``carobspool``; scripts may rely on them."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+
+class ExitCode(IntEnum):
+    """Why the process ended.
+
+    Attributes:
+        DONE: Done as asked.
+        USAGE: The command line is wrong.
+        INVALID: The files are wrong; nothing was sent or applied.
+        CONFLICT: Another operator changed the same entries; nothing was applied.
+        REFUSED: The entry refused the call; nothing was done.
+        UNREACHABLE: No entry answered, or none can reach the store; nothing was done.
+        UNKNOWN: An answer was lost; the call may have been carried out. Repeating it is harmless.
+        JOB_FAILED: The job ended without completing.
+
+    Since 0.1.
+    """
+
+    DONE = 0
+    USAGE = 1
+    INVALID = 2
+    CONFLICT = 3
+    REFUSED = 4
+    UNREACHABLE = 5
+    UNKNOWN = 6
+    JOB_FAILED = 7
--- a/packages/core/src/carobspool_core/schema/_check.py
+++ b/packages/core/src/carobspool_core/schema/_check.py
@@ -8,6 +8,7 @@
 from carobspool_core.border import Problem, join_path
 from carobspool_core.schema._models import StateModel, UpstreamModel
 
+OPERATOR = "operator"
 NAMES_SHOWN = 12
 """Allowed names that one problem lists."""
 
@@ -62,6 +63,7 @@
     for source in sources:
         _check_callers(index, source, known["organisation"])
         _check_upstreams(index, source, known["model"], known["service"])
+    _check_operator(index, sources)
     return tuple(index.problems)
 
 
@@ -94,6 +96,15 @@
         index.claim("section", "online_slowdown", source.file, ("online_slowdown",))
 
 
+def _check_operator(index: _Index, sources: Sequence[Source]) -> None:
+    """Refuse a state that nobody could change again: only an operator's key admits an apply."""
+    roles = {caller.role for source in sources for caller in source.model.callers}
+    if OPERATOR in roles:
+        return
+    allowed = f"at least one caller with the role '{OPERATOR}', or nobody could apply again"
+    index.refuse("", ("callers",), f"no caller with the role '{OPERATOR}'", allowed)
+
+
 def _check_callers(index: _Index, source: Source, organisations: set[str]) -> None:
     for number, caller in enumerate(source.model.callers):
         if caller.organisation in organisations:
--- a/packages/core/tests/test_schema.py
+++ b/packages/core/tests/test_schema.py
@@ -17,7 +17,14 @@
     """Return a small valid state as JSON."""
     return {
         "organisations": [{"name": "press", "weight": 2}],
-        "callers": [{"id": "editor", "organisation": "press", "key_hashes": [HASH]}],
+        "callers": [
+            {
+                "id": "editor",
+                "organisation": "press",
+                "key_hashes": [HASH],
+                "role": "operator",
+            }
+        ],
         "models": [{"name": "reader", "version": "1"}],
         "upstreams": [
             {
@@ -135,6 +142,14 @@
     assert "secret" not in str(error)
 
 
+def test_a_state_without_operator_is_refused() -> None:
+    """A state that would lock every operator out is never accepted."""
+    value = whole()
+    value["callers"][0]["role"] = "caller"
+    (error,) = errors_of(value)
+    assert (error.path, error.found) == ("callers", "no caller with the role 'operator'")
+
+
 def test_an_empty_folder_is_refused(tmp_path: Path) -> None:
     """A folder without files is an error, not an empty state."""
     (error,) = load_folder(tmp_path).failure()
--- a/packages/node/tests/test_config_faults.py
+++ b/packages/node/tests/test_config_faults.py
@@ -8,7 +8,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 from returns.pipeline import is_successful
 
-from carobspool_core import DesiredState, ManualClock, Organisation
+from carobspool_core import Caller, CallerRole, DesiredState, ManualClock, Organisation
 from carobspool_node._config_store import (
     ConfigurationFollower,
     OutcomeUnknown,
@@ -21,8 +21,11 @@
 
 scenarios("config_faults.feature")
 
-FIRST = DesiredState(organisations={"press": Organisation(name="press")})
-SECOND = DesiredState(organisations={"press": Organisation(name="press", weight=2.0)})
+OPERATOR = Caller(id="ana", organisation="press", key_hashes=("f" * 64,), role=CallerRole.OPERATOR)
+FIRST = DesiredState(organisations={"press": Organisation(name="press")}, callers={"ana": OPERATOR})
+SECOND = DesiredState(
+    organisations={"press": Organisation(name="press", weight=2.0)}, callers={"ana": OPERATOR}
+)
 
 
 @dataclass(slots=True)
--- a/packages/node/tests/test_config_store.py
+++ b/packages/node/tests/test_config_store.py
@@ -10,7 +10,14 @@
 import pytest
 from returns.result import Result
 
-from carobspool_core import Caller, DesiredState, ManualClock, Organisation, audit_to_json
+from carobspool_core import (
+    Caller,
+    CallerRole,
+    DesiredState,
+    ManualClock,
+    Organisation,
+    audit_to_json,
+)
 from carobspool_node._config_store import (
     Applied,
     ApplyError,
@@ -28,11 +35,14 @@
 from carobspool_node._drains import drained_hosts, set_drain
 from carobspool_standins.memory_store import FaultKind, FaultRule, MemoryObjects, MemoryStore
 
+OPERATOR = Caller(id="op", organisation="ops", key_hashes=("f" * 64,), role=CallerRole.OPERATOR)
+
 
 def organisations(**weights: float) -> DesiredState:
-    """Return a state with organisations of the given weights."""
+    """Return a state with an operator and organisations of the given weights."""
     entries = {name: Organisation(name=name, weight=each) for name, each in weights.items()}
-    return DesiredState(organisations=entries)
+    entries["ops"] = Organisation(name="ops")
+    return DesiredState(organisations=entries, callers={"op": OPERATOR})
 
 
 class Node:
@@ -106,7 +116,8 @@
     ana.apply(0, organisations(a=1.0, b=1.0))
     ana.apply(1, organisations(b=1.0))
     caller = Caller(id="c", organisation="a", key_hashes=("0" * 64,))
-    error = rui.outcome(1, replace(organisations(a=1.0, b=1.0), callers={"c": caller})).failure()
+    mine = organisations(a=1.0, b=1.0)
+    error = rui.outcome(1, replace(mine, callers=mine.callers | {"c": caller})).failure()
     assert isinstance(error, InvalidTogether)
     assert error.errors[0].path == "callers[0].organisation"
     assert error.over[0].author == "ana"
@@ -122,7 +133,8 @@
     """A preview tells the changes, and the store stays as it was."""
     node = Node(objects, "ana")
     preview = preview_state(node.store, node.follower, 0, organisations(a=1.0)).unwrap()
-    assert [change.subject for change in preview.changes] == ["organisations/a"]
+    subjects = [change.subject for change in preview.changes]
+    assert subjects == ["organisations/a", "organisations/ops", "callers/op"]
     assert objects.revision == 0
 
 
@@ -139,7 +151,7 @@
     assert revisions == list(range(2, 10))
     last = Node(objects, "last")
     last.follower.refresh().unwrap()
-    assert len(last.follower.state.organisations) == 9
+    assert len(last.follower.state.organisations) == 10
 
 
 def test_revision_whose_author_died_before_the_head_is_in_force(objects: MemoryObjects) -> None:
