--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -12,12 +12,12 @@
     audit_to_json,
 )
 from carobspool_core._chunks import (
+    MAX_CHUNK_BYTES,
     ChunkChange,
     ChunkRefusal,
     ChunkState,
     ChunkStatus,
     Holder,
-    MAX_CHUNK_BYTES,
     ResultPart,
     chunk_bytes,
     chunk_items,
@@ -68,9 +68,9 @@
     peers_to_dial,
 )
 from carobspool_core._item_retry import (
+    PREEMPTED,
     ItemOutcome,
     ItemRetry,
-    PREEMPTED,
     item_retry,
 )
 from carobspool_core._job_records import (
@@ -80,8 +80,8 @@
     read_job,
 )
 from carobspool_core._jobs import (
-    BatchItem,
     IDEMPOTENT_METADATA,
+    BatchItem,
     Job,
     JobCounts,
     JobRefusal,
@@ -97,9 +97,14 @@
 )
 from carobspool_core._leases import (
     LEASE_TTL,
+    RENEWALS_PER_TTL,
     LeaseObserver,
     NodeLease,
-    RENEWALS_PER_TTL,
+)
+from carobspool_core._limits import (
+    Grant,
+    Limiter,
+    make_limiter,
 )
 from carobspool_core._membership import (
     Membership,
@@ -107,6 +112,7 @@
     make_membership,
 )
 from carobspool_core._messages import (
+    PROTOCOL_VERSION,
     Attach,
     Beat,
     Cancel,
@@ -120,7 +126,6 @@
     Load,
     Message,
     Open,
-    PROTOCOL_VERSION,
     Priority,
     Proof,
     RequestId,
@@ -155,9 +160,9 @@
     ObjectChange,
     ObjectPage,
     ObjectStore,
+    StoredObject,
     StoreFailure,
     StoreFault,
-    StoredObject,
     WatchBatch,
 )
 from carobspool_core._reconcile import (
@@ -186,8 +191,8 @@
 )
 from carobspool_core._routing import (
     Choice,
-    RouteRequest,
     Router,
+    RouteRequest,
     RoutingSettings,
     Target,
     make_router,
@@ -262,6 +267,7 @@
     "FairQueue",
     "Fence",
     "Gossip",
+    "Grant",
     "Head",
     "Hello",
     "Hint",
@@ -278,6 +284,7 @@
     "Json",
     "LEASE_TTL",
     "LeaseObserver",
+    "Limiter",
     "Limits",
     "Load",
     "LoadOrder",
@@ -366,6 +373,7 @@
     "make_dispatcher",
     "make_fair_queue",
     "make_gossip",
+    "make_limiter",
     "make_membership",
     "make_retry_policy",
     "make_router",
