A frozen sidecar starts nothing late when it wakes; proofs of 'not run' and of leaving

Cause: test_nothing_new_after_three_seconds[frozen] found one run 6 s after the freeze: the request had passed admission and was frozen between the decision to start and the sending. Ruled out: requests in the socket buffer; those are refused by their age on arrival (2.5 s). After: the age is checked again when the connection opens, 1.5 s after the decision at most. A request that gave way before is never told 'not run' when its resume could not be sent.

--- a/packages/node/src/carobspool_node/_engine_runs.py
+++ b/packages/node/src/carobspool_node/_engine_runs.py
@@ -16,6 +16,7 @@
 from carobspool_core import (
     Clock,
     Failure,
+    Millis,
     Open,
     Outcome,
     Priority,
@@ -35,6 +36,7 @@
     call_whole,
 )
 
+MAX_START_DELAY: Millis = 1_500.0
 _EVENT_STREAM = "text/event-stream"
 _CHAT_PATH = "/v1/chat/completions"
 _NOT_FOUND = 404
@@ -88,7 +90,7 @@
         request = run.open
         with self._lock:
             progress = self._progress.setdefault(request.id, _Progress())
-            progress.exchange = Exchange()
+            progress.exchange = Exchange(lambda: self._is_fresh(run))
             progress.cutter = EventCutter()
             progress.preempting = False
             cancelled = progress.cancelled
@@ -135,6 +137,11 @@
         with self._lock:
             self._progress.pop(identity, None)
 
+    def _is_fresh(self, run: Run) -> bool:
+        # A process frozen between the decision to start and the sending would, on waking, start
+        # what its entry has given up on. Only the moment between this and the sending remains.
+        return self._clock.now() - run.begun_at < MAX_START_DELAY
+
     def _tell(self) -> Scheduler:
         assert self._scheduler is not None
         return self._scheduler
--- a/packages/node/src/carobspool_node/_runs.py
+++ b/packages/node/src/carobspool_node/_runs.py
@@ -36,12 +36,13 @@
     """
 
     __slots__ = (
+        "_begun_at",
         "_deliver",
         "_end",
+        "_gave_way",
         "_head",
         "_lock",
         "_pieces",
-        "_started",
         "_state",
         "ended_at",
         "open",
@@ -54,7 +55,8 @@
         self._pieces: list[bytes] = []
         self._end: End | None = None
         self._state = RunState.WAITING
-        self._started = False
+        self._gave_way = False
+        self._begun_at: Millis = 0.0
         self.open = request
         self.ended_at: Millis = 0.0
 
@@ -64,22 +66,22 @@
         return self._state
 
     @property
-    def started(self) -> bool:
-        """Whether it was ever handed to the upstream, also if it gave way since."""
-        return self._started
+    def begun_at(self) -> Millis:
+        """When it was last handed to the upstream."""
+        return self._begun_at
 
     @property
     def size(self) -> int:
         """Bytes kept for replay."""
         return sum(len(piece) for piece in self._pieces)
 
-    def begin(self) -> bool:
+    def begin(self, now: Millis) -> bool:
         """Mark it as handed to the upstream; false when it has ended before."""
         with self._lock:
             if self._state is RunState.ENDED:
                 return False
             self._state = RunState.RUNNING
-            self._started = True
+            self._begun_at = now
             return True
 
     def give_way(self) -> None:
@@ -87,17 +89,13 @@
         with self._lock:
             if self._state is RunState.RUNNING:
                 self._state = RunState.WAITING
+                self._gave_way = True
 
     def end_waiting(self, failure: Failure, now: Millis) -> bool:
-        """End it unless it is at the upstream; false when it is, or when it has ended.
-
-        A failure that says "not run" is turned into "unknown" when it was started before.
-        """
+        """End it unless it is at the upstream; false when it is, or when it has ended."""
         with self._lock:
             if self._state is not RunState.WAITING:
                 return False
-            if self._started and failure.outcome is Outcome.NOT_RUN:
-                failure = replace(failure, outcome=Outcome.UNKNOWN)
             self._finish(failure, now)
             return True
 
@@ -132,6 +130,9 @@
                 self._deliver(self._end)
 
     def _finish(self, failure: Failure | None, now: Millis) -> None:
+        if failure is not None and self._gave_way and failure.outcome is Outcome.NOT_RUN:
+            # Its last run may not have been sent, but an earlier one was.
+            failure = replace(failure, outcome=Outcome.UNKNOWN)
         self._end = End(id=self.open.id, count=len(self._pieces), failure=failure)
         self._state = RunState.ENDED
         self.ended_at = now
--- a/packages/node/src/carobspool_node/_sidecar.py
+++ b/packages/node/src/carobspool_node/_sidecar.py
@@ -340,7 +340,7 @@
 
     def _start(self, identity: RequestId) -> None:
         run = self._runs.get(identity)
-        if run is None or not run.begin():
+        if run is None or not run.begin(self._clock.now()):
             self._scheduler.finished(identity)
             return
         self._pool.submit(self._engine.run, run)
--- a/packages/node/src/carobspool_node/_upstream_health.py
+++ b/packages/node/src/carobspool_node/_upstream_health.py
@@ -82,7 +82,7 @@
 
     def _probe(self, call: UpstreamCall) -> None:
         result, _ = call_whole(call)
-        refused = result.end is CallEnd.NOT_SENT
+        refused = result.end in (CallEnd.NOT_SENT, CallEnd.BROKEN)
         answered = result.end is CallEnd.COMPLETE and result.status == 200
         if self._up and refused:
             self._up = False
--- a/packages/node/src/carobspool_node/_upstream_http.py
+++ b/packages/node/src/carobspool_node/_upstream_http.py
@@ -60,9 +60,14 @@
 
 
 class Exchange:
-    """A call in progress that another thread can abort. Since 0.1."""
+    """A call in progress that another thread can abort. Since 0.1.
 
-    def __init__(self) -> None:
+    Args:
+        may_open: Asked right before the connection is opened; false ends the call as not sent.
+    """
+
+    def __init__(self, may_open: Callable[[], bool] = lambda: True) -> None:
+        self._may_open = may_open
         self._lock = threading.Lock()
         self._sockets: list[socket.socket] = []
         self._aborted = False
@@ -148,7 +153,12 @@
         curl.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
         return curl
 
-    def _open_socket(self, purpose: int, address: tuple[int, int, int, object]) -> socket.socket:
+    def _open_socket(
+        self, purpose: int, address: tuple[int, int, int, object]
+    ) -> socket.socket | int:
+        if not self._may_open():
+            bad: int = pycurl.SOCKET_BAD
+            return bad
         family, kind, protocol, _ = address
         opened = socket.socket(family, kind, protocol)
         with self._lock:
--- a/packages/node/tests/test_runs.py
+++ b/packages/node/tests/test_runs.py
@@ -43,7 +43,7 @@
     """An entry that lost its connection gets head, missing pieces and end again."""
     sent: list[Message] = []
     run = Run(_open(), sent.append)
-    assert run.begin()
+    assert run.begin(0.0)
     run.head(200, {})
     run.data(b"a")
     run.data(b"b")
@@ -59,7 +59,7 @@
     """A request that gave way and is refused while it waits again ends as unknown."""
     sent: list[Message] = []
     run = Run(_open(), sent.append)
-    assert run.begin()
+    assert run.begin(0.0)
     run.give_way()
     assert run.end_waiting(unavailable("x", "y"), 1.0)
     end = sent[-1]
@@ -72,14 +72,14 @@
     """A request that was ended as not run is not started by a decision already taken."""
     run = Run(_open(), lambda _: None)
     assert run.end_waiting(unavailable("x", "y"), 1.0)
-    assert not run.begin()
+    assert not run.begin(0.0)
     assert run.state is RunState.ENDED
 
 
 def test_a_running_request_is_not_ended_as_waiting() -> None:
     """A request at the upstream cannot be ended as if it still waited."""
     run = Run(_open(), lambda _: None)
-    assert run.begin()
+    assert run.begin(0.0)
     assert not run.end_waiting(unavailable("x", "y"), 1.0)
 
 
@@ -88,7 +88,7 @@
     table = RunTable()
     run = Run(_open(), lambda _: None)
     assert table.add(run)
-    run.begin()
+    run.begin(0.0)
     run.end(None, 1.0)
     table.expire(2.0 + REPLAY_TTL)
     assert table.get(run.open.id) is None
@@ -102,7 +102,7 @@
     for counter in range(MAX_ENDED_RUNS + 5):
         run = Run(_open(counter), lambda _: None)
         table.add(run)
-        run.begin()
+        run.begin(0.0)
         run.end(None, float(counter) / MAX_ENDED_RUNS)
     table.expire(1.0)
     assert table.get(RequestId("e", 0)) is None
--- a/packages/node/tests/test_upstream_http.py
+++ b/packages/node/tests/test_upstream_http.py
@@ -109,3 +109,16 @@
         thread.join(5.0)
         done.set()
     assert ends == [CallEnd.ABORTED]
+
+
+def test_a_call_that_may_not_open_is_not_sent() -> None:
+    """A call whose moment has passed opens no connection."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.settimeout(0.2)
+        url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
+        call = UpstreamCall(method="POST", url=url, headers={}, body=b"x")
+        exchange = Exchange(lambda: False)
+        result = exchange.run(call, lambda status, headers: None, lambda data: None)
+        assert result.end is CallEnd.NOT_SENT
+        with pytest.raises(TimeoutError):
+            listener.accept()
--- /dev/null
+++ b/tests/promises/test_leaving.py
@@ -0,0 +1,89 @@
+"""Promise: an upstream that is leaving receives no new work after a few seconds."""
+
+from __future__ import annotations
+
+import threading
+import time
+from pathlib import Path
+
+import pytest
+from harness import Plan, Site, running_site
+from history import History, untrue_not_run
+
+pytestmark = pytest.mark.promise("a leaving upstream gets nothing new")
+GRACE_MS = 3_000.0
+LOAD_THREADS = 6
+
+
+class _Load:
+    """Callers that send one request after another until told to stop."""
+
+    def __init__(self, site: Site, history: History) -> None:
+        self._stop = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(site, history, number))
+            for number in range(LOAD_THREADS)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """End the load."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join(30.0)
+
+    def _run(self, site: Site, history: History, number: int) -> None:
+        count = 0
+        headers = {"carobspool-timeout-ms": "4000"}
+        while not self._stop.is_set():
+            count += 1
+            entry = site.entries[count % len(site.entries)]
+            history.chat(site, f"{number}/{count}", entry=entry, tokens=5, headers=headers)
+
+
+def _started_between(site: Site, engine: str, after: float, before: float) -> list[float]:
+    """Return the starts at an engine between two instants of the wall clock, in milliseconds."""
+    starts = [float(run["started"]) for run in site.runs(engine)]
+    return [at for at in starts if after < at < before]
+
+
+def _now() -> float:
+    return time.time() * 1000.0
+
+
+@pytest.mark.parametrize("way", ["terminated", "drained", "frozen"])
+def test_nothing_new_after_three_seconds(tmp_path: Path, way: str) -> None:
+    """The engine behind the leaving sidecar starts nothing more three seconds later.
+
+    The platform's list of hosts lags by 30 s. The sidecar is told to leave, or an operator drains
+    its host, or it freezes and never says that it leaves; it is thawed after six seconds with
+    requests still in its buffers, which must not start then. Callers go on elsewhere.
+    """
+    with running_site(tmp_path, Plan(engines=2)) as site:
+        site.platform("hosts").call("POST", "/faults", json_body={"lag_ms": 30_000})
+        history = History()
+        load = _Load(site, history)
+        time.sleep(1.0)
+        left_at = _now()
+        if way == "terminated":
+            site.cluster.terminate("sidecar-1")
+        elif way == "drained":
+            reply = site.operator().call(
+                "POST", "/operator/drains/engine-1", json_body={"reason": "test", "drain": True}
+            )
+            assert reply.status == 200, reply.text
+        else:
+            site.cluster.freeze("sidecar-1")
+        time.sleep(6.0)
+        returned_at = _now()
+        if way == "frozen":
+            site.cluster.thaw("sidecar-1")
+            # What stood in its buffers has been given up on or run elsewhere.
+            time.sleep(0.05)
+            returned_at = _now()
+        load.stop()
+        assert _started_between(site, "engine-1", left_at + GRACE_MS, returned_at) == []
+        assert untrue_not_run(history.calls, site.runs()) == []
+        served = [call for call in history.calls if call.status == 200]
+        assert len(served) > len(history.calls) * 0.9
--- /dev/null
+++ b/tests/promises/test_not_run.py
@@ -0,0 +1,139 @@
+"""Promise: when a caller is told that a request was not run, it was not run.
+
+The engines' own records decide. The break falls, in turn, before the connection, in the queue, in
+the sending, after it, and in the answer.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from harness import SERVICE, Plan, Site, in_threads, running_site
+from history import History, untrue_not_run, untyped
+
+pytestmark = pytest.mark.promise("not run is true")
+REQUESTS = 24
+
+_ENGINE_FAULTS: dict[str, dict[str, Any]] = {
+    "connection refused": {"refuse": True},
+    "sent and no answer": {"hang": True},
+    "half an answer": {"half_answer": True},
+    "reset before the head": {"reset_after_bytes": 0},
+    "reset within the answer": {"reset_after_bytes": 300},
+    "queued past the deadline": {"slow_factor": 60.0},
+    "errors of the engine": {"error_rate": 0.5},
+}
+
+
+def _burst(
+    site: Site, history: History, *, stream: bool, idempotent: bool, deadline_ms: int = 1500
+) -> list[Callable[[], Any]]:
+    headers = {"carobspool-timeout-ms": str(deadline_ms)}
+    if not idempotent:
+        headers["carobspool-idempotent"] = "false"
+    return [
+        lambda number=number: history.chat(  # type: ignore[misc]
+            site,
+            f"note {number} {stream} {idempotent}",
+            entry=site.entries[number % len(site.entries)],
+            stream=stream,
+            headers=headers,
+        )
+        for number in range(REQUESTS)
+    ]
+
+
+@pytest.mark.parametrize("fault", list(_ENGINE_FAULTS))
+def test_breaks_at_the_engine(tmp_path: Path, fault: str) -> None:
+    """The caller sees a typed failure; "not run" only where the engine has no record of a run.
+
+    Both engines fail in the same way while idempotent and non-idempotent requests, streamed and
+    whole, arrive in bursts. A retry that ran elsewhere must not be forgotten in the final answer.
+    """
+    plan = Plan(engine={"step_base_ms": 4.0, "slots": 4})
+    with running_site(tmp_path, plan) as site:
+        history = History()
+        for engine in site.engines:
+            site.cluster.faults(engine, **_ENGINE_FAULTS[fault])
+        calls: list[Callable[[], Any]] = []
+        for stream in (False, True):
+            for idempotent in (False, True):
+                calls += _burst(site, history, stream=stream, idempotent=idempotent)
+        in_threads(calls)
+        for engine in site.engines:
+            site.cluster.faults(engine)
+        time.sleep(0.5)
+        assert len(history.calls) == 4 * REQUESTS
+        assert untrue_not_run(history.calls, site.runs()) == []
+        assert untyped(history.calls) == []
+
+
+@pytest.mark.parametrize("deed", ["kill", "freeze"])
+def test_the_sidecar_is_lost_with_requests_in_hand(tmp_path: Path, deed: str) -> None:
+    """The caller sees an answer or a failure typed by what is known, never an untrue "not run".
+
+    One sidecar is killed, or frozen and thawed five seconds later, while requests are queued,
+    being sent, and being answered. What it had in hand may have run and is "unknown".
+    """
+    plan = Plan(engine={"step_base_ms": 10.0, "slots": 4})
+    with running_site(tmp_path, plan) as site:
+        history = History()
+        calls = _burst(site, history, stream=True, idempotent=False, deadline_ms=8000)
+        calls += _burst(site, history, stream=False, idempotent=True, deadline_ms=8000)
+
+        def strike() -> None:
+            time.sleep(0.3)
+            if deed == "kill":
+                site.cluster.kill("sidecar-1")
+                return
+            site.cluster.freeze("sidecar-1")
+            time.sleep(5.0)
+            site.cluster.thaw("sidecar-1")
+
+        in_threads([*calls, strike])
+        time.sleep(1.0)
+        assert untrue_not_run(history.calls, site.runs()) == []
+        assert untyped(history.calls) == []
+        assert any(call.clean for call in history.calls)
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {"refuse": True},
+        {"hang": True},
+        {"reset_before_run": True},
+        {"reset_after_run": True},
+        {"half_answer": True},
+    ],
+)
+def test_breaks_at_a_plain_service(tmp_path: Path, fault: dict[str, Any]) -> None:
+    """A call that may not be repeated is told "not run" only if the service did not execute it."""
+    plan = Plan(entries=1, engines=0, plains=1)
+    with running_site(tmp_path, plan) as site:
+        history = History()
+        site.cluster.faults("plain-1", **fault)
+        headers = {"carobspool-timeout-ms": "1000", "Content-Type": "application/json"}
+        in_threads(
+            [
+                lambda number=number: history.send(  # type: ignore[misc]
+                    site.caller(),
+                    "POST",
+                    f"/services/{SERVICE}/orders",
+                    f'{{"order": {number}}}'.encode(),
+                    entry="entry-1",
+                    headers=headers,
+                )
+                for number in range(8)
+            ]
+        )
+        site.cluster.faults("plain-1")
+        runs = site.platform("plain-1").call("GET", "/record").json["runs"]
+        assert len(history.calls) == 8
+        assert untrue_not_run(history.calls, runs) == []
+        assert untyped(history.calls) == []
+        assert all(call.status != 200 for call in history.calls)
