--- a/packages/standins/src/carobspool_standins/_cluster.py
+++ b/packages/standins/src/carobspool_standins/_cluster.py
@@ -30,6 +30,7 @@
 STOP_SECONDS = 60.0
 WAIT_SECONDS = 30.0
 POLL_SECONDS = 0.05
+NODE_MODULE = "carobspool_node"
 OBJECTS = "objects"
 HOSTS = "hosts"
 DEFAULT_DOMAIN = "leicester-hall"
@@ -80,7 +81,10 @@
 
     def close(self) -> None:
         """End all processes, by force those that take long."""
-        self._group.close(CLOSE_SECONDS)
+        # The system ends before what it stands on, so that its shutdown is an ordinary one.
+        system = [name for name in self._group.names if self._group.module(name) == NODE_MODULE]
+        self._group.close(system, CLOSE_SECONDS)
+        self._group.close(self._group.names, CLOSE_SECONDS)
 
     @contextlib.contextmanager
     def together(self) -> Iterator[None]:
@@ -156,7 +160,7 @@
         }
         if service is not None:
             values["service"] = service
-        member = self._start(name, "carobspool_node", values | settings, port)
+        member = self._start(name, NODE_MODULE, values | settings, port)
         self._upstreams[upstream.name] = {
             "host": upstream.name,
             "address": member.address,
@@ -184,7 +188,7 @@
         }
         if HOSTS in self._members:
             values["host_list"] = self._members[HOSTS].url
-        return self._start(name, "carobspool_node", values | settings, port)
+        return self._start(name, NODE_MODULE, values | settings, port)
 
     def start_relay(self, name: str, *, delay_ms: float) -> Member:
         """Put a relay before all sidecars started so far; later configurations name its ports.
@@ -314,7 +318,7 @@
     def _start(self, name: str, module: str, settings: Mapping[str, Any], port: int) -> Member:
         path = self._write(f"{name}.json", settings)
         arguments = [str(path)]
-        if module == "carobspool_node":
+        if module == NODE_MODULE:
             arguments.insert(0, "run")
         log = self._folder / f"{name}.log"
         self._group.start(name, Command(module=module, arguments=arguments, log=log))
--- a/packages/standins/src/carobspool_standins/_processes.py
+++ b/packages/standins/src/carobspool_standins/_processes.py
@@ -148,18 +148,27 @@
         except subprocess.TimeoutExpired as error:
             raise ClusterError(f"{name} has not ended after {seconds} s") from error
 
-    def close(self, seconds: float) -> None:
-        """End all: politely in reverse order of start, then by force after ``seconds``."""
-        for name in reversed(self.names):
+    def close(self, names: Sequence[str], seconds: float) -> None:
+        """End processes: politely all at once, then by force those that take long.
+
+        Args:
+            names: Processes to end.
+            seconds: Time before force is used.
+        """
+        for name in names:
             self.send(name, signal.SIGCONT)
             self.send(name, signal.SIGTERM)
         deadline = time.monotonic() + seconds
-        for name in reversed(self.names):
+        for name in names:
             with contextlib.suppress(ClusterError):
                 self.wait(name, max(0.0, deadline - time.monotonic()))
             self.send(name, signal.SIGKILL)
             self._processes[name].wait()
 
+    def module(self, name: str) -> str:
+        """Return the module that a process runs."""
+        return self._commands[name].module
+
     def _is_ready(self, name: str) -> bool:
         with self._commands[name].log.open("rb") as log:
             log.seek(self._log_starts[name])
