--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -101,6 +101,11 @@
     NodeLease,
     RENEWALS_PER_TTL,
 )
+from carobspool_core._limits import (
+    Grant,
+    Limiter,
+    make_limiter,
+)
 from carobspool_core._membership import (
     Membership,
     heartbeat_interval,
@@ -135,6 +140,13 @@
     blocked_model_loads,
     plan_model_loads,
 )
+from carobspool_core._order_epochs import (
+    EpochError,
+    EpochRecord,
+    epoch_from_json,
+    epoch_to_json,
+    take_over_wait,
+)
 from carobspool_core._outcome import (
     Failure,
     Outcome,
@@ -153,6 +165,20 @@
     StoredObject,
     WatchBatch,
 )
+from carobspool_core._reconcile import (
+    DeclaredEngine,
+    EngineOrders,
+    EngineState,
+    Fence,
+    Order,
+    OrderFailure,
+    OrderFault,
+    OrderKind,
+    RunningModel,
+    declared_engine,
+    differences,
+    next_order,
+)
 from carobspool_core._rendezvous import (
     first,
     owner,
@@ -163,12 +189,14 @@
     RetrySettings,
     make_retry_policy,
 )
-from carobspool_core._routing import (
+from carobspool_core._route_types import (
     Choice,
     RouteRequest,
-    Router,
     RoutingSettings,
     Target,
+)
+from carobspool_core._routing import (
+    Router,
     make_router,
 )
 from carobspool_core._spans import (
@@ -229,12 +257,19 @@
     "Configuration",
     "Data",
     "Decision",
+    "DeclaredEngine",
     "DesiredState",
     "Dispatcher",
     "End",
+    "EngineOrders",
+    "EngineState",
+    "EpochError",
+    "EpochRecord",
     "Failure",
     "FairQueue",
+    "Fence",
     "Gossip",
+    "Grant",
     "Head",
     "Hello",
     "Hint",
@@ -251,6 +286,7 @@
     "Json",
     "LEASE_TTL",
     "LeaseObserver",
+    "Limiter",
     "Limits",
     "Load",
     "LoadOrder",
@@ -268,6 +304,10 @@
     "ObjectStore",
     "OnlineSlowdown",
     "Open",
+    "Order",
+    "OrderFailure",
+    "OrderFault",
+    "OrderKind",
     "Organisation",
     "Outcome",
     "PREEMPTED",
@@ -284,6 +324,7 @@
     "RouteRequest",
     "Router",
     "RoutingSettings",
+    "RunningModel",
     "Service",
     "SidecarState",
     "Span",
@@ -318,7 +359,11 @@
     "commit_part",
     "content_job_id",
     "declare_intents",
+    "declared_engine",
+    "differences",
     "end_job",
+    "epoch_from_json",
+    "epoch_to_json",
     "finished",
     "first",
     "heartbeat_interval",
@@ -330,6 +375,7 @@
     "make_dispatcher",
     "make_fair_queue",
     "make_gossip",
+    "make_limiter",
     "make_membership",
     "make_retry_policy",
     "make_router",
@@ -337,6 +383,7 @@
     "make_suspect_gate",
     "make_suspects",
     "monotonic_clock",
+    "next_order",
     "organisation_digest",
     "owner",
     "peers_to_dial",
@@ -355,6 +402,7 @@
     "stop_chunk",
     "subset_size",
     "subtract_spans",
+    "take_over_wait",
     "unavailable",
     "unfinished",
     "unite_spans",
