--- a/packages/cli/src/carobspool_cli/_client.py
+++ b/packages/cli/src/carobspool_cli/_client.py
@@ -156,12 +156,10 @@
 
 def _set_body(handle: pycurl.Curl, call: Call) -> None:
     if call.upload is not None:
-        fields = [
-            ("purpose", "batch"),
-            ("file", (pycurl.FORM_FILE, os.fspath(call.upload))),
-        ]
-        handle.setopt(pycurl.HTTPPOST, fields)
-        handle.setopt(pycurl.CUSTOMREQUEST, call.method)
+        form = pycurl.CurlMime(handle)
+        form.add(name="purpose", data="batch")
+        form.add(name="file", file=os.fspath(call.upload), filename=call.upload.name)
+        handle.setopt(pycurl.MIMEPOST, form)
         return
     if call.body is not None:
         handle.setopt(pycurl.POSTFIELDS, json.dumps(call.body).encode("utf-8"))
