--- a/packages/core/src/carobspool_core/revision/__init__.py
+++ b/packages/core/src/carobspool_core/revision/__init__.py
@@ -1,5 +1,13 @@
 """Revisions of the whole desired state: parts, differences, rebase and the stored record."""
 
+from carobspool_core.revision._delta import (
+    Delta,
+    delta_between,
+    pack_delta,
+    patch,
+    root_digest,
+    unpack_delta,
+)
 from carobspool_core.revision._diff import Change, Clash, diff, rebase, summarise
 from carobspool_core.revision._parts import (
     VALUE_LIMIT,
@@ -27,6 +35,7 @@
     "VALUE_LIMIT",
     "Change",
     "Clash",
+    "Delta",
     "Entry",
     "Part",
     "PartError",
@@ -36,15 +45,20 @@
     "RevisionError",
     "Section",
     "decode_part",
+    "delta_between",
     "diff",
     "encode_part",
     "join",
+    "pack_delta",
     "part_name",
+    "patch",
     "rebase",
     "record_changes",
     "revision_audit",
     "revision_from_json",
     "revision_to_json",
+    "root_digest",
     "split",
     "summarise",
+    "unpack_delta",
 ]
--- a/packages/core/src/carobspool_core/schema/_check.py
+++ b/packages/core/src/carobspool_core/schema/_check.py
@@ -9,6 +9,7 @@
 from carobspool_core.schema._models import StateModel, UpstreamModel
 
 OPERATOR = "operator"
+KEY_HASH = "key hash"
 NAMES_SHOWN = 12
 """Allowed names that one problem lists."""
 
@@ -21,36 +22,33 @@
     model: StateModel
 
 
+Place = tuple[str, tuple[str | int, ...]]
+"""A file and a path in it."""
+
+
 @dataclass(slots=True)
 class _Index:
     """Where each unique value was first seen, and the problems so far."""
 
     problems: list[Problem] = field(default_factory=list)
-    seen: dict[tuple[str, str], str] = field(default_factory=dict)
-
-    def claim(
-        self,
-        kind: str,
-        value: str,
-        file: str,
-        path: Sequence[str | int],
-        *,
-        shown: str | None = None,
-    ) -> None:
-        place = join_path(path)
-        first = self.seen.setdefault((kind, value), f"{file}: {place}" if file else place)
-        if first == (f"{file}: {place}" if file else place):
+    seen: dict[str, dict[str, Place]] = field(default_factory=dict)
+
+    def claim(self, kind: str, value: str, file: str, path: tuple[str | int, ...]) -> None:
+        # Runs for every name and key hash of the state, so text is made only for a duplicate.
+        place = (file, path)
+        first = self.seen.setdefault(kind, {}).setdefault(value, place)
+        if first is place:
             return
-        found = f"the {kind} {value!r} again" if shown is None else shown
-        allowed = f"each {kind} once; it stands at {first} too"
-        self.problems.append(Problem(file=file, path=place, found=found, allowed=allowed))
+        found = f"the {kind} {value!r} again" if kind != KEY_HASH else "a key hash again"
+        allowed = f"each {kind} once; it stands at {_place_text(first)} too"
+        self.refuse(file, path, found, allowed)
 
-    def refuse(self, file: str, path: Sequence[str | int], found: str, allowed: str) -> None:
+    def refuse(self, file: str, path: tuple[str | int, ...], found: str, allowed: str) -> None:
         place = join_path(path)
         self.problems.append(Problem(file=file, path=place, found=found, allowed=allowed))
 
     def names(self, kind: str) -> set[str]:
-        return {value for (each, value) in self.seen if each == kind}
+        return set(self.seen.get(kind, ()))
 
 
 def check_whole(sources: Sequence[Source]) -> tuple[Problem, ...]:
@@ -76,7 +74,7 @@
         index.claim("caller", caller.id, file, ("callers", number, "id"))
         for position, key_hash in enumerate(caller.key_hashes):
             path_of_hash = ("callers", number, "key_hashes", position)
-            index.claim("key hash", key_hash, file, path_of_hash, shown="a key hash again")
+            index.claim(KEY_HASH, key_hash, file, path_of_hash)
     for number, served in enumerate(model.models):
         index.claim("model", served.name, file, ("models", number, "name"))
     for number, upstream in enumerate(model.upstreams):
@@ -146,6 +144,12 @@
         yield "service", f"the unknown {upstream.service!r}", _one_of("service", services)
 
 
+def _place_text(place: Place) -> str:
+    file, path = place
+    text = join_path(path)
+    return f"{file}: {text}" if file else text
+
+
 def _one_of(kind: str, names: set[str]) -> str:
     if not names:
         return f"a declared {kind}; none is declared"
--- a/packages/core/src/carobspool_core/schema/_convert.py
+++ b/packages/core/src/carobspool_core/schema/_convert.py
@@ -32,6 +32,9 @@
     UpstreamModel,
 )
 
+_UNBOUNDED = Limits()
+_NO_BOUNDS = (None, None, None)
+
 
 def to_state(model: StateModel, *, revision: int = 0) -> DesiredState:
     """Return the data classes of a validated state."""
@@ -142,6 +145,9 @@
 
 
 def _limits(model: LimitsModel) -> Limits:
+    bounds = (model.requests_per_minute, model.tokens_per_minute, model.concurrent)
+    if bounds == _NO_BOUNDS:
+        return _UNBOUNDED  # Shared: most of many thousand callers have no bounds of their own.
     return Limits(
         requests_per_minute=model.requests_per_minute,
         tokens_per_minute=model.tokens_per_minute,
--- a/packages/node/src/carobspool_node/_config_follower.py
+++ b/packages/node/src/carobspool_node/_config_follower.py
@@ -7,8 +7,7 @@
 from __future__ import annotations
 
 import threading
-from collections import OrderedDict
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from absl import logging
 from returns.pipeline import is_successful
@@ -22,20 +21,30 @@
     ObjectChange,
     ObjectStore,
 )
-from carobspool_core.revision import Part, Parts, Revision, decode_part, join
+from carobspool_core.revision import (
+    Part,
+    Parts,
+    RecordedChange,
+    Revision,
+    decode_part,
+    delta_between,
+    join,
+    pack_delta,
+    patch,
+    root_digest,
+    unpack_delta,
+)
 from carobspool_node._config_objects import (
-    PARTS_PREFIX,
     REVISIONS_PREFIX,
     ConfigReadError,
     collect_parts,
     parse_revision,
     read_head,
     read_revision,
-    stored_part_text,
 )
 
-LOOSE_VALUES = 128
-"""Values of parts kept from watch events until the revision that names them arrives."""
+DELTA_VALUE = "delta"
+"""Name of the value that holds a delta in a `Configuration` without parts."""
 
 StateCallback = Callable[[DesiredState], None]
 
@@ -56,7 +65,7 @@
         self._parts: Parts = {}
         self._state = DesiredState()
         self._callbacks: list[StateCallback] = []
-        self._loose: OrderedDict[str, str] = OrderedDict()
+        self._delta: str | None = None
         self._confirmed: Millis | None = None
 
     @property
@@ -100,9 +109,10 @@
         with self._lock:
             if revision <= self._state.revision:
                 return False
+            delta = delta_between(self._state.revision, self._parts, parts)
+            self._delta = None if delta is None else pack_delta(delta)
             self._parts = dict(parts)
             self._state = join(parts, revision)
-            self._loose.clear()
             logging.info("event=configuration_in_force revision=%d", revision)
             for callback in self._callbacks:
                 callback(self._state)
@@ -117,13 +127,16 @@
         """
         if message.revision <= self.revision:
             return False
-        parts = self._from_message(message)
+        text = message.values.get(DELTA_VALUE)
+        parts = self._from_message(message) if text is None else self._from_delta(text)
         return parts is not None and self.take(message.revision, parts)
 
     def lacking(self, message: Configuration) -> bool:
         """Return whether a newer revision was offered of which parts are missing here."""
         if message.revision <= self.revision:
             return False
+        if DELTA_VALUE in message.values:
+            return True
         known = self.digests | message.values.keys()
         return any(digest not in known for digest in message.parts.values())
 
@@ -142,6 +155,19 @@
         digests = {name: part.digest for name, part in parts.items()}
         return Configuration(revision=revision, parts=digests, values=values)
 
+    def news(self) -> Configuration:
+        """Return the shortest message for peers that are likely to have the revision before.
+
+        A peer that has another revision cannot use it, and asks by its own ``message_for`` with all
+        its digests.
+        """
+        with self._lock:
+            delta = self._delta
+            revision = self._state.revision
+        if delta is None:
+            return self.message_for(self.digests)
+        return Configuration(revision=revision, values={DELTA_VALUE: delta})
+
     def refresh(self) -> Result[bool, ConfigReadError]:
         """Read the head, and what it names that is not at hand.
 
@@ -161,29 +187,22 @@
         if revision is None:
             self._confirmed = self._clock.now()
             return Success(False)
-        return self._load(revision, {})
+        return self._load(revision)
 
     def observe(self, changes: Sequence[ObjectChange]) -> Result[bool, ConfigReadError]:
-        """Take what a watch of ``config/`` reported."""
+        """Take what a watch of ``config/revisions/`` reported."""
         newest: Revision | None = None
         for change in changes:
             stored = change.object
-            if change.deleted:
-                continue
-            if stored.key.startswith(PARTS_PREFIX):
-                digest = stored.key.removeprefix(PARTS_PREFIX)
-                self._keep_loose(digest, stored_part_text(stored.value))
+            if change.deleted or not stored.key.startswith(REVISIONS_PREFIX):
                 continue
-            if stored.key.startswith(REVISIONS_PREFIX):
-                revision = parse_revision(stored)
-                if not is_successful(revision):
-                    return Failure(revision.failure())
-                newest = _newer(newest, revision.unwrap())
+            revision = parse_revision(stored)
+            if not is_successful(revision):
+                return Failure(revision.failure())
+            newest = _newer(newest, revision.unwrap())
         if newest is None or newest.number <= self.revision:
             return Success(False)
-        with self._lock:
-            values = dict(self._loose)
-        return self._load(newest, values)
+        return self._load(newest)
 
     def _newest_from(self, number: int) -> Result[Revision | None, ConfigReadError]:
         """Return the newest revision from ``number`` on, or ``None`` when it is in force here."""
@@ -199,12 +218,37 @@
             newest = found
             following += 1
 
-    def _load(self, revision: Revision, values: Mapping[str, str]) -> Result[bool, ConfigReadError]:
-        parts = collect_parts(self._store, revision.parts, self._parts, values)
-        if not is_successful(parts):
-            return Failure(parts.failure())
+    def _load(self, revision: Revision) -> Result[bool, ConfigReadError]:
+        parts = self._from_changes(revision)
+        if parts is None:
+            read = collect_parts(self._store, revision.parts, self._parts, {})
+            if not is_successful(read):
+                return Failure(read.failure())
+            parts = read.unwrap()
         self._confirmed = self._clock.now()
-        return Success(self.take(revision.number, parts.unwrap()))
+        return Success(self.take(revision.number, parts))
+
+    def _from_changes(self, revision: Revision) -> dict[str, Part] | None:
+        """Return the parts of the next revision made from its changes, without reading any."""
+        if revision.changes is None or revision.number != self.revision + 1:
+            return None
+        return self._patched(revision.changes, root_digest(revision.parts))
+
+    def _from_delta(self, text: str) -> dict[str, Part] | None:
+        delta = unpack_delta(text).value_or(None)
+        if delta is None or delta.base != self.revision:
+            return None
+        return self._patched(delta.changes, delta.root)
+
+    def _patched(self, changes: Sequence[RecordedChange], root: str) -> dict[str, Part] | None:
+        """Return the parts with changes, or ``None`` when they are not the ones announced."""
+        parts = patch(self._parts, changes).value_or(None)
+        if parts is None:
+            return None
+        if root_digest({name: part.digest for name, part in parts.items()}) == root:
+            return parts
+        logging.warning("event=configuration_delta_refused revision=%d", self.revision)
+        return None
 
     def _from_message(self, message: Configuration) -> dict[str, Part] | None:
         present = self._parts
@@ -230,12 +274,6 @@
             parts[name] = decoded.unwrap()
         return parts
 
-    def _keep_loose(self, digest: str, value: str) -> None:
-        with self._lock:
-            self._loose[digest] = value
-            while len(self._loose) > LOOSE_VALUES:
-                self._loose.popitem(last=False)
-
 
 def _newer(first: Revision | None, second: Revision | None) -> Revision | None:
     if first is None or (second is not None and second.number > first.number):
--- a/packages/node/src/carobspool_node/_config_objects.py
+++ b/packages/node/src/carobspool_node/_config_objects.py
@@ -17,7 +17,6 @@
     revision_from_json,
 )
 
-CONFIG_PREFIX = "config/"
 HEAD_KEY = "config/head"
 REVISIONS_PREFIX = "config/revisions/"
 PARTS_PREFIX = "config/parts/"
--- a/packages/node/src/carobspool_node/_config_watch.py
+++ b/packages/node/src/carobspool_node/_config_watch.py
@@ -10,7 +10,7 @@
 
 from carobspool_core import Millis, ObjectStore, StoreFault
 from carobspool_node._config_follower import ConfigurationFollower
-from carobspool_node._config_objects import CONFIG_PREFIX, HEAD_KEY, ConfigReadError, read_error
+from carobspool_node._config_objects import HEAD_KEY, REVISIONS_PREFIX, ConfigReadError, read_error
 
 WATCH_TIME: Millis = 30_000.0
 RETRY_PAUSE: Millis = 1_000.0
@@ -24,7 +24,7 @@
     watch_time: Millis = WATCH_TIME,
     retry_pause: Millis = RETRY_PAUSE,
 ) -> None:
-    """Keep a follower up to date by a watch of ``config/`` until ``stop`` is set.
+    """Keep a follower up to date by a watch of ``config/revisions/`` until ``stop`` is set.
 
     Runs on a thread of its own. While the store is down the follower keeps what it has, and peers
     may still bring something newer.
@@ -62,7 +62,7 @@
 def _step(
     store: ObjectStore, follower: ConfigurationFollower, since: int, watch_time: Millis
 ) -> Result[int, ConfigReadError]:
-    batch = store.watch(CONFIG_PREFIX, revision=since, timeout=watch_time)
+    batch = store.watch(REVISIONS_PREFIX, revision=since, timeout=watch_time)
     if not is_successful(batch):
         failure = batch.failure()
         if failure.fault is StoreFault.COMPACTED:
