--- a/packages/core/src/carobspool_core/_admission.py
+++ b/packages/core/src/carobspool_core/_admission.py
@@ -57,7 +57,7 @@
         self._online: FairQueue[Waiting] = make_fair_queue(settings.online_bounds)
         self._suspects: deque[Waiting] = deque()
         self._batch = BatchQueue()
-        self._pacer = Pacer()
+        self._pacer = Pacer(settings.slots, settings.slowdown, settings.between_tokens_allowance)
         self._times = ServiceTime()
         self._refused: list[tuple[RequestId, Failure]] = []
         self._prompt_starts = 0
@@ -81,6 +81,7 @@
             return self._offer_suspect(waiting)
         if work.priority is Priority.BATCH:
             return self._batch.fresh.push(ticket, now).map(lambda _: None)
+        self._pacer.arrived(now)
         self._online.set_rate(self._times.rate(self._settings.slots))
         return self._online.push(ticket, now).map(self._refuse_pushed_out)
 
@@ -93,6 +94,7 @@
         preempt: list[RequestId] = []
         self._start_suspect(start, now)
         self._start_online(start, preempt, now)
+        self._narrow(preempt, now)
         self._start_batch(start, now)
         return Decision(
             start=tuple(start), preempt=tuple(preempt), refuse=refuse, wake_at=self._wake_at(now)
@@ -103,10 +105,10 @@
         stream = self._streams.get(id)
         if stream is None:
             return
-        self._streams.end_prefill(stream)
         if stream.is_online and stream.last_token is None:
             self._times.first_token(now - stream.offered)
         self._count_tokens(stream, now, 1)
+        self._streams.end_prefill(stream)
 
     def token(self, id: RequestId, now: Millis, count: int = 1) -> None:
         """Note further tokens of a request.
@@ -125,13 +127,13 @@
 
     def finished(self, id: RequestId, now: Millis) -> None:
         """Note that a request has ended at the upstream, well or not."""
-        stream = self._streams.remove(id)
+        stream = self._end(id)
         if stream is not None and stream.last_token is not None:
             self._times.finished(now - stream.started, stream.work.cost_tokens)
 
     def cancelled(self, id: RequestId, now: Millis) -> None:
         """Note that the caller gave a request up, wherever it was."""
-        if self._streams.remove(id) is not None:
+        if self._end(id) is not None:
             return
         if self._online.remove(id) is not None or self._batch.remove(id) is not None:
             return
@@ -146,7 +148,7 @@
             kept_tokens: Answer tokens that it holds.
             kept: Whether the upstream keeps its KV cache.
         """
-        stream = self._streams.remove(id)
+        stream = self._end(id)
         if stream is None:
             return
         waiting = Waiting(
@@ -183,7 +185,7 @@
             tokens=int(running + suspects + self._online.cost + self._batch.cost),
             first_token_ewma=self._times.first_token_ewma,
             between_tokens_ewma=self._times.between_tokens_ewma,
-            width=self._width(),
+            width=self._width(now),
             prompt_starts=self._prompt_starts,
             preemptions=self._preemptions,
         )
@@ -241,46 +243,50 @@
         preempt.append(victim.work.id)
         return True
 
+    def _narrow(self, preempt: list[RequestId], now: Millis) -> None:
+        if not self._settings.keep_kv or not self._online_present():
+            return
+        while self._streams.batch > self._width(now) and self._preempt_one(preempt):
+            continue
+
     def _start_batch(self, start: list[RequestId], now: Millis) -> None:
-        while self._streams.batch < self._width():
+        while self._streams.batch < self._width(now):
             waiting = self._next_batch(now)
             if waiting is None:
                 return
             self._start(waiting, start, now)
 
-    def _width(self) -> int:
+    def _width(self, now: Millis) -> int:
         settings = self._settings
         if settings.mode is AdmissionMode.STRAIGHT:
             return settings.slots + settings.batch_backlog
         if settings.mode is AdmissionMode.CAP:
             return settings.cap
-        return max(0, settings.slots - self._streams.online)
+        width = max(0, settings.slots - self._streams.online)
+        if settings.paced and self._online_present():
+            return min(width, self._pacer.width(now))
+        return width
 
     def _next_batch(self, now: Millis) -> Waiting | None:
-        if self._settings.mode is not AdmissionMode.POLICY:
-            return self._batch.take_parked() or self._batch.take_prompt()
-        if not self._online_present():
-            return self._next_when_quiet()
         parked = self._batch.take_parked()
-        if parked is not None:
-            return parked
+        if parked is not None or self._settings.mode is not AdmissionMode.POLICY:
+            return parked or self._batch.take_prompt()
+        if not self._online_present():
+            return self._next_when_quiet(now)
         if self._settings.paced and not self._pacer.may_start(self._streams, now):
             return None
-        waiting = self._batch.take_prompt()
-        if waiting is not None:
-            self._pacer.started(now)
-        return waiting
+        return self._batch.take_prompt()
 
-    def _next_when_quiet(self) -> Waiting | None:
-        parked = self._batch.take_parked()
-        if parked is not None:
-            return parked
+    def _next_when_quiet(self, now: Millis) -> Waiting | None:
         prompt = self._batch.peek_prompt()
         if prompt is None:
             return None
+        if self._settings.paced and not self._pacer.may_start_quiet(now):
+            return None
         in_prefill = self._streams.batch_prefill
         if in_prefill and in_prefill + prompt.prefill_tokens > self._settings.prefill_tokens:
             return None
+        self._pacer.started_quiet(prompt.prefill_tokens, now)
         return self._batch.take_prompt()
 
     def _online_present(self) -> bool:
@@ -299,18 +305,34 @@
             preemptions=waiting.preemptions,
         )
         self._streams.add(stream)
+        self._pacer.steps.started(now)
+        if stream.is_online:
+            self._pacer.harm.offered(waiting.work.id, waiting.offered)
         self._prompt_starts += int(not stream.is_online and stream.is_prefilling)
         start.append(waiting.work.id)
 
+    def _end(self, id: RequestId) -> Stream | None:
+        stream = self._streams.remove(id)
+        self._pacer.harm.gone(id)
+        if len(self._streams) == 0:
+            self._pacer.steps.idle()
+        return stream
+
     def _count_tokens(self, stream: Stream, now: Millis, count: int) -> None:
         stream.tokens += count
         stream.last_token = now
+        step = self._pacer.steps.token(stream, now, count=count, prompt=stream.prefill_tokens)
+        if step is not None:
+            self._pacer.step(step)
+        if stream.is_prefilling and stream.is_online:
+            self._pacer.harm.first_token(stream.work.id, now)
 
     def _wake_at(self, now: Millis) -> Millis | None:
         instants = [self._online.next_expiry(), self._batch.fresh.next_expiry()]
-        if self._online_present() and len(self._batch):
-            instants.append(self._pacer.wake_at(now))
-        return min((instant for instant in instants if instant is not None), default=None)
+        if len(self._batch):
+            instants += [self._pacer.burst_end(), self._pacer.quiet_until()]
+        upcoming = (instant for instant in instants if instant is not None and instant > now)
+        return min(upcoming, default=None)
 
 
 def make_admission(settings: AdmissionSettings, clock: Clock) -> Admission:
