--- a/packages/node/src/carobspool_node/_attempt.py
+++ b/packages/node/src/carobspool_node/_attempt.py
@@ -22,6 +22,11 @@
 
 MAX_UNREAD_BYTES = 8 * 1024 * 1024
 ATTACH_INTERVAL: Millis = 200.0
+SILENCE_BEGUN: Millis = 1_000.0
+SILENCE_NOT_BEGUN: Millis = 5_000.0
+SILENCE_MOST: Millis = 30_000.0
+"""An answer that has begun and falls silent has lost its last messages or its upstream is slow.
+Asking costs one small message; the pause doubles, so a long wait in a queue costs two a minute."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -75,6 +80,8 @@
         self._end: End | None = None
         self._failure: Failure | None = None
         self._asked_at: Millis | None = None
+        self._heard_at: Millis = clock.now()
+        self._silence: Millis = SILENCE_NOT_BEGUN
 
     @property
     def id(self) -> RequestId:
@@ -109,6 +116,8 @@
     def receive(self, message: Message) -> None:
         """Take a `Head`, `Data` or `End` of this attempt."""
         with self._changed:
+            self._heard_at = self._clock.now()
+            self._silence = SILENCE_BEGUN
             if isinstance(message, Head):
                 self._head = message
             elif isinstance(message, Data):
@@ -152,10 +161,15 @@
         self._attach(Attach(id=self._id, sequence=self._next))
 
     def check_gap(self) -> None:
-        """Ask again when a gap has stayed open; called by a timer."""
+        """Ask again when a gap has stayed open or nothing has come; called by a timer."""
+        now = self._clock.now()
         with self._changed:
-            gap = self._gap()
-        if gap:
+            missing = self._gap()
+            if not missing and not self.ended and now - self._heard_at > self._silence:
+                self._heard_at = now
+                self._silence = min(2 * self._silence, SILENCE_MOST)
+                missing = True
+        if missing:
             self.ask_again()
 
     def _tell_end(self) -> None:
@@ -202,4 +216,5 @@
         return None
 
     def _news(self) -> bool:
-        return bool(self._ready) or self.ended
+        # Without status and headers nothing can be handed out, also if pieces came before them.
+        return (bool(self._ready) and self._head is not None) or self.ended
--- a/packages/node/src/carobspool_node/_forward.py
+++ b/packages/node/src/carobspool_node/_forward.py
@@ -176,7 +176,7 @@
             progress = sent.attempt.wait(min(left, POLL))
             if progress is None:
                 continue
-            if progress.failure is not None and not progress.data:
+            if progress.failure is not None and not (progress.data and progress.head):
                 return Failed(progress.failure)
             return Success(progress)
 
--- a/packages/node/tests/test_attempt.py
+++ b/packages/node/tests/test_attempt.py
@@ -90,3 +90,38 @@
     attempt.receive(End(id=_ID, count=0, failure=failure))
     attempt.fail(failure)
     assert heard == [1]
+
+
+def test_a_lost_end_is_asked_for() -> None:
+    """The caller sees its whole answer end, although the message of the end was lost.
+
+    All pieces are here, so there is no gap to notice; after a second of silence the entry asks the
+    sidecar, which sends the end again. The pause doubles while there is no answer.
+    """
+    asked: list[Attach] = []
+    clock = ManualClock()
+    attempt = Attempt(_ID, clock, asked.append)
+    for message in _WHOLE[:-1]:
+        attempt.receive(message)
+    attempt.check_gap()
+    assert asked == []
+    clock.advance(1_001.0)
+    attempt.check_gap()
+    assert [each.sequence for each in asked] == [len(_PIECES)]
+    clock.advance(1_500.0)
+    attempt.check_gap()
+    assert len(asked) == 1
+    attempt.receive(_WHOLE[-1])
+    assert attempt.ended
+
+
+def test_pieces_before_the_head_wait_for_it() -> None:
+    """Pieces that overtook status and headers are handed out together with them."""
+    attempt = _attempt()
+    attempt.receive(_WHOLE[1])
+    assert attempt.wait(0.0) is None
+    attempt.receive(_WHOLE[0])
+    progress = attempt.wait(0.0)
+    assert progress is not None
+    assert progress.head is not None
+    assert progress.data == _PIECES[0]
