--- a/packages/standins/src/carobspool_standins/_cluster.py
+++ b/packages/standins/src/carobspool_standins/_cluster.py
@@ -212,6 +212,15 @@
             if self._group.is_running(name)
         }
 
+    def operator_caller(self, organisation: str) -> dict[str, Any]:
+        """Return the operator as a desired state lists it: the key goes on being good by it."""
+        return {
+            "id": "operator",
+            "organisation": organisation,
+            "key_hashes": [self._operator_key.hash],
+            "role": "operator",
+        }
+
     def member(self, name: str) -> Member:
         """Return a process by its name."""
         return self._members[name]
--- a/packages/standins/src/carobspool_standins/_experiment_run.py
+++ b/packages/standins/src/carobspool_standins/_experiment_run.py
@@ -154,6 +154,7 @@
         {"id": f"caller-{number}", "organisation": ORGANISATION, "key_hashes": [key.hash]}
         for number, key in enumerate(running.callers)
     ]
+    callers.append(cluster.operator_caller(ORGANISATION))
     callers.append(
         {
             "id": "batch",
--- a/packages/standins/src/carobspool_standins/quickstart.py
+++ b/packages/standins/src/carobspool_standins/quickstart.py
@@ -101,17 +101,11 @@
         tour: The tour.
         weight: Weight of the organisation, which a later step changes.
     """
-    operator_hash = tour.cluster.operator_key.hash
     return {
         "organisations": [{"name": ORGANISATION, "weight": weight}],
         "callers": [
             {"id": "editor", "organisation": ORGANISATION, "key_hashes": [tour.key.hash]},
-            {
-                "id": "operator",
-                "organisation": ORGANISATION,
-                "key_hashes": [operator_hash],
-                "role": "operator",
-            },
+            tour.cluster.operator_caller(ORGANISATION),
         ],
         "models": [
             {"name": NOTES_MODEL, "version": "1"},
