--- a/packages/node/src/carobspool_node/_config_apply.py
+++ b/packages/node/src/carobspool_node/_config_apply.py
@@ -46,6 +46,7 @@
     TooLarge,
     UnknownBase,
 )
+from carobspool_node._config_prune import prune_after
 from carobspool_node._config_write import move_head, write_revision
 
 MAX_ROUNDS = 16
@@ -55,6 +56,18 @@
 """Revisions searched for the author of a conflicting change."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Request:
+    """One operator's apply; ``write`` tells its revision from another's of the same number."""
+
+    base: int
+    state: DesiredState
+    author: str
+    reason: str
+    at: int
+    write: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Merged:
     state: DesiredState
@@ -87,45 +100,19 @@
 
     Since 0.1.
     """
-    write = uuid.uuid4().hex
+    request = _Request(
+        base=base, state=new_state, author=author, reason=reason, at=now(), write=uuid.uuid4().hex
+    )
     for _ in range(MAX_ROUNDS):
         fresh = follower.refresh()
         if not is_successful(fresh):
             return Failure(StoreDown(detail=fresh.failure().detail))
-        head = follower.state
-        head_parts = follower.parts
-        merged = _merge(store, base, new_state, head, head_parts)
-        if not is_successful(merged):
-            return Failure(merged.failure())
-        wanted = merged.unwrap()
-        changes = diff(head, wanted.state)
-        if not changes:
-            return Success(
-                Applied(revision=head.revision, changes=(), over=wanted.over, written=False)
-            )
-        parts = split(wanted.state, head_parts)
-        if not is_successful(parts):
-            return Failure(TooLarge(errors=parts.failure()))
-        revision = Revision(
-            number=head.revision + 1,
-            base=base,
-            author=author,
-            reason=reason,
-            at=now(),
-            write=write,
-            summary=summarise(changes),
-            count=len(changes),
-            parts={name: part.digest for name, part in parts.unwrap().items()},
-            changes=record_changes(changes),
-        )
-        accepted = write_revision(store, revision, parts.unwrap(), head_parts)
-        if not is_successful(accepted):
-            return Failure(accepted.failure())
-        if not accepted.unwrap():
-            continue
-        move_head(store, revision.number)
-        follower.take(revision.number, parts.unwrap())
-        return Success(Applied(revision=revision.number, changes=changes, over=wanted.over))
+        applied = _apply_once(store, follower, request)
+        if not is_successful(applied):
+            return Failure(applied.failure())
+        accepted = applied.unwrap()
+        if accepted is not None:
+            return Success(accepted)
     return Failure(StoreDown(detail=f"others applied first {MAX_ROUNDS} times"))
 
 
@@ -150,6 +137,52 @@
     )
 
 
+def _apply_once(
+    store: ObjectStore, follower: ConfigurationFollower, request: _Request
+) -> Result[Applied | None, ApplyError]:
+    """Apply on the head as it is known here; ``None`` when another applied first."""
+    head = follower.state
+    head_parts = follower.parts
+    merged = _merge(store, request.base, request.state, head, head_parts)
+    if not is_successful(merged):
+        return Failure(merged.failure())
+    wanted = merged.unwrap()
+    changes = diff(head, wanted.state)
+    if not changes:
+        unchanged = Applied(revision=head.revision, changes=(), over=wanted.over, written=False)
+        return Success(unchanged)
+    parts = split(wanted.state, head_parts)
+    if not is_successful(parts):
+        return Failure(TooLarge(errors=parts.failure()))
+    revision = _revision(request, head.revision + 1, changes, parts.unwrap())
+    accepted = write_revision(store, revision, parts.unwrap(), head_parts)
+    if not is_successful(accepted):
+        return Failure(accepted.failure())
+    if not accepted.unwrap():
+        return Success(None)
+    move_head(store, revision.number)
+    follower.take(revision.number, parts.unwrap())
+    prune_after(store, revision.number)
+    return Success(Applied(revision=revision.number, changes=changes, over=wanted.over))
+
+
+def _revision(
+    request: _Request, number: int, changes: tuple[Change, ...], parts: Parts
+) -> Revision:
+    return Revision(
+        number=number,
+        base=request.base,
+        author=request.author,
+        reason=request.reason,
+        at=request.at,
+        write=request.write,
+        summary=summarise(changes),
+        count=len(changes),
+        parts={name: part.digest for name, part in parts.items()},
+        changes=record_changes(changes),
+    )
+
+
 def _merge(
     store: ObjectStore, base: int, mine: DesiredState, head: DesiredState, head_parts: Parts
 ) -> Result[_Merged, ApplyError]:
--- a/packages/node/src/carobspool_node/_config_write.py
+++ b/packages/node/src/carobspool_node/_config_write.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from carobspool_core import ObjectStore, StoreFailure, StoreFault
-from carobspool_core.revision import Parts, Revision, revision_from_json, revision_to_json
+from carobspool_core.revision import Part, Parts, Revision, revision_from_json, revision_to_json
 from carobspool_node._config_objects import HEAD_KEY, part_key, part_value, revision_key
 from carobspool_node._config_outcomes import ApplyError, OutcomeUnknown, StoreDown
 
@@ -26,12 +26,31 @@
     for part in parts.values():
         if part.digest in present:
             continue
-        stored = _create(store, part_key(part.digest), part_value(part))
-        if isinstance(stored, StoreFailure) and stored.fault is not StoreFault.CONFLICT:
-            return Failure(StoreDown(detail=f"{stored.key}: {stored.fault} {stored.detail}"))
+        failure = _ensure_part(store, part)
+        if failure is not None:
+            return Failure(StoreDown(detail=f"{failure.key}: {failure.fault} {failure.detail}"))
     return _create_revision(store, revision)
 
 
+def _ensure_part(store: ObjectStore, part: Part) -> StoreFailure | None:
+    """Write a part, or write it again where it stands already.
+
+    It may be left from an older revision, and about to be pruned as unused. Writing it again gives
+    it a version that is newer than the head, and pruning leaves such a part alone.
+    """
+    key = part_key(part.digest)
+    failure = _create(store, key, part_value(part))
+    if failure is None or failure.fault is not StoreFault.CONFLICT:
+        return failure
+    found = store.get(key)
+    if not is_successful(found):
+        return found.failure()
+    touched = store.update(key, part_value(part), version=found.unwrap().version)
+    if is_successful(touched) or touched.failure().fault is StoreFault.CONFLICT:
+        return None  # A conflict: another applier has just written the same content.
+    return touched.failure()
+
+
 def _create_revision(store: ObjectStore, revision: Revision) -> Result[bool, ApplyError]:
     key = revision_key(revision.number)
     failure = _create(store, key, revision_to_json(revision))
--- a/packages/node/src/carobspool_node/_configuration_exchange.py
+++ b/packages/node/src/carobspool_node/_configuration_exchange.py
@@ -1,8 +1,9 @@
 """Passing the configuration from process to process.
 
-Each side announces the revision it has with the digests of its parts; a side that lacks some says
-so by announcing its own, and gets just the parts that it lacks. So a change reaches every process
-also while the store is down, and costs what it changed.
+A process that takes a revision tells its peers the changes alone. On connecting, and by a peer that
+cannot use the changes, the revision is told with the digests of its parts; who lacks some says so
+by announcing its own, and gets just the parts that it lacks. So a change reaches every process also
+while the store is down, and costs what it changed.
 """
 
 from __future__ import annotations
@@ -17,6 +18,11 @@
     return follower.message_for(follower.digests)
 
 
+def news(follower: ConfigurationFollower) -> Configuration:
+    """Return the message that tells peers of a revision just taken."""
+    return follower.news()
+
+
 def exchange(follower: ConfigurationFollower, message: Configuration, link: Link) -> bool:
     """Take or answer a peer's message.
 
--- a/packages/node/src/carobspool_node/_entry_node.py
+++ b/packages/node/src/carobspool_node/_entry_node.py
@@ -29,7 +29,7 @@
 from carobspool_node._batch_forward import BatchForwarder
 from carobspool_node._caller_keys import CallerKeys
 from carobspool_node._config_store import follow, make_follower
-from carobspool_node._configuration_exchange import announcement, exchange
+from carobspool_node._configuration_exchange import announcement, exchange, news
 from carobspool_node._drain_follower import DrainFollower
 from carobspool_node._entry_jobs import EntryJobs
 from carobspool_node._fleet import Fleet
@@ -221,7 +221,7 @@
         self._announce()
 
     def _announce(self) -> None:
-        message = announcement(self._follower)
+        message = news(self._follower)
         self._hints.broadcast(message)
         self._fleet.broadcast(message)
 
--- a/packages/node/tests/test_config_store.py
+++ b/packages/node/tests/test_config_store.py
@@ -11,13 +11,17 @@
 from returns.result import Result
 
 from carobspool_core import (
+    BatchShaping,
     Caller,
     CallerRole,
+    Configuration,
     DesiredState,
     ManualClock,
     Organisation,
     audit_to_json,
 )
+from carobspool_core.revision import pack_delta, unpack_delta
+from carobspool_node._config_prune import prune_after
 from carobspool_node._config_store import (
     Applied,
     ApplyError,
@@ -190,6 +194,41 @@
     assert not rui.follower.refresh().value_or(False)
 
 
+def test_news_of_the_next_revision_is_its_changes_alone(objects: MemoryObjects) -> None:
+    """A peer that has the revision before takes the changes; one that has not asks for parts."""
+    ana, rui, new = Node(objects, "ana"), Node(objects, "rui"), Node(objects, "new")
+    ana.apply(0, organisations(a=1.0, b=1.0))
+    rui.follower.refresh()
+    ana.apply(1, replace(organisations(a=2.0), batch=BatchShaping(chunk_items=9)))
+    news = ana.follower.news()
+    assert not news.parts
+    assert rui.follower.offer(news)
+    assert rui.follower.state == ana.follower.state
+    assert rui.follower.digests == ana.follower.digests
+    assert not new.follower.offer(news)
+    assert new.follower.lacking(news)
+    assert new.follower.offer(ana.follower.message_for(new.follower.digests))
+
+
+def test_changes_that_lead_elsewhere_are_refused(objects: MemoryObjects) -> None:
+    """Changes whose result is not what the revision's digests name are not taken.
+
+    A peer of another build could write an entry differently; its changes would then bring a state
+    into force that no operator applied. The parts are read instead.
+    """
+    ana, rui = Node(objects, "ana"), Node(objects, "rui")
+    ana.apply(0, organisations(a=1.0))
+    rui.follower.refresh()
+    ana.apply(1, organisations(a=2.0))
+    delta = unpack_delta(ana.follower.news().values["delta"]).unwrap()
+    wrong = replace(delta, root="0" * 32)
+    message = Configuration(revision=2, values={"delta": pack_delta(wrong)})
+    assert not rui.follower.offer(message)
+    assert not rui.follower.offer(replace(message, values={"delta": "?"}))
+    assert rui.follower.revision == 1
+    assert rui.follower.lacking(message)
+
+
 def test_an_old_revision_that_arrives_late_is_ignored(objects: MemoryObjects) -> None:
     """Neither a peer's late message nor a store that lags takes a process back."""
     ana = Node(objects, "ana")
@@ -263,3 +302,23 @@
     assert len(objects.value("drains/up-1")["audit"]) == 2
     store.outage = True
     assert set_drain(store, "up-1", True, "ana", "x").failure().unknown is False
+
+
+def test_parts_of_old_revisions_are_pruned_unless_used_again(objects: MemoryObjects) -> None:
+    """What only an old revision used is removed; what a later one took up again stays.
+
+    Revision 3 returns to the content of revision 1, whose parts stand in the store still. Pruning
+    for revision 1 comes later and must not take them away.
+    """
+    ana, rui = Node(objects, "ana"), Node(objects, "rui")
+    ana.apply(0, organisations(a=1.0))
+    first = ana.follower.digests
+    ana.apply(1, organisations(a=2.0))
+    second = ana.follower.digests
+    ana.apply(2, organisations(a=1.0))
+    assert prune_after(ana.store, 3, kept=2) == 0
+    assert prune_after(ana.store, 3, kept=1) == 1
+    assert rui.follower.refresh().unwrap()
+    (gone,) = second - first
+    assert objects.value(f"config/parts/{gone}") is None
+    assert prune_after(ana.store, 2) == 0
--- a/tools/cost_configuration.py
+++ b/tools/cost_configuration.py
@@ -14,8 +14,9 @@
 import statistics
 import subprocess
 import sys
+import tempfile
 import time
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from pathlib import Path
 
 from returns.result import Result
@@ -23,6 +24,7 @@
 from carobspool_core import (
     Caller,
     CallerRole,
+    Configuration,
     DesiredState,
     Json,
     Model,
@@ -33,7 +35,7 @@
     monotonic_clock,
 )
 from carobspool_core.schema import dump_state, parse_state
-from carobspool_node._codec import encode_frame
+from carobspool_node._codec import decode_frame, encode_frame
 from carobspool_node._config_store import apply_state, make_follower
 from carobspool_standins.memory_store import MemoryObjects, MemoryStore
 
@@ -46,23 +48,6 @@
 SECONDS_A_DAY = 86_400
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Cost:
-    """Figures of one size; times are processor time in milliseconds, medians over the changes."""
-
-    organisations: int
-    first_written: int
-    written: int
-    writes: int
-    reads: int
-    shipped: int
-    announced: int
-    parse: float
-    apply: float
-    follow: float
-    memory_mb: float
-
-
 class CountingStore(MemoryStore):
     """Counts what is written, as the store would hold it."""
 
@@ -89,7 +74,11 @@
     """Measure each size and print the table."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--size", type=int, help="measure this size alone and print it as JSON")
+    parser.add_argument("--follow", type=Path, help="print the memory that this frame's state adds")
     options = parser.parse_args()
+    if options.follow:
+        print(follow_memory(options.follow))
+        return 0
     if options.size:
         print(json.dumps(measure(options.size)))
         return 0
@@ -124,7 +113,8 @@
     apply_state(store, entry, 0, state, "operator", "first").unwrap()
     first_written = store.written
     peer.offer(entry.message_for(()))
-    applies, follows, sizes, announcements = [], [], [], []
+    memory = lone_follower_memory(encode_frame([entry.message_for(())]))
+    applies, follows, deltas, sizes, announcements = [], [], [], [], []
     store.written = 0
     calls = store.count("create", "update"), store.count("get", "list")
     for number in range(CHANGES):
@@ -133,12 +123,15 @@
         apply_state(store, entry, entry.revision, state, "operator", "one caller").unwrap()
         applies.append(elapsed(started))
         announcements.append(len(encode_frame([entry.message_for(entry.digests)])))
-        message = entry.message_for(peer.digests)
-        sizes.append(len(encode_frame([message])))
+        sizes.append(len(encode_frame([entry.message_for(peer.digests)])))
+        news = entry.news()
+        deltas.append(len(encode_frame([news])))
         started = time.process_time()
-        assert peer.offer(message)
+        assert peer.offer(news)
         follows.append(elapsed(started))
-    shipped = int(statistics.median(sizes))
+    revision = store.get(f"config/revisions/{entry.revision:010d}").unwrap().value
+    shipped = int(statistics.median(deltas))
+    watched = len(json.dumps(revision))
     return {
         "organisations": size,
         "callers": size * CALLERS_EACH,
@@ -146,13 +139,19 @@
         "one caller: bytes written": store.written // CHANGES,
         "one caller: writes": (store.count("create", "update") - calls[0]) / CHANGES,
         "one caller: reads": round((store.count("get", "list") - calls[1]) / CHANGES, 1),
-        "one caller: bytes shipped to a peer": shipped,
-        "announcement without values: bytes": int(statistics.median(announcements)),
-        "bytes a second at 7,000 changes a day": round(shipped * CHANGES_A_DAY / SECONDS_A_DAY),
+        "one caller: bytes to a peer, changes alone": shipped,
+        "one caller: bytes to a peer, parts": int(statistics.median(sizes)),
+        "one caller: bytes of the watch event": watched,
+        "digests of all parts: bytes": int(statistics.median(announcements)),
+        "7,000 changes a day: watch and one peer, bytes/s": a_second(shipped + watched),
+        "state as JSON: bytes": len(json.dumps(dump_state(state))),
         "validate: ms": round(parse, 1),
         "apply: ms": round(statistics.median(applies), 1),
         "follow: ms": round(statistics.median(follows), 1),
-        "process with two copies: MB": round(memory_mb(), 0),
+        "7,000 changes a day: follow, share of a core %": round(
+            statistics.median(follows) * CHANGES_A_DAY / SECONDS_A_DAY / 10.0, 2
+        ),
+        "memory that following adds: MB": memory,
     }
 
 
@@ -203,9 +202,36 @@
     return (time.process_time() - started) * 1000.0
 
 
-def memory_mb() -> float:
-    """Return the highest resident memory of this process in megabytes."""
-    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0
+def a_second(size: int) -> int:
+    """Return bytes a second when this many are moved for each change."""
+    return round(size * CHANGES_A_DAY / SECONDS_A_DAY)
+
+
+def lone_follower_memory(frame: bytes) -> float:
+    """Return the memory in MB that a state adds to a process which does nothing else."""
+    with tempfile.NamedTemporaryFile() as file:
+        file.write(frame)
+        file.flush()
+        command = [sys.executable, str(Path(__file__)), "--follow", file.name]
+        output = subprocess.run(command, check=True, capture_output=True, text=True).stdout
+    return float(output)
+
+
+def follow_memory(path: Path) -> float:
+    """Take the state of a frame, and return the memory that this added, in MB."""
+    before = resident_memory()
+    follower = make_follower(MemoryStore(MemoryObjects(), "peer"), monotonic_clock())
+    (message,) = decode_frame(path.read_bytes())
+    assert isinstance(message, Configuration)
+    assert follower.offer(message)
+    del message
+    return round(resident_memory() - before, 1)
+
+
+def resident_memory() -> float:
+    """Return the resident memory of this process in MB."""
+    pages = int(Path("/proc/self/statm").read_text(encoding="ascii").split()[1])
+    return pages * resource.getpagesize() / 1024.0 / 1024.0
 
 
 if __name__ == "__main__":
