--- a/packages/core/src/carobspool_core/schema/_check.py
+++ b/packages/core/src/carobspool_core/schema/_check.py
@@ -16,10 +16,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Source:
-    """One validated file; the name is empty for a state that came as one JSON value."""
+    """A validated file, or a piece of a long one.
+
+    Attributes:
+        file: Its name; empty for a state that came as one JSON value.
+        model: What it holds.
+        first: Place of the piece's first entry in its section.
+    """
 
     file: str
     model: StateModel
+    first: int = 0
 
 
 Place = tuple[str, tuple[str | int, ...]]
@@ -67,20 +74,20 @@
 
 def _claim_names(index: _Index, source: Source) -> None:
     file, model = source.file, source.model
-    for number, organisation in enumerate(model.organisations):
+    for number, organisation in enumerate(model.organisations, source.first):
         path = ("organisations", number, "name")
         index.claim("organisation", organisation.name, file, path)
-    for number, caller in enumerate(model.callers):
+    for number, caller in enumerate(model.callers, source.first):
         index.claim("caller", caller.id, file, ("callers", number, "id"))
         for position, key_hash in enumerate(caller.key_hashes):
             path_of_hash = ("callers", number, "key_hashes", position)
             index.claim(KEY_HASH, key_hash, file, path_of_hash)
-    for number, served in enumerate(model.models):
+    for number, served in enumerate(model.models, source.first):
         index.claim("model", served.name, file, ("models", number, "name"))
-    for number, upstream in enumerate(model.upstreams):
+    for number, upstream in enumerate(model.upstreams, source.first):
         index.claim("host", upstream.host, file, ("upstreams", number, "host"))
         index.claim("address", upstream.address, file, ("upstreams", number, "address"))
-    for number, service in enumerate(model.services):
+    for number, service in enumerate(model.services, source.first):
         index.claim("service", service.name, file, ("services", number, "name"))
         for position, route in enumerate(service.routes):
             path_of_route = ("services", number, "routes", position, "prefix")
@@ -104,7 +111,7 @@
 
 
 def _check_callers(index: _Index, source: Source, organisations: set[str]) -> None:
-    for number, caller in enumerate(source.model.callers):
+    for number, caller in enumerate(source.model.callers, source.first):
         if caller.organisation in organisations:
             continue
         path = ("callers", number, "organisation")
@@ -117,7 +124,7 @@
         "engine": lambda upstream: _engine_problems(upstream, models),
         "service": lambda upstream: _service_problems(upstream, services),
     }
-    for number, upstream in enumerate(source.model.upstreams):
+    for number, upstream in enumerate(source.model.upstreams, source.first):
         for name, found, allowed in checks[upstream.kind](upstream):
             index.refuse(source.file, ("upstreams", number, name), found, allowed)
 
--- a/packages/core/src/carobspool_core/schema/_convert.py
+++ b/packages/core/src/carobspool_core/schema/_convert.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Any
 
 from carobspool_core._config import (
@@ -36,19 +37,23 @@
 _NO_BOUNDS = (None, None, None)
 
 
-def to_state(model: StateModel, *, revision: int = 0) -> DesiredState:
-    """Return the data classes of a validated state."""
-    batch = model.batch or BatchModel()
-    slowdown = model.online_slowdown or OnlineSlowdownModel()
+def to_state(parts: Sequence[StateModel], *, revision: int = 0) -> DesiredState:
+    """Return the data classes of a state that was validated in parts."""
+    batches = [to_batch(each.batch) for each in parts if each.batch is not None]
+    slowdowns = [
+        to_slowdown(each.online_slowdown) for each in parts if each.online_slowdown is not None
+    ]
     return DesiredState(
         revision=revision,
-        organisations={item.name: to_organisation(item) for item in model.organisations},
-        callers={item.id: to_caller(item) for item in model.callers},
-        models={item.name: to_model(item) for item in model.models},
-        upstreams={item.host: to_upstream(item) for item in model.upstreams},
-        services={item.name: to_service(item) for item in model.services},
-        batch=to_batch(batch),
-        online_slowdown=to_slowdown(slowdown),
+        organisations={
+            item.name: to_organisation(item) for each in parts for item in each.organisations
+        },
+        callers={item.id: to_caller(item) for each in parts for item in each.callers},
+        models={item.name: to_model(item) for each in parts for item in each.models},
+        upstreams={item.host: to_upstream(item) for each in parts for item in each.upstreams},
+        services={item.name: to_service(item) for each in parts for item in each.services},
+        batch=batches[0] if batches else BatchShaping(),
+        online_slowdown=slowdowns[0] if slowdowns else OnlineSlowdown(),
     )
 
 
--- a/packages/core/src/carobspool_core/schema/_folder.py
+++ b/packages/core/src/carobspool_core/schema/_folder.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+import re
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from returns.pipeline import is_successful
@@ -17,6 +18,10 @@
 from carobspool_core.schema._models import StateModel
 
 FILE_PATTERN = "*.json"
+SLICE = 500
+"""Entries of a section that are validated in one go."""
+
+_FIRST_INDEX = re.compile(r"\[(\d+)\]")
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -43,11 +48,9 @@
     sources: list[Source] = []
     problems: list[Problem] = []
     for file in files:
-        found = _read_file(file)
-        if isinstance(found, Source):
-            sources.append(found)
-            continue
-        problems.extend(found)
+        found, wrong = _read_file(file)
+        sources.extend(found)
+        problems.extend(wrong)
     if problems:
         # Names in a refused file are unknown, so references to them would be reported falsely.
         return Failure(_own(problems))
@@ -63,10 +66,10 @@
 
     Since 0.1.
     """
-    model = validate(StateModel, value)
-    if not is_successful(model):
-        return Failure(_own(model.failure()))
-    return _whole([Source(file="", model=model.unwrap())], revision=revision)
+    sources, problems = _read_value(value, "")
+    if problems:
+        return Failure(_own(problems))
+    return _whole(sources, revision=revision)
 
 
 def check_state(state: DesiredState) -> tuple[ConfigError, ...]:
@@ -78,14 +81,52 @@
     return () if is_successful(result) else result.failure()
 
 
-def _read_file(file: Path) -> Source | Sequence[Problem]:
+def _read_file(file: Path) -> tuple[list[Source], list[Problem]]:
     value = read_json(file)
     if not is_successful(value):
-        return [value.failure()]
-    model = validate(StateModel, value.unwrap(), file=file.name)
-    if not is_successful(model):
-        return model.failure()
-    return Source(file=file.name, model=model.unwrap())
+        return [], [value.failure()]
+    return _read_value(value.unwrap(), file.name)
+
+
+def _read_value(value: Json, file: str) -> tuple[list[Source], list[Problem]]:
+    sources: list[Source] = []
+    problems: list[Problem] = []
+    for first, piece in _slices(value):
+        model = validate(StateModel, piece, file=file)
+        if is_successful(model):
+            sources.append(Source(file=file, model=model.unwrap(), first=first))
+            continue
+        problems.extend(_shifted(problem, first) for problem in model.failure())
+    return sources, problems
+
+
+def _slices(value: Json) -> Iterator[tuple[int, Json]]:
+    """Cut long sections, and yield each piece with the place of its first entry.
+
+    The validation of one value runs in one call that lets no other thread go on. At 30,000
+    organisations an entry would stand still for as long, and its online streams with it.
+    """
+    if not isinstance(value, dict):
+        yield 0, value
+        return
+    long = [name for name, items in value.items() if _is_long(items)]
+    yield 0, {name: items for name, items in value.items() if name not in long}
+    for name in long:
+        items = value[name]
+        for first in range(0, len(items), SLICE):
+            yield first, {name: items[first : first + SLICE]}
+
+
+def _is_long(items: Json) -> bool:
+    return isinstance(items, list) and len(items) > SLICE
+
+
+def _shifted(problem: Problem, first: int) -> Problem:
+    """Return a problem of a piece with its place in the whole section."""
+    if not first:
+        return problem
+    path = _FIRST_INDEX.sub(lambda found: f"[{int(found[1]) + first}]", problem.path, count=1)
+    return replace(problem, path=path)
 
 
 def _whole(
@@ -94,24 +135,7 @@
     problems = check_whole(sources)
     if problems:
         return Failure(_own(problems))
-    return Success(to_state(_joined(sources), revision=revision))
-
-
-def _joined(sources: Sequence[Source]) -> StateModel:
-    if len(sources) == 1:
-        return sources[0].model
-    models = [source.model for source in sources]
-    batches = [model.batch for model in models if model.batch is not None]
-    slowdowns = [model.online_slowdown for model in models if model.online_slowdown is not None]
-    return StateModel(
-        organisations=[item for model in models for item in model.organisations],
-        callers=[item for model in models for item in model.callers],
-        models=[item for model in models for item in model.models],
-        upstreams=[item for model in models for item in model.upstreams],
-        services=[item for model in models for item in model.services],
-        batch=batches[0] if batches else None,
-        online_slowdown=slowdowns[0] if slowdowns else None,
-    )
+    return Success(to_state([source.model for source in sources], revision=revision))
 
 
 def _no_files(path: Path) -> ConfigError:
--- a/packages/core/tests/test_schema.py
+++ b/packages/core/tests/test_schema.py
@@ -154,3 +154,20 @@
     """A folder without files is an error, not an empty state."""
     (error,) = load_folder(tmp_path).failure()
     assert error.found == "no file *.json"
+
+
+def test_places_in_a_long_section_are_those_of_the_whole() -> None:
+    """Long sections are validated piece by piece, and errors count from the section's start."""
+    value = whole()
+    value["models"] += [{"name": f"m{number}", "version": "1"} for number in range(1300)]
+    assert len(parse_state(value).unwrap().models) == 1301
+    value["models"][1200]["version"] = 1
+    value["models"][700] |= {"adapters": ["a", 7]}
+    assert [error.path for error in errors_of(value)] == [
+        "models[700].adapters[1]",
+        "models[1200].version",
+    ]
+    del value["models"][1200], value["models"][700]
+    value["models"].append({"name": "m650", "version": "1"})
+    (error,) = errors_of(value)
+    assert (error.path, "models[651].name" in error.allowed) == ("models[1299].name", True)
