--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -25,6 +25,7 @@
     make_gossip,
     peers_to_dial,
 )
+from carobspool_core._load_reports import LoadReporter, make_load_reporter, report_interval
 from carobspool_core._membership import (
     Membership,
     heartbeat_interval,
@@ -127,6 +128,7 @@
     "Load",
     "LoadOrder",
     "LoadOrderKind",
+    "LoadReporter",
     "ManualClock",
     "Membership",
     "Message",
@@ -173,6 +175,7 @@
     "invalid_request",
     "make_dispatcher",
     "make_gossip",
+    "make_load_reporter",
     "make_membership",
     "make_retry_policy",
     "make_router",
@@ -185,6 +188,7 @@
     "plan_model_loads",
     "rank",
     "rate_limited",
+    "report_interval",
     "subset_size",
     "unavailable",
     "wall_millis",
--- a/packages/core/src/carobspool_core/_ejection.py
+++ b/packages/core/src/carobspool_core/_ejection.py
@@ -22,11 +22,13 @@
 MAX_EJECTED_SHARE = 1 / 3
 SLOW_RATIO = 3.0
 """Times the pool's median: prompts differ by about 2 within a pool, averages over 8 by far less."""
-SLOW_FLOOR: Millis = 50.0
-"""Below this no upstream counts as slow: callers can't tell, and small medians make big ratios."""
+SLOW_FLOOR: Millis = 300.0
+"""Below this no upstream counts as slow: a quarter of the 1.2 s that callers are to wait at most. A
+lower floor ejects upstreams for computing prompts that others have in their caches."""
 SAMPLES = 11
 """The middle one of the last eleven decides, so up to five long prompts do not."""
-MIN_SAMPLES = 5
+MIN_SAMPLES = 8
+"""With five, chance alone ejected an upstream within 10 s of a start (trial, seed 1)."""
 HUNG_FLOOR: Millis = 2_000.0
 """Two requests that wait longer than this, and longer than three times what counts as slow, show
 that an upstream hangs: a prompt of 8,000 tokens takes under a second."""
--- a/packages/core/tests/pool_model.py
+++ b/packages/core/tests/pool_model.py
@@ -3,7 +3,8 @@
 An engine has slots and takes requests in order of arrival. A request waits for a slot, then for
 its prompt (0.1 ms a token, a fifth of that when the prefix is cached), then for its answer (16 ms
 a token and 0.4 ms more for each request beside it). A sidecar refuses at once when its queue is
-full. It reports its load to every entry at intervals and with each answer's end, 1.5 ms late.
+full. It reports its load to every entry when `LoadReporter` says so, or at fixed intervals, and
+with each answer's end; each report arrives 1.5 ms late.
 """
 
 from __future__ import annotations
@@ -30,9 +31,11 @@
     SidecarState,
     Target,
     broken_upstream,
+    make_load_reporter,
     make_retry_policy,
     make_router,
     rate_limited,
+    report_interval,
 )
 
 MODEL = "reading-desk"
@@ -76,7 +79,7 @@
     entries: int = 3
     queue: int = 16
     cached_prefixes: int = 4
-    report_every: Millis = 1_000.0
+    report_every: Millis | None = None
     slow: dict[str, float] = field(default_factory=dict)
     crash_at: dict[str, Millis] = field(default_factory=dict)
 
@@ -90,6 +93,7 @@
         self.queue: list[_Attempt] = []
         self.cache: OrderedDict[str, None] = OrderedDict()
         self.crashed = False
+        self.reporter = make_load_reporter()
 
     def load(self) -> Load:
         both = [*self.running.values(), *self.queue]
@@ -155,7 +159,8 @@
             make_retry_policy(self._clock, retry) for _ in range(shape.entries)
         ]
         for offset, host in enumerate(hosts):
-            self._report(host, first=shape.report_every * offset / len(hosts))
+            delay = self._report_interval * offset / len(hosts)
+            self._after(delay, lambda host=host: self._report(host))  # type: ignore[misc]
         for host, instant in shape.crash_at.items():
             self._at(instant, lambda host=host: self._crash(host))  # type: ignore[misc]
 
@@ -191,15 +196,19 @@
     def _after(self, delay: Millis, event: Callable[[], None]) -> None:
         self._at(self._clock.now() + delay, event)
 
-    def _report(self, host: str, *, first: Millis | None = None) -> None:
+    @property
+    def _report_interval(self) -> Millis:
+        return self._shape.report_every or report_interval(self._shape.entries)
+
+    def _report(self, host: str) -> None:
         engine = self.engines[host]
         if engine.crashed:
             return
-        if first is None:
-            load = engine.load()
+        load, now = engine.load(), self._clock.now()
+        if self._shape.report_every or engine.reporter.is_due(load, self._shape.entries, now):
             for router in self.routers:
                 self._after(NETWORK, lambda r=router: r.observe(host, load, self._clock.now()))  # type: ignore
-        self._after(first or self._shape.report_every, lambda: self._report(host))
+        self._after(self._report_interval, lambda: self._report(host))
 
     def _arrive(self, ending: Ending) -> None:
         entry = self._rng.randrange(self._shape.entries)
--- a/tools/routing_trial.py
+++ b/tools/routing_trial.py
@@ -1,7 +1,7 @@
 """What each part of routing is worth: load patterns with it and without it, in one run.
 
 Prints a table of what callers receive, on the pool model of the core's tests: 9 upstreams with 8
-slots and 3 entries (Hollowbrook's reading-desk), loads reported once a second. Each row is the
+slots and 3 entries (Hollowbrook's reading-desk). Each row is the
 mean over the seeds, followed by the least and the greatest 95th percentile of the first token.
 
     .venv/bin/python tools/routing_trial.py --seeds 5
@@ -12,7 +12,7 @@
 import argparse
 import sys
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from random import Random
 from statistics import mean
@@ -21,27 +21,37 @@
 
 from pool_model import Arrival, Pool, PoolShape, arrivals, first_tokens, percentile
 
-from carobspool_core import RetrySettings, RoutingSettings
+from carobspool_core import Millis, RetrySettings, RoutingSettings
 
 CAPACITY = 30.0
 """Answers a second that the 9 x 8 slots give at full load, measured with 60 arrivals a second."""
 
-FULL = RoutingSettings()
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Variant:
+    """Routing with one part switched off or changed."""
+
+    routing: RoutingSettings = RoutingSettings()
+    retry: RetrySettings = RetrySettings()
+    report_every: Millis | None = None
+
+
+BLIND = RoutingSettings(choices=1, prefer_own_domain=False)
+UNBOUNDED = RetrySettings(budget=1.0, reserve=1e9, overload_share=1e9)
 VARIANTS = {
-    "all parts": (FULL, RetrySettings()),
-    "one choice": (RoutingSettings(choices=1, prefer_own_domain=False), RetrySettings()),
-    "three choices": (RoutingSettings(choices=3), RetrySettings()),
-    "no lag correction": (RoutingSettings(lag_correction=False), RetrySettings()),
-    "tokens alone": (RoutingSettings(free_slot_first=False), RetrySettings()),
-    "no affinity": (RoutingSettings(affinity=False), RetrySettings()),
-    "affinity unbounded": (RoutingSettings(free_share=1e9), RetrySettings()),
-    "no ejection": (RoutingSettings(ejection=False), RetrySettings()),
-    "any domain": (RoutingSettings(prefer_own_domain=False), RetrySettings()),
-    "retries unbounded": (
-        FULL,
-        RetrySettings(budget=1.0, reserve=1e9, overload_share=1e9),
-    ),
-    "no retries": (FULL, RetrySettings(max_attempts=1)),
+    "all parts": Variant(),
+    "one choice": Variant(routing=BLIND),
+    "three choices": Variant(routing=RoutingSettings(choices=3)),
+    "no lag correction": Variant(routing=RoutingSettings(lag_correction=False)),
+    "reports each 1 s": Variant(report_every=1_000.0),
+    "reports each 5 s": Variant(report_every=5_000.0),
+    "tokens alone": Variant(routing=RoutingSettings(free_slot_first=False)),
+    "no affinity": Variant(routing=RoutingSettings(affinity=False)),
+    "affinity unbounded": Variant(routing=RoutingSettings(free_share=1e9)),
+    "no ejection": Variant(routing=RoutingSettings(ejection=False)),
+    "any domain": Variant(routing=RoutingSettings(prefer_own_domain=False)),
+    "retries unbounded": Variant(retry=UNBOUNDED),
+    "no retries": Variant(retry=RetrySettings(max_attempts=1)),
 }
 
 
@@ -80,7 +90,7 @@
 def _burst(rng: Random) -> list[Arrival]:
     calm = arrivals(rng, rate=8, seconds=90)
     for start in range(5, 90, 12):
-        calm += arrivals(rng, rate=40, seconds=1.0, start=start * 1000.0)
+        calm += arrivals(rng, rate=50, seconds=1.0, start=start * 1000.0)
     return calm
 
 
@@ -132,8 +142,9 @@
 
 def _run(name: str, variant: str, seed: int) -> Figures:
     scenario = SCENARIOS[name]
-    routing, retry = VARIANTS[variant]
-    pool = Pool(scenario.shape, seed=seed, routing=routing, retry=retry)
+    chosen = VARIANTS[variant]
+    shape = replace(scenario.shape, report_every=chosen.report_every)
+    pool = Pool(shape, seed=seed, routing=chosen.routing, retry=chosen.retry)
     endings = pool.run(scenario.load(Random(seed)))
     times = first_tokens(endings)
     return Figures(
