Dispatch: due times judged together

Cause: ten jobs of about 5,000 items due at the same hour were each found urgent 67 s before it, too late for all of them. Ruled out: a heap of latest starts by job (what it replaces); serving the earliest due alone, which ends the small jobs after 900 s instead of 8. Conclusion: all that is due until a date is compared with half of the rate, every 5 s.

--- a/packages/core/src/carobspool_core/_dispatch.py
+++ b/packages/core/src/carobspool_core/_dispatch.py
@@ -5,10 +5,13 @@
 shares alone a job due at dawn gets no more than one due next week.
 
 Credits go by stride scheduling: each organisation advances a virtual time by 1 / weight for an
-item, and the one furthest behind is next; within it jobs take turns the same way. Jobs that can
-only just meet their due time go first, the one with the least time to spare ahead of the others,
-with at most half of the credits; these are not charged to the organisation, or its other jobs
-would pay for them.
+item, and the one furthest behind is next; within it jobs take turns the same way. Up to half of
+the credits go to jobs whose due time is in danger, the earliest due first. These credits are not
+charged to the organisation, or its other jobs would pay for them.
+
+A due time is in danger when all that is due until then would take longer than the time left, at
+half of the present rate. Judged one by one, ten jobs due at the same hour each seem to have time
+until it is too late for all of them.
 
 An entry uses one dispatcher for each target, since credits are granted by target.
 """
@@ -21,16 +24,14 @@
 from carobspool_core._clock import Clock, Millis
 
 URGENT_SHARE = 0.5
-"""Part of the credits that urgent jobs may take: fairness halves at worst, none is starved."""
-URGENT_SAFETY = 2.0
-"""A job is urgent when all credits together would need half of the time it has left: credits are
-revoked during online bursts, and a burst of 3 s in 12 s costs up to half of them."""
+"""Part of the credits that jobs in danger may take: fairness halves at worst, none is starved."""
+REVIEW_INTERVAL: Millis = 5_000.0
+"""Time between looks at all due times: at 18,000 jobs one takes some 10 ms, and the danger that
+arises meanwhile is 5 s of work."""
 MIN_RATE_SPAN: Millis = 1_000.0
 """Time over which the rate of credits is averaged at least."""
-RATE_SMOOTHING = 0.2
-_REBUILD_RATIO = 1.5
-"""Change of the rate at which the order of urgency is worked out anew: less moves the instants by
-less than `URGENT_SAFETY` allows for, and a rebuild costs time linear in the jobs."""
+RATE_SMOOTHING = 0.05
+"""Half of the weight lies on the last 14 s, a little more than one online burst and its pause."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -57,12 +58,13 @@
         "due",
         "id",
         "items_left",
-        "latest_start",
         "offered",
         "organisation",
         "queued",
         "removed",
         "time",
+        "urgent",
+        "urgent_queued",
     )
 
     def __init__(self, share: JobShare, organisation: _Organisation) -> None:
@@ -72,7 +74,8 @@
         self.items_left = share.items_left
         self.offered = 0
         self.time = 0.0
-        self.latest_start: Millis | None = None
+        self.urgent = False
+        self.urgent_queued = False
         self.queued = False
         self.removed = False
 
@@ -108,7 +111,7 @@
         "_pending",
         "_rate",
         "_rate_at",
-        "_rate_used",
+        "_reviewed_at",
         "_ready",
         "_time",
         "_urgent",
@@ -123,7 +126,7 @@
         self._urgent: list[tuple[Millis, str, _Job]] = []
         self._time = 0.0
         self._rate = 0.0
-        self._rate_used = 0.0
+        self._reviewed_at = clock.now()
         self._rate_at = clock.now()
         self._pending = 0
 
@@ -135,7 +138,6 @@
     @entries.setter
     def entries(self, count: int) -> None:
         self._entries = max(1, count)
-        self._rebuild_urgency()
 
     def add_job(self, share: JobShare) -> None:
         """Add a job without items ready, or replace what is known of one."""
@@ -144,7 +146,6 @@
             known.items_left = share.items_left
             known.due = share.due
             known.organisation.weight = share.weight
-            self._queue_urgency(known)
             return
         organisation = self._organisations.get(share.organisation)
         if organisation is None:
@@ -172,7 +173,7 @@
             return
         job.offered += count
         self._queue(job)
-        self._queue_urgency(job)
+        self._queue_urgent(job)
 
     def take(self, credits: int, now: Millis) -> list[str]:
         """Spend up to ``credits`` credits.
@@ -180,6 +181,8 @@
         Returns:
             Ids of the jobs to take one item from, in order; shorter when nothing more is ready.
         """
+        if now - self._reviewed_at >= REVIEW_INTERVAL:
+            self._review(now)
         taken: list[str] = []
         urgent_left = int(credits * URGENT_SHARE + 0.5)
         while len(taken) < credits:
@@ -229,34 +232,38 @@
         heapq.heappush(self._ready, (organisation.time, organisation.name, organisation))
 
     def _pop_urgent(self, now: Millis) -> _Job | None:
-        while self._urgent and self._urgent[0][0] <= now:
-            latest_start, _, job = heapq.heappop(self._urgent)
-            if job.latest_start != latest_start:
-                continue
-            job.latest_start = None
-            if job.removed or now >= job.due:
-                continue
-            if not job.offered or self._latest_start(job) > now:
-                self._queue_urgency(job)
+        while self._urgent:
+            due, _, job = self._urgent[0]
+            if job.removed or not job.offered or now >= due:
+                heapq.heappop(self._urgent)
+                job.urgent_queued = False
                 continue
             _charge(job)
-            self._queue_urgency(job)
             return job
         return None
 
-    def _queue_urgency(self, job: _Job) -> None:
-        if not self._rate_used or not job.offered:
-            return
-        latest_start = self._latest_start(job)
-        # One that has moved to a later instant is put right when it comes up.
-        if job.latest_start is not None and job.latest_start <= latest_start:
+    def _queue_urgent(self, job: _Job) -> None:
+        if not job.urgent or job.urgent_queued or not job.offered:
             return
-        job.latest_start = latest_start
-        heapq.heappush(self._urgent, (latest_start, job.id, job))
-
-    def _latest_start(self, job: _Job) -> Millis:
-        needed = job.items_left / (self._rate_used * self._entries)
-        return job.due - URGENT_SAFETY * needed
+        job.urgent_queued = True
+        heapq.heappush(self._urgent, (job.due, job.id, job))
+
+    def _review(self, now: Millis) -> None:
+        """Mark the jobs that are due no later than the last due time in danger."""
+        self._reviewed_at = now
+        rate = self._rate * self._entries * URGENT_SHARE
+        ahead = sorted((job for job in self._jobs.values() if job.due > now), key=_due)
+        items = 0
+        in_danger = 0
+        for position, job in enumerate(ahead, start=1):
+            items += job.items_left
+            if items > rate * (job.due - now):
+                in_danger = position
+        self._urgent = []
+        for position, job in enumerate(ahead):
+            job.urgent = bool(rate) and position < in_danger
+            job.urgent_queued = False
+            self._queue_urgent(job)
 
     def _note_rate(self, taken: int, now: Millis, *, limited: bool) -> None:
         span = now - self._rate_at
@@ -272,16 +279,10 @@
         self._rate += RATE_SMOOTHING * (sample - self._rate) if self._rate else sample
         self._pending = 0
         self._rate_at = now
-        low = self._rate_used / _REBUILD_RATIO
-        if self._rate and not low <= self._rate <= self._rate_used * _REBUILD_RATIO:
-            self._rate_used = self._rate
-            self._rebuild_urgency()
 
-    def _rebuild_urgency(self) -> None:
-        self._urgent = []
-        for job in self._jobs.values():
-            job.latest_start = None
-            self._queue_urgency(job)
+
+def _due(job: _Job) -> Millis:
+    return job.due
 
 
 def _charge(job: _Job) -> None:
