--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -15,11 +15,8 @@
     Upstream,
     UpstreamKind,
 )
-from carobspool_core._dispatch import (
-    Dispatcher,
-    JobShare,
-    make_dispatcher,
-)
+from carobspool_core._dispatch import Dispatcher, make_dispatcher
+from carobspool_core._dispatch_jobs import JobShare
 from carobspool_core._gossip import (
     Gossip,
     make_gossip,
@@ -50,15 +47,14 @@
     RequestId,
     SidecarState,
 )
-from carobspool_core._modelloads import (
+from carobspool_core._model_fleet import (
     LoadOrder,
     LoadOrderKind,
     ModelVersion,
     UpstreamModels,
     WeightStoreLimits,
-    blocked_model_loads,
-    plan_model_loads,
 )
+from carobspool_core._modelloads import blocked_model_loads, plan_model_loads
 from carobspool_core._outcome import (
     Failure,
     Outcome,
--- a/packages/core/src/carobspool_core/_modelloads.py
+++ b/packages/core/src/carobspool_core/_modelloads.py
@@ -12,79 +12,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
-from enum import StrEnum
 
-from carobspool_core._clock import Millis
-
-
-class LoadOrderKind(StrEnum):
-    """What an upstream is told to do."""
-
-    LOAD = "load"
-    UNLOAD = "unload"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True, order=True)
-class ModelVersion:
-    """A model in one version."""
-
-    model: str
-    version: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class UpstreamModels:
-    """Declared and actual models of one upstream.
-
-    Attributes:
-        host: Name of the upstream's host.
-        failure_domain: Where it stands.
-        declared: What should be ready there.
-        ready: What is ready there.
-        loading: What it is loading now.
-        room: Models that fit into its memory at once.
-        reachable: Whether it takes orders now and its ready models serve callers.
-    """
-
-    host: str
-    failure_domain: str
-    declared: frozenset[ModelVersion]
-    ready: frozenset[ModelVersion] = frozenset()
-    loading: frozenset[ModelVersion] = frozenset()
-    room: int = 1
-    reachable: bool = True
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WeightStoreLimits:
-    """What the weight store gives.
-
-    Attributes:
-        bytes_per_second: Rate shared by all loads.
-        concurrent: Loads that it serves at once.
-        max_load_time: Time within which a load should end; fewer run at once when sharing the rate
-            would take longer. The default fits the time limit of an order, ten minutes.
-    """
-
-    bytes_per_second: float
-    concurrent: int = 4
-    max_load_time: Millis = 600_000.0
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LoadOrder:
-    """One order to an upstream's engine."""
-
-    host: str
-    kind: LoadOrderKind
-    model: str
-    version: str
-
-
-MAX_UNAVAILABLE_SHARE = 0.25
-"""Part of a model's ready upstreams that may be taken away in one step beyond the first: routing
-holds the others at 1.25 times the mean, so a pool planned with that margin carries it."""
+from carobspool_core._model_fleet import (
+    Candidate,
+    FleetState,
+    LoadOrder,
+    LoadOrderKind,
+    ModelVersion,
+    UpstreamModels,
+    WeightStoreLimits,
+)
 
 
 def plan_model_loads(
@@ -104,7 +41,7 @@
 
     Since 0.1.
     """
-    state = _State(upstreams)
+    state = FleetState(upstreams)
     orders = _unloads(state)
     freed = {order.host for order in orders}
     orders.extend(_loads(state, freed, weight_bytes, limits))
@@ -122,58 +59,10 @@
     return sorted(each.host for each in upstreams if _missing(each) and not _has_room(each))
 
 
-_Candidate = tuple[UpstreamModels, ModelVersion]
-
-
-class _State:
-    """Counts over the fleet that orders of the same step have to share."""
-
-    __slots__ = ("declared", "ready", "ready_in", "taken", "upstreams")
-
-    def __init__(self, upstreams: Sequence[UpstreamModels]) -> None:
-        self.upstreams = [each for each in upstreams if each.reachable]
-        self.declared: dict[str, int] = {}
-        self.ready: dict[str, int] = {}
-        self.ready_in: dict[tuple[str, str], int] = {}
-        self.taken: dict[str, int] = {}
-        for each in upstreams:
-            for model in {one.model for one in each.declared}:
-                self.declared[model] = self.declared.get(model, 0) + 1
-        for each in self.upstreams:
-            for model in {one.model for one in each.ready}:
-                self._count(each, model, 1)
-
-    def is_spare(self, upstream: UpstreamModels, unwanted: ModelVersion) -> bool:
-        """Return whether a ready model serves nobody who could not be served beside it."""
-        if unwanted.model not in self.declared:
-            return True
-        return any(one.model == unwanted.model and one != unwanted for one in upstream.ready)
-
-    def may_take(self, model: str) -> bool:
-        """Return whether one more upstream may lose a model now."""
-        left = self.ready.get(model, 0)
-        taken = self.taken.get(model, 0)
-        return left > 1 and taken < max(1, int((left + taken) * MAX_UNAVAILABLE_SHARE))
-
-    def take(self, upstream: UpstreamModels, model: str) -> None:
-        """Count a ready model as gone from an upstream."""
-        self._count(upstream, model, -1)
-        self.taken[model] = self.taken.get(model, 0) + 1
-
-    def ready_beside(self, upstream: UpstreamModels, model: str) -> int:
-        """Return how many upstreams of the same failure domain have a model ready."""
-        return self.ready_in.get((model, upstream.failure_domain), 0)
-
-    def _count(self, upstream: UpstreamModels, model: str, by: int) -> None:
-        self.ready[model] = self.ready.get(model, 0) + by
-        key = (model, upstream.failure_domain)
-        self.ready_in[key] = self.ready_in.get(key, 0) + by
-
-
-def _unloads(state: _State) -> list[LoadOrder]:
+def _unloads(state: FleetState) -> list[LoadOrder]:
     orders: list[LoadOrder] = []
     state.taken = _in_transition(state)
-    groups: dict[tuple[str, str], list[_Candidate]] = {}
+    groups: dict[tuple[str, str], list[Candidate]] = {}
     for upstream in state.upstreams:
         unwanted = _unwanted(upstream)
         if upstream.loading or not unwanted:
@@ -189,7 +78,7 @@
 
 
 def _take_from_groups(
-    state: _State, groups: dict[tuple[str, str], list[_Candidate]]
+    state: FleetState, groups: dict[tuple[str, str], list[Candidate]]
 ) -> list[LoadOrder]:
     """Take models away, each time from the failure domain that has the most of them ready."""
     orders = []
@@ -205,7 +94,7 @@
     return orders
 
 
-def _in_transition(state: _State) -> dict[str, int]:
+def _in_transition(state: FleetState) -> dict[str, int]:
     """Count by model the upstreams that are about to serve it and don't yet.
 
     One that has no room is not counted: it waits for others to move, and counting it could keep
@@ -222,7 +111,7 @@
 
 
 def _loads(
-    state: _State,
+    state: FleetState,
     freed: set[str],
     weight_bytes: Mapping[str, int],
     limits: WeightStoreLimits,
@@ -245,7 +134,7 @@
     return orders
 
 
-def _being_placed(state: _State) -> dict[tuple[str, str], int]:
+def _being_placed(state: FleetState) -> dict[tuple[str, str], int]:
     placed: dict[tuple[str, str], int] = {}
     for each in state.upstreams:
         for one in each.loading:
@@ -254,8 +143,8 @@
     return placed
 
 
-def _load_candidates(state: _State, freed: set[str]) -> list[_Candidate]:
-    candidates: list[_Candidate] = []
+def _load_candidates(state: FleetState, freed: set[str]) -> list[Candidate]:
+    candidates: list[Candidate] = []
     for each in state.upstreams:
         # Orders of one upstream are serial: the load follows when the unload has been read back.
         if each.loading or each.host in freed or not _has_room(each):
@@ -265,12 +154,12 @@
 
 
 def _by_need(
-    state: _State, placed: Mapping[tuple[str, str], int]
-) -> Callable[[_Candidate], tuple[bool, float, int, str, str, ModelVersion]]:
+    state: FleetState, placed: Mapping[tuple[str, str], int]
+) -> Callable[[Candidate], tuple[bool, float, int, str, str, ModelVersion]]:
     """Order loads: models that nobody serves, then those with the least of their declared share
     ready, then failure domains with the fewest."""
 
-    def key(candidate: _Candidate) -> tuple[bool, float, int, str, str, ModelVersion]:
+    def key(candidate: Candidate) -> tuple[bool, float, int, str, str, ModelVersion]:
         upstream, wanted = candidate
         model = wanted.model
         ready = state.ready.get(model, 0)
