--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -17,6 +17,7 @@
     UpstreamKind,
 )
 from carobspool_core._fairqueue import FairQueue, QueueBounds, Ticket, make_fair_queue
+from carobspool_core._limits import Grant, Limiter, make_limiter
 from carobspool_core._messages import (
     PROTOCOL_VERSION,
     Attach,
@@ -54,6 +55,7 @@
     StoreFault,
     WatchBatch,
 )
+from carobspool_core._shares import Demand, Subject, SubjectKind, UsageReport
 from carobspool_core._work import (
     AdmissionMode,
     AdmissionSettings,
@@ -72,7 +74,14 @@
     "QueueBounds",
     "Ticket",
     "Work",
+    "Demand",
+    "Grant",
+    "Limiter",
+    "Subject",
+    "SubjectKind",
+    "UsageReport",
     "make_admission",
+    "make_limiter",
     "make_fair_queue",
     "BatchShaping",
     "Caller",
--- a/packages/core/src/carobspool_core/_admission.py
+++ b/packages/core/src/carobspool_core/_admission.py
@@ -81,7 +81,7 @@
             return self._offer_suspect(waiting)
         if work.priority is Priority.BATCH:
             return self._batch.fresh.push(ticket, now).map(lambda _: None)
-        self._pacer.arrived(now)
+        self._pacer.arrived(work.id, work.prompt_tokens, now)
         self._online.set_rate(self._times.rate(self._settings.slots))
         return self._online.push(ticket, now).map(self._refuse_pushed_out)
 
@@ -102,16 +102,10 @@
 
     def first_token(self, id: RequestId, now: Millis) -> None:
         """Note the first token of a request since it was started."""
-        stream = self._streams.get(id)
-        if stream is None:
-            return
-        if stream.is_online and stream.last_token is None:
-            self._times.first_token(now - stream.offered)
-        self._count_tokens(stream, now, 1)
-        self._streams.end_prefill(stream)
+        self.token(id, now)
 
     def token(self, id: RequestId, now: Millis, count: int = 1) -> None:
-        """Note further tokens of a request.
+        """Note tokens of a request.
 
         Args:
             id: The request.
@@ -121,9 +115,14 @@
         stream = self._streams.get(id)
         if stream is None:
             return
-        if stream.is_online and stream.last_token is not None:
-            self._times.between_tokens((now - stream.last_token) / count)
-        self._count_tokens(stream, now, count)
+        if stream.is_online:
+            self._time_token(stream, now, count)
+        step = self._pacer.steps.token(stream, now, count=count, prompt=stream.prefill_tokens)
+        if step is not None:
+            self._pacer.step(step)
+        stream.tokens += count
+        stream.last_token = now
+        self._streams.end_prefill(stream)
 
     def finished(self, id: RequestId, now: Millis) -> None:
         """Note that a request has ended at the upstream, well or not."""
@@ -272,21 +271,18 @@
         if parked is not None or self._settings.mode is not AdmissionMode.POLICY:
             return parked or self._batch.take_prompt()
         if not self._online_present():
-            return self._next_when_quiet(now)
+            return self._next_when_quiet()
         if self._settings.paced and not self._pacer.may_start(self._streams, now):
             return None
         return self._batch.take_prompt()
 
-    def _next_when_quiet(self, now: Millis) -> Waiting | None:
+    def _next_when_quiet(self) -> Waiting | None:
         prompt = self._batch.peek_prompt()
         if prompt is None:
             return None
-        if self._settings.paced and not self._pacer.may_start_quiet(now):
-            return None
         in_prefill = self._streams.batch_prefill
         if in_prefill and in_prefill + prompt.prefill_tokens > self._settings.prefill_tokens:
             return None
-        self._pacer.started_quiet(prompt.prefill_tokens, now)
         return self._batch.take_prompt()
 
     def _online_present(self) -> bool:
@@ -306,31 +302,28 @@
         )
         self._streams.add(stream)
         self._pacer.steps.started(now)
-        if stream.is_online:
-            self._pacer.harm.offered(waiting.work.id, waiting.offered)
         self._prompt_starts += int(not stream.is_online and stream.is_prefilling)
         start.append(waiting.work.id)
 
     def _end(self, id: RequestId) -> Stream | None:
         stream = self._streams.remove(id)
-        self._pacer.harm.gone(id)
+        if stream is not None and stream.is_online:
+            self._pacer.ended(id, stream.tokens)
         if len(self._streams) == 0:
             self._pacer.steps.idle()
         return stream
 
-    def _count_tokens(self, stream: Stream, now: Millis, count: int) -> None:
-        stream.tokens += count
-        stream.last_token = now
-        step = self._pacer.steps.token(stream, now, count=count, prompt=stream.prefill_tokens)
-        if step is not None:
-            self._pacer.step(step)
-        if stream.is_prefilling and stream.is_online:
-            self._pacer.harm.first_token(stream.work.id, now)
+    def _time_token(self, stream: Stream, now: Millis, count: int) -> None:
+        if stream.last_token is None:
+            self._times.first_token(now - stream.offered)
+            self._pacer.harm.first_token(stream.work.id)
+            return
+        self._times.between_tokens((now - stream.last_token) / count)
 
     def _wake_at(self, now: Millis) -> Millis | None:
         instants = [self._online.next_expiry(), self._batch.fresh.next_expiry()]
         if len(self._batch):
-            instants += [self._pacer.burst_end(), self._pacer.quiet_until()]
+            instants.append(self._pacer.burst_end())
         upcoming = (instant for instant in instants if instant is not None and instant > now)
         return min(upcoming, default=None)
 
--- a/packages/core/src/carobspool_core/_pacing.py
+++ b/packages/core/src/carobspool_core/_pacing.py
@@ -4,16 +4,14 @@
 online token by a fraction of a millisecond; a batch prompt in prefill stalls every online stream
 for a hundred. Without pacing, between-token times grow fourfold and first tokens by half.
 
-Two quantities are controlled, each by the measure that it moves:
-
-- **Prompt starts by an error budget.** The limit is a 95th percentile, so of the online gaps
-  between tokens 5% may be longer than the limit. Each gap earns a twentieth of a unit, each that is
-  longer costs one. A batch prompt starts when the budget covers the online streams that it would
-  stall. So prompts start where they hurt fewest, in the tail of a burst, and never by the clock.
-- **Restraint by the first-token ratio**, between 0 and 1, moved slowly towards the limit. It
-  narrows the batch streams while online requests keep arriving, and limits the share of time that
-  batch prompts take while none is present, since the first request of a burst waits for the prompt
-  that is under way.
+- **Prompt starts are paid from an error budget.** The limit is a 95th percentile, so 5% of the
+  online gaps between tokens may be longer than it. Each gap earns a twentieth of a unit, each that
+  is longer costs one. A batch prompt starts when the budget covers the online streams that it would
+  stall: where it hurts fewest, in the tail of a burst, and never by the clock.
+- **Width follows from the costs of a step.** While online requests keep arriving, decoding batch
+  streams may add to a first token no more than the limit allows, and down to half of that when more
+  first tokens were late than may be. In the tail of a burst, where streams still decode but nobody
+  waits for a first token, batch takes every free slot again.
 """
 
 from __future__ import annotations
@@ -21,6 +19,8 @@
 from carobspool_core._clock import Millis
 from carobspool_core._config import OnlineSlowdown
 from carobspool_core._harm import QUANTILE, HarmMeter
+from carobspool_core._messages import RequestId
+from carobspool_core._replay import Replay
 from carobspool_core._stepmodel import Step, StepModel
 from carobspool_core._streams import Streams
 
@@ -31,23 +31,16 @@
 """Bound of the budget. It allows about a dozen prompts over a tail of few streams; more would let a
 long calm pay for a stretch of stalls that a caller notices."""
 
-_FIRST_TOKENS_A_MOVE = 8
-"""First tokens between two moves of the restraint; a few seconds of traffic."""
+_MOST_LATE = 5.0
+"""Bound of the budget of first tokens, in late ones, either way: what a few hundred first tokens
+earn at a loose limit. An overdraft beyond it would stop batch prompts long after its cause."""
 
-_GAIN = 0.04
-"""Move of the restraint when the excess is as large as the allowed harm. The ratio remembers 256
-first tokens, 32 moves, so a full swing takes about as long as the ratio's memory and is not
-overshot."""
-
-_START_RESTRAINT = 0.5
-"""Restraint before anything was measured: halfway, as either error costs someone."""
+_STEPS_TO_FIRST_TOKEN = 2.0
+"""Steps that slow a first token: the one under way at its arrival, and its own."""
 
 _LEAST_SHARE = 0.125
-"""Batch streams never fall below an eighth of the slots for first tokens' sake: below that the
-harm of decoding streams is less than the noise of its measurement, and batch would starve."""
-
-_QUIET_DUTY = 0.35
-"""Least share of the time that batch prompts may take while no online request is present."""
+"""Batch streams never fall below an eighth of the slots for first tokens' sake: the harm of so few
+is below what can be measured, and batch would starve."""
 
 _ARRIVAL_GAPS = 3.0
 """Mean gaps between arrivals after which a burst counts as over: e^-3, one chance in twenty."""
@@ -64,13 +57,12 @@
         self._slowdown = slowdown
         self._allowance = allowance
         self._steps = StepModel()
-        self._harm = HarmMeter()
+        self._harm = HarmMeter(slowdown.first_token)
+        self._replay = Replay(slots)
         self._budget = 0.0
-        self._restraint = _START_RESTRAINT
-        self._next_move = _FIRST_TOKENS_A_MOVE
+        self._first_budget = 0.0
         self._arrival = -1e12
         self._gap: Millis = 500.0
-        self._quiet_until: Millis = 0.0
 
     @property
     def steps(self) -> StepModel:
@@ -82,28 +74,33 @@
         """What the harm is."""
         return self._harm
 
-    @property
-    def restraint(self) -> float:
-        """Present restraint, 0 to 1."""
-        return self._restraint
-
-    def arrived(self, now: Millis) -> None:
+    def arrived(self, id: RequestId, prompt_tokens: int, now: Millis) -> None:
         """Note the arrival of an online request."""
+        self._replay.arrived(id, prompt_tokens, now)
+        self._harm.offered(id, now)
         gap = now - self._arrival
         self._arrival = now
         if gap < _LONGEST_GAP:
             self._gap += 0.1 * (gap - self._gap)
 
+    def ended(self, id: RequestId, tokens: int) -> None:
+        """Note the end of an online request that received so many tokens."""
+        self._harm.gone(id)
+        self._replay.ended(id, tokens)
+
     def step(self, step: Step) -> None:
         """Note a step of the upstream."""
         self._harm.step(step)
-        self._budget += _EARNED * step.online_tokens
-        if step.length > self._limit():
-            self._budget -= step.online_tokens
-        self._budget = min(_MOST_EARNED, self._budget)
-        if self._harm.first_tokens >= self._next_move:
-            self._next_move = self._harm.first_tokens + _FIRST_TOKENS_A_MOVE
-            self._move()
+        if self._steps.is_ready:
+            for replayed in self._replay.advance(step.ended, self._steps.costs):
+                self._harm.replayed(replayed)
+        limit = self._limit()
+        if limit is not None:
+            earned = _EARNED - float(step.length > limit)
+            budget = self._budget + earned * step.online_tokens
+            self._budget = max(-_MOST_EARNED, min(_MOST_EARNED, budget))
+        first = self._first_budget - self._harm.take_excess()
+        self._first_budget = max(-_MOST_LATE, min(_MOST_LATE, first))
 
     def in_burst(self, now: Millis) -> bool:
         """Tell whether further online requests are likely to arrive at any moment."""
@@ -117,8 +114,14 @@
         """Return how many batch streams may run beside online requests."""
         if not self.in_burst(now):
             return self._slots
-        least = _LEAST_SHARE * self._slots
-        return round(least + (1.0 - self._restraint) * (self._slots - least))
+        baseline = self._harm.first_baseline()
+        stream = self._steps.costs.stream
+        least = round(_LEAST_SHARE * self._slots)
+        if baseline is None or stream <= 0.0:
+            return least
+        allowed = (self._slowdown.first_token - 1.0) * baseline
+        allowed *= 1.0 + min(0.0, self._first_budget) / (2.0 * _MOST_LATE)
+        return max(least, min(self._slots, int(allowed / (_STEPS_TO_FIRST_TOKEN * stream))))
 
     def may_start(self, streams: Streams, now: Millis) -> bool:
         """Tell whether a batch prompt may start beside online requests."""
@@ -128,30 +131,8 @@
             return False
         return self._budget >= max(1, streams.online)
 
-    def may_start_quiet(self, now: Millis) -> bool:
-        """Tell whether a batch prompt may start while no online request is present."""
-        return now >= self._quiet_until
-
-    def started_quiet(self, tokens: int, now: Millis) -> None:
-        """Note that a batch prompt was started while no online request was present."""
-        duty = 1.0 - self._restraint * (1.0 - _QUIET_DUTY)
-        self._quiet_until = now + self._steps.prefill_time(tokens) * (1.0 / duty - 1.0)
-
-    def quiet_until(self) -> Millis:
-        """Return when the next batch prompt may start while no online request is present."""
-        return self._quiet_until
-
-    def _limit(self) -> Millis:
+    def _limit(self) -> Millis | None:
         baseline = self._harm.between_baseline()
         if baseline is None:
-            return self._allowance
+            return None
         return max(self._allowance, self._slowdown.between_tokens * baseline)
-
-    def _move(self) -> None:
-        ratio = self._harm.first_token_ratio()
-        if ratio is None:
-            return
-        allowed = self._slowdown.first_token - 1.0
-        excess = (ratio - 1.0 - allowed) / max(0.01, allowed)
-        move = _GAIN * max(-1.0, min(1.0, excess))
-        self._restraint = max(0.0, min(1.0, self._restraint + move))
--- a/packages/core/src/carobspool_core/_stepmodel.py
+++ b/packages/core/src/carobspool_core/_stepmodel.py
@@ -1,15 +1,11 @@
 """What one step of the upstream costs, learnt from the times between tokens.
 
-Load pattern: batch work is always there, so an upstream is hardly ever seen without it. A baseline
-taken from the mixed traffic would contain the harm that it is meant to judge and would drift with
-it; a baseline from quiet moments would be out of date when the online load changes.
+Load pattern: online and batch work always run together, so what each of them costs cannot be
+seen apart. Without it the harm done by batch work could not be told from a change of online load.
 
 The sidecar sees every token, and an engine that batches gives each decoding stream one token a
 step. So a step begins when a stream that already had its token gets the next. Its length is fitted
-as ``base + stream x decoding streams + prefill x prompt tokens``. What batch streams and batch
-prompts add follows from the last two terms; what is left is the baseline of the same moment and the
-same online traffic, however much batch work ran. Without it the harm done by batch work could not
-be told from a change of the online load.
+as ``base + stream x decoding streams + prefill x prompt tokens``.
 """
 
 from __future__ import annotations
@@ -35,6 +31,15 @@
 """A longer one is a pause of the upstream or of this process and says nothing of its load."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StepCosts:
+    """What a step costs: in itself, for each decoding stream, and for each prompt token."""
+
+    base: Millis
+    stream: Millis
+    prefill: Millis
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Step:
     """One step of the upstream, as observed.
@@ -76,9 +81,11 @@
         """Whether enough steps were seen."""
         return self._fit.samples >= _FEWEST_STEPS
 
-    def prefill_time(self, tokens: int) -> Millis:
-        """Return what a prompt of so many tokens adds to its steps; 0 while it is unknown."""
-        return self._fit.coefficients[2] * tokens / _PREFILL_UNIT if self.is_ready else 0.0
+    @property
+    def costs(self) -> StepCosts:
+        """The costs as learnt so far."""
+        base, stream, prefill = self._fit.coefficients
+        return StepCosts(base=base, stream=stream, prefill=prefill / _PREFILL_UNIT)
 
     def idle(self) -> None:
         """Note that nothing runs any more: the time until the next start belongs to no step."""
@@ -144,8 +151,8 @@
     def _harm(self) -> Millis:
         if not self.is_ready:
             return 0.0
-        _, stream, prefill = self._fit.coefficients
-        return stream * self._batch_decoding + prefill * self._batch_prompt / _PREFILL_UNIT
+        costs = self.costs
+        return costs.stream * self._batch_decoding + costs.prefill * self._batch_prompt
 
     def _clear(self) -> None:
         self._seen.clear()
--- a/packages/core/tests/_engine_model.py
+++ b/packages/core/tests/_engine_model.py
@@ -46,6 +46,7 @@
     deadline: float = FAR
     done: int = 0
     left: int = 0
+    started: bool = False
     first: float | None = None
     last: float | None = None
     ended: float | None = None
@@ -91,13 +92,14 @@
     def submit(self, request: Request, prefill: int) -> None:
         """Take a request with so many tokens to compute before its next token."""
         request.left = prefill
+        request.started = True
         self.waiting.append(request)
 
     def cancel(self, request: Request) -> bool:
         """Drop a request; tell whether its KV cache is kept."""
         if request in self.waiting:
             self.waiting.remove(request)
-            return False
+            return self.keep_kv and request.left == 0
         self.running.remove(request)
         return self.keep_kv and request.left == 0
 
@@ -292,6 +294,8 @@
         request.done += 1
         if request.first is None:
             request.first = now
+        if request.started:
+            request.started = False
             self.admission.first_token(request.id, now)
         else:
             self.admission.token(request.id, now)
