--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -208,6 +208,12 @@
     Router,
     make_router,
 )
+from carobspool_core._shares import (
+    Demand,
+    Subject,
+    SubjectKind,
+    UsageReport,
+)
 from carobspool_core._spans import (
     Span,
     Spans,
@@ -267,6 +273,7 @@
     "Data",
     "Decision",
     "DeclaredEngine",
+    "Demand",
     "DesiredState",
     "Dispatcher",
     "End",
@@ -342,6 +349,8 @@
     "StoreFailure",
     "StoreFault",
     "StoredObject",
+    "Subject",
+    "SubjectKind",
     "Subsets",
     "SuspectChange",
     "SuspectGate",
@@ -351,6 +360,7 @@
     "Upstream",
     "UpstreamKind",
     "UpstreamModels",
+    "UsageReport",
     "Verdict",
     "VerdictKind",
     "WatchBatch",
