A process frozen within a round starts nothing stale when it wakes

Cause: the pause was noticed only between rounds; frozen between the look and the start, the runner started items of a job cancelled meanwhile. The test's freeze now stops exactly there and failed before; the start re-reads the clock and the next round reads the store first.

--- a/packages/node/src/carobspool_node/_job_runner.py
+++ b/packages/node/src/carobspool_node/_job_runner.py
@@ -85,7 +85,7 @@
         self._claim_at: Millis = 0.0
         self._live: tuple[str, ...] = ()
         self._looked_at: Millis = 0.0
-        self._last_round: Millis | None = None
+        self._round_began: Millis = clock.now()
         self._releasing_until: Millis | None = None
         self._stopped = threading.Event()
 
@@ -142,8 +142,10 @@
     def _round(self) -> None:
         self._calls.take_news(TICK)
         now = self._clock.now()
-        if self._last_round is not None and now - self._last_round > PAUSE_NOTICED:
+        if now - self._round_began > PAUSE_NOTICED:
             self._look_after_pause()
+            now = self._clock.now()
+        self._round_began = now
         self._forget_ended(now)
         if self._releasing_until is None:
             credits = self._dispatch(now)
@@ -151,7 +153,6 @@
         self._write_due(now)
         if self._may_claim():
             self._coordinator.coordinate(self._works, self._live, now)
-        self._last_round = self._clock.now()
         self._end_release(now)
 
     def _look_after_pause(self) -> None:
@@ -202,6 +203,8 @@
             if chunk.has_ready(now):
                 ready.setdefault(job_id, []).append(chunk)
         while credits > 0 and ready:
+            if self._clock.now() - now > PAUSE_NOTICED:
+                return 0  # frozen in this very round; the next one reads again first
             job_id = self._ports.choose([self._works[job_id].job for job_id in ready])
             chunk = ready[job_id][-1]
             self._start_item(chunk)
--- a/packages/node/tests/test_job_runner.py
+++ b/packages/node/tests/test_job_runner.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
-from random import Random
+from random import Random, choice
 
 import pytest
 
@@ -44,6 +44,7 @@
 
 TTL = 600.0
 SHAPING = BatchShaping(chunk_items=10, max_attempts=3)
+CAPACITY = 8
 ENDPOINT = "/v1/chat/completions"
 
 
@@ -56,22 +57,34 @@
     cancels: list[str] = field(default_factory=list)
     answer: Callable[[BatchItem], ItemOutcome | None] = lambda item: None
     gate: threading.Event = field(default_factory=threading.Event)
+    running: Counter[str] = field(default_factory=Counter)
+    lock: threading.Lock = field(default_factory=threading.Lock)
     pool: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(64))
 
     def runner(self, node: str) -> Callable[[BatchItem, Callable[[ItemOutcome], None]], _Handle]:
         def run(item: BatchItem, on_done: Callable[[ItemOutcome], None]) -> _Handle:
             self.starts.append((node, item.job, item.custom_id, time.monotonic()))
             handle = _Handle(self, item)
-            self.pool.submit(self._serve, item, on_done, handle)
+            self._count(node, 1)
+            self.pool.submit(self._serve, node, item, on_done, handle)
             return handle
 
         return run
 
+    def _count(self, node: str, change: int) -> None:
+        with self.lock:
+            self.running[node] += change
+
     def _serve(
-        self, item: BatchItem, on_done: Callable[[ItemOutcome], None], handle: _Handle
+        self,
+        node: str,
+        item: BatchItem,
+        on_done: Callable[[ItemOutcome], None],
+        handle: _Handle,
     ) -> None:
         time.sleep(self.delay)
         self.gate.wait()
+        self._count(node, -1)
         if handle.cancelled:
             return
         body = json.dumps({"echo": item.custom_id}).encode()
@@ -94,9 +107,11 @@
 
     def __init__(self, fleet: Fleet, name: str) -> None:
         self.name = name
+        self.upstreams = fleet.upstreams
         self.store = MemoryStore(fleet.objects, name)
         self.awake = threading.Event()
         self.awake.set()
+        self.asleep = threading.Event()
         clock = monotonic_clock()
         holder = Holder(node=name, incarnation=f"{name}-{time.monotonic_ns()}")
         identity = NodeIdentity(holder=holder, address="", failure_domain="leicester-hall")
@@ -105,7 +120,7 @@
         ports = RunnerPorts(
             run=fleet.upstreams.runner(name),
             credits=self._credits,
-            choose=lambda jobs: jobs[0].id,
+            choose=lambda jobs: choice(jobs).id,
             shaping=lambda: SHAPING,
             tell_done=fleet.tell_done,
         )
@@ -124,16 +139,24 @@
         self.runner.start()
 
     def _credits(self) -> int:
-        self.awake.wait()
-        return 8
+        if not self.awake.is_set():
+            self.asleep.set()
+            self.awake.wait()
+        return CAPACITY - self.upstreams.running[self.name]
 
     def freeze(self) -> None:
+        """Stop before anything starts; news of the store stay in its buffers."""
+        self.asleep.clear()
         self.store.pause()
         self.awake.clear()
+        self.asleep.wait(1.0)
 
     def thaw(self) -> None:
+        """Wake; the loop gets to run before the news do."""
+        if not self.awake.is_set():
+            self.awake.set()
+            time.sleep(0.02)
         self.store.resume()
-        self.awake.set()
 
     def kill(self) -> None:
         self.lease.stop()
--- a/packages/standins/src/carobspool_standins/memory_store.py
+++ b/packages/standins/src/carobspool_standins/memory_store.py
@@ -173,7 +173,9 @@
                 lambda: bool(self._changes(prefix, revision)), timeout=timeout / 1000.0
             )
             changes = self._changes(prefix, revision)
-            return Success(WatchBatch(revision=objects.revision, changes=changes))
+            batch = WatchBatch(revision=objects.revision, changes=changes)
+        self._running.wait()
+        return Success(batch)
 
     def _changes(self, prefix: str, revision: int) -> Sequence[ObjectChange]:
         history = self._objects.history
