--- a/packages/standins/src/carobspool_standins/_cluster.py
+++ b/packages/standins/src/carobspool_standins/_cluster.py
@@ -6,65 +6,36 @@
 from __future__ import annotations
 
 import contextlib
-import hashlib
 import json
 import secrets
 import signal
 import time
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
 from typing import Any
 
 from carobspool_standins._client import HttpClient, NoAnswer
-from carobspool_standins._processes import LOOPBACK, Command, PortChooser, ProcessGroup
+from carobspool_standins._member import Key, Member
+from carobspool_standins._processes import (
+    LOOPBACK,
+    Command,
+    PortChooser,
+    ProcessGroup,
+    process_seconds,
+)
 from carobspool_standins.errors import ClusterError
 
 CLOSE_SECONDS = 10.0
 STOP_SECONDS = 60.0
 WAIT_SECONDS = 30.0
 POLL_SECONDS = 0.05
+NODE_MODULE = "carobspool_node"
 OBJECTS = "objects"
 HOSTS = "hosts"
 DEFAULT_DOMAIN = "leicester-hall"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Member:
-    """One process of a cluster.
-
-    Attributes:
-        name: Its name, also that of its node.
-        port: Port of its HTTP interface; of a sidecar, the port on which it takes entries.
-    """
-
-    name: str
-    port: int
-
-    @property
-    def address(self) -> str:
-        """``ip:port``."""
-        return f"{LOOPBACK}:{self.port}"
-
-    @property
-    def url(self) -> str:
-        """URL without a path."""
-        return f"http://{self.address}"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Key:
-    """A bearer key and the hash of it that a configuration holds."""
-
-    value: str = field(default_factory=lambda: secrets.token_urlsafe(24))
-
-    @property
-    def hash(self) -> str:
-        """SHA-256 in hex."""
-        return hashlib.sha256(self.value.encode()).hexdigest()
-
-
 class Cluster:
     """Starts processes and ends them all when it is closed; use it in a ``with`` statement.
 
@@ -110,7 +81,10 @@
 
     def close(self) -> None:
         """End all processes, by force those that take long."""
-        self._group.close(CLOSE_SECONDS)
+        # The system ends before what it stands on, so that its shutdown is an ordinary one.
+        system = [name for name in self._group.names if self._group.module(name) == NODE_MODULE]
+        self._group.close(system, CLOSE_SECONDS)
+        self._group.close(self._group.names, CLOSE_SECONDS)
 
     @contextlib.contextmanager
     def together(self) -> Iterator[None]:
@@ -186,7 +160,7 @@
         }
         if service is not None:
             values["service"] = service
-        member = self._start(name, "carobspool_node", values | settings, port)
+        member = self._start(name, NODE_MODULE, values | settings, port)
         self._upstreams[upstream.name] = {
             "host": upstream.name,
             "address": member.address,
@@ -214,7 +188,29 @@
         }
         if HOSTS in self._members:
             values["host_list"] = self._members[HOSTS].url
-        return self._start(name, "carobspool_node", values | settings, port)
+        return self._start(name, NODE_MODULE, values | settings, port)
+
+    def start_relay(self, name: str, *, delay_ms: float) -> Member:
+        """Put a relay before all sidecars started so far; later configurations name its ports.
+
+        Args:
+            name: Name in this cluster.
+            delay_ms: One-way delay.
+        """
+        routes: list[dict[str, int]] = []
+        for upstream in self._upstreams.values():
+            port = self._ports.choose()
+            routes.append({"port": port, "target": int(upstream["address"].rpartition(":")[2])})
+            upstream["address"] = f"{LOOPBACK}:{port}"
+        return self.start_standin("relay", name, delay_ms=delay_ms, routes=routes)
+
+    def processor_seconds(self) -> dict[str, float]:
+        """Return the processor time that each running process has used so far."""
+        return {
+            name: process_seconds(self._group.pid(name))
+            for name in self._members
+            if self._group.is_running(name)
+        }
 
     def member(self, name: str) -> Member:
         """Return a process by its name."""
@@ -322,7 +318,7 @@
     def _start(self, name: str, module: str, settings: Mapping[str, Any], port: int) -> Member:
         path = self._write(f"{name}.json", settings)
         arguments = [str(path)]
-        if module == "carobspool_node":
+        if module == NODE_MODULE:
             arguments.insert(0, "run")
         log = self._folder / f"{name}.log"
         self._group.start(name, Command(module=module, arguments=arguments, log=log))
