--- a/packages/node/src/carobspool_node/_job_coordinator.py
+++ b/packages/node/src/carobspool_node/_job_coordinator.py
@@ -34,7 +34,7 @@
 from carobspool_node._members import Members
 from carobspool_node._store_calls import StoreCalls
 
-COORDINATE_INTERVAL: Millis = 500.0
+COORDINATE_INTERVAL: Millis = 200.0
 PROBED_AT_ONCE = 16
 
 
--- a/packages/node/src/carobspool_node/_job_intake.py
+++ b/packages/node/src/carobspool_node/_job_intake.py
@@ -1,4 +1,4 @@
-"""Acceptance of batch jobs and the caller's later changes to them.
+"""Acceptance of batch jobs.
 
 A job is accepted by one write, that of the job object, and it comes last: chunk inputs and the
 marker of open jobs stand by then. Whoever sees the job can run and finish it, so a host that is
@@ -16,25 +16,22 @@
 from returns.result import Failure, Result, Success
 
 from carobspool_core import (
-    AuditRecord,
     BatchShaping,
     Job,
-    JobRefusal,
     Millis,
     ObjectStore,
     Outcome,
     StoreFailure,
     StoreFault,
-    cancel_job,
     content_job_id,
     invalid_request,
     job_value,
     keyed_job_id,
-    read_job,
     unavailable,
 )
 from carobspool_core import Failure as RequestFailure
 from carobspool_node._files import FileRecord, file_content, get_file
+from carobspool_node._job_changes import stored_job
 from carobspool_node._job_input import ENDPOINTS, check_input, cut_chunks, input_lines
 from carobspool_node._store_access import create_immutable, request_failure
 from carobspool_node.errors import ContentUnavailableError
@@ -43,7 +40,6 @@
 MAX_METADATA_PAIRS = 16
 MAX_METADATA_NAME = 64
 MAX_METADATA_VALUE = 512
-CANCEL_TRIES = 5
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -102,75 +98,6 @@
         return Failure(unavailable("store_unavailable", "The input file cannot be read now."))
 
 
-def get_job(store: ObjectStore, organisation: str, job_id: str) -> Result[Job, RequestFailure]:
-    """Return a job that the organisation owns."""
-    found = _stored_job(store, job_id)
-    if isinstance(found, Failure):
-        if found.failure().fault is StoreFault.NOT_FOUND:
-            return Failure(job_not_found(job_id))
-        return Failure(request_failure(found.failure()))
-    job, _ = found.unwrap()
-    if job.organisation != organisation:
-        return Failure(job_not_found(job_id))
-    return Success(job)
-
-
-def cancel(
-    store: ObjectStore,
-    job: Job,
-    *,
-    who: str,
-    reason: str,
-    now: Millis,
-    hint: Callable[[Job], None],
-) -> Result[Job, RequestFailure]:
-    """Cancel a job; the audit record stands in the same write.
-
-    Args:
-        store: The object store.
-        job: The job, as read.
-        who: Caller or operator.
-        reason: Why, for the audit trail.
-        now: Wall-clock time in milliseconds.
-        hint: Told of the changed job, to pass it on to all entries.
-    """
-    for _ in range(CANCEL_TRIES):
-        found = _stored_job(store, job.id)
-        if isinstance(found, Failure):
-            return Failure(request_failure(found.failure()))
-        current, version = found.unwrap()
-        record = AuditRecord(
-            at=now,
-            who=who,
-            kind="cancel",
-            subject=job.id,
-            reason=reason,
-            before=current.status.value,
-            after="cancelling",
-        )
-        changed = cancel_job(current, record)
-        if isinstance(changed, Failure):
-            if changed.failure() is JobRefusal.CANCELLING:
-                return Success(current)
-            return Failure(_job_ended(current))
-        written = store.update(f"jobs/{job.id}", job_value(changed.unwrap()), version=version)
-        if isinstance(written, Success):
-            hint(changed.unwrap())
-            return Success(changed.unwrap())
-        # A conflict means that progress was written in between; an unsettled write may stand.
-        # Reading again answers both: a job found cancelling is a success.
-        if written.failure().fault is StoreFault.UNAVAILABLE:
-            return Failure(request_failure(written.failure()))
-    return Failure(unavailable("store_busy", "The job keeps changing; try again."))
-
-
-def job_not_found(job_id: str) -> RequestFailure:
-    """Return the failure for a job that is not there, or belongs to someone else."""
-    return invalid_request(
-        "batch_not_found", f"There is no batch {job_id}.", status=HTTPStatus.NOT_FOUND
-    )
-
-
 def input_key(input_id: str, number: int) -> str:
     """Return the key of a chunk's items."""
     return f"inputs/{input_id}/{number:06d}"
@@ -191,7 +118,7 @@
             job_id = keyed_job_id(submission.organisation, submission.key)
         else:
             job_id = content_job_id(submission.organisation, content, generation)
-        found = _stored_job(store, job_id)
+        found = stored_job(store, job_id)
         if isinstance(found, Failure):
             if found.failure().fault is StoreFault.NOT_FOUND:
                 return Success((job_id, None))
@@ -266,7 +193,7 @@
     if created.failure().fault is StoreFault.UNAVAILABLE:
         return Failure(request_failure(created.failure()))
     # Somebody else's job stands there, or our own whose answer was lost; equal content is as good.
-    found = _stored_job(store, job.id)
+    found = stored_job(store, job.id)
     if isinstance(found, Failure):
         return Failure(_acceptance_unknown())
     present, _ = found.unwrap()
@@ -277,13 +204,6 @@
     return Failure(_acceptance_unknown())
 
 
-def _stored_job(store: ObjectStore, job_id: str) -> Result[tuple[Job, int], StoreFailure]:
-    found = store.get(f"jobs/{job_id}")
-    if isinstance(found, Failure):
-        return found
-    return Success((read_job(found.unwrap().value), found.unwrap().version))
-
-
 def _content_digest(submission: Submission, file: FileRecord) -> str:
     parts = [
         submission.organisation,
@@ -333,11 +253,3 @@
         "Whether the job was accepted is unknown; send it again to find it.",
         outcome=Outcome.UNKNOWN,
     )
-
-
-def _job_ended(job: Job) -> RequestFailure:
-    return invalid_request(
-        "batch_ended",
-        f"The batch is {job.status.value} and cannot be cancelled.",
-        status=HTTPStatus.CONFLICT,
-    )
--- a/packages/node/src/carobspool_node/_job_results.py
+++ b/packages/node/src/carobspool_node/_job_results.py
@@ -71,8 +71,7 @@
         "response": response,
         "error": error,
     }
-    text = json.dumps(line, ensure_ascii=False, separators=(",", ":"))
-    return ItemResult(index=item.index, failed=failed, line=text)
+    return ItemResult(index=item.index, failed=failed, line=_json_line(line))
 
 
 def abandoned_result(item: BatchItem) -> ItemResult:
@@ -197,11 +196,29 @@
 
 def _body(body: bytes) -> Json:
     try:
-        return json.loads(body)
+        return json.loads(body, parse_constant=_refuse_constant)
     except (ValueError, RecursionError):
         return body.decode("utf-8", "replace")
 
 
+def _refuse_constant(name: str) -> Json:
+    raise ValueError(f"{name} is not JSON")
+
+
+def _json_line(line: Json) -> str:
+    """Return a value as one line that can be encoded.
+
+    An answer cut within an emoji may hold half a surrogate pair, which UTF-8 cannot. Left so, the
+    chunk's results could never be written and its job would never end; escaped, it can be.
+    """
+    text = json.dumps(line, ensure_ascii=False, separators=(",", ":"))
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return json.dumps(line, separators=(",", ":"))
+    return text
+
+
 def _result_id(item: BatchItem) -> str:
     text = f"{item.job}/{item.chunk}/{item.index}"
     return "batch_req_" + hashlib.sha256(text.encode()).hexdigest()[:24]
@@ -219,5 +236,4 @@
         "message": "The item ran; its result is too large to be kept.",
         "outcome": Outcome.RAN.value,
     }
-    text = json.dumps(line, ensure_ascii=False, separators=(",", ":"))
-    return ItemResult(index=result.index, failed=True, line=text)
+    return ItemResult(index=result.index, failed=True, line=_json_line(line))
--- a/packages/node/src/carobspool_node/_job_runner.py
+++ b/packages/node/src/carobspool_node/_job_runner.py
@@ -24,12 +24,12 @@
     StoreFailure,
     owner,
 )
+from carobspool_node._chunk_claims import ChunkClaims
 from carobspool_node._chunk_store import (
     ChunkWrite,
     Claimed,
     Ending,
     Standing,
-    claim,
     read_standing,
     write_chunk,
 )
@@ -49,9 +49,7 @@
 PAUSE_NOTICED: Millis = 1_000.0
 PROBE_AFTER: Millis = 15_000.0
 LOOK_AGAIN_INTERVAL: Millis = 10_000.0
-CLAIMS_AT_ONCE = 4
 RELEASE_SLACK: Millis = 5_000.0
-CLAIM_PAUSE: Millis = 500.0
 
 
 class JobRunner:
@@ -78,11 +76,12 @@
         self._calls = calls
         self._coordinator = coordinator
         self._may_claim = may_claim
+        self._claims = ChunkClaims(
+            store, holder, clock, members, ports.choose, calls, self._take_claim
+        )
         self._thread = threading.Thread(target=self._run, name="job-runner", daemon=True)
         self._works: dict[str, JobWork] = {}
         self._owned: dict[tuple[str, int], OwnedChunk] = {}
-        self._claiming = 0
-        self._claim_at: Millis = 0.0
         self._live: tuple[str, ...] = ()
         self._looked_at: Millis = 0.0
         self._round_began: Millis = clock.now()
@@ -96,6 +95,7 @@
 
     def start(self) -> None:
         """Start the loop."""
+        self._round_began = self._clock.now()
         self._table.start()
         self._thread.start()
 
@@ -229,55 +229,18 @@
         chunk.ended(attempt, outcome, max_attempts=limit, now=self._clock.now())
 
     def _claim_ahead(self, now: Millis, credits: int) -> None:
-        """Claim just enough chunks to keep the capacity busy while the next claim is made."""
-        if now < self._claim_at or not self._may_claim() or self._holder.node not in self._live:
-            return
         waiting = sum(chunk.waiting for chunk in self._owned.values())
         running = sum(chunk.running for chunk in self._owned.values())
-        wanted = max(credits, running // 2)
-        jobs = {
-            job_id: work.job
-            for job_id, work in self._works.items()
-            if work.job.status is not JobStatus.CANCELLING
-        }
-        while self._claiming < CLAIMS_AT_ONCE and waiting < wanted and jobs:
-            job_id = self._ports.choose(list(jobs.values()))
-            work = self._works[job_id]
-            number = work.next_candidate(self._holder.node, self._live, self._members.is_dead)
-            if number is None:
-                del jobs[job_id]
-                continue
-            waiting += work.job.chunk_sizes[number]
-            self._claim(work, number)
+        missing = max(credits, running // 2) - waiting
+        if missing > 0 and self._may_claim():
+            self._claims.claim_ahead(self._works, self._live, missing=missing, now=now)
 
-    def _claim(self, work: JobWork, number: int) -> None:
-        job = work.job
-        work.mark_taken(number)
-        self._claiming += 1
-        self._calls.submit(
-            lambda: claim(
-                self._store, job, number, self._holder, is_dead=self._members.confirm_dead
-            ),
-            lambda found: self._take_claim(job.id, number, found),
-        )
-
-    def _take_claim(
-        self, job_id: str, number: int, found: Result[Claimed | Standing, StoreFailure]
-    ) -> None:
-        self._claiming -= 1
-        now = self._clock.now()
-        work = self._works.get(job_id)
-        if isinstance(found, Failure):
-            self._claim_at = now + CLAIM_PAUSE
-            if work is not None:
-                work.mark_free(number)
-                work.look_again()
-            return
-        claimed = found.unwrap()
+    def _take_claim(self, job_id: str, number: int, claimed: Claimed | Standing) -> None:
         if isinstance(claimed, Claimed):
-            self._owned[job_id, number] = OwnedChunk(claimed.standing, claimed.items, now)
+            chunk = OwnedChunk(claimed.standing, claimed.items, self._clock.now())
             if self._releasing_until is not None:
-                self._owned[job_id, number].part(Ending.RELEASE, cancel=False)
+                chunk.part(Ending.RELEASE, cancel=False)
+            self._owned[job_id, number] = chunk
             logging.info("event=chunk_claimed job=%s chunk=%d", job_id, number)
             return
         counts = done_counts(claimed)
@@ -349,7 +312,7 @@
     def _end_release(self, now: Millis) -> None:
         if self._releasing_until is None:
             return
-        if not self._owned and not self._claiming:
+        if not self._owned and not self._claims.under_way:
             self._stopped.set()
             return
         if now < self._releasing_until:
--- a/packages/node/src/carobspool_node/_jobs_api.py
+++ b/packages/node/src/carobspool_node/_jobs_api.py
@@ -30,7 +30,8 @@
     get_file,
     list_files,
 )
-from carobspool_node._job_intake import Submission, cancel, get_job, submit
+from carobspool_node._job_changes import cancel, get_job
+from carobspool_node._job_intake import Submission, submit
 from carobspool_node._job_results import (
     error_file_id,
     output_file_id,
--- a/packages/node/src/carobspool_node/_object_api.py
+++ b/packages/node/src/carobspool_node/_object_api.py
@@ -6,8 +6,6 @@
 import threading
 import time
 import uuid
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from http import HTTPStatus
 from io import BytesIO
 from typing import TypeVar
@@ -20,7 +18,6 @@
     Clock,
     Json,
     Millis,
-    ObjectChange,
     ObjectPage,
     ObjectStore,
     StoredObject,
@@ -29,6 +26,21 @@
     WatchBatch,
     monotonic_clock,
 )
+from carobspool_node._object_answers import (
+    Broken,
+    Reply,
+    decoded,
+    detail_of,
+    encode_value,
+    failed,
+    fault_of,
+    header_reader,
+    may_have_acted,
+    object_page,
+    present_object,
+    stored_object,
+    watch_batch,
+)
 
 CONNECT_TIMEOUT: Millis = 1_000.0
 REQUEST_TIMEOUT: Millis = 2_000.0
@@ -41,23 +53,6 @@
 _NEVER_SENT = (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Reply:
-    """A whole HTTP answer."""
-
-    status: int
-    version: int
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Broken:
-    """No whole answer came; ``sent`` tells whether the server may have acted on the request."""
-
-    sent: bool
-    detail: str
-
-
 def http_object_store(
     url: str,
     *,
@@ -94,11 +89,11 @@
     def get(self, key: str) -> Result[StoredObject, StoreFailure]:
         """Read one object."""
         reply = self._exchange("GET", _object_path(key))
-        if isinstance(reply, _Broken):
-            return _fail(StoreFault.UNAVAILABLE, key, reply.detail)
+        if isinstance(reply, Broken):
+            return failed(StoreFault.UNAVAILABLE, key, reply.detail)
         if reply.status == HTTPStatus.OK:
-            return _read(key, lambda: _stored(key, reply.version, reply.body.decode()))
-        return _fail(_fault_of(reply.status), key, f"status {reply.status}")
+            return decoded(key, lambda: stored_object(key, reply.version, reply.body.decode()))
+        return failed(fault_of(reply.status), key, f"status {reply.status}")
 
     def list(
         self, prefix: str, *, after: str = "", limit: int = 500
@@ -106,11 +101,11 @@
         """Read a page of objects in key order."""
         query = urlencode({"prefix": prefix, "after": after, "limit": limit})
         reply = self._exchange("GET", f"/list?{query}")
-        if isinstance(reply, _Broken):
-            return _fail(StoreFault.UNAVAILABLE, prefix, reply.detail)
+        if isinstance(reply, Broken):
+            return failed(StoreFault.UNAVAILABLE, prefix, reply.detail)
         if reply.status != HTTPStatus.OK:
-            return _fail(_fault_of(reply.status), prefix, f"status {reply.status}")
-        return _read(prefix, lambda: _page(json.loads(reply.body)))
+            return failed(fault_of(reply.status), prefix, f"status {reply.status}")
+        return decoded(prefix, lambda: object_page(json.loads(reply.body)))
 
     def create(self, key: str, value: Json) -> Result[StoredObject, StoreFailure]:
         """Write an object that must not exist yet."""
@@ -126,13 +121,13 @@
         lost = False
         while True:
             reply = self._exchange("DELETE", _object_path(key), version=version)
-            if isinstance(reply, _Reply):
+            if isinstance(reply, Reply):
                 return self._deleted(key, reply, lost=lost)
             lost = lost or reply.sent
             if not lost:
-                return _fail(StoreFault.UNAVAILABLE, key, reply.detail)
+                return failed(StoreFault.UNAVAILABLE, key, reply.detail)
             if self._clock.now() >= deadline:
-                return _fail(StoreFault.UNKNOWN, key, reply.detail)
+                return failed(StoreFault.UNKNOWN, key, reply.detail)
             _pause()
 
     def watch(
@@ -141,13 +136,13 @@
         """Wait for changes under ``prefix`` after ``revision``."""
         query = urlencode({"prefix": prefix, "from": revision, "timeout": int(timeout)})
         reply = self._exchange("GET", f"/watch?{query}", timeout=timeout + WATCH_SLACK)
-        if isinstance(reply, _Broken):
-            return _fail(StoreFault.UNAVAILABLE, prefix, reply.detail)
+        if isinstance(reply, Broken):
+            return failed(StoreFault.UNAVAILABLE, prefix, reply.detail)
         if reply.status == HTTPStatus.GONE:
-            return _fail(StoreFault.COMPACTED, prefix, f"revision {revision} is no longer held")
+            return failed(StoreFault.COMPACTED, prefix, f"revision {revision} is no longer held")
         if reply.status != HTTPStatus.OK:
-            return _fail(_fault_of(reply.status), prefix, f"status {reply.status}")
-        return _read(prefix, lambda: _watch_batch(json.loads(reply.body)))
+            return failed(fault_of(reply.status), prefix, f"status {reply.status}")
+        return decoded(prefix, lambda: watch_batch(json.loads(reply.body)))
 
     def _put(self, key: str, value: Json, version: int) -> Result[StoredObject, StoreFailure]:
         """Write once, whatever becomes of the answers.
@@ -157,19 +152,19 @@
         at most one takes effect, and reading the object back tells by the id whether it did.
         """
         write_id = uuid.uuid4().hex
-        body = _encode({"w": write_id, "v": value})
+        body = encode_value({"w": write_id, "v": value})
         deadline = self._clock.now() + self._settle_time
         lost = False
         while True:
             reply = self._exchange("PUT", _object_path(key), version=version, body=body)
-            if isinstance(reply, _Reply) and reply.status == HTTPStatus.OK:
+            if isinstance(reply, Reply) and reply.status == HTTPStatus.OK:
                 return Success(StoredObject(key=key, version=reply.version, value=value))
-            if isinstance(reply, _Reply) and reply.status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
-                return _fail(StoreFault.TOO_LARGE, key, f"{len(body)} bytes")
-            lost = lost or _may_have_acted(reply)
-            conflict = isinstance(reply, _Reply) and reply.status == HTTPStatus.CONFLICT
+            if isinstance(reply, Reply) and reply.status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+                return failed(StoreFault.TOO_LARGE, key, f"{len(body)} bytes")
+            lost = lost or may_have_acted(reply)
+            conflict = isinstance(reply, Reply) and reply.status == HTTPStatus.CONFLICT
             if not lost and not conflict:
-                return _fail(StoreFault.UNAVAILABLE, key, _detail(reply))
+                return failed(StoreFault.UNAVAILABLE, key, detail_of(reply))
             settled = self._settle(key, write_id, version, deadline, lost=lost)
             if settled is not None:
                 return settled
@@ -180,19 +175,19 @@
         """Read back after a conflict or a lost answer; ``None``: write again."""
         while True:
             reply = self._exchange("GET", _object_path(key))
-            present = _present(reply)
+            present = present_object(reply)
             if present is None:
                 if self._clock.now() >= deadline:
                     fault = StoreFault.UNKNOWN if lost else StoreFault.CONFLICT
-                    return _fail(fault, key, _detail(reply))
+                    return failed(fault, key, detail_of(reply))
                 _pause()
                 continue
             found_version, found_id, body = present
             if found_id == write_id:
-                return Success(_stored(key, found_version, body))
+                return Success(stored_object(key, found_version, body))
             if found_version == version:
                 if self._clock.now() >= deadline:
-                    return _fail(StoreFault.UNKNOWN, key, "the write did not appear")
+                    return failed(StoreFault.UNKNOWN, key, "the write did not appear")
                 _pause()
                 return None
             # Somebody else's value. Without a lost answer the condition failed, plainly. After one,
@@ -200,20 +195,20 @@
             fault = StoreFault.UNKNOWN if lost else StoreFault.CONFLICT
             current = None
             if found_version > 0:
-                current = _stored(key, found_version, body)
+                current = stored_object(key, found_version, body)
             return Failure(StoreFailure(fault=fault, key=key, current=current))
 
-    def _deleted(self, key: str, reply: _Reply, *, lost: bool) -> Result[None, StoreFailure]:
+    def _deleted(self, key: str, reply: Reply, *, lost: bool) -> Result[None, StoreFailure]:
         if reply.status == HTTPStatus.OK:
             return Success(None)
         if reply.status == HTTPStatus.NOT_FOUND and lost:
             return Success(None)
         if reply.status == HTTPStatus.CONFLICT:
-            return _fail(StoreFault.CONFLICT, key, f"version {reply.version}")
-        fault = _fault_of(reply.status)
+            return failed(StoreFault.CONFLICT, key, f"version {reply.version}")
+        fault = fault_of(reply.status)
         if lost and fault is StoreFault.UNAVAILABLE:
             fault = StoreFault.UNKNOWN
-        return _fail(fault, key, f"status {reply.status}")
+        return failed(fault, key, f"status {reply.status}")
 
     def _exchange(
         self,
@@ -223,7 +218,7 @@
         version: int | None = None,
         body: bytes | None = None,
         timeout: Millis | None = None,
-    ) -> _Reply | _Broken:
+    ) -> Reply | Broken:
         """Make one call on this thread's connection."""
         handle = self._handle()
         handle.reset()
@@ -239,7 +234,7 @@
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, int(CONNECT_TIMEOUT))
         handle.setopt(pycurl.TIMEOUT_MS, int(timeout or self._request_timeout))
         handle.setopt(pycurl.WRITEFUNCTION, received.write)
-        handle.setopt(pycurl.HEADERFUNCTION, _header_reader(found))
+        handle.setopt(pycurl.HEADERFUNCTION, header_reader(found))
         if body is not None:
             # libcurl silently sends a request again when a kept connection dies before the answer.
             # A write that had taken effect would then come back as a conflict with itself. A body
@@ -255,8 +250,8 @@
             handle.perform()
         except pycurl.error as error:
             code = error.args[0]
-            return _Broken(sent=code not in _NEVER_SENT, detail=f"curl error {code}")
-        return _Reply(
+            return Broken(sent=code not in _NEVER_SENT, detail=f"curl error {code}")
+        return Reply(
             status=handle.getinfo(pycurl.RESPONSE_CODE),
             version=int(found.get(_VERSION_HEADER, "0")),
             body=received.getvalue(),
@@ -270,100 +265,9 @@
         return handle
 
 
-def _header_reader(found: dict[str, str]) -> Callable[[bytes], None]:
-    """Return a callback that keeps the headers of the last answer, names in lower case."""
-
-    def read(line: bytes) -> None:
-        name, separator, value = line.decode("latin-1").partition(":")
-        if separator:
-            found[name.strip().lower()] = value.strip()
-
-    return read
-
-
 def _object_path(key: str) -> str:
     return "/objects/" + quote(key, safe="/")
 
 
-def _encode(value: Json) -> bytes:
-    return json.dumps(value, ensure_ascii=False, separators=(",", ":")).encode()
-
-
-def _open_envelope(text: str) -> tuple[str, Json]:
-    """Split a stored text into the write id and the value proper."""
-    envelope = json.loads(text)
-    if isinstance(envelope, dict) and envelope.keys() == {"w", "v"}:
-        return envelope["w"], envelope["v"]
-    return "", envelope
-
-
-def _stored(key: str, version: int, text: str) -> StoredObject:
-    return StoredObject(key=key, version=version, value=_open_envelope(text)[1])
-
-
-def _page(answer: Mapping[str, Json]) -> ObjectPage:
-    objects = [_stored(item["key"], item["version"], item["value"]) for item in answer["objects"]]
-    return ObjectPage(revision=answer["revision"], objects=objects, more=answer["more"])
-
-
-def _watch_batch(answer: Mapping[str, Json]) -> WatchBatch:
-    changes = []
-    for event in answer["events"]:
-        if event["deleted"]:
-            stored = StoredObject(key=event["key"], version=event["version"], value=None)
-        else:
-            stored = _stored(event["key"], event["version"], event["value"])
-        changes.append(ObjectChange(object=stored, deleted=event["deleted"]))
-    return WatchBatch(revision=answer["revision"], changes=changes)
-
-
-def _read(key: str, decode: Callable[[], _T]) -> Result[_T, StoreFailure]:
-    """Decode an answer; a malformed one counts as none."""
-    try:
-        return Success(decode())
-    except (ValueError, KeyError, TypeError):
-        return _fail(StoreFault.UNAVAILABLE, key, "malformed answer")
-
-
-def _present(reply: _Reply | _Broken) -> tuple[int, str, str] | None:
-    """Return version, write id and text as read back, version 0 if absent, ``None`` if unread."""
-    if isinstance(reply, _Broken):
-        return None
-    if reply.status == HTTPStatus.NOT_FOUND:
-        return 0, "", ""
-    if reply.status != HTTPStatus.OK:
-        return None
-    try:
-        text = reply.body.decode()
-        return reply.version, _open_envelope(text)[0], text
-    except ValueError:
-        return None
-
-
-def _may_have_acted(reply: _Reply | _Broken) -> bool:
-    """Tell whether a write without a plain answer may have taken effect."""
-    if isinstance(reply, _Broken):
-        return reply.sent
-    return reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR and (
-        reply.status != HTTPStatus.SERVICE_UNAVAILABLE
-    )
-
-
-def _fault_of(status: int) -> StoreFault:
-    if status == HTTPStatus.NOT_FOUND:
-        return StoreFault.NOT_FOUND
-    return StoreFault.UNAVAILABLE
-
-
-def _detail(reply: _Reply | _Broken) -> str:
-    if isinstance(reply, _Broken):
-        return reply.detail
-    return f"status {reply.status}"
-
-
-def _fail(fault: StoreFault, key: str, detail: str) -> Result[_T, StoreFailure]:
-    return Failure(StoreFailure(fault=fault, key=key, detail=detail))
-
-
 def _pause() -> None:
     time.sleep(SETTLE_PAUSE / 1000.0)
--- a/packages/node/tests/test_job_runner.py
+++ b/packages/node/tests/test_job_runner.py
@@ -35,7 +35,8 @@
     unavailable,
 )
 from carobspool_node._files import create_file
-from carobspool_node._job_intake import Submission, cancel, submit
+from carobspool_node._job_changes import cancel
+from carobspool_node._job_intake import Submission, submit
 from carobspool_node._job_results import result_content
 from carobspool_node._job_runner import ChunkDone, JobRunner, RunnerPorts, make_job_runner
 from carobspool_node._members import watch_members
--- a/tools/cost_jobs.py
+++ b/tools/cost_jobs.py
@@ -1,6 +1,7 @@
 """Measure what batch jobs cost: store writes, throughput of the runner, memory of open jobs.
 
     .venv/bin/python tools/cost_jobs.py writes --items 20 2000 56000
+    .venv/bin/python tools/cost_jobs.py writes --items 2000 --non-idempotent
     .venv/bin/python tools/cost_jobs.py memory
 
 Items end at once and the store is the in-memory stand-in, so the figures are those of intake and
@@ -55,13 +56,13 @@
     return _Handle()
 
 
-def _submit(store: MemoryStore, items: int) -> Job:
+def _submit(store: MemoryStore, items: int, *, idempotent: bool = True) -> Job:
     lines = []
     for number in range(items):
         content = f"Reading note for poem {number}: " + "lines of a pamphlet " * 20
         body = {"model": "m", "messages": [{"role": "user", "content": content}]}
         line = {"custom_id": f"poem-{number}", "method": "POST", "url": ENDPOINT, "body": body}
-        lines.append(json.dumps(line))
+        lines.append(json.dumps({**line, "idempotent": idempotent}))
     file = create_file(
         store,
         ["\n".join(lines).encode()],
@@ -84,7 +85,7 @@
     ).unwrap()
 
 
-def measure_writes(items: int) -> None:
+def measure_writes(items: int, *, idempotent: bool) -> None:
     """Run one job on one entry and print its store calls and rate."""
     objects = MemoryObjects()
     store = MemoryStore(objects, "a")
@@ -104,7 +105,7 @@
         store, holder, clock, members, ports, may_claim=lambda: lease.held, watch_timeout=500.0
     )
     began = time.perf_counter()
-    job = _submit(store, items)
+    job = _submit(store, items, idempotent=idempotent)
     accepted = time.perf_counter()
     lease.start()
     members.start()
@@ -168,13 +169,14 @@
     commands = parser.add_subparsers(dest="command", required=True)
     writes = commands.add_parser("writes")
     writes.add_argument("--items", type=int, nargs="+", default=[20, 2_000, 56_000])
+    writes.add_argument("--non-idempotent", action="store_true")
     commands.add_parser("memory")
     options = parser.parse_args()
     if options.command == "memory":
         measure_memory()
         return
     for items in options.items:
-        measure_writes(items)
+        measure_writes(items, idempotent=not options.non_idempotent)
 
 
 if __name__ == "__main__":
