Routing: look for a free slot when the drawn are full; suspects kept apart

Cause: two random choices are both full in 1 of 12 draws when a third of nine upstreams is, while others have free slots; ejection state depended on the order of a set. Ruled out: three choices (no better under bursts). Also: failures of an upstream already lost are not held against its successor; a favourite's bound counts the request itself and goes by slots; an upstream with a suspect is avoided by others.

--- a/packages/core/src/carobspool_core/_ejection.py
+++ b/packages/core/src/carobspool_core/_ejection.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Hashable, Iterable
+from collections.abc import Container, Hashable, Iterable
 from dataclasses import dataclass, field
 from itertools import islice
 from statistics import median
@@ -62,7 +62,7 @@
 
     def __init__(self) -> None:
         self._health: dict[str, _Health] = {}
-        self._ejected: set[str] = set()
+        self._ejected: dict[str, None] = {}
         self._median: Millis | None = None
         self._median_at: Millis | None = None
 
@@ -74,12 +74,12 @@
     def keep_only(self, hosts: Iterable[str]) -> None:
         """Forget hosts that are no longer in the pool."""
         kept = set(hosts)
-        self._ejected &= kept
+        self._ejected = {host: None for host in self._ejected if host in kept}
         self._health = {host: health for host, health in self._health.items() if host in kept}
 
     def forget(self, host: str) -> None:
         """Forget what is known of a host, after it was lost: a new process may stand there."""
-        self._ejected.discard(host)
+        self._ejected.pop(host, None)
         self._health.pop(host, None)
 
     def started(self, host: str, id: Hashable, now: Millis) -> None:
@@ -138,9 +138,16 @@
             return False
         return self._eject(host, health, now, pool_size)
 
-    def due_probe(self, now: Millis) -> str | None:
-        """Return an ejected host that may get one request to prove itself, or ``None``."""
+    def due_probe(self, among: Container[str], now: Millis) -> str | None:
+        """Return an ejected host that may get one request to prove itself, or ``None``.
+
+        Args:
+            among: Hosts that may be chosen at all.
+            now: The instant.
+        """
         for host in self._ejected:
+            if host not in among:
+                continue
             health = self._health[host]
             if health.probe is not None or health.ejected_until is None:
                 continue
@@ -187,7 +194,7 @@
     def _eject(self, host: str, health: _Health, now: Millis, pool_size: int) -> bool:
         if len(self._ejected) + 1 > int(pool_size * MAX_EJECTED_SHARE):
             return False
-        self._ejected.add(host)
+        self._ejected[host] = None
         health.ejections += 1
         health.good_probes = 0
         health.probe = None
@@ -207,7 +214,7 @@
         health.good_probes += 1
         if health.good_probes < PROBES_TO_RETURN:
             return False
-        self._ejected.discard(host)
+        del self._ejected[host]
         health.ejected_until = None
         health.samples.clear()
         health.typical = None
--- a/packages/core/src/carobspool_core/_pools.py
+++ b/packages/core/src/carobspool_core/_pools.py
@@ -87,6 +87,7 @@
         "_by_domain",
         "_chosen",
         "_chosen_hosts",
+        "_slots",
         "_target",
         "_tokens",
         "_usable_hosts",
@@ -102,6 +103,7 @@
         self._usable_hosts: frozenset[str] = frozenset()
         self._by_domain: dict[str, list[PooledUpstream]] = {}
         self._tokens = 0
+        self._slots = 0
         self.members: list[PooledUpstream] = []
         self.ejector = Ejector()
         self.is_stale = True
@@ -121,9 +123,9 @@
         return self._usable_hosts
 
     @property
-    def mean_tokens(self) -> float:
-        """Mean of the estimated tokens of the chosen upstreams."""
-        return self._tokens / max(1, len(self._chosen))
+    def tokens_per_slot(self) -> float:
+        """Estimated tokens of the chosen upstreams for each of their slots."""
+        return self._tokens / max(1, self._slots)
 
     def in_domain(self, failure_domain: str) -> list[PooledUpstream]:
         """Return the chosen upstreams of a failure domain."""
@@ -142,6 +144,7 @@
         self._chosen = [each for each in usable if each.host not in ejected]
         self._chosen_hosts = frozenset(each.host for each in self._chosen)
         self._tokens = sum(each.estimate.tokens for each in self._chosen)
+        self._slots = sum(each.declared.slots for each in self._chosen)
         self._by_domain = {}
         for each in self._chosen:
             self._by_domain.setdefault(each.declared.failure_domain, []).append(each)
--- a/packages/core/src/carobspool_core/_route_types.py
+++ b/packages/core/src/carobspool_core/_route_types.py
@@ -20,6 +20,7 @@
         lag_correction: Whether this entry's own requests are added to reports.
         free_slot_first: Whether an upstream with a free slot goes before a full one with fewer
             tokens: one long request in a slot delays nobody in the others.
+        search_free_slot: Whether all upstreams are looked through when those drawn are full.
         load_bound: Times the pool's mean load above which a preferred upstream is left. 1.25
             keeps at least four fifths of the pool busy before anyone is preferred into overload.
         free_share: Share of the slots up to which a preferred upstream is never left: an engine
@@ -32,6 +33,7 @@
     prefer_own_domain: bool = True
     lag_correction: bool = True
     free_slot_first: bool = True
+    search_free_slot: bool = True
     load_bound: float = 1.25
     free_share: float = 0.75
 
--- a/packages/core/src/carobspool_core/_routing.py
+++ b/packages/core/src/carobspool_core/_routing.py
@@ -25,6 +25,7 @@
 from carobspool_core._route_types import Choice, RouteRequest, RoutingSettings, Target
 from carobspool_core._selection import (
     favourite,
+    is_light,
     least_busy,
     lighter_of_random,
     near_unless_busier,
@@ -203,8 +204,11 @@
             now: The instant.
         """
         upstream = self._upstreams.get(host)
-        flight = upstream.end(id) if upstream is not None else None
-        if flight is None or flight.priority is not Priority.ONLINE:
+        if upstream is None:
+            return
+        flight = upstream.end(id)
+        # What fails as a lost upstream goes says nothing of the process that will come back there.
+        if flight is None or flight.priority is not Priority.ONLINE or upstream.lost:
             return
         pool = self._pools.get(flight.target)
         if pool is None or not self._settings.ejection:
@@ -232,17 +236,15 @@
     def _probe(self, pool: Pool, request: RouteRequest, now: Millis) -> str | None:
         if request.priority is not Priority.ONLINE or request.suspect:
             return None
-        host = pool.ejector.due_probe(now)
-        if host is None or host in request.exclude or host not in pool.usable_hosts:
-            return None
-        return host
+        host = pool.ejector.due_probe(pool.usable_hosts, now)
+        return None if host in request.exclude else host
 
     def _choose(
         self, pool: Pool, request: RouteRequest, candidates: Sequence[PooledUpstream]
     ) -> Choice:
         if request.prefix_key is not None and self._settings.affinity:
-            preferred = favourite(request.prefix_key, candidates, pool, self._settings)
-            if preferred is not None:
+            preferred = favourite(request.prefix_key, candidates)
+            if is_light(preferred, request.cost_tokens, pool, self._settings):
                 return Choice(host=preferred.host, affinity=True)
         chosen = lighter_of_random(candidates, self._rng, self._settings)
         if candidates is pool.chosen:
--- a/packages/core/src/carobspool_core/_selection.py
+++ b/packages/core/src/carobspool_core/_selection.py
@@ -16,14 +16,27 @@
 from random import Random
 
 from carobspool_core._pools import Pool, PooledUpstream
-from carobspool_core._rendezvous import owner
+from carobspool_core._rendezvous import first
 from carobspool_core._route_types import RoutingSettings
 
 
 def lighter_of_random(
     upstreams: Sequence[PooledUpstream], rng: Random, settings: RoutingSettings
 ) -> PooledUpstream:
-    """Return the least busy of a few different upstreams drawn at random."""
+    """Return the least busy of a few different upstreams drawn at random.
+
+    When all of these are full, the draw is repeated among those that seem to have a free slot.
+    """
+    best = _drawn(upstreams, rng, settings)
+    if not settings.search_free_slot or not is_avoided(best, settings):
+        return best
+    free = [each for each in upstreams if not is_avoided(each, settings)]
+    return _drawn(free, rng, settings) if free else best
+
+
+def _drawn(
+    upstreams: Sequence[PooledUpstream], rng: Random, settings: RoutingSettings
+) -> PooledUpstream:
     count = len(upstreams)
     index = int(rng.random() * count)
     best = upstreams[index]
@@ -53,15 +66,28 @@
     return candidate if busyness(candidate, settings) <= busyness(upstream, settings) else upstream
 
 
-def favourite(
-    prefix_key: str, upstreams: Sequence[PooledUpstream], pool: Pool, settings: RoutingSettings
-) -> PooledUpstream | None:
-    """Return the upstream that should hold a prefix's cache, ``None`` when it is too busy."""
+def favourite(prefix_key: str, upstreams: Sequence[PooledUpstream]) -> PooledUpstream:
+    """Return the upstream that should hold a prefix's cache.
+
+    Args:
+        prefix_key: Digest of the prompt's leading part.
+        upstreams: At least one.
+    """
     by_host = {each.host: each for each in upstreams}
-    host = owner(prefix_key, list(by_host))
-    if host is None or not _is_light(by_host[host], pool, settings):
-        return None
-    return by_host[host]
+    return by_host[first(prefix_key, by_host, 1)[0]]
+
+
+def is_light(
+    upstream: PooledUpstream, cost_tokens: int, pool: Pool, settings: RoutingSettings
+) -> bool:
+    """Return whether a favourite may take a request of ``cost_tokens`` more."""
+    if upstream.estimate.requests < upstream.declared.slots * settings.free_share:
+        return True
+    # A warm cache saves a part of a prompt; a wait for a slot costs a whole answer.
+    if settings.free_slot_first and not upstream.has_free_slot:
+        return False
+    tokens = upstream.estimate.tokens + cost_tokens
+    return tokens <= settings.load_bound * pool.tokens_per_slot * upstream.declared.slots
 
 
 def least_busy(upstreams: Sequence[PooledUpstream], settings: RoutingSettings) -> PooledUpstream:
@@ -71,14 +97,15 @@
 
 def busyness(upstream: PooledUpstream, settings: RoutingSettings) -> tuple[bool, float]:
     """Return the key by which upstreams are compared; less is better."""
-    is_full = settings.free_slot_first and not upstream.has_free_slot
-    return is_full, upstream.estimate.tokens / upstream.declared.slots
+    tokens = upstream.estimate.tokens / upstream.declared.slots
+    return is_avoided(upstream, settings), tokens
 
 
-def _is_light(upstream: PooledUpstream, pool: Pool, settings: RoutingSettings) -> bool:
-    if upstream.estimate.requests < upstream.declared.slots * settings.free_share:
+def is_avoided(upstream: PooledUpstream, settings: RoutingSettings) -> bool:
+    """Return whether an upstream seems to have no free slot.
+
+    One that runs a suspect counts as full, so that few are beside it if it crashes.
+    """
+    if upstream.estimate.suspects:
         return True
-    # A warm cache saves a part of a prompt; a wait for a slot costs a whole answer.
-    if settings.free_slot_first and not upstream.has_free_slot:
-        return False
-    return upstream.estimate.tokens <= settings.load_bound * pool.mean_tokens
+    return settings.free_slot_first and not upstream.has_free_slot
--- a/packages/core/tests/test_routing.py
+++ b/packages/core/tests/test_routing.py
@@ -120,3 +120,70 @@
         assert host == "up-1"
         router.started(host, n, 10, 20.0, priority=Priority.BATCH)
     assert isinstance(pick(router, 20.0, priority=Priority.BATCH), Failure)
+
+
+def fail_all(router: Router, hosts: set[str], rounds: int, now: float) -> None:
+    """Let every request sent to ``hosts`` fail, and the others end well."""
+    for n in range(rounds):
+        host = picked(router, now)
+        router.started(host, (now, n), 100, now)
+        router.ended(host, (now, n), host not in hosts, now)
+
+
+def test_failing_upstreams_are_ejected_but_never_more_than_a_third() -> None:
+    """Of nine upstreams five fail every request; three are ejected, the others still get some."""
+    router = router_of(9)
+    bad = {f"up-{n}" for n in range(5)}
+    fail_all(router, bad, 2_000, 1.0)
+    used = {picked(router, 2.0) for _ in range(500)}
+    assert len(used) == 6
+    assert {f"up-{n}" for n in range(5, 9)} <= used
+
+
+def test_an_ejected_upstream_is_probed_and_returns() -> None:
+    """After 5 s it gets one request at a time; three good ones bring it back, a bad one not."""
+    router = router_of(3)
+    fail_all(router, {"up-0"}, 200, 1.0)
+    assert "up-0" not in {picked(router, 4_000.0) for _ in range(100)}
+    assert picked(router, 5_100.0) == "up-0"
+    router.started("up-0", "probe", 100, 5_100.0)
+    assert "up-0" not in {picked(router, 5_101.0) for _ in range(100)}
+    router.ended("up-0", "probe", False, 5_200.0)
+    assert "up-0" not in {picked(router, 15_000.0) for _ in range(100)}
+    for n in range(3):
+        assert picked(router, 15_300.0) == "up-0"
+        router.started("up-0", n, 100, 15_300.0)
+        router.first_token("up-0", n, 15_310.0)
+        router.ended("up-0", n, True, 15_320.0)
+    assert {picked(router, 15_400.0) for _ in range(100)} == {"up-0", "up-1", "up-2"}
+
+
+def test_an_idle_pool_is_used_near_by_and_a_busy_near_domain_is_left() -> None:
+    """Requests stay in the entry's failure domain while that costs nothing."""
+    router = router_of(9)
+    near = {"up-1", "up-4", "up-7"}
+    assert {picked(router, failure_domain="domain-1") for _ in range(100)} == near
+    for host in near:
+        router.observe(host, report(900, running=8), 1.0)
+    assert not near & {picked(router, failure_domain="domain-1") for _ in range(100)}
+
+
+def test_suspects_run_apart_from_each_other_and_from_most_others() -> None:
+    """A second suspect goes elsewhere, other requests avoid both, and a third finds no place."""
+    router = router_of(3)
+    hosts = []
+    for n in range(3):
+        hosts.append(picked(router, suspect=True))
+        router.started(hosts[-1], n, 1, 0.0, suspect=True)
+        if n == 1:
+            assert set(hosts).isdisjoint({picked(router) for _ in range(50)})
+    assert len(set(hosts)) == 3
+    failure = pick(router, suspect=True)
+    assert isinstance(failure, Failure) and failure.outcome is Outcome.NOT_RUN
+
+
+def test_a_tried_upstream_is_not_chosen_again() -> None:
+    """A retry goes to another upstream, and is refused as not run when there is none."""
+    router = router_of(2)
+    assert {picked(router, exclude=frozenset({"up-0"})) for _ in range(50)} == {"up-1"}
+    assert isinstance(pick(router, exclude=frozenset({"up-0", "up-1"})), Failure)
--- a/packages/core/tests/test_routing_pool.py
+++ b/packages/core/tests/test_routing_pool.py
@@ -12,7 +12,9 @@
 
 CAPACITY = 30.0
 SEEDS = (1, 2)
-BLIND = RoutingSettings(choices=1, prefer_own_domain=False)
+BLIND = RoutingSettings(
+    choices=1, prefer_own_domain=False, free_slot_first=False, search_free_slot=False
+)
 
 
 def run(
--- a/packages/core/tests/test_suspects.py
+++ b/packages/core/tests/test_suspects.py
@@ -30,7 +30,7 @@
         self.versions: list[dict[str, int]] = [{} for _ in range(entries)]
         self.hints: list[tuple[int, str, dict[str, str]]] = []
         self.crashes = 0
-        self.answers: list[int] = []
+        self.outage = False
 
     def tell(self, origin: int, fingerprint: str, values: dict[str, str]) -> None:
         """Queue a hint for all other entries."""
@@ -48,6 +48,8 @@
 
     def write(self, entry: int, fingerprint: str, values: dict[str, str]) -> bool:
         """Write on the version that the entry last read; on conflict it reads the present one."""
+        if self.outage:
+            return False
         version, present = self.store.get(fingerprint, (0, {}))
         known = self.versions[entry].get(fingerprint, 0)
         if known != version:
@@ -163,6 +165,21 @@
         assert entry.check(CULPRIT, now).kind is VerdictKind.SUSPECT
 
 
+def test_while_the_store_is_down_suspects_wait_and_others_run() -> None:
+    """A suspect can't claim its run during an outage: 503, not run; the clear are not touched."""
+    fleet = Fleet(2, Random(1))
+    fleet.send(0, CULPRIT, beside=("innocent",))
+    while fleet.hints:
+        fleet.deliver(10)
+    fleet.outage = True
+    assert [fleet.send(entry, CULPRIT) for entry in (0, 1, 0, 1)] == [503] * 4
+    assert fleet.send(1, "innocent") == 503
+    assert fleet.send(1, "stranger") == 200
+    fleet.outage = False
+    assert fleet.send(1, "innocent") == 200
+    assert fleet.crashes == 1
+
+
 def test_a_resend_while_the_single_run_is_under_way_is_not_run() -> None:
     """While one entry runs a suspect, the others refuse it as not run and say when to come back."""
     clock = ManualClock()
--- a/tools/routing_trial.py
+++ b/tools/routing_trial.py
@@ -36,7 +36,9 @@
     report_every: Millis | None = None
 
 
-BLIND = RoutingSettings(choices=1, prefer_own_domain=False)
+BLIND = RoutingSettings(
+    choices=1, prefer_own_domain=False, free_slot_first=False, search_free_slot=False
+)
 UNBOUNDED = RetrySettings(budget=1.0, reserve=1e9, overload_share=1e9)
 VARIANTS = {
     "all parts": Variant(),
@@ -45,6 +47,7 @@
     "no lag correction": Variant(routing=RoutingSettings(lag_correction=False)),
     "reports each 1 s": Variant(report_every=1_000.0),
     "reports each 5 s": Variant(report_every=5_000.0),
+    "no search": Variant(routing=RoutingSettings(search_free_slot=False)),
     "tokens alone": Variant(routing=RoutingSettings(free_slot_first=False)),
     "no affinity": Variant(routing=RoutingSettings(affinity=False)),
     "affinity unbounded": Variant(routing=RoutingSettings(free_share=1e9)),
