--- a/packages/node/src/carobspool_node/_batch_forward.py
+++ b/packages/node/src/carobspool_node/_batch_forward.py
@@ -33,8 +33,8 @@
 from carobspool_node._online_requests import (
     NO_ID,
     CompletionBody,
+    completion_fingerprint,
     estimate_tokens,
-    fingerprint,
     parse_completion,
     prefix_key,
 )
@@ -220,7 +220,7 @@
             timeout=ITEM_TIMEOUT,
             idempotent=item.idempotent,
             stream=False,
-            fingerprint=fingerprint(item.organisation, item.body),
+            fingerprint=completion_fingerprint(item.organisation, completion),
             suspect=False,
             sent=0.0,
         )
--- a/packages/node/src/carobspool_node/_entry_node.py
+++ b/packages/node/src/carobspool_node/_entry_node.py
@@ -45,6 +45,7 @@
 from carobspool_node._peer_keys import load_peer_keys
 from carobspool_node._reservations import make_reservations
 from carobspool_node._settings import EntrySettings
+from carobspool_node._shared_limits import SharedLimits
 from carobspool_node._shutdown import ShutdownRequest
 
 TICK_SECONDS = 1.0
@@ -70,7 +71,6 @@
         self._store = http_object_store(settings.object_api)
         self._follower = make_follower(self._store, self._clock)
         self._keys = CallerKeys(settings.first_operator_key_hash)
-        self._limiter = make_limiter(self._clock, settings.node)
         peer_keys = load_peer_keys(settings.peer_keys)
         self._hints = HintExchange(
             settings.peer.address,
@@ -82,6 +82,9 @@
             on_configuration=self._exchange,
             greeting=lambda: announcement(self._follower),
         )
+        self._limits = SharedLimits(
+            make_limiter(self._clock, settings.node), self._clock, tell=self._hints.tell
+        )
         self._isolation = Isolation(
             make_suspects(self._clock),
             self._store,
@@ -122,7 +125,7 @@
                 make_retry_policy(self._clock),
                 failure_domain=settings.failure_domain,
             ),
-            self._limiter,
+            self._limits,
             self._isolation,
             make_reservations(
                 self._store, self._jobs.holder, self._clock, is_dead=self._jobs.members.is_dead
@@ -249,6 +252,9 @@
         if hint.kind in (HintKind.JOB_CHANGED, HintKind.CHUNK_DONE):
             self._jobs.take_hint(hint)
             return
+        if hint.kind is HintKind.USAGE:
+            self._limits.merge(hint)
+            return
         if hint.kind is HintKind.HOST_LEAVING:
             self._drains.refresh()
 
@@ -271,6 +277,7 @@
         self._fleet.tick()
         self._hints.tick()
         self._isolation.expire()
+        self._limits.exchange(self._jobs.live_entries())
         self._hints.set_peers(self._jobs.peers())
         self._metrics.gauge("http.open", self._server.open_connections)
         self._metrics.gauge("config.revision", self._follower.revision)
--- a/packages/node/src/carobspool_node/_forward.py
+++ b/packages/node/src/carobspool_node/_forward.py
@@ -51,11 +51,13 @@
         open: The message without its final id; each attempt gets its own.
         prefix_key: Names the prompt prefix for cache affinity, or ``None``.
         deadline: Instant by which the answer must have begun (streams) or be whole.
+        may_repeat: Whether it may be tried once more, asked before each retry.
     """
 
     open: Open
     prefix_key: str | None
     deadline: Millis
+    may_repeat: Callable[[], bool] = lambda: True
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -181,7 +183,7 @@
             return Success(progress)
 
     def _may_retry(self, request: ForwardRequest, failure: Failure, number: int) -> bool:
-        if request.open.suspect:
+        if request.open.suspect or not request.may_repeat():
             # A suspect has one claimed run; its caller may ask for another.
             return False
         with self._retries_lock:
--- a/packages/node/src/carobspool_node/_online.py
+++ b/packages/node/src/carobspool_node/_online.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import threading
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 
@@ -16,7 +15,6 @@
     Clock,
     Failure,
     Grant,
-    Limiter,
     Outcome,
 )
 from carobspool_node._caller_keys import Identified
@@ -26,6 +24,7 @@
 from carobspool_node._isolation import Isolation, is_clear
 from carobspool_node._online_requests import OnlineRequest, pass_on
 from carobspool_node._reservations import Reservation, Reservations, StoredAnswer
+from carobspool_node._shared_limits import SharedLimits
 
 MAX_STORED_ANSWER = 512 * 1024
 _DROPPED_ANSWER_HEADERS = frozenset({"date", "server", "connection", "transfer-encoding"})
@@ -37,7 +36,7 @@
     def __init__(
         self,
         forwarder: Forwarder,
-        limiter: Limiter,
+        limits: SharedLimits,
         isolation: Isolation,
         reservations: Reservations,
         clock: Clock,
@@ -45,12 +44,11 @@
         count: Callable[[str, int], None],
     ) -> None:
         self._forwarder = forwarder
-        self._limiter = limiter
+        self._limits = limits
         self._isolation = isolation
         self._reservations = reservations
         self._clock = clock
         self._count = count
-        self._lock = threading.Lock()
 
     def serve(self, request: OnlineRequest, who: Identified) -> Response:
         """Answer one request; every way out is typed."""
@@ -58,28 +56,28 @@
         if not is_successful(checked):
             return self._refused(checked.failure())
         request = checked.unwrap()
-        granted = self._admit(request, who)
+        granted = self._limits.admit(who.caller, who.organisation, request.open.cost_tokens)
         if not is_successful(granted):
             return self._refused(granted.failure())
         grant = granted.unwrap()
         try:
             return self._serve_granted(request, who, grant)
         except BaseException:
-            self._release(grant, request.open.prompt_tokens)
+            self._limits.release(grant, request.open.prompt_tokens)
             raise
 
     def _serve_granted(self, request: OnlineRequest, who: Identified, grant: Grant) -> Response:
         reserved = self._reserve(request, who)
         if not is_successful(reserved):
-            self._release(grant, 0)
+            self._limits.release(grant, 0)
             return self._refused(reserved.failure())
         reservation = reserved.unwrap()
         if isinstance(reservation, StoredAnswer):
-            self._release(grant, 0)
+            self._limits.release(grant, 0)
             return _stored_response(reservation)
         claimed = self._claim(request)
         if not is_successful(claimed):
-            self._release(grant, 0)
+            self._limits.release(grant, 0)
             self._settle_failure(reservation, claimed.failure())
             return self._refused(claimed.failure())
         forwarded = self._forwarder.forward(
@@ -87,10 +85,13 @@
                 open=request.open,
                 prefix_key=request.prefix_key,
                 deadline=self._clock.now() + request.timeout,
+                # A crash of its first upstream makes it a suspect, which must not be tried again
+                # by itself: the second crash would name it, the third would be ours.
+                may_repeat=lambda: is_clear(self._isolation.check(request.open.fingerprint)),
             )
         )
         if not is_successful(forwarded):
-            self._release(grant, 0)
+            self._limits.release(grant, 0)
             failure = forwarded.failure()
             if request.open.suspect:
                 self._isolation.released(request.open.fingerprint)
@@ -111,16 +112,6 @@
             return Success(None)
         return self._isolation.claim(request.open.fingerprint, request.timeout)
 
-    def _admit(self, request: OnlineRequest, who: Identified) -> Result[Grant, Failure]:
-        with self._lock:
-            return self._limiter.admit(
-                who.caller, who.organisation, request.open.cost_tokens, self._clock.now()
-            )
-
-    def _release(self, grant: Grant, used_tokens: int) -> None:
-        with self._lock:
-            self._limiter.release(grant, used_tokens, self._clock.now())
-
     def _reserve(
         self, request: OnlineRequest, who: Identified
     ) -> Result[Reservation | StoredAnswer | None, Failure]:
@@ -193,7 +184,7 @@
                 yield data
             whole = answer.complete()
         finally:
-            self._release(grant, request.open.prompt_tokens + events)
+            self._limits.release(grant, request.open.prompt_tokens + events)
             if request.open.suspect:
                 self._close_suspect(request, whole=whole)
             if reservation is not None:
--- a/packages/node/src/carobspool_node/_online_requests.py
+++ b/packages/node/src/carobspool_node/_online_requests.py
@@ -130,7 +130,7 @@
         timeout=0.0,
         idempotent=headers.get("carobspool-idempotent", "true").lower() != "false",
         stream=completion.stream,
-        fingerprint=fingerprint(who.organisation.name, body),
+        fingerprint=completion_fingerprint(who.organisation.name, completion),
         suspect=False,
         sent=0.0,
     )
@@ -264,6 +264,16 @@
     return xxhash.xxh3_64_hexdigest(text.encode())
 
 
+def completion_fingerprint(organisation: str, completion: CompletionBody) -> str:
+    """Return the fingerprint of a completion: its model and prompt, not how it is answered.
+
+    A caller whose stream broke may send the same prompt again without a stream, or shorter.
+    """
+    prompt = completion.messages if completion.messages else completion.prompt
+    content = json.dumps([completion.model, prompt], sort_keys=True)
+    return fingerprint(organisation, content.encode())
+
+
 def fingerprint(organisation: str, body: bytes) -> str:
     """Return the digest by which a request is recognised when it is sent again."""
     return hashlib.sha256(organisation.encode() + b"\0" + body).hexdigest()[:32]
--- a/packages/node/tests/test_online_requests.py
+++ b/packages/node/tests/test_online_requests.py
@@ -107,3 +107,12 @@
     refused = read_service_call("x", "GET", "/", {}, b"", _WHO, _STATE)
     assert not is_successful(refused)
     assert refused.failure().status == 404
+
+
+def test_a_prompt_is_recognised_however_it_is_answered() -> None:
+    """A prompt sent again without a stream or shorter has the fingerprint of the first one."""
+    first = _read({"model": "m", "messages": _MESSAGES, "stream": True}).unwrap()
+    again = _read({"model": "m", "messages": _MESSAGES, "max_tokens": 5}).unwrap()
+    other = _read({"model": "m", "messages": [{"role": "user", "content": "x"}]}).unwrap()
+    assert first.open.fingerprint == again.open.fingerprint
+    assert first.open.fingerprint != other.open.fingerprint
--- a/packages/standins/src/carobspool_standins/_http.py
+++ b/packages/standins/src/carobspool_standins/_http.py
@@ -77,10 +77,19 @@
     return run
 
 
-def fault_rules(board: FaultBoard[Any]) -> list[Rule]:
-    """Return the rules that every stand-in has: health and faults."""
+def fault_rules(
+    board: FaultBoard[Any], *, is_down: Callable[[], bool] = lambda: False
+) -> list[Rule]:
+    """Return the rules that every stand-in has: health and faults.
 
-    def health(_request: Request) -> Response:
+    Args:
+        board: The faults.
+        is_down: Whether the stand-in refuses connections, so that its health is not told either.
+    """
+
+    def health(request: Request) -> Response:
+        if is_down():
+            raise cut_connection(request)
         return json_response({"status": "ok"})
 
     def show(_request: Request) -> Response:
--- a/packages/standins/src/carobspool_standins/engine.py
+++ b/packages/standins/src/carobspool_standins/engine.py
@@ -65,7 +65,7 @@
         Rule("/orders", methods=["POST"], endpoint=guarded(_orders(engine, settings.order_key))),
         Rule("/record", methods=["GET"], endpoint=_record(engine)),
     ]
-    return application([*fault_rules(engine.board), *rules])
+    return application([*fault_rules(engine.board, is_down=lambda: engine.is_down), *rules])
 
 
 def _models(engine: Engine) -> Callable[..., Response]:
--- a/packages/standins/src/carobspool_standins/plain.py
+++ b/packages/standins/src/carobspool_standins/plain.py
@@ -110,7 +110,7 @@
         Rule("/", methods=METHODS, endpoint=run),
         Rule("/<path:path>", methods=METHODS, endpoint=run),
     ]
-    return application([*fault_rules(board), *rules])
+    return application([*fault_rules(board, is_down=lambda: board.current.refuse), *rules])
 
 
 def _answer(service: str, count: int, request: Request, path: str) -> Response:
