--- a/packages/node/src/carobspool_node/_reconciler.py
+++ b/packages/node/src/carobspool_node/_reconciler.py
@@ -118,13 +118,25 @@
         order = self._wanted()
         if order is None:
             return None
+        if self._right.superseded:
+            self._repeat(trouble=str(RightFault.SUPERSEDED))
+            return None
         if self._clock.now() < self._not_before:
             return None
-        may = self._may_order()
-        if may is not None:
-            self._repeat(trouble=_words(may))
+        if self._needs_refresh():
+            # A process that was paused may hold an old configuration. Its order would undo what its
+            # successor made true, so the configuration is read before the right is taken or the
+            # lease renewed, and the order is chosen again.
+            if not self._refresh():
+                self._repeat(trouble="configuration not confirmed")
+                return None
+            if self._wanted() is None:
+                return None
+        confirmed = self._right.confirm(checks_fencing=self._checks_fencing())
+        if not is_successful(confirmed):
+            self._repeat(trouble=_words(confirmed.failure()))
             return None
-        # Declared again: confirming may have taken long, and brought a newer configuration.
+        # Chosen once more: confirming may have taken long, and brought a newer configuration.
         order = self._wanted()
         if order is None:
             return None
@@ -152,14 +164,10 @@
         self._report(declared=declared, actual=actual, trouble=self._order_trouble)
         return order
 
-    def _may_order(self) -> RightError | None:
-        checks_fencing = self._checks_fencing()
-        if not checks_fencing and not self._right.in_lease() and not self._refresh():
-            # A process that was paused may hold an old configuration. Its orders would undo what
-            # its successor made true, so the configuration is read whenever the lease is renewed.
-            return RightError(fault=RightFault.UNREADABLE, detail="configuration not confirmed")
-        confirmed = self._right.confirm(checks_fencing=checks_fencing)
-        return None if is_successful(confirmed) else confirmed.failure()
+    def _needs_refresh(self) -> bool:
+        if self._right.epoch == 0:
+            return True
+        return not self._checks_fencing() and not self._right.in_lease()
 
     def _send(self, order: Order) -> bool:
         fence = self._right.next_fence()
--- a/packages/node/src/carobspool_node/_sidecar_node.py
+++ b/packages/node/src/carobspool_node/_sidecar_node.py
@@ -39,6 +39,9 @@
 BETWEEN_TOKENS_ALLOWANCE = 78.0
 """Milliseconds between tokens that users accept whatever the ratio (letter 1, 95 in 100)."""
 
+RELEASE_SECONDS = 3.0
+"""Longest wait at the end for the right to give orders to be given back."""
+
 
 class SidecarNode:
     """One sidecar process. Since 0.1."""
@@ -59,6 +62,7 @@
         self._stopping = threading.Event()
         self._changed = threading.Event()
         self._reconciler = self._make_reconciler()
+        self._reconciling = threading.Thread(target=self._reconcile, name="reconciler", daemon=True)
         self._sidecar = Sidecar(
             SidecarOptions(
                 address=settings.listen.address,
@@ -92,7 +96,7 @@
         self._sidecar.on_link = self._greet
         self._sidecar.start()
         if self._reconciler is not None:
-            threading.Thread(target=self._reconcile, name="reconciler", daemon=True).start()
+            self._reconciling.start()
 
     def stop(self, shutdown: ShutdownRequest | None = None) -> None:
         """Refuse new work, finish what is in progress, then close."""
@@ -102,6 +106,9 @@
             logging.error("event=shutdown_cut requests=%d", cut)
         self._stopping.set()
         self._changed.set()
+        if self._reconciler is not None:
+            # The right to give orders is given back at the end, so that a successor need not wait.
+            self._reconciling.join(RELEASE_SECONDS)
         self._sidecar.stop()
         logging.info("event=stopped")
 
--- a/packages/node/tests/test_reconciler.py
+++ b/packages/node/tests/test_reconciler.py
@@ -237,6 +237,30 @@
     assert [order.version for order, _ in site.engine.given] == ["2"]
 
 
+@pytest.mark.parametrize("checks_fencing", [True, False])
+def test_sidecar_that_never_ordered_wakes_with_an_old_configuration(checks_fencing: bool) -> None:
+    """A sidecar without epoch is paused; a successor makes a newer version run.
+
+    When the first wakes it sees another version than it knows of. It must neither order its own
+    back nor take the right from its successor: it reads the configuration, and all is as declared.
+    """
+    site = Site(checks_fencing=checks_fencing)
+    known = {"version": "1"}
+
+    def refresh() -> bool:
+        known["version"] = "2"
+        return True
+
+    first = site.sidecar("a", declared=lambda: site.declare(known["version"]), refresh=refresh)
+    site.wanted = site.declare("2")
+    second = site.sidecar("b")
+    site.settle(second)
+    assert first.step() is None
+    assert (site.engine.version(), len(site.engine.given)) == ("2", 1)
+    assert second.step() is None
+    assert not second.superseded
+
+
 @pytest.mark.parametrize(("checks_fencing", "orders"), [(True, 1), (False, 0)])
 def test_store_outage_stops_orders_only_without_fencing(checks_fencing: bool, orders: int) -> None:
     """During an outage a holder still orders an engine that checks fencing, no other."""
