--- a/tests/promises/test_configuration.py
+++ b/tests/promises/test_configuration.py
@@ -181,6 +181,7 @@
     with running_site(tmp_path, plan) as site:
         site.apply(models=[{"name": MODEL, "version": "2"}])
         site.cluster.wait_until("version 2 runs", lambda: version(site, "engine-1") == "2", 10.0)
+        site.cluster.wait_until("it serves", lambda: site.chat("hello").status == 200, 10.0)
         site.cluster.faults("engine-1", crash_marker="boom", crash_mode="restart")
         in_threads([lambda: site.chat("boom", headers={"carobspool-timeout-ms": "2000"})])
         site.cluster.faults("engine-1")
