--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -12,12 +12,12 @@
     audit_to_json,
 )
 from carobspool_core._chunks import (
-    MAX_CHUNK_BYTES,
     ChunkChange,
     ChunkRefusal,
     ChunkState,
     ChunkStatus,
     Holder,
+    MAX_CHUNK_BYTES,
     ResultPart,
     chunk_bytes,
     chunk_items,
@@ -53,9 +53,11 @@
 )
 from carobspool_core._dispatch import (
     Dispatcher,
-    JobShare,
     make_dispatcher,
 )
+from carobspool_core._dispatch_jobs import (
+    JobShare,
+)
 from carobspool_core._fairqueue import (
     FairQueue,
     QueueBounds,
@@ -68,9 +70,9 @@
     peers_to_dial,
 )
 from carobspool_core._item_retry import (
-    PREEMPTED,
     ItemOutcome,
     ItemRetry,
+    PREEMPTED,
     item_retry,
 )
 from carobspool_core._job_records import (
@@ -80,8 +82,8 @@
     read_job,
 )
 from carobspool_core._jobs import (
-    IDEMPOTENT_METADATA,
     BatchItem,
+    IDEMPOTENT_METADATA,
     Job,
     JobCounts,
     JobRefusal,
@@ -97,22 +99,26 @@
 )
 from carobspool_core._leases import (
     LEASE_TTL,
-    RENEWALS_PER_TTL,
     LeaseObserver,
     NodeLease,
+    RENEWALS_PER_TTL,
 )
 from carobspool_core._limits import (
     Grant,
     Limiter,
     make_limiter,
 )
+from carobspool_core._load_reports import (
+    LoadReporter,
+    make_load_reporter,
+    report_interval,
+)
 from carobspool_core._membership import (
     Membership,
     heartbeat_interval,
     make_membership,
 )
 from carobspool_core._messages import (
-    PROTOCOL_VERSION,
     Attach,
     Beat,
     Cancel,
@@ -126,17 +132,20 @@
     Load,
     Message,
     Open,
+    PROTOCOL_VERSION,
     Priority,
     Proof,
     RequestId,
     SidecarState,
 )
-from carobspool_core._modelloads import (
+from carobspool_core._model_fleet import (
     LoadOrder,
     LoadOrderKind,
     ModelVersion,
     UpstreamModels,
     WeightStoreLimits,
+)
+from carobspool_core._modelloads import (
     blocked_model_loads,
     plan_model_loads,
 )
@@ -160,9 +169,9 @@
     ObjectChange,
     ObjectPage,
     ObjectStore,
-    StoredObject,
     StoreFailure,
     StoreFault,
+    StoredObject,
     WatchBatch,
 )
 from carobspool_core._reconcile import (
@@ -199,6 +208,12 @@
     Router,
     make_router,
 )
+from carobspool_core._shares import (
+    Demand,
+    Subject,
+    SubjectKind,
+    UsageReport,
+)
 from carobspool_core._spans import (
     Span,
     Spans,
@@ -258,6 +273,7 @@
     "Data",
     "Decision",
     "DeclaredEngine",
+    "Demand",
     "DesiredState",
     "Dispatcher",
     "End",
@@ -291,6 +307,7 @@
     "Load",
     "LoadOrder",
     "LoadOrderKind",
+    "LoadReporter",
     "MAX_CHUNK_BYTES",
     "ManualClock",
     "Membership",
@@ -332,6 +349,8 @@
     "StoreFailure",
     "StoreFault",
     "StoredObject",
+    "Subject",
+    "SubjectKind",
     "Subsets",
     "SuspectChange",
     "SuspectGate",
@@ -341,6 +360,7 @@
     "Upstream",
     "UpstreamKind",
     "UpstreamModels",
+    "UsageReport",
     "Verdict",
     "VerdictKind",
     "WatchBatch",
@@ -376,6 +396,7 @@
     "make_fair_queue",
     "make_gossip",
     "make_limiter",
+    "make_load_reporter",
     "make_membership",
     "make_retry_policy",
     "make_router",
@@ -394,6 +415,7 @@
     "read_chunk",
     "read_job",
     "release_chunk",
+    "report_interval",
     "report_progress",
     "span_count",
     "span_indexes",
