--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -12,12 +12,12 @@
     audit_to_json,
 )
 from carobspool_core._chunks import (
+    MAX_CHUNK_BYTES,
     ChunkChange,
     ChunkRefusal,
     ChunkState,
     ChunkStatus,
     Holder,
-    MAX_CHUNK_BYTES,
     ResultPart,
     chunk_bytes,
     chunk_items,
@@ -70,9 +70,9 @@
     peers_to_dial,
 )
 from carobspool_core._item_retry import (
+    PREEMPTED,
     ItemOutcome,
     ItemRetry,
-    PREEMPTED,
     item_retry,
 )
 from carobspool_core._job_records import (
@@ -82,8 +82,8 @@
     read_job,
 )
 from carobspool_core._jobs import (
-    BatchItem,
     IDEMPOTENT_METADATA,
+    BatchItem,
     Job,
     JobCounts,
     JobRefusal,
@@ -99,9 +99,9 @@
 )
 from carobspool_core._leases import (
     LEASE_TTL,
+    RENEWALS_PER_TTL,
     LeaseObserver,
     NodeLease,
-    RENEWALS_PER_TTL,
 )
 from carobspool_core._limits import (
     Grant,
@@ -119,6 +119,7 @@
     make_membership,
 )
 from carobspool_core._messages import (
+    PROTOCOL_VERSION,
     Attach,
     Beat,
     Cancel,
@@ -132,7 +133,6 @@
     Load,
     Message,
     Open,
-    PROTOCOL_VERSION,
     Priority,
     Proof,
     RequestId,
@@ -169,9 +169,9 @@
     ObjectChange,
     ObjectPage,
     ObjectStore,
+    StoredObject,
     StoreFailure,
     StoreFault,
-    StoredObject,
     WatchBatch,
 )
 from carobspool_core._reconcile import (
--- a/packages/node/src/carobspool_node/_reconciler.py
+++ b/packages/node/src/carobspool_node/_reconciler.py
@@ -4,7 +4,6 @@
 
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from absl import logging
 from returns.pipeline import is_successful
@@ -22,6 +21,7 @@
     differences,
     next_order,
 )
+from carobspool_node._engine_status import EngineStatus
 from carobspool_node._order_right import OrderRight, RightError, RightFault
 from carobspool_node._settings import OrderSettings
 
@@ -35,43 +35,6 @@
 """
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EngineStatus:
-    """Declared against actual, for operators.
-
-    Attributes:
-        declared: What the engine should run; ``None`` when nothing is declared for it.
-        actual: What it ran when it was last read; ``None`` when it could not be read.
-        differences: Each difference in words.
-        since: Instant of the clock at which the present differences, or their absence, began.
-        epoch: Epoch under which this process gives orders, 0 without one.
-        trouble: Why no order is given or the last one failed; empty otherwise.
-
-    Since 0.1.
-    """
-
-    declared: DeclaredEngine | None = None
-    actual: EngineState | None = None
-    differences: tuple[str, ...] = ()
-    since: Millis = 0.0
-    epoch: int = 0
-    trouble: str = ""
-
-    @property
-    def ready_models(self) -> tuple[str, ...]:
-        """Declared models, and ``model:adapter`` names, that can serve now."""
-        if self.declared is None or self.actual is None:
-            return ()
-        found: list[str] = []
-        for name, model in sorted(self.declared.models.items()):
-            running = self.actual.models.get(name)
-            if running is None or not running.ready or running.version != model.version:
-                continue
-            found.append(name)
-            found.extend(f"{name}:{each}" for each in model.adapters if each in running.adapters)
-        return tuple(found)
-
-
 class Reconciler:
     """The state of the loop; `step` runs on one thread, `status` may be read by any.
 
--- a/tests/promises/test_whole_answer.py
+++ b/tests/promises/test_whole_answer.py
@@ -78,7 +78,9 @@
         proxy.close()
         assert proxy.tampered > STREAMS
         assert wrong_answers(history.calls, expected) == []
-        broken = [(call.status, call.code, call.body[-200:]) for call in history.calls if not call.clean]
+        broken = [
+            (call.status, call.code, call.body[-200:]) for call in history.calls if not call.clean
+        ]
         assert broken == []
 
 
