Routing: an ejected upstream rather than none

Cause: with one upstream ejected and the others lost or already tried, a request was refused although a usable upstream was there (found by a test over any order of events). Ruled out: raising the cap of a third; it is judged when an upstream is ejected, and others may go later. Before: 503 no_upstream. After: the ejected one is chosen; the test fails on the old module. Conclusion: ejection narrows the choice and never empties it.

--- a/packages/core/src/carobspool_core/_pools.py
+++ b/packages/core/src/carobspool_core/_pools.py
@@ -90,6 +90,7 @@
         "_slots",
         "_target",
         "_tokens",
+        "_usable",
         "_usable_hosts",
         "ejector",
         "is_stale",
@@ -100,6 +101,7 @@
         self._target = target
         self._chosen: list[PooledUpstream] = []
         self._chosen_hosts: frozenset[str] = frozenset()
+        self._usable: list[PooledUpstream] = []
         self._usable_hosts: frozenset[str] = frozenset()
         self._by_domain: dict[str, list[PooledUpstream]] = {}
         self._tokens = 0
@@ -115,6 +117,13 @@
             self._refresh()
         return self._chosen
 
+    @property
+    def usable(self) -> list[PooledUpstream]:
+        """Usable upstreams, ejected ones included."""
+        if self.is_stale:
+            self._refresh()
+        return self._usable
+
     @property
     def usable_hosts(self) -> frozenset[str]:
         """Hosts of usable upstreams, ejected ones included."""
@@ -139,6 +148,7 @@
     def _refresh(self) -> None:
         self.is_stale = False
         usable = [each for each in self.members if each.is_usable(self._target)]
+        self._usable = usable
         ejected = self.ejector.ejected
         self._usable_hosts = frozenset(each.host for each in usable)
         self._chosen = [each for each in usable if each.host not in ejected]
--- a/packages/core/src/carobspool_core/_routing.py
+++ b/packages/core/src/carobspool_core/_routing.py
@@ -24,6 +24,7 @@
 from carobspool_core._pools import Pool, PooledUpstream
 from carobspool_core._route_types import Choice, RouteRequest, RoutingSettings, Target
 from carobspool_core._selection import (
+    candidates_for,
     favourite,
     is_light,
     least_busy,
@@ -130,7 +131,7 @@
         probe = self._probe(pool, request, now)
         if probe is not None:
             return Success(Choice(host=probe, affinity=False))
-        candidates = _candidates(pool, request)
+        candidates = candidates_for(pool, request)
         if not candidates:
             return Failed(self._nobody(request))
         if request.suspect:
@@ -138,7 +139,7 @@
         choice = self._choose(pool, request, candidates)
         if not self._is_ejected_now(pool, choice.host, now):
             return Success(choice)
-        candidates = _candidates(pool, request)
+        candidates = candidates_for(pool, request)
         if not candidates:
             return Failed(self._nobody(request))
         return Success(self._choose(pool, request, candidates))
@@ -283,17 +284,6 @@
     return Router(clock, rng, settings or RoutingSettings())
 
 
-def _candidates(pool: Pool, request: RouteRequest) -> Sequence[PooledUpstream]:
-    found = pool.chosen
-    if request.exclude:
-        found = [each for each in found if each.host not in request.exclude]
-    if request.priority is Priority.BATCH:
-        found = [each for each in found if each.estimate.credits]
-    if request.suspect:
-        found = [each for each in found if not each.estimate.suspects]
-    return found
-
-
 def _let_leaving_lapse(upstream: PooledUpstream, now: Millis) -> None:
     # A host is replaced under its old name and the news that it is back is lost: without a lapse
     # nobody would use it again. One that still leaves says so in its own reports.
--- a/packages/core/src/carobspool_core/_selection.py
+++ b/packages/core/src/carobspool_core/_selection.py
@@ -15,9 +15,29 @@
 from collections.abc import Sequence
 from random import Random
 
+from carobspool_core._messages import Priority
 from carobspool_core._pools import Pool, PooledUpstream
 from carobspool_core._rendezvous import first
-from carobspool_core._route_types import RoutingSettings
+from carobspool_core._route_types import RouteRequest, RoutingSettings
+
+
+def candidates_for(pool: Pool, request: RouteRequest) -> Sequence[PooledUpstream]:
+    """Return the upstreams that may take a request; `Pool.chosen` itself when all of them may."""
+    # When all others are lost or were tried, an ejected upstream is better than a refusal.
+    return _allowed(pool.chosen, request) or _allowed(pool.usable, request)
+
+
+def _allowed(
+    upstreams: Sequence[PooledUpstream], request: RouteRequest
+) -> Sequence[PooledUpstream]:
+    found = upstreams
+    if request.exclude:
+        found = [each for each in found if each.host not in request.exclude]
+    if request.priority is Priority.BATCH:
+        found = [each for each in found if each.estimate.credits]
+    if request.suspect:
+        found = [each for each in found if not each.estimate.suspects]
+    return found
 
 
 def lighter_of_random(
--- a/packages/core/tests/test_routing.py
+++ b/packages/core/tests/test_routing.py
@@ -4,6 +4,8 @@
 
 from random import Random
 
+from hypothesis import example, given
+from hypothesis import strategies as st
 from returns.result import Success
 
 from carobspool_core import (
@@ -187,3 +189,49 @@
     router = router_of(2)
     assert {picked(router, exclude=frozenset({"up-0"})) for _ in range(50)} == {"up-1"}
     assert isinstance(pick(router, exclude=frozenset({"up-0", "up-1"})), Failure)
+
+
+@example(steps=[("fail", 0)] * 6, exclude=frozenset({"up-1", "up-2", "up-3"}), suspect=False)
+@example(
+    steps=[("fail", 0)] * 6 + [("lost", 1), ("lost", 2), ("down", 3)],
+    exclude=frozenset(),
+    suspect=False,
+)
+@given(
+    steps=st.lists(
+        st.tuples(
+            st.sampled_from(["ready", "down", "other", "lost", "found", "leave", "stay", "fail"]),
+            st.integers(0, 3),
+        ),
+        max_size=40,
+    ),
+    exclude=st.frozensets(st.sampled_from(["up-0", "up-1", "up-2", "up-3"]), max_size=3),
+    suspect=st.booleans(),
+)
+def test_whatever_happens_only_a_usable_upstream_is_chosen(
+    steps: list[tuple[str, int]], exclude: frozenset[str], suspect: bool
+) -> None:
+    """No order of reports, losses, drains and failures lets a request reach a barred upstream."""
+    router = router_of(4)
+    ready, lost, leaving = {f"up-{n}" for n in range(4)}, set(), set()
+    for n, (action, which) in enumerate(steps):
+        host = f"up-{which}"
+        if action in ("ready", "down", "other"):
+            state = SidecarState.UPSTREAM_DOWN if action == "down" else SidecarState.READY
+            names = ("another",) if action == "other" else (MODEL,)
+            router.observe(host, report(state=state, targets=names), float(n))
+            lost.discard(host)
+            ready = ready | {host} if action == "ready" else ready - {host}
+        elif action in ("lost", "found"):
+            lost = lost | {host} if action == "lost" else lost - {host}
+            (router.lost if action == "lost" else router.found)(host, float(n))
+        elif action in ("leave", "stay"):
+            leaving = leaving | {host} if action == "leave" else leaving - {host}
+            router.leaving(host, action == "leave")
+        else:
+            router.started(host, n, 100, float(n))
+            router.ended(host, n, False, float(n))
+        allowed = ready - lost - leaving - exclude
+        choice = pick(router, float(n), exclude=exclude, suspect=suspect)
+        assert isinstance(choice, Choice) == bool(allowed)
+        assert not isinstance(choice, Choice) or choice.host in allowed
