--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -90,13 +90,8 @@
     SuspectGate,
     make_suspect_gate,
 )
-from carobspool_core._suspects import (
-    SuspectChange,
-    Suspects,
-    Verdict,
-    VerdictKind,
-    make_suspects,
-)
+from carobspool_core._suspect_records import SuspectChange, Verdict, VerdictKind
+from carobspool_core._suspects import Suspects, make_suspects
 
 __all__ = [
     "PROTOCOL_VERSION",
--- a/packages/core/src/carobspool_core/_suspects.py
+++ b/packages/core/src/carobspool_core/_suspects.py
@@ -17,83 +17,26 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
-from enum import StrEnum
-from http import HTTPStatus
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
 from carobspool_core._clock import Clock, Millis
-from carobspool_core._outcome import Failure, invalid_request, unavailable
-
-CRASHES_TO_QUARANTINE = 2
-SUSPECT_KEPT: Millis = 86_400_000.0
-"""Evidence is kept for a day: a caller that resends each hour takes down two upstreams, not two an
-hour. An innocent that comes back within the day is cleared by its first run."""
-QUARANTINE_KEPT: Millis = 7 * 86_400_000.0
-"""A week: engines are updated about as often, and a new one may well run the request."""
+from carobspool_core._outcome import Failure
+from carobspool_core._suspect_records import (
+    CRASHES_TO_QUARANTINE,
+    SuspectChange,
+    SuspectRecord,
+    Verdict,
+    VerdictKind,
+    busy_failure,
+    quarantined_failure,
+)
+
 MAX_RECORDS = 20_000
 """53 hosts a day with 32 requests each make 1,700 suspects a day; ten times that, at 0.5 KB."""
 CLAIM_MARGIN: Millis = 5_000.0
 """A claim outlasts its request's time limit by this, for an answer still under way."""
-BUSY_RETRY_AFTER: Millis = 2_000.0
-"""When to come back while the single run is under way: most answers take a few seconds."""
-
-
-class VerdictKind(StrEnum):
-    """What may be done with a request."""
-
-    CLEAR = "clear"
-    SUSPECT = "suspect"
-    QUARANTINED = "quarantined"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Verdict:
-    """The judgement of a fingerprint.
-
-    Attributes:
-        kind: ``SUSPECT``: `Suspects.claim` comes before running it.
-        failure: What its caller gets at once; ``None`` when it may run.
-    """
-
-    kind: VerdictKind
-    failure: Failure | None = None
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class SuspectChange:
-    """News of a fingerprint, for other entries and for its object in the store.
-
-    Attributes:
-        fingerprint: Digest of organisation and body.
-        quarantined: Whether it is quarantined now.
-        values: What `Suspects.merge` takes.
-    """
-
-    fingerprint: str
-    quarantined: bool
-    values: dict[str, str]
-
-
-@dataclass(slots=True, kw_only=True)
-class _Record:
-    changed: Millis
-    crashes: set[str] = field(default_factory=set)
-    cleared: set[str] = field(default_factory=set)
-    holder: str = ""
-    host: str = ""
-    held_until: Millis = 0.0
-
-    @property
-    def evidence(self) -> int:
-        return len(self.crashes - self.cleared)
-
-    @property
-    def kept_for(self) -> Millis:
-        quarantined = self.evidence >= CRASHES_TO_QUARANTINE
-        return QUARANTINE_KEPT if quarantined else SUSPECT_KEPT
 
 
 class Suspects:
@@ -105,11 +48,12 @@
     Since 0.1.
     """
 
-    __slots__ = ("_clock", "_records")
+    __slots__ = ("_claims", "_clock", "_records")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._records: OrderedDict[str, _Record] = OrderedDict()
+        self._records: OrderedDict[str, SuspectRecord] = OrderedDict()
+        self._claims = 0
 
     def check(self, fingerprint: str, now: Millis) -> Verdict:
         """Return whether a request may run, before anything else is done with it."""
@@ -117,9 +61,9 @@
         if record is None or not record.evidence:
             return Verdict(kind=VerdictKind.CLEAR)
         if record.evidence >= CRASHES_TO_QUARANTINE:
-            return Verdict(kind=VerdictKind.QUARANTINED, failure=_quarantined())
+            return Verdict(kind=VerdictKind.QUARANTINED, failure=quarantined_failure())
         if now < record.held_until:
-            return Verdict(kind=VerdictKind.SUSPECT, failure=_busy())
+            return Verdict(kind=VerdictKind.SUSPECT, failure=busy_failure())
         return Verdict(kind=VerdictKind.SUSPECT)
 
     def claim(
@@ -133,7 +77,7 @@
 
         Args:
             fingerprint: The suspect.
-            holder: The entry's name and incarnation.
+            holder: The entry's name and incarnation; without blanks.
             host: The upstream that will run it.
             now: The instant.
             timeout: Longest time that the run may take.
@@ -147,8 +91,22 @@
         record = self._touch(fingerprint, now)
         record.holder = holder
         record.host = host
-        record.held_until = now + timeout + CLAIM_MARGIN
-        return Success(self._change(fingerprint, record, now))
+        return Success(self._held(fingerprint, record, now, timeout))
+
+    def renew(
+        self, fingerprint: str, holder: str, now: Millis, *, timeout: Millis
+    ) -> SuspectChange | None:
+        """Hold a claim longer, for a run that goes on; write and tell the change.
+
+        With short claims that are renewed a suspect is not held back for long when its entry dies.
+
+        Returns:
+            The change, ``None`` when the claim is not held any more; the run is to be cancelled.
+        """
+        record = self._current(fingerprint, now)
+        if record is None or record.holder != holder or now >= record.held_until:
+            return None
+        return self._held(fingerprint, record, now, timeout)
 
     def release(self, fingerprint: str, holder: str, now: Millis) -> SuspectChange | None:
         """Give a claim back after a run that neither completed nor crashed its upstream."""
@@ -222,18 +180,32 @@
         for fingerprint in old:
             del self._records[fingerprint]
 
-    def _merge_claim(self, record: _Record, values: Mapping[str, str], now: Millis) -> None:
-        holder = values.get("holder", "")
+    def _held(
+        self, fingerprint: str, record: SuspectRecord, now: Millis, timeout: Millis
+    ) -> SuspectChange:
+        self._claims += 1
+        record.claim = f"{record.holder}#{self._claims}"
+        record.held_until = now + timeout + CLAIM_MARGIN
+        return self._change(fingerprint, record, now)
+
+    def _merge_claim(self, record: SuspectRecord, values: Mapping[str, str], now: Millis) -> None:
+        claim = values.get("claim", "")
         left = float(values.get("held_ms", "0"))
-        if left > 0.0 and (now >= record.held_until or holder == record.holder):
+        if claim == record.claim:
+            # What the object holds is read again and again. Counting the time from each reading,
+            # the claim of an entry that died would never end; it counts from the first.
+            if left <= 0.0:
+                record.held_until = min(record.held_until, now)
+            return
+        holder = values.get("holder", "")
+        is_renewal = holder == record.holder and _number(claim) > _number(record.claim)
+        if left > 0.0 and (now >= record.held_until or is_renewal):
+            record.claim = claim
             record.holder = holder
             record.host = values.get("host", "")
             record.held_until = now + left
-            return
-        if left <= 0.0 and holder == record.holder:
-            record.held_until = min(record.held_until, now)
 
-    def _current(self, fingerprint: str, now: Millis) -> _Record | None:
+    def _current(self, fingerprint: str, now: Millis) -> SuspectRecord | None:
         record = self._records.get(fingerprint)
         if record is None:
             return None
@@ -242,10 +214,10 @@
         del self._records[fingerprint]
         return None
 
-    def _touch(self, fingerprint: str, now: Millis) -> _Record:
+    def _touch(self, fingerprint: str, now: Millis) -> SuspectRecord:
         record = self._current(fingerprint, now)
         if record is None:
-            record = self._records[fingerprint] = _Record(changed=now)
+            record = self._records[fingerprint] = SuspectRecord(changed=now)
         record.changed = now
         self._records.move_to_end(fingerprint)
         if len(self._records) > MAX_RECORDS:
@@ -261,11 +233,12 @@
                 return
         self._records.popitem(last=False)
 
-    def _change(self, fingerprint: str, record: _Record, now: Millis) -> SuspectChange:
+    def _change(self, fingerprint: str, record: SuspectRecord, now: Millis) -> SuspectChange:
         values = {"crashes": " ".join(sorted(record.crashes))}
         if record.cleared:
             values["cleared"] = " ".join(sorted(record.cleared))
         if record.holder:
+            values["claim"] = record.claim
             values["holder"] = record.holder
             values["host"] = record.host
             values["held_ms"] = f"{max(0.0, record.held_until - now):.0f}"
@@ -285,13 +258,5 @@
     return set(names.split())
 
 
-def _quarantined() -> Failure:
-    message = "this request crashed two upstreams and is not run again"
-    return invalid_request(
-        "request_quarantined", message, status=HTTPStatus.UNPROCESSABLE_ENTITY.value
-    )
-
-
-def _busy() -> Failure:
-    message = "the request is suspected of crashing upstreams and runs elsewhere now"
-    return unavailable("suspect_running", message, retry_after_ms=BUSY_RETRY_AFTER)
+def _number(claim: str) -> int:
+    return int(claim.rpartition("#")[2] or 0)
--- a/packages/core/tests/test_suspects.py
+++ b/packages/core/tests/test_suspects.py
@@ -195,6 +195,23 @@
     assert other.check("f", 7_002.0).failure is None
 
 
+def test_the_claim_of_an_entry_that_died_ends_and_a_renewed_one_goes_on() -> None:
+    """Reading the same object again does not prolong a claim; a renewal does."""
+    clock = ManualClock()
+    one, other = make_suspects(clock), make_suspects(clock)
+    evidence = one.crashed("up-0", ["f"], 0.0)[0]
+    other.merge("f", evidence.values, 0.0)
+    claim = one.claim("f", "entry-1", "up-1", 0.0, timeout=10_000.0).unwrap()
+    other.merge("f", claim.values, 0.0)
+    renewed = one.renew("f", "entry-1", 9_000.0, timeout=10_000.0)
+    assert renewed is not None
+    for second in range(9, 60):
+        other.merge("f", renewed.values, second * 1_000.0)
+    assert other.check("f", 23_000.0).failure is not None
+    assert other.check("f", 24_001.0).failure is None
+    assert one.renew("f", "entry-1", 25_000.0, timeout=10_000.0) is None
+
+
 def test_crash_told_by_several_counts_once_and_evidence_ends() -> None:
     """Entries that report the same crash make one piece of evidence; after a day it is gone."""
     suspects = make_suspects(ManualClock())
