--- a/packages/core/src/carobspool_core/_routing.py
+++ b/packages/core/src/carobspool_core/_routing.py
@@ -24,6 +24,7 @@
 from carobspool_core._pools import Pool, PooledUpstream
 from carobspool_core._route_types import Choice, RouteRequest, RoutingSettings, Target
 from carobspool_core._selection import (
+    candidates_for,
     favourite,
     is_light,
     least_busy,
@@ -102,6 +103,8 @@
     def leaving(self, host: str, leaving: bool = True) -> None:
         """Send nothing more to a host that is leaving, whatever its reports say.
 
+        The mark lapses after `LEAVING_LAPSE`; repeat it while the host is to be drained.
+
         Args:
             host: The host.
             leaving: ``False`` takes the mark back, for a drain that an operator has ended.
@@ -109,8 +112,10 @@
         upstream = self._upstreams.get(host)
         if upstream is None:
             return
+        was_leaving = upstream.leaving_until is not None
         upstream.leaving_until = self._clock.now() + LEAVING_LAPSE if leaving else None
-        upstream.mark()
+        if leaving is not was_leaving:
+            upstream.mark()
 
     def pick(self, request: RouteRequest, now: Millis) -> Result[Choice, Failure]:
         """Choose an upstream.
@@ -126,7 +131,7 @@
         probe = self._probe(pool, request, now)
         if probe is not None:
             return Success(Choice(host=probe, affinity=False))
-        candidates = _candidates(pool, request)
+        candidates = candidates_for(pool, request)
         if not candidates:
             return Failed(self._nobody(request))
         if request.suspect:
@@ -134,7 +139,7 @@
         choice = self._choose(pool, request, candidates)
         if not self._is_ejected_now(pool, choice.host, now):
             return Success(choice)
-        candidates = _candidates(pool, request)
+        candidates = candidates_for(pool, request)
         if not candidates:
             return Failed(self._nobody(request))
         return Success(self._choose(pool, request, candidates))
@@ -279,17 +284,6 @@
     return Router(clock, rng, settings or RoutingSettings())
 
 
-def _candidates(pool: Pool, request: RouteRequest) -> Sequence[PooledUpstream]:
-    found = pool.chosen
-    if request.exclude:
-        found = [each for each in found if each.host not in request.exclude]
-    if request.priority is Priority.BATCH:
-        found = [each for each in found if each.estimate.credits]
-    if request.suspect:
-        found = [each for each in found if not each.estimate.suspects]
-    return found
-
-
 def _let_leaving_lapse(upstream: PooledUpstream, now: Millis) -> None:
     # A host is replaced under its old name and the news that it is back is lost: without a lapse
     # nobody would use it again. One that still leaves says so in its own reports.
