A new or thawed coordinator reads a job's chunks at once; chunks claimed first run first

Cause: hints of finished chunks went to the coordinator that was lost or frozen; the next one heard nothing and read 16 chunks for each 15 s of silence.

--- a/packages/node/src/carobspool_node/_job_coordinator.py
+++ b/packages/node/src/carobspool_node/_job_coordinator.py
@@ -72,9 +72,20 @@
             return
         self._coordinated_at = now
         for job_id, work in works.items():
-            if work.busy or owner(job_id, live) != self._holder.node:
+            if owner(job_id, live) != self._holder.node:
+                work.coordinated = False
                 continue
-            self._coordinate_job(work, now)
+            if not work.coordinated:
+                # The one before was told of the chunks that ended; this one has to read them.
+                work.coordinated = True
+                work.begin_sweep()
+            if not work.busy:
+                self._coordinate_job(work, now)
+
+    def resume(self, works: Mapping[str, JobWork]) -> None:
+        """Read the chunks of all jobs again: others may have coordinated them in the meantime."""
+        for work in works.values():
+            work.coordinated = False
 
     def _coordinate_job(self, work: JobWork, now: Millis) -> None:
         job = work.job
@@ -89,6 +100,8 @@
             )
             return
         if job.status is JobStatus.CANCELLING:
+            if not work.sweeping:
+                work.begin_sweep()
             self._chunk_step(
                 work,
                 lambda numbers: seal_chunks(
@@ -101,6 +114,8 @@
             return
         if now - work.last_news > self._probe_after:
             work.last_news = now
+            work.begin_sweep()
+        if work.sweeping:
             self._chunk_step(work, lambda numbers: probe_chunks(self._store, job, numbers))
 
     def _job_step(self, work: JobWork, step: Callable[[], Result[StoredJob, StoreFailure]]) -> None:
@@ -118,7 +133,7 @@
     def _chunk_step(
         self, work: JobWork, step: Callable[[list[int]], list[tuple[int, JobCounts]]]
     ) -> None:
-        numbers = work.not_done(PROBED_AT_ONCE)
+        numbers = work.next_of_sweep(PROBED_AT_ONCE)
         if not numbers:
             return
         work.busy = True
--- a/packages/node/src/carobspool_node/_job_runner.py
+++ b/packages/node/src/carobspool_node/_job_runner.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import threading
+from collections import deque
 from collections.abc import Callable, Iterator
 
 from absl import logging
@@ -83,6 +84,7 @@
         self._works: dict[str, JobWork] = {}
         self._owned: dict[tuple[str, int], OwnedChunk] = {}
         self._live: tuple[str, ...] = ()
+        self._held = False
         self._looked_at: Millis = 0.0
         self._round_began: Millis = clock.now()
         self._releasing_until: Millis | None = None
@@ -151,7 +153,11 @@
             credits = self._dispatch(now)
             self._claim_ahead(now, credits)
         self._write_due(now)
-        if self._may_claim():
+        held = self._may_claim()
+        if held and not self._held:
+            self._coordinator.resume(self._works)
+        self._held = held
+        if held:
             self._coordinator.coordinate(self._works, self._live, now)
         self._end_release(now)
 
@@ -163,6 +169,7 @@
         here before anything starts; the time from here to the start is too short to matter.
         """
         logging.warning("event=pause_noticed node=%s", self._holder.node)
+        self._coordinator.resume(self._works)
         for job_id in {job_id for job_id, _ in self._owned}:
             self._table.refresh(job_id)
         for (job_id, number), chunk in list(self._owned.items()):
@@ -198,20 +205,21 @@
     def _dispatch(self, now: Millis) -> int:
         """Start items while there is capacity; return what is left of it."""
         credits = self._ports.credits()
-        ready: dict[str, list[OwnedChunk]] = {}
+        ready: dict[str, deque[OwnedChunk]] = {}
         for (job_id, _), chunk in self._owned.items():
             if chunk.has_ready(now):
-                ready.setdefault(job_id, []).append(chunk)
+                ready.setdefault(job_id, deque()).append(chunk)
         while credits > 0 and ready:
             if self._clock.now() - now > PAUSE_NOTICED:
                 return 0  # frozen in this very round; the next one reads again first
             job_id = self._ports.choose([self._works[job_id].job for job_id in ready])
-            chunk = ready[job_id][-1]
+            # The chunk claimed first is finished first: its results are committed and safe then.
+            chunk = ready[job_id][0]
             self._start_item(chunk)
             credits -= 1
             if chunk.has_ready(now):
                 continue
-            ready[job_id].pop()
+            ready[job_id].popleft()
             if not ready[job_id]:
                 del ready[job_id]
         return credits
--- a/packages/node/src/carobspool_node/_job_work.py
+++ b/packages/node/src/carobspool_node/_job_work.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Sequence
 
 from carobspool_core import Holder, Job, JobCounts, Millis, add_counts, owner
@@ -13,17 +14,24 @@
     Args:
         job: The job.
         now: The clock's instant in milliseconds.
+
+    Attributes:
+        job: The job as last seen.
+        last_news: When a chunk was last heard to be done.
+        busy: Whether a step of the coordinator is under way.
+        coordinated: Whether this process coordinated the job in the last round.
     """
 
     def __init__(self, job: Job, now: Millis) -> None:
         self.job = job
         self.last_news = now
         self.busy = False
+        self.coordinated = True
         self._done: dict[int, JobCounts] = {}
         self._taken: set[int] = set()
         self._held: dict[int, Holder] = {}
         self._cursor = 0
-        self._probe = 0
+        self._sweep: deque[int] = deque()
 
     @property
     def all_done(self) -> bool:
@@ -85,16 +93,25 @@
             return number
         return None
 
-    def not_done(self, limit: int) -> list[int]:
-        """Return up to ``limit`` chunks not known to be done and not held here, in rotation."""
+    @property
+    def sweeping(self) -> bool:
+        """Whether a sweep has chunks left to read."""
+        return bool(self._sweep)
+
+    def begin_sweep(self) -> None:
+        """Begin to read all chunks that are not known to be done and not held here."""
         count = len(self.job.chunk_sizes)
+        self._sweep = deque(
+            number
+            for number in range(count)
+            if number not in self._done and number not in self._taken
+        )
+
+    def next_of_sweep(self, limit: int) -> list[int]:
+        """Return up to ``limit`` chunks of the sweep that are still not known to be done."""
         found: list[int] = []
-        for _ in range(count):
-            number = self._probe % count
-            self._probe += 1
-            if number in self._done or number in self._taken:
-                continue
-            found.append(number)
-            if len(found) == limit:
-                break
+        while self._sweep and len(found) < limit:
+            number = self._sweep.popleft()
+            if number not in self._done and number not in self._taken:
+                found.append(number)
         return found
--- a/packages/node/tests/test_job_runner.py
+++ b/packages/node/tests/test_job_runner.py
@@ -29,6 +29,7 @@
     broken_upstream,
     finished,
     monotonic_clock,
+    owner,
     read_chunk,
     read_job,
     span_count,
@@ -133,7 +134,7 @@
             ports,
             may_claim=lambda: self.lease.held,
             watch_timeout=50.0,
-            probe_after=1_000.0,
+            probe_after=fleet.probe_after,
         )
         self.lease.start()
         self.members.start()
@@ -177,6 +178,7 @@
         self.upstreams.gate.set()
         self.nodes: dict[str, Node] = {}
         self.lose_hints = False
+        self.probe_after = 1_000.0
 
     def start(self, *names: str) -> None:
         for name in names:
@@ -388,6 +390,30 @@
     _assert_whole(fleet, job, 95)
 
 
+@pytest.mark.parametrize("fault", ["kill", "freeze"])
+def test_coordinator_is_lost(fleet: Fleet, fault: str) -> None:
+    """A job ends soon although the entry that was told of finished chunks is lost, or was frozen.
+
+    Chunks end while the coordinator is dead or frozen; nobody repeats those hints. The next one, or
+    the thawed one, reads the chunks at once instead of waiting for a long silence.
+    """
+    fleet.probe_after = 3_600_000.0
+    fleet.start("a", "b")
+    fleet.upstreams.delay = 0.03
+    job = fleet.submit(300)
+    _until(lambda: len(fleet.holders()) == 2 and fleet.job(job.id).counts.completed > 0)
+    name = owner(job.id, ("a", "b"))
+    assert name is not None
+    if fault == "kill":
+        fleet.nodes[name].kill()
+    else:
+        fleet.nodes[name].freeze()
+        time.sleep(1.5)
+        fleet.nodes[name].thaw()
+    assert fleet.wait_for_end(job).status is JobStatus.COMPLETED
+    _assert_whole(fleet, job, 300)
+
+
 def test_cancel_stops_running_items(fleet: Fleet) -> None:
     """A caller's cancel stops the job: nothing starts later, what had finished stays readable.
 
