--- a/packages/node/tests/test_job_runner.py
+++ b/packages/node/tests/test_job_runner.py
@@ -394,15 +394,16 @@
 def test_coordinator_is_lost(fleet: Fleet, fault: str) -> None:
     """A job ends soon although the entry that was told of finished chunks is lost, or was frozen.
 
-    Chunks end while the coordinator is dead or frozen; nobody repeats those hints. The next one, or
-    the thawed one, reads the chunks at once instead of waiting for a long silence.
+    Chunks end while the coordinator is dead or frozen; nobody repeats those hints. Its own claims
+    show it what became of a share of the chunks, not of those that fall to the third entry. The
+    next coordinator, or the thawed one, reads all at once instead of waiting for a long silence.
     """
     fleet.probe_after = 3_600_000.0
-    fleet.start("a", "b")
+    fleet.start("a", "b", "c")
     fleet.upstreams.delay = 0.03
     job = fleet.submit(300)
-    _until(lambda: len(fleet.holders()) == 2 and fleet.job(job.id).counts.completed > 0)
-    name = owner(job.id, ("a", "b"))
+    _until(lambda: len(fleet.holders()) == 3 and fleet.job(job.id).counts.completed > 0)
+    name = owner(job.id, ("a", "b", "c"))
     assert name is not None
     if fault == "kill":
         fleet.nodes[name].kill()
