Ends of chunks are repeated to a coordinator that follows another, and kept when they come early

Cause: entries notice a loss at different times, so a chunk finished in between was told to the lost coordinator only. Reservations ask the store once more before they take a holder for dead.

--- a/packages/node/src/carobspool_node/_entry_node.py
+++ b/packages/node/src/carobspool_node/_entry_node.py
@@ -125,7 +125,7 @@
             self._limiter,
             self._isolation,
             make_reservations(
-                self._store, self._jobs.holder, self._clock, is_dead=self._jobs.members.is_dead
+                self._store, self._jobs.holder, self._clock, is_dead=self._jobs.members.confirm_dead
             ),
             self._clock,
             count=self._metrics.count,
--- a/packages/node/src/carobspool_node/_job_runner.py
+++ b/packages/node/src/carobspool_node/_job_runner.py
@@ -49,6 +49,7 @@
 TICK: Millis = 20.0
 PAUSE_NOTICED: Millis = 1_000.0
 PROBE_AFTER: Millis = 15_000.0
+MAX_EARLY = 1_000
 LOOK_AGAIN_INTERVAL: Millis = 10_000.0
 RELEASE_SLACK: Millis = 5_000.0
 
@@ -85,6 +86,7 @@
         self._owned: dict[tuple[str, int], OwnedChunk] = {}
         self._live: tuple[str, ...] = ()
         self._held = False
+        self._early: deque[ChunkDone] = deque(maxlen=MAX_EARLY)
         self._looked_at: Millis = 0.0
         self._round_began: Millis = clock.now()
         self._releasing_until: Millis | None = None
@@ -185,6 +187,7 @@
         for job_id, job in jobs.items():
             if job_id not in self._works:
                 self._works[job_id] = JobWork(job, now)
+                self._take_early(job_id)
             self._works[job_id].job = job
         for job_id in [job_id for job_id in self._works if job_id not in jobs]:
             del self._works[job_id]
@@ -196,12 +199,29 @@
             if jobs[job_id].status is JobStatus.CANCELLING and chunk.ending is not Ending.STOP:
                 chunk.part(Ending.STOP, cancel=True)
         live = self._members.live()
+        if live != self._live:
+            self._tell_new_coordinators(live)
         if live != self._live or now - self._looked_at > LOOK_AGAIN_INTERVAL:
             self._live = live
             self._looked_at = now
             for work in self._works.values():
                 work.look_again()
 
+    def _tell_new_coordinators(self, live: tuple[str, ...]) -> None:
+        """Repeat finished chunks to the coordinators that follow those that came or went.
+
+        Entries notice a loss at different times. A chunk finished in between is told to the lost
+        coordinator, after the next one has read the chunks, and the job would seem stuck.
+        """
+        for job_id, work in self._works.items():
+            coordinator = owner(job_id, live)
+            if coordinator in (None, self._holder.node, owner(job_id, self._live)):
+                continue
+            for number, counts in work.finished_here.items():
+                self._ports.tell_done(
+                    str(coordinator), ChunkDone(job=job_id, chunk=number, counts=counts)
+                )
+
     def _dispatch(self, now: Millis) -> int:
         """Start items while there is capacity; return what is left of it."""
         credits = self._ports.credits()
@@ -296,20 +316,32 @@
         """Part with a chunk that the store says is done, released or another's."""
         chunk = self._owned.pop((job_id, number))
         chunk.cancel_running()
+        work = self._works.get(job_id)
         counts = done_counts(standing)
         if counts is None:
             logging.info("event=chunk_left job=%s chunk=%d", job_id, number)
             self._take_held(job_id, number, standing)
             return
         self._take_done(job_id, number, counts)
+        if work is not None:
+            work.mark_finished_here(number, counts)
         coordinator = owner(job_id, self._live)
         if coordinator is not None and coordinator != self._holder.node:
             self._ports.tell_done(coordinator, ChunkDone(job=job_id, chunk=number, counts=counts))
 
     def _take_done(self, job_id: str, number: int, counts: JobCounts) -> None:
         work = self._works.get(job_id)
-        if work is not None:
-            work.mark_done(number, counts, self._clock.now())
+        if work is None:
+            # A small job can be finished elsewhere before the watch has told of it here.
+            self._early.append(ChunkDone(job=job_id, chunk=number, counts=counts))
+            return
+        work.mark_done(number, counts, self._clock.now())
+
+    def _take_early(self, job_id: str) -> None:
+        """Take in what was told of a job before the job was known."""
+        for done in [done for done in self._early if done.job == job_id]:
+            self._early.remove(done)
+            self._works[job_id].mark_done(done.chunk, done.counts, self._clock.now())
 
     def _begin_release(self, until: Millis) -> None:
         self._releasing_until = until
--- a/packages/node/src/carobspool_node/_job_work.py
+++ b/packages/node/src/carobspool_node/_job_work.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from carobspool_core import Holder, Job, JobCounts, Millis, add_counts, owner
 
@@ -28,6 +28,7 @@
         self.busy = False
         self.coordinated = True
         self._done: dict[int, JobCounts] = {}
+        self._finished_here: dict[int, JobCounts] = {}
         self._taken: set[int] = set()
         self._held: dict[int, Holder] = {}
         self._cursor = 0
@@ -43,6 +44,15 @@
         """Number of chunks known to be done."""
         return len(self._done)
 
+    @property
+    def finished_here(self) -> Mapping[int, JobCounts]:
+        """The chunks that this process itself finished."""
+        return self._finished_here
+
+    def mark_finished_here(self, number: int, counts: JobCounts) -> None:
+        """Take in that this process finished a chunk."""
+        self._finished_here[number] = counts
+
     def counts(self) -> JobCounts:
         """Return the sums over the chunks known to be done."""
         total = JobCounts()
--- a/packages/node/tests/test_job_runner.py
+++ b/packages/node/tests/test_job_runner.py
@@ -24,10 +24,12 @@
     Holder,
     ItemOutcome,
     Job,
+    JobCounts,
     JobStatus,
     Outcome,
     broken_upstream,
     finished,
+    keyed_job_id,
     monotonic_clock,
     owner,
     read_chunk,
@@ -390,6 +392,18 @@
     _assert_whole(fleet, job, 95)
 
 
+def test_hint_before_the_job_is_known(fleet: Fleet) -> None:
+    """A chunk's end that is told before the watch tells of its job is not lost."""
+    fleet.probe_after = 3_600_000.0
+    fleet.start("a")
+    done = ChunkDone(job=keyed_job_id("press", "k"), chunk=0, counts=JobCounts(completed=10))
+    fleet.nodes["a"].runner.chunk_done(done)
+    time.sleep(0.1)
+    job = fleet.submit(25)
+    assert fleet.wait_for_end(job).counts.completed == 25
+    assert len(fleet.upstreams.starts) == 15
+
+
 @pytest.mark.parametrize("fault", ["kill", "freeze"])
 def test_coordinator_is_lost(fleet: Fleet, fault: str) -> None:
     """A job ends soon although the entry that was told of finished chunks is lost, or was frozen.
