--- a/packages/node/src/carobspool_node/_job_runner.py
+++ b/packages/node/src/carobspool_node/_job_runner.py
@@ -18,12 +18,10 @@
     Clock,
     Holder,
     ItemOutcome,
-    JobCounts,
     JobStatus,
     Millis,
     ObjectStore,
     StoreFailure,
-    owner,
 )
 from carobspool_node._chunk_claims import ChunkClaims
 from carobspool_node._chunk_store import (
@@ -38,7 +36,7 @@
 from carobspool_node._job_coordinator import JobCoordinator
 from carobspool_node._job_ending import done_counts
 from carobspool_node._job_table import JobTable, watch_jobs
-from carobspool_node._job_work import JobWork
+from carobspool_node._job_works import JobWorks
 from carobspool_node._members import Members
 from carobspool_node._owned_chunk import Attempt, OwnedChunk
 from carobspool_node._runner_ports import ChunkDone, ItemRunner, RunnerPorts
@@ -49,8 +47,6 @@
 TICK: Millis = 20.0
 PAUSE_NOTICED: Millis = 1_000.0
 PROBE_AFTER: Millis = 15_000.0
-MAX_EARLY = 1_000
-LOOK_AGAIN_INTERVAL: Millis = 10_000.0
 RELEASE_SLACK: Millis = 5_000.0
 
 
@@ -82,12 +78,9 @@
             store, holder, clock, members, ports.choose, calls, self._take_claim
         )
         self._thread = threading.Thread(target=self._run, name="job-runner", daemon=True)
-        self._works: dict[str, JobWork] = {}
+        self._works = JobWorks(holder, clock, ports.tell_done)
         self._owned: dict[tuple[str, int], OwnedChunk] = {}
-        self._live: tuple[str, ...] = ()
         self._held = False
-        self._early: deque[ChunkDone] = deque(maxlen=MAX_EARLY)
-        self._looked_at: Millis = 0.0
         self._round_began: Millis = clock.now()
         self._releasing_until: Millis | None = None
         self._stopped = threading.Event()
@@ -111,7 +104,7 @@
 
     def chunk_done(self, done: ChunkDone) -> None:
         """Take a hint from the node that finished a chunk."""
-        self._calls.post(lambda: self._take_done(done.job, done.chunk, done.counts))
+        self._calls.post(lambda: self._works.take_done(done.job, done.chunk, done.counts))
 
     def release_all(self, timeout: Millis) -> int:
         """Finish what runs, write it, release all claims and end the loop.
@@ -157,10 +150,10 @@
         self._write_due(now)
         held = self._may_claim()
         if held and not self._held:
-            self._coordinator.resume(self._works)
+            self._coordinator.resume(self._works.by_job)
         self._held = held
         if held:
-            self._coordinator.coordinate(self._works, self._live, now)
+            self._coordinator.coordinate(self._works.by_job, self._works.live, now)
         self._end_release(now)
 
     def _look_after_pause(self) -> None:
@@ -171,7 +164,7 @@
         here before anything starts; the time from here to the start is too short to matter.
         """
         logging.warning("event=pause_noticed node=%s", self._holder.node)
-        self._coordinator.resume(self._works)
+        self._coordinator.resume(self._works.by_job)
         for job_id in {job_id for job_id, _ in self._owned}:
             self._table.refresh(job_id)
         for (job_id, number), chunk in list(self._owned.items()):
@@ -182,15 +175,9 @@
                 self._drop(job_id, number, found.unwrap())
 
     def _forget_ended(self, now: Millis) -> None:
-        """Bring the known jobs up to date; stop what belongs to cancelled ones."""
+        """Bring the known jobs up to date; stop what belongs to ended or cancelled ones."""
         jobs = {job.id: job for job in self._table.open_jobs()}
-        for job_id, job in jobs.items():
-            if job_id not in self._works:
-                self._works[job_id] = JobWork(job, now)
-                self._take_early(job_id)
-            self._works[job_id].job = job
-        for job_id in [job_id for job_id in self._works if job_id not in jobs]:
-            del self._works[job_id]
+        self._works.update(jobs.values(), self._members.live(), now)
         for (job_id, number), chunk in list(self._owned.items()):
             if job_id not in jobs:
                 chunk.cancel_running()
@@ -198,29 +185,6 @@
                 continue
             if jobs[job_id].status is JobStatus.CANCELLING and chunk.ending is not Ending.STOP:
                 chunk.part(Ending.STOP, cancel=True)
-        live = self._members.live()
-        if live != self._live:
-            self._tell_new_coordinators(live)
-        if live != self._live or now - self._looked_at > LOOK_AGAIN_INTERVAL:
-            self._live = live
-            self._looked_at = now
-            for work in self._works.values():
-                work.look_again()
-
-    def _tell_new_coordinators(self, live: tuple[str, ...]) -> None:
-        """Repeat finished chunks to the coordinators that follow those that came or went.
-
-        Entries notice a loss at different times. A chunk finished in between is told to the lost
-        coordinator, after the next one has read the chunks, and the job would seem stuck.
-        """
-        for job_id, work in self._works.items():
-            coordinator = owner(job_id, live)
-            if coordinator in (None, self._holder.node, owner(job_id, self._live)):
-                continue
-            for number, counts in work.finished_here.items():
-                self._ports.tell_done(
-                    str(coordinator), ChunkDone(job=job_id, chunk=number, counts=counts)
-                )
 
     def _dispatch(self, now: Millis) -> int:
         """Start items while there is capacity; return what is left of it."""
@@ -232,7 +196,7 @@
         while credits > 0 and ready:
             if self._clock.now() - now > PAUSE_NOTICED:
                 return 0  # frozen in this very round; the next one reads again first
-            job_id = self._ports.choose([self._works[job_id].job for job_id in ready])
+            job_id = self._ports.choose([self._works.by_job[job_id].job for job_id in ready])
             # The chunk claimed first is finished first: its results are committed and safe then.
             chunk = ready[job_id][0]
             self._start_item(chunk)
@@ -261,7 +225,7 @@
         running = sum(chunk.running for chunk in self._owned.values())
         missing = max(credits, running // 2) - waiting
         if missing > 0 and self._may_claim():
-            self._claims.claim_ahead(self._works, self._live, missing=missing, now=now)
+            self._claims.claim_ahead(self._works.by_job, self._works.live, missing=missing, now=now)
 
     def _take_claim(self, job_id: str, number: int, claimed: Claimed | Standing) -> None:
         if isinstance(claimed, Claimed):
@@ -273,13 +237,13 @@
             return
         counts = done_counts(claimed)
         if counts is not None:
-            self._take_done(job_id, number, counts)
+            self._works.take_done(job_id, number, counts)
             return
         self._take_held(job_id, number, claimed)
 
     def _take_held(self, job_id: str, number: int, standing: Standing) -> None:
         """Take in that a chunk is not this process's."""
-        work = self._works.get(job_id)
+        work = self._works.by_job.get(job_id)
         if work is None:
             return
         work.mark_free(number)
@@ -293,7 +257,7 @@
                 self._write(job_id, number, chunk, write)
 
     def _write(self, job_id: str, number: int, chunk: OwnedChunk, write: ChunkWrite) -> None:
-        job = self._works[job_id].job
+        job = self._works.by_job[job_id].job
         standing = chunk.standing
         self._calls.submit(
             lambda: write_chunk(self._store, job, number, standing, write),
@@ -316,32 +280,12 @@
         """Part with a chunk that the store says is done, released or another's."""
         chunk = self._owned.pop((job_id, number))
         chunk.cancel_running()
-        work = self._works.get(job_id)
         counts = done_counts(standing)
         if counts is None:
             logging.info("event=chunk_left job=%s chunk=%d", job_id, number)
             self._take_held(job_id, number, standing)
             return
-        self._take_done(job_id, number, counts)
-        if work is not None:
-            work.mark_finished_here(number, counts)
-        coordinator = owner(job_id, self._live)
-        if coordinator is not None and coordinator != self._holder.node:
-            self._ports.tell_done(coordinator, ChunkDone(job=job_id, chunk=number, counts=counts))
-
-    def _take_done(self, job_id: str, number: int, counts: JobCounts) -> None:
-        work = self._works.get(job_id)
-        if work is None:
-            # A small job can be finished elsewhere before the watch has told of it here.
-            self._early.append(ChunkDone(job=job_id, chunk=number, counts=counts))
-            return
-        work.mark_done(number, counts, self._clock.now())
-
-    def _take_early(self, job_id: str) -> None:
-        """Take in what was told of a job before the job was known."""
-        for done in [done for done in self._early if done.job == job_id]:
-            self._early.remove(done)
-            self._works[job_id].mark_done(done.chunk, done.counts, self._clock.now())
+        self._works.finished_here(job_id, number, counts)
 
     def _begin_release(self, until: Millis) -> None:
         self._releasing_until = until
