--- a/packages/node/src/carobspool_node/_job_runner.py
+++ b/packages/node/src/carobspool_node/_job_runner.py
@@ -144,10 +144,11 @@
             now = self._clock.now()
         self._round_began = now
         self._forget_ended(now)
+        credits = 0
         if self._releasing_until is None:
             credits = self._dispatch(now)
             self._claim_ahead(now, credits)
-        self._write_due(now)
+        self._write_due(now, credits)
         held = self._may_claim()
         if held and not self._held:
             self._coordinator.resume(self._works.by_job)
@@ -250,11 +251,14 @@
         if standing.state.status is ChunkStatus.CLAIMED and standing.state.holder != self._holder:
             work.mark_held(number, standing.state.holder)
 
-    def _write_due(self, now: Millis) -> None:
+    def _write_due(self, now: Millis, credits: int) -> None:
+        declarable = credits - sum(chunk.declaring for chunk in self._owned.values())
         for (job_id, number), chunk in self._owned.items():
-            write = chunk.next_write(now)
-            if write is not None:
-                self._write(job_id, number, chunk, write)
+            write = chunk.next_write(now, may_declare=declarable > 0)
+            if write is None:
+                continue
+            declarable -= chunk.declaring
+            self._write(job_id, number, chunk, write)
 
     def _write(self, job_id: str, number: int, chunk: OwnedChunk, write: ChunkWrite) -> None:
         job = self._works.by_job[job_id].job
--- a/packages/node/src/carobspool_node/_owned_chunk.py
+++ b/packages/node/src/carobspool_node/_owned_chunk.py
@@ -18,6 +18,7 @@
     Millis,
     finished,
     item_retry,
+    span_count,
     span_indexes,
     spans_of,
     unfinished,
@@ -68,7 +69,7 @@
         self._results: dict[int, ItemResult] = {}
         self._written_at = now
         self._retry_at = now
-        self._writing = False
+        self._writing: ChunkWrite | None = None
         self._ending: Ending | None = None
         self._sort_items()
 
@@ -87,6 +88,11 @@
         """Number of items that could start, now or after their intents are written."""
         return len(self._ready) + len(self._undeclared)
 
+    @property
+    def declaring(self) -> int:
+        """Number of items whose intents are being written."""
+        return 0 if self._writing is None else span_count(self._writing.declare)
+
     @property
     def ending(self) -> Ending | None:
         """How this process is parting with the chunk, if it is."""
@@ -150,23 +156,28 @@
         for handle in handles:
             handle.cancel()
 
-    def next_write(self, now: Millis) -> ChunkWrite | None:
-        """Return what should be written now, if anything; `wrote` or `write_failed` must follow."""
-        if self._writing or now < self._retry_at:
+    def next_write(self, now: Millis, *, may_declare: bool) -> ChunkWrite | None:
+        """Return what should be written now, if anything; `wrote` or `write_failed` must follow.
+
+        Args:
+            now: The clock's instant in milliseconds.
+            may_declare: Whether there is capacity for further non-idempotent items. What is
+                declared and not started ends as unknown if this process dies.
+        """
+        if self._writing is not None or now < self._retry_at:
             return None
-        write = self._wanted_write(now)
-        self._writing = write is not None
-        return write
+        self._writing = self._wanted_write(now, may_declare=may_declare)
+        return self._writing
 
     def wrote(self, standing: Standing, holder: Holder, now: Millis) -> bool:
         """Take in how the chunk stands after a write; ``False`` if it is no longer held."""
-        self._writing = False
+        self._writing = None
         self._written_at = now
         return self.adopt(standing, holder)
 
     def write_failed(self, now: Millis) -> None:
         """Take in that the store could not be reached; try again after a pause."""
-        self._writing = False
+        self._writing = None
         self._retry_at = now + WRITE_PAUSE
 
     def adopt(self, standing: Standing, holder: Holder) -> bool:
@@ -200,7 +211,7 @@
                 continue
             self._undeclared.append(index)
 
-    def _wanted_write(self, now: Millis) -> ChunkWrite | None:
+    def _wanted_write(self, now: Millis, *, may_declare: bool) -> ChunkWrite | None:
         results = tuple(self._results.values())
         if self._ending is not None:
             if self._running:
@@ -212,7 +223,7 @@
             )
             return ChunkWrite(results=results, withdraw=withdraw, ending=self._ending)
         declare = tuple(self._undeclared)[:DECLARED_AHEAD]
-        if declare and not self._ready:
+        if declare and may_declare and not self._ready:
             return ChunkWrite(results=results, declare=spans_of(declare))
         if results and self._commit_is_due(now):
             return ChunkWrite(results=results)
@@ -224,9 +235,7 @@
         A lost process repeats what it had not written, so writing seldom costs work after a
         failure; writing often costs the store, for every chunk of the fleet at once.
         """
-        left = self._standing.state.items - sum(
-            stop - start for start, stop in finished(self._standing.state)
-        )
+        left = self._standing.state.items - span_count(finished(self._standing.state))
         if len(self._results) == left:
             return True
         waited = now - self._written_at
