--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -233,11 +233,13 @@
     SuspectGate,
     make_suspect_gate,
 )
-from carobspool_core._suspects import (
+from carobspool_core._suspect_records import (
     SuspectChange,
-    Suspects,
     Verdict,
     VerdictKind,
+)
+from carobspool_core._suspects import (
+    Suspects,
     make_suspects,
 )
 from carobspool_core._work import (
--- a/packages/node/src/carobspool_node/_reconciler.py
+++ b/packages/node/src/carobspool_node/_reconciler.py
@@ -4,7 +4,6 @@
 
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from absl import logging
 from returns.pipeline import is_successful
@@ -22,6 +21,7 @@
     differences,
     next_order,
 )
+from carobspool_node._engine_status import EngineStatus
 from carobspool_node._order_right import OrderRight, RightError, RightFault
 from carobspool_node._settings import OrderSettings
 
@@ -35,43 +35,6 @@
 """
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EngineStatus:
-    """Declared against actual, for operators.
-
-    Attributes:
-        declared: What the engine should run; ``None`` when nothing is declared for it.
-        actual: What it ran when it was last read; ``None`` when it could not be read.
-        differences: Each difference in words.
-        since: Instant of the clock at which the present differences, or their absence, began.
-        epoch: Epoch under which this process gives orders, 0 without one.
-        trouble: Why no order is given or the last one failed; empty otherwise.
-
-    Since 0.1.
-    """
-
-    declared: DeclaredEngine | None = None
-    actual: EngineState | None = None
-    differences: tuple[str, ...] = ()
-    since: Millis = 0.0
-    epoch: int = 0
-    trouble: str = ""
-
-    @property
-    def ready_models(self) -> tuple[str, ...]:
-        """Declared models, and ``model:adapter`` names, that can serve now."""
-        if self.declared is None or self.actual is None:
-            return ()
-        found: list[str] = []
-        for name, model in sorted(self.declared.models.items()):
-            running = self.actual.models.get(name)
-            if running is None or not running.ready or running.version != model.version:
-                continue
-            found.append(name)
-            found.extend(f"{name}:{each}" for each in model.adapters if each in running.adapters)
-        return tuple(found)
-
-
 class Reconciler:
     """The state of the loop; `step` runs on one thread, `status` may be read by any.
 
@@ -118,13 +81,25 @@
         order = self._wanted()
         if order is None:
             return None
+        if self._right.superseded:
+            self._repeat(trouble=str(RightFault.SUPERSEDED))
+            return None
         if self._clock.now() < self._not_before:
             return None
-        may = self._may_order()
-        if may is not None:
-            self._repeat(trouble=_words(may))
+        if self._needs_refresh():
+            # A process that was paused may hold an old configuration. Its order would undo what its
+            # successor made true, so the configuration is read before the right is taken or the
+            # lease renewed, and the order is chosen again.
+            if not self._refresh():
+                self._repeat(trouble="configuration not confirmed")
+                return None
+            if self._wanted() is None:
+                return None
+        confirmed = self._right.confirm(checks_fencing=self._checks_fencing())
+        if not is_successful(confirmed):
+            self._repeat(trouble=_words(confirmed.failure()))
             return None
-        # Declared again: confirming may have taken long, and brought a newer configuration.
+        # Chosen once more: confirming may have taken long, and brought a newer configuration.
         order = self._wanted()
         if order is None:
             return None
@@ -152,14 +127,10 @@
         self._report(declared=declared, actual=actual, trouble=self._order_trouble)
         return order
 
-    def _may_order(self) -> RightError | None:
-        checks_fencing = self._checks_fencing()
-        if not checks_fencing and not self._right.in_lease() and not self._refresh():
-            # A process that was paused may hold an old configuration. Its orders would undo what
-            # its successor made true, so the configuration is read whenever the lease is renewed.
-            return RightError(fault=RightFault.UNREADABLE, detail="configuration not confirmed")
-        confirmed = self._right.confirm(checks_fencing=checks_fencing)
-        return None if is_successful(confirmed) else confirmed.failure()
+    def _needs_refresh(self) -> bool:
+        if self._right.epoch == 0:
+            return True
+        return not self._checks_fencing() and not self._right.in_lease()
 
     def _send(self, order: Order) -> bool:
         fence = self._right.next_fence()
