--- a/packages/node/src/carobspool_node/_job_runner.py
+++ b/packages/node/src/carobspool_node/_job_runner.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import threading
+from collections import deque
 from collections.abc import Callable, Iterator
 
 from absl import logging
@@ -17,12 +18,10 @@
     Clock,
     Holder,
     ItemOutcome,
-    JobCounts,
     JobStatus,
     Millis,
     ObjectStore,
     StoreFailure,
-    owner,
 )
 from carobspool_node._chunk_claims import ChunkClaims
 from carobspool_node._chunk_store import (
@@ -37,7 +36,7 @@
 from carobspool_node._job_coordinator import JobCoordinator
 from carobspool_node._job_ending import done_counts
 from carobspool_node._job_table import JobTable, watch_jobs
-from carobspool_node._job_work import JobWork
+from carobspool_node._job_works import JobWorks
 from carobspool_node._members import Members
 from carobspool_node._owned_chunk import Attempt, OwnedChunk
 from carobspool_node._runner_ports import ChunkDone, ItemRunner, RunnerPorts
@@ -48,7 +47,6 @@
 TICK: Millis = 20.0
 PAUSE_NOTICED: Millis = 1_000.0
 PROBE_AFTER: Millis = 15_000.0
-LOOK_AGAIN_INTERVAL: Millis = 10_000.0
 RELEASE_SLACK: Millis = 5_000.0
 
 
@@ -80,10 +78,9 @@
             store, holder, clock, members, ports.choose, calls, self._take_claim
         )
         self._thread = threading.Thread(target=self._run, name="job-runner", daemon=True)
-        self._works: dict[str, JobWork] = {}
+        self._works = JobWorks(holder, clock, ports.tell_done)
         self._owned: dict[tuple[str, int], OwnedChunk] = {}
-        self._live: tuple[str, ...] = ()
-        self._looked_at: Millis = 0.0
+        self._held = False
         self._round_began: Millis = clock.now()
         self._releasing_until: Millis | None = None
         self._stopped = threading.Event()
@@ -107,7 +104,7 @@
 
     def chunk_done(self, done: ChunkDone) -> None:
         """Take a hint from the node that finished a chunk."""
-        self._calls.post(lambda: self._take_done(done.job, done.chunk, done.counts))
+        self._calls.post(lambda: self._works.take_done(done.job, done.chunk, done.counts))
 
     def release_all(self, timeout: Millis) -> int:
         """Finish what runs, write it, release all claims and end the loop.
@@ -147,12 +144,17 @@
             now = self._clock.now()
         self._round_began = now
         self._forget_ended(now)
+        credits = 0
         if self._releasing_until is None:
             credits = self._dispatch(now)
             self._claim_ahead(now, credits)
-        self._write_due(now)
-        if self._may_claim():
-            self._coordinator.coordinate(self._works, self._live, now)
+        self._write_due(now, credits)
+        held = self._may_claim()
+        if held and not self._held:
+            self._coordinator.resume(self._works.by_job)
+        self._held = held
+        if held:
+            self._coordinator.coordinate(self._works.by_job, self._works.live, now)
         self._end_release(now)
 
     def _look_after_pause(self) -> None:
@@ -163,6 +165,7 @@
         here before anything starts; the time from here to the start is too short to matter.
         """
         logging.warning("event=pause_noticed node=%s", self._holder.node)
+        self._coordinator.resume(self._works.by_job)
         for job_id in {job_id for job_id, _ in self._owned}:
             self._table.refresh(job_id)
         for (job_id, number), chunk in list(self._owned.items()):
@@ -173,14 +176,9 @@
                 self._drop(job_id, number, found.unwrap())
 
     def _forget_ended(self, now: Millis) -> None:
-        """Bring the known jobs up to date; stop what belongs to cancelled ones."""
+        """Bring the known jobs up to date; stop what belongs to ended or cancelled ones."""
         jobs = {job.id: job for job in self._table.open_jobs()}
-        for job_id, job in jobs.items():
-            if job_id not in self._works:
-                self._works[job_id] = JobWork(job, now)
-            self._works[job_id].job = job
-        for job_id in [job_id for job_id in self._works if job_id not in jobs]:
-            del self._works[job_id]
+        self._works.update(jobs.values(), self._members.live(), now)
         for (job_id, number), chunk in list(self._owned.items()):
             if job_id not in jobs:
                 chunk.cancel_running()
@@ -188,30 +186,25 @@
                 continue
             if jobs[job_id].status is JobStatus.CANCELLING and chunk.ending is not Ending.STOP:
                 chunk.part(Ending.STOP, cancel=True)
-        live = self._members.live()
-        if live != self._live or now - self._looked_at > LOOK_AGAIN_INTERVAL:
-            self._live = live
-            self._looked_at = now
-            for work in self._works.values():
-                work.look_again()
 
     def _dispatch(self, now: Millis) -> int:
         """Start items while there is capacity; return what is left of it."""
         credits = self._ports.credits()
-        ready: dict[str, list[OwnedChunk]] = {}
+        ready: dict[str, deque[OwnedChunk]] = {}
         for (job_id, _), chunk in self._owned.items():
             if chunk.has_ready(now):
-                ready.setdefault(job_id, []).append(chunk)
+                ready.setdefault(job_id, deque()).append(chunk)
         while credits > 0 and ready:
             if self._clock.now() - now > PAUSE_NOTICED:
                 return 0  # frozen in this very round; the next one reads again first
-            job_id = self._ports.choose([self._works[job_id].job for job_id in ready])
-            chunk = ready[job_id][-1]
+            job_id = self._ports.choose([self._works.by_job[job_id].job for job_id in ready])
+            # The chunk claimed first is finished first: its results are committed and safe then.
+            chunk = ready[job_id][0]
             self._start_item(chunk)
             credits -= 1
             if chunk.has_ready(now):
                 continue
-            ready[job_id].pop()
+            ready[job_id].popleft()
             if not ready[job_id]:
                 del ready[job_id]
         return credits
@@ -233,7 +226,7 @@
         running = sum(chunk.running for chunk in self._owned.values())
         missing = max(credits, running // 2) - waiting
         if missing > 0 and self._may_claim():
-            self._claims.claim_ahead(self._works, self._live, missing=missing, now=now)
+            self._claims.claim_ahead(self._works.by_job, self._works.live, missing=missing, now=now)
 
     def _take_claim(self, job_id: str, number: int, claimed: Claimed | Standing) -> None:
         if isinstance(claimed, Claimed):
@@ -245,27 +238,30 @@
             return
         counts = done_counts(claimed)
         if counts is not None:
-            self._take_done(job_id, number, counts)
+            self._works.take_done(job_id, number, counts)
             return
         self._take_held(job_id, number, claimed)
 
     def _take_held(self, job_id: str, number: int, standing: Standing) -> None:
         """Take in that a chunk is not this process's."""
-        work = self._works.get(job_id)
+        work = self._works.by_job.get(job_id)
         if work is None:
             return
         work.mark_free(number)
         if standing.state.status is ChunkStatus.CLAIMED and standing.state.holder != self._holder:
             work.mark_held(number, standing.state.holder)
 
-    def _write_due(self, now: Millis) -> None:
+    def _write_due(self, now: Millis, credits: int) -> None:
+        declarable = credits - sum(chunk.declaring for chunk in self._owned.values())
         for (job_id, number), chunk in self._owned.items():
-            write = chunk.next_write(now)
-            if write is not None:
-                self._write(job_id, number, chunk, write)
+            write = chunk.next_write(now, may_declare=declarable > 0)
+            if write is None:
+                continue
+            declarable -= chunk.declaring
+            self._write(job_id, number, chunk, write)
 
     def _write(self, job_id: str, number: int, chunk: OwnedChunk, write: ChunkWrite) -> None:
-        job = self._works[job_id].job
+        job = self._works.by_job[job_id].job
         standing = chunk.standing
         self._calls.submit(
             lambda: write_chunk(self._store, job, number, standing, write),
@@ -293,15 +289,7 @@
             logging.info("event=chunk_left job=%s chunk=%d", job_id, number)
             self._take_held(job_id, number, standing)
             return
-        self._take_done(job_id, number, counts)
-        coordinator = owner(job_id, self._live)
-        if coordinator is not None and coordinator != self._holder.node:
-            self._ports.tell_done(coordinator, ChunkDone(job=job_id, chunk=number, counts=counts))
-
-    def _take_done(self, job_id: str, number: int, counts: JobCounts) -> None:
-        work = self._works.get(job_id)
-        if work is not None:
-            work.mark_done(number, counts, self._clock.now())
+        self._works.finished_here(job_id, number, counts)
 
     def _begin_release(self, until: Millis) -> None:
         self._releasing_until = until
--- a/packages/node/tests/test_job_runner.py
+++ b/packages/node/tests/test_job_runner.py
@@ -24,11 +24,14 @@
     Holder,
     ItemOutcome,
     Job,
+    JobCounts,
     JobStatus,
     Outcome,
     broken_upstream,
     finished,
+    keyed_job_id,
     monotonic_clock,
+    owner,
     read_chunk,
     read_job,
     span_count,
@@ -133,7 +136,7 @@
             ports,
             may_claim=lambda: self.lease.held,
             watch_timeout=50.0,
-            probe_after=1_000.0,
+            probe_after=fleet.probe_after,
         )
         self.lease.start()
         self.members.start()
@@ -177,6 +180,7 @@
         self.upstreams.gate.set()
         self.nodes: dict[str, Node] = {}
         self.lose_hints = False
+        self.probe_after = 1_000.0
 
     def start(self, *names: str) -> None:
         for name in names:
@@ -388,6 +392,43 @@
     _assert_whole(fleet, job, 95)
 
 
+def test_hint_before_the_job_is_known(fleet: Fleet) -> None:
+    """A chunk's end that is told before the watch tells of its job is not lost."""
+    fleet.probe_after = 3_600_000.0
+    fleet.start("a")
+    done = ChunkDone(job=keyed_job_id("press", "k"), chunk=0, counts=JobCounts(completed=10))
+    fleet.nodes["a"].runner.chunk_done(done)
+    time.sleep(0.1)
+    job = fleet.submit(25)
+    assert fleet.wait_for_end(job).counts.completed == 25
+    assert len(fleet.upstreams.starts) == 15
+
+
+@pytest.mark.parametrize("fault", ["kill", "freeze"])
+def test_coordinator_is_lost(fleet: Fleet, fault: str) -> None:
+    """A job ends soon although the entry that was told of finished chunks is lost, or was frozen.
+
+    Chunks end while the coordinator is dead or frozen; nobody repeats those hints. Its own claims
+    show it what became of a share of the chunks, not of those that fall to the third entry. The
+    next coordinator, or the thawed one, reads all at once instead of waiting for a long silence.
+    """
+    fleet.probe_after = 3_600_000.0
+    fleet.start("a", "b", "c")
+    fleet.upstreams.delay = 0.03
+    job = fleet.submit(300)
+    _until(lambda: len(fleet.holders()) == 3 and fleet.job(job.id).counts.completed > 0)
+    name = owner(job.id, ("a", "b", "c"))
+    assert name is not None
+    if fault == "kill":
+        fleet.nodes[name].kill()
+    else:
+        fleet.nodes[name].freeze()
+        time.sleep(1.5)
+        fleet.nodes[name].thaw()
+    assert fleet.wait_for_end(job).status is JobStatus.COMPLETED
+    _assert_whole(fleet, job, 300)
+
+
 def test_cancel_stops_running_items(fleet: Fleet) -> None:
     """A caller's cancel stops the job: nothing starts later, what had finished stays readable.
 
