--- a/packages/node/src/carobspool_node/_entry_node.py
+++ b/packages/node/src/carobspool_node/_entry_node.py
@@ -37,7 +37,7 @@
 from carobspool_node._hints import HintExchange
 from carobspool_node._http_server import PooledServer
 from carobspool_node._isolation import Isolation
-from carobspool_node._link import Identity, Link
+from carobspool_node._link import TRAFFIC, Identity, Link
 from carobspool_node._logs import set_up_logs
 from carobspool_node._metrics import make_metrics
 from carobspool_node._object_api import http_object_store
@@ -315,6 +315,7 @@
             "peers": self._hints.peers,
             "upstreams": upstreams,
             "jobs": self._jobs.status(),
+            "link_bytes": {"sent": TRAFFIC.sent, "received": TRAFFIC.received},
         }
 
 
--- a/packages/node/src/carobspool_node/_link.py
+++ b/packages/node/src/carobspool_node/_link.py
@@ -37,6 +37,28 @@
 HANDSHAKE_TIMEOUT: Millis = 3_000.0
 CLOSE_TIMEOUT: Millis = 1_000.0
 SMALL_MESSAGE_BYTES = 128
+FRAME_OVERHEAD = 8
+"""Bytes of a websocket header, about; those of TCP and IP are left out."""
+
+
+class Traffic:
+    """Bytes of all links of this process, both ways. Since 0.1."""
+
+    __slots__ = ("_lock", "received", "sent")
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self.sent = 0
+        self.received = 0
+
+    def count(self, *, sent: int = 0, received: int = 0) -> None:
+        """Add the bytes of a frame."""
+        with self._lock:
+            self.sent += sent
+            self.received += received
+
+
+TRAFFIC = Traffic()
 
 
 class Socket(Protocol):
@@ -139,6 +161,7 @@
             if isinstance(frame, str):
                 self.close()
                 raise CodecError("text frame")
+            TRAFFIC.count(received=len(frame) + FRAME_OVERHEAD)
             yield from decode_frame(frame)
 
     def close(self) -> None:
@@ -167,8 +190,10 @@
             if first is None:
                 return
             batch, last = self._join(first)
+            frame = encode_frame(batch)
+            TRAFFIC.count(sent=len(frame) + FRAME_OVERHEAD)
             try:
-                self._socket.send(encode_frame(batch))
+                self._socket.send(frame)
             except (ConnectionClosed, OSError):
                 self.close()
                 return
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -24,11 +24,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Case:
-    """One executed test: its ``file::name`` id and whether it failed."""
+    """One executed test: its ``file::name`` id, whether it failed, and the promise it proves."""
 
     test: str
     failed: bool
     skipped: bool
+    promise: str
+    seconds: float
 
 
 def main() -> int:
@@ -42,6 +44,8 @@
         code, found = _run_pytest(paths, workers)
         cases.extend(found)
         broken = broken or code not in (0, 1, PYTEST_NO_TESTS)
+    if options.promises:
+        _print_promises(cases)
     return _verdict(cases, broken=broken)
 
 
@@ -70,10 +74,37 @@
     for node in ElementTree.parse(report).iter("testcase"):
         name = f"{node.get('classname', '')}::{node.get('name', '')}"
         failed = node.find("failure") is not None or node.find("error") is not None
-        cases.append(Case(test=name, failed=failed, skipped=node.find("skipped") is not None))
+        cases.append(
+            Case(
+                test=name,
+                failed=failed,
+                skipped=node.find("skipped") is not None,
+                promise=_promise(node),
+                seconds=float(node.get("time", "0")),
+            )
+        )
     return cases
 
 
+def _promise(node: ElementTree.Element) -> str:
+    for each in node.iter("property"):
+        if each.get("name") == "promise":
+            return each.get("value", "")
+    return ""
+
+
+def _print_promises(cases: list[Case]) -> None:
+    """Print a row for each promise and fault: how often it ran and how often it was violated."""
+    rows: dict[tuple[str, str], list[Case]] = {}
+    for case in cases:
+        fault = case.test.rpartition("::")[2].removeprefix("test_").replace("_", " ")
+        rows.setdefault((case.promise, fault), []).append(case)
+    print(f"{'promise':44} {'fault':64} {'runs':>4} {'violations':>10}")
+    for (promise, fault), found in sorted(rows.items()):
+        violations = sum(case.failed for case in found)
+        print(f"{promise:44} {fault[:64]:64} {len(found):4} {violations:10}")
+
+
 def _known_red() -> list[str]:
     if not KNOWN_RED.exists():
         return []
