Hints are spread within a budget of bytes; idle entries report their usage less often

Cause: each entry told each hint on all its links, twice to a peer that had dialled back, and reported its usage each second also when idle. Ruled out: leaving idle reports out; an entry that is not heard keeps its part set aside.

--- a/packages/node/src/carobspool_node/_hints.py
+++ b/packages/node/src/carobspool_node/_hints.py
@@ -8,8 +8,8 @@
 
 import itertools
 import threading
-from collections import OrderedDict
 from collections.abc import Callable, Mapping
+from random import Random
 
 from absl import logging
 from websockets.sync.server import Server, ServerConnection, serve
@@ -22,6 +22,7 @@
     HintKind,
     Message,
     Millis,
+    make_gossip,
 )
 from carobspool_node._link import MAX_FRAME_BYTES, Identity, Link, dial, establish, send_quietly
 from carobspool_node._peer_keys import PeerKeys
@@ -29,7 +30,8 @@
 
 RECONNECT_DELAY: Millis = 500.0
 SILENCE_LIMIT: Millis = 5_000.0
-MAX_SEEN_HINTS = 20_000
+HINT_OVERHEAD = 64
+"""Bytes of a hint beside its subject and values: type, origin, sequence, frame."""
 
 
 class HintExchange:
@@ -70,7 +72,7 @@
         self._links: set[Link] = set()
         self._heard: dict[Link, Millis] = {}
         self._dialled: dict[str, threading.Event] = {}
-        self._seen: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._gossip = make_gossip(clock, Random(identity.incarnation))
         self._counter = itertools.count(1)
         self._server: Server | None = None
 
@@ -130,19 +132,19 @@
             values=dict(values or {}),
         )
         self._is_new(hint)
-        self.broadcast(hint)
+        self._spread(hint)
 
     def pass_on(self, hint: Hint) -> None:
         """Take a hint from a sidecar: tell it here and to the other entries, if it is new."""
         if not self._is_new(hint):
             return
         self._on_hint(hint)
-        self.broadcast(hint)
+        self._spread(hint)
 
-    def broadcast(self, message: Message, *, but: Link | None = None) -> None:
-        """Send a message to every connected entry except one."""
+    def broadcast(self, message: Message) -> None:
+        """Send a message to every connected entry."""
         with self._lock:
-            links = [link for link in self._links if link is not but]
+            links = list(self._links)
         for link in links:
             send_quietly(link, message)
 
@@ -216,14 +218,23 @@
         if not isinstance(message, Hint) or not self._is_new(message):
             return
         self._on_hint(message)
-        self.broadcast(message, but=link)
+        self._spread(message, source=link.peer.node)
 
     def _is_new(self, hint: Hint) -> bool:
-        identity = (hint.origin, hint.sequence)
         with self._lock:
-            if identity in self._seen:
-                return False
-            self._seen[identity] = None
-            if len(self._seen) > MAX_SEEN_HINTS:
-                self._seen.popitem(last=False)
-            return True
+            return self._gossip.is_new(hint)
+
+    def _spread(self, hint: Hint, *, source: str | None = None) -> None:
+        """Pass a hint on to as many entries as its urgency and the budget of bytes allow."""
+        with self._lock:
+            links = {link.peer.node: link for link in self._links}
+            chosen = self._gossip.links_for(
+                hint, sorted(links), _size(hint), self._clock.now(), source=source
+            )
+        for node in chosen:
+            send_quietly(links[node], hint)
+
+
+def _size(hint: Hint) -> int:
+    values = sum(len(key) + len(value) for key, value in hint.values.items())
+    return HINT_OVERHEAD + len(hint.subject) + values
--- a/packages/node/src/carobspool_node/_shared_limits.py
+++ b/packages/node/src/carobspool_node/_shared_limits.py
@@ -17,12 +17,15 @@
     Hint,
     HintKind,
     Limiter,
+    Millis,
     Organisation,
     Subject,
     SubjectKind,
     UsageReport,
 )
 
+IDLE_INTERVAL: Millis = 2_500.0
+"""Between two reports of an entry without demand: inside the 3.5 s for which a report counts."""
 _SEPARATOR = ":"
 
 
@@ -46,6 +49,7 @@
         self._clock = clock
         self._tell = tell
         self._lock = threading.Lock()
+        self._told_at: Millis = clock.now() - IDLE_INTERVAL
 
     def admit(
         self, caller: Caller, organisation: Organisation, cost_tokens: int
@@ -69,7 +73,10 @@
         with self._lock:
             self._limiter.set_entries(live, now)
             report = self._limiter.report(now)
+        if not report.demands and now - self._told_at < IDLE_INTERVAL:
+            return
         # Told also without demand: an entry that is not heard keeps its equal part set aside.
+        self._told_at = now
         self._tell(HintKind.USAGE, report.entry, report_values(report))
 
     def merge(self, hint: Hint) -> None:
--- a/tools/slope_connections.py
+++ b/tools/slope_connections.py
@@ -10,6 +10,7 @@
 
 import argparse
 import json
+import math
 import sys
 import tempfile
 import time
@@ -73,7 +74,12 @@
         cores = [100.0 * (b - a) / seconds for a, b in zip(before, after, strict=True)]
         return (
             Spent(cores[0], _memory_mb(cluster.pid("entry-1")), per_entry),
-            Spent(cores[1], _memory_mb(cluster.pid("sidecar-1")), per_entry * entries / sidecars),
+            Spent(
+                cores[1],
+                _memory_mb(cluster.pid("sidecar-1")),
+                # With several entries their hints to each other are in the count as well.
+                per_entry / sidecars if entries == 1 else math.nan,
+            ),
         )
 
 
