--- a/packages/standins/src/carobspool_standins/experiment.py
+++ b/packages/standins/src/carobspool_standins/experiment.py
@@ -71,7 +71,7 @@
     try:
         run_experiment(experiment, runs)
     except (StandinError, KeyboardInterrupt) as error:
-        print(f"failed: {error or type(error).__name__}", file=sys.stderr)
+        print(f"failed: {str(error) or type(error).__name__}", file=sys.stderr)
         code = 1
     if runs:
         path = write_report(experiment, runs, options.results)
--- a/packages/standins/src/carobspool_standins/quickstart.py
+++ b/packages/standins/src/carobspool_standins/quickstart.py
@@ -246,7 +246,7 @@
                 tour = Tour(cluster=cluster, key=Key(), examples=options.examples, summary=[])
                 run_tour(tour)
         except (StandinError, KeyboardInterrupt) as error:
-            print(f"failed: {error or type(error).__name__}", file=sys.stderr)
+            print(f"failed: {str(error) or type(error).__name__}", file=sys.stderr)
             return 1
     print(
         f"All {len(tour.summary)} steps succeeded in {time.monotonic() - start:.1f} s, and every "
