--- a/tests/promises/test_configuration.py
+++ b/tests/promises/test_configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -121,6 +122,35 @@
         assert revision == base + 3
 
 
+def test_entry_killed_in_the_middle_of_an_apply(tmp_path: Path) -> None:
+    """An entry is killed at several moments of an apply, while each call of the store takes 150 ms.
+
+    Its operator gets no answer. The change is in force at every other process or at none, and the
+    same apply through another entry brings it into force once.
+    """
+    with running_site(tmp_path, Plan(engines=1)) as site:
+        for number, moment in enumerate((0.2, 0.5, 0.8, 1.1, 1.4)):
+            base = site.revision
+            organisations = weighted(site, x=float(number + 2))
+            site.cluster.faults("objects", delay_ms=150)
+
+            def kill_later(moment: float = moment) -> None:
+                time.sleep(moment)
+                site.cluster.kill("entry-1")
+
+            apply = partial(post, site, "entry-1", base, organisations)
+            in_threads([apply, kill_later])
+            site.cluster.faults("objects")
+            again = post(site, "entry-2", base, organisations)
+            assert again.status == 200, again.text
+            site.revision = again.json["revision"]
+            assert site.revision == base + 1
+            site.cluster.restart("entry-1")
+            site.wait_ready("entry-1")
+            in_force(site, site.revision, site.entries, IN_FORCE_SECONDS)
+            assert weights(site, "entry-1")["x"] == number + 2
+
+
 def test_entry_that_slept_takes_the_newest(tmp_path: Path) -> None:
     """An entry and a sidecar are frozen over two revisions; awake, they never show the older."""
     with running_site(tmp_path) as site:
