--- a/packages/cli/src/carobspool_cli/_job_commands.py
+++ b/packages/cli/src/carobspool_cli/_job_commands.py
@@ -22,6 +22,7 @@
 ENDED = frozenset({"completed", "failed", "expired", "cancelled"})
 POLL_SECONDS = 1.0
 COMPLETION_WINDOW = "24h"
+REASON_HEADER = "carobspool-reason"
 
 _JOB = argument("id", "Id of the job.")
 _WAIT = option("wait", None, "Wait for the job's end and show its progress.", flag=True)
@@ -155,8 +156,10 @@
 
     def run_remote(self, client: Client) -> Outcome:
         """Cancel the job."""
-        body = {"reason": self.option("reason")}
-        answer = fetch(client, "POST", f"{_path(self.argument('id'))}/cancel", body)
+        # Encoded, since a header holds no line breaks and hardly any letters beyond ASCII.
+        headers = {REASON_HEADER: quote(self.option("reason"))}
+        call = Call(method="POST", path=f"{_path(self.argument('id'))}/cancel", headers=headers)
+        answer = client.call(call).alt(command_error)
         if not is_successful(answer):
             return Failure(answer.failure())
         return self.show(answer.unwrap(), _lines(answer.unwrap()))
