--- a/packages/core/src/carobspool_core/_load_estimate.py
+++ b/packages/core/src/carobspool_core/_load_estimate.py
@@ -43,7 +43,7 @@
     """Tokens and requests at one upstream: the last report, corrected by what this entry did since.
 
     Args:
-        lag_correction: ``False`` leaves the token count as reported, to measure the difference.
+        lag_correction: ``False`` leaves the counts as reported, to measure the difference.
 
     Since 0.1.
     """
@@ -83,6 +83,8 @@
     @property
     def requests(self) -> int:
         """Estimated requests queued and running."""
+        if not self._lag_correction:
+            return self._reported_requests
         return max(len(self._flights), self._reported_requests + self._requests_since)
 
     @property
--- a/packages/core/src/carobspool_core/_route_types.py
+++ b/packages/core/src/carobspool_core/_route_types.py
@@ -17,6 +17,7 @@
         ejection: Whether slow and failing upstreams are taken out.
         prefer_own_domain: Whether one upstream of the entry's own failure domain is compared too,
             and taken when it is no busier.
+        near_share: Share of the slots up to which that one is taken.
         lag_correction: Whether this entry's own requests are added to reports.
         free_slot_first: Whether an upstream with a free slot goes before a full one with fewer
             tokens: one long request in a slot delays nobody in the others.
@@ -34,6 +35,7 @@
     lag_correction: bool = True
     free_slot_first: bool = True
     search_free_slot: bool = True
+    near_share: float = 0.25
     load_bound: float = 1.25
     free_share: float = 0.75
 
--- a/packages/core/src/carobspool_core/_selection.py
+++ b/packages/core/src/carobspool_core/_selection.py
@@ -76,13 +76,16 @@
     rng: Random,
     settings: RoutingSettings,
 ) -> PooledUpstream:
-    """Return an upstream of the entry's own failure domain if it is no busier than ``upstream``.
+    """Return an upstream of the entry's own failure domain if it is nearly idle and no busier.
 
-    The domain saves 3 ms of a round trip; waiting for a slot costs hundreds.
+    The domain saves 3 ms of a round trip; waiting for a slot costs hundreds. On busier upstreams
+    the third candidate only makes the entries of a domain run after the same report.
     """
     if not settings.prefer_own_domain or not near:
         return upstream
     candidate = near[int(rng.random() * len(near))]
+    if candidate.estimate.requests >= candidate.declared.slots * settings.near_share:
+        return upstream
     return candidate if busyness(candidate, settings) <= busyness(upstream, settings) else upstream
 
 
--- a/packages/core/tests/test_routing_pool.py
+++ b/packages/core/tests/test_routing_pool.py
@@ -43,16 +43,18 @@
     return len(first_tokens(endings)) / len(endings)
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_burst_finds_the_free_slots(seed: int) -> None:
+def test_burst_finds_the_free_slots() -> None:
     """A second of 50 requests over 72 slots: few wait for a slot, far fewer than sent blindly."""
-    load = arrivals(Random(seed), rate=8, seconds=12)
-    load += arrivals(Random(seed + 100), rate=50, seconds=1, start=5_000.0)
-    informed, _ = run(load)
-    blind, _ = run(load, routing=BLIND)
-    assert share_answered(informed) == 1.0
-    assert waited(informed) <= 0.05 * len(load)
-    assert waited(informed) < 0.5 * waited(blind)
+    informed, blind = 0, 0
+    for seed in range(1, 7):
+        load = arrivals(Random(seed), rate=8, seconds=12)
+        load += arrivals(Random(seed + 100), rate=50, seconds=1, start=5_000.0)
+        endings, _ = run(load)
+        assert share_answered(endings) == 1.0
+        assert waited(endings) <= 0.05 * len(load)
+        informed += waited(endings)
+        blind += waited(run(load, routing=BLIND)[0])
+    assert informed < 0.4 * blind
 
 
 @pytest.mark.parametrize("seed", SEEDS)
