Dispatch: ids that come back no longer break the queues

Cause: a job removed and added again stood twice in a queue with equal keys, and comparing the objects raised TypeError; the batch task would have died. Ruled out: searching the queues on removal (linear in the jobs). Before: TypeError in the new test. Conclusion: a serial number breaks ties.

--- a/packages/core/src/carobspool_core/_dispatch.py
+++ b/packages/core/src/carobspool_core/_dispatch.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 
 from carobspool_core._clock import Clock, Millis
 from carobspool_core._dispatch_jobs import Job, JobShare, Organisation
@@ -37,6 +38,7 @@
         "_jobs",
         "_organisations",
         "_ready",
+        "_serials",
         "_time",
         "_urgent_credits",
     )
@@ -45,7 +47,8 @@
         self._entries = entries
         self._jobs: dict[str, Job] = {}
         self._organisations: dict[str, Organisation] = {}
-        self._ready: list[tuple[float, str, Organisation]] = []
+        self._ready: list[tuple[float, int, Organisation]] = []
+        self._serials = itertools.count()
         self._time = 0.0
         self._urgent_credits = 0.0
         self._due_times = DueTimes(clock.now())
@@ -69,11 +72,11 @@
             return
         organisation = self._organisations.get(share.organisation)
         if organisation is None:
-            organisation = Organisation(share.organisation, share.weight)
+            organisation = Organisation(share.organisation, share.weight, next(self._serials))
             self._organisations[share.organisation] = organisation
         organisation.weight = share.weight
         organisation.jobs += 1
-        self._jobs[share.id] = Job(share, organisation)
+        self._jobs[share.id] = Job(share, organisation, next(self._serials))
 
     def remove_job(self, id: str) -> None:
         """Forget a job that finished or was cancelled; nothing is taken from it any more."""
@@ -143,7 +146,7 @@
         # Like a job, an organisation that was idle goes on from the present time.
         organisation.time = max(organisation.time, self._time)
         organisation.queued = True
-        heapq.heappush(self._ready, (organisation.time, organisation.name, organisation))
+        heapq.heappush(self._ready, (organisation.time, organisation.serial, organisation))
 
 
 def make_dispatcher(clock: Clock, *, entries: int = 1) -> Dispatcher:
--- a/packages/core/src/carobspool_core/_dispatch_jobs.py
+++ b/packages/core/src/carobspool_core/_dispatch_jobs.py
@@ -34,6 +34,7 @@
         offered: Items ready to be taken.
         time: Virtual time within the organisation: items taken, without those of idle times.
         queued: Whether it stands in its organisation's queue.
+        serial: Order of creation; tells apart a job removed and its successor of the same id.
         removed: Whether it was removed; it may still stand in a queue.
         urgent: Whether its due time, or a later one, is in danger.
         urgent_queued: Whether it stands in the queue of urgent jobs.
@@ -47,13 +48,15 @@
         "organisation",
         "queued",
         "removed",
+        "serial",
         "time",
         "urgent",
         "urgent_queued",
     )
 
-    def __init__(self, share: JobShare, organisation: Organisation) -> None:
+    def __init__(self, share: JobShare, organisation: Organisation, serial: int) -> None:
         self.id = share.id
+        self.serial = serial
         self.organisation = organisation
         self.due = share.due
         self.items_left = share.items_left
@@ -76,16 +79,18 @@
 
     Attributes:
         jobs: Number of its jobs.
+        serial: Order of creation.
         time: Virtual time among the organisations: items taken divided by the weight.
         queued: Whether it stands in the queue of organisations.
     """
 
-    __slots__ = ("_ready", "_turn", "jobs", "name", "queued", "time", "weight")
+    __slots__ = ("_ready", "_turn", "jobs", "name", "queued", "serial", "time", "weight")
 
-    def __init__(self, name: str, weight: float) -> None:
-        self._ready: list[tuple[float, str, Job]] = []
+    def __init__(self, name: str, weight: float, serial: int) -> None:
+        self._ready: list[tuple[float, int, Job]] = []
         self._turn = 0.0
         self.name = name
+        self.serial = serial
         self.weight = weight
         self.time = 0.0
         self.queued = False
@@ -104,7 +109,7 @@
         # out until it had.
         job.time = max(job.time, self._turn)
         job.queued = True
-        heapq.heappush(self._ready, (job.time, job.id, job))
+        heapq.heappush(self._ready, (job.time, job.serial, job))
 
     def pop(self) -> Job | None:
         """Remove and return the next job with items ready."""
@@ -115,7 +120,7 @@
                 continue
             if time < job.time:
                 # Items taken as urgent have moved it on since it was queued.
-                heapq.heappush(self._ready, (job.time, job.id, job))
+                heapq.heappush(self._ready, (job.time, job.serial, job))
                 continue
             job.queued = False
             self._turn = job.time
--- a/packages/core/src/carobspool_core/_due_times.py
+++ b/packages/core/src/carobspool_core/_due_times.py
@@ -36,7 +36,7 @@
     __slots__ = ("_pending", "_rate", "_rate_at", "_reviewed_at", "_urgent")
 
     def __init__(self, now: Millis) -> None:
-        self._urgent: list[tuple[Millis, str, Job]] = []
+        self._urgent: list[tuple[Millis, int, Job]] = []
         self._rate = 0.0
         self._rate_at = now
         self._pending = 0
@@ -47,7 +47,7 @@
         if not job.urgent or job.urgent_queued or not job.offered:
             return
         job.urgent_queued = True
-        heapq.heappush(self._urgent, (job.due, job.id, job))
+        heapq.heappush(self._urgent, (job.due, job.serial, job))
 
     def next(self, now: Millis) -> Job | None:
         """Return the urgent job with items ready that is due first."""
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -145,3 +145,14 @@
             ready.subtract(taken)
             assert min(ready.values(), default=0) >= 0
     assert Counter(dispatcher.take(10_000, clock.now())) == +ready
+
+
+def test_a_job_that_is_removed_and_added_again_is_a_new_one() -> None:
+    """Ids that come back while their old places still stand in the queues are told apart."""
+    clock = ManualClock()
+    dispatcher = make_dispatcher(clock)
+    for _ in range(3):
+        dispatcher.remove_job("a")
+        dispatcher.add_job(job("a", "o", 100, due=1_000.0))
+        dispatcher.offer("a", 5)
+    assert dispatcher.take(10, clock.now()) == ["a"] * 5
