--- a/packages/core/src/carobspool_core/_admission.py
+++ b/packages/core/src/carobspool_core/_admission.py
@@ -41,6 +41,11 @@
     Work,
 )
 
+_PRESENCE: Millis = 200.0
+"""Time after the last online request in which the next one is still counted on. Without it short
+requests that follow one another make the streams of a whole engine be cancelled and resumed for
+each of them; some ten steps cover that and are lost only once after a burst."""
+
 
 class Admission:
     """Decides which requests run at one upstream. Made by `make_admission`.
@@ -59,6 +64,7 @@
         self._batch = BatchQueue()
         self._pacer = Pacer(settings.slots, settings.slowdown, settings.between_tokens_allowance)
         self._times = ServiceTime()
+        self._present_until: Millis = 0.0
         self._refused: list[tuple[RequestId, Failure]] = []
         self._prompt_starts = 0
         self._preemptions = 0
@@ -126,14 +132,14 @@
 
     def finished(self, id: RequestId, now: Millis) -> None:
         """Note that a request has ended at the upstream, well or not."""
-        stream = self._end(id)
+        stream = self._end(id, now)
         if stream is not None and stream.is_online and stream.last_token is not None:
             work = stream.work
             self._times.finished(now - stream.started, work.cost_tokens, work.prompt_tokens)
 
     def cancelled(self, id: RequestId, now: Millis) -> None:
         """Note that the caller gave a request up, wherever it was."""
-        if self._end(id) is not None:
+        if self._end(id, now) is not None:
             return
         if self._online.remove(id) is not None or self._batch.remove(id) is not None:
             return
@@ -148,7 +154,7 @@
             kept_tokens: Answer tokens that it holds.
             kept: Whether the upstream keeps its KV cache.
         """
-        stream = self._end(id)
+        stream = self._end(id, now)
         if stream is None:
             return
         waiting = Waiting(
@@ -229,7 +235,7 @@
     def _may_start_prompt(self, now: Millis) -> bool:
         if self._streams.batch >= self._width(now):
             return False
-        if not self._online_present() or not self._settings.paced:
+        if not self._online_present(now) or not self._settings.paced:
             return True
         return self._pacer.may_start(self._streams, now)
 
@@ -252,7 +258,7 @@
         return True
 
     def _narrow(self, preempt: list[RequestId], now: Millis) -> None:
-        if not self._settings.keep_kv or not self._online_present():
+        if not self._settings.keep_kv or not self._online_present(now):
             return
         while self._streams.batch > self._width(now) and self._preempt_one(preempt):
             continue
@@ -271,7 +277,7 @@
         if settings.mode is AdmissionMode.CAP:
             return settings.cap
         width = max(0, settings.slots - self._streams.online)
-        if settings.paced and self._online_present():
+        if settings.paced and self._online_present(now):
             return min(width, self._pacer.width(now))
         return width
 
@@ -279,7 +285,7 @@
         parked = self._batch.take_parked()
         if parked is not None or self._settings.mode is not AdmissionMode.POLICY:
             return parked or self._batch.take_prompt()
-        if not self._online_present():
+        if not self._online_present(now):
             return self._next_when_quiet()
         return self._batch.take_prompt() if self._may_start_prompt(now) else None
 
@@ -292,8 +298,8 @@
             return None
         return self._batch.take_prompt()
 
-    def _online_present(self) -> bool:
-        return self._streams.online > 0 or len(self._online) > 0
+    def _online_present(self, now: Millis) -> bool:
+        return self._streams.online > 0 or len(self._online) > 0 or now < self._present_until
 
     def _free(self) -> int:
         return self._settings.slots - len(self._streams)
@@ -314,10 +320,11 @@
         self._prompt_starts += int(not stream.is_online and stream.is_prefilling)
         start.append(waiting.work.id)
 
-    def _end(self, id: RequestId) -> Stream | None:
+    def _end(self, id: RequestId, now: Millis) -> Stream | None:
         stream = self._streams.remove(id)
         if stream is not None and stream.is_online:
             self._pacer.ended(id, stream.tokens)
+            self._present_until = now + _PRESENCE
         if len(self._streams) == 0:
             self._pacer.steps.idle()
         return stream
@@ -336,7 +343,7 @@
             self._suspects.next_expiry(),
         ]
         if len(self._batch):
-            instants.append(self._pacer.burst_end())
+            instants += [self._pacer.burst_end(), self._present_until]
         upcoming = (instant for instant in instants if instant is not None and instant > now)
         return min(upcoming, default=None)
 
--- a/packages/core/src/carobspool_core/_limits.py
+++ b/packages/core/src/carobspool_core/_limits.py
@@ -125,7 +125,7 @@
 
     def is_idle(self, now: Millis) -> bool:
         """Tell whether it can be forgotten without effect."""
-        if self.in_flight or self.reported is not NO_DEMAND:
+        if self.in_flight:
             return False
         return self.requests.is_full(now) and self.tokens.is_full(now)
 
@@ -196,19 +196,24 @@
 
     def report(self, now: Millis) -> UsageReport:
         """Return this entry's demand, to be sent to the other entries about once a second."""
+        unheard = self._peers.unheard
         self._peers.lapse(now)
+        if self._peers.unheard != unheard:
+            self._share_all(now)
         elapsed = now - self._measured
         demands: dict[Subject, Demand] = {}
         for subject, account in list(self._accounts.items()):
             if elapsed > 0.0:
                 account.measure(elapsed)
+            before = account.reported
             account.reported = self._worth_reporting(account)
-            if account.is_idle(now):
-                del self._accounts[subject]
-                continue
             if account.reported is not NO_DEMAND:
                 demands[subject] = account.reported
-            self._share(subject, account, now)
+            elif account.is_idle(now):
+                del self._accounts[subject]
+                continue
+            if account.reported is not before:
+                self._share(subject, account, now)
         self._measured = now
         return UsageReport(entry=self._entry, demands=demands)
 
--- a/packages/core/src/carobspool_core/_shares.py
+++ b/packages/core/src/carobspool_core/_shares.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import math
+from bisect import bisect_left
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
@@ -94,6 +95,7 @@
         self._entry = entry
         self._live: set[str] = set()
         self._heard: dict[str, Millis] = {}
+        self._sorted: list[str] | None = None
         self._reported: dict[str, Mapping[Subject, Demand]] = {}
         self._demands: dict[Subject, dict[str, Demand]] = {}
 
@@ -110,12 +112,14 @@
     @property
     def heard(self) -> list[str]:
         """Other live entries with a valid report, by name."""
-        return sorted(self._heard)
+        if self._sorted is None:
+            self._sorted = sorted(self._heard)
+        return self._sorted
 
     @property
     def rank(self) -> int:
         """Heard entries whose names come before this one's."""
-        return sum(1 for entry in self._heard if entry < self._entry)
+        return bisect_left(self.heard, self._entry)
 
     def set_live(self, live: Iterable[str]) -> None:
         """Set the live entries; what the others reported is forgotten."""
@@ -129,6 +133,7 @@
             return
         self._forget(report.entry)
         self._heard[report.entry] = now
+        self._sorted = None
         self._reported[report.entry] = report.demands
         for subject, demand in report.demands.items():
             self._demands.setdefault(subject, {})[report.entry] = demand
@@ -145,6 +150,7 @@
 
     def _forget(self, entry: str) -> None:
         self._heard.pop(entry, None)
+        self._sorted = None
         for subject in self._reported.pop(entry, {}):
             demands = self._demands[subject]
             del demands[entry]
--- a/packages/core/tests/test_admission.py
+++ b/packages/core/tests/test_admission.py
@@ -76,9 +76,32 @@
     (victim,) = admission.next(clock.now()).preempt
     admission.preempted(victim, clock.now(), 1, kept=True)
     admission.finished(RequestId("ONLINE", 1), clock.now())
+    clock.advance(1000.0)
     assert admission.next(clock.now()).start == (victim,)
 
 
+def test_short_requests_in_a_row_do_not_cancel_and_resume_batch_each_time() -> None:
+    """Ten short requests, 20 ms apart, preempt no more streams than the first of them."""
+    clock = ManualClock()
+    admission = make_admission(AdmissionSettings(slots=16), clock)
+    for count in range(16):
+        admission.offer(make_work(count, Priority.BATCH))
+        for id in admission.next(clock.now()).start:
+            admission.first_token(id, clock.now())
+    preempted = []
+    for count in range(10):
+        clock.advance(20.0)
+        admission.offer(make_work(count))
+        decision = admission.next(clock.now())
+        for id in decision.preempt:
+            admission.preempted(id, clock.now(), 1, kept=True)
+        preempted.append(len(decision.preempt))
+        admission.finished(RequestId("ONLINE", count), clock.now())
+        admission.next(clock.now())
+    assert preempted[0] > 0
+    assert sum(preempted[1:]) == 0
+
+
 def test_burst_is_served_while_batch_work_is_without_end() -> None:
     """Editors' first tokens come as if there were no batch work, where straight-through stalls."""
     alone, _ = model.run(AdmissionSettings(), model.bursts(1), seconds=SECONDS, batch=False)
