--- a/packages/core/src/carobspool_core/_limits.py
+++ b/packages/core/src/carobspool_core/_limits.py
@@ -18,11 +18,11 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from carobspool_core._bucket import MINUTE, Bucket
+from carobspool_core._account import Account
+from carobspool_core._bucket import Bucket
 from carobspool_core._clock import Clock, Millis
 from carobspool_core._config import Caller, Limits, Organisation
-from carobspool_core._outcome import Failure, rate_limited
-from carobspool_core._refusals import bounded_retry
+from carobspool_core._outcome import Failure
 from carobspool_core._shares import (
     NO_DEMAND,
     Demand,
@@ -34,17 +34,10 @@
     share_rate,
 )
 
-_DEMAND_MEMORY: Millis = 5_000.0
-"""Memory of the demand: five report intervals. A shorter one follows the chance of single arrivals,
-a longer one keeps a share where the caller no longer sends."""
-
 _REPORTED_PART = 0.25
 """A demand below this part of an equal share is not reported: the spare part covers it, and at
 30,000 organisations nearly all are below it."""
 
-_CONCURRENT_RETRY: Millis = 1_000.0
-"""When a caller at its bound of requests at once may come back: about the length of an answer."""
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Grant:
@@ -54,82 +47,6 @@
     cost_tokens: int
 
 
-class _Account:
-    """What one entry knows of one subject."""
-
-    __slots__ = (
-        "concurrent",
-        "demand",
-        "in_flight",
-        "limits",
-        "offered",
-        "offered_tokens",
-        "refused",
-        "reported",
-        "requests",
-        "tokens",
-    )
-
-    def __init__(self, limits: Limits, now: Millis) -> None:
-        self.limits = limits
-        self.requests = Bucket(0.0, 1.0, now)
-        self.tokens = Bucket(0.0, 1.0, now)
-        self.concurrent = 0
-        self.in_flight = 0
-        self.offered = 0
-        self.offered_tokens = 0
-        self.refused = 0
-        self.demand = NO_DEMAND
-        self.reported = NO_DEMAND
-
-    def refusal(self, cost_tokens: int, now: Millis) -> Failure | None:
-        """Return why a request may not pass, or ``None``."""
-        limits = self.limits
-        if limits.concurrent is not None and self.in_flight >= self.concurrent:
-            return _refusal("concurrent_limit", "Too many requests at once.", _CONCURRENT_RETRY)
-        if limits.requests_per_minute is not None:
-            wait = self.requests.wait(1.0, now)
-            if wait > 0.0:
-                return _refusal("requests_limit", "Too many requests a minute.", wait)
-        if limits.tokens_per_minute is not None:
-            wait = self.tokens.wait(cost_tokens, now)
-            if wait > 0.0:
-                return _refusal("tokens_limit", "Too many tokens a minute.", wait)
-        return None
-
-    def take(self, cost_tokens: int) -> None:
-        """Count an admitted request."""
-        self.in_flight += 1
-        if self.limits.requests_per_minute is not None:
-            self.requests.take(1.0)
-        if self.limits.tokens_per_minute is not None:
-            self.tokens.take(cost_tokens)
-
-    def measure(self, elapsed: Millis) -> None:
-        """Work out the demand since the last measurement."""
-        keep = math.exp(-elapsed / _DEMAND_MEMORY)
-        add = (1.0 - keep) * MINUTE / elapsed
-        requests = keep * self.demand.requests + add * self.offered
-        tokens = keep * self.demand.tokens + add * self.offered_tokens
-        concurrent = float(self.in_flight + self.refused)
-        concurrent = keep * self.demand.concurrent + (1.0 - keep) * concurrent
-        # What exceeds the limit is never admitted. Counted in full, a caller who moves would leave
-        # a demand behind that takes longer to fade than the new one to grow, and be cut meanwhile.
-        self.demand = Demand(
-            requests=_capped(requests, self.limits.requests_per_minute),
-            tokens=_capped(tokens, self.limits.tokens_per_minute),
-            concurrent=_capped(concurrent, self.limits.concurrent),
-            in_flight=self.in_flight,
-        )
-        self.offered = self.offered_tokens = self.refused = 0
-
-    def is_idle(self, now: Millis) -> bool:
-        """Tell whether it can be forgotten without effect."""
-        if self.in_flight:
-            return False
-        return self.requests.is_full(now) and self.tokens.is_full(now)
-
-
 class Limiter:
     """Enforces one entry's part of all limits. Made by `make_limiter`.
 
@@ -141,7 +58,7 @@
     def __init__(self, clock: Clock, entry: str) -> None:
         self._entry = entry
         self._peers = Peers(entry)
-        self._accounts: dict[Subject, _Account] = {}
+        self._accounts: dict[Subject, Account] = {}
         self._measured = clock.now()
 
     @property
@@ -234,12 +151,12 @@
         self._peers.set_live(live)
         self._share_all(self._measured if now is None else now)
 
-    def _account(self, subject: Subject, limits: Limits, now: Millis) -> _Account:
+    def _account(self, subject: Subject, limits: Limits, now: Millis) -> Account:
         account = self._accounts.get(subject)
         if account is not None and account.limits == limits:
             return account
         if account is None:
-            account = self._accounts[subject] = _Account(limits, now)
+            account = self._accounts[subject] = Account(limits, now)
             self._share(subject, account, now)
             account.requests = Bucket(account.requests.rate, 1.0, now)
             account.tokens = Bucket(account.tokens.rate, 1.0, now)
@@ -252,7 +169,7 @@
         for subject, account in self._accounts.items():
             self._share(subject, account, now)
 
-    def _share(self, subject: Subject, account: _Account, now: Millis) -> None:
+    def _share(self, subject: Subject, account: Account, now: Millis) -> None:
         limits = account.limits
         others = self._peers.demands(subject)
         own = account.reported
@@ -274,7 +191,7 @@
     def _rate(self, limit: float, own: float, others: float) -> float:
         return share_rate(limit, own, others, self._peers.entries, self._peers.unheard)
 
-    def _worth_reporting(self, account: _Account) -> Demand:
+    def _worth_reporting(self, account: Account) -> Demand:
         limits = account.limits
         part = _REPORTED_PART / self._peers.entries
         demand = account.demand
@@ -299,10 +216,6 @@
     return Limiter(clock, entry)
 
 
-def _capped(demand: float, limit: float | None) -> float:
-    return float(demand if limit is None else min(demand, limit))
-
-
 def _subjects(caller: Caller, organisation: Organisation) -> list[tuple[Subject, Limits]]:
     unlimited = Limits()
     candidates = [
@@ -310,7 +223,3 @@
         (Subject(SubjectKind.ORGANISATION, organisation.name), organisation.limits),
     ]
     return [(subject, limits) for subject, limits in candidates if limits != unlimited]
-
-
-def _refusal(code: str, message: str, wait: Millis) -> Failure:
-    return rate_limited(code, message, retry_after_ms=bounded_retry(wait))
