--- a/packages/node/src/carobspool_node/_owned_chunk.py
+++ b/packages/node/src/carobspool_node/_owned_chunk.py
@@ -28,6 +28,7 @@
 
 COMMIT_INTERVAL: Millis = 10_000.0
 COMMIT_SHARE = 0.25
+CAREFUL_COMMIT_INTERVAL: Millis = 1_000.0
 DECLARED_AHEAD = 16
 WRITE_PAUSE: Millis = 500.0
 
@@ -233,11 +234,17 @@
         """Decide when results are worth a write: at the end, else seldom.
 
         A lost process repeats what it had not written, so writing seldom costs work after a
-        failure; writing often costs the store, for every chunk of the fleet at once.
+        failure; writing often costs the store, for every chunk of the fleet at once. Results of
+        non-idempotent items cannot be made again and are written within a second.
         """
         left = self._standing.state.items - span_count(finished(self._standing.state))
         if len(self._results) == left:
             return True
         waited = now - self._written_at
+        if waited >= CAREFUL_COMMIT_INTERVAL and self._holds_unrepeatable():
+            return True
         share = len(self._results) >= COMMIT_SHARE * self._standing.state.items
         return waited >= COMMIT_INTERVAL and (share or waited >= 3.0 * COMMIT_INTERVAL)
+
+    def _holds_unrepeatable(self) -> bool:
+        return any(not self._items[index].idempotent for index in self._results)
