--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -12,12 +12,12 @@
     audit_to_json,
 )
 from carobspool_core._chunks import (
+    MAX_CHUNK_BYTES,
     ChunkChange,
     ChunkRefusal,
     ChunkState,
     ChunkStatus,
     Holder,
-    MAX_CHUNK_BYTES,
     ResultPart,
     chunk_bytes,
     chunk_items,
@@ -60,8 +60,6 @@
 )
 from carobspool_core._fairqueue import (
     FairQueue,
-    QueueBounds,
-    Ticket,
     make_fair_queue,
 )
 from carobspool_core._gossip import (
@@ -70,9 +68,9 @@
     peers_to_dial,
 )
 from carobspool_core._item_retry import (
+    PREEMPTED,
     ItemOutcome,
     ItemRetry,
-    PREEMPTED,
     item_retry,
 )
 from carobspool_core._job_records import (
@@ -82,8 +80,8 @@
     read_job,
 )
 from carobspool_core._jobs import (
-    BatchItem,
     IDEMPOTENT_METADATA,
+    BatchItem,
     Job,
     JobCounts,
     JobRefusal,
@@ -99,9 +97,9 @@
 )
 from carobspool_core._leases import (
     LEASE_TTL,
+    RENEWALS_PER_TTL,
     LeaseObserver,
     NodeLease,
-    RENEWALS_PER_TTL,
 )
 from carobspool_core._limits import (
     Grant,
@@ -119,6 +117,7 @@
     make_membership,
 )
 from carobspool_core._messages import (
+    PROTOCOL_VERSION,
     Attach,
     Beat,
     Cancel,
@@ -132,7 +131,6 @@
     Load,
     Message,
     Open,
-    PROTOCOL_VERSION,
     Priority,
     Proof,
     RequestId,
@@ -169,9 +167,9 @@
     ObjectChange,
     ObjectPage,
     ObjectStore,
+    StoredObject,
     StoreFailure,
     StoreFault,
-    StoredObject,
     WatchBatch,
 )
 from carobspool_core._reconcile import (
@@ -242,6 +240,10 @@
     Suspects,
     make_suspects,
 )
+from carobspool_core._tickets import (
+    QueueBounds,
+    Ticket,
+)
 from carobspool_core._work import (
     AdmissionMode,
     AdmissionSettings,
