Damaged jobs, leases and items stop nothing but themselves

Cause: a value that could not be read raised in the thread that follows all jobs or leases and ended it, and a chunk with damaged items used up a claim slot for ever. Before: test_damaged_objects_stop_nothing_else fails. Now each is logged and left out.

--- a/packages/node/src/carobspool_node/_chunk_claims.py
+++ b/packages/node/src/carobspool_node/_chunk_claims.py
@@ -4,9 +4,19 @@
 
 from collections.abc import Callable, Mapping, Sequence
 
+from absl import logging
 from returns.result import Failure, Result
 
-from carobspool_core import Clock, Holder, Job, JobStatus, Millis, ObjectStore, StoreFailure
+from carobspool_core import (
+    Clock,
+    Holder,
+    Job,
+    JobStatus,
+    Millis,
+    ObjectStore,
+    StoreFailure,
+    StoreFault,
+)
 from carobspool_node._chunk_store import Claimed, Standing, claim
 from carobspool_node._job_work import JobWork
 from carobspool_node._members import Members
@@ -102,8 +112,21 @@
     ) -> None:
         self._under_way -= 1
         if isinstance(found, Failure):
-            self._not_before = self._clock.now() + CLAIM_PAUSE
-            work.mark_free(number)
-            work.look_again()
+            self._take_failure(work, number, found.failure())
             return
         self._on_claimed(work.job.id, number, found.unwrap())
+
+    def _take_failure(self, work: JobWork, number: int, failure: StoreFailure) -> None:
+        work.mark_free(number)
+        if failure.fault is StoreFault.NOT_FOUND:
+            # Missing or damaged items stay so. A pause for all claims, as below, would let one
+            # damaged job hold up every other; this chunk is looked at again with the next sweep.
+            logging.error(
+                "event=chunk_unreadable job=%s chunk=%d detail=%s",
+                work.job.id,
+                number,
+                failure.detail,
+            )
+            return
+        self._not_before = self._clock.now() + CLAIM_PAUSE
+        work.look_again()
--- a/packages/node/src/carobspool_node/_chunk_store.py
+++ b/packages/node/src/carobspool_node/_chunk_store.py
@@ -90,25 +90,16 @@
         The claimed chunk, or the state in which somebody else holds or finished it.
     """
     # Items first: a claim without them would keep others from the chunk for nothing.
-    stored = store.get(input_key(job.input_id, number))
-    if isinstance(stored, Failure):
-        return stored
+    items = _load_items(store, job, number)
+    if isinstance(items, Failure):
+        return Failure(items.failure())
     taken = take_over(store, job, number, holder, is_dead=is_dead)
     if isinstance(taken, Failure):
-        return taken
+        return Failure(taken.failure())
     standing = taken.unwrap()
     if standing.state.holder != holder or standing.state.status is not ChunkStatus.CLAIMED:
         return Success(standing)
-    items = read_items(
-        stored.unwrap().value["packed"],
-        job=job.id,
-        chunk=number,
-        endpoint=job.endpoint,
-        organisation=job.organisation,
-        caller=job.caller,
-        metadata=dict(job.metadata),
-    )
-    return Success(Claimed(standing=standing, items=items))
+    return Success(Claimed(standing=standing, items=items.unwrap()))
 
 
 def take_over(
@@ -131,7 +122,8 @@
         return Failure(created.failure())
     found = read_standing(store, job.id, number)
     if isinstance(found, Failure):
-        return found
+        missing = found.failure().fault is StoreFault.NOT_FOUND
+        return Failure(created.failure()) if missing else found
     present = found.unwrap()
     claimed = present.state.status is ChunkStatus.CLAIMED
     dead = claimed and present.state.holder != holder and is_dead(present.state.holder)
@@ -176,6 +168,26 @@
     return Success(Standing(state=read_chunk(stored.value), version=stored.version))
 
 
+def _load_items(store: ObjectStore, job: Job, number: int) -> Result[list[BatchItem], StoreFailure]:
+    key = input_key(job.input_id, number)
+    stored = store.get(key)
+    if isinstance(stored, Failure):
+        return Failure(stored.failure())
+    try:
+        items = read_items(
+            stored.unwrap().value["packed"],
+            job=job.id,
+            chunk=number,
+            endpoint=job.endpoint,
+            organisation=job.organisation,
+            caller=job.caller,
+            metadata=dict(job.metadata),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        return Failure(StoreFailure(fault=StoreFault.NOT_FOUND, key=key, detail=repr(error)))
+    return Success(items)
+
+
 def _claimed_state(
     state: ChunkState | None, job: Job, number: int, holder: Holder, *, dead: bool, stop: bool
 ) -> ChunkState | None:
--- a/packages/node/src/carobspool_node/_job_table.py
+++ b/packages/node/src/carobspool_node/_job_table.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
+from absl import logging
 from returns.result import Failure, Result, Success
 
 from carobspool_core import (
@@ -84,7 +85,7 @@
         """Read a job now."""
         found = self._store.get(JOBS + job_id)
         if isinstance(found, Success):
-            self.take(read_job(found.unwrap().value), found.unwrap().version)
+            self._take_stored(found.unwrap())
 
     def _run(self) -> None:
         followed = Followed(
@@ -117,15 +118,15 @@
 
     def _clear_stale(self, marker: StoredObject, stored: StoredObject) -> None:
         """Delete the marker of an ended job, left by a coordinator that was lost in between."""
-        if read_job(stored.value).ended:
+        job = _read_stored(stored)
+        if job is not None and job.ended:
             self._store.delete(marker.key, version=marker.version)
 
     def _reset(self, objects: Iterable[StoredObject]) -> None:
         present: set[str] = set()
         for stored in objects:
-            job = read_job(stored.value)
-            present.add(job.id)
-            self.take(job, stored.version)
+            present.add(stored.key.removeprefix(JOBS))
+            self._take_stored(stored)
         with self._lock:
             missing = self._jobs.keys() - present
         for job_id in missing:
@@ -135,7 +136,12 @@
         for change in changes:
             if change.deleted:
                 continue
-            self.take(read_job(change.object.value), change.object.version)
+            self._take_stored(change.object)
+
+    def _take_stored(self, stored: StoredObject) -> None:
+        job = _read_stored(stored)
+        if job is not None:
+            self.take(job, stored.version)
 
 
 def watch_jobs(
@@ -153,5 +159,14 @@
     return JobTable(store, changed, watch_timeout)
 
 
+def _read_stored(stored: StoredObject) -> Job | None:
+    """Read a job; a damaged one is logged and left out, so that all others still run."""
+    try:
+        return read_job(stored.value)
+    except (KeyError, TypeError, ValueError) as error:
+        logging.error("event=job_unreadable key=%s detail=%r", stored.key, error)
+        return None
+
+
 def _nothing() -> None:
     return None
--- a/packages/node/src/carobspool_node/_members.py
+++ b/packages/node/src/carobspool_node/_members.py
@@ -5,6 +5,7 @@
 import threading
 from collections.abc import Iterable
 
+from absl import logging
 from returns.result import Failure, Success
 
 from carobspool_core import (
@@ -117,12 +118,18 @@
                 self._known.add(change.object.key)
 
     def _see(self, stored: StoredObject) -> None:
-        self._addresses[stored.key.removeprefix(PREFIX)] = stored.value["address"]
+        """Take in a lease; a damaged one is logged and left out, so that all others still count."""
+        node = stored.key.removeprefix(PREFIX)
+        try:
+            address = stored.value["address"]
+            incarnation = stored.value["incarnation"]
+            leaving = stored.value["leaving"]
+        except (KeyError, TypeError) as error:
+            logging.error("event=lease_unreadable node=%s detail=%r", node, error)
+            return
+        self._addresses[node] = address
         self._observer.seen(
-            node=stored.key.removeprefix(PREFIX),
-            incarnation=stored.value["incarnation"],
-            version=stored.version,
-            leaving=stored.value["leaving"],
+            node=node, incarnation=incarnation, version=stored.version, leaving=leaving
         )
 
     def _answered(self) -> None:
--- a/packages/node/tests/test_job_runner.py
+++ b/packages/node/tests/test_job_runner.py
@@ -392,6 +392,25 @@
     _assert_whole(fleet, job, 95)
 
 
+def test_damaged_objects_stop_nothing_else(fleet: Fleet) -> None:
+    """A job runs to its end beside a damaged job, a damaged lease, and one with damaged items.
+
+    Each is met by the threads that serve all jobs; an exception there would end the work on all.
+    """
+    spoilt = fleet.submit(50, key="spoilt")
+    version = fleet.objects.texts[f"inputs/{spoilt.input_id}/000000"][0]
+    fleet.client.update(f"inputs/{spoilt.input_id}/000000", {"packed": "!"}, version=version)
+    for key in ("open/x", "open/y", "nodes/x", "jobs/x"):
+        fleet.client.create(key, {"damaged": True}).unwrap()
+    fleet.start("a")
+    fleet.client.create("nodes/y", []).unwrap()
+    fleet.client.create("jobs/y", {"damaged": True}).unwrap()
+    job = fleet.submit(60)
+    assert fleet.wait_for_end(job).counts.completed == 60
+    _assert_whole(fleet, job, 60)
+    assert not fleet.job(spoilt.id).ended
+
+
 def test_hint_before_the_job_is_known(fleet: Fleet) -> None:
     """A chunk's end that is told before the watch tells of its job is not lost."""
     fleet.probe_after = 3_600_000.0
