--- a/packages/node/src/carobspool_node/_entry_node.py
+++ b/packages/node/src/carobspool_node/_entry_node.py
@@ -281,6 +281,9 @@
         self._hints.set_peers(self._jobs.peers())
         self._metrics.gauge("http.open", self._server.open_connections)
         self._metrics.gauge("config.revision", self._follower.revision)
+        self._metrics.gauge("sidecars.lost", sum(not up for up in self._fleet.connected.values()))
+        self._metrics.gauge("entries.live", len(self._jobs.live_entries()))
+        self._metrics.gauge("links.sent_bytes", TRAFFIC.sent)
 
     def _count_request(self, rule: str) -> None:
         self._metrics.count("requests")
--- a/packages/node/src/carobspool_node/_sidecar_node.py
+++ b/packages/node/src/carobspool_node/_sidecar_node.py
@@ -36,6 +36,7 @@
 from carobspool_node._sidecar import Sidecar, SidecarOptions
 
 DEFAULT_SLOTS = 32
+MEASURE_SECONDS = 1.0
 BETWEEN_TOKENS_ALLOWANCE = 78.0
 """Milliseconds between tokens that users accept whatever the ratio (letter 1, 95 in 100)."""
 
@@ -112,6 +113,24 @@
         self._sidecar.stop()
         logging.info("event=stopped")
 
+    def _measure(self) -> None:
+        while not self._stopping.wait(MEASURE_SECONDS):
+            found = self._scheduler.snapshot()
+            gauges = {
+                "running.online": found.running_online,
+                "running.batch": found.running_batch,
+                "queued.online": found.queued_online,
+                "queued.batch": found.queued_batch,
+                "parked": found.parked,
+                "width": found.width,
+                "preemptions": found.preemptions,
+                "first_token_ms": found.first_token_ewma,
+                "between_tokens_ms": found.between_tokens_ewma,
+                "config.revision": self._follower.revision,
+            }
+            for name, value in gauges.items():
+                self._metrics.gauge(name, value)
+
     def _make_scheduler(
         self,
         *,
