--- a/packages/core/src/carobspool_core/_admission.py
+++ b/packages/core/src/carobspool_core/_admission.py
@@ -23,6 +23,7 @@
 
 from carobspool_core._batchqueue import BatchQueue, Waiting
 from carobspool_core._clock import Clock, Millis
+from carobspool_core._dispatch import Dispatch
 from carobspool_core._fairqueue import FairQueue, make_fair_queue
 from carobspool_core._messages import Priority, RequestId
 from carobspool_core._outcome import Failure, Outcome, unavailable
@@ -32,7 +33,6 @@
 from carobspool_core._streams import Stream, Streams
 from carobspool_core._suspects import SuspectQueue
 from carobspool_core._tickets import Ticket
-from carobspool_core._victims import choose_victim
 from carobspool_core._work import (
     AdmissionMode,
     AdmissionSettings,
@@ -41,11 +41,6 @@
     Work,
 )
 
-_PRESENCE: Millis = 200.0
-"""Time after the last online request in which the next one is still counted on. Without it short
-requests that follow one another make the streams of a whole engine be cancelled and resumed for
-each of them; some ten steps cover that and are lost only once after a burst."""
-
 
 class Admission:
     """Decides which requests run at one upstream. Made by `make_admission`.
@@ -64,10 +59,15 @@
         self._batch = BatchQueue()
         self._pacer = Pacer(settings.slots, settings.slowdown, settings.between_tokens_allowance)
         self._times = ServiceTime()
-        self._present_until: Millis = 0.0
+        self._dispatch = Dispatch(
+            settings,
+            streams=self._streams,
+            online=self._online,
+            suspects=self._suspects,
+            batch=self._batch,
+            pacer=self._pacer,
+        )
         self._refused: list[tuple[RequestId, Failure]] = []
-        self._prompt_starts = 0
-        self._preemptions = 0
 
     def offer(self, work: Work) -> Result[None, Failure]:
         """Hand in a request.
@@ -96,15 +96,9 @@
         self._refuse_late(now)
         refuse = tuple(self._refused)
         self._refused.clear()
-        start: list[RequestId] = []
-        preempt: list[RequestId] = []
-        self._start_suspect(start, preempt, now)
-        self._start_online(start, preempt, now)
-        self._narrow(preempt, now)
-        self._start_batch(start, now)
-        return Decision(
-            start=tuple(start), preempt=tuple(preempt), refuse=refuse, wake_at=self._wake_at(now)
-        )
+        start, preempt = self._dispatch.decide(now)
+        wake_at = self._wake_at(now)
+        return Decision(start=start, preempt=preempt, refuse=refuse, wake_at=wake_at)
 
     def first_token(self, id: RequestId, now: Millis) -> None:
         """Note the first token of a request since it was started."""
@@ -190,9 +184,9 @@
             tokens=int(running + self._suspects.cost + self._online.cost + self._batch.cost),
             first_token_ewma=self._times.first_token_ewma,
             between_tokens_ewma=self._times.between_tokens_ewma,
-            width=self._width(now),
-            prompt_starts=self._prompt_starts,
-            preemptions=self._preemptions,
+            width=self._dispatch.width(now),
+            prompt_starts=self._dispatch.prompt_starts,
+            preemptions=self._dispatch.preemptions,
         )
 
     def _ticket(self, waiting: Waiting, now: Millis) -> Ticket[Waiting]:
@@ -223,108 +217,11 @@
         for waiting in late:
             self._refused.append((waiting.work.id, _late_refusal(waiting, now)))
 
-    def _start_suspect(self, start: list[RequestId], preempt: list[RequestId], now: Millis) -> None:
-        if not len(self._suspects) or self._streams.suspects:
-            return
-        if self._free() <= 0 and not (self._suspects.online and self._preempt_one(preempt)):
-            return
-        suspect = self._suspects.pop(batch=self._may_start_prompt(now))
-        if suspect is not None:
-            self._start(suspect, start, now)
-
-    def _may_start_prompt(self, now: Millis) -> bool:
-        if self._streams.batch >= self._width(now):
-            return False
-        if not self._online_present(now) or not self._settings.paced:
-            return True
-        return self._pacer.may_start(self._streams, now)
-
-    def _start_online(self, start: list[RequestId], preempt: list[RequestId], now: Millis) -> None:
-        straight = self._settings.mode is not AdmissionMode.POLICY
-        while len(self._online):
-            if not straight and self._free() <= 0 and not self._preempt_one(preempt):
-                return
-            ticket = self._online.pop()
-            if ticket is not None:
-                self._start(ticket.item, start, now)
-
-    def _preempt_one(self, preempt: list[RequestId]) -> bool:
-        victim = choose_victim(self._streams, keep_kv=self._settings.keep_kv)
-        if victim is None:
-            return False
-        self._streams.begin_preemption(victim)
-        self._preemptions += 1
-        preempt.append(victim.work.id)
-        return True
-
-    def _narrow(self, preempt: list[RequestId], now: Millis) -> None:
-        if not self._settings.keep_kv or not self._online_present(now):
-            return
-        while self._streams.batch > self._width(now) and self._preempt_one(preempt):
-            continue
-
-    def _start_batch(self, start: list[RequestId], now: Millis) -> None:
-        while self._streams.batch < self._width(now):
-            waiting = self._next_batch(now)
-            if waiting is None:
-                return
-            self._start(waiting, start, now)
-
-    def _width(self, now: Millis) -> int:
-        settings = self._settings
-        if settings.mode is AdmissionMode.STRAIGHT:
-            return settings.slots + settings.batch_backlog
-        if settings.mode is AdmissionMode.CAP:
-            return settings.cap
-        width = max(0, settings.slots - self._streams.online)
-        if settings.paced and self._online_present(now):
-            return min(width, self._pacer.width(now))
-        return width
-
-    def _next_batch(self, now: Millis) -> Waiting | None:
-        parked = self._batch.take_parked()
-        if parked is not None or self._settings.mode is not AdmissionMode.POLICY:
-            return parked or self._batch.take_prompt()
-        if not self._online_present(now):
-            return self._next_when_quiet()
-        return self._batch.take_prompt() if self._may_start_prompt(now) else None
-
-    def _next_when_quiet(self) -> Waiting | None:
-        prompt = self._batch.peek_prompt()
-        if prompt is None:
-            return None
-        in_prefill = self._streams.batch_prefill
-        if in_prefill and in_prefill + prompt.prefill_tokens > self._settings.prefill_tokens:
-            return None
-        return self._batch.take_prompt()
-
-    def _online_present(self, now: Millis) -> bool:
-        return self._streams.online > 0 or len(self._online) > 0 or now < self._present_until
-
-    def _free(self) -> int:
-        return self._settings.slots - len(self._streams)
-
-    def _start(self, waiting: Waiting, start: list[RequestId], now: Millis) -> None:
-        stream = Stream(
-            work=waiting.work,
-            offered=waiting.offered,
-            started=now,
-            prefill_tokens=waiting.prefill_tokens,
-            tokens=waiting.tokens,
-            preemptions=waiting.preemptions,
-        )
-        self._streams.add(stream)
-        self._pacer.steps.started(now)
-        if stream.is_online:
-            self._pacer.started(waiting.work.id, waiting.work.prompt_tokens, waiting.offered)
-        self._prompt_starts += int(not stream.is_online and stream.is_prefilling)
-        start.append(waiting.work.id)
-
     def _end(self, id: RequestId, now: Millis) -> Stream | None:
         stream = self._streams.remove(id)
         if stream is not None and stream.is_online:
             self._pacer.ended(id, stream.tokens)
-            self._present_until = now + _PRESENCE
+            self._dispatch.online_ended(now)
         if len(self._streams) == 0:
             self._pacer.steps.idle()
         return stream
@@ -343,7 +240,7 @@
             self._suspects.next_expiry(),
         ]
         if len(self._batch):
-            instants += [self._pacer.burst_end(), self._present_until]
+            instants += self._dispatch.wake_at()
         upcoming = (instant for instant in instants if instant is not None and instant > now)
         return min(upcoming, default=None)
 
@@ -361,9 +258,9 @@
 
 
 def _late_refusal(waiting: Waiting, now: Millis) -> Failure:
-    if waiting.tokens == 0:
+    if waiting.tokens == 0 and waiting.preemptions == 0:
         return deadline_unreachable(now - waiting.work.deadline)
-    # It has been run in part, so "not run" would be untrue and would let it be repeated freely.
+    # It was sent to the upstream before: "not run" would be untrue, and it could be repeated freely.
     return unavailable(
         "deadline_passed", "The deadline passed before the end of the answer.", outcome=Outcome.RAN
     )
--- a/packages/core/tests/test_admission.py
+++ b/packages/core/tests/test_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import sys
 from pathlib import Path
 
@@ -147,16 +148,18 @@
     assert 16 - len(decision.preempt) == admission.snapshot(clock.now()).width
 
 
-def test_preempted_request_past_its_deadline_is_not_called_not_run() -> None:
-    """A request that ran in part and then missed its deadline must not be repeated freely."""
+@pytest.mark.parametrize("tokens", [0, 1])
+def test_preempted_request_past_its_deadline_is_not_called_not_run(tokens: int) -> None:
+    """A request that was sent and then missed its deadline must not be repeated freely."""
     clock = ManualClock()
     admission = make_admission(AdmissionSettings(slots=1, paced=False), clock)
     admission.offer(make_work(1, Priority.BATCH, deadline=50.0))
     (batch,) = admission.next(0.0).start
-    admission.first_token(batch, 1.0)
+    if tokens:
+        admission.first_token(batch, 1.0)
     admission.offer(make_work(1))
     assert admission.next(1.0).preempt == (batch,)
-    admission.preempted(batch, 1.0, 1, kept=True)
+    admission.preempted(batch, 1.0, tokens, kept=tokens > 0)
     ((refused, failure),) = admission.next(51.0).refuse
     assert refused == batch
     assert failure.outcome is Outcome.RAN
@@ -176,6 +179,7 @@
     assert crowded["slow refusals"] <= 0.08 * crowded["refused"]
 
 
+@functools.cache
 def overload(factor: int) -> dict[str, int]:
     """Return what callers got in the minute after half a minute below capacity."""
     top = 6.8 * factor
