--- a/packages/core/src/carobspool_core/_admission.py
+++ b/packages/core/src/carobspool_core/_admission.py
@@ -260,7 +260,7 @@
 def _late_refusal(waiting: Waiting, now: Millis) -> Failure:
     if waiting.tokens == 0 and waiting.preemptions == 0:
         return deadline_unreachable(now - waiting.work.deadline)
-    # It was sent to the upstream before: "not run" would be untrue, and it could be repeated freely.
+    # It was sent to the upstream before: "not run" would be untrue and let it be repeated freely.
     return unavailable(
         "deadline_passed", "The deadline passed before the end of the answer.", outcome=Outcome.RAN
     )
