--- a/tools/overload_trial.py
+++ b/tools/overload_trial.py
@@ -31,13 +31,49 @@
     """Print the table."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--hot", action="store_true", help="one hot caller among light ones")
     options = parser.parse_args()
+    if options.hot:
+        print("light callers, fair over callers:", hot_caller(options.seed, fair=True), flush=True)
+        print("light callers, one queue for all:", hot_caller(options.seed, fair=False))
+        return
     print("rules                        load  offered  in time/s  tokens/s   late  refused  >20 ms")
     for name, settings in RULES.items():
         for factor in (1, 2, 3, 5):
             print(f"{name:28} {factor:4}  {_row(settings, factor, options.seed)}", flush=True)
 
 
+def hot_caller(seed: int, *, fair: bool) -> str:
+    """Return what light callers receive beside one that sends twice the capacity alone.
+
+    Args:
+        seed: Of the arrivals.
+        fair: Whether the queue knows the callers; otherwise all count as one, first come first
+            served.
+    """
+    top = 3.0 * CAPACITY
+
+    def arrivals() -> model.Arrivals:
+        for request in model.varying(seed, _rate(top), top, deadline=10_000.0):
+            light = request.id.counter % 12 == 0
+            request.caller = f"light-{request.id.counter % 5}" if light else "hot"
+            yield request
+
+    def unknown() -> model.Arrivals:
+        for request in arrivals():
+            request.caller = "all"
+            yield request
+
+    source = arrivals() if fair else unknown()
+    _, online = model.run(AdmissionSettings(), source, seconds=100.0)
+    light = [r for r in online if r.id.counter % 12 == 0 and WARM_MS <= r.arrived < 90_000.0]
+    good = [r for r in light if not r.refused and (r.ended or model.FAR) <= r.deadline]
+    first = [r.first - r.arrived for r in good if r.first is not None]
+    return (
+        f"{len(good)} of {len(light)} in time, first token p95 {model.quantile(first, 0.95):.0f} ms"
+    )
+
+
 def _rate(top: float) -> Callable[[float], float]:
     return lambda t: top if t * 1000.0 > WARM_MS else 0.9 * CAPACITY
 
