Evidence of crashes is merged before it is written; claims are short, renewed and given back

Ruled out: leaving the merge to the watch; between the two reads the object lacks the evidence. After: merge, then write what is known; claims of 30 s, renewed each 10 s; jobs are forgotten a minute after they were last asked about.

--- a/packages/node/src/carobspool_node/_entry_node.py
+++ b/packages/node/src/carobspool_node/_entry_node.py
@@ -276,7 +276,7 @@
     def _tick_once(self) -> None:
         self._fleet.tick()
         self._hints.tick()
-        self._isolation.expire()
+        self._isolation.tick()
         self._limits.exchange(self._jobs.live_entries())
         self._hints.set_peers(self._jobs.peers())
         self._metrics.gauge("http.open", self._server.open_connections)
--- a/packages/node/src/carobspool_node/_isolation.py
+++ b/packages/node/src/carobspool_node/_isolation.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 import threading
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
@@ -41,7 +42,9 @@
 WRITE_TRIES = 5
 WATCH_TIMEOUT: Millis = 20_000.0
 RETRY_DELAY: Millis = 1_000.0
-MAX_AUDIT_RECORDS = 20
+CLAIM_TIME: Millis = 30_000.0
+"""A claim is renewed while its run goes on, also for hours as that of an item of a job may;
+a suspect whose entry died is held back no longer than this."""
 
 
 class Isolation:
@@ -70,6 +73,9 @@
         self._holder = holder
         self._tell = tell
         self._lock = threading.Lock()
+        self._claims = itertools.count(1)
+        self._held: dict[str, str] = {}
+        self._renewed_at: Millis = 0.0
         self._writer = ThreadPoolExecutor(1, thread_name_prefix="quarantine")
         self._stopped = threading.Event()
         self._follower = threading.Thread(target=self._follow, name="quarantines", daemon=True)
@@ -98,28 +104,39 @@
         version = self._merge_stored(fingerprint)
         if not is_successful(version):
             return Failed(version.failure())
+        holder = f"{self._holder}.{next(self._claims)}"
         with self._lock:
             claimed = self._suspects.claim(
-                fingerprint, self._holder, "", self._clock.now(), timeout=timeout
+                fingerprint, holder, "", self._clock.now(), timeout=min(timeout, CLAIM_TIME)
             )
         if not is_successful(claimed):
             return Failed(claimed.failure())
         written = self._write(claimed.unwrap(), version.unwrap())
         if not is_successful(written):
+            # Kept here, the claim would make this entry refuse the request until it ends.
+            with self._lock:
+                self._suspects.release(fingerprint, holder, self._clock.now())
             return Failed(_not_claimed())
+        with self._lock:
+            self._held[fingerprint] = holder
+            self._renewed_at = self._clock.now()
         self._tell_change(claimed.unwrap())
         return Success(None)
 
     def completed(self, fingerprint: str) -> None:
         """Clear a suspect that ran to its end."""
         with self._lock:
+            self._held.pop(fingerprint, None)
             change = self._suspects.completed(fingerprint, self._clock.now())
         self._publish(change)
 
     def released(self, fingerprint: str) -> None:
         """Give a claim back after a run that neither completed nor crashed its upstream."""
         with self._lock:
-            change = self._suspects.release(fingerprint, self._holder, self._clock.now())
+            holder = self._held.pop(fingerprint, None)
+            if holder is None:
+                return
+            change = self._suspects.release(fingerprint, holder, self._clock.now())
         self._publish(change)
 
     def crashed(self, hint: Hint) -> None:
@@ -140,10 +157,20 @@
         with self._lock:
             self._suspects.merge(hint.subject, hint.values, self._clock.now())
 
-    def expire(self) -> None:
-        """Drop what is too old; called now and then."""
+    def tick(self) -> None:
+        """Renew the claims of runs that go on, and drop what is too old; called each second."""
+        now = self._clock.now()
+        changes: list[SuspectChange | None] = []
         with self._lock:
-            self._suspects.expire(self._clock.now())
+            self._suspects.expire(now)
+            if now - self._renewed_at > CLAIM_TIME / 3:
+                self._renewed_at = now
+                changes = [
+                    self._suspects.renew(fingerprint, holder, now, timeout=CLAIM_TIME)
+                    for fingerprint, holder in self._held.items()
+                ]
+        for change in changes:
+            self._publish(change)
 
     def _publish(self, change: SuspectChange | None) -> None:
         if change is None:
@@ -161,8 +188,13 @@
     def _keep(self, change: SuspectChange) -> None:
         for _ in range(WRITE_TRIES):
             version = self._merge_stored(change.fingerprint)
-            if is_successful(version) and is_successful(self._write(change, version.unwrap())):
-                return
+            if is_successful(version):
+                # What another entry has written is merged by now; writing only the news of this
+                # one would take that evidence out of the object.
+                with self._lock:
+                    merged = self._suspects.change(change.fingerprint, self._clock.now())
+                if is_successful(self._write(merged, version.unwrap())):
+                    return
             if self._stopped.wait(RETRY_DELAY / 1000.0):
                 return
 
--- a/packages/node/src/carobspool_node/_job_choice.py
+++ b/packages/node/src/carobspool_node/_job_choice.py
@@ -10,10 +10,15 @@
     Dispatcher,
     Job,
     JobShare,
+    Millis,
     make_dispatcher,
     wall_millis,
 )
 
+TIDY_INTERVAL: Millis = 10_000.0
+FORGET_AFTER: Millis = 60_000.0
+"""A job that had nothing to start for this long has ended, or is added anew when it has."""
+
 
 def make_job_choice(
     clock: Clock, state: Callable[[], DesiredState]
@@ -24,22 +29,44 @@
         clock: This process's clock.
         state: Returns the configuration in force, for the organisations' weights.
     """
-    dispatcher = make_dispatcher(clock)
-    known: set[str] = set()
-    offered: set[str] = set()
+    choice = _JobChoice(clock, state)
+    return choice.choose
+
+
+class _JobChoice:
+    """The jobs that the dispatcher knows; those that are no longer asked about are forgotten."""
+
+    def __init__(self, clock: Clock, state: Callable[[], DesiredState]) -> None:
+        self._clock = clock
+        self._state = state
+        self._dispatcher = make_dispatcher(clock)
+        self._asked_at: dict[str, Millis] = {}
+        self._offered: set[str] = set()
+        self._tidied_at: Millis = clock.now()
 
-    def choose(jobs: Sequence[Job]) -> str:
+    def choose(self, jobs: Sequence[Job]) -> str:
+        """Return the id of the job that comes next."""
+        now = self._clock.now()
+        tidy = now - self._tidied_at > TIDY_INTERVAL
         wanted = {job.id for job in jobs}
         for job in jobs:
-            if job.id not in known:
-                known.add(job.id)
-                dispatcher.add_job(_share(job, state(), clock))
-            if job.id not in offered:
-                offered.add(job.id)
-                dispatcher.offer(job.id, 1)
-        return _take(dispatcher, wanted, offered, clock) or jobs[0].id
+            if tidy or job.id not in self._asked_at:
+                self._dispatcher.add_job(_share(job, self._state(), self._clock))
+            self._asked_at[job.id] = now
+            if job.id not in self._offered:
+                self._offered.add(job.id)
+                self._dispatcher.offer(job.id, 1)
+        if tidy:
+            self._tidy(now)
+        return _take(self._dispatcher, wanted, self._offered, self._clock) or jobs[0].id
 
-    return choose
+    def _tidy(self, now: Millis) -> None:
+        self._tidied_at = now
+        ended = [job for job, at in self._asked_at.items() if now - at > FORGET_AFTER]
+        for job in ended:
+            del self._asked_at[job]
+            self._offered.discard(job)
+            self._dispatcher.remove_job(job)
 
 
 def _take(dispatcher: Dispatcher, wanted: set[str], offered: set[str], clock: Clock) -> str | None:
@@ -60,5 +87,5 @@
         organisation=job.organisation,
         weight=organisation.weight if organisation is not None else 1.0,
         due=clock.now() + job.due_at - wall_millis(),
-        items_left=job.items,
+        items_left=max(1, job.items - job.counts.completed - job.counts.failed),
     )
--- a/tests/tour.py
+++ b/tests/tour.py
@@ -104,7 +104,7 @@
                 shows=("engine-1", MODEL),
             ),
             Step(
-                title="A change: see the difference, then apply it on the revision it was made for.",
+                title="A change: see the difference, then apply it on the revision it was made on.",
                 before=("organisations.json", more),
                 command=("diff", site),
                 shows=(ORGANISATION,),
@@ -245,7 +245,7 @@
     lines = [
         "# A tour",
         "",
-        "A transcript of `.venv/bin/python tests/tour.py`, which starts two engines, a plain service,",
+        "A transcript of `.venv/bin/python tests/tour.py`, which starts two engines, a service,",
         "three sidecars and two entries on this machine and runs these commands;",
         "`tests/test_tour.py` runs the same in CI. Ids, times and ports differ with each run.",
         "The entries' URLs stand in `CAROBSPOOL_ENTRY`, the operator's key in `CAROBSPOOL_KEY`.",
