--- a/packages/core/src/carobspool_core/_dispatch.py
+++ b/packages/core/src/carobspool_core/_dispatch.py
@@ -64,7 +64,7 @@
 
     def wake_at(self) -> list[Millis]:
         """Return the instants at which batch may start without any event."""
-        return [self._pacer.burst_end(), self._present_until]
+        return [*self._pacer.wake_at(), self._present_until]
 
     def _start_suspect(self, now: Millis) -> None:
         if not len(self._suspects) or self._streams.suspects:
@@ -161,5 +161,7 @@
         self._pacer.steps.started(now)
         if stream.is_online:
             self._pacer.started(waiting.work.id, waiting.work.prompt_tokens, waiting.offered)
-        self.prompt_starts += int(not stream.is_online and stream.is_prefilling)
+        elif stream.is_prefilling:
+            self._pacer.prompt_started(now)
+            self.prompt_starts += 1
         self._started.append(waiting.work.id)
--- a/packages/core/src/carobspool_core/_pacing.py
+++ b/packages/core/src/carobspool_core/_pacing.py
@@ -40,6 +40,11 @@
 """Bound of the budget of first tokens, in late ones, either way: what a few hundred first tokens
 earn at a loose limit. An overdraft beyond it would stop batch prompts long after its cause."""
 
+_UNLEARNT_INTERVAL: Millis = 500.0
+"""Time between batch prompts while the cost of a step is unknown, as at the start or before an
+upstream that reports no tokens. Without any start batch would starve there; at two a second the
+design's trial saw 1.5 times the time between tokens."""
+
 _STEPS_TO_FIRST_TOKEN = 2.0
 """Steps that slow a first token: the one under way at its arrival, and its own."""
 
@@ -66,6 +71,7 @@
         self._replay = Replay(slots)
         self._budget = 0.0
         self._first_budget = 0.0
+        self._unlearnt_until: Millis = 0.0
         self._arrival = -1e12
         self._gap: Millis = 500.0
 
@@ -133,12 +139,21 @@
 
     def may_start(self, streams: Streams, now: Millis) -> bool:
         """Tell whether a batch prompt may start beside online requests."""
-        if streams.batch_prefill or streams.online_prefill:
-            return False
         if not self._steps.is_ready:
+            return now >= self._unlearnt_until
+        if streams.batch_prefill or streams.online_prefill:
             return False
         return self._budget >= _RESERVE * max(1, streams.online)
 
+    def prompt_started(self, now: Millis) -> None:
+        """Note that a batch prompt was started."""
+        if not self._steps.is_ready:
+            self._unlearnt_until = now + _UNLEARNT_INTERVAL
+
+    def wake_at(self) -> list[Millis]:
+        """Return the instants at which batch may start without any event."""
+        return [self.burst_end(), self._unlearnt_until]
+
     def _limit(self) -> Millis | None:
         baseline = self._harm.between_baseline()
         if baseline is None:
--- a/packages/core/tests/test_admission.py
+++ b/packages/core/tests/test_admission.py
@@ -148,6 +148,23 @@
     assert 16 - len(decision.preempt) == admission.snapshot(clock.now()).width
 
 
+def test_batch_goes_on_beside_online_work_before_an_upstream_that_reports_no_tokens() -> None:
+    """Beside a request without end, one batch request after the other starts, two a second."""
+    clock = ManualClock()
+    admission = make_admission(AdmissionSettings(slots=16), clock)
+    admission.offer(make_work(1))
+    admission.next(clock.now())
+    for count in range(8):
+        admission.offer(make_work(count, Priority.BATCH))
+    started = 0
+    for _ in range(200):
+        clock.advance(10.0)
+        for id in admission.next(clock.now()).start:
+            started += 1
+            admission.finished(id, clock.now())
+    assert started == 4
+
+
 @pytest.mark.parametrize("tokens", [0, 1])
 def test_preempted_request_past_its_deadline_is_not_called_not_run(tokens: int) -> None:
     """A request that was sent and then missed its deadline must not be repeated freely."""
