--- a/packages/node/src/carobspool_node/_entry_node.py
+++ b/packages/node/src/carobspool_node/_entry_node.py
@@ -46,7 +46,7 @@
 from carobspool_node._reservations import make_reservations
 from carobspool_node._settings import EntrySettings
 from carobspool_node._shared_limits import SharedLimits
-from carobspool_node._shutdown import ShutdownRequest
+from carobspool_node._shutdown import ShutdownRequest, end_process
 
 TICK_SECONDS = 1.0
 ACCEPT_GRACE_SECONDS = 1.0
@@ -338,4 +338,4 @@
     print(f"ready port={node.port}", flush=True)
     shutdown.wait()
     node.stop(shutdown)
-    return 0
+    end_process(0)
--- a/packages/node/src/carobspool_node/_shutdown.py
+++ b/packages/node/src/carobspool_node/_shutdown.py
@@ -2,13 +2,27 @@
 
 from __future__ import annotations
 
+import os
 import signal
+import sys
 import threading
 from types import FrameType
+from typing import NoReturn
 
 from absl import logging
 
 
+def end_process(code: int) -> NoReturn:
+    """End the process at once, after everything that may be finished was.
+
+    The interpreter would first wait for every worker of every pool. One that serves a stream which
+    was given up on would keep the process, and its port, for as long as the stream lasts.
+    """
+    logging.flush()
+    sys.stdout.flush()
+    os._exit(code)
+
+
 class ShutdownRequest:
     """Waits for SIGTERM or SIGINT. Since 0.1."""
 
--- a/packages/node/src/carobspool_node/_sidecar_node.py
+++ b/packages/node/src/carobspool_node/_sidecar_node.py
@@ -32,7 +32,7 @@
 from carobspool_node._reconciler import Reconciler, make_reconciler, run_reconciler
 from carobspool_node._scheduler import Scheduler
 from carobspool_node._settings import SidecarSettings
-from carobspool_node._shutdown import ShutdownRequest
+from carobspool_node._shutdown import ShutdownRequest, end_process
 from carobspool_node._sidecar import Sidecar, SidecarOptions
 
 DEFAULT_SLOTS = 32
@@ -206,7 +206,7 @@
     print(f"ready port={node.port}", flush=True)
     shutdown.wait()
     node.stop(shutdown)
-    return 0
+    end_process(0)
 
 
 def _decision_settings(settings: SidecarSettings, state: DesiredState | None) -> DecisionSettings:
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -9,6 +9,7 @@
 import hashlib
 import json
 import threading
+import time
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -336,20 +337,32 @@
 
 
 def in_threads(calls: list[Callable[[], Any]], *, seconds: float = 90.0) -> list[Any]:
-    """Make calls at the same time; an exception stands in the place of its result."""
+    """Make calls at the same time and return their results.
+
+    A call whose connection broke has `NoAnswer` in the place of its result. Any other exception is
+    raised here, and a call that does not end in time fails the test.
+    """
     results: list[Any] = [None] * len(calls)
+    errors: list[BaseException] = []
 
     def run(number: int, call: Callable[[], Any]) -> None:
         try:
             results[number] = call()
-        except (NoAnswer, AssertionError) as error:
+        except NoAnswer as error:
             results[number] = error
+        except BaseException as error:
+            errors.append(error)
 
     threads = [
-        threading.Thread(target=run, args=(number, call)) for number, call in enumerate(calls)
+        threading.Thread(target=run, args=(number, call), daemon=True)
+        for number, call in enumerate(calls)
     ]
     for thread in threads:
         thread.start()
+    until = time.monotonic() + seconds
     for thread in threads:
-        thread.join(seconds)
+        thread.join(max(0.0, until - time.monotonic()))
+    if errors:
+        raise errors[0]
+    assert not any(thread.is_alive() for thread in threads), "a call has not ended in time"
     return results
