Entries connect to a bounded subset of a large fleet; sidecars tell their load when it moves

After: load is looked at each 50 ms and told on a change of band within the budget; at today's sizes an entry still connects to all sidecars.

--- a/packages/node/src/carobspool_node/_entry_node.py
+++ b/packages/node/src/carobspool_node/_entry_node.py
@@ -30,6 +30,7 @@
 from carobspool_node._caller_keys import CallerKeys
 from carobspool_node._config_store import follow, make_follower
 from carobspool_node._configuration_exchange import announcement, exchange, news
+from carobspool_node._connections import Connections
 from carobspool_node._drain_follower import DrainFollower
 from carobspool_node._entry_jobs import EntryJobs
 from carobspool_node._fleet import Fleet
@@ -70,6 +71,9 @@
         self._metrics = make_metrics(settings.statsd, role="entry", node=settings.node)
         self._store = http_object_store(settings.object_api)
         self._follower = make_follower(self._store, self._clock)
+        self._connections = Connections(settings.node)
+        self._connecting = threading.Lock()
+        self._connected_for: tuple[int, tuple[str, ...]] = (0, ())
         self._keys = CallerKeys(settings.first_operator_key_hash)
         peer_keys = load_peer_keys(settings.peer_keys)
         self._hints = HintExchange(
@@ -219,10 +223,16 @@
 
     def _take_state(self, state: DesiredState) -> None:
         self._keys.replace(state)
-        self._fleet.set_upstreams(state.upstreams)
+        self._connect(state)
         # Callbacks run inside the follower's lock; telling the peers waits for their queues only.
         self._announce()
 
+    def _connect(self, state: DesiredState) -> None:
+        with self._connecting:
+            live = tuple(self._jobs.live_entries())
+            self._connected_for = (state.revision, live)
+            self._fleet.set_upstreams(self._connections.choose(state, live))
+
     def _announce(self) -> None:
         message = news(self._follower)
         self._hints.broadcast(message)
@@ -277,7 +287,10 @@
         self._fleet.tick()
         self._hints.tick()
         self._isolation.tick()
-        self._limits.exchange(self._jobs.live_entries())
+        live = self._jobs.live_entries()
+        self._limits.exchange(live)
+        if self._connected_for != (self._follower.revision, tuple(live)):
+            self._connect(self._follower.state)
         self._hints.set_peers(self._jobs.peers())
         self._metrics.gauge("http.open", self._server.open_connections)
         self._metrics.gauge("config.revision", self._follower.revision)
--- a/packages/node/src/carobspool_node/_sidecar.py
+++ b/packages/node/src/carobspool_node/_sidecar.py
@@ -34,6 +34,7 @@
     SidecarState,
     Work,
     broken_upstream,
+    make_load_reporter,
     unavailable,
 )
 from carobspool_node._engine_runs import EngineRuns
@@ -52,7 +53,8 @@
 3 s, so nothing they still hope for is refused.
 """
 REATTACH_GRACE: Millis = 5_000.0
-LOAD_INTERVAL: Millis = 5_000.0
+REPORT_POLL: Millis = 50.0
+"""How often the load is looked at; a burst's entries learn of each other's part within this."""
 _LEAVING = unavailable("leaving", "the upstream is leaving", retry_after_ms=0.0)
 _NEVER_RECEIVED = unavailable(
     "never_received", "the request never reached the upstream's host", retry_after_ms=0.0
@@ -75,8 +77,6 @@
 
     link: Link
     lost_at: Millis | None = None
-    last_load: Load | None = None
-    load_sent_at: Millis = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -172,6 +172,7 @@
         )
         threading.Thread(target=self._server.serve_forever, name="listen", daemon=True).start()
         threading.Thread(target=self._beat, name="beat", daemon=True).start()
+        threading.Thread(target=self._report_load, name="load", daemon=True).start()
 
     def set_targets(self, targets: tuple[str, ...], *, revision: int, epoch: int) -> None:
         """Tell what is ready at the upstream and which configuration is in force."""
@@ -410,24 +411,26 @@
 
     def _push_load(self) -> None:
         load = self._load()
-        now = self._clock.now()
         for entry in self._entries():
-            entry.last_load = load
-            entry.load_sent_at = now
             send_quietly(entry.link, load)
 
+    def _report_load(self) -> None:
+        """Tell the load when it has moved to another band, within the budget for control."""
+        reporter = make_load_reporter()
+        while not self._stopped.wait(REPORT_POLL / 1000.0):
+            entries = self._entries()
+            load = self._load()
+            if not entries or not reporter.is_due(load, len(entries), self._clock.now()):
+                continue
+            for entry in entries:
+                send_quietly(entry.link, load)
+
     def _beat(self) -> None:
         interval = self._options.heartbeat
         while not self._stopped.wait(interval / 1000.0):
             now = self._clock.now()
-            load = self._load()
             for entry in self._entries():
-                if entry.last_load == load and now - entry.load_sent_at < LOAD_INTERVAL:
-                    send_quietly(entry.link, Beat(sent=now))
-                    continue
-                entry.last_load = load
-                entry.load_sent_at = now
-                send_quietly(entry.link, load)
+                send_quietly(entry.link, Beat(sent=now))
             self._runs.expire(now)
             self._cancel_orphans(now)
 
