--- a/packages/node/tests/test_connections.py
+++ b/packages/node/tests/test_connections.py
@@ -52,7 +52,7 @@
         for model in ("m0", "m1"):
             count = sum(model in upstream.models for upstream in chosen.values())
             assert 1 <= count <= 24
-        held.update(chosen)
+        held.update(chosen.keys())
     assert set(held) == set(state.upstreams)
     assert min(held.values()) >= 3
 
