Stream pieces are written to the caller's socket by the task that receives them

Each token woke its stream's worker: two hand-overs of the interpreter for one small write. A caller whose buffer is full goes back to its worker; answers that are kept for resends pass through it as before.

--- a/packages/node/src/carobspool_node/_api_online.py
+++ b/packages/node/src/carobspool_node/_api_online.py
@@ -11,6 +11,7 @@
 from carobspool_core import DesiredState, Millis, invalid_request
 from carobspool_node._api import Access, ApiRoute, full_path, lower_headers
 from carobspool_node._caller_keys import Identified
+from carobspool_node._caller_socket import caller_socket
 from carobspool_node._http_answers import failure_response, json_response
 from carobspool_node._online import OnlineService
 from carobspool_node._online_requests import read_completion, read_service_call
@@ -51,7 +52,9 @@
         )
         if not is_successful(checked):
             return failure_response(checked.failure())
-        return service.serve(checked.unwrap(), who)
+        wanted = checked.unwrap()
+        caller = caller_socket(request.environ) if wanted.open.stream else None
+        return service.serve(wanted, who, caller=caller)
 
     def plain(request: Request, who: Identified, name: str, rest: str = "") -> Response:
         checked = read_service_call(
--- a/packages/node/src/carobspool_node/_attempt.py
+++ b/packages/node/src/carobspool_node/_attempt.py
@@ -80,6 +80,8 @@
         self._end: End | None = None
         self._failure: Failure | None = None
         self._asked_at: Millis | None = None
+        self._push: Callable[[bytes], bool] | None = None
+        self._stalled = False
         self._heard_at: Millis = clock.now()
         self._silence: Millis = SILENCE_NOT_BEGUN
 
@@ -98,6 +100,11 @@
         """Whether the sidecar has told the end, so that nothing of it is left there."""
         return self._end is not None
 
+    @property
+    def heard_at(self) -> Millis:
+        """When the last message came."""
+        return self._heard_at
+
     @property
     def answered(self) -> bool:
         """Whether anything of the answer has come."""
@@ -125,11 +132,23 @@
             elif isinstance(message, End):
                 self._end = message
             gap = self._gap()
-            self._changed.notify_all()
+            if not self._pushed():
+                self._changed.notify_all()
         if gap:
             self.ask_again()
         self._tell_end()
 
+    def push_to(self, write: Callable[[bytes], bool]) -> None:
+        """Have pieces written by the task that receives them.
+
+        Args:
+            write: Writes a piece without waiting; after it returned false, pieces are kept for
+                `wait` again.
+        """
+        with self._changed:
+            self._push = write
+            self._pushed()
+
     def fail(self, failure: Failure) -> None:
         """End the attempt, unless it is complete."""
         with self._changed:
@@ -148,6 +167,7 @@
             data = b"".join(self._ready)
             self._ready.clear()
             self._ready_bytes = 0
+            self._stalled = False
             return Progress(
                 head=self._head, data=data, ended=self.ended, failure=self._final_failure()
             )
@@ -172,6 +192,20 @@
         if missing:
             self.ask_again()
 
+    def _pushed(self) -> bool:
+        """Write what is ready; whether the waiting task has nothing to do."""
+        if self._push is None:
+            return False
+        if self._ready:
+            data = b"".join(self._ready)
+            self._ready.clear()
+            self._ready_bytes = 0
+            if not self._push(data):
+                self._push = None
+                self._stalled = True
+                return False
+        return not self.ended
+
     def _tell_end(self) -> None:
         with self._changed:
             tell = self._on_end if self.ended else None
@@ -217,4 +251,4 @@
 
     def _news(self) -> bool:
         # Without status and headers nothing can be handed out, also if pieces came before them.
-        return (bool(self._ready) and self._head is not None) or self.ended
+        return (bool(self._ready) and self._head is not None) or self.ended or self._stalled
--- a/packages/node/src/carobspool_node/_forward.py
+++ b/packages/node/src/carobspool_node/_forward.py
@@ -30,6 +30,7 @@
     broken_upstream,
 )
 from carobspool_node._attempt import Attempt, Progress
+from carobspool_node._caller_socket import CallerSocket
 from carobspool_node._fleet import Fleet
 from carobspool_node._http_server import TruncatedAnswerError
 from carobspool_node._sidecar_peer import SidecarPeer
@@ -52,12 +53,14 @@
         prefix_key: Names the prompt prefix for cache affinity, or ``None``.
         deadline: Instant by which the answer must have begun (streams) or be whole.
         may_repeat: Whether it may be tried once more, asked before each retry.
+        caller: Takes the pieces of a stream without the worker, or ``None``.
     """
 
     open: Open
     prefix_key: str | None
     deadline: Millis
     may_repeat: Callable[[], bool] = lambda: True
+    caller: CallerSocket | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -120,7 +123,7 @@
             tried.add(under_way.host)
             begun = self._await_begin(request, under_way)
             if is_successful(begun):
-                return Success(self._answer(under_way, begun.unwrap()))
+                return Success(self._answer(request, under_way, begun.unwrap()))
             failure = begun.failure()
             unsure = unsure or failure.outcome is not Outcome.NOT_RUN
             self._finish(under_way, ok=_blameless(failure))
@@ -196,7 +199,7 @@
                 self._clock.now(),
             )
 
-    def _answer(self, sent: _Sent, first: Progress) -> Answer:
+    def _answer(self, request: ForwardRequest, sent: _Sent, first: Progress) -> Answer:
         head = first.head
         assert head is not None
         self._fleet.first_token(sent.host, sent.request.id)
@@ -204,30 +207,41 @@
         return Answer(
             status=head.status,
             headers=dict(head.headers),
-            body=self._body(sent, first, head, streamed=streamed),
+            body=self._body(sent, first, head, request.caller if streamed else None, streamed),
             streamed=streamed,
             complete=lambda: sent.attempt.ended and sent.attempt.failure is None,
         )
 
-    def _body(self, sent: _Sent, first: Progress, head: Head, *, streamed: bool) -> Iterator[bytes]:
+    def _body(
+        self,
+        sent: _Sent,
+        first: Progress,
+        head: Head,
+        caller: CallerSocket | None,
+        streamed: bool,
+    ) -> Iterator[bytes]:
         progress: Progress | None = first
-        silent_since = self._clock.now()
         ok = False
         try:
             while True:
                 if progress is not None:
-                    silent_since = self._clock.now()
+                    if caller is not None:
+                        caller.settle()
                     if progress.data:
                         yield progress.data
                     if progress.ended:
                         ok = progress.failure is None
                         yield from _closing(progress.failure, streamed=streamed)
                         return
-                elif self._clock.now() - silent_since > STREAM_IDLE_LIMIT:
+                    if caller is not None:
+                        sent.attempt.push_to(caller.write)
+                elif self._clock.now() - sent.attempt.heard_at > STREAM_IDLE_LIMIT:
                     yield from _closing(_silent(), streamed=streamed)
                     return
                 progress = sent.attempt.wait(POLL)
         finally:
+            if caller is not None:
+                caller.close()
             self._finish(sent, ok=ok and head.status < HTTPStatus.INTERNAL_SERVER_ERROR)
 
     def _finish(self, sent: _Sent, *, ok: bool) -> None:
--- a/packages/node/src/carobspool_node/_online.py
+++ b/packages/node/src/carobspool_node/_online.py
@@ -18,6 +18,7 @@
     Outcome,
 )
 from carobspool_node._caller_keys import Identified
+from carobspool_node._caller_socket import CallerSocket
 from carobspool_node._forward import Answer, Forwarder, ForwardRequest
 from carobspool_node._http_answers import failure_response
 from carobspool_node._http_server import TruncatedAnswerError
@@ -50,8 +51,16 @@
         self._clock = clock
         self._count = count
 
-    def serve(self, request: OnlineRequest, who: Identified) -> Response:
-        """Answer one request; every way out is typed."""
+    def serve(
+        self, request: OnlineRequest, who: Identified, *, caller: CallerSocket | None = None
+    ) -> Response:
+        """Answer one request; every way out is typed.
+
+        Args:
+            request: The checked request.
+            who: Its caller.
+            caller: The caller's connection, for streams, or ``None``.
+        """
         checked = self._check_suspect(request)
         if not is_successful(checked):
             return self._refused(checked.failure())
@@ -61,12 +70,18 @@
             return self._refused(granted.failure())
         grant = granted.unwrap()
         try:
-            return self._serve_granted(request, who, grant)
+            return self._serve_granted(request, who, grant, caller)
         except BaseException:
             self._limits.release(grant, request.open.prompt_tokens)
             raise
 
-    def _serve_granted(self, request: OnlineRequest, who: Identified, grant: Grant) -> Response:
+    def _serve_granted(
+        self,
+        request: OnlineRequest,
+        who: Identified,
+        grant: Grant,
+        caller: CallerSocket | None,
+    ) -> Response:
         reserved = self._reserve(request, who)
         if not is_successful(reserved):
             self._limits.release(grant, 0)
@@ -75,6 +90,9 @@
         if isinstance(reservation, StoredAnswer):
             self._limits.release(grant, 0)
             return _stored_response(reservation)
+        if reservation is not None:
+            # The whole answer is kept for resends, so it has to pass through here.
+            caller = None
         claimed = self._claim(request)
         if not is_successful(claimed):
             self._limits.release(grant, 0)
@@ -84,6 +102,7 @@
             ForwardRequest(
                 open=request.open,
                 prefix_key=request.prefix_key,
+                caller=caller,
                 deadline=self._clock.now() + request.timeout,
                 # A crash of its first upstream makes it a suspect, which must not be tried again
                 # by itself: the second crash would name it, the third would be ours.
@@ -97,7 +116,7 @@
                 self._isolation.released(request.open.fingerprint)
             self._settle_failure(reservation, failure)
             return self._refused(failure)
-        return self._respond(request, forwarded.unwrap(), reservation, grant)
+        return self._respond(request, forwarded.unwrap(), reservation, grant, caller)
 
     def _check_suspect(self, request: OnlineRequest) -> Result[OnlineRequest, Failure]:
         verdict = self._isolation.check(request.open.fingerprint)
@@ -127,13 +146,14 @@
         answer: Answer,
         reservation: Reservation | None,
         grant: Grant,
+        caller: CallerSocket | None,
     ) -> Response:
         headers = {
             name: value
             for name, value in pass_on(answer.headers).items()
             if name not in _DROPPED_ANSWER_HEADERS
         }
-        body = self._body(request, answer, reservation, grant)
+        body = self._body(request, answer, reservation, grant, caller)
         if answer.streamed:
             headers["cache-control"] = "no-store"
             response = Response(body, status=answer.status, direct_passthrough=True)
@@ -170,6 +190,7 @@
         answer: Answer,
         reservation: Reservation | None,
         grant: Grant,
+        caller: CallerSocket | None,
     ) -> Iterator[bytes]:
         kept: list[bytes] = []
         kept_bytes = 0
@@ -184,6 +205,7 @@
                 yield data
             whole = answer.complete()
         finally:
+            events += caller.events if caller is not None else 0
             self._limits.release(grant, request.open.prompt_tokens + events)
             if request.open.suspect:
                 self._close_suspect(request, whole=whole)
