--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -172,7 +172,6 @@
     StoreFault,
     WatchBatch,
 )
-from carobspool_core._prefixes import Prefixes, make_prefixes
 from carobspool_core._reconcile import (
     DeclaredEngine,
     EngineOrders,
@@ -254,8 +253,6 @@
 )
 
 __all__ = [
-    "Prefixes",
-    "make_prefixes",
     "Admission",
     "AdmissionMode",
     "AdmissionSettings",
--- a/packages/node/src/carobspool_node/_fleet.py
+++ b/packages/node/src/carobspool_node/_fleet.py
@@ -5,7 +5,6 @@
 import itertools
 import threading
 from collections.abc import Callable, Mapping
-from dataclasses import replace
 
 from returns.result import Result
 
@@ -25,7 +24,6 @@
     Target,
     Upstream,
     UpstreamKind,
-    make_prefixes,
 )
 from carobspool_node._link import Identity
 from carobspool_node._peer_keys import PeerKeys
@@ -61,7 +59,6 @@
         self._keys = keys
         self._clock = clock
         self._router = router
-        self._prefixes = make_prefixes()
         self._lock = threading.Lock()
         self._peers: dict[str, SidecarPeer] = {}
         self._loads: dict[str, Load] = {}
@@ -139,9 +136,6 @@
     def pick(self, request: RouteRequest) -> Result[Choice, Failure]:
         """Choose the host for a request."""
         with self._lock:
-            key = request.prefix_key
-            if key is not None and not self._prefixes.repeated(key):
-                request = replace(request, prefix_key=None)
             return self._router.pick(request, self._clock.now())
 
     def credits(self, target: str) -> int:
