--- a/packages/cli/src/carobspool_cli/_operator_commands.py
+++ b/packages/cli/src/carobspool_cli/_operator_commands.py
@@ -18,6 +18,10 @@
 NOTHING = "-"
 
 
+SHOWN_CHARACTERS = 48
+"""Characters of a value that a row of the audit trail shows."""
+
+
 class AuditCommand(RemoteCommand):
     """``carobspool audit``."""
 
@@ -95,8 +99,8 @@
         record["kind"],
         record["subject"],
         record["reason"],
-        _words(record["before"]),
-        _words(record["after"]),
+        _short(_words(record["before"])),
+        _short(_words(record["after"])),
     ]
 
 
@@ -110,6 +114,11 @@
     return table(rows)
 
 
+def _short(text: str) -> str:
+    """Cut what does not fit into a line; ``--json`` shows it whole."""
+    return text if len(text) <= SHOWN_CHARACTERS else text[: SHOWN_CHARACTERS - 1] + "…"
+
+
 def _words(value: Json) -> str:
     if value is None:
         return NOTHING
--- a/packages/node/src/carobspool_node/_entry_node.py
+++ b/packages/node/src/carobspool_node/_entry_node.py
@@ -15,7 +15,6 @@
     Hint,
     HintKind,
     Json,
-    Upstream,
     make_limiter,
     make_retry_policy,
     make_router,
@@ -48,6 +47,7 @@
 from carobspool_node._settings import EntrySettings
 from carobspool_node._shared_limits import SharedLimits
 from carobspool_node._shutdown import ShutdownRequest, end_process
+from carobspool_node._upstream_status import upstream_status
 
 TICK_SECONDS = 1.0
 ACCEPT_GRACE_SECONDS = 1.0
@@ -302,45 +302,17 @@
         self._metrics.count("requests")
 
     def _status(self) -> Json:
-        state = self._follower.state
-        loads = self._fleet.loads
-        connected = self._fleet.connected
-        upstreams = []
-        for host, declared in sorted(state.upstreams.items()):
-            load = loads.get(host)
-            upstreams.append(
-                {
-                    "host": host,
-                    "failure_domain": declared.failure_domain,
-                    "declared": _declared(declared),
-                    "connected": connected.get(host, False),
-                    "drained": host in self._drains.hosts,
-                    "state": None if load is None else load.state.value,
-                    "actual": None if load is None else list(load.targets),
-                    "running": None if load is None else load.running,
-                    "queued": None if load is None else load.queued,
-                    "revision": None if load is None else load.revision,
-                    "first_token_ms": None if load is None else load.first_token,
-                    "fencing_epoch": None if load is None else load.fencing_epoch,
-                }
-            )
         return {
             "entry": self._settings.node,
-            "revision": state.revision,
+            "revision": self._follower.revision,
             "entries": self._jobs.live_entries(),
             "peers": self._hints.peers,
-            "upstreams": upstreams,
+            "upstreams": upstream_status(self._follower.state, self._fleet, self._drains.hosts),
             "jobs": self._jobs.status(),
             "link_bytes": {"sent": TRAFFIC.sent, "received": TRAFFIC.received},
         }
 
 
-def _declared(upstream: Upstream) -> list[str]:
-    if upstream.service is not None:
-        return [upstream.service]
-    return list(upstream.models)
-
-
 def run_entry(settings: EntrySettings) -> int:
     """Run an entry until it is told to stop; return the process exit code."""
     set_up_logs(settings.node, settings.log_level)
--- a/packages/node/src/carobspool_node/_sidecar.py
+++ b/packages/node/src/carobspool_node/_sidecar.py
@@ -38,7 +38,8 @@
     unavailable,
 )
 from carobspool_node._engine_runs import EngineRuns
-from carobspool_node._link import MAX_FRAME_BYTES, Identity, Link, establish, send_quietly
+from carobspool_node._entry_links import EntryLinks
+from carobspool_node._link import MAX_FRAME_BYTES, Identity, Link, establish
 from carobspool_node._peer_keys import PeerKeys
 from carobspool_node._runs import Run, RunState, RunTable
 from carobspool_node._scheduler import Scheduler
@@ -52,7 +53,6 @@
 run elsewhere, and a host that is leaving would get new work. Entries count a sidecar as lost after
 3 s, so nothing they still hope for is refused.
 """
-REATTACH_GRACE: Millis = 5_000.0
 REPORT_POLL: Millis = 50.0
 """How often the load is looked at; a burst's entries learn of each other's part within this."""
 _LEAVING = unavailable("leaving", "the upstream is leaving", retry_after_ms=0.0)
@@ -71,14 +71,6 @@
 )
 
 
-@dataclass(slots=True)
-class _EntryLink:
-    """The current connection of one entry process."""
-
-    link: Link
-    lost_at: Millis | None = None
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SidecarOptions:
     """What a sidecar needs to know.
@@ -118,8 +110,7 @@
         self._keys = keys
         self._clock = clock
         self._runs = RunTable()
-        self._links: dict[str, _EntryLink] = {}
-        self._lock = threading.Lock()
+        self._links = EntryLinks(clock)
         self._state = SidecarState.READY
         self._targets = options.targets
         self._revision = 0
@@ -212,9 +203,7 @@
         self._stopped.set()
         self._health.stop()
         self._scheduler.stop()
-        for entry in self._entries():
-            entry.link.flush(1_000.0)
-            entry.link.close()
+        self._links.close()
         if self._server is not None:
             self._server.shutdown()
         self._pool.shutdown(wait=False, cancel_futures=True)
@@ -232,32 +221,16 @@
             logging.warning("event=peer_refused role=%s", link.peer.role)
             link.close()
             return
-        self._adopt(link)
+        self._links.adopt(link)
+        self.on_link(link)
+        self._push_load()
         try:
             for message in link.messages():
                 self._receive(link, message)
         except (CodecError, LinkClosedError) as error:
             logging.warning("event=link_broken entry=%s error=%s", link.peer.node, error)
             link.close()
-        self._lose(link)
-
-    def _adopt(self, link: Link) -> None:
-        with self._lock:
-            previous = self._links.get(link.peer.incarnation)
-            self._links[link.peer.incarnation] = _EntryLink(link=link)
-        if previous is not None:
-            previous.link.close()
-        logging.info("event=entry_connected entry=%s", link.peer.node)
-        self.on_link(link)
-        self._push_load()
-
-    def _lose(self, link: Link) -> None:
-        with self._lock:
-            entry = self._links.get(link.peer.incarnation)
-            if entry is None or entry.link is not link:
-                return
-            entry.lost_at = self._clock.now()
-        logging.info("event=entry_lost entry=%s", link.peer.node)
+        self._links.lose(link)
 
     def _receive(self, link: Link, message: Message) -> None:
         if isinstance(message, Open):
@@ -276,15 +249,9 @@
             self.on_configuration(message, link)
 
     def _open(self, link: Link, message: Open) -> None:
-        run = Run(message, self._deliver(message.id.incarnation))
-        with self._lock:
-            # An entry that has connected again asks about its requests on the new connection;
-            # what the old one still holds must not start after it was told "not run".
-            current = self._links.get(link.peer.incarnation)
-            if current is None or current.link is not link:
-                return
-            if not self._runs.add(run):
-                return
+        run = Run(message, self._links.sender(message.id.incarnation))
+        if not self._links.while_current(link, lambda: self._runs.add(run)):
+            return
         refusal = self._refusal(link, message)
         if refusal is not None:
             run.end(refusal, self._clock.now())
@@ -324,12 +291,12 @@
         if run is not None:
             run.replay(message.sequence)
             return
-        # Under the lock of `_open` no request of an older connection can be added any more, so a
-        # request unknown here never reached the upstream.
+        # No request of an older connection can be added any more, so one that is unknown here
+        # never reached the upstream.
         failure = _NEVER_RECEIVED
         if self._runs.forgotten(message.id):
             failure = _FORGOTTEN
-        self._deliver(message.id.incarnation)(End(id=message.id, count=0, failure=failure))
+        self._links.sender(message.id.incarnation)(End(id=message.id, count=0, failure=failure))
 
     def _cancel(self, identity: RequestId) -> None:
         run = self._runs.get(identity)
@@ -363,18 +330,6 @@
         self._engine.forget(run.open.id)
         return True
 
-    def _deliver(self, incarnation: str) -> Callable[[Message], None]:
-        def deliver(message: Message) -> None:
-            entry = self._links.get(incarnation)
-            if entry is None:
-                return
-            try:
-                entry.link.send(message)
-            except LinkClosedError:
-                return
-
-        return deliver
-
     def _upstream_down(self) -> None:
         # All that was in flight is suspected together; the entries find what two crashes share.
         running = [run.open.fingerprint for run in self._runs.running()]
@@ -386,14 +341,9 @@
             sequence=self._hints,
             values=dict.fromkeys(running, "in_flight"),
         )
-        for entry in self._entries():
-            send_quietly(entry.link, hint)
+        self._links.broadcast(hint)
         self._push_load()
 
-    def _entries(self) -> list[_EntryLink]:
-        with self._lock:
-            return [entry for entry in self._links.values() if entry.lost_at is None]
-
     def _load(self) -> Load:
         snapshot = self._scheduler.snapshot()
         return Load(
@@ -410,40 +360,27 @@
         )
 
     def _push_load(self) -> None:
-        load = self._load()
-        for entry in self._entries():
-            send_quietly(entry.link, load)
+        self._links.broadcast(self._load())
 
     def _report_load(self) -> None:
         """Tell the load when it has moved to another band, within the budget for control."""
         reporter = make_load_reporter()
         while not self._stopped.wait(REPORT_POLL / 1000.0):
-            entries = self._entries()
+            count = len(self._links.connected)
             load = self._load()
-            if not entries or not reporter.is_due(load, len(entries), self._clock.now()):
-                continue
-            for entry in entries:
-                send_quietly(entry.link, load)
+            if count and reporter.is_due(load, count, self._clock.now()):
+                self._links.broadcast(load)
 
     def _beat(self) -> None:
         interval = self._options.heartbeat
         while not self._stopped.wait(interval / 1000.0):
             now = self._clock.now()
-            for entry in self._entries():
-                send_quietly(entry.link, Beat(sent=now))
+            self._links.broadcast(Beat(sent=now))
             self._runs.expire(now)
-            self._cancel_orphans(now)
-
-    def _cancel_orphans(self, now: Millis) -> None:
-        with self._lock:
-            gone = [
-                incarnation
-                for incarnation, entry in self._links.items()
-                if entry.lost_at is not None and now - entry.lost_at > REATTACH_GRACE
-            ]
-            for incarnation in gone:
-                del self._links[incarnation]
-        for incarnation in gone:
+            self._cancel_orphans()
+
+    def _cancel_orphans(self) -> None:
+        for incarnation in self._links.forget_lost():
             for run in self._runs.of_incarnation(incarnation):
                 self._cancel(run.open.id)
 
