A sidecar's admission follows the declared slowdown and slots

After: the control is made anew when its target changes; the allowance is declared, 0 by default; a sidecar reports its declared slots and is not bound to 32. Ruled out: setting it at the start only; a sidecar learns the configuration after it has started.

--- a/packages/core/src/carobspool_core/_admission.py
+++ b/packages/core/src/carobspool_core/_admission.py
@@ -24,6 +24,7 @@
 from carobspool_core._admission_steps import Dispatch
 from carobspool_core._batchqueue import BatchQueue, Waiting
 from carobspool_core._clock import Clock, Millis
+from carobspool_core._config import OnlineSlowdown
 from carobspool_core._fairqueue import FairQueue, make_fair_queue
 from carobspool_core._messages import Priority, RequestId
 from carobspool_core._outcome import Failure, Outcome, unavailable
@@ -57,7 +58,7 @@
         self._online: FairQueue[Waiting] = make_fair_queue(settings.online_bounds)
         self._suspects = SuspectQueue(settings.online_bounds.per_caller)
         self._batch = BatchQueue()
-        self._pacer = Pacer(settings.slots, settings.slowdown, settings.between_tokens_allowance)
+        self._pacer = _make_pacer(settings)
         self._times = ServiceTime()
         self._dispatch = Dispatch(
             settings,
@@ -72,10 +73,15 @@
     def reconfigure(self, settings: AdmissionSettings) -> None:
         """Follow other slots or another target; what runs and waits stays.
 
+        The control of batch work learns its baseline anew, within seconds, when its target changed.
+
         Args:
             settings: The settings from now on.
         """
+        if _target(settings) != _target(self._settings):
+            self._pacer = _make_pacer(settings)
         self._settings = settings
+        self._dispatch.reconfigure(settings, self._pacer)
 
     def offer(self, work: Work) -> Result[None, Failure]:
         """Hand in a request.
@@ -272,3 +278,12 @@
     return unavailable(
         "deadline_passed", "The deadline passed before the end of the answer.", outcome=Outcome.RAN
     )
+
+
+def _target(settings: AdmissionSettings) -> tuple[int, OnlineSlowdown, Millis]:
+    return settings.slots, settings.slowdown, settings.between_tokens_allowance
+
+
+def _make_pacer(settings: AdmissionSettings) -> Pacer:
+    slots, slowdown, allowance = _target(settings)
+    return Pacer(slots, slowdown, allowance)
--- a/packages/core/src/carobspool_core/_admission_steps.py
+++ b/packages/core/src/carobspool_core/_admission_steps.py
@@ -48,6 +48,11 @@
         self.prompt_starts = 0
         self.preemptions = 0
 
+    def reconfigure(self, settings: AdmissionSettings, pacer: Pacer) -> None:
+        """Follow other settings; what runs and waits stays."""
+        self._settings = settings
+        self._pacer = pacer
+
     def decide(self, now: Millis) -> tuple[tuple[RequestId, ...], tuple[RequestId, ...]]:
         """Return the requests to start and the streams to preempt."""
         self._started = []
--- a/packages/core/src/carobspool_core/_config.py
+++ b/packages/core/src/carobspool_core/_config.py
@@ -156,10 +156,13 @@
     Attributes:
         first_token: Allowed ratio of the 95th percentile of the time to the first token.
         between_tokens: Allowed ratio of the 95th percentile of the time between tokens.
+        between_tokens_allowance: Time between tokens, in milliseconds, that is acceptable whatever
+            the ratio; 0 to go by the ratio alone.
     """
 
     first_token: float = 1.15
     between_tokens: float = 2.0
+    between_tokens_allowance: Millis = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/core/src/carobspool_core/schema/_convert.py
+++ b/packages/core/src/carobspool_core/schema/_convert.py
@@ -119,7 +119,11 @@
 
 def to_slowdown(model: OnlineSlowdownModel) -> OnlineSlowdown:
     """Return the data class of the online slowdown."""
-    return OnlineSlowdown(first_token=model.first_token, between_tokens=model.between_tokens)
+    return OnlineSlowdown(
+        first_token=model.first_token,
+        between_tokens=model.between_tokens,
+        between_tokens_allowance=model.between_tokens_allowance_ms,
+    )
 
 
 def entry_to_json(entry: Any) -> Json:
@@ -242,7 +246,11 @@
 
 
 def _slowdown_json(entry: OnlineSlowdown) -> Json:
-    return {"first_token": entry.first_token, "between_tokens": entry.between_tokens}
+    return {
+        "first_token": entry.first_token,
+        "between_tokens": entry.between_tokens,
+        "between_tokens_allowance_ms": entry.between_tokens_allowance,
+    }
 
 
 _WRITERS: dict[type, Any] = {
--- a/packages/core/src/carobspool_core/schema/_models.py
+++ b/packages/core/src/carobspool_core/schema/_models.py
@@ -124,6 +124,7 @@
 
     first_token: Annotated[float, Field(ge=1, le=100)] = 1.15
     between_tokens: Annotated[float, Field(ge=1, le=100)] = 2.0
+    between_tokens_allowance_ms: Annotated[float, Field(ge=0, le=10_000)] = 0.0
 
 
 class StateModel(BorderModel):
--- a/packages/core/tests/test_admission.py
+++ b/packages/core/tests/test_admission.py
@@ -18,6 +18,7 @@
     AdmissionMode,
     AdmissionSettings,
     ManualClock,
+    OnlineSlowdown,
     Outcome,
     Priority,
     RequestId,
@@ -274,3 +275,22 @@
     else:
         admission.cancelled(id, now)
         del running[id]
+
+
+def test_a_changed_target_is_followed() -> None:
+    """An operator who loosens or tightens the slowdown sees batch work follow it at once.
+
+    The control of batch work must not go on with the target it was made with, nor the slots.
+    """
+    clock = ManualClock()
+    tight = AdmissionSettings(slots=4, slowdown=OnlineSlowdown(first_token=1.05))
+    admission = make_admission(tight, clock)
+    before = admission._pacer
+    admission.reconfigure(tight)
+    assert admission._pacer is before
+    loose = AdmissionSettings(slots=16, slowdown=OnlineSlowdown(first_token=1.5))
+    admission.reconfigure(loose)
+    assert admission._pacer is not before
+    assert admission._pacer.width(clock.now()) == 16
+    assert admission._dispatch._pacer is admission._pacer
+    assert admission._dispatch._settings is loose
--- a/packages/node/src/carobspool_node/_sidecar.py
+++ b/packages/node/src/carobspool_node/_sidecar.py
@@ -53,6 +53,8 @@
 run elsewhere, and a host that is leaving would get new work. Entries count a sidecar as lost after
 3 s, so nothing they still hope for is refused.
 """
+RUN_WORKERS = 1_024
+"""Bound of the requests at one upstream; a worker exists only once it is needed."""
 REPORT_POLL: Millis = 50.0
 """How often the load is looked at; a burst's entries learn of each other's part within this."""
 _LEAVING = unavailable("leaving", "the upstream is leaving", retry_after_ms=0.0)
@@ -113,11 +115,12 @@
         self._links = EntryLinks(clock)
         self._state = SidecarState.READY
         self._targets = options.targets
+        self._slots = options.slots
         self._revision = 0
         self._epoch = 0
         self._hints = 0
         self._stopped = threading.Event()
-        self._pool = ThreadPoolExecutor(options.slots * 2 + 16, thread_name_prefix="run")
+        self._pool = ThreadPoolExecutor(RUN_WORKERS, thread_name_prefix="run")
         self._control = ThreadPoolExecutor(16, thread_name_prefix="control")
         self._health = UpstreamHealth(
             options.upstream, clock, on_down=self._upstream_down, on_up=self._push_load
@@ -174,6 +177,10 @@
         if changed:
             self._push_load()
 
+    def set_slots(self, slots: int) -> None:
+        """Tell how many requests the upstream is declared to run side by side."""
+        self._slots = slots
+
     def leave(self) -> None:
         """Refuse new work and tell every entry at once."""
         self._state = SidecarState.LEAVING
@@ -351,7 +358,7 @@
             running=snapshot.running_online + snapshot.running_batch,
             queued=snapshot.queued_online + snapshot.queued_batch,
             tokens=snapshot.tokens,
-            slots=self._options.slots,
+            slots=self._slots,
             batch_credits=self._scheduler.batch_credits(),
             targets=self._targets,
             revision=self._revision,
--- a/packages/node/src/carobspool_node/_sidecar_node.py
+++ b/packages/node/src/carobspool_node/_sidecar_node.py
@@ -37,9 +37,6 @@
 
 DEFAULT_SLOTS = 32
 MEASURE_SECONDS = 1.0
-BETWEEN_TOKENS_ALLOWANCE = 78.0
-"""Milliseconds between tokens that users accept whatever the ratio (letter 1, 95 in 100)."""
-
 RELEASE_SECONDS = 3.0
 """Longest wait at the end for the right to give orders to be given back."""
 
@@ -150,7 +147,9 @@
         exchange(self._follower, message, link)
 
     def _take_state(self, state: DesiredState) -> None:
-        self._scheduler.reconfigure(_decision_settings(self._settings, state))
+        wanted = _decision_settings(self._settings, state)
+        self._scheduler.reconfigure(wanted)
+        self._sidecar.set_slots(wanted.slots)
         declared = state.upstreams.get(self._settings.host)
         if declared is None:
             logging.warning("event=not_declared host=%s", self._settings.host)
@@ -221,5 +220,5 @@
         cap=settings.admission.cap,
         slots=slots,
         slowdown=slowdown,
-        between_tokens_allowance=BETWEEN_TOKENS_ALLOWANCE,
+        between_tokens_allowance=slowdown.between_tokens_allowance,
     )
