Only events with text count as tokens of an online stream

Cause: the sidecar counted every server-sent event of an online stream as a token: the opening event beside the first token, and finish, usage and [DONE] at its end. The model of the engine's steps took them for steps without length, and the policy's baseline, budget and width follow from that model. After: events are read and only those with text are counted, as batch streams always were.

--- a/packages/node/src/carobspool_node/_engine_runs.py
+++ b/packages/node/src/carobspool_node/_engine_runs.py
@@ -24,7 +24,7 @@
     broken_upstream,
     unavailable,
 )
-from carobspool_node._event_stream import AnswerCollector, EventCutter
+from carobspool_node._event_stream import AnswerCollector, EventCutter, count_tokens
 from carobspool_node._runs import Run
 from carobspool_node._scheduler import Scheduler
 from carobspool_node._upstream_http import (
@@ -156,18 +156,16 @@
             run.head(status, headers)
 
         def on_data(data: bytes) -> None:
-            first = not progress.started
-            progress.started = True
-            if not streaming:
-                run.data(data)
-                if first:
-                    self._tell().first_token(request.id)
+            piece = progress.cutter.feed(data) if streaming else data
+            if not piece:
                 return
-            whole = progress.cutter.feed(data)
-            if not whole:
-                return
-            run.data(whole)
-            self._count(request.id, first, whole.count(b"\n\n"))
+            run.data(piece)
+            count = count_tokens(piece) if streaming else 1
+            if count and progress.started:
+                self._tell().tokens(request.id, count)
+            elif count:
+                progress.started = True
+                self._count(request.id, True, count)
 
         result = progress.exchange.run(self._call(request), on_head, on_data)
         failure = self._failure_of(result, progress)
--- a/packages/node/src/carobspool_node/_event_stream.py
+++ b/packages/node/src/carobspool_node/_event_stream.py
@@ -15,6 +15,28 @@
 _DATA_PREFIX = b"data:"
 
 
+def count_tokens(events: bytes) -> int:
+    """Return how many whole events carry a piece of an answer's text.
+
+    The opening event, the one that tells why a choice finished, usage and ``[DONE]`` carry none.
+    Taken for tokens, they would look like steps of the engine that took no time.
+    """
+    count = 0
+    for event in events.split(EVENT_END):
+        if not event.startswith(_DATA_PREFIX) or event == DONE_EVENT:
+            continue
+        try:
+            choices = json.loads(event[len(_DATA_PREFIX) :]).get("choices", ())
+        except (ValueError, AttributeError):
+            continue
+        count += any(_text_of(choice) for choice in choices)
+    return count
+
+
+def _text_of(choice: dict[str, Any]) -> str:
+    return str(choice.get("delta", {}).get("content") or choice.get("text") or "")
+
+
 class EventCutter:
     """Cuts a byte stream into whole events; an incomplete rest is kept back. Since 0.1."""
 
--- a/packages/node/tests/test_event_stream.py
+++ b/packages/node/tests/test_event_stream.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from carobspool_node._event_stream import AnswerCollector, EventCutter
+from carobspool_node._event_stream import AnswerCollector, EventCutter, count_tokens
 
 _EVENTS = [b"data: {}\n\n", b'data: {"a":1}\n\n', b"data: [DONE]\n\n"]
 
@@ -54,3 +54,13 @@
     collector = AnswerCollector(chat=True)
     collector.feed(_chunk("one"))
     assert not collector.finished
+
+
+def test_only_events_with_text_are_tokens() -> None:
+    """Opening, finish, usage and closing events are not counted, whatever they come joined with."""
+    opening = b'data: {"choices":[{"index":0,"delta":{"role":"assistant","content":""}}]}\n\n'
+    usage = b'data: {"choices":[],"usage":{"total_tokens":3}}\n\n'
+    stream = opening + _chunk("one ") + _chunk("two") + _chunk("", "stop") + usage + _EVENTS[2]
+    assert count_tokens(stream) == 2
+    assert count_tokens(b'data: {"choices":[{"index":0,"text":"a"}]}\n\n') == 1
+    assert count_tokens(b"data: not json\n\n: comment\n\ndata: 7\n\n") == 0
