A sidecar starts no batch item of an entry that has fallen silent

They waited at the sidecars for an entry that was frozen before the news and could not pass the cancel on; its connections stand while it sleeps. Ruled out: the thawed entry itself; it reads the store before it starts anything, and the starts came while it slept. After: an item starts only if its entry was heard within 1.6 s (heartbeats come each second), else it is given back as not run.

--- a/packages/node/src/carobspool_node/_entry_links.py
+++ b/packages/node/src/carobspool_node/_entry_links.py
@@ -14,12 +14,17 @@
 REATTACH_GRACE: Millis = 5_000.0
 """How long requests of an entry that is not heard go on; the entry waits as long to come back."""
 
+SILENCE_LIMIT: Millis = 1_600.0
+"""Entries send a heartbeat each second. A frozen entry cannot pass on that a job was cancelled, so
+what it has waiting here must not start; the bound on a cancel is two seconds."""
+
 
 @dataclass(slots=True)
 class _EntryLink:
     """The current connection of one entry process."""
 
     link: Link
+    heard_at: Millis
     lost_at: Millis | None = None
 
 
@@ -41,11 +46,22 @@
         """Take a new connection; an earlier one of the same process is closed."""
         with self._lock:
             previous = self._links.get(link.peer.incarnation)
-            self._links[link.peer.incarnation] = _EntryLink(link=link)
+            self._links[link.peer.incarnation] = _EntryLink(link=link, heard_at=self._clock.now())
         if previous is not None:
             previous.link.close()
         logging.info("event=entry_connected entry=%s", link.peer.node)
 
+    def hear(self, link: Link) -> None:
+        """Take note that a message came on a connection."""
+        entry = self._links.get(link.peer.incarnation)
+        if entry is not None and entry.link is link:
+            entry.heard_at = self._clock.now()
+
+    def is_heard(self, incarnation: str) -> bool:
+        """Whether an entry process has sent anything within the last heartbeats."""
+        entry = self._links.get(incarnation)
+        return entry is not None and self._clock.now() - entry.heard_at < SILENCE_LIMIT
+
     def lose(self, link: Link) -> None:
         """Take note that a connection has ended."""
         with self._lock:
--- a/packages/node/src/carobspool_node/_sidecar.py
+++ b/packages/node/src/carobspool_node/_sidecar.py
@@ -30,6 +30,7 @@
     Millis,
     Open,
     Outcome,
+    Priority,
     RequestId,
     SidecarState,
     Work,
@@ -61,6 +62,7 @@
 _NEVER_RECEIVED = unavailable(
     "never_received", "the request never reached the upstream's host", retry_after_ms=0.0
 )
+_ENTRY_SILENT = unavailable("entry_silent", "the entry of this item is not heard")
 _FORGOTTEN = broken_upstream(
     "replay_expired", "the answer is no longer kept", outcome=Outcome.UNKNOWN
 )
@@ -240,6 +242,7 @@
         self._links.lose(link)
 
     def _receive(self, link: Link, message: Message) -> None:
+        self._links.hear(link)
         if isinstance(message, Open):
             self._open(link, message)
             return
@@ -315,11 +318,17 @@
 
     def _start(self, identity: RequestId) -> None:
         run = self._runs.get(identity)
+        if run is not None and self._is_abandoned(run):
+            run.end_waiting(_ENTRY_SILENT, self._clock.now())
         if run is None or not run.begin(self._clock.now()):
             self._scheduler.finished(identity)
             return
         self._pool.submit(self._engine.run, run)
 
+    def _is_abandoned(self, run: Run) -> bool:
+        batch = run.open.priority is Priority.BATCH
+        return batch and not self._links.is_heard(run.open.id.incarnation)
+
     def _preempt(self, identity: RequestId) -> None:
         run = self._runs.get(identity)
         if run is not None:
--- a/packages/node/tests/test_entry_links.py
+++ b/packages/node/tests/test_entry_links.py
@@ -5,7 +5,7 @@
 from typing import Any, cast
 
 from carobspool_core import Beat, Hello, ManualClock, Message
-from carobspool_node._entry_links import REATTACH_GRACE, EntryLinks
+from carobspool_node._entry_links import REATTACH_GRACE, SILENCE_LIMIT, EntryLinks
 from carobspool_node._link import Link
 
 
@@ -78,3 +78,18 @@
     clock.advance(1.0)
     assert links.forget_lost() == ["gone"]
     assert links.forget_lost() == []
+
+
+def test_a_silent_entry_is_told_from_one_that_is_heard() -> None:
+    """An entry that was frozen counts as silent although its connection stands."""
+    clock = ManualClock()
+    links = EntryLinks(clock)
+    link = _link("a")
+    links.adopt(link)
+    clock.advance(SILENCE_LIMIT - 1.0)
+    assert links.is_heard("a")
+    clock.advance(1.0)
+    assert not links.is_heard("a")
+    links.hear(link)
+    assert links.is_heard("a")
+    assert not links.is_heard("nobody")
