The end of a suspect's run stands once, in the isolation that keeps its claim

Cause: the online and the batch path each decided whether a run clears its suspect or gives its claim back. After: both call Isolation.close_run; behaviour stays. Ruled out for now: the twins of connection serving in _hints and _sidecar, whose acceptance differs, and _sidecar's 409 lines.

--- a/packages/node/src/carobspool_node/_batch_forward.py
+++ b/packages/node/src/carobspool_node/_batch_forward.py
@@ -147,14 +147,14 @@
             )
         )
         if not is_successful(choice):
-            self._release_suspect(message)
+            self._isolation.close_run(message, whole=False)
             return choice.failure()
         return self._open(choice.unwrap().host, message, run)
 
     def _open(self, host: str, message: Open, run: ItemRun) -> Failure | None:
         peer = self._fleet.peer(host)
         if peer is None:
-            self._release_suspect(message)
+            self._isolation.close_run(message, whole=False)
             return unavailable("not_connected", f"no connection to {host}")
         message = replace(message, id=self._fleet.new_id())
         self._fleet.started(host, message)
@@ -167,7 +167,7 @@
         attempt = peer.open(message, on_end=ended)
         if attempt is None:
             self._fleet.ended(host, message.id, ok=False)
-            self._release_suspect(message)
+            self._isolation.close_run(message, whole=False)
             return unavailable("not_connected", f"no connection to {host}")
         holder.append(attempt)
         opened.set()
@@ -192,7 +192,7 @@
         failure = attempt.failure
         ok = failure is None or failure.outcome is Outcome.NOT_RUN
         self._fleet.ended(host, message.id, ok=ok)
-        self._close_suspect(message, whole=failure is None)
+        self._isolation.close_run(message, whole=failure is None)
         request_id = f"{message.id.incarnation}-{message.id.counter}"
         if failure is not None or progress is None or progress.head is None:
             run.done(ItemOutcome(request_id=request_id, failure=failure or _cancelled()))
@@ -236,17 +236,6 @@
             return claimed.failure()
         return replace(message, suspect=True)
 
-    def _release_suspect(self, message: Open) -> None:
-        self._close_suspect(message, whole=False)
-
-    def _close_suspect(self, message: Open, *, whole: bool) -> None:
-        if not message.suspect:
-            return
-        if whole:
-            self._isolation.completed(message.fingerprint)
-            return
-        self._isolation.released(message.fingerprint)
-
 
 def _cancelled() -> Failure:
     return Failure(
--- a/packages/node/src/carobspool_node/_isolation.py
+++ b/packages/node/src/carobspool_node/_isolation.py
@@ -26,6 +26,7 @@
     Millis,
     ObjectChange,
     ObjectStore,
+    Open,
     StoredObject,
     StoreFault,
     SuspectChange,
@@ -123,6 +124,20 @@
         self._tell_change(claimed.unwrap())
         return Success(None)
 
+    def close_run(self, request: Open, *, whole: bool) -> None:
+        """Note the end of a request's run; one that is no suspect changes nothing.
+
+        Args:
+            request: The request that ran, or was not sent after all.
+            whole: Whether it ran to its end.
+        """
+        if not request.suspect:
+            return
+        if whole:
+            self.completed(request.fingerprint)
+            return
+        self.released(request.fingerprint)
+
     def completed(self, fingerprint: str) -> None:
         """Clear a suspect that ran to its end."""
         with self._lock:
--- a/packages/node/src/carobspool_node/_online.py
+++ b/packages/node/src/carobspool_node/_online.py
@@ -112,8 +112,7 @@
         if not is_successful(forwarded):
             self._limits.release(grant, 0)
             failure = forwarded.failure()
-            if request.open.suspect:
-                self._isolation.released(request.open.fingerprint)
+            self._isolation.close_run(request.open, whole=False)
             self._settle_failure(reservation, failure)
             return self._refused(failure)
         return self._respond(request, forwarded.unwrap(), reservation, grant, caller)
@@ -207,18 +206,11 @@
         finally:
             events += caller.events if caller is not None else 0
             self._limits.release(grant, request.open.prompt_tokens + events)
-            if request.open.suspect:
-                self._close_suspect(request, whole=whole)
+            self._isolation.close_run(request.open, whole=whole)
             if reservation is not None:
                 fits = whole and kept_bytes <= MAX_STORED_ANSWER
                 self._settle(reservation, answer, b"".join(kept) if fits else None)
 
-    def _close_suspect(self, request: OnlineRequest, *, whole: bool) -> None:
-        if whole:
-            self._isolation.completed(request.open.fingerprint)
-            return
-        self._isolation.released(request.open.fingerprint)
-
     def _settle(self, reservation: Reservation, answer: Answer, body: bytes | None) -> None:
         stored = None
         if body is not None:
