--- a/packages/core/src/carobspool_core/__init__.py
+++ b/packages/core/src/carobspool_core/__init__.py
@@ -34,6 +34,7 @@
     Clock,
     ManualClock,
     Millis,
+    boottime_clock,
     monotonic_clock,
     wall_millis,
 )
@@ -407,6 +408,7 @@
     "make_subsets",
     "make_suspect_gate",
     "make_suspects",
+    "boottime_clock",
     "monotonic_clock",
     "next_order",
     "organisation_digest",
--- a/packages/core/src/carobspool_core/_clock.py
+++ b/packages/core/src/carobspool_core/_clock.py
@@ -59,6 +59,15 @@
     return Clock(lambda: time.monotonic() * 1000.0)
 
 
+def boottime_clock() -> Clock:
+    """Return a clock that goes on while the machine is suspended.
+
+    The monotonic clock stands still then, and a process that wakes after five seconds would take
+    its leases and deadlines for unexpired, although the others have seen them pass.
+    """
+    return Clock(lambda: time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0)
+
+
 def wall_millis() -> int:
     """Return the wall-clock time as milliseconds since the Unix epoch.
 
--- /dev/null
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -0,0 +1,69 @@
+"""Data and decisions of entries that call upstreams directly, without a sidecar in between.
+
+Pure: no network, no threads, no wall clock.
+"""
+
+from carobspool_core.direct._configuration import (
+    CallerLimits,
+    Configuration,
+    Route,
+    RouteKind,
+    WeightedService,
+)
+from carobspool_core.direct._events import EventSplitter, StreamEvent
+from carobspool_core.direct._job_codec import (
+    job_from_json,
+    job_to_json,
+    progress_from_json,
+    progress_to_json,
+)
+from carobspool_core.direct._job_work import (
+    ItemEnd,
+    ItemResult,
+    ItemWork,
+    JobInput,
+    JobItem,
+    JobProgress,
+    JobWork,
+)
+from carobspool_core.direct._placement import (
+    BATCH_RESERVE,
+    ONLINE_OVERFILL,
+    Load,
+    choose_batch_upstream,
+    choose_upstream,
+    excess_of_batch,
+)
+from carobspool_core.direct._upstreams import LAPSE_GRACE, Upstream, UpstreamList
+from carobspool_core.direct._waiting_quota import fits_quota
+
+__all__ = [
+    "BATCH_RESERVE",
+    "LAPSE_GRACE",
+    "ONLINE_OVERFILL",
+    "CallerLimits",
+    "Configuration",
+    "EventSplitter",
+    "ItemEnd",
+    "ItemResult",
+    "ItemWork",
+    "JobInput",
+    "JobItem",
+    "JobProgress",
+    "JobWork",
+    "Load",
+    "Route",
+    "RouteKind",
+    "StreamEvent",
+    "Upstream",
+    "UpstreamList",
+    "WeightedService",
+    "choose_batch_upstream",
+    "choose_upstream",
+    "excess_of_batch",
+    "fits_quota",
+    "job_from_json",
+    "job_to_json",
+    "progress_from_json",
+    "progress_to_json",
+]
--- /dev/null
+++ b/packages/core/src/carobspool_core/direct/_job_work.py
@@ -0,0 +1,226 @@
+"""One batch job as its owner works on it: which items wait, run, are done, and what is committed.
+
+A result counts only once the store has acknowledged it. Its position is its place in the committed
+list, so a position never changes its content. Whatever is not committed may be lost with the owner
+and is then run again by the next one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from carobspool_core._clock import Millis
+
+REJECTED_LIMIT = 1
+"""Answers that say an item can never be done, after which it is given up."""
+
+
+class ItemEnd(StrEnum):
+    """How an item ended."""
+
+    COMPLETED = "completed"
+    DEAD = "dead"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobItem:
+    """One request of a batch job, as submitted."""
+
+    item_id: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobInput:
+    """A batch job as submitted; it never changes.
+
+    Attributes:
+        job_id: The caller's id of the job.
+        host: Selects the route of its items, with their paths.
+        path: Path under which it was submitted.
+        owner: The entry that accepted it, name and incarnation.
+        submitted: Wall-clock milliseconds; only for time limits of a minute and more.
+        items: Its items.
+    """
+
+    job_id: str
+    host: str
+    path: str
+    owner: str
+    submitted: float
+    items: tuple[JobItem, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ItemResult:
+    """The final result of one item."""
+
+    item_id: str
+    end: ItemEnd
+    text: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobProgress:
+    """What is committed of a job.
+
+    Attributes:
+        owner: The entry that works on it, name and incarnation.
+        ended: Whether its caller ended it.
+        total: Number of its items.
+        results: Final results in the order of their positions.
+        failures: Failed runs of items that are not finished.
+    """
+
+    owner: str
+    total: int
+    ended: bool = False
+    results: tuple[ItemResult, ...] = ()
+    failures: Mapping[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class ItemWork:
+    """An item that is not finished: its text so far and its failed runs."""
+
+    item: JobItem
+    failures: int = 0
+    rejections: int = 0
+    last_event: int = 0
+    texts: list[str] = field(default_factory=list)
+    running: bool = False
+    not_before: Millis = 0.0
+
+    def restart(self) -> None:
+        """Forget what was received, before the item is run from its beginning again."""
+        self.last_event = 0
+        self.texts.clear()
+
+
+class JobWork:
+    """The items of an owned job. Not safe for threads; its owner locks."""
+
+    __slots__ = ("_committed", "_ended", "_failed", "_input", "_open", "_pending")
+
+    def __init__(self, job: JobInput, progress: JobProgress) -> None:
+        self._input = job
+        self._committed: list[ItemResult] = list(progress.results)
+        self._pending: list[ItemResult] = []
+        self._ended = progress.ended
+        self._failed = False
+        finished = {each.item_id for each in progress.results}
+        self._open = {
+            each.item_id: ItemWork(item=each, failures=progress.failures.get(each.item_id, 0))
+            for each in job.items
+            if each.item_id not in finished
+        }
+
+    @property
+    def input(self) -> JobInput:
+        """The job as submitted."""
+        return self._input
+
+    @property
+    def ended(self) -> bool:
+        """Whether the caller ended the job."""
+        return self._ended
+
+    @property
+    def committed(self) -> Sequence[ItemResult]:
+        """Results by position."""
+        return self._committed
+
+    @property
+    def has_uncommitted(self) -> bool:
+        """Whether there is something to commit."""
+        return bool(self._pending) or self._failed
+
+    @property
+    def finished(self) -> bool:
+        """Whether nothing is left to run or to commit."""
+        return not self._pending and (self._ended or not self._open)
+
+    @property
+    def all_run(self) -> bool:
+        """Whether every item has its result, committed or not."""
+        return not self._open
+
+    @property
+    def waiting_tokens(self) -> int:
+        """Tokens of the items that no upstream has finished."""
+        if self._ended:
+            return 0
+        return sum(each.item.tokens for each in self._open.values())
+
+    def next_item(self, now: Millis) -> ItemWork | None:
+        """Return an item to start, one whose run was interrupted first."""
+        if self._ended:
+            return None
+        found: ItemWork | None = None
+        for work in self._open.values():
+            if work.running or now < work.not_before:
+                continue
+            if found is None or work.last_event > found.last_event:
+                found = work
+        return found
+
+    def open_items(self) -> list[ItemWork]:
+        """Return the items without a result."""
+        return list(self._open.values())
+
+    def finish(self, work: ItemWork, end: ItemEnd) -> None:
+        """Give an item its result; it becomes readable once committed."""
+        if self._open.pop(work.item.item_id, None) is None:
+            return
+        text = "\n".join(work.texts) if end is ItemEnd.COMPLETED else ""
+        self._pending.append(ItemResult(item_id=work.item.item_id, end=end, text=text))
+
+    def failed(self, work: ItemWork, *, max_attempts: int) -> bool:
+        """Count a failed run; return whether the item is now given up."""
+        work.failures += 1
+        self._failed = True
+        if work.failures < max_attempts:
+            return False
+        self.finish(work, ItemEnd.DEAD)
+        return True
+
+    def rejected(self, work: ItemWork) -> None:
+        """Take the answer that an item can never be done."""
+        work.rejections += 1
+        if work.rejections >= REJECTED_LIMIT:
+            self.finish(work, ItemEnd.DEAD)
+
+    def end(self) -> None:
+        """End the job: nothing is started any more, what is committed stays."""
+        self._ended = True
+
+    def proposal(self, owner: str) -> JobProgress:
+        """Return the progress to commit."""
+        failures = {key: work.failures for key, work in self._open.items() if work.failures}
+        results = (*self._committed, *self._pending)
+        self._failed = False
+        return JobProgress(
+            owner=owner,
+            total=len(self._input.items),
+            ended=self._ended,
+            results=results,
+            failures=failures,
+        )
+
+    def adopt(self, progress: JobProgress) -> None:
+        """Take what the store holds, after an acknowledgement or a conflict with an own write."""
+        self._committed = list(progress.results)
+        self._ended = self._ended or progress.ended
+        committed = {each.item_id for each in self._committed}
+        self._pending = [each for each in self._pending if each.item_id not in committed]
+        for item_id in committed & set(self._open):
+            del self._open[item_id]
+
+    def not_committed(self) -> None:
+        """Remember that a proposal has to be made again."""
+        self._failed = True
--- a/packages/node/src/carobspool_node/_logs.py
+++ b/packages/node/src/carobspool_node/_logs.py
@@ -15,7 +15,7 @@
 }
 
 
-class _LineFormatter(standard_logging.Formatter):
+class LineFormatter(standard_logging.Formatter):
     """Puts time, level and node before the pairs of an event, all on one line."""
 
     def __init__(self, node: str) -> None:
@@ -43,7 +43,7 @@
     """
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
-    handler.setFormatter(_LineFormatter(node))
+    handler.setFormatter(LineFormatter(node))
     handler.python_handler.stream = sys.stderr
     logging.set_verbosity(_VERBOSITY[level])
     standard_logging.getLogger("websockets").setLevel(standard_logging.ERROR)
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_caller_connection.py
@@ -0,0 +1,178 @@
+"""One caller's connection: reading requests and writing their answers."""
+
+from __future__ import annotations
+
+import socket
+
+import h11
+
+from carobspool_core import Clock, Millis
+from carobspool_core.direct import CallerLimits
+from carobspool_node.direct._channel import CallerWatch, Channel, prepare
+from carobspool_node.direct._errors import (
+    BadRequestError,
+    CallerGoneError,
+    ConnectionBrokenError,
+    DeadlinePassedError,
+)
+from carobspool_node.direct._messages import CallerRequest, HeaderNames, Headers, find_header
+
+ANSWER_TIMEOUT: Millis = 2_000.0
+"""How long a caller may take to accept the bytes of a short answer, or a stream's next piece,
+beyond which it counts as gone: callers give up on a stream that stands still for two seconds."""
+
+
+class CallerConnection:
+    """Serves one request after the other on one socket."""
+
+    def __init__(self, sock: socket.socket, clock: Clock, names: HeaderNames) -> None:
+        prepare(sock)
+        self._clock = clock
+        self._names = names
+        self._channel = Channel(sock, h11.Connection(h11.SERVER), clock)
+        self._started = False
+        self._closing = False
+
+    @property
+    def watch(self) -> CallerWatch:
+        """A watch of the caller for the current request."""
+        return CallerWatch(self._channel.socket)
+
+    @property
+    def answered(self) -> bool:
+        """Whether the answer to the current request has begun."""
+        return self._started
+
+    def close_after_answer(self) -> None:
+        """Tell the caller with the next answer that the connection ends."""
+        self._closing = True
+
+    def read_request(self, limits: CallerLimits) -> CallerRequest | None:
+        """Return the next request, ``None`` when the caller is done.
+
+        Raises:
+            BadRequestError: The bytes are not a proper request; nothing was run.
+        """
+        self._started = False
+        try:
+            if not self._wait_for_request(limits.idle_timeout):
+                return None
+            return self._read(limits)
+        except DeadlinePassedError as error:
+            raise BadRequestError("the request was not sent in time", 408) from error
+        except ConnectionBrokenError as error:
+            cause = error.__cause__
+            if isinstance(cause, h11.RemoteProtocolError):
+                raise BadRequestError(str(cause), cause.error_status_hint) from error
+            return None
+
+    def answer(self, status: int, headers: Headers, body: bytes, *, reason: bytes = b"") -> None:
+        """Send a whole answer.
+
+        Raises:
+            CallerGoneError: The caller has left.
+        """
+        self._started = True
+        headers = [(key, value) for key, value in headers if key.lower() != b"content-length"]
+        headers.append((b"Content-Length", str(len(body)).encode()))
+        http = self._channel.http
+        parts = [self._head(status, headers, reason)]
+        if body:
+            parts.append(http.send(h11.Data(data=body)) or b"")
+        parts.append(http.send(h11.EndOfMessage()) or b"")
+        self._send(b"".join(parts))
+
+    def start_stream(self, status: int, headers: Headers, reason: bytes) -> None:
+        """Send the head of a streamed answer."""
+        self._started = True
+        headers = [(key, value) for key, value in headers if key.lower() != b"content-length"]
+        self._send(self._head(status, headers, reason))
+
+    def send_piece(self, data: bytes) -> None:
+        """Send a piece of a streamed answer."""
+        self._send(self._channel.http.send(h11.Data(data=data)) or b"")
+
+    def finish_stream(self) -> None:
+        """End a streamed answer as complete."""
+        self._send(self._channel.http.send(h11.EndOfMessage()) or b"")
+
+    def next_cycle(self) -> bool:
+        """Prepare for a next request; return whether there can be one."""
+        http = self._channel.http
+        if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+            return False
+        http.start_next_cycle()
+        return True
+
+    def close(self) -> None:
+        """Close the connection in order, so that the caller can read what was sent."""
+        self._channel.close()
+
+    def abort(self) -> None:
+        """Break the connection off; an unfinished answer cannot look complete."""
+        self._channel.reset()
+
+    def _wait_for_request(self, idle_timeout: Millis) -> bool:
+        if self._channel.http.trailing_data[0]:
+            return True
+        try:
+            data = self._channel.receive(self._clock.now() + idle_timeout)
+        except DeadlinePassedError:
+            return False
+        if not data:
+            return False
+        self._channel.http.receive_data(data)
+        return True
+
+    def _read(self, limits: CallerLimits) -> CallerRequest:
+        deadline = self._clock.now() + limits.header_timeout
+        head = self._channel.next_event(deadline)
+        if not isinstance(head, h11.Request):
+            raise ConnectionBrokenError("closed")
+        if self._channel.http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self._channel.send(self._channel.http.send(go_on) or b"", deadline)
+        headers = [(bytes(key), bytes(value)) for key, value in head.headers]
+        if sum(len(key) + len(value) + 4 for key, value in headers) > limits.header_bytes:
+            raise BadRequestError("the header is too long", 431)
+        body = self._read_body(limits)
+        path, _, query = head.target.partition(b"?")
+        return CallerRequest(
+            method=bytes(head.method),
+            target=bytes(head.target),
+            headers=headers,
+            body=body,
+            arrived=self._clock.now(),
+            request_id=(find_header(headers, self._names.request_id) or b"").decode("latin-1"),
+            host=(find_header(headers, b"host") or b"").decode("latin-1").partition(":")[0],
+            path=path.decode("latin-1"),
+            query=query.decode("latin-1"),
+        )
+
+    def _read_body(self, limits: CallerLimits) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self._channel.next_event(self._clock.now() + limits.idle_timeout)
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if not isinstance(event, h11.Data):
+                raise ConnectionBrokenError("closed in the middle of a body")
+            parts.append(bytes(event.data))
+            size += len(event.data)
+            if size > limits.body_bytes:
+                raise BadRequestError("the body is too long", 413)
+
+    def _head(self, status: int, headers: Headers, reason: bytes) -> bytes:
+        if self._closing:
+            headers = [*headers, (b"Connection", b"close")]
+        response = h11.Response(status_code=status, headers=headers, reason=reason)
+        return self._channel.http.send(response) or b""
+
+    def _send(self, data: bytes) -> None:
+        if not data:
+            return
+        try:
+            self._channel.send(data, self._clock.now() + ANSWER_TIMEOUT)
+        except (ConnectionBrokenError, DeadlinePassedError) as error:
+            raise CallerGoneError(str(error)) from error
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_callers.py
@@ -0,0 +1,162 @@
+"""What callers of a direct entry reach: online requests and calls on batch jobs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from absl import logging
+
+from carobspool_core import Millis
+from carobspool_core.direct import Configuration, Route, RouteKind
+from carobspool_node.direct._caller_connection import CallerConnection
+from carobspool_node.direct._deployment import CallerDialect, JobCall, ReadBody, ReadResults
+from carobspool_node.direct._errors import BadRequestError
+from carobspool_node.direct._forward import Forwarder, failure_answer
+from carobspool_node.direct._jobs import Jobs, Outcome, ResultsPage
+from carobspool_node.direct._messages import CallerRequest, HeaderNames
+from carobspool_node.direct._telemetry import Telemetry
+
+START_RETRY_AFTER: Millis = 500.0
+"""An entry without a configuration has one within half a second of reaching the store."""
+QUOTA_RETRY_AFTER: Millis = 2_000.0
+"""Time in which some waiting items finish; a job's items take some five seconds each."""
+STORE_RETRY_AFTER: Millis = 800.0
+"""Another entry may reach the store now; an outage lasts some seconds."""
+MAX_WAIT: Millis = 1_000.0
+
+_STATUS = {
+    Outcome.NOT_FOUND: 404,
+    Outcome.OVER_QUOTA: 429,
+    Outcome.UNAVAILABLE: 503,
+    Outcome.UNKNOWN: 504,
+}
+
+
+class CallerApi:
+    """Sends each request to where it is served."""
+
+    def __init__(
+        self,
+        dialect: CallerDialect,
+        names: HeaderNames,
+        forwarder: Forwarder,
+        jobs: Jobs,
+        telemetry: Telemetry,
+        *,
+        configuration: Callable[[], Configuration | None],
+    ) -> None:
+        self._dialect = dialect
+        self._names = names
+        self._forwarder = forwarder
+        self._jobs = jobs
+        self._telemetry = telemetry
+        self._configuration = configuration
+
+    def handle(self, request: CallerRequest, caller: CallerConnection) -> None:
+        """Serve one request."""
+        try:
+            call = self._dialect.job_call(request)
+            if call is not None:
+                self._serve_job_call(call, request, caller)
+                return
+            self._serve_route(request, caller)
+        except BadRequestError as error:
+            logging.info(
+                "event=refused request=%s status=%d reason=%r",
+                request.request_id,
+                error.status,
+                error,
+            )
+            headers, body = failure_answer(str(error), "not_run", None)
+            caller.answer(error.status, headers, body)
+
+    def _serve_route(self, request: CallerRequest, caller: CallerConnection) -> None:
+        configuration = self._configuration()
+        if configuration is None:
+            self._refuse(request, caller, 503, "no configuration is known yet", START_RETRY_AFTER)
+            return
+        route = configuration.route_for(request.host, request.path)
+        if route is None:
+            self._refuse(request, caller, 404, "no route matches", None)
+            return
+        if not request.request_id:
+            raise BadRequestError("the request has no id", 400)
+        if route.kind is RouteKind.BATCH:
+            self._submit(request, route, caller)
+            return
+        self._forwarder.serve(request, route, caller)
+
+    def _submit(self, request: CallerRequest, route: Route, caller: CallerConnection) -> None:
+        if request.method != b"POST":
+            raise BadRequestError("jobs are submitted with POST", 405)
+        items = self._dialect.job_items(request.body)
+        outcome = self._jobs.submit(request.request_id, request.host, request.path, items, route)
+        self._note(request, "submit", outcome)
+        if outcome is Outcome.DONE:
+            caller.answer(202, [], b"")
+            return
+        wait = QUOTA_RETRY_AFTER if outcome is Outcome.OVER_QUOTA else STORE_RETRY_AFTER
+        self._fail(caller, outcome, wait)
+
+    def _serve_job_call(
+        self, call: JobCall, request: CallerRequest, caller: CallerConnection
+    ) -> None:
+        if isinstance(call, ReadResults):
+            page = self._jobs.results(call.job_id, call.after, min(call.wait, MAX_WAIT))
+            if isinstance(page, ResultsPage):
+                headers = [(b"Content-Type", b"application/json")]
+                caller.answer(200, headers, self._dialect.results(page))
+                return
+            self._note(request, "read", page)
+            self._fail(caller, page, STORE_RETRY_AFTER)
+            return
+        if isinstance(call, ReadBody):
+            body = self._jobs.body(call.job_id, call.item_id)
+            if isinstance(body, bytes):
+                caller.answer(200, [(b"Content-Type", b"application/octet-stream")], body)
+                return
+            self._note(request, "body", body)
+            self._fail(caller, body, STORE_RETRY_AFTER)
+            return
+        outcome = self._jobs.end(call.job_id)
+        self._note(request, "end", outcome)
+        if outcome is Outcome.DONE:
+            caller.answer(200, [], b"")
+            return
+        self._fail(caller, outcome, STORE_RETRY_AFTER)
+
+    def _note(self, request: CallerRequest, call: str, outcome: Outcome) -> None:
+        self._telemetry.count("job_calls", call=call, outcome=outcome.value)
+        logging.info(
+            "event=job_call call=%s request=%s path=%s outcome=%s",
+            call,
+            request.request_id,
+            request.path,
+            outcome.value,
+        )
+
+    def _fail(self, caller: CallerConnection, outcome: Outcome, retry_after: Millis) -> None:
+        status = _STATUS[outcome]
+        told = "unknown" if outcome is Outcome.UNKNOWN else "not_run"
+        wait = retry_after if status in (429, 503) else None
+        headers, body = failure_answer(outcome.value, told, wait)
+        caller.answer(status, headers, body)
+
+    def _refuse(
+        self,
+        request: CallerRequest,
+        caller: CallerConnection,
+        status: int,
+        reason: str,
+        retry_after: Millis | None,
+    ) -> None:
+        logging.info(
+            "event=refused request=%s host=%s path=%s status=%d reason=%r",
+            request.request_id,
+            request.host,
+            request.path,
+            status,
+            reason,
+        )
+        headers, body = failure_answer(reason, "not_run", retry_after)
+        caller.answer(status, headers, body)
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -0,0 +1,437 @@
+"""The direct entry: its parts, its start and its end."""
+
+from __future__ import annotations
+
+import random
+import signal
+import threading
+import uuid
+from collections.abc import Mapping, Sequence
+
+import cbor2
+from absl import logging
+from returns.pipeline import is_successful
+
+from carobspool_core import (
+    Millis,
+    ObjectChange,
+    StoredObject,
+    StoreFault,
+    boottime_clock,
+)
+from carobspool_core import owner as rendezvous_owner
+from carobspool_core.direct import (
+    CallerLimits,
+    Configuration,
+    Load,
+    Upstream,
+    UpstreamList,
+)
+from carobspool_node.direct._caller_connection import CallerConnection
+from carobspool_node.direct._callers import CallerApi
+from carobspool_node.direct._deployment import Deployment
+from carobspool_node.direct._follow import Follower
+from carobspool_node.direct._forward import Forwarder
+from carobspool_node.direct._item_run import ItemRunner
+from carobspool_node.direct._job_runner import JobRunner
+from carobspool_node.direct._jobs import Jobs, Outcome
+from carobspool_node.direct._listener import Listener
+from carobspool_node.direct._loads import LoadTable
+from carobspool_node.direct._messages import CallerRequest
+from carobspool_node.direct._peer_calls import PEER_HEADERS, PeerCaller
+from carobspool_node.direct._peers import DEAD_AFTER, OwnHint, Peer, Peers
+from carobspool_node.direct._settings import DirectSettings
+from carobspool_node.direct._store_relay import RelayedStore
+from carobspool_node.direct._telemetry import Telemetry
+from carobspool_node.direct._upstream_calls import UpstreamConnections
+
+CALLER_WORKERS = 400
+PEER_WORKERS = 100
+STACK_BYTES = 256 * 1024
+"""Stack of a thread; there is one for each connection, and the default would reserve 8 MB each."""
+SETTLE_TIME: Millis = DEAD_AFTER + 300.0
+"""How long after its start an entry judges nobody as gone: each peer has sent several full hints."""
+TIDY_INTERVAL_S = 1.0
+MIN_DRAIN: Millis = 2_500.0
+"""How long a leaving entry serves on: the balancer needs two misses, a second apart, to take it
+out, and callers use open connections until then."""
+EXIT_MARGIN: Millis = 1_200.0
+"""Time before the kill at which a leaving entry exits whatever still runs."""
+VERSION_LAG_S = 0.3
+"""How long a peer's newer version may precede ours before it is fetched: a watch usually brings it
+within some ms."""
+
+
+class DirectEntry:
+    """One entry that calls upstreams directly."""
+
+    def __init__(self, settings: DirectSettings, deployment: Deployment) -> None:
+        self._settings = settings
+        self._deployment = deployment
+        self._clock = boottime_clock()
+        self._started = self._clock.now()
+        self._telemetry = Telemetry()
+        self._incarnation = uuid.uuid4().hex[:8]
+        self._configuration: Configuration | None = None
+        self._upstreams = UpstreamList()
+        self._upstreams_lock = threading.Lock()
+        self._upstreams_listed = False
+        self._leaving = threading.Event()
+        self._recovered = threading.Event()
+        self._loads = LoadTable(self._clock, settings.failure_domain)
+        self._connections = UpstreamConnections(self._clock)
+        self._peer_caller = PeerCaller(self._clock)
+        self._peers = Peers(
+            self._clock,
+            name=settings.node,
+            incarnation=self._incarnation,
+            address=(settings.address, settings.peer_port),
+            describe=self._own_hint,
+        )
+        self._store = RelayedStore(
+            deployment.open_store(settings, self._clock),
+            self._peer_caller,
+            self._clock,
+            self._telemetry,
+            lambda: self._peers,
+        )
+        items = ItemRunner(self._clock, deployment.headers, self._loads, self._connections)
+        self._runner = JobRunner(
+            self._clock,
+            self._store,
+            self._loads,
+            items,
+            self._telemetry,
+            configuration=lambda: self._configuration,
+            usable=self._usable,
+            in_doubt=self._peers.in_doubt,
+        )
+        self._jobs = Jobs(
+            self._clock,
+            self._store,
+            self._runner,
+            self._peers,
+            self._peer_caller,
+            self._telemetry,
+            peers_settled=self._peers_settled,
+        )
+        forwarder = Forwarder(
+            self._clock,
+            deployment.headers,
+            self._loads,
+            self._connections,
+            self._usable,
+            self._telemetry,
+        )
+        self._api = CallerApi(
+            deployment.dialect,
+            deployment.headers,
+            forwarder,
+            self._jobs,
+            self._telemetry,
+            configuration=lambda: self._configuration,
+        )
+        self._followers = self._make_followers()
+
+    def run(self) -> int:
+        """Run until told to stop; return the exit code."""
+        settings = self._settings
+        threading.stack_size(STACK_BYTES)
+        self._telemetry.start_logs(settings.node, settings.log_level)
+        logging.info(
+            "event=start node=%s incarnation=%s first_start=%s",
+            settings.node,
+            self._incarnation,
+            settings.first_start,
+        )
+        signal.signal(signal.SIGTERM, lambda *_: self._leaving.set())
+        signal.signal(signal.SIGHUP, lambda *_: logging.info("event=reload changed=nothing"))
+        self._telemetry.serve(settings.address, settings.metrics_port)
+        callers = self._listen()
+        self._peers.start(
+            on_loads=self._take_loads, on_versions=self._take_versions, on_lost=self._peer_lost
+        )
+        for follower in self._followers.values():
+            follower.start()
+        self._runner.start()
+        threading.Thread(target=self._register, name="register", daemon=True).start()
+        threading.Thread(target=self._recover, name="recover", daemon=True).start()
+        while not self._leaving.wait(TIDY_INTERVAL_S):
+            self._tidy()
+        self._leave(callers)
+        return 0
+
+    def _listen(self) -> Listener:
+        settings = self._settings
+        assert settings.callers is not None and settings.ready is not None
+        callers = Listener(
+            settings.callers,
+            workers=CALLER_WORKERS,
+            clock=self._clock,
+            names=self._deployment.headers,
+            limits=self._limits,
+            handle=self._api.handle,
+        )
+        ready = Listener(
+            settings.ready,
+            workers=4,
+            clock=self._clock,
+            names=PEER_HEADERS,
+            limits=CallerLimits,
+            handle=self._answer_ready,
+        )
+        peers = Listener(
+            (settings.address, settings.peer_port),
+            workers=PEER_WORKERS,
+            clock=self._clock,
+            names=PEER_HEADERS,
+            limits=CallerLimits,
+            handle=self._answer_peer,
+        )
+        for listener in (callers, ready, peers):
+            listener.start()
+        return callers
+
+    def _leave(self, callers: Listener) -> None:
+        logging.info("event=stop_requested busy=%d", callers.busy)
+        began = self._clock.now()
+        callers.drain()
+        self._peers.tell_now()
+        self._runner.stop()
+        self._peers.tell_now()
+        limit = began + self._settings.shutdown_limit - EXIT_MARGIN
+        while self._clock.now() < limit:
+            if self._clock.now() - began >= MIN_DRAIN and callers.busy == 0:
+                break
+            threading.Event().wait(0.05)
+        self._peers.stop()
+        logging.info(
+            "event=stop busy=%d open=%d took_ms=%.0f",
+            callers.busy,
+            callers.open_connections,
+            self._clock.now() - began,
+        )
+        self._telemetry.stop_logs()
+
+    def _make_followers(self) -> Mapping[str, Follower]:
+        deployment = self._deployment
+        kind, _, _ = deployment.configuration_key.partition("/")
+        return {
+            "configuration": Follower(
+                self._store,
+                f"{kind}/",
+                on_listing=self._configuration_listed,
+                on_change=lambda change: self._take_configuration(change.object),
+            ),
+            "upstreams": Follower(
+                self._store,
+                deployment.upstream_prefix,
+                on_listing=self._upstreams_replaced,
+                on_change=self._upstream_changed,
+                on_regained=self._upstreams_regained,
+            ),
+            "entries": Follower(
+                self._store,
+                "entries/",
+                on_listing=self._entries_listed,
+                on_change=self._entry_changed,
+            ),
+        }
+
+    def _configuration_listed(self, objects: Sequence[StoredObject]) -> None:
+        for each in objects:
+            self._take_configuration(each)
+
+    def _take_configuration(self, stored: StoredObject) -> None:
+        if stored.key != self._deployment.configuration_key or stored.value is None:
+            return
+        configuration = self._deployment.read_configuration(stored.value)
+        current = self._configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self._configuration = configuration
+        logging.info(
+            "event=configuration version=%d routes=%d revision=%d",
+            configuration.version,
+            len(configuration.routes),
+            stored.version,
+        )
+        self._peers.tell_now()
+
+    def _upstreams_replaced(self, objects: Sequence[StoredObject]) -> None:
+        found = []
+        for each in objects:
+            upstream = self._read_upstream(each)
+            if upstream is not None:
+                found.append(upstream)
+        with self._upstreams_lock:
+            self._upstreams.replace(found, self._clock.now())
+        self._upstreams_listed = True
+        logging.info("event=upstreams_listed count=%d", len(found))
+
+    def _upstream_changed(self, change: ObjectChange) -> None:
+        name = change.object.key.removeprefix(self._deployment.upstream_prefix)
+        with self._upstreams_lock:
+            if change.deleted:
+                self._upstreams.remove(name, self._clock.now())
+            else:
+                upstream = self._read_upstream(change.object)
+                if upstream is not None:
+                    self._upstreams.put(upstream)
+        logging.info(
+            "event=upstream_changed upstream=%s deleted=%s revision=%d",
+            name,
+            change.deleted,
+            change.object.version,
+        )
+
+    def _read_upstream(self, stored: StoredObject) -> Upstream | None:
+        name = stored.key.removeprefix(self._deployment.upstream_prefix)
+        try:
+            return self._deployment.read_upstream(name, stored.value)
+        except (KeyError, TypeError, ValueError) as error:
+            logging.warning("event=bad_registration upstream=%s reason=%r", name, error)
+            return None
+
+    def _upstreams_regained(self) -> None:
+        with self._upstreams_lock:
+            self._upstreams.regained(self._clock.now())
+
+    def _usable(self, service: str) -> list[Upstream]:
+        with self._upstreams_lock:
+            return self._upstreams.usable(service, self._clock.now())
+
+    def _entries_listed(self, objects: Sequence[StoredObject]) -> None:
+        for each in objects:
+            self._know_entry(each, deleted=False)
+
+    def _entry_changed(self, change: ObjectChange) -> None:
+        self._know_entry(change.object, deleted=change.deleted)
+
+    def _know_entry(self, stored: StoredObject, *, deleted: bool) -> None:
+        name = stored.key.removeprefix("entries/")
+        address = None if deleted else tuple(stored.value["address"])
+        self._peers.know(name, address)
+
+    def _register(self) -> None:
+        """Write this entry's address, so that the others find it."""
+        key = f"entries/{self._settings.node}"
+        value = {"address": [self._settings.address, self._settings.peer_port]}
+        while not self._leaving.is_set():
+            created = self._store.create(key, value)
+            if is_successful(created):
+                return
+            failure = created.failure()
+            current = failure.current
+            if failure.fault is StoreFault.CONFLICT and current is not None:
+                if current.value == value:
+                    return
+                if is_successful(self._store.update(key, value, version=current.version)):
+                    return
+            self._leaving.wait(0.3 + random.random() * 0.3)
+
+    def _recover(self) -> None:
+        """Take over what a start of the whole system left without an owner."""
+        if self._settings.first_start:
+            self._recovered.set()
+            return
+        self._leaving.wait(SETTLE_TIME / 1000.0)
+        while not self._leaving.is_set():
+            if self._jobs.recover(self._is_mine):
+                break
+            self._leaving.wait(0.3 + random.random() * 0.3)
+        self._recovered.set()
+        logging.info("event=recovered owned=%d", len(self._runner.owned()))
+
+    def _is_mine(self, job_id: str) -> bool:
+        nodes = [peer.name for peer in self._peers.live() if not peer.leaving]
+        nodes.append(self._settings.node)
+        return rendezvous_owner(job_id, nodes) == self._settings.node
+
+    def _peers_settled(self) -> bool:
+        return self._clock.now() - self._started >= SETTLE_TIME
+
+    def _peer_lost(self, peer: Peer) -> None:
+        mine = [job_id for job_id in sorted(peer.jobs) if self._is_mine(job_id)]
+        if not mine or self._leaving.is_set():
+            return
+        threading.Thread(
+            target=self._jobs.take_over,
+            args=(mine, f"lost {peer.identity}"),
+            name="takeover",
+            daemon=True,
+        ).start()
+
+    def _take_loads(self, peer: str, loads: Mapping[str, Load]) -> None:
+        with self._upstreams_lock:
+            upstreams = self._upstreams.listed()
+        self._loads.take_hint(peer, loads, upstreams)
+
+    def _take_versions(self, versions: Mapping[str, int]) -> None:
+        for name, follower in self._followers.items():
+            if versions.get(name, 0) > follower.latest:
+                threading.Timer(VERSION_LAG_S, self._catch_up, (name, versions[name])).start()
+
+    def _catch_up(self, name: str, version: int) -> None:
+        follower = self._followers[name]
+        if follower.latest < version and not self._leaving.is_set():
+            follower.refresh()
+
+    def _own_hint(self) -> OwnHint:
+        return OwnHint(
+            loads=self._loads.own_loads(),
+            jobs=self._runner.job_ids(),
+            waiting=self._runner.waiting_tokens(),
+            versions={name: each.latest for name, each in self._followers.items()},
+            leaving=self._leaving.is_set(),
+            store_ok=self._store.reachable,
+        )
+
+    def _tidy(self) -> None:
+        with self._upstreams_lock:
+            instances = self._upstreams.instances()
+        self._connections.forget(instances)
+        self._loads.forget(instances)
+        self._peer_caller.forget({peer.identity for peer in self._peers.live()})
+
+    def _limits(self) -> CallerLimits:
+        configuration = self._configuration
+        return configuration.limits if configuration is not None else CallerLimits()
+
+    @property
+    def _is_ready(self) -> bool:
+        known = self._configuration is not None and self._upstreams_listed
+        return known and not self._leaving.is_set()
+
+    def _answer_ready(self, request: CallerRequest, caller: CallerConnection) -> None:
+        if request.path != self._deployment.ready_path:
+            caller.answer(404, [], b"")
+            return
+        caller.answer(200 if self._is_ready else 503, [], b"")
+
+    def _answer_peer(self, request: CallerRequest, caller: CallerConnection) -> None:
+        body = cbor2.loads(request.body)
+        status = 200
+        answer: object = None
+        if request.path == "/results":
+            page = self._jobs.own_results(body["id"], body["after"], body["wait"])
+            if page is None:
+                status = 409
+            else:
+                results = [[each.item_id, each.end.value, each.text] for each in page.results]
+                answer = {"total": page.total, "results": results}
+        elif request.path == "/end":
+            status = 200 if self._jobs.end_own(body["id"]) is Outcome.DONE else 409
+        elif request.path == "/store":
+            answer = self._store.serve_relay(body)
+        else:
+            status = 404
+        headers = [(PEER_HEADERS.request_id, request.request_id.encode())]
+        data = cbor2.dumps(answer)
+        headers.append((PEER_HEADERS.signature, b"entry"))
+        caller.answer(status, headers, data)
+
+
+def make_direct_entry(settings: DirectSettings, deployment: Deployment) -> DirectEntry:
+    """Return an entry that is not running yet."""
+    return DirectEntry(settings, deployment)
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_follow.py
@@ -0,0 +1,154 @@
+"""Following one kind of objects in the store: a listing, then watches from its revision."""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Callable, Sequence
+
+from absl import logging
+from returns.pipeline import is_successful
+
+from carobspool_core import (
+    Millis,
+    ObjectChange,
+    ObjectStore,
+    StoredObject,
+    StoreFailure,
+    StoreFault,
+)
+
+WATCH_TIMEOUT: Millis = 30_000.0
+"""The longest that the store allows: each watch is a priced call. A connection that falls silent
+is found by keep-alive probes, not by this."""
+RETRY_PAUSE: Millis = 200.0
+RETRY_JITTER: Millis = 250.0
+"""Pause between tries while the store cannot be read, drawn anew each time, so that the processes
+do not all return in the same moment. A configuration has two seconds to come into force."""
+
+
+class Follower:
+    """Keeps a process up to date with the objects under a prefix.
+
+    Args:
+        store: The object store.
+        prefix: Which objects.
+        on_listing: Called with all objects after a listing.
+        on_change: Called with each change after that.
+        on_regained: Called when the store answers again after it could not be read.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        prefix: str,
+        *,
+        on_listing: Callable[[Sequence[StoredObject]], None],
+        on_change: Callable[[ObjectChange], None],
+        on_regained: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._on_listing = on_listing
+        self._on_change = on_change
+        self._on_regained = on_regained
+        self._lock = threading.Lock()
+        self._stopped = threading.Event()
+        self._listed = threading.Event()
+        self._failing = False
+        self._refreshing = threading.Lock()
+        self._latest = 0
+
+    @property
+    def latest(self) -> int:
+        """The highest revision of an object seen."""
+        return self._latest
+
+    def start(self) -> None:
+        """Start to follow."""
+        threading.Thread(target=self._loop, name=f"follow-{self._prefix}", daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop after the current call."""
+        self._stopped.set()
+
+    def wait_listed(self, timeout: Millis) -> bool:
+        """Wait for the first listing."""
+        return self._listed.wait(timeout / 1000.0)
+
+    def refresh(self) -> None:
+        """List again beside a watch that has missed something; one at a time."""
+        if not self._refreshing.acquire(blocking=False):
+            return
+        threading.Thread(target=self._refresh, name="refresh", daemon=True).start()
+
+    def _refresh(self) -> None:
+        try:
+            logging.info("event=watch_behind prefix=%s latest=%d", self._prefix, self._latest)
+            self._list()
+        finally:
+            self._refreshing.release()
+
+    def _loop(self) -> None:
+        revision: int | None = None
+        while not self._stopped.is_set():
+            try:
+                if revision is None:
+                    revision = self._list()
+                else:
+                    revision = self._watch(revision)
+            except Exception:  # noqa: BLE001
+                logging.exception("event=follow_failed prefix=%s", self._prefix)
+                revision = None
+            if revision is None:
+                pause = RETRY_PAUSE + random.random() * RETRY_JITTER
+                self._stopped.wait(pause / 1000.0)
+
+    def _list(self) -> int | None:
+        objects: list[StoredObject] = []
+        after = ""
+        while True:
+            page = self._store.list(self._prefix, after=after)
+            if not is_successful(page):
+                self._failed(page.failure())
+                return None
+            objects.extend(page.unwrap().objects)
+            if not page.unwrap().more:
+                break
+            after = page.unwrap().objects[-1].key
+        if self._failing:
+            self._failing = False
+            logging.info("event=store_regained prefix=%s", self._prefix)
+            self._on_regained()
+        with self._lock:
+            self._note([each.version for each in objects])
+            self._on_listing(objects)
+        self._listed.set()
+        return page.unwrap().revision
+
+    def _watch(self, revision: int) -> int | None:
+        batch = self._store.watch(self._prefix, revision=revision, timeout=WATCH_TIMEOUT)
+        if not is_successful(batch):
+            self._failed(batch.failure())
+            return None
+        with self._lock:
+            for change in batch.unwrap().changes:
+                self._note([change.object.version])
+                self._on_change(change)
+        return batch.unwrap().revision
+
+    def _note(self, versions: Sequence[int]) -> None:
+        self._latest = max(self._latest, *versions, 0)
+
+    def _failed(self, failure: StoreFailure) -> None:
+        if failure.fault is StoreFault.COMPACTED:
+            logging.info("event=watch_compacted prefix=%s", self._prefix)
+            return
+        if not self._failing:
+            logging.warning(
+                "event=store_lost prefix=%s fault=%s detail=%r",
+                self._prefix,
+                failure.fault,
+                failure.detail,
+            )
+        self._failing = True
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -0,0 +1,364 @@
+"""Forwarding of online requests: attempts, and what the caller is told at the end.
+
+A caller is told 503 only when no upstream has run its request. Once a request was sent and nothing
+is known of it, the answer is 502, or 504 at the time limit; only what may be repeated is tried
+again.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from absl import logging
+
+from carobspool_core import Clock, Millis
+from carobspool_core.direct import EventSplitter, Route, RouteKind, Upstream
+from carobspool_node.direct._caller_connection import CallerConnection
+from carobspool_node.direct._errors import (
+    CallerGoneError,
+    DeadlinePassedError,
+    RunCancelledError,
+)
+from carobspool_node.direct._loads import LoadTable
+from carobspool_node.direct._messages import (
+    CallerRequest,
+    HeaderNames,
+    Headers,
+    UpstreamHead,
+    end_to_end,
+)
+from carobspool_node.direct._telemetry import Telemetry
+from carobspool_node.direct._upstream_calls import (
+    CallFailedError,
+    UpstreamCall,
+    UpstreamConnections,
+    UpstreamRequest,
+)
+
+NOT_RUN_TRIES = 3
+"""Upstreams that may turn one request away unrun before its caller is told to come back. Each costs
+a round trip; when three are full, so probably are the others."""
+FULL_RETRY_AFTER: Millis = 300.0
+"""Time in which about three slots of an engine free, so that a return finds room."""
+NO_UPSTREAM_RETRY_AFTER: Millis = 1_000.0
+"""Time after which a restarted server is listed again."""
+FIRST_TRY_SHARE = 0.45
+"""Share of the time left that the first try of a repeatable request may take. Plain calls take
+20 to 110 ms of 600 and more; a server that has stopped leaves time for a second one."""
+STREAM_SILENCE: Millis = 900.0
+"""Pause after which a resumable stream goes on elsewhere. Events come every 30 ms; callers give up
+after two seconds."""
+MIN_TRY_TIME: Millis = 20.0
+"""A try with less time left than this is not worth sending."""
+
+
+@dataclass(slots=True, kw_only=True)
+class _Attempt:
+    """State of one request over its tries."""
+
+    request: CallerRequest
+    route: Route
+    caller: CallerConnection
+    deadline: Millis
+    tried: set[str] = field(default_factory=set)
+    runs: int = 0
+    turned_away: int = 0
+    may_have_run: bool = False
+    last_event: int | None = None
+    streaming: bool = False
+    last_failure: str = ""
+
+
+class _StreamBrokenError(Exception):
+    """A stream ended before its last piece."""
+
+
+class Forwarder:
+    """Serves online requests.
+
+    Args:
+        clock: The process's clock.
+        names: Header names of the deployment.
+        loads: Requests in flight.
+        connections: Kept connections.
+        usable: Returns the upstreams of a service.
+        telemetry: Logs and metrics.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        names: HeaderNames,
+        loads: LoadTable,
+        connections: UpstreamConnections,
+        usable: Callable[[str], Sequence[Upstream]],
+        telemetry: Telemetry,
+    ) -> None:
+        self._clock = clock
+        self._names = names
+        self._loads = loads
+        self._connections = connections
+        self._usable = usable
+        self._telemetry = telemetry
+
+    def serve(self, request: CallerRequest, route: Route, caller: CallerConnection) -> None:
+        """Serve one request to its end.
+
+        Raises:
+            CallerGoneError: The caller left; what ran for it was cancelled.
+        """
+        attempt = _Attempt(
+            request=request, route=route, caller=caller, deadline=self._deadline(request, route)
+        )
+        try:
+            self._try_upstreams(attempt)
+        except DeadlinePassedError:
+            self._time_is_over(attempt)
+        except CallerGoneError:
+            self._note(attempt, "caller_gone", 0)
+            raise
+
+    def _deadline(self, request: CallerRequest, route: Route) -> Millis:
+        limit = route.timeout
+        value = request.header(self._names.deadline)
+        if value is not None and value.isdigit():
+            limit = min(limit, float(value))
+        return request.arrived + limit
+
+    def _try_upstreams(self, attempt: _Attempt) -> None:
+        service = attempt.route.service_for(attempt.request.request_id)
+        while True:
+            upstreams = self._usable(service)
+            if attempt.deadline - self._clock.now() < MIN_TRY_TIME:
+                raise DeadlinePassedError("no time for another try")
+            chosen = self._loads.place_online(upstreams, frozenset(attempt.tried))
+            if chosen is None:
+                self._give_up(attempt, full=bool(upstreams))
+                return
+            attempt.tried.add(chosen.instance)
+            try:
+                done = self._try(attempt, chosen)
+            finally:
+                self._loads.end_online(chosen)
+            if done:
+                return
+            if attempt.runs >= attempt.route.max_attempts or not self._may_go_on(attempt):
+                self._give_up(attempt, full=True)
+                return
+
+    def _may_go_on(self, attempt: _Attempt) -> bool:
+        if attempt.turned_away >= NOT_RUN_TRIES:
+            return False
+        return attempt.route.may_repeat or not attempt.may_have_run
+
+    def _try(self, attempt: _Attempt, upstream: Upstream) -> bool:
+        """Make one call; return whether the caller has its answer."""
+        call = UpstreamCall(self._connections, upstream, self._names, watch=attempt.caller.watch)
+        try:
+            head = call.start(self._to_upstream(attempt, upstream), self._try_deadline(attempt))
+            self._loads.heard(upstream)
+            return self._take_answer(attempt, upstream, call, head)
+        except CallFailedError as error:
+            self._failed(attempt, upstream, str(error), sent=error.sent)
+            return False
+        except _StreamBrokenError as error:
+            self._failed(attempt, upstream, str(error), sent=True)
+            return False
+        except DeadlinePassedError:
+            attempt.may_have_run = True
+            attempt.runs += 1
+            if self._clock.now() >= attempt.deadline - MIN_TRY_TIME:
+                raise
+            self._loads.suspect(upstream)
+            attempt.last_failure = "no answer in the time of one try"
+            return False
+        except RunCancelledError as error:
+            self._failed(attempt, upstream, str(error), sent=True)
+            return False
+        finally:
+            call.close()
+
+    def _failed(self, attempt: _Attempt, upstream: Upstream, reason: str, *, sent: bool) -> None:
+        self._loads.suspect(upstream)
+        attempt.last_failure = reason
+        self._telemetry.count("upstream_failures", service=upstream.service)
+        logging.info(
+            "event=try_failed request=%s upstream=%s sent=%s reason=%r",
+            attempt.request.request_id,
+            upstream.instance,
+            sent,
+            reason,
+        )
+        if sent:
+            attempt.may_have_run = True
+            attempt.runs += 1
+        else:
+            attempt.turned_away += 1
+
+    def _try_deadline(self, attempt: _Attempt) -> Millis:
+        left = attempt.deadline - self._clock.now()
+        more_tries = attempt.runs + 1 < attempt.route.max_attempts
+        if attempt.route.kind is RouteKind.SAFE and more_tries:
+            return attempt.deadline - left * (1.0 - FIRST_TRY_SHARE)
+        if attempt.route.resumable and more_tries:
+            return min(attempt.deadline, self._clock.now() + STREAM_SILENCE)
+        return attempt.deadline
+
+    def _to_upstream(self, attempt: _Attempt, upstream: Upstream) -> UpstreamRequest:
+        request = attempt.request
+        names = self._names
+        headers = end_to_end(
+            request.headers, without=(names.deadline, names.expect_instance, b"content-length")
+        )
+        left = max(1, int(attempt.deadline - self._clock.now()))
+        headers.append((names.deadline, str(left).encode()))
+        headers.append((names.expect_instance, upstream.instance.encode()))
+        if attempt.last_event is not None:
+            headers = [(key, value) for key, value in headers if key.lower() != names.last_event]
+            headers.append((names.last_event, str(attempt.last_event).encode()))
+        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
+            headers.append((b"Content-Length", str(len(request.body)).encode()))
+        return UpstreamRequest(
+            method=request.method,
+            target=request.target,
+            headers=headers,
+            body=request.body,
+            request_id=request.request_id,
+        )
+
+    def _take_answer(
+        self, attempt: _Attempt, upstream: Upstream, call: UpstreamCall, head: UpstreamHead
+    ) -> bool:
+        if head.header(self._names.not_run) is not None or head.status == 421:
+            call.read_body(attempt.deadline)
+            attempt.turned_away += 1
+            attempt.last_failure = f"turned away with {head.status}"
+            return False
+        if head.header(self._names.signature) is None:
+            raise CallFailedError("an answer without the server's signature", sent=True)
+        if head.header(b"content-encoding") is not None:
+            raise CallFailedError("an answer with a foreign encoding", sent=True)
+        if head.succeeded and attempt.route.kind is RouteKind.STREAM:
+            self._pass_stream(attempt, upstream, call, head)
+            return True
+        body = call.read_body(self._try_deadline(attempt))
+        attempt.runs += 1
+        attempt.may_have_run = True
+        if self._is_worth_another_try(attempt, head):
+            attempt.last_failure = f"status {head.status}"
+            self._loads.suspect(upstream)
+            return False
+        if attempt.streaming:
+            raise _StreamBrokenError(f"status {head.status} instead of the stream's rest")
+        attempt.caller.answer(head.status, _answer_headers(head), body, reason=head.reason)
+        self._note(attempt, "answered", head.status)
+        return True
+
+    def _is_worth_another_try(self, attempt: _Attempt, head: UpstreamHead) -> bool:
+        if head.status < 500 or attempt.runs >= attempt.route.max_attempts:
+            return False
+        return attempt.route.kind is RouteKind.SAFE
+
+    def _pass_stream(
+        self, attempt: _Attempt, upstream: Upstream, call: UpstreamCall, head: UpstreamHead
+    ) -> None:
+        splitter = EventSplitter()
+        silence = STREAM_SILENCE if attempt.route.resumable else None
+        for data in call.body(attempt.deadline, silence=silence):
+            self._loads.heard(upstream)
+            pieces = []
+            for event in splitter.feed(data):
+                if attempt.last_event is not None and event.event_id is not None:
+                    if event.event_id <= attempt.last_event:
+                        continue
+                    if event.event_id != attempt.last_event + 1:
+                        raise _StreamBrokenError("an event is missing")
+                pieces.append(event.raw)
+                if event.event_id is not None:
+                    attempt.last_event = event.event_id
+            if not pieces:
+                continue
+            if not attempt.streaming:
+                attempt.streaming = True
+                attempt.caller.start_stream(head.status, _answer_headers(head), head.reason)
+                self._telemetry.time("first_event", self._clock.now() - attempt.request.arrived)
+            attempt.caller.send_piece(b"".join(pieces))
+        if splitter.incomplete:
+            raise _StreamBrokenError("the stream ends in the middle of an event")
+        if not attempt.streaming:
+            attempt.streaming = True
+            attempt.caller.start_stream(head.status, _answer_headers(head), head.reason)
+        attempt.runs += 1
+        attempt.caller.finish_stream()
+        self._note(attempt, "streamed", head.status)
+
+    def _give_up(self, attempt: _Attempt, *, full: bool) -> None:
+        if attempt.streaming:
+            self._note(attempt, "broken_off", 0)
+            attempt.caller.abort()
+            return
+        if attempt.may_have_run:
+            self._fail(attempt, 502, "unknown", None)
+            return
+        wait = FULL_RETRY_AFTER if full else NO_UPSTREAM_RETRY_AFTER
+        self._fail(attempt, 503, "not_run", wait)
+
+    def _time_is_over(self, attempt: _Attempt) -> None:
+        if attempt.streaming:
+            self._note(attempt, "time_over", 0)
+            attempt.caller.abort()
+            return
+        if attempt.may_have_run:
+            self._fail(attempt, 504, "unknown", None)
+            return
+        self._fail(attempt, 503, "not_run", FULL_RETRY_AFTER)
+
+    def _fail(
+        self, attempt: _Attempt, status: int, outcome: str, retry_after: Millis | None
+    ) -> None:
+        self._note(attempt, outcome, status)
+        message = attempt.last_failure or "no upstream is free"
+        headers, body = failure_answer(message, outcome, retry_after)
+        attempt.caller.answer(status, headers, body)
+
+    def _note(self, attempt: _Attempt, outcome: str, status: int) -> None:
+        took = self._clock.now() - attempt.request.arrived
+        self._telemetry.count("requests", route=attempt.route.kind.value, outcome=outcome)
+        self._telemetry.time("request", took)
+        logging.info(
+            "event=request request=%s route=%s outcome=%s status=%d runs=%d turned_away=%d"
+            " upstreams=%s took_ms=%.0f failure=%r",
+            attempt.request.request_id,
+            attempt.route.name,
+            outcome,
+            status,
+            attempt.runs,
+            attempt.turned_away,
+            ",".join(sorted(attempt.tried)),
+            took,
+            attempt.last_failure,
+        )
+
+
+def failure_answer(message: str, outcome: str, retry_after: Millis | None) -> tuple[Headers, bytes]:
+    """Return headers and body of a failure of our own.
+
+    Args:
+        message: What happened.
+        outcome: ``not_run`` or ``unknown``.
+        retry_after: When to come back, in milliseconds.
+    """
+    headers: Headers = [
+        (b"Content-Type", b"application/json"),
+        (b"carobspool-outcome", outcome.encode()),
+    ]
+    if retry_after is not None:
+        headers.append((b"Retry-After", f"{retry_after / 1000.0:g}".encode()))
+    body = json.dumps({"error": {"message": message, "outcome": outcome}}).encode()
+    return headers, body
+
+
+def _answer_headers(head: UpstreamHead) -> Headers:
+    return end_to_end(head.headers, without=(b"content-length",))
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_item_run.py
@@ -0,0 +1,134 @@
+"""One run of one batch item at an upstream, as a stream that can give way and resume."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from carobspool_core import Clock, Millis
+from carobspool_core.direct import EventSplitter, ItemWork, Upstream
+from carobspool_node.direct._errors import DeadlinePassedError, RunCancelledError
+from carobspool_node.direct._loads import BatchRun, LoadTable
+from carobspool_node.direct._messages import HeaderNames, Headers, UpstreamHead, end_to_end
+from carobspool_node.direct._upstream_calls import (
+    CallFailedError,
+    UpstreamCall,
+    UpstreamConnections,
+    UpstreamRequest,
+)
+
+HEAD_TIMEOUT: Millis = 4_000.0
+"""Longest time to the first event of an item. It may wait at an engine behind a burst of online
+requests, which lasts some two seconds."""
+ITEM_SILENCE: Millis = 2_000.0
+"""Pause after which an item goes on elsewhere; events come every 30 ms or so."""
+RUN_LIMIT: Millis = 60_000.0
+
+
+class RunEnd(StrEnum):
+    """How a run ended."""
+
+    COMPLETED = "completed"
+    FAILED = "failed"
+    REJECTED = "rejected"
+    TURNED_AWAY = "turned_away"
+    INTERRUPTED = "interrupted"
+    BROKEN = "broken"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunOutcome:
+    """End of a run and what was seen."""
+
+    end: RunEnd
+    detail: str = ""
+
+
+class ItemRunner:
+    """Runs items at upstreams."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        names: HeaderNames,
+        loads: LoadTable,
+        connections: UpstreamConnections,
+    ) -> None:
+        self._clock = clock
+        self._names = names
+        self._loads = loads
+        self._connections = connections
+
+    def run(self, host: str, work: ItemWork, upstream: Upstream, run: BatchRun) -> RunOutcome:
+        """Run an item; its text so far stays in ``work`` whatever happens."""
+        call = UpstreamCall(self._connections, upstream, self._names, cancellation=run.cancellation)
+        now = self._clock.now()
+        try:
+            head = call.start(self._request(host, work, upstream), now + HEAD_TIMEOUT)
+            self._loads.heard(upstream)
+            return self._take(call, head, work, upstream)
+        except CallFailedError as error:
+            self._loads.suspect(upstream)
+            return RunOutcome(end=RunEnd.BROKEN, detail=str(error))
+        except DeadlinePassedError:
+            self._loads.suspect(upstream)
+            return RunOutcome(end=RunEnd.BROKEN, detail="no answer in time")
+        except RunCancelledError:
+            return RunOutcome(end=RunEnd.INTERRUPTED)
+        finally:
+            call.close()
+
+    def _take(
+        self, call: UpstreamCall, head: UpstreamHead, work: ItemWork, upstream: Upstream
+    ) -> RunOutcome:
+        deadline = self._clock.now() + RUN_LIMIT
+        if head.header(self._names.not_run) is not None or head.status == 421:
+            call.read_body(deadline)
+            return RunOutcome(end=RunEnd.TURNED_AWAY, detail=f"status {head.status}")
+        if head.header(self._names.signature) is None:
+            raise CallFailedError("an answer without the server's signature", sent=True)
+        if not head.succeeded:
+            call.read_body(deadline)
+            return _refused(head.status)
+        splitter = EventSplitter()
+        for data in call.body(deadline, silence=ITEM_SILENCE):
+            self._loads.heard(upstream)
+            for event in splitter.feed(data):
+                if event.event_id is None:
+                    continue
+                if event.event_id <= work.last_event:
+                    continue
+                if event.event_id != work.last_event + 1:
+                    raise CallFailedError("an event is missing", sent=True)
+                work.texts.append(event.data)
+                work.last_event = event.event_id
+        if splitter.incomplete:
+            raise CallFailedError("the stream ends in the middle of an event", sent=True)
+        return RunOutcome(end=RunEnd.COMPLETED)
+
+    def _request(self, host: str, work: ItemWork, upstream: Upstream) -> UpstreamRequest:
+        names = self._names
+        item = work.item
+        own = (names.request_id, names.expect_instance, b"host", b"content-length")
+        given: Headers = [(key.encode(), value.encode()) for key, value in item.headers.items()]
+        headers = [(b"Host", host.encode()), *end_to_end(given, without=own)]
+        headers.append((names.request_id, item.item_id.encode()))
+        headers.append((names.expect_instance, upstream.instance.encode()))
+        headers.append((b"Content-Length", str(len(item.body)).encode()))
+        if work.last_event:
+            headers.append((names.last_event, str(work.last_event).encode()))
+        return UpstreamRequest(
+            method=b"POST",
+            target=item.path.encode(),
+            headers=headers,
+            body=item.body,
+            request_id=item.item_id,
+        )
+
+
+def _refused(status: int) -> RunOutcome:
+    if status == 422:
+        return RunOutcome(end=RunEnd.REJECTED, detail="status 422")
+    if status == 500:
+        return RunOutcome(end=RunEnd.FAILED, detail="status 500")
+    return RunOutcome(end=RunEnd.BROKEN, detail=f"status {status}")
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -0,0 +1,284 @@
+"""Works on the owned jobs: starts items where there is room and commits their results."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+
+from absl import logging
+
+from carobspool_core import Clock, Millis, ObjectStore, wall_millis
+from carobspool_core.direct import (
+    Configuration,
+    ItemEnd,
+    ItemWork,
+    Route,
+    RouteKind,
+    Upstream,
+)
+from carobspool_node.direct._item_run import ItemRunner, RunEnd, RunOutcome
+from carobspool_node.direct._loads import BatchRun, LoadTable
+from carobspool_node.direct._owned_job import OwnedJob
+from carobspool_node.direct._telemetry import Telemetry
+
+MAX_RUNS = 96
+"""Items run at once by one entry: more than all places of an engine fleet of this size, and a bound
+on threads."""
+IDLE_WAIT_S = 0.1
+"""Longest pause between two looks for room; events of this entry wake it earlier, so this is how
+long room that others made goes unnoticed."""
+TURNED_AWAY_PAUSE: Millis = 60.0
+BROKEN_PAUSE: Millis = 100.0
+VIEW_AGE: Millis = 1_500.0
+"""Age of the last proof of ownership beyond which it is renewed before an item starts, when others
+may have taken this entry for dead. A job that was ended through another entry must not start items
+three seconds later."""
+KEPT_FINISHED = 64
+"""Finished jobs that an entry answers for from memory; older ones are read from the store."""
+
+
+class JobRunner:
+    """The owned jobs and the tasks that work on them."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: ObjectStore,
+        loads: LoadTable,
+        runner: ItemRunner,
+        telemetry: Telemetry,
+        *,
+        configuration: Callable[[], Configuration | None],
+        usable: Callable[[str], Sequence[Upstream]],
+        in_doubt: Callable[[], bool],
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._loads = loads
+        self._runner = runner
+        self._telemetry = telemetry
+        self._configuration = configuration
+        self._usable = usable
+        self._in_doubt = in_doubt
+        self._lock = threading.Lock()
+        self._jobs: dict[str, OwnedJob] = {}
+        self._wake = threading.Event()
+        self._stopped = threading.Event()
+        self._runs = ThreadPoolExecutor(MAX_RUNS, thread_name_prefix="item")
+        self._commits = ThreadPoolExecutor(8, thread_name_prefix="commit")
+        self._running = 0
+        self._committing: set[str] = set()
+
+    def start(self) -> None:
+        """Start to work."""
+        self._loads.on_room(self._wake.set)
+        threading.Thread(target=self._loop, name="jobs", daemon=True).start()
+
+    def stop(self) -> None:
+        """Start nothing more, cancel what runs and commit what is done."""
+        self._stopped.set()
+        self._wake.set()
+        jobs = self.owned()
+        for job in jobs:
+            job.stop_runs()
+        for job in jobs:
+            if job.commit_due(float("inf")):
+                job.commit(self._store)
+
+    def add(self, job: OwnedJob) -> None:
+        """Take a job on."""
+        with self._lock:
+            self._jobs[job.job_id] = job
+        self._wake.set()
+
+    def get(self, job_id: str) -> OwnedJob | None:
+        """Return an owned job."""
+        with self._lock:
+            return self._jobs.get(job_id)
+
+    def owned(self) -> list[OwnedJob]:
+        """Return all owned jobs."""
+        with self._lock:
+            return list(self._jobs.values())
+
+    def job_ids(self) -> frozenset[str]:
+        """Return the ids of all owned jobs."""
+        with self._lock:
+            return frozenset(self._jobs)
+
+    def waiting_tokens(self) -> dict[str, int]:
+        """Return the tokens of unfinished items by route."""
+        configuration = self._configuration()
+        found: dict[str, int] = {}
+        if configuration is None:
+            return found
+        for job in self.owned():
+            route = configuration.route_for(job.input.host, job.input.path)
+            if route is None or job.finished:
+                continue
+            with job.lock:
+                found[route.name] = found.get(route.name, 0) + job.work.waiting_tokens
+        return found
+
+    def _loop(self) -> None:
+        while not self._stopped.is_set():
+            self._wake.wait(IDLE_WAIT_S)
+            self._wake.clear()
+            try:
+                self._drop_lost()
+                self._commit_due()
+                self._start_items()
+            except Exception:  # noqa: BLE001
+                logging.exception("event=job_loop_failed")
+
+    def _drop_lost(self) -> None:
+        jobs = self.owned()
+        finished = [job for job in jobs if job.finished]
+        too_many = max(0, len(finished) - KEPT_FINISHED)
+        dropped = [job for job in jobs if job.lost] + finished[:too_many]
+        for job in dropped:
+            with self._lock:
+                self._jobs.pop(job.job_id, None)
+            logging.info("event=job_dropped job=%s lost=%s", job.job_id, job.lost)
+
+    def _commit_due(self) -> None:
+        now = self._clock.now()
+        for job in self.owned():
+            if job.job_id in self._committing or not job.commit_due(now):
+                continue
+            self._committing.add(job.job_id)
+            self._commits.submit(self._commit, job)
+
+    def _commit(self, job: OwnedJob) -> None:
+        started = self._clock.now()
+        try:
+            done = job.commit(self._store)
+            took = self._clock.now() - started
+            self._telemetry.time("job_commit", took)
+            with job.lock:
+                committed = len(job.work.committed)
+                left = len(job.work.open_items())
+            logging.info(
+                "event=job_commit job=%s done=%s lost=%s committed=%d open=%d took_ms=%.0f",
+                job.job_id,
+                done,
+                job.lost,
+                committed,
+                left,
+                took,
+            )
+        except Exception:  # noqa: BLE001
+            logging.exception("event=job_commit_failed job=%s", job.job_id)
+        finally:
+            self._committing.discard(job.job_id)
+
+    def _start_items(self) -> None:
+        configuration = self._configuration()
+        if configuration is None:
+            return
+        for job in sorted(self.owned(), key=lambda each: each.accepted):
+            if job.lost or job.finished or self._stopped.is_set():
+                continue
+            if not self._start_items_of(job, configuration):
+                return
+
+    def _start_items_of(self, job: OwnedJob, configuration: Configuration) -> bool:
+        """Start what there is room for; return whether there may be more room."""
+        while self._running < MAX_RUNS:
+            with job.lock:
+                work = job.work.next_item(self._clock.now())
+            if work is None:
+                return True
+            route = configuration.route_for(job.input.host, work.item.path)
+            if self._is_over(job, work, route):
+                continue
+            assert route is not None
+            upstreams = self._usable(route.service_for(work.item.item_id))
+            if not self._is_still_ours(job):
+                return True
+            placed = self._loads.place_batch(upstreams)
+            if placed is None:
+                return False
+            upstream, run = placed
+            work.running = True
+            job.add_run(run)
+            self._running += 1
+            self._runs.submit(self._run, job, work, route, upstream, run)
+        return False
+
+    def _is_over(self, job: OwnedJob, work: ItemWork, route: Route | None) -> bool:
+        """Give up an item whose route is gone or whose time is over."""
+        if route is not None and route.kind is RouteKind.BATCH:
+            age = wall_millis() - job.input.submitted
+            if not route.retention or age < route.retention:
+                return False
+            reason = "too old"
+        else:
+            reason = "its route is gone"
+        with job.lock:
+            job.work.finish(work, ItemEnd.DEAD)
+        self._count_item(job, work, "dead", reason)
+        return True
+
+    def _is_still_ours(self, job: OwnedJob) -> bool:
+        if not self._in_doubt() or self._clock.now() - job.verified < VIEW_AGE:
+            return True
+        # An unreachable store lets nobody else end or take over the job either.
+        job.verify(self._store)
+        return not job.lost
+
+    def _run(
+        self, job: OwnedJob, work: ItemWork, route: Route, upstream: Upstream, run: BatchRun
+    ) -> None:
+        started = self._clock.now()
+        try:
+            if run.cancellation.cancelled or job.lost or job.work.ended:
+                outcome = RunOutcome(end=RunEnd.INTERRUPTED)
+            else:
+                outcome = self._runner.run(job.input.host, work, upstream, run)
+            self._take_outcome(job, work, route, outcome)
+            self._telemetry.time("item_run", self._clock.now() - started)
+            self._count_item(job, work, outcome.end.value, outcome.detail, upstream.instance)
+        except Exception:  # noqa: BLE001
+            logging.exception("event=item_failed job=%s item=%s", job.job_id, work.item.item_id)
+            work.not_before = self._clock.now() + BROKEN_PAUSE
+        finally:
+            job.remove_run(run)
+            work.running = False
+            self._running -= 1
+            self._loads.end_batch(upstream, run)
+            self._wake.set()
+
+    def _take_outcome(
+        self, job: OwnedJob, work: ItemWork, route: Route, outcome: RunOutcome
+    ) -> None:
+        now = self._clock.now()
+        with job.lock:
+            if outcome.end is RunEnd.COMPLETED:
+                job.work.finish(work, ItemEnd.COMPLETED)
+            elif outcome.end is RunEnd.FAILED:
+                work.restart()
+                job.work.failed(work, max_attempts=route.max_attempts)
+            elif outcome.end is RunEnd.REJECTED:
+                job.work.rejected(work)
+            elif outcome.end is RunEnd.TURNED_AWAY:
+                work.not_before = now + TURNED_AWAY_PAUSE
+            elif outcome.end is RunEnd.BROKEN:
+                work.not_before = now + BROKEN_PAUSE
+
+    def _count_item(
+        self, job: OwnedJob, work: ItemWork, outcome: str, detail: str, upstream: str = ""
+    ) -> None:
+        self._telemetry.count("items", outcome=outcome)
+        logging.info(
+            "event=item job=%s item=%s outcome=%s upstream=%s last_event=%d failures=%d"
+            " detail=%r",
+            job.job_id,
+            work.item.item_id,
+            outcome,
+            upstream,
+            work.last_event,
+            work.failures,
+            detail,
+        )
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -0,0 +1,442 @@
+"""Batch jobs as callers see them, at any entry: submit, read, read a body, end.
+
+A job is accepted by one create in the object store. The entry that accepts it owns it; another
+answers for it by asking the owner, or from the store when the owner cannot be reached. Only the
+store's word makes a job unknown.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Generic, TypeVar
+
+from absl import logging
+from returns.pipeline import is_successful
+
+from carobspool_core import (
+    Clock,
+    Millis,
+    ObjectStore,
+    StoredObject,
+    StoreFailure,
+    StoreFault,
+    wall_millis,
+)
+from carobspool_core.direct import (
+    ItemResult,
+    JobInput,
+    JobItem,
+    JobProgress,
+    Route,
+    fits_quota,
+    job_from_json,
+    job_to_json,
+    progress_from_json,
+    progress_to_json,
+)
+from carobspool_node.direct._job_runner import JobRunner
+from carobspool_node.direct._owned_job import OwnedJob, input_key, progress_key
+from carobspool_node.direct._peer_calls import PeerCaller, PeerCallError
+from carobspool_node.direct._peers import Peer, Peers
+from carobspool_node.direct._telemetry import Telemetry
+
+VERIFY_AGE: Millis = 700.0
+"""Age of the last proof of ownership beyond which reads are preceded by a new one while others may
+have taken this entry for dead: a reader may see a position elsewhere and must find it here within a
+second."""
+PEER_TIMEOUT: Millis = 900.0
+INPUT_CACHE_BYTES = 32 * 1024 * 1024
+FINISHED_CACHE_BYTES = 16 * 1024 * 1024
+END_TRIES = 4
+
+_V = TypeVar("_V")
+
+
+class Outcome(StrEnum):
+    """How a call on a job ended."""
+
+    DONE = "done"
+    NOT_FOUND = "not_found"
+    OVER_QUOTA = "over_quota"
+    UNAVAILABLE = "unavailable"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ResultsPage:
+    """Results of a job from one position on."""
+
+    total: int
+    after: int
+    results: Sequence[ItemResult]
+
+
+class _BoundedCache(Generic[_V]):
+    """Least recently used values, bounded by their summed size in bytes."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._size = 0
+        self._values: OrderedDict[str, tuple[_V, int]] = OrderedDict()
+        self._lock = threading.Lock()
+
+    def get(self, key: str) -> _V | None:
+        with self._lock:
+            found = self._values.get(key)
+            if found is None:
+                return None
+            self._values.move_to_end(key)
+            return found[0]
+
+    def put(self, key: str, value: _V, size: int) -> None:
+        with self._lock:
+            old = self._values.pop(key, None)
+            self._size += size - (old[1] if old else 0)
+            self._values[key] = (value, size)
+            while self._size > self._limit and len(self._values) > 1:
+                _, (_, dropped) = self._values.popitem(last=False)
+                self._size -= dropped
+
+
+class Jobs:
+    """Calls on batch jobs."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: ObjectStore,
+        runner: JobRunner,
+        peers: Peers,
+        caller: PeerCaller,
+        telemetry: Telemetry,
+        *,
+        peers_settled: Callable[[], bool],
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._runner = runner
+        self._peers = peers
+        self._caller = caller
+        self._telemetry = telemetry
+        self._peers_settled = peers_settled
+        self._inputs: _BoundedCache[JobInput] = _BoundedCache(INPUT_CACHE_BYTES)
+        self._finished: _BoundedCache[JobProgress] = _BoundedCache(FINISHED_CACHE_BYTES)
+        self._adopting = threading.Lock()
+
+    def submit(
+        self, job_id: str, host: str, path: str, items: Sequence[JobItem], route: Route
+    ) -> Outcome:
+        """Accept a job, once however often it comes."""
+        if self._runner.get(job_id) is not None or self._peers.holder_of(job_id) is not None:
+            return Outcome.DONE
+        if self._inputs.get(job_id) is not None:
+            return Outcome.DONE
+        tokens = sum(item.tokens for item in items)
+        if not self._fits(route, tokens):
+            known = self._known(job_id)
+            return Outcome.DONE if known else Outcome.OVER_QUOTA
+        job = JobInput(
+            job_id=job_id,
+            host=host,
+            path=path,
+            owner=self._peers.identity,
+            submitted=wall_millis(),
+            items=tuple(items),
+        )
+        created = self._store.create(input_key(job_id), job_to_json(job))
+        if is_successful(created):
+            self._own(job, JobProgress(owner=self._peers.identity, total=len(items)), 0)
+            return Outcome.DONE
+        failure = created.failure()
+        if failure.fault is StoreFault.CONFLICT:
+            self._find_owner(job_id)
+            return Outcome.DONE
+        if failure.fault is StoreFault.UNKNOWN:
+            return Outcome.UNKNOWN
+        return Outcome.UNAVAILABLE
+
+    def results(self, job_id: str, after: int, wait: Millis) -> ResultsPage | Outcome:
+        """Return results from a position on, waiting up to ``wait`` for the first."""
+        until = self._clock.now() + wait
+        page = self.own_results(job_id, after, wait)
+        if page is not None:
+            return page
+        finished = self._finished.get(job_id)
+        if finished is not None:
+            return _page(finished.total, after, finished.results)
+        peer = self._peers.holder_of(job_id)
+        if peer is not None:
+            page = self._results_from(peer, job_id, after, max(0.0, until - self._clock.now()))
+            if page is not None:
+                return page
+        return self._results_from_store(job_id, after)
+
+    def own_results(self, job_id: str, after: int, wait: Millis) -> ResultsPage | None:
+        """Return results of a job that this entry owns, ``None`` when it does not."""
+        job = self._runner.get(job_id)
+        if job is None or job.lost:
+            return None
+        doubtful = not job.finished and self._peers.in_doubt()
+        is_old = self._clock.now() - job.verified > VERIFY_AGE
+        if doubtful and is_old and not job.verify(self._store):
+            return None
+        found = job.page(after, self._clock.now() + wait)
+        if found is None:
+            return None
+        return ResultsPage(total=len(job.input.items), after=after, results=found)
+
+    def body(self, job_id: str, item_id: str) -> bytes | Outcome:
+        """Return the body of an item as submitted."""
+        job = self._input(job_id)
+        if isinstance(job, Outcome):
+            return job
+        for item in job.items:
+            if item.item_id == item_id:
+                return item.body
+        return Outcome.NOT_FOUND
+
+    def end(self, job_id: str) -> Outcome:
+        """End a job: nothing of it starts any more."""
+        own = self.end_own(job_id)
+        if own is not None and own is not Outcome.NOT_FOUND:
+            return own
+        peer = self._peers.holder_of(job_id)
+        if peer is not None:
+            try:
+                status, _ = self._caller.call(peer, "end", {"id": job_id}, PEER_TIMEOUT * 2)
+                if status == 200:
+                    return Outcome.DONE
+            except PeerCallError as error:
+                logging.warning("event=peer_call_failed peer=%s reason=%r", peer.identity, error)
+        return self._end_in_store(job_id)
+
+    def end_own(self, job_id: str) -> Outcome | None:
+        """End a job that this entry owns; ``None`` when it does not own it."""
+        job = self._runner.get(job_id)
+        if job is None or job.lost:
+            return None
+        job.end()
+        for _ in range(END_TRIES):
+            if job.commit(self._store):
+                logging.info("event=job_ended job=%s", job_id)
+                return Outcome.DONE
+            if job.lost:
+                return Outcome.NOT_FOUND
+        return Outcome.UNAVAILABLE
+
+    def take_over(self, job_ids: Sequence[str], reason: str) -> None:
+        """Take over jobs whose owner is gone."""
+        for job_id in job_ids:
+            try:
+                self._find_owner(job_id, reason=reason)
+            except Exception:  # noqa: BLE001
+                logging.exception("event=takeover_failed job=%s", job_id)
+
+    def recover(self, mine: Callable[[str], bool]) -> bool:
+        """Take over every open job in the store whose owner is gone; return whether it was read.
+
+        Args:
+            mine: Whether this entry, of all live ones, is to take a job over.
+        """
+        progress = self._list("progress/")
+        inputs = self._list("jobs/")
+        if progress is None or inputs is None:
+            return False
+        for job_id, stored in inputs.items():
+            state = progress.get(job_id)
+            done = self._remember(job_id, stored, state)
+            if done or self._runner.get(job_id) is not None or not mine(job_id):
+                continue
+            self._adopt(job_id, stored, state, "recovered")
+        return True
+
+    def _remember(self, job_id: str, stored: StoredObject, state: StoredObject | None) -> bool:
+        """Cache what never changes any more; return whether the job is finished."""
+        job = job_from_json(job_id, stored.value)
+        self._cache_input(job)
+        if state is None:
+            return False
+        progress = progress_from_json(state.value)
+        return self._cache_if_finished(job_id, progress)
+
+    def _list(self, prefix: str) -> dict[str, StoredObject] | None:
+        found: dict[str, StoredObject] = {}
+        after = ""
+        while True:
+            page = self._store.list(prefix, after=after)
+            if not is_successful(page):
+                return None
+            for each in page.unwrap().objects:
+                found[each.key.removeprefix(prefix)] = each
+                after = each.key
+            if not page.unwrap().more:
+                return found
+
+    def _fits(self, route: Route, tokens: int) -> bool:
+        peers = self._peers.live()
+        return fits_quota(
+            limit=route.waiting_limit,
+            own_tokens=self._runner.waiting_tokens().get(route.name, 0),
+            other_tokens=sum(each.waiting.get(route.name, 0) for each in peers),
+            job_tokens=tokens,
+            entries=1 + len(peers),
+        )
+
+    def _known(self, job_id: str) -> bool:
+        return not isinstance(self._input(job_id), Outcome)
+
+    def _own(self, job: JobInput, progress: JobProgress, version: int) -> None:
+        self._cache_input(job)
+        self._runner.add(OwnedJob(job, progress, version, self._peers.identity, self._clock))
+        self._peers.tell_now()
+        logging.info(
+            "event=job_owned job=%s items=%d committed=%d",
+            job.job_id,
+            len(job.items),
+            len(progress.results),
+        )
+
+    def _find_owner(self, job_id: str, reason: str = "submitted again") -> None:
+        """Make sure that a stored job has a living owner."""
+        if self._runner.get(job_id) is not None or not self._peers_settled():
+            return
+        stored = self._store.get(input_key(job_id))
+        state = self._store.get(progress_key(job_id))
+        if not is_successful(stored):
+            return
+        if not is_successful(state) and state.failure().fault is not StoreFault.NOT_FOUND:
+            return
+        progress = state.unwrap() if is_successful(state) else None
+        if self._remember(job_id, stored.unwrap(), progress):
+            return
+        self._adopt(job_id, stored.unwrap(), progress, reason)
+
+    def _adopt(
+        self, job_id: str, stored: StoredObject, state: StoredObject | None, reason: str
+    ) -> None:
+        job = job_from_json(job_id, stored.value)
+        progress = JobProgress(owner=job.owner, total=len(job.items))
+        if state is not None:
+            progress = progress_from_json(state.value)
+        if self._answers_for(progress.owner, job_id):
+            return
+        with self._adopting:
+            if self._runner.get(job_id) is not None:
+                return
+            taken = JobProgress(
+                owner=self._peers.identity,
+                total=progress.total,
+                ended=progress.ended,
+                results=progress.results,
+                failures=progress.failures,
+            )
+            value = progress_to_json(taken)
+            if state is None:
+                written = self._store.create(progress_key(job_id), value)
+            else:
+                written = self._store.update(progress_key(job_id), value, version=state.version)
+            if not is_successful(written):
+                failure = written.failure()
+                logging.info("event=takeover_missed job=%s fault=%s", job_id, failure.fault)
+                return
+            logging.info(
+                "event=job_taken_over job=%s reason=%r from=%s", job_id, reason, progress.owner
+            )
+            self._own(job, taken, written.unwrap().version)
+
+    def _answers_for(self, owner: str, job_id: str) -> bool:
+        peer = self._peers.by_identity(owner)
+        return peer is not None and not peer.leaving and job_id in peer.jobs
+
+    def _results_from(
+        self, peer: Peer, job_id: str, after: int, wait: Millis
+    ) -> ResultsPage | None:
+        body = {"id": job_id, "after": after, "wait": wait}
+        try:
+            status, answer = self._caller.call(peer, "results", body, PEER_TIMEOUT + wait)
+        except PeerCallError as error:
+            logging.warning("event=peer_call_failed peer=%s reason=%r", peer.identity, error)
+            return None
+        if status != 200:
+            return None
+        results = [
+            ItemResult(item_id=item_id, end=end, text=text)
+            for item_id, end, text in answer["results"]
+        ]
+        return ResultsPage(total=answer["total"], after=after, results=results)
+
+    def _results_from_store(self, job_id: str, after: int) -> ResultsPage | Outcome:
+        state = self._store.get(progress_key(job_id))
+        if is_successful(state):
+            progress = progress_from_json(state.unwrap().value)
+            self._cache_if_finished(job_id, progress)
+            return _page(progress.total, after, progress.results)
+        if state.failure().fault is not StoreFault.NOT_FOUND:
+            return Outcome.UNAVAILABLE
+        job = self._input(job_id)
+        if isinstance(job, Outcome):
+            return job
+        return ResultsPage(total=len(job.items), after=after, results=())
+
+    def _input(self, job_id: str) -> JobInput | Outcome:
+        job = self._inputs.get(job_id)
+        if job is not None:
+            return job
+        stored = self._store.get(input_key(job_id))
+        if not is_successful(stored):
+            return _outcome_of(stored.failure())
+        job = job_from_json(job_id, stored.unwrap().value)
+        self._cache_input(job)
+        return job
+
+    def _end_in_store(self, job_id: str) -> Outcome:
+        """End a job whose owner cannot be asked; the owner learns it from its next commit."""
+        job = self._input(job_id)
+        if isinstance(job, Outcome):
+            return job
+        for _ in range(END_TRIES):
+            state = self._store.get(progress_key(job_id))
+            if is_successful(state):
+                stored = state.unwrap()
+                value = dict(stored.value)
+                if value["ended"]:
+                    return Outcome.DONE
+                value["ended"] = True
+                written = self._store.update(stored.key, value, version=stored.version)
+            elif state.failure().fault is StoreFault.NOT_FOUND:
+                fresh = JobProgress(owner=job.owner, total=len(job.items), ended=True)
+                written = self._store.create(progress_key(job_id), progress_to_json(fresh))
+            else:
+                return Outcome.UNAVAILABLE
+            if is_successful(written):
+                logging.info("event=job_ended job=%s through=store", job_id)
+                return Outcome.DONE
+            if written.failure().fault is not StoreFault.CONFLICT:
+                return Outcome.UNAVAILABLE
+        return Outcome.UNAVAILABLE
+
+    def _cache_input(self, job: JobInput) -> None:
+        size = sum(len(item.body) + 500 for item in job.items)
+        self._inputs.put(job.job_id, job, size)
+
+    def _cache_if_finished(self, job_id: str, progress: JobProgress) -> bool:
+        if len(progress.results) < progress.total and not progress.ended:
+            return False
+        if len(progress.results) == progress.total:
+            size = sum(len(each.text) for each in progress.results) + 1_000
+            self._finished.put(job_id, progress, size)
+        return True
+
+
+def _page(total: int, after: int, results: Sequence[ItemResult]) -> ResultsPage:
+    return ResultsPage(total=total, after=after, results=results[after:])
+
+
+def _outcome_of(failure: StoreFailure) -> Outcome:
+    if failure.fault is StoreFault.NOT_FOUND:
+        return Outcome.NOT_FOUND
+    return Outcome.UNAVAILABLE
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_keeper.py
@@ -0,0 +1,68 @@
+"""The process on hosts with a disk: it keeps nothing there, so it lets them go when asked."""
+
+from __future__ import annotations
+
+import signal
+import threading
+from collections.abc import Sequence
+
+from absl import logging
+from returns.pipeline import is_successful
+
+from carobspool_core import ObjectChange, StoredObject, boottime_clock
+from carobspool_node.direct._deployment import Deployment
+from carobspool_node.direct._follow import Follower
+from carobspool_node.direct._settings import DirectSettings
+from carobspool_node.direct._telemetry import Telemetry
+
+
+class Keeper:
+    """Answers requests to empty a host: everything that lasts lies in the object store."""
+
+    def __init__(self, settings: DirectSettings, deployment: Deployment) -> None:
+        self._settings = settings
+        self._deployment = deployment
+        self._store = deployment.open_store(settings, boottime_clock())
+        self._telemetry = Telemetry()
+        self._leaving = threading.Event()
+        self._follower = Follower(
+            self._store,
+            deployment.retirement_prefix,
+            on_listing=self._listed,
+            on_change=self._changed,
+        )
+
+    def run(self) -> int:
+        """Run until told to stop; return the exit code."""
+        settings = self._settings
+        self._telemetry.start_logs(settings.node, settings.log_level)
+        logging.info("event=start node=%s role=keeper", settings.node)
+        signal.signal(signal.SIGTERM, lambda *_: self._leaving.set())
+        signal.signal(signal.SIGHUP, lambda *_: logging.info("event=reload changed=nothing"))
+        self._telemetry.serve(settings.address, settings.metrics_port)
+        self._follower.start()
+        self._leaving.wait()
+        logging.info("event=stop")
+        self._telemetry.stop_logs()
+        return 0
+
+    def _listed(self, objects: Sequence[StoredObject]) -> None:
+        for each in objects:
+            self._let_go(each)
+
+    def _changed(self, change: ObjectChange) -> None:
+        if not change.deleted:
+            self._let_go(change.object)
+
+    def _let_go(self, request: StoredObject) -> None:
+        key = f"{request.key}/status"
+        current = self._store.get(request.key + "/status")
+        if is_successful(current) and current.unwrap().value == self._deployment.retired:
+            return
+        written = self._store.update(key, self._deployment.retired, version=request.version)
+        logging.info("event=host_let_go host=%s done=%s", request.key, is_successful(written))
+
+
+def make_keeper(settings: DirectSettings, deployment: Deployment) -> Keeper:
+    """Return a keeper that is not running yet."""
+    return Keeper(settings, deployment)
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_listener.py
@@ -0,0 +1,128 @@
+"""Accepts connections and serves each on a task of a bounded pool."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from absl import logging
+
+from carobspool_core import Clock
+from carobspool_core.direct import CallerLimits
+from carobspool_node.direct._caller_connection import CallerConnection
+from carobspool_node.direct._errors import BadRequestError, CallerGoneError
+from carobspool_node.direct._forward import failure_answer
+from carobspool_node.direct._messages import CallerRequest, HeaderNames
+
+BACKLOG = 512
+"""Connections that may wait to be accepted; a full queue drops the opening packet, which is sent
+again only a second later."""
+
+Handler = Callable[[CallerRequest, CallerConnection], None]
+
+
+class Listener:
+    """One listening address.
+
+    Args:
+        address: Where to listen.
+        workers: Connections served at once; more wait for one to end.
+        clock: The process's clock.
+        names: Header names of the callers.
+        limits: Returns what a caller may send now.
+        handle: Serves one request.
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        *,
+        workers: int,
+        clock: Clock,
+        names: HeaderNames,
+        limits: Callable[[], CallerLimits],
+        handle: Handler,
+    ) -> None:
+        self._clock = clock
+        self._names = names
+        self._limits = limits
+        self._handle = handle
+        self._pool = ThreadPoolExecutor(workers, thread_name_prefix=f"http-{address[1]}")
+        self._lock = threading.Lock()
+        self._busy = 0
+        self._open = 0
+        self._closing = False
+        self._socket = socket.create_server(address, backlog=BACKLOG)
+
+    @property
+    def busy(self) -> int:
+        """Requests that are being served."""
+        return self._busy
+
+    @property
+    def open_connections(self) -> int:
+        """Connections that are open."""
+        return self._open
+
+    def start(self) -> None:
+        """Start to accept."""
+        threading.Thread(target=self._accept, name="accept", daemon=True).start()
+
+    def drain(self) -> None:
+        """End each connection with its next answer."""
+        self._closing = True
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._socket.accept()
+            except OSError as error:
+                logging.error("event=accept_failed reason=%r", error)
+                threading.Event().wait(0.05)
+                continue
+            with self._lock:
+                self._open += 1
+            self._pool.submit(self._serve, sock)
+
+    def _serve(self, sock: socket.socket) -> None:
+        connection: CallerConnection | None = None
+        try:
+            connection = CallerConnection(sock, self._clock, self._names)
+            while self._serve_one(connection):
+                pass
+            connection.close()
+        except CallerGoneError:
+            if connection is not None:
+                connection.abort()
+        except Exception:  # noqa: BLE001
+            logging.exception("event=connection_failed")
+            if connection is not None:
+                connection.abort()
+        finally:
+            sock.close()
+            with self._lock:
+                self._open -= 1
+
+    def _serve_one(self, connection: CallerConnection) -> bool:
+        try:
+            request = connection.read_request(self._limits())
+        except BadRequestError as error:
+            logging.info("event=bad_request status=%d reason=%r", error.status, error)
+            headers, body = failure_answer(str(error), "not_run", None)
+            connection.close_after_answer()
+            connection.answer(error.status, headers, body)
+            return False
+        if request is None:
+            return False
+        with self._lock:
+            self._busy += 1
+        try:
+            if self._closing:
+                connection.close_after_answer()
+            self._handle(request, connection)
+        finally:
+            with self._lock:
+                self._busy -= 1
+        return connection.next_cycle()
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -0,0 +1,213 @@
+"""Requests in flight at each upstream, and which upstream gets the next one.
+
+The only shared state of forwarding. Choosing and counting happen under one lock, so that requests
+which arrive together do not all see the same upstream free.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from carobspool_core import Clock, Millis
+from carobspool_core.direct import (
+    Load,
+    Upstream,
+    choose_batch_upstream,
+    choose_upstream,
+    excess_of_batch,
+)
+from carobspool_node.direct._channel import Cancellation
+
+SUSPECT_TIME: Millis = 1_000.0
+"""How long an upstream is avoided after it could not be reached. A crashed server is back after
+some seconds or drops from the list after three heartbeats; one try a second finds out."""
+QUIET_TIME: Millis = 600.0
+"""An engine with running requests sends an event every 30 ms or so, and a plain service answers in
+some 100 ms. One that has requests and says nothing for this long has probably stopped."""
+PEER_TIME: Millis = 2_000.0
+"""How long the last hint of another entry counts; its hints come several times a second."""
+
+
+@dataclass(slots=True, eq=False)
+class BatchRun:
+    """A batch item that runs at an upstream and can be cancelled."""
+
+    started: Millis
+    cancellation: Cancellation = field(default_factory=Cancellation)
+
+
+@dataclass(slots=True)
+class _Own:
+    online: int = 0
+    runs: list[BatchRun] = field(default_factory=list)
+    heard: Millis = 0.0
+
+    @property
+    def total(self) -> int:
+        return self.online + len(self.runs)
+
+
+class LoadTable:
+    """What this entry and the others have in flight.
+
+    Args:
+        clock: The process's clock.
+        failure_domain: Where this entry runs.
+    """
+
+    def __init__(self, clock: Clock, failure_domain: str) -> None:
+        self._clock = clock
+        self._failure_domain = failure_domain
+        self._lock = threading.Lock()
+        self._own: dict[str, _Own] = {}
+        self._peers: dict[str, tuple[Millis, Mapping[str, Load]]] = {}
+        self._suspects: dict[str, Millis] = {}
+        self._on_change: Callable[[], None] = lambda: None
+
+    def on_room(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` when a request has left an upstream."""
+        self._on_change = callback
+
+    def place_online(
+        self, upstreams: Sequence[Upstream], excluded: frozenset[str] = frozenset()
+    ) -> Upstream | None:
+        """Choose an upstream and count the request; cancels batch items that stand in its way."""
+        now = self._clock.now()
+        with self._lock:
+            candidates = [each for each in upstreams if each.instance not in excluded]
+            chosen = choose_upstream(
+                candidates,
+                self._loads(now),
+                failure_domain=self._failure_domain,
+                suspects=self._suspected(now),
+            )
+            if chosen is None:
+                return None
+            self._begin(chosen.instance, now).online += 1
+            victims = self._victims(chosen, now)
+        for run in victims:
+            run.cancellation.cancel()
+        return chosen
+
+    def end_online(self, upstream: Upstream) -> None:
+        """Count the end of a request."""
+        with self._lock:
+            self._own[upstream.instance].online -= 1
+        self._on_change()
+
+    def place_batch(self, upstreams: Sequence[Upstream]) -> tuple[Upstream, BatchRun] | None:
+        """Choose an upstream with room for a batch item and count it."""
+        now = self._clock.now()
+        with self._lock:
+            chosen = choose_batch_upstream(
+                upstreams, self._loads(now), suspects=self._suspected(now)
+            )
+            if chosen is None:
+                return None
+            run = BatchRun(started=now)
+            self._begin(chosen.instance, now).runs.append(run)
+        return chosen, run
+
+    def end_batch(self, upstream: Upstream, run: BatchRun) -> None:
+        """Count the end of a batch item's run."""
+        with self._lock:
+            self._own[upstream.instance].runs.remove(run)
+        self._on_change()
+
+    def suspect(self, upstream: Upstream, duration: Millis = SUSPECT_TIME) -> None:
+        """Avoid an upstream for a while."""
+        with self._lock:
+            self._suspects[upstream.instance] = self._clock.now() + duration
+
+    def heard(self, upstream: Upstream) -> None:
+        """Note that an upstream has sent something."""
+        own = self._own.get(upstream.instance)
+        if own is not None:
+            own.heard = self._clock.now()
+
+    def take_hint(
+        self, peer: str, loads: Mapping[str, Load], upstreams: Sequence[Upstream]
+    ) -> None:
+        """Take another entry's loads; cancels own batch items that stand in its requests' way."""
+        now = self._clock.now()
+        victims: list[BatchRun] = []
+        with self._lock:
+            self._peers[peer] = (now, loads)
+            for upstream in upstreams:
+                if upstream.instance in loads:
+                    victims.extend(self._victims(upstream, now))
+        for run in victims:
+            run.cancellation.cancel()
+
+    def own_loads(self) -> dict[str, Load]:
+        """Return what this entry has in flight, for its hints."""
+        with self._lock:
+            return {
+                instance: Load(own.online, len(own.runs))
+                for instance, own in self._own.items()
+                if own.total
+            }
+
+    def totals(self) -> dict[str, Load]:
+        """Return what all entries have in flight, as far as it is known."""
+        with self._lock:
+            return self._loads(self._clock.now())
+
+    def forget(self, instances: set[str]) -> None:
+        """Drop what is known of upstreams that are gone and have nothing in flight."""
+        now = self._clock.now()
+        with self._lock:
+            for instance in set(self._own) - instances:
+                if not self._own[instance].total:
+                    del self._own[instance]
+            self._suspects = {key: at for key, at in self._suspects.items() if at > now}
+            self._peers = {
+                key: each for key, each in self._peers.items() if now - each[0] < PEER_TIME
+            }
+
+    def _begin(self, instance: str, now: Millis) -> _Own:
+        own = self._own.setdefault(instance, _Own())
+        if not own.total:
+            own.heard = now
+        return own
+
+    def _victims(self, upstream: Upstream, now: Millis) -> list[BatchRun]:
+        own = self._own.get(upstream.instance)
+        if own is None or not own.runs:
+            return []
+        live = [run for run in own.runs if not run.cancellation.cancelled]
+        gone = len(own.runs) - len(live)
+        load = self._load(upstream.instance, now)
+        load = Load(load.online, load.batch - gone)
+        count = excess_of_batch(upstream, load, len(live))
+        if not count:
+            return []
+        return sorted(live, key=lambda run: run.started)[-count:]
+
+    def _suspected(self, now: Millis) -> frozenset[str]:
+        suspects = {instance for instance, until in self._suspects.items() if now < until}
+        for instance, own in self._own.items():
+            if own.total and now - own.heard > QUIET_TIME:
+                suspects.add(instance)
+        return frozenset(suspects)
+
+    def _loads(self, now: Millis) -> dict[str, Load]:
+        instances = set(self._own)
+        for _, loads in self._peers.values():
+            instances.update(loads)
+        return {instance: self._load(instance, now) for instance in instances}
+
+    def _load(self, instance: str, now: Millis) -> Load:
+        own = self._own.get(instance)
+        online = own.online if own else 0
+        batch = len(own.runs) if own else 0
+        for received, loads in self._peers.values():
+            if now - received > PEER_TIME:
+                continue
+            theirs = loads.get(instance)
+            if theirs is not None:
+                online += theirs.online
+                batch += theirs.batch
+        return Load(online, batch)
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_owned_job.py
@@ -0,0 +1,193 @@
+"""A batch job that this entry owns: its work, its commits, its readers."""
+
+from __future__ import annotations
+
+import threading
+
+from returns.pipeline import is_successful
+
+from carobspool_core import Clock, Millis, ObjectStore, StoreFailure, StoreFault
+from carobspool_core.direct import (
+    ItemResult,
+    JobInput,
+    JobProgress,
+    JobWork,
+    progress_from_json,
+    progress_to_json,
+)
+from carobspool_node.direct._loads import BatchRun
+
+COMMIT_INTERVAL: Millis = 900.0
+"""Time between two commits of one job. A job's items end over some seconds; each commit is a priced
+call to the store, and a result may lie uncommitted for this long when its owner is killed."""
+COMMIT_RETRY: Millis = 400.0
+"""Pause after a commit that the store did not take."""
+
+
+def progress_key(job_id: str) -> str:
+    """Return the key of a job's progress."""
+    return f"progress/{job_id}"
+
+
+def input_key(job_id: str) -> str:
+    """Return the key of a job's input."""
+    return f"jobs/{job_id}"
+
+
+class OwnedJob:
+    """State of one owned job; all methods are safe for threads."""
+
+    def __init__(
+        self, job: JobInput, progress: JobProgress, version: int, owner: str, clock: Clock
+    ) -> None:
+        self._work = JobWork(job, progress)
+        self._version = version
+        self._owner = owner
+        self._clock = clock
+        self._lock = threading.RLock()
+        self._changed = threading.Condition(self._lock)
+        self._committing = threading.Lock()
+        self._runs: set[BatchRun] = set()
+        self._next_commit: Millis = 0.0
+        self._lost = False
+        self.accepted = clock.now()
+        self.verified = clock.now()
+
+    @property
+    def job_id(self) -> str:
+        """The job's id."""
+        return self._work.input.job_id
+
+    @property
+    def input(self) -> JobInput:
+        """The job as submitted."""
+        return self._work.input
+
+    @property
+    def lock(self) -> threading.RLock:
+        """Guards ``work``."""
+        return self._lock
+
+    @property
+    def work(self) -> JobWork:
+        """The items; hold ``lock``."""
+        return self._work
+
+    @property
+    def lost(self) -> bool:
+        """Whether another entry owns the job now."""
+        return self._lost
+
+    @property
+    def finished(self) -> bool:
+        """Whether everything is committed and nothing is left to do."""
+        with self._lock:
+            return self._work.finished
+
+    def add_run(self, run: BatchRun) -> None:
+        """Count a run, so that the end of the job cancels it."""
+        with self._lock:
+            self._runs.add(run)
+
+    def remove_run(self, run: BatchRun) -> None:
+        """Forget a run."""
+        with self._lock:
+            self._runs.discard(run)
+
+    def stop_runs(self) -> None:
+        """Cancel everything that runs for the job."""
+        with self._lock:
+            runs = list(self._runs)
+        for run in runs:
+            run.cancellation.cancel()
+
+    def end(self) -> None:
+        """End the job on behalf of its caller."""
+        with self._lock:
+            self._work.end()
+        self.stop_runs()
+
+    def lose(self) -> None:
+        """Stop working on a job that another entry has taken over."""
+        with self._lock:
+            self._lost = True
+            self._changed.notify_all()
+        self.stop_runs()
+
+    def commit_due(self, now: Millis) -> bool:
+        """Whether there is something to commit and it is time."""
+        with self._lock:
+            if self._lost or not self._work.has_uncommitted:
+                return False
+            return now >= self._next_commit or self._work.all_run
+
+    def commit(self, store: ObjectStore) -> bool:
+        """Write the progress; return whether the store has it."""
+        with self._committing:
+            if self._lost:
+                return False
+            with self._lock:
+                progress = self._work.proposal(self._owner)
+                self._next_commit = self._clock.now() + COMMIT_INTERVAL
+            started = self._clock.now()
+            key = progress_key(self.job_id)
+            value = progress_to_json(progress)
+            if self._version == 0:
+                written = store.create(key, value)
+            else:
+                written = store.update(key, value, version=self._version)
+            if is_successful(written):
+                self._committed(progress, written.unwrap().version, started)
+                return True
+            return self._not_committed(written.failure(), started)
+
+    def verify(self, store: ObjectStore) -> bool:
+        """Read the progress back; return whether the store was read and the job is still ours."""
+        started = self._clock.now()
+        read = store.get(progress_key(self.job_id))
+        if is_successful(read):
+            found = read.unwrap()
+            if self._is_own(found.value):
+                self.verified = started
+                return True
+            self.lose()
+            return False
+        if read.failure().fault is StoreFault.NOT_FOUND and self._version == 0:
+            self.verified = started
+            return True
+        return False
+
+    def page(self, after: int, wait_until: Millis) -> list[ItemResult] | None:
+        """Return committed results from a position on, waiting for one; ``None`` when lost."""
+        with self._lock:
+            while not self._lost and len(self._work.committed) <= after:
+                if self._work.finished or self._clock.now() >= wait_until:
+                    break
+                self._changed.wait((wait_until - self._clock.now()) / 1000.0)
+            if self._lost:
+                return None
+            return list(self._work.committed[after:])
+
+    def _committed(self, progress: JobProgress, version: int, started: Millis) -> None:
+        with self._lock:
+            self._version = version
+            self._work.adopt(progress)
+            self.verified = started
+            self._changed.notify_all()
+
+    def _not_committed(self, failure: StoreFailure, started: Millis) -> bool:
+        with self._lock:
+            self._work.not_committed()
+            self._next_commit = self._clock.now() + COMMIT_RETRY
+        current = failure.current
+        if failure.fault is not StoreFault.CONFLICT or current is None:
+            return False
+        if not self._is_own(current.value):
+            self.lose()
+            return False
+        # An earlier write of ours whose answer was lost took effect after all.
+        self._committed(progress_from_json(current.value), current.version, started)
+        return False
+
+    def _is_own(self, value: object) -> bool:
+        return isinstance(value, dict) and value.get("owner") == self._owner
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_peer_calls.py
@@ -0,0 +1,77 @@
+"""Calls between entries over HTTP with CBOR bodies."""
+
+from __future__ import annotations
+
+import uuid
+from typing import Any
+
+import cbor2
+
+from carobspool_core import Clock, Millis
+from carobspool_core.direct import Upstream
+from carobspool_node.direct._errors import DeadlinePassedError, RunCancelledError
+from carobspool_node.direct._messages import HeaderNames
+from carobspool_node.direct._peers import Peer
+from carobspool_node.direct._upstream_calls import (
+    CallFailedError,
+    UpstreamCall,
+    UpstreamConnections,
+    UpstreamRequest,
+)
+
+PEER_HEADERS = HeaderNames()
+"""Calls between entries use the project's own header names on every deployment."""
+
+
+class PeerCallError(Exception):
+    """A call to a peer brought no usable answer."""
+
+
+class PeerCaller:
+    """Makes calls to other entries on kept connections."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._connections = UpstreamConnections(clock)
+
+    def call(self, peer: Peer, operation: str, body: Any, timeout: Millis) -> tuple[int, Any]:
+        """Return status and decoded body of a peer's answer.
+
+        Raises:
+            PeerCallError: There is none; the call may have had its effect.
+        """
+        request_id = uuid.uuid4().hex
+        data = cbor2.dumps(body)
+        upstream = Upstream(
+            instance=peer.identity,
+            service="entry",
+            address=peer.address,
+            failure_domain="",
+            slots=1,
+            ready=True,
+        )
+        request = UpstreamRequest(
+            method=b"POST",
+            target=b"/" + operation.encode(),
+            headers=[
+                (b"Host", b"entry"),
+                (PEER_HEADERS.request_id, request_id.encode()),
+                (b"Content-Length", str(len(data)).encode()),
+            ],
+            body=data,
+            request_id=request_id,
+        )
+        call = UpstreamCall(self._connections, upstream, PEER_HEADERS)
+        deadline = self._clock.now() + timeout
+        try:
+            head = call.start(request, deadline)
+            answer = call.read_body(deadline)
+            return head.status, cbor2.loads(answer) if answer else None
+        except (CallFailedError, DeadlinePassedError, RunCancelledError, ValueError) as error:
+            raise PeerCallError(str(error)) from error
+        finally:
+            call.close()
+
+    def forget(self, identities: set[str]) -> None:
+        """Close connections to peers that are gone."""
+        self._connections.forget(identities)
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -0,0 +1,313 @@
+"""Hints between entries: who lives, what each has in flight, which jobs each works on.
+
+Datagrams of CBOR, several a second. A lost one is replaced by the next; nothing that must be true
+rests on them. They choose upstreams, tell where a job's results are read without a call to the
+store, and show that an entry has fallen silent, whose jobs another then takes over by conditional
+write.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import cbor2
+from absl import logging
+
+from carobspool_core import Clock, Millis
+from carobspool_core.direct import Load
+
+HINT_INTERVAL: Millis = 100.0
+"""Time between two hints while loads change. In it an entry places a handful of requests, which is
+how wrong its picture of the others can be."""
+FULL_HINT_INTERVAL: Millis = 500.0
+"""Time between two hints that also name jobs; they are also the heartbeat."""
+SILENT_AFTER: Millis = 900.0
+"""A peer unheard for this long is reported as silent, long before its jobs are taken over."""
+DEAD_AFTER: Millis = 2_200.0
+"""A peer unheard for this long has lost its jobs to others: four full hints in a row, and longer
+than the pause of a process restart."""
+FORGET_AFTER: Millis = 30_000.0
+DOUBT_TIME: Millis = 4_000.0
+"""How long after a sign of separation an owner checks with the store before it answers for a job:
+a takeover happens within `DEAD_AFTER` of the separation, and is seen in this time."""
+MAX_DATAGRAM = 60_000
+
+
+@dataclass(slots=True, kw_only=True)
+class Peer:
+    """Another entry, by its last hints.
+
+    Attributes:
+        name: Its name.
+        incarnation: Changes with each start of its process.
+        address: Where it takes hints and calls.
+        heard: When its last hint came.
+        jobs: Jobs that it works on or answers for.
+        waiting: Waiting tokens by route.
+        leaving: Whether it is shutting down.
+        store_ok: Whether it reaches the store.
+    """
+
+    name: str
+    incarnation: str
+    address: tuple[str, int]
+    heard: Millis
+    jobs: frozenset[str] = frozenset()
+    waiting: Mapping[str, int] = field(default_factory=dict)
+    versions: Mapping[str, int] = field(default_factory=dict)
+    leaving: bool = False
+    store_ok: bool = True
+
+    @property
+    def identity(self) -> str:
+        """Name and incarnation."""
+        return f"{self.name}#{self.incarnation}"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnHint:
+    """What an entry tells of itself."""
+
+    loads: Mapping[str, Load]
+    jobs: frozenset[str]
+    waiting: Mapping[str, int]
+    versions: Mapping[str, int]
+    leaving: bool
+    store_ok: bool
+
+
+class Peers:
+    """The other entries of the deployment.
+
+    Args:
+        clock: A clock that goes on while the machine is suspended.
+        name: Name of this entry.
+        incarnation: Of this process.
+        address: Where this entry takes hints.
+        describe: Returns what to tell.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        *,
+        name: str,
+        incarnation: str,
+        address: tuple[str, int],
+        describe: Callable[[], OwnHint],
+    ) -> None:
+        self._clock = clock
+        self._name = name
+        self._incarnation = incarnation
+        self._address = address
+        self._describe = describe
+        self._lock = threading.Lock()
+        self._peers: dict[str, Peer] = {}
+        self._addresses: dict[str, tuple[str, int]] = {}
+        self._doubt_until: Millis = clock.now() + DOUBT_TIME
+        self._last_tick: Millis = clock.now()
+        self._on_loads: Callable[[str, Mapping[str, Load]], None] = lambda peer, loads: None
+        self._on_versions: Callable[[Mapping[str, int]], None] = lambda versions: None
+        self._on_lost: Callable[[Peer], None] = lambda peer: None
+        self._stopped = threading.Event()
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind(address)
+
+    @property
+    def identity(self) -> str:
+        """Name and incarnation of this entry."""
+        return f"{self._name}#{self._incarnation}"
+
+    def start(
+        self,
+        *,
+        on_loads: Callable[[str, Mapping[str, Load]], None],
+        on_versions: Callable[[Mapping[str, int]], None],
+        on_lost: Callable[[Peer], None],
+    ) -> None:
+        """Start to send and to receive."""
+        self._on_loads = on_loads
+        self._on_versions = on_versions
+        self._on_lost = on_lost
+        threading.Thread(target=self._receive, name="hints-in", daemon=True).start()
+        threading.Thread(target=self._send, name="hints-out", daemon=True).start()
+
+    def stop(self) -> None:
+        """Tell the others once more and stop."""
+        self._tell(full=True)
+        self._stopped.set()
+
+    def know(self, name: str, address: tuple[str, int] | None) -> None:
+        """Take or drop a peer's address from the list of entries."""
+        if name == self._name:
+            return
+        with self._lock:
+            if address is None:
+                self._addresses.pop(name, None)
+            else:
+                self._addresses[name] = address
+
+    def live(self) -> list[Peer]:
+        """Return the peers that were heard of late."""
+        now = self._clock.now()
+        with self._lock:
+            return [each for each in self._peers.values() if now - each.heard < DEAD_AFTER]
+
+    def by_identity(self, identity: str) -> Peer | None:
+        """Return a live peer by name and incarnation."""
+        for peer in self.live():
+            if peer.identity == identity:
+                return peer
+        return None
+
+    def holder_of(self, job_id: str) -> Peer | None:
+        """Return the live peer that answers for a job."""
+        for peer in self.live():
+            if job_id in peer.jobs:
+                return peer
+        return None
+
+    def in_doubt(self) -> bool:
+        """Whether others may have taken this entry for dead."""
+        return self._clock.now() < self._doubt_until
+
+    def tell_now(self) -> None:
+        """Send a full hint at once."""
+        self._tell(full=True)
+
+    def _send(self) -> None:
+        told: Mapping[str, Load] = {}
+        full_at: Millis = 0.0
+        while not self._stopped.wait(HINT_INTERVAL / 1000.0):
+            try:
+                now = self._clock.now()
+                self._notice_gaps(now)
+                full = now >= full_at
+                if full:
+                    full_at = now + FULL_HINT_INTERVAL
+                loads = self._describe().loads
+                if full or loads != told:
+                    told = loads
+                    self._tell(full=full)
+            except Exception:  # noqa: BLE001
+                logging.exception("event=hint_failed")
+
+    def _notice_gaps(self, now: Millis) -> None:
+        gap = now - self._last_tick
+        self._last_tick = now
+        if gap > SILENT_AFTER:
+            logging.warning("event=process_stalled gap_ms=%.0f", gap)
+            self._doubt_until = now + DOUBT_TIME
+            # Hints that arrived during the pause are still unread; nobody is declared dead for it.
+            with self._lock:
+                for peer in self._peers.values():
+                    peer.heard = max(peer.heard, now - SILENT_AFTER)
+            return
+        lost = []
+        with self._lock:
+            for peer in list(self._peers.values()):
+                silence = now - peer.heard
+                if SILENT_AFTER < silence < DEAD_AFTER and not peer.leaving:
+                    self._doubt_until = now + DOUBT_TIME
+                if silence >= DEAD_AFTER and peer.jobs:
+                    lost.append(peer)
+                    self._peers[peer.name] = _without_jobs(peer)
+                if silence >= FORGET_AFTER:
+                    del self._peers[peer.name]
+        for peer in lost:
+            logging.warning(
+                "event=peer_lost peer=%s silent_ms=%.0f jobs=%d",
+                peer.identity,
+                now - peer.heard,
+                len(peer.jobs),
+            )
+            self._on_lost(peer)
+
+    def _tell(self, *, full: bool) -> None:
+        hint = self._describe()
+        now = self._clock.now()
+        message: dict[str, Any] = {
+            "n": self._name,
+            "i": self._incarnation,
+            "a": list(self._address),
+            "l": {key: [load.online, load.batch] for key, load in hint.loads.items()},
+            "v": dict(hint.versions),
+            "x": hint.leaving,
+            "s": hint.store_ok,
+        }
+        with self._lock:
+            targets = dict(self._addresses)
+            for peer in self._peers.values():
+                if now - peer.heard < FORGET_AFTER:
+                    targets[peer.name] = peer.address
+            silent = [
+                peer.name
+                for peer in self._peers.values()
+                if now - peer.heard > SILENT_AFTER and not peer.leaving
+            ]
+        if full:
+            message["j"] = sorted(hint.jobs)
+            message["w"] = dict(hint.waiting)
+            message["q"] = silent
+        data = cbor2.dumps(message)
+        for address in targets.values():
+            with contextlib.suppress(OSError):
+                self._socket.sendto(data, address)
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                data, _ = self._socket.recvfrom(MAX_DATAGRAM)
+                self._take(cbor2.loads(data))
+            except (ValueError, KeyError, TypeError, cbor2.CBORDecodeError) as error:
+                logging.warning("event=bad_hint reason=%r", error)
+            except OSError as error:
+                if self._stopped.is_set():
+                    return
+                logging.warning("event=hint_socket_failed reason=%r", error)
+
+    def _take(self, message: dict[str, Any]) -> None:
+        now = self._clock.now()
+        name, incarnation = message["n"], message["i"]
+        replaced: Peer | None = None
+        with self._lock:
+            known = self._peers.get(name)
+            if known is None or known.incarnation != incarnation:
+                if known is not None and known.jobs:
+                    replaced = known
+                known = Peer(
+                    name=name, incarnation=incarnation, address=tuple(message["a"]), heard=now
+                )
+                self._peers[name] = known
+                logging.info("event=peer_seen peer=%s", known.identity)
+            known.heard = now
+            known.address = tuple(message["a"])
+            known.leaving = message["x"]
+            known.store_ok = message["s"]
+            known.versions = message["v"]
+            if "j" in message:
+                known.jobs = frozenset(message["j"])
+                known.waiting = message["w"]
+                if self._name in message["q"]:
+                    self._doubt_until = now + DOUBT_TIME
+        if replaced is not None:
+            self._on_lost(replaced)
+        loads = {key: Load(*pair) for key, pair in message["l"].items()}
+        self._on_loads(name, loads)
+        self._on_versions(message["v"])
+
+
+def _without_jobs(peer: Peer) -> Peer:
+    return Peer(
+        name=peer.name,
+        incarnation=peer.incarnation,
+        address=peer.address,
+        heard=peer.heard,
+        leaving=peer.leaving,
+        store_ok=False,
+    )
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_upstream_calls.py
@@ -0,0 +1,280 @@
+"""Calls to upstreams: kept connections, one request on each, and what is known of its ending."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import h11
+
+from carobspool_core import Clock, Millis
+from carobspool_core.direct import Upstream
+from carobspool_node.direct._channel import CallerWatch, Cancellation, Channel, connect
+from carobspool_node.direct._errors import ConnectionBrokenError, DeadlinePassedError
+from carobspool_node.direct._messages import HeaderNames, Headers, UpstreamHead, find_header
+
+CONNECT_TIMEOUT: Millis = 300.0
+"""Opening takes 1 ms and a round trip of at most 3 ms; a machine without power answers nothing.
+A dropped opening packet is repeated after a second: another upstream is reached sooner."""
+DEFAULT_IDLE_LIMIT: Millis = 1_000.0
+"""How long a connection is kept whose upstream names no limit."""
+IDLE_SHARE = 0.7
+"""Share of the limit named by the upstream; the rest covers the way of the next request."""
+KEPT_PER_UPSTREAM = 24
+"""Three times the slots of an engine; more connections than that are never in use at once."""
+MAX_STRAY_ANSWERS = 4
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamRequest:
+    """What is sent to an upstream."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    request_id: str
+
+
+class CallFailedError(Exception):
+    """A call brought no answer.
+
+    Attributes:
+        sent: Whether the upstream may have run the request.
+    """
+
+    def __init__(self, reason: str, *, sent: bool) -> None:
+        super().__init__(reason)
+        self.sent = sent
+
+
+class UpstreamConnections:
+    """Connections to upstreams that are kept between requests, by instance."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._idle: dict[str, list[Channel]] = {}
+        self._opened = 0
+
+    @property
+    def clock(self) -> Clock:
+        """The process's clock."""
+        return self._clock
+
+    @property
+    def opened(self) -> int:
+        """Connections opened since the start."""
+        return self._opened
+
+    def acquire(self, upstream: Upstream) -> Channel:
+        """Return a kept or a new connection.
+
+        Raises:
+            CallFailedError: It cannot be opened; nothing was sent.
+        """
+        while True:
+            with self._lock:
+                kept = self._idle.get(upstream.instance)
+                channel = kept.pop() if kept else None
+            if channel is None:
+                return self._open(upstream)
+            if self._is_usable(channel):
+                return channel
+            channel.close()
+
+    def release(self, upstream: Upstream, channel: Channel) -> None:
+        """Keep a connection whose answer was read to its end, or close it."""
+        channel.cancel_with(None)
+        reusable = channel.http.our_state is h11.DONE and channel.http.their_state is h11.DONE
+        if not reusable or channel.http.trailing_data[0] or channel.has_input():
+            channel.close()
+            return
+        channel.http.start_next_cycle()
+        channel.fresh = False
+        channel.last_used = self._clock.now()
+        with self._lock:
+            kept = self._idle.setdefault(upstream.instance, [])
+            if len(kept) < KEPT_PER_UPSTREAM:
+                kept.append(channel)
+                return
+        channel.close()
+
+    def forget(self, instances: set[str]) -> None:
+        """Close the connections to all upstreams but ``instances``, and those idle for too long."""
+        dropped: list[Channel] = []
+        with self._lock:
+            for instance in list(self._idle):
+                if instance not in instances:
+                    dropped.extend(self._idle.pop(instance))
+                    continue
+                kept = self._idle[instance]
+                old = [each for each in kept if not self._is_recent(each)]
+                self._idle[instance] = [each for each in kept if each not in old]
+                dropped.extend(old)
+        for channel in dropped:
+            channel.close()
+
+    def _open(self, upstream: Upstream) -> Channel:
+        try:
+            channel = connect(upstream.address, CONNECT_TIMEOUT, self._clock)
+        except ConnectionBrokenError as error:
+            raise CallFailedError(str(error), sent=False) from error
+        self._opened += 1
+        return channel
+
+    def _is_recent(self, channel: Channel) -> bool:
+        return self._clock.now() - channel.last_used < channel.idle_limit
+
+    def _is_usable(self, channel: Channel) -> bool:
+        # Bytes on an idle connection belong to no request; an end means that it was closed.
+        return self._is_recent(channel) and not channel.has_input()
+
+
+class UpstreamCall:
+    """One request on one connection.
+
+    Args:
+        connections: Where the connection comes from and goes back to.
+        upstream: The upstream.
+        names: Header names of the deployment.
+        cancellation: Lets another task end the call.
+        watch: The caller, whose leaving ends the call.
+    """
+
+    def __init__(
+        self,
+        connections: UpstreamConnections,
+        upstream: Upstream,
+        names: HeaderNames,
+        *,
+        cancellation: Cancellation | None = None,
+        watch: CallerWatch | None = None,
+    ) -> None:
+        self._connections = connections
+        self._upstream = upstream
+        self._clock = connections.clock
+        self._names = names
+        self._cancellation = cancellation
+        self._watch = watch
+        self._channel: Channel | None = None
+        self._complete = False
+
+    def start(self, request: UpstreamRequest, deadline: Millis) -> UpstreamHead:
+        """Send the request and return the head of its answer.
+
+        Raises:
+            CallFailedError: There is no answer to this request; ``sent`` tells the rest.
+            DeadlinePassedError, CallerGoneError, RunCancelledError: As they say; may have run.
+        """
+        channel = self._connections.acquire(self._upstream)
+        self._channel = channel
+        channel.cancel_with(self._cancellation)
+        try:
+            data = _encode(channel.http, request)
+            if not channel.send_or_answer(data, deadline, self._watch):
+                channel.idle_limit = -1.0
+            return self._read_head(channel, request, deadline)
+        except ConnectionBrokenError as error:
+            raise CallFailedError(str(error), sent=True) from error
+
+    def body(self, deadline: Millis, *, silence: Millis | None = None) -> Iterator[bytes]:
+        """Yield the pieces of the body as they arrive.
+
+        Args:
+            deadline: When the call has to end.
+            silence: Longest time without a piece, after which the call counts as failed.
+
+        Raises:
+            CallFailedError: The answer broke off.
+        """
+        channel = self._channel
+        assert channel is not None
+        while True:
+            quiet_at = deadline if silence is None else self._clock.now() + silence
+            try:
+                event = channel.next_event(min(deadline, quiet_at), self._watch)
+            except ConnectionBrokenError as error:
+                raise CallFailedError(str(error), sent=True) from error
+            except DeadlinePassedError as error:
+                if quiet_at >= deadline:
+                    raise
+                raise CallFailedError("the stream fell silent", sent=True) from error
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+                continue
+            if isinstance(event, h11.EndOfMessage):
+                self._complete = True
+                return
+            raise CallFailedError(f"unexpected {type(event).__name__}", sent=True)
+
+    def read_body(self, deadline: Millis) -> bytes:
+        """Return the whole body."""
+        return b"".join(self.body(deadline))
+
+    def close(self) -> None:
+        """Give the connection back when the answer is complete, else close it."""
+        channel = self._channel
+        if channel is None:
+            return
+        self._channel = None
+        if self._complete and channel.idle_limit > 0:
+            self._connections.release(self._upstream, channel)
+            return
+        channel.close()
+
+    def _read_head(
+        self, channel: Channel, request: UpstreamRequest, deadline: Millis
+    ) -> UpstreamHead:
+        for _ in range(MAX_STRAY_ANSWERS):
+            event = channel.next_event(deadline, self._watch)
+            while isinstance(event, h11.InformationalResponse):
+                event = channel.next_event(deadline, self._watch)
+            if not isinstance(event, h11.Response):
+                raise ConnectionBrokenError("closed before an answer")
+            headers = list(event.headers)
+            echoed = find_header(headers, self._names.request_id)
+            if echoed is None and channel.fresh or echoed == request.request_id.encode():
+                if channel.idle_limit >= 0:
+                    channel.idle_limit = _idle_limit(headers)
+                return UpstreamHead(
+                    status=event.status_code, headers=headers, reason=bytes(event.reason)
+                )
+            # The late second answer to an earlier request on this connection. Taken for ours it
+            # would give one caller the answer of another; ours follows it.
+            self._skip_answer(channel, request, deadline)
+        raise ConnectionBrokenError("only answers to other requests")
+
+    def _skip_answer(self, channel: Channel, request: UpstreamRequest, deadline: Millis) -> None:
+        while not isinstance(channel.next_event(deadline, self._watch), h11.EndOfMessage):
+            pass
+        rest = channel.http.trailing_data[0]
+        http = h11.Connection(h11.CLIENT)
+        _encode(http, request)
+        if rest:
+            http.receive_data(rest)
+        channel.replace_http(http)
+        channel.idle_limit = -1.0
+
+
+def _encode(http: h11.Connection, request: UpstreamRequest) -> bytes:
+    head = http.send(
+        h11.Request(method=request.method, target=request.target, headers=request.headers)
+    )
+    parts = [head or b""]
+    if request.body:
+        parts.append(http.send(h11.Data(data=request.body)) or b"")
+    parts.append(http.send(h11.EndOfMessage()) or b"")
+    return b"".join(parts)
+
+
+def _idle_limit(headers: Headers) -> Millis:
+    value = find_header(headers, b"keep-alive")
+    if value is None:
+        return DEFAULT_IDLE_LIMIT
+    for part in value.split(b","):
+        name, _, seconds = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and seconds.strip().isdigit():
+            return int(seconds) * 1000.0 * IDLE_SHARE
+    return DEFAULT_IDLE_LIMIT
