--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -34,6 +34,7 @@
     choose_upstream,
     excess_of_batch,
 )
+from carobspool_core.direct._shared_view import SharedView
 from carobspool_core.direct._upstreams import LAPSE_GRACE, Upstream, UpstreamList
 from carobspool_core.direct._waiting_quota import fits_quota
 
@@ -54,6 +55,7 @@
     "Load",
     "Route",
     "RouteKind",
+    "SharedView",
     "StreamEvent",
     "Upstream",
     "UpstreamList",
--- a/packages/core/src/carobspool_core/direct/_placement.py
+++ b/packages/core/src/carobspool_core/direct/_placement.py
@@ -30,7 +30,7 @@
 SUSPECT_PENALTY = 100.0
 """Larger than any load in slots: a suspect is chosen only when all the others are suspects too."""
 OTHER_DOMAIN_PENALTY = 0.05
-"""Breaks ties in favour of the same failure domain; far below one slot, so it never costs a wait."""
+"""Breaks ties in favour of the same failure domain; far below one slot, so it costs no wait."""
 _JITTER = 0.01
 
 
--- a/packages/core/src/carobspool_core/direct/_upstreams.py
+++ b/packages/core/src/carobspool_core/direct/_upstreams.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from xxhash import xxh3_64_intdigest
+
 from carobspool_core._clock import Millis
 
 LAPSE_GRACE: Millis = 1_900.0
@@ -87,3 +89,8 @@
     def listed(self) -> list[Upstream]:
         """Return every listed upstream."""
         return list(self._listed.values())
+
+    def digest(self) -> int:
+        """Return a number that differs when the listed upstreams or their readiness differ."""
+        parts = sorted(f"{each.instance} {each.ready}" for each in self._listed.values())
+        return xxh3_64_intdigest("\n".join(parts).encode())
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -24,6 +24,7 @@
     CallerLimits,
     Configuration,
     Load,
+    SharedView,
     Upstream,
     UpstreamList,
 )
@@ -50,16 +51,19 @@
 STACK_BYTES = 256 * 1024
 """Stack of a thread; there is one for each connection, and the default would reserve 8 MB each."""
 SETTLE_TIME: Millis = DEAD_AFTER + 300.0
-"""How long after its start an entry judges nobody as gone: each peer has sent several full hints."""
+"""How long after its start an entry judges nobody as gone; each peer has sent full hints then."""
 TIDY_INTERVAL_S = 1.0
 MIN_DRAIN: Millis = 2_500.0
 """How long a leaving entry serves on: the balancer needs two misses, a second apart, to take it
 out, and callers use open connections until then."""
 EXIT_MARGIN: Millis = 1_200.0
 """Time before the kill at which a leaving entry exits whatever still runs."""
-VERSION_LAG_S = 0.3
-"""How long a peer's newer version may precede ours before it is fetched: a watch usually brings it
-within some ms."""
+POLL_INTERVAL_S = 2.0
+"""Time between two readings of what the watches should have told. A watch can hear nothing while
+changes are made and look alive; the store may then drop that history, and the next watch goes on
+behind the gap. One entry reads for all, and its hints show the others that they have missed
+something, so that a change is known within some three seconds at the price of one call a second."""
+POLL_DUTY = "poll"
 
 
 class DirectEntry:
@@ -76,6 +80,8 @@
         self._upstreams = UpstreamList()
         self._upstreams_lock = threading.Lock()
         self._upstreams_listed = False
+        self._configuration_view = SharedView()
+        self._upstreams_view = SharedView()
         self._leaving = threading.Event()
         self._recovered = threading.Event()
         self._loads = LoadTable(self._clock, settings.failure_domain)
@@ -156,6 +162,7 @@
         self._runner.start()
         threading.Thread(target=self._register, name="register", daemon=True).start()
         threading.Thread(target=self._recover, name="recover", daemon=True).start()
+        threading.Thread(target=self._poll, name="poll", daemon=True).start()
         while not self._leaving.wait(TIDY_INTERVAL_S):
             self._tidy()
         self._leave(callers)
@@ -250,6 +257,7 @@
         if current is not None and configuration.version <= current.version:
             return
         self._configuration = configuration
+        self._configuration_view.version = configuration.version
         logging.info(
             "event=configuration version=%d routes=%d revision=%d",
             configuration.version,
@@ -266,8 +274,10 @@
                 found.append(upstream)
         with self._upstreams_lock:
             self._upstreams.replace(found, self._clock.now())
+            self._upstreams_view.version = self._upstreams.digest()
+        if not self._upstreams_listed:
+            logging.info("event=upstreams_listed count=%d", len(found))
         self._upstreams_listed = True
-        logging.info("event=upstreams_listed count=%d", len(found))
 
     def _upstream_changed(self, change: ObjectChange) -> None:
         name = change.object.key.removeprefix(self._deployment.upstream_prefix)
@@ -278,6 +288,7 @@
                 upstream = self._read_upstream(change.object)
                 if upstream is not None:
                     self._upstreams.put(upstream)
+            self._upstreams_view.version = self._upstreams.digest()
         logging.info(
             "event=upstream_changed upstream=%s deleted=%s revision=%d",
             name,
@@ -368,21 +379,32 @@
         self._loads.take_hint(peer, loads, upstreams)
 
     def _take_versions(self, versions: Mapping[str, int]) -> None:
-        for name, follower in self._followers.items():
-            if versions.get(name, 0) > follower.latest:
-                threading.Timer(VERSION_LAG_S, self._catch_up, (name, versions[name])).start()
-
-    def _catch_up(self, name: str, version: int) -> None:
-        follower = self._followers[name]
-        if follower.latest < version and not self._leaving.is_set():
-            follower.refresh()
+        now = self._clock.now()
+        if self._configuration_view.is_behind(versions.get("configuration", 0), now):
+            self._followers["configuration"].refresh()
+        digest = versions.get("upstreams", 0)
+        if digest and self._upstreams_view.differs(digest, now):
+            self._followers["upstreams"].refresh()
+
+    def _poll(self) -> None:
+        """Read what the watches should have told, on behalf of all entries."""
+        while not self._leaving.wait(POLL_INTERVAL_S):
+            nodes = [each.name for each in self._peers.live() if each.store_ok]
+            nodes.append(self._settings.node)
+            if rendezvous_owner(POLL_DUTY, nodes) != self._settings.node:
+                continue
+            for name in ("configuration", "upstreams"):
+                self._followers[name].refresh()
 
     def _own_hint(self) -> OwnHint:
         return OwnHint(
             loads=self._loads.own_loads(),
             jobs=self._runner.job_ids(),
             waiting=self._runner.waiting_tokens(),
-            versions={name: each.latest for name, each in self._followers.items()},
+            versions={
+                "configuration": self._configuration_view.version,
+                "upstreams": self._upstreams_view.version,
+            },
             leaving=self._leaving.is_set(),
             store_ok=self._store.reachable,
         )
--- a/packages/node/src/carobspool_node/direct/_follow.py
+++ b/packages/node/src/carobspool_node/direct/_follow.py
@@ -57,12 +57,7 @@
         self._listed = threading.Event()
         self._failing = False
         self._refreshing = threading.Lock()
-        self._latest = 0
-
-    @property
-    def latest(self) -> int:
-        """The highest revision of an object seen."""
-        return self._latest
+        self._applied = 0
 
     def start(self) -> None:
         """Start to follow."""
@@ -77,14 +72,13 @@
         return self._listed.wait(timeout / 1000.0)
 
     def refresh(self) -> None:
-        """List again beside a watch that has missed something; one at a time."""
+        """List again beside the watch, which may have missed something; one at a time."""
         if not self._refreshing.acquire(blocking=False):
             return
         threading.Thread(target=self._refresh, name="refresh", daemon=True).start()
 
     def _refresh(self) -> None:
         try:
-            logging.info("event=watch_behind prefix=%s latest=%d", self._prefix, self._latest)
             self._list()
         finally:
             self._refreshing.release()
@@ -120,11 +114,14 @@
             self._failing = False
             logging.info("event=store_regained prefix=%s", self._prefix)
             self._on_regained()
+        revision = page.unwrap().revision
         with self._lock:
-            self._note([each.version for each in objects])
-            self._on_listing(objects)
+            # A listing and a watch answer can cross; the older one must not undo the newer.
+            if revision >= self._applied:
+                self._applied = revision
+                self._on_listing(objects)
         self._listed.set()
-        return page.unwrap().revision
+        return revision
 
     def _watch(self, revision: int) -> int | None:
         batch = self._store.watch(self._prefix, revision=revision, timeout=WATCH_TIMEOUT)
@@ -132,14 +129,13 @@
             self._failed(batch.failure())
             return None
         with self._lock:
+            if batch.unwrap().revision < self._applied:
+                return batch.unwrap().revision
+            self._applied = batch.unwrap().revision
             for change in batch.unwrap().changes:
-                self._note([change.object.version])
                 self._on_change(change)
         return batch.unwrap().revision
 
-    def _note(self, versions: Sequence[int]) -> None:
-        self._latest = max(self._latest, *versions, 0)
-
     def _failed(self, failure: StoreFailure) -> None:
         if failure.fault is StoreFault.COMPACTED:
             logging.info("event=watch_compacted prefix=%s", self._prefix)
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -49,6 +49,7 @@
         heard: When its last hint came.
         jobs: Jobs that it works on or answers for.
         waiting: Waiting tokens by route.
+        versions: What it has seen of the configuration and of the upstreams.
         leaving: Whether it is shutting down.
         store_ok: Whether it reaches the store.
     """
