--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,11 @@
 
 .PHONY: setup format lint types test test-promises quickstart ci
 
-.venv/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+.venv/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv .venv
 	$(BIN)/pip install -q --disable-pip-version-check -c constraints.txt -r requirements-dev.txt
 	$(BIN)/pip install -q --disable-pip-version-check -c constraints.txt --no-build-isolation \
-	  -e packages/core -e packages/node -e packages/cli -e packages/standins
+	  -e packages/core -e packages/node -e packages/cli -e packages/standins -e platform
 	touch $@
 
 setup: .venv/.ready
@@ -22,7 +22,7 @@
 	$(BIN)/ruff check -q .
 
 types: setup
-	$(BIN)/mypy packages/core/src packages/node/src packages/cli/src packages/standins/src
+	$(BIN)/mypy packages/core/src packages/node/src packages/cli/src packages/standins/src platform/src
 
 test: setup
 	$(BIN)/python tools/run_tests.py
--- /dev/null
+++ b/packages/core/tests/test_direct_decisions.py
@@ -0,0 +1,238 @@
+"""Decisions of direct entries: placing, giving way, quota, lists, views. No network, no clock."""
+
+from __future__ import annotations
+
+import pytest
+
+from carobspool_core.direct import (
+    LAPSE_GRACE,
+    ONLINE_OVERFILL,
+    Configuration,
+    EventSplitter,
+    Load,
+    Route,
+    RouteKind,
+    SharedView,
+    Upstream,
+    UpstreamList,
+    WeightedService,
+    choose_batch_upstream,
+    choose_upstream,
+    excess_of_batch,
+    fits_quota,
+)
+
+
+def _upstream(name: str, *, domain: str = "a", slots: int = 8, ready: bool = True) -> Upstream:
+    return Upstream(
+        instance=name,
+        service="engine",
+        address=("127.0.0.1", 1),
+        failure_domain=domain,
+        slots=slots,
+        ready=ready,
+    )
+
+
+def _route(prefix: str, **changes: object) -> Route:
+    values: dict[str, object] = {
+        "name": prefix,
+        "host": "h",
+        "path_prefix": prefix,
+        "kind": RouteKind.SAFE,
+        "timeout": 1_000.0,
+        "target_latency": 100.0,
+        "priority": 0,
+        "services": (WeightedService(service="s", weight=1.0),),
+    }
+    return Route(**(values | changes))  # type: ignore[arg-type]
+
+
+def test_longest_prefix_of_the_host_wins() -> None:
+    config = Configuration(version=1, routes=(_route("/a/"), _route("/a/b/")))
+    found = config.route_for("h", "/a/b/c")
+    assert found is not None
+    assert found.name == "/a/b/"
+    assert config.route_for("other", "/a/b/c") is None
+    assert config.route_for("h", "/c") is None
+
+
+def test_a_split_route_sends_each_request_to_one_service_by_weight() -> None:
+    services = (
+        WeightedService(service="old", weight=90),
+        WeightedService(service="new", weight=10),
+    )
+    route = _route("/a/", services=services)
+    chosen = [route.service_for(f"request-{number}") for number in range(2_000)]
+    assert chosen == [route.service_for(f"request-{number}") for number in range(2_000)]
+    assert 0.07 < chosen.count("new") / len(chosen) < 0.13
+
+
+def test_only_what_may_run_twice_may_repeat() -> None:
+    assert _route("/a/").may_repeat
+    assert not _route("/a/", kind=RouteKind.UNSAFE).may_repeat
+    assert not _route("/a/", kind=RouteKind.STREAM).may_repeat
+    assert _route("/a/", kind=RouteKind.STREAM, resumable=True).may_repeat
+
+
+def test_online_goes_where_least_online_runs() -> None:
+    pool = [_upstream("x"), _upstream("y")]
+    loads = {"x": Load(online=5), "y": Load(online=2)}
+    chosen = choose_upstream(pool, loads, failure_domain="a")
+    assert chosen is pool[1]
+
+
+def test_a_burst_spreads_over_the_pool() -> None:
+    """Sixty requests at once over nine upstreams of eight slots: none gets much more than its
+    share, and none is refused while there are places."""
+    pool = [_upstream(f"u{number}", domain="abc"[number % 3]) for number in range(9)]
+    loads: dict[str, Load] = {}
+    for _ in range(60):
+        chosen = choose_upstream(pool, loads, failure_domain="a")
+        assert chosen is not None
+        loads[chosen.instance] = Load(online=loads.get(chosen.instance, Load()).online + 1)
+    assert max(load.online for load in loads.values()) <= 8
+
+
+def test_a_pool_that_is_overfull_refuses() -> None:
+    pool = [_upstream("x", slots=8)]
+    assert choose_upstream(pool, {"x": Load(online=8 + ONLINE_OVERFILL - 1)}, failure_domain="a")
+    assert not choose_upstream(pool, {"x": Load(online=8 + ONLINE_OVERFILL)}, failure_domain="a")
+
+
+def test_a_suspect_is_used_only_when_nothing_else_is_left() -> None:
+    pool = [_upstream("x"), _upstream("y")]
+    loads = {"y": Load(online=7)}
+    assert choose_upstream(pool, loads, failure_domain="a", suspects=frozenset({"x"})) is pool[1]
+    assert choose_upstream(pool[:1], loads, failure_domain="a", suspects=frozenset({"x"}))
+
+
+def test_batch_leaves_a_reserve_and_avoids_suspects() -> None:
+    pool = [_upstream("x", slots=4)]
+    assert choose_batch_upstream(pool, {"x": Load(online=1, batch=1)})
+    assert not choose_batch_upstream(pool, {"x": Load(online=1, batch=2)})
+    assert not choose_batch_upstream(pool, {}, suspects=frozenset({"x"}))
+
+
+@pytest.mark.parametrize(
+    ("online", "batch", "own", "given_up"),
+    [(0, 8, 8, 0), (1, 7, 7, 0), (1, 8, 8, 1), (3, 8, 4, 2), (9, 4, 2, 2), (9, 0, 0, 0)],
+)
+def test_batch_gives_way_by_what_stands_in_the_way(
+    online: int, batch: int, own: int, given_up: int
+) -> None:
+    """Eight slots: what exceeds them gives way, shared between the entries that run it."""
+    assert excess_of_batch(_upstream("x"), Load(online, batch), own) == given_up
+
+
+@pytest.mark.parametrize(
+    ("own", "other", "job", "entries", "fits"),
+    [
+        (0, 0, 2_000, 5, False),
+        (100, 100, 100, 5, True),
+        (400, 460, 100, 5, False),
+        (400, 400, 40, 5, True),
+        (400, 500, 100, 1, True),
+        (400, 501, 100, 1, False),
+    ],
+)
+def test_quota_near_its_limit_is_shared(
+    own: int, other: int, job: int, entries: int, fits: bool
+) -> None:
+    assert fits is fits_quota(
+        limit=1_000, own_tokens=own, other_tokens=other, job_tokens=job, entries=entries
+    )
+
+
+def test_concurrent_acceptance_stays_within_a_tenth_over_the_quota() -> None:
+    """A burst of jobs at five entries between two hints: each counts only its own acceptance, the
+    others' as of the last hint. The sum stays below 110% of the limit."""
+    limit, job = 1_000, 20
+    told = [0] * 5
+    own = [0] * 5
+    for _ in range(20):
+        for _ in range(3):
+            for entry in range(5):
+                other = sum(told) - told[entry]
+                if fits_quota(
+                    limit=limit,
+                    own_tokens=own[entry],
+                    other_tokens=other,
+                    job_tokens=job,
+                    entries=5,
+                ):
+                    own[entry] += job
+        told = list(own)
+    assert limit * 0.8 <= sum(own) <= limit * 1.1
+
+
+def test_registrations_that_lapse_with_the_store_are_used_for_two_seconds() -> None:
+    """The store is away, its leases run out, and it returns with an empty list. Callers must not
+    see an empty service while the living servers register again."""
+    known = UpstreamList()
+    known.replace([_upstream("x"), _upstream("y")], now=0.0)
+    known.regained(now=10_000.0)
+    known.replace([], now=10_000.0)
+    assert {each.instance for each in known.usable("engine", 10_100.0)} == {"x", "y"}
+    known.put(_upstream("x"))
+    late = 10_000.0 + LAPSE_GRACE + 1.0
+    assert [each.instance for each in known.usable("engine", late)] == ["x"]
+
+
+def test_a_server_that_leaves_in_calm_gets_nothing_more() -> None:
+    known = UpstreamList()
+    known.replace([_upstream("x"), _upstream("y")], now=0.0)
+    known.remove("x", now=5_000.0)
+    known.put(_upstream("y", ready=False))
+    assert known.usable("engine", 5_000.0) == []
+
+
+def test_a_draining_server_that_lapses_is_not_brought_back() -> None:
+    known = UpstreamList()
+    known.replace([_upstream("x", ready=False)], now=0.0)
+    known.regained(now=1_000.0)
+    known.replace([], now=1_000.0)
+    assert known.usable("engine", 1_001.0) == []
+
+
+def test_a_view_that_stays_behind_is_read_again_but_not_at_once_and_not_too_often() -> None:
+    """A watch hears nothing: another entry knows version 8, we know 4. A change under way differs
+    for some ms only and costs no call."""
+    view = SharedView()
+    view.version = 4
+    assert not view.is_behind(8, now=0.0)
+    assert view.is_behind(8, now=500.0)
+    assert not view.is_behind(8, now=600.0)
+    assert view.is_behind(8, now=1_700.0)
+    view.version = 8
+    assert not view.is_behind(8, now=1_800.0)
+
+
+def test_one_peer_that_missed_the_same_does_not_hide_the_difference() -> None:
+    view = SharedView()
+    view.version = 1
+    due = []
+    for step in range(10):
+        now = step * 100.0
+        due.append(view.differs(1, now))
+        due.append(view.differs(2, now + 50.0))
+    assert any(due)
+
+
+def test_events_are_cut_whole_whatever_the_pieces() -> None:
+    text = b"id: 1\ndata: one\n\nid: 2\nweight-versions: 3\ndata: a\ndata: b\n\nid: 3\nda"
+    for size in (1, 2, 7, len(text)):
+        splitter = EventSplitter()
+        events = []
+        for start in range(0, len(text), size):
+            events.extend(splitter.feed(text[start : start + size]))
+        assert [(each.event_id, each.data) for each in events] == [(1, "one"), (2, "a\nb")]
+        assert b"".join(each.raw for each in events) == text[: text.rfind(b"id: 3")]
+        assert splitter.incomplete
+
+
+def test_a_separator_inside_the_data_does_not_end_a_line() -> None:
+    splitter = EventSplitter()
+    (event,) = splitter.feed("id: 1\r\ndata: a\u2028b\x85c\r\n\r\n".encode())
+    assert event.data == "a\u2028b\x85c"
+    assert not splitter.incomplete
--- /dev/null
+++ b/packages/core/tests/test_direct_job_work.py
@@ -0,0 +1,128 @@
+"""What becomes of a job's items between runs, commits, conflicts and takeovers."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carobspool_core.direct import (
+    ItemEnd,
+    JobInput,
+    JobItem,
+    JobProgress,
+    JobWork,
+    job_from_json,
+    job_to_json,
+    progress_from_json,
+    progress_to_json,
+)
+
+
+def _job(count: int = 3) -> JobInput:
+    items = tuple(
+        JobItem(item_id=f"i{number}", path="/p/", headers={"M": "m"}, body=b"\xff", tokens=10)
+        for number in range(count)
+    )
+    return JobInput(job_id="j", host="h", path="/p/x", owner="a#1", submitted=1.0, items=items)
+
+
+def _work(count: int = 3) -> JobWork:
+    return JobWork(_job(count), JobProgress(owner="a#1", total=count))
+
+
+def test_records_survive_the_store() -> None:
+    job = _job()
+    assert job_from_json("j", job_to_json(job)) == job
+    work = _work()
+    item = work.open_items()[0]
+    item.texts.append("text")
+    work.finish(item, ItemEnd.COMPLETED)
+    work.failed(work.open_items()[0], max_attempts=3)
+    progress = work.proposal("a#1")
+    assert progress_from_json(progress_to_json(progress)) == progress
+    assert progress.failures == {"i1": 1}
+
+
+def test_a_result_is_readable_only_once_committed() -> None:
+    work = _work()
+    work.finish(work.open_items()[0], ItemEnd.COMPLETED)
+    assert not work.committed
+    progress = work.proposal("a#1")
+    work.adopt(progress)
+    assert [each.item_id for each in work.committed] == ["i0"]
+    assert not work.has_uncommitted
+
+
+def test_results_that_come_during_a_commit_keep_their_place() -> None:
+    """A commit is under way when a second item finishes. The reader must see the first at position
+    0 and the second at 1, neither twice."""
+    work = _work()
+    first, second, _ = work.open_items()
+    work.finish(first, ItemEnd.COMPLETED)
+    progress = work.proposal("a#1")
+    work.finish(second, ItemEnd.COMPLETED)
+    work.adopt(progress)
+    assert work.has_uncommitted
+    work.adopt(work.proposal("a#1"))
+    assert [each.item_id for each in work.committed] == ["i0", "i1"]
+
+
+def test_a_failed_run_counts_over_a_takeover_until_the_item_is_dead() -> None:
+    """An item fails twice at one owner, which dies; the next one gives it up at the third."""
+    work = _work(1)
+    item = work.open_items()[0]
+    assert not work.failed(item, max_attempts=3)
+    assert not work.failed(item, max_attempts=3)
+    later = JobWork(_job(1), progress_from_json(progress_to_json(work.proposal("b#1"))))
+    assert later.failed(later.open_items()[0], max_attempts=3)
+    assert [each.end for each in later.proposal("b#1").results] == [ItemEnd.DEAD]
+
+
+def test_an_item_that_can_never_be_done_is_dead_at_once_and_has_no_text() -> None:
+    work = _work(1)
+    item = work.open_items()[0]
+    item.texts.append("half")
+    work.rejected(item)
+    (result,) = work.proposal("a#1").results
+    assert (result.end, result.text) == (ItemEnd.DEAD, "")
+
+
+def test_an_ended_job_starts_nothing_and_waits_for_nothing() -> None:
+    work = _work()
+    work.end()
+    assert work.next_item(0.0) is None
+    assert work.finished
+    assert work.waiting_tokens == 0
+
+
+def test_interrupted_items_resume_before_new_ones_start() -> None:
+    work = _work()
+    work.open_items()[2].last_event = 5
+    found = work.next_item(0.0)
+    assert found is not None
+    assert found.item.item_id == "i2"
+
+
+@given(st.lists(st.sampled_from(["finish", "propose", "adopt", "lose"]), max_size=40))
+def test_no_interleaving_lists_an_item_twice_or_moves_a_position(steps: list[str]) -> None:
+    """Commits are proposed, acknowledged, or acknowledged late after their answer was lost."""
+    work = _work(6)
+    stored = JobProgress(owner="a#1", total=6)
+    proposed: JobProgress | None = None
+    seen: list[str] = []
+    for step in steps:
+        open_items = work.open_items()
+        if step == "finish" and open_items:
+            work.finish(open_items[0], ItemEnd.COMPLETED)
+        elif step == "propose":
+            proposed = work.proposal("a#1")
+            stored = proposed
+        elif step == "adopt" and proposed is not None:
+            work.adopt(stored)
+        elif step == "lose":
+            work = JobWork(_job(6), stored)
+            proposed = None
+        committed = [each.item_id for each in work.committed]
+        assert committed[: len(seen)] == seen[: len(committed)]
+        seen = max(seen, committed, key=len)
+        assert len(set(committed)) == len(committed)
--- a/packages/node/src/carobspool_node/direct/_channel.py
+++ b/packages/node/src/carobspool_node/direct/_channel.py
@@ -139,9 +139,12 @@
         while True:
             try:
                 event = self._http.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                self._http.receive_data(self.receive(deadline, watch))
+                if event is h11.NEED_DATA:
+                    self._http.receive_data(self.receive(deadline, watch))
+                    continue
+                if isinstance(event, type):
+                    raise ConnectionBrokenError("bytes of another message")
+                return event
             except h11.RemoteProtocolError as error:
                 self._raise_if_cancelled()
                 raise ConnectionBrokenError(f"not proper HTTP: {error}") from error
--- a/packages/node/src/carobspool_node/direct/_settings.py
+++ b/packages/node/src/carobspool_node/direct/_settings.py
@@ -5,19 +5,15 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import Field
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from carobspool_core import Millis
-from carobspool_core.border import Problem, read_json, validate
+from carobspool_core.border import BorderModel, Problem, read_json, validate
 
 
-class _Model(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-
-class DirectModel(_Model):
+class DirectModel(BorderModel):
     """The settings file of a direct entry."""
 
     role: str = Field(pattern="^(entry|keeper)$")
--- /dev/null
+++ b/tests/direct/test_membership.py
@@ -0,0 +1,108 @@
+"""Configuration, servers and entries that come, go, or go unheard."""
+
+from __future__ import annotations
+
+import signal
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from direct_harness import STANDARD_ROUTES, Answer, Deployment, deployment, eventually, route
+
+from carobspool_standins.platform_server import ServedRequest, ServerConnection, stream_events
+
+
+@pytest.fixture
+def system(tmp_path: Path) -> Iterator[Deployment]:
+    """Stand-ins without entries."""
+    with deployment(tmp_path) as running:
+        yield running
+
+
+def _answer(request: ServedRequest, connection: ServerConnection) -> None:
+    connection.answer(request)
+
+
+def test_a_change_is_found_although_every_watch_is_deaf(system: Deployment) -> None:
+    """The store's watches stay open and hear nothing while a route is added and a server leaves.
+    Callers must be served by what is declared now, within a few seconds."""
+    gone = system.server("plain", _answer)
+    system.server("plain", _answer)
+    entries = [system.entry("e1"), system.entry("e2")]
+    system.objects.faults.deaf = True
+    system.configure(2, *STANDARD_ROUTES, route("/new/", "safe", "plain"))
+    system.objects.remove("servers", gone.instance)
+    system.objects.compact()
+    for entry in entries:
+        eventually(lambda e=entry: e.call("GET", "/new/x").status == 200, 4.5)
+    time.sleep(1.0)
+    before = len(gone.seen)
+    for entry in entries:
+        for _ in range(6):
+            assert entry.call("GET", "/safe/x").status == 200
+    assert len(gone.seen) == before
+
+
+def test_a_configuration_never_goes_back(system: Deployment) -> None:
+    system.server("plain", _answer)
+    entry = system.entry("e1")
+    system.configure(5, route("/new/", "safe", "plain"))
+    eventually(lambda: entry.call("GET", "/new/x").status == 200, 2)
+    system.configure(4, route("/safe/", "safe", "plain"))
+    time.sleep(0.5)
+    assert entry.call("GET", "/new/x").status == 200
+    assert entry.call("GET", "/safe/x").status == 404
+
+
+def test_without_a_configuration_nothing_is_denied_for_good(system: Deployment) -> None:
+    """The store is away when the entry starts. It is not ready, and tells callers to come back
+    instead of that their route does not exist."""
+    system.objects.faults.status = 503
+    entry = system.entry("e1", wait=False)
+    answer = eventually(lambda: _try(entry.call, "GET", "/safe/x"), 8)
+    assert (answer.status, entry.is_ready()) == (503, False)
+    assert float(answer.headers["retry-after"]) > 0
+    system.objects.faults.status = 0
+    eventually(entry.is_ready, 3)
+
+
+def test_a_leaving_server_gets_nothing_new(system: Deployment) -> None:
+    leaving, staying = system.server("plain", _answer), system.server("plain", _answer)
+    entry = system.entry("e1")
+    system.objects.put("servers", leaving.instance, leaving.registration("plain", state="draining"))
+    time.sleep(0.3)
+    before = len(leaving.seen)
+    for _ in range(10):
+        assert entry.call("GET", "/safe/x").status == 200
+    assert len(leaving.seen) == before
+    assert len(staying.seen) >= 10
+
+
+def test_a_leaving_entry_finishes_its_streams_and_is_not_ready(system: Deployment) -> None:
+    """SIGTERM in the middle of a stream. The stream ends whole, a new request on an open
+    connection is still served, and the process exits in its time with code 0."""
+    system.server("engine", stream_events(10, pause_s=0.15))
+    entry = system.entry("e1")
+    found: list[Answer] = []
+    caller = threading.Thread(
+        target=lambda: found.append(entry.call("POST", "/stream/x", body=b"b"))
+    )
+    caller.start()
+    time.sleep(0.4)
+    entry.signal(signal.SIGTERM)
+    eventually(lambda: not entry.is_ready(), 1)
+    late = entry.call("POST", "/stream/y", body=b"b")
+    assert (late.status, late.complete) == (200, True)
+    assert late.headers["connection"] == "close"
+    caller.join()
+    assert found[0].complete
+    assert entry.process.wait(timeout=6) == 0
+
+
+def _try(call: object, *arguments: str) -> Answer | None:
+    try:
+        return call(*arguments)  # type: ignore[operator]
+    except OSError:
+        return None
--- /dev/null
+++ b/tests/direct/test_online.py
@@ -0,0 +1,327 @@
+"""Online requests through a direct entry, with servers that fail in every way they may."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from direct_harness import HOST, Deployment, Entry, deployment, eventually
+
+from carobspool_standins.platform_server import (
+    ServedRequest,
+    ServerConnection,
+    answer_bytes,
+    stream_events,
+)
+
+Served = tuple[Deployment, Entry]
+
+
+@pytest.fixture(scope="module")
+def running(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Served]:
+    """One entry for all tests of this file."""
+    with deployment(tmp_path_factory.mktemp("online")) as system:
+        yield system, system.entry("e1")
+
+
+@pytest.fixture
+def served(running: Served) -> Iterator[Served]:
+    """The entry, with the servers of one test taken out again after it."""
+    system, _ = running
+    yield running
+    for server in system.servers:
+        system.objects.remove("servers", server.instance)
+    system.servers.clear()
+    time.sleep(0.2)
+
+
+def _settle() -> None:
+    time.sleep(0.25)
+
+
+def test_an_answer_is_passed_on_unchanged(served: Served) -> None:
+    system, entry = served
+
+    def behave(request: ServedRequest, connection: ServerConnection) -> None:
+        connection.answer(request, 418, b"\x00tea", "X-Own: 1\r\n")
+
+    server = system.server("plain", behave)
+    _settle()
+    answer = entry.call("POST", "/safe/a?b=c", body=b"hello", headers={"X-Mine": "2"})
+    assert (answer.status, answer.body) == (418, b"\x00tea")
+    assert (answer.headers["server-stamp"], answer.headers["x-own"]) == ("s", "1")
+    (seen,) = server.seen
+    assert (seen.method, seen.target, seen.body) == ("POST", "/safe/a?b=c", b"hello")
+    assert (seen.headers["x-mine"], seen.headers["host"]) == ("2", HOST)
+    assert seen.headers["expect-instance"] == server.instance
+    assert 0 < int(seen.headers["deadline-ms"]) <= 3_000
+
+
+def test_a_late_second_answer_never_reaches_another_request(served: Served) -> None:
+    """The server answers the first request twice. The second copy lies on the kept connection
+    where the next caller's answer is expected; that caller must get its own."""
+    system, entry = served
+
+    def behave(request: ServedRequest, connection: ServerConnection) -> None:
+        connection.answer(request, 200, request.target.encode())
+        if request.target.endswith("first"):
+            late = answer_bytes(request.request_id, 200, b"stale")
+            threading.Timer(0.3, connection.send, (late,)).start()
+        else:
+            time.sleep(0.0)
+
+    system.server("plain", behave)
+    _settle()
+    assert entry.call("GET", "/safe/first").body == b"/safe/first"
+    time.sleep(0.5)
+    assert entry.call("GET", "/safe/second").body == b"/safe/second"
+
+
+def test_a_stale_answer_ahead_of_ours_is_skipped(served: Served) -> None:
+    """The stale answer arrives only after our request was sent, directly before ours."""
+    system, entry = served
+    earlier: list[str] = []
+
+    def behave(request: ServedRequest, connection: ServerConnection) -> None:
+        for request_id in earlier:
+            connection.send(answer_bytes(request_id, 200, b"stale"))
+        earlier[:] = [request.request_id]
+        connection.answer(request, 200, request.target.encode())
+
+    server = system.server("plain", behave)
+    _settle()
+    for name in ("a", "b"):
+        assert entry.call("GET", f"/safe/{name}").body == f"/safe/{name}".encode()
+    assert server.connections == 1
+
+
+@pytest.mark.parametrize(
+    "spoiled",
+    [
+        b"these bytes are no answer\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 20\r\n\r\nshort",
+    ],
+    ids=["garbage", "unsigned", "truncated"],
+)
+def test_spoiled_answers_are_never_passed_on(served: Served, spoiled: bytes) -> None:
+    """A safe request is answered by another server; one that may run once ends as unknown, since
+    it may have run, and it is not sent again."""
+    system, entry = served
+
+    def spoil(request: ServedRequest, connection: ServerConnection) -> None:
+        connection.send(spoiled)
+        connection.close()
+
+    system.server("plain", spoil)
+    _settle()
+    answer = entry.call("POST", "/once/x", body=b"b")
+    assert (answer.status, answer.headers["carobspool-outcome"]) == (502, "unknown")
+    assert "retry-after" not in answer.headers
+    assert len(system.servers[0].seen) == 1
+    system.server("plain", lambda request, connection: connection.answer(request))
+    _settle()
+    assert entry.call("GET", "/safe/x").body == b"ok"
+
+
+def test_a_request_that_was_turned_away_runs_elsewhere(served: Served) -> None:
+    system, entry = served
+    system.server("plain", lambda request, connection: connection.not_run(request))
+    _settle()
+    assert entry.call("POST", "/once/x", body=b"b").status == 503
+    good = system.server("plain", lambda request, connection: connection.answer(request))
+    _settle()
+    for _ in range(4):
+        assert entry.call("POST", "/once/x", body=b"b").status == 200
+    assert len(good.seen) == 4
+
+
+def test_a_refusal_is_immediate_and_says_when_to_come_back(served: Served) -> None:
+    """There is no server. Waiting for the deadline would help nobody."""
+    _, entry = served
+    began = time.monotonic()
+    answer = entry.call("POST", "/once/x", body=b"b")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert time.monotonic() - began < 0.5
+
+
+def test_a_server_at_a_reused_address_does_not_run_the_request(served: Served) -> None:
+    """The list still shows a server whose address another has taken. That one says so, and the
+    request runs at one of its own service."""
+    system, entry = served
+    good = system.server("plain", lambda request, connection: connection.answer(request))
+    stranger = system.server("other", lambda request, connection: connection.answer(request))
+    gone = stranger.registration("plain")
+    system.objects.put("servers", "i-gone", gone)
+    _settle()
+    assert {entry.call("POST", "/once/x", body=b"b").status for _ in range(6)} == {200}
+    system.objects.remove("servers", "i-gone")
+    assert len(good.seen) == 6
+
+
+def test_the_time_limit_of_the_route_ends_the_wait(served: Served) -> None:
+    system, entry = served
+    system.server("plain", lambda request, connection: time.sleep(8))
+    _settle()
+    began = time.monotonic()
+    answer = entry.call("POST", "/once/x", body=b"b", headers={"Deadline-Ms": "600"})
+    assert answer.status == 504
+    assert 0.5 < time.monotonic() - began < 0.9
+
+
+def test_a_caller_that_leaves_ends_the_work_for_it(served: Served) -> None:
+    """The server works on a request whose caller has closed its connection. Within half a second
+    the server's connection is closed, so that it can stop."""
+    system, entry = served
+    left: list[bool] = []
+
+    def behave(request: ServedRequest, connection: ServerConnection) -> None:
+        left.append(connection.peer_left(2.0))
+        connection.close()
+
+    server = system.server("engine", behave)
+    _settle()
+    with socket.create_connection(("127.0.0.1", entry.port)) as caller:
+        caller.sendall(
+            f"POST /stream/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: gone\r\n"
+            "Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n".encode()
+        )
+        eventually(lambda: server.seen, 2.0)
+    eventually(lambda: left, 1.0)
+    assert left == [True]
+
+
+def test_events_arrive_as_they_are_made(served: Served) -> None:
+    system, entry = served
+    system.server("engine", stream_events(5, pause_s=0.02))
+    _settle()
+    answer = entry.call("POST", "/stream/x", body=b"b")
+    assert answer.complete
+    assert answer.body == b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
+
+
+def _break_after(count: int, rest: bytes = b"") -> object:
+    def behave(request: ServedRequest, connection: ServerConnection) -> None:
+        start = int(request.headers.get("last-event-id", "0"))
+        connection.start_events(request)
+        for number in range(start + 1, start + count + 1):
+            connection.event(number)
+        if rest:
+            connection.chunk(rest)
+        time.sleep(0.1)
+        connection.reset()
+
+    return behave
+
+
+def test_a_broken_stream_that_may_not_repeat_cannot_look_complete(served: Served) -> None:
+    """The server breaks off after two events. The caller keeps what it has and sees that it is
+    not whole; nothing runs a second time."""
+    system, entry = served
+    first = system.server("engine", _break_after(2))  # type: ignore[arg-type]
+    second = system.server("engine", _break_after(2))  # type: ignore[arg-type]
+    _settle()
+    try:
+        answer = entry.call("POST", "/stream/x", body=b"b")
+        assert not answer.complete
+    except ConnectionError:
+        pass
+    assert len(first.seen) + len(second.seen) == 1
+
+
+@pytest.mark.parametrize("rest", [b"", b"id: 3\nda"], ids=["between events", "within an event"])
+def test_a_resumable_stream_goes_on_at_its_next_event(served: Served, rest: bytes) -> None:
+    system, entry = served
+    broken = system.server("engine", _break_after(2, rest))  # type: ignore[arg-type]
+    _settle()
+    threading.Timer(0.05, lambda: None).start()
+    good = system.server("engine", stream_events(4))
+    _settle()
+    for _ in range(6):
+        answer = entry.call("POST", "/resume/x", body=b"b")
+        assert answer.complete
+        expected = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 5))
+        assert answer.body == expected
+        if broken.seen:
+            break
+        time.sleep(1.1)
+    assert good.seen[-1].headers.get("last-event-id") in (None, "2")
+
+
+def test_unknown_routes_are_told_from_an_unknown_configuration(served: Served) -> None:
+    _, entry = served
+    assert entry.call("GET", "/nowhere/x").status == 404
+
+
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        ("POST /safe/x HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 3\r\n", 400),
+        ("POST /safe/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n", 400),
+        ("POST /safe/x HTTP/1.1\r\nX: " + "y" * 20_000 + "\r\n", 431),
+        ("GET /safe/ HTTP/1.1\r\nbad line\r\n", 400),
+        ("GET /safe/x", 408),
+    ],
+    ids=["two lengths", "bad chunk", "long header", "bad header", "slow header"],
+)
+def test_improper_requests_are_refused_and_the_entry_lives_on(
+    served: Served, head: str, status: int
+) -> None:
+    system, entry = served
+    server = system.server("plain", lambda request, connection: connection.answer(request))
+    _settle()
+    with socket.create_connection(("127.0.0.1", entry.port)) as caller:
+        caller.settimeout(3.0)
+        ending = "" if status == 408 else f"Host: {HOST}\r\nRequest-Id: r\r\n\r\nzz\r\n"
+        caller.sendall((head + ending).encode())
+        assert caller.recv(4_096).split()[1] == str(status).encode()
+    assert server.seen == []
+    assert entry.call("GET", "/safe/x").status == 200
+
+
+def test_a_burst_over_all_places_is_spread_and_what_is_refused_is_told_at_once(
+    served: Served,
+) -> None:
+    """Forty callers at once over two servers of eight places each, half a second an answer. The
+    servers are used evenly, nobody waits for a deadline, and every refusal says when to return."""
+    system, entry = served
+
+    def behave(request: ServedRequest, connection: ServerConnection) -> None:
+        time.sleep(0.5)
+        connection.answer(request)
+
+    servers = [system.server("plain", behave) for _ in range(2)]
+    _settle()
+    found: list[tuple[int, float, str]] = []
+
+    def call() -> None:
+        began = time.monotonic()
+        answer = entry.call("POST", "/once/x", body=b"b")
+        took = time.monotonic() - began
+        found.append((answer.status, took, answer.headers.get("retry-after", "")))
+
+    callers = [threading.Thread(target=call) for _ in range(40)]
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+    served_count = sum(status == 200 for status, _, _ in found)
+    refused = [each for each in found if each[0] == 503]
+    assert served_count + len(refused) == 40
+    assert served_count >= 24
+    assert all(took < 0.4 and float(retry) > 0 for _, took, retry in refused)
+    assert abs(len(servers[0].seen) - len(servers[1].seen)) <= 4
+
+
+def test_metrics_and_logs_tell_of_a_request(served: Served, tmp_path: Path) -> None:
+    system, entry = served
+    system.server("plain", lambda request, connection: connection.answer(request))
+    _settle()
+    entry.call("GET", "/safe/x", request_id="told")
+    (line,) = eventually(lambda: entry.logged("request=told"), 2.0)
+    assert "outcome=answered status=200" in line
--- /dev/null
+++ b/tests/direct_harness.py
@@ -0,0 +1,260 @@
+"""Runs direct entries as processes against stand-ins of the platform in this process."""
+
+from __future__ import annotations
+
+import base64
+import contextlib
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import uuid
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from carobspool_standins.platform_server import (
+    Behaviour,
+    PlatformServer,
+    serve_platform_server,
+)
+from carobspool_standins.platform_store import PlatformObjects, serve_platform_store
+
+HOST = "callers.example"
+READY_S = 15.0
+STEP_S = 0.05
+
+
+def route(prefix: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
+    """Return a route of the operator's configuration."""
+    return {
+        "name": f"r{prefix.strip('/')}",
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 3_000,
+        "target_latency_ms": 200,
+        "priority": 0,
+        "service": service,
+        "max_attempts": 2,
+        "resumable": False,
+    } | changes
+
+
+def configuration(version: int, *routes: dict[str, Any]) -> dict[str, Any]:
+    """Return a whole configuration."""
+    limits = {
+        "max_header_bytes": 16_384,
+        "max_body_bytes": 4_194_304,
+        "header_timeout_ms": 1_000,
+        "idle_timeout_ms": 15_000,
+    }
+    return {"version": version, "routes": list(routes), "services": [], "limits": limits}
+
+
+STANDARD_ROUTES = (
+    route("/safe/", "safe", "plain"),
+    route("/once/", "unsafe", "plain"),
+    route("/stream/", "streaming", "engine", max_attempts=1),
+    route("/resume/", "streaming", "engine", resumable=True),
+    route("/batch/", "batch", "engine", max_attempts=3, retention_s=60, max_count=100_000),
+)
+
+
+@dataclass(slots=True)
+class Answer:
+    """What a caller received."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool = True
+
+
+@dataclass(slots=True)
+class Entry:
+    """One running entry."""
+
+    name: str
+    port: int
+    ready_port: int
+    peer_port: int
+    process: subprocess.Popen[bytes]
+    log: Path
+
+    def call(
+        self,
+        method: str,
+        target: str,
+        *,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        request_id: str | None = None,
+        timeout: float = 10.0,
+    ) -> Answer:
+        """Make one call on a new connection."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=timeout)
+        sent = {"Host": HOST, "Request-Id": request_id or uuid.uuid4().hex}
+        sent |= {"Deadline-Ms": "3000"} | (headers or {})
+        try:
+            connection.request(method, target, body=body or None, headers=sent)
+            response = connection.getresponse()
+            found = {key.lower(): value for key, value in response.getheaders()}
+            try:
+                return Answer(response.status, found, response.read())
+            except http.client.IncompleteRead as error:
+                return Answer(response.status, found, error.partial, complete=False)
+        finally:
+            connection.close()
+
+    def is_ready(self) -> bool:
+        """Ask as the balancer does."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.ready_port, timeout=1.0)
+        try:
+            connection.request("GET", "/api/ready")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+        finally:
+            connection.close()
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        os.kill(self.process.pid, number)
+
+    def logged(self, text: str) -> list[str]:
+        """Return the lines of the log that contain a text."""
+        return [line for line in self.log.read_text().splitlines() if text in line]
+
+
+@dataclass(slots=True)
+class Deployment:
+    """Stand-ins and the entries started against them."""
+
+    objects: PlatformObjects
+    store: str
+    folder: Path
+    stack: ExitStack
+    entries: list[Entry] = field(default_factory=list)
+    servers: list[PlatformServer] = field(default_factory=list)
+
+    def server(self, service: str, behave: Behaviour) -> PlatformServer:
+        """Start and register a server."""
+        instance = f"i-{uuid.uuid4().hex[:8]}"
+        server = self.stack.enter_context(serve_platform_server(instance, behave))
+        self.servers.append(server)
+        self.objects.put("servers", instance, server.registration(service))
+        return server
+
+    def entry(self, name: str, *, first_start: bool = True, wait: bool = True) -> Entry:
+        """Start an entry."""
+        port, ready_port, peer_port, metrics_port = _free_ports(4)
+        settings = {
+            "role": "entry",
+            "node": name,
+            "failure_domain": "z1",
+            "address": "127.0.0.1",
+            "callers": f"127.0.0.1:{port}",
+            "ready": f"127.0.0.1:{ready_port}",
+            "peer_port": peer_port,
+            "object_api": self.store,
+            "value_limit_bytes": 1_048_576,
+            "shutdown_limit_s": 6,
+            "first_start": first_start,
+            "metrics_port": metrics_port,
+            "log_level": "info",
+        }
+        path = self.folder / f"{name}-{peer_port}.json"
+        path.write_text("// settings\n" + json.dumps(settings))
+        log = self.folder / f"{name}-{peer_port}.log"
+        process = self.stack.enter_context(_process(path, log))
+        entry = Entry(name, port, ready_port, peer_port, process, log)
+        self.entries.append(entry)
+        if wait:
+            eventually(entry.is_ready, READY_S)
+        return entry
+
+    def configure(self, version: int, *routes: dict[str, Any]) -> None:
+        """Write a configuration as the operator does."""
+        self.objects.put("config", "main", configuration(version, *routes))
+
+
+@contextmanager
+def deployment(folder: Path, *routes: dict[str, Any]) -> Iterator[Deployment]:
+    """Serve a store with a configuration; everything started is ended."""
+    objects = PlatformObjects()
+    objects.put("config", "main", configuration(1, *(routes or STANDARD_ROUTES)))
+    with ExitStack() as stack:
+        store = stack.enter_context(serve_platform_store(objects))
+        yield Deployment(objects, store, folder, stack)
+
+
+def eventually(check: Callable[[], object], within_s: float) -> Any:
+    """Wait for a check to hold and return what it gave."""
+    until = time.monotonic() + within_s
+    while True:
+        found = check()
+        if found:
+            return found
+        assert time.monotonic() < until, "did not happen in time"
+        time.sleep(STEP_S)
+
+
+def submission(*item_ids: str, path: str = "/batch/1", tokens: int = 10) -> bytes:
+    """Return the body of a job."""
+    items = [
+        {
+            "id": item_id,
+            "path": path,
+            "headers": {"Model": "m"},
+            "body": base64.b64encode(item_id.encode()).decode(),
+            "tokens": tokens,
+        }
+        for item_id in item_ids
+    ]
+    return json.dumps({"items": items}).encode()
+
+
+def read_results(entry: Entry, job_id: str, after: int = 0) -> dict[str, Any] | int:
+    """Return a page of results, or the status of a refusal."""
+    answer = entry.call("GET", f"/api/lots/{job_id}?after={after}", headers={"Wait-Ms": "200"})
+    return json.loads(answer.body) if answer.status == 200 else answer.status
+
+
+def finished(entry: Entry, job_id: str) -> list[dict[str, Any]] | None:
+    """Return all results of a job once it is done."""
+    page = read_results(entry, job_id)
+    if isinstance(page, int) or len(page["results"]) < page["total"]:
+        return None
+    return list(page["results"])
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+@contextmanager
+def _process(settings: Path, log: Path) -> Iterator[subprocess.Popen[bytes]]:
+    environment = {**os.environ, "CAROBSPOOL_SETTINGS": str(settings)}
+    command = [sys.executable, "-m", "carobspool_platform"]
+    with log.open("wb") as output:
+        process = subprocess.Popen(
+            command, env=environment, cwd=settings.parent, stdout=output, stderr=output
+        )
+        try:
+            yield process
+        finally:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(process.pid, signal.SIGCONT)
+            process.kill()
+            process.wait()
