--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -53,6 +53,8 @@
 SETTLE_TIME: Millis = DEAD_AFTER + 300.0
 """How long after its start an entry judges nobody as gone; each peer has sent full hints then."""
 TIDY_INTERVAL_S = 1.0
+ORPHAN_INTERVAL_S = 0.5
+"""Time between two tries to find an owner for jobs that have none, while the store is away."""
 MIN_DRAIN: Millis = 2_500.0
 """How long a leaving entry serves on: the balancer needs two misses, a second apart, to take it
 out, and callers use open connections until then."""
@@ -83,6 +85,8 @@
         self._configuration_view = SharedView()
         self._upstreams_view = SharedView()
         self._leaving = threading.Event()
+        self._released = threading.Event()
+        self._orphans = threading.Event()
         self._recovered = threading.Event()
         self._loads = LoadTable(self._clock, settings.failure_domain)
         self._connections = UpstreamConnections(self._clock)
@@ -163,6 +167,7 @@
         threading.Thread(target=self._register, name="register", daemon=True).start()
         threading.Thread(target=self._recover, name="recover", daemon=True).start()
         threading.Thread(target=self._poll, name="poll", daemon=True).start()
+        threading.Thread(target=self._adopt_orphans, name="orphans", daemon=True).start()
         while not self._leaving.wait(TIDY_INTERVAL_S):
             self._tidy()
         self._leave(callers)
@@ -203,8 +208,8 @@
         logging.info("event=stop_requested busy=%d", callers.busy)
         began = self._clock.now()
         callers.drain()
-        self._peers.tell_now()
         self._runner.stop()
+        self._released.set()
         self._peers.tell_now()
         limit = began + self._settings.shutdown_limit - EXIT_MARGIN
         while self._clock.now() < limit:
@@ -363,15 +368,17 @@
         return self._clock.now() - self._started >= SETTLE_TIME
 
     def _peer_lost(self, peer: Peer) -> None:
-        mine = [job_id for job_id in sorted(peer.jobs) if self._is_mine(job_id)]
-        if not mine or self._leaving.is_set():
-            return
-        threading.Thread(
-            target=self._jobs.take_over,
-            args=(mine, f"lost {peer.identity}"),
-            name="takeover",
-            daemon=True,
-        ).start()
+        self._jobs.orphaned(peer.open_jobs, f"lost {peer.identity}")
+        self._orphans.set()
+
+    def _adopt_orphans(self) -> None:
+        while not self._leaving.is_set():
+            self._orphans.wait(ORPHAN_INTERVAL_S)
+            self._orphans.clear()
+            try:
+                self._jobs.adopt_orphans(self._is_mine)
+            except Exception:  # noqa: BLE001
+                logging.exception("event=takeover_failed")
 
     def _take_loads(self, peer: str, loads: Mapping[str, Load]) -> None:
         with self._upstreams_lock:
@@ -399,13 +406,14 @@
     def _own_hint(self) -> OwnHint:
         return OwnHint(
             loads=self._loads.own_loads(),
-            jobs=self._runner.job_ids(),
+            open_jobs=self._runner.job_ids(finished=False),
+            done_jobs=self._runner.job_ids(finished=True),
             waiting=self._runner.waiting_tokens(),
             versions={
                 "configuration": self._configuration_view.version,
                 "upstreams": self._upstreams_view.version,
             },
-            leaving=self._leaving.is_set(),
+            leaving=self._released.is_set(),
             store_ok=self._store.reachable,
         )
 
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -4,7 +4,7 @@
 
 import threading
 from collections.abc import Callable, Sequence
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import ThreadPoolExecutor, wait
 
 from absl import logging
 
@@ -34,6 +34,9 @@
 """Age of the last proof of ownership beyond which it is renewed before an item starts, when others
 may have taken this entry for dead. A job that was ended through another entry must not start items
 three seconds later."""
+LAST_COMMITS_S = 1.5
+"""How long a leaving entry waits for its last commits: longer than one call to a slow store. What
+is not committed then is run again by the next owner."""
 KEPT_FINISHED = 64
 """Finished jobs that an entry answers for from memory; older ones are read from the store."""
 
@@ -76,15 +79,20 @@
         threading.Thread(target=self._loop, name="jobs", daemon=True).start()
 
     def stop(self) -> None:
-        """Start nothing more, cancel what runs and commit what is done."""
+        """Start nothing more, cancel what runs, commit what is done and answer for nothing."""
         self._stopped.set()
         self._wake.set()
         jobs = self.owned()
         for job in jobs:
             job.stop_runs()
+        commits = [
+            self._commits.submit(job.commit, self._store)
+            for job in jobs
+            if job.commit_due(float("inf"))
+        ]
+        wait(commits, LAST_COMMITS_S)
         for job in jobs:
-            if job.commit_due(float("inf")):
-                job.commit(self._store)
+            job.lose()
 
     def add(self, job: OwnedJob) -> None:
         """Take a job on."""
@@ -102,10 +110,9 @@
         with self._lock:
             return list(self._jobs.values())
 
-    def job_ids(self) -> frozenset[str]:
-        """Return the ids of all owned jobs."""
-        with self._lock:
-            return frozenset(self._jobs)
+    def job_ids(self, *, finished: bool) -> frozenset[str]:
+        """Return the ids of the owned jobs that are finished, or that are not."""
+        return frozenset(job.job_id for job in self.owned() if job.finished is finished)
 
     def waiting_tokens(self) -> dict[str, int]:
         """Return the tokens of unfinished items by route."""
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -9,7 +9,7 @@
 
 import threading
 from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Generic, TypeVar
@@ -52,6 +52,9 @@
 INPUT_CACHE_BYTES = 32 * 1024 * 1024
 FINISHED_CACHE_BYTES = 16 * 1024 * 1024
 END_TRIES = 4
+OTHERS_TURN: Millis = 3_000.0
+"""How long a job without an owner is left to the entry that all others would choose: it knows of
+the loss within a few hints, and its takeover takes three calls to the store."""
 
 _V = TypeVar("_V")
 
@@ -126,6 +129,8 @@
         self._inputs: _BoundedCache[JobInput] = _BoundedCache(INPUT_CACHE_BYTES)
         self._finished: _BoundedCache[JobProgress] = _BoundedCache(FINISHED_CACHE_BYTES)
         self._adopting = threading.Lock()
+        self._orphans: dict[str, tuple[Millis, str]] = {}
+        self._orphans_lock = threading.Lock()
 
     def submit(
         self, job_id: str, host: str, path: str, items: Sequence[JobItem], route: Route
@@ -153,7 +158,8 @@
             return Outcome.DONE
         failure = created.failure()
         if failure.fault is StoreFault.CONFLICT:
-            self._find_owner(job_id)
+            if not self._find_owner(job_id):
+                self.orphaned([job_id], "submitted again")
             return Outcome.DONE
         if failure.fault is StoreFault.UNKNOWN:
             return Outcome.UNKNOWN
@@ -228,13 +234,36 @@
                 return Outcome.NOT_FOUND
         return Outcome.UNAVAILABLE
 
-    def take_over(self, job_ids: Sequence[str], reason: str) -> None:
-        """Take over jobs whose owner is gone."""
-        for job_id in job_ids:
-            try:
-                self._find_owner(job_id, reason=reason)
-            except Exception:  # noqa: BLE001
-                logging.exception("event=takeover_failed job=%s", job_id)
+    def orphaned(self, job_ids: Iterable[str], reason: str) -> None:
+        """Note jobs whose owner is gone; `adopt_orphans` finds each a new one."""
+        now = self._clock.now()
+        with self._orphans_lock:
+            for job_id in job_ids:
+                self._orphans.setdefault(job_id, (now, reason))
+
+    def adopt_orphans(self, mine: Callable[[str], bool]) -> None:
+        """Take over orphans; those that cannot be read stay for the next call.
+
+        Args:
+            mine: Whether this entry, of all live ones, is to take a job over. After
+                `OTHERS_TURN` it does so anyway, since the chosen one may know nothing of the job.
+        """
+        now = self._clock.now()
+        with self._orphans_lock:
+            orphans = dict(self._orphans)
+        for job_id, (since, reason) in orphans.items():
+            if self._has_owner(job_id):
+                settled = True
+            elif mine(job_id) or now - since > OTHERS_TURN:
+                settled = self._find_owner(job_id, reason=reason)
+            else:
+                settled = False
+            if settled:
+                with self._orphans_lock:
+                    self._orphans.pop(job_id, None)
+
+    def _has_owner(self, job_id: str) -> bool:
+        return self._runner.get(job_id) is not None or self._peers.holder_of(job_id) is not None
 
     def recover(self, mine: Callable[[str], bool]) -> bool:
         """Take over every open job in the store whose owner is gone; return whether it was read.
@@ -249,9 +278,10 @@
         for job_id, stored in inputs.items():
             state = progress.get(job_id)
             done = self._remember(job_id, stored, state)
-            if done or self._runner.get(job_id) is not None or not mine(job_id):
+            if done or self._has_owner(job_id):
                 continue
-            self._adopt(job_id, stored, state, "recovered")
+            if not mine(job_id) or not self._adopt(job_id, stored, state, "recovered"):
+                self.orphaned([job_id], "recovered")
         return True
 
     def _remember(self, job_id: str, stored: StoredObject, state: StoredObject | None) -> bool:
@@ -300,33 +330,35 @@
             len(progress.results),
         )
 
-    def _find_owner(self, job_id: str, reason: str = "submitted again") -> None:
-        """Make sure that a stored job has a living owner."""
-        if self._runner.get(job_id) is not None or not self._peers_settled():
-            return
+    def _find_owner(self, job_id: str, reason: str = "submitted again") -> bool:
+        """Make sure that a stored job has a living owner; return whether that is settled."""
+        if self._runner.get(job_id) is not None:
+            return True
+        if not self._peers_settled():
+            return False
         stored = self._store.get(input_key(job_id))
-        state = self._store.get(progress_key(job_id))
         if not is_successful(stored):
-            return
+            return stored.failure().fault is StoreFault.NOT_FOUND
+        state = self._store.get(progress_key(job_id))
         if not is_successful(state) and state.failure().fault is not StoreFault.NOT_FOUND:
-            return
+            return False
         progress = state.unwrap() if is_successful(state) else None
         if self._remember(job_id, stored.unwrap(), progress):
-            return
-        self._adopt(job_id, stored.unwrap(), progress, reason)
+            return True
+        return self._adopt(job_id, stored.unwrap(), progress, reason)
 
     def _adopt(
         self, job_id: str, stored: StoredObject, state: StoredObject | None, reason: str
-    ) -> None:
+    ) -> bool:
         job = job_from_json(job_id, stored.value)
         progress = JobProgress(owner=job.owner, total=len(job.items))
         if state is not None:
             progress = progress_from_json(state.value)
         if self._answers_for(progress.owner, job_id):
-            return
+            return True
         with self._adopting:
             if self._runner.get(job_id) is not None:
-                return
+                return True
             taken = JobProgress(
                 owner=self._peers.identity,
                 total=progress.total,
@@ -342,15 +374,16 @@
             if not is_successful(written):
                 failure = written.failure()
                 logging.info("event=takeover_missed job=%s fault=%s", job_id, failure.fault)
-                return
+                return False
             logging.info(
                 "event=job_taken_over job=%s reason=%r from=%s", job_id, reason, progress.owner
             )
             self._own(job, taken, written.unwrap().version)
+            return True
 
     def _answers_for(self, owner: str, job_id: str) -> bool:
         peer = self._peers.by_identity(owner)
-        return peer is not None and not peer.leaving and job_id in peer.jobs
+        return peer is not None and not peer.leaving and peer.answers_for(job_id)
 
     def _results_from(
         self, peer: Peer, job_id: str, after: int, wait: Millis
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -47,7 +47,8 @@
         incarnation: Changes with each start of its process.
         address: Where it takes hints and calls.
         heard: When its last hint came.
-        jobs: Jobs that it works on or answers for.
+        open_jobs: Jobs that it works on.
+        done_jobs: Finished jobs that it answers for.
         waiting: Waiting tokens by route.
         versions: What it has seen of the configuration and of the upstreams.
         leaving: Whether it is shutting down.
@@ -58,7 +59,8 @@
     incarnation: str
     address: tuple[str, int]
     heard: Millis
-    jobs: frozenset[str] = frozenset()
+    open_jobs: frozenset[str] = frozenset()
+    done_jobs: frozenset[str] = frozenset()
     waiting: Mapping[str, int] = field(default_factory=dict)
     versions: Mapping[str, int] = field(default_factory=dict)
     leaving: bool = False
@@ -69,13 +71,18 @@
         """Name and incarnation."""
         return f"{self.name}#{self.incarnation}"
 
+    def answers_for(self, job_id: str) -> bool:
+        """Whether it works on a job or can tell its results."""
+        return job_id in self.open_jobs or job_id in self.done_jobs
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OwnHint:
     """What an entry tells of itself."""
 
     loads: Mapping[str, Load]
-    jobs: frozenset[str]
+    open_jobs: frozenset[str]
+    done_jobs: frozenset[str]
     waiting: Mapping[str, int]
     versions: Mapping[str, int]
     leaving: bool
@@ -169,7 +176,7 @@
     def holder_of(self, job_id: str) -> Peer | None:
         """Return the live peer that answers for a job."""
         for peer in self.live():
-            if job_id in peer.jobs:
+            if peer.answers_for(job_id):
                 return peer
         return None
 
@@ -215,7 +222,7 @@
                 silence = now - peer.heard
                 if SILENT_AFTER < silence < DEAD_AFTER and not peer.leaving:
                     self._doubt_until = now + DOUBT_TIME
-                if silence >= DEAD_AFTER and peer.jobs:
+                if silence >= DEAD_AFTER and peer.open_jobs:
                     lost.append(peer)
                     self._peers[peer.name] = _without_jobs(peer)
                 if silence >= FORGET_AFTER:
@@ -225,7 +232,7 @@
                 "event=peer_lost peer=%s silent_ms=%.0f jobs=%d",
                 peer.identity,
                 now - peer.heard,
-                len(peer.jobs),
+                len(peer.open_jobs),
             )
             self._on_lost(peer)
 
@@ -252,7 +259,8 @@
                 if now - peer.heard > SILENT_AFTER and not peer.leaving
             ]
         if full:
-            message["j"] = sorted(hint.jobs)
+            message["j"] = sorted(hint.open_jobs)
+            message["f"] = sorted(hint.done_jobs)
             message["w"] = dict(hint.waiting)
             message["q"] = silent
         data = cbor2.dumps(message)
@@ -275,12 +283,12 @@
     def _take(self, message: dict[str, Any]) -> None:
         now = self._clock.now()
         name, incarnation = message["n"], message["i"]
-        replaced: Peer | None = None
+        lost: Peer | None = None
         with self._lock:
             known = self._peers.get(name)
             if known is None or known.incarnation != incarnation:
-                if known is not None and known.jobs:
-                    replaced = known
+                if known is not None and known.open_jobs:
+                    lost = known
                 known = Peer(
                     name=name, incarnation=incarnation, address=tuple(message["a"]), heard=now
                 )
@@ -292,12 +300,17 @@
             known.store_ok = message["s"]
             known.versions = message["v"]
             if "j" in message:
-                known.jobs = frozenset(message["j"])
+                known.open_jobs = frozenset(message["j"])
+                known.done_jobs = frozenset(message["f"])
                 known.waiting = message["w"]
                 if self._name in message["q"]:
                     self._doubt_until = now + DOUBT_TIME
-        if replaced is not None:
-            self._on_lost(replaced)
+            if known.leaving and known.open_jobs:
+                # It has committed what it had and works on nothing any more.
+                lost = known
+                self._peers[name] = _without_jobs(known)
+        if lost is not None:
+            self._on_lost(lost)
         loads = {key: Load(*pair) for key, pair in message["l"].items()}
         self._on_loads(name, loads)
         self._on_versions(message["v"])
--- a/tests/direct/test_jobs.py
+++ b/tests/direct/test_jobs.py
@@ -78,6 +78,24 @@
         assert finished(other, "j") == results
 
 
+def test_an_owner_that_dies_while_the_store_is_away_is_replaced_after_its_return(
+    system: Deployment,
+) -> None:
+    """The store refuses everything, and the owner is killed meanwhile. The first try to take its
+    job over fails; the job must still go on soon after the store is back."""
+    system.server("engine", stream_events(EVENTS, pause_s=0.4))
+    owner, other = system.entry("e1"), system.entry("e2")
+    time.sleep(2.6)
+    ids = [f"i{number}" for number in range(8)]
+    assert owner.call("POST", "/batch/j", body=submission(*ids), request_id="j").status == 202
+    time.sleep(0.7)
+    system.objects.faults.status = 503
+    owner.signal(signal.SIGKILL)
+    time.sleep(4.0)
+    system.objects.faults.status = 0
+    _results_are_whole(eventually(lambda: finished(other, "j"), 8), ids)
+
+
 def test_everything_is_killed_right_after_an_acceptance(system: Deployment) -> None:
     """The job is acknowledged and every entry dies before an item has run. New entries find it in
     the store and do it."""
--- a/tests/direct/test_membership.py
+++ b/tests/direct/test_membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import socket
 import threading
 import time
 from collections.abc import Iterator
@@ -101,6 +102,20 @@
     assert entry.process.wait(timeout=6) == 0
 
 
+def test_idle_connections_do_not_hold_a_leaving_entry(system: Deployment) -> None:
+    """A caller keeps a connection open without a request. The entry must still exit in its time
+    and serve who connects until then; waiting for the idle connection, it was killed instead and
+    left connections that it had accepted unanswered."""
+    system.server("plain", _answer)
+    entry = system.entry("e1")
+    with socket.create_connection(("127.0.0.1", entry.port)):
+        time.sleep(0.2)
+        entry.signal(signal.SIGTERM)
+        time.sleep(2.0)
+        assert entry.call("GET", "/safe/x").status == 200
+        assert entry.process.wait(timeout=3.5) == 0
+
+
 def _try(call: object, *arguments: str) -> Answer | None:
     try:
         return call(*arguments)  # type: ignore[operator]
