Jobs longer than one object of the store are kept in pieces

Cause: a value may be 1 MB and a request body 4 MB; such a job was refused 503 each time it came, and a progress record would have stopped committing. Pieces are written first, the object that names them last; results that fill a record move to a segment. Records have a module of their own. Test: a job of 1.3 MB and 2.2 MB of results survives its owner.

--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -34,6 +34,7 @@
 from carobspool_node.direct._follow import Follower
 from carobspool_node.direct._forward import Forwarder
 from carobspool_node.direct._item_run import ItemRunner
+from carobspool_node.direct._job_records import JobRecords
 from carobspool_node.direct._job_runner import JobRunner
 from carobspool_node.direct._jobs import Jobs, Outcome
 from carobspool_node.direct._listener import Listener
@@ -108,7 +109,6 @@
         items = ItemRunner(self._clock, deployment.headers, self._loads, self._connections)
         self._runner = JobRunner(
             self._clock,
-            self._store,
             self._loads,
             items,
             self._telemetry,
@@ -118,7 +118,7 @@
         )
         self._jobs = Jobs(
             self._clock,
-            self._store,
+            JobRecords(self._store, settings.value_limit),
             self._runner,
             self._peers,
             self._peer_caller,
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -8,7 +8,7 @@
 
 from absl import logging
 
-from carobspool_core import Clock, Millis, ObjectStore, wall_millis
+from carobspool_core import Clock, Millis, wall_millis
 from carobspool_core.direct import (
     Configuration,
     ItemEnd,
@@ -47,7 +47,6 @@
     def __init__(
         self,
         clock: Clock,
-        store: ObjectStore,
         loads: LoadTable,
         runner: ItemRunner,
         telemetry: Telemetry,
@@ -57,7 +56,6 @@
         in_doubt: Callable[[], bool],
     ) -> None:
         self._clock = clock
-        self._store = store
         self._loads = loads
         self._runner = runner
         self._telemetry = telemetry
@@ -85,11 +83,7 @@
         jobs = self.owned()
         for job in jobs:
             job.stop_runs()
-        commits = [
-            self._commits.submit(job.commit, self._store)
-            for job in jobs
-            if job.commit_due(float("inf"))
-        ]
+        commits = [self._commits.submit(job.commit) for job in jobs if job.commit_due(float("inf"))]
         wait(commits, LAST_COMMITS_S)
         for job in jobs:
             job.lose()
@@ -160,7 +154,7 @@
     def _commit(self, job: OwnedJob) -> None:
         started = self._clock.now()
         try:
-            done = job.commit(self._store)
+            done = job.commit()
             took = self._clock.now() - started
             self._telemetry.time("job_commit", took)
             with job.lock:
@@ -232,7 +226,7 @@
         if not self._in_doubt() or self._clock.now() - job.verified < VIEW_AGE:
             return True
         # An unreachable store lets nobody else end or take over the job either.
-        job.verify(self._store)
+        job.verify()
         return not job.lost
 
     def _run(
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -10,22 +10,14 @@
 import threading
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import Generic, TypeVar
 
 from absl import logging
 from returns.pipeline import is_successful
 
-from carobspool_core import (
-    Clock,
-    Millis,
-    ObjectStore,
-    StoredObject,
-    StoreFailure,
-    StoreFault,
-    wall_millis,
-)
+from carobspool_core import Clock, Millis, StoreFailure, StoreFault, wall_millis
 from carobspool_core.direct import (
     ItemResult,
     JobInput,
@@ -33,13 +25,10 @@
     JobProgress,
     Route,
     fits_quota,
-    job_from_json,
-    job_to_json,
-    progress_from_json,
-    progress_to_json,
 )
+from carobspool_node.direct._job_records import INPUTS, PROGRESS, JobRecords, StoredProgress
 from carobspool_node.direct._job_runner import JobRunner
-from carobspool_node.direct._owned_job import OwnedJob, input_key, progress_key
+from carobspool_node.direct._owned_job import OwnedJob
 from carobspool_node.direct._peer_calls import PeerCaller, PeerCallError
 from carobspool_node.direct._peers import Peer, Peers
 from carobspool_node.direct._telemetry import Telemetry
@@ -111,7 +100,7 @@
     def __init__(
         self,
         clock: Clock,
-        store: ObjectStore,
+        records: JobRecords,
         runner: JobRunner,
         peers: Peers,
         caller: PeerCaller,
@@ -120,7 +109,7 @@
         peers_settled: Callable[[], bool],
     ) -> None:
         self._clock = clock
-        self._store = store
+        self._records = records
         self._runner = runner
         self._peers = peers
         self._caller = caller
@@ -152,9 +141,9 @@
             submitted=wall_millis(),
             items=tuple(items),
         )
-        created = self._store.create(input_key(job_id), job_to_json(job))
+        created = self._records.create_input(job)
         if is_successful(created):
-            self._own(job, JobProgress(owner=self._peers.identity, total=len(items)), 0)
+            self._own(job, _nothing_done(job))
             return Outcome.DONE
         failure = created.failure()
         if failure.fault is StoreFault.CONFLICT:
@@ -188,7 +177,7 @@
             return None
         doubtful = not job.finished and self._peers.in_doubt()
         is_old = self._clock.now() - job.verified > VERIFY_AGE
-        if doubtful and is_old and not job.verify(self._store):
+        if doubtful and is_old and not job.verify():
             return None
         found = job.page(after, self._clock.now() + wait)
         if found is None:
@@ -227,7 +216,7 @@
             return None
         job.end()
         for _ in range(END_TRIES):
-            if job.commit(self._store):
+            if job.commit():
                 logging.info("event=job_ended job=%s", job_id)
                 return Outcome.DONE
             if job.lost:
@@ -271,41 +260,27 @@
         Args:
             mine: Whether this entry, of all live ones, is to take a job over.
         """
-        progress = self._list("progress/")
-        inputs = self._list("jobs/")
-        if progress is None or inputs is None:
+        progress = self._records.list_all(PROGRESS)
+        inputs = self._records.list_all(INPUTS)
+        if not is_successful(progress) or not is_successful(inputs):
             return False
-        for job_id, stored in inputs.items():
-            state = progress.get(job_id)
-            done = self._remember(job_id, stored, state)
-            if done or self._has_owner(job_id):
+        for job_id, stored in inputs.unwrap().items():
+            job = self._records.input_of(stored)
+            if not is_successful(job):
+                return False
+            self._cache_input(job.unwrap())
+            state = _nothing_done(job.unwrap())
+            if job_id in progress.unwrap():
+                read = self._records.progress_of(progress.unwrap()[job_id])
+                if not is_successful(read):
+                    return False
+                state = read.unwrap()
+            if self._cache_if_finished(job_id, state.progress) or self._has_owner(job_id):
                 continue
-            if not mine(job_id) or not self._adopt(job_id, stored, state, "recovered"):
+            if not mine(job_id) or not self._adopt(job.unwrap(), state, "recovered"):
                 self.orphaned([job_id], "recovered")
         return True
 
-    def _remember(self, job_id: str, stored: StoredObject, state: StoredObject | None) -> bool:
-        """Cache what never changes any more; return whether the job is finished."""
-        job = job_from_json(job_id, stored.value)
-        self._cache_input(job)
-        if state is None:
-            return False
-        progress = progress_from_json(state.value)
-        return self._cache_if_finished(job_id, progress)
-
-    def _list(self, prefix: str) -> dict[str, StoredObject] | None:
-        found: dict[str, StoredObject] = {}
-        after = ""
-        while True:
-            page = self._store.list(prefix, after=after)
-            if not is_successful(page):
-                return None
-            for each in page.unwrap().objects:
-                found[each.key.removeprefix(prefix)] = each
-                after = each.key
-            if not page.unwrap().more:
-                return found
-
     def _fits(self, route: Route, tokens: int) -> bool:
         peers = self._peers.live()
         return fits_quota(
@@ -319,15 +294,15 @@
     def _known(self, job_id: str) -> bool:
         return not isinstance(self._input(job_id), Outcome)
 
-    def _own(self, job: JobInput, progress: JobProgress, version: int) -> None:
+    def _own(self, job: JobInput, stored: StoredProgress) -> None:
         self._cache_input(job)
-        self._runner.add(OwnedJob(job, progress, version, self._peers.identity, self._clock))
+        self._runner.add(OwnedJob(job, stored, self._records, self._peers.identity, self._clock))
         self._peers.tell_now()
         logging.info(
             "event=job_owned job=%s items=%d committed=%d",
             job.job_id,
             len(job.items),
-            len(progress.results),
+            len(stored.progress.results),
         )
 
     def _find_owner(self, job_id: str, reason: str = "submitted again") -> bool:
@@ -336,49 +311,43 @@
             return True
         if not self._peers_settled():
             return False
-        stored = self._store.get(input_key(job_id))
-        if not is_successful(stored):
-            return stored.failure().fault is StoreFault.NOT_FOUND
-        state = self._store.get(progress_key(job_id))
-        if not is_successful(state) and state.failure().fault is not StoreFault.NOT_FOUND:
+        job = self._input(job_id)
+        if isinstance(job, Outcome):
+            return job is Outcome.NOT_FOUND
+        read = self._records.read_progress(job_id)
+        if is_successful(read):
+            state = read.unwrap()
+        elif read.failure().fault is StoreFault.NOT_FOUND:
+            state = _nothing_done(job)
+        else:
             return False
-        progress = state.unwrap() if is_successful(state) else None
-        if self._remember(job_id, stored.unwrap(), progress):
+        if self._cache_if_finished(job_id, state.progress):
             return True
-        return self._adopt(job_id, stored.unwrap(), progress, reason)
-
-    def _adopt(
-        self, job_id: str, stored: StoredObject, state: StoredObject | None, reason: str
-    ) -> bool:
-        job = job_from_json(job_id, stored.value)
-        progress = JobProgress(owner=job.owner, total=len(job.items))
-        if state is not None:
-            progress = progress_from_json(state.value)
+        return self._adopt(job, state, reason)
+
+    def _adopt(self, job: JobInput, state: StoredProgress, reason: str) -> bool:
+        """Become the owner of a job unless it has a living one; return whether it has one now."""
+        job_id = job.job_id
+        progress = state.progress
         if self._answers_for(progress.owner, job_id):
             return True
         with self._adopting:
             if self._runner.get(job_id) is not None:
                 return True
-            taken = JobProgress(
-                owner=self._peers.identity,
-                total=progress.total,
-                ended=progress.ended,
-                results=progress.results,
-                failures=progress.failures,
+            written = self._records.write_progress(
+                job_id,
+                replace(progress, owner=self._peers.identity),
+                version=state.version,
+                segments=state.segments,
             )
-            value = progress_to_json(taken)
-            if state is None:
-                written = self._store.create(progress_key(job_id), value)
-            else:
-                written = self._store.update(progress_key(job_id), value, version=state.version)
             if not is_successful(written):
-                failure = written.failure()
-                logging.info("event=takeover_missed job=%s fault=%s", job_id, failure.fault)
+                fault = written.failure().fault
+                logging.info("event=takeover_missed job=%s fault=%s", job_id, fault)
                 return False
             logging.info(
                 "event=job_taken_over job=%s reason=%r from=%s", job_id, reason, progress.owner
             )
-            self._own(job, taken, written.unwrap().version)
+            self._own(job, written.unwrap())
             return True
 
     def _answers_for(self, owner: str, job_id: str) -> bool:
@@ -403,12 +372,12 @@
         return ResultsPage(total=answer["total"], after=after, results=results)
 
     def _results_from_store(self, job_id: str, after: int) -> ResultsPage | Outcome:
-        state = self._store.get(progress_key(job_id))
-        if is_successful(state):
-            progress = progress_from_json(state.unwrap().value)
+        read = self._records.read_progress(job_id)
+        if is_successful(read):
+            progress = read.unwrap().progress
             self._cache_if_finished(job_id, progress)
             return _page(progress.total, after, progress.results)
-        if state.failure().fault is not StoreFault.NOT_FOUND:
+        if read.failure().fault is not StoreFault.NOT_FOUND:
             return Outcome.UNAVAILABLE
         job = self._input(job_id)
         if isinstance(job, Outcome):
@@ -419,12 +388,11 @@
         job = self._inputs.get(job_id)
         if job is not None:
             return job
-        stored = self._store.get(input_key(job_id))
-        if not is_successful(stored):
-            return _outcome_of(stored.failure())
-        job = job_from_json(job_id, stored.unwrap().value)
-        self._cache_input(job)
-        return job
+        read = self._records.read_input(job_id)
+        if not is_successful(read):
+            return _outcome_of(read.failure())
+        self._cache_input(read.unwrap())
+        return read.unwrap()
 
     def _end_in_store(self, job_id: str) -> Outcome:
         """End a job whose owner cannot be asked; the owner learns it from its next commit."""
@@ -432,19 +400,21 @@
         if isinstance(job, Outcome):
             return job
         for _ in range(END_TRIES):
-            state = self._store.get(progress_key(job_id))
-            if is_successful(state):
-                stored = state.unwrap()
-                value = dict(stored.value)
-                if value["ended"]:
-                    return Outcome.DONE
-                value["ended"] = True
-                written = self._store.update(stored.key, value, version=stored.version)
-            elif state.failure().fault is StoreFault.NOT_FOUND:
-                fresh = JobProgress(owner=job.owner, total=len(job.items), ended=True)
-                written = self._store.create(progress_key(job_id), progress_to_json(fresh))
+            read = self._records.read_progress(job_id)
+            if is_successful(read):
+                state = read.unwrap()
+            elif read.failure().fault is StoreFault.NOT_FOUND:
+                state = _nothing_done(job)
             else:
                 return Outcome.UNAVAILABLE
+            if state.progress.ended:
+                return Outcome.DONE
+            written = self._records.write_progress(
+                job_id,
+                replace(state.progress, ended=True),
+                version=state.version,
+                segments=state.segments,
+            )
             if is_successful(written):
                 logging.info("event=job_ended job=%s through=store", job_id)
                 return Outcome.DONE
@@ -465,6 +435,12 @@
         return True
 
 
+def _nothing_done(job: JobInput) -> StoredProgress:
+    """Return the progress of a job of which nothing is committed yet."""
+    progress = JobProgress(owner=job.owner, total=len(job.items))
+    return StoredProgress(progress=progress, segments=(), version=0)
+
+
 def _page(total: int, after: int, results: Sequence[ItemResult]) -> ResultsPage:
     return ResultsPage(total=total, after=after, results=results[after:])
 
--- a/packages/node/src/carobspool_node/direct/_owned_job.py
+++ b/packages/node/src/carobspool_node/direct/_owned_job.py
@@ -6,15 +6,9 @@
 
 from returns.pipeline import is_successful
 
-from carobspool_core import Clock, Millis, ObjectStore, StoreFailure, StoreFault
-from carobspool_core.direct import (
-    ItemResult,
-    JobInput,
-    JobProgress,
-    JobWork,
-    progress_from_json,
-    progress_to_json,
-)
+from carobspool_core import Clock, Millis, StoreFailure, StoreFault
+from carobspool_core.direct import ItemResult, JobInput, JobWork
+from carobspool_node.direct._job_records import JobRecords, StoredProgress
 from carobspool_node.direct._loads import BatchRun
 
 COMMIT_INTERVAL: Millis = 900.0
@@ -24,24 +18,16 @@
 """Pause after a commit that the store did not take."""
 
 
-def progress_key(job_id: str) -> str:
-    """Return the key of a job's progress."""
-    return f"progress/{job_id}"
-
-
-def input_key(job_id: str) -> str:
-    """Return the key of a job's input."""
-    return f"jobs/{job_id}"
-
-
 class OwnedJob:
     """State of one owned job; all methods are safe for threads."""
 
     def __init__(
-        self, job: JobInput, progress: JobProgress, version: int, owner: str, clock: Clock
+        self, job: JobInput, stored: StoredProgress, records: JobRecords, owner: str, clock: Clock
     ) -> None:
-        self._work = JobWork(job, progress)
-        self._version = version
+        self._work = JobWork(job, stored.progress)
+        self._records = records
+        self._version = stored.version
+        self._segments = stored.segments
         self._owner = owner
         self._clock = clock
         self._lock = threading.RLock()
@@ -121,7 +107,7 @@
                 return False
             return now >= self._next_commit or self._work.all_run
 
-    def commit(self, store: ObjectStore) -> bool:
+    def commit(self) -> bool:
         """Write the progress; return whether the store has it."""
         with self._committing:
             if self._lost:
@@ -130,24 +116,20 @@
                 progress = self._work.proposal(self._owner)
                 self._next_commit = self._clock.now() + COMMIT_INTERVAL
             started = self._clock.now()
-            key = progress_key(self.job_id)
-            value = progress_to_json(progress)
-            if self._version == 0:
-                written = store.create(key, value)
-            else:
-                written = store.update(key, value, version=self._version)
+            written = self._records.write_progress(
+                self.job_id, progress, version=self._version, segments=self._segments
+            )
             if is_successful(written):
-                self._committed(progress, written.unwrap().version, started)
+                self._take(written.unwrap(), started)
                 return True
             return self._not_committed(written.failure(), started)
 
-    def verify(self, store: ObjectStore) -> bool:
+    def verify(self) -> bool:
         """Read the progress back; return whether the store was read and the job is still ours."""
         started = self._clock.now()
-        read = store.get(progress_key(self.job_id))
+        read = self._records.read_progress(self.job_id)
         if is_successful(read):
-            found = read.unwrap()
-            if self._is_own(found.value):
+            if read.unwrap().progress.owner == self._owner:
                 self.verified = started
                 return True
             self.lose()
@@ -168,10 +150,11 @@
                 return None
             return list(self._work.committed[after:])
 
-    def _committed(self, progress: JobProgress, version: int, started: Millis) -> None:
+    def _take(self, stored: StoredProgress, started: Millis) -> None:
         with self._lock:
-            self._version = version
-            self._work.adopt(progress)
+            self._version = stored.version
+            self._segments = stored.segments
+            self._work.adopt(stored.progress)
             self.verified = started
             self._changed.notify_all()
 
@@ -179,15 +162,14 @@
         with self._lock:
             self._work.not_committed()
             self._next_commit = self._clock.now() + COMMIT_RETRY
-        current = failure.current
-        if failure.fault is not StoreFault.CONFLICT or current is None:
+        if failure.fault is not StoreFault.CONFLICT or failure.current is None:
+            return False
+        current = self._records.progress_of(failure.current)
+        if not is_successful(current):
             return False
-        if not self._is_own(current.value):
+        if current.unwrap().progress.owner != self._owner:
             self.lose()
             return False
         # An earlier write of ours whose answer was lost took effect after all.
-        self._committed(progress_from_json(current.value), current.version, started)
+        self._take(current.unwrap(), started)
         return False
-
-    def _is_own(self, value: object) -> bool:
-        return isinstance(value, dict) and value.get("owner") == self._owner
--- a/tests/direct/test_jobs.py
+++ b/tests/direct/test_jobs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import base64
+import json
 import signal
 import time
 from collections import Counter
@@ -9,7 +11,15 @@
 from pathlib import Path
 
 import pytest
-from direct_harness import Deployment, deployment, eventually, finished, read_results, submission
+from direct_harness import (
+    Deployment,
+    Entry,
+    deployment,
+    eventually,
+    finished,
+    read_results,
+    submission,
+)
 
 from carobspool_standins.platform_server import (
     ServedRequest,
@@ -28,6 +38,18 @@
         yield running
 
 
+def _read_all(entry: Entry, job_id: str) -> list[dict[str, str]]:
+    """Return all results of a finished job, page by page; empty when it is not finished."""
+    found: list[dict[str, str]] = []
+    while True:
+        page = read_results(entry, job_id, after=len(found))
+        if isinstance(page, int) or not page["results"]:
+            return []
+        found.extend(page["results"])
+        if len(found) == page["total"]:
+            return found
+
+
 def _results_are_whole(results: list[dict[str, str]], ids: list[str]) -> None:
     assert Counter(each["id"] for each in results) == Counter(ids)
     assert {each["text"] for each in results} == {TEXT}
@@ -178,6 +200,38 @@
     assert "c" not in {each.request_id for each in server.seen}
 
 
+def test_a_job_longer_than_one_object_is_kept_in_pieces(system: Deployment) -> None:
+    """Input and results are longer than the store's objects may be. The job is accepted, survives
+    its owner, and its results and bodies are whole."""
+    words = "y" * 60_000
+
+    def behave(request: ServedRequest, connection: ServerConnection) -> None:
+        connection.start_events(request)
+        for number in range(int(request.headers.get("last-event-id", "0")) + 1, 4):
+            connection.event(number, words)
+        connection.end_events()
+
+    system.server("engine", behave)
+    owner, other = system.entry("e1"), system.entry("e2")
+    time.sleep(2.6)
+    ids = [f"i{number}" for number in range(12)]
+    items = json.loads(submission(*ids))["items"]
+    for item in items:
+        item["body"] = base64.b64encode(item["id"].encode() * 40_000).decode()
+    body = json.dumps({"items": items}).encode()
+    assert len(body) > 1_048_576
+    assert owner.call("POST", "/batch/j", body=body, request_id="j").status == 202
+    eventually(lambda: _read_all(other, "j"), 10)
+    owner.signal(signal.SIGKILL)
+    time.sleep(3.0)
+    results = _read_all(other, "j")
+    assert Counter(each["id"] for each in results) == Counter(ids)
+    assert {each["text"] for each in results} == {"\n".join([words] * 3)}
+    assert other.call("GET", "/api/items/j?id=i7").body == b"i7" * 40_000
+    stored = list(system.objects.objects.values())
+    assert max(len(json.dumps(value)) for value in stored) < 1_048_576
+
+
 def test_the_waiting_quota_refuses_what_does_not_fit(system: Deployment) -> None:
     system.server("engine", stream_events(EVENTS, pause_s=2.0))
     entry = system.entry("e1")
