--- a/packages/cli/src/carobspool_cli/__main__.py
+++ b/packages/cli/src/carobspool_cli/__main__.py
@@ -13,6 +13,7 @@
     DiffCommand,
     ValidateCommand,
 )
+from carobspool_cli._explain_command import ExplainCommand
 from carobspool_cli._job_commands import (
     CancelCommand,
     JobStatusCommand,
@@ -35,6 +36,7 @@
     CancelCommand,
     StatusCommand,
     DrainCommand,
+    ExplainCommand,
 )
 
 
--- a/packages/cli/src/carobspool_cli/_exit_codes.py
+++ b/packages/cli/src/carobspool_cli/_exit_codes.py
@@ -17,6 +17,7 @@
         UNREACHABLE: No entry answered, or none can reach the store; nothing was done.
         UNKNOWN: An answer was lost; the call may have been carried out. Repeating it is harmless.
         JOB_FAILED: The job ended without completing.
+        NOT_FOUND: What was asked for is not in the files given.
 
     Since 0.1.
     """
@@ -29,3 +30,4 @@
     UNREACHABLE = 5
     UNKNOWN = 6
     JOB_FAILED = 7
+    NOT_FOUND = 8
--- a/packages/node/src/carobspool_node/__main__.py
+++ b/packages/node/src/carobspool_node/__main__.py
@@ -9,10 +9,13 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument
 from returns.pipeline import is_successful
+from returns.result import Result
 
+from carobspool_core.border import Problem, read_json
 from carobspool_node._entry_node import run_entry
 from carobspool_node._settings import EntrySettings, SidecarSettings, load_settings
 from carobspool_node._sidecar_node import run_sidecar
+from carobspool_node.direct import DIRECT_ROLES, DirectSettings, load_direct_settings
 from carobspool_node.errors import NodeError
 
 EXIT_SETTINGS = 2
@@ -32,7 +35,7 @@
         settings = _load(self)
         if settings is None:
             return EXIT_SETTINGS
-        role = "entry" if isinstance(settings, EntrySettings) else "sidecar"
+        role = _role(settings)
         self.line(f"{self.argument('settings')}: good settings of the {role} {settings.node}")
         return 0
 
@@ -52,7 +55,10 @@
         try:
             if isinstance(settings, EntrySettings):
                 return run_entry(settings)
-            return run_sidecar(settings)
+            if isinstance(settings, SidecarSettings):
+                return run_sidecar(settings)
+            self.line_error(f"cannot start: a {settings.role} is started by a platform's adapter")
+            return EXIT_START
         except (NodeError, OSError) as error:
             self.line_error(f"cannot start: {error}")
             return EXIT_START
@@ -66,8 +72,12 @@
     return application.run()
 
 
-def _load(command: Command) -> EntrySettings | SidecarSettings | None:
-    loaded = load_settings(Path(command.argument("settings")))
+def _load(command: Command) -> EntrySettings | SidecarSettings | DirectSettings | None:
+    path = Path(command.argument("settings"))
+    loaded: Result[EntrySettings | SidecarSettings | DirectSettings, tuple[Problem, ...]]
+    value = read_json(path)
+    role = value.unwrap().get("role") if is_successful(value) else None
+    loaded = load_direct_settings(path) if role in DIRECT_ROLES else load_settings(path)
     if is_successful(loaded):
         return loaded.unwrap()
     for error in loaded.failure():
@@ -75,5 +85,11 @@
     return None
 
 
+def _role(settings: EntrySettings | SidecarSettings | DirectSettings) -> str:
+    if isinstance(settings, DirectSettings):
+        return settings.role
+    return "entry" if isinstance(settings, EntrySettings) else "sidecar"
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/packages/node/src/carobspool_node/direct/__init__.py
+++ b/packages/node/src/carobspool_node/direct/__init__.py
@@ -18,14 +18,21 @@
 from carobspool_node.direct._jobs import ResultsPage
 from carobspool_node.direct._keeper import Keeper, make_keeper
 from carobspool_node.direct._messages import CallerRequest, HeaderNames
-from carobspool_node.direct._settings import DirectSettings, load_direct_settings
+from carobspool_node.direct._settings import (
+    DIRECT_ROLES,
+    DirectModel,
+    DirectSettings,
+    load_direct_settings,
+)
 
 __all__ = [
+    "DIRECT_ROLES",
     "BadRequestError",
     "CallerDialect",
     "CallerRequest",
     "Deployment",
     "DirectEntry",
+    "DirectModel",
     "DirectSettings",
     "EndJob",
     "HeaderNames",
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -7,6 +7,7 @@
 import threading
 import uuid
 from collections.abc import Mapping, Sequence
+from pathlib import Path
 
 import cbor2
 from absl import logging
@@ -42,6 +43,7 @@
 from carobspool_node.direct._messages import CallerRequest
 from carobspool_node.direct._peer_calls import PEER_HEADERS, PeerCaller
 from carobspool_node.direct._peers import DEAD_AFTER, OwnHint, Peer, Peers
+from carobspool_node.direct._reload import SettingsReload
 from carobspool_node.direct._settings import DirectSettings
 from carobspool_node.direct._store_relay import RelayedStore
 from carobspool_node.direct._telemetry import Telemetry
@@ -72,8 +74,11 @@
 class DirectEntry:
     """One entry that calls upstreams directly."""
 
-    def __init__(self, settings: DirectSettings, deployment: Deployment) -> None:
+    def __init__(
+        self, settings: DirectSettings, deployment: Deployment, reload: SettingsReload
+    ) -> None:
         self._settings = settings
+        self._reload = reload
         self._deployment = deployment
         self._clock = boottime_clock()
         self._started = self._clock.now()
@@ -155,7 +160,7 @@
             settings.first_start,
         )
         signal.signal(signal.SIGTERM, lambda *_: self._leaving.set())
-        signal.signal(signal.SIGHUP, lambda *_: logging.info("event=reload changed=nothing"))
+        self._reload.listen()
         self._telemetry.serve(settings.address, settings.metrics_port)
         callers = self._listen()
         self._peers.start(
@@ -170,6 +175,7 @@
         threading.Thread(target=self._adopt_orphans, name="orphans", daemon=True).start()
         while not self._leaving.wait(TIDY_INTERVAL_S):
             self._tidy()
+            self._reload.check()
         self._leave(callers)
         return 0
 
@@ -462,6 +468,12 @@
         caller.answer(status, headers, data)
 
 
-def make_direct_entry(settings: DirectSettings, deployment: Deployment) -> DirectEntry:
-    """Return an entry that is not running yet."""
-    return DirectEntry(settings, deployment)
+def make_direct_entry(settings: DirectSettings, deployment: Deployment, path: Path) -> DirectEntry:
+    """Return an entry that is not running yet.
+
+    Args:
+        settings: Its settings.
+        deployment: The platform that it runs on.
+        path: Where the settings come from, to take changes over.
+    """
+    return DirectEntry(settings, deployment, SettingsReload(path, settings))
--- a/packages/node/src/carobspool_node/direct/_keeper.py
+++ b/packages/node/src/carobspool_node/direct/_keeper.py
@@ -5,6 +5,7 @@
 import signal
 import threading
 from collections.abc import Sequence
+from pathlib import Path
 
 from absl import logging
 from returns.pipeline import is_successful
@@ -12,15 +13,22 @@
 from carobspool_core import ObjectChange, StoredObject, boottime_clock
 from carobspool_node.direct._deployment import Deployment
 from carobspool_node.direct._follow import Follower
+from carobspool_node.direct._reload import SettingsReload
 from carobspool_node.direct._settings import DirectSettings
 from carobspool_node.direct._telemetry import Telemetry
 
+RELOAD_INTERVAL_S = 5.0
+"""Time between two looks at the settings file; nothing depends on it quickly."""
+
 
 class Keeper:
     """Answers requests to empty a host: everything that lasts lies in the object store."""
 
-    def __init__(self, settings: DirectSettings, deployment: Deployment) -> None:
+    def __init__(
+        self, settings: DirectSettings, deployment: Deployment, reload: SettingsReload
+    ) -> None:
         self._settings = settings
+        self._reload = reload
         self._deployment = deployment
         self._store = deployment.open_store(settings, boottime_clock())
         self._telemetry = Telemetry()
@@ -38,10 +46,11 @@
         self._telemetry.start_logs(settings.node, settings.log_level)
         logging.info("event=start node=%s role=keeper", settings.node)
         signal.signal(signal.SIGTERM, lambda *_: self._leaving.set())
-        signal.signal(signal.SIGHUP, lambda *_: logging.info("event=reload changed=nothing"))
+        self._reload.listen()
         self._telemetry.serve(settings.address, settings.metrics_port)
         self._follower.start()
-        self._leaving.wait()
+        while not self._leaving.wait(RELOAD_INTERVAL_S):
+            self._reload.check()
         logging.info("event=stop")
         self._telemetry.stop_logs()
         return 0
@@ -63,6 +72,6 @@
         logging.info("event=host_let_go host=%s done=%s", request.key, is_successful(written))
 
 
-def make_keeper(settings: DirectSettings, deployment: Deployment) -> Keeper:
-    """Return a keeper that is not running yet."""
-    return Keeper(settings, deployment)
+def make_keeper(settings: DirectSettings, deployment: Deployment, path: Path) -> Keeper:
+    """Return a keeper that is not running yet; ``path`` is where its settings come from."""
+    return Keeper(settings, deployment, SettingsReload(path, settings))
--- a/packages/node/src/carobspool_node/direct/_settings.py
+++ b/packages/node/src/carobspool_node/direct/_settings.py
@@ -2,33 +2,63 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Literal
 
-from pydantic import Field
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from carobspool_core import Millis
 from carobspool_core.border import BorderModel, Problem, read_json, validate
+from carobspool_node._settings_models import (
+    HIGHEST_PORT,
+    IpAddress,
+    LogLevel,
+    NodeName,
+    setting,
+)
+
+DIRECT_ROLES = ("direct-entry", "keeper")
+_ENDPOINT = re.compile(r"[0-9a-fA-F.:]+:[0-9]{1,5}")
 
 
 class DirectModel(BorderModel):
-    """The settings file of a direct entry."""
+    """Settings of a direct entry or a keeper."""
 
-    role: str = Field(pattern="^(entry|keeper)$")
-    node: str = Field(min_length=1)
-    failure_domain: str
-    address: str
-    callers: str | None = None
-    ready: str | None = None
-    peer_port: int = Field(gt=0, lt=65536)
-    object_api: str
-    value_limit_bytes: int = Field(gt=0)
-    shutdown_limit_s: float = Field(gt=0)
-    first_start: bool
-    metrics_port: int = Field(gt=0, lt=65536)
-    log_level: str = Field(pattern="^(debug|info|warning|error)$")
+    role: Literal["direct-entry", "keeper"] = setting("The process's role.", unit="name")
+    node: NodeName = setting("Name of this process, unique in the system.", unit="name")
+    failure_domain: NodeName = setting("Failure domain in which it stands.", unit="name")
+    address: IpAddress = setting("Address of its host.", unit="IP number")
+    callers: str | None = setting(
+        "Where callers connect; an entry has one.", unit="IP number:port", default=None
+    )
+    ready: str | None = setting(
+        "Where the balancer asks whether it is ready; an entry has one.",
+        unit="IP number:port",
+        default=None,
+    )
+    peer_port: int = setting(
+        "Port for hints (UDP) and calls (TCP) of other entries.",
+        unit="port",
+        ge=1,
+        le=HIGHEST_PORT,
+    )
+    object_api: str = setting("Where the object store listens.", unit="IP number:port")
+    value_limit_bytes: int = setting("Longest object of the store.", unit="bytes", ge=4096)
+    shutdown_limit_s: float = setting(
+        "Time between the signal to end and the kill.", unit="s", gt=0
+    )
+    first_start: bool = setting(
+        "Whether the whole system starts for the first time, with an empty store.", unit="flag"
+    )
+    metrics_port: int = setting(
+        "Port on which metrics are served as text.", unit="port", ge=1, le=HIGHEST_PORT
+    )
+    log_level: LogLevel = setting(
+        "Least level that is logged; taken over without a restart.", unit="name", default="info"
+    )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -36,7 +66,7 @@
     """Settings of a process.
 
     Attributes:
-        role: ``entry`` or ``keeper``.
+        role: ``direct-entry`` or ``keeper``.
         node: Its name.
         failure_domain: Where it runs.
         address: IP number of the host.
@@ -75,6 +105,9 @@
     if not is_successful(checked):
         return Failure(tuple(checked.failure()))
     model = checked.unwrap()
+    missing = _missing(model)
+    if missing:
+        return Failure(tuple(_problem(path, name) for name in missing))
     return Success(
         DirectSettings(
             role=model.role,
@@ -94,6 +127,20 @@
     )
 
 
+def _missing(model: DirectModel) -> list[str]:
+    """Return the names of endpoints that a role needs and that are absent or no endpoint."""
+    needed = {"object_api": model.object_api}
+    if model.role == "direct-entry":
+        needed |= {"callers": model.callers or "", "ready": model.ready or ""}
+    return [name for name, value in needed.items() if not _ENDPOINT.fullmatch(value)]
+
+
+def _problem(path: Path, name: str) -> Problem:
+    return Problem(
+        file=path.name, path=name, found="nothing usable", allowed="an IP number and port, a:p"
+    )
+
+
 def _endpoint(value: str | None) -> tuple[str, int] | None:
     if not value:
         return None
--- /dev/null
+++ b/packages/node/tests/test_direct_settings.py
@@ -0,0 +1,93 @@
+"""Settings of direct entries: every error is told, and changes are taken over."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+from pathlib import Path
+
+import pytest
+from absl import logging
+from returns.pipeline import is_successful
+
+from carobspool_core import Json
+from carobspool_node.direct import load_direct_settings
+from carobspool_node.direct._reload import SettingsReload
+
+GOOD: Json = {
+    "role": "direct-entry",
+    "node": "e1",
+    "failure_domain": "z1",
+    "address": "127.0.0.1",
+    "callers": "127.0.0.1:1",
+    "ready": "127.0.0.1:2",
+    "peer_port": 3,
+    "object_api": "127.0.0.1:4",
+    "value_limit_bytes": 1048576,
+    "shutdown_limit_s": 8,
+    "first_start": True,
+    "metrics_port": 5,
+    "log_level": "info",
+}
+
+
+def _write(path: Path, **changes: Json) -> Path:
+    path.write_text("// a comment\n" + json.dumps(GOOD | changes))
+    return path
+
+
+def test_good_settings(tmp_path: Path) -> None:
+    settings = load_direct_settings(_write(tmp_path / "s.json")).unwrap()
+    assert settings.callers == ("127.0.0.1", 1)
+    assert settings.shutdown_limit == 8_000.0
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("callers", None),
+        ("ready", "nowhere"),
+        ("object_api", "http://a:1"),
+        ("peer_port", 70_000),
+        ("log_level", "loud"),
+        ("role", "boss"),
+        ("first_start", "yes"),
+        ("unheard_of", 1),
+    ],
+)
+def test_a_wrong_setting_is_named(tmp_path: Path, name: str, value: Json) -> None:
+    loaded = load_direct_settings(_write(tmp_path / "s.json", **{name: value}))
+    assert not is_successful(loaded)
+    assert [problem.path for problem in loaded.failure()] == [name]
+
+
+def test_the_templates_of_the_deployment_hold_every_setting_and_no_other() -> None:
+    folder = Path(__file__).parents[3] / "deploy"
+    for name, role in (("entry", "direct-entry"), ("keeper", "keeper")):
+        text = (folder / f"{name}.settings.json").read_text()
+        keys = {line.split('"')[1] for line in text.splitlines() if line.startswith('  "')}
+        expected = set(GOOD) - (set() if name == "entry" else {"callers", "ready"})
+        assert keys == expected
+        assert f'"role": "{role}"' in text
+
+
+def test_changes_are_taken_over_with_and_without_a_signal(tmp_path: Path) -> None:
+    path = _write(tmp_path / "s.json")
+    reload = SettingsReload(path, load_direct_settings(path).unwrap())
+    before = logging.get_verbosity()
+    try:
+        reload.listen()
+        _write(path, log_level="error", peer_port=9)
+        reload.check()
+        assert logging.get_verbosity() == logging.ERROR
+        path.write_text("{")
+        reload.check()
+        assert logging.get_verbosity() == logging.ERROR
+        _write(path)
+        os.kill(os.getpid(), signal.SIGHUP)
+        reload.check()
+        assert logging.get_verbosity() == logging.INFO
+    finally:
+        logging.set_verbosity(before)
+        signal.signal(signal.SIGHUP, signal.SIG_DFL)
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -156,7 +156,7 @@
         """Start an entry."""
         port, ready_port, peer_port, metrics_port = _free_ports(4)
         settings = {
-            "role": "entry",
+            "role": "direct-entry",
             "node": name,
             "failure_domain": "z1",
             "address": "127.0.0.1",
--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -17,17 +17,24 @@
 from pydantic.fields import FieldInfo
 
 from carobspool_node._settings_models import EntryModel, SidecarModel
+from carobspool_node.direct import DirectModel
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "SETTINGS.md"
 INTRODUCTION = """# Settings of `carobspoold`
 
 Written by `tools/settings_reference.py` from the models in
-`packages/node/src/carobspool_node/_settings_models.py`; change those, not this page.
+`packages/node/src/carobspool_node/_settings_models.py` and `direct/_settings.py`; change those,
+not this page.
 
 One file for each process, in JSON with comments. `carobspoold check FILE` reads a file, prints
 every error at once (file, path, what was found, what is allowed) and starts nothing. Unknown keys
 are refused. A setting without a default must be given.
 """
+SECTIONS = (
+    ("An entry", EntryModel),
+    ("A sidecar", SidecarModel),
+    ("A direct entry, or a keeper", DirectModel),
+)
 HEADING = "| setting | unit | default | bounds | meaning |\n|---|---|---|---|---|"
 BOUNDS = {"gt": ">", "ge": "≥", "lt": "<", "le": "≤"}
 
@@ -48,7 +55,7 @@
 def page() -> str:
     """Return the reference page."""
     sections = [INTRODUCTION]
-    for title, model in (("An entry", EntryModel), ("A sidecar", SidecarModel)):
+    for title, model in SECTIONS:
         rows = "\n".join(_rows(model, ""))
         sections.append(f"## {title}\n\n{HEADING}\n{rows}\n")
     return "\n".join(sections)
