--- a/packages/cli/src/carobspool_cli/_timeline.py
+++ b/packages/cli/src/carobspool_cli/_timeline.py
@@ -106,5 +106,5 @@
 
 
 def _upstreams(line: LogLine) -> list[str]:
-    named = line.pairs.get("upstreams", "").split(",")
+    named = [each.partition(":")[0] for each in line.pairs.get("upstreams", "").split(",")]
     return [line.pairs.get("upstream", ""), *named]
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -69,6 +69,7 @@
     caller: CallerConnection
     deadline: Millis
     tried: set[str] = field(default_factory=set)
+    met: list[str] = field(default_factory=list)
     runs: int = 0
     turned_away: int = 0
     may_have_run: bool = False
@@ -152,9 +153,18 @@
                 excluded=frozenset(attempt.tried),
             )
             if placement is None:
+                logging.info(
+                    "event=no_place request=%s service=%s upstreams=%d returned=%s %s",
+                    attempt.request.request_id,
+                    service,
+                    len(upstreams),
+                    attempt.returned,
+                    self._loads.describe(upstreams),
+                )
                 self._give_up(attempt, full=bool(upstreams))
                 return
             attempt.tried.add(placement.upstream.instance)
+            attempt.met.append(f"{placement.upstream.instance}:{placement.load.total}")
             done = False
             try:
                 done = self._try(attempt, placement.upstream)
@@ -357,7 +367,7 @@
             status,
             attempt.runs,
             attempt.turned_away,
-            ",".join(sorted(attempt.tried)),
+            ",".join(attempt.met),
             took,
             attempt.last_failure,
         )
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -58,12 +58,17 @@
     Attributes:
         upstream: Where it goes.
         started: When it was placed.
-        found_free: Whether a slot seemed free then, so that its duration holds no wait.
+        load: What was known to be in flight there.
     """
 
     upstream: Upstream
     started: Millis
-    found_free: bool
+    load: Load
+
+    @property
+    def found_free(self) -> bool:
+        """Whether a slot seemed free, so that the request's duration holds no wait."""
+        return self.load.total < self.upstream.slots
 
 
 class LoadTable:
@@ -129,12 +134,28 @@
             )
             if chosen is None:
                 return None
-            free = loads.get(chosen.instance, Load()).total < chosen.slots
+            load = loads.get(chosen.instance, Load())
             self._begin(chosen.instance, now).online += 1
             victims = self._victims(chosen, now)
         for run in victims:
             run.cancellation.cancel()
-        return Placement(upstream=chosen, started=now, found_free=free)
+        return Placement(upstream=chosen, started=now, load=load)
+
+    def describe(self, upstreams: Sequence[Upstream]) -> str:
+        """Return what decides about a refusal, for the log: loads, mean duration, hints' age."""
+        now = self._clock.now()
+        with self._lock:
+            loads = self._loads(now)
+            suspects = self._suspected(now)
+            ages = [now - received for received, _ in self._peers.values()]
+            mean = self._duration(upstreams[0].service).value if upstreams else 0.0
+        shown = []
+        for each in upstreams:
+            load = loads.get(each.instance, Load())
+            mark = "!" if each.instance in suspects else ""
+            shown.append(f"{each.instance}{mark}:{load.online}+{load.batch}/{each.slots}")
+        oldest = max(ages, default=0.0)
+        return f"loads={','.join(shown)} mean_ms={mean:.0f} hints_age_ms={oldest:.0f}"
 
     def end_online(self, placement: Placement, *, completed: bool) -> None:
         """Count the end of a request; a completed one tells how long such requests run."""
