--- a/packages/node/src/carobspool_node/direct/_telemetry.py
+++ b/packages/node/src/carobspool_node/direct/_telemetry.py
@@ -28,7 +28,6 @@
     "job_calls": ("call", "outcome"),
     "items": ("outcome",),
     "store_calls": ("call", "outcome"),
-    "batch_yields": (),
     "log_lines_dropped": (),
 }
 _TIMES = ("request", "first_event", "job_commit", "item_run")
