--- a/packages/node/src/carobspool_node/direct/_follow.py
+++ b/packages/node/src/carobspool_node/direct/_follow.py
@@ -26,6 +26,10 @@
 """Pause between tries while the store cannot be read, drawn anew each time, so that the processes
 do not all return in the same moment. A configuration has two seconds to come into force."""
 
+WATCH_RETRY_PAUSE: Millis = 800.0
+"""Pause after a watch that failed although its listing succeeded: while the store turns this host
+away, listings come through another entry, and each costs a call."""
+
 
 class Follower:
     """Keeps a process up to date with the objects under a prefix.
@@ -86,16 +90,19 @@
     def _loop(self) -> None:
         revision: int | None = None
         while not self._stopped.is_set():
+            pause = RETRY_PAUSE
             try:
                 if revision is None:
                     revision = self._list()
                 else:
                     revision = self._watch(revision)
+                    if revision is None and self._failing:
+                        pause = WATCH_RETRY_PAUSE
             except Exception:  # noqa: BLE001
                 logging.exception("event=follow_failed prefix=%s", self._prefix)
                 revision = None
             if revision is None:
-                pause = RETRY_PAUSE + random.random() * RETRY_JITTER
+                pause += random.random() * RETRY_JITTER
                 self._stopped.wait(pause / 1000.0)
 
     def _list(self) -> int | None:
--- a/packages/node/src/carobspool_node/direct/_store_relay.py
+++ b/packages/node/src/carobspool_node/direct/_store_relay.py
@@ -1,11 +1,13 @@
 """An object store that goes through another entry when this one is turned away.
 
 The store sometimes refuses single machines while it serves the others. Without a way around, such
-an entry could accept no job and commit no result for as long as that lasts.
+an entry could accept no job and commit no result, and would serve an old configuration, for as long
+as that lasts.
 """
 
 from __future__ import annotations
 
+import functools
 import time
 from collections.abc import Callable
 from typing import Any
@@ -33,6 +35,7 @@
 REFUSED_TIME: Millis = 1_000.0
 """How long after a refusal the way through a peer is tried first; then the store is asked again."""
 RELAYS_TRIED = 2
+READS = ("get", "list")
 
 Answer = Result[Any, StoreFailure]
 
@@ -67,8 +70,9 @@
     def list(
         self, prefix: str, *, after: str = "", limit: int = 500
     ) -> Result[ObjectPage, StoreFailure]:
-        """Read a page of objects; never relayed."""
-        return self._note("list", self._direct.list(prefix, after=after, limit=limit))
+        """Read a page of objects."""
+        direct = functools.partial(self._direct.list, prefix, after=after, limit=limit)
+        return self._call("list", prefix, direct, {"after": after, "limit": limit})
 
     def create(self, key: str, value: Json) -> Result[StoredObject, StoreFailure]:
         """Write an object that must not exist yet."""
@@ -96,6 +100,8 @@
         operation, key = call["op"], call["key"]
         if operation == "get":
             answer: Answer = self._direct.get(key)
+        elif operation == "list":
+            answer = self._direct.list(key, after=call["after"], limit=call["limit"])
         elif operation == "create":
             answer = self._direct.create(key, call["value"])
         else:
@@ -135,7 +141,7 @@
                 status, found = self._caller.call(peer, "store", body, RELAY_TIMEOUT)
             except PeerCallError as error:
                 logging.warning("event=relay_failed peer=%s reason=%r", peer.identity, error)
-                if operation != "get":
+                if operation not in READS:
                     detail = f"relay: {error}"
                     return Failure(StoreFailure(fault=StoreFault.UNKNOWN, key=key, detail=detail))
                 continue
@@ -162,6 +168,9 @@
 def _encode(answer: Answer) -> Json:
     if is_successful(answer):
         found = answer.unwrap()
+        if isinstance(found, ObjectPage):
+            objects = [[each.key, each.version, each.value] for each in found.objects]
+            return {"revision": found.revision, "more": found.more, "objects": objects}
         return {"version": found.version, "value": found.value}
     failure = answer.failure()
     current = failure.current
@@ -173,6 +182,13 @@
 
 
 def _decode(key: str, answer: Json) -> Answer:
+    if "objects" in answer:
+        objects = [
+            StoredObject(key=name, version=version, value=value)
+            for name, version, value in answer["objects"]
+        ]
+        page = ObjectPage(revision=answer["revision"], objects=objects, more=answer["more"])
+        return Success(page)
     if "fault" not in answer:
         return Success(StoredObject(key=key, version=answer["version"], value=answer["value"]))
     current = answer["current"]
--- a/packages/standins/src/carobspool_standins/platform_store.py
+++ b/packages/standins/src/carobspool_standins/platform_store.py
@@ -107,21 +107,30 @@
         self.changed.notify_all()
 
 
-def platform_store_application(objects: PlatformObjects) -> WsgiApplication:
-    """Return the store as a WSGI application."""
+def platform_store_application(
+    objects: PlatformObjects, faults: PlatformFaults | None = None
+) -> WsgiApplication:
+    """Return the store as a WSGI application.
+
+    Args:
+        objects: What it holds.
+        faults: Faults of this address alone, for a store that turns single hosts away; the
+            store's own by default.
+    """
+    in_force = objects.faults if faults is None else faults
 
     def collection(request: Request, kind: str) -> Response:
-        refused = _begin(objects, request)
+        refused = _begin(objects, in_force, request)
         if refused is not None:
             return refused
         if request.method == "POST":
             return _create(objects, request, kind)
         if "watch" in request.args:
-            return _watch(objects, request, kind)
+            return _watch(objects, in_force, request, kind)
         return _list(objects, request, kind)
 
     def member(request: Request, kind: str, name: str) -> Response:
-        refused = _begin(objects, request)
+        refused = _begin(objects, in_force, request)
         if refused is not None:
             return refused
         if request.method == "GET":
@@ -135,7 +144,7 @@
         return _replace(objects, request, kind, name, "spec")
 
     def status(request: Request, kind: str, name: str) -> Response:
-        refused = _begin(objects, request)
+        refused = _begin(objects, in_force, request)
         if refused is not None:
             return refused
         return _replace(objects, request, kind, name, "status")
@@ -151,9 +160,12 @@
 
 
 @contextmanager
-def serve_platform_store(objects: PlatformObjects) -> Iterator[str]:
+def serve_platform_store(
+    objects: PlatformObjects, faults: PlatformFaults | None = None
+) -> Iterator[str]:
     """Serve the store on loopback; yield its address and port."""
-    server = make_http_server(ServerSettings(port=0), platform_store_application(objects))
+    app = platform_store_application(objects, faults)
+    server = make_http_server(ServerSettings(port=0), app)
     thread = threading.Thread(target=server.serve_forever, args=(0.01,), daemon=True)
     thread.start()
     try:
@@ -164,11 +176,10 @@
         thread.join()
 
 
-def _begin(objects: PlatformObjects, request: Request) -> Response | None:
+def _begin(objects: PlatformObjects, faults: PlatformFaults, request: Request) -> Response | None:
     with objects.changed:
         name = "watch" if "watch" in request.args else request.method
         objects.calls[name] = objects.calls.get(name, 0) + 1
-        faults = objects.faults
         if faults.status:
             return json_response({"error": "refused"}, faults.status)
         if request.method != "GET" and faults.cut_before > 0:
@@ -232,18 +243,22 @@
         return json_response({"items": items, "more": more, "as_of": objects.revision})
 
 
-def _watch(objects: PlatformObjects, request: Request, kind: str) -> Response:
+def _watch(
+    objects: PlatformObjects, faults: PlatformFaults, request: Request, kind: str
+) -> Response:
     since = int(request.args["watch"])
     wait_s = min(MAX_WAIT_S, int(request.args.get("wait_ms", "0")) / 1000.0)
     until = time.monotonic() + wait_s
     with objects.changed:
         while True:
+            if faults.status:
+                return json_response({"error": "refused"}, faults.status)
             if since < objects.floor:
                 return json_response({"error": "history is gone"}, HTTPStatus.GONE)
             events = [
                 {"object": stored, "deleted": deleted}
                 for revision, each, stored, deleted in objects.history
-                if each == kind and revision > since and not objects.faults.deaf
+                if each == kind and revision > since and not faults.deaf
             ]
             left = until - time.monotonic()
             if events or left <= 0:
--- a/tests/direct/test_membership.py
+++ b/tests/direct/test_membership.py
@@ -10,7 +10,16 @@
 from pathlib import Path
 
 import pytest
-from direct_harness import STANDARD_ROUTES, Answer, Deployment, deployment, eventually, route
+from direct_harness import (
+    STANDARD_ROUTES,
+    Answer,
+    Deployment,
+    deployment,
+    eventually,
+    finished,
+    route,
+    submission,
+)
 
 from carobspool_standins.platform_server import ServedRequest, ServerConnection, stream_events
 
@@ -57,6 +66,23 @@
     assert entry.call("GET", "/safe/x").status == 404
 
 
+def test_an_entry_that_the_store_turns_away_works_through_another(system: Deployment) -> None:
+    """The store refuses one entry and serves the other. A change of the configuration reaches the
+    refused one too; it accepts a job, runs it and commits its results."""
+    system.server("plain", _answer)
+    system.server("engine", stream_events(4))
+    address, faults = system.second_address()
+    entry, other = system.entry("e1", store=address), system.entry("e2")
+    time.sleep(1.0)
+    faults.status = 503
+    system.configure(2, *STANDARD_ROUTES, route("/new/", "safe", "plain"))
+    eventually(lambda: entry.call("GET", "/new/x").status == 200, 4)
+    assert entry.call("POST", "/batch/j", body=submission("a"), request_id="j").status == 202
+    for each in (entry, other):
+        results = eventually(lambda e=each: finished(e, "j"), 8)
+        assert [result["state"] for result in results] == ["completed"]
+
+
 def test_without_a_configuration_nothing_is_denied_for_good(system: Deployment) -> None:
     """The store is away when the entry starts. It is not ready, and tells callers to come back
     instead of that their route does not exist."""
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -24,7 +24,11 @@
     PlatformServer,
     serve_platform_server,
 )
-from carobspool_standins.platform_store import PlatformObjects, serve_platform_store
+from carobspool_standins.platform_store import (
+    PlatformFaults,
+    PlatformObjects,
+    serve_platform_store,
+)
 
 HOST = "callers.example"
 READY_S = 15.0
@@ -152,7 +156,19 @@
         self.objects.put("servers", instance, server.registration(service))
         return server
 
-    def entry(self, name: str, *, first_start: bool = True, wait: bool = True) -> Entry:
+    def second_address(self) -> tuple[str, PlatformFaults]:
+        """Serve the same store at another address with faults of its own."""
+        faults = PlatformFaults()
+        return self.stack.enter_context(serve_platform_store(self.objects, faults)), faults
+
+    def entry(
+        self,
+        name: str,
+        *,
+        first_start: bool = True,
+        wait: bool = True,
+        store: str | None = None,
+    ) -> Entry:
         """Start an entry."""
         port, ready_port, peer_port, metrics_port = _free_ports(4)
         settings = {
@@ -163,7 +179,7 @@
             "callers": f"127.0.0.1:{port}",
             "ready": f"127.0.0.1:{ready_port}",
             "peer_port": peer_port,
-            "object_api": self.store,
+            "object_api": store or self.store,
             "value_limit_bytes": 1_048_576,
             "shutdown_limit_s": 6,
             "first_start": first_start,
