--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_declared.py
@@ -0,0 +1,175 @@
+"""What the operator declares and which upstreams are registered, as this process knows it."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Mapping, Sequence
+
+from absl import logging
+
+from carobspool_core import Clock, ObjectChange, ObjectStore, StoredObject
+from carobspool_core.direct import Configuration, SharedView, Upstream, UpstreamList
+from carobspool_node.direct._deployment import Deployment
+from carobspool_node.direct._follow import Follower
+
+_CONFIGURATION = "configuration"
+_UPSTREAMS = "upstreams"
+
+
+class Declared:
+    """Follows configuration and upstreams in the store.
+
+    Args:
+        clock: The process's clock.
+        store: The object store.
+        deployment: Where they lie and how they read.
+        on_configuration: Called when a newer configuration is in force.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: ObjectStore,
+        deployment: Deployment,
+        *,
+        on_configuration: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._deployment = deployment
+        self._on_configuration = on_configuration
+        self._configuration: Configuration | None = None
+        self._upstreams = UpstreamList()
+        self._upstreams_lock = threading.Lock()
+        self._upstreams_listed = False
+        self._configuration_view = SharedView()
+        self._upstreams_view = SharedView()
+        kind, _, _ = deployment.configuration_key.partition("/")
+        self._followers = {
+            _CONFIGURATION: Follower(
+                store,
+                f"{kind}/",
+                on_listing=self._configuration_listed,
+                on_change=lambda change: self._take_configuration(change.object),
+            ),
+            _UPSTREAMS: Follower(
+                store,
+                deployment.upstream_prefix,
+                on_listing=self._upstreams_replaced,
+                on_change=self._upstream_changed,
+                on_regained=self._upstreams_regained,
+            ),
+        }
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force, ``None`` until one is known; versions only grow."""
+        return self._configuration
+
+    @property
+    def known(self) -> bool:
+        """Whether requests can be routed."""
+        return self._configuration is not None and self._upstreams_listed
+
+    def start(self) -> None:
+        """Start to follow."""
+        for follower in self._followers.values():
+            follower.start()
+
+    def usable(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that may receive new requests."""
+        with self._upstreams_lock:
+            return self._upstreams.usable(service, self._clock.now())
+
+    def listed(self) -> list[Upstream]:
+        """Return every registered upstream."""
+        with self._upstreams_lock:
+            return self._upstreams.listed()
+
+    def instances(self) -> set[str]:
+        """Return the ids of all upstreams known, leaving ones included."""
+        with self._upstreams_lock:
+            return self._upstreams.instances()
+
+    def versions(self) -> Mapping[str, int]:
+        """Return what is known, as numbers for the others."""
+        return {
+            _CONFIGURATION: self._configuration_view.version,
+            _UPSTREAMS: self._upstreams_view.version,
+        }
+
+    def compare(self, versions: Mapping[str, int]) -> None:
+        """Read again what another process knows and this one has missed."""
+        now = self._clock.now()
+        if self._configuration_view.is_behind(versions.get(_CONFIGURATION, 0), now):
+            self._followers[_CONFIGURATION].refresh()
+        digest = versions.get(_UPSTREAMS, 0)
+        if digest and self._upstreams_view.differs(digest, now):
+            self._followers[_UPSTREAMS].refresh()
+
+    def refresh(self) -> None:
+        """Read what the watches should have told."""
+        for follower in self._followers.values():
+            follower.refresh()
+
+    def _configuration_listed(self, objects: Sequence[StoredObject]) -> None:
+        for each in objects:
+            self._take_configuration(each)
+
+    def _take_configuration(self, stored: StoredObject) -> None:
+        if stored.key != self._deployment.configuration_key or stored.value is None:
+            return
+        configuration = self._deployment.read_configuration(stored.value)
+        current = self._configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self._configuration = configuration
+        self._configuration_view.version = configuration.version
+        logging.info(
+            "event=configuration version=%d routes=%d revision=%d",
+            configuration.version,
+            len(configuration.routes),
+            stored.version,
+        )
+        self._on_configuration()
+
+    def _upstreams_replaced(self, objects: Sequence[StoredObject]) -> None:
+        found = []
+        for each in objects:
+            upstream = self._read_upstream(each)
+            if upstream is not None:
+                found.append(upstream)
+        with self._upstreams_lock:
+            self._upstreams.replace(found, self._clock.now())
+            self._upstreams_view.version = self._upstreams.digest()
+        if not self._upstreams_listed:
+            logging.info("event=upstreams_listed count=%d", len(found))
+        self._upstreams_listed = True
+
+    def _upstream_changed(self, change: ObjectChange) -> None:
+        name = change.object.key.removeprefix(self._deployment.upstream_prefix)
+        with self._upstreams_lock:
+            if change.deleted:
+                self._upstreams.remove(name, self._clock.now())
+            else:
+                upstream = self._read_upstream(change.object)
+                if upstream is not None:
+                    self._upstreams.put(upstream)
+            self._upstreams_view.version = self._upstreams.digest()
+        logging.info(
+            "event=upstream_changed upstream=%s deleted=%s revision=%d",
+            name,
+            change.deleted,
+            change.object.version,
+        )
+
+    def _read_upstream(self, stored: StoredObject) -> Upstream | None:
+        name = stored.key.removeprefix(self._deployment.upstream_prefix)
+        try:
+            return self._deployment.read_upstream(name, stored.value)
+        except (KeyError, TypeError, ValueError) as error:
+            logging.warning("event=bad_registration upstream=%s reason=%r", name, error)
+            return None
+
+    def _upstreams_regained(self) -> None:
+        with self._upstreams_lock:
+            self._upstreams.regained(self._clock.now())
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -23,14 +23,11 @@
 from carobspool_core import owner as rendezvous_owner
 from carobspool_core.direct import (
     CallerLimits,
-    Configuration,
     Load,
-    SharedView,
-    Upstream,
-    UpstreamList,
 )
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._callers import CallerApi
+from carobspool_node.direct._declared import Declared
 from carobspool_node.direct._deployment import Deployment
 from carobspool_node.direct._follow import Follower
 from carobspool_node.direct._forward import Forwarder
@@ -84,16 +81,9 @@
         self._started = self._clock.now()
         self._telemetry = Telemetry()
         self._incarnation = uuid.uuid4().hex[:8]
-        self._configuration: Configuration | None = None
-        self._upstreams = UpstreamList()
-        self._upstreams_lock = threading.Lock()
-        self._upstreams_listed = False
-        self._configuration_view = SharedView()
-        self._upstreams_view = SharedView()
         self._leaving = threading.Event()
         self._released = threading.Event()
         self._orphans = threading.Event()
-        self._recovered = threading.Event()
         self._loads = LoadTable(self._clock, settings.failure_domain)
         self._connections = UpstreamConnections(self._clock)
         self._peer_caller = PeerCaller(self._clock)
@@ -111,14 +101,17 @@
             self._telemetry,
             lambda: self._peers,
         )
+        self._declared = Declared(
+            self._clock, self._store, deployment, on_configuration=self._peers.tell_now
+        )
         items = ItemRunner(self._clock, deployment.headers, self._loads, self._connections)
         self._runner = JobRunner(
             self._clock,
             self._loads,
             items,
             self._telemetry,
-            configuration=lambda: self._configuration,
-            usable=self._usable,
+            configuration=lambda: self._declared.configuration,
+            usable=self._declared.usable,
             in_doubt=self._peers.in_doubt,
         )
         self._jobs = Jobs(
@@ -135,7 +128,7 @@
             deployment.headers,
             self._loads,
             self._connections,
-            self._usable,
+            self._declared.usable,
             self._telemetry,
         )
         self._api = CallerApi(
@@ -144,9 +137,14 @@
             forwarder,
             self._jobs,
             self._telemetry,
-            configuration=lambda: self._configuration,
+            configuration=lambda: self._declared.configuration,
+        )
+        self._entries = Follower(
+            self._store,
+            "entries/",
+            on_listing=self._entries_listed,
+            on_change=self._entry_changed,
         )
-        self._followers = self._make_followers()
 
     def run(self) -> int:
         """Run until told to stop; return the exit code."""
@@ -164,10 +162,10 @@
         self._telemetry.serve(settings.address, settings.metrics_port)
         callers = self._listen()
         self._peers.start(
-            on_loads=self._take_loads, on_versions=self._take_versions, on_lost=self._peer_lost
+            on_loads=self._take_loads, on_versions=self._declared.compare, on_lost=self._peer_lost
         )
-        for follower in self._followers.values():
-            follower.start()
+        self._declared.start()
+        self._entries.start()
         self._runner.start()
         threading.Thread(target=self._register, name="register", daemon=True).start()
         threading.Thread(target=self._recover, name="recover", daemon=True).start()
@@ -231,98 +229,6 @@
         )
         self._telemetry.stop_logs()
 
-    def _make_followers(self) -> Mapping[str, Follower]:
-        deployment = self._deployment
-        kind, _, _ = deployment.configuration_key.partition("/")
-        return {
-            "configuration": Follower(
-                self._store,
-                f"{kind}/",
-                on_listing=self._configuration_listed,
-                on_change=lambda change: self._take_configuration(change.object),
-            ),
-            "upstreams": Follower(
-                self._store,
-                deployment.upstream_prefix,
-                on_listing=self._upstreams_replaced,
-                on_change=self._upstream_changed,
-                on_regained=self._upstreams_regained,
-            ),
-            "entries": Follower(
-                self._store,
-                "entries/",
-                on_listing=self._entries_listed,
-                on_change=self._entry_changed,
-            ),
-        }
-
-    def _configuration_listed(self, objects: Sequence[StoredObject]) -> None:
-        for each in objects:
-            self._take_configuration(each)
-
-    def _take_configuration(self, stored: StoredObject) -> None:
-        if stored.key != self._deployment.configuration_key or stored.value is None:
-            return
-        configuration = self._deployment.read_configuration(stored.value)
-        current = self._configuration
-        if current is not None and configuration.version <= current.version:
-            return
-        self._configuration = configuration
-        self._configuration_view.version = configuration.version
-        logging.info(
-            "event=configuration version=%d routes=%d revision=%d",
-            configuration.version,
-            len(configuration.routes),
-            stored.version,
-        )
-        self._peers.tell_now()
-
-    def _upstreams_replaced(self, objects: Sequence[StoredObject]) -> None:
-        found = []
-        for each in objects:
-            upstream = self._read_upstream(each)
-            if upstream is not None:
-                found.append(upstream)
-        with self._upstreams_lock:
-            self._upstreams.replace(found, self._clock.now())
-            self._upstreams_view.version = self._upstreams.digest()
-        if not self._upstreams_listed:
-            logging.info("event=upstreams_listed count=%d", len(found))
-        self._upstreams_listed = True
-
-    def _upstream_changed(self, change: ObjectChange) -> None:
-        name = change.object.key.removeprefix(self._deployment.upstream_prefix)
-        with self._upstreams_lock:
-            if change.deleted:
-                self._upstreams.remove(name, self._clock.now())
-            else:
-                upstream = self._read_upstream(change.object)
-                if upstream is not None:
-                    self._upstreams.put(upstream)
-            self._upstreams_view.version = self._upstreams.digest()
-        logging.info(
-            "event=upstream_changed upstream=%s deleted=%s revision=%d",
-            name,
-            change.deleted,
-            change.object.version,
-        )
-
-    def _read_upstream(self, stored: StoredObject) -> Upstream | None:
-        name = stored.key.removeprefix(self._deployment.upstream_prefix)
-        try:
-            return self._deployment.read_upstream(name, stored.value)
-        except (KeyError, TypeError, ValueError) as error:
-            logging.warning("event=bad_registration upstream=%s reason=%r", name, error)
-            return None
-
-    def _upstreams_regained(self) -> None:
-        with self._upstreams_lock:
-            self._upstreams.regained(self._clock.now())
-
-    def _usable(self, service: str) -> list[Upstream]:
-        with self._upstreams_lock:
-            return self._upstreams.usable(service, self._clock.now())
-
     def _entries_listed(self, objects: Sequence[StoredObject]) -> None:
         for each in objects:
             self._know_entry(each, deleted=False)
@@ -355,14 +261,12 @@
     def _recover(self) -> None:
         """Take over what a start of the whole system left without an owner."""
         if self._settings.first_start:
-            self._recovered.set()
             return
         self._leaving.wait(SETTLE_TIME / 1000.0)
         while not self._leaving.is_set():
             if self._jobs.recover(self._is_mine):
                 break
             self._leaving.wait(0.3 + random.random() * 0.3)
-        self._recovered.set()
         logging.info("event=recovered owned=%d", len(self._runner.owned()))
 
     def _is_mine(self, job_id: str) -> bool:
@@ -387,17 +291,7 @@
                 logging.exception("event=takeover_failed")
 
     def _take_loads(self, peer: str, loads: Mapping[str, Load]) -> None:
-        with self._upstreams_lock:
-            upstreams = self._upstreams.listed()
-        self._loads.take_hint(peer, loads, upstreams)
-
-    def _take_versions(self, versions: Mapping[str, int]) -> None:
-        now = self._clock.now()
-        if self._configuration_view.is_behind(versions.get("configuration", 0), now):
-            self._followers["configuration"].refresh()
-        digest = versions.get("upstreams", 0)
-        if digest and self._upstreams_view.differs(digest, now):
-            self._followers["upstreams"].refresh()
+        self._loads.take_hint(peer, loads, self._declared.listed())
 
     def _poll(self) -> None:
         """Read what the watches should have told, on behalf of all entries."""
@@ -406,8 +300,7 @@
             nodes.append(self._settings.node)
             if rendezvous_owner(POLL_DUTY, nodes) != self._settings.node:
                 continue
-            for name in ("configuration", "upstreams"):
-                self._followers[name].refresh()
+            self._declared.refresh()
 
     def _own_hint(self) -> OwnHint:
         return OwnHint(
@@ -415,29 +308,24 @@
             open_jobs=self._runner.job_ids(finished=False),
             done_jobs=self._runner.job_ids(finished=True),
             waiting=self._runner.waiting_tokens(),
-            versions={
-                "configuration": self._configuration_view.version,
-                "upstreams": self._upstreams_view.version,
-            },
+            versions=self._declared.versions(),
             leaving=self._released.is_set(),
             store_ok=self._store.reachable,
         )
 
     def _tidy(self) -> None:
-        with self._upstreams_lock:
-            instances = self._upstreams.instances()
+        instances = self._declared.instances()
         self._connections.forget(instances)
         self._loads.forget(instances)
         self._peer_caller.forget({peer.identity for peer in self._peers.live()})
 
     def _limits(self) -> CallerLimits:
-        configuration = self._configuration
+        configuration = self._declared.configuration
         return configuration.limits if configuration is not None else CallerLimits()
 
     @property
     def _is_ready(self) -> bool:
-        known = self._configuration is not None and self._upstreams_listed
-        return known and not self._leaving.is_set()
+        return self._declared.known and not self._leaving.is_set()
 
     def _answer_ready(self, request: CallerRequest, caller: CallerConnection) -> None:
         if request.path != self._deployment.ready_path:
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -8,11 +8,9 @@
 from __future__ import annotations
 
 import threading
-from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
 from enum import StrEnum
-from typing import Generic, TypeVar
 
 from absl import logging
 from returns.pipeline import is_successful
@@ -26,6 +24,7 @@
     Route,
     fits_quota,
 )
+from carobspool_node.direct._bounded_cache import BoundedCache
 from carobspool_node.direct._job_records import INPUTS, PROGRESS, JobRecords, StoredProgress
 from carobspool_node.direct._job_runner import JobRunner
 from carobspool_node.direct._owned_job import OwnedJob
@@ -45,8 +44,6 @@
 """How long a job without an owner is left to the entry that all others would choose: it knows of
 the loss within a few hints, and its takeover takes three calls to the store."""
 
-_V = TypeVar("_V")
-
 
 class Outcome(StrEnum):
     """How a call on a job ended."""
@@ -67,33 +64,6 @@
     results: Sequence[ItemResult]
 
 
-class _BoundedCache(Generic[_V]):
-    """Least recently used values, bounded by their summed size in bytes."""
-
-    def __init__(self, limit: int) -> None:
-        self._limit = limit
-        self._size = 0
-        self._values: OrderedDict[str, tuple[_V, int]] = OrderedDict()
-        self._lock = threading.Lock()
-
-    def get(self, key: str) -> _V | None:
-        with self._lock:
-            found = self._values.get(key)
-            if found is None:
-                return None
-            self._values.move_to_end(key)
-            return found[0]
-
-    def put(self, key: str, value: _V, size: int) -> None:
-        with self._lock:
-            old = self._values.pop(key, None)
-            self._size += size - (old[1] if old else 0)
-            self._values[key] = (value, size)
-            while self._size > self._limit and len(self._values) > 1:
-                _, (_, dropped) = self._values.popitem(last=False)
-                self._size -= dropped
-
-
 class Jobs:
     """Calls on batch jobs."""
 
@@ -115,8 +85,8 @@
         self._caller = caller
         self._telemetry = telemetry
         self._peers_settled = peers_settled
-        self._inputs: _BoundedCache[JobInput] = _BoundedCache(INPUT_CACHE_BYTES)
-        self._finished: _BoundedCache[JobProgress] = _BoundedCache(FINISHED_CACHE_BYTES)
+        self._inputs: BoundedCache[JobInput] = BoundedCache(INPUT_CACHE_BYTES)
+        self._finished: BoundedCache[JobProgress] = BoundedCache(FINISHED_CACHE_BYTES)
         self._adopting = threading.Lock()
         self._orphans: dict[str, tuple[Millis, str]] = {}
         self._orphans_lock = threading.Lock()
