--- a/packages/node/src/carobspool_node/direct/_keeper.py
+++ b/packages/node/src/carobspool_node/direct/_keeper.py
@@ -64,10 +64,9 @@
             self._let_go(change.object)
 
     def _let_go(self, request: StoredObject) -> None:
+        # Each keeper answers, and each answer is told to all of them once more. The store takes a
+        # write that changes nothing without a new event, so this comes to rest by itself.
         key = f"{request.key}/status"
-        current = self._store.get(request.key + "/status")
-        if is_successful(current) and current.unwrap().value == self._deployment.retired:
-            return
         written = self._store.update(key, self._deployment.retired, version=request.version)
         logging.info("event=host_let_go host=%s done=%s", request.key, is_successful(written))
 
--- a/tests/direct/test_membership.py
+++ b/tests/direct/test_membership.py
@@ -142,6 +142,20 @@
         assert entry.process.wait(timeout=3.5) == 0
 
 
+@pytest.mark.parametrize("asked_first", [True, False])
+def test_a_host_with_a_disk_is_let_go_when_asked(system: Deployment, asked_first: bool) -> None:
+    """The operator asks to empty a host. Nothing lies on it, so the answer comes at once, whether
+    the request was there before the keeper or came later."""
+    if asked_first:
+        system.objects.put("retirements", "m1", {"duration_s": 8})
+    system.keeper("k1")
+    if not asked_first:
+        time.sleep(1.0)
+        system.objects.put("retirements", "m1", {"duration_s": 8})
+    stored = system.objects.objects
+    eventually(lambda: stored[("retirements", "m1")]["status"] == {"state": "completed"}, 5)
+
+
 def _try(call: object, *arguments: str) -> Answer | None:
     try:
         return call(*arguments)  # type: ignore[operator]
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -171,30 +171,42 @@
     ) -> Entry:
         """Start an entry."""
         port, ready_port, peer_port, metrics_port = _free_ports(4)
-        settings = {
-            "role": "direct-entry",
+        settings = self._settings(name, "direct-entry", peer_port, metrics_port)
+        settings |= {"callers": f"127.0.0.1:{port}", "ready": f"127.0.0.1:{ready_port}"}
+        settings["first_start"] = first_start
+        settings["object_api"] = store or self.store
+        process, log = self._run(settings)
+        entry = Entry(name, port, ready_port, peer_port, process, log)
+        self.entries.append(entry)
+        if wait:
+            eventually(entry.is_ready, READY_S)
+        return entry
+
+    def keeper(self, name: str) -> None:
+        """Start a keeper."""
+        self._run(self._settings(name, "keeper", *_free_ports(2)))
+
+    def _settings(self, name: str, role: str, peer_port: int, metrics_port: int) -> dict[str, Any]:
+        return {
+            "role": role,
             "node": name,
             "failure_domain": "z1",
             "address": "127.0.0.1",
-            "callers": f"127.0.0.1:{port}",
-            "ready": f"127.0.0.1:{ready_port}",
             "peer_port": peer_port,
-            "object_api": store or self.store,
+            "object_api": self.store,
             "value_limit_bytes": 1_048_576,
             "shutdown_limit_s": 6,
-            "first_start": first_start,
+            "first_start": True,
             "metrics_port": metrics_port,
             "log_level": "info",
         }
-        path = self.folder / f"{name}-{peer_port}.json"
+
+    def _run(self, settings: dict[str, Any]) -> tuple[subprocess.Popen[bytes], Path]:
+        stem = f"{settings['node']}-{settings['peer_port']}"
+        path = self.folder / f"{stem}.json"
         path.write_text("// settings\n" + json.dumps(settings))
-        log = self.folder / f"{name}-{peer_port}.log"
-        process = self.stack.enter_context(_process(path, log))
-        entry = Entry(name, port, ready_port, peer_port, process, log)
-        self.entries.append(entry)
-        if wait:
-            eventually(entry.is_ready, READY_S)
-        return entry
+        log = self.folder / f"{stem}.log"
+        return self.stack.enter_context(_process(path, log)), log
 
     def configure(self, version: int, *routes: dict[str, Any]) -> None:
         """Write a configuration as the operator does."""
