Jobs run by when they are due, counted from their submission

Cause: an owner ordered jobs by when it took them on, so one taken over from a dead entry, which had lost time already, waited behind every newer one. Test: three jobs for one place, judged by the order in which runs begin.

--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -178,7 +178,7 @@
         configuration = self._configuration()
         if configuration is None:
             return
-        for job in sorted(self.owned(), key=lambda each: each.accepted):
+        for job in sorted(self.owned(), key=lambda each: _due(each, configuration)):
             if job.lost or job.finished or self._stopped.is_set():
                 continue
             if not self._start_items_of(job, configuration):
@@ -283,3 +283,13 @@
             work.failures,
             detail,
         )
+
+
+def _due(job: OwnedJob, configuration: Configuration) -> float:
+    """Return when a job is due, by the wall clock: good enough for an order.
+
+    Counted from the submission, not from when this entry took the job on: a job that was taken
+    over has lost time already, and would otherwise wait behind all newer ones.
+    """
+    route = configuration.route_for(job.input.host, job.input.path)
+    return job.input.submitted + (route.completion_target if route is not None else 0.0)
--- a/packages/node/src/carobspool_node/direct/_owned_job.py
+++ b/packages/node/src/carobspool_node/direct/_owned_job.py
@@ -36,7 +36,6 @@
         self._runs: set[BatchRun] = set()
         self._next_commit: Millis = 0.0
         self._lost = False
-        self.accepted = clock.now()
         self.verified = clock.now()
 
     @property
--- /dev/null
+++ b/packages/node/tests/test_direct_job_runner.py
@@ -0,0 +1,107 @@
+"""Which job's items an entry starts first, judged by the order in which runs begin."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+
+from carobspool_core import boottime_clock, wall_millis
+from carobspool_core.direct import (
+    Configuration,
+    ItemWork,
+    JobInput,
+    JobItem,
+    JobProgress,
+    Route,
+    RouteKind,
+    Upstream,
+    WeightedService,
+)
+from carobspool_node.direct._item_run import RunEnd, RunOutcome
+from carobspool_node.direct._job_records import JobRecords, StoredProgress
+from carobspool_node.direct._job_runner import JobRunner
+from carobspool_node.direct._loads import BatchRun, LoadTable
+from carobspool_node.direct._owned_job import OwnedJob
+from carobspool_node.direct._telemetry import Telemetry
+from carobspool_standins.memory_store import MemoryObjects, MemoryStore
+
+ENGINE = Upstream(
+    instance="i",
+    service="engine",
+    address=("127.0.0.1", 1),
+    failure_domain="z",
+    slots=2,
+    ready=True,
+)
+
+
+class _Runs:
+    """Stands in for runs at an upstream: notes their order and ends them at once."""
+
+    def __init__(self) -> None:
+        self.order: list[str] = []
+        self.done = threading.Event()
+
+    def run(self, host: str, work: ItemWork, upstream: Upstream, run: BatchRun) -> RunOutcome:
+        self.order.append(work.item.item_id)
+        if len(self.order) == 6:
+            self.done.set()
+        return RunOutcome(end=RunEnd.COMPLETED)
+
+
+def _route(prefix: str, target: float) -> Route:
+    return Route(
+        name=prefix,
+        host="h",
+        path_prefix=prefix,
+        kind=RouteKind.BATCH,
+        timeout=1_000.0,
+        target_latency=100.0,
+        priority=1,
+        services=(WeightedService(service="engine", weight=1.0),),
+        completion_target=target,
+    )
+
+
+def _job(job_id: str, path: str, submitted: float, make: Callable[..., OwnedJob]) -> OwnedJob:
+    items = tuple(
+        JobItem(item_id=f"{job_id}{number}", path=path, headers={}, body=b"", tokens=1)
+        for number in range(2)
+    )
+    job = JobInput(
+        job_id=job_id, host="h", path=path, owner="e#1", submitted=submitted, items=items
+    )
+    progress = JobProgress(owner="e#1", total=2)
+    return make(job, StoredProgress(progress=progress, segments=(), version=0))
+
+
+def test_jobs_run_by_when_they_are_due_and_not_by_when_they_came_here() -> None:
+    """Three jobs wait for one place. One is new, one has a nearer target, one was submitted long
+    before and has just been taken over from an entry that died: it goes first."""
+    clock = boottime_clock()
+    records = JobRecords(MemoryStore(MemoryObjects(), "e"), 1_048_576)
+    runs = _Runs()
+    configuration = Configuration(
+        version=1, routes=(_route("/slow/", 60_000.0), _route("/soon/", 20_000.0))
+    )
+    runner = JobRunner(
+        clock,
+        LoadTable(clock, "z"),
+        runs,  # type: ignore[arg-type]
+        Telemetry(),
+        configuration=lambda: configuration,
+        usable=lambda service: [ENGINE],
+        in_doubt=lambda: False,
+    )
+
+    def make(job: JobInput, stored: StoredProgress) -> OwnedJob:
+        return OwnedJob(job, stored, records, "e#1", clock)
+
+    now = float(wall_millis())
+    runner.add(_job("new", "/slow/x", now, make))
+    runner.add(_job("near", "/soon/x", now, make))
+    runner.add(_job("old", "/slow/x", now - 50_000.0, make))
+    runner.start()
+    assert runs.done.wait(5.0)
+    runner.stop()
+    assert runs.order == ["old0", "old1", "near0", "near1", "new0", "new1"]
