Dead code of direct entries taken out: unused properties, a refusal type, a stop that nobody calls

Also: one answer that an item can never be done is final, so there is no counter; a lost job is 'not owned' when its end is asked, told by None alone. Behaviour unchanged; tests untouched.

--- a/packages/core/src/carobspool_core/direct/_job_work.py
+++ b/packages/core/src/carobspool_core/direct/_job_work.py
@@ -13,9 +13,6 @@
 
 from carobspool_core._clock import Millis
 
-REJECTED_LIMIT = 1
-"""Answers that say an item can never be done, after which it is given up."""
-
 
 class ItemEnd(StrEnum):
     """How an item ended."""
@@ -90,7 +87,6 @@
 
     item: JobItem
     failures: int = 0
-    rejections: int = 0
     last_event: int = 0
     texts: list[str] = field(default_factory=list)
     running: bool = False
@@ -190,10 +186,8 @@
         return True
 
     def rejected(self, work: ItemWork) -> None:
-        """Take the answer that an item can never be done."""
-        work.rejections += 1
-        if work.rejections >= REJECTED_LIMIT:
-            self.finish(work, ItemEnd.DEAD)
+        """Take the answer that an item can never be done; a single one is final."""
+        self.finish(work, ItemEnd.DEAD)
 
     def end(self) -> None:
         """End the job: nothing is started any more, what is committed stays."""
--- a/packages/core/src/carobspool_core/direct/_placement.py
+++ b/packages/core/src/carobspool_core/direct/_placement.py
@@ -15,7 +15,6 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
-from carobspool_core._clock import Millis
 from carobspool_core.direct._upstreams import Upstream
 
 BATCH_RESERVE = 1
@@ -120,11 +119,3 @@
     if excess <= 0:
         return 0
     return min(own_batch, -(-excess * own_batch // max(load.batch, own_batch)))
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Refusal:
-    """Why a request is refused before it was sent anywhere, and when to come back."""
-
-    reason: str
-    retry_after: Millis
--- a/packages/node/src/carobspool_node/direct/_caller_connection.py
+++ b/packages/node/src/carobspool_node/direct/_caller_connection.py
@@ -30,7 +30,6 @@
         self._clock = clock
         self._names = names
         self._channel = Channel(sock, h11.Connection(h11.SERVER), clock)
-        self._started = False
         self._closing = False
 
     @property
@@ -38,11 +37,6 @@
         """A watch of the caller for the current request."""
         return CallerWatch(self._channel.socket)
 
-    @property
-    def answered(self) -> bool:
-        """Whether the answer to the current request has begun."""
-        return self._started
-
     def close_after_answer(self) -> None:
         """Tell the caller with the next answer that the connection ends."""
         self._closing = True
@@ -53,7 +47,6 @@
         Raises:
             BadRequestError: The bytes are not a proper request; nothing was run.
         """
-        self._started = False
         try:
             if not self._wait_for_request(limits.idle_timeout):
                 return None
@@ -72,7 +65,6 @@
         Raises:
             CallerGoneError: The caller has left.
         """
-        self._started = True
         headers = [(key, value) for key, value in headers if key.lower() != b"content-length"]
         headers.append((b"Content-Length", str(len(body)).encode()))
         http = self._channel.http
@@ -84,7 +76,6 @@
 
     def start_stream(self, status: int, headers: Headers, reason: bytes) -> None:
         """Send the head of a streamed answer."""
-        self._started = True
         headers = [(key, value) for key, value in headers if key.lower() != b"content-length"]
         self._send(self._head(status, headers, reason))
 
--- a/packages/node/src/carobspool_node/direct/_follow.py
+++ b/packages/node/src/carobspool_node/direct/_follow.py
@@ -4,6 +4,7 @@
 
 import random
 import threading
+import time
 from collections.abc import Callable, Sequence
 
 from absl import logging
@@ -57,8 +58,6 @@
         self._on_change = on_change
         self._on_regained = on_regained
         self._lock = threading.Lock()
-        self._stopped = threading.Event()
-        self._listed = threading.Event()
         self._failing = False
         self._refreshing = threading.Lock()
         self._applied = 0
@@ -67,14 +66,6 @@
         """Start to follow."""
         threading.Thread(target=self._loop, name=f"follow-{self._prefix}", daemon=True).start()
 
-    def stop(self) -> None:
-        """Stop after the current call."""
-        self._stopped.set()
-
-    def wait_listed(self, timeout: Millis) -> bool:
-        """Wait for the first listing."""
-        return self._listed.wait(timeout / 1000.0)
-
     def refresh(self) -> None:
         """List again beside the watch, which may have missed something; one at a time."""
         if not self._refreshing.acquire(blocking=False):
@@ -89,7 +80,7 @@
 
     def _loop(self) -> None:
         revision: int | None = None
-        while not self._stopped.is_set():
+        while True:
             pause = RETRY_PAUSE
             try:
                 if revision is None:
@@ -103,7 +94,7 @@
                 revision = None
             if revision is None:
                 pause += random.random() * RETRY_JITTER
-                self._stopped.wait(pause / 1000.0)
+                time.sleep(pause / 1000.0)
 
     def _list(self) -> int | None:
         objects: list[StoredObject] = []
@@ -127,7 +118,6 @@
             if revision >= self._applied:
                 self._applied = revision
                 self._on_listing(objects)
-        self._listed.set()
         return revision
 
     def _watch(self, revision: int) -> int | None:
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -167,7 +167,7 @@
     def end(self, job_id: str) -> Outcome:
         """End a job: nothing of it starts any more."""
         own = self.end_own(job_id)
-        if own is not None and own is not Outcome.NOT_FOUND:
+        if own is not None:
             return own
         peer = self._peers.holder_of(job_id)
         if peer is not None:
@@ -190,7 +190,7 @@
                 logging.info("event=job_ended job=%s", job_id)
                 return Outcome.DONE
             if job.lost:
-                return Outcome.NOT_FOUND
+                return None
         return Outcome.UNAVAILABLE
 
     def orphaned(self, job_ids: Iterable[str], reason: str) -> None:
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -219,11 +219,6 @@
                 if own.total
             }
 
-    def totals(self) -> dict[str, Load]:
-        """Return what all entries have in flight, as far as it is known."""
-        with self._lock:
-            return self._loads(self._clock.now())
-
     def forget(self, instances: set[str]) -> None:
         """Drop what is known of upstreams that are gone and have nothing in flight."""
         now = self._clock.now()
--- a/packages/node/src/carobspool_node/direct/_upstream_calls.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_calls.py
@@ -56,18 +56,12 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._idle: dict[str, list[Channel]] = {}
-        self._opened = 0
 
     @property
     def clock(self) -> Clock:
         """The process's clock."""
         return self._clock
 
-    @property
-    def opened(self) -> int:
-        """Connections opened since the start."""
-        return self._opened
-
     def acquire(self, upstream: Upstream) -> Channel:
         """Return a kept or a new connection.
 
@@ -121,7 +115,6 @@
             channel = connect(upstream.address, CONNECT_TIMEOUT, self._clock)
         except ConnectionBrokenError as error:
             raise CallFailedError(str(error), sent=False) from error
-        self._opened += 1
         return channel
 
     def _is_recent(self, channel: Channel) -> bool:
