Released chunks are claimed when the leaving entry's lease ends, not at the next periodic look

Cause (known red test_claims_are_handed_over_at_once, 4,907 ms without a start, once): an entry looks at all chunks again when the set of live entries changes or every 10 s. A leaving entry stops to be live when it says so, with its chunks still claimed; the release came 5 s later and nothing made the other look. In a kept log the chunk is released at 04.120 and claimed at 08.867, 10.0 s after the leave. A silence follows whenever the other has run out of work by then, which load only makes likelier. Ruled out: load alone (five runs beside ten busy processes: 462 to 2,644 ms). Change: the end of a lease that was leaving counts as a change of membership. Test: packages/node/tests/test_job_runner.py::test_a_released_chunk_is_claimed_at_once failed first (not ended in 3 s).

--- a/packages/core/src/carobspool_core/_leases.py
+++ b/packages/core/src/carobspool_core/_leases.py
@@ -96,6 +96,12 @@
         ]
         return tuple(sorted(nodes))
 
+    def holding(self) -> tuple[str, ...]:
+        """Return the nodes whose leases are in force, those that are leaving included."""
+        return tuple(
+            sorted(lease.node for lease in self._leases.values() if lease.unchanged < self._ttl)
+        )
+
     def longest_expired(self, factor: float) -> tuple[NodeLease, ...]:
         """Return the leases unchanged for ``factor`` times the time to live."""
         limit = self._ttl * factor
--- a/packages/node/src/carobspool_node/_job_runner.py
+++ b/packages/node/src/carobspool_node/_job_runner.py
@@ -178,7 +178,9 @@
     def _forget_ended(self, now: Millis) -> None:
         """Bring the known jobs up to date; stop what belongs to ended or cancelled ones."""
         jobs = {job.id: job for job in self._table.open_jobs()}
-        self._works.update(jobs.values(), self._members.live(), now)
+        self._works.update(
+            jobs.values(), self._members.live(), holding=self._members.holding(), now=now
+        )
         for (job_id, number), chunk in list(self._owned.items()):
             if job_id not in jobs:
                 chunk.cancel_running()
--- a/packages/node/src/carobspool_node/_job_works.py
+++ b/packages/node/src/carobspool_node/_job_works.py
@@ -30,6 +30,7 @@
         self._tell_done = tell_done
         self._works: dict[str, JobWork] = {}
         self._live: tuple[str, ...] = ()
+        self._holding: tuple[str, ...] = ()
         self._looked_at: Millis = clock.now()
         self._early: deque[ChunkDone] = deque(maxlen=MAX_EARLY)
 
@@ -43,12 +44,24 @@
         """The works of the open jobs."""
         return self._works
 
-    def update(self, jobs: Iterable[Job], live: tuple[str, ...], now: Millis) -> None:
+    def update(
+        self,
+        jobs: Iterable[Job],
+        live: tuple[str, ...],
+        *,
+        holding: tuple[str, ...],
+        now: Millis,
+    ) -> None:
         """Bring works and live entries up to date.
 
+        A leaving entry stops to be live long before it releases its chunks. Looking again only
+        when it stops to be live would find them still claimed, and they would wait for the next
+        periodic look, up to `LOOK_AGAIN_INTERVAL`; so the end of its lease counts as well.
+
         Args:
             jobs: The open jobs.
             live: Names of the live entries.
+            holding: Names of the entries that may hold claims, leaving ones included.
             now: The clock's instant in milliseconds.
         """
         open_jobs = {job.id: job for job in jobs}
@@ -61,9 +74,10 @@
             del self._works[job_id]
         if live != self._live:
             self._tell_new_coordinators(live)
-        elif now - self._looked_at < LOOK_AGAIN_INTERVAL:
+        elif holding == self._holding and now - self._looked_at < LOOK_AGAIN_INTERVAL:
             return
         self._live = live
+        self._holding = holding
         self._looked_at = now
         for work in self._works.values():
             work.look_again()
--- a/packages/node/src/carobspool_node/_members.py
+++ b/packages/node/src/carobspool_node/_members.py
@@ -55,6 +55,11 @@
         with self._lock:
             return self._observer.live()
 
+    def holding(self) -> tuple[str, ...]:
+        """Return the names of the nodes that may hold claims, leaving ones included, in order."""
+        with self._lock:
+            return self._observer.holding()
+
     def addresses(self) -> dict[str, str]:
         """Return the address of each live node by its name."""
         with self._lock:
--- a/packages/node/tests/test_job_runner.py
+++ b/packages/node/tests/test_job_runner.py
@@ -57,6 +57,7 @@
     """Runs items; keeps an append-only record of starts."""
 
     delay: float = 0.001
+    delays: dict[str, float] = field(default_factory=dict)
     starts: list[tuple[str, str, str, float]] = field(default_factory=list)
     cancels: list[str] = field(default_factory=list)
     answer: Callable[[BatchItem], ItemOutcome | None] = lambda item: None
@@ -86,7 +87,7 @@
         on_done: Callable[[ItemOutcome], None],
         handle: _Handle,
     ) -> None:
-        time.sleep(self.delay)
+        time.sleep(self.delays.get(node, self.delay))
         self.gate.wait()
         self._count(node, -1)
         if handle.cancelled:
@@ -326,6 +327,27 @@
     _assert_whole(fleet, job, 200)
 
 
+def test_a_released_chunk_is_claimed_at_once(fleet: Fleet) -> None:
+    """A caller sees the job go on as soon as a leaving entry lets its chunks go.
+
+    One of two entries says that it leaves and finishes what runs. The other looked at all chunks
+    when it heard that, found these still claimed, and has run out of work by the time that they
+    are released and the lease is given up.
+    """
+    fleet.start("a", "b")
+    leaving = fleet.nodes["b"]
+    fleet.upstreams.delay = 0.02
+    fleet.upstreams.delays["b"] = 1.5
+    job = fleet.submit(200)
+    _until(lambda: len(fleet.holders()) == 2)
+    leaving.lease.leave()
+    _until(lambda: fleet.nodes["a"].members.live() == ("a",))
+    assert leaving.runner.release_all(5_000.0) == 0
+    leaving.lease.give_up()
+    assert fleet.wait_for_end(job, 3.0).status is JobStatus.COMPLETED
+    _assert_whole(fleet, job, 200)
+
+
 def test_frozen_owner_wakes_after_its_lease(fleet: Fleet) -> None:
     """A caller sees each result once although a paused entry wakes with claims it has lost.
 
