A leaving entry refuses what it could not finish before its exit

Ruled out: the server (still at work), the link. Change: when less than three times the mean duration is left, a request is refused as not run, to come back at once. Test: test_a_leaving_entry_refuses_what_it_could_not_finish failed first (streams cut).

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -26,6 +26,7 @@
     JobProgress,
     JobWork,
 )
+from carobspool_core.direct._leaving import LEAVING_RETRY_AFTER, has_time_to_serve
 from carobspool_core.direct._placement import (
     BATCH_RESERVE,
     Load,
@@ -47,6 +48,7 @@
 __all__ = [
     "BATCH_RESERVE",
     "LAPSE_GRACE",
+    "LEAVING_RETRY_AFTER",
     "CallerLimits",
     "Configuration",
     "EventSplitter",
@@ -71,6 +73,7 @@
     "excess_of_batch",
     "fits_quota",
     "has_returned",
+    "has_time_to_serve",
     "job_from_json",
     "job_to_json",
     "progress_from_json",
--- a/packages/core/tests/test_direct_decisions.py
+++ b/packages/core/tests/test_direct_decisions.py
@@ -24,6 +24,7 @@
     excess_of_batch,
     fits_quota,
     has_returned,
+    has_time_to_serve,
     queue_limit,
     return_after,
     share_of_excess,
@@ -352,3 +353,20 @@
     assert times == sorted(times)
     assert (times[0], times[-1]) == (300.0, 1_500.0)
     assert return_after(1.0, 1_500.0) == 500.0
+
+
+@pytest.mark.parametrize(
+    ("time_left", "mean", "taken"),
+    [
+        (None, 5_000.0, True),
+        (2_500.0, 800.0, True),
+        (2_300.0, 800.0, False),
+        (500.0, 25.0, True),
+        (400.0, 25.0, False),
+        (-10.0, 0.0, False),
+    ],
+)
+def test_a_leaving_entry_takes_what_it_can_finish(
+    time_left: float | None, mean: float, taken: bool
+) -> None:
+    assert has_time_to_serve(time_left, mean) is taken
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -82,6 +82,7 @@
         self._telemetry = Telemetry()
         self._incarnation = uuid.uuid4().hex[:8]
         self._leaving = threading.Event()
+        self._exit_at: Millis | None = None
         self._released = threading.Event()
         self._orphans = threading.Event()
         self._loads = LoadTable(self._clock, settings.failure_domain, name=settings.node)
@@ -130,6 +131,7 @@
             self._connections,
             self._declared.usable,
             self._telemetry,
+            self._time_left,
         )
         self._api = CallerApi(
             deployment.dialect,
@@ -208,15 +210,19 @@
             listener.start()
         return callers
 
+    def _time_left(self) -> Millis | None:
+        return None if self._exit_at is None else self._exit_at - self._clock.now()
+
     def _leave(self, callers: Listener) -> None:
         logging.info("event=stop_requested busy=%d", callers.busy)
         began = self._clock.now()
+        exit_at = began + self._settings.shutdown_limit - EXIT_MARGIN
+        self._exit_at = exit_at
         callers.drain()
         self._runner.stop()
         self._released.set()
         self._peers.tell_now()
-        limit = began + self._settings.shutdown_limit - EXIT_MARGIN
-        while self._clock.now() < limit:
+        while self._clock.now() < exit_at:
             if self._clock.now() - began >= MIN_DRAIN and callers.busy == 0:
                 break
             threading.Event().wait(0.05)
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -16,11 +16,13 @@
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import (
+    LEAVING_RETRY_AFTER,
     EventSplitter,
     Route,
     RouteKind,
     Upstream,
     has_returned,
+    has_time_to_serve,
     return_after,
 )
 from carobspool_node.direct._caller_connection import CallerConnection
@@ -93,6 +95,7 @@
         connections: Kept connections.
         usable: Returns the upstreams of a service.
         telemetry: Logs and metrics.
+        time_left: Returns the time until this process exits, ``None`` when it is not leaving.
     """
 
     def __init__(
@@ -103,6 +106,7 @@
         connections: UpstreamConnections,
         usable: Callable[[str], Sequence[Upstream]],
         telemetry: Telemetry,
+        time_left: Callable[[], Millis | None],
     ) -> None:
         self._clock = clock
         self._names = names
@@ -110,6 +114,7 @@
         self._connections = connections
         self._usable = usable
         self._telemetry = telemetry
+        self._time_left = time_left
 
     def serve(self, request: CallerRequest, route: Route, caller: CallerConnection) -> None:
         """Serve one request to its end.
@@ -125,6 +130,9 @@
             deadline=request.arrived + limit,
             returned=has_returned(deadline=limit, timeout=route.timeout),
         )
+        if not self._has_time(attempt):
+            self._fail(attempt, 503, "not_run", LEAVING_RETRY_AFTER)
+            return
         try:
             self._try_upstreams(attempt)
         except DeadlinePassedError:
@@ -133,6 +141,22 @@
             self._note(attempt, "caller_gone", 0)
             raise
 
+    def _has_time(self, attempt: _Attempt) -> bool:
+        time_left = self._time_left()
+        service = attempt.route.service_for(attempt.request.request_id)
+        mean = self._loads.mean_duration(service)
+        if has_time_to_serve(time_left, mean):
+            return True
+        attempt.last_failure = "this entry is leaving"
+        logging.info(
+            "event=leaving_refused request=%s service=%s time_left_ms=%.0f mean_ms=%.0f",
+            attempt.request.request_id,
+            service,
+            time_left,
+            mean,
+        )
+        return False
+
     def _time_limit(self, request: CallerRequest, route: Route) -> Millis:
         limit = route.timeout
         value = request.header(self._names.deadline)
--- a/tests/direct/test_membership.py
+++ b/tests/direct/test_membership.py
@@ -128,6 +128,44 @@
     assert entry.process.wait(timeout=6) == 0
 
 
+def test_a_leaving_entry_refuses_what_it_could_not_finish(system: Deployment) -> None:
+    """Callers keep coming until the process is gone, since the balancer has nobody else for them.
+    Each gets a whole stream, or is told at once that its request did not run; the last ones used
+    to be cut in the middle when the process exited."""
+    system.server("engine", stream_events(10, pause_s=0.1))
+    entry = system.entry("e1")
+    for _ in range(3):
+        assert entry.call("POST", "/stream/x", body=b"b").complete
+    entry.signal(signal.SIGTERM)
+    found: list[Answer] = []
+    lock = threading.Lock()
+
+    def keep_calling() -> None:
+        while True:
+            try:
+                answer = entry.call("POST", "/stream/x", body=b"b")
+            except ConnectionRefusedError:
+                return
+            except OSError:
+                answer = Answer(0, {}, b"", complete=False)
+            with lock:
+                found.append(answer)
+            if answer.status == 503:
+                time.sleep(0.1)
+
+    callers = [threading.Thread(target=keep_calling) for _ in range(4)]
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join(timeout=12)
+    assert entry.process.wait(timeout=1) == 0
+    refused = [each for each in found if each.status == 503]
+    cut = [each for each in found if not each.complete and each.status]
+    assert not cut
+    assert any(each.status == 200 for each in found)
+    assert all(float(each.headers["retry-after"]) < 0.1 for each in refused)
+
+
 def test_idle_connections_do_not_hold_a_leaving_entry(system: Deployment) -> None:
     """A caller keeps a connection open without a request. The entry must still exit in its time
     and serve who connects until then; waiting for the idle connection, it was killed instead and
