Commits carry how far open items are; a restarted entry takes its own jobs back at once

Ruled out: commits of results (those made before the loss are kept), conflicts between owners (none in the logs). Change: a commit carries the events of open items, the next owner resumes after them; a leaving owner commits them; without results a commit is made each 2.5 s; jobs of an earlier process of the same node are taken back right after the start. Tests: test_an_owner_that_was_killed_goes_on_where_it_stood and test_a_leaving_owner_hands_over_what_its_items_received failed first; takeovers in test_direct_job_work.

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -19,6 +19,7 @@
 )
 from carobspool_core.direct._job_work import (
     ItemEnd,
+    ItemPart,
     ItemResult,
     ItemWork,
     JobInput,
@@ -53,6 +54,7 @@
     "Configuration",
     "EventSplitter",
     "ItemEnd",
+    "ItemPart",
     "ItemResult",
     "ItemWork",
     "JobInput",
--- a/packages/core/src/carobspool_core/direct/_job_codec.py
+++ b/packages/core/src/carobspool_core/direct/_job_codec.py
@@ -5,7 +5,14 @@
 import base64
 
 from carobspool_core._ports import Json
-from carobspool_core.direct._job_work import ItemEnd, ItemResult, JobInput, JobItem, JobProgress
+from carobspool_core.direct._job_work import (
+    ItemEnd,
+    ItemPart,
+    ItemResult,
+    JobInput,
+    JobItem,
+    JobProgress,
+)
 
 
 def job_to_json(job: JobInput) -> Json:
@@ -61,6 +68,7 @@
         "total": progress.total,
         "results": [[each.item_id, each.end.value, each.text] for each in progress.results],
         "failures": dict(progress.failures),
+        "parts": {key: [each.last_event, each.text] for key, each in progress.parts.items()},
     }
 
 
@@ -79,4 +87,8 @@
             for item_id, end, text in value["results"]
         ),
         failures=value["failures"],
+        parts={
+            key: ItemPart(last_event=last_event, text=text)
+            for key, (last_event, text) in value.get("parts", {}).items()
+        },
     )
--- a/packages/core/src/carobspool_core/direct/_job_work.py
+++ b/packages/core/src/carobspool_core/direct/_job_work.py
@@ -1,8 +1,9 @@
 """One batch job as its owner works on it: which items wait, run, are done, and what is committed.
 
 A result counts only once the store has acknowledged it. Its position is its place in the committed
-list, so a position never changes its content. Whatever is not committed may be lost with the owner
-and is then run again by the next one.
+list, so a position never changes its content. A commit also carries how far the open items are, and
+the next owner has them go on after that event. Whatever is not committed may be lost with the owner
+and is then run again.
 """
 
 from __future__ import annotations
@@ -62,6 +63,19 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ItemPart:
+    """What is there of an item that is not finished: its first events.
+
+    Attributes:
+        last_event: Id of the last of them.
+        text: Their data, in order, separated by line feeds.
+    """
+
+    last_event: int
+    text: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class JobProgress:
     """What is committed of a job.
@@ -72,6 +86,7 @@
         total: Number of its items.
         results: Final results in the order of their positions.
         failures: Failed runs of items that are not finished.
+        parts: What is there of items that are not finished.
     """
 
     owner: str
@@ -79,23 +94,54 @@
     ended: bool = False
     results: tuple[ItemResult, ...] = ()
     failures: Mapping[str, int] = field(default_factory=dict)
+    parts: Mapping[str, ItemPart] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
 class ItemWork:
-    """An item that is not finished: its text so far and its failed runs."""
+    """An item that is not finished: its text so far and its failed runs.
+
+    The task that runs the item adds events while another reads them for a commit. The number of
+    events follows from the list, so that text and number always fit together.
+
+    Attributes:
+        item: As submitted.
+        failures: Failed runs.
+        kept: What an earlier owner had committed of it.
+        texts: Data of the events after that, in order.
+        running: Whether a run is under way.
+        not_before: When the next run may start.
+    """
 
     item: JobItem
     failures: int = 0
-    last_event: int = 0
+    kept: ItemPart | None = None
     texts: list[str] = field(default_factory=list)
     running: bool = False
     not_before: Millis = 0.0
 
+    @property
+    def last_event(self) -> int:
+        """Id of the last event received, 0 when there is none; ids begin at 1."""
+        return len(self.texts) + (self.kept.last_event if self.kept is not None else 0)
+
+    @property
+    def text(self) -> str:
+        """The data of all events, separated by line feeds."""
+        return _joined(self.kept, self.texts)
+
+    def part(self) -> ItemPart | None:
+        """Return what is there now, ``None`` when there is nothing."""
+        texts = list(self.texts)
+        if not texts:
+            return self.kept
+        before = self.kept.last_event if self.kept is not None else 0
+        return ItemPart(last_event=before + len(texts), text=_joined(self.kept, texts))
+
     def restart(self) -> None:
         """Forget what was received, before the item is run from its beginning again."""
-        self.last_event = 0
-        self.texts.clear()
+        self.kept = None
+        self.texts = []
 
 
 class JobWork:
@@ -111,7 +157,11 @@
         self._failed = False
         finished = {each.item_id for each in progress.results}
         self._open = {
-            each.item_id: ItemWork(item=each, failures=progress.failures.get(each.item_id, 0))
+            each.item_id: ItemWork(
+                item=each,
+                failures=progress.failures.get(each.item_id, 0),
+                kept=progress.parts.get(each.item_id),
+            )
             for each in job.items
             if each.item_id not in finished
         }
@@ -146,6 +196,11 @@
         """Whether every item has its result, committed or not."""
         return not self._open
 
+    @property
+    def events_received(self) -> int:
+        """Events of the items that are not finished."""
+        return sum(work.last_event for work in self._open.values())
+
     @property
     def waiting_tokens(self) -> int:
         """Tokens of the items that no upstream has finished."""
@@ -173,7 +228,7 @@
         """Give an item its result; it becomes readable once committed."""
         if self._open.pop(work.item.item_id, None) is None:
             return
-        text = "\n".join(work.texts) if end is ItemEnd.COMPLETED else ""
+        text = work.text if end is ItemEnd.COMPLETED else ""
         self._pending.append(ItemResult(item_id=work.item.item_id, end=end, text=text))
 
     def failed(self, work: ItemWork, *, max_attempts: int) -> bool:
@@ -204,6 +259,7 @@
             ended=self._ended,
             results=results,
             failures=failures,
+            parts=self._parts(),
         )
 
     def adopt(self, progress: JobProgress) -> None:
@@ -215,6 +271,21 @@
         for item_id in committed & set(self._open):
             del self._open[item_id]
 
+    def _parts(self) -> dict[str, ItemPart]:
+        parts: dict[str, ItemPart] = {}
+        if self._ended:
+            return parts
+        for item_id, work in self._open.items():
+            part = work.part()
+            if part is not None:
+                parts[item_id] = part
+        return parts
+
     def not_committed(self) -> None:
         """Remember that a proposal has to be made again."""
         self._failed = True
+
+
+def _joined(kept: ItemPart | None, texts: Sequence[str]) -> str:
+    parts = list(texts) if kept is None else [kept.text, *texts]
+    return "\n".join(parts)
--- a/packages/core/tests/test_direct_job_work.py
+++ b/packages/core/tests/test_direct_job_work.py
@@ -78,6 +78,41 @@
     assert [each.end for each in later.proposal("b#1").results] == [ItemEnd.DEAD]
 
 
+def test_the_next_owner_goes_on_after_what_was_committed() -> None:
+    """The owner is lost in the middle of an item, twice. Its text is whole in the end, with the
+    events that came after the last commit received again."""
+    work = _work(1)
+    for number, owner in enumerate(("b#1", "c#1")):
+        item = work.open_items()[0]
+        assert item.last_event == number * 2
+        item.texts.extend([f"t{number}0", f"t{number}1"])
+        stored = progress_from_json(progress_to_json(work.proposal(owner)))
+        item.texts.append("not committed")
+        work = JobWork(_job(1), stored)
+    item = work.open_items()[0]
+    item.texts.append("end")
+    work.finish(item, ItemEnd.COMPLETED)
+    (result,) = work.proposal("c#1").results
+    assert result.text == "t00\nt01\nt10\nt11\nend"
+
+
+def test_a_failed_run_starts_from_the_beginning_also_after_a_takeover() -> None:
+    work = _work(1)
+    work.open_items()[0].texts.append("t")
+    work = JobWork(_job(1), work.proposal("b#1"))
+    item = work.open_items()[0]
+    item.restart()
+    assert (item.last_event, item.text) == (0, "")
+    assert not work.proposal("b#1").parts
+
+
+def test_an_ended_job_keeps_no_parts() -> None:
+    work = _work(1)
+    work.open_items()[0].texts.append("t")
+    work.end()
+    assert not work.proposal("a#1").parts
+
+
 def test_an_item_that_can_never_be_done_is_dead_at_once_and_has_no_text() -> None:
     work = _work(1)
     item = work.open_items()[0]
@@ -97,7 +132,7 @@
 
 def test_interrupted_items_resume_before_new_ones_start() -> None:
     work = _work()
-    work.open_items()[2].last_event = 5
+    work.open_items()[2].texts.extend(["t"] * 5)
     found = work.next_item(0.0)
     assert found is not None
     assert found.item.item_id == "i2"
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -6,7 +6,7 @@
 import signal
 import threading
 import uuid
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 
 import cbor2
@@ -265,15 +265,26 @@
             self._leaving.wait(0.3 + random.random() * 0.3)
 
     def _recover(self) -> None:
-        """Take over what a start of the whole system left without an owner."""
+        """Take over what a start of the whole system left without an owner.
+
+        What an earlier process of this node owned has no owner for certain, and is taken back at
+        once: its items would otherwise stand still until the entries know who else lives.
+        """
         if self._settings.first_start:
             return
-        self._leaving.wait(SETTLE_TIME / 1000.0)
+        self._recover_all(lambda job_id, owner: self._was_own(owner))
+        self._leaving.wait(max(0.0, SETTLE_TIME - (self._clock.now() - self._started)) / 1000.0)
+        self._recover_all(lambda job_id, owner: self._is_mine(job_id))
+        logging.info("event=recovered owned=%d", len(self._runner.owned()))
+
+    def _recover_all(self, mine: Callable[[str, str], bool]) -> None:
         while not self._leaving.is_set():
-            if self._jobs.recover(self._is_mine):
-                break
+            if self._jobs.recover(mine):
+                return
             self._leaving.wait(0.3 + random.random() * 0.3)
-        logging.info("event=recovered owned=%d", len(self._runner.owned()))
+
+    def _was_own(self, owner: str) -> bool:
+        return owner.partition("#")[0] == self._settings.node
 
     def _is_mine(self, job_id: str) -> bool:
         nodes = [peer.name for peer in self._peers.live() if not peer.leaving]
--- a/packages/node/src/carobspool_node/direct/_item_run.py
+++ b/packages/node/src/carobspool_node/direct/_item_run.py
@@ -101,7 +101,6 @@
                 if event.event_id != work.last_event + 1:
                     raise CallFailedError("an event is missing", sent=True)
                 work.texts.append(event.data)
-                work.last_event = event.event_id
         if splitter.incomplete:
             raise CallFailedError("the stream ends in the middle of an event", sent=True)
         return RunOutcome(end=RunEnd.COMPLETED)
--- a/packages/node/src/carobspool_node/direct/_job_records.py
+++ b/packages/node/src/carobspool_node/direct/_job_records.py
@@ -12,6 +12,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from absl import logging
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
@@ -121,6 +122,7 @@
             ended=tail.ended,
             results=(*results, *tail.results),
             failures=tail.failures,
+            parts=tail.parts,
         )
         found = StoredProgress(progress=progress, segments=segments, version=stored.version)
         return Success(found)
@@ -150,6 +152,10 @@
             name, count = moved.unwrap()
             kept = (*kept, Segment(name=name, pieces=count, results=len(value["results"])))
             value = _stored_value(progress, kept)
+        if len(json.dumps(value)) > self._limit:
+            # Parts only save work after a loss; results have to fit.
+            logging.info("event=parts_left_out job=%s parts=%d", job_id, len(progress.parts))
+            value["parts"] = {}
         key = PROGRESS + job_id
         if version == 0:
             written = self._store.create(key, value)
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -83,7 +83,7 @@
         jobs = self.owned()
         for job in jobs:
             job.stop_runs()
-        commits = [self._commits.submit(job.commit) for job in jobs if job.commit_due(float("inf"))]
+        commits = [self._commits.submit(job.commit) for job in jobs if job.leave_due()]
         wait(commits, LAST_COMMITS_S)
         for job in jobs:
             job.lose()
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -224,11 +224,12 @@
     def _has_owner(self, job_id: str) -> bool:
         return self._runner.get(job_id) is not None or self._peers.holder_of(job_id) is not None
 
-    def recover(self, mine: Callable[[str], bool]) -> bool:
-        """Take over every open job in the store whose owner is gone; return whether it was read.
+    def recover(self, mine: Callable[[str, str], bool]) -> bool:
+        """Take over open jobs in the store whose owner is gone; return whether it was read.
 
         Args:
-            mine: Whether this entry, of all live ones, is to take a job over.
+            mine: Whether this entry is to take a job over, by the job's id and its last owner. The
+                other jobs without an owner are noted as orphans.
         """
         progress = self._records.list_all(PROGRESS)
         inputs = self._records.list_all(INPUTS)
@@ -247,7 +248,9 @@
                 state = read.unwrap()
             if self._cache_if_finished(job_id, state.progress) or self._has_owner(job_id):
                 continue
-            if not mine(job_id) or not self._adopt(job.unwrap(), state, "recovered"):
+            if not mine(job_id, state.progress.owner) or not self._adopt(
+                job.unwrap(), state, "recovered"
+            ):
                 self.orphaned([job_id], "recovered")
         return True
 
--- a/packages/node/src/carobspool_node/direct/_owned_job.py
+++ b/packages/node/src/carobspool_node/direct/_owned_job.py
@@ -14,6 +14,10 @@
 COMMIT_INTERVAL: Millis = 900.0
 """Time between two commits of one job. A job's items end over some seconds; each commit is a priced
 call to the store, and a result may lie uncommitted for this long when its owner is killed."""
+CHECKPOINT_INTERVAL: Millis = 2_500.0
+"""Longest time without a commit while items receive events. When the owner is lost, its items go on
+after what is committed. An item runs for five seconds or more and the first result of a job comes
+after some four, so without checkpoints a loss threw away all that was running; one costs a call."""
 COMMIT_RETRY: Millis = 400.0
 """Pause after a commit that the store did not take."""
 
@@ -35,6 +39,8 @@
         self._committing = threading.Lock()
         self._runs: set[BatchRun] = set()
         self._next_commit: Millis = 0.0
+        self._next_checkpoint: Millis = clock.now() + CHECKPOINT_INTERVAL
+        self._events_committed = self._work.events_received
         self._lost = False
         self.verified = clock.now()
 
@@ -102,10 +108,17 @@
     def commit_due(self, now: Millis) -> bool:
         """Whether there is something to commit and it is time."""
         with self._lock:
-            if self._lost or not self._work.has_uncommitted:
+            if self._lost:
                 return False
+            if not self._work.has_uncommitted:
+                return now >= self._next_checkpoint and self._has_new_events()
             return now >= self._next_commit or self._work.all_run
 
+    def leave_due(self) -> bool:
+        """Whether a leaving owner has something that the next one can use."""
+        with self._lock:
+            return not self._lost and (self._work.has_uncommitted or self._has_new_events())
+
     def commit(self) -> bool:
         """Write the progress; return whether the store has it."""
         with self._committing:
@@ -113,7 +126,9 @@
                 return False
             with self._lock:
                 progress = self._work.proposal(self._owner)
+                self._events_committed = self._work.events_received
                 self._next_commit = self._clock.now() + COMMIT_INTERVAL
+                self._next_checkpoint = self._clock.now() + CHECKPOINT_INTERVAL
             started = self._clock.now()
             written = self._records.write_progress(
                 self.job_id, progress, version=self._version, segments=self._segments
@@ -149,6 +164,11 @@
                 return None
             return list(self._work.committed[after:])
 
+    def _has_new_events(self) -> bool:
+        if self._work.ended or self._work.all_run:
+            return False
+        return self._work.events_received != self._events_committed
+
     def _take(self, stored: StoredProgress, started: Millis) -> None:
         with self._lock:
             self._version = stored.version
--- a/tests/direct/test_jobs.py
+++ b/tests/direct/test_jobs.py
@@ -131,6 +131,39 @@
     _results_are_whole(eventually(lambda: finished(fresh[1], "j"), 12), ["a", "b"])
 
 
+def test_an_owner_that_was_killed_goes_on_where_it_stood(system: Deployment) -> None:
+    """An item of four seconds is three seconds old, and its job has no result yet, when its owner
+    is killed. The same host starts again at once. The item goes on after what was committed instead
+    of from its beginning, without waiting until the entries know each other."""
+    server = system.server("engine", stream_events(40, pause_s=0.1))
+    first = system.entry("e1")
+    assert first.call("POST", "/batch/j", body=submission("a"), request_id="j").status == 202
+    eventually(lambda: first.logged("event=job_commit"), 6)
+    first.signal(signal.SIGKILL)
+    again = system.entry("e1", first_start=False)
+    results = eventually(lambda: finished(again, "j"), 4)
+    assert results[0]["text"].split("\n") == [f"piece {number}" for number in range(1, 41)]
+    resumed = [int(each.headers.get("last-event-id", "0")) for each in server.seen]
+    assert len(resumed) == 2
+    assert resumed[1] >= 15
+
+
+def test_a_leaving_owner_hands_over_what_its_items_received(system: Deployment) -> None:
+    """SIGTERM in the middle of an item. Another entry goes on after the last event; the whole item
+    used to run again."""
+    server = system.server("engine", stream_events(30, pause_s=0.1))
+    first, other = system.entry("e1"), system.entry("e2")
+    time.sleep(1.0)
+    assert first.call("POST", "/batch/j", body=submission("a"), request_id="j").status == 202
+    time.sleep(1.6)
+    first.signal(signal.SIGTERM)
+    results = eventually(lambda: finished(other, "j"), 6)
+    assert results[0]["text"].split("\n") == [f"piece {number}" for number in range(1, 31)]
+    resumed = [int(each.headers.get("last-event-id", "0")) for each in server.seen]
+    assert len(resumed) == 2
+    assert resumed[1] >= 10
+
+
 def test_items_that_fail_are_given_up_and_their_job_ends(system: Deployment) -> None:
     """One item gets 500 each time, one 422. The first is tried as often as its route allows, the
     second once; both end as dead letters and the third completes."""
