Batch items that can no longer be on time wait for those that still can; room by urgency

Ruled out: free room (none while they waited), commits (40 ms), work lost with owners (carried on since the last change).

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -3,6 +3,7 @@
 Pure: no network, no threads, no wall clock.
 """
 
+from carobspool_core.direct._batch_order import BatchUrgency, ItemPace, urgency_of
 from carobspool_core.direct._configuration import (
     CallerLimits,
     Configuration,
@@ -48,12 +49,14 @@
 
 __all__ = [
     "BATCH_RESERVE",
+    "BatchUrgency",
     "LAPSE_GRACE",
     "LEAVING_RETRY_AFTER",
     "CallerLimits",
     "Configuration",
     "EventSplitter",
     "ItemEnd",
+    "ItemPace",
     "ItemPart",
     "ItemResult",
     "ItemWork",
@@ -83,4 +86,5 @@
     "queue_limit",
     "return_after",
     "share_of_excess",
+    "urgency_of",
 ]
--- a/packages/core/src/carobspool_core/direct/_job_work.py
+++ b/packages/core/src/carobspool_core/direct/_job_work.py
@@ -208,17 +208,14 @@
             return 0
         return sum(each.item.tokens for each in self._open.values())
 
-    def next_item(self, now: Millis) -> ItemWork | None:
-        """Return an item to start, one whose run was interrupted first."""
+    def waiting_items(self, now: Millis) -> list[ItemWork]:
+        """Return the items that can be started, those that have received most first."""
         if self._ended:
-            return None
-        found: ItemWork | None = None
-        for work in self._open.values():
-            if work.running or now < work.not_before:
-                continue
-            if found is None or work.last_event > found.last_event:
-                found = work
-        return found
+            return []
+        waiting = [
+            work for work in self._open.values() if not work.running and now >= work.not_before
+        ]
+        return sorted(waiting, key=lambda work: -work.last_event)
 
     def open_items(self) -> list[ItemWork]:
         """Return the items without a result."""
--- a/packages/core/src/carobspool_core/direct/_placement.py
+++ b/packages/core/src/carobspool_core/direct/_placement.py
@@ -17,6 +17,7 @@
 
 from xxhash import xxh3_64_intdigest
 
+from carobspool_core.direct._batch_order import BatchUrgency
 from carobspool_core.direct._upstreams import Upstream
 
 BATCH_RESERVE = 2
@@ -24,6 +25,12 @@
 waiting for a cancelled batch item to leave its slot (a network round trip and one engine step).
 With one, 18 entries over 20 engines cut 1,350 runs in 34 s of bursts, with two 710, and items end
 as early; with three those of five engines end late (played by `tests/fleet_load.py`)."""
+URGENT_RESERVE = 1
+"""The same for items that are running out of time. With two for all, five engines of eight slots
+lose a sixth of their room for batch items just when there is a backlog."""
+LATE_RESERVE = 3
+"""The same for items that can no longer be on time: they leave room for those that still can, of
+this entry and of the others."""
 SMALL_UPSTREAM = 6
 """Slots below which one is enough in reserve; two of four would halve the room for batch items."""
 SAMPLED = 5
@@ -122,6 +129,7 @@
     upstreams: Sequence[Upstream],
     loads: Mapping[str, Load],
     *,
+    urgency: BatchUrgency = BatchUrgency.ORDINARY,
     suspects: frozenset[str] = frozenset(),
     draw: random.Random | None = None,
 ) -> Upstream | None:
@@ -133,7 +141,7 @@
         if upstream.instance in suspects:
             continue
         load = loads.get(upstream.instance, Load())
-        free = upstream.slots - _reserve(upstream.slots) - load.total
+        free = upstream.slots - _reserve(upstream.slots, urgency) - load.total
         if free <= 0:
             continue
         score = -free / upstream.slots + draw.random() * _JITTER
@@ -143,10 +151,14 @@
     return best
 
 
-def _reserve(slots: int) -> int:
-    if slots >= SMALL_UPSTREAM:
-        return BATCH_RESERVE
-    return min(1, slots - 1)
+def _reserve(slots: int, urgency: BatchUrgency) -> int:
+    if slots < SMALL_UPSTREAM:
+        return min(1, slots - 1)
+    if urgency is BatchUrgency.URGENT:
+        return URGENT_RESERVE
+    if urgency is BatchUrgency.LATE:
+        return LATE_RESERVE
+    return BATCH_RESERVE
 
 
 def excess_of_batch(upstream: Upstream, load: Load) -> int:
--- a/packages/core/tests/test_direct_job_work.py
+++ b/packages/core/tests/test_direct_job_work.py
@@ -125,7 +125,7 @@
 def test_an_ended_job_starts_nothing_and_waits_for_nothing() -> None:
     work = _work()
     work.end()
-    assert work.next_item(0.0) is None
+    assert work.waiting_items(0.0) == []
     assert work.finished
     assert work.waiting_tokens == 0
 
@@ -133,9 +133,7 @@
 def test_interrupted_items_resume_before_new_ones_start() -> None:
     work = _work()
     work.open_items()[2].texts.extend(["t"] * 5)
-    found = work.next_item(0.0)
-    assert found is not None
-    assert found.item.item_id == "i2"
+    assert [each.item.item_id for each in work.waiting_items(0.0)] == ["i2", "i0", "i1"]
 
 
 @given(st.lists(st.sampled_from(["finish", "propose", "adopt", "lose"]), max_size=40))
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -12,11 +12,12 @@
 from carobspool_core.direct import (
     Configuration,
     ItemEnd,
+    ItemPace,
     ItemWork,
     Route,
-    RouteKind,
     Upstream,
 )
+from carobspool_node.direct._item_order import WaitingItem, waiting_in_order
 from carobspool_node.direct._item_run import ItemRunner, RunEnd, RunOutcome
 from carobspool_node.direct._loads import BatchRun, LoadTable
 from carobspool_node.direct._owned_job import OwnedJob
@@ -70,6 +71,7 @@
         self._commits = ThreadPoolExecutor(8, thread_name_prefix="commit")
         self._running = 0
         self._committing: set[str] = set()
+        self._pace = ItemPace()
 
     def start(self) -> None:
         """Start to work."""
@@ -178,49 +180,39 @@
         configuration = self._configuration()
         if configuration is None:
             return
-        for job in sorted(self.owned(), key=lambda each: _due(each, configuration)):
-            if job.lost or job.finished or self._stopped.is_set():
-                continue
-            if not self._start_items_of(job, configuration):
+        jobs = self.owned()
+        for waiting in waiting_in_order(jobs, configuration, self._pace, now=self._clock.now()):
+            if self._stopped.is_set() or self._running >= MAX_RUNS:
+                return
+            if not self._start(waiting):
                 return
 
-    def _start_items_of(self, job: OwnedJob, configuration: Configuration) -> bool:
-        """Start what there is room for; return whether there may be more room."""
-        while self._running < MAX_RUNS:
-            with job.lock:
-                work = job.work.next_item(self._clock.now())
-            if work is None:
-                return True
-            route = configuration.route_for(job.input.host, work.item.path)
-            if self._is_over(job, work, route):
-                continue
-            assert route is not None
-            upstreams = self._usable(route.service_for(work.item.item_id))
-            if not self._is_still_ours(job):
-                return True
-            placed = self._loads.place_batch(upstreams, due=_due(job, configuration))
-            if placed is None:
-                return False
-            upstream, run = placed
-            work.running = True
-            job.add_run(run)
-            self._running += 1
-            self._runs.submit(self._run, job, work, route, upstream, run)
-        return False
+    def _start(self, waiting: WaitingItem) -> bool:
+        """Start an item if there is room; return whether there may be room for the next one."""
+        job, work, route = waiting.job, waiting.work, waiting.route
+        if route is None or self._is_too_old(job, route):
+            self._give_up(job, work, "its route is gone" if route is None else "too old")
+            return True
+        if not self._is_still_ours(job):
+            return True
+        upstreams = self._usable(route.service_for(work.item.item_id))
+        placed = self._loads.place_batch(upstreams, urgency=waiting.urgency, due=waiting.due)
+        if placed is None:
+            return False
+        upstream, run = placed
+        work.running = True
+        job.add_run(run)
+        self._running += 1
+        self._runs.submit(self._run, job, work, route, upstream, run)
+        return True
+
+    def _is_too_old(self, job: OwnedJob, route: Route) -> bool:
+        return bool(route.retention) and wall_millis() - job.input.submitted >= route.retention
 
-    def _is_over(self, job: OwnedJob, work: ItemWork, route: Route | None) -> bool:
-        """Give up an item whose route is gone or whose time is over."""
-        if route is not None and route.kind is RouteKind.BATCH:
-            age = wall_millis() - job.input.submitted
-            if not route.retention or age < route.retention:
-                return False
-            reason = "too old"
-        else:
-            reason = "its route is gone"
+    def _give_up(self, job: OwnedJob, work: ItemWork, reason: str) -> None:
         with job.lock:
             job.work.finish(work, ItemEnd.DEAD)
         self._count_item(job, work, "dead", reason)
-        return True
 
     def _is_still_ours(self, job: OwnedJob) -> bool:
         if not self._in_doubt() or self._clock.now() - job.verified < VIEW_AGE:
@@ -237,7 +229,10 @@
             if run.cancellation.cancelled or job.lost or job.work.ended:
                 outcome = RunOutcome(end=RunEnd.INTERRUPTED)
             else:
+                before = work.last_event
                 outcome = self._runner.run(job.input.host, work, upstream, run)
+                events = work.last_event - before
+                self._pace.ran(events=events, duration=self._clock.now() - started)
             self._take_outcome(job, work, route, outcome)
             self._telemetry.time("item_run", self._clock.now() - started)
             self._count_item(job, work, outcome.end.value, outcome.detail, upstream.instance)
@@ -257,6 +252,7 @@
         now = self._clock.now()
         with job.lock:
             if outcome.end is RunEnd.COMPLETED:
+                self._pace.ended(events=work.last_event)
                 job.work.finish(work, ItemEnd.COMPLETED)
             elif outcome.end is RunEnd.FAILED:
                 work.restart()
@@ -283,13 +279,3 @@
             work.failures,
             detail,
         )
-
-
-def _due(job: OwnedJob, configuration: Configuration) -> float:
-    """Return when a job is due, by the wall clock: good enough for an order.
-
-    Counted from the submission, not from when this entry took the job on: a job that was taken
-    over has lost time already, and would otherwise wait behind all newer ones.
-    """
-    route = configuration.route_for(job.input.host, job.input.path)
-    return job.input.submitted + (route.completion_target if route is not None else 0.0)
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -12,6 +12,7 @@
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import (
+    BatchUrgency,
     Load,
     MeanDuration,
     Upstream,
@@ -39,11 +40,13 @@
 
     Attributes:
         started: When it was placed.
+        urgency: How it stood when it was placed.
         due: When its job is due, by the wall clock; only for an order.
         cancellation: Ends it.
     """
 
     started: Millis
+    urgency: BatchUrgency
     due: float
     cancellation: Cancellation = field(default_factory=Cancellation)
 
@@ -177,22 +180,23 @@
         self._on_change()
 
     def place_batch(
-        self, upstreams: Sequence[Upstream], *, due: float
+        self, upstreams: Sequence[Upstream], *, urgency: BatchUrgency, due: float
     ) -> tuple[Upstream, BatchRun] | None:
         """Choose an upstream with room for a batch item and count it.
 
         Args:
             upstreams: Candidates.
+            urgency: How the item stands; a more urgent one may take more room.
             due: When the item's job is due, by the wall clock.
         """
         now = self._clock.now()
         with self._lock:
             chosen = choose_batch_upstream(
-                upstreams, self._loads(now), suspects=self._suspected(now)
+                upstreams, self._loads(now), urgency=urgency, suspects=self._suspected(now)
             )
             if chosen is None:
                 return None
-            run = BatchRun(started=now, due=due)
+            run = BatchRun(started=now, urgency=urgency, due=due)
             self._begin(chosen.instance, now).runs.append(run)
         return chosen, run
 
@@ -285,9 +289,9 @@
             count = share_of_excess(upstream, excess, runs, self._name)
         if not count:
             return []
-        # What is due last gives way first. By the start alone an item that has just resumed would
-        # be the next to go, again and again, and end its job late.
-        return sorted(live, key=lambda run: (run.due, run.started))[-count:]
+        # What is late anyway gives way first, then what is due last. By the start alone an item
+        # that has just resumed would be the next to go, again and again, and end its job late.
+        return sorted(live, key=lambda run: (run.urgency, -run.due, -run.started))[:count]
 
     def _batch_of_peers(self, instance: str, now: Millis) -> dict[str, int]:
         found: dict[str, int] = {}
--- a/packages/node/tests/test_fleet_load.py
+++ b/packages/node/tests/test_fleet_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import pytest
 from fleet_load import FleetPlan, play_fleet
@@ -38,3 +39,32 @@
     assert report.interruptions < 350
     assert len(report.items) == report.submitted
     assert max(report.items) < 18_000.0
+
+
+SMALL = FleetPlan(
+    entries=4,
+    engines=5,
+    slots=8,
+    calm_rate=5.7,
+    burst_rate=28.0,
+    jobs_rate=0.25,
+    item=6_500.0,
+    stream=950.0,
+    jobs_at_once=6,
+)
+SHRUNKEN = replace(LARGE, engines=16, jobs_at_once=10)
+
+
+@pytest.mark.parametrize(("plan", "on_time"), [(SMALL, 0.76), (SHRUNKEN, 0.74)])
+def test_a_rush_of_jobs_ends_mostly_in_time_although_not_all_can(
+    plan: FleetPlan, on_time: float
+) -> None:
+    """Many jobs come at once, on a small fleet and on one that has lost a fifth of its engines.
+    Strictly by when they were due, each item waited a little too long: 62% were in time on both.
+    What is late waits for what is not, and all of it ends long before it may be given up."""
+    reports = [play_fleet(plan, seed) for seed in (1, 2, 3)]
+    items = [each for report in reports for each in report.items]
+    submitted = sum(report.submitted for report in reports)
+    assert sum(each <= plan.due for each in items) / submitted > on_time
+    assert len(items) == submitted
+    assert max(items) < plan.retention
--- a/tests/fleet_load.py
+++ b/tests/fleet_load.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from carobspool_core.direct import Upstream
+from carobspool_core.direct import BatchUrgency, Upstream, urgency_of
 from carobspool_node.direct._loads import BatchRun, LoadTable, Placement
 
 HINT_INTERVAL = 100.0
@@ -39,6 +39,9 @@
         stream: Mean duration of a stream in milliseconds.
         jobs_rate: Batch jobs of ten items a second.
         item: Duration of an item in milliseconds.
+        due: Time from the submission of a job to when it is due, in milliseconds.
+        retention: Time from the submission after which an item may be given up, in milliseconds.
+        jobs_at_once: Jobs that come together after a fifth of the time.
         length: Time played in milliseconds.
         target: Time to the first event within which a stream is on time.
     """
@@ -51,6 +54,9 @@
     stream: float = 760.0
     jobs_rate: float = 1.0
     item: float = 4_900.0
+    due: float = 18_000.0
+    retention: float = 60_000.0
+    jobs_at_once: int = 0
     length: float = 34_000.0
     target: float = 300.0
 
@@ -145,7 +151,9 @@
             self.at(self.draw.uniform(0.0, HINT_INTERVAL), lambda entry=entry: self.hint(entry))
         self.arrive(0.0, self.rate, self.online, self.plan.length)
         self.arrive(0.0, lambda _: self.plan.jobs_rate, self.submit, self.plan.length)
-        until = self.plan.length + 20_000.0
+        for _ in range(self.plan.jobs_at_once):
+            self.at(self.plan.length / 5.0, self.submit)
+        until = self.plan.length + 60_000.0
         while self.events and self.events[0][0] <= until:
             self.clock.at, _, action = heapq.heappop(self.events)
             action()
@@ -188,13 +196,26 @@
 
     def start_items(self, entry: int) -> None:
         while self.waiting[entry]:
-            item = self.waiting[entry][0]
-            placed = self.tables[entry].place_batch(self.upstreams, due=item.submitted)
+            item = min(self.waiting[entry], key=self.order)
+            placed = self.tables[entry].place_batch(
+                self.upstreams, urgency=self.urgency(item), due=item.submitted
+            )
             if placed is None:
                 return
-            self.waiting[entry].popleft()
+            self.waiting[entry].remove(item)
             self.begin(_Run(entry, placed[0].instance, item.left, batch=placed[1], item=item))
 
+    def urgency(self, item: _Item) -> BatchUrgency:
+        return urgency_of(
+            age=self.clock.at - item.submitted,
+            completion_target=self.plan.due,
+            retention=self.plan.retention,
+            remaining=item.left,
+        )
+
+    def order(self, item: _Item) -> tuple[bool, float]:
+        return self.urgency(item) is BatchUrgency.LATE, item.submitted
+
     def begin(self, run: _Run) -> None:
         run.arrived = self.clock.at
         self.running[run.entry].append(run)
