Watches gather changes that come together; the soak plays three overlapping series of faults

Ruled out: commits (198), readings beside the watches (80). Change: 250 ms between two watches of upstreams, 1.5 s between two of entries. The soak: faults of processes, links and the store in three series that overlap; links to servers too, cut one way as well; configurations change.

--- a/packages/node/src/carobspool_node/direct/_declared.py
+++ b/packages/node/src/carobspool_node/direct/_declared.py
@@ -7,13 +7,16 @@
 
 from absl import logging
 
-from carobspool_core import Clock, ObjectChange, ObjectStore, StoredObject
+from carobspool_core import Clock, Millis, ObjectChange, ObjectStore, StoredObject
 from carobspool_core.direct import Configuration, SharedView, Upstream, UpstreamList
 from carobspool_node.direct._deployment import Deployment
 from carobspool_node.direct._follow import Follower
 
 _CONFIGURATION = "configuration"
 _UPSTREAMS = "upstreams"
+UPSTREAMS_GATHER: Millis = 250.0
+"""Pause between two watches of the upstreams. A leaving upstream must get nothing new two seconds
+after it said so, and entries compare their views after 400 ms."""
 
 
 class Declared:
@@ -57,6 +60,7 @@
                 on_listing=self._upstreams_replaced,
                 on_change=self._upstream_changed,
                 on_regained=self._upstreams_regained,
+                gather=UPSTREAMS_GATHER,
             ),
         }
 
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -53,6 +53,8 @@
 SETTLE_TIME: Millis = DEAD_AFTER + 300.0
 """How long after its start an entry judges nobody as gone; each peer has sent full hints then."""
 TIDY_INTERVAL_S = 1.0
+ENTRIES_GATHER: Millis = 1_500.0
+"""Pause between two watches of the entries. Who starts is known by its hints much sooner."""
 ORPHAN_INTERVAL_S = 0.5
 """Time between two tries to find an owner for jobs that have none, while the store is away."""
 MIN_DRAIN: Millis = 2_500.0
@@ -146,6 +148,7 @@
             "entries/",
             on_listing=self._entries_listed,
             on_change=self._entry_changed,
+            gather=ENTRIES_GATHER,
         )
 
     def run(self) -> int:
--- a/packages/node/src/carobspool_node/direct/_follow.py
+++ b/packages/node/src/carobspool_node/direct/_follow.py
@@ -35,12 +35,18 @@
 class Follower:
     """Keeps a process up to date with the objects under a prefix.
 
+    A watch ends with the first change, and the next one is a priced call again. While many objects
+    change one after the other, as when all hosts start, each process would make a call for each of
+    them; a pause before the next watch gathers what comes meanwhile.
+
     Args:
         store: The object store.
         prefix: Which objects.
         on_listing: Called with all objects after a listing.
         on_change: Called with each change after that.
         on_regained: Called when the store answers again after it could not be read.
+        gather: Pause after a change before the next watch, in milliseconds. It adds to the time in
+            which a change is known here.
     """
 
     def __init__(
@@ -51,12 +57,14 @@
         on_listing: Callable[[Sequence[StoredObject]], None],
         on_change: Callable[[ObjectChange], None],
         on_regained: Callable[[], None] = lambda: None,
+        gather: Millis = 0.0,
     ) -> None:
         self._store = store
         self._prefix = prefix
         self._on_listing = on_listing
         self._on_change = on_change
         self._on_regained = on_regained
+        self._gather = gather
         self._lock = threading.Lock()
         self._failing = False
         self._refreshing = threading.Lock()
@@ -95,6 +103,8 @@
             if revision is None:
                 pause += random.random() * RETRY_JITTER
                 time.sleep(pause / 1000.0)
+            elif self._gather:
+                time.sleep(self._gather / 1000.0)
 
     def _list(self) -> int | None:
         objects: list[StoredObject] = []
--- a/packages/standins/src/carobspool_standins/_relay_link.py
+++ b/packages/standins/src/carobspool_standins/_relay_link.py
@@ -22,11 +22,13 @@
     Attributes:
         delay_ms: One-way delay in place of the one of the settings.
         hold: Nothing passes, as in a partition; it goes on when the fault ends.
+        hold_answers: Nothing passes from the target back, as when a link is cut one way.
         cut: Open connections are closed and new ones are closed at once.
     """
 
     delay_ms: float | None = None
     hold: bool = False
+    hold_answers: bool = False
     cut: bool = False
 
 
@@ -80,17 +82,17 @@
             one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         with self._lock:
             self._open |= {near, far}
-        back = _start(lambda: self._pump(far, near))
-        self._pump(near, far)
+        back = _start(lambda: self._pump(far, near, answers=True))
+        self._pump(near, far, answers=False)
         back.join()
         with self._lock:
             self._open -= {near, far}
         near.close()
         far.close()
 
-    def _pump(self, source: socket.socket, sink: socket.socket) -> None:
+    def _pump(self, source: socket.socket, sink: socket.socket, *, answers: bool) -> None:
         pieces: queue.SimpleQueue[tuple[float, bytes]] = queue.SimpleQueue()
-        writer = _start(lambda: self._write(pieces, sink))
+        writer = _start(lambda: self._write(pieces, sink, answers=answers))
         while True:
             try:
                 piece = source.recv(PIECE_BYTES)
@@ -101,11 +103,17 @@
                 break
         writer.join()
 
-    def _write(self, pieces: queue.SimpleQueue[tuple[float, bytes]], sink: socket.socket) -> None:
+    def _write(
+        self,
+        pieces: queue.SimpleQueue[tuple[float, bytes]],
+        sink: socket.socket,
+        *,
+        answers: bool,
+    ) -> None:
         while True:
             due, piece = pieces.get()
             time.sleep(max(0.0, due - time.monotonic()))
-            self._board.wait_while(lambda faults: faults.hold and not faults.cut)
+            self._board.wait_while(lambda faults: _is_held(faults, answers=answers))
             if not piece:
                 with contextlib.suppress(OSError):
                     sink.shutdown(socket.SHUT_WR)
@@ -116,6 +124,10 @@
                 _shut(sink)
 
 
+def _is_held(faults: RelayFaults, *, answers: bool) -> bool:
+    return not faults.cut and (faults.hold or (answers and faults.hold_answers))
+
+
 def _start(task: Callable[[], None]) -> threading.Thread:
     thread = threading.Thread(target=task, daemon=True)
     thread.start()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,8 @@
 """A randomized soak of real entry processes: faults from outside, promises checked from outside.
 
-One seed fixes the schedule of faults and what callers do; the machine's timing stays free. Callers
-keep using open connections until the process behind them is gone. What servers have run and what
+One seed fixes the schedules of faults and what callers do; the machine's timing stays free. Faults
+of processes, of links and of the store come in three series that overlap. Callers keep using open
+connections until the process behind them is gone. What servers have run and what
 callers were told is recorded, and every promise is judged from these two alone.
 
 By hand: ``python tests/soak/soak.py --seeds 50 [--first N] [--seconds S]``.
@@ -21,7 +22,7 @@
 import time
 import uuid
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -29,18 +30,25 @@
 
 from direct_harness import (
     HOST,
+    STANDARD_ROUTES,
     Answer,
     Deployment,
     Entry,
     deployment,
     finished,
     read_results,
+    route,
     submission,
 )
 
 from carobspool_standins._faults import FaultBoard
 from carobspool_standins._relay_link import Relay, RelayFaults
-from carobspool_standins.platform_server import ServedRequest, ServerConnection, answer_bytes
+from carobspool_standins.platform_server import (
+    Behaviour,
+    ServedRequest,
+    ServerConnection,
+    answer_bytes,
+)
 
 EVENTS = 6
 CALM_S = 14.0
@@ -49,6 +57,9 @@
 END_GRACE_S = 3.5
 SETTLE_S = 1.2
 MAX_ENTRIES = 3
+SERVICES = ("plain", "plain", "engine", "engine", "engine")
+
+Fault = Callable[[random.Random], None]
 
 
 @dataclass(slots=True)
@@ -82,7 +93,7 @@
 
     def __init__(self, system: Deployment, seed: int, seconds: float) -> None:
         self._system = system
-        self._draw = random.Random(seed)
+        self._seed = seed
         self._seconds = seconds
         self._record = Record()
         self._relays: dict[str, FaultBoard[RelayFaults]] = {}
@@ -90,13 +101,12 @@
         self._entries: dict[str, Entry] = {}
         self._stopped = threading.Event()
         self._faulty = threading.Event()
+        self._version = 1
 
     def run(self) -> Record:
         """Play the faults under load, then a calm, then judge."""
-        for number in range(2):
-            self._system.server("plain", self._behave(number))
-        for number in range(3):
-            self._system.server("engine", self._behave(number))
+        for number, service in enumerate(SERVICES):
+            self._serve(service, self._behave(number))
         for number in range(MAX_ENTRIES):
             self._start(f"e{number}", first_start=True)
         time.sleep(2.6)
@@ -118,15 +128,25 @@
         self._judge_jobs()
         return self._record
 
+    def _serve(self, service: str, behave: Behaviour) -> None:
+        """Start a server that is reached through a relay."""
+        server = self._system.server(service, behave)
+        host, port = server.address
+        server.address = _split(self._relay(server.instance, (host, port)))
+        self._system.objects.put("servers", server.instance, server.registration(service))
+
+    def _relay(self, name: str, target: tuple[str, int]) -> str:
+        """Return the address of a relay in front of a target."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        board = FaultBoard(RelayFaults)
+        relay = Relay(listener, target, lambda: board.current.delay_ms or 0.0, board)
+        board._on_change = lambda: relay.cut() if board.current.cut else None
+        self._relays[name] = board
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
     def _start(self, name: str, *, first_start: bool) -> None:
         if name not in self._addresses:
-            listener = socket.create_server(("127.0.0.1", 0))
-            host, _, port = self._system.store.rpartition(":")
-            board = FaultBoard(RelayFaults)
-            relay = Relay(listener, (host, int(port)), lambda: board.current.delay_ms or 0.0, board)
-            board._on_change = lambda: relay.cut() if board.current.cut else None
-            self._relays[name] = board
-            self._addresses[name] = f"127.0.0.1:{listener.getsockname()[1]}"
+            self._addresses[name] = self._relay(name, _split(self._system.store))
         self._entries[name] = self._system.entry(
             name, first_start=first_start, wait=False, store=self._addresses[name]
         )
@@ -264,86 +284,105 @@
             self._record.violated(f"job {job_id}: an item stands twice")
 
     def _play_faults(self) -> None:
+        """Play three series of faults beside each other."""
+        series = (
+            (self._kill, self._terminate, self._freeze, self._kill_all),
+            (self._cut_link, self._disturb_link, self._replace_server, self._reconfigure),
+            (self._refuse_all, self._lose_answers, self._deafen),
+        )
+        players = [
+            threading.Thread(target=self._play_series, args=(faults, random.Random(key)))
+            for key, faults in ((f"{self._seed}/{n}", each) for n, each in enumerate(series))
+        ]
+        for player in players:
+            player.start()
+        for player in players:
+            player.join()
+
+    def _play_series(self, faults: Sequence[Fault], draw: random.Random) -> None:
         until = time.monotonic() + self._seconds
         while time.monotonic() < until:
-            fault = self._draw.choice(
-                (
-                    self._kill,
-                    self._terminate,
-                    self._freeze,
-                    self._refuse_one,
-                    self._refuse_all,
-                    self._lose_answers,
-                    self._relay_fault,
-                    self._deafen,
-                    self._replace_server,
-                )
-            )
-            fault()
-            time.sleep(self._draw.random() * 1.5)
-
-    def _one(self) -> str:
-        return self._draw.choice(sorted(self._entries))
-
-    def _kill(self) -> None:
-        name = self._one()
+            draw.choice(faults)(draw)
+            time.sleep(draw.random() * 1.5)
+
+    def _one(self, draw: random.Random) -> str:
+        return draw.choice(sorted(self._entries))
+
+    def _kill(self, draw: random.Random) -> None:
+        name = self._one(draw)
         self._entries[name].signal(signal.SIGKILL)
-        self._restart(name)
+        self._restart(name, draw)
+
+    def _kill_all(self, draw: random.Random) -> None:
+        for entry in self._entries.values():
+            entry.signal(signal.SIGKILL)
+        for name in sorted(self._entries):
+            self._restart(name, draw)
 
-    def _terminate(self) -> None:
-        name = self._one()
+    def _terminate(self, draw: random.Random) -> None:
+        name = self._one(draw)
         self._entries[name].signal(signal.SIGTERM)
-        self._restart(name)
+        self._restart(name, draw)
 
-    def _restart(self, name: str) -> None:
+    def _restart(self, name: str, draw: random.Random) -> None:
         process = self._entries[name].process
         process.wait(timeout=8.0)
-        time.sleep(self._draw.random())
+        time.sleep(draw.random())
         self._start(name, first_start=False)
 
-    def _freeze(self) -> None:
-        entry = self._entries[self._one()]
+    def _freeze(self, draw: random.Random) -> None:
+        entry = self._entries[self._one(draw)]
         entry.signal(signal.SIGSTOP)
-        time.sleep(0.3 + self._draw.random() * 4.0)
+        time.sleep(0.3 + draw.random() * 4.0)
         entry.signal(signal.SIGCONT)
 
-    def _refuse_one(self) -> None:
-        board = self._relays[self._one()]
-        board.merge({"cut": True})
-        time.sleep(self._draw.random() * 3.0)
+    def _cut_link(self, draw: random.Random) -> None:
+        self._fault_link(draw, {"cut": True})
+
+    def _disturb_link(self, draw: random.Random) -> None:
+        faults = ({"hold": True}, {"hold_answers": True}, {"delay_ms": 120.0})
+        self._fault_link(draw, draw.choice(faults))
+
+    def _fault_link(self, draw: random.Random, fault: dict[str, object]) -> None:
+        """Disturb the link of an entry to the store, or of all entries to one server."""
+        board = self._relays[draw.choice(sorted(self._relays, key=self._place))]
+        board.merge(fault)
+        time.sleep(draw.random() * 3.0)
         board.reset()
 
-    def _refuse_all(self) -> None:
+    def _place(self, relay: str) -> int:
+        return list(self._relays).index(relay)
+
+    def _reconfigure(self, draw: random.Random) -> None:
+        self._version += 1
+        changed = route("/extra/", "safe", "plain", timeout_ms=draw.randrange(1_000, 3_000))
+        self._system.configure(self._version, *STANDARD_ROUTES, changed)
+
+    def _refuse_all(self, draw: random.Random) -> None:
         faults = self._system.objects.faults
-        faults.status = self._draw.choice((503, 429))
-        time.sleep(self._draw.random() * 3.0)
+        faults.status = draw.choice((503, 429))
+        time.sleep(draw.random() * 3.0)
         faults.status = 0
 
-    def _lose_answers(self) -> None:
-        self._system.objects.faults.lose_answers = self._draw.randrange(1, 4)
+    def _lose_answers(self, draw: random.Random) -> None:
+        self._system.objects.faults.lose_answers = draw.randrange(1, 4)
 
-    def _relay_fault(self) -> None:
-        board = self._relays[self._one()]
-        board.merge(self._draw.choice(({"hold": True}, {"delay_ms": 120.0})))
-        time.sleep(self._draw.random() * 3.0)
-        board.reset()
-
-    def _deafen(self) -> None:
+    def _deafen(self, draw: random.Random) -> None:
         self._system.objects.faults.deaf = True
-        time.sleep(1.0)
+        time.sleep(0.5 + draw.random())
         self._system.objects.compact()
         self._system.objects.faults.deaf = False
 
-    def _replace_server(self) -> None:
-        server = self._draw.choice(self._system.servers)
-        service = "plain" if self._system.servers.index(server) < 2 else "engine"
-        state = self._draw.choice(("draining", "gone"))
+    def _replace_server(self, draw: random.Random) -> None:
+        server = draw.choice(self._system.servers)
+        service = SERVICES[self._system.servers.index(server)]
+        state = draw.choice(("draining", "gone"))
         if state == "gone":
             self._system.objects.remove("servers", server.instance)
         else:
             entry = server.registration(service, state="draining")
             self._system.objects.put("servers", server.instance, entry)
-        time.sleep(self._draw.random())
+        time.sleep(draw.random())
         self._system.objects.put("servers", server.instance, server.registration(service))
 
     def _heal(self) -> None:
@@ -391,6 +430,11 @@
         return Soak(system, seed, seconds).run()
 
 
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 def _stream(request: ServedRequest, connection: ServerConnection, *, cut: int | None) -> None:
     connection.start_events(request)
     first = int(request.headers.get("last-event-id", "0")) + 1
