--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -35,6 +35,7 @@
 from carobspool_node.direct._job_adoption import JobAdoption
 from carobspool_node.direct._job_catalog import JobCatalog
 from carobspool_node.direct._job_records import JobRecords
+from carobspool_node.direct._job_retention import JobRetention
 from carobspool_node.direct._job_runner import JobRunner
 from carobspool_node.direct._jobs import Jobs, Outcome
 from carobspool_node.direct._listener import Listener
@@ -70,6 +71,7 @@
 behind the gap. One entry reads for all, and its hints show the others that they have missed
 something, so that a change is known within some three seconds at the price of one call a second."""
 POLL_DUTY = "poll"
+RETENTION_DUTY = "retention"
 
 
 class DirectEntry:
@@ -119,7 +121,14 @@
             usable=self._declared.usable,
             in_doubt=self._peers.in_doubt,
         )
-        catalog = JobCatalog(JobRecords(self._store, settings.value_limit))
+        records = JobRecords(self._store, settings.value_limit)
+        catalog = JobCatalog(records)
+        self._retention = JobRetention(
+            self._clock,
+            records,
+            settings.job_retention,
+            on_duty=lambda: self._has_duty(RETENTION_DUTY),
+        )
         self._adoption = JobAdoption(
             self._clock, catalog, self._runner, self._peers, peers_settled=self._peers_settled
         )
@@ -316,11 +325,18 @@
     def _poll(self) -> None:
         """Read what the watches should have told, on behalf of all entries."""
         while not self._leaving.wait(POLL_INTERVAL_S):
-            nodes = [each.name for each in self._peers.live() if each.store_ok]
-            nodes.append(self._settings.node)
-            if rendezvous_owner(POLL_DUTY, nodes) != self._settings.node:
-                continue
-            self._declared.refresh()
+            try:
+                if self._has_duty(POLL_DUTY):
+                    self._declared.refresh()
+                self._retention.sweep_if_due()
+            except Exception:  # noqa: BLE001
+                logging.exception("event=poll_failed")
+
+    def _has_duty(self, duty: str) -> bool:
+        """Whether this entry, of all that reach the store, does a duty for all of them."""
+        nodes = [each.name for each in self._peers.live() if each.store_ok]
+        nodes.append(self._settings.node)
+        return rendezvous_owner(duty, nodes) == self._settings.node
 
     def _own_hint(self) -> OwnHint:
         return OwnHint(
--- a/packages/node/src/carobspool_node/direct/_job_records.py
+++ b/packages/node/src/carobspool_node/direct/_job_records.py
@@ -166,6 +166,27 @@
         stored = StoredProgress(progress=progress, segments=kept, version=written.unwrap().version)
         return Success(stored)
 
+    def remove(self, stored: StoredObject) -> StoreFailure | None:
+        """Remove a record that is unchanged, with its pieces; return what prevented it."""
+        removed = self._store.delete(stored.key, version=stored.version)
+        if not is_successful(removed):
+            return removed.failure()
+        named = [stored.value["pieces"]] if "pieces" in stored.value else []
+        named += [(name, count) for name, count, _ in stored.value.get("segments", ())]
+        for name, count in named:
+            for number in range(count):
+                self._remove_piece(f"{PIECES}{name}.{number}")
+        return None
+
+    def _remove_piece(self, key: str) -> None:
+        piece = self._store.get(key)
+        if not is_successful(piece):
+            logging.info("event=piece_left key=%s fault=%s", key, piece.failure().fault)
+            return
+        removed = self._store.delete(key, version=piece.unwrap().version)
+        if not is_successful(removed):
+            logging.info("event=piece_left key=%s fault=%s", key, removed.failure().fault)
+
     def list_all(self, prefix: str) -> Result[dict[str, StoredObject], StoreFailure]:
         """Return every object under a prefix, by its name."""
         found: dict[str, StoredObject] = {}
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_job_retention.py
@@ -0,0 +1,111 @@
+"""Removal of the records of jobs whose results need not be readable any more.
+
+Without it the store grows with every job that was ever accepted. One entry looks for all of them.
+A job goes once it has been seen finished for the whole retention by the clock of this process, not
+by the time of its submission: a host's time of day may jump, and a job that still has readers would
+be gone. An entry that has just started therefore removes nothing for that long.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from absl import logging
+from returns.pipeline import is_successful
+
+from carobspool_core import Clock, Millis, StoredObject, StoreFault
+from carobspool_node.direct._job_records import INPUTS, PROGRESS, JobRecords
+
+SWEEPS_PER_RETENTION = 1.0
+"""Sweeps list every job, with its input; at one in each retention a job stays for twice as long at
+most, and two listings in two minutes cost next to nothing."""
+
+
+class JobRetention:
+    """Looks for finished jobs and removes their records.
+
+    Args:
+        clock: The process's clock.
+        records: The records in the store.
+        retention: How long results stay readable after a job was seen finished, in milliseconds.
+        on_duty: Returns whether this entry does it for all.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        records: JobRecords,
+        retention: Millis,
+        on_duty: Callable[[], bool],
+    ) -> None:
+        self._clock = clock
+        self._records = records
+        self._retention = retention
+        self._on_duty = on_duty
+        self._finished_since: dict[str, Millis] = {}
+        self._next_sweep: Millis = clock.now() + retention
+
+    def sweep_if_due(self) -> int:
+        """Remove what has been finished for long enough, if it is time; return the jobs removed."""
+        now = self._clock.now()
+        if now < self._next_sweep:
+            return 0
+        self._next_sweep = now + self._retention / SWEEPS_PER_RETENTION
+        if not self._on_duty():
+            self._finished_since.clear()
+            return 0
+        return self._sweep(now)
+
+    def _sweep(self, now: Millis) -> int:
+        # Progress is listed first: every job in it had its input before, so that progress whose
+        # input is missing from the later listing has really lost it.
+        progress = self._records.list_all(PROGRESS)
+        inputs = self._records.list_all(INPUTS)
+        if not is_successful(progress) or not is_successful(inputs):
+            logging.warning("event=retention_postponed reason='the store cannot be read'")
+            return 0
+        finished = {
+            job_id: stored
+            for job_id, stored in progress.unwrap().items()
+            if job_id not in inputs.unwrap() or self._is_finished(stored)
+        }
+        self._finished_since = {
+            job_id: self._finished_since.get(job_id, now) for job_id in finished
+        }
+        removed = 0
+        for job_id, stored in finished.items():
+            if now - self._finished_since[job_id] < self._retention:
+                continue
+            if self._remove(inputs.unwrap().get(job_id), stored):
+                del self._finished_since[job_id]
+                removed += 1
+        logging.info(
+            "event=retention_sweep jobs=%d finished=%d removed=%d",
+            len(inputs.unwrap()),
+            len(finished),
+            removed,
+        )
+        return removed
+
+    def _is_finished(self, stored: StoredObject) -> bool:
+        read = self._records.progress_of(stored)
+        if not is_successful(read):
+            return False
+        progress = read.unwrap().progress
+        return progress.ended or len(progress.results) == progress.total
+
+    def _remove(self, job: StoredObject | None, progress: StoredObject) -> bool:
+        """Remove a job's records; the input goes first.
+
+        Progress without an input is found and removed by a later sweep. An input without progress
+        would look like a job that nobody has begun, and all of it would run again.
+        """
+        for stored in (job, progress):
+            if stored is None:
+                continue
+            failure = self._records.remove(stored)
+            if failure is not None and failure.fault is not StoreFault.NOT_FOUND:
+                logging.info("event=job_not_removed key=%s fault=%s", stored.key, failure.fault)
+                return False
+        logging.info("event=job_removed job=%s", progress.key.removeprefix(PROGRESS))
+        return True
--- a/packages/node/src/carobspool_node/direct/_settings.py
+++ b/packages/node/src/carobspool_node/direct/_settings.py
@@ -50,6 +50,9 @@
     shutdown_limit_s: float = setting(
         "Time between the signal to end and the kill.", unit="s", gt=0
     )
+    job_retention_s: float = setting(
+        "How long the results of a finished job stay readable.", unit="s", gt=0, default=120.0
+    )
     first_start: bool = setting(
         "Whether the whole system starts for the first time, with an empty store.", unit="flag"
     )
@@ -76,6 +79,7 @@
         object_api: Address of the object store.
         value_limit: Longest object, in bytes.
         shutdown_limit: Time between the signal to stop and the kill.
+        job_retention: How long the results of a finished job stay readable.
         first_start: Whether the whole system starts for the first time.
         metrics_port: Port of the metrics.
         log_level: Least severe level that is logged.
@@ -91,6 +95,7 @@
     object_api: str
     value_limit: int
     shutdown_limit: Millis
+    job_retention: Millis
     first_start: bool
     metrics_port: int
     log_level: str
@@ -120,6 +125,7 @@
             object_api=model.object_api,
             value_limit=model.value_limit_bytes,
             shutdown_limit=model.shutdown_limit_s * 1000.0,
+            job_retention=model.job_retention_s * 1000.0,
             first_start=model.first_start,
             metrics_port=model.metrics_port,
             log_level=model.log_level,
