--- a/packages/node/tests/test_direct_settings.py
+++ b/packages/node/tests/test_direct_settings.py
@@ -26,6 +26,7 @@
     "object_api": "127.0.0.1:4",
     "value_limit_bytes": 1048576,
     "shutdown_limit_s": 8,
+    "job_retention_s": 120,
     "first_start": True,
     "metrics_port": 5,
     "log_level": "info",
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -196,6 +196,7 @@
             "object_api": self.store,
             "value_limit_bytes": 1_048_576,
             "shutdown_limit_s": 6,
+            "job_retention_s": 120,
             "first_start": True,
             "metrics_port": metrics_port,
             "log_level": "info",
