One server that left while a connection to the store was lost is gone at once

Change: within that time an upstream counts as lapsed only when less than half of its service is left. Tests: test_one_server_that_left_while_the_connection_to_the_store_was_lost_is_gone failed first, both ways.

--- a/packages/core/src/carobspool_core/direct/_upstreams.py
+++ b/packages/core/src/carobspool_core/direct/_upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -9,6 +10,10 @@
 
 from carobspool_core._clock import Millis
 
+KEPT_SHARE = 0.5
+"""A vanished upstream counts as lapsed only when less than this share of its service is left. An
+outage takes most registrations of a service at once; a single one that is missing when a lost
+connection to the store is back has really left, and was sent requests for 2.03 s instead of two."""
 LAPSE_GRACE: Millis = 1_900.0
 """How long an upstream that vanished around an outage of the store is still used.
 
@@ -42,25 +47,28 @@
 class UpstreamList:
     """The registered upstreams, with a short memory for those that lapsed during an outage."""
 
-    __slots__ = ("_grace_until", "_lapsed", "_listed")
+    __slots__ = ("_before", "_grace_until", "_lapsed", "_listed")
 
     def __init__(self) -> None:
         self._listed: dict[str, Upstream] = {}
         self._lapsed: dict[str, tuple[Upstream, Millis]] = {}
         self._grace_until: Millis = 0.0
+        self._before: Counter[str] = Counter()
 
     def regained(self, now: Millis) -> None:
         """Note that the store answers again after it could not be read."""
         self._grace_until = now + LAPSE_GRACE
+        self._before = self._ready_by_service()
 
     def replace(self, upstreams: Iterable[Upstream], now: Millis) -> None:
         """Take a complete listing."""
-        listed = {each.instance: each for each in upstreams}
-        for instance in set(self._listed) - set(listed):
-            self.remove(instance, now)
-        self._listed = listed
-        for instance in listed:
+        before = self._listed
+        self._listed = {each.instance: each for each in upstreams}
+        for instance in self._listed:
             self._lapsed.pop(instance, None)
+        for instance, upstream in before.items():
+            if instance not in self._listed:
+                self._vanished(upstream, now)
 
     def put(self, upstream: Upstream) -> None:
         """Take a new or changed registration."""
@@ -70,8 +78,19 @@
     def remove(self, instance: str, now: Millis) -> None:
         """Take the removal of a registration."""
         upstream = self._listed.pop(instance, None)
-        if upstream is not None and upstream.ready and now < self._grace_until:
-            self._lapsed[instance] = (upstream, self._grace_until)
+        if upstream is not None:
+            self._vanished(upstream, now)
+
+    def _vanished(self, upstream: Upstream, now: Millis) -> None:
+        """Keep an upstream that has lapsed with most of its service around an outage."""
+        if not upstream.ready or now >= self._grace_until:
+            return
+        left = self._ready_by_service()[upstream.service]
+        if left < self._before[upstream.service] * KEPT_SHARE:
+            self._lapsed[upstream.instance] = (upstream, self._grace_until)
+
+    def _ready_by_service(self) -> Counter[str]:
+        return Counter(each.service for each in self._listed.values() if each.ready)
 
     def usable(self, service: str, now: Millis) -> list[Upstream]:
         """Return the upstreams of a service that may receive new requests."""
--- a/packages/core/tests/test_direct_decisions.py
+++ b/packages/core/tests/test_direct_decisions.py
@@ -222,6 +222,33 @@
     assert [each.instance for each in known.usable("engine", late)] == ["x"]
 
 
+@pytest.mark.parametrize("by_listing", [True, False])
+def test_one_server_that_left_while_the_connection_to_the_store_was_lost_is_gone(
+    by_listing: bool,
+) -> None:
+    """One entry's watch times out; the store was never away. What is missing afterwards has left:
+    it must not be kept like a registration that lapsed with the store, since it gets requests two
+    seconds after it said so then."""
+    known = UpstreamList()
+    known.replace([_upstream("x"), _upstream("y"), _upstream("z")], now=0.0)
+    known.regained(now=10_000.0)
+    if by_listing:
+        known.replace([_upstream("y"), _upstream("z")], now=10_001.0)
+    else:
+        known.remove("x", now=10_001.0)
+    assert {each.instance for each in known.usable("engine", 10_002.0)} == {"y", "z"}
+
+
+def test_a_service_that_lapses_one_by_one_is_not_left_empty() -> None:
+    known = UpstreamList()
+    known.replace([_upstream("x"), _upstream("y"), _upstream("z")], now=0.0)
+    known.regained(now=10_000.0)
+    for name in ("x", "y", "z"):
+        known.remove(name, now=10_100.0)
+    assert len(known.usable("engine", 10_200.0)) == 2
+    assert known.usable("engine", 10_000.0 + LAPSE_GRACE) == []
+
+
 def test_a_server_that_leaves_in_calm_gets_nothing_more() -> None:
     known = UpstreamList()
     known.replace([_upstream("x"), _upstream("y")], now=0.0)
