Entries tell each other of failures at upstreams

Ruled out: health checks (good all the while, and not used). Change: hints carry counts of failures by upstream; two within two seconds, wherever seen, and the upstream is used only when the others are full. Answers of 5xx with the server's signature count, but for its deadline; so does a caller that leaves after a second without a first byte.

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -12,6 +12,7 @@
     WeightedService,
 )
 from carobspool_core.direct._events import EventSplitter, StreamEvent
+from carobspool_core.direct._failure_reports import FailureReports
 from carobspool_core.direct._job_codec import (
     job_from_json,
     job_to_json,
@@ -55,6 +56,7 @@
     "CallerLimits",
     "Configuration",
     "EventSplitter",
+    "FailureReports",
     "ItemEnd",
     "ItemPace",
     "ItemPart",
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -319,8 +319,10 @@
             except Exception:  # noqa: BLE001
                 logging.exception("event=takeover_failed")
 
-    def _take_loads(self, peer: str, loads: Mapping[str, Load]) -> None:
-        self._loads.take_hint(peer, loads, self._declared.listed())
+    def _take_loads(
+        self, peer: str, loads: Mapping[str, Load], failures: Mapping[str, int]
+    ) -> None:
+        self._loads.take_hint(peer, loads, self._declared.listed(), failures)
 
     def _poll(self) -> None:
         """Read what the watches should have told, on behalf of all entries."""
@@ -341,6 +343,7 @@
     def _own_hint(self) -> OwnHint:
         return OwnHint(
             loads=self._loads.own_loads(),
+            failures=self._loads.own_failures(),
             open_jobs=self._runner.job_ids(finished=False),
             done_jobs=self._runner.job_ids(finished=True),
             waiting=self._runner.waiting_tokens(),
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 from absl import logging
 
@@ -58,6 +59,11 @@
 STREAM_SILENCE: Millis = 900.0
 """Pause after which a resumable stream goes on elsewhere. Events come every 30 ms; callers give up
 after two seconds."""
+DEADLINE_STATUS = HTTPStatus.GATEWAY_TIMEOUT
+"""What an upstream answers when the deadline that it was given is over; no fault of its own."""
+HANG_TIME: Millis = 1_000.0
+"""A caller that leaves after this time without a first byte shows that the upstream hangs: a queue
+adds 270 ms at most and a first event takes some 50 ms."""
 MIN_TRY_TIME: Millis = 20.0
 """A try with less time left than this is not worth sending."""
 
@@ -208,6 +214,7 @@
     def _try(self, attempt: _Attempt, upstream: Upstream) -> bool:
         """Make one call; return whether the caller has its answer."""
         call = UpstreamCall(self._connections, upstream, self._names, watch=attempt.caller.watch)
+        started = self._clock.now()
         try:
             head = call.start(self._to_upstream(attempt, upstream), self._try_deadline(attempt))
             self._loads.heard(upstream)
@@ -229,6 +236,10 @@
         except RunCancelledError as error:
             self._failed(attempt, upstream, str(error), sent=True)
             return False
+        except CallerGoneError:
+            if not attempt.streaming and self._clock.now() - started > HANG_TIME:
+                self._loads.suspect(upstream)
+            raise
         finally:
             call.close()
 
@@ -298,9 +309,10 @@
         body = call.read_body(self._try_deadline(attempt))
         attempt.runs += 1
         attempt.may_have_run = True
+        if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR and head.status != DEADLINE_STATUS:
+            self._loads.suspect(upstream)
         if self._is_worth_another_try(attempt, head):
             attempt.last_failure = f"status {head.status}"
-            self._loads.suspect(upstream)
             return False
         if attempt.streaming:
             raise _StreamBrokenError(f"status {head.status} instead of the stream's rest")
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -13,6 +13,7 @@
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import (
     BatchUrgency,
+    FailureReports,
     Load,
     MeanDuration,
     Upstream,
@@ -99,6 +100,7 @@
         self._own: dict[str, _Own] = {}
         self._peers: dict[str, tuple[Millis, Mapping[str, Load]]] = {}
         self._suspects: dict[str, Millis] = {}
+        self._failures = FailureReports()
         self._durations: dict[str, MeanDuration] = {}
         self._on_change: Callable[[], None] = lambda: None
 
@@ -211,10 +213,12 @@
         with self._lock:
             return self._duration(service).value
 
-    def suspect(self, upstream: Upstream, duration: Millis = SUSPECT_TIME) -> None:
-        """Avoid an upstream for a while."""
+    def suspect(self, upstream: Upstream) -> None:
+        """Take a failure at an upstream: avoid it for a while, and tell the other entries."""
+        now = self._clock.now()
         with self._lock:
-            self._suspects[upstream.instance] = self._clock.now() + duration
+            self._suspects[upstream.instance] = now + SUSPECT_TIME
+            self._failures.note(upstream.instance, now)
 
     def heard(self, upstream: Upstream) -> None:
         """Note that an upstream has sent something."""
@@ -223,13 +227,25 @@
             own.heard = self._clock.now()
 
     def take_hint(
-        self, peer: str, loads: Mapping[str, Load], upstreams: Sequence[Upstream]
+        self,
+        peer: str,
+        loads: Mapping[str, Load],
+        upstreams: Sequence[Upstream],
+        failures: Mapping[str, int],
     ) -> None:
-        """Take another entry's loads; cancels own batch items that stand in its requests' way."""
+        """Take what another entry tells; cancels own batch items that stand in its requests' way.
+
+        Args:
+            peer: Its name.
+            loads: What it has in flight.
+            upstreams: The upstreams known here.
+            failures: Failures that it has seen since its start, by upstream.
+        """
         now = self._clock.now()
         victims: list[BatchRun] = []
         with self._lock:
             self._peers[peer] = (now, loads)
+            self._failures.take(peer, failures, now)
             for upstream in upstreams:
                 if upstream.instance in loads:
                     victims.extend(self._victims(upstream, now, own_first=False))
@@ -245,6 +261,11 @@
                 if own.total
             }
 
+    def own_failures(self) -> dict[str, int]:
+        """Return the failures that this entry has seen at each upstream, for its hints."""
+        with self._lock:
+            return self._failures.own()
+
     def forget(self, instances: set[str]) -> None:
         """Drop what is known of upstreams that are gone and have nothing in flight."""
         now = self._clock.now()
@@ -256,6 +277,7 @@
             self._peers = {
                 key: each for key, each in self._peers.items() if now - each[0] < PEER_TIME
             }
+            self._failures.keep_only(instances, set(self._peers))
 
     def _duration(self, service: str) -> MeanDuration:
         return self._durations.setdefault(service, MeanDuration())
@@ -301,7 +323,8 @@
         return found
 
     def _suspected(self, now: Millis) -> frozenset[str]:
-        suspects = {instance for instance, until in self._suspects.items() if now < until}
+        suspects = self._failures.failing(now)
+        suspects.update(instance for instance, until in self._suspects.items() if now < until)
         for instance, own in self._own.items():
             if own.total and now - own.heard > QUIET_TIME:
                 suspects.add(instance)
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -37,6 +37,9 @@
 a takeover happens within `DEAD_AFTER` of the separation, and is seen in this time."""
 MAX_DATAGRAM = 60_000
 
+OnLoads = Callable[[str, Mapping[str, Load], Mapping[str, int]], None]
+"""Takes a peer's name, what it has in flight, and the failures that it has seen, by upstream."""
+
 
 @dataclass(slots=True, kw_only=True)
 class Peer:
@@ -81,6 +84,7 @@
     """What an entry tells of itself."""
 
     loads: Mapping[str, Load]
+    failures: Mapping[str, int]
     open_jobs: frozenset[str]
     done_jobs: frozenset[str]
     waiting: Mapping[str, int]
@@ -119,7 +123,7 @@
         self._addresses: dict[str, tuple[str, int]] = {}
         self._doubt_until: Millis = clock.now() + DOUBT_TIME
         self._last_tick: Millis = clock.now()
-        self._on_loads: Callable[[str, Mapping[str, Load]], None] = lambda peer, loads: None
+        self._on_loads: OnLoads = lambda peer, loads, failures: None
         self._on_versions: Callable[[Mapping[str, int]], None] = lambda versions: None
         self._on_lost: Callable[[Peer], None] = lambda peer: None
         self._stopped = threading.Event()
@@ -134,7 +138,7 @@
     def start(
         self,
         *,
-        on_loads: Callable[[str, Mapping[str, Load]], None],
+        on_loads: OnLoads,
         on_versions: Callable[[Mapping[str, int]], None],
         on_lost: Callable[[Peer], None],
     ) -> None:
@@ -244,6 +248,7 @@
             "i": self._incarnation,
             "a": list(self._address),
             "l": {key: [load.online, load.batch] for key, load in hint.loads.items()},
+            "e": dict(hint.failures),
             "v": dict(hint.versions),
             "x": hint.leaving,
             "s": hint.store_ok,
@@ -312,7 +317,7 @@
         if lost is not None:
             self._on_lost(lost)
         loads = {key: Load(*pair) for key, pair in message["l"].items()}
-        self._on_loads(name, loads)
+        self._on_loads(name, loads, message["e"])
         self._on_versions(message["v"])
 
 
--- a/packages/node/tests/test_fleet_load.py
+++ b/packages/node/tests/test_fleet_load.py
@@ -68,3 +68,14 @@
     assert sum(each <= plan.due for each in items) / submitted > on_time
     assert len(items) == submitted
     assert max(items) < plan.retention
+
+
+def test_entries_tell_each_other_of_an_engine_that_fails_half_of_its_requests() -> None:
+    """Three of twenty engines fail half of their requests at once, which makes them look idle. Each
+    entry alone meets a failure there every other second and goes back after one; told of what the
+    others saw, they avoid the three together."""
+    alone = play_fleet(replace(LARGE, grey=3, tell_failures=False))
+    told = play_fleet(replace(LARGE, grey=3))
+    assert alone.failed > 100
+    assert told.failed < 0.6 * alone.failed
+    assert told.on_time(300.0) > 0.9
--- a/tests/fleet_load.py
+++ b/tests/fleet_load.py
@@ -41,6 +41,9 @@
         item: Duration of an item in milliseconds.
         due: Time from the submission of a job to when it is due, in milliseconds.
         retention: Time from the submission after which an item may be given up, in milliseconds.
+        grey: Engines that fail part of their online requests at once.
+        grey_share: Which part.
+        tell_failures: Whether the entries tell each other of failures.
         jobs_at_once: Jobs that come together after a fifth of the time.
         length: Time played in milliseconds.
         target: Time to the first event within which a stream is on time.
@@ -56,6 +59,9 @@
     item: float = 4_900.0
     due: float = 18_000.0
     retention: float = 60_000.0
+    grey: int = 0
+    grey_share: float = 0.5
+    tell_failures: bool = True
     jobs_at_once: int = 0
     length: float = 34_000.0
     target: float = 300.0
@@ -68,6 +74,7 @@
     Attributes:
         first_events: Time to the first event of each online request, in milliseconds.
         refused: Online requests without a place.
+        failed: Online requests that met a failing engine.
         items: Times from a job's submission to the end of each of its items, in milliseconds.
         interruptions: Batch runs that gave way.
         submitted: Items submitted.
@@ -75,6 +82,7 @@
 
     first_events: list[float] = field(default_factory=list)
     refused: int = 0
+    failed: int = 0
     items: list[float] = field(default_factory=list)
     interruptions: int = 0
     submitted: int = 0
@@ -182,6 +190,12 @@
         if placement is None:
             self.report.refused += 1
             return
+        number = self.upstreams.index(placement.upstream)
+        if number < self.plan.grey and self.draw.random() < self.plan.grey_share:
+            self.report.failed += 1
+            self.tables[entry].suspect(placement.upstream)
+            self.tables[entry].end_online(placement, completed=False)
+            return
         duration = self.plan.stream * self.draw.uniform(0.6, 1.4)
         self.begin(_Run(entry, placement.upstream.instance, duration, placement=placement))
         self.drop_cancelled()
@@ -273,11 +287,12 @@
 
     def hint(self, entry: int) -> None:
         loads = self.tables[entry].own_loads()
+        failures = self.tables[entry].own_failures() if self.plan.tell_failures else {}
 
         def arrive() -> None:
             for other, table in enumerate(self.tables):
                 if other != entry:
-                    table.take_hint(f"entry-{entry}", loads, self.upstreams)
+                    table.take_hint(f"entry-{entry}", loads, self.upstreams, failures)
             self.drop_cancelled()
             for other in range(self.plan.entries):
                 self.start_items(other)
