--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_attempt.py
@@ -0,0 +1,45 @@
+"""What is known of one online request while upstreams are tried."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from carobspool_core import Millis
+from carobspool_core.direct import Route
+from carobspool_node.direct._caller_connection import CallerConnection
+from carobspool_node.direct._messages import CallerRequest
+
+
+@dataclass(slots=True, kw_only=True)
+class Attempt:
+    """State of one request over its tries.
+
+    Attributes:
+        request: As the caller sent it.
+        route: Its route.
+        caller: The caller's connection.
+        deadline: When the caller is to have its answer.
+        tried: Upstreams that it met.
+        met: The same with what was in flight there, for the log.
+        runs: Upstreams that ran it, or may have.
+        turned_away: Upstreams that did not run it.
+        may_have_run: Whether anything is known to have been sent that was not turned away.
+        last_event: Id of the last event that was passed on.
+        streaming: Whether the answer's head was sent.
+        returned: Whether the caller was refused before.
+        last_failure: Why the last try failed.
+    """
+
+    request: CallerRequest
+    route: Route
+    caller: CallerConnection
+    deadline: Millis
+    tried: set[str] = field(default_factory=set)
+    met: list[str] = field(default_factory=list)
+    runs: int = 0
+    turned_away: int = 0
+    may_have_run: bool = False
+    last_event: int | None = None
+    streaming: bool = False
+    returned: bool = False
+    last_failure: str = ""
--- a/packages/node/src/carobspool_node/direct/_callers.py
+++ b/packages/node/src/carobspool_node/direct/_callers.py
@@ -11,7 +11,8 @@
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._deployment import CallerDialect, JobCall, ReadBody, ReadResults
 from carobspool_node.direct._errors import BadRequestError
-from carobspool_node.direct._forward import Forwarder, failure_answer
+from carobspool_node.direct._failure_answer import failure_answer
+from carobspool_node.direct._forward import Forwarder
 from carobspool_node.direct._jobs import Jobs, Outcome, ResultsPage
 from carobspool_node.direct._messages import CallerRequest, HeaderNames
 from carobspool_node.direct._telemetry import Telemetry
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -7,10 +7,8 @@
 
 from __future__ import annotations
 
-import json
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 from http import HTTPStatus
 
 from absl import logging
@@ -26,12 +24,14 @@
     has_time_to_serve,
     return_after,
 )
+from carobspool_node.direct._attempt import Attempt
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._errors import (
     CallerGoneError,
     DeadlinePassedError,
     RunCancelledError,
 )
+from carobspool_node.direct._failure_answer import failure_answer
 from carobspool_node.direct._loads import LoadTable
 from carobspool_node.direct._messages import (
     CallerRequest,
@@ -68,25 +68,6 @@
 """A try with less time left than this is not worth sending."""
 
 
-@dataclass(slots=True, kw_only=True)
-class _Attempt:
-    """State of one request over its tries."""
-
-    request: CallerRequest
-    route: Route
-    caller: CallerConnection
-    deadline: Millis
-    tried: set[str] = field(default_factory=set)
-    met: list[str] = field(default_factory=list)
-    runs: int = 0
-    turned_away: int = 0
-    may_have_run: bool = False
-    last_event: int | None = None
-    streaming: bool = False
-    returned: bool = False
-    last_failure: str = ""
-
-
 class _StreamBrokenError(Exception):
     """A stream ended before its last piece."""
 
@@ -129,7 +110,7 @@
             CallerGoneError: The caller left; what ran for it was cancelled.
         """
         limit = self._time_limit(request, route)
-        attempt = _Attempt(
+        attempt = Attempt(
             request=request,
             route=route,
             caller=caller,
@@ -147,7 +128,7 @@
             self._note(attempt, "caller_gone", 0)
             raise
 
-    def _has_time(self, attempt: _Attempt) -> bool:
+    def _has_time(self, attempt: Attempt) -> bool:
         time_left = self._time_left()
         service = attempt.route.service_for(attempt.request.request_id)
         mean = self._loads.mean_duration(service)
@@ -170,7 +151,7 @@
             limit = min(limit, float(value))
         return limit
 
-    def _try_upstreams(self, attempt: _Attempt) -> None:
+    def _try_upstreams(self, attempt: Attempt) -> None:
         service = attempt.route.service_for(attempt.request.request_id)
         while True:
             upstreams = self._usable(service)
@@ -206,12 +187,12 @@
                 self._give_up(attempt, full=True)
                 return
 
-    def _may_go_on(self, attempt: _Attempt) -> bool:
+    def _may_go_on(self, attempt: Attempt) -> bool:
         if attempt.turned_away >= NOT_RUN_TRIES:
             return False
         return attempt.route.may_repeat or not attempt.may_have_run
 
-    def _try(self, attempt: _Attempt, upstream: Upstream) -> bool:
+    def _try(self, attempt: Attempt, upstream: Upstream) -> bool:
         """Make one call; return whether the caller has its answer."""
         call = UpstreamCall(self._connections, upstream, self._names, watch=attempt.caller.watch)
         started = self._clock.now()
@@ -243,7 +224,7 @@
         finally:
             call.close()
 
-    def _failed(self, attempt: _Attempt, upstream: Upstream, reason: str, *, sent: bool) -> None:
+    def _failed(self, attempt: Attempt, upstream: Upstream, reason: str, *, sent: bool) -> None:
         self._loads.suspect(upstream)
         attempt.last_failure = reason
         self._telemetry.count("upstream_failures", service=upstream.service)
@@ -260,7 +241,7 @@
         else:
             attempt.turned_away += 1
 
-    def _try_deadline(self, attempt: _Attempt) -> Millis:
+    def _try_deadline(self, attempt: Attempt) -> Millis:
         left = attempt.deadline - self._clock.now()
         more_tries = attempt.runs + 1 < attempt.route.max_attempts
         if attempt.route.kind is RouteKind.SAFE and more_tries:
@@ -269,7 +250,7 @@
             return min(attempt.deadline, self._clock.now() + STREAM_SILENCE)
         return attempt.deadline
 
-    def _to_upstream(self, attempt: _Attempt, upstream: Upstream) -> UpstreamRequest:
+    def _to_upstream(self, attempt: Attempt, upstream: Upstream) -> UpstreamRequest:
         request = attempt.request
         names = self._names
         headers = end_to_end(
@@ -292,7 +273,7 @@
         )
 
     def _take_answer(
-        self, attempt: _Attempt, upstream: Upstream, call: UpstreamCall, head: UpstreamHead
+        self, attempt: Attempt, upstream: Upstream, call: UpstreamCall, head: UpstreamHead
     ) -> bool:
         if head.header(self._names.not_run) is not None or head.status == 421:
             call.read_body(attempt.deadline)
@@ -316,17 +297,20 @@
             return False
         if attempt.streaming:
             raise _StreamBrokenError(f"status {head.status} instead of the stream's rest")
+        # The connection is given back first: a caller's next request comes within a millisecond of
+        # the answer, and would open a new one.
+        call.close()
         attempt.caller.answer(head.status, _answer_headers(head), body, reason=head.reason)
         self._note(attempt, "answered", head.status)
         return True
 
-    def _is_worth_another_try(self, attempt: _Attempt, head: UpstreamHead) -> bool:
+    def _is_worth_another_try(self, attempt: Attempt, head: UpstreamHead) -> bool:
         if head.status < 500 or attempt.runs >= attempt.route.max_attempts:
             return False
         return attempt.route.kind is RouteKind.SAFE
 
     def _pass_stream(
-        self, attempt: _Attempt, upstream: Upstream, call: UpstreamCall, head: UpstreamHead
+        self, attempt: Attempt, upstream: Upstream, call: UpstreamCall, head: UpstreamHead
     ) -> None:
         splitter = EventSplitter()
         silence = STREAM_SILENCE if attempt.route.resumable else None
@@ -355,10 +339,11 @@
             attempt.streaming = True
             attempt.caller.start_stream(head.status, _answer_headers(head), head.reason)
         attempt.runs += 1
+        call.close()
         attempt.caller.finish_stream()
         self._note(attempt, "streamed", head.status)
 
-    def _give_up(self, attempt: _Attempt, *, full: bool) -> None:
+    def _give_up(self, attempt: Attempt, *, full: bool) -> None:
         if attempt.streaming:
             self._note(attempt, "broken_off", 0)
             attempt.caller.abort()
@@ -369,10 +354,10 @@
         wait = self._return_after(attempt) if full else NO_UPSTREAM_RETRY_AFTER
         self._fail(attempt, 503, "not_run", wait)
 
-    def _return_after(self, attempt: _Attempt) -> Millis:
+    def _return_after(self, attempt: Attempt) -> Millis:
         return return_after(random.random(), attempt.deadline - self._clock.now())
 
-    def _time_is_over(self, attempt: _Attempt) -> None:
+    def _time_is_over(self, attempt: Attempt) -> None:
         if attempt.streaming:
             self._note(attempt, "time_over", 0)
             attempt.caller.abort()
@@ -383,14 +368,14 @@
         self._fail(attempt, 503, "not_run", self._return_after(attempt))
 
     def _fail(
-        self, attempt: _Attempt, status: int, outcome: str, retry_after: Millis | None
+        self, attempt: Attempt, status: int, outcome: str, retry_after: Millis | None
     ) -> None:
         self._note(attempt, outcome, status)
         message = attempt.last_failure or "no upstream is free"
         headers, body = failure_answer(message, outcome, retry_after)
         attempt.caller.answer(status, headers, body)
 
-    def _note(self, attempt: _Attempt, outcome: str, status: int) -> None:
+    def _note(self, attempt: Attempt, outcome: str, status: int) -> None:
         took = self._clock.now() - attempt.request.arrived
         self._telemetry.count("requests", route=attempt.route.kind.value, outcome=outcome)
         self._telemetry.time("request", took)
@@ -409,23 +394,5 @@
         )
 
 
-def failure_answer(message: str, outcome: str, retry_after: Millis | None) -> tuple[Headers, bytes]:
-    """Return headers and body of a failure of our own.
-
-    Args:
-        message: What happened.
-        outcome: ``not_run`` or ``unknown``.
-        retry_after: When to come back, in milliseconds.
-    """
-    headers: Headers = [
-        (b"Content-Type", b"application/json"),
-        (b"carobspool-outcome", outcome.encode()),
-    ]
-    if retry_after is not None:
-        headers.append((b"Retry-After", f"{retry_after / 1000.0:.3f}".encode()))
-    body = json.dumps({"error": {"message": message, "outcome": outcome}}).encode()
-    return headers, body
-
-
 def _answer_headers(head: UpstreamHead) -> Headers:
     return end_to_end(head.headers, without=(b"content-length",))
--- a/packages/node/src/carobspool_node/direct/_listener.py
+++ b/packages/node/src/carobspool_node/direct/_listener.py
@@ -13,7 +13,7 @@
 from carobspool_core.direct import CallerLimits
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._errors import BadRequestError, CallerGoneError
-from carobspool_node.direct._forward import failure_answer
+from carobspool_node.direct._failure_answer import failure_answer
 from carobspool_node.direct._messages import CallerRequest, HeaderNames
 
 BACKLOG = 512
