--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
+from absl import logging
+
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import (
     BatchUrgency,
@@ -101,6 +103,7 @@
         self._peers: dict[str, tuple[Millis, Mapping[str, Load]]] = {}
         self._suspects: dict[str, Millis] = {}
         self._failures = FailureReports()
+        self._avoided: set[str] = set()
         self._durations: dict[str, MeanDuration] = {}
         self._on_change: Callable[[], None] = lambda: None
 
@@ -219,6 +222,7 @@
         with self._lock:
             self._suspects[upstream.instance] = now + SUSPECT_TIME
             self._failures.note(upstream.instance, now)
+            self._note_avoided(now)
 
     def heard(self, upstream: Upstream) -> None:
         """Note that an upstream has sent something."""
@@ -246,6 +250,7 @@
         with self._lock:
             self._peers[peer] = (now, loads)
             self._failures.take(peer, failures, now)
+            self._note_avoided(now)
             for upstream in upstreams:
                 if upstream.instance in loads:
                     victims.extend(self._victims(upstream, now, own_first=False))
@@ -278,6 +283,7 @@
                 key: each for key, each in self._peers.items() if now - each[0] < PEER_TIME
             }
             self._failures.keep_only(instances, set(self._peers))
+            self._note_avoided(now)
 
     def _duration(self, service: str) -> MeanDuration:
         return self._durations.setdefault(service, MeanDuration())
@@ -322,6 +328,14 @@
                 found[peer] = loads[instance].batch
         return found
 
+    def _note_avoided(self, now: Millis) -> None:
+        failing = self._failures.failing(now)
+        for instance in failing - self._avoided:
+            logging.info("event=upstream_avoided upstream=%s reason='failures of late'", instance)
+        for instance in self._avoided - failing:
+            logging.info("event=upstream_used_again upstream=%s", instance)
+        self._avoided = failing
+
     def _suspected(self, now: Millis) -> frozenset[str]:
         suspects = self._failures.failing(now)
         suspects.update(instance for instance, until in self._suspects.items() if now < until)
