--- a/packages/node/tests/test_upstream_http.py
+++ b/packages/node/tests/test_upstream_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 from collections.abc import Callable, Iterator
@@ -128,10 +129,15 @@
     """The process freezes between opening the connection and sending. On waking the request must
     not start, since its caller was told long ago that it did not run."""
     received: list[bytes] = []
-    with _upstream(lambda connection: received.append(connection.recv(65536))) as url:
+
+    def receive(connection: socket.socket) -> None:
+        with contextlib.suppress(ConnectionResetError):
+            received.append(connection.recv(65536))
+
+    with _upstream(receive) as url:
         asked = iter([True, False])
         call = UpstreamCall(method="POST", url=url, headers={}, body=b"x")
         exchange = Exchange(lambda: next(asked))
         result = exchange.run(call, lambda status, headers: None, lambda data: None)
     assert result.end is CallEnd.NOT_SENT
-    assert received == [b""]
+    assert b"".join(received) == b""
