Read-through: hints of peers are filtered in one place, commits serialize results once; behaviour unchanged

A commit turned the same results into text twice and the whole record a third time also when it held no parts.

--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -130,6 +130,8 @@
 
     def _has_time(self, attempt: Attempt) -> bool:
         time_left = self._time_left()
+        if time_left is None:
+            return True
         service = attempt.route.service_for(attempt.request.request_id)
         mean = self._loads.mean_duration(service)
         if has_time_to_serve(time_left, mean):
--- a/packages/node/src/carobspool_node/direct/_job_records.py
+++ b/packages/node/src/carobspool_node/direct/_job_records.py
@@ -145,14 +145,15 @@
         """
         kept = tuple(segments)
         value = _stored_value(progress, kept)
-        if len(json.dumps(value["results"])) > self._limit:
-            moved = self._write_pieces(json.dumps(value["results"]))
+        results = json.dumps(value["results"])
+        if len(results) > self._limit:
+            moved = self._write_pieces(results)
             if not is_successful(moved):
                 return Failure(moved.failure())
             name, count = moved.unwrap()
             kept = (*kept, Segment(name=name, pieces=count, results=len(value["results"])))
             value = _stored_value(progress, kept)
-        if len(json.dumps(value)) > self._limit:
+        if progress.parts and len(json.dumps(value)) > self._limit:
             # Parts only save work after a loss; results have to fit.
             logging.info("event=parts_left_out job=%s parts=%d", job_id, len(progress.parts))
             value["parts"] = {}
--- a/packages/node/src/carobspool_node/direct/_job_retention.py
+++ b/packages/node/src/carobspool_node/direct/_job_retention.py
@@ -16,14 +16,13 @@
 from carobspool_core import Clock, Millis, StoredObject, StoreFault
 from carobspool_node.direct._job_records import INPUTS, PROGRESS, JobRecords
 
-SWEEPS_PER_RETENTION = 1.0
-"""Sweeps list every job, with its input; at one in each retention a job stays for twice as long at
-most, and two listings in two minutes cost next to nothing."""
-
 
 class JobRetention:
     """Looks for finished jobs and removes their records.
 
+    A sweep lists every job, with its input. There is one in each retention: a job stays for twice
+    as long at most, and two listings in two minutes cost next to nothing.
+
     Args:
         clock: The process's clock.
         records: The records in the store.
@@ -50,7 +49,7 @@
         now = self._clock.now()
         if now < self._next_sweep:
             return 0
-        self._next_sweep = now + self._retention / SWEEPS_PER_RETENTION
+        self._next_sweep = now + self._retention
         if not self._on_duty():
             self._finished_since.clear()
             return 0
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from absl import logging
@@ -313,7 +313,9 @@
         )
         count = min(excess, len(live))
         if count and not own_first:
-            runs = {**self._batch_of_peers(upstream.instance, now), self._name: len(live)}
+            peers = self._peer_loads(upstream.instance, now)
+            runs = {peer: theirs.batch for peer, theirs in peers}
+            runs[self._name] = len(live)
             count = share_of_excess(upstream, excess, runs, self._name)
         if not count:
             return []
@@ -321,12 +323,11 @@
         # that has just resumed would be the next to go, again and again, and end its job late.
         return sorted(live, key=lambda run: (run.urgency, -run.due, -run.started))[:count]
 
-    def _batch_of_peers(self, instance: str, now: Millis) -> dict[str, int]:
-        found: dict[str, int] = {}
+    def _peer_loads(self, instance: str, now: Millis) -> Iterator[tuple[str, Load]]:
+        """Yield what each peer has in flight at an upstream, by hints that still count."""
         for peer, (received, loads) in self._peers.items():
-            if now - received <= PEER_TIME and instance in loads and loads[instance].batch:
-                found[peer] = loads[instance].batch
-        return found
+            if now - received <= PEER_TIME and instance in loads:
+                yield peer, loads[instance]
 
     def _note_avoided(self, now: Millis) -> None:
         failing = self._failures.failing(now)
@@ -354,11 +355,7 @@
         own = self._own.get(instance)
         online = own.online if own else 0
         batch = len(own.runs) if own else 0
-        for received, loads in self._peers.values():
-            if now - received > PEER_TIME:
-                continue
-            theirs = loads.get(instance)
-            if theirs is not None:
-                online += theirs.online
-                batch += theirs.batch
+        for _, theirs in self._peer_loads(instance, now):
+            online += theirs.online
+            batch += theirs.batch
         return Load(online, batch)
