Logs tell an exit's cut requests, ends of jobs that the owner was not asked for, and the age of proofs

Two hypotheses on the incident could not be told apart afterwards: whether a connection ended because the upstream broke off or because the process left (its requests have no last line), and whether an item ran because its owner did not know of the end or because it had just proved that the job was its own. - event=exit_cut names what the exit cuts, 50 lines at most. - event=job_ended through=store tells the owner named in the store, the revision and whether it is heard. - event=job_end_learned tells when and from what an owner learns of an end written by another entry. - event=item tells the age of the last proof of ownership.

--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -70,6 +70,8 @@
 changes are made and look alive; the store may then drop that history, and the next watch goes on
 behind the gap. One entry reads for all, and its hints show the others that they have missed
 something, so that a change is known within some three seconds at the price of one call a second."""
+CUT_LINES = 50
+"""Requests cut by the exit that are logged one by one; the count in the last line holds all."""
 POLL_DUTY = "poll"
 RETENTION_DUTY = "retention"
 
@@ -239,6 +241,7 @@
                 break
             threading.Event().wait(0.05)
         self._peers.stop()
+        self._log_cut(callers)
         logging.info(
             "event=stop busy=%d open=%d took_ms=%.0f",
             callers.busy,
@@ -247,6 +250,18 @@
         )
         self._telemetry.stop_logs()
 
+    def _log_cut(self, callers: Listener) -> None:
+        """Name the requests that the exit cuts; their own last line is never written."""
+        now = self._clock.now()
+        for request in callers.in_progress()[:CUT_LINES]:
+            logging.warning(
+                "event=exit_cut request=%s host=%s path=%s age_ms=%.0f",
+                request.request_id,
+                request.host,
+                request.path,
+                now - request.arrived,
+            )
+
     def _entries_listed(self, objects: Sequence[StoredObject]) -> None:
         for each in objects:
             self._know_entry(each, deleted=False)
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -270,12 +270,13 @@
         self._telemetry.count("items", outcome=outcome)
         logging.info(
             "event=item job=%s item=%s outcome=%s upstream=%s last_event=%d failures=%d"
-            " detail=%r",
+            " proof_age_ms=%.0f detail=%r",
             job.job_id,
             work.item.item_id,
             outcome,
             upstream,
             work.last_event,
             work.failures,
+            self._clock.now() - job.verified,
             detail,
         )
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -171,7 +171,7 @@
         job.end()
         for _ in range(END_TRIES):
             if job.commit():
-                logging.info("event=job_ended job=%s", job_id)
+                logging.info("event=job_ended job=%s through=owner", job_id)
                 return Outcome.DONE
             if job.lost:
                 return None
@@ -243,7 +243,13 @@
                 segments=state.segments,
             )
             if is_successful(written):
-                logging.info("event=job_ended job=%s through=store", job_id)
+                logging.info(
+                    "event=job_ended job=%s through=store owner=%s revision=%d owner_heard=%s",
+                    job_id,
+                    state.progress.owner,
+                    written.unwrap().version,
+                    self._peers.by_identity(state.progress.owner) is not None,
+                )
                 return Outcome.DONE
             if written.failure().fault is not StoreFault.CONFLICT:
                 return Outcome.UNAVAILABLE
--- a/packages/node/src/carobspool_node/direct/_listener.py
+++ b/packages/node/src/carobspool_node/direct/_listener.py
@@ -51,7 +51,7 @@
         self._handle = handle
         self._pool = ThreadPoolExecutor(workers, thread_name_prefix=f"http-{address[1]}")
         self._lock = threading.Lock()
-        self._busy = 0
+        self._in_progress: dict[CallerConnection, CallerRequest] = {}
         self._open = 0
         self._closing = False
         self._socket = socket.create_server(address, backlog=BACKLOG)
@@ -59,13 +59,18 @@
     @property
     def busy(self) -> int:
         """Requests that are being served."""
-        return self._busy
+        return len(self._in_progress)
 
     @property
     def open_connections(self) -> int:
         """Connections that are open."""
         return self._open
 
+    def in_progress(self) -> list[CallerRequest]:
+        """Return the requests that are being served."""
+        with self._lock:
+            return list(self._in_progress.values())
+
     def start(self) -> None:
         """Start to accept."""
         threading.Thread(target=self._accept, name="accept", daemon=True).start()
@@ -117,12 +122,12 @@
         if request is None:
             return False
         with self._lock:
-            self._busy += 1
+            self._in_progress[connection] = request
         try:
             if self._closing:
                 connection.close_after_answer()
             self._handle(request, connection)
         finally:
             with self._lock:
-                self._busy -= 1
+                del self._in_progress[connection]
         return connection.next_cycle()
--- a/packages/node/src/carobspool_node/direct/_owned_job.py
+++ b/packages/node/src/carobspool_node/direct/_owned_job.py
@@ -4,6 +4,7 @@
 
 import threading
 
+from absl import logging
 from returns.pipeline import is_successful
 
 from carobspool_core import Clock, Millis, StoreFailure, StoreFault
@@ -171,6 +172,13 @@
 
     def _take(self, stored: StoredProgress, started: Millis) -> None:
         with self._lock:
+            if stored.progress.ended and not self._work.ended:
+                logging.info(
+                    "event=job_end_learned job=%s from=commit revision=%d proof_age_ms=%.0f",
+                    self.job_id,
+                    stored.version,
+                    self._clock.now() - self.verified,
+                )
             self._version = stored.version
             self._segments = stored.segments
             self._work.adopt(stored.progress)
