An owner learns at once that its job was ended through the store

Cause (class: a change made on an owner's behalf is left for the owner to stumble over): an entry that cannot ask the owner writes the end to the store; the owner learned it only from the conflict of its next commit, and a job without new events commits nothing. The proof before a start compared the owner's name, which an end leaves as it is, and was asked for only during a doubt, not after it. Ruled out: a late call of the owner that was under way (items reached the upstream again and again). Change: hints name the ends written to the store, for 5 s; a proof and a conflict take over the end and cancel what runs; a proof must be newer than the last doubt; a peer that starts anew is a doubt. Proofs no longer hold up the loop that starts items.

--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -121,7 +121,7 @@
             self._telemetry,
             configuration=lambda: self._declared.configuration,
             usable=self._declared.usable,
-            in_doubt=self._peers.in_doubt,
+            doubt_until=lambda: self._peers.doubt_until,
         )
         records = JobRecords(self._store, settings.value_limit)
         catalog = JobCatalog(records)
@@ -178,7 +178,10 @@
         self._telemetry.serve(settings.address, settings.metrics_port)
         callers = self._listen()
         self._peers.start(
-            on_loads=self._take_loads, on_versions=self._declared.compare, on_lost=self._peer_lost
+            on_loads=self._take_loads,
+            on_versions=self._declared.compare,
+            on_lost=self._peer_lost,
+            on_ended=self._runner.learn_ends,
         )
         self._declared.start()
         self._entries.start()
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import ThreadPoolExecutor, wait
 
 from absl import logging
@@ -33,8 +33,8 @@
 BROKEN_PAUSE: Millis = 100.0
 VIEW_AGE: Millis = 1_500.0
 """Age of the last proof of ownership beyond which it is renewed before an item starts, when others
-may have taken this entry for dead. A job that was ended through another entry must not start items
-three seconds later."""
+may have acted for this entry since. A job that was ended through another entry must not start items
+three seconds later, and a sign of separation is seen within 0.9 s."""
 LAST_COMMITS_S = 1.5
 """How long a leaving entry waits for its last commits: longer than one call to a slow store. What
 is not committed then is run again by the next owner."""
@@ -54,7 +54,7 @@
         *,
         configuration: Callable[[], Configuration | None],
         usable: Callable[[str], Sequence[Upstream]],
-        in_doubt: Callable[[], bool],
+        doubt_until: Callable[[], Millis],
     ) -> None:
         self._clock = clock
         self._loads = loads
@@ -62,7 +62,7 @@
         self._telemetry = telemetry
         self._configuration = configuration
         self._usable = usable
-        self._in_doubt = in_doubt
+        self._doubt_until = doubt_until
         self._lock = threading.Lock()
         self._jobs: dict[str, OwnedJob] = {}
         self._wake = threading.Event()
@@ -71,6 +71,7 @@
         self._commits = ThreadPoolExecutor(8, thread_name_prefix="commit")
         self._running = 0
         self._committing: set[str] = set()
+        self._proving: set[str] = set()
         self._pace = ItemPace()
 
     def start(self) -> None:
@@ -110,6 +111,13 @@
         """Return the ids of the owned jobs that are finished, or that are not."""
         return frozenset(job.job_id for job in self.owned() if job.finished is finished)
 
+    def learn_ends(self, job_ids: Iterable[str]) -> None:
+        """Take over which jobs other entries have ended in the store."""
+        for job_id in job_ids:
+            job = self.get(job_id)
+            if job is not None:
+                job.learn_end("hint")
+
     def waiting_tokens(self) -> dict[str, int]:
         """Return the tokens of unfinished items by route."""
         configuration = self._configuration()
@@ -215,11 +223,30 @@
         self._count_item(job, work, "dead", reason)
 
     def _is_still_ours(self, job: OwnedJob) -> bool:
-        if not self._in_doubt() or self._clock.now() - job.verified < VIEW_AGE:
-            return True
-        # An unreachable store lets nobody else end or take over the job either.
-        job.verify()
-        return not job.lost
+        """Whether an item of a job may start; if that needs a proof, ask for it."""
+        if job.is_proven(doubt_until=self._doubt_until(), max_age=VIEW_AGE) or job.is_excused:
+            return not job.lost
+        # The proof is a call to the store, which may hang; the items of other jobs do not wait.
+        if job.job_id not in self._proving:
+            self._proving.add(job.job_id)
+            self._commits.submit(self._prove, job)
+        return False
+
+    def _prove(self, job: OwnedJob) -> None:
+        try:
+            proven = job.verify()
+            logging.info(
+                "event=job_proof job=%s proven=%s lost=%s ended=%s",
+                job.job_id,
+                proven,
+                job.lost,
+                job.work.ended,
+            )
+        except Exception:  # noqa: BLE001
+            logging.exception("event=job_proof_failed job=%s", job.job_id)
+        finally:
+            self._proving.discard(job.job_id)
+            self._wake.set()
 
     def _run(
         self, job: OwnedJob, work: ItemWork, route: Route, upstream: Upstream, run: BatchRun
@@ -277,6 +304,6 @@
             upstream,
             work.last_event,
             work.failures,
-            self._clock.now() - job.verified,
+            job.proof_age,
             detail,
         )
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -25,6 +25,7 @@
 from carobspool_node.direct._job_adoption import JobAdoption
 from carobspool_node.direct._job_catalog import JobCatalog, nothing_done
 from carobspool_node.direct._job_runner import JobRunner
+from carobspool_node.direct._owned_job import OwnedJob
 from carobspool_node.direct._peer_calls import PeerCaller, PeerCallError
 from carobspool_node.direct._peers import Peer, Peers
 
@@ -129,9 +130,7 @@
         job = self._runner.get(job_id)
         if job is None or job.lost:
             return None
-        doubtful = not job.finished and self._peers.in_doubt()
-        is_old = self._clock.now() - job.verified > VERIFY_AGE
-        if doubtful and is_old and not job.verify():
+        if not job.finished and not self._is_proven(job) and not job.verify():
             return None
         found = job.page(after, self._clock.now() + wait)
         if found is None:
@@ -177,6 +176,9 @@
                 return None
         return Outcome.UNAVAILABLE
 
+    def _is_proven(self, job: OwnedJob) -> bool:
+        return job.is_proven(doubt_until=self._peers.doubt_until, max_age=VERIFY_AGE)
+
     def _fits(self, route: Route, tokens: int) -> bool:
         peers = self._peers.live()
         return fits_quota(
@@ -225,7 +227,12 @@
         return job.unwrap() if is_successful(job) else _outcome_of(job.failure())
 
     def _end_in_store(self, job_id: str) -> Outcome:
-        """End a job whose owner cannot be asked; the owner learns it from its next commit."""
+        """End a job whose owner is unknown or cannot be asked.
+
+        Somebody may own it all the same, or be taking it over just now. The hints of this entry
+        tell all others for some seconds. An owner that does not hear them has a sign of separation
+        and asks the store before it starts anything.
+        """
         job = self._input(job_id)
         if isinstance(job, Outcome):
             return job
@@ -235,6 +242,7 @@
                 return Outcome.UNAVAILABLE
             state = read.unwrap()
             if state.progress.ended:
+                self._peers.tell_ended(job_id)
                 return Outcome.DONE
             written = self._catalog.records.write_progress(
                 job_id,
@@ -250,6 +258,7 @@
                     written.unwrap().version,
                     self._peers.by_identity(state.progress.owner) is not None,
                 )
+                self._peers.tell_ended(job_id)
                 return Outcome.DONE
             if written.failure().fault is not StoreFault.CONFLICT:
                 return Outcome.UNAVAILABLE
--- a/packages/node/src/carobspool_node/direct/_owned_job.py
+++ b/packages/node/src/carobspool_node/direct/_owned_job.py
@@ -21,6 +21,9 @@
 after some four, so without checkpoints a loss threw away all that was running; one costs a call."""
 COMMIT_RETRY: Millis = 400.0
 """Pause after a commit that the store did not take."""
+EXCUSED_TIME: Millis = 1_500.0
+"""How long a job goes on without a proof after the store could not be asked for one; the length of
+one call to a store that does not answer."""
 
 
 class OwnedJob:
@@ -43,7 +46,8 @@
         self._next_checkpoint: Millis = clock.now() + CHECKPOINT_INTERVAL
         self._events_committed = self._work.events_received
         self._lost = False
-        self.verified = clock.now()
+        self._verified = clock.now()
+        self._excused_until: Millis = 0.0
 
     @property
     def job_id(self) -> str:
@@ -70,6 +74,16 @@
         """Whether another entry owns the job now."""
         return self._lost
 
+    @property
+    def proof_age(self) -> Millis:
+        """Time since the store last showed that the job is ours and has not been ended."""
+        return self._clock.now() - self._verified
+
+    @property
+    def is_excused(self) -> bool:
+        """Whether the store could not be asked for a proof just now."""
+        return self._clock.now() < self._excused_until
+
     @property
     def finished(self) -> bool:
         """Whether everything is committed and nothing is left to do."""
@@ -99,6 +113,33 @@
             self._work.end()
         self.stop_runs()
 
+    def learn_end(self, source: str) -> None:
+        """Take over that another entry has ended the job in the store.
+
+        Args:
+            source: Where this was seen, for the log.
+        """
+        with self._lock:
+            if self._work.ended:
+                return
+            logging.info(
+                "event=job_end_learned job=%s from=%s proof_age_ms=%.0f",
+                self.job_id,
+                source,
+                self.proof_age,
+            )
+            self.end()
+
+    def is_proven(self, *, doubt_until: Millis, max_age: Millis) -> bool:
+        """Whether nobody else can have taken over or ended the job unnoticed.
+
+        Args:
+            doubt_until: Until when others may have done so. A proof that is older says nothing,
+                however long ago the doubt was: the job may have gone on elsewhere all the while.
+            max_age: Age up to which a proof is good enough all the same.
+        """
+        return self._verified >= doubt_until or self.proof_age < max_age
+
     def lose(self) -> None:
         """Stop working on a job that another entry has taken over."""
         with self._lock:
@@ -140,18 +181,26 @@
             return self._not_committed(written.failure(), started)
 
     def verify(self) -> bool:
-        """Read the progress back; return whether the store was read and the job is still ours."""
+        """Read the progress back; return whether the store was read and the job is still ours.
+
+        It also shows whether the job has been ended elsewhere; nothing of it starts then.
+        """
         started = self._clock.now()
         read = self._records.read_progress(self.job_id)
         if is_successful(read):
-            if read.unwrap().progress.owner == self._owner:
-                self.verified = started
-                return True
-            self.lose()
-            return False
+            progress = read.unwrap().progress
+            if progress.owner != self._owner:
+                self.lose()
+                return False
+            # Ended jobs keep their owner, since nobody has to take them over.
+            if progress.ended:
+                self.learn_end("proof")
+            self._verified = started
+            return True
         if read.failure().fault is StoreFault.NOT_FOUND and self._version == 0:
-            self.verified = started
+            self._verified = started
             return True
+        self._excuse()
         return False
 
     def page(self, after: int, wait_until: Millis) -> list[ItemResult] | None:
@@ -172,24 +221,26 @@
 
     def _take(self, stored: StoredProgress, started: Millis) -> None:
         with self._lock:
-            if stored.progress.ended and not self._work.ended:
-                logging.info(
-                    "event=job_end_learned job=%s from=commit revision=%d proof_age_ms=%.0f",
-                    self.job_id,
-                    stored.version,
-                    self._clock.now() - self.verified,
-                )
+            if stored.progress.ended:
+                self.learn_end("commit")
             self._version = stored.version
             self._segments = stored.segments
             self._work.adopt(stored.progress)
-            self.verified = started
+            self._verified = started
             self._changed.notify_all()
 
+    def _excuse(self) -> None:
+        # Waiting for a proof would stop all batch work in each outage of the store, and in most of
+        # them nobody else reaches it either. What is started wrongly meanwhile is cancelled by the
+        # first proof that succeeds.
+        self._excused_until = self._clock.now() + EXCUSED_TIME
+
     def _not_committed(self, failure: StoreFailure, started: Millis) -> bool:
         with self._lock:
             self._work.not_committed()
             self._next_commit = self._clock.now() + COMMIT_RETRY
         if failure.fault is not StoreFault.CONFLICT or failure.current is None:
+            self._excuse()
             return False
         current = self._records.progress_of(failure.current)
         if not is_successful(current):
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -11,7 +11,7 @@
 import contextlib
 import socket
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -35,6 +35,9 @@
 DOUBT_TIME: Millis = 4_000.0
 """How long after a sign of separation an owner checks with the store before it answers for a job:
 a takeover happens within `DEAD_AFTER` of the separation, and is seen in this time."""
+ENDS_TOLD_FOR: Millis = 5_000.0
+"""How long hints name a job that this entry has ended in the store: ten full hints, and longer than
+a takeover that was under way takes (three calls of at most 1.5 s)."""
 MAX_DATAGRAM = 60_000
 
 OnLoads = Callable[[str, Mapping[str, Load], Mapping[str, int]], None]
@@ -123,9 +126,11 @@
         self._addresses: dict[str, tuple[str, int]] = {}
         self._doubt_until: Millis = clock.now() + DOUBT_TIME
         self._last_tick: Millis = clock.now()
+        self._ended: dict[str, Millis] = {}
         self._on_loads: OnLoads = lambda peer, loads, failures: None
         self._on_versions: Callable[[Mapping[str, int]], None] = lambda versions: None
         self._on_lost: Callable[[Peer], None] = lambda peer: None
+        self._on_ended: Callable[[Sequence[str]], None] = lambda job_ids: None
         self._stopped = threading.Event()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(address)
@@ -141,11 +146,13 @@
         on_loads: OnLoads,
         on_versions: Callable[[Mapping[str, int]], None],
         on_lost: Callable[[Peer], None],
+        on_ended: Callable[[Sequence[str]], None],
     ) -> None:
         """Start to send and to receive."""
         self._on_loads = on_loads
         self._on_versions = on_versions
         self._on_lost = on_lost
+        self._on_ended = on_ended
         threading.Thread(target=self._receive, name="hints-in", daemon=True).start()
         threading.Thread(target=self._send, name="hints-out", daemon=True).start()
 
@@ -184,9 +191,18 @@
                 return peer
         return None
 
-    def in_doubt(self) -> bool:
-        """Whether others may have taken this entry for dead."""
-        return self._clock.now() < self._doubt_until
+    @property
+    def doubt_until(self) -> Millis:
+        """Until when others may have acted on jobs of this entry without its knowledge."""
+        return self._doubt_until
+
+    def tell_ended(self, job_id: str) -> None:
+        """Tell all peers, now and for some seconds, that a job has been ended in the store."""
+        now = self._clock.now()
+        with self._lock:
+            self._ended = {key: at for key, at in self._ended.items() if now - at < ENDS_TOLD_FOR}
+            self._ended[job_id] = now
+        self._tell(full=True)
 
     def tell_now(self) -> None:
         """Send a full hint at once."""
@@ -263,11 +279,13 @@
                 for peer in self._peers.values()
                 if now - peer.heard > SILENT_AFTER and not peer.leaving
             ]
+            ended = [key for key, at in self._ended.items() if now - at < ENDS_TOLD_FOR]
         if full:
             message["j"] = sorted(hint.open_jobs)
             message["f"] = sorted(hint.done_jobs)
             message["w"] = dict(hint.waiting)
             message["q"] = silent
+            message["d"] = ended
         data = cbor2.dumps(message)
         for address in targets.values():
             with contextlib.suppress(OSError):
@@ -298,6 +316,8 @@
                     name=name, incarnation=incarnation, address=tuple(message["a"]), heard=now
                 )
                 self._peers[name] = known
+                # What its earlier process did last, it may have told nobody.
+                self._doubt_until = max(self._doubt_until, now)
                 logging.info("event=peer_seen peer=%s", known.identity)
             known.heard = now
             known.address = tuple(message["a"])
@@ -316,6 +336,8 @@
                 self._peers[name] = _without_jobs(known)
         if lost is not None:
             self._on_lost(lost)
+        # Entries of the version before name no ended jobs.
+        self._on_ended(message.get("d", ()))
         loads = {key: Load(*pair) for key, pair in message["l"].items()}
         self._on_loads(name, loads, message["e"])
         self._on_versions(message["v"])
--- a/packages/node/tests/test_direct_job_runner.py
+++ b/packages/node/tests/test_direct_job_runner.py
@@ -91,7 +91,7 @@
         Telemetry(),
         configuration=lambda: configuration,
         usable=lambda service: [ENGINE],
-        in_doubt=lambda: False,
+        doubt_until=lambda: 0.0,
     )
 
     def make(job: JobInput, stored: StoredProgress) -> OwnedJob:
--- /dev/null
+++ b/packages/node/tests/test_direct_owned_job.py
@@ -0,0 +1,113 @@
+"""What an owner knows of a job that another entry has changed in the store."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from returns.pipeline import is_successful
+
+from carobspool_core import Millis
+from carobspool_core.direct import BatchUrgency, JobInput, JobItem, JobProgress
+from carobspool_node.direct._job_records import JobRecords, StoredProgress
+from carobspool_node.direct._loads import BatchRun
+from carobspool_node.direct._owned_job import EXCUSED_TIME, OwnedJob
+from carobspool_standins.memory_store import MemoryObjects, MemoryStore
+
+OWNER = "e1#1"
+
+
+class _Clock:
+    def __init__(self) -> None:
+        self.time: Millis = 1_000.0
+
+    def now(self) -> Millis:
+        return self.time
+
+
+@pytest.fixture
+def clock() -> _Clock:
+    return _Clock()
+
+
+@pytest.fixture
+def store() -> MemoryStore:
+    return MemoryStore(MemoryObjects(), "e1")
+
+
+@pytest.fixture
+def records(store: MemoryStore) -> JobRecords:
+    return JobRecords(store, 1_048_576)
+
+
+@pytest.fixture
+def job(records: JobRecords, clock: _Clock) -> OwnedJob:
+    """A job whose progress the owner has written once."""
+    item = JobItem(item_id="i", path="/", headers={}, body=b"", tokens=1)
+    given = JobInput(job_id="j", host="h", path="/", owner=OWNER, submitted=0.0, items=(item,))
+    nothing = StoredProgress(progress=JobProgress(owner=OWNER, total=1), segments=(), version=0)
+    owned = OwnedJob(given, nothing, records, OWNER, clock)
+    assert owned.commit()
+    return owned
+
+
+def _change(records: JobRecords, **changes: object) -> None:
+    """Write the progress as another entry does."""
+    stored = records.read_progress("j").unwrap()
+    progress = replace(stored.progress, **changes)  # type: ignore[arg-type]
+    written = records.write_progress("j", progress, version=stored.version)
+    assert is_successful(written)
+
+
+def _run(job: OwnedJob) -> BatchRun:
+    run = BatchRun(started=0.0, urgency=BatchUrgency.ORDINARY, due=0.0)
+    job.add_run(run)
+    return run
+
+
+def test_a_proof_shows_that_the_job_was_ended(records: JobRecords, job: OwnedJob) -> None:
+    """Ended jobs keep their owner, so the owner's name alone does not tell."""
+    run = _run(job)
+    _change(records, ended=True)
+    assert job.verify()
+    assert job.work.ended
+    assert not job.lost
+    assert run.cancellation.cancelled
+
+
+def test_a_conflict_of_a_commit_cancels_what_runs_for_an_ended_job(
+    records: JobRecords, job: OwnedJob
+) -> None:
+    run = _run(job)
+    _change(records, ended=True)
+    assert not job.commit()
+    assert job.work.ended
+    assert run.cancellation.cancelled
+
+
+def test_a_proof_shows_that_the_job_was_taken_over(records: JobRecords, job: OwnedJob) -> None:
+    _change(records, owner="e2#1")
+    assert not job.verify()
+    assert job.lost
+
+
+def test_a_proof_from_before_a_doubt_never_becomes_good(job: OwnedJob, clock: _Clock) -> None:
+    """The doubt is long over, but the job may have been ended or taken over during it."""
+    doubt_until = clock.time + 4_000.0
+    assert job.is_proven(doubt_until=doubt_until, max_age=1_500.0)
+    clock.time += 60_000.0
+    assert not job.is_proven(doubt_until=doubt_until, max_age=1_500.0)
+    assert job.verify()
+    clock.time += 60_000.0
+    assert job.is_proven(doubt_until=doubt_until, max_age=1_500.0)
+
+
+def test_a_job_goes_on_for_a_while_when_the_store_cannot_be_asked(
+    store: MemoryStore, job: OwnedJob, clock: _Clock
+) -> None:
+    store.outage = True
+    assert not job.verify()
+    assert job.is_excused
+    assert not job.lost
+    clock.time += EXCUSED_TIME
+    assert not job.is_excused
