--- a/packages/standins/src/carobspool_standins/platform_store.py
+++ b/packages/standins/src/carobspool_standins/platform_store.py
@@ -42,12 +42,14 @@
         lose_answers: Writes, counted down, whose connection is cut after the effect.
         cut_before: Writes, counted down, whose connection is cut before the effect.
         deaf: Watches hear nothing; those that wait stay open.
+        delay_s: Time before each call is looked at, as when the store is slow.
     """
 
     status: int = 0
     lose_answers: int = 0
     cut_before: int = 0
     deaf: bool = False
+    delay_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -177,6 +179,8 @@
 
 
 def _begin(objects: PlatformObjects, faults: PlatformFaults, request: Request) -> Response | None:
+    if faults.delay_s:
+        time.sleep(faults.delay_s)
     with objects.changed:
         name = "watch" if "watch" in request.args else request.method
         objects.calls[name] = objects.calls.get(name, 0) + 1
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -168,14 +168,15 @@
         first_start: bool = True,
         wait: bool = True,
         store: str | None = None,
+        output: int | None = None,
     ) -> Entry:
-        """Start an entry."""
+        """Start an entry; its log goes to a file unless a descriptor is given for it."""
         port, ready_port, peer_port, metrics_port = _free_ports(4)
         settings = self._settings(name, "direct-entry", peer_port, metrics_port)
         settings |= {"callers": f"127.0.0.1:{port}", "ready": f"127.0.0.1:{ready_port}"}
         settings["first_start"] = first_start
         settings["object_api"] = store or self.store
-        process, log = self._run(settings)
+        process, log = self._run(settings, output)
         entry = Entry(name, port, ready_port, peer_port, process, log)
         self.entries.append(entry)
         if wait:
@@ -202,12 +203,14 @@
             "log_level": "info",
         }
 
-    def _run(self, settings: dict[str, Any]) -> tuple[subprocess.Popen[bytes], Path]:
+    def _run(
+        self, settings: dict[str, Any], output: int | None = None
+    ) -> tuple[subprocess.Popen[bytes], Path]:
         stem = f"{settings['node']}-{settings['peer_port']}"
         path = self.folder / f"{stem}.json"
         path.write_text("// settings\n" + json.dumps(settings))
         log = self.folder / f"{stem}.log"
-        return self.stack.enter_context(_process(path, log)), log
+        return self.stack.enter_context(_process(path, log, output)), log
 
     def configure(self, version: int, *routes: dict[str, Any]) -> None:
         """Write a configuration as the operator does."""
@@ -273,10 +276,13 @@
 
 
 @contextmanager
-def _process(settings: Path, log: Path) -> Iterator[subprocess.Popen[bytes]]:
+def _process(
+    settings: Path, log: Path, descriptor: int | None
+) -> Iterator[subprocess.Popen[bytes]]:
     environment = {**os.environ, "CAROBSPOOL_SETTINGS": str(settings)}
     command = [sys.executable, "-m", "carobspool_platform"]
-    with log.open("wb") as output:
+    with log.open("wb") as file:
+        output = file if descriptor is None else descriptor
         process = subprocess.Popen(
             command, env=environment, cwd=settings.parent, stdout=output, stderr=output
         )
