An entry that leaves takes no request that it cannot end, and answers what it has taken

Cause (class: work is taken without asking whether the process lives to end it): online requests were asked about by the time until the latest exit, but an entry without requests leaves earlier, and takes requests until it is gone; calls on jobs were not asked about at all. Change: the listener closes in the same step that finds it idle, and tells later callers that nothing was run; calls on jobs are refused when less than 2 s are left; what still runs at the exit is answered as unknown, 504, unless its stream has begun (the connection used to break without a word). A stream that outlasts the exit is still cut.

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -29,7 +29,11 @@
     JobProgress,
     JobWork,
 )
-from carobspool_core.direct._leaving import LEAVING_RETRY_AFTER, has_time_to_serve
+from carobspool_core.direct._leaving import (
+    LEAVING_RETRY_AFTER,
+    has_time_for_job_call,
+    has_time_to_serve,
+)
 from carobspool_core.direct._placement import (
     BATCH_RESERVE,
     Load,
@@ -80,6 +84,7 @@
     "excess_of_batch",
     "fits_quota",
     "has_returned",
+    "has_time_for_job_call",
     "has_time_to_serve",
     "job_from_json",
     "job_to_json",
--- a/packages/core/src/carobspool_core/direct/_leaving.py
+++ b/packages/core/src/carobspool_core/direct/_leaving.py
@@ -16,6 +16,9 @@
 SHORTEST_ROOM: Millis = 500.0
 """Time that any request is given, for plain calls whose mean of some 25 ms says little of the
 slowest."""
+JOB_CALL_ROOM: Millis = 2_000.0
+"""Time that a call on a job is given: one call to a store that does not answer takes 1.5 s, and to
+one that is slow 0.3 s."""
 LEAVING_RETRY_AFTER: Millis = 20.0
 """When the caller is to come back: at once, since the retry reaches another entry."""
 
@@ -30,3 +33,12 @@
     if time_left is None:
         return True
     return time_left >= max(SHORTEST_ROOM, mean_duration * LONGEST_TO_MEAN)
+
+
+def has_time_for_job_call(time_left: Millis | None) -> bool:
+    """Return whether a call on a batch job will probably end before this process does.
+
+    Args:
+        time_left: Until the process exits; ``None`` when it is not leaving.
+    """
+    return time_left is None or time_left >= JOB_CALL_ROOM
--- a/packages/node/src/carobspool_node/direct/_caller_connection.py
+++ b/packages/node/src/carobspool_node/direct/_caller_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import threading
 
 import h11
 
@@ -31,6 +32,9 @@
         self._names = names
         self._channel = Channel(sock, h11.Connection(h11.SERVER), clock)
         self._closing = False
+        self._answering = threading.Lock()
+        self._answered = False
+        self._cut = False
 
     @property
     def watch(self) -> CallerWatch:
@@ -63,8 +67,37 @@
         """Send a whole answer.
 
         Raises:
-            CallerGoneError: The caller has left.
+            CallerGoneError: The caller has left, or the exit of the process has answered.
         """
+        with self._answering:
+            self._begin_answer()
+            self._answer(status, headers, body, reason)
+
+    def answer_at_exit(self, headers: Headers, body: bytes) -> bool:
+        """Answer the current request from another task, since the process exits.
+
+        Its end is unknown. A stream that has begun stays as it is; the exit breaks it off.
+
+        Returns:
+            Whether the caller was sent an answer.
+        """
+        with self._answering:
+            if self._answered or self._cut:
+                return False
+            self._cut = True
+            self._closing = True
+            try:
+                self._answer(504, headers, body, b"")
+            except (CallerGoneError, h11.LocalProtocolError):
+                return False
+            return True
+
+    def _begin_answer(self) -> None:
+        if self._cut:
+            raise CallerGoneError("answered at the exit of the process")
+        self._answered = True
+
+    def _answer(self, status: int, headers: Headers, body: bytes, reason: bytes) -> None:
         headers = [(key, value) for key, value in headers if key.lower() != b"content-length"]
         headers.append((b"Content-Length", str(len(body)).encode()))
         http = self._channel.http
@@ -77,7 +110,9 @@
     def start_stream(self, status: int, headers: Headers, reason: bytes) -> None:
         """Send the head of a streamed answer."""
         headers = [(key, value) for key, value in headers if key.lower() != b"content-length"]
-        self._send(self._head(status, headers, reason))
+        with self._answering:
+            self._begin_answer()
+            self._send(self._head(status, headers, reason))
 
     def send_piece(self, data: bytes) -> None:
         """Send a piece of a streamed answer."""
@@ -92,7 +127,9 @@
         http = self._channel.http
         if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
             return False
-        http.start_next_cycle()
+        with self._answering:
+            http.start_next_cycle()
+            self._answered = False
         return True
 
     def close(self) -> None:
@@ -100,7 +137,13 @@
         self._channel.close()
 
     def abort(self) -> None:
-        """Break the connection off; an unfinished answer cannot look complete."""
+        """Break the connection off; an unfinished answer cannot look complete.
+
+        An answer that the exit of the process has sent is complete, and a reset could overtake it.
+        """
+        if self._cut:
+            self._channel.close()
+            return
         self._channel.reset()
 
     def _wait_for_request(self, idle_timeout: Millis) -> bool:
--- a/packages/node/src/carobspool_node/direct/_callers.py
+++ b/packages/node/src/carobspool_node/direct/_callers.py
@@ -7,7 +7,13 @@
 from absl import logging
 
 from carobspool_core import Millis
-from carobspool_core.direct import Configuration, Route, RouteKind
+from carobspool_core.direct import (
+    LEAVING_RETRY_AFTER,
+    Configuration,
+    Route,
+    RouteKind,
+    has_time_for_job_call,
+)
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._deployment import CallerDialect, JobCall, ReadBody, ReadResults
 from carobspool_node.direct._errors import BadRequestError
@@ -45,6 +51,7 @@
         telemetry: Telemetry,
         *,
         configuration: Callable[[], Configuration | None],
+        time_left: Callable[[], Millis | None],
     ) -> None:
         self._dialect = dialect
         self._names = names
@@ -52,13 +59,15 @@
         self._jobs = jobs
         self._telemetry = telemetry
         self._configuration = configuration
+        self._time_left = time_left
 
     def handle(self, request: CallerRequest, caller: CallerConnection) -> None:
         """Serve one request."""
         try:
             call = self._dialect.job_call(request)
             if call is not None:
-                self._serve_job_call(call, request, caller)
+                if self._has_time(request, caller):
+                    self._serve_job_call(call, request, caller)
                 return
             self._serve_route(request, caller)
         except BadRequestError as error:
@@ -83,10 +92,18 @@
         if not request.request_id:
             raise BadRequestError("the request has no id", 400)
         if route.kind is RouteKind.BATCH:
-            self._submit(request, route, caller)
+            if self._has_time(request, caller):
+                self._submit(request, route, caller)
             return
         self._forwarder.serve(request, route, caller)
 
+    def _has_time(self, request: CallerRequest, caller: CallerConnection) -> bool:
+        """Whether a call on a job can end before this process does; if not, refuse it."""
+        if has_time_for_job_call(self._time_left()):
+            return True
+        self._refuse(request, caller, 503, "this entry is leaving", LEAVING_RETRY_AFTER)
+        return False
+
     def _submit(self, request: CallerRequest, route: Route, caller: CallerConnection) -> None:
         if request.method != b"POST":
             raise BadRequestError("jobs are submitted with POST", 405)
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -153,6 +153,7 @@
             self._jobs,
             self._telemetry,
             configuration=lambda: self._declared.configuration,
+            time_left=self._time_left,
         )
         self._entries = Follower(
             self._store,
@@ -240,23 +241,25 @@
         self._released.set()
         self._peers.tell_now()
         while self._clock.now() < exit_at:
-            if self._clock.now() - began >= MIN_DRAIN and callers.busy == 0:
+            if self._clock.now() - began >= MIN_DRAIN and callers.close_if_idle():
                 break
             threading.Event().wait(0.05)
+        cut = callers.close()
         self._peers.stop()
-        self._log_cut(callers)
+        self._log_cut(cut)
         logging.info(
-            "event=stop busy=%d open=%d took_ms=%.0f",
+            "event=stop busy=%d cut=%d open=%d took_ms=%.0f",
             callers.busy,
+            len(cut),
             callers.open_connections,
             self._clock.now() - began,
         )
         self._telemetry.stop_logs()
 
-    def _log_cut(self, callers: Listener) -> None:
+    def _log_cut(self, cut: Sequence[CallerRequest]) -> None:
         """Name the requests that the exit cuts; their own last line is never written."""
         now = self._clock.now()
-        for request in callers.in_progress()[:CUT_LINES]:
+        for request in cut[:CUT_LINES]:
             logging.warning(
                 "event=exit_cut request=%s host=%s path=%s age_ms=%.0f",
                 request.request_id,
--- a/packages/node/src/carobspool_node/direct/_listener.py
+++ b/packages/node/src/carobspool_node/direct/_listener.py
@@ -10,7 +10,7 @@
 from absl import logging
 
 from carobspool_core import Clock
-from carobspool_core.direct import CallerLimits
+from carobspool_core.direct import LEAVING_RETRY_AFTER, CallerLimits
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._errors import BadRequestError, CallerGoneError
 from carobspool_node.direct._failure_answer import failure_answer
@@ -54,6 +54,7 @@
         self._in_progress: dict[CallerConnection, CallerRequest] = {}
         self._open = 0
         self._closing = False
+        self._closed = False
         self._socket = socket.create_server(address, backlog=BACKLOG)
 
     @property
@@ -66,11 +67,6 @@
         """Connections that are open."""
         return self._open
 
-    def in_progress(self) -> list[CallerRequest]:
-        """Return the requests that are being served."""
-        with self._lock:
-            return list(self._in_progress.values())
-
     def start(self) -> None:
         """Start to accept."""
         threading.Thread(target=self._accept, name="accept", daemon=True).start()
@@ -79,6 +75,32 @@
         """End each connection with its next answer."""
         self._closing = True
 
+    def close_if_idle(self) -> bool:
+        """Take no request any more, unless one is being served; return whether that is so.
+
+        An entry without requests still needs some time to be gone, and callers come until then.
+        What it took in that time was cut; now it is told that nothing was run.
+        """
+        with self._lock:
+            self._closed = self._closed or not self._in_progress
+            return self._closed
+
+    def close(self) -> list[CallerRequest]:
+        """Take no request any more, and answer those that are being served as unknown.
+
+        Returns:
+            Requests that are left without an answer, or in the middle of a stream.
+        """
+        with self._lock:
+            self._closed = True
+            unfinished = dict(self._in_progress)
+        headers, body = failure_answer("this entry has left", "unknown", None)
+        cut = []
+        for connection, request in unfinished.items():
+            if not connection.answer_at_exit(headers, body):
+                cut.append(request)
+        return cut
+
     def _accept(self) -> None:
         while True:
             try:
@@ -122,7 +144,12 @@
         if request is None:
             return False
         with self._lock:
-            self._in_progress[connection] = request
+            closed = self._closed
+            if not closed:
+                self._in_progress[connection] = request
+        if closed:
+            self._refuse(request, connection)
+            return False
         try:
             if self._closing:
                 connection.close_after_answer()
@@ -131,3 +158,9 @@
             with self._lock:
                 del self._in_progress[connection]
         return connection.next_cycle()
+
+    def _refuse(self, request: CallerRequest, connection: CallerConnection) -> None:
+        logging.info("event=leaving_refused request=%s closed=True", request.request_id)
+        headers, body = failure_answer("this entry has left", "not_run", LEAVING_RETRY_AFTER)
+        connection.close_after_answer()
+        connection.answer(503, headers, body)
