--- a/tests/direct/test_entry_exit.py
+++ b/tests/direct/test_entry_exit.py
@@ -99,6 +99,17 @@
     assert len(passed_on) == sum(1 for each in found if each.status == 200)
 
 
+def test_an_entry_whose_output_nobody_reads_exits_in_its_time(system: Deployment) -> None:
+    """Whoever reads the output has stopped for good. The entry must still be gone before it is
+    killed; it used to wait for its last lines to be written, and took requests all the while."""
+    system.server("engine", stream_events(2))
+    pipe = _UnreadPipe()
+    entry = system.entry("e1", output=pipe.writer)
+    pipe.fill()
+    entry.signal(signal.SIGTERM)
+    assert entry.process.wait(timeout=6) == 0
+
+
 def test_a_call_on_a_job_is_not_cut_by_the_exit(system: Deployment) -> None:
     """The store is slow when an entry leaves, and a job is submitted in its last moments. The
     caller must have an answer before the process is gone, or be told at once to ask another entry;
