The exit does not wait for a reader of the log, and closes its port before it is gone

Cause: the last lines were written without a limit, and a full queue made the exit raise. Ruled out: the pool's tasks (the process ends without waiting for them). Change: 0.5 s for the last lines; then the port is closed and refusals under way are written, so that a caller finds a closed port instead of a connection that is reset.

--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -255,6 +255,7 @@
             self._clock.now() - began,
         )
         self._telemetry.stop_logs()
+        callers.shut()
 
     def _log_cut(self, cut: Sequence[CallerRequest]) -> None:
         """Name the requests that the exit cuts; their own last line is never written."""
--- a/packages/node/src/carobspool_node/direct/_listener.py
+++ b/packages/node/src/carobspool_node/direct/_listener.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
+import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
@@ -16,6 +18,8 @@
 from carobspool_node.direct._failure_answer import failure_answer
 from carobspool_node.direct._messages import CallerRequest, HeaderNames
 
+REFUSAL_TIME_S = 0.1
+"""How long an exit waits for refusals that are being written; one takes less than a millisecond."""
 BACKLOG = 512
 """Connections that may wait to be accepted; a full queue drops the opening packet, which is sent
 again only a second later."""
@@ -55,6 +59,8 @@
         self._open = 0
         self._closing = False
         self._closed = False
+        self._shut = threading.Event()
+        self._refusing = 0
         self._socket = socket.create_server(address, backlog=BACKLOG)
 
     @property
@@ -101,11 +107,26 @@
                 cut.append(request)
         return cut
 
+    def shut(self) -> None:
+        """Stop to listen, and let what is being refused be written; call `close` first.
+
+        From here on new callers find the port closed and know that nobody has read their request.
+        """
+        self._shut.set()
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+        self._socket.close()
+        until = time.monotonic() + REFUSAL_TIME_S
+        while self._refusing and time.monotonic() < until:
+            time.sleep(0.005)
+
     def _accept(self) -> None:
-        while True:
+        while not self._shut.is_set():
             try:
                 sock, _ = self._socket.accept()
             except OSError as error:
+                if self._shut.is_set():
+                    return
                 logging.error("event=accept_failed reason=%r", error)
                 threading.Event().wait(0.05)
                 continue
@@ -145,7 +166,9 @@
             return False
         with self._lock:
             closed = self._closed
-            if not closed:
+            if closed:
+                self._refusing += 1
+            else:
                 self._in_progress[connection] = request
         if closed:
             self._refuse(request, connection)
@@ -160,7 +183,11 @@
         return connection.next_cycle()
 
     def _refuse(self, request: CallerRequest, connection: CallerConnection) -> None:
-        logging.info("event=leaving_refused request=%s closed=True", request.request_id)
         headers, body = failure_answer("this entry has left", "not_run", LEAVING_RETRY_AFTER)
         connection.close_after_answer()
-        connection.answer(503, headers, body)
+        try:
+            connection.answer(503, headers, body)
+        finally:
+            with self._lock:
+                self._refusing -= 1
+        logging.info("event=leaving_refused request=%s closed=True", request.request_id)
--- a/packages/node/src/carobspool_node/direct/_telemetry.py
+++ b/packages/node/src/carobspool_node/direct/_telemetry.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging as standard_logging
 import queue
 import sys
@@ -21,6 +22,9 @@
 
 LOG_QUEUE_LINES = 2_000
 """Lines that may wait to be written: some seconds of an entry under five times its usual load."""
+LAST_LINES_S = 0.5
+"""How long an exit waits for its last lines. Without a limit a reader that had stopped held the
+process until it was killed, and requests with it; writing 2,000 lines takes some 20 ms."""
 _LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0)
 _LABELS = {
     "requests": ("route", "outcome"),
@@ -93,9 +97,17 @@
         self._listener.start()
 
     def stop_logs(self) -> None:
-        """Write what is queued."""
+        """Write what is queued, as far as its reader takes it within `LAST_LINES_S`."""
+        writer = threading.Thread(target=self._write_last_lines, name="last-lines", daemon=True)
+        writer.start()
+        writer.join(LAST_LINES_S)
+
+    def _write_last_lines(self) -> None:
         if self._listener is not None:
-            self._listener.stop()
+            # A full queue takes no mark of its end; its lines are lost with the process.
+            with contextlib.suppress(queue.Full):
+                self._listener.stop()
+        sys.stdout.flush()
 
     def serve(self, address: str, port: int) -> None:
         """Serve the metrics as text over HTTP."""
