Ports of test entries are drawn below those of outgoing connections

Seen once in 4 parallel runs: an entry did not start, 'Address already in use' on its metrics port, which lay in the system's range for outgoing connections and had been taken between the look and the start.

--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -33,6 +34,7 @@
 HOST = "callers.example"
 READY_S = 15.0
 STEP_S = 0.05
+FIRST_PORT, END_OF_PORTS = 10_000, 32_000
 
 
 def route(prefix: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
@@ -268,10 +270,16 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Return ports on which nothing listens.
+
+    They are drawn below those that the system gives to outgoing connections: such a port can be
+    taken by any other process between this look and the start of the entry.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(FIRST_PORT, END_OF_PORTS)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            ports.append(port)
     return ports
 
 
