--- a/packages/core/src/carobspool_core/direct/_leaving.py
+++ b/packages/core/src/carobspool_core/direct/_leaving.py
@@ -16,9 +16,9 @@
 SHORTEST_ROOM: Millis = 500.0
 """Time that any request is given, for plain calls whose mean of some 25 ms says little of the
 slowest."""
-JOB_CALL_ROOM: Millis = 2_000.0
-"""Time that a call on a job is given: one call to a store that does not answer takes 1.5 s, and to
-one that is slow 0.3 s."""
+JOB_CALL_ROOM: Millis = 2_500.0
+"""Time that a call on a job is given: asking an owner that is silent takes 1.8 s, and the two calls
+to a slow store that follow 0.3 s each."""
 LEAVING_RETRY_AFTER: Millis = 20.0
 """When the caller is to come back: at once, since the retry reaches another entry."""
 
--- a/packages/node/src/carobspool_node/direct/_caller_connection.py
+++ b/packages/node/src/carobspool_node/direct/_caller_connection.py
@@ -33,7 +33,8 @@
         self._channel = Channel(sock, h11.Connection(h11.SERVER), clock)
         self._closing = False
         self._answering = threading.Lock()
-        self._answered = False
+        self._answered = True
+        self._streaming = False
         self._cut = False
 
     @property
@@ -54,7 +55,7 @@
         try:
             if not self._wait_for_request(limits.idle_timeout):
                 return None
-            return self._read(limits)
+            request = self._read(limits)
         except DeadlinePassedError as error:
             raise BadRequestError("the request was not sent in time", 408) from error
         except ConnectionBrokenError as error:
@@ -62,6 +63,8 @@
             if isinstance(cause, h11.RemoteProtocolError):
                 raise BadRequestError(str(cause), cause.error_status_hint) from error
             return None
+        self._answered = False
+        return request
 
     def answer(self, status: int, headers: Headers, body: bytes, *, reason: bytes = b"") -> None:
         """Send a whole answer.
@@ -76,21 +79,25 @@
     def answer_at_exit(self, headers: Headers, body: bytes) -> bool:
         """Answer the current request from another task, since the process exits.
 
-        Its end is unknown. A stream that has begun stays as it is; the exit breaks it off.
+        Its end is unknown. A stream that has begun stays as it is, and the exit breaks it off; so
+        does a long answer that its caller is slow to read, for which the exit does not wait.
 
         Returns:
-            Whether the caller was sent an answer.
+            Whether nothing is left unanswered.
         """
-        with self._answering:
-            if self._answered or self._cut:
-                return False
+        if not self._answering.acquire(blocking=False):
+            return False
+        try:
+            if self._answered:
+                return not self._streaming
             self._cut = True
             self._closing = True
-            try:
-                self._answer(504, headers, body, b"")
-            except (CallerGoneError, h11.LocalProtocolError):
-                return False
+            self._answer(504, headers, body, b"")
             return True
+        except (CallerGoneError, h11.LocalProtocolError):
+            return False
+        finally:
+            self._answering.release()
 
     def _begin_answer(self) -> None:
         if self._cut:
@@ -112,6 +119,7 @@
         headers = [(key, value) for key, value in headers if key.lower() != b"content-length"]
         with self._answering:
             self._begin_answer()
+            self._streaming = True
             self._send(self._head(status, headers, reason))
 
     def send_piece(self, data: bytes) -> None:
@@ -121,15 +129,14 @@
     def finish_stream(self) -> None:
         """End a streamed answer as complete."""
         self._send(self._channel.http.send(h11.EndOfMessage()) or b"")
+        self._streaming = False
 
     def next_cycle(self) -> bool:
         """Prepare for a next request; return whether there can be one."""
         http = self._channel.http
         if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
             return False
-        with self._answering:
-            http.start_next_cycle()
-            self._answered = False
+        http.start_next_cycle()
         return True
 
     def close(self) -> None:
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -182,7 +182,7 @@
             on_loads=self._take_loads,
             on_versions=self._declared.compare,
             on_lost=self._peer_lost,
-            on_ended=self._runner.learn_ends,
+            on_ended=self._runner.told_ended,
         )
         self._declared.start()
         self._entries.start()
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -117,9 +117,6 @@
             deadline=request.arrived + limit,
             returned=has_returned(deadline=limit, timeout=route.timeout),
         )
-        if not self._has_time(attempt):
-            self._fail(attempt, 503, "not_run", LEAVING_RETRY_AFTER)
-            return
         try:
             self._try_upstreams(attempt)
         except DeadlinePassedError:
@@ -159,6 +156,9 @@
             upstreams = self._usable(service)
             if attempt.deadline - self._clock.now() < MIN_TRY_TIME:
                 raise DeadlinePassedError("no time for another try")
+            if not attempt.may_have_run and not self._has_time(attempt):
+                self._fail(attempt, 503, "not_run", LEAVING_RETRY_AFTER)
+                return
             placement = self._loads.place_online(
                 upstreams,
                 target_latency=attempt.route.target_latency,
--- a/packages/node/src/carobspool_node/direct/_job_adoption.py
+++ b/packages/node/src/carobspool_node/direct/_job_adoption.py
@@ -55,11 +55,18 @@
         self._orphans: dict[str, tuple[Millis, str]] = {}
         self._orphans_lock = threading.Lock()
 
-    def own(self, job: JobInput, stored: StoredProgress) -> None:
-        """Work on a job from now on."""
+    def own(self, job: JobInput, stored: StoredProgress, *, asked: Millis) -> None:
+        """Work on a job from now on.
+
+        Args:
+            job: As submitted.
+            stored: Its progress in the store.
+            asked: When the store was asked for the write that made this entry the owner.
+        """
         self._catalog.keep(job)
         records = self._catalog.records
-        self._runner.add(OwnedJob(job, stored, records, self._peers.identity, self._clock))
+        identity = self._peers.identity
+        self._runner.add(OwnedJob(job, stored, records, identity, self._clock, asked=asked))
         self._peers.tell_now()
         logging.info(
             "event=job_owned job=%s items=%d committed=%d",
@@ -155,6 +162,7 @@
         with self._adopting:
             if self._runner.get(job_id) is not None:
                 return True
+            asked = self._clock.now()
             written = self._catalog.records.write_progress(
                 job_id,
                 replace(progress, owner=self._peers.identity),
@@ -168,7 +176,7 @@
             logging.info(
                 "event=job_taken_over job=%s reason=%r from=%s", job_id, reason, progress.owner
             )
-            self.own(job, written.unwrap())
+            self.own(job, written.unwrap(), asked=asked)
             return True
 
     def _answers_for(self, owner: str, job_id: str) -> bool:
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -69,6 +69,7 @@
         self._stopped = threading.Event()
         self._runs = ThreadPoolExecutor(MAX_RUNS, thread_name_prefix="item")
         self._commits = ThreadPoolExecutor(8, thread_name_prefix="commit")
+        self._proofs = ThreadPoolExecutor(4, thread_name_prefix="proof")
         self._running = 0
         self._committing: set[str] = set()
         self._proving: set[str] = set()
@@ -111,12 +112,12 @@
         """Return the ids of the owned jobs that are finished, or that are not."""
         return frozenset(job.job_id for job in self.owned() if job.finished is finished)
 
-    def learn_ends(self, job_ids: Iterable[str]) -> None:
-        """Take over which jobs other entries have ended in the store."""
+    def told_ended(self, job_ids: Iterable[str]) -> None:
+        """Take a peer's word that jobs have been ended in the store; the store is asked at once."""
         for job_id in job_ids:
             job = self.get(job_id)
-            if job is not None:
-                job.learn_end("hint")
+            if job is not None and job.told_ended():
+                self._ask_for_proof(job)
 
     def waiting_tokens(self) -> dict[str, int]:
         """Return the tokens of unfinished items by route."""
@@ -224,14 +225,23 @@
 
     def _is_still_ours(self, job: OwnedJob) -> bool:
         """Whether an item of a job may start; if that needs a proof, ask for it."""
-        if job.is_proven(doubt_until=self._doubt_until(), max_age=VIEW_AGE) or job.is_excused:
+        if (
+            job.proof.holds(doubt_until=self._doubt_until(), max_age=VIEW_AGE)
+            or job.proof.is_excused
+        ):
             return not job.lost
-        # The proof is a call to the store, which may hang; the items of other jobs do not wait.
-        if job.job_id not in self._proving:
-            self._proving.add(job.job_id)
-            self._commits.submit(self._prove, job)
+        if job.proof.may_ask:
+            self._ask_for_proof(job)
         return False
 
+    def _ask_for_proof(self, job: OwnedJob) -> None:
+        # The proof is a call to the store, which may hang; other jobs and commits do not wait.
+        with self._lock:
+            if self._stopped.is_set() or job.job_id in self._proving:
+                return
+            self._proving.add(job.job_id)
+        self._proofs.submit(self._prove, job)
+
     def _prove(self, job: OwnedJob) -> None:
         try:
             proven = job.verify()
@@ -245,7 +255,8 @@
         except Exception:  # noqa: BLE001
             logging.exception("event=job_proof_failed job=%s", job.job_id)
         finally:
-            self._proving.discard(job.job_id)
+            with self._lock:
+                self._proving.discard(job.job_id)
             self._wake.set()
 
     def _run(
@@ -304,6 +315,6 @@
             upstream,
             work.last_event,
             work.failures,
-            job.proof_age,
+            job.proof.age,
             detail,
         )
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -96,9 +96,10 @@
             submitted=wall_millis(),
             items=tuple(items),
         )
+        asked = self._clock.now()
         created = self._catalog.records.create_input(job)
         if is_successful(created):
-            self._adoption.own(job, nothing_done(job))
+            self._adoption.own(job, nothing_done(job), asked=asked)
             return Outcome.DONE
         failure = created.failure()
         if failure.fault is StoreFault.CONFLICT:
@@ -174,10 +175,11 @@
                 return Outcome.DONE
             if job.lost:
                 return None
-        return Outcome.UNAVAILABLE
+        # It is in force here and will be committed, so it cannot be said that it was not done.
+        return Outcome.UNKNOWN
 
     def _is_proven(self, job: OwnedJob) -> bool:
-        return job.is_proven(doubt_until=self._peers.doubt_until, max_age=VERIFY_AGE)
+        return job.proof.holds(doubt_until=self._peers.doubt_until, max_age=VERIFY_AGE)
 
     def _fits(self, route: Route, tokens: int) -> bool:
         peers = self._peers.live()
@@ -260,7 +262,11 @@
                 )
                 self._peers.tell_ended(job_id)
                 return Outcome.DONE
-            if written.failure().fault is not StoreFault.CONFLICT:
+            fault = written.failure().fault
+            if fault is StoreFault.UNKNOWN:
+                self._peers.tell_ended(job_id)
+                return Outcome.UNKNOWN
+            if fault is not StoreFault.CONFLICT:
                 return Outcome.UNAVAILABLE
         return Outcome.UNAVAILABLE
 
--- a/packages/node/src/carobspool_node/direct/_owned_job.py
+++ b/packages/node/src/carobspool_node/direct/_owned_job.py
@@ -11,6 +11,7 @@
 from carobspool_core.direct import ItemResult, JobInput, JobWork
 from carobspool_node.direct._job_records import JobRecords, StoredProgress
 from carobspool_node.direct._loads import BatchRun
+from carobspool_node.direct._ownership_proof import OwnershipProof
 
 COMMIT_INTERVAL: Millis = 900.0
 """Time between two commits of one job. A job's items end over some seconds; each commit is a priced
@@ -21,16 +22,29 @@
 after some four, so without checkpoints a loss threw away all that was running; one costs a call."""
 COMMIT_RETRY: Millis = 400.0
 """Pause after a commit that the store did not take."""
-EXCUSED_TIME: Millis = 1_500.0
-"""How long a job goes on without a proof after the store could not be asked for one; the length of
-one call to a store that does not answer."""
 
 
 class OwnedJob:
-    """State of one owned job; all methods are safe for threads."""
+    """State of one owned job; all methods are safe for threads.
+
+    Args:
+        job: As submitted.
+        stored: Its progress in the store.
+        records: The records in the store.
+        owner: This entry, name and incarnation.
+        clock: The process's clock.
+        asked: When the store was asked for the write that made this entry the owner.
+    """
 
     def __init__(
-        self, job: JobInput, stored: StoredProgress, records: JobRecords, owner: str, clock: Clock
+        self,
+        job: JobInput,
+        stored: StoredProgress,
+        records: JobRecords,
+        owner: str,
+        clock: Clock,
+        *,
+        asked: Millis,
     ) -> None:
         self._work = JobWork(job, stored.progress)
         self._records = records
@@ -46,8 +60,7 @@
         self._next_checkpoint: Millis = clock.now() + CHECKPOINT_INTERVAL
         self._events_committed = self._work.events_received
         self._lost = False
-        self._verified = clock.now()
-        self._excused_until: Millis = 0.0
+        self._proof = OwnershipProof(clock, asked=asked)
 
     @property
     def job_id(self) -> str:
@@ -75,14 +88,9 @@
         return self._lost
 
     @property
-    def proof_age(self) -> Millis:
-        """Time since the store last showed that the job is ours and has not been ended."""
-        return self._clock.now() - self._verified
-
-    @property
-    def is_excused(self) -> bool:
-        """Whether the store could not be asked for a proof just now."""
-        return self._clock.now() < self._excused_until
+    def proof(self) -> OwnershipProof:
+        """What the owner knows for certain."""
+        return self._proof
 
     @property
     def finished(self) -> bool:
@@ -113,12 +121,21 @@
             self._work.end()
         self.stop_runs()
 
-    def learn_end(self, source: str) -> None:
-        """Take over that another entry has ended the job in the store.
+    def told_ended(self) -> bool:
+        """Take a peer's word that the job was ended in the store; return whether that is news.
 
-        Args:
-            source: Where this was seen, for the log.
+        What runs is cancelled, and nothing starts before the store has shown how things are. The
+        word alone does not end the job here: another entry may have taken it over before, and an
+        owner that believed the job finished would answer for it from what it held then.
         """
+        with self._lock:
+            if self._work.ended or self._lost or self._proof.is_told_ended:
+                return False
+            self._proof.told_ended()
+        self.stop_runs()
+        return True
+
+    def _learn_end(self, source: str) -> None:
         with self._lock:
             if self._work.ended:
                 return
@@ -126,20 +143,10 @@
                 "event=job_end_learned job=%s from=%s proof_age_ms=%.0f",
                 self.job_id,
                 source,
-                self.proof_age,
+                self._proof.age,
             )
             self.end()
 
-    def is_proven(self, *, doubt_until: Millis, max_age: Millis) -> bool:
-        """Whether nobody else can have taken over or ended the job unnoticed.
-
-        Args:
-            doubt_until: Until when others may have done so. A proof that is older says nothing,
-                however long ago the doubt was: the job may have gone on elsewhere all the while.
-            max_age: Age up to which a proof is good enough all the same.
-        """
-        return self._verified >= doubt_until or self.proof_age < max_age
-
     def lose(self) -> None:
         """Stop working on a job that another entry has taken over."""
         with self._lock:
@@ -194,14 +201,10 @@
                 return False
             # Ended jobs keep their owner, since nobody has to take them over.
             if progress.ended:
-                self.learn_end("proof")
-            self._verified = started
+                self._learn_end("proof")
+            self._proof.renew(started)
             return True
-        if read.failure().fault is StoreFault.NOT_FOUND and self._version == 0:
-            self._verified = started
-            return True
-        self._excuse()
-        return False
+        return self._not_proven(read.failure(), started)
 
     def page(self, after: int, wait_until: Millis) -> list[ItemResult] | None:
         """Return committed results from a position on, waiting for one; ``None`` when lost."""
@@ -222,25 +225,32 @@
     def _take(self, stored: StoredProgress, started: Millis) -> None:
         with self._lock:
             if stored.progress.ended:
-                self.learn_end("commit")
+                self._learn_end("commit")
             self._version = stored.version
             self._segments = stored.segments
             self._work.adopt(stored.progress)
-            self._verified = started
+            self._proof.renew(started)
             self._changed.notify_all()
 
-    def _excuse(self) -> None:
-        # Waiting for a proof would stop all batch work in each outage of the store, and in most of
-        # them nobody else reaches it either. What is started wrongly meanwhile is cancelled by the
-        # first proof that succeeds.
-        self._excused_until = self._clock.now() + EXCUSED_TIME
+    def _not_proven(self, failure: StoreFailure, asked: Millis) -> bool:
+        if failure.fault is not StoreFault.NOT_FOUND:
+            self._proof.not_answered()
+            return False
+        if self._version == 0:
+            self._proof.renew(asked)
+            return True
+        # Only the records of jobs that are over are ever removed.
+        self.lose()
+        return False
 
     def _not_committed(self, failure: StoreFailure, started: Millis) -> bool:
         with self._lock:
             self._work.not_committed()
             self._next_commit = self._clock.now() + COMMIT_RETRY
+        if failure.fault is StoreFault.NOT_FOUND:
+            return self._not_proven(failure, started)
         if failure.fault is not StoreFault.CONFLICT or failure.current is None:
-            self._excuse()
+            self._proof.not_answered()
             return False
         current = self._records.progress_of(failure.current)
         if not is_successful(current):
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -33,8 +33,9 @@
 than the pause of a process restart."""
 FORGET_AFTER: Millis = 30_000.0
 DOUBT_TIME: Millis = 4_000.0
-"""How long after a sign of separation an owner checks with the store before it answers for a job:
-a takeover happens within `DEAD_AFTER` of the separation, and is seen in this time."""
+"""How long after a sign of separation an owner checks with the store before it works on a job or
+answers for it: a takeover happens within `DEAD_AFTER` of the separation, and is seen in this time.
+A peer that stays silent is such a sign until it is forgotten, since it may act all the while."""
 ENDS_TOLD_FOR: Millis = 5_000.0
 """How long hints name a job that this entry has ended in the store: ten full hints, and longer than
 a takeover that was under way takes (three calls of at most 1.5 s)."""
@@ -127,6 +128,7 @@
         self._doubt_until: Millis = clock.now() + DOUBT_TIME
         self._last_tick: Millis = clock.now()
         self._ended: dict[str, Millis] = {}
+        self._left: set[str] = set()
         self._on_loads: OnLoads = lambda peer, loads, failures: None
         self._on_versions: Callable[[Mapping[str, int]], None] = lambda versions: None
         self._on_lost: Callable[[Peer], None] = lambda peer: None
@@ -240,13 +242,18 @@
         with self._lock:
             for peer in list(self._peers.values()):
                 silence = now - peer.heard
-                if SILENT_AFTER < silence < DEAD_AFTER and not peer.leaving:
+                if silence > SILENT_AFTER and not peer.leaving:
                     self._doubt_until = now + DOUBT_TIME
+                if silence > SILENT_AFTER and peer.leaving and peer.identity not in self._left:
+                    # What it did last it may have told nobody, and it may never start again.
+                    self._left.add(peer.identity)
+                    self._doubt_until = max(self._doubt_until, now)
                 if silence >= DEAD_AFTER and peer.open_jobs:
                     lost.append(peer)
                     self._peers[peer.name] = _without_jobs(peer)
                 if silence >= FORGET_AFTER:
                     del self._peers[peer.name]
+                    self._left.discard(peer.identity)
         for peer in lost:
             logging.warning(
                 "event=peer_lost peer=%s silent_ms=%.0f jobs=%d",
@@ -319,6 +326,8 @@
                 # What its earlier process did last, it may have told nobody.
                 self._doubt_until = max(self._doubt_until, now)
                 logging.info("event=peer_seen peer=%s", known.identity)
+            if now - known.heard > SILENT_AFTER:
+                self._doubt_until = max(self._doubt_until, now)
             known.heard = now
             known.address = tuple(message["a"])
             known.leaving = message["x"]
--- a/packages/node/tests/test_direct_owned_job.py
+++ b/packages/node/tests/test_direct_owned_job.py
@@ -8,10 +8,18 @@
 from returns.pipeline import is_successful
 
 from carobspool_core import Millis
-from carobspool_core.direct import BatchUrgency, JobInput, JobItem, JobProgress
+from carobspool_core.direct import (
+    BatchUrgency,
+    ItemEnd,
+    ItemResult,
+    JobInput,
+    JobItem,
+    JobProgress,
+)
 from carobspool_node.direct._job_records import JobRecords, StoredProgress
 from carobspool_node.direct._loads import BatchRun
-from carobspool_node.direct._owned_job import EXCUSED_TIME, OwnedJob
+from carobspool_node.direct._owned_job import OwnedJob
+from carobspool_node.direct._ownership_proof import EXCUSED_TIME
 from carobspool_standins.memory_store import MemoryObjects, MemoryStore
 
 OWNER = "e1#1"
@@ -46,7 +54,7 @@
     item = JobItem(item_id="i", path="/", headers={}, body=b"", tokens=1)
     given = JobInput(job_id="j", host="h", path="/", owner=OWNER, submitted=0.0, items=(item,))
     nothing = StoredProgress(progress=JobProgress(owner=OWNER, total=1), segments=(), version=0)
-    owned = OwnedJob(given, nothing, records, OWNER, clock)
+    owned = OwnedJob(given, nothing, records, OWNER, clock, asked=clock.time)
     assert owned.commit()
     return owned
 
@@ -94,12 +102,12 @@
 def test_a_proof_from_before_a_doubt_never_becomes_good(job: OwnedJob, clock: _Clock) -> None:
     """The doubt is long over, but the job may have been ended or taken over during it."""
     doubt_until = clock.time + 4_000.0
-    assert job.is_proven(doubt_until=doubt_until, max_age=1_500.0)
+    assert job.proof.holds(doubt_until=doubt_until, max_age=1_500.0)
     clock.time += 60_000.0
-    assert not job.is_proven(doubt_until=doubt_until, max_age=1_500.0)
+    assert not job.proof.holds(doubt_until=doubt_until, max_age=1_500.0)
     assert job.verify()
     clock.time += 60_000.0
-    assert job.is_proven(doubt_until=doubt_until, max_age=1_500.0)
+    assert job.proof.holds(doubt_until=doubt_until, max_age=1_500.0)
 
 
 def test_a_job_goes_on_for_a_while_when_the_store_cannot_be_asked(
@@ -107,7 +115,60 @@
 ) -> None:
     store.outage = True
     assert not job.verify()
-    assert job.is_excused
+    assert job.proof.is_excused
     assert not job.lost
     clock.time += EXCUSED_TIME
-    assert not job.is_excused
+    assert not job.proof.is_excused
+
+
+def test_a_peers_word_of_an_end_does_not_end_a_job_that_was_taken_over(
+    records: JobRecords, job: OwnedJob
+) -> None:
+    """The owner stalls, another entry takes the job over and commits a result, and the job is
+    ended. The owner wakes and hears only that it was ended. Believing that, it would take the job
+    as finished, never ask the store again, and answer readers without the result for good."""
+    run = _run(job)
+    result = ItemResult(item_id="i", end=ItemEnd.COMPLETED, text="t")
+    _change(records, owner="e2#1", results=(result,), ended=True)
+    assert job.told_ended()
+    assert run.cancellation.cancelled
+    assert not job.finished
+    assert not job.proof.holds(doubt_until=0.0, max_age=1_500.0)
+    assert not job.verify()
+    assert job.lost
+
+
+def test_nothing_starts_on_a_peers_word_until_the_store_has_been_asked(
+    store: MemoryStore, job: OwnedJob, clock: _Clock
+) -> None:
+    """The word came while the store was away, which is otherwise a reason to go on."""
+    clock.time += 10.0
+    store.outage = True
+    assert job.told_ended()
+    assert not job.told_ended()
+    assert not job.verify()
+    assert not job.proof.is_excused
+    store.outage = False
+    clock.time += 10.0
+    assert job.verify()
+    assert job.proof.holds(doubt_until=0.0, max_age=1_500.0)
+
+
+def test_a_commit_under_way_says_nothing_of_a_later_word(job: OwnedJob, clock: _Clock) -> None:
+    """A commit was sent before the word came, and is answered after it."""
+    asked = clock.time
+    clock.time += 10.0
+    assert job.told_ended()
+    job.proof.renew(asked)
+    assert not job.proof.holds(doubt_until=0.0, max_age=1_500.0)
+
+
+def test_a_job_whose_records_are_gone_is_over(
+    records: JobRecords, store: MemoryStore, job: OwnedJob
+) -> None:
+    """Only jobs that are over are removed. The owner missed the end; a record that is missing is
+    the store's own word and no outage."""
+    assert records.remove(store.get("progress/j").unwrap()) is None
+    assert not job.verify()
+    assert job.lost
+    assert not job.proof.is_excused
