--- a/tests/direct/test_jobs.py
+++ b/tests/direct/test_jobs.py
@@ -131,6 +131,21 @@
     _results_are_whole(eventually(lambda: finished(fresh[1], "j"), 12), ["a", "b"])
 
 
+def test_a_job_of_an_owner_that_nobody_has_heard_is_found(system: Deployment) -> None:
+    """A job is accepted, and its entry is gone for good before any other has heard of the job: its
+    hints are datagrams and may all be lost. Nobody misses the job, and it used to lie in the store
+    until some entry started. Now a listing follows each time that an entry does not come back."""
+    owner = system.entry("e1")
+    assert owner.call("POST", "/batch/j", body=submission("a"), request_id="j").status == 202
+    owner.signal(signal.SIGKILL)
+    owner.process.wait()
+    system.server("engine", stream_events(EVENTS))
+    entry, other = system.entry("e2"), system.entry("e3")
+    eventually(lambda: entry.logged("event=peer_seen peer=e3"), 5)
+    other.signal(signal.SIGKILL)
+    _results_are_whole(eventually(lambda: finished(entry, "j"), 15), ["a"])
+
+
 def test_an_owner_that_was_killed_goes_on_where_it_stood(system: Deployment) -> None:
     """An item of four seconds is three seconds old, and its job has no result yet, when its owner
     is killed. The same host starts again at once. The item goes on after what was committed instead
