Jobs that only a lost entry knew of are found; recovery has a module of its own; a counter of proofs

Cause: the store was listed for jobs without an owner only when an entry started. Change: an entry that has been silent for 5 s is gone; one entry then lists the jobs once.

--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -6,7 +6,7 @@
 import signal
 import threading
 import uuid
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 
 import cbor2
@@ -35,6 +35,7 @@
 from carobspool_node.direct._job_adoption import JobAdoption
 from carobspool_node.direct._job_catalog import JobCatalog
 from carobspool_node.direct._job_records import JobRecords
+from carobspool_node.direct._job_recovery import JobRecovery
 from carobspool_node.direct._job_retention import JobRetention
 from carobspool_node.direct._job_runner import JobRunner
 from carobspool_node.direct._jobs import Jobs, Outcome
@@ -42,7 +43,7 @@
 from carobspool_node.direct._loads import LoadTable
 from carobspool_node.direct._messages import CallerRequest
 from carobspool_node.direct._peer_calls import PEER_HEADERS, PeerCaller
-from carobspool_node.direct._peers import DEAD_AFTER, OwnHint, Peer, Peers
+from carobspool_node.direct._peers import OwnHint, Peers
 from carobspool_node.direct._reload import SettingsReload
 from carobspool_node.direct._settings import DirectSettings
 from carobspool_node.direct._store_relay import RelayedStore
@@ -53,13 +54,9 @@
 PEER_WORKERS = 100
 STACK_BYTES = 256 * 1024
 """Stack of a thread; there is one for each connection, and the default would reserve 8 MB each."""
-SETTLE_TIME: Millis = DEAD_AFTER + 300.0
-"""How long after its start an entry judges nobody as gone; each peer has sent full hints then."""
 TIDY_INTERVAL_S = 1.0
 ENTRIES_GATHER: Millis = 1_500.0
 """Pause between two watches of the entries. Who starts is known by its hints much sooner."""
-ORPHAN_INTERVAL_S = 0.5
-"""Time between two tries to find an owner for jobs that have none, while the store is away."""
 MIN_DRAIN: Millis = 2_500.0
 """How long a leaving entry serves on: the balancer needs two misses, a second apart, to take it
 out, and callers use open connections until then."""
@@ -86,13 +83,11 @@
         self._reload = reload
         self._deployment = deployment
         self._clock = boottime_clock()
-        self._started = self._clock.now()
         self._telemetry = Telemetry()
         self._incarnation = uuid.uuid4().hex[:8]
         self._leaving = threading.Event()
         self._exit_at: Millis | None = None
         self._released = threading.Event()
-        self._orphans = threading.Event()
         self._loads = LoadTable(self._clock, settings.failure_domain, name=settings.node)
         self._connections = UpstreamConnections(self._clock)
         self._peer_caller = PeerCaller(self._clock)
@@ -131,11 +126,24 @@
             settings.job_retention,
             on_duty=lambda: self._has_duty(RETENTION_DUTY),
         )
-        self._adoption = JobAdoption(
-            self._clock, catalog, self._runner, self._peers, peers_settled=self._peers_settled
+        adoption = JobAdoption(
+            self._clock,
+            catalog,
+            self._runner,
+            self._peers,
+            peers_settled=lambda: self._recovery.peers_settled(),
+        )
+        self._recovery = JobRecovery(
+            self._clock,
+            adoption,
+            self._runner,
+            self._peers,
+            node=settings.node,
+            leaving=self._leaving,
+            has_duty=self._has_duty,
         )
         self._jobs = Jobs(
-            self._clock, catalog, self._runner, self._adoption, self._peers, self._peer_caller
+            self._clock, catalog, self._runner, adoption, self._peers, self._peer_caller
         )
         forwarder = Forwarder(
             self._clock,
@@ -181,16 +189,16 @@
         self._peers.start(
             on_loads=self._take_loads,
             on_versions=self._declared.compare,
-            on_lost=self._peer_lost,
+            on_lost=self._recovery.peer_lost,
+            on_gone=self._recovery.peer_gone,
             on_ended=self._runner.told_ended,
         )
         self._declared.start()
         self._entries.start()
         self._runner.start()
         threading.Thread(target=self._register, name="register", daemon=True).start()
-        threading.Thread(target=self._recover, name="recover", daemon=True).start()
+        self._recovery.start(first_start=settings.first_start)
         threading.Thread(target=self._poll, name="poll", daemon=True).start()
-        threading.Thread(target=self._adopt_orphans, name="orphans", daemon=True).start()
         while not self._leaving.wait(TIDY_INTERVAL_S):
             self._tidy()
             self._reload.check()
@@ -298,49 +306,6 @@
                     return
             self._leaving.wait(0.3 + random.random() * 0.3)
 
-    def _recover(self) -> None:
-        """Take over what a start of the whole system left without an owner.
-
-        What an earlier process of this node owned has no owner for certain, and is taken back at
-        once: its items would otherwise stand still until the entries know who else lives.
-        """
-        if self._settings.first_start:
-            return
-        self._recover_all(lambda job_id, owner: self._was_own(owner))
-        self._leaving.wait(max(0.0, SETTLE_TIME - (self._clock.now() - self._started)) / 1000.0)
-        self._recover_all(lambda job_id, owner: self._is_mine(job_id))
-        logging.info("event=recovered owned=%d", len(self._runner.owned()))
-
-    def _recover_all(self, mine: Callable[[str, str], bool]) -> None:
-        while not self._leaving.is_set():
-            if self._adoption.recover(mine):
-                return
-            self._leaving.wait(0.3 + random.random() * 0.3)
-
-    def _was_own(self, owner: str) -> bool:
-        return owner.partition("#")[0] == self._settings.node
-
-    def _is_mine(self, job_id: str) -> bool:
-        nodes = [peer.name for peer in self._peers.live() if not peer.leaving]
-        nodes.append(self._settings.node)
-        return rendezvous_owner(job_id, nodes) == self._settings.node
-
-    def _peers_settled(self) -> bool:
-        return self._clock.now() - self._started >= SETTLE_TIME
-
-    def _peer_lost(self, peer: Peer) -> None:
-        self._adoption.orphaned(peer.open_jobs, f"lost {peer.identity}")
-        self._orphans.set()
-
-    def _adopt_orphans(self) -> None:
-        while not self._leaving.is_set():
-            self._orphans.wait(ORPHAN_INTERVAL_S)
-            self._orphans.clear()
-            try:
-                self._adoption.adopt_orphans(self._is_mine)
-            except Exception:  # noqa: BLE001
-                logging.exception("event=takeover_failed")
-
     def _take_loads(
         self, peer: str, loads: Mapping[str, Load], failures: Mapping[str, int]
     ) -> None:
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -245,6 +245,8 @@
     def _prove(self, job: OwnedJob) -> None:
         try:
             proven = job.verify()
+            outcome = "lost" if job.lost else "ended" if job.work.ended else "ours"
+            self._telemetry.count("job_proofs", outcome=outcome if proven or job.lost else "unread")
             logging.info(
                 "event=job_proof job=%s proven=%s lost=%s ended=%s",
                 job.job_id,
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -31,6 +31,8 @@
 DEAD_AFTER: Millis = 2_200.0
 """A peer unheard for this long has lost its jobs to others: four full hints in a row, and longer
 than the pause of a process restart."""
+GONE_AFTER: Millis = 5_000.0
+"""A peer unheard for this long does not come back at once; a restart takes two seconds."""
 FORGET_AFTER: Millis = 30_000.0
 DOUBT_TIME: Millis = 4_000.0
 """How long after a sign of separation an owner checks with the store before it works on a job or
@@ -129,9 +131,11 @@
         self._last_tick: Millis = clock.now()
         self._ended: dict[str, Millis] = {}
         self._left: set[str] = set()
+        self._gone: set[str] = set()
         self._on_loads: OnLoads = lambda peer, loads, failures: None
         self._on_versions: Callable[[Mapping[str, int]], None] = lambda versions: None
         self._on_lost: Callable[[Peer], None] = lambda peer: None
+        self._on_gone: Callable[[Peer], None] = lambda peer: None
         self._on_ended: Callable[[Sequence[str]], None] = lambda job_ids: None
         self._stopped = threading.Event()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -148,12 +152,14 @@
         on_loads: OnLoads,
         on_versions: Callable[[Mapping[str, int]], None],
         on_lost: Callable[[Peer], None],
+        on_gone: Callable[[Peer], None],
         on_ended: Callable[[Sequence[str]], None],
     ) -> None:
         """Start to send and to receive."""
         self._on_loads = on_loads
         self._on_versions = on_versions
         self._on_lost = on_lost
+        self._on_gone = on_gone
         self._on_ended = on_ended
         threading.Thread(target=self._receive, name="hints-in", daemon=True).start()
         threading.Thread(target=self._send, name="hints-out", daemon=True).start()
@@ -239,6 +245,7 @@
                     peer.heard = max(peer.heard, now - SILENT_AFTER)
             return
         lost = []
+        gone = []
         with self._lock:
             for peer in list(self._peers.values()):
                 silence = now - peer.heard
@@ -251,9 +258,13 @@
                 if silence >= DEAD_AFTER and peer.open_jobs:
                     lost.append(peer)
                     self._peers[peer.name] = _without_jobs(peer)
+                if silence >= GONE_AFTER and peer.identity not in self._gone:
+                    self._gone.add(peer.identity)
+                    gone.append(peer)
                 if silence >= FORGET_AFTER:
                     del self._peers[peer.name]
                     self._left.discard(peer.identity)
+                    self._gone.discard(peer.identity)
         for peer in lost:
             logging.warning(
                 "event=peer_lost peer=%s silent_ms=%.0f jobs=%d",
@@ -262,6 +273,8 @@
                 len(peer.open_jobs),
             )
             self._on_lost(peer)
+        for peer in gone:
+            self._on_gone(peer)
 
     def _tell(self, *, full: bool) -> None:
         hint = self._describe()
--- a/packages/node/src/carobspool_node/direct/_telemetry.py
+++ b/packages/node/src/carobspool_node/direct/_telemetry.py
@@ -31,6 +31,7 @@
     "upstream_failures": ("service",),
     "job_calls": ("call", "outcome"),
     "items": ("outcome",),
+    "job_proofs": ("outcome",),
     "store_calls": ("call", "outcome"),
     "log_lines_dropped": (),
 }
