A sidecar starts nothing that came before the end of a stall

Cause (class: the age of a message is taken for the age of what it belongs to): an entry sends to a frozen sidecar until it counts it as lost, four seconds after the freeze. The last of these requests were 2.2 s old at the thaw, and requests up to 2.5 s pass for a slow network. What waited for a place at the freeze was started at the thaw without any check. A request that was sent before the end of the last one is refused on arrival, one that waits since before it at its turn, both as not run. A start decided before a stall is held back by the check before the sending, as it was. The sidecar's clock goes on while the host is suspended. Considered: a lower limit of age (0.5 s would refuse what a busy network delivers, and one sent 0.4 s before the thaw would still start). Test files: the constructor of Run and give_way take an instant; test_runs.py hands one over, no check is changed.

--- a/packages/node/src/carobspool_node/_engine_runs.py
+++ b/packages/node/src/carobspool_node/_engine_runs.py
@@ -219,7 +219,7 @@
     ) -> None:
         gave_way = collector.cancelled or result.end is not CallEnd.COMPLETE
         if progress.preempting and not progress.cancelled and gave_way:
-            run.give_way()
+            run.give_way(self._clock.now())
             self._tell().preempted(run.open.id, kept_tokens=collector.tokens, kept=progress.kept)
             return
         failure = self._failure_of(result, progress)
--- a/packages/node/src/carobspool_node/_runs.py
+++ b/packages/node/src/carobspool_node/_runs.py
@@ -44,11 +44,12 @@
         "_lock",
         "_pieces",
         "_state",
+        "_waits_since",
         "ended_at",
         "open",
     )
 
-    def __init__(self, request: Open, deliver: Callable[[Message], None]) -> None:
+    def __init__(self, request: Open, deliver: Callable[[Message], None], received: Millis) -> None:
         self._deliver = deliver
         self._lock = threading.Lock()
         self._head: Head | None = None
@@ -57,6 +58,7 @@
         self._state = RunState.WAITING
         self._gave_way = False
         self._begun_at: Millis = 0.0
+        self._waits_since = received
         self.open = request
         self.ended_at: Millis = 0.0
 
@@ -70,6 +72,11 @@
         """When it was last handed to the upstream."""
         return self._begun_at
 
+    @property
+    def waits_since(self) -> Millis:
+        """When it came, or last gave way."""
+        return self._waits_since
+
     @property
     def size(self) -> int:
         """Bytes kept for replay."""
@@ -84,11 +91,12 @@
             self._begun_at = now
             return True
 
-    def give_way(self) -> None:
+    def give_way(self, now: Millis) -> None:
         """Mark it as waiting again after it was preempted."""
         with self._lock:
             if self._state is RunState.RUNNING:
                 self._state = RunState.WAITING
+                self._waits_since = now
                 self._gave_way = True
 
     def end_waiting(self, failure: Failure, now: Millis) -> bool:
--- a/packages/node/src/carobspool_node/_sidecar.py
+++ b/packages/node/src/carobspool_node/_sidecar.py
@@ -44,15 +44,15 @@
 from carobspool_node._peer_keys import PeerKeys
 from carobspool_node._runs import Run, RunState, RunTable
 from carobspool_node._scheduler import Scheduler
+from carobspool_node._stall_watch import StallWatch
 from carobspool_node._upstream_health import UpstreamHealth
 from carobspool_node.errors import CodecError, HandshakeError, LinkClosedError
 
 MAX_OPEN_AGE: Millis = 2_500.0
 """Requests older than this on arrival are refused as not run.
 
-Without it, a sidecar that was frozen would on waking start what its entries have long given up or
-run elsewhere, and a host that is leaving would get new work. Entries count a sidecar as lost after
-3 s, so nothing they still hope for is refused.
+Without it, what the network held up would start when its entries have long given it up or run it
+elsewhere. Entries count a sidecar as lost after 3 s, so nothing they still hope for is refused.
 """
 RUN_WORKERS = 1_024
 """Bound of the requests at one upstream; a worker exists only once it is needed."""
@@ -63,6 +63,7 @@
     "never_received", "the request never reached the upstream's host", retry_after_ms=0.0
 )
 _ENTRY_SILENT = unavailable("entry_silent", "the entry of this item is not heard")
+_STALLED = unavailable("stale", "the upstream's host stood still", retry_after_ms=0.0)
 _FORGOTTEN = broken_upstream(
     "replay_expired", "the answer is no longer kept", outcome=Outcome.UNKNOWN
 )
@@ -113,6 +114,7 @@
         self._identity = identity
         self._keys = keys
         self._clock = clock
+        self._stalls = StallWatch(clock)
         self._runs = RunTable()
         self._links = EntryLinks(clock)
         self._state = SidecarState.READY
@@ -158,6 +160,7 @@
     def start(self) -> None:
         """Listen and serve in tasks of its own."""
         self._health.start()
+        self._stalls.start()
         self._server = serve(
             self._serve,
             self._options.address,
@@ -210,6 +213,7 @@
     def stop(self) -> None:
         """Close all connections and end the tasks."""
         self._stopped.set()
+        self._stalls.stop()
         self._health.stop()
         self._scheduler.stop()
         self._links.close()
@@ -259,10 +263,11 @@
             self.on_configuration(message, link)
 
     def _open(self, link: Link, message: Open) -> None:
-        run = Run(message, self._links.sender(message.id.incarnation))
+        received = self._stalls.now()
+        run = Run(message, self._links.sender(message.id.incarnation), received)
         if not self._links.while_current(link, lambda: self._runs.add(run)):
             return
-        refusal = self._refusal(link, message)
+        refusal = self._refusal(link, message, received)
         if refusal is not None:
             run.end(refusal, self._clock.now())
             return
@@ -270,9 +275,13 @@
         if not is_successful(offered):
             run.end(offered.failure(), self._clock.now())
 
-    def _refusal(self, link: Link, message: Open) -> Failure | None:
-        age = link.age(message.sent, self._clock.now())
-        if age > MAX_OPEN_AGE:
+    def _refusal(self, link: Link, message: Open, received: Millis) -> Failure | None:
+        age = link.age(message.sent, received)
+        # An entry sends to a sidecar that stands still until it counts it as lost, some four
+        # seconds later. What it sent last would be young enough at the end of a stall, while its
+        # entry has given it up and runs it elsewhere.
+        if age > MAX_OPEN_AGE or received - age < self._stalls.woke_at:
+            logging.info("event=stale_refused id=%s age_ms=%.0f", message.id, age)
             return unavailable(
                 "stale", f"the request reached the upstream's host {age:.0f} ms late"
             )
@@ -318,9 +327,15 @@
 
     def _start(self, identity: RequestId) -> None:
         run = self._runs.get(identity)
+        # Taken before the checks: a stall after them makes the start itself too old to be sent.
+        now = self._stalls.now()
         if run is not None and self._is_abandoned(run):
-            run.end_waiting(_ENTRY_SILENT, self._clock.now())
-        if run is None or not run.begin(self._clock.now()):
+            run.end_waiting(_ENTRY_SILENT, now)
+        if run is not None and run.waits_since < self._stalls.woke_at:
+            logging.info("event=stale_refused id=%s waits_ms=%.0f", identity, now - run.waits_since)
+            run.end_waiting(_STALLED, now)
+        if run is None or not run.begin(now):
+            self._engine.forget(identity)
             self._scheduler.finished(identity)
             return
         self._pool.submit(self._engine.run, run)
--- a/packages/node/src/carobspool_node/_sidecar_node.py
+++ b/packages/node/src/carobspool_node/_sidecar_node.py
@@ -16,9 +16,9 @@
     Failure,
     RequestId,
     UpstreamKind,
+    boottime_clock,
     declared_engine,
     make_admission,
-    monotonic_clock,
 )
 from carobspool_core import AdmissionSettings as DecisionSettings
 from carobspool_node._config_store import ConfigurationFollower, make_follower
@@ -46,7 +46,7 @@
 
     def __init__(self, settings: SidecarSettings) -> None:
         self._settings = settings
-        self._clock = monotonic_clock()
+        self._clock = boottime_clock()
         self._identity = Identity(
             node=settings.node,
             incarnation=secrets.token_hex(8),
--- a/packages/node/tests/test_runs.py
+++ b/packages/node/tests/test_runs.py
@@ -42,7 +42,7 @@
 def test_replay_sends_the_rest_of_an_answer() -> None:
     """An entry that lost its connection gets head, missing pieces and end again."""
     sent: list[Message] = []
-    run = Run(_open(), sent.append)
+    run = Run(_open(), sent.append, 0.0)
     assert run.begin(0.0)
     run.head(200, {})
     run.data(b"a")
@@ -58,9 +58,9 @@
 def test_a_started_request_is_never_said_not_to_have_run() -> None:
     """A request that gave way and is refused while it waits again ends as unknown."""
     sent: list[Message] = []
-    run = Run(_open(), sent.append)
+    run = Run(_open(), sent.append, 0.0)
     assert run.begin(0.0)
-    run.give_way()
+    run.give_way(1.0)
     assert run.end_waiting(unavailable("x", "y"), 1.0)
     end = sent[-1]
     assert isinstance(end, End)
@@ -70,7 +70,7 @@
 
 def test_a_cancelled_request_cannot_begin() -> None:
     """A request that was ended as not run is not started by a decision already taken."""
-    run = Run(_open(), lambda _: None)
+    run = Run(_open(), lambda _: None, 0.0)
     assert run.end_waiting(unavailable("x", "y"), 1.0)
     assert not run.begin(0.0)
     assert run.state is RunState.ENDED
@@ -78,7 +78,7 @@
 
 def test_a_running_request_is_not_ended_as_waiting() -> None:
     """A request at the upstream cannot be ended as if it still waited."""
-    run = Run(_open(), lambda _: None)
+    run = Run(_open(), lambda _: None, 0.0)
     assert run.begin(0.0)
     assert not run.end_waiting(unavailable("x", "y"), 1.0)
 
@@ -86,21 +86,21 @@
 def test_forgotten_requests_are_still_known_to_have_been_here() -> None:
     """A request whose pieces have expired is neither run again nor taken for unknown."""
     table = RunTable()
-    run = Run(_open(), lambda _: None)
+    run = Run(_open(), lambda _: None, 0.0)
     assert table.add(run)
     run.begin(0.0)
     run.end(None, 1.0)
     table.expire(2.0 + REPLAY_TTL)
     assert table.get(run.open.id) is None
     assert table.forgotten(run.open.id)
-    assert not table.add(Run(_open(), lambda _: None))
+    assert not table.add(Run(_open(), lambda _: None, 0.0))
 
 
 def test_ended_requests_are_bounded() -> None:
     """The oldest ended requests go first when there are too many."""
     table = RunTable()
     for counter in range(MAX_ENDED_RUNS + 5):
-        run = Run(_open(counter), lambda _: None)
+        run = Run(_open(counter), lambda _: None, 0.0)
         table.add(run)
         run.begin(0.0)
         run.end(None, float(counter) / MAX_ENDED_RUNS)
--- a/packages/node/tests/test_sidecar_stall.py
+++ b/packages/node/tests/test_sidecar_stall.py
@@ -34,6 +34,7 @@
 from carobspool_node._peer_keys import PeerKeys
 from carobspool_node._scheduler import Scheduler
 from carobspool_node._sidecar import Sidecar, SidecarOptions
+from carobspool_node._stall_watch import STALL_LIMIT, StallWatch
 
 KEYS = PeerKeys(keys={"k": b"key"}, use="k")
 FREEZE = 6_000.0
@@ -224,3 +225,15 @@
     _eventually(lambda: 1 in entry.ends)
     assert entry.ends[1].failure is None
     assert upstream.paths == ["/1"]
+
+
+def test_an_instant_before_a_stall_lies_before_its_end(clock: ManualClock) -> None:
+    """Nobody has looked at the clock in between, as right after a thaw."""
+    watch = StallWatch(clock)
+    before = watch.now()
+    clock.advance(STALL_LIMIT)
+    assert watch.now() > watch.woke_at
+    assert watch.woke_at <= before
+    _freeze(clock)
+    after = watch.now()
+    assert before < watch.woke_at <= after
