An upstream that starts again under its id is a new one

Cause: an upstream's identity was its id alone. Suspicion, failures, requests in flight and kept connections of the earlier start were held against the new one, and calls on its silent connections waited for their time limit.

Now all of it is kept by id and start. An earlier start never replaces a later one, whatever brings it; silent calls to an earlier start end as unknown when a later one shows. Hints name starts beside the bare ids, so that entries of the version before still read them. A second digest, of starts, finds a restart that a deaf watch has missed.

Besides: a connection that is given back is detached from its call's cancellation, which could shut it down under the next request.

Ruled out: ending every call to the earlier start; a stream that had reached the new start before its registration was read was cut (test_a_stream_that_reached_the_new_start_early_is_not_cut). One digest with starts in it: entries of two versions would read the list each second.

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -49,6 +49,12 @@
     return_after,
 )
 from carobspool_core.direct._shared_view import SharedView
+from carobspool_core.direct._upstream_identity import (
+    by_identity,
+    by_instance,
+    identity_of,
+    latest_starts,
+)
 from carobspool_core.direct._upstreams import LAPSE_GRACE, Upstream, UpstreamList
 from carobspool_core.direct._waiting_quota import fits_quota
 
@@ -79,6 +85,8 @@
     "Upstream",
     "UpstreamList",
     "WeightedService",
+    "by_identity",
+    "by_instance",
     "choose_batch_upstream",
     "choose_upstream",
     "excess_of_batch",
@@ -86,8 +94,10 @@
     "has_returned",
     "has_time_for_job_call",
     "has_time_to_serve",
+    "identity_of",
     "job_from_json",
     "job_to_json",
+    "latest_starts",
     "progress_from_json",
     "progress_to_json",
     "queue_limit",
--- a/packages/core/src/carobspool_core/direct/_failure_reports.py
+++ b/packages/core/src/carobspool_core/direct/_failure_reports.py
@@ -25,7 +25,7 @@
 
 
 class FailureReports:
-    """Failures by upstream, of this entry and of the others."""
+    """Failures by an upstream's identity, of this entry and of the others."""
 
     __slots__ = ("_known", "_own", "_times")
 
@@ -34,10 +34,10 @@
         self._known: dict[str, Mapping[str, int]] = {}
         self._times: dict[str, deque[Millis]] = {}
 
-    def note(self, instance: str, now: Millis) -> None:
+    def note(self, identity: str, now: Millis) -> None:
         """Take a failure that this entry saw."""
-        self._own[instance] = self._own.get(instance, 0) + 1
-        self._add(instance, 1, now)
+        self._own[identity] = self._own.get(identity, 0) + 1
+        self._add(identity, 1, now)
 
     def own(self) -> dict[str, int]:
         """Return how many failures this entry has seen since its start, for the others."""
@@ -52,27 +52,27 @@
         self._known[peer] = counts
         if known is None:
             return
-        for instance, count in counts.items():
-            before = known.get(instance, 0)
+        for identity, count in counts.items():
+            before = known.get(identity, 0)
             # A smaller number comes from a peer that has started again.
-            self._add(instance, count - before if count >= before else count, now)
+            self._add(identity, count - before if count >= before else count, now)
 
     def failing(self, now: Millis) -> set[str]:
         """Return the upstreams that are to be avoided."""
         found = set()
-        for instance, times in self._times.items():
+        for identity, times in self._times.items():
             while times and now - times[0] > WINDOW:
                 times.popleft()
             if len(times) >= FAILURES_TO_AVOID:
-                found.add(instance)
+                found.add(identity)
         return found
 
-    def keep_only(self, instances: set[str], peers: set[str]) -> None:
+    def keep_only(self, identities: set[str], peers: set[str]) -> None:
         """Forget upstreams and peers that are gone."""
-        self._own = {key: count for key, count in self._own.items() if key in instances}
-        self._times = {key: times for key, times in self._times.items() if key in instances}
+        self._own = {key: count for key, count in self._own.items() if key in identities}
+        self._times = {key: times for key, times in self._times.items() if key in identities}
         self._known = {key: counts for key, counts in self._known.items() if key in peers}
 
-    def _add(self, instance: str, count: int, now: Millis) -> None:
-        times = self._times.setdefault(instance, deque(maxlen=_KEPT))
+    def _add(self, identity: str, count: int, now: Millis) -> None:
+        times = self._times.setdefault(identity, deque(maxlen=_KEPT))
         times.extend([now] * min(count, _KEPT))
--- a/packages/core/src/carobspool_core/direct/_placement.py
+++ b/packages/core/src/carobspool_core/direct/_placement.py
@@ -80,14 +80,14 @@
 
     Args:
         upstreams: Candidates.
-        loads: What is known to be in flight.
+        loads: What is known to be in flight, by identity.
         failure_domain: Where the request is now.
         queue: How many online requests may wait at an upstream beyond its slots.
-        suspects: Upstreams that seem to have stopped.
+        suspects: Identities of upstreams that seem to have stopped.
         draw: Breaks ties.
     """
     draw = draw or _draw
-    sound = [each for each in upstreams if each.instance not in suspects]
+    sound = [each for each in upstreams if each.identity not in suspects]
     if len(sound) > SAMPLED:
         sampled = draw.sample(sound, SAMPLED)
         found = _least_loaded(sampled, loads, failure_domain, queue, suspects, draw)
@@ -107,7 +107,7 @@
     best: Upstream | None = None
     best_score = float("inf")
     for upstream in upstreams:
-        load = loads.get(upstream.instance, Load())
+        load = loads.get(upstream.identity, Load())
         if load.online >= upstream.slots + queue(upstream):
             continue
         score = load.online / upstream.slots
@@ -116,7 +116,7 @@
         score += load.batch / upstream.slots * 0.2
         if upstream.failure_domain != failure_domain:
             score += OTHER_DOMAIN_PENALTY
-        if upstream.instance in suspects:
+        if upstream.identity in suspects:
             score += SUSPECT_PENALTY
         score += draw.random() * _JITTER
         if score < best_score:
@@ -138,9 +138,9 @@
     best: Upstream | None = None
     best_score = float("inf")
     for upstream in upstreams:
-        if upstream.instance in suspects:
+        if upstream.identity in suspects:
             continue
-        load = loads.get(upstream.instance, Load())
+        load = loads.get(upstream.identity, Load())
         free = upstream.slots - _reserve(upstream.slots, urgency) - load.total
         if free <= 0:
             continue
@@ -185,7 +185,7 @@
         entry: The entry that decides.
     """
     order = sorted(
-        batch_of_entries, key=lambda each: xxh3_64_intdigest(f"{upstream.instance} {each}".encode())
+        batch_of_entries, key=lambda each: xxh3_64_intdigest(f"{upstream.identity} {each}".encode())
     )
     for each in order:
         if each == entry:
--- a/packages/core/src/carobspool_core/direct/_upstreams.py
+++ b/packages/core/src/carobspool_core/direct/_upstreams.py
@@ -4,11 +4,12 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from xxhash import xxh3_64_intdigest
 
 from carobspool_core._clock import Millis
+from carobspool_core.direct._upstream_identity import UNKNOWN_START, identity_of
 
 KEPT_SHARE = 0.5
 """A vanished upstream counts as lapsed only when less than this share of its service is left. An
@@ -21,19 +22,23 @@
 return. Dropping them at once would leave a healthy service without upstreams for that time; using
 them for longer would send requests to upstreams that have really gone.
 """
+STARTS_REMEMBERED = 4_096
+"""Ids whose latest start is remembered after they are gone; far more than a fleet has at once."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Upstream:
-    """One registered server of a service.
+    """One start of a registered server of a service.
 
     Attributes:
-        instance: Id of this start of the server; a restart brings a new one.
+        instance: Id of the server; it may start again under it.
         service: The service it belongs to.
         address: IP number and port; may later belong to a server of another service.
         failure_domain: Where it runs.
         slots: Requests that it runs at once.
         ready: ``False`` when it is leaving and wants nothing new.
+        started: Unix milliseconds of its start, by its own clock; 0 when it does not tell.
+        identity: Id and start, the key of all that is believed of it.
     """
 
     instance: str
@@ -42,16 +47,27 @@
     failure_domain: str
     slots: int
     ready: bool
+    started: int = UNKNOWN_START
+    identity: str = field(init=False)
+
+    def __post_init__(self) -> None:
+        # Built once: a choice of an upstream looks some hundred of them up under its lock.
+        object.__setattr__(self, "identity", identity_of(self.instance, self.started))
+
+    def replaces(self, other: Upstream) -> bool:
+        """Whether this is a later start of the same server."""
+        return self.instance == other.instance and self.started > other.started
 
 
 class UpstreamList:
     """The registered upstreams, with a short memory for those that lapsed during an outage."""
 
-    __slots__ = ("_before", "_grace_until", "_lapsed", "_listed")
+    __slots__ = ("_before", "_grace_until", "_lapsed", "_latest", "_listed")
 
     def __init__(self) -> None:
         self._listed: dict[str, Upstream] = {}
         self._lapsed: dict[str, tuple[Upstream, Millis]] = {}
+        self._latest: dict[str, Upstream] = {}
         self._grace_until: Millis = 0.0
         self._before: Counter[str] = Counter()
 
@@ -60,20 +76,29 @@
         self._grace_until = now + LAPSE_GRACE
         self._before = self._ready_by_service()
 
-    def replace(self, upstreams: Iterable[Upstream], now: Millis) -> None:
-        """Take a complete listing."""
+    def replace(self, upstreams: Iterable[Upstream], now: Millis) -> list[Upstream]:
+        """Take a complete listing; return the upstreams in it that have started again."""
         before = self._listed
-        self._listed = {each.instance: each for each in upstreams}
-        for instance in self._listed:
-            self._lapsed.pop(instance, None)
+        self._listed = {}
+        restarted = []
+        for upstream in upstreams:
+            known = before.get(upstream.instance)
+            if self._is_outdated(upstream, known):
+                if known is not None:
+                    self._listed[known.instance] = known
+                continue
+            if self._take(upstream):
+                restarted.append(upstream)
         for instance, upstream in before.items():
             if instance not in self._listed:
                 self._vanished(upstream, now)
+        return restarted
 
-    def put(self, upstream: Upstream) -> None:
-        """Take a new or changed registration."""
-        self._listed[upstream.instance] = upstream
-        self._lapsed.pop(upstream.instance, None)
+    def put(self, upstream: Upstream) -> list[Upstream]:
+        """Take a new or changed registration; return it if the upstream has started again."""
+        if self._is_outdated(upstream, self._listed.get(upstream.instance)):
+            return []
+        return [upstream] if self._take(upstream) else []
 
     def remove(self, instance: str, now: Millis) -> None:
         """Take the removal of a registration."""
@@ -81,6 +106,30 @@
         if upstream is not None:
             self._vanished(upstream, now)
 
+    def _is_outdated(self, upstream: Upstream, listed: Upstream | None) -> bool:
+        """Whether a registration speaks of an earlier start than one that is known.
+
+        Listings and watches can cross, and an earlier start must not come back with what is not
+        answered there. A server that tells no start is refused only beside one that does: its
+        software may have been replaced by an older one, and it would be lost for good.
+        """
+        if listed is not None and listed.replaces(upstream):
+            return True
+        if upstream.started == UNKNOWN_START:
+            return False
+        latest = self._latest.get(upstream.instance)
+        return latest is not None and latest.replaces(upstream)
+
+    def _take(self, upstream: Upstream) -> bool:
+        """List an upstream; return whether an earlier start of it was known."""
+        self._listed[upstream.instance] = upstream
+        self._lapsed.pop(upstream.instance, None)
+        earlier = self._latest.pop(upstream.instance, upstream)
+        self._latest[upstream.instance] = earlier if earlier.replaces(upstream) else upstream
+        if len(self._latest) > STARTS_REMEMBERED:
+            del self._latest[next(iter(self._latest))]
+        return upstream.replaces(earlier)
+
     def _vanished(self, upstream: Upstream, now: Millis) -> None:
         """Keep an upstream that has lapsed with most of its service around an outage."""
         if not upstream.ready or now >= self._grace_until:
@@ -101,9 +150,10 @@
         found.extend(each for each, _ in self._lapsed.values() if each.service == service)
         return found
 
-    def instances(self) -> set[str]:
-        """Return the ids of all upstreams known, leaving ones included."""
-        return set(self._listed) | set(self._lapsed)
+    def identities(self) -> set[str]:
+        """Return the identities of all upstreams known, leaving ones included."""
+        found = {each.identity for each in self._listed.values()}
+        return found.union(each.identity for each, _ in self._lapsed.values())
 
     def listed(self) -> list[Upstream]:
         """Return every listed upstream."""
@@ -113,3 +163,12 @@
         """Return a number that differs when the listed upstreams or their readiness differ."""
         parts = sorted(f"{each.instance} {each.ready}" for each in self._listed.values())
         return xxh3_64_intdigest("\n".join(parts).encode())
+
+    def digest_of_starts(self) -> int:
+        """Return a number that differs when the starts of listed upstreams differ.
+
+        Apart from `digest`, which processes of the version before compute without starts: they
+        would differ, and read the list again each second, for as long as both versions run.
+        """
+        identities = sorted(each.identity for each in self._listed.values())
+        return xxh3_64_intdigest("\n".join(identities).encode())
--- a/packages/node/src/carobspool_node/direct/_attempt.py
+++ b/packages/node/src/carobspool_node/direct/_attempt.py
@@ -19,8 +19,8 @@
         route: Its route.
         caller: The caller's connection.
         deadline: When the caller is to have its answer.
-        tried: Upstreams that it met.
-        met: The same with what was in flight there, for the log.
+        tried: Identities of the upstreams that it met.
+        met: Their ids with what was in flight there, for the log.
         runs: Upstreams that ran it, or may have.
         turned_away: Upstreams that did not run it.
         may_have_run: Whether anything is known to have been sent that was not turned away.
--- a/packages/node/src/carobspool_node/direct/_channel.py
+++ b/packages/node/src/carobspool_node/direct/_channel.py
@@ -123,6 +123,9 @@
 
     def cancel_with(self, cancellation: Cancellation | None) -> None:
         """Let ``cancellation`` end calls on this connection."""
+        if self._cancellation is not None:
+            # The connection may serve another call next, which the earlier one must not end.
+            self._cancellation.attach(None)
         self._cancellation = cancellation
         if cancellation is not None:
             cancellation.attach(self._socket)
--- a/packages/node/src/carobspool_node/direct/_declared.py
+++ b/packages/node/src/carobspool_node/direct/_declared.py
@@ -14,6 +14,7 @@
 
 _CONFIGURATION = "configuration"
 _UPSTREAMS = "upstreams"
+_STARTS = "upstream_starts"
 UPSTREAMS_GATHER: Millis = 250.0
 """Pause between two watches of the upstreams. A leaving upstream must get nothing new two seconds
 after it said so, and entries compare their views after 400 ms."""
@@ -27,6 +28,7 @@
         store: The object store.
         deployment: Where they lie and how they read.
         on_configuration: Called when a newer configuration is in force.
+        on_restarted: Called with each upstream that has started again under its id.
     """
 
     def __init__(
@@ -36,16 +38,19 @@
         deployment: Deployment,
         *,
         on_configuration: Callable[[], None],
+        on_restarted: Callable[[Upstream], None],
     ) -> None:
         self._clock = clock
         self._deployment = deployment
         self._on_configuration = on_configuration
+        self._on_restarted = on_restarted
         self._configuration: Configuration | None = None
         self._upstreams = UpstreamList()
         self._upstreams_lock = threading.Lock()
         self._upstreams_listed = False
         self._configuration_view = SharedView()
         self._upstreams_view = SharedView()
+        self._starts_view = SharedView()
         kind, _, _ = deployment.configuration_key.partition("/")
         self._followers = {
             _CONFIGURATION: Follower(
@@ -89,16 +94,17 @@
         with self._upstreams_lock:
             return self._upstreams.listed()
 
-    def instances(self) -> set[str]:
-        """Return the ids of all upstreams known, leaving ones included."""
+    def identities(self) -> set[str]:
+        """Return the identities of all upstreams known, leaving ones included."""
         with self._upstreams_lock:
-            return self._upstreams.instances()
+            return self._upstreams.identities()
 
     def versions(self) -> Mapping[str, int]:
         """Return what is known, as numbers for the others."""
         return {
             _CONFIGURATION: self._configuration_view.version,
             _UPSTREAMS: self._upstreams_view.version,
+            _STARTS: self._starts_view.version,
         }
 
     def compare(self, versions: Mapping[str, int]) -> None:
@@ -106,9 +112,11 @@
         now = self._clock.now()
         if self._configuration_view.is_behind(versions.get(_CONFIGURATION, 0), now):
             self._followers[_CONFIGURATION].refresh()
-        digest = versions.get(_UPSTREAMS, 0)
-        if digest and self._upstreams_view.differs(digest, now):
-            self._followers[_UPSTREAMS].refresh()
+        # Processes of the version before tell nothing of starts.
+        for name, view in ((_UPSTREAMS, self._upstreams_view), (_STARTS, self._starts_view)):
+            digest = versions.get(name, 0)
+            if digest and view.differs(digest, now):
+                self._followers[_UPSTREAMS].refresh()
 
     def refresh(self) -> None:
         """Read what the watches should have told."""
@@ -143,28 +151,39 @@
             if upstream is not None:
                 found.append(upstream)
         with self._upstreams_lock:
-            self._upstreams.replace(found, self._clock.now())
-            self._upstreams_view.version = self._upstreams.digest()
+            restarted = self._upstreams.replace(found, self._clock.now())
+            self._note_digests()
         if not self._upstreams_listed:
             logging.info("event=upstreams_listed count=%d", len(found))
         self._upstreams_listed = True
+        self._tell_restarted(restarted)
 
     def _upstream_changed(self, change: ObjectChange) -> None:
         name = change.object.key.removeprefix(self._deployment.upstream_prefix)
+        restarted: Sequence[Upstream] = ()
         with self._upstreams_lock:
             if change.deleted:
                 self._upstreams.remove(name, self._clock.now())
             else:
                 upstream = self._read_upstream(change.object)
                 if upstream is not None:
-                    self._upstreams.put(upstream)
-            self._upstreams_view.version = self._upstreams.digest()
+                    restarted = self._upstreams.put(upstream)
+            self._note_digests()
         logging.info(
             "event=upstream_changed upstream=%s deleted=%s revision=%d",
             name,
             change.deleted,
             change.object.version,
         )
+        self._tell_restarted(restarted)
+
+    def _note_digests(self) -> None:
+        self._upstreams_view.version = self._upstreams.digest()
+        self._starts_view.version = self._upstreams.digest_of_starts()
+
+    def _tell_restarted(self, upstreams: Sequence[Upstream]) -> None:
+        for upstream in upstreams:
+            self._on_restarted(upstream)
 
     def _read_upstream(self, stored: StoredObject) -> Upstream | None:
         name = stored.key.removeprefix(self._deployment.upstream_prefix)
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -24,6 +24,7 @@
 from carobspool_core.direct import (
     CallerLimits,
     Load,
+    Upstream,
 )
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._callers import CallerApi
@@ -111,7 +112,11 @@
             lambda: self._peers,
         )
         self._declared = Declared(
-            self._clock, self._store, deployment, on_configuration=self._peers.tell_now
+            self._clock,
+            self._store,
+            deployment,
+            on_configuration=self._peers.tell_now,
+            on_restarted=self._upstream_restarted,
         )
         items = ItemRunner(self._clock, deployment.headers, self._loads, self._connections)
         self._runner = JobRunner(
@@ -341,9 +346,26 @@
                 logging.exception("event=takeover_failed")
 
     def _take_loads(
-        self, peer: str, loads: Mapping[str, Load], failures: Mapping[str, int]
+        self,
+        peer: str,
+        loads: Mapping[str, Load],
+        failures: Mapping[str, int],
+        knows_starts: bool,
     ) -> None:
-        self._loads.take_hint(peer, loads, self._declared.listed(), failures)
+        upstreams = self._declared.listed()
+        self._loads.take_hint(peer, loads, upstreams, failures, knows_starts=knows_starts)
+
+    def _upstream_restarted(self, upstream: Upstream) -> None:
+        ended = self._connections.calls.end_earlier(upstream)
+        logging.info(
+            "event=upstream_restarted upstream=%s started=%d service=%s calls_ended=%d",
+            upstream.instance,
+            upstream.started,
+            upstream.service,
+            ended,
+        )
+        self._telemetry.count("upstream_restarts", service=upstream.service)
+        self._loads.restarted(upstream)
 
     def _poll(self) -> None:
         """Read what the watches should have told, on behalf of all entries."""
@@ -374,9 +396,9 @@
         )
 
     def _tidy(self) -> None:
-        instances = self._declared.instances()
-        self._connections.forget(instances)
-        self._loads.forget(instances)
+        identities = self._declared.identities()
+        self._connections.forget(identities)
+        self._loads.forget(identities)
         self._peer_caller.forget({peer.identity for peer in self._peers.live()})
 
     def _limits(self) -> CallerLimits:
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -176,7 +176,7 @@
                 )
                 self._give_up(attempt, full=bool(upstreams))
                 return
-            attempt.tried.add(placement.upstream.instance)
+            attempt.tried.add(placement.upstream.identity)
             attempt.met.append(f"{placement.upstream.instance}:{placement.load.total}")
             done = False
             try:
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -19,9 +19,11 @@
     Load,
     MeanDuration,
     Upstream,
+    by_identity,
     choose_batch_upstream,
     choose_upstream,
     excess_of_batch,
+    latest_starts,
     queue_limit,
     share_of_excess,
 )
@@ -103,6 +105,7 @@
         self._peers: dict[str, tuple[Millis, Mapping[str, Load]]] = {}
         self._suspects: dict[str, Millis] = {}
         self._failures = FailureReports()
+        self._restarts: dict[str, int] = {}
         self._avoided: set[str] = set()
         self._durations: dict[str, MeanDuration] = {}
         self._on_change: Callable[[], None] = lambda: None
@@ -125,7 +128,7 @@
             upstreams: Candidates.
             target_latency: Within which the answer is on time.
             returned: Whether the caller was refused before.
-            excluded: Upstreams that this request has met already.
+            excluded: Identities of upstreams that this request has met already.
 
         Returns:
             The placement, ``None`` when all upstreams are full for such a request.
@@ -141,7 +144,7 @@
 
         now = self._clock.now()
         with self._lock:
-            candidates = [each for each in upstreams if each.instance not in excluded]
+            candidates = [each for each in upstreams if each.identity not in excluded]
             loads = self._loads(now)
             chosen = choose_upstream(
                 candidates,
@@ -152,8 +155,8 @@
             )
             if chosen is None:
                 return None
-            load = loads.get(chosen.instance, Load())
-            self._begin(chosen.instance, now).online += 1
+            load = loads.get(chosen.identity, Load())
+            self._begin(chosen.identity, now).online += 1
             victims = self._victims(chosen, now, own_first=True)
         for run in victims:
             run.cancellation.cancel()
@@ -169,8 +172,8 @@
             mean = self._duration(upstreams[0].service).value if upstreams else 0.0
         shown = []
         for each in upstreams:
-            load = loads.get(each.instance, Load())
-            mark = "!" if each.instance in suspects else ""
+            load = loads.get(each.identity, Load())
+            mark = "!" if each.identity in suspects else ""
             shown.append(f"{each.instance}{mark}:{load.online}+{load.batch}/{each.slots}")
         oldest = max(ages, default=0.0)
         return f"loads={','.join(shown)} mean_ms={mean:.0f} hints_age_ms={oldest:.0f}"
@@ -179,7 +182,7 @@
         """Count the end of a request; a completed one tells how long such requests run."""
         upstream = placement.upstream
         with self._lock:
-            self._own[upstream.instance].online -= 1
+            self._own[upstream.identity].online -= 1
             if completed and placement.found_free:
                 self._duration(upstream.service).add(self._clock.now() - placement.started)
         self._on_change()
@@ -202,13 +205,13 @@
             if chosen is None:
                 return None
             run = BatchRun(started=now, urgency=urgency, due=due)
-            self._begin(chosen.instance, now).runs.append(run)
+            self._begin(chosen.identity, now).runs.append(run)
         return chosen, run
 
     def end_batch(self, upstream: Upstream, run: BatchRun) -> None:
         """Count the end of a batch item's run."""
         with self._lock:
-            self._own[upstream.instance].runs.remove(run)
+            self._own[upstream.identity].runs.remove(run)
         self._on_change()
 
     def mean_duration(self, service: str) -> Millis:
@@ -220,13 +223,16 @@
         """Take a failure at an upstream: avoid it for a while, and tell the other entries."""
         now = self._clock.now()
         with self._lock:
-            self._suspects[upstream.instance] = now + SUSPECT_TIME
-            self._failures.note(upstream.instance, now)
+            if upstream.started < self._restarts.get(upstream.instance, upstream.started):
+                # Entries of the version before would hold it against the new start.
+                return
+            self._suspects[upstream.identity] = now + SUSPECT_TIME
+            self._failures.note(upstream.identity, now)
             self._note_avoided(now)
 
     def heard(self, upstream: Upstream) -> None:
         """Note that an upstream has sent something."""
-        own = self._own.get(upstream.instance)
+        own = self._own.get(upstream.identity)
         if own is not None:
             own.heard = self._clock.now()
 
@@ -236,33 +242,44 @@
         loads: Mapping[str, Load],
         upstreams: Sequence[Upstream],
         failures: Mapping[str, int],
+        *,
+        knows_starts: bool = True,
     ) -> None:
         """Take what another entry tells; cancels own batch items that stand in its requests' way.
 
         Args:
             peer: Its name.
-            loads: What it has in flight.
+            loads: What it has in flight, by the upstream's identity.
             upstreams: The upstreams known here.
-            failures: Failures that it has seen since its start, by upstream.
+            failures: Failures that it has seen since its start, likewise.
+            knows_starts: Whether it tells upstreams' starts; if not, both come by the bare id.
         """
         now = self._clock.now()
         victims: list[BatchRun] = []
         with self._lock:
+            if not knows_starts:
+                loads = self._of_current_starts(loads, upstreams)
             self._peers[peer] = (now, loads)
             self._failures.take(peer, failures, now)
             self._note_avoided(now)
             for upstream in upstreams:
-                if upstream.instance in loads:
+                if upstream.identity in loads:
                     victims.extend(self._victims(upstream, now, own_first=False))
         for run in victims:
             run.cancellation.cancel()
 
+    def restarted(self, upstream: Upstream) -> None:
+        """Note that an upstream has started again, and has room."""
+        with self._lock:
+            self._restarts[upstream.instance] = upstream.started
+        self._on_change()
+
     def own_loads(self) -> dict[str, Load]:
         """Return what this entry has in flight, for its hints."""
         with self._lock:
             return {
-                instance: Load(own.online, len(own.runs))
-                for instance, own in self._own.items()
+                identity: Load(own.online, len(own.runs))
+                for identity, own in self._own.items()
                 if own.total
             }
 
@@ -271,25 +288,41 @@
         with self._lock:
             return self._failures.own()
 
-    def forget(self, instances: set[str]) -> None:
+    def forget(self, identities: set[str]) -> None:
         """Drop what is known of upstreams that are gone and have nothing in flight."""
         now = self._clock.now()
         with self._lock:
-            for instance in set(self._own) - instances:
-                if not self._own[instance].total:
-                    del self._own[instance]
+            for identity in set(self._own) - identities:
+                if not self._own[identity].total:
+                    del self._own[identity]
             self._suspects = {key: at for key, at in self._suspects.items() if at > now}
             self._peers = {
                 key: each for key, each in self._peers.items() if now - each[0] < PEER_TIME
             }
-            self._failures.keep_only(instances, set(self._peers))
+            known = latest_starts(identities)
+            self._restarts = {key: at for key, at in self._restarts.items() if key in known}
+            self._failures.keep_only(identities, set(self._peers))
             self._note_avoided(now)
 
+    def _of_current_starts(
+        self, loads: Mapping[str, Load], upstreams: Sequence[Upstream]
+    ) -> dict[str, Load]:
+        """Return by identity what an entry of the version before has in flight.
+
+        Without it, entries of two versions would not see each other's requests and overfill
+        upstreams for as long as both run. Of one that was seen to start again it cannot be told
+        which start is meant, and nothing is taken. Failures without a start are never taken.
+        """
+        starts = {
+            each.instance: each.started for each in upstreams if each.instance not in self._restarts
+        }
+        return by_identity(loads, starts)
+
     def _duration(self, service: str) -> MeanDuration:
         return self._durations.setdefault(service, MeanDuration())
 
-    def _begin(self, instance: str, now: Millis) -> _Own:
-        own = self._own.setdefault(instance, _Own())
+    def _begin(self, identity: str, now: Millis) -> _Own:
+        own = self._own.setdefault(identity, _Own())
         if not own.total:
             own.heard = now
         return own
@@ -303,17 +336,17 @@
             own_first: Whether this entry has just placed the request that needs the place. Its own
                 runs then go first, since nobody else knows of the request yet.
         """
-        own = self._own.get(upstream.instance)
+        own = self._own.get(upstream.identity)
         if own is None or not own.runs:
             return []
         live = [run for run in own.runs if not run.cancellation.cancelled]
-        load = self._load(upstream.instance, now)
+        load = self._load(upstream.identity, now)
         excess = excess_of_batch(
             upstream, Load(load.online, load.batch - (len(own.runs) - len(live)))
         )
         count = min(excess, len(live))
         if count and not own_first:
-            peers = self._peer_loads(upstream.instance, now)
+            peers = self._peer_loads(upstream.identity, now)
             runs = {peer: theirs.batch for peer, theirs in peers}
             runs[self._name] = len(live)
             count = share_of_excess(upstream, excess, runs, self._name)
@@ -323,39 +356,39 @@
         # that has just resumed would be the next to go, again and again, and end its job late.
         return sorted(live, key=lambda run: (run.urgency, -run.due, -run.started))[:count]
 
-    def _peer_loads(self, instance: str, now: Millis) -> Iterator[tuple[str, Load]]:
+    def _peer_loads(self, identity: str, now: Millis) -> Iterator[tuple[str, Load]]:
         """Yield what each peer has in flight at an upstream, by hints that still count."""
         for peer, (received, loads) in self._peers.items():
-            if now - received <= PEER_TIME and instance in loads:
-                yield peer, loads[instance]
+            if now - received <= PEER_TIME and identity in loads:
+                yield peer, loads[identity]
 
     def _note_avoided(self, now: Millis) -> None:
         failing = self._failures.failing(now)
-        for instance in failing - self._avoided:
-            logging.info("event=upstream_avoided upstream=%s reason='failures of late'", instance)
-        for instance in self._avoided - failing:
-            logging.info("event=upstream_used_again upstream=%s", instance)
+        for identity in failing - self._avoided:
+            logging.info("event=upstream_avoided upstream=%s reason='failures of late'", identity)
+        for identity in self._avoided - failing:
+            logging.info("event=upstream_used_again upstream=%s", identity)
         self._avoided = failing
 
     def _suspected(self, now: Millis) -> frozenset[str]:
         suspects = self._failures.failing(now)
-        suspects.update(instance for instance, until in self._suspects.items() if now < until)
-        for instance, own in self._own.items():
+        suspects.update(identity for identity, until in self._suspects.items() if now < until)
+        for identity, own in self._own.items():
             if own.total and now - own.heard > QUIET_TIME:
-                suspects.add(instance)
+                suspects.add(identity)
         return frozenset(suspects)
 
     def _loads(self, now: Millis) -> dict[str, Load]:
-        instances = set(self._own)
+        identities = set(self._own)
         for _, loads in self._peers.values():
-            instances.update(loads)
-        return {instance: self._load(instance, now) for instance in instances}
+            identities.update(loads)
+        return {identity: self._load(identity, now) for identity in identities}
 
-    def _load(self, instance: str, now: Millis) -> Load:
-        own = self._own.get(instance)
+    def _load(self, identity: str, now: Millis) -> Load:
+        own = self._own.get(identity)
         online = own.online if own else 0
         batch = len(own.runs) if own else 0
-        for _, theirs in self._peer_loads(instance, now):
+        for _, theirs in self._peer_loads(identity, now):
             online += theirs.online
             batch += theirs.batch
         return Load(online, batch)
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -19,7 +19,7 @@
 from absl import logging
 
 from carobspool_core import Clock, Millis
-from carobspool_core.direct import Load
+from carobspool_core.direct import Load, by_identity, by_instance, latest_starts
 
 HINT_INTERVAL: Millis = 100.0
 """Time between two hints while loads change. In it an entry places a handful of requests, which is
@@ -40,8 +40,9 @@
 a takeover that was under way takes (three calls of at most 1.5 s)."""
 MAX_DATAGRAM = 60_000
 
-OnLoads = Callable[[str, Mapping[str, Load], Mapping[str, int]], None]
-"""Takes a peer's name, what it has in flight, and the failures that it has seen, by upstream."""
+OnLoads = Callable[[str, Mapping[str, Load], Mapping[str, int], bool], None]
+"""Takes a peer's name, what it has in flight, the failures that it has seen, both by the upstream's
+identity, and whether it knows upstreams' starts; if not, both come by the bare id."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -127,7 +128,7 @@
         self._doubt_until: Millis = clock.now() + DOUBT_TIME
         self._last_tick: Millis = clock.now()
         self._ended: dict[str, Millis] = {}
-        self._on_loads: OnLoads = lambda peer, loads, failures: None
+        self._on_loads: OnLoads = lambda peer, loads, failures, knows_starts: None
         self._on_versions: Callable[[Mapping[str, int]], None] = lambda versions: None
         self._on_lost: Callable[[Peer], None] = lambda peer: None
         self._on_ended: Callable[[Sequence[str]], None] = lambda job_ids: None
@@ -259,12 +260,16 @@
     def _tell(self, *, full: bool) -> None:
         hint = self._describe()
         now = self._clock.now()
+        # By the bare id with the starts beside it, as entries of the version before read it.
+        starts = latest_starts([*hint.loads, *hint.failures])
+        loads = by_instance(hint.loads, starts)
         message: dict[str, Any] = {
             "n": self._name,
             "i": self._incarnation,
             "a": list(self._address),
-            "l": {key: [load.online, load.batch] for key, load in hint.loads.items()},
-            "e": dict(hint.failures),
+            "l": {key: [load.online, load.batch] for key, load in loads.items()},
+            "e": by_instance(hint.failures, starts),
+            "b": starts,
             "v": dict(hint.versions),
             "x": hint.leaving,
             "s": hint.store_ok,
@@ -338,8 +343,11 @@
             self._on_lost(lost)
         # Entries of the version before name no ended jobs.
         self._on_ended(message.get("d", ()))
-        loads = {key: Load(*pair) for key, pair in message["l"].items()}
-        self._on_loads(name, loads, message["e"])
+        # Entries of the version before name no starts.
+        starts = message.get("b")
+        loads = by_identity({key: Load(*pair) for key, pair in message["l"].items()}, starts or {})
+        failures = by_identity(message["e"], starts or {})
+        self._on_loads(name, loads, failures, starts is not None)
         self._on_versions(message["v"])
 
 
--- a/packages/node/src/carobspool_node/direct/_telemetry.py
+++ b/packages/node/src/carobspool_node/direct/_telemetry.py
@@ -25,6 +25,7 @@
 _LABELS = {
     "requests": ("route", "outcome"),
     "upstream_failures": ("service",),
+    "upstream_restarts": ("service",),
     "job_calls": ("call", "outcome"),
     "items": ("outcome",),
     "store_calls": ("call", "outcome"),
--- a/packages/node/src/carobspool_node/direct/_upstream_calls.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_calls.py
@@ -11,8 +11,13 @@
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import Upstream
 from carobspool_node.direct._channel import CallerWatch, Cancellation, Channel, connect
-from carobspool_node.direct._errors import ConnectionBrokenError, DeadlinePassedError
+from carobspool_node.direct._errors import (
+    ConnectionBrokenError,
+    DeadlinePassedError,
+    RunCancelledError,
+)
 from carobspool_node.direct._messages import HeaderNames, Headers, UpstreamHead, find_header
+from carobspool_node.direct._open_calls import OpenCall, OpenCalls
 
 CONNECT_TIMEOUT: Millis = 300.0
 """Opening takes 1 ms and a round trip of at most 3 ms; a machine without power answers nothing.
@@ -24,6 +29,7 @@
 KEPT_PER_UPSTREAM = 24
 """Three times the slots of an engine; more connections than that are never in use at once."""
 MAX_STRAY_ANSWERS = 4
+_OUTLIVED = "the upstream has started again"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -50,18 +56,28 @@
 
 
 class UpstreamConnections:
-    """Connections to upstreams that are kept between requests, by instance."""
+    """Connections to upstreams that are kept between requests, and the calls on them.
+
+    Kept by the upstream's identity: a late answer of an earlier start belongs to no request of a
+    new one.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._lock = threading.Lock()
         self._idle: dict[str, list[Channel]] = {}
+        self._calls = OpenCalls(clock)
 
     @property
     def clock(self) -> Clock:
         """The process's clock."""
         return self._clock
 
+    @property
+    def calls(self) -> OpenCalls:
+        """The calls under way."""
+        return self._calls
+
     def acquire(self, upstream: Upstream) -> Channel:
         """Return a kept or a new connection.
 
@@ -70,7 +86,7 @@
         """
         while True:
             with self._lock:
-                kept = self._idle.get(upstream.instance)
+                kept = self._idle.get(upstream.identity)
                 channel = kept.pop() if kept else None
             if channel is None:
                 return self._open(upstream)
@@ -89,23 +105,23 @@
         channel.fresh = False
         channel.last_used = self._clock.now()
         with self._lock:
-            kept = self._idle.setdefault(upstream.instance, [])
+            kept = self._idle.setdefault(upstream.identity, [])
             if len(kept) < KEPT_PER_UPSTREAM:
                 kept.append(channel)
                 return
         channel.close()
 
-    def forget(self, instances: set[str]) -> None:
-        """Close the connections to all upstreams but ``instances``, and those idle for too long."""
+    def forget(self, identities: set[str]) -> None:
+        """Close the connections to all but ``identities``, and those idle for too long."""
         dropped: list[Channel] = []
         with self._lock:
-            for instance in list(self._idle):
-                if instance not in instances:
-                    dropped.extend(self._idle.pop(instance))
+            for identity in list(self._idle):
+                if identity not in identities:
+                    dropped.extend(self._idle.pop(identity))
                     continue
-                kept = self._idle[instance]
+                kept = self._idle[identity]
                 old = [each for each in kept if not self._is_recent(each)]
-                self._idle[instance] = [each for each in kept if each not in old]
+                self._idle[identity] = [each for each in kept if each not in old]
                 dropped.extend(old)
         for channel in dropped:
             channel.close()
@@ -149,7 +165,7 @@
         self._upstream = upstream
         self._clock = connections.clock
         self._names = names
-        self._cancellation = cancellation
+        self._open = OpenCall(upstream, cancellation or Cancellation())
         self._watch = watch
         self._channel: Channel | None = None
         self._complete = False
@@ -161,16 +177,24 @@
             CallFailedError: There is no answer to this request; ``sent`` tells the rest.
             DeadlinePassedError, CallerGoneError, RunCancelledError: As they say; may have run.
         """
+        self._connections.calls.add(self._open)
         channel = self._connections.acquire(self._upstream)
         self._channel = channel
-        channel.cancel_with(self._cancellation)
+        if self._open.outlived:
+            raise CallFailedError(_OUTLIVED, sent=False)
+        channel.cancel_with(self._open.cancellation)
         try:
             data = _encode(channel.http, request)
             if not channel.send_or_answer(data, deadline, self._watch):
                 channel.idle_limit = -1.0
-            return self._read_head(channel, request, deadline)
+            head = self._read_head(channel, request, deadline)
         except ConnectionBrokenError as error:
             raise CallFailedError(str(error), sent=True) from error
+        except RunCancelledError as error:
+            self._raise_if_outlived(error)
+            raise
+        self._open.heard = self._clock.now()
+        return head
 
     def body(self, deadline: Millis, *, silence: Millis | None = None) -> Iterator[bytes]:
         """Yield the pieces of the body as they arrive.
@@ -194,6 +218,10 @@
                 if quiet_at >= deadline:
                     raise
                 raise CallFailedError("the stream fell silent", sent=True) from error
+            except RunCancelledError as error:
+                self._raise_if_outlived(error)
+                raise
+            self._open.heard = self._clock.now()
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
                 continue
@@ -208,6 +236,7 @@
 
     def close(self) -> None:
         """Give the connection back when the answer is complete, else close it."""
+        self._connections.calls.remove(self._open)
         channel = self._channel
         if channel is None:
             return
@@ -217,6 +246,10 @@
             return
         channel.close()
 
+    def _raise_if_outlived(self, error: RunCancelledError) -> None:
+        if self._open.outlived:
+            raise CallFailedError(_OUTLIVED, sent=True) from error
+
     def _read_head(
         self, channel: Channel, request: UpstreamRequest, deadline: Millis
     ) -> UpstreamHead:
--- a/packages/node/tests/test_direct_loads.py
+++ b/packages/node/tests/test_direct_loads.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from carobspool_core.direct import Upstream
+from carobspool_core.direct import BatchUrgency, Load, Upstream
 from carobspool_node.direct._loads import LoadTable
 
 
@@ -18,7 +18,7 @@
         return self.at
 
 
-def _upstream(name: str) -> Upstream:
+def _upstream(name: str, started: int = 0) -> Upstream:
     return Upstream(
         instance=name,
         service="engine",
@@ -26,6 +26,7 @@
         failure_domain="z",
         slots=8,
         ready=True,
+        started=started,
     )
 
 
@@ -54,3 +55,45 @@
         "event=upstream_used_again",
     ]
     assert all("upstream=bad" in line for line in told)
+
+
+def test_nothing_believed_of_an_earlier_start_touches_the_new_one() -> None:
+    """The only upstream has requests of this entry and of others in flight, is silent and has
+    failed, and starts again. Its new start is as good as one never heard of; a request that was
+    sent to the earlier one and fails late changes nothing."""
+    clock = _Clock()
+    table = LoadTable(clock, "z", name="e1")
+    earlier, now = _upstream("x", 1), _upstream("x", 2)
+    table.take_hint("e2", {}, [earlier], {earlier.identity: 0})
+    table.take_hint("e2", {earlier.identity: Load(400, 0)}, [earlier], {earlier.identity: 9})
+    table.suspect(earlier)
+    placed = table.place_online([earlier], target_latency=300.0, returned=False)
+    assert placed is None
+    run = table.place_batch([now], urgency=BatchUrgency.ORDINARY, due=0.0)
+    assert run is not None
+    table.end_batch(*run)
+    table.restarted(now)
+    table.suspect(earlier)
+    placed = table.place_online([now], target_latency=300.0, returned=False)
+    assert placed is not None
+    assert placed.load == Load()
+    assert table.own_loads() == {now.identity: Load(1, 0)}
+    table.forget({now.identity})
+    assert table.own_failures() == {}
+
+
+def test_hints_of_the_version_before_count_until_a_restart_is_seen() -> None:
+    """While two versions run, entries of the older one tell their loads by the bare id. They count
+    for the start that is known, so that upstreams are not overfilled, but no longer once that
+    upstream has started again; their failures never count for a known start."""
+    clock = _Clock()
+    table = LoadTable(clock, "z", name="e1")
+    first, second, other = _upstream("x", 1), _upstream("x", 2), _upstream("y")
+    told = {"x": Load(400, 0), "y": Load(1, 0)}
+    for failures in ({"x": 0, "y": 0}, {"x": 5, "y": 5}):
+        table.take_hint("e2", told, [first, other], failures, knows_starts=False)
+    assert table.place_online([first], target_latency=300.0, returned=False) is None
+    assert "x:400+0/8 y!:1+0/8" in table.describe([first, other]).replace(",", " ")
+    table.restarted(second)
+    table.take_hint("e2", told, [second, other], {}, knows_starts=False)
+    assert "x:0+0/8 y!:1+0/8" in table.describe([second, other]).replace(",", " ")
--- a/tests/adapter/test_platform_names.py
+++ b/tests/adapter/test_platform_names.py
@@ -86,6 +86,17 @@
     }
     found = read_upstream("i-1", value)
     assert (found.instance, found.address, found.ready) == ("i-1", ("10.0.0.1", 80), False)
+    assert (found.started, found.identity) == (0, "i-1")
+    again = read_upstream("i-1", value | {"born": 1_790_000_000_000})
+    assert again.replaces(found)
+    assert again.identity != found.identity
+
+
+@pytest.mark.parametrize("start", [None, "5", 5.0, True, -1, [5]])
+def test_a_start_of_another_type_makes_a_registration_unusable(start: object) -> None:
+    value = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 8, "state": "ready"}
+    with pytest.raises(ValueError, match="start"):
+        read_upstream("i-1", value | {"born": start})
 
 
 @pytest.mark.parametrize(
