--- a/packages/standins/src/carobspool_standins/_platform_server_start.py
+++ b/packages/standins/src/carobspool_standins/_platform_server_start.py
@@ -16,6 +16,7 @@
     def __init__(self, started: int, address: tuple[str, int]) -> None:
         self.started = started
         self.listener = socket.create_server(address)
+        self.address: tuple[str, int] = self.listener.getsockname()
         self._lock = threading.Lock()
         self._sockets: set[socket.socket] = set()
         self._held: list[tuple[socket.socket, bytes]] | None = None
--- a/packages/standins/src/carobspool_standins/platform_server.py
+++ b/packages/standins/src/carobspool_standins/platform_server.py
@@ -133,7 +133,7 @@
 
     Attributes:
         instance: Its id.
-        address: Where it listens.
+        address: Where callers reach it; where it listens, unless a test puts a relay between.
         behave: What it does with a request.
         started: Unix milliseconds of its start; 0 is a server that does not tell it.
         seen: Requests in the order of their arrival, of all its starts.
@@ -166,12 +166,14 @@
 
     def start(self) -> None:
         """Start to listen; again under the same id and address after a crash or a cut."""
-        if self._start is not None:
+        if self._start is None:
+            self._start = ServerStart(self.started, self.address)
+            self.address = self._start.address
+        else:
             # Later than before, whatever the time of day has done meanwhile.
             self.started = max(self.started + 1, int(time.time() * 1000))
-        start = ServerStart(self.started, self.address)
-        self.address = start.listener.getsockname()
-        self._start = start
+            self._start = ServerStart(self.started, self._start.address)
+        start = self._start
         threading.Thread(target=_accept, args=(self, start), daemon=True).start()
 
     def crash(self) -> None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,9 +1,9 @@
 """A randomized soak of real entry processes: faults from outside, promises checked from outside.
 
 One seed fixes the schedules of faults and what callers do; the machine's timing stays free. Faults
-of processes, of links and of the store come in three series that overlap. Callers keep using open
-connections until the process behind them is gone. What servers have run and what
-callers were told is recorded, and every promise is judged from these two alone.
+of processes, of links, of the store and of servers come in four series that overlap. Callers keep
+using open connections until the process behind them is gone. What servers have run and what callers
+were told is recorded, and every promise is judged from these two alone.
 
 By hand: ``python tests/soak/soak.py --seeds 50 [--first N] [--seconds S]``.
 """
@@ -45,6 +45,7 @@
 from carobspool_standins._relay_link import Relay, RelayFaults
 from carobspool_standins.platform_server import (
     Behaviour,
+    PlatformServer,
     ServedRequest,
     ServerConnection,
     answer_bytes,
@@ -284,11 +285,12 @@
             self._record.violated(f"job {job_id}: an item stands twice")
 
     def _play_faults(self) -> None:
-        """Play three series of faults beside each other."""
+        """Play four series of faults beside each other."""
         series = (
             (self._kill, self._terminate, self._freeze, self._kill_all),
             (self._cut_link, self._disturb_link, self._replace_server, self._reconfigure),
             (self._refuse_all, self._lose_answers, self._deafen),
+            (self._crash_server, self._cut_off_server),
         )
         players = [
             threading.Thread(target=self._play_series, args=(faults, random.Random(key)))
@@ -385,6 +387,24 @@
         time.sleep(draw.random())
         self._system.objects.put("servers", server.instance, server.registration(service))
 
+    def _crash_server(self, draw: random.Random) -> None:
+        server = draw.choice(self._system.servers)
+        server.crash()
+        self._restart_server(server, draw)
+
+    def _cut_off_server(self, draw: random.Random) -> None:
+        server = draw.choice(self._system.servers)
+        server.cut_off()
+        self._restart_server(server, draw)
+        if draw.random() < 0.5:
+            server.deliver_late()
+
+    def _restart_server(self, server: PlatformServer, draw: random.Random) -> None:
+        """Start a server again under its id, often before its registration would lapse."""
+        time.sleep(draw.random() * 1.5)
+        service = SERVICES[self._system.servers.index(server)]
+        self._system.restart(server, service)
+
     def _heal(self) -> None:
         self._system.objects.faults.status = 0
         self._system.objects.faults.lose_answers = 0
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,7 +13,8 @@
 @pytest.mark.parametrize("seed", [1, 2])
 def test_promises_hold_under_a_random_schedule_of_faults(seed: int, tmp_path: Path) -> None:
     """Entries are killed, stopped, frozen and restarted, the store refuses, loses answers and goes
-    deaf, servers break off and come and go, all at times drawn from the seed."""
+    deaf, servers break off, come and go and start again under their id, all at times drawn from the
+    seed."""
     record = play(seed, SECONDS, tmp_path)
     assert record.violations == []
     assert record.accepted
