Soak: jobs are ended while their owner is in trouble, and what a leaving entry cuts is judged

New: jobs whose items are turned away each time, ended through any entry, in three of four cases while their owner is frozen, leaves or takes no calls of other entries; eight seconds of faults of processes alone, in which an entry can be undisturbed; all places for peers' calls of an entry taken. Two promises: nothing of an ended job reaches a server over 3 s (0.3 s for the way) after the acknowledgement from an entry that has run undisturbed for 3 s, and what was passed on isn't cut around a stop (not judged: an unplanned disturbance in the 3 s before, a server's own fault, over 0.7 of the deadline used). An entry that has not stopped 8 s after it was asked is a broken promise; before, it ended the series of faults without a word. Record and judgement are a module of their own; no check is changed or dropped.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,19 +11,20 @@
 from __future__ import annotations
 
 import argparse
+import contextlib
 import http.client
 import json
 import random
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import threading
 import time
 import uuid
-from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from contextlib import ExitStack
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -35,11 +36,12 @@
     Deployment,
     Entry,
     deployment,
-    finished,
     read_results,
     route,
     submission,
 )
+from disturbances import ALL, Disturbances
+from soak_judge import EVENTS, Judge, Record
 
 from carobspool_standins._faults import FaultBoard
 from carobspool_standins._relay_link import Relay, RelayFaults
@@ -50,11 +52,19 @@
     answer_bytes,
 )
 
-EVENTS = 6
 CALM_S = 14.0
 """Time without faults at the end, in which every accepted job has to finish: a takeover takes some
 five seconds and the items of a job two."""
-END_GRACE_S = 3.5
+PROCESS_S = 8.0
+"""Time after the other faults with faults of processes alone, which an entry beside them must not
+show."""
+END_TRIES_S = 10.0
+HELD = "held-"
+"""Items with this prefix are turned away each time, so that their jobs go on until they end."""
+SILENT_CONNECTIONS = 130
+"""More than an entry serves at once for the calls of other entries."""
+STOP_LIMIT_S = 8.0
+"""Longest time from a request to stop to the end of a process, two seconds past its own limit."""
 SETTLE_S = 1.2
 MAX_ENTRIES = 3
 SERVICES = ("plain", "plain", "engine", "engine", "engine")
@@ -62,32 +72,6 @@
 Fault = Callable[[random.Random], None]
 
 
-@dataclass(slots=True)
-class Record:
-    """What servers have run and what callers were told."""
-
-    lock: threading.Lock = field(default_factory=threading.Lock)
-    runs: Counter[str] = field(default_factory=Counter)
-    last_start: dict[str, float] = field(default_factory=dict)
-    accepted: dict[str, list[str]] = field(default_factory=dict)
-    refused: dict[str, list[str]] = field(default_factory=dict)
-    ended: dict[str, float] = field(default_factory=dict)
-    positions: dict[str, list[tuple[str, str]]] = field(default_factory=dict)
-    violations: list[str] = field(default_factory=list)
-    calls: Counter[str] = field(default_factory=Counter)
-
-    def ran(self, request_id: str) -> None:
-        """Note that a server began to run a request."""
-        with self.lock:
-            self.runs[request_id] += 1
-            self.last_start[request_id] = time.monotonic()
-
-    def violated(self, promise: str) -> None:
-        """Note a broken promise."""
-        with self.lock:
-            self.violations.append(promise)
-
-
 class Soak:
     """One seeded run."""
 
@@ -101,6 +85,11 @@
         self._entries: dict[str, Entry] = {}
         self._stopped = threading.Event()
         self._faulty = threading.Event()
+        self._disturbances = Disturbances()
+        self._processes = {f"e{number}": threading.Lock() for number in range(MAX_ENTRIES)}
+        self._judge = Judge(self._record, self._disturbances, system.entries)
+        self._troubled = threading.Event()
+        self._troubles: list[threading.Thread] = []
         self._version = 1
 
     def run(self) -> Record:
@@ -111,6 +100,7 @@
             self._start(f"e{number}", first_start=True)
         time.sleep(2.6)
         tasks = [self._call_online, self._call_online, self._submit_jobs, self._read_jobs]
+        tasks += [self._end_held_job, self._end_held_job]
         callers = [
             threading.Thread(target=self._until_stopped, args=(task, random.Random(number)))
             for number, task in enumerate(tasks)
@@ -118,14 +108,22 @@
         for caller in callers:
             caller.start()
         self._faulty.set()
+        self._troubled.set()
         self._play_faults()
         self._faulty.clear()
         self._heal()
+        self._play_series(self._process_faults, random.Random(f"{self._seed}/p"), PROCESS_S)
+        with self._record.lock:
+            self._troubled.clear()
+        for trouble in self._troubles:
+            trouble.join()
+        self._heal()
         time.sleep(CALM_S)
         self._stopped.set()
         for caller in callers:
             caller.join()
-        self._judge_jobs()
+        self._judge.jobs(list(self._entries.values()))
+        self._judge.ends()
         return self._record
 
     def _serve(self, service: str, behave: Behaviour) -> None:
@@ -155,7 +153,13 @@
         draw = random.Random(number)
 
         def behave(request: ServedRequest, connection: ServerConnection) -> None:
+            self._record.arrived(request.request_id)
+            if request.request_id.startswith(HELD):
+                connection.not_run(request)
+                return
             faulty = self._faulty.is_set() and draw.random() < 0.08
+            if faulty:
+                self._record.spoiled.add(request.request_id)
             if faulty and draw.random() < 0.4:
                 connection.not_run(request)
                 return
@@ -196,36 +200,24 @@
                 request_id = uuid.uuid4().hex
                 target = f"/{kind}/{draw.randrange(1_000)}"
                 headers = {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": "2500"}
-                connection.request("POST", target, body=b"x", headers=headers)
-                response = connection.getresponse()
+                sent = time.monotonic()
                 try:
+                    connection.request("POST", target, body=b"x", headers=headers)
+                    response = connection.getresponse()
                     answer = Answer(response.status, {}, response.read())
                 except http.client.IncompleteRead as error:
                     answer = Answer(response.status, {}, error.partial, complete=False)
-                self._judge_online(kind, request_id, target, answer)
+                except (OSError, http.client.HTTPException):
+                    self._judge.broken(entry, kind, request_id, sent)
+                    raise
+                if not answer.complete:
+                    self._judge.broken(entry, kind, request_id, sent)
+                self._judge.online(kind, request_id, target, answer)
                 if not answer.complete or response.will_close:
                     return
         finally:
             connection.close()
 
-    def _judge_online(self, kind: str, request_id: str, target: str, answer: Answer) -> None:
-        self._record.calls[f"{kind} {answer.status}"] += 1
-        with self._record.lock:
-            runs = self._record.runs[request_id]
-        if answer.status in (429, 503) and runs:
-            self._record.violated(f"{kind} {request_id}: told {answer.status}, ran {runs} times")
-        if kind in ("once", "stream") and runs > 1:
-            self._record.violated(f"{kind} {request_id}: ran {runs} times")
-        if answer.status == 404:
-            self._record.violated(f"{kind} {request_id}: denied")
-        if answer.status != 200 or not answer.complete:
-            return
-        if kind in ("safe", "once"):
-            if answer.body != f"{request_id} {target}".encode():
-                self._record.violated(f"{kind} {request_id}: another answer {answer.body!r}")
-        elif answer.body != _events(1, EVENTS):
-            self._record.violated(f"{kind} {request_id}: not its whole stream {answer.body!r}")
-
     def _submit_jobs(self, draw: random.Random) -> None:
         job_id = uuid.uuid4().hex[:16]
         items = [f"{job_id}-{number}" for number in range(draw.randrange(1, 8))]
@@ -256,6 +248,52 @@
             with self._record.lock:
                 self._record.ended[job_id] = time.monotonic()
 
+    def _end_held_job(self, draw: random.Random) -> None:
+        """End a job that cannot finish, often while something is the matter with its owner."""
+        job_id = HELD + uuid.uuid4().hex[:16]
+        items = [f"{job_id}-{number}" for number in range(2)]
+        owner = draw.choice(sorted(self._entries))
+        body = submission(*items, path="/batch/x")
+        entry = self._entries[owner]
+        if entry.call("POST", "/batch/x", body=body, request_id=job_id, timeout=6.0).status != 202:
+            # It may have been accepted all the same, so it has to end.
+            owner = ""
+        time.sleep(draw.random() * 2.5)
+        trouble = draw.choice((None, self._freeze_one, self._terminate_one, self._block_one))
+        if trouble is not None and owner:
+            self._make_trouble(trouble, owner, draw)
+        until = time.monotonic() + END_TRIES_S
+        while time.monotonic() < until:
+            troubled = owner if trouble is not None else ""
+            name = draw.choice([each for each in sorted(self._entries) if each != troubled])
+            try:
+                status = (
+                    self._entries[name].call("DELETE", f"/api/lots/{job_id}", timeout=6.0).status
+                )
+            except (OSError, http.client.HTTPException):
+                status = 0
+            if status == 200:
+                with self._record.lock:
+                    self._record.held[job_id] = items
+                    self._record.ended[job_id] = time.monotonic()
+                return
+            if status == 404 and not owner:
+                return
+            time.sleep(0.1)
+
+    def _make_trouble(
+        self, trouble: Callable[[str, float], None], owner: str, draw: random.Random
+    ) -> None:
+        """Begin a fault of an owner shortly before its job is ended through another entry."""
+        share = draw.random()
+        with self._record.lock:
+            if not self._troubled.is_set():
+                return
+            thread = threading.Thread(target=trouble, args=(owner, share))
+            thread.start()
+            self._troubles.append(thread)
+        time.sleep(draw.random())
+
     def _read_jobs(self, draw: random.Random) -> None:
         with self._record.lock:
             known = list(self._record.accepted)
@@ -268,30 +306,20 @@
             self._record.violated(f"job {job_id}: unknown after its acceptance")
         if not isinstance(page, int):
             found = [(each["id"], each["text"]) for each in page["results"]]
-            self._judge_positions(job_id, found)
+            self._judge.positions(job_id, found)
         time.sleep(0.05)
 
-    def _judge_positions(self, job_id: str, found: list[tuple[str, str]]) -> None:
-        with self._record.lock:
-            seen = self._record.positions.setdefault(job_id, [])
-            common = min(len(seen), len(found))
-            moved = seen[:common] != found[:common]
-            if len(found) > len(seen):
-                self._record.positions[job_id] = found
-        if moved:
-            self._record.violated(f"job {job_id}: a position changed its content")
-        if len({item for item, _ in found}) != len(found):
-            self._record.violated(f"job {job_id}: an item stands twice")
-
     def _play_faults(self) -> None:
         """Play three series of faults beside each other."""
         series = (
-            (self._kill, self._terminate, self._freeze, self._kill_all),
+            (*self._process_faults, self._kill_all),
             (self._cut_link, self._disturb_link, self._replace_server, self._reconfigure),
             (self._refuse_all, self._lose_answers, self._deafen),
         )
         players = [
-            threading.Thread(target=self._play_series, args=(faults, random.Random(key)))
+            threading.Thread(
+                target=self._play_series, args=(faults, random.Random(key), self._seconds)
+            )
             for key, faults in ((f"{self._seed}/{n}", each) for n, each in enumerate(series))
         ]
         for player in players:
@@ -299,8 +327,12 @@
         for player in players:
             player.join()
 
-    def _play_series(self, faults: Sequence[Fault], draw: random.Random) -> None:
-        until = time.monotonic() + self._seconds
+    @property
+    def _process_faults(self) -> tuple[Fault, ...]:
+        return (self._kill, self._terminate, self._freeze, self._block_calls)
+
+    def _play_series(self, faults: Sequence[Fault], draw: random.Random, seconds: float) -> None:
+        until = time.monotonic() + seconds
         while time.monotonic() < until:
             draw.choice(faults)(draw)
             time.sleep(draw.random() * 1.5)
@@ -310,31 +342,62 @@
 
     def _kill(self, draw: random.Random) -> None:
         name = self._one(draw)
-        self._entries[name].signal(signal.SIGKILL)
-        self._restart(name, draw)
+        with self._processes[name], self._disturbances.of(name):
+            self._entries[name].signal(signal.SIGKILL)
+            self._restart(name, draw.random())
 
     def _kill_all(self, draw: random.Random) -> None:
-        for entry in self._entries.values():
-            entry.signal(signal.SIGKILL)
-        for name in sorted(self._entries):
-            self._restart(name, draw)
+        with ExitStack() as held:
+            for name in sorted(self._entries):
+                held.enter_context(self._processes[name])
+                held.enter_context(self._disturbances.of(name))
+            for entry in self._entries.values():
+                entry.signal(signal.SIGKILL)
+            for name in sorted(self._entries):
+                self._restart(name, draw.random())
 
     def _terminate(self, draw: random.Random) -> None:
-        name = self._one(draw)
-        self._entries[name].signal(signal.SIGTERM)
-        self._restart(name, draw)
+        self._terminate_one(self._one(draw), draw.random())
 
-    def _restart(self, name: str, draw: random.Random) -> None:
+    def _terminate_one(self, name: str, pause: float) -> None:
+        with self._processes[name], self._disturbances.of(name, planned=True):
+            entry = self._entries[name]
+            self._judge.asked[entry.peer_port] = time.monotonic()
+            entry.signal(signal.SIGTERM)
+            self._restart(name, pause)
+
+    def _restart(self, name: str, pause: float) -> None:
         process = self._entries[name].process
-        process.wait(timeout=8.0)
-        time.sleep(draw.random())
+        try:
+            process.wait(timeout=STOP_LIMIT_S)
+        except subprocess.TimeoutExpired:
+            log = self._entries[name].log.name
+            self._record.violated(f"{name} has not stopped, its log is {log}")
+            process.kill()
+            process.wait()
+        time.sleep(pause)
         self._start(name, first_start=False)
 
     def _freeze(self, draw: random.Random) -> None:
-        entry = self._entries[self._one(draw)]
-        entry.signal(signal.SIGSTOP)
-        time.sleep(0.3 + draw.random() * 4.0)
-        entry.signal(signal.SIGCONT)
+        self._freeze_one(self._one(draw), draw.random())
+
+    def _freeze_one(self, name: str, share: float) -> None:
+        with self._processes[name], self._disturbances.of(name):
+            entry = self._entries[name]
+            entry.signal(signal.SIGSTOP)
+            time.sleep(0.3 + share * 4.0)
+            entry.signal(signal.SIGCONT)
+
+    def _block_calls(self, draw: random.Random) -> None:
+        self._block_one(self._one(draw), draw.random())
+
+    def _block_one(self, name: str, share: float) -> None:
+        """Take all places for calls of other entries, which is nothing that its callers feel."""
+        address = ("127.0.0.1", self._entries[name].peer_port)
+        with ExitStack() as silent, contextlib.suppress(OSError):
+            for _ in range(SILENT_CONNECTIONS):
+                silent.enter_context(socket.create_connection(address, 1.0))
+            time.sleep(0.5 + share * 2.5)
 
     def _cut_link(self, draw: random.Random) -> None:
         self._fault_link(draw, {"cut": True})
@@ -345,10 +408,12 @@
 
     def _fault_link(self, draw: random.Random, fault: dict[str, object]) -> None:
         """Disturb the link of an entry to the store, or of all entries to one server."""
-        board = self._relays[draw.choice(sorted(self._relays, key=self._place))]
-        board.merge(fault)
-        time.sleep(draw.random() * 3.0)
-        board.reset()
+        name = draw.choice(sorted(self._relays, key=self._place))
+        board = self._relays[name]
+        with self._disturbances.of(name if name in self._entries else ALL):
+            board.merge(fault)
+            time.sleep(draw.random() * 3.0)
+            board.reset()
 
     def _place(self, relay: str) -> int:
         return list(self._relays).index(relay)
@@ -360,18 +425,21 @@
 
     def _refuse_all(self, draw: random.Random) -> None:
         faults = self._system.objects.faults
-        faults.status = draw.choice((503, 429))
-        time.sleep(draw.random() * 3.0)
-        faults.status = 0
+        with self._disturbances.of():
+            faults.status = draw.choice((503, 429))
+            time.sleep(draw.random() * 3.0)
+            faults.status = 0
 
     def _lose_answers(self, draw: random.Random) -> None:
-        self._system.objects.faults.lose_answers = draw.randrange(1, 4)
+        with self._disturbances.of():
+            self._system.objects.faults.lose_answers = draw.randrange(1, 4)
 
     def _deafen(self, draw: random.Random) -> None:
-        self._system.objects.faults.deaf = True
-        time.sleep(0.5 + draw.random())
-        self._system.objects.compact()
-        self._system.objects.faults.deaf = False
+        with self._disturbances.of():
+            self._system.objects.faults.deaf = True
+            time.sleep(0.5 + draw.random())
+            self._system.objects.compact()
+            self._system.objects.faults.deaf = False
 
     def _replace_server(self, draw: random.Random) -> None:
         server = draw.choice(self._system.servers)
@@ -391,38 +459,6 @@
         for board in self._relays.values():
             board.reset()
 
-    def _judge_jobs(self) -> None:
-        record = self._record
-        entries = list(self._entries.values())
-        for job_id, items in record.accepted.items():
-            if job_id in record.ended:
-                late = [
-                    item
-                    for item in items
-                    if record.last_start.get(item, 0.0) > record.ended[job_id] + END_GRACE_S
-                ]
-                if late:
-                    record.violated(f"job {job_id}: {late} ran after its end")
-                continue
-            for entry in entries:
-                self._judge_job(job_id, items, finished(entry, job_id))
-        for job_id, items in record.refused.items():
-            if any(record.runs[item] for item in items):
-                record.violated(f"job {job_id}: refused each time, and ran")
-
-    def _judge_job(
-        self, job_id: str, items: list[str], results: list[dict[str, str]] | None
-    ) -> None:
-        if results is None:
-            self._record.violated(f"job {job_id}: accepted and not finished in calm")
-            return
-        self._judge_positions(job_id, [(each["id"], each["text"]) for each in results])
-        if Counter(each["id"] for each in results) != Counter(items):
-            self._record.violated(f"job {job_id}: not each item once")
-        text = "\n".join(f"piece {number}" for number in range(1, EVENTS + 1))
-        if any(each["text"] != text for each in results):
-            self._record.violated(f"job {job_id}: a text is not whole")
-
 
 def play(seed: int, seconds: float, folder: Path) -> Record:
     """Play one seed and return what was seen."""
@@ -448,10 +484,6 @@
     connection.end_events()
 
 
-def _events(first: int, last: int) -> bytes:
-    return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(first, last + 1))
-
-
 def main() -> int:
     """Play seeds one after the other; the exit code tells whether any promise was broken."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -465,6 +497,7 @@
         record = play(seed, options.seconds, folder)
         found = {"seed": seed, "violations": record.violations, "calls": dict(record.calls)}
         found["jobs"] = [len(record.accepted), len(record.refused), len(record.ended)]
+        found["held"] = len(record.held)
         print(json.dumps(found), f"logs={folder}" if record.violations else "", flush=True)
         broken += bool(record.violations)
     print(f"{options.seeds - broken} seeds kept every promise, {broken} did not")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,7 +10,14 @@
 SECONDS = 8.0
 
 
-@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize(
+    "seed",
+    [
+        1,
+        2,
+        910002,  # an entry that was asked to stop went on serving; the cause is not known
+    ],
+)
 def test_promises_hold_under_a_random_schedule_of_faults(seed: int, tmp_path: Path) -> None:
     """Entries are killed, stopped, frozen and restarted, the store refuses, loses answers and goes
     deaf, servers break off and come and go, all at times drawn from the seed."""
