--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -14,7 +14,7 @@
 import sys
 import time
 import uuid
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -34,6 +34,7 @@
 HOST = "callers.example"
 READY_S = 15.0
 STEP_S = 0.05
+PROGRAM = ("-m", "carobspool_platform")
 FIRST_PORT, END_OF_PORTS = 10_000, 32_000
 
 
@@ -178,6 +179,7 @@
         wait: bool = True,
         store: str | None = None,
         output: int | None = None,
+        program: Sequence[str] = PROGRAM,
     ) -> Entry:
         """Start an entry; its log goes to a file unless a descriptor is given for it."""
         port, ready_port, peer_port, metrics_port = _free_ports(4)
@@ -185,7 +187,7 @@
         settings |= {"callers": f"127.0.0.1:{port}", "ready": f"127.0.0.1:{ready_port}"}
         settings["first_start"] = first_start
         settings["object_api"] = store or self.store
-        process, log = self._run(settings, output)
+        process, log = self._run(settings, output, program)
         entry = Entry(name, port, ready_port, peer_port, process, log)
         self.entries.append(entry)
         if wait:
@@ -213,13 +215,16 @@
         }
 
     def _run(
-        self, settings: dict[str, Any], output: int | None = None
+        self,
+        settings: dict[str, Any],
+        output: int | None = None,
+        program: Sequence[str] = PROGRAM,
     ) -> tuple[subprocess.Popen[bytes], Path]:
         stem = f"{settings['node']}-{settings['peer_port']}"
         path = self.folder / f"{stem}.json"
         path.write_text("// settings\n" + json.dumps(settings))
         log = self.folder / f"{stem}.log"
-        return self.stack.enter_context(_process(path, log, output)), log
+        return self.stack.enter_context(_process(path, log, output, program)), log
 
     def configure(self, version: int, *routes: dict[str, Any]) -> None:
         """Write a configuration as the operator does."""
@@ -292,10 +297,10 @@
 
 @contextmanager
 def _process(
-    settings: Path, log: Path, descriptor: int | None
+    settings: Path, log: Path, descriptor: int | None, program: Sequence[str]
 ) -> Iterator[subprocess.Popen[bytes]]:
     environment = {**os.environ, "CAROBSPOOL_SETTINGS": str(settings)}
-    command = [sys.executable, "-m", "carobspool_platform"]
+    command = [sys.executable, *program]
     with log.open("wb") as file:
         output = file if descriptor is None else descriptor
         process = subprocess.Popen(
