--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import signal
 import threading
 import uuid
 from collections.abc import Mapping, Sequence
@@ -47,6 +46,7 @@
 from carobspool_node.direct._peers import OwnHint, Peers
 from carobspool_node.direct._reload import SettingsReload
 from carobspool_node.direct._settings import DirectSettings
+from carobspool_node.direct._stop_signal import StopSignal
 from carobspool_node.direct._store_relay import RelayedStore
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.direct._upstream_calls import UpstreamConnections
@@ -86,6 +86,7 @@
         self._clock = boottime_clock()
         self._telemetry = Telemetry()
         self._incarnation = uuid.uuid4().hex[:8]
+        self._stop = StopSignal()
         self._leaving = threading.Event()
         self._exit_at: Millis | None = None
         self._released = threading.Event()
@@ -187,7 +188,7 @@
             self._incarnation,
             settings.first_start,
         )
-        signal.signal(signal.SIGTERM, lambda *_: self._leaving.set())
+        self._stop.listen()
         self._reload.listen()
         self._telemetry.serve(settings.address, settings.metrics_port)
         callers = self._listen()
@@ -204,9 +205,10 @@
         threading.Thread(target=self._register, name="register", daemon=True).start()
         self._recovery.start(first_start=settings.first_start)
         threading.Thread(target=self._poll, name="poll", daemon=True).start()
-        while not self._leaving.wait(TIDY_INTERVAL_S):
+        while not self._stop.wait(TIDY_INTERVAL_S):
             self._tidy()
             self._reload.check()
+        self._leaving.set()
         self._leave(callers)
         return 0
 
--- a/packages/node/src/carobspool_node/direct/_keeper.py
+++ b/packages/node/src/carobspool_node/direct/_keeper.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import signal
-import threading
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -15,6 +13,7 @@
 from carobspool_node.direct._follow import Follower
 from carobspool_node.direct._reload import SettingsReload
 from carobspool_node.direct._settings import DirectSettings
+from carobspool_node.direct._stop_signal import StopSignal
 from carobspool_node.direct._telemetry import Telemetry
 
 CHECK_INTERVAL_S = 4.0
@@ -34,7 +33,7 @@
         self._deployment = deployment
         self._store = deployment.open_store(settings, boottime_clock())
         self._telemetry = Telemetry()
-        self._leaving = threading.Event()
+        self._stop = StopSignal()
         self._answered: set[int] = set()
         self._follower = Follower(
             self._store,
@@ -48,11 +47,11 @@
         settings = self._settings
         self._telemetry.start_logs(settings.node, settings.log_level)
         logging.info("event=start node=%s role=keeper", settings.node)
-        signal.signal(signal.SIGTERM, lambda *_: self._leaving.set())
+        self._stop.listen()
         self._reload.listen()
         self._telemetry.serve(settings.address, settings.metrics_port)
         self._follower.start()
-        while not self._leaving.wait(CHECK_INTERVAL_S):
+        while not self._stop.wait(CHECK_INTERVAL_S):
             self._reload.check()
             self._follower.refresh()
         logging.info("event=stop")
--- a/packages/node/src/carobspool_node/direct/_reload.py
+++ b/packages/node/src/carobspool_node/direct/_reload.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import signal
-import threading
 from dataclasses import fields
 from pathlib import Path
+from types import FrameType
 
 from absl import logging
 from returns.pipeline import is_successful
@@ -28,19 +28,21 @@
         self._path = path
         self._settings = settings
         self._stamp = self._read_stamp()
-        self._asked = threading.Event()
+        self._signals = 0
+        self._signals_seen = 0
 
     def listen(self) -> None:
         """Take SIGHUP as the word that the file has changed."""
-        signal.signal(signal.SIGHUP, lambda *_: self._asked.set())
+        signal.signal(signal.SIGHUP, self._take_signal)
 
     def check(self) -> None:
         """Reload when the file has changed or a signal has come; call it now and then."""
         stamp = self._read_stamp()
-        if stamp == self._stamp and not self._asked.is_set():
+        signals = self._signals
+        if stamp == self._stamp and signals == self._signals_seen:
             return
         self._stamp = stamp
-        self._asked.clear()
+        self._signals_seen = signals
         loaded = load_direct_settings(self._path)
         if not is_successful(loaded):
             for problem in loaded.failure():
@@ -48,6 +50,10 @@
             return
         self._apply(loaded.unwrap())
 
+    def _take_signal(self, number: int, frame: FrameType | None) -> None:
+        # Only counts: a handler must not ask for a lock that the main task may hold.
+        self._signals += 1
+
     def _apply(self, new: DirectSettings) -> None:
         names = [each.name for each in fields(DirectSettings)]
         changed = [name for name in names if getattr(new, name) != getattr(self._settings, name)]
