Room settings: models, data classes and log lines of a process move behind one face

Cause: 84 flat modules tell a newcomer nothing of who needs whom. Pure moves; imports only. Metrics are not here: direct entries share this room, and what they import must stay within deploy/requirements.txt, which has no statsd.

--- a/packages/node/src/carobspool_node/__main__.py
+++ b/packages/node/src/carobspool_node/__main__.py
@@ -13,10 +13,10 @@
 
 from carobspool_core.border import Problem, read_json
 from carobspool_node._entry_node import run_entry
-from carobspool_node._settings import EntrySettings, SidecarSettings, load_settings
 from carobspool_node._sidecar_node import run_sidecar
 from carobspool_node.direct import DIRECT_ROLES, DirectSettings, load_direct_settings
 from carobspool_node.errors import NodeError
+from carobspool_node.settings import EntrySettings, SidecarSettings, load_settings
 
 EXIT_SETTINGS = 2
 EXIT_START = 3
--- a/packages/node/src/carobspool_node/_entry_jobs.py
+++ b/packages/node/src/carobspool_node/_entry_jobs.py
@@ -26,7 +26,7 @@
 from carobspool_node._link import Identity
 from carobspool_node._members import Members, watch_members
 from carobspool_node._node_lease import NodeIdentity, NodeLeaseKeeper, keep_node_lease
-from carobspool_node._settings import EntrySettings
+from carobspool_node.settings import EntrySettings
 
 WATCH_SHARE = 4
 """A watch lasts this part of the lease's time to live, so that an expiry is noticed soon."""
--- a/packages/node/src/carobspool_node/_reconciler.py
+++ b/packages/node/src/carobspool_node/_reconciler.py
@@ -23,7 +23,7 @@
 )
 from carobspool_node._engine_status import EngineStatus
 from carobspool_node._order_right import OrderRight, RightError, RightFault
-from carobspool_node._settings import OrderSettings
+from carobspool_node.settings import OrderSettings
 
 FIRST_BACKOFF: Millis = 500.0
 LAST_BACKOFF: Millis = 30_000.0
--- a/packages/node/src/carobspool_node/direct/_settings.py
+++ b/packages/node/src/carobspool_node/direct/_settings.py
@@ -12,7 +12,7 @@
 
 from carobspool_core import Millis
 from carobspool_core.border import BorderModel, Problem, read_json, validate
-from carobspool_node._settings_models import (
+from carobspool_node.settings import (
     HIGHEST_PORT,
     IpAddress,
     LogLevel,
--- a/packages/node/src/carobspool_node/direct/_telemetry.py
+++ b/packages/node/src/carobspool_node/direct/_telemetry.py
@@ -17,7 +17,7 @@
 from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 
 from carobspool_core import Millis
-from carobspool_node._logs import LineFormatter
+from carobspool_node.settings import LineFormatter
 
 LOG_QUEUE_LINES = 2_000
 """Lines that may wait to be written: some seconds of an entry under five times its usual load."""
