Room store: the object API, steps on it and reservations move behind one face

Cause: flat modules tell a newcomer nothing of who needs whom. Pure moves: only imports change, in modules and in tests; no behaviour.

--- a/packages/node/src/carobspool_node/_chunk_claims.py
+++ b/packages/node/src/carobspool_node/_chunk_claims.py
@@ -20,7 +20,7 @@
 from carobspool_node._chunk_store import Claimed, Standing, claim
 from carobspool_node._job_work import JobWork
 from carobspool_node._members import Members
-from carobspool_node._store_calls import StoreCalls
+from carobspool_node.store import StoreCalls
 
 CLAIMS_AT_ONCE = 4
 CLAIM_PAUSE: Millis = 500.0
--- a/packages/node/src/carobspool_node/_chunk_store.py
+++ b/packages/node/src/carobspool_node/_chunk_store.py
@@ -31,7 +31,7 @@
 from carobspool_node._job_input import read_items
 from carobspool_node._job_intake import input_key
 from carobspool_node._job_results import ItemResult, chunk_key, pack_results
-from carobspool_node._store_access import create_immutable
+from carobspool_node.store import create_immutable
 
 INLINE_CHARACTERS = 524_288
 
--- a/packages/node/src/carobspool_node/_entry_node.py
+++ b/packages/node/src/carobspool_node/_entry_node.py
@@ -39,14 +39,13 @@
 from carobspool_node._isolation import Isolation
 from carobspool_node._link import TRAFFIC, Identity, Link
 from carobspool_node._metrics import make_metrics
-from carobspool_node._object_api import http_object_store
 from carobspool_node._online import OnlineService
 from carobspool_node._peer_keys import load_peer_keys
-from carobspool_node._reservations import make_reservations
 from carobspool_node._shared_limits import SharedLimits
 from carobspool_node._shutdown import ShutdownRequest, end_process
 from carobspool_node._upstream_status import upstream_status
 from carobspool_node.settings import EntrySettings, set_up_logs
+from carobspool_node.store import http_object_store, make_reservations
 
 TICK_SECONDS = 1.0
 ACCEPT_GRACE_SECONDS = 1.0
--- a/packages/node/src/carobspool_node/_files.py
+++ b/packages/node/src/carobspool_node/_files.py
@@ -20,9 +20,14 @@
     invalid_request,
     organisation_digest,
 )
-from carobspool_node._packing import MAX_PACKED_CHARACTERS, pack, unpack
-from carobspool_node._store_access import iterate_objects, request_failure
 from carobspool_node.errors import ContentUnavailableError
+from carobspool_node.store import (
+    MAX_PACKED_CHARACTERS,
+    iterate_objects,
+    pack,
+    request_failure,
+    unpack,
+)
 
 PART_BYTES = 2_097_152
 MAX_FILE_BYTES = 1_073_741_824
--- a/packages/node/src/carobspool_node/_isolation.py
+++ b/packages/node/src/carobspool_node/_isolation.py
@@ -36,8 +36,7 @@
     unavailable,
     wall_millis,
 )
-from carobspool_node._follow import Followed, follow
-from carobspool_node._store_access import list_all
+from carobspool_node.store import Followed, follow, list_all
 
 PREFIX = "quarantine/"
 WRITE_TRIES = 5
--- a/packages/node/src/carobspool_node/_job_changes.py
+++ b/packages/node/src/carobspool_node/_job_changes.py
@@ -24,7 +24,7 @@
     unavailable,
 )
 from carobspool_core import Failure as RequestFailure
-from carobspool_node._store_access import request_failure
+from carobspool_node.store import request_failure
 
 CANCEL_TRIES = 5
 
--- a/packages/node/src/carobspool_node/_job_coordinator.py
+++ b/packages/node/src/carobspool_node/_job_coordinator.py
@@ -32,7 +32,7 @@
 from carobspool_node._job_table import JobTable
 from carobspool_node._job_work import JobWork
 from carobspool_node._members import Members
-from carobspool_node._store_calls import StoreCalls
+from carobspool_node.store import StoreCalls
 
 COORDINATE_INTERVAL: Millis = 200.0
 PROBED_AT_ONCE = 16
--- a/packages/node/src/carobspool_node/_job_input.py
+++ b/packages/node/src/carobspool_node/_job_input.py
@@ -19,7 +19,7 @@
     invalid_request,
 )
 from carobspool_core import Failure as RequestFailure
-from carobspool_node._packing import pack, unpack
+from carobspool_node.store import pack, unpack
 
 ENDPOINTS = ("/v1/chat/completions", "/v1/completions")
 MAX_LINE_BYTES = 524_288
--- a/packages/node/src/carobspool_node/_job_results.py
+++ b/packages/node/src/carobspool_node/_job_results.py
@@ -31,8 +31,8 @@
     read_chunk,
     spans_of,
 )
-from carobspool_node._packing import MAX_PACKED_CHARACTERS, pack, unpack
 from carobspool_node.errors import ContentUnavailableError
+from carobspool_node.store import MAX_PACKED_CHARACTERS, pack, unpack
 
 OUTPUT_PREFIX = "file-output-"
 ERROR_PREFIX = "file-error-"
--- a/packages/node/src/carobspool_node/_job_runner.py
+++ b/packages/node/src/carobspool_node/_job_runner.py
@@ -32,7 +32,6 @@
     read_standing,
     write_chunk,
 )
-from carobspool_node._follow import WATCH_TIMEOUT
 from carobspool_node._job_coordinator import JobCoordinator
 from carobspool_node._job_ending import done_counts
 from carobspool_node._job_table import JobTable, watch_jobs
@@ -40,7 +39,7 @@
 from carobspool_node._members import Members
 from carobspool_node._owned_chunk import Attempt, OwnedChunk
 from carobspool_node._runner_ports import ChunkDone, ItemRunner, RunnerPorts
-from carobspool_node._store_calls import StoreCalls
+from carobspool_node.store import WATCH_TIMEOUT, StoreCalls
 
 __all__ = ["ChunkDone", "ItemRunner", "JobRunner", "RunnerPorts", "make_job_runner"]
 
--- a/packages/node/src/carobspool_node/_job_table.py
+++ b/packages/node/src/carobspool_node/_job_table.py
@@ -20,8 +20,7 @@
     StoreFault,
     read_job,
 )
-from carobspool_node._follow import WATCH_TIMEOUT, Followed, follow
-from carobspool_node._store_access import list_all
+from carobspool_node.store import WATCH_TIMEOUT, Followed, follow, list_all
 
 JOBS = "jobs/"
 OPEN = "open/"
--- a/packages/node/src/carobspool_node/_jobs_api.py
+++ b/packages/node/src/carobspool_node/_jobs_api.py
@@ -38,7 +38,7 @@
     result_content,
     result_file_job,
 )
-from carobspool_node._store_access import iterate_objects, request_failure
+from carobspool_node.store import iterate_objects, request_failure
 
 DEFAULT_LIMIT = 20
 MAX_LIMIT = 10_000
--- a/packages/node/src/carobspool_node/_members.py
+++ b/packages/node/src/carobspool_node/_members.py
@@ -18,8 +18,7 @@
     StoredObject,
     StoreFault,
 )
-from carobspool_node._follow import WATCH_TIMEOUT, Followed, follow
-from carobspool_node._store_access import list_all
+from carobspool_node.store import WATCH_TIMEOUT, Followed, follow, list_all
 
 PREFIX = "nodes/"
 STEP_SLACK: Millis = 1_000.0
--- a/packages/node/src/carobspool_node/_online.py
+++ b/packages/node/src/carobspool_node/_online.py
@@ -24,8 +24,8 @@
 from carobspool_node._http_server import TruncatedAnswerError
 from carobspool_node._isolation import Isolation, is_clear
 from carobspool_node._online_requests import OnlineRequest, pass_on
-from carobspool_node._reservations import Reservation, Reservations, StoredAnswer
 from carobspool_node._shared_limits import SharedLimits
+from carobspool_node.store import Reservation, Reservations, StoredAnswer
 
 MAX_STORED_ANSWER = 512 * 1024
 _DROPPED_ANSWER_HEADERS = frozenset({"date", "server", "connection", "transfer-encoding"})
--- a/packages/node/src/carobspool_node/_object_api.py
+++ b/packages/node/src/carobspool_node/store/_object_api.py
@@ -26,7 +26,7 @@
     WatchBatch,
     monotonic_clock,
 )
-from carobspool_node._object_answers import (
+from carobspool_node.store._object_answers import (
     Broken,
     Reply,
     decoded,
--- a/packages/node/src/carobspool_node/_reservations.py
+++ b/packages/node/src/carobspool_node/store/_reservations.py
@@ -30,7 +30,7 @@
     wall_millis,
 )
 from carobspool_core import Failure as RequestFailure
-from carobspool_node._store_access import STORE_RETRY_AFTER
+from carobspool_node.store._store_access import STORE_RETRY_AFTER
 
 RUNNING_RETRY_AFTER: Millis = 1_000.0
 UNSETTLED_PAUSE: Millis = 1_000.0
--- a/packages/node/tests/test_job_results.py
+++ b/packages/node/tests/test_job_results.py
@@ -9,7 +9,7 @@
 
 from carobspool_core import BatchItem, ItemOutcome
 from carobspool_node._job_results import ItemResult, item_result, pack_results
-from carobspool_node._packing import MAX_PACKED_CHARACTERS
+from carobspool_node.store._packing import MAX_PACKED_CHARACTERS
 
 ITEM = BatchItem(
     job="batch_1",
--- a/packages/node/tests/test_object_api.py
+++ b/packages/node/tests/test_object_api.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from carobspool_core import Json, ObjectStore, StoreFailure, StoreFault
-from carobspool_node._object_api import http_object_store
+from carobspool_node.store._object_api import http_object_store
 from carobspool_standins._client import HttpClient
 from carobspool_standins._http import make_http_server
 from carobspool_standins._settings import ServerSettings
--- a/packages/node/tests/test_reservations.py
+++ b/packages/node/tests/test_reservations.py
@@ -10,7 +10,7 @@
 
 from carobspool_core import Failure as RequestFailure
 from carobspool_core import Holder, ManualClock, Outcome
-from carobspool_node._reservations import (
+from carobspool_node.store._reservations import (
     Reservation,
     Reservations,
     StoredAnswer,
