What online requests and batch items both read of a completion stands apart from the reading of online requests

Cause: batch jobs imported the callers' border for it, and the callers' routes import the jobs: as rooms they would have formed a cycle. Code moved, not changed.

--- a/packages/node/src/carobspool_node/_batch_forward.py
+++ b/packages/node/src/carobspool_node/_batch_forward.py
@@ -28,9 +28,7 @@
     unavailable,
 )
 from carobspool_node._attempt import Attempt
-from carobspool_node._fleet import Fleet
-from carobspool_node._isolation import Isolation, is_clear
-from carobspool_node._online_requests import (
+from carobspool_node._completions import (
     NO_ID,
     CompletionBody,
     completion_fingerprint,
@@ -38,6 +36,8 @@
     parse_completion,
     prefix_key,
 )
+from carobspool_node._fleet import Fleet
+from carobspool_node._isolation import Isolation, is_clear
 from carobspool_node._sidecar_peer import SidecarPeer
 
 ITEM_TIMEOUT: Millis = 3_600_000.0
