Room requests: what is known of one request moves behind one face

Cause: flat modules tell a newcomer nothing of who needs whom. Pure moves: only imports change, in modules and in tests; no behaviour. Ran: types, lint, each face alone in a fresh interpreter (an order of imports hides no cycle), collection of all tests; the tests of packages/node and packages/cli on a copy of the commit.

--- a/packages/node/src/carobspool_node/_batch_forward.py
+++ b/packages/node/src/carobspool_node/_batch_forward.py
@@ -27,18 +27,19 @@
     RouteRequest,
     unavailable,
 )
-from carobspool_node._attempt import Attempt
-from carobspool_node._completions import (
+from carobspool_node._fleet import Fleet
+from carobspool_node._sidecar_peer import SidecarPeer
+from carobspool_node.requests import (
     NO_ID,
+    Attempt,
     CompletionBody,
+    Isolation,
     completion_fingerprint,
     estimate_tokens,
+    is_clear,
     parse_completion,
     prefix_key,
 )
-from carobspool_node._fleet import Fleet
-from carobspool_node._isolation import Isolation, is_clear
-from carobspool_node._sidecar_peer import SidecarPeer
 
 ITEM_TIMEOUT: Millis = 3_600_000.0
 """An item may give way many times; its job's due time bounds it, not this."""
--- a/packages/node/src/carobspool_node/_online_requests.py
+++ b/packages/node/src/carobspool_node/_online_requests.py
@@ -19,7 +19,7 @@
     invalid_request,
 )
 from carobspool_node._caller_keys import Identified
-from carobspool_node._completions import (
+from carobspool_node.requests import (
     NO_ID,
     completion_fingerprint,
     estimate_tokens,
--- a/packages/node/src/carobspool_node/_sidecar_peer.py
+++ b/packages/node/src/carobspool_node/_sidecar_peer.py
@@ -26,10 +26,10 @@
     RequestId,
     broken_upstream,
 )
-from carobspool_node._attempt import Attempt
 from carobspool_node._link import Identity, Link, dial
 from carobspool_node._peer_keys import PeerKeys
 from carobspool_node.errors import CodecError, LinkClosedError
+from carobspool_node.requests import Attempt
 
 RECONNECT_FIRST: Millis = 50.0
 RECONNECT_MOST: Millis = 1_000.0
--- a/packages/node/tests/test_attempt.py
+++ b/packages/node/tests/test_attempt.py
@@ -16,7 +16,7 @@
     RequestId,
     unavailable,
 )
-from carobspool_node._attempt import MAX_UNREAD_BYTES, Attempt
+from carobspool_node.requests._attempt import MAX_UNREAD_BYTES, Attempt
 
 _ID = RequestId("entry", 1)
 _PIECES = [b"a", b"bc", b"", b"def", b"g"]
