Room links: websocket links, hints and membership move behind one face

Cause: flat modules tell a newcomer nothing of who needs whom. Pure moves: only imports change, in modules and in tests; no behaviour.

--- a/packages/node/src/carobspool_node/_batch_forward.py
+++ b/packages/node/src/carobspool_node/_batch_forward.py
@@ -27,8 +27,7 @@
     RouteRequest,
     unavailable,
 )
-from carobspool_node._fleet import Fleet
-from carobspool_node._sidecar_peer import SidecarPeer
+from carobspool_node.links import Fleet, SidecarPeer
 from carobspool_node.requests import (
     NO_ID,
     Attempt,
--- a/packages/node/src/carobspool_node/_chunk_claims.py
+++ b/packages/node/src/carobspool_node/_chunk_claims.py
@@ -19,7 +19,7 @@
 )
 from carobspool_node._chunk_store import Claimed, Standing, claim
 from carobspool_node._job_work import JobWork
-from carobspool_node._members import Members
+from carobspool_node.links import Members
 from carobspool_node.store import StoreCalls
 
 CLAIMS_AT_ONCE = 4
--- a/packages/node/src/carobspool_node/_configuration_exchange.py
+++ b/packages/node/src/carobspool_node/_configuration_exchange.py
@@ -10,7 +10,7 @@
 
 from carobspool_core import Configuration
 from carobspool_node._config_store import ConfigurationFollower
-from carobspool_node._link import Link, send_quietly
+from carobspool_node.links import Link, send_quietly
 
 
 def announcement(follower: ConfigurationFollower) -> Configuration:
--- a/packages/node/src/carobspool_node/_entry_jobs.py
+++ b/packages/node/src/carobspool_node/_entry_jobs.py
@@ -23,9 +23,14 @@
 from carobspool_node._job_choice import make_job_choice
 from carobspool_node._job_runner import ChunkDone, RunnerPorts, make_job_runner
 from carobspool_node._jobs_api import JobsApi, make_jobs_api
-from carobspool_node._link import Identity
-from carobspool_node._members import Members, watch_members
-from carobspool_node._node_lease import NodeIdentity, NodeLeaseKeeper, keep_node_lease
+from carobspool_node.links import (
+    Identity,
+    Members,
+    NodeIdentity,
+    NodeLeaseKeeper,
+    keep_node_lease,
+    watch_members,
+)
 from carobspool_node.settings import EntrySettings
 
 WATCH_SHARE = 4
--- a/packages/node/src/carobspool_node/_entry_node.py
+++ b/packages/node/src/carobspool_node/_entry_node.py
@@ -29,20 +29,24 @@
 from carobspool_node._caller_keys import CallerKeys
 from carobspool_node._config_store import follow, make_follower
 from carobspool_node._configuration_exchange import announcement, exchange, news
-from carobspool_node._connections import Connections
 from carobspool_node._drain_follower import DrainFollower
 from carobspool_node._entry_jobs import EntryJobs
-from carobspool_node._fleet import Fleet
 from carobspool_node._forward import Forwarder
-from carobspool_node._hints import HintExchange
 from carobspool_node._http_server import PooledServer
-from carobspool_node._link import TRAFFIC, Identity, Link
 from carobspool_node._metrics import make_metrics
 from carobspool_node._online import OnlineService
-from carobspool_node._peer_keys import load_peer_keys
 from carobspool_node._shared_limits import SharedLimits
 from carobspool_node._shutdown import ShutdownRequest, end_process
 from carobspool_node._upstream_status import upstream_status
+from carobspool_node.links import (
+    TRAFFIC,
+    Connections,
+    Fleet,
+    HintExchange,
+    Identity,
+    Link,
+    load_peer_keys,
+)
 from carobspool_node.requests import Isolation
 from carobspool_node.settings import EntrySettings, set_up_logs
 from carobspool_node.store import http_object_store, make_reservations
--- a/packages/node/src/carobspool_node/_forward.py
+++ b/packages/node/src/carobspool_node/_forward.py
@@ -30,9 +30,8 @@
     broken_upstream,
 )
 from carobspool_node._caller_socket import CallerSocket
-from carobspool_node._fleet import Fleet
 from carobspool_node._http_server import TruncatedAnswerError
-from carobspool_node._sidecar_peer import SidecarPeer
+from carobspool_node.links import Fleet, SidecarPeer
 from carobspool_node.requests import Attempt, Progress
 
 POLL: Millis = 250.0
--- a/packages/node/src/carobspool_node/_job_coordinator.py
+++ b/packages/node/src/carobspool_node/_job_coordinator.py
@@ -31,7 +31,7 @@
 )
 from carobspool_node._job_table import JobTable
 from carobspool_node._job_work import JobWork
-from carobspool_node._members import Members
+from carobspool_node.links import Members
 from carobspool_node.store import StoreCalls
 
 COORDINATE_INTERVAL: Millis = 200.0
--- a/packages/node/src/carobspool_node/_job_runner.py
+++ b/packages/node/src/carobspool_node/_job_runner.py
@@ -36,9 +36,9 @@
 from carobspool_node._job_ending import done_counts
 from carobspool_node._job_table import JobTable, watch_jobs
 from carobspool_node._job_works import JobWorks
-from carobspool_node._members import Members
 from carobspool_node._owned_chunk import Attempt, OwnedChunk
 from carobspool_node._runner_ports import ChunkDone, ItemRunner, RunnerPorts
+from carobspool_node.links import Members
 from carobspool_node.store import WATCH_TIMEOUT, StoreCalls
 
 __all__ = ["ChunkDone", "ItemRunner", "JobRunner", "RunnerPorts", "make_job_runner"]
--- a/packages/node/src/carobspool_node/_sidecar.py
+++ b/packages/node/src/carobspool_node/_sidecar.py
@@ -39,13 +39,11 @@
     unavailable,
 )
 from carobspool_node._engine_runs import EngineRuns
-from carobspool_node._entry_links import EntryLinks
-from carobspool_node._link import MAX_FRAME_BYTES, Identity, Link, establish
-from carobspool_node._peer_keys import PeerKeys
 from carobspool_node._runs import Run, RunState, RunTable
 from carobspool_node._scheduler import Scheduler
 from carobspool_node._upstream_health import UpstreamHealth
 from carobspool_node.errors import CodecError, HandshakeError, LinkClosedError
+from carobspool_node.links import MAX_FRAME_BYTES, EntryLinks, Identity, Link, PeerKeys, establish
 
 MAX_OPEN_AGE: Millis = 2_500.0
 """Requests older than this on arrival are refused as not run.
--- a/packages/node/src/carobspool_node/_upstream_status.py
+++ b/packages/node/src/carobspool_node/_upstream_status.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection
 
 from carobspool_core import DesiredState, Json, Load, Upstream
-from carobspool_node._fleet import Fleet
+from carobspool_node.links import Fleet
 
 
 def upstream_status(state: DesiredState, fleet: Fleet, drained: Collection[str]) -> list[Json]:
--- a/packages/node/src/carobspool_node/_entry_links.py
+++ b/packages/node/src/carobspool_node/links/_entry_links.py
@@ -9,7 +9,7 @@
 from absl import logging
 
 from carobspool_core import Clock, Message, Millis
-from carobspool_node._link import Link, send_quietly
+from carobspool_node.links._link import Link, send_quietly
 
 REATTACH_GRACE: Millis = 5_000.0
 """How long requests of an entry that is not heard go on; the entry waits as long to come back."""
--- a/packages/node/src/carobspool_node/_fleet.py
+++ b/packages/node/src/carobspool_node/links/_fleet.py
@@ -25,9 +25,9 @@
     Upstream,
     UpstreamKind,
 )
-from carobspool_node._link import Identity
-from carobspool_node._peer_keys import PeerKeys
-from carobspool_node._sidecar_peer import PeerEvents, SidecarPeer
+from carobspool_node.links._link import Identity
+from carobspool_node.links._peer_keys import PeerKeys
+from carobspool_node.links._sidecar_peer import PeerEvents, SidecarPeer
 
 SETTLE_LIMIT: Millis = 3_000.0
 """As long as a sidecar may be silent before it counts as lost."""
--- a/packages/node/src/carobspool_node/_hints.py
+++ b/packages/node/src/carobspool_node/links/_hints.py
@@ -24,9 +24,16 @@
     Millis,
     make_gossip,
 )
-from carobspool_node._link import MAX_FRAME_BYTES, Identity, Link, dial, establish, send_quietly
-from carobspool_node._peer_keys import PeerKeys
 from carobspool_node.errors import CodecError, HandshakeError
+from carobspool_node.links._link import (
+    MAX_FRAME_BYTES,
+    Identity,
+    Link,
+    dial,
+    establish,
+    send_quietly,
+)
+from carobspool_node.links._peer_keys import PeerKeys
 
 RECONNECT_DELAY: Millis = 500.0
 SILENCE_LIMIT: Millis = 5_000.0
--- a/packages/node/src/carobspool_node/_link.py
+++ b/packages/node/src/carobspool_node/links/_link.py
@@ -26,9 +26,9 @@
     Open,
     Proof,
 )
-from carobspool_node._codec import decode_frame, encode_frame
-from carobspool_node._peer_keys import PeerKeys, check_proof, make_proof, new_nonce
 from carobspool_node.errors import CodecError, HandshakeError, LinkClosedError
+from carobspool_node.links._codec import decode_frame, encode_frame
+from carobspool_node.links._peer_keys import PeerKeys, check_proof, make_proof, new_nonce
 
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 JOIN_MESSAGES = 128
--- a/packages/node/src/carobspool_node/_sidecar_peer.py
+++ b/packages/node/src/carobspool_node/links/_sidecar_peer.py
@@ -26,9 +26,9 @@
     RequestId,
     broken_upstream,
 )
-from carobspool_node._link import Identity, Link, dial
-from carobspool_node._peer_keys import PeerKeys
 from carobspool_node.errors import CodecError, LinkClosedError
+from carobspool_node.links._link import Identity, Link, dial
+from carobspool_node.links._peer_keys import PeerKeys
 from carobspool_node.requests import Attempt
 
 RECONNECT_FIRST: Millis = 50.0
--- a/packages/node/tests/test_codec.py
+++ b/packages/node/tests/test_codec.py
@@ -21,8 +21,8 @@
     RequestId,
     SidecarState,
 )
-from carobspool_node._codec import decode_frame, encode_frame
 from carobspool_node.errors import CodecError
+from carobspool_node.links._codec import decode_frame, encode_frame
 
 _IDS = st.builds(RequestId, st.text(max_size=8), st.integers(0, 2**40))
 _FAILURES = st.builds(
--- a/packages/node/tests/test_connections.py
+++ b/packages/node/tests/test_connections.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 from carobspool_core import DesiredState, Model, Upstream, UpstreamKind
-from carobspool_node._connections import Connections
+from carobspool_node.links._connections import Connections
 
 
 def _state(engines: int, *, services: int = 0) -> DesiredState:
--- a/packages/node/tests/test_entry_links.py
+++ b/packages/node/tests/test_entry_links.py
@@ -5,8 +5,8 @@
 from typing import Any, cast
 
 from carobspool_core import Beat, Hello, ManualClock, Message
-from carobspool_node._entry_links import REATTACH_GRACE, SILENCE_LIMIT, EntryLinks
-from carobspool_node._link import Link
+from carobspool_node.links._entry_links import REATTACH_GRACE, SILENCE_LIMIT, EntryLinks
+from carobspool_node.links._link import Link
 
 
 class _FakeLink:
--- a/packages/node/tests/test_job_runner.py
+++ b/packages/node/tests/test_job_runner.py
@@ -42,8 +42,8 @@
 from carobspool_node._job_intake import Submission, submit
 from carobspool_node._job_results import result_content
 from carobspool_node._job_runner import ChunkDone, JobRunner, RunnerPorts, make_job_runner
-from carobspool_node._members import watch_members
-from carobspool_node._node_lease import NodeIdentity, keep_node_lease
+from carobspool_node.links._members import watch_members
+from carobspool_node.links._node_lease import NodeIdentity, keep_node_lease
 from carobspool_standins.memory_store import FaultKind, FaultRule, MemoryObjects, MemoryStore
 
 TTL = 600.0
--- a/packages/node/tests/test_link.py
+++ b/packages/node/tests/test_link.py
@@ -10,9 +10,9 @@
 from websockets.sync.server import ServerConnection, serve
 
 from carobspool_core import Beat, Cancel, Message, RequestId, monotonic_clock
-from carobspool_node._link import Identity, Link, dial, establish
-from carobspool_node._peer_keys import PeerKeys
 from carobspool_node.errors import HandshakeError, LinkClosedError
+from carobspool_node.links._link import Identity, Link, dial, establish
+from carobspool_node.links._peer_keys import PeerKeys
 
 _KEYS = PeerKeys(keys={"k1": b"one", "k2": b"two"}, use="k1")
 _CLOCK = monotonic_clock()
--- a/tests/frame_proxy.py
+++ b/tests/frame_proxy.py
@@ -18,7 +18,7 @@
 from websockets.sync.server import ServerConnection, serve
 
 from carobspool_core import Data, End, Head, Message
-from carobspool_node._codec import decode_frame, encode_frame
+from carobspool_node.links import decode_frame, encode_frame
 
 MAX_BYTES = 64 * 1024 * 1024
 
--- a/tools/cost_configuration.py
+++ b/tools/cost_configuration.py
@@ -35,8 +35,8 @@
     monotonic_clock,
 )
 from carobspool_core.schema import dump_state, parse_state
-from carobspool_node._codec import decode_frame, encode_frame
 from carobspool_node._config_store import apply_state, make_follower
+from carobspool_node.links import decode_frame, encode_frame
 from carobspool_standins.memory_store import MemoryObjects, MemoryStore
 
 SIZES = (300, 3_000, 30_000)
--- a/tools/cost_jobs.py
+++ b/tools/cost_jobs.py
@@ -31,8 +31,7 @@
 from carobspool_node._job_intake import Submission, submit
 from carobspool_node._job_runner import RunnerPorts, make_job_runner
 from carobspool_node._job_work import JobWork
-from carobspool_node._members import watch_members
-from carobspool_node._node_lease import NodeIdentity, keep_node_lease
+from carobspool_node.links import NodeIdentity, keep_node_lease, watch_members
 from carobspool_standins.memory_store import MemoryObjects, MemoryStore
 
 ENDPOINT = "/v1/chat/completions"
