Room upstreams: the sidecar, its runs, calls and orders move behind one face

Cause: flat modules tell a newcomer nothing of who needs whom. Pure moves: only imports change, in modules and in tests; no behaviour. Ran: types, lint, each face alone in a fresh interpreter (an order of imports hides no cycle), collection of all tests; the tests of packages/node and packages/cli on a copy of the commit.

--- a/packages/node/src/carobspool_node/_drain_follower.py
+++ b/packages/node/src/carobspool_node/_drain_follower.py
@@ -14,7 +14,7 @@
 
 from carobspool_core import Millis, ObjectStore
 from carobspool_node._drains import drained_hosts
-from carobspool_node._upstream_http import CallEnd, UpstreamCall, call_whole
+from carobspool_node.upstreams import CallEnd, UpstreamCall, call_whole
 
 POLL_INTERVAL: Millis = 1_000.0
 LIST_TIMEOUT: Millis = 1_000.0
--- a/packages/node/src/carobspool_node/_sidecar_node.py
+++ b/packages/node/src/carobspool_node/_sidecar_node.py
@@ -23,15 +23,20 @@
 from carobspool_core import AdmissionSettings as DecisionSettings
 from carobspool_node._config_store import ConfigurationFollower, make_follower
 from carobspool_node._configuration_exchange import announcement, exchange
-from carobspool_node._engine_orders import http_engine_orders
 from carobspool_node._metrics import Metrics, make_metrics
-from carobspool_node._reconciler import Reconciler, make_reconciler, run_reconciler
-from carobspool_node._scheduler import Scheduler
 from carobspool_node._shutdown import ShutdownRequest, end_process
-from carobspool_node._sidecar import Sidecar, SidecarOptions
 from carobspool_node.links import Identity, Link, load_peer_keys, send_quietly
 from carobspool_node.settings import SidecarSettings, set_up_logs
 from carobspool_node.store import http_object_store
+from carobspool_node.upstreams import (
+    Reconciler,
+    Scheduler,
+    Sidecar,
+    SidecarOptions,
+    http_engine_orders,
+    make_reconciler,
+    run_reconciler,
+)
 
 DEFAULT_SLOTS = 32
 MEASURE_SECONDS = 1.0
--- a/packages/node/src/carobspool_node/_engine_runs.py
+++ b/packages/node/src/carobspool_node/upstreams/_engine_runs.py
@@ -24,10 +24,10 @@
     broken_upstream,
     unavailable,
 )
-from carobspool_node._event_stream import AnswerCollector, EventCutter, count_tokens
-from carobspool_node._runs import Run
-from carobspool_node._scheduler import Scheduler
-from carobspool_node._upstream_http import (
+from carobspool_node.upstreams._event_stream import AnswerCollector, EventCutter, count_tokens
+from carobspool_node.upstreams._runs import Run
+from carobspool_node.upstreams._scheduler import Scheduler
+from carobspool_node.upstreams._upstream_http import (
     CONTROL_TIMEOUT,
     CallEnd,
     CallResult,
--- a/packages/node/src/carobspool_node/_reconciler.py
+++ b/packages/node/src/carobspool_node/upstreams/_reconciler.py
@@ -21,9 +21,9 @@
     differences,
     next_order,
 )
-from carobspool_node._engine_status import EngineStatus
-from carobspool_node._order_right import OrderRight, RightError, RightFault
 from carobspool_node.settings import OrderSettings
+from carobspool_node.upstreams._engine_status import EngineStatus
+from carobspool_node.upstreams._order_right import OrderRight, RightError, RightFault
 
 FIRST_BACKOFF: Millis = 500.0
 LAST_BACKOFF: Millis = 30_000.0
--- a/packages/node/src/carobspool_node/_sidecar.py
+++ b/packages/node/src/carobspool_node/upstreams/_sidecar.py
@@ -38,12 +38,12 @@
     make_load_reporter,
     unavailable,
 )
-from carobspool_node._engine_runs import EngineRuns
-from carobspool_node._runs import Run, RunState, RunTable
-from carobspool_node._scheduler import Scheduler
-from carobspool_node._upstream_health import UpstreamHealth
 from carobspool_node.errors import CodecError, HandshakeError, LinkClosedError
 from carobspool_node.links import MAX_FRAME_BYTES, EntryLinks, Identity, Link, PeerKeys, establish
+from carobspool_node.upstreams._engine_runs import EngineRuns
+from carobspool_node.upstreams._runs import Run, RunState, RunTable
+from carobspool_node.upstreams._scheduler import Scheduler
+from carobspool_node.upstreams._upstream_health import UpstreamHealth
 
 MAX_OPEN_AGE: Millis = 2_500.0
 """Requests older than this on arrival are refused as not run.
--- a/packages/node/src/carobspool_node/_upstream_health.py
+++ b/packages/node/src/carobspool_node/upstreams/_upstream_health.py
@@ -9,7 +9,7 @@
 from absl import logging
 
 from carobspool_core import Clock, Millis
-from carobspool_node._upstream_http import CallEnd, UpstreamCall, call_whole
+from carobspool_node.upstreams._upstream_http import CallEnd, UpstreamCall, call_whole
 
 PROBE_INTERVAL: Millis = 1_000.0
 PROBE_INTERVAL_DOWN: Millis = 250.0
--- a/packages/node/tests/test_engine_orders.py
+++ b/packages/node/tests/test_engine_orders.py
@@ -9,7 +9,7 @@
 from werkzeug.serving import make_server
 
 from carobspool_core import Fence, Order, OrderFault, OrderKind
-from carobspool_node._engine_orders import http_engine_orders
+from carobspool_node.upstreams._engine_orders import http_engine_orders
 from carobspool_standins._engine_settings import EngineSettings, LoadedModel
 from carobspool_standins.engine import make_application
 
--- a/packages/node/tests/test_event_stream.py
+++ b/packages/node/tests/test_event_stream.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from carobspool_node._event_stream import AnswerCollector, EventCutter, count_tokens
+from carobspool_node.upstreams._event_stream import AnswerCollector, EventCutter, count_tokens
 
 _EVENTS = [b"data: {}\n\n", b'data: {"a":1}\n\n', b"data: [DONE]\n\n"]
 
--- a/packages/node/tests/test_reconciler.py
+++ b/packages/node/tests/test_reconciler.py
@@ -21,8 +21,8 @@
     OrderKind,
     RunningModel,
 )
-from carobspool_node._reconciler import Reconciler, make_reconciler
 from carobspool_node.settings._settings import OrderSettings
+from carobspool_node.upstreams._reconciler import Reconciler, make_reconciler
 from carobspool_standins.memory_store import FaultKind, FaultRule, MemoryObjects, MemoryStore
 
 SETTINGS = OrderSettings(lease_ttl=15_000.0, timeout=60_000.0, check=2_000.0)
--- a/packages/node/tests/test_runs.py
+++ b/packages/node/tests/test_runs.py
@@ -13,7 +13,7 @@
     RequestId,
     unavailable,
 )
-from carobspool_node._runs import MAX_ENDED_RUNS, REPLAY_TTL, Run, RunState, RunTable
+from carobspool_node.upstreams._runs import MAX_ENDED_RUNS, REPLAY_TTL, Run, RunState, RunTable
 
 
 def _open(counter: int = 1) -> Open:
--- a/packages/node/tests/test_upstream_http.py
+++ b/packages/node/tests/test_upstream_http.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from carobspool_node._upstream_http import CallEnd, Exchange, UpstreamCall
+from carobspool_node.upstreams._upstream_http import CallEnd, Exchange, UpstreamCall
 
 _ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
 
