Room configuration: following, applying, history and drain orders move behind one face

Cause: flat modules tell a newcomer nothing of who needs whom. Pure moves: only imports change, in modules and in tests; no behaviour. Ran: types, lint, each face alone in a fresh interpreter (an order of imports hides no cycle), collection of all tests; the tests of packages/node and packages/cli on a copy of the commit.

--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -20,7 +20,7 @@
 from carobspool_node._api import make_application as make_entry
 from carobspool_node._api_operator import operator_routes
 from carobspool_node._caller_keys import CallerKeys
-from carobspool_node._config_store import make_follower
+from carobspool_node.configuration import make_follower
 from carobspool_standins.memory_store import MemoryObjects, MemoryStore
 
 KEY = "operators-key"
--- a/packages/node/src/carobspool_node/_api_operator.py
+++ b/packages/node/src/carobspool_node/_api_operator.py
@@ -25,7 +25,8 @@
 from carobspool_core.schema import ConfigError, dump_state, parse_state
 from carobspool_node._api import Access, ApiRoute
 from carobspool_node._caller_keys import Identified
-from carobspool_node._config_store import (
+from carobspool_node._http_answers import failure_body, failure_response, json_response
+from carobspool_node.configuration import (
     Applied,
     ApplyError,
     ConfigurationFollower,
@@ -40,9 +41,8 @@
     audit,
     history,
     preview_state,
+    set_drain,
 )
-from carobspool_node._drains import set_drain
-from carobspool_node._http_answers import failure_body, failure_response, json_response
 
 Body = TypeVar("Body", bound=BaseModel)
 
--- a/packages/node/src/carobspool_node/_entry_node.py
+++ b/packages/node/src/carobspool_node/_entry_node.py
@@ -27,9 +27,6 @@
 from carobspool_node._api_operator import operator_routes
 from carobspool_node._batch_forward import BatchForwarder
 from carobspool_node._caller_keys import CallerKeys
-from carobspool_node._config_store import follow, make_follower
-from carobspool_node._configuration_exchange import announcement, exchange, news
-from carobspool_node._drain_follower import DrainFollower
 from carobspool_node._entry_jobs import EntryJobs
 from carobspool_node._forward import Forwarder
 from carobspool_node._http_server import PooledServer
@@ -38,6 +35,14 @@
 from carobspool_node._shared_limits import SharedLimits
 from carobspool_node._shutdown import ShutdownRequest, end_process
 from carobspool_node._upstream_status import upstream_status
+from carobspool_node.configuration import (
+    DrainFollower,
+    announcement,
+    exchange,
+    follow,
+    make_follower,
+    news,
+)
 from carobspool_node.links import (
     TRAFFIC,
     Connections,
--- a/packages/node/src/carobspool_node/_config_apply.py
+++ b/packages/node/src/carobspool_node/configuration/_apply.py
@@ -29,14 +29,14 @@
     summarise,
 )
 from carobspool_core.schema import check_state
-from carobspool_node._config_follower import ConfigurationFollower
-from carobspool_node._config_history import history
-from carobspool_node._config_objects import (
+from carobspool_node.configuration._follower import ConfigurationFollower
+from carobspool_node.configuration._history import history
+from carobspool_node.configuration._objects import (
     ConfigReadError,
     collect_parts,
     read_revision,
 )
-from carobspool_node._config_outcomes import (
+from carobspool_node.configuration._outcomes import (
     Applied,
     ApplyError,
     Conflict,
@@ -46,8 +46,8 @@
     TooLarge,
     UnknownBase,
 )
-from carobspool_node._config_prune import prune_after
-from carobspool_node._config_write import move_head, write_revision
+from carobspool_node.configuration._prune import prune_after
+from carobspool_node.configuration._write import move_head, write_revision
 
 MAX_ROUNDS = 16
 """Times that an apply moves onto a newer head before it gives up; each loss means another's win."""
--- a/packages/node/src/carobspool_node/_drain_follower.py
+++ b/packages/node/src/carobspool_node/configuration/_drain_follower.py
@@ -13,7 +13,7 @@
 from returns.pipeline import is_successful
 
 from carobspool_core import Millis, ObjectStore
-from carobspool_node._drains import drained_hosts
+from carobspool_node.configuration._drains import drained_hosts
 from carobspool_node.upstreams import CallEnd, UpstreamCall, call_whole
 
 POLL_INTERVAL: Millis = 1_000.0
--- a/packages/node/src/carobspool_node/_configuration_exchange.py
+++ b/packages/node/src/carobspool_node/configuration/_exchange.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from carobspool_core import Configuration
-from carobspool_node._config_store import ConfigurationFollower
+from carobspool_node.configuration._follower import ConfigurationFollower
 from carobspool_node.links import Link, send_quietly
 
 
--- a/packages/node/src/carobspool_node/_config_follower.py
+++ b/packages/node/src/carobspool_node/configuration/_follower.py
@@ -34,7 +34,7 @@
     root_digest,
     unpack_delta,
 )
-from carobspool_node._config_objects import (
+from carobspool_node.configuration._objects import (
     REVISIONS_PREFIX,
     ConfigReadError,
     collect_parts,
--- a/packages/node/src/carobspool_node/_config_history.py
+++ b/packages/node/src/carobspool_node/configuration/_history.py
@@ -10,7 +10,7 @@
 
 from carobspool_core import AuditRecord, Json, ObjectStore, StoredObject, audit_from_json
 from carobspool_core.revision import Revision, revision_audit
-from carobspool_node._config_objects import (
+from carobspool_node.configuration._objects import (
     REVISIONS_PREFIX,
     ConfigReadError,
     parse_revision,
--- a/packages/node/src/carobspool_node/_config_prune.py
+++ b/packages/node/src/carobspool_node/configuration/_prune.py
@@ -12,7 +12,7 @@
 
 from carobspool_core import ObjectStore
 from carobspool_core.revision import revision_from_json
-from carobspool_node._config_objects import part_key, revision_key
+from carobspool_node.configuration._objects import part_key, revision_key
 
 KEPT_REVISIONS = 1_000
 """Revisions whose parts are kept; an apply can have a base that is this many revisions old."""
--- a/packages/node/src/carobspool_node/_config_watch.py
+++ b/packages/node/src/carobspool_node/configuration/_watch.py
@@ -9,8 +9,13 @@
 from returns.result import Failure, Result
 
 from carobspool_core import Millis, ObjectStore, StoreFault
-from carobspool_node._config_follower import ConfigurationFollower
-from carobspool_node._config_objects import HEAD_KEY, REVISIONS_PREFIX, ConfigReadError, read_error
+from carobspool_node.configuration._follower import ConfigurationFollower
+from carobspool_node.configuration._objects import (
+    HEAD_KEY,
+    REVISIONS_PREFIX,
+    ConfigReadError,
+    read_error,
+)
 
 WATCH_TIME: Millis = 30_000.0
 RETRY_PAUSE: Millis = 1_000.0
--- a/packages/node/src/carobspool_node/_config_write.py
+++ b/packages/node/src/carobspool_node/configuration/_write.py
@@ -7,8 +7,8 @@
 
 from carobspool_core import ObjectStore, StoreFailure, StoreFault
 from carobspool_core.revision import Part, Parts, Revision, revision_from_json, revision_to_json
-from carobspool_node._config_objects import HEAD_KEY, part_key, part_value, revision_key
-from carobspool_node._config_outcomes import ApplyError, OutcomeUnknown, StoreDown
+from carobspool_node.configuration._objects import HEAD_KEY, part_key, part_value, revision_key
+from carobspool_node.configuration._outcomes import ApplyError, OutcomeUnknown, StoreDown
 
 UNKNOWN_RETRIES = 3
 """Times that a write with a lost answer is repeated; the repetition tells what became of it."""
--- a/packages/node/tests/test_config_faults.py
+++ b/packages/node/tests/test_config_faults.py
@@ -9,7 +9,7 @@
 from returns.pipeline import is_successful
 
 from carobspool_core import Caller, CallerRole, DesiredState, ManualClock, Organisation
-from carobspool_node._config_store import (
+from carobspool_node.configuration import (
     ConfigurationFollower,
     OutcomeUnknown,
     StoreDown,
--- a/packages/node/tests/test_config_store.py
+++ b/packages/node/tests/test_config_store.py
@@ -21,8 +21,7 @@
     audit_to_json,
 )
 from carobspool_core.revision import pack_delta, unpack_delta
-from carobspool_node._config_prune import prune_after
-from carobspool_node._config_store import (
+from carobspool_node.configuration import (
     Applied,
     ApplyError,
     ConfigurationFollower,
@@ -36,7 +35,8 @@
     make_follower,
     preview_state,
 )
-from carobspool_node._drains import drained_hosts, set_drain
+from carobspool_node.configuration._drains import drained_hosts, set_drain
+from carobspool_node.configuration._prune import prune_after
 from carobspool_standins.memory_store import FaultKind, FaultRule, MemoryObjects, MemoryStore
 
 OPERATOR = Caller(id="op", organisation="ops", key_hashes=("f" * 64,), role=CallerRole.OPERATOR)
--- a/tools/cost_configuration.py
+++ b/tools/cost_configuration.py
@@ -35,7 +35,7 @@
     monotonic_clock,
 )
 from carobspool_core.schema import dump_state, parse_state
-from carobspool_node._config_store import apply_state, make_follower
+from carobspool_node.configuration import apply_state, make_follower
 from carobspool_node.links import decode_frame, encode_frame
 from carobspool_standins.memory_store import MemoryObjects, MemoryStore
 
