Room jobs: files, acceptance, running and results of batch jobs move behind one face

Cause: flat modules tell a newcomer nothing of who needs whom. Pure moves: only imports change, in modules and in tests; no behaviour. Ran: types, lint, each face alone in a fresh interpreter (an order of imports hides no cycle), collection of all tests; the tests of packages/node and packages/cli on a copy of the commit.

--- a/packages/node/src/carobspool_node/_api_jobs.py
+++ b/packages/node/src/carobspool_node/_api_jobs.py
@@ -15,8 +15,8 @@
 from carobspool_node._caller_keys import Identified
 from carobspool_node._http_answers import failure_response, json_response
 from carobspool_node._http_server import TruncatedAnswerError
-from carobspool_node._jobs_api import DEFAULT_LIMIT, MAX_LIMIT, JobsApi
 from carobspool_node.errors import ContentUnavailableError
+from carobspool_node.jobs import DEFAULT_LIMIT, MAX_LIMIT, JobsApi
 
 READ_BYTES = 65_536
 DEFAULT_PURPOSE = "batch"
--- a/packages/node/src/carobspool_node/_entry_node.py
+++ b/packages/node/src/carobspool_node/_entry_node.py
@@ -25,9 +25,7 @@
 from carobspool_node._api_jobs import job_routes
 from carobspool_node._api_online import online_routes
 from carobspool_node._api_operator import operator_routes
-from carobspool_node._batch_forward import BatchForwarder
 from carobspool_node._caller_keys import CallerKeys
-from carobspool_node._entry_jobs import EntryJobs
 from carobspool_node._forward import Forwarder
 from carobspool_node._http_server import PooledServer
 from carobspool_node._metrics import make_metrics
@@ -43,6 +41,7 @@
     make_follower,
     news,
 )
+from carobspool_node.jobs import BatchForwarder, EntryJobs
 from carobspool_node.links import (
     TRAFFIC,
     Connections,
--- a/packages/node/src/carobspool_node/_chunk_claims.py
+++ b/packages/node/src/carobspool_node/jobs/_chunk_claims.py
@@ -17,8 +17,8 @@
     StoreFailure,
     StoreFault,
 )
-from carobspool_node._chunk_store import Claimed, Standing, claim
-from carobspool_node._job_work import JobWork
+from carobspool_node.jobs._chunk_store import Claimed, Standing, claim
+from carobspool_node.jobs._job_work import JobWork
 from carobspool_node.links import Members
 from carobspool_node.store import StoreCalls
 
--- a/packages/node/src/carobspool_node/_chunk_store.py
+++ b/packages/node/src/carobspool_node/jobs/_chunk_store.py
@@ -28,9 +28,9 @@
     stop_chunk,
     withdraw_intents,
 )
-from carobspool_node._job_input import read_items
-from carobspool_node._job_intake import input_key
-from carobspool_node._job_results import ItemResult, chunk_key, pack_results
+from carobspool_node.jobs._job_input import read_items
+from carobspool_node.jobs._job_intake import input_key
+from carobspool_node.jobs._job_results import ItemResult, chunk_key, pack_results
 from carobspool_node.store import create_immutable
 
 INLINE_CHARACTERS = 524_288
--- a/packages/node/src/carobspool_node/_entry_jobs.py
+++ b/packages/node/src/carobspool_node/jobs/_entry_jobs.py
@@ -19,10 +19,10 @@
     ObjectStore,
     peers_to_dial,
 )
-from carobspool_node._batch_forward import BatchForwarder
-from carobspool_node._job_choice import make_job_choice
-from carobspool_node._job_runner import ChunkDone, RunnerPorts, make_job_runner
-from carobspool_node._jobs_api import JobsApi, make_jobs_api
+from carobspool_node.jobs._batch_forward import BatchForwarder
+from carobspool_node.jobs._job_choice import make_job_choice
+from carobspool_node.jobs._job_runner import ChunkDone, RunnerPorts, make_job_runner
+from carobspool_node.jobs._jobs_api import JobsApi, make_jobs_api
 from carobspool_node.links import (
     Identity,
     Members,
--- a/packages/node/src/carobspool_node/_job_coordinator.py
+++ b/packages/node/src/carobspool_node/jobs/_job_coordinator.py
@@ -22,15 +22,15 @@
     progress_is_due,
     wall_millis,
 )
-from carobspool_node._job_ending import (
+from carobspool_node.jobs._job_ending import (
     StoredJob,
     finish_job,
     probe_chunks,
     seal_chunks,
     write_progress,
 )
-from carobspool_node._job_table import JobTable
-from carobspool_node._job_work import JobWork
+from carobspool_node.jobs._job_table import JobTable
+from carobspool_node.jobs._job_work import JobWork
 from carobspool_node.links import Members
 from carobspool_node.store import StoreCalls
 
--- a/packages/node/src/carobspool_node/_job_ending.py
+++ b/packages/node/src/carobspool_node/jobs/_job_ending.py
@@ -20,9 +20,9 @@
     read_job,
     report_progress,
 )
-from carobspool_node._chunk_store import Standing, read_standing, take_over
-from carobspool_node._job_intake import open_key
-from carobspool_node._job_results import chunk_counts
+from carobspool_node.jobs._chunk_store import Standing, read_standing, take_over
+from carobspool_node.jobs._job_intake import open_key
+from carobspool_node.jobs._job_results import chunk_counts
 
 StoredJob = tuple[Job, int]
 
--- a/packages/node/src/carobspool_node/_job_intake.py
+++ b/packages/node/src/carobspool_node/jobs/_job_intake.py
@@ -30,10 +30,10 @@
     unavailable,
 )
 from carobspool_core import Failure as RequestFailure
-from carobspool_node._files import FileRecord, file_content, get_file
-from carobspool_node._job_changes import stored_job
-from carobspool_node._job_input import ENDPOINTS, check_input, cut_chunks, input_lines
 from carobspool_node.errors import ContentUnavailableError
+from carobspool_node.jobs._files import FileRecord, file_content, get_file
+from carobspool_node.jobs._job_changes import stored_job
+from carobspool_node.jobs._job_input import ENDPOINTS, check_input, cut_chunks, input_lines
 from carobspool_node.store import create_immutable, request_failure
 
 MAX_KEY = 512
--- a/packages/node/src/carobspool_node/_job_runner.py
+++ b/packages/node/src/carobspool_node/jobs/_job_runner.py
@@ -23,8 +23,8 @@
     ObjectStore,
     StoreFailure,
 )
-from carobspool_node._chunk_claims import ChunkClaims
-from carobspool_node._chunk_store import (
+from carobspool_node.jobs._chunk_claims import ChunkClaims
+from carobspool_node.jobs._chunk_store import (
     ChunkWrite,
     Claimed,
     Ending,
@@ -32,12 +32,12 @@
     read_standing,
     write_chunk,
 )
-from carobspool_node._job_coordinator import JobCoordinator
-from carobspool_node._job_ending import done_counts
-from carobspool_node._job_table import JobTable, watch_jobs
-from carobspool_node._job_works import JobWorks
-from carobspool_node._owned_chunk import Attempt, OwnedChunk
-from carobspool_node._runner_ports import ChunkDone, ItemRunner, RunnerPorts
+from carobspool_node.jobs._job_coordinator import JobCoordinator
+from carobspool_node.jobs._job_ending import done_counts
+from carobspool_node.jobs._job_table import JobTable, watch_jobs
+from carobspool_node.jobs._job_works import JobWorks
+from carobspool_node.jobs._owned_chunk import Attempt, OwnedChunk
+from carobspool_node.jobs._runner_ports import ChunkDone, ItemRunner, RunnerPorts
 from carobspool_node.links import Members
 from carobspool_node.store import WATCH_TIMEOUT, StoreCalls
 
--- a/packages/node/src/carobspool_node/_job_works.py
+++ b/packages/node/src/carobspool_node/jobs/_job_works.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from carobspool_core import Clock, Holder, Job, JobCounts, Millis, owner
-from carobspool_node._job_work import JobWork
-from carobspool_node._runner_ports import ChunkDone
+from carobspool_node.jobs._job_work import JobWork
+from carobspool_node.jobs._runner_ports import ChunkDone
 
 MAX_EARLY = 1_000
 LOOK_AGAIN_INTERVAL: Millis = 10_000.0
--- a/packages/node/src/carobspool_node/_jobs_api.py
+++ b/packages/node/src/carobspool_node/jobs/_jobs_api.py
@@ -21,7 +21,7 @@
     wall_millis,
 )
 from carobspool_core import Failure as RequestFailure
-from carobspool_node._files import (
+from carobspool_node.jobs._files import (
     FileRecord,
     create_file,
     delete_file,
@@ -30,9 +30,9 @@
     get_file,
     list_files,
 )
-from carobspool_node._job_changes import cancel, get_job
-from carobspool_node._job_intake import Submission, submit
-from carobspool_node._job_results import (
+from carobspool_node.jobs._job_changes import cancel, get_job
+from carobspool_node.jobs._job_intake import Submission, submit
+from carobspool_node.jobs._job_results import (
     error_file_id,
     output_file_id,
     result_content,
--- a/packages/node/src/carobspool_node/_owned_chunk.py
+++ b/packages/node/src/carobspool_node/jobs/_owned_chunk.py
@@ -23,8 +23,8 @@
     spans_of,
     unfinished,
 )
-from carobspool_node._chunk_store import ChunkWrite, Ending, Standing
-from carobspool_node._job_results import ItemResult, abandoned_result, item_result
+from carobspool_node.jobs._chunk_store import ChunkWrite, Ending, Standing
+from carobspool_node.jobs._job_results import ItemResult, abandoned_result, item_result
 
 COMMIT_INTERVAL: Millis = 10_000.0
 COMMIT_SHARE = 0.25
--- a/packages/node/src/carobspool_node/_runner_ports.py
+++ b/packages/node/src/carobspool_node/jobs/_runner_ports.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from carobspool_core import BatchItem, BatchShaping, ItemOutcome, Job, JobCounts
-from carobspool_node._owned_chunk import ItemHandle
+from carobspool_node.jobs._owned_chunk import ItemHandle
 
 
 class ItemRunner(Protocol):
--- a/packages/node/tests/test_job_choice.py
+++ b/packages/node/tests/test_job_choice.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 from carobspool_core import DesiredState, Job, ManualClock, Organisation
-from carobspool_node._job_choice import FORGET_AFTER, TIDY_INTERVAL, _JobChoice
+from carobspool_node.jobs._job_choice import FORGET_AFTER, TIDY_INTERVAL, _JobChoice
 
 _STATE = DesiredState(
     revision=1,
--- a/packages/node/tests/test_job_intake.py
+++ b/packages/node/tests/test_job_intake.py
@@ -15,10 +15,10 @@
 
 from carobspool_core import BatchShaping, Job, Json, ObjectStore, read_job
 from carobspool_core import Failure as RequestFailure
-from carobspool_node._files import create_file, file_content, get_file
-from carobspool_node._job_input import cut_chunks, input_lines, parse_line, read_items
-from carobspool_node._job_intake import Submission, submit
-from carobspool_node._jobs_api import JobsApi, make_jobs_api
+from carobspool_node.jobs._files import create_file, file_content, get_file
+from carobspool_node.jobs._job_input import cut_chunks, input_lines, parse_line, read_items
+from carobspool_node.jobs._job_intake import Submission, submit
+from carobspool_node.jobs._jobs_api import JobsApi, make_jobs_api
 from carobspool_standins.memory_store import FaultKind, FaultRule, MemoryObjects, MemoryStore
 
 SHAPING = BatchShaping(chunk_items=10, max_items=1_000)
--- a/packages/node/tests/test_job_results.py
+++ b/packages/node/tests/test_job_results.py
@@ -8,7 +8,7 @@
 import pytest
 
 from carobspool_core import BatchItem, ItemOutcome
-from carobspool_node._job_results import ItemResult, item_result, pack_results
+from carobspool_node.jobs._job_results import ItemResult, item_result, pack_results
 from carobspool_node.store._packing import MAX_PACKED_CHARACTERS
 
 ITEM = BatchItem(
--- a/packages/node/tests/test_job_runner.py
+++ b/packages/node/tests/test_job_runner.py
@@ -37,11 +37,11 @@
     span_count,
     unavailable,
 )
-from carobspool_node._files import create_file
-from carobspool_node._job_changes import cancel
-from carobspool_node._job_intake import Submission, submit
-from carobspool_node._job_results import result_content
-from carobspool_node._job_runner import ChunkDone, JobRunner, RunnerPorts, make_job_runner
+from carobspool_node.jobs._files import create_file
+from carobspool_node.jobs._job_changes import cancel
+from carobspool_node.jobs._job_intake import Submission, submit
+from carobspool_node.jobs._job_results import result_content
+from carobspool_node.jobs._job_runner import ChunkDone, JobRunner, RunnerPorts, make_job_runner
 from carobspool_node.links._members import watch_members
 from carobspool_node.links._node_lease import NodeIdentity, keep_node_lease
 from carobspool_standins.memory_store import FaultKind, FaultRule, MemoryObjects, MemoryStore
--- a/tools/cost_jobs.py
+++ b/tools/cost_jobs.py
@@ -27,10 +27,14 @@
     monotonic_clock,
     read_job,
 )
-from carobspool_node._files import create_file
-from carobspool_node._job_intake import Submission, submit
-from carobspool_node._job_runner import RunnerPorts, make_job_runner
-from carobspool_node._job_work import JobWork
+from carobspool_node.jobs import (
+    JobWork,
+    RunnerPorts,
+    Submission,
+    create_file,
+    make_job_runner,
+    submit,
+)
 from carobspool_node.links import NodeIdentity, keep_node_lease, watch_members
 from carobspool_standins.memory_store import MemoryObjects, MemoryStore
 
