Room callers: HTTP for callers and operators, and serving online requests move behind one face

Cause: flat modules tell a newcomer nothing of who needs whom. Pure moves: only imports change, in modules and in tests; no behaviour. Ran: types, lint, each face alone in a fresh interpreter (an order of imports hides no cycle), collection of all tests; the tests of packages/node and packages/cli on a copy of the commit.

--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -17,9 +17,8 @@
 from carobspool_cli.__main__ import make_application
 from carobspool_cli._exit_codes import ExitCode
 from carobspool_core import ManualClock
-from carobspool_node._api import make_application as make_entry
-from carobspool_node._api_operator import operator_routes
-from carobspool_node._caller_keys import CallerKeys
+from carobspool_node.callers import CallerKeys, operator_routes
+from carobspool_node.callers import make_application as make_entry
 from carobspool_node.configuration import make_follower
 from carobspool_standins.memory_store import MemoryObjects, MemoryStore
 
--- a/packages/node/src/carobspool_node/_entry_node.py
+++ b/packages/node/src/carobspool_node/_entry_node.py
@@ -21,18 +21,21 @@
     make_suspects,
     monotonic_clock,
 )
-from carobspool_node._api import ApiRoute, make_application
-from carobspool_node._api_jobs import job_routes
-from carobspool_node._api_online import online_routes
-from carobspool_node._api_operator import operator_routes
-from carobspool_node._caller_keys import CallerKeys
-from carobspool_node._forward import Forwarder
-from carobspool_node._http_server import PooledServer
 from carobspool_node._metrics import make_metrics
-from carobspool_node._online import OnlineService
-from carobspool_node._shared_limits import SharedLimits
 from carobspool_node._shutdown import ShutdownRequest, end_process
-from carobspool_node._upstream_status import upstream_status
+from carobspool_node.callers import (
+    ApiRoute,
+    CallerKeys,
+    Forwarder,
+    OnlineService,
+    PooledServer,
+    SharedLimits,
+    job_routes,
+    make_application,
+    online_routes,
+    operator_routes,
+    upstream_status,
+)
 from carobspool_node.configuration import (
     DrainFollower,
     announcement,
--- a/packages/node/src/carobspool_node/_api.py
+++ b/packages/node/src/carobspool_node/callers/_api.py
@@ -15,8 +15,8 @@
 from werkzeug.wrappers import Request, Response
 
 from carobspool_core import Failure, Outcome, invalid_request
-from carobspool_node._caller_keys import CallerKeys, Identified
-from carobspool_node._http_answers import failure_response
+from carobspool_node.callers._caller_keys import CallerKeys, Identified
+from carobspool_node.callers._http_answers import failure_response
 
 Handler = Callable[..., Response]
 """Takes the request, who sent it (``None`` on open routes) and the parts of the path by name."""
--- a/packages/node/src/carobspool_node/_api_jobs.py
+++ b/packages/node/src/carobspool_node/callers/_api_jobs.py
@@ -11,10 +11,10 @@
 from werkzeug.wrappers import Request, Response
 
 from carobspool_core import Failure, Json, invalid_request
-from carobspool_node._api import Access, ApiRoute
-from carobspool_node._caller_keys import Identified
-from carobspool_node._http_answers import failure_response, json_response
-from carobspool_node._http_server import TruncatedAnswerError
+from carobspool_node.callers._api import Access, ApiRoute
+from carobspool_node.callers._caller_keys import Identified
+from carobspool_node.callers._http_answers import failure_response, json_response
+from carobspool_node.callers._http_server import TruncatedAnswerError
 from carobspool_node.errors import ContentUnavailableError
 from carobspool_node.jobs import DEFAULT_LIMIT, MAX_LIMIT, JobsApi
 
--- a/packages/node/src/carobspool_node/_api_online.py
+++ b/packages/node/src/carobspool_node/callers/_api_online.py
@@ -9,12 +9,12 @@
 from werkzeug.wrappers import Request, Response
 
 from carobspool_core import DesiredState, Millis, invalid_request
-from carobspool_node._api import Access, ApiRoute, full_path, lower_headers
-from carobspool_node._caller_keys import Identified
-from carobspool_node._caller_socket import caller_socket
-from carobspool_node._http_answers import failure_response, json_response
-from carobspool_node._online import OnlineService
-from carobspool_node._online_requests import read_completion, read_service_call
+from carobspool_node.callers._api import Access, ApiRoute, full_path, lower_headers
+from carobspool_node.callers._caller_keys import Identified
+from carobspool_node.callers._caller_socket import caller_socket
+from carobspool_node.callers._http_answers import failure_response, json_response
+from carobspool_node.callers._online import OnlineService
+from carobspool_node.callers._online_requests import read_completion, read_service_call
 
 
 def online_routes(
--- a/packages/node/src/carobspool_node/_api_operator.py
+++ b/packages/node/src/carobspool_node/callers/_api_operator.py
@@ -23,9 +23,9 @@
 )
 from carobspool_core.revision import Revision, summarise
 from carobspool_core.schema import ConfigError, dump_state, parse_state
-from carobspool_node._api import Access, ApiRoute
-from carobspool_node._caller_keys import Identified
-from carobspool_node._http_answers import failure_body, failure_response, json_response
+from carobspool_node.callers._api import Access, ApiRoute
+from carobspool_node.callers._caller_keys import Identified
+from carobspool_node.callers._http_answers import failure_body, failure_response, json_response
 from carobspool_node.configuration import (
     Applied,
     ApplyError,
--- a/packages/node/src/carobspool_node/_forward.py
+++ b/packages/node/src/carobspool_node/callers/_forward.py
@@ -29,8 +29,8 @@
     RouteRequest,
     broken_upstream,
 )
-from carobspool_node._caller_socket import CallerSocket
-from carobspool_node._http_server import TruncatedAnswerError
+from carobspool_node.callers._caller_socket import CallerSocket
+from carobspool_node.callers._http_server import TruncatedAnswerError
 from carobspool_node.links import Fleet, SidecarPeer
 from carobspool_node.requests import Attempt, Progress
 
--- a/packages/node/src/carobspool_node/_online.py
+++ b/packages/node/src/carobspool_node/callers/_online.py
@@ -17,13 +17,13 @@
     Grant,
     Outcome,
 )
-from carobspool_node._caller_keys import Identified
-from carobspool_node._caller_socket import CallerSocket
-from carobspool_node._forward import Answer, Forwarder, ForwardRequest
-from carobspool_node._http_answers import failure_response
-from carobspool_node._http_server import TruncatedAnswerError
-from carobspool_node._online_requests import OnlineRequest, pass_on
-from carobspool_node._shared_limits import SharedLimits
+from carobspool_node.callers._caller_keys import Identified
+from carobspool_node.callers._caller_socket import CallerSocket
+from carobspool_node.callers._forward import Answer, Forwarder, ForwardRequest
+from carobspool_node.callers._http_answers import failure_response
+from carobspool_node.callers._http_server import TruncatedAnswerError
+from carobspool_node.callers._online_requests import OnlineRequest, pass_on
+from carobspool_node.callers._shared_limits import SharedLimits
 from carobspool_node.requests import Isolation, is_clear
 from carobspool_node.store import Reservation, Reservations, StoredAnswer
 
--- a/packages/node/src/carobspool_node/_online_requests.py
+++ b/packages/node/src/carobspool_node/callers/_online_requests.py
@@ -18,7 +18,7 @@
     Route,
     invalid_request,
 )
-from carobspool_node._caller_keys import Identified
+from carobspool_node.callers._caller_keys import Identified
 from carobspool_node.requests import (
     NO_ID,
     completion_fingerprint,
--- a/packages/node/tests/test_caller_keys.py
+++ b/packages/node/tests/test_caller_keys.py
@@ -8,7 +8,7 @@
 from returns.pipeline import is_successful
 
 from carobspool_core import Caller, CallerRole, DesiredState, Organisation
-from carobspool_node._caller_keys import CallerKeys
+from carobspool_node.callers._caller_keys import CallerKeys
 
 
 def _hash(key: str) -> str:
--- a/packages/node/tests/test_caller_socket.py
+++ b/packages/node/tests/test_caller_socket.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from carobspool_node._caller_socket import CallerSocket, caller_socket
+from carobspool_node.callers._caller_socket import CallerSocket, caller_socket
 
 _PIECE = b"data: " + b"x" * 50_000 + b"\n\n"
 
--- a/packages/node/tests/test_http_server.py
+++ b/packages/node/tests/test_http_server.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from carobspool_node._http_server import PooledServer, TruncatedAnswerError
+from carobspool_node.callers._http_server import PooledServer, TruncatedAnswerError
 
 
 @contextmanager
--- a/packages/node/tests/test_online_requests.py
+++ b/packages/node/tests/test_online_requests.py
@@ -8,8 +8,8 @@
 from returns.pipeline import is_successful
 
 from carobspool_core import Caller, DesiredState, Model, Organisation, Route, Service
-from carobspool_node._caller_keys import Identified
-from carobspool_node._online_requests import find_route, read_completion, read_service_call
+from carobspool_node.callers._caller_keys import Identified
+from carobspool_node.callers._online_requests import find_route, read_completion, read_service_call
 
 _WHO = Identified(
     caller=Caller(id="c", organisation="o", key_hashes=(), weight=2.0),
--- a/packages/node/tests/test_shared_limits.py
+++ b/packages/node/tests/test_shared_limits.py
@@ -13,7 +13,7 @@
     Organisation,
     make_limiter,
 )
-from carobspool_node._shared_limits import SharedLimits
+from carobspool_node.callers._shared_limits import SharedLimits
 
 _LIMIT = 600.0
 _CALLER = Caller(id="c", organisation="o", key_hashes=(), limits=Limits(requests_per_minute=_LIMIT))
