Room process: composition, start and stop of entry and sidecar move behind one face

Cause: flat modules tell a newcomer nothing of who needs whom. Pure moves: only imports change, in modules and in tests; no behaviour. Ran: types, lint, each face alone in a fresh interpreter (an order of imports hides no cycle), collection of all tests; the tests of packages/node and packages/cli on a copy of the commit.

--- a/packages/node/src/carobspool_node/__main__.py
+++ b/packages/node/src/carobspool_node/__main__.py
@@ -12,10 +12,9 @@
 from returns.result import Result
 
 from carobspool_core.border import Problem, read_json
-from carobspool_node._entry_node import run_entry
-from carobspool_node._sidecar_node import run_sidecar
 from carobspool_node.direct import DIRECT_ROLES, DirectSettings, load_direct_settings
 from carobspool_node.errors import NodeError
+from carobspool_node.process import run_entry, run_sidecar
 from carobspool_node.settings import EntrySettings, SidecarSettings, load_settings
 
 EXIT_SETTINGS = 2
--- a/packages/node/src/carobspool_node/_entry_node.py
+++ b/packages/node/src/carobspool_node/process/_entry_node.py
@@ -21,8 +21,6 @@
     make_suspects,
     monotonic_clock,
 )
-from carobspool_node._metrics import make_metrics
-from carobspool_node._shutdown import ShutdownRequest, end_process
 from carobspool_node.callers import (
     ApiRoute,
     CallerKeys,
@@ -54,6 +52,8 @@
     Link,
     load_peer_keys,
 )
+from carobspool_node.process._metrics import make_metrics
+from carobspool_node.process._shutdown import ShutdownRequest, end_process
 from carobspool_node.requests import Isolation
 from carobspool_node.settings import EntrySettings, set_up_logs
 from carobspool_node.store import http_object_store, make_reservations
--- a/packages/node/src/carobspool_node/_sidecar_node.py
+++ b/packages/node/src/carobspool_node/process/_sidecar_node.py
@@ -21,8 +21,6 @@
     monotonic_clock,
 )
 from carobspool_core import AdmissionSettings as DecisionSettings
-from carobspool_node._metrics import Metrics, make_metrics
-from carobspool_node._shutdown import ShutdownRequest, end_process
 from carobspool_node.configuration import (
     ConfigurationFollower,
     announcement,
@@ -30,6 +28,8 @@
     make_follower,
 )
 from carobspool_node.links import Identity, Link, load_peer_keys, send_quietly
+from carobspool_node.process._metrics import Metrics, make_metrics
+from carobspool_node.process._shutdown import ShutdownRequest, end_process
 from carobspool_node.settings import SidecarSettings, set_up_logs
 from carobspool_node.store import http_object_store
 from carobspool_node.upstreams import (
