Handshake apart from the link; hints and sidecars accept entries by one function

Same log lines, same task names, same bounds. test_link.py changes its imports only. Ran: types, lint, packages/node/tests/test_link.py, test_entry_links.py, test_codec.py, tests/test_import_rules.py.

--- a/packages/node/src/carobspool_node/links/__init__.py
+++ b/packages/node/src/carobspool_node/links/__init__.py
@@ -8,15 +8,9 @@
 from carobspool_node.links._connections import Connections
 from carobspool_node.links._entry_links import EntryLinks
 from carobspool_node.links._fleet import Fleet
+from carobspool_node.links._handshake import Identity, LinkServer, listen
 from carobspool_node.links._hints import HintExchange
-from carobspool_node.links._link import (
-    MAX_FRAME_BYTES,
-    TRAFFIC,
-    Identity,
-    Link,
-    establish,
-    send_quietly,
-)
+from carobspool_node.links._link import TRAFFIC, Link, send_quietly
 from carobspool_node.links._members import Members, watch_members
 from carobspool_node.links._node_lease import NodeIdentity, NodeLeaseKeeper, keep_node_lease
 from carobspool_node.links._peer_keys import PeerKeys, load_peer_keys
@@ -29,7 +23,7 @@
     "HintExchange",
     "Identity",
     "Link",
-    "MAX_FRAME_BYTES",
+    "LinkServer",
     "Members",
     "NodeIdentity",
     "NodeLeaseKeeper",
@@ -38,8 +32,8 @@
     "TRAFFIC",
     "decode_frame",
     "encode_frame",
-    "establish",
     "keep_node_lease",
+    "listen",
     "load_peer_keys",
     "send_quietly",
     "watch_members",
--- a/packages/node/src/carobspool_node/links/_fleet.py
+++ b/packages/node/src/carobspool_node/links/_fleet.py
@@ -25,7 +25,7 @@
     Upstream,
     UpstreamKind,
 )
-from carobspool_node.links._link import Identity
+from carobspool_node.links._handshake import Identity
 from carobspool_node.links._peer_keys import PeerKeys
 from carobspool_node.links._sidecar_peer import PeerEvents, SidecarPeer
 
--- a/packages/node/src/carobspool_node/links/_hints.py
+++ b/packages/node/src/carobspool_node/links/_hints.py
@@ -12,7 +12,6 @@
 from random import Random
 
 from absl import logging
-from websockets.sync.server import Server, ServerConnection, serve
 
 from carobspool_core import (
     Beat,
@@ -24,15 +23,9 @@
     Millis,
     make_gossip,
 )
-from carobspool_node.errors import CodecError, HandshakeError
-from carobspool_node.links._link import (
-    MAX_FRAME_BYTES,
-    Identity,
-    Link,
-    dial,
-    establish,
-    send_quietly,
-)
+from carobspool_node.errors import CodecError
+from carobspool_node.links._handshake import Identity, LinkServer, dial, is_entry, listen
+from carobspool_node.links._link import Link, send_quietly
 from carobspool_node.links._peer_keys import PeerKeys
 
 RECONNECT_DELAY: Millis = 500.0
@@ -81,14 +74,13 @@
         self._dialled: dict[str, threading.Event] = {}
         self._gossip = make_gossip(clock, Random(identity.incarnation))
         self._counter = itertools.count(1)
-        self._server: Server | None = None
+        self._server: LinkServer | None = None
 
     @property
     def port(self) -> int:
         """The port on which it listens."""
         assert self._server is not None
-        port: int = self._server.socket.getsockname()[1]
-        return port
+        return self._server.port
 
     @property
     def peers(self) -> list[str]:
@@ -98,15 +90,15 @@
 
     def start(self) -> None:
         """Listen in a task of its own."""
-        self._server = serve(
-            self._accept,
+        self._server = listen(
             self._address,
             self._port,
-            compression=None,
-            max_size=MAX_FRAME_BYTES,
-            ping_interval=None,
+            name="peers",
+            identity=self._identity,
+            keys=self._keys,
+            clock=self._clock,
+            on_entry=self._serve,
         )
-        threading.Thread(target=self._server.serve_forever, name="peers", daemon=True).start()
 
     def set_peers(self, peers: Mapping[str, str]) -> None:
         """Keep connections to these entries, and let go of others that this side had dialled.
@@ -174,22 +166,12 @@
             link.flush(500.0)
             link.close()
         if self._server is not None:
-            self._server.shutdown()
-
-    def _accept(self, socket: ServerConnection) -> None:
-        try:
-            link = establish(
-                socket, identity=self._identity, keys=self._keys, clock=self._clock, server=True
-            )
-        except (HandshakeError, CodecError) as error:
-            logging.warning("event=handshake_refused error=%s", error)
-            return
-        self._serve(link)
+            self._server.stop()
 
     def _keep_connected(self, address: str, stop: threading.Event) -> None:
         while not stop.is_set():
             link = self._connect(address)
-            if link is not None:
+            if link is not None and is_entry(link):
                 self._serve(link)
             stop.wait(RECONNECT_DELAY / 1000.0)
 
@@ -197,10 +179,6 @@
         return dial(address, identity=self._identity, keys=self._keys, clock=self._clock)
 
     def _serve(self, link: Link) -> None:
-        if link.peer.role != "entry":
-            logging.warning("event=peer_refused role=%s", link.peer.role)
-            link.close()
-            return
         with self._lock:
             self._links.add(link)
             self._heard[link] = self._clock.now()
--- a/packages/node/src/carobspool_node/links/_link.py
+++ b/packages/node/src/carobspool_node/links/_link.py
@@ -1,4 +1,4 @@
-"""One websocket between two processes: handshake, and a writer that joins waiting messages.
+"""One websocket between two processes, with a writer that joins waiting messages.
 
 Frames are bounded in size and the queue of unsent messages in bytes, so a peer that stops reading
 costs this process a bounded amount of memory and then its connection.
@@ -9,33 +9,18 @@
 import queue
 import threading
 from collections.abc import Iterator
-from dataclasses import dataclass
 from typing import Protocol
 
-from absl import logging
-from websockets.exceptions import ConnectionClosed, WebSocketException
-from websockets.sync.client import connect
-
-from carobspool_core import (
-    PROTOCOL_VERSION,
-    Clock,
-    Data,
-    Hello,
-    Message,
-    Millis,
-    Open,
-    Proof,
-)
-from carobspool_node.errors import CodecError, HandshakeError, LinkClosedError
+from websockets.exceptions import ConnectionClosed
+
+from carobspool_core import Data, Hello, Message, Millis, Open
+from carobspool_node.errors import CodecError, LinkClosedError
 from carobspool_node.links._codec import decode_frame, encode_frame
-from carobspool_node.links._peer_keys import PeerKeys, check_proof, make_proof, new_nonce
 
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 JOIN_MESSAGES = 128
 JOIN_BYTES = 1024 * 1024
 MAX_QUEUED_BYTES = 64 * 1024 * 1024
-HANDSHAKE_TIMEOUT: Millis = 3_000.0
-CLOSE_TIMEOUT: Millis = 1_000.0
 SMALL_MESSAGE_BYTES = 128
 FRAME_OVERHEAD = 8
 """Bytes of a websocket header, about; those of TCP and IP are left out."""
@@ -71,23 +56,6 @@
     def close(self) -> None: ...
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Identity:
-    """Who this process is, as told to its peers.
-
-    Attributes:
-        node: Name of the process, unique in the fleet.
-        incarnation: Random id of this run of the process.
-        role: ``entry`` or ``sidecar``.
-        failure_domain: Where it runs.
-    """
-
-    node: str
-    incarnation: str
-    role: str
-    failure_domain: str
-
-
 class Link:
     """An established connection to a peer.
 
@@ -219,78 +187,6 @@
         return batch, last
 
 
-def establish(
-    socket: Socket, *, identity: Identity, keys: PeerKeys, clock: Clock, server: bool
-) -> Link:
-    """Run the handshake on a new connection.
-
-    Both sides send `Hello`, then each proves by an HMAC over both nonces that it holds a shared
-    key. The client proves itself first, so a stranger learns nothing from a server.
-
-    Raises:
-        HandshakeError: If the peer speaks another version or fails its proof.
-        CodecError: If the peer sends a malformed frame.
-    """
-    nonce = new_nonce()
-    hello = Hello(
-        version=PROTOCOL_VERSION,
-        node=identity.node,
-        incarnation=identity.incarnation,
-        role=identity.role,
-        failure_domain=identity.failure_domain,
-        nonce=nonce,
-        sent=clock.now(),
-    )
-    _send_one(socket, hello)
-    peer = _receive_one(socket)
-    offset = clock.now()
-    if not isinstance(peer, Hello):
-        raise HandshakeError(f"expected Hello, got {type(peer).__name__}")
-    if peer.version != PROTOCOL_VERSION:
-        raise HandshakeError(f"peer speaks version {peer.version}, not {PROTOCOL_VERSION}")
-    offset -= peer.sent
-    side, other = ("server", "client") if server else ("client", "server")
-    key_id, mac = make_proof(keys, own_nonce=nonce, peer_nonce=peer.nonce, role=side)
-    proof = Proof(key_id=key_id, mac=mac)
-    if not server:
-        _send_one(socket, proof)
-    _check_peer(_receive_one(socket), keys, nonce, peer.nonce, other)
-    if server:
-        _send_one(socket, proof)
-    return Link(socket, peer, offset)
-
-
-def dial(address: str, *, identity: Identity, keys: PeerKeys, clock: Clock) -> Link | None:
-    """Connect to a peer and run the handshake; ``None`` when that fails.
-
-    Args:
-        address: ``ip:port``.
-        identity: This process.
-        keys: Shared keys.
-        clock: This process's clock.
-    """
-    try:
-        socket = connect(
-            f"ws://{address}",
-            compression=None,
-            max_size=MAX_FRAME_BYTES,
-            ping_interval=None,
-            open_timeout=HANDSHAKE_TIMEOUT / 1000.0,
-            close_timeout=CLOSE_TIMEOUT / 1000.0,
-            proxy=None,
-            legacy=True,
-        )
-    except (OSError, TimeoutError, WebSocketException) as error:
-        logging.vlog(1, "event=peer_not_reached address=%s error=%s", address, error)
-        return None
-    try:
-        return establish(socket, identity=identity, keys=keys, clock=clock, server=False)
-    except (HandshakeError, CodecError) as error:
-        logging.warning("event=handshake_failed address=%s error=%s", address, error)
-        socket.close()
-        return None
-
-
 def send_quietly(link: Link, message: Message) -> None:
     """Send a message whose loss does no harm when the connection is gone."""
     try:
@@ -299,41 +195,6 @@
         return
 
 
-def _check_peer(
-    message: Message, keys: PeerKeys, own_nonce: str, peer_nonce: str, role: str
-) -> None:
-    if not isinstance(message, Proof):
-        raise HandshakeError(f"expected Proof, got {type(message).__name__}")
-    check_proof(
-        keys,
-        key_id=message.key_id,
-        mac=message.mac,
-        own_nonce=own_nonce,
-        peer_nonce=peer_nonce,
-        role=role,
-    )
-
-
-def _send_one(socket: Socket, message: Message) -> None:
-    try:
-        socket.send(encode_frame([message]))
-    except (ConnectionClosed, OSError) as error:
-        raise HandshakeError(f"connection lost in the handshake: {error}") from error
-
-
-def _receive_one(socket: Socket) -> Message:
-    try:
-        frame = socket.recv(timeout=HANDSHAKE_TIMEOUT / 1000.0)
-    except (ConnectionClosed, OSError, TimeoutError) as error:
-        raise HandshakeError(f"no answer in the handshake: {error}") from error
-    if isinstance(frame, str):
-        raise HandshakeError("text frame in the handshake")
-    messages = decode_frame(frame)
-    if len(messages) != 1:
-        raise HandshakeError(f"{len(messages)} messages in a handshake frame")
-    return messages[0]
-
-
 def _size(message: Message) -> int:
     if isinstance(message, Data):
         return len(message.payload) + SMALL_MESSAGE_BYTES
--- a/packages/node/src/carobspool_node/links/_sidecar_peer.py
+++ b/packages/node/src/carobspool_node/links/_sidecar_peer.py
@@ -27,7 +27,8 @@
     broken_upstream,
 )
 from carobspool_node.errors import CodecError, LinkClosedError
-from carobspool_node.links._link import Identity, Link, dial
+from carobspool_node.links._handshake import Identity, dial
+from carobspool_node.links._link import Link
 from carobspool_node.links._peer_keys import PeerKeys
 from carobspool_node.requests import Attempt
 
--- a/packages/node/src/carobspool_node/upstreams/_sidecar.py
+++ b/packages/node/src/carobspool_node/upstreams/_sidecar.py
@@ -13,7 +13,6 @@
 
 from absl import logging
 from returns.pipeline import is_successful
-from websockets.sync.server import Server, ServerConnection, serve
 
 from carobspool_core import (
     Attach,
@@ -38,8 +37,8 @@
     make_load_reporter,
     unavailable,
 )
-from carobspool_node.errors import CodecError, HandshakeError, LinkClosedError
-from carobspool_node.links import MAX_FRAME_BYTES, EntryLinks, Identity, Link, PeerKeys, establish
+from carobspool_node.errors import CodecError, LinkClosedError
+from carobspool_node.links import EntryLinks, Identity, Link, LinkServer, PeerKeys, listen
 from carobspool_node.upstreams._engine_runs import EngineRuns
 from carobspool_node.upstreams._runs import Run, RunState, RunTable
 from carobspool_node.upstreams._scheduler import Scheduler
@@ -130,7 +129,7 @@
             start=self._start, preempt=self._preempt, refuse=self._refuse
         )
         self._engine.attach(self._scheduler)
-        self._server: Server | None = None
+        self._server: LinkServer | None = None
         self.on_configuration: Callable[[Configuration, Link], None] = _ignore_configuration
         self.on_link: Callable[[Link], None] = _ignore_link
 
@@ -138,8 +137,7 @@
     def port(self) -> int:
         """The port on which it listens."""
         assert self._server is not None
-        port: int = self._server.socket.getsockname()[1]
-        return port
+        return self._server.port
 
     @property
     def state(self) -> SidecarState:
@@ -156,15 +154,15 @@
     def start(self) -> None:
         """Listen and serve in tasks of its own."""
         self._health.start()
-        self._server = serve(
-            self._serve,
+        self._server = listen(
             self._options.address,
             self._options.port,
-            compression=None,
-            max_size=MAX_FRAME_BYTES,
-            ping_interval=None,
+            name="listen",
+            identity=self._identity,
+            keys=self._keys,
+            clock=self._clock,
+            on_entry=self._serve,
         )
-        threading.Thread(target=self._server.serve_forever, name="listen", daemon=True).start()
         threading.Thread(target=self._beat, name="beat", daemon=True).start()
         threading.Thread(target=self._report_load, name="load", daemon=True).start()
 
@@ -212,22 +210,11 @@
         self._scheduler.stop()
         self._links.close()
         if self._server is not None:
-            self._server.shutdown()
+            self._server.stop()
         self._pool.shutdown(wait=False, cancel_futures=True)
         self._control.shutdown(wait=False, cancel_futures=True)
 
-    def _serve(self, socket: ServerConnection) -> None:
-        try:
-            link = establish(
-                socket, identity=self._identity, keys=self._keys, clock=self._clock, server=True
-            )
-        except (HandshakeError, CodecError) as error:
-            logging.warning("event=handshake_refused error=%s", error)
-            return
-        if link.peer.role != "entry":
-            logging.warning("event=peer_refused role=%s", link.peer.role)
-            link.close()
-            return
+    def _serve(self, link: Link) -> None:
         self._links.adopt(link)
         self.on_link(link)
         self._push_load()
--- a/packages/node/tests/test_link.py
+++ b/packages/node/tests/test_link.py
@@ -11,7 +11,8 @@
 
 from carobspool_core import Beat, Cancel, Message, RequestId, monotonic_clock
 from carobspool_node.errors import HandshakeError, LinkClosedError
-from carobspool_node.links._link import Identity, Link, dial, establish
+from carobspool_node.links._handshake import Identity, dial, establish
+from carobspool_node.links._link import Link
 from carobspool_node.links._peer_keys import PeerKeys
 
 _KEYS = PeerKeys(keys={"k1": b"one", "k2": b"two"}, use="k1")
