Reservation objects apart from the making and ending of reservations

Code moved, names without underscore; no behaviour. test_reservations.py changes its imports only. Ran: types, lint, packages/node/tests/test_reservations.py, tests/test_import_rules.py.

--- a/packages/node/src/carobspool_node/store/__init__.py
+++ b/packages/node/src/carobspool_node/store/__init__.py
@@ -7,12 +7,8 @@
 from carobspool_node.store._follow import WATCH_TIMEOUT, Followed, follow
 from carobspool_node.store._object_api import http_object_store
 from carobspool_node.store._packing import MAX_PACKED_CHARACTERS, pack, unpack
-from carobspool_node.store._reservations import (
-    Reservation,
-    Reservations,
-    StoredAnswer,
-    make_reservations,
-)
+from carobspool_node.store._reservation_objects import Reservation, StoredAnswer
+from carobspool_node.store._reservations import Reservations, make_reservations
 from carobspool_node.store._store_access import (
     create_immutable,
     iterate_objects,
--- a/packages/node/src/carobspool_node/store/_reservations.py
+++ b/packages/node/src/carobspool_node/store/_reservations.py
@@ -6,14 +6,9 @@
 
 from __future__ import annotations
 
-import base64
-import hashlib
 import threading
 import uuid
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from enum import StrEnum
-from http import HTTPStatus
+from collections.abc import Callable
 
 from absl import logging
 from returns.result import Failure, Result, Success
@@ -24,53 +19,27 @@
     Json,
     Millis,
     ObjectStore,
-    Outcome,
     StoreFault,
-    unavailable,
     wall_millis,
 )
 from carobspool_core import Failure as RequestFailure
-from carobspool_node.store._store_access import STORE_RETRY_AFTER
+from carobspool_node.store._reservation_objects import (
+    Reservation,
+    ReservationState,
+    StoredAnswer,
+    answer_value,
+    in_progress,
+    key_reused,
+    object_key,
+    outcome_unknown,
+    read_answer,
+    store_down,
+)
 
-RUNNING_RETRY_AFTER: Millis = 1_000.0
 UNSETTLED_PAUSE: Millis = 1_000.0
 MAX_UNSETTLED = 10_000
 
 
-class ReservationState(StrEnum):
-    """Where a reserved request stands."""
-
-    RESERVED = "reserved"
-    DONE = "done"
-    UNKNOWN = "unknown"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StoredAnswer:
-    """The whole answer of a request that ran; a resend is answered with it."""
-
-    status: int
-    headers: Mapping[str, str]
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Reservation:
-    """The right to run one request.
-
-    Attributes:
-        key: Key of the reservation object.
-        token: Tells this reservation from any other under the key.
-        digest: Digest of the request.
-        version: Version of the object.
-    """
-
-    key: str
-    token: str
-    digest: str
-    version: int
-
-
 class Reservations:
     """Makes and ends this process's reservations. Made by `make_reservations`."""
 
@@ -106,29 +75,29 @@
             digest: Digest of the request.
         """
         self._settle_some()
-        object_key = _object_key(organisation, key)
+        place = object_key(organisation, key)
         token = uuid.uuid4().hex
         value = self._value(token, digest, ReservationState.RESERVED, None)
         with self._lock:
             self._active.add(token)
-        created = self._store.create(object_key, value)
+        created = self._store.create(place, value)
         if isinstance(created, Success):
-            return Success(_reservation(object_key, token, digest, created.unwrap().version))
+            return Success(_reservation(place, token, digest, created.unwrap().version))
         fault = created.failure().fault
         if fault is StoreFault.UNAVAILABLE:
             self._forget(token)
-            return Failure(_store_down())
-        found = self._store.get(object_key)
+            return Failure(store_down())
+        found = self._store.get(place)
         if isinstance(found, Success):
             stored = found.unwrap()
             if stored.value["token"] == token:
-                return Success(_reservation(object_key, token, digest, stored.version))
+                return Success(_reservation(place, token, digest, stored.version))
             self._forget(token)
-            return self._taken(object_key, stored.value, stored.version, token, digest)
+            return self._taken(place, stored.value, stored.version, token, digest)
         # The creation may still stand or even land later. Nothing was sent, so "not run" is true,
         # and the reservation is taken back as soon as the store can be read.
-        self._end(_reservation(object_key, token, digest, 0), None)
-        return Failure(_store_down())
+        self._end(_reservation(place, token, digest, 0), None)
+        return Failure(store_down())
 
     def finish(self, reservation: Reservation, answer: StoredAnswer | None) -> None:
         """End a reservation whose request was sent.
@@ -151,21 +120,21 @@
     ) -> Result[Reservation | StoredAnswer, RequestFailure]:
         """Answer a request whose key is reserved already."""
         if value["digest"] != digest:
-            return Failure(_key_reused())
+            return Failure(key_reused())
         state = ReservationState(value["state"])
         if state is ReservationState.DONE:
-            return Success(_answer(value["answer"]))
+            return Success(read_answer(value["answer"]))
         if state is ReservationState.UNKNOWN:
-            return Failure(_outcome_unknown())
+            return Failure(outcome_unknown())
         holder = Holder(**value["holder"])
         if holder == self._holder:
             return self._own(key, value, version, token, digest)
         if not self._is_dead(holder):
-            return Failure(_in_progress())
+            return Failure(in_progress())
         # Its process died between the first byte and the answer; nobody can know if it ran.
         unknown = {**value, "state": ReservationState.UNKNOWN.value}
         self._store.update(key, unknown, version=version)
-        return Failure(_outcome_unknown())
+        return Failure(outcome_unknown())
 
     def _own(
         self, key: str, value: Json, version: int, token: str, digest: str
@@ -174,14 +143,14 @@
         with self._lock:
             ended = self._unsettled.get(key)
         if value["token"] in self._active:
-            return Failure(_in_progress())
+            return Failure(in_progress())
         if ended is None or ended[0].token != value["token"]:
-            return Failure(_outcome_unknown())
+            return Failure(outcome_unknown())
         wanted = ended[1]
         if wanted is not None and wanted["answer"] is not None:
-            return Success(_answer(wanted["answer"]))
+            return Success(read_answer(wanted["answer"]))
         if wanted is not None:
-            return Failure(_outcome_unknown())
+            return Failure(outcome_unknown())
         # Not run, and not yet taken back: this resend takes it over instead.
         fresh = self._value(token, digest, ReservationState.RESERVED, None)
         with self._lock:
@@ -189,7 +158,7 @@
         written = self._store.update(key, fresh, version=version)
         if isinstance(written, Failure):
             self._forget(token)
-            return Failure(_in_progress())
+            return Failure(in_progress())
         with self._lock:
             self._unsettled.pop(key, None)
         return Success(_reservation(key, token, digest, written.unwrap().version))
@@ -263,7 +232,7 @@
             "state": state.value,
             "holder": {"node": self._holder.node, "incarnation": self._holder.incarnation},
             "at": wall_millis(),
-            "answer": None if answer is None else _answer_value(answer),
+            "answer": None if answer is None else answer_value(answer),
         }
 
 
@@ -283,26 +252,6 @@
     return Reservations(store, holder, clock, is_dead)
 
 
-def _object_key(organisation: str, key: str) -> str:
-    owner = hashlib.sha256(organisation.encode()).hexdigest()[:8]
-    digest = hashlib.sha256(f"{organisation}\0{key}".encode()).hexdigest()[:40]
-    return f"reservations/{owner}/{digest}"
-
-
-def _reservation(key: str, token: str, digest: str, version: int) -> Reservation:
-    return Reservation(key=key, token=token, digest=digest, version=version)
-
-
-def _answer_value(answer: StoredAnswer) -> Json:
-    body = base64.b64encode(answer.body).decode("ascii")
-    return {"status": answer.status, "headers": dict(answer.headers), "body": body}
-
-
-def _answer(value: Json) -> StoredAnswer:
-    body = base64.b64decode(value["body"])
-    return StoredAnswer(status=value["status"], headers=value["headers"], body=body)
-
-
 def _fault(result: Result[object, object]) -> StoreFault | None:
     if isinstance(result, Success):
         return None
@@ -310,40 +259,5 @@
     return fault
 
 
-def _store_down() -> RequestFailure:
-    return unavailable(
-        "store_unavailable",
-        "The request cannot be reserved now, so it was not sent.",
-        retry_after_ms=STORE_RETRY_AFTER,
-    )
-
-
-def _in_progress() -> RequestFailure:
-    return RequestFailure(
-        status=int(HTTPStatus.CONFLICT),
-        type="conflict_error",
-        code="request_in_progress",
-        message="A request with this idempotency key is in progress.",
-        outcome=Outcome.UNKNOWN,
-        retry_after_ms=RUNNING_RETRY_AFTER,
-    )
-
-
-def _outcome_unknown() -> RequestFailure:
-    return RequestFailure(
-        status=int(HTTPStatus.CONFLICT),
-        type="conflict_error",
-        code="outcome_unknown",
-        message="A request with this key was sent before and no whole answer of it was kept.",
-        outcome=Outcome.UNKNOWN,
-    )
-
-
-def _key_reused() -> RequestFailure:
-    return RequestFailure(
-        status=int(HTTPStatus.UNPROCESSABLE_ENTITY),
-        type="invalid_request_error",
-        code="idempotency_key_reused",
-        message="This idempotency key belongs to another request.",
-        outcome=Outcome.NOT_RUN,
-    )
+def _reservation(key: str, token: str, digest: str, version: int) -> Reservation:
+    return Reservation(key=key, token=token, digest=digest, version=version)
--- a/packages/node/tests/test_reservations.py
+++ b/packages/node/tests/test_reservations.py
@@ -10,12 +10,8 @@
 
 from carobspool_core import Failure as RequestFailure
 from carobspool_core import Holder, ManualClock, Outcome
-from carobspool_node.store._reservations import (
-    Reservation,
-    Reservations,
-    StoredAnswer,
-    make_reservations,
-)
+from carobspool_node.store._reservation_objects import Reservation, StoredAnswer
+from carobspool_node.store._reservations import Reservations, make_reservations
 from carobspool_standins.memory_store import FaultKind, FaultRule, MemoryObjects, MemoryStore
 
 ANSWER = StoredAnswer(status=200, headers={"content-type": "text/plain"}, body=b"sent\xff")
