What callers see of files and batches apart from the calls on them

Code moved; no behaviour. Ran: types, lint, packages/node/tests/test_job_results.py, tests/test_import_rules.py.

--- a/packages/node/src/carobspool_node/jobs/__init__.py
+++ b/packages/node/src/carobspool_node/jobs/__init__.py
@@ -10,7 +10,8 @@
 from carobspool_node.jobs._job_intake import Submission, submit
 from carobspool_node.jobs._job_runner import RunnerPorts, make_job_runner
 from carobspool_node.jobs._job_work import JobWork
-from carobspool_node.jobs._jobs_api import DEFAULT_LIMIT, MAX_LIMIT, JobsApi
+from carobspool_node.jobs._jobs_api import JobsApi
+from carobspool_node.jobs._openai_objects import DEFAULT_LIMIT, MAX_LIMIT
 
 __all__ = [
     "BatchForwarder",
--- a/packages/node/src/carobspool_node/jobs/_jobs_api.py
+++ b/packages/node/src/carobspool_node/jobs/_jobs_api.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
-from typing import TypeVar
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from returns.result import Failure, Result, Success
@@ -13,7 +12,6 @@
     BatchShaping,
     Job,
     Json,
-    Millis,
     ObjectStore,
     invalid_request,
     organisation_digest,
@@ -22,7 +20,6 @@
 )
 from carobspool_core import Failure as RequestFailure
 from carobspool_node.jobs._files import (
-    FileRecord,
     create_file,
     delete_file,
     file_content,
@@ -32,20 +29,18 @@
 )
 from carobspool_node.jobs._job_changes import cancel, get_job
 from carobspool_node.jobs._job_intake import Submission, submit
-from carobspool_node.jobs._job_results import (
-    error_file_id,
-    output_file_id,
-    result_content,
-    result_file_job,
+from carobspool_node.jobs._job_results import result_content, result_file_job
+from carobspool_node.jobs._openai_objects import (
+    COMPLETION_WINDOW,
+    DEFAULT_LIMIT,
+    MAX_LIMIT,
+    batch_object,
+    file_object,
+    page,
+    result_file_object,
 )
 from carobspool_node.store import iterate_objects, request_failure
 
-DEFAULT_LIMIT = 20
-MAX_LIMIT = 10_000
-COMPLETION_WINDOW = "24h"
-
-_T = TypeVar("_T")
-
 
 class _BatchRequest(BaseModel):
     model_config = ConfigDict(extra="ignore", strict=True)
@@ -98,15 +93,15 @@
             purpose=purpose,
             now=wall_millis(),
         )
-        return created.map(_file_object)
+        return created.map(file_object)
 
     def retrieve_file(self, organisation: str, file_id: str) -> Result[Json, RequestFailure]:
         """Return a file's description."""
         result = result_file_job(file_id)
         if result is None:
-            return get_file(self._store, organisation, file_id).map(_file_object)
+            return get_file(self._store, organisation, file_id).map(file_object)
         job = self._result_job(organisation, file_id, result[0])
-        return job.map(lambda found: _result_file_object(found, failed=result[1]))
+        return job.map(lambda found: result_file_object(found, failed=result[1]))
 
     def list_files(
         self,
@@ -121,7 +116,7 @@
         if isinstance(found, Failure):
             return Failure(found.failure())
         records = [each for each in found.unwrap() if purpose in (None, each.purpose)]
-        return Success(_page([_file_object(each) for each in records], after, limit))
+        return Success(page([file_object(each) for each in records], after, limit))
 
     def delete_file(self, organisation: str, file_id: str) -> Result[Json, RequestFailure]:
         """Delete an uploaded file; results of batches stay."""
@@ -179,11 +174,11 @@
         if isinstance(accepted, Failure):
             return Failure(accepted.failure())
         self._hint(accepted.unwrap())
-        return Success(_batch_object(accepted.unwrap()))
+        return Success(batch_object(accepted.unwrap()))
 
     def retrieve_batch(self, organisation: str, batch_id: str) -> Result[Json, RequestFailure]:
         """Return a batch."""
-        return get_job(self._store, organisation, batch_id).map(_batch_object)
+        return get_job(self._store, organisation, batch_id).map(batch_object)
 
     def list_batches(
         self, organisation: str, *, after: str | None = None, limit: int = DEFAULT_LIMIT
@@ -198,7 +193,7 @@
             if job.organisation == organisation:
                 jobs.append(job)
         jobs.sort(key=lambda job: (job.created_at, job.id), reverse=True)
-        return Success(_page([_batch_object(job) for job in jobs], after, limit))
+        return Success(page([batch_object(job) for job in jobs], after, limit))
 
     def cancel_batch(
         self, organisation: str, caller: str, batch_id: str, *, reason: str = ""
@@ -215,7 +210,7 @@
             now=wall_millis(),
             hint=self._hint,
         )
-        return cancelled.map(_batch_object)
+        return cancelled.map(batch_object)
 
     def _result_job(
         self, organisation: str, file_id: str, job_id: str
@@ -247,88 +242,3 @@
     Since 0.1.
     """
     return JobsApi(store, shaping, known_model, hint)
-
-
-def _page(objects: Sequence[Mapping[str, Json]], after: str | None, limit: int) -> Json:
-    start = 0
-    for place, each in enumerate(objects):
-        if each["id"] == after:
-            start = place + 1
-    chosen = objects[start : start + max(1, min(limit, MAX_LIMIT))]
-    return {
-        "object": "list",
-        "data": list(chosen),
-        "first_id": chosen[0]["id"] if chosen else None,
-        "last_id": chosen[-1]["id"] if chosen else None,
-        "has_more": start + len(chosen) < len(objects),
-    }
-
-
-def _file_object(record: FileRecord) -> Json:
-    return {
-        "id": record.id,
-        "object": "file",
-        "bytes": record.bytes,
-        "created_at": _seconds(record.created_at),
-        "expires_at": None,
-        "filename": record.filename,
-        "purpose": record.purpose,
-        "status": "processed",
-        "status_details": None,
-    }
-
-
-def _result_file_object(job: Job, *, failed: bool) -> Json:
-    kind = "error" if failed else "output"
-    return {
-        "id": error_file_id(job.id) if failed else output_file_id(job.id),
-        "object": "file",
-        "bytes": job.counts.error_bytes if failed else job.counts.output_bytes,
-        "created_at": _seconds(job.created_at),
-        "expires_at": None,
-        "filename": f"{job.id}_{kind}.jsonl",
-        "purpose": "batch_output",
-        "status": "processed",
-        "status_details": None,
-    }
-
-
-def _batch_object(job: Job) -> Json:
-    counts = job.counts
-    output = output_file_id(job.id) if job.ended and counts.completed else None
-    errors = error_file_id(job.id) if job.ended and counts.failed else None
-    return {
-        "id": job.id,
-        "object": "batch",
-        "endpoint": job.endpoint,
-        "errors": None,
-        "input_file_id": job.input_file,
-        "completion_window": COMPLETION_WINDOW,
-        "status": job.status.value,
-        "output_file_id": output,
-        "error_file_id": errors,
-        "created_at": _seconds(job.created_at),
-        "in_progress_at": _changed_at(job, "in_progress"),
-        "expires_at": _seconds(job.due_at),
-        "finalizing_at": _changed_at(job, "finalizing"),
-        "completed_at": _changed_at(job, "completed"),
-        "failed_at": _changed_at(job, "failed"),
-        "expired_at": _changed_at(job, "expired"),
-        "cancelling_at": _changed_at(job, "cancelling"),
-        "cancelled_at": _changed_at(job, "cancelled"),
-        "request_counts": {
-            "total": job.items,
-            "completed": counts.completed,
-            "failed": counts.failed,
-        },
-        "metadata": dict(job.metadata),
-    }
-
-
-def _changed_at(job: Job, status: str) -> int | None:
-    found = job.changed_at.get(status)
-    return None if found is None else _seconds(found)
-
-
-def _seconds(at: Millis) -> int:
-    return int(at / 1000.0)
