--- a/packages/node/src/carobspool_node/upstreams/_engine_runs.py
+++ b/packages/node/src/carobspool_node/upstreams/_engine_runs.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -17,23 +16,27 @@
     Clock,
     Failure,
     Millis,
-    Open,
     Outcome,
     Priority,
     RequestId,
     broken_upstream,
     unavailable,
 )
+from carobspool_node.upstreams._engine_calls import (
+    answer_call,
+    cancel_at_engine,
+    is_completion,
+    resume_call,
+    stream_call,
+)
 from carobspool_node.upstreams._event_stream import AnswerCollector, EventCutter, count_tokens
 from carobspool_node.upstreams._runs import Run
 from carobspool_node.upstreams._scheduler import Scheduler
 from carobspool_node.upstreams._upstream_http import (
-    CONTROL_TIMEOUT,
     CallEnd,
     CallResult,
     Exchange,
     UpstreamCall,
-    call_whole,
 )
 
 MAX_START_DELAY: Millis = 1_500.0
@@ -120,7 +123,7 @@
             if progress is None or progress.cancelled:
                 return
             progress.preempting = True
-        progress.kept = self._cancel_at_engine(run.open.id, keep_kv=True)
+        progress.kept = cancel_at_engine(self._upstream, run.open.id, keep_kv=True)
         if not progress.kept:
             progress.exchange.abort()
 
@@ -129,7 +132,7 @@
         with self._lock:
             progress = self._progress.setdefault(run.open.id, _Progress())
             progress.cancelled = True
-        self._cancel_at_engine(run.open.id, keep_kv=False)
+        cancel_at_engine(self._upstream, run.open.id, keep_kv=False)
         progress.exchange.abort()
 
     def forget(self, identity: RequestId) -> None:
@@ -167,7 +170,7 @@
                 progress.started = True
                 self._count(request.id, True, count)
 
-        result = progress.exchange.run(self._call(request), on_head, on_data)
+        result = progress.exchange.run(answer_call(self._upstream, request), on_head, on_data)
         failure = self._failure_of(result, progress)
         if failure is None and streaming and not progress.cutter.done:
             failure = broken_upstream(
@@ -177,20 +180,21 @@
 
     def _run_batch(self, run: Run, progress: _Progress) -> None:
         request = run.open
-        if not _is_completion(request):
+        if not is_completion(request):
             self._run_online(run, progress)
             return
         if progress.collector is None:
             progress.collector = AnswerCollector(chat=request.path.startswith(_CHAT_PATH))
         collector = progress.collector
         if collector.tokens and progress.kept:
-            result = self._stream_batch(run, progress, self._resume_call(request, collector))
+            call = resume_call(self._upstream, request, collector.tokens)
+            result = self._stream_batch(run, progress, call)
             if progress.status == _NOT_FOUND and result.end is CallEnd.COMPLETE:
                 collector.restart()
-                result = self._stream_batch(run, progress, self._stream_call(request))
+                result = self._stream_batch(run, progress, stream_call(self._upstream, request))
         else:
             collector.restart()
-            result = self._stream_batch(run, progress, self._stream_call(request))
+            result = self._stream_batch(run, progress, stream_call(self._upstream, request))
         self._finish_batch(run, progress, collector, result)
 
     def _stream_batch(self, run: Run, progress: _Progress, call: UpstreamCall) -> CallResult:
@@ -272,59 +276,3 @@
         return broken_upstream(
             "upstream_broken", "the upstream broke the connection", outcome=Outcome.UNKNOWN
         )
-
-    def _call(self, request: Open) -> UpstreamCall:
-        headers = {**request.headers, "X-Request-Id": engine_id(request.id)}
-        return UpstreamCall(
-            method=request.method,
-            url=self._upstream + request.path,
-            headers=headers,
-            body=request.body,
-            timeout=0.0 if request.stream else request.timeout,
-        )
-
-    def _stream_call(self, request: Open) -> UpstreamCall:
-        body = json.loads(request.body)
-        body["stream"] = True
-        body["stream_options"] = {"include_usage": True}
-        headers = {**request.headers, "X-Request-Id": engine_id(request.id)}
-        return UpstreamCall(
-            method="POST",
-            url=self._upstream + request.path,
-            headers=headers,
-            body=json.dumps(body, ensure_ascii=False).encode(),
-        )
-
-    def _resume_call(self, request: Open, collector: AnswerCollector) -> UpstreamCall:
-        body = json.dumps({"from_token": collector.tokens}).encode()
-        return UpstreamCall(
-            method="POST",
-            url=f"{self._upstream}/streams/{engine_id(request.id)}/resume",
-            headers={"Content-Type": "application/json"},
-            body=body,
-        )
-
-    def _cancel_at_engine(self, identity: RequestId, *, keep_kv: bool) -> bool:
-        call = UpstreamCall(
-            method="POST",
-            url=f"{self._upstream}/streams/{engine_id(identity)}/cancel",
-            headers={"Content-Type": "application/json"},
-            body=json.dumps({"keep_kv": keep_kv}).encode(),
-            timeout=CONTROL_TIMEOUT,
-        )
-        result, body = call_whole(call)
-        if result.end is not CallEnd.COMPLETE or result.status != 200:
-            return False
-        try:
-            return bool(json.loads(body)["kept"]) or not keep_kv
-        except (ValueError, KeyError, TypeError):
-            return False
-
-
-def engine_id(identity: RequestId) -> str:
-    """Return the stream id under which an attempt runs at the engine."""
-    return f"{identity.incarnation}-{identity.counter}"
-
-
-def _is_completion(request: Open) -> bool:
-    return request.path.startswith(("/v1/chat/completions", "/v1/completions"))
