--- a/packages/node/src/carobspool_node/upstreams/_sidecar.py
+++ b/packages/node/src/carobspool_node/upstreams/_sidecar.py
@@ -24,7 +24,6 @@
     Failure,
     Hint,
     HintKind,
-    Load,
     Message,
     Millis,
     Open,
@@ -34,12 +33,12 @@
     SidecarState,
     Work,
     broken_upstream,
-    make_load_reporter,
     unavailable,
 )
 from carobspool_node.errors import CodecError, LinkClosedError
 from carobspool_node.links import EntryLinks, Identity, Link, LinkServer, PeerKeys, listen
 from carobspool_node.upstreams._engine_runs import EngineRuns
+from carobspool_node.upstreams._load_reports import LoadReports
 from carobspool_node.upstreams._runs import Run, RunState, RunTable
 from carobspool_node.upstreams._scheduler import Scheduler
 from carobspool_node.upstreams._upstream_health import UpstreamHealth
@@ -53,8 +52,6 @@
 """
 RUN_WORKERS = 1_024
 """Bound of the requests at one upstream; a worker exists only once it is needed."""
-REPORT_POLL: Millis = 50.0
-"""How often the load is looked at; a burst's entries learn of each other's part within this."""
 _LEAVING = unavailable("leaving", "the upstream is leaving", retry_after_ms=0.0)
 _NEVER_RECEIVED = unavailable(
     "never_received", "the request never reached the upstream's host", retry_after_ms=0.0
@@ -113,10 +110,6 @@
         self._runs = RunTable()
         self._links = EntryLinks(clock)
         self._state = SidecarState.READY
-        self._targets = options.targets
-        self._slots = options.slots
-        self._revision = 0
-        self._epoch = 0
         self._hints = 0
         self._stopped = threading.Event()
         self._pool = ThreadPoolExecutor(RUN_WORKERS, thread_name_prefix="run")
@@ -129,6 +122,14 @@
             start=self._start, preempt=self._preempt, refuse=self._refuse
         )
         self._engine.attach(self._scheduler)
+        self._loads = LoadReports(
+            self._links,
+            self._scheduler,
+            clock,
+            state=lambda: self.state,
+            targets=options.targets,
+            slots=options.slots,
+        )
         self._server: LinkServer | None = None
         self.on_configuration: Callable[[Configuration, Link], None] = _ignore_configuration
         self.on_link: Callable[[Link], None] = _ignore_link
@@ -164,20 +165,17 @@
             on_entry=self._serve,
         )
         threading.Thread(target=self._beat, name="beat", daemon=True).start()
-        threading.Thread(target=self._report_load, name="load", daemon=True).start()
+        threading.Thread(
+            target=self._loads.run, args=(self._stopped,), name="load", daemon=True
+        ).start()
 
     def set_targets(self, targets: tuple[str, ...], *, revision: int, epoch: int) -> None:
         """Tell what is ready at the upstream and which configuration is in force."""
-        changed = (targets, revision, epoch) != (self._targets, self._revision, self._epoch)
-        self._targets = targets
-        self._revision = revision
-        self._epoch = epoch
-        if changed:
-            self._push_load()
+        self._loads.set_targets(targets, revision=revision, epoch=epoch)
 
     def set_slots(self, slots: int) -> None:
         """Tell how many requests the upstream is declared to run side by side."""
-        self._slots = slots
+        self._loads.set_slots(slots)
 
     def leave(self) -> None:
         """Refuse new work and tell every entry at once."""
@@ -345,32 +343,8 @@
         self._links.broadcast(hint)
         self._push_load()
 
-    def _load(self) -> Load:
-        snapshot = self._scheduler.snapshot()
-        return Load(
-            state=self.state,
-            running=snapshot.running_online + snapshot.running_batch,
-            queued=snapshot.queued_online + snapshot.queued_batch,
-            tokens=snapshot.tokens,
-            slots=self._slots,
-            batch_credits=self._scheduler.batch_credits(),
-            targets=self._targets,
-            revision=self._revision,
-            first_token=round(snapshot.first_token_ewma, 1),
-            fencing_epoch=self._epoch,
-        )
-
     def _push_load(self) -> None:
-        self._links.broadcast(self._load())
-
-    def _report_load(self) -> None:
-        """Tell the load when it has moved to another band, within the budget for control."""
-        reporter = make_load_reporter()
-        while not self._stopped.wait(REPORT_POLL / 1000.0):
-            count = len(self._links.connected)
-            load = self._load()
-            if count and reporter.is_due(load, count, self._clock.now()):
-                self._links.broadcast(load)
+        self._loads.push()
 
     def _beat(self) -> None:
         interval = self._options.heartbeat
