The held chunks of a runner apart from its loop

Same order of chunks, same log lines. Ran: types, lint, packages/node/tests/test_job_runner.py, test_job_runner_faults.py, tests/test_import_rules.py.

--- a/packages/node/src/carobspool_node/jobs/_job_runner.py
+++ b/packages/node/src/carobspool_node/jobs/_job_runner.py
@@ -7,8 +7,7 @@
 from __future__ import annotations
 
 import threading
-from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 from absl import logging
 from returns.result import Failure, Result
@@ -18,7 +17,6 @@
     Clock,
     Holder,
     ItemOutcome,
-    JobStatus,
     Millis,
     ObjectStore,
     StoreFailure,
@@ -32,6 +30,7 @@
     read_standing,
     write_chunk,
 )
+from carobspool_node.jobs._held_chunks import HeldChunks
 from carobspool_node.jobs._job_coordinator import JobCoordinator
 from carobspool_node.jobs._job_ending import done_counts
 from carobspool_node.jobs._job_table import JobTable, watch_jobs
@@ -78,7 +77,7 @@
         )
         self._thread = threading.Thread(target=self._run, name="job-runner", daemon=True)
         self._works = JobWorks(holder, clock, ports.tell_done)
-        self._owned: dict[tuple[str, int], OwnedChunk] = {}
+        self._owned = HeldChunks()
         self._held = False
         self._round_began: Millis = clock.now()
         self._releasing_until: Millis | None = None
@@ -165,9 +164,9 @@
         """
         logging.warning("event=pause_noticed node=%s", self._holder.node)
         self._coordinator.resume(self._works.by_job)
-        for job_id in {job_id for job_id, _ in self._owned}:
+        for job_id in {job_id for job_id, _, _ in self._owned}:
             self._table.refresh(job_id)
-        for (job_id, number), chunk in list(self._owned.items()):
+        for job_id, number, chunk in self._owned:
             found = read_standing(self._store, job_id, number)
             if isinstance(found, Failure):
                 continue
@@ -180,21 +179,12 @@
         self._works.update(
             jobs.values(), self._members.live(), holding=self._members.holding(), now=now
         )
-        for (job_id, number), chunk in list(self._owned.items()):
-            if job_id not in jobs:
-                chunk.cancel_running()
-                del self._owned[job_id, number]
-                continue
-            if jobs[job_id].status is JobStatus.CANCELLING and chunk.ending is not Ending.STOP:
-                chunk.part(Ending.STOP, cancel=True)
+        self._owned.stop_ended(jobs)
 
     def _dispatch(self, now: Millis) -> int:
         """Start items while there is capacity; return what is left of it."""
         credits = self._ports.credits()
-        ready: dict[str, deque[OwnedChunk]] = {}
-        for (job_id, _), chunk in self._owned.items():
-            if chunk.has_ready(now):
-                ready.setdefault(job_id, deque()).append(chunk)
+        ready = self._owned.ready(now)
         while credits > 0 and ready:
             if self._clock.now() - now > PAUSE_NOTICED:
                 return 0  # frozen in this very round; the next one reads again first
@@ -223,9 +213,7 @@
         chunk.ended(attempt, outcome, max_attempts=limit, now=self._clock.now())
 
     def _claim_ahead(self, now: Millis, credits: int) -> None:
-        waiting = sum(chunk.waiting for chunk in self._owned.values())
-        running = sum(chunk.running for chunk in self._owned.values())
-        missing = max(credits, running // 2) - waiting
+        missing = self._owned.missing(credits)
         if missing > 0 and self._may_claim():
             self._claims.claim_ahead(self._works.by_job, self._works.live, missing=missing, now=now)
 
@@ -234,7 +222,7 @@
             chunk = OwnedChunk(claimed.standing, claimed.items, self._clock.now())
             if self._releasing_until is not None:
                 chunk.part(Ending.RELEASE, cancel=False)
-            self._owned[job_id, number] = chunk
+            self._owned.add(job_id, number, chunk)
             logging.info("event=chunk_claimed job=%s chunk=%d", job_id, number)
             return
         counts = done_counts(claimed)
@@ -253,12 +241,7 @@
             work.mark_held(number, standing.state.holder)
 
     def _write_due(self, now: Millis, credits: int) -> None:
-        declarable = credits - sum(chunk.declaring for chunk in self._owned.values())
-        for (job_id, number), chunk in self._owned.items():
-            write = chunk.next_write(now, may_declare=declarable > 0)
-            if write is None:
-                continue
-            declarable -= chunk.declaring
+        for job_id, number, chunk, write in self._owned.due_writes(now, credits):
             self._write(job_id, number, chunk, write)
 
     def _write(self, job_id: str, number: int, chunk: OwnedChunk, write: ChunkWrite) -> None:
@@ -278,12 +261,12 @@
             return
         if chunk.wrote(found.unwrap(), self._holder, now):
             return
-        if self._owned.get((job_id, number)) is chunk:
+        if self._owned.holds(job_id, number, chunk):
             self._drop(job_id, number, found.unwrap())
 
     def _drop(self, job_id: str, number: int, standing: Standing) -> None:
         """Part with a chunk that the store says is done, released or another's."""
-        chunk = self._owned.pop((job_id, number))
+        chunk = self._owned.pop(job_id, number)
         chunk.cancel_running()
         counts = done_counts(standing)
         if counts is None:
@@ -294,9 +277,7 @@
 
     def _begin_release(self, until: Millis) -> None:
         self._releasing_until = until
-        for chunk in self._owned.values():
-            if chunk.ending is None:
-                chunk.part(Ending.RELEASE, cancel=False)
+        self._owned.release_all()
 
     def _end_release(self, now: Millis) -> None:
         if self._releasing_until is None:
@@ -306,16 +287,7 @@
             return
         if now < self._releasing_until:
             return
-        for chunk in self._cut_off():
-            chunk.cancel_running()
-
-    def _cut_off(self) -> Iterator[OwnedChunk]:
-        for (job_id, number), chunk in self._owned.items():
-            if chunk.running:
-                logging.warning(
-                    "event=items_cut job=%s chunk=%d items=%d", job_id, number, chunk.running
-                )
-                yield chunk
+        self._owned.cut_off()
 
 
 def make_job_runner(
