--- a/packages/node/src/carobspool_node/configuration/__init__.py
+++ b/packages/node/src/carobspool_node/configuration/__init__.py
@@ -7,7 +7,12 @@
 from carobspool_node.configuration._apply import apply_state, preview_state
 from carobspool_node.configuration._drain_follower import DrainFollower
 from carobspool_node.configuration._drains import set_drain
-from carobspool_node.configuration._exchange import announcement, exchange, news
+from carobspool_node.configuration._exchange import (
+    announcement,
+    answer_sidecar,
+    exchange,
+    news,
+)
 from carobspool_node.configuration._follower import ConfigurationFollower, make_follower
 from carobspool_node.configuration._history import audit, history
 from carobspool_node.configuration._objects import ConfigReadError
@@ -38,6 +43,7 @@
     "TooLarge",
     "UnknownBase",
     "announcement",
+    "answer_sidecar",
     "apply_state",
     "audit",
     "exchange",
--- a/packages/node/src/carobspool_node/configuration/_exchange.py
+++ b/packages/node/src/carobspool_node/configuration/_exchange.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from carobspool_core import Configuration
 from carobspool_node.configuration._follower import ConfigurationFollower
 from carobspool_node.links import Link, send_quietly
@@ -38,3 +40,16 @@
     if message.revision < follower.revision:
         send_quietly(link, follower.message_for(message.parts.values()))
     return False
+
+
+def answer_sidecar(
+    follower: ConfigurationFollower,
+    message: Configuration,
+    send: Callable[[Configuration], None],
+) -> None:
+    """Take or answer a sidecar's message; it may have heard of a revision from another entry."""
+    if message.revision < follower.revision:
+        send(follower.message_for(message.parts.values()))
+        return
+    if message.revision > follower.revision and not follower.offer(message):
+        send(announcement(follower))
--- a/packages/node/src/carobspool_node/process/_entry_node.py
+++ b/packages/node/src/carobspool_node/process/_entry_node.py
@@ -11,7 +11,6 @@
 from carobspool_core import (
     Clock,
     Configuration,
-    DesiredState,
     Hint,
     HintKind,
     Json,
@@ -40,18 +39,17 @@
     exchange,
     follow,
     make_follower,
-    news,
 )
 from carobspool_node.jobs import BatchForwarder, EntryJobs
 from carobspool_node.links import (
     TRAFFIC,
-    Connections,
     Fleet,
     HintExchange,
     Identity,
     Link,
     load_peer_keys,
 )
+from carobspool_node.process._entry_configuration import EntryConfiguration
 from carobspool_node.process._metrics import make_metrics
 from carobspool_node.process._shutdown import ShutdownRequest, end_process
 from carobspool_node.requests import Isolation
@@ -80,9 +78,6 @@
         self._metrics = make_metrics(settings.statsd, role="entry", node=settings.node)
         self._store = http_object_store(settings.object_api)
         self._follower = make_follower(self._store, self._clock)
-        self._connections = Connections(settings.node)
-        self._connecting = threading.Lock()
-        self._connected_for: tuple[int, tuple[str, ...]] = (0, ())
         self._keys = CallerKeys(settings.first_operator_key_hash)
         peer_keys = load_peer_keys(settings.peer_keys)
         self._hints = HintExchange(
@@ -111,7 +106,9 @@
             self._clock,
             make_router(self._clock, Random(self._identity.incarnation)),
             on_hint=self._take_sidecar_hint,
-            on_configuration=self._answer_sidecar,
+            on_configuration=lambda host, message: self._configuration.answer_sidecar(
+                host, message
+            ),
         )
         self._drains = DrainFollower(
             self._store, settings.host_list, on_change=self._fleet.set_drained
@@ -131,6 +128,14 @@
             state=lambda: self._follower.state,
             tell=self._hints.tell,
         )
+        self._configuration = EntryConfiguration(
+            settings.node,
+            self._follower,
+            keys=self._keys,
+            fleet=self._fleet,
+            hints=self._hints,
+            live_entries=self._jobs.live_entries,
+        )
         self._online = OnlineService(
             Forwarder(
                 self._fleet,
@@ -170,7 +175,7 @@
 
     def start(self) -> None:
         """Serve in tasks of its own."""
-        self._follower.on_change(self._take_state)
+        self._follower.on_change(self._configuration.take_state)
         self._hints.start()
         self._jobs.start(f"{self._settings.peer.address}:{self._hints.port}")
         self._isolation.start()
@@ -225,45 +230,14 @@
                 self._follower,
                 status=self._status,
                 ready=lambda: self.ready,
-                on_applied=self._announce,
+                on_applied=self._configuration.announce,
                 on_drain=self._drains.refresh,
             ),
         ]
 
-    def _take_state(self, state: DesiredState) -> None:
-        self._keys.replace(state)
-        self._connect(state)
-        # Callbacks run inside the follower's lock; telling the peers waits for their queues only.
-        self._announce()
-
-    def _connect(self, state: DesiredState) -> None:
-        with self._connecting:
-            live = tuple(self._jobs.live_entries())
-            self._connected_for = (state.revision, live)
-            self._fleet.set_upstreams(self._connections.choose(state, live))
-
-    def _announce(self) -> None:
-        message = news(self._follower)
-        self._hints.broadcast(message)
-        self._fleet.broadcast(message)
-
     def _exchange(self, message: Configuration, link: Link) -> None:
         exchange(self._follower, message, link)
 
-    def _answer_sidecar(self, host: str, message: Configuration) -> None:
-        if message.revision < self._follower.revision:
-            peer = self._fleet.peer(host)
-            if peer is not None:
-                peer.send(self._follower.message_for(message.parts.values()))
-            return
-        if message.revision > self._follower.revision:
-            # A sidecar may have heard of it from another entry first.
-            if self._follower.offer(message):
-                return
-            peer = self._fleet.peer(host)
-            if peer is not None:
-                peer.send(announcement(self._follower))
-
     def _take_hint(self, hint: Hint) -> None:
         if hint.kind in (HintKind.SUSPECT, HintKind.QUARANTINE):
             self._isolation.merge(hint)
@@ -298,8 +272,7 @@
         self._isolation.tick()
         live = self._jobs.live_entries()
         self._limits.exchange(live)
-        if self._connected_for != (self._follower.revision, tuple(live)):
-            self._connect(self._follower.state)
+        self._configuration.keep_connected(live)
         self._hints.set_peers(self._jobs.peers())
         self._metrics.gauge("http.open", self._server.open_connections)
         self._metrics.gauge("config.revision", self._follower.revision)
