--- a/packages/node/src/carobspool_node/_job_coordinator.py
+++ b/packages/node/src/carobspool_node/jobs/_job_coordinator.py
@@ -22,17 +22,17 @@
     progress_is_due,
     wall_millis,
 )
-from carobspool_node._job_ending import (
+from carobspool_node.jobs._job_ending import (
     StoredJob,
     finish_job,
     probe_chunks,
     seal_chunks,
     write_progress,
 )
-from carobspool_node._job_table import JobTable
-from carobspool_node._job_work import JobWork
-from carobspool_node._members import Members
-from carobspool_node._store_calls import StoreCalls
+from carobspool_node.jobs._job_table import JobTable
+from carobspool_node.jobs._job_work import JobWork
+from carobspool_node.links import Members
+from carobspool_node.store import StoreCalls
 
 COORDINATE_INTERVAL: Millis = 200.0
 PROBED_AT_ONCE = 16
--- a/packages/node/src/carobspool_node/_sidecar.py
+++ b/packages/node/src/carobspool_node/upstreams/_sidecar.py
@@ -13,7 +13,6 @@
 
 from absl import logging
 from returns.pipeline import is_successful
-from websockets.sync.server import Server, ServerConnection, serve
 
 from carobspool_core import (
     Attach,
@@ -25,7 +24,6 @@
     Failure,
     Hint,
     HintKind,
-    Load,
     Message,
     Millis,
     Open,
@@ -35,18 +33,16 @@
     SidecarState,
     Work,
     broken_upstream,
-    make_load_reporter,
     unavailable,
 )
-from carobspool_node._engine_runs import EngineRuns
-from carobspool_node._entry_links import EntryLinks
-from carobspool_node._link import MAX_FRAME_BYTES, Identity, Link, establish
-from carobspool_node._peer_keys import PeerKeys
-from carobspool_node._runs import Run, RunState, RunTable
-from carobspool_node._scheduler import Scheduler
-from carobspool_node._stall_watch import StallWatch
-from carobspool_node._upstream_health import UpstreamHealth
-from carobspool_node.errors import CodecError, HandshakeError, LinkClosedError
+from carobspool_node.errors import CodecError, LinkClosedError
+from carobspool_node.links import EntryLinks, Identity, Link, LinkServer, PeerKeys, listen
+from carobspool_node.upstreams._engine_runs import EngineRuns
+from carobspool_node.upstreams._load_reports import LoadReports
+from carobspool_node.upstreams._runs import Run, RunState, RunTable
+from carobspool_node.upstreams._scheduler import Scheduler
+from carobspool_node.upstreams._stall_watch import StallWatch
+from carobspool_node.upstreams._upstream_health import UpstreamHealth
 
 MAX_OPEN_AGE: Millis = 2_500.0
 """Requests older than this on arrival are refused as not run.
@@ -56,8 +52,6 @@
 """
 RUN_WORKERS = 1_024
 """Bound of the requests at one upstream; a worker exists only once it is needed."""
-REPORT_POLL: Millis = 50.0
-"""How often the load is looked at; a burst's entries learn of each other's part within this."""
 _LEAVING = unavailable("leaving", "the upstream is leaving", retry_after_ms=0.0)
 _NEVER_RECEIVED = unavailable(
     "never_received", "the request never reached the upstream's host", retry_after_ms=0.0
@@ -118,10 +112,6 @@
         self._runs = RunTable()
         self._links = EntryLinks(clock)
         self._state = SidecarState.READY
-        self._targets = options.targets
-        self._slots = options.slots
-        self._revision = 0
-        self._epoch = 0
         self._hints = 0
         self._stopped = threading.Event()
         self._pool = ThreadPoolExecutor(RUN_WORKERS, thread_name_prefix="run")
@@ -134,7 +124,15 @@
             start=self._start, preempt=self._preempt, refuse=self._refuse
         )
         self._engine.attach(self._scheduler)
-        self._server: Server | None = None
+        self._loads = LoadReports(
+            self._links,
+            self._scheduler,
+            clock,
+            state=lambda: self.state,
+            targets=options.targets,
+            slots=options.slots,
+        )
+        self._server: LinkServer | None = None
         self.on_configuration: Callable[[Configuration, Link], None] = _ignore_configuration
         self.on_link: Callable[[Link], None] = _ignore_link
 
@@ -142,8 +140,7 @@
     def port(self) -> int:
         """The port on which it listens."""
         assert self._server is not None
-        port: int = self._server.socket.getsockname()[1]
-        return port
+        return self._server.port
 
     @property
     def state(self) -> SidecarState:
@@ -161,30 +158,27 @@
         """Listen and serve in tasks of its own."""
         self._health.start()
         self._stalls.start()
-        self._server = serve(
-            self._serve,
+        self._server = listen(
             self._options.address,
             self._options.port,
-            compression=None,
-            max_size=MAX_FRAME_BYTES,
-            ping_interval=None,
+            name="listen",
+            identity=self._identity,
+            keys=self._keys,
+            clock=self._clock,
+            on_entry=self._serve,
         )
-        threading.Thread(target=self._server.serve_forever, name="listen", daemon=True).start()
         threading.Thread(target=self._beat, name="beat", daemon=True).start()
-        threading.Thread(target=self._report_load, name="load", daemon=True).start()
+        threading.Thread(
+            target=self._loads.run, args=(self._stopped,), name="load", daemon=True
+        ).start()
 
     def set_targets(self, targets: tuple[str, ...], *, revision: int, epoch: int) -> None:
         """Tell what is ready at the upstream and which configuration is in force."""
-        changed = (targets, revision, epoch) != (self._targets, self._revision, self._epoch)
-        self._targets = targets
-        self._revision = revision
-        self._epoch = epoch
-        if changed:
-            self._push_load()
+        self._loads.set_targets(targets, revision=revision, epoch=epoch)
 
     def set_slots(self, slots: int) -> None:
         """Tell how many requests the upstream is declared to run side by side."""
-        self._slots = slots
+        self._loads.set_slots(slots)
 
     def leave(self) -> None:
         """Refuse new work and tell every entry at once."""
@@ -218,22 +212,11 @@
         self._scheduler.stop()
         self._links.close()
         if self._server is not None:
-            self._server.shutdown()
+            self._server.stop()
         self._pool.shutdown(wait=False, cancel_futures=True)
         self._control.shutdown(wait=False, cancel_futures=True)
 
-    def _serve(self, socket: ServerConnection) -> None:
-        try:
-            link = establish(
-                socket, identity=self._identity, keys=self._keys, clock=self._clock, server=True
-            )
-        except (HandshakeError, CodecError) as error:
-            logging.warning("event=handshake_refused error=%s", error)
-            return
-        if link.peer.role != "entry":
-            logging.warning("event=peer_refused role=%s", link.peer.role)
-            link.close()
-            return
+    def _serve(self, link: Link) -> None:
         self._links.adopt(link)
         self.on_link(link)
         self._push_load()
@@ -375,32 +358,8 @@
         self._links.broadcast(hint)
         self._push_load()
 
-    def _load(self) -> Load:
-        snapshot = self._scheduler.snapshot()
-        return Load(
-            state=self.state,
-            running=snapshot.running_online + snapshot.running_batch,
-            queued=snapshot.queued_online + snapshot.queued_batch,
-            tokens=snapshot.tokens,
-            slots=self._slots,
-            batch_credits=self._scheduler.batch_credits(),
-            targets=self._targets,
-            revision=self._revision,
-            first_token=round(snapshot.first_token_ewma, 1),
-            fencing_epoch=self._epoch,
-        )
-
     def _push_load(self) -> None:
-        self._links.broadcast(self._load())
-
-    def _report_load(self) -> None:
-        """Tell the load when it has moved to another band, within the budget for control."""
-        reporter = make_load_reporter()
-        while not self._stopped.wait(REPORT_POLL / 1000.0):
-            count = len(self._links.connected)
-            load = self._load()
-            if count and reporter.is_due(load, count, self._clock.now()):
-                self._links.broadcast(load)
+        self._loads.push()
 
     def _beat(self) -> None:
         interval = self._options.heartbeat
--- a/packages/node/tests/test_sidecar_stall.py
+++ b/packages/node/tests/test_sidecar_stall.py
@@ -30,11 +30,12 @@
     RequestId,
     make_admission,
 )
-from carobspool_node._link import Identity, Link, dial
-from carobspool_node._peer_keys import PeerKeys
-from carobspool_node._scheduler import Scheduler
-from carobspool_node._sidecar import Sidecar, SidecarOptions
-from carobspool_node._stall_watch import STALL_LIMIT, StallWatch
+from carobspool_node.links._handshake import Identity, dial
+from carobspool_node.links._link import Link
+from carobspool_node.links._peer_keys import PeerKeys
+from carobspool_node.upstreams._scheduler import Scheduler
+from carobspool_node.upstreams._sidecar import Sidecar, SidecarOptions
+from carobspool_node.upstreams._stall_watch import STALL_LIMIT, StallWatch
 
 KEYS = PeerKeys(keys={"k": b"key"}, use="k")
 FREEZE = 6_000.0
