--- a/packages/node/src/carobspool_node/process/_shutdown.py
+++ b/packages/node/src/carobspool_node/process/_shutdown.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import os
+import queue
 import signal
 import sys
 import threading
-from types import FrameType
 from typing import NoReturn
 
 from absl import logging
@@ -24,13 +24,21 @@
 
 
 class ShutdownRequest:
-    """Waits for SIGTERM or SIGINT. Since 0.1."""
+    """Waits for SIGTERM or SIGINT. Since 0.1.
+
+    A handler runs on the main task, wherever that stands, and must not ask for a lock that the main
+    task may hold: of the event on which it waits, or of the log. Both would wait for ever, and the
+    process would be killed with all that it serves. The handler only puts into a simple queue,
+    which takes no such lock; a task of its own does the rest.
+    """
 
     def __init__(self) -> None:
+        self._signals: queue.SimpleQueue[int] = queue.SimpleQueue()
         self._first = threading.Event()
         self._second = threading.Event()
+        threading.Thread(target=self._take_signals, name="signals", daemon=True).start()
         for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, self._handle)
+            signal.signal(number, lambda number, _: self._signals.put(number))
 
     @property
     def hurried(self) -> threading.Event:
@@ -43,9 +51,9 @@
         while not self._first.wait(1.0):
             continue
 
-    def _handle(self, number: int, frame: FrameType | None) -> None:
-        if self._first.is_set():
-            logging.warning("event=second_signal signal=%d", number)
-            self._second.set()
-            return
+    def _take_signals(self) -> None:
+        self._signals.get()
         self._first.set()
+        number = self._signals.get()
+        logging.warning("event=second_signal signal=%d", number)
+        self._second.set()
