--- a/packages/standins/src/carobspool_standins/platform_store.py
+++ b/packages/standins/src/carobspool_standins/platform_store.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import copy
+import json
 import threading
 import time
 from collections.abc import Iterator
@@ -62,6 +63,7 @@
     history: list[tuple[int, str, Stored, bool]] = field(default_factory=list)
     changed: threading.Condition = field(default_factory=threading.Condition)
     faults: PlatformFaults = field(default_factory=PlatformFaults)
+    foreign: dict[str, bytes] = field(default_factory=dict)
     calls: dict[str, int] = field(default_factory=dict)
 
     def put(self, kind: str, name: str, spec: Any) -> int:
@@ -72,6 +74,19 @@
                 return int(current["metadata"]["revision"])
             return self._store(kind, name, current, {"spec": spec})
 
+    def put_bytes(self, kind: str, name: str, spec: bytes) -> None:
+        """Write an object whose spec is answered as these bytes, whatever they are."""
+        marker = f"foreign {len(self.foreign)}"
+        self.foreign[marker] = spec
+        self.put(kind, name, marker)
+
+    def answer(self, body: Any, status: int = HTTPStatus.OK) -> Response:
+        """Return an answer with the bytes of foreign objects in their places."""
+        data = json.dumps(body).encode()
+        for marker, spec in self.foreign.items():
+            data = data.replace(json.dumps(marker).encode(), spec)
+        return Response(data, status, content_type="application/json")
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object, as when a server has left."""
         with self.changed:
@@ -140,7 +155,7 @@
                 found = objects.objects.get((kind, name))
                 if found is None:
                     return json_response({"error": "no such object"}, HTTPStatus.NOT_FOUND)
-                return json_response(found)
+                return objects.answer(found)
         if request.method == "DELETE":
             return _delete(objects, request, kind, name)
         return _replace(objects, request, kind, name, "spec")
@@ -196,7 +211,7 @@
     if objects.faults.lose_answers > 0:
         objects.faults.lose_answers -= 1
         raise cut_connection(request)
-    return json_response(objects.objects[(kind, name)])
+    return objects.answer(objects.objects[(kind, name)])
 
 
 def _create(objects: PlatformObjects, request: Request, kind: str) -> Response:
@@ -205,7 +220,7 @@
     with objects.changed:
         current = objects.objects.get((kind, name))
         if current is not None:
-            return json_response(current, HTTPStatus.CONFLICT)
+            return objects.answer(current, HTTPStatus.CONFLICT)
         objects._store(kind, name, None, {"spec": body["spec"]})
         return _written(objects, request, kind, name)
 
@@ -220,7 +235,7 @@
             return json_response({"error": "no such object"}, HTTPStatus.NOT_FOUND)
         wanted = body.get("metadata", {}).get("revision")
         if wanted is not None and wanted != current["metadata"]["revision"]:
-            return json_response(current, HTTPStatus.CONFLICT)
+            return objects.answer(current, HTTPStatus.CONFLICT)
         if current[part] != body[part]:
             objects._store(kind, name, current, {part: body[part]})
         return _written(objects, request, kind, name)
@@ -233,7 +248,7 @@
             return json_response({"error": "no such object"}, HTTPStatus.NOT_FOUND)
         wanted = request.args.get("revision")
         if wanted is not None and int(wanted) != current["metadata"]["revision"]:
-            return json_response(current, HTTPStatus.CONFLICT)
+            return objects.answer(current, HTTPStatus.CONFLICT)
         objects._note(kind, objects.objects.pop((kind, name)), deleted=True)
         return json_response({})
 
@@ -244,7 +259,7 @@
         names = sorted(name for each, name in objects.objects if each == kind and name > after)
         items = [objects.objects[(kind, name)] for name in names[:PAGE_ITEMS]]
         more = len(names) > PAGE_ITEMS
-        return json_response({"items": items, "more": more, "as_of": objects.revision})
+        return objects.answer({"items": items, "more": more, "as_of": objects.revision})
 
 
 def _watch(
@@ -266,5 +281,5 @@
             ]
             left = until - time.monotonic()
             if events or left <= 0:
-                return json_response({"events": events, "as_of": objects.revision})
+                return objects.answer({"events": events, "as_of": objects.revision})
             objects.changed.wait(min(left, 0.05))
--- /dev/null
+++ b/tests/adapter/test_unreadable_objects.py
@@ -0,0 +1,61 @@
+"""Objects of other writers whose bytes or fields cannot be read, among others that can."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+from returns.pipeline import is_successful
+
+from carobspool_core import boottime_clock
+from carobspool_platform._store import PlatformStore
+from carobspool_standins.platform_store import PlatformObjects, serve_platform_store
+
+Served = tuple[PlatformObjects, PlatformStore]
+
+UNREADABLE = {
+    "no JSON": b"{bad",
+    "half an object": b'{"service": "s", "slots": ',
+    "an open string": b'{"service": "s',
+    "bytes that are not UTF-8": b'{"service": "\xff\xfe"}',
+    "nothing": b"",
+    "a number too long to read": b"9" * 5_000,
+    "nested too deep": b"[" * 100_000 + b"]" * 100_000,
+    "closed too often": b"{}}",
+    "a control byte": b'"\x00"',
+}
+
+
+@pytest.fixture
+def served() -> Iterator[Served]:
+    """A store and the adapter that calls it."""
+    objects = PlatformObjects()
+    with serve_platform_store(objects) as address:
+        yield objects, PlatformStore(address, boottime_clock())
+
+
+def test_an_unreadable_object_spoils_no_listing_and_no_watch(served: Served) -> None:
+    """Another writer puts an object whose bytes cannot be read between two good ones. A listing
+    must bring the good ones and tell that something was left out or is not usable; a watch must
+    bring what came with it, or say that a listing is needed."""
+    objects, store = served
+    for fault, data in UNREADABLE.items():
+        since = objects.revision
+        objects.put("servers", "a", {"n": 1, "fault": fault})
+        objects.put_bytes("servers", "b", data)
+        objects.put("servers", "c", {"n": 2, "fault": fault})
+        page = store.list("servers/")
+        assert is_successful(page), fault
+        found = {each.key: each.value for each in page.unwrap().objects}
+        assert found["servers/a"] == {"n": 1, "fault": fault}, fault
+        assert found["servers/c"] == {"n": 2, "fault": fault}, fault
+        assert found.get("servers/b") is None, fault
+        assert page.unwrap().revision == objects.revision, fault
+        batch = store.watch("servers/", revision=since, timeout=50)
+        assert is_successful(batch), fault
+        told = {each.object.key: each.object.value for each in batch.unwrap().changes}
+        assert told["servers/a"] == {"n": 1, "fault": fault}, fault
+        assert told["servers/c"] == {"n": 2, "fault": fault}, fault
+        assert "servers/b" in told or batch.unwrap().unreadable > 0, fault
+        assert told.get("servers/b") is None, fault
+        objects.remove("servers", "b")
