One unreadable object spoils neither its listing nor its watch batch

Cause: the store's answers were decoded whole. Bytes that are no JSON or no UTF-8, a number of 5,000 digits or 100,000 levels in one object ended the call as UNAVAILABLE (RecursionError even ended the follower's round), for as long as it lay there. A broken one keeps its name when its metadata stands there once, and has no value, so it names no upstream; the others are left out and counted (ObjectPage.unreadable, WatchBatch.unreadable, event=bad_listing). A watch with such an event is followed by a listing, since it cannot tell whose registration turned bad.

--- a/packages/core/src/carobspool_core/_ports.py
+++ b/packages/core/src/carobspool_core/_ports.py
@@ -45,19 +45,34 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WatchBatch:
-    """The events of one long poll and the revision from which to go on."""
+    """The events of one long poll and the revision from which to go on.
+
+    Attributes:
+        revision: From which to go on.
+        changes: The events, in order.
+        unreadable: Events that could not be read and whose objects are not known.
+    """
 
     revision: int
     changes: Sequence[ObjectChange]
+    unreadable: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ObjectPage:
-    """One page of a listing, in key order."""
+    """One page of a listing, in key order.
+
+    Attributes:
+        revision: Of the store, from which a watch can go on.
+        objects: The objects; one whose value cannot be read has ``None``.
+        more: Whether another page follows.
+        unreadable: Objects that are left out, since not even their names can be read.
+    """
 
     revision: int
     objects: Sequence[StoredObject]
     more: bool
+    unreadable: int = 0
 
 
 class StoreFault(StrEnum):
--- a/packages/node/src/carobspool_node/direct/_follow.py
+++ b/packages/node/src/carobspool_node/direct/_follow.py
@@ -145,6 +145,9 @@
             self._applied = batch.unwrap().revision
             for change in batch.unwrap().changes:
                 self._on_change(change)
+        if batch.unwrap().unreadable:
+            # One of the objects known here may have turned unreadable; a listing shows which.
+            return None
         return batch.unwrap().revision
 
     def _failed(self, failure: StoreFailure) -> None:
--- a/packages/node/src/carobspool_node/direct/_store_relay.py
+++ b/packages/node/src/carobspool_node/direct/_store_relay.py
@@ -27,6 +27,7 @@
     StoreFault,
     WatchBatch,
 )
+from carobspool_node.direct._bad_records import BadRecords
 from carobspool_node.direct._peer_calls import PeerCaller, PeerCallError
 from carobspool_node.direct._peers import Peers
 from carobspool_node.direct._telemetry import Telemetry
@@ -57,6 +58,7 @@
         self._telemetry = telemetry
         self._peers = peers
         self._refused_until: Millis = 0.0
+        self._bad_listings = BadRecords(clock, telemetry, "listing", "prefix")
 
     @property
     def reachable(self) -> bool:
@@ -87,13 +89,14 @@
 
     def delete(self, key: str, *, version: int) -> Result[None, StoreFailure]:
         """Remove an object; never relayed."""
-        return self._note("delete", self._direct.delete(key, version=version))
+        return self._note("delete", key, self._direct.delete(key, version=version))
 
     def watch(
         self, prefix: str, *, revision: int, timeout: Millis
     ) -> Result[WatchBatch, StoreFailure]:
         """Wait for changes; never relayed."""
-        return self._note("watch", self._direct.watch(prefix, revision=revision, timeout=timeout))
+        answer = self._direct.watch(prefix, revision=revision, timeout=timeout)
+        return self._note("watch", prefix, answer)
 
     def serve_relay(self, call: Json) -> Json:
         """Make a call to the store for a peer."""
@@ -106,7 +109,7 @@
             answer = self._direct.create(key, call["value"])
         else:
             answer = self._direct.update(key, call["value"], version=call["version"])
-        return _encode(self._note(operation, answer))
+        return _encode(self._note(operation, key, answer))
 
     def _call(
         self, operation: str, key: str, direct: Callable[[], Answer], extra: dict[str, Any]
@@ -115,22 +118,32 @@
             relayed = self._relay(operation, key, extra)
             if relayed is not None:
                 return relayed
-        answer = self._note(operation, direct())
+        answer = self._note(operation, key, direct())
         if _is_refused(answer):
             relayed = self._relay(operation, key, extra)
             if relayed is not None:
                 return relayed
         return answer
 
-    def _note(self, operation: str, answer: Answer) -> Answer:
+    def _note(self, operation: str, key: str, answer: Answer) -> Answer:
         outcome = "done" if is_successful(answer) else answer.failure().fault.value
         self._telemetry.count("store_calls", call=operation, outcome=outcome)
         if _is_refused(answer):
             self._refused_until = self._clock.now() + REFUSED_TIME
         elif is_successful(answer):
             self._refused_until = 0.0
+            self._note_unreadable(key, answer.unwrap())
         return answer
 
+    def _note_unreadable(self, prefix: str, found: object) -> None:
+        if not isinstance(found, ObjectPage | WatchBatch) or not found.unreadable:
+            return
+        reason = f"{found.unreadable} objects whose names cannot be read"
+        if isinstance(found, ObjectPage):
+            self._bad_listings.note(prefix, reason)
+        else:
+            self._bad_listings.tell(prefix, reason)
+
     def _relay(self, operation: str, key: str, extra: dict[str, Any]) -> Answer | None:
         peers = [each for each in self._peers().live() if each.store_ok and not each.leaving]
         peers.sort(key=lambda each: -each.heard)
--- a/packages/node/tests/test_direct_follow.py
+++ b/packages/node/tests/test_direct_follow.py
@@ -5,6 +5,9 @@
 import threading
 import time
 
+from returns.result import Success
+
+from carobspool_core import WatchBatch
 from carobspool_node.direct._follow import Follower
 from carobspool_standins.memory_store import MemoryObjects, MemoryStore
 
@@ -61,3 +64,37 @@
     assert at_once >= 15
     assert gathered <= 7
     assert delay < 1_000.0
+
+
+def test_a_watch_with_an_event_that_cannot_be_read_is_followed_by_a_listing() -> None:
+    """An upstream's registration turns unreadable, its name included. The watch cannot tell which
+    one it was, and the old one would stay in use; the listing without it ends that."""
+    objects = MemoryObjects()
+    writer = MemoryStore(objects, "writer")
+    writer.create("hosts/a", {"n": 0})
+    listed: list[list[str]] = []
+    follower = Follower(
+        _UnreadableOnce(objects),
+        "hosts/",
+        on_listing=lambda found: listed.append([each.key for each in found]),
+        on_change=lambda change: None,
+    )
+    follower.start()
+    until = time.monotonic() + 5.0
+    while len(listed) < 2 and time.monotonic() < until:
+        time.sleep(0.01)
+    assert listed == [["hosts/a"], ["hosts/a"]]
+
+
+class _UnreadableOnce(MemoryStore):
+    """Its first watch brings an event that cannot be read; the next ones wait."""
+
+    def __init__(self, objects: MemoryObjects) -> None:
+        super().__init__(objects, "follower")
+        self._told = False
+
+    def watch(self, prefix: str, *, revision: int, timeout: float):  # type: ignore[no-untyped-def]
+        if self._told:
+            return super().watch(prefix, revision=revision, timeout=timeout)
+        self._told = True
+        return Success(WatchBatch(revision=revision, changes=[], unreadable=1))
--- a/tests/adapter/test_unreadable_objects.py
+++ b/tests/adapter/test_unreadable_objects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Iterator
 
 import pytest
@@ -59,3 +60,23 @@
         assert "servers/b" in told or batch.unwrap().unreadable > 0, fault
         assert told.get("servers/b") is None, fault
         objects.remove("servers", "b")
+
+
+def test_one_unreadable_object_is_no_outage_of_the_store(served: Served) -> None:
+    """It is there, so neither `not found` nor a store that is away would be true."""
+    objects, store = served
+    for fault, data in UNREADABLE.items():
+        objects.put_bytes("jobs", "b", data)
+        read = store.get("jobs/b")
+        assert is_successful(read), fault
+        assert read.unwrap().value is None, fault
+
+
+def test_a_watch_that_waits_hears_of_good_ones_beside_an_unreadable_one(served: Served) -> None:
+    objects, store = served
+    since = objects.revision
+    objects.put_bytes("servers", "b", b"{bad")
+    threading.Timer(0.1, objects.put, ("servers", "c", {"n": 2})).start()
+    first = store.watch("servers/", revision=since, timeout=5_000).unwrap()
+    second = store.watch("servers/", revision=first.revision, timeout=5_000).unwrap()
+    assert [each.object.key for each in second.changes] == ["servers/c"]
