Failing test: what other writers and peers send ends hints and connections of an entry

tests/direct/test_foreign_records.py::test_what_peers_and_other_writers_send_stops_no_entry: of 12 bad calls the first ends in a dead connection, others in 409 (one run).

--- a/tests/direct/test_foreign_records.py
+++ b/tests/direct/test_foreign_records.py
@@ -2,15 +2,23 @@
 
 from __future__ import annotations
 
+import http.client
+import socket
 import time
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
+import cbor2
 import pytest
-from direct_harness import Deployment, Entry, deployment, eventually
+from direct_harness import Deployment, Entry, deployment, eventually, finished, submission
 
-from carobspool_standins.platform_server import PlatformServer, ServedRequest, ServerConnection
+from carobspool_standins.platform_server import (
+    PlatformServer,
+    ServedRequest,
+    ServerConnection,
+    stream_events,
+)
 
 CALLS = 12
 """Calls on one service of three upstreams that make it all but certain that each is chosen."""
@@ -77,3 +85,97 @@
     bad = entry.logged("event=bad_registration")
     assert len(bad) == len(FAULTS)
     assert all(f"upstream={server.instance}" in line for line in bad)
+
+
+HINT: dict[str, Any] = {
+    "n": "e9",
+    "i": "1",
+    "a": ["127.0.0.1", 9],
+    "l": {},
+    "e": {},
+    "v": {},
+    "x": False,
+    "s": True,
+}
+BAD_HINTS = (
+    b"",
+    b"\xff",
+    cbor2.dumps([]),
+    cbor2.dumps({}),
+    b"\x81" * 5_000,
+    *(
+        cbor2.dumps(HINT | each)
+        for each in (
+            {"l": []},
+            {"l": {"i": ["1", None]}},
+            {"e": {"i": 2**9_000}},
+            {"a": ["127.0.0.1", 2**70]},
+            {"a": "here"},
+            {"v": {"configuration": "7"}},
+            {"n": ["e2"]},
+            {"j": 7, "f": [], "w": {}, "q": []},
+            {"j": [], "f": [], "w": [], "q": []},
+        )
+    ),
+)
+BAD_ENTRIES: tuple[Any, ...] = (
+    None,
+    {},
+    {"address": 3},
+    {"address": ["127.0.0.1", "x"]},
+    {"address": ["127.0.0.1", 2**70]},
+    {"address": ["nowhere", 80]},
+    {"address": "127.0.0.1:80"},
+)
+BAD_CALLS = (
+    ("results", b""),
+    ("results", b"\xff"),
+    ("results", b"\x81" * 5_000),
+    ("results", cbor2.dumps([])),
+    ("results", cbor2.dumps({"id": "j", "after": "0", "wait": 0})),
+    ("results", cbor2.dumps({"id": "j", "after": -1, "wait": 0})),
+    ("results", cbor2.dumps({"id": "j", "after": 0, "wait": float("nan")})),
+    ("end", cbor2.dumps({"id": 7})),
+    ("store", cbor2.dumps({"op": "get"})),
+    ("store", cbor2.dumps({"op": "remove", "key": "jobs/j"})),
+    ("store", cbor2.dumps({"op": "list", "key": "jobs/", "after": None, "limit": 1})),
+    ("store", cbor2.dumps({"op": "update", "key": "jobs/j", "value": 1, "version": "1"})),
+)
+
+
+def test_what_peers_and_other_writers_send_stops_no_entry(system: Deployment) -> None:
+    """Two entries work on a job each. Other writers register entries whose addresses are none, and
+    send hints and calls that are none. A call must be refused with 400, and the entries must go on
+    to hear each other: one that does not is taken for dead, and its job is run again elsewhere."""
+    system.server("engine", stream_events(10, pause_s=0.5))
+    entries = [system.entry("e1"), system.entry("e2")]
+    time.sleep(1.0)
+    for entry in entries:
+        body = submission(f"{entry.name}-item")
+        assert entry.call("POST", "/batch/j", body=body, request_id=entry.name).status == 202
+    for number, value in enumerate(BAD_ENTRIES):
+        system.objects.put("entries", f"bad-{number}", value)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for hint in BAD_HINTS:
+            sender.sendto(hint, ("127.0.0.1", entries[0].peer_port))
+    statuses = [_call_as_peer(entries[0], *each) for each in BAD_CALLS]
+    assert statuses == [400] * len(BAD_CALLS)
+    time.sleep(4.0)
+    for entry in entries:
+        assert entry.logged("event=peer_lost") == []
+        assert entry.logged("event=job_taken_over") == []
+        eventually(lambda e=entry: finished(e, e.name), 8)
+    assert len(entries[0].logged("event=bad_hint")) == len(BAD_HINTS)
+    for number in range(len(BAD_ENTRIES)):
+        assert len(entries[1].logged(f"event=bad_entry entry=bad-{number} ")) == 1
+
+
+def _call_as_peer(entry: Entry, operation: str, body: bytes) -> int:
+    connection = http.client.HTTPConnection("127.0.0.1", entry.peer_port, timeout=5.0)
+    try:
+        connection.request("POST", f"/{operation}", body=body, headers={"Request-Id": "r"})
+        return connection.getresponse().status
+    except (OSError, http.client.HTTPException):
+        return 0
+    finally:
+        connection.close()
