Hints, calls of peers and addresses of entries are checked before they are used

Cause: one hint with a list in the place of a map ended the task that hears all others (AttributeError); the entry took its peer for dead 2.2 s later and took over the job that it was working on. One bad address in the list of entries ended the follower's round with a traceback (24 and 22 in 5 s), and a bad body ended the peer's connection without an answer. Change: models for hint, entry record, calls and answers; a hint counts whole or not at all; a bad call gets 400; a bad answer of a peer counts as none (reads go on to the next peer, writes end as unknown). What a relay cannot send of one object (halves of surrogate pairs) is left out instead of the whole listing. Lines are bounded as for registrations.

--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 
-import cbor2
 from absl import logging
 from returns.pipeline import is_successful
 
@@ -21,10 +20,12 @@
     boottime_clock,
 )
 from carobspool_core import owner as rendezvous_owner
+from carobspool_core.border import UnusableRecordError, read_record
 from carobspool_core.direct import (
     CallerLimits,
     Load,
 )
+from carobspool_node.direct._bad_records import BadRecords
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._callers import CallerApi
 from carobspool_node.direct._declared import Declared
@@ -37,11 +38,13 @@
 from carobspool_node.direct._job_records import JobRecords
 from carobspool_node.direct._job_retention import JobRetention
 from carobspool_node.direct._job_runner import JobRunner
-from carobspool_node.direct._jobs import Jobs, Outcome
+from carobspool_node.direct._jobs import Jobs
 from carobspool_node.direct._listener import Listener
 from carobspool_node.direct._loads import LoadTable
 from carobspool_node.direct._messages import CallerRequest
+from carobspool_node.direct._peer_api import PeerApi
 from carobspool_node.direct._peer_calls import PEER_HEADERS, PeerCaller
+from carobspool_node.direct._peer_messages import EntryRecord
 from carobspool_node.direct._peers import DEAD_AFTER, OwnHint, Peer, Peers
 from carobspool_node.direct._reload import SettingsReload
 from carobspool_node.direct._settings import DirectSettings
@@ -98,6 +101,7 @@
         self._peer_caller = PeerCaller(self._clock)
         self._peers = Peers(
             self._clock,
+            self._telemetry,
             name=settings.node,
             incarnation=self._incarnation,
             address=(settings.address, settings.peer_port),
@@ -141,6 +145,7 @@
         self._jobs = Jobs(
             self._clock, catalog, self._runner, self._adoption, self._peers, self._peer_caller
         )
+        self._peer_api = PeerApi(self._clock, self._telemetry, self._jobs, self._store)
         forwarder = Forwarder(
             self._clock,
             deployment.headers,
@@ -159,6 +164,7 @@
             configuration=lambda: self._declared.configuration,
             time_left=self._time_left,
         )
+        self._bad_entries = BadRecords(self._clock, self._telemetry, "entry", "entry")
         self._entries = Follower(
             self._store,
             "entries/",
@@ -226,7 +232,7 @@
             clock=self._clock,
             names=PEER_HEADERS,
             limits=CallerLimits,
-            handle=self._answer_peer,
+            handle=self._peer_api.handle,
         )
         for listener in (callers, ready, peers):
             listener.start()
@@ -281,7 +287,17 @@
 
     def _know_entry(self, stored: StoredObject, *, deleted: bool) -> None:
         name = stored.key.removeprefix("entries/")
-        address = None if deleted else tuple(stored.value["address"])
+        if deleted:
+            self._bad_entries.mended(name)
+            self._peers.know(name, None)
+            return
+        try:
+            address = read_record(EntryRecord, stored.value).address
+        except UnusableRecordError as error:
+            self._bad_entries.note(name, error)
+            self._peers.know(name, None)
+            return
+        self._bad_entries.mended(name)
         self._peers.know(name, address)
 
     def _register(self) -> None:
@@ -397,28 +413,6 @@
             return
         caller.answer(200 if self._is_ready else 503, [], b"")
 
-    def _answer_peer(self, request: CallerRequest, caller: CallerConnection) -> None:
-        body = cbor2.loads(request.body)
-        status = 200
-        answer: object = None
-        if request.path == "/results":
-            page = self._jobs.own_results(body["id"], body["after"], body["wait"])
-            if page is None:
-                status = 409
-            else:
-                results = [[each.item_id, each.end.value, each.text] for each in page.results]
-                answer = {"total": page.total, "results": results}
-        elif request.path == "/end":
-            status = 200 if self._jobs.end_own(body["id"]) is Outcome.DONE else 409
-        elif request.path == "/store":
-            answer = self._store.serve_relay(body)
-        else:
-            status = 404
-        headers = [(PEER_HEADERS.request_id, request.request_id.encode())]
-        data = cbor2.dumps(answer)
-        headers.append((PEER_HEADERS.signature, b"entry"))
-        caller.answer(status, headers, data)
-
 
 def make_direct_entry(settings: DirectSettings, deployment: Deployment, path: Path) -> DirectEntry:
     """Return an entry that is not running yet.
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -15,6 +15,7 @@
 from returns.pipeline import is_successful
 
 from carobspool_core import Clock, Millis, StoreFailure, StoreFault, wall_millis
+from carobspool_core.border import UnusableRecordError
 from carobspool_core.direct import (
     ItemResult,
     JobInput,
@@ -27,6 +28,7 @@
 from carobspool_node.direct._job_runner import JobRunner
 from carobspool_node.direct._owned_job import OwnedJob
 from carobspool_node.direct._peer_calls import PeerCaller, PeerCallError
+from carobspool_node.direct._peer_messages import read_results
 from carobspool_node.direct._peers import Peer, Peers
 
 VERIFY_AGE: Millis = 700.0
@@ -198,16 +200,13 @@
         body = {"id": job_id, "after": after, "wait": wait}
         try:
             status, answer = self._caller.call(peer, "results", body, PEER_TIMEOUT + wait)
-        except PeerCallError as error:
+            if status != 200:
+                return None
+            total, results = read_results(answer)
+        except (PeerCallError, UnusableRecordError) as error:
             logging.warning("event=peer_call_failed peer=%s reason=%r", peer.identity, error)
             return None
-        if status != 200:
-            return None
-        results = [
-            ItemResult(item_id=item_id, end=end, text=text)
-            for item_id, end, text in answer["results"]
-        ]
-        return ResultsPage(total=answer["total"], after=after, results=results)
+        return ResultsPage(total=total, after=after, results=results)
 
     def _results_from_store(self, job_id: str, after: int) -> ResultsPage | Outcome:
         read = self._catalog.records.read_progress(job_id)
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_peer_api.py
@@ -0,0 +1,61 @@
+"""Calls of other entries, as this entry answers them."""
+
+from __future__ import annotations
+
+import cbor2
+
+from carobspool_core import Clock, Json
+from carobspool_core.border import UnusableRecordError, read_record
+from carobspool_node.direct._bad_records import BadRecords
+from carobspool_node.direct._caller_connection import CallerConnection
+from carobspool_node.direct._jobs import Jobs, Outcome
+from carobspool_node.direct._messages import CallerRequest
+from carobspool_node.direct._peer_calls import PEER_HEADERS
+from carobspool_node.direct._peer_messages import (
+    EndCall,
+    ResultsCall,
+    decode_cbor,
+    read_store_call,
+)
+from carobspool_node.direct._store_relay import RelayedStore
+from carobspool_node.direct._telemetry import Telemetry
+
+
+class PeerApi:
+    """Serves calls of peers; one that is none is refused with 400 and does nothing."""
+
+    def __init__(self, clock: Clock, telemetry: Telemetry, jobs: Jobs, store: RelayedStore) -> None:
+        self._jobs = jobs
+        self._store = store
+        self._bad_calls = BadRecords(clock, telemetry, "peer_call", "path")
+
+    def handle(self, request: CallerRequest, caller: CallerConnection) -> None:
+        """Answer one call."""
+        try:
+            status, answer = self._serve(request)
+        except UnusableRecordError as error:
+            self._bad_calls.tell(request.path, error)
+            status, answer = 400, None
+        headers = [
+            (PEER_HEADERS.request_id, request.request_id.encode()),
+            (PEER_HEADERS.signature, b"entry"),
+        ]
+        caller.answer(status, headers, cbor2.dumps(answer))
+
+    def _serve(self, request: CallerRequest) -> tuple[int, Json]:
+        body = decode_cbor(request.body)
+        if request.path == "/results":
+            return self._results(read_record(ResultsCall, body))
+        if request.path == "/end":
+            call = read_record(EndCall, body)
+            return (200 if self._jobs.end_own(call.id) is Outcome.DONE else 409), None
+        if request.path == "/store":
+            return 200, self._store.serve_relay(read_store_call(body))
+        return 404, None
+
+    def _results(self, call: ResultsCall) -> tuple[int, Json]:
+        page = self._jobs.own_results(call.id, call.after, call.wait)
+        if page is None:
+            return 409, None
+        results = [[each.item_id, each.end.value, each.text] for each in page.results]
+        return 200, {"total": page.total, "results": results}
--- a/packages/node/src/carobspool_node/direct/_peer_calls.py
+++ b/packages/node/src/carobspool_node/direct/_peer_calls.py
@@ -11,6 +11,7 @@
 from carobspool_core.direct import Upstream
 from carobspool_node.direct._errors import DeadlinePassedError, RunCancelledError
 from carobspool_node.direct._messages import HeaderNames
+from carobspool_node.direct._peer_messages import decode_cbor
 from carobspool_node.direct._peers import Peer
 from carobspool_node.direct._upstream_calls import (
     CallFailedError,
@@ -66,7 +67,7 @@
         try:
             head = call.start(request, deadline)
             answer = call.read_body(deadline)
-            return head.status, cbor2.loads(answer) if answer else None
+            return head.status, decode_cbor(answer) if answer else None
         except (CallFailedError, DeadlinePassedError, RunCancelledError, ValueError) as error:
             raise PeerCallError(str(error)) from error
         finally:
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_peer_messages.py
@@ -0,0 +1,173 @@
+"""What entries send each other, checked before anything of it is used.
+
+Any process can send a datagram or make a call, and entries of other versions do. Unchecked, one
+hint with a field of another type ended the task that hears all others; the entry then took every
+peer for dead and ran their jobs again.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Sequence
+from typing import Annotated, Any, Literal
+
+import cbor2
+from pydantic import Field, JsonValue, PlainValidator
+
+from carobspool_core import Json, StoreFault
+from carobspool_core.border import Problem, RecordModel, UnusableRecordError, read_record
+from carobspool_core.direct import ItemEnd, ItemResult
+
+MAX_NAME = 200
+"""Characters of the name of an entry, an upstream or a job."""
+MAX_COUNT = 2**53
+"""Largest whole number that every reader keeps exact; counts are far below it."""
+MAX_DIGEST = 2**64 - 1
+MAX_WAIT = 86_400_000.0
+"""Longest that a peer may have a read wait: a day, in milliseconds; a task can sleep that long."""
+HIGHEST_PORT = 65_535
+
+Name = Annotated[str, Field(min_length=1, max_length=MAX_NAME)]
+Count = Annotated[int, Field(ge=0, le=MAX_COUNT)]
+
+
+def _read_address(value: Any) -> tuple[str, int]:
+    match value:
+        case [str() as host, int() as port] if 1 <= port <= HIGHEST_PORT:
+            return str(ipaddress.IPv4Address(host)), int(port)
+    raise ValueError("a list of an IPv4 number and a port")
+
+
+Address = Annotated[tuple[str, int], PlainValidator(_read_address)]
+
+
+class EntryRecord(RecordModel):
+    """An entry's object in the store."""
+
+    address: Address
+
+
+class Hint(RecordModel):
+    """One datagram. The last five are in full hints only, the very last not in older ones."""
+
+    n: Name
+    i: Name
+    a: Address
+    l: dict[Name, Annotated[list[Count], Field(min_length=2, max_length=2)]]  # noqa: E741
+    e: dict[Name, Count]
+    v: dict[Name, Annotated[int, Field(ge=0, le=MAX_DIGEST)]]
+    x: bool
+    s: bool
+    j: list[Name] | None = None
+    f: list[Name] = []
+    w: dict[str, Count] = {}
+    q: list[Name] = []
+    d: list[Name] = []
+
+
+class ResultsCall(RecordModel):
+    """A peer reads results of a job that this entry owns."""
+
+    id: Name
+    after: Count
+    wait: Annotated[float, Field(ge=0, le=MAX_WAIT)]
+
+
+class EndCall(RecordModel):
+    """A peer ends a job that this entry owns."""
+
+    id: Name
+
+
+class _GetCall(RecordModel):
+    op: Literal["get"]
+    key: Name
+
+
+class _ListCall(RecordModel):
+    op: Literal["list"]
+    key: Name
+    after: str
+    limit: Count
+
+
+class _CreateCall(RecordModel):
+    op: Literal["create"]
+    key: Name
+    value: JsonValue
+
+
+class _UpdateCall(RecordModel):
+    op: Literal["update"]
+    key: Name
+    value: JsonValue
+    version: Count
+
+
+StoreCall = _GetCall | _ListCall | _CreateCall | _UpdateCall
+
+
+class _StoreEnvelope(RecordModel):
+    call: Annotated[StoreCall, Field(discriminator="op")]
+
+
+class _ResultsAnswer(RecordModel):
+    total: Count
+    results: list[Annotated[list[str], Field(min_length=3, max_length=3)]]
+
+
+class StoreObjectAnswer(RecordModel):
+    """One object that a peer has read or written."""
+
+    version: Count
+    value: JsonValue
+
+
+class StorePageAnswer(RecordModel):
+    """A page that a peer has read; each object stands as key, version and value."""
+
+    revision: Count
+    more: bool
+    objects: list[Any]
+    unreadable: Count = 0
+
+
+class StoreFaultAnswer(RecordModel):
+    """A call of a peer that failed; the object as it stands, as version and value."""
+
+    fault: Literal[tuple(each.value for each in StoreFault)]  # type: ignore[valid-type]
+    detail: str
+    current: list[Any] | None
+
+
+def decode_cbor(data: bytes) -> Json:
+    """Decode what a peer sent.
+
+    Raises:
+        UnusableRecordError: It is no CBOR.
+    """
+    try:
+        return cbor2.loads(data)
+    except Exception as error:  # noqa: BLE001
+        # The decoder's own errors, and for tagged values those of dates, numbers and patterns.
+        problem = Problem(file="", path="(body)", found=repr(error)[:MAX_NAME], allowed="CBOR")
+        raise UnusableRecordError([problem]) from error
+
+
+def read_store_call(value: Json) -> StoreCall:
+    """Read a call on the store that a peer asks for."""
+    return read_record(_StoreEnvelope, {"call": value}).call
+
+
+def read_results(value: Json) -> tuple[int, Sequence[ItemResult]]:
+    """Read the number of a job's items and results from a peer's answer."""
+    model = read_record(_ResultsAnswer, value)
+    try:
+        results = [
+            ItemResult(item_id=item_id, end=ItemEnd(end), text=text)
+            for item_id, end, text in model.results
+        ]
+    except ValueError as error:
+        problem = Problem(file="", path="results", found=str(error), allowed="an end of an item")
+        raise UnusableRecordError([problem]) from error
+    return model.total, results
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -19,7 +19,11 @@
 from absl import logging
 
 from carobspool_core import Clock, Millis
+from carobspool_core.border import UnusableRecordError, read_record
 from carobspool_core.direct import Load
+from carobspool_node.direct._bad_records import BadRecords, shown
+from carobspool_node.direct._peer_messages import MAX_NAME, Hint, decode_cbor
+from carobspool_node.direct._telemetry import Telemetry
 
 HINT_INTERVAL: Millis = 100.0
 """Time between two hints while loads change. In it an entry places a handful of requests, which is
@@ -101,6 +105,7 @@
 
     Args:
         clock: A clock that goes on while the machine is suspended.
+        telemetry: Counts hints that are none.
         name: Name of this entry.
         incarnation: Of this process.
         address: Where this entry takes hints.
@@ -110,6 +115,7 @@
     def __init__(
         self,
         clock: Clock,
+        telemetry: Telemetry,
         *,
         name: str,
         incarnation: str,
@@ -121,6 +127,7 @@
         self._incarnation = incarnation
         self._address = address
         self._describe = describe
+        self._bad_hints = BadRecords(clock, telemetry, "hint", "sender")
         self._lock = threading.Lock()
         self._peers: dict[str, Peer] = {}
         self._addresses: dict[str, tuple[str, int]] = {}
@@ -294,53 +301,55 @@
     def _receive(self) -> None:
         while True:
             try:
-                data, _ = self._socket.recvfrom(MAX_DATAGRAM)
-                self._take(cbor2.loads(data))
-            except (ValueError, KeyError, TypeError, cbor2.CBORDecodeError) as error:
-                logging.warning("event=bad_hint reason=%r", error)
+                data, sender = self._socket.recvfrom(MAX_DATAGRAM)
             except OSError as error:
                 if self._stopped.is_set():
                     return
                 logging.warning("event=hint_socket_failed reason=%r", error)
+                continue
+            try:
+                self._take(read_record(Hint, decode_cbor(data)))
+            except UnusableRecordError as error:
+                self._bad_hints.tell(f"{sender[0]}:{sender[1]}", error)
+            except Exception:  # noqa: BLE001
+                # Whatever one hint causes, the next ones must be heard: a deaf entry takes all
+                # others for dead and runs their jobs again.
+                logging.exception("event=hint_failed")
 
-    def _take(self, message: dict[str, Any]) -> None:
+    def _take(self, hint: Hint) -> None:
         now = self._clock.now()
-        name, incarnation = message["n"], message["i"]
         lost: Peer | None = None
         with self._lock:
-            known = self._peers.get(name)
-            if known is None or known.incarnation != incarnation:
+            known = self._peers.get(hint.n)
+            if known is None or known.incarnation != hint.i:
                 if known is not None and known.open_jobs:
                     lost = known
-                known = Peer(
-                    name=name, incarnation=incarnation, address=tuple(message["a"]), heard=now
-                )
-                self._peers[name] = known
+                known = Peer(name=hint.n, incarnation=hint.i, address=hint.a, heard=now)
+                self._peers[hint.n] = known
                 # What its earlier process did last, it may have told nobody.
                 self._doubt_until = max(self._doubt_until, now)
-                logging.info("event=peer_seen peer=%s", known.identity)
+                logging.info("event=peer_seen peer=%s", shown(known.identity, 2 * MAX_NAME))
             known.heard = now
-            known.address = tuple(message["a"])
-            known.leaving = message["x"]
-            known.store_ok = message["s"]
-            known.versions = message["v"]
-            if "j" in message:
-                known.open_jobs = frozenset(message["j"])
-                known.done_jobs = frozenset(message["f"])
-                known.waiting = message["w"]
-                if self._name in message["q"]:
+            known.address = hint.a
+            known.leaving = hint.x
+            known.store_ok = hint.s
+            known.versions = hint.v
+            if hint.j is not None:
+                known.open_jobs = frozenset(hint.j)
+                known.done_jobs = frozenset(hint.f)
+                known.waiting = hint.w
+                if self._name in hint.q:
                     self._doubt_until = now + DOUBT_TIME
             if known.leaving and known.open_jobs:
                 # It has committed what it had and works on nothing any more.
                 lost = known
-                self._peers[name] = _without_jobs(known)
+                self._peers[hint.n] = _without_jobs(known)
         if lost is not None:
             self._on_lost(lost)
-        # Entries of the version before name no ended jobs.
-        self._on_ended(message.get("d", ()))
-        loads = {key: Load(*pair) for key, pair in message["l"].items()}
-        self._on_loads(name, loads, message["e"])
-        self._on_versions(message["v"])
+        self._on_ended(hint.d)
+        loads = {key: Load(*pair) for key, pair in hint.l.items()}
+        self._on_loads(hint.n, loads, hint.e)
+        self._on_versions(hint.v)
 
 
 def _without_jobs(peer: Peer) -> Peer:
--- a/packages/node/src/carobspool_node/direct/_store_relay.py
+++ b/packages/node/src/carobspool_node/direct/_store_relay.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import cbor2
 from absl import logging
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
@@ -27,8 +28,15 @@
     StoreFault,
     WatchBatch,
 )
+from carobspool_core.border import UnusableRecordError, read_record
 from carobspool_node.direct._bad_records import BadRecords
 from carobspool_node.direct._peer_calls import PeerCaller, PeerCallError
+from carobspool_node.direct._peer_messages import (
+    StoreCall,
+    StoreFaultAnswer,
+    StoreObjectAnswer,
+    StorePageAnswer,
+)
 from carobspool_node.direct._peers import Peers
 from carobspool_node.direct._telemetry import Telemetry
 
@@ -98,18 +106,17 @@
         answer = self._direct.watch(prefix, revision=revision, timeout=timeout)
         return self._note("watch", prefix, answer)
 
-    def serve_relay(self, call: Json) -> Json:
+    def serve_relay(self, call: StoreCall) -> Json:
         """Make a call to the store for a peer."""
-        operation, key = call["op"], call["key"]
-        if operation == "get":
-            answer: Answer = self._direct.get(key)
-        elif operation == "list":
-            answer = self._direct.list(key, after=call["after"], limit=call["limit"])
-        elif operation == "create":
-            answer = self._direct.create(key, call["value"])
+        if call.op == "get":
+            answer: Answer = self._direct.get(call.key)
+        elif call.op == "list":
+            answer = self._direct.list(call.key, after=call.after, limit=call.limit)
+        elif call.op == "create":
+            answer = self._direct.create(call.key, call.value)
         else:
-            answer = self._direct.update(key, call["value"], version=call["version"])
-        return _encode(self._note(operation, key, answer))
+            answer = self._direct.update(call.key, call.value, version=call.version)
+        return _encode(self._note(call.op, call.key, answer))
 
     def _call(
         self, operation: str, key: str, direct: Callable[[], Answer], extra: dict[str, Any]
@@ -152,15 +159,18 @@
             started = time.monotonic()
             try:
                 status, found = self._caller.call(peer, "store", body, RELAY_TIMEOUT)
-            except PeerCallError as error:
+                answer = _decode(key, found) if status == 200 else None
+            except (PeerCallError, UnusableRecordError) as error:
                 logging.warning("event=relay_failed peer=%s reason=%r", peer.identity, error)
                 if operation not in READS:
                     detail = f"relay: {error}"
                     return Failure(StoreFailure(fault=StoreFault.UNKNOWN, key=key, detail=detail))
                 continue
-            if status != 200:
+            if answer is None:
+                logging.warning(
+                    "event=relay_failed peer=%s reason='status %d'", peer.identity, status
+                )
                 continue
-            answer = _decode(key, found)
             logging.info(
                 "event=store_relayed call=%s key=%s peer=%s done=%s took_ms=%.0f",
                 operation,
@@ -182,34 +192,75 @@
     if is_successful(answer):
         found = answer.unwrap()
         if isinstance(found, ObjectPage):
-            objects = [[each.key, each.version, each.value] for each in found.objects]
-            return {"revision": found.revision, "more": found.more, "objects": objects}
-        return {"version": found.version, "value": found.value}
+            objects = [[each.key, each.version, _sendable(each.value)] for each in found.objects]
+            sendable = [each for each in objects if _is_sendable(each[0])]
+            return {
+                "revision": found.revision,
+                "more": found.more,
+                "objects": sendable,
+                "unreadable": found.unreadable + len(objects) - len(sendable),
+            }
+        return {"version": found.version, "value": _sendable(found.value)}
     failure = answer.failure()
     current = failure.current
     return {
         "fault": failure.fault.value,
         "detail": failure.detail,
-        "current": None if current is None else [current.version, current.value],
+        "current": None if current is None else [current.version, _sendable(current.value)],
     }
 
 
+def _sendable(value: Json) -> Json:
+    """Return a value, or ``None`` for one that would spoil the whole answer."""
+    return value if _is_sendable(value) else None
+
+
+def _is_sendable(value: Json) -> bool:
+    # JSON can hold halves of surrogate pairs, which are no UTF-8, and any depth.
+    try:
+        cbor2.dumps(value)
+    except (ValueError, OverflowError, RecursionError, cbor2.CBOREncodeError):
+        return False
+    return True
+
+
 def _decode(key: str, answer: Json) -> Answer:
+    """Read a peer's answer.
+
+    Raises:
+        UnusableRecordError: It is none.
+    """
+    if not isinstance(answer, dict):
+        answer = {}
     if "objects" in answer:
-        objects = [
-            StoredObject(key=name, version=version, value=value)
-            for name, version, value in answer["objects"]
-        ]
-        page = ObjectPage(revision=answer["revision"], objects=objects, more=answer["more"])
-        return Success(page)
+        return Success(_decode_page(key, read_record(StorePageAnswer, answer)))
     if "fault" not in answer:
-        return Success(StoredObject(key=key, version=answer["version"], value=answer["value"]))
-    current = answer["current"]
+        found = read_record(StoreObjectAnswer, answer)
+        return Success(StoredObject(key=key, version=found.version, value=found.value))
+    failed = read_record(StoreFaultAnswer, answer)
     stored = None
-    if current is not None:
-        stored = StoredObject(key=key, version=current[0], value=current[1])
-    return Failure(
-        StoreFailure(
-            fault=StoreFault(answer["fault"]), key=key, detail=answer["detail"], current=stored
-        )
+    if failed.current is not None:
+        stored = _decode_object([key, *failed.current])
+    failure = StoreFailure(
+        fault=StoreFault(failed.fault), key=key, detail=failed.detail, current=stored
+    )
+    return Failure(failure)
+
+
+def _decode_page(prefix: str, page: StorePageAnswer) -> ObjectPage:
+    objects = []
+    for each in page.objects:
+        stored = _decode_object(each)
+        if stored is not None and stored.key.startswith(prefix):
+            objects.append(stored)
+    unreadable = page.unreadable + len(page.objects) - len(objects)
+    return ObjectPage(
+        revision=page.revision, objects=objects, more=page.more, unreadable=unreadable
     )
+
+
+def _decode_object(value: Json) -> StoredObject | None:
+    match value:
+        case [str() as key, int() as version, content] if version >= 0:
+            return StoredObject(key=key, version=version, value=content)
+    return None
