--- /dev/null
+++ b/packages/node/tests/test_direct_foreign_jobs.py
@@ -0,0 +1,139 @@
+"""Job records of other writers among proper ones: recovery, removal and single reads."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import pytest
+from returns.pipeline import is_successful
+
+from carobspool_core import Json
+from carobspool_core.direct import ItemEnd, ItemResult, JobInput, JobItem, JobProgress, job_to_json
+from carobspool_node.direct._job_adoption import JobAdoption
+from carobspool_node.direct._job_catalog import JobCatalog
+from carobspool_node.direct._job_records import INPUTS, PROGRESS, JobRecords
+from carobspool_node.direct._job_retention import JobRetention
+from carobspool_standins.memory_store import MemoryObjects, MemoryStore
+
+RETENTION = 120_000.0
+BAD_INPUTS: tuple[Json, ...] = (
+    None,
+    7,
+    "pieces",
+    [],
+    {},
+    {"items": 3},
+    {"pieces": None},
+    {"pieces": ["x"]},
+    {"pieces": ["x", "2"]},
+    {"pieces": ["x", 10**12]},
+    {"pieces": ["gone", 1]},
+    {"host": "h", "path": "/p", "owner": 7, "submitted": 0, "items": []},
+    {"host": "h", "path": "/p", "owner": "e", "submitted": 0, "items": [{"id": "i"}]},
+)
+BAD_PROGRESS: tuple[Json, ...] = (
+    None,
+    [],
+    {},
+    {"owner": "e#1", "ended": "no", "total": 1, "results": [], "failures": {}},
+    {"owner": "e#1", "ended": False, "total": 1, "results": [["i", "lost", "t"]], "failures": {}},
+    {"owner": "e#1", "ended": False, "total": 1, "results": [], "failures": [], "segments": 3},
+    {"owner": "e#1", "ended": True, "total": 1, "results": [], "failures": {}, "segments": [[1]]},
+    {"owner": "e#1", "ended": True, "total": 1, "results": [["i"]], "failures": {}},
+)
+
+
+class _Clock:
+    def __init__(self) -> None:
+        self.at = 0.0
+
+    def now(self) -> float:
+        return self.at
+
+
+class _Runner:
+    """Takes jobs on and runs nothing."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, object] = {}
+
+    def get(self, job_id: str) -> object | None:
+        return self.jobs.get(job_id)
+
+    def add(self, job: object) -> None:
+        self.jobs[job.job_id] = job  # type: ignore[attr-defined]
+
+
+class _Peers:
+    """Nobody else lives."""
+
+    identity = "e1#2"
+
+    def holder_of(self, job_id: str) -> None:
+        return None
+
+    def by_identity(self, identity: str) -> None:
+        return None
+
+    def tell_now(self) -> None:
+        """Nobody hears it."""
+
+
+class _System:
+    def __init__(self) -> None:
+        self.store = MemoryStore(MemoryObjects(), "e1")
+        self.records = JobRecords(self.store, 10_000)
+        self.clock = _Clock()
+        self.runner = _Runner()
+        self.adoption = JobAdoption(
+            self.clock,
+            JobCatalog(self.records),
+            self.runner,  # type: ignore[arg-type]
+            _Peers(),  # type: ignore[arg-type]
+            peers_settled=lambda: True,
+        )
+
+    def write(self, prefix: str, values: Iterable[Json]) -> None:
+        for number, value in enumerate(values):
+            assert is_successful(self.store.create(f"{prefix}bad-{number}", value))
+
+
+def _job(job_id: str) -> JobInput:
+    item = JobItem(item_id=f"{job_id}-i", path="/p", headers={}, body=b"b", tokens=1)
+    return JobInput(job_id=job_id, host="h", path="/p", owner="e#1", submitted=0.0, items=(item,))
+
+
+@pytest.fixture
+def system() -> _System:
+    return _System()
+
+
+def test_bad_records_stop_neither_recovery_nor_removal(system: _System) -> None:
+    """Everything was killed, and among the jobs in the store lie records of other writers. The
+    entries must take the proper jobs over and remove the finished ones; a job whose progress cannot
+    be read must not be taken for one that nobody has begun, for it would run again."""
+    for job_id in ("aaa", "zzz"):
+        assert is_successful(system.records.create_input(_job(job_id)))
+    system.write(INPUTS, BAD_INPUTS)
+    for number, value in enumerate(BAD_PROGRESS):
+        job_id = f"begun-{number}"
+        assert is_successful(system.store.create(INPUTS + job_id, job_to_json(_job(job_id))))
+        assert is_successful(system.store.create(PROGRESS + job_id, value))
+    done = JobProgress(
+        owner="e#1",
+        total=1,
+        results=(ItemResult(item_id="zzz-i", end=ItemEnd.COMPLETED, text="t"),),
+    )
+    assert is_successful(system.records.create_input(_job("done")))
+    assert is_successful(system.records.write_progress("done", done, version=0))
+    assert system.adoption.recover(lambda job_id, owner: True)
+    assert set(system.runner.jobs) == {"aaa", "zzz"}
+    retention = JobRetention(system.clock, system.records, RETENTION, on_duty=lambda: True)
+    removed = []
+    for sweep in (1, 2):
+        system.clock.at = sweep * (RETENTION + 1.0)
+        removed.append(retention.sweep_if_due())
+    assert removed == [0, 1]
+    left = system.records.list_all(INPUTS).unwrap().objects
+    assert "done" not in left
+    assert {f"begun-{number}" for number in range(len(BAD_PROGRESS))} <= set(left)
