A job record that is none stops neither recovery nor removal of the others

A job whose progress cannot be read is not run again. One that names a missing piece counts as bad too: pieces are written before it and removed after it. Progress without an input stays while the listing of inputs left out names that could not be read. Ruled out: texts as validated str. An upstream's bytes that are no UTF-8 lie in results as halves of surrogate pairs, which pydantic refuses; jobs of ours would have become unreadable. Texts are only checked to be texts.

--- a/packages/core/src/carobspool_core/_ports.py
+++ b/packages/core/src/carobspool_core/_ports.py
@@ -84,6 +84,7 @@
     UNKNOWN = "unknown"
     TOO_LARGE = "too_large"
     COMPACTED = "compacted"
+    UNREADABLE = "unreadable"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -94,7 +95,8 @@
         fault: ``CONFLICT``: the condition did not hold, nothing was written. ``UNAVAILABLE``:
             nothing was written. ``UNKNOWN``: the write may have taken effect and reading back
             could not settle it. ``TOO_LARGE``: over the store's value limit. ``COMPACTED``: the
-            watch asked for a revision no longer held; list again.
+            watch asked for a revision no longer held; list again. ``UNREADABLE``: there is an
+            object, and it is not what its kind asks for.
         key: The key concerned.
         detail: For logs.
         current: With ``CONFLICT``: the object as it stands, when known.
--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -18,6 +18,7 @@
     job_to_json,
     progress_from_json,
     progress_to_json,
+    results_from_json,
 )
 from carobspool_core.direct._job_work import (
     ItemEnd,
@@ -91,6 +92,7 @@
     "progress_from_json",
     "progress_to_json",
     "queue_limit",
+    "results_from_json",
     "return_after",
     "share_of_excess",
     "urgency_of",
--- a/packages/core/src/carobspool_core/direct/_job_codec.py
+++ b/packages/core/src/carobspool_core/direct/_job_codec.py
@@ -3,8 +3,13 @@
 from __future__ import annotations
 
 import base64
+import binascii
+from typing import Annotated, Any
+
+from pydantic import Field, PlainValidator
 
 from carobspool_core._ports import Json
+from carobspool_core.border import Problem, RecordModel, UnusableRecordError, read_record
 from carobspool_core.direct._job_work import (
     ItemEnd,
     ItemPart,
@@ -15,6 +20,55 @@
 )
 
 
+def _checked_text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError("a text")
+    return value
+
+
+Text = Annotated[str, PlainValidator(_checked_text)]
+"""Any text. A validated ``str`` has no halves of surrogate pairs, but those stand for the bytes of
+an upstream's answer that are no UTF-8, and a job with such a result must stay readable."""
+
+_ENDS = tuple(each.value for each in ItemEnd)
+_Row = Annotated[list[Text], Field(min_length=3, max_length=3)]
+
+
+def _checked_part(value: Any) -> ItemPart:
+    match value:
+        case [int() as last_event, str() as text] if last_event >= 0:
+            return ItemPart(last_event=last_event, text=text)
+    raise ValueError("a list of the last event's number and a text")
+
+
+_Part = Annotated[ItemPart, PlainValidator(_checked_part)]
+
+
+class _Item(RecordModel):
+    id: Text
+    path: Text
+    headers: dict[Text, Text]
+    body: Text
+    tokens: int
+
+
+class _Job(RecordModel):
+    host: Text
+    path: Text
+    owner: Text
+    submitted: float
+    items: list[_Item]
+
+
+class _Progress(RecordModel):
+    owner: Text
+    ended: bool
+    total: int = Field(ge=0)
+    results: list[_Row]
+    failures: dict[Text, int]
+    parts: dict[Text, _Part] = {}
+
+
 def job_to_json(job: JobInput) -> Json:
     """Return the stored form of a job's input."""
     return {
@@ -39,23 +93,24 @@
     """Read the stored form of a job's input.
 
     Raises:
-        KeyError, TypeError, ValueError: It is not one.
+        UnusableRecordError: It is not one.
     """
+    model = read_record(_Job, value)
     return JobInput(
         job_id=job_id,
-        host=value["host"],
-        path=value["path"],
-        owner=value["owner"],
-        submitted=value["submitted"],
+        host=model.host,
+        path=model.path,
+        owner=model.owner,
+        submitted=model.submitted,
         items=tuple(
             JobItem(
-                item_id=item["id"],
-                path=item["path"],
-                headers=item["headers"],
-                body=base64.b64decode(item["body"]),
-                tokens=item["tokens"],
+                item_id=item.id,
+                path=item.path,
+                headers=item.headers,
+                body=_body(item, number),
+                tokens=item.tokens,
             )
-            for item in value["items"]
+            for number, item in enumerate(model.items)
         ),
     )
 
@@ -76,19 +131,47 @@
     """Read the stored form of a job's progress.
 
     Raises:
-        KeyError, TypeError, ValueError: It is not one.
+        UnusableRecordError: It is not one.
     """
+    model = read_record(_Progress, value)
     return JobProgress(
-        owner=value["owner"],
-        ended=value["ended"],
-        total=value["total"],
-        results=tuple(
-            ItemResult(item_id=item_id, end=ItemEnd(end), text=text)
-            for item_id, end, text in value["results"]
-        ),
-        failures=value["failures"],
-        parts={
-            key: ItemPart(last_event=last_event, text=text)
-            for key, (last_event, text) in value.get("parts", {}).items()
-        },
+        owner=model.owner,
+        ended=model.ended,
+        total=model.total,
+        results=_results(model.results),
+        failures=model.failures,
+        parts=model.parts,
     )
+
+
+class _Results(RecordModel):
+    results: list[_Row]
+
+
+def results_from_json(value: Json) -> tuple[ItemResult, ...]:
+    """Read results as they stand in a progress, or in a peer's answer.
+
+    Raises:
+        UnusableRecordError: They are none.
+    """
+    return _results(read_record(_Results, {"results": value}).results)
+
+
+def _results(rows: list[list[str]]) -> tuple[ItemResult, ...]:
+    found = []
+    for number, (item_id, end, text) in enumerate(rows):
+        if end not in _ENDS:
+            raise _unusable(f"results[{number}][1]", repr(end[:80]), ", ".join(_ENDS))
+        found.append(ItemResult(item_id=item_id, end=ItemEnd(end), text=text))
+    return tuple(found)
+
+
+def _body(item: _Item, number: int) -> bytes:
+    try:
+        return base64.b64decode(item.body, validate=True)
+    except (ValueError, binascii.Error) as error:
+        raise _unusable(f"items[{number}].body", str(error), "base64") from error
+
+
+def _unusable(path: str, found: str, allowed: str) -> UnusableRecordError:
+    return UnusableRecordError([Problem(file="", path=path, found=found[:80], allowed=allowed)])
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -131,7 +131,8 @@
             usable=self._declared.usable,
             doubt_until=lambda: self._peers.doubt_until,
         )
-        records = JobRecords(self._store, settings.value_limit)
+        bad_records = BadRecords(self._clock, self._telemetry, "job_record", "key")
+        records = JobRecords(self._store, settings.value_limit, bad_records)
         catalog = JobCatalog(records)
         self._retention = JobRetention(
             self._clock,
--- a/packages/node/src/carobspool_node/direct/_job_adoption.py
+++ b/packages/node/src/carobspool_node/direct/_job_adoption.py
@@ -13,7 +13,7 @@
 from absl import logging
 from returns.pipeline import is_successful
 
-from carobspool_core import Clock, Millis, StoreFault
+from carobspool_core import Clock, Millis, StoredObject, StoreFailure, StoreFault
 from carobspool_core.direct import JobInput
 from carobspool_node.direct._job_catalog import JobCatalog, nothing_done
 from carobspool_node.direct._job_records import INPUTS, PROGRESS, StoredProgress
@@ -25,6 +25,9 @@
 """How long a job without an owner is left to the entry that all others would choose: it knows of
 the loss within a few hints, and its takeover takes three calls to the store."""
 
+_NOBODY_CAN_OWN = (StoreFault.NOT_FOUND, StoreFault.UNREADABLE)
+"""Asking again would cost a call each half second for as long as the record lies there."""
+
 
 class JobAdoption:
     """Takes jobs on for this entry.
@@ -76,10 +79,10 @@
             return False
         job = self._catalog.input(job_id)
         if not is_successful(job):
-            return job.failure().fault is StoreFault.NOT_FOUND
+            return job.failure().fault in _NOBODY_CAN_OWN
         state = self._catalog.state(job.unwrap())
         if not is_successful(state):
-            return False
+            return state.failure().fault in _NOBODY_CAN_OWN
         if self._catalog.keep_if_finished(job_id, state.unwrap().progress):
             return True
         return self._adopt(job.unwrap(), state.unwrap(), reason)
@@ -123,26 +126,42 @@
         inputs = self._catalog.records.list_all(INPUTS)
         if not is_successful(progress) or not is_successful(inputs):
             return False
-        for job_id, stored in inputs.unwrap().items():
-            if self._has_owner(job_id):
-                continue
-            job = self._catalog.records.input_of(stored)
-            if not is_successful(job):
-                return False
-            self._catalog.keep(job.unwrap())
-            state = nothing_done(job.unwrap())
-            if job_id in progress.unwrap():
-                read = self._catalog.records.progress_of(progress.unwrap()[job_id])
-                if not is_successful(read):
-                    return False
-                state = read.unwrap()
-            if self._catalog.keep_if_finished(job_id, state.progress):
-                continue
-            is_mine = mine(job_id, state.progress.owner)
-            if not is_mine or not self._adopt(job.unwrap(), state, "recovered"):
-                self.orphaned([job_id], "recovered")
+        for job_id, stored in inputs.unwrap().objects.items():
+            if not self._has_owner(job_id):
+                self._recover_job(job_id, stored, progress.unwrap().objects.get(job_id), mine)
         return True
 
+    def _recover_job(
+        self,
+        job_id: str,
+        stored: StoredObject,
+        progress: StoredObject | None,
+        mine: Callable[[str, str], bool],
+    ) -> None:
+        records = self._catalog.records
+        job = records.input_of(stored)
+        if not is_successful(job):
+            self._leave_out(job_id, job.failure())
+            return
+        self._catalog.keep(job.unwrap())
+        state = nothing_done(job.unwrap())
+        if progress is not None:
+            read = records.progress_of(progress)
+            if not is_successful(read):
+                self._leave_out(job_id, read.failure())
+                return
+            state = read.unwrap()
+        if self._catalog.keep_if_finished(job_id, state.progress):
+            return
+        is_mine = mine(job_id, state.progress.owner)
+        if not is_mine or not self._adopt(job.unwrap(), state, "recovered"):
+            self.orphaned([job_id], "recovered")
+
+    def _leave_out(self, job_id: str, failure: StoreFailure) -> None:
+        """Go on without a job whose records cannot be read: one must not hold up the others."""
+        if failure.fault is not StoreFault.UNREADABLE:
+            self.orphaned([job_id], "recovered")
+
     def _has_owner(self, job_id: str) -> bool:
         return self._runner.get(job_id) is not None or self._peers.holder_of(job_id) is not None
 
--- a/packages/node/src/carobspool_node/direct/_job_records.py
+++ b/packages/node/src/carobspool_node/direct/_job_records.py
@@ -10,15 +10,17 @@
 import json
 import uuid
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import Any
 
 from absl import logging
+from pydantic import Field, field_validator
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from carobspool_core import Json, ObjectStore, StoredObject, StoreFailure, StoreFault
+from carobspool_core.border import Problem, RecordModel, UnusableRecordError, read_record
 from carobspool_core.direct import (
-    ItemEnd,
     ItemResult,
     JobInput,
     JobProgress,
@@ -26,7 +28,9 @@
     job_to_json,
     progress_from_json,
     progress_to_json,
+    results_from_json,
 )
+from carobspool_node.direct._bad_records import BadRecords, shown
 
 INPUTS = "jobs/"
 PROGRESS = "progress/"
@@ -35,6 +39,10 @@
 """Share of the store's value limit that a record or a piece may take: its text is escaped once more
 inside the object, which at worst doubles it, and the object has some fields of its own."""
 
+MAX_PIECES = 10_000
+"""Pieces that one record may name: 4 GB of text at the users' limit of a value."""
+MAX_PIECE_NAME = 200
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Segment:
@@ -45,6 +53,19 @@
     results: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Listing:
+    """Every object under a prefix.
+
+    Attributes:
+        objects: By their names.
+        complete: Whether the names of all objects could be read.
+    """
+
+    objects: dict[str, StoredObject]
+    complete: bool
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StoredProgress:
     """A job's progress with what is needed to replace it."""
@@ -60,10 +81,12 @@
     Args:
         store: The object store.
         value_limit: Longest object of the store, in bytes.
+        bad: Tells of records that are none.
     """
 
-    def __init__(self, store: ObjectStore, value_limit: int) -> None:
+    def __init__(self, store: ObjectStore, value_limit: int, bad: BadRecords | None = None) -> None:
         self._store = store
+        self._bad = bad
         self._limit = int(value_limit * RECORD_SHARE)
 
     def create_input(self, job: JobInput) -> Result[StoredObject, StoreFailure]:
@@ -86,15 +109,20 @@
         return self.input_of(stored.unwrap())
 
     def input_of(self, stored: StoredObject) -> Result[JobInput, StoreFailure]:
-        """Return the job that an object holds or names."""
-        value = stored.value
-        if "pieces" in value:
-            name, count = value["pieces"]
-            text = self._read_pieces(name, count)
-            if not is_successful(text):
-                return Failure(text.failure())
-            value = json.loads(text.unwrap())
-        return Success(job_from_json(stored.key.removeprefix(INPUTS), value))
+        """Return the job that an object holds or names; ``UNREADABLE`` when it is none."""
+        try:
+            value = stored.value
+            if isinstance(value, dict) and "pieces" in value:
+                named = read_record(_LongInput, value).pieces
+                text = self._read_pieces(named.name, named.count)
+                if not is_successful(text):
+                    return Failure(text.failure())
+                value = _json(text.unwrap())
+            job = job_from_json(stored.key.removeprefix(INPUTS), value)
+        except UnusableRecordError as error:
+            return self._unreadable(stored.key, error)
+        self._readable(stored.key)
+        return Success(job)
 
     def read_progress(self, job_id: str) -> Result[StoredProgress, StoreFailure]:
         """Read a job's progress; ``NOT_FOUND`` when nothing is committed yet."""
@@ -104,26 +132,23 @@
         return self.progress_of(stored.unwrap())
 
     def progress_of(self, stored: StoredObject) -> Result[StoredProgress, StoreFailure]:
-        """Return the progress that an object holds, with the results it names."""
-        segments = tuple(
-            Segment(name=name, pieces=pieces, results=results)
-            for name, pieces, results in stored.value.get("segments", ())
-        )
-        results: list[ItemResult] = []
-        for segment in segments:
-            text = self._read_pieces(segment.name, segment.pieces)
-            if not is_successful(text):
-                return Failure(text.failure())
-            results.extend(_results(json.loads(text.unwrap())))
-        tail = progress_from_json(stored.value)
-        progress = JobProgress(
-            owner=tail.owner,
-            total=tail.total,
-            ended=tail.ended,
-            results=(*results, *tail.results),
-            failures=tail.failures,
-            parts=tail.parts,
-        )
+        """Return the progress that an object holds, with the results it names.
+
+        ``UNREADABLE`` when it is none.
+        """
+        try:
+            tail = progress_from_json(stored.value)
+            segments = _segments(stored.value)
+            results: list[ItemResult] = []
+            for segment in segments:
+                text = self._read_pieces(segment.name, segment.pieces)
+                if not is_successful(text):
+                    return Failure(text.failure())
+                results.extend(results_from_json(_json(text.unwrap())))
+        except UnusableRecordError as error:
+            return self._unreadable(stored.key, error)
+        self._readable(stored.key)
+        progress = replace(tail, results=(*results, *tail.results))
         found = StoredProgress(progress=progress, segments=segments, version=stored.version)
         return Success(found)
 
@@ -172,9 +197,7 @@
         removed = self._store.delete(stored.key, version=stored.version)
         if not is_successful(removed):
             return removed.failure()
-        named = [stored.value["pieces"]] if "pieces" in stored.value else []
-        named += [(name, count) for name, count, _ in stored.value.get("segments", ())]
-        for name, count in named:
+        for name, count in _named_pieces(stored.value):
             for number in range(count):
                 self._remove_piece(f"{PIECES}{name}.{number}")
         return None
@@ -188,19 +211,21 @@
         if not is_successful(removed):
             logging.info("event=piece_left key=%s fault=%s", key, removed.failure().fault)
 
-    def list_all(self, prefix: str) -> Result[dict[str, StoredObject], StoreFailure]:
+    def list_all(self, prefix: str) -> Result[Listing, StoreFailure]:
         """Return every object under a prefix, by its name."""
         found: dict[str, StoredObject] = {}
+        unreadable = 0
         after = ""
         while True:
             page = self._store.list(prefix, after=after)
             if not is_successful(page):
                 return Failure(page.failure())
+            unreadable += page.unwrap().unreadable
             for each in page.unwrap().objects:
                 found[each.key.removeprefix(prefix)] = each
                 after = each.key
             if not page.unwrap().more:
-                return Success(found)
+                return Success(Listing(objects=found, complete=unreadable == 0))
 
     def _write_pieces(self, text: str) -> Result[tuple[str, int], StoreFailure]:
         name = uuid.uuid4().hex
@@ -211,19 +236,34 @@
                 return Failure(written.failure())
         return Success((name, len(pieces)))
 
+    def _unreadable(self, key: str, error: UnusableRecordError) -> Failure[StoreFailure]:
+        if self._bad is not None:
+            self._bad.note(key, error)
+        else:
+            logging.warning("event=bad_job_record key=%s reason=%r", shown(key, 80), str(error))
+        return Failure(StoreFailure(fault=StoreFault.UNREADABLE, key=key, detail=str(error)))
+
+    def _readable(self, key: str) -> None:
+        if self._bad is not None:
+            self._bad.mended(key)
+
     def _read_pieces(self, name: str, count: int) -> Result[str, StoreFailure]:
+        """Return the text of a long record.
+
+        Raises:
+            UnusableRecordError: A piece of it is none.
+        """
         texts: list[str] = []
         for number in range(count):
-            read = self._store.get(f"{PIECES}{name}.{number}")
+            key = f"{PIECES}{name}.{number}"
+            read = self._store.get(key)
             if not is_successful(read):
                 failure = read.failure()
-                # The object that names it is there, so this is the store's trouble, not an answer.
-                return Failure(
-                    StoreFailure(
-                        fault=StoreFault.UNAVAILABLE, key=failure.key, detail=failure.detail
-                    )
-                )
-            texts.append(read.unwrap().value["text"])
+                if failure.fault is StoreFault.NOT_FOUND:
+                    # Pieces are written before the object that names them and removed after it.
+                    raise _unusable(key, "no such object", "a piece of a record")
+                return Failure(failure)
+            texts.append(_text_of(key, read.unwrap()))
         return Success("".join(texts))
 
 
@@ -234,7 +274,65 @@
     return value
 
 
-def _results(values: Json) -> list[ItemResult]:
-    return [
-        ItemResult(item_id=item_id, end=ItemEnd(end), text=text) for item_id, end, text in values
-    ]
+class _Pieces(RecordModel):
+    name: str = Field(min_length=1, max_length=MAX_PIECE_NAME)
+    count: int = Field(ge=0, le=MAX_PIECES)
+
+
+class _LongInput(RecordModel):
+    pieces: _Pieces
+
+    @field_validator("pieces", mode="before")
+    @classmethod
+    def _of_list(cls, value: Any) -> Any:
+        match value:
+            case [name, count]:
+                return {"name": name, "count": count}
+        raise ValueError("a list of a name and a number")
+
+
+def _segments(value: Json) -> tuple[Segment, ...]:
+    listed = value.get("segments", [])
+    if not isinstance(listed, list):
+        raise _unusable("segments", type(listed).__name__, "a list")
+    found = []
+    for number, each in enumerate(listed):
+        match each:
+            case [str() as name, int() as pieces, int() as results] if (
+                0 <= pieces <= MAX_PIECES and results >= 0
+            ):
+                found.append(Segment(name=name, pieces=pieces, results=results))
+            case _:
+                raise _unusable(f"segments[{number}]", repr(each)[:80], "name, pieces, results")
+    return tuple(found)
+
+
+def _named_pieces(value: Json) -> list[tuple[str, int]]:
+    """Return the pieces that a record names; none of a record that is none."""
+    try:
+        if isinstance(value, dict) and "pieces" in value:
+            named = read_record(_LongInput, value).pieces
+            return [(named.name, named.count)]
+        if isinstance(value, dict):
+            return [(each.name, each.pieces) for each in _segments(value)]
+    except UnusableRecordError as error:
+        logging.warning("event=pieces_left reason=%r", shown(str(error), 300))
+    return []
+
+
+def _text_of(key: str, piece: StoredObject) -> str:
+    text = piece.value.get("text") if isinstance(piece.value, dict) else None
+    if not isinstance(text, str):
+        raise _unusable(key, type(text).__name__, "a piece of a record")
+    return text
+
+
+def _json(text: str) -> Json:
+    try:
+        return json.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise _unusable("(pieces)", repr(error)[:80], "JSON") from error
+
+
+def _unusable(path: str, found: str, allowed: str) -> UnusableRecordError:
+    return UnusableRecordError([Problem(file="", path=path, found=found, allowed=allowed)])
--- a/packages/node/src/carobspool_node/direct/_job_retention.py
+++ b/packages/node/src/carobspool_node/direct/_job_retention.py
@@ -14,7 +14,7 @@
 from returns.pipeline import is_successful
 
 from carobspool_core import Clock, Millis, StoredObject, StoreFault
-from carobspool_node.direct._job_records import INPUTS, PROGRESS, JobRecords
+from carobspool_node.direct._job_records import INPUTS, PROGRESS, JobRecords, Listing
 
 
 class JobRetention:
@@ -65,8 +65,8 @@
             return 0
         finished = {
             job_id: stored
-            for job_id, stored in progress.unwrap().items()
-            if job_id not in inputs.unwrap() or self._is_finished(stored)
+            for job_id, stored in progress.unwrap().objects.items()
+            if self._is_lost(job_id, inputs.unwrap()) or self._is_finished(stored)
         }
         self._finished_since = {
             job_id: self._finished_since.get(job_id, now) for job_id in finished
@@ -75,17 +75,21 @@
         for job_id, stored in finished.items():
             if now - self._finished_since[job_id] < self._retention:
                 continue
-            if self._remove(inputs.unwrap().get(job_id), stored):
+            if self._remove(inputs.unwrap().objects.get(job_id), stored):
                 del self._finished_since[job_id]
                 removed += 1
         logging.info(
             "event=retention_sweep jobs=%d finished=%d removed=%d",
-            len(inputs.unwrap()),
+            len(inputs.unwrap().objects),
             len(finished),
             removed,
         )
         return removed
 
+    def _is_lost(self, job_id: str, inputs: Listing) -> bool:
+        """Whether progress has no input; one whose name cannot be read may be there."""
+        return inputs.complete and job_id not in inputs.objects
+
     def _is_finished(self, stored: StoredObject) -> bool:
         read = self._records.progress_of(stored)
         if not is_successful(read):
--- a/packages/node/src/carobspool_node/direct/_peer_api.py
+++ b/packages/node/src/carobspool_node/direct/_peer_api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import cbor2
+from absl import logging
 
 from carobspool_core import Clock, Json
 from carobspool_core.border import UnusableRecordError, read_record
@@ -40,7 +41,13 @@
             (PEER_HEADERS.request_id, request.request_id.encode()),
             (PEER_HEADERS.signature, b"entry"),
         ]
-        caller.answer(status, headers, cbor2.dumps(answer))
+        try:
+            data = cbor2.dumps(answer)
+        except (ValueError, cbor2.CBOREncodeError) as error:
+            # A result may stand for bytes that are no UTF-8; the peer then reads it from the store.
+            logging.warning("event=peer_answer_failed path=%s reason=%r", request.path, error)
+            status, data = 500, b""
+        caller.answer(status, headers, data)
 
     def _serve(self, request: CallerRequest) -> tuple[int, Json]:
         body = decode_cbor(request.body)
--- a/packages/node/src/carobspool_node/direct/_peer_messages.py
+++ b/packages/node/src/carobspool_node/direct/_peer_messages.py
@@ -16,7 +16,7 @@
 
 from carobspool_core import Json, StoreFault
 from carobspool_core.border import Problem, RecordModel, UnusableRecordError, read_record
-from carobspool_core.direct import ItemEnd, ItemResult
+from carobspool_core.direct import ItemResult, results_from_json
 
 MAX_NAME = 200
 """Characters of the name of an entry, an upstream or a job."""
@@ -113,7 +113,7 @@
 
 class _ResultsAnswer(RecordModel):
     total: Count
-    results: list[Annotated[list[str], Field(min_length=3, max_length=3)]]
+    results: list[Any]
 
 
 class StoreObjectAnswer(RecordModel):
@@ -162,12 +162,4 @@
 def read_results(value: Json) -> tuple[int, Sequence[ItemResult]]:
     """Read the number of a job's items and results from a peer's answer."""
     model = read_record(_ResultsAnswer, value)
-    try:
-        results = [
-            ItemResult(item_id=item_id, end=ItemEnd(end), text=text)
-            for item_id, end, text in model.results
-        ]
-    except ValueError as error:
-        problem = Problem(file="", path="results", found=str(error), allowed="an end of an item")
-        raise UnusableRecordError([problem]) from error
-    return model.total, results
+    return model.total, results_from_json(model.results)
--- a/packages/node/tests/test_direct_foreign_jobs.py
+++ b/packages/node/tests/test_direct_foreign_jobs.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import replace
 
 import pytest
 from returns.pipeline import is_successful
+from returns.result import Success
 
-from carobspool_core import Json
+from carobspool_core import Json, StoreFault
 from carobspool_core.direct import ItemEnd, ItemResult, JobInput, JobItem, JobProgress, job_to_json
 from carobspool_node.direct._job_adoption import JobAdoption
 from carobspool_node.direct._job_catalog import JobCatalog
@@ -137,3 +139,54 @@
     left = system.records.list_all(INPUTS).unwrap().objects
     assert "done" not in left
     assert {f"begun-{number}" for number in range(len(BAD_PROGRESS))} <= set(left)
+
+
+@pytest.mark.parametrize("value", BAD_INPUTS, ids=repr)
+def test_a_bad_input_is_told_and_settled(system: _System, value: Json) -> None:
+    """No entry can work on it, so none asks the store for it again and again."""
+    assert is_successful(system.store.create(f"{INPUTS}j", value))
+    read = system.records.read_input("j")
+    assert not is_successful(read)
+    assert read.failure().fault is StoreFault.UNREADABLE
+    assert system.adoption.find_owner("j", "lost")
+    assert system.runner.jobs == {}
+
+
+@pytest.mark.parametrize("value", BAD_PROGRESS, ids=repr)
+def test_a_bad_progress_is_told_and_settled(system: _System, value: Json) -> None:
+    assert is_successful(system.records.create_input(_job("j")))
+    assert is_successful(system.store.create(f"{PROGRESS}j", value))
+    read = system.records.read_progress("j")
+    assert not is_successful(read)
+    assert read.failure().fault is StoreFault.UNREADABLE
+    assert system.adoption.find_owner("j", "lost")
+    assert system.runner.jobs == {}
+
+
+def test_progress_of_a_job_whose_input_is_not_readable_by_name_stays(system: _System) -> None:
+    """The listing of inputs leaves out what has no readable name. Progress without an input is
+    removed after a time, but here the input may be there."""
+    assert is_successful(system.records.create_input(_job("j")))
+    progress = JobProgress(owner="e#1", total=1)
+    assert is_successful(system.records.write_progress("j", progress, version=0))
+    hiding = _HidingStore(system.store)
+    records = JobRecords(hiding, 10_000)  # type: ignore[arg-type]
+    retention = JobRetention(system.clock, records, RETENTION, on_duty=lambda: True)
+    for sweep in (1, 2, 3):
+        system.clock.at = sweep * (RETENTION + 1.0)
+        assert retention.sweep_if_due() == 0
+    assert is_successful(system.records.read_progress("j"))
+
+
+class _HidingStore:
+    """Cannot read the name of any input."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self._store = store
+
+    def list(self, prefix: str, **options: object) -> object:
+        page = self._store.list(prefix, **options)  # type: ignore[arg-type]
+        if prefix != INPUTS:
+            return page
+        found = page.unwrap()
+        return Success(replace(found, objects=[], unreadable=len(found.objects)))
--- a/tests/adapter/test_unreadable_objects.py
+++ b/tests/adapter/test_unreadable_objects.py
@@ -80,3 +80,12 @@
     first = store.watch("servers/", revision=since, timeout=5_000).unwrap()
     second = store.watch("servers/", revision=first.revision, timeout=5_000).unwrap()
     assert [each.object.key for each in second.changes] == ["servers/c"]
+
+
+def test_a_name_that_cannot_be_asked_for_is_counted(served: Served) -> None:
+    objects, store = served
+    objects.put("servers", "a", {})
+    objects.put("servers", "\ud800", {})
+    page = store.list("servers/").unwrap()
+    assert [each.key for each in page.objects] == ["servers/a"]
+    assert page.unreadable == 1
