--- a/packages/core/tests/test_direct_upstreams.py
+++ b/packages/core/tests/test_direct_upstreams.py
@@ -28,3 +28,11 @@
     assert {each.instance for each in upstreams.usable("s", 1.0)} == {"c"}
     upstreams.put(_upstream("a"))
     assert {each.instance for each in upstreams.usable("s", 1.0)} == {"a", "c"}
+
+
+def test_a_service_that_nobody_names_is_never_asked_for() -> None:
+    """Upstreams are found by the service of a route, so one of another service stays unused."""
+    upstreams = UpstreamList()
+    upstreams.put(_upstream("a"))
+    assert upstreams.usable("s", 0.0)
+    assert upstreams.usable("another", 0.0) == []
--- /dev/null
+++ b/packages/node/tests/test_direct_relayed.py
@@ -0,0 +1,39 @@
+"""Listings that an entry gets through a peer, with objects that cannot be sent or are none."""
+
+from __future__ import annotations
+
+import cbor2
+import pytest
+from returns.result import Success
+
+from carobspool_core import ObjectPage, StoredObject
+from carobspool_core.border import UnusableRecordError
+from carobspool_node.direct._store_relay import _decode, _encode
+
+
+def test_what_cannot_be_sent_of_one_object_spoils_no_relayed_listing() -> None:
+    objects = [
+        StoredObject(key="servers/a", version=1, value={"n": 1}),
+        StoredObject(key="servers/b", version=2, value={"n": "\ud800"}),
+        StoredObject(key="servers/c", version=3, value={"n": 3}),
+    ]
+    page = ObjectPage(revision=9, objects=objects, more=False, unreadable=2)
+    sent = cbor2.loads(cbor2.dumps(_encode(Success(page))))
+    found = _decode("servers/", sent).unwrap()
+    assert [each.value for each in found.objects] == [{"n": 1}, None, {"n": 3}]
+    assert (found.revision, found.unreadable) == (9, 2)
+
+
+def test_a_relayed_object_that_is_none_is_counted_and_the_others_hold() -> None:
+    good = ["servers/a", 1, {"n": 1}]
+    bad = [None, [], ["servers/b"], ["servers/b", "1", {}], [7, 1, {}], ["jobs/j", 1, {}]]
+    answer = {"revision": 9, "more": False, "objects": [*bad, good]}
+    found = _decode("servers/", answer).unwrap()
+    assert [each.key for each in found.objects] == ["servers/a"]
+    assert found.unreadable == len(bad)
+
+
+@pytest.mark.parametrize("answer", [None, [], {}, {"objects": []}, {"fault": "new"}, {"value": 1}])
+def test_an_answer_of_a_peer_that_is_none_is_refused(answer: object) -> None:
+    with pytest.raises(UnusableRecordError):
+        _decode("servers/", answer)
