A leaving entry works on its jobs until another can take them

Cause: with all entries told to stop 0.6 s apart each let its jobs go at the signal; the last one had nobody to give them to, and no item ran until a process was back (3.6 to 6.2 s of the 18 s in which jobs are due). A job that a leaving entry accepted waited as long, and an entry that had just started took over nothing for 2.5 s although it had been told that the owner gave the job up.

Hints name the jobs released ("r"); an entry of the version before, which names none, is read as before. What was told as released, or seen as lost, is taken over without waiting for the settle time. A leaving entry holds no duty any more (it did, without doing it). Metrics: carobspool_job_owners_total, carobspool_job_orphan_seconds.

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -13,6 +13,7 @@
 )
 from carobspool_core.direct._events import EventSplitter, StreamEvent
 from carobspool_core.direct._failure_reports import FailureReports
+from carobspool_core.direct._handover import Successor, lets_jobs_go
 from carobspool_core.direct._job_codec import (
     job_from_json,
     job_to_json,
@@ -76,6 +77,7 @@
     "RouteKind",
     "SharedView",
     "StreamEvent",
+    "Successor",
     "Upstream",
     "UpstreamList",
     "WeightedService",
@@ -88,6 +90,7 @@
     "has_time_to_serve",
     "job_from_json",
     "job_to_json",
+    "lets_jobs_go",
     "progress_from_json",
     "progress_to_json",
     "queue_limit",
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -24,6 +24,8 @@
 from carobspool_core.direct import (
     CallerLimits,
     Load,
+    Successor,
+    lets_jobs_go,
 )
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._callers import CallerApi
@@ -42,7 +44,7 @@
 from carobspool_node.direct._loads import LoadTable
 from carobspool_node.direct._messages import CallerRequest
 from carobspool_node.direct._peer_calls import PEER_HEADERS, PeerCaller
-from carobspool_node.direct._peers import DEAD_AFTER, OwnHint, Peer, Peers
+from carobspool_node.direct._peers import DEAD_AFTER, SILENT_AFTER, OwnHint, Peer, Peers
 from carobspool_node.direct._reload import SettingsReload
 from carobspool_node.direct._settings import DirectSettings
 from carobspool_node.direct._store_relay import RelayedStore
@@ -91,7 +93,6 @@
         self._incarnation = uuid.uuid4().hex[:8]
         self._leaving = threading.Event()
         self._exit_at: Millis | None = None
-        self._released = threading.Event()
         self._orphans = threading.Event()
         self._loads = LoadTable(self._clock, settings.failure_domain, name=settings.node)
         self._connections = UpstreamConnections(self._clock)
@@ -132,7 +133,12 @@
             on_duty=lambda: self._has_duty(RETENTION_DUTY),
         )
         self._adoption = JobAdoption(
-            self._clock, catalog, self._runner, self._peers, peers_settled=self._peers_settled
+            self._clock,
+            catalog,
+            self._runner,
+            self._peers,
+            self._telemetry,
+            peers_settled=self._peers_settled,
         )
         self._jobs = Jobs(
             self._clock, catalog, self._runner, self._adoption, self._peers, self._peer_caller
@@ -237,13 +243,14 @@
         exit_at = began + self._settings.shutdown_limit - EXIT_MARGIN
         self._exit_at = exit_at
         callers.drain()
-        self._runner.stop()
-        self._released.set()
         self._peers.tell_now()
         while self._clock.now() < exit_at:
-            if self._clock.now() - began >= MIN_DRAIN and callers.close_if_idle():
+            has_jobs = self._hand_jobs_over(exit_at - self._clock.now())
+            drained = self._clock.now() - began >= MIN_DRAIN
+            if drained and not has_jobs and callers.close_if_idle():
                 break
             threading.Event().wait(0.05)
+        self._runner.stop()
         cut = callers.close()
         self._peers.stop()
         self._log_cut(cut)
@@ -256,6 +263,21 @@
         )
         self._telemetry.stop_logs()
 
+    def _hand_jobs_over(self, time_left: Millis) -> bool:
+        """Give up the open jobs if it is time; return whether this entry still works on some."""
+        if not self._runner.job_ids(finished=False):
+            return False
+        now = self._clock.now()
+        successors = [
+            Successor(silent_for=now - peer.heard, leaving=peer.leaving, store_ok=peer.store_ok)
+            for peer in self._peers.live()
+        ]
+        if not lets_jobs_go(successors, time_left=time_left, silent_after=SILENT_AFTER):
+            return True
+        self._runner.let_go()
+        self._peers.tell_now()
+        return False
+
     def _log_cut(self, cut: Sequence[CallerRequest]) -> None:
         """Name the requests that the exit cuts; their own last line is never written."""
         now = self._clock.now()
@@ -328,7 +350,7 @@
         return self._clock.now() - self._started >= SETTLE_TIME
 
     def _peer_lost(self, peer: Peer) -> None:
-        self._adoption.orphaned(peer.open_jobs, f"lost {peer.identity}")
+        self._adoption.orphaned(peer.open_jobs, f"lost {peer.identity}", certain=True)
         self._orphans.set()
 
     def _adopt_orphans(self) -> None:
@@ -357,7 +379,7 @@
 
     def _has_duty(self, duty: str) -> bool:
         """Whether this entry, of all that reach the store, does a duty for all of them."""
-        nodes = [each.name for each in self._peers.live() if each.store_ok]
+        nodes = [each.name for each in self._peers.live() if each.store_ok and not each.leaving]
         nodes.append(self._settings.node)
         return rendezvous_owner(duty, nodes) == self._settings.node
 
@@ -369,7 +391,8 @@
             done_jobs=self._runner.job_ids(finished=True),
             waiting=self._runner.waiting_tokens(),
             versions=self._declared.versions(),
-            leaving=self._released.is_set(),
+            leaving=self._leaving.is_set(),
+            released=self._runner.released,
             store_ok=self._store.reachable,
         )
 
--- a/packages/node/src/carobspool_node/direct/_item_order.py
+++ b/packages/node/src/carobspool_node/direct/_item_order.py
@@ -52,7 +52,7 @@
     found: list[WaitingItem] = []
     wall = wall_millis()
     for job in jobs:
-        if job.lost or job.finished:
+        if job.lost or job.leaving or job.finished:
             continue
         with job.lock:
             waiting = job.work.waiting_items(now)
--- a/packages/node/src/carobspool_node/direct/_job_adoption.py
+++ b/packages/node/src/carobspool_node/direct/_job_adoption.py
@@ -8,7 +8,7 @@
 
 import threading
 from collections.abc import Callable, Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from absl import logging
 from returns.pipeline import is_successful
@@ -20,12 +20,28 @@
 from carobspool_node.direct._job_runner import JobRunner
 from carobspool_node.direct._owned_job import OwnedJob
 from carobspool_node.direct._peers import Peers
+from carobspool_node.direct._telemetry import Telemetry
 
 OTHERS_TURN: Millis = 3_000.0
 """How long a job without an owner is left to the entry that all others would choose: it knows of
 the loss within a few hints, and its takeover takes three calls to the store."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Orphan:
+    """A job without an owner.
+
+    Attributes:
+        since: When that was noted here.
+        reason: Why, for the log.
+        certain: Whether its owner gave it up or was seen to be gone.
+    """
+
+    since: Millis
+    reason: str
+    certain: bool
+
+
 class JobAdoption:
     """Takes jobs on for this entry.
 
@@ -34,6 +50,7 @@
         catalog: The jobs in the store.
         runner: Works on the owned jobs.
         peers: The other entries.
+        telemetry: Counts takeovers and the time that jobs had no owner.
         peers_settled: Returns whether this entry has been up for long enough to judge who is gone.
     """
 
@@ -43,6 +60,7 @@
         catalog: JobCatalog,
         runner: JobRunner,
         peers: Peers,
+        telemetry: Telemetry,
         *,
         peers_settled: Callable[[], bool],
     ) -> None:
@@ -50,9 +68,10 @@
         self._catalog = catalog
         self._runner = runner
         self._peers = peers
+        self._telemetry = telemetry
         self._peers_settled = peers_settled
         self._adopting = threading.Lock()
-        self._orphans: dict[str, tuple[Millis, str]] = {}
+        self._orphans: dict[str, _Orphan] = {}
         self._orphans_lock = threading.Lock()
 
     def own(self, job: JobInput, stored: StoredProgress) -> None:
@@ -68,11 +87,18 @@
             len(stored.progress.results),
         )
 
-    def find_owner(self, job_id: str, reason: str) -> bool:
-        """Make sure that a stored job has a living owner; return whether that is settled."""
+    def find_owner(self, job_id: str, reason: str, *, certain: bool = False) -> bool:
+        """Make sure that a stored job has a living owner; return whether that is settled.
+
+        Args:
+            job_id: The job.
+            reason: Why it may have none, for the log.
+            certain: Whether its owner is known to be gone, so that a process which has just
+                started need not wait until it has heard of all the others.
+        """
         if self._runner.get(job_id) is not None:
             return True
-        if not self._peers_settled():
+        if not certain and not self._peers_settled():
             return False
         job = self._catalog.input(job_id)
         if not is_successful(job):
@@ -84,12 +110,18 @@
             return True
         return self._adopt(job.unwrap(), state.unwrap(), reason)
 
-    def orphaned(self, job_ids: Iterable[str], reason: str) -> None:
-        """Note jobs whose owner is gone; `adopt_orphans` finds each a new one."""
-        now = self._clock.now()
+    def orphaned(self, job_ids: Iterable[str], reason: str, *, certain: bool = False) -> None:
+        """Note jobs whose owner is gone; `adopt_orphans` finds each a new one.
+
+        Args:
+            job_ids: The jobs.
+            reason: Why, for the log.
+            certain: Whether the owner gave them up or was seen to be gone.
+        """
+        orphan = _Orphan(since=self._clock.now(), reason=reason, certain=certain)
         with self._orphans_lock:
             for job_id in job_ids:
-                self._orphans.setdefault(job_id, (now, reason))
+                self._orphans.setdefault(job_id, orphan)
 
     def adopt_orphans(self, mine: Callable[[str], bool]) -> None:
         """Take over orphans; those that cannot be read stay for the next call.
@@ -101,11 +133,13 @@
         now = self._clock.now()
         with self._orphans_lock:
             orphans = dict(self._orphans)
-        for job_id, (since, reason) in orphans.items():
+        for job_id, orphan in orphans.items():
             if self._has_owner(job_id):
                 settled = True
-            elif mine(job_id) or now - since > OTHERS_TURN:
-                settled = self.find_owner(job_id, reason)
+            elif mine(job_id) or now - orphan.since > OTHERS_TURN:
+                settled = self.find_owner(job_id, orphan.reason, certain=orphan.certain)
+                if settled and self._runner.get(job_id) is not None:
+                    self._telemetry.time("job_orphan", self._clock.now() - orphan.since)
             else:
                 settled = False
             if settled:
@@ -168,9 +202,10 @@
             logging.info(
                 "event=job_taken_over job=%s reason=%r from=%s", job_id, reason, progress.owner
             )
+            self._telemetry.count("job_owners", change="taken_over")
             self.own(job, written.unwrap())
             return True
 
     def _answers_for(self, owner: str, job_id: str) -> bool:
         peer = self._peers.by_identity(owner)
-        return peer is not None and not peer.leaving and peer.answers_for(job_id)
+        return peer is not None and peer.answers_for(job_id)
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -72,6 +72,7 @@
         self._running = 0
         self._committing: set[str] = set()
         self._proving: set[str] = set()
+        self._released: frozenset[str] = frozenset()
         self._pace = ItemPace()
 
     def start(self) -> None:
@@ -83,13 +84,29 @@
         """Start nothing more, cancel what runs, commit what is done and answer for nothing."""
         self._stopped.set()
         self._wake.set()
-        jobs = self.owned()
+        self.let_go()
+        for job in self.owned():
+            job.lose()
+
+    def let_go(self) -> None:
+        """Give up the unfinished jobs, with what is done of them committed."""
+        jobs = [job for job in self.owned() if not job.lost and not job.finished]
         for job in jobs:
-            job.stop_runs()
+            job.leave()
         commits = [self._commits.submit(job.commit) for job in jobs if job.leave_due()]
         wait(commits, LAST_COMMITS_S)
         for job in jobs:
+            if job.lost or job.finished:
+                continue
+            self._released |= {job.job_id}
             job.lose()
+            self._telemetry.count("job_owners", change="released")
+            logging.info("event=job_released job=%s", job.job_id)
+
+    @property
+    def released(self) -> frozenset[str]:
+        """Unfinished jobs that this entry has given up as it leaves."""
+        return self._released
 
     def add(self, job: OwnedJob) -> None:
         """Take a job on."""
@@ -109,7 +126,8 @@
 
     def job_ids(self, *, finished: bool) -> frozenset[str]:
         """Return the ids of the owned jobs that are finished, or that are not."""
-        return frozenset(job.job_id for job in self.owned() if job.finished is finished)
+        jobs = self.owned()
+        return frozenset(job.job_id for job in jobs if job.finished is finished and not job.lost)
 
     def learn_ends(self, job_ids: Iterable[str]) -> None:
         """Take over which jobs other entries have ended in the store."""
@@ -224,6 +242,8 @@
 
     def _is_still_ours(self, job: OwnedJob) -> bool:
         """Whether an item of a job may start; if that needs a proof, ask for it."""
+        if job.leaving:
+            return False
         if job.is_proven(doubt_until=self._doubt_until(), max_age=VIEW_AGE) or job.is_excused:
             return not job.lost
         # The proof is a call to the store, which may hang; the items of other jobs do not wait.
--- a/packages/node/src/carobspool_node/direct/_owned_job.py
+++ b/packages/node/src/carobspool_node/direct/_owned_job.py
@@ -46,6 +46,7 @@
         self._next_checkpoint: Millis = clock.now() + CHECKPOINT_INTERVAL
         self._events_committed = self._work.events_received
         self._lost = False
+        self._leaving = False
         self._verified = clock.now()
         self._excused_until: Millis = 0.0
 
@@ -74,6 +75,11 @@
         """Whether another entry owns the job now."""
         return self._lost
 
+    @property
+    def leaving(self) -> bool:
+        """Whether this entry is about to give the job up."""
+        return self._leaving
+
     @property
     def proof_age(self) -> Millis:
         """Time since the store last showed that the job is ours and has not been ended."""
@@ -147,6 +153,11 @@
             self._changed.notify_all()
         self.stop_runs()
 
+    def leave(self) -> None:
+        """Start nothing more and cancel what runs, before the last commit: it would be lost."""
+        self._leaving = True
+        self.stop_runs()
+
     def commit_due(self, now: Millis) -> bool:
         """Whether there is something to commit and it is time."""
         with self._lock:
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -12,7 +12,7 @@
 import socket
 import threading
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import cbor2
@@ -93,6 +93,7 @@
     waiting: Mapping[str, int]
     versions: Mapping[str, int]
     leaving: bool
+    released: frozenset[str]
     store_ok: bool
 
 
@@ -267,6 +268,7 @@
             "e": dict(hint.failures),
             "v": dict(hint.versions),
             "x": hint.leaving,
+            "r": sorted(hint.released),
             "s": hint.store_ok,
         }
         with self._lock:
@@ -330,10 +332,13 @@
                 known.waiting = message["w"]
                 if self._name in message["q"]:
                     self._doubt_until = now + DOUBT_TIME
-            if known.leaving and known.open_jobs:
-                # It has committed what it had and works on nothing any more.
+            if "r" not in message and known.leaving and known.open_jobs:
+                # An entry of the version before gives up all its jobs as soon as it leaves.
                 lost = known
                 self._peers[name] = _without_jobs(known)
+            elif message.get("r"):
+                # It has committed what it had of these and works on them no more.
+                lost = replace(known, open_jobs=frozenset(message["r"]))
         if lost is not None:
             self._on_lost(lost)
         # Entries of the version before name no ended jobs.
--- a/packages/node/src/carobspool_node/direct/_telemetry.py
+++ b/packages/node/src/carobspool_node/direct/_telemetry.py
@@ -27,10 +27,11 @@
     "upstream_failures": ("service",),
     "job_calls": ("call", "outcome"),
     "items": ("outcome",),
+    "job_owners": ("change",),
     "store_calls": ("call", "outcome"),
     "log_lines_dropped": (),
 }
-_TIMES = ("request", "first_event", "job_commit", "item_run")
+_TIMES = ("request", "first_event", "job_commit", "item_run", "job_orphan")
 
 
 class _DroppingHandler(QueueHandler):
--- a/tests/direct/test_rolling_restart.py
+++ b/tests/direct/test_rolling_restart.py
@@ -17,7 +17,11 @@
 import pytest
 from direct_harness import Deployment, deployment, eventually, finished, submission
 
-from carobspool_standins.platform_server import stream_events
+from carobspool_standins.platform_server import (
+    ServedRequest,
+    ServerConnection,
+    stream_events,
+)
 
 
 @pytest.fixture
@@ -39,3 +43,32 @@
     results = eventually(lambda: finished(entry, "j"), 2.4)
     assert {each["state"] for each in results} == {"completed"}
     assert entry.process.wait(timeout=6) == 0
+
+
+def test_jobs_go_over_without_a_pause_to_the_first_entry_that_is_back(system: Deployment) -> None:
+    """Two entries are told to stop, one after the other, with an item of five seconds; a third
+    starts then. The item goes on there after its last event, less than a second after its last run
+    was cut, although the third has hardly heard of anybody yet."""
+    started: list[float] = []
+    ended: list[float] = []
+    behave = stream_events(50, pause_s=0.1)
+
+    def note(request: ServedRequest, connection: ServerConnection) -> None:
+        started.append(time.monotonic())
+        try:
+            behave(request, connection)
+        finally:
+            ended.append(time.monotonic())
+
+    system.server("engine", note)
+    first, second = system.entry("e1"), system.entry("e2")
+    assert first.call("POST", "/batch/j", body=submission("i"), request_id="j").status == 202
+    time.sleep(1.0)
+    first.signal(signal.SIGTERM)
+    time.sleep(0.6)
+    second.signal(signal.SIGTERM)
+    third = system.entry("e3")
+    results = eventually(lambda: finished(third, "j"), 12)
+    assert [each["text"].count("\n") for each in results] == [49]
+    pauses = [begin - end for begin, end in zip(started[1:], ended, strict=False)]
+    assert max(pauses) < 1.0
