--- a/tests/direct/test_rolling_restart.py
+++ b/tests/direct/test_rolling_restart.py
@@ -51,8 +51,8 @@
 ) -> None:
     """Two entries are told to stop, one after the other, with an item of five seconds; a third
     starts then. The item goes on there after its last event, less than a second after its last run
-    was cut, although the third has hardly heard of anybody yet. On a restart it has read the job in the store before, and could
-    not tell then whether it has an owner."""
+    was cut, although the third has hardly heard of anybody yet. On a restart it has read the job in
+    the store before, and could not tell then whether it has an owner."""
     started: list[float] = []
     ended: list[float] = []
     behave = stream_events(50, pause_s=0.1)
