--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -30,6 +30,7 @@
 from carobspool_node.direct._callers import CallerApi
 from carobspool_node.direct._declared import Declared
 from carobspool_node.direct._deployment import Deployment
+from carobspool_node.direct._exit import EntryExit
 from carobspool_node.direct._follow import Follower
 from carobspool_node.direct._forward import Forwarder
 from carobspool_node.direct._item_run import ItemRunner
@@ -61,18 +62,11 @@
 TIDY_INTERVAL_S = 1.0
 ENTRIES_GATHER: Millis = 1_500.0
 """Pause between two watches of the entries. Who starts is known by its hints much sooner."""
-MIN_DRAIN: Millis = 2_500.0
-"""How long a leaving entry serves on: the balancer needs two misses, a second apart, to take it
-out, and callers use open connections until then."""
-EXIT_MARGIN: Millis = 1_200.0
-"""Time before the kill at which a leaving entry exits whatever still runs."""
 POLL_INTERVAL_S = 2.0
 """Time between two readings of what the watches should have told. A watch can hear nothing while
 changes are made and look alive; the store may then drop that history, and the next watch goes on
 behind the gap. One entry reads for all, and its hints show the others that they have missed
 something, so that a change is known within some three seconds at the price of one call a second."""
-CUT_LINES = 50
-"""Requests cut by the exit that are logged one by one; the count in the last line holds all."""
 POLL_DUTY = "poll"
 RETENTION_DUTY = "retention"
 
@@ -91,8 +85,6 @@
         self._incarnation = uuid.uuid4().hex[:8]
         self._stop = StopSignal()
         self._leaving = threading.Event()
-        self._exit_at: Millis | None = None
-        self._released = threading.Event()
         self._loads = LoadTable(self._clock, settings.failure_domain, name=settings.node)
         self._connections = UpstreamConnections(self._clock)
         self._peer_caller = PeerCaller(self._clock)
@@ -138,11 +130,19 @@
             settings.job_retention,
             on_duty=lambda: self._has_duty(RETENTION_DUTY),
         )
+        self._exit = EntryExit(
+            self._clock,
+            self._runner,
+            self._peers,
+            self._telemetry,
+            limit=settings.shutdown_limit,
+        )
         adoption = JobAdoption(
             self._clock,
             catalog,
             self._runner,
             self._peers,
+            self._telemetry,
             peers_settled=lambda: self._recovery.peers_settled(),
         )
         self._recovery = JobRecovery(
@@ -165,7 +165,7 @@
             self._connections,
             self._declared.usable,
             self._telemetry,
-            self._time_left,
+            lambda: self._exit.time_left,
         )
         self._api = CallerApi(
             deployment.dialect,
@@ -174,7 +174,7 @@
             self._jobs,
             self._telemetry,
             configuration=lambda: self._declared.configuration,
-            time_left=self._time_left,
+            time_left=lambda: self._exit.time_left,
         )
         self._bad_entries = BadRecords(self._clock, self._telemetry, "entry", "entry")
         self._entries = Follower(
@@ -217,7 +217,7 @@
             self._tidy()
             self._reload.check()
         self._leaving.set()
-        self._leave(callers)
+        self._exit.run(callers)
         return 0
 
     def _listen(self) -> Listener:
@@ -251,47 +251,6 @@
             listener.start()
         return callers
 
-    def _time_left(self) -> Millis | None:
-        return None if self._exit_at is None else self._exit_at - self._clock.now()
-
-    def _leave(self, callers: Listener) -> None:
-        logging.info("event=stop_requested busy=%d", callers.busy)
-        began = self._clock.now()
-        exit_at = began + self._settings.shutdown_limit - EXIT_MARGIN
-        self._exit_at = exit_at
-        callers.drain()
-        self._runner.stop()
-        self._released.set()
-        self._peers.tell_now()
-        while self._clock.now() < exit_at:
-            if self._clock.now() - began >= MIN_DRAIN and callers.close_if_idle():
-                break
-            threading.Event().wait(0.05)
-        cut = callers.close()
-        self._peers.stop()
-        self._log_cut(cut)
-        logging.info(
-            "event=stop busy=%d cut=%d open=%d took_ms=%.0f",
-            callers.busy,
-            len(cut),
-            callers.open_connections,
-            self._clock.now() - began,
-        )
-        self._telemetry.stop_logs()
-        callers.shut()
-
-    def _log_cut(self, cut: Sequence[CallerRequest]) -> None:
-        """Name the requests that the exit cuts; their own last line is never written."""
-        now = self._clock.now()
-        for request in cut[:CUT_LINES]:
-            logging.warning(
-                "event=exit_cut request=%s host=%s path=%s age_ms=%.0f",
-                request.request_id,
-                request.host,
-                request.path,
-                now - request.arrived,
-            )
-
     def _entries_listed(self, objects: Sequence[StoredObject]) -> None:
         for each in objects:
             self._know_entry(each, deleted=False)
@@ -365,7 +324,7 @@
 
     def _has_duty(self, duty: str) -> bool:
         """Whether this entry, of all that reach the store, does a duty for all of them."""
-        nodes = [each.name for each in self._peers.live() if each.store_ok]
+        nodes = [each.name for each in self._peers.live() if each.store_ok and not each.leaving]
         nodes.append(self._settings.node)
         return rendezvous_owner(duty, nodes) == self._settings.node
 
@@ -377,7 +336,8 @@
             done_jobs=self._runner.job_ids(finished=True),
             waiting=self._runner.waiting_tokens(),
             versions=self._declared.versions(),
-            leaving=self._released.is_set(),
+            leaving=self._leaving.is_set(),
+            released=self._runner.released,
             store_ok=self._store.reachable,
         )
 
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -35,9 +35,6 @@
 """Age of the last proof of ownership beyond which it is renewed before an item starts, when others
 may have acted for this entry since. A job that was ended through another entry must not start items
 three seconds later, and a sign of separation is seen within 0.9 s."""
-LAST_COMMITS_S = 1.5
-"""How long a leaving entry waits for its last commits: longer than one call to a slow store. What
-is not committed then is run again by the next owner."""
 KEPT_FINISHED = 64
 """Finished jobs that an entry answers for from memory; older ones are read from the store."""
 
@@ -73,6 +70,7 @@
         self._running = 0
         self._committing: set[str] = set()
         self._proving: set[str] = set()
+        self._released: frozenset[str] = frozenset()
         self._pace = ItemPace()
 
     def start(self) -> None:
@@ -80,17 +78,41 @@
         self._loads.on_room(self._wake.set)
         threading.Thread(target=self._loop, name="jobs", daemon=True).start()
 
-    def stop(self) -> None:
-        """Start nothing more, cancel what runs, commit what is done and answer for nothing."""
+    def stop(self, patience: Millis) -> None:
+        """Start nothing more, cancel what runs, commit what is done and answer for nothing.
+
+        Args:
+            patience: How long to wait for the commits.
+        """
         self._stopped.set()
         self._wake.set()
-        jobs = self.owned()
+        self.let_go(patience)
+        for job in self.owned():
+            job.lose()
+
+    def let_go(self, patience: Millis) -> None:
+        """Give up the unfinished jobs, with what is done of them committed.
+
+        Args:
+            patience: How long to wait for the commits.
+        """
+        jobs = [job for job in self.owned() if not job.lost and not job.finished]
         for job in jobs:
-            job.stop_runs()
+            job.leave()
         commits = [self._commits.submit(job.commit) for job in jobs if job.leave_due()]
-        wait(commits, LAST_COMMITS_S)
+        wait(commits, patience / 1000.0)
         for job in jobs:
+            if job.lost or job.finished:
+                continue
+            self._released |= {job.job_id}
             job.lose()
+            self._telemetry.count("job_owners", change="released")
+            logging.info("event=job_released job=%s", job.job_id)
+
+    @property
+    def released(self) -> frozenset[str]:
+        """Unfinished jobs that this entry has given up as it leaves."""
+        return self._released
 
     def add(self, job: OwnedJob) -> None:
         """Take a job on."""
@@ -110,7 +132,8 @@
 
     def job_ids(self, *, finished: bool) -> frozenset[str]:
         """Return the ids of the owned jobs that are finished, or that are not."""
-        return frozenset(job.job_id for job in self.owned() if job.finished is finished)
+        jobs = self.owned()
+        return frozenset(job.job_id for job in jobs if job.finished is finished and not job.lost)
 
     def told_ended(self, job_ids: Iterable[str]) -> None:
         """Take a peer's word that jobs have been ended in the store; the store is asked at once."""
@@ -225,6 +248,8 @@
 
     def _is_still_ours(self, job: OwnedJob) -> bool:
         """Whether an item of a job may start; if that needs a proof, ask for it."""
+        if job.leaving:
+            return False
         if (
             job.proof.holds(doubt_until=self._doubt_until(), max_age=VIEW_AGE)
             or job.proof.is_excused
--- a/packages/node/src/carobspool_node/direct/_peer_messages.py
+++ b/packages/node/src/carobspool_node/direct/_peer_messages.py
@@ -48,8 +48,8 @@
 
 
 class Hint(RecordModel):
-    """One datagram. Those from ``j`` on are in full hints only; the version before sends neither
-    ``b`` nor ``d``.
+    """One datagram. Those from ``j`` on are in full hints only; the version before sends none
+    of ``b``, ``d`` and ``r``.
     """
 
     n: Name
@@ -60,6 +60,7 @@
     v: dict[Name, Annotated[int, Field(ge=0, le=MAX_DIGEST)]]
     b: dict[Name, Count] | None = None
     x: bool
+    r: list[Name] | None = None
     s: bool
     j: list[Name] | None = None
     f: list[Name] = []
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -12,7 +12,7 @@
 import socket
 import threading
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import cbor2
@@ -101,6 +101,7 @@
     waiting: Mapping[str, int]
     versions: Mapping[str, int]
     leaving: bool
+    released: frozenset[str]
     store_ok: bool
 
 
@@ -299,6 +300,7 @@
             "b": starts,
             "v": dict(hint.versions),
             "x": hint.leaving,
+            "r": sorted(hint.released),
             "s": hint.store_ok,
         }
         with self._lock:
@@ -367,10 +369,13 @@
                 known.waiting = hint.w
                 if self._name in hint.q:
                     self._doubt_until = now + DOUBT_TIME
-            if known.leaving and known.open_jobs:
-                # It has committed what it had and works on nothing any more.
+            if hint.r is None and known.leaving and known.open_jobs:
+                # An entry of the version before gives up all its jobs as soon as it leaves.
                 lost = known
                 self._peers[hint.n] = _without_jobs(known)
+            elif hint.r:
+                # It has committed what it had of these and works on them no more.
+                lost = replace(known, open_jobs=frozenset(hint.r))
         if lost is not None:
             self._on_lost(lost)
         self._on_ended(hint.d)
--- a/packages/node/src/carobspool_node/direct/_telemetry.py
+++ b/packages/node/src/carobspool_node/direct/_telemetry.py
@@ -33,11 +33,12 @@
     "job_calls": ("call", "outcome"),
     "items": ("outcome",),
     "job_proofs": ("outcome",),
+    "job_owners": ("change",),
     "store_calls": ("call", "outcome"),
     "bad_records": ("kind",),
     "log_lines_dropped": (),
 }
-_TIMES = ("request", "first_event", "job_commit", "item_run")
+_TIMES = ("request", "first_event", "job_commit", "item_run", "job_orphan")
 
 
 class _DroppingHandler(QueueHandler):
--- a/packages/node/tests/test_direct_foreign_jobs.py
+++ b/packages/node/tests/test_direct_foreign_jobs.py
@@ -15,6 +15,7 @@
 from carobspool_node.direct._job_catalog import JobCatalog
 from carobspool_node.direct._job_records import INPUTS, PROGRESS, JobRecords
 from carobspool_node.direct._job_retention import JobRetention
+from carobspool_node.direct._telemetry import Telemetry
 from carobspool_standins.memory_store import MemoryObjects, MemoryStore
 
 RETENTION = 120_000.0
@@ -92,6 +93,7 @@
             JobCatalog(self.records),
             self.runner,  # type: ignore[arg-type]
             _Peers(),  # type: ignore[arg-type]
+            Telemetry(),
             peers_settled=lambda: True,
         )
 
--- a/packages/node/tests/test_direct_job_runner.py
+++ b/packages/node/tests/test_direct_job_runner.py
@@ -103,5 +103,5 @@
     runner.add(_job("old", "/slow/x", now - 50_000.0, make))
     runner.start()
     assert runs.done.wait(5.0)
-    runner.stop()
+    runner.stop(1_000.0)
     assert runs.order == ["old0", "old1", "near0", "near1", "new0", "new1"]
