--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -36,6 +36,15 @@
     has_time_for_job_call,
     has_time_to_serve,
 )
+from carobspool_core.direct._liveness import (
+    DEAD_AFTER,
+    DOUBT_TIME,
+    FORGET_AFTER,
+    GONE_AFTER,
+    SILENT_AFTER,
+    Liveness,
+    Silence,
+)
 from carobspool_core.direct._placement import (
     BATCH_RESERVE,
     Load,
@@ -62,9 +71,14 @@
 
 __all__ = [
     "BATCH_RESERVE",
-    "BatchUrgency",
+    "DEAD_AFTER",
+    "DOUBT_TIME",
+    "FORGET_AFTER",
+    "GONE_AFTER",
     "LAPSE_GRACE",
     "LEAVING_RETRY_AFTER",
+    "SILENT_AFTER",
+    "BatchUrgency",
     "CallerLimits",
     "Configuration",
     "EventSplitter",
@@ -78,11 +92,13 @@
     "JobItem",
     "JobProgress",
     "JobWork",
+    "Liveness",
     "Load",
     "MeanDuration",
     "Route",
     "RouteKind",
     "SharedView",
+    "Silence",
     "StreamEvent",
     "Successor",
     "Upstream",
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -44,10 +44,11 @@
 from carobspool_node.direct._listener import Listener
 from carobspool_node.direct._loads import LoadTable
 from carobspool_node.direct._messages import CallerRequest
+from carobspool_node.direct._peer import OwnHint
 from carobspool_node.direct._peer_api import PeerApi
 from carobspool_node.direct._peer_calls import PEER_HEADERS, PeerCaller
 from carobspool_node.direct._peer_messages import EntryRecord
-from carobspool_node.direct._peers import OwnHint, Peers
+from carobspool_node.direct._peers import Peers
 from carobspool_node.direct._reload import SettingsReload
 from carobspool_node.direct._settings import DirectSettings
 from carobspool_node.direct._stop_signal import StopSignal
--- a/packages/node/src/carobspool_node/direct/_exit.py
+++ b/packages/node/src/carobspool_node/direct/_exit.py
@@ -12,11 +12,11 @@
 from absl import logging
 
 from carobspool_core import Clock, Millis
-from carobspool_core.direct import Successor, lets_jobs_go
+from carobspool_core.direct import SILENT_AFTER, Successor, lets_jobs_go
 from carobspool_node.direct._job_runner import JobRunner
 from carobspool_node.direct._listener import Listener
 from carobspool_node.direct._messages import CallerRequest
-from carobspool_node.direct._peers import SILENT_AFTER, Peers
+from carobspool_node.direct._peers import Peers
 from carobspool_node.direct._telemetry import Telemetry
 
 MIN_DRAIN: Millis = 2_500.0
--- a/packages/node/src/carobspool_node/direct/_job_recovery.py
+++ b/packages/node/src/carobspool_node/direct/_job_recovery.py
@@ -15,9 +15,11 @@
 
 from carobspool_core import Clock, Millis
 from carobspool_core import owner as rendezvous_owner
+from carobspool_core.direct import DEAD_AFTER
 from carobspool_node.direct._job_adoption import JobAdoption
 from carobspool_node.direct._job_runner import JobRunner
-from carobspool_node.direct._peers import DEAD_AFTER, Peer, Peers
+from carobspool_node.direct._peer import Peer
+from carobspool_node.direct._peers import Peers
 
 SETTLE_TIME: Millis = DEAD_AFTER + 300.0
 """How long after its start an entry judges nobody as gone; each peer has sent full hints then."""
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -27,9 +27,10 @@
 from carobspool_node.direct._job_catalog import JobCatalog, nothing_done
 from carobspool_node.direct._job_runner import JobRunner
 from carobspool_node.direct._owned_job import OwnedJob
+from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._peer_calls import PeerCaller, PeerCallError
 from carobspool_node.direct._peer_messages import read_results
-from carobspool_node.direct._peers import Peer, Peers
+from carobspool_node.direct._peers import Peers
 
 VERIFY_AGE: Millis = 700.0
 """Age of the last proof of ownership beyond which reads are preceded by a new one while others may
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_peer.py
@@ -0,0 +1,62 @@
+"""Another entry as this one knows it, and what this one tells of itself."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from carobspool_core import Millis
+from carobspool_core.direct import Load
+
+
+@dataclass(slots=True, kw_only=True)
+class Peer:
+    """Another entry, by its last hints.
+
+    Attributes:
+        name: Its name.
+        incarnation: Changes with each start of its process.
+        address: Where it takes hints and calls.
+        heard: When its last hint came.
+        open_jobs: Jobs that it works on.
+        done_jobs: Finished jobs that it answers for.
+        waiting: Waiting tokens by route.
+        versions: What it has seen of the configuration and of the upstreams.
+        leaving: Whether it is shutting down.
+        store_ok: Whether it reaches the store.
+    """
+
+    name: str
+    incarnation: str
+    address: tuple[str, int]
+    heard: Millis
+    open_jobs: frozenset[str] = frozenset()
+    done_jobs: frozenset[str] = frozenset()
+    waiting: Mapping[str, int] = field(default_factory=dict)
+    versions: Mapping[str, int] = field(default_factory=dict)
+    leaving: bool = False
+    store_ok: bool = True
+
+    @property
+    def identity(self) -> str:
+        """Name and incarnation."""
+        return f"{self.name}#{self.incarnation}"
+
+    def answers_for(self, job_id: str) -> bool:
+        """Whether it works on a job or can tell its results."""
+        return job_id in self.open_jobs or job_id in self.done_jobs
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnHint:
+    """What an entry tells of itself."""
+
+    loads: Mapping[str, Load]
+    failures: Mapping[str, int]
+    open_jobs: frozenset[str]
+    done_jobs: frozenset[str]
+    waiting: Mapping[str, int]
+    versions: Mapping[str, int]
+    leaving: bool
+    released: frozenset[str]
+    store_ok: bool
--- a/packages/node/src/carobspool_node/direct/_peer_calls.py
+++ b/packages/node/src/carobspool_node/direct/_peer_calls.py
@@ -11,8 +11,8 @@
 from carobspool_core.direct import Upstream
 from carobspool_node.direct._errors import DeadlinePassedError, RunCancelledError
 from carobspool_node.direct._messages import HeaderNames
+from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._peer_messages import decode_cbor
-from carobspool_node.direct._peers import Peer
 from carobspool_node.direct._upstream_calls import (
     CallFailedError,
     UpstreamCall,
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -12,7 +12,7 @@
 import socket
 import threading
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
 import cbor2
@@ -20,8 +20,18 @@
 
 from carobspool_core import Clock, Millis
 from carobspool_core.border import UnusableRecordError, read_record
-from carobspool_core.direct import Load, by_identity, by_instance, latest_starts
+from carobspool_core.direct import (
+    DEAD_AFTER,
+    FORGET_AFTER,
+    SILENT_AFTER,
+    Liveness,
+    Load,
+    by_identity,
+    by_instance,
+    latest_starts,
+)
 from carobspool_node.direct._bad_records import BadRecords, shown
+from carobspool_node.direct._peer import OwnHint, Peer
 from carobspool_node.direct._peer_messages import MAX_NAME, Hint, decode_cbor
 from carobspool_node.direct._telemetry import Telemetry
 
@@ -30,18 +40,6 @@
 how wrong its picture of the others can be."""
 FULL_HINT_INTERVAL: Millis = 500.0
 """Time between two hints that also name jobs; they are also the heartbeat."""
-SILENT_AFTER: Millis = 900.0
-"""A peer unheard for this long is reported as silent, long before its jobs are taken over."""
-DEAD_AFTER: Millis = 2_200.0
-"""A peer unheard for this long has lost its jobs to others: four full hints in a row, and longer
-than the pause of a process restart."""
-GONE_AFTER: Millis = 5_000.0
-"""A peer unheard for this long does not come back at once; a restart takes two seconds."""
-FORGET_AFTER: Millis = 30_000.0
-DOUBT_TIME: Millis = 4_000.0
-"""How long after a sign of separation an owner checks with the store before it works on a job or
-answers for it: a takeover happens within `DEAD_AFTER` of the separation, and is seen in this time.
-A peer that stays silent is such a sign until it is forgotten, since it may act all the while."""
 ENDS_TOLD_FOR: Millis = 5_000.0
 """How long hints name a job that this entry has ended in the store: ten full hints, and longer than
 a takeover that was under way takes (three calls of at most 1.5 s)."""
@@ -52,59 +50,6 @@
 identity, and whether it knows upstreams' starts; if not, both come by the bare id."""
 
 
-@dataclass(slots=True, kw_only=True)
-class Peer:
-    """Another entry, by its last hints.
-
-    Attributes:
-        name: Its name.
-        incarnation: Changes with each start of its process.
-        address: Where it takes hints and calls.
-        heard: When its last hint came.
-        open_jobs: Jobs that it works on.
-        done_jobs: Finished jobs that it answers for.
-        waiting: Waiting tokens by route.
-        versions: What it has seen of the configuration and of the upstreams.
-        leaving: Whether it is shutting down.
-        store_ok: Whether it reaches the store.
-    """
-
-    name: str
-    incarnation: str
-    address: tuple[str, int]
-    heard: Millis
-    open_jobs: frozenset[str] = frozenset()
-    done_jobs: frozenset[str] = frozenset()
-    waiting: Mapping[str, int] = field(default_factory=dict)
-    versions: Mapping[str, int] = field(default_factory=dict)
-    leaving: bool = False
-    store_ok: bool = True
-
-    @property
-    def identity(self) -> str:
-        """Name and incarnation."""
-        return f"{self.name}#{self.incarnation}"
-
-    def answers_for(self, job_id: str) -> bool:
-        """Whether it works on a job or can tell its results."""
-        return job_id in self.open_jobs or job_id in self.done_jobs
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class OwnHint:
-    """What an entry tells of itself."""
-
-    loads: Mapping[str, Load]
-    failures: Mapping[str, int]
-    open_jobs: frozenset[str]
-    done_jobs: frozenset[str]
-    waiting: Mapping[str, int]
-    versions: Mapping[str, int]
-    leaving: bool
-    released: frozenset[str]
-    store_ok: bool
-
-
 class Peers:
     """The other entries of the deployment.
 
@@ -136,11 +81,8 @@
         self._lock = threading.Lock()
         self._peers: dict[str, Peer] = {}
         self._addresses: dict[str, tuple[str, int]] = {}
-        self._doubt_until: Millis = clock.now() + DOUBT_TIME
-        self._last_tick: Millis = clock.now()
+        self._liveness = Liveness(clock.now())
         self._ended: dict[str, Millis] = {}
-        self._left: set[str] = set()
-        self._gone: set[str] = set()
         self._on_loads: OnLoads = lambda peer, loads, failures, knows_starts: None
         self._on_versions: Callable[[Mapping[str, int]], None] = lambda versions: None
         self._on_lost: Callable[[Peer], None] = lambda peer: None
@@ -211,7 +153,7 @@
     @property
     def doubt_until(self) -> Millis:
         """Until when others may have acted on jobs of this entry without its knowledge."""
-        return self._doubt_until
+        return self._liveness.doubt_until
 
     def tell_ended(self, job_id: str) -> None:
         """Tell all peers, now and for some seconds, that a job has been ended in the store."""
@@ -243,37 +185,28 @@
                 logging.exception("event=hint_failed")
 
     def _notice_gaps(self, now: Millis) -> None:
-        gap = now - self._last_tick
-        self._last_tick = now
-        if gap > SILENT_AFTER:
-            logging.warning("event=process_stalled gap_ms=%.0f", gap)
-            self._doubt_until = now + DOUBT_TIME
-            # Hints that arrived during the pause are still unread; nobody is declared dead for it.
-            with self._lock:
+        with self._lock:
+            gap = self._liveness.look(now)
+            if gap:
+                # Hints that arrived during the pause are still unread; nobody is declared dead.
                 for peer in self._peers.values():
                     peer.heard = max(peer.heard, now - SILENT_AFTER)
+        if gap:
+            logging.warning("event=process_stalled gap_ms=%.0f", gap)
             return
         lost = []
         gone = []
         with self._lock:
             for peer in list(self._peers.values()):
                 silence = now - peer.heard
-                if silence > SILENT_AFTER and not peer.leaving:
-                    self._doubt_until = now + DOUBT_TIME
-                if silence > SILENT_AFTER and peer.leaving and peer.identity not in self._left:
-                    # What it did last it may have told nobody, and it may never start again.
-                    self._left.add(peer.identity)
-                    self._doubt_until = max(self._doubt_until, now)
-                if silence >= DEAD_AFTER and peer.open_jobs:
+                found = self._liveness.judge(peer.identity, silence, leaving=peer.leaving, now=now)
+                if found.is_lost and peer.open_jobs:
                     lost.append(peer)
                     self._peers[peer.name] = _without_jobs(peer)
-                if silence >= GONE_AFTER and peer.identity not in self._gone:
-                    self._gone.add(peer.identity)
+                if found.is_gone:
                     gone.append(peer)
-                if silence >= FORGET_AFTER:
+                if found.is_forgotten:
                     del self._peers[peer.name]
-                    self._left.discard(peer.identity)
-                    self._gone.discard(peer.identity)
         for peer in lost:
             logging.warning(
                 "event=peer_lost peer=%s silent_ms=%.0f jobs=%d",
@@ -348,16 +281,16 @@
         lost: Peer | None = None
         with self._lock:
             known = self._peers.get(hint.n)
+            silence = None
+            if known is not None and known.incarnation == hint.i:
+                silence = now - known.heard
+            self._liveness.heard(silence, now)
             if known is None or known.incarnation != hint.i:
                 if known is not None and known.open_jobs:
                     lost = known
                 known = Peer(name=hint.n, incarnation=hint.i, address=hint.a, heard=now)
                 self._peers[hint.n] = known
-                # What its earlier process did last, it may have told nobody.
-                self._doubt_until = max(self._doubt_until, now)
                 logging.info("event=peer_seen peer=%s", shown(known.identity, 2 * MAX_NAME))
-            if now - known.heard > SILENT_AFTER:
-                self._doubt_until = max(self._doubt_until, now)
             known.heard = now
             known.address = hint.a
             known.leaving = hint.x
@@ -368,7 +301,7 @@
                 known.done_jobs = frozenset(hint.f)
                 known.waiting = hint.w
                 if self._name in hint.q:
-                    self._doubt_until = now + DOUBT_TIME
+                    self._liveness.reported_silent(now)
             if hint.r is None and known.leaving and known.open_jobs:
                 # An entry of the version before gives up all its jobs as soon as it leaves.
                 lost = known
--- a/packages/node/tests/test_direct_peers.py
+++ b/packages/node/tests/test_direct_peers.py
@@ -9,8 +9,10 @@
 
 from carobspool_core import Millis
 from carobspool_core.border import read_record
+from carobspool_core.direct import DOUBT_TIME
+from carobspool_node.direct._peer import OwnHint
 from carobspool_node.direct._peer_messages import Hint
-from carobspool_node.direct._peers import DOUBT_TIME, OwnHint, Peers
+from carobspool_node.direct._peers import Peers
 from carobspool_node.direct._telemetry import Telemetry
 
 TICK: Millis = 100.0
