Ports of test entries are reserved until the test ends

Seen once (tests/direct/test_membership.py, five workers): 'Address already in use' on a port that lies outside the system's range for outgoing connections, so another harness had drawn it between the look and the start. A reservation at a second loopback address makes that draw fail.

--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -36,6 +36,7 @@
 STEP_S = 0.05
 PROGRAM = ("-m", "carobspool_platform")
 FIRST_PORT, END_OF_PORTS = 10_000, 32_000
+RESERVATIONS = "127.0.0.2"
 
 
 def route(prefix: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
@@ -183,7 +184,7 @@
         program: Sequence[str] = PROGRAM,
     ) -> Entry:
         """Start an entry; its log goes to a file unless a descriptor is given for it."""
-        port, ready_port, peer_port, metrics_port = _free_ports(4)
+        port, ready_port, peer_port, metrics_port = _free_ports(4, self.stack)
         settings = self._settings(name, "direct-entry", peer_port, metrics_port)
         settings |= {"callers": f"127.0.0.1:{port}", "ready": f"127.0.0.1:{ready_port}"}
         settings["first_start"] = first_start
@@ -197,7 +198,7 @@
 
     def keeper(self, name: str) -> None:
         """Start a keeper."""
-        self._run(self._settings(name, "keeper", *_free_ports(2)))
+        self._run(self._settings(name, "keeper", *_free_ports(2, self.stack)))
 
     def _settings(self, name: str, role: str, peer_port: int, metrics_port: int) -> dict[str, Any]:
         return {
@@ -282,17 +283,25 @@
     return list(page["results"])
 
 
-def _free_ports(count: int) -> list[int]:
-    """Return ports on which nothing listens.
+def _free_ports(count: int, stack: ExitStack) -> list[int]:
+    """Return ports on which nothing listens, kept for this deployment until the stack ends.
 
     They are drawn below those that the system gives to outgoing connections: such a port can be
-    taken by any other process between this look and the start of the entry.
+    taken by any other process between this look and the start of the entry. Another harness that
+    draws the same port finds it bound at a second address of the loopback, and draws again.
     """
     ports: list[int] = []
     while len(ports) < count:
         port = random.randrange(FIRST_PORT, END_OF_PORTS)
-        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
-            ports.append(port)
+        reservation = socket.socket()
+        try:
+            reservation.bind((RESERVATIONS, port))
+            socket.create_server(("127.0.0.1", port)).close()
+        except OSError:
+            reservation.close()
+            continue
+        stack.enter_context(reservation)
+        ports.append(port)
     return ports
 
 
