--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -73,6 +73,11 @@
         self._released: frozenset[str] = frozenset()
         self._pace = ItemPace()
 
+    @property
+    def released(self) -> frozenset[str]:
+        """Unfinished jobs that this entry has given up as it leaves."""
+        return self._released
+
     def start(self) -> None:
         """Start to work."""
         self._loads.on_room(self._wake.set)
@@ -109,11 +114,6 @@
             self._telemetry.count("job_owners", change="released")
             logging.info("event=job_released job=%s", job.job_id)
 
-    @property
-    def released(self) -> frozenset[str]:
-        """Unfinished jobs that this entry has given up as it leaves."""
-        return self._released
-
     def add(self, job: OwnedJob) -> None:
         """Take a job on."""
         with self._lock:
