Failing test: an end that is in force is told as not done

The end of a job was asked at an entry while the store refused both; the owner had ended it in memory and wrote that 1.7 s later; the caller had been told 503, which promises that nothing was done.

--- a/tests/direct/test_job_ends.py
+++ b/tests/direct/test_job_ends.py
@@ -96,3 +96,31 @@
     time.sleep(1.5)
     owner.signal(signal.SIGCONT)
     _nothing_arrives_after_the_bound(engine, acknowledged)
+
+
+def test_an_end_that_may_come_into_force_is_not_told_as_not_done(system: Deployment) -> None:
+    """The store refuses everything. The end is asked at another entry, which asks the owner; the
+    owner ends the job in memory and cannot write it, nor can the other entry. The caller was told
+    503, which promises that nothing was done; then the store came back, the owner wrote the end,
+    and the job that its caller took for open was never finished."""
+    engine = _FullEngine()
+    _, other = _owned_job(system, engine)
+    system.objects.faults.status = 503
+    assert other.call("DELETE", "/api/lots/j").status == 504
+    system.objects.faults.status = 0
+    ended = eventually(lambda: other.call("DELETE", "/api/lots/j").status == 200, 5)
+    assert ended
+    _nothing_arrives_after_the_bound(engine, time.monotonic())
+
+
+def test_an_end_that_nobody_was_asked_for_is_told_as_not_done(system: Deployment) -> None:
+    """No entry owns the job and the store refuses everything: nothing of the end can be in force,
+    and the caller may be told so."""
+    owner, other = system.entry("e1"), system.entry("e2")
+    assert owner.call("POST", "/batch/j", body=submission(*IDS), request_id="j").status == 202
+    owner.signal(signal.SIGKILL)
+    system.objects.faults.status = 503
+    time.sleep(3.0)
+    answer = other.call("DELETE", "/api/lots/j")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
