An end that the owner may have in force is told as unknown, not as not done

Cause (class: a refusal that says 'not done' for what may be): the entry that was asked could not tell the owner's failure to write from a refusal, and its own try at the store was refused too. Ruled out: a lost job (the record holds the end). Change: once an owner was asked, the answer is 504 unless the store has the end. 503 stays where nobody was asked. Ends answered 503 must still leave the job to finish.

--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -157,14 +157,22 @@
         if own is not None:
             return own
         peer = self._peers.holder_of(job_id)
-        if peer is not None:
-            try:
-                status, _ = self._caller.call(peer, "end", {"id": job_id}, PEER_TIMEOUT * 2)
-                if status == 200:
-                    return Outcome.DONE
-            except PeerCallError as error:
-                logging.warning("event=peer_call_failed peer=%s reason=%r", peer.identity, error)
-        return self._end_in_store(job_id)
+        if peer is None:
+            return self._end_in_store(job_id)
+        if self._end_at(peer, job_id):
+            return Outcome.DONE
+        outcome = self._end_in_store(job_id)
+        # The owner may have ended the job and be about to write that: a caller that is told that
+        # nothing was done waits for results that never come.
+        return Outcome.UNKNOWN if outcome is Outcome.UNAVAILABLE else outcome
+
+    def _end_at(self, peer: Peer, job_id: str) -> bool:
+        try:
+            status, _ = self._caller.call(peer, "end", {"id": job_id}, PEER_TIMEOUT * 2)
+        except PeerCallError as error:
+            logging.warning("event=peer_call_failed peer=%s reason=%r", peer.identity, error)
+            return False
+        return status == 200
 
     def end_own(self, job_id: str) -> Outcome | None:
         """End a job that this entry owns; ``None`` when it does not own it."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,7 @@
         1,
         2,
         910002,  # an entry served on after SIGTERM; the lock of its handler fits, see test_signals
+        920019,  # the end of a job was told as not done (503) and came into force later
     ],
 )
 def test_promises_hold_under_a_random_schedule_of_faults(seed: int, tmp_path: Path) -> None:
--- a/tests/soak_judge.py
+++ b/tests/soak_judge.py
@@ -13,6 +13,8 @@
 from disturbances import Disturbances
 
 EVENTS = 6
+NOT_DONE = frozenset({429, 503})
+"""Statuses that promise that nothing was done."""
 END_GRACE_S = 3.5
 END_BOUND_S = 3.0
 """Time after the acknowledgement of its end beyond which an entry that has run undisturbed for as
@@ -36,6 +38,7 @@
     accepted: dict[str, list[str]] = field(default_factory=dict)
     refused: dict[str, list[str]] = field(default_factory=dict)
     ended: dict[str, float] = field(default_factory=dict)
+    ends_in_doubt: set[str] = field(default_factory=set)
     held: dict[str, list[str]] = field(default_factory=dict)
     positions: dict[str, list[tuple[str, str]]] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
@@ -139,6 +142,9 @@
                 if late:
                     record.violated(f"job {job_id}: {late} ran after its end")
                 continue
+            if job_id in record.ends_in_doubt:
+                # Its end was answered with neither a success nor a promise that nothing was done.
+                continue
             for entry in entries:
                 self._job(job_id, items, finished(entry, job_id))
         for job_id, items in record.refused.items():
