--- a/packages/node/src/carobspool_node/direct/_store_relay.py
+++ b/packages/node/src/carobspool_node/direct/_store_relay.py
@@ -1,8 +1,12 @@
 """An object store that goes through another entry when this one is turned away.
 
-The store sometimes refuses single machines while it serves the others. Without a way around, such
-an entry could accept no job and commit no result, and would serve an old configuration, for as long
-as that lasts.
+The store sometimes refuses single machines while it serves the others, or is cut off from them.
+Without a way around, such an entry could accept no job and commit no result, and would serve an old
+configuration, for as long as that lasts.
+
+Writes are conditional: they create an object or name the version that they replace. So a write
+whose answer is lost is made again through a peer. Whichever of the two comes second conflicts with
+an object of the same value, which tells that the write is done.
 """
 
 from __future__ import annotations
@@ -126,7 +130,7 @@
             if relayed is not None:
                 return relayed
         answer = self._note(operation, key, direct())
-        if _is_refused(answer):
+        if _is_refused(answer) or _is_unknown(answer):
             relayed = self._relay(operation, key, extra)
             if relayed is not None:
                 return relayed
@@ -135,7 +139,7 @@
     def _note(self, operation: str, key: str, answer: Answer) -> Answer:
         outcome = "done" if is_successful(answer) else answer.failure().fault.value
         self._telemetry.count("store_calls", call=operation, outcome=outcome)
-        if _is_refused(answer):
+        if _is_refused(answer) or _is_unknown(answer):
             self._refused_until = self._clock.now() + REFUSED_TIME
         elif is_successful(answer):
             self._refused_until = 0.0
@@ -155,6 +159,7 @@
         peers = [each for each in self._peers().live() if each.store_ok and not each.leaving]
         peers.sort(key=lambda each: -each.heard)
         body = {"op": operation, "key": key, **extra}
+        unknown: Answer | None = None
         for peer in peers[:RELAYS_TRIED]:
             started = time.monotonic()
             try:
@@ -162,9 +167,8 @@
                 answer = _decode(key, found) if status == 200 else None
             except (PeerCallError, UnusableRecordError) as error:
                 logging.warning("event=relay_failed peer=%s reason=%r", peer.identity, error)
-                if operation not in READS:
-                    detail = f"relay: {error}"
-                    return Failure(StoreFailure(fault=StoreFault.UNKNOWN, key=key, detail=detail))
+                detail = f"relay: {error}"
+                unknown = Failure(StoreFailure(fault=StoreFault.UNKNOWN, key=key, detail=detail))
                 continue
             if answer is None:
                 logging.warning(
@@ -179,15 +183,21 @@
                 is_successful(answer),
                 (time.monotonic() - started) * 1000.0,
             )
-            if not _is_refused(answer):
+            if _is_unknown(answer):
+                unknown = answer
+            elif not _is_refused(answer):
                 return answer
-        return None
+        return None if operation in READS else unknown
 
 
 def _is_refused(answer: Answer) -> bool:
     return not is_successful(answer) and answer.failure().fault is StoreFault.UNAVAILABLE
 
 
+def _is_unknown(answer: Answer) -> bool:
+    return not is_successful(answer) and answer.failure().fault is StoreFault.UNKNOWN
+
+
 def _encode(answer: Answer) -> Json:
     if is_successful(answer):
         found = answer.unwrap()
--- a/tests/adapter/test_platform_store.py
+++ b/tests/adapter/test_platform_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 from collections.abc import Iterator
 
@@ -9,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from carobspool_core import Json, StoreFailure, StoreFault, boottime_clock
-from carobspool_platform._store import PlatformStore
+from carobspool_platform._store import CALL_TIMEOUT, PlatformStore
 from carobspool_standins.platform_store import PlatformObjects, serve_platform_store
 
 Served = tuple[PlatformObjects, PlatformStore]
@@ -85,6 +86,23 @@
     assert _fault(store.create("jobs/a", 1)) is StoreFault.UNKNOWN
 
 
+def test_a_write_that_nothing_acknowledges_is_given_up_soon() -> None:
+    """The store's machine is cut off while a call is on a kept connection. What was sent is never
+    acknowledged, and waiting for the call timeout would use up most of the caller's time. The write
+    may have arrived before the cut, so its end is unknown, and nothing is read back over a way that
+    is gone. A machine that reads nothing stands for the cut: its full buffers acknowledge no more.
+    """
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        clock = boottime_clock()
+        store = PlatformStore(f"127.0.0.1:{listener.getsockname()[1]}", clock)
+        started = clock.now()
+        assert _fault(store.create("jobs/a", "x" * 20_000_000)) is StoreFault.UNKNOWN
+        assert clock.now() - started < CALL_TIMEOUT
+
+
 @pytest.mark.parametrize("status", [503, 429])
 def test_a_refusal_says_that_nothing_was_done(served: Served, status: int) -> None:
     objects, store = served
