An entry that has just started leaves jobs to the one that took them over

Cause: a leaving owner names the jobs that it gave up in all its hints. Ruled out: two entries that both think themselves chosen (the conditional write stops the second). Change: a loss is noted with the owner that is gone; an entry that has not heard of all others yet takes a job over only from that owner. Test: an entry that starts, a job whose record names a third owner; it was taken before.

--- a/packages/node/src/carobspool_node/direct/_job_adoption.py
+++ b/packages/node/src/carobspool_node/direct/_job_adoption.py
@@ -37,12 +37,12 @@
     Attributes:
         since: When that was noted here.
         reason: Why, for the log.
-        certain: Whether its owner gave it up or was seen to be gone.
+        lost_owner: Who gave it up or was seen to be gone, ``None`` when nobody was.
     """
 
     since: Millis
     reason: str
-    certain: bool
+    lost_owner: str | None
 
 
 class JobAdoption:
@@ -97,18 +97,19 @@
             len(stored.progress.results),
         )
 
-    def find_owner(self, job_id: str, reason: str, *, certain: bool = False) -> bool:
+    def find_owner(self, job_id: str, reason: str, *, lost_owner: str | None = None) -> bool:
         """Make sure that a stored job has a living owner; return whether that is settled.
 
         Args:
             job_id: The job.
             reason: Why it may have none, for the log.
-            certain: Whether its owner is known to be gone, so that a process which has just
-                started need not wait until it has heard of all the others.
+            lost_owner: Who is known to work on it no more, so that a process which has just started
+                need not wait until it has heard of all the others.
         """
         if self._runner.get(job_id) is not None:
             return True
-        if not certain and not self._peers_settled():
+        settled = self._peers_settled()
+        if lost_owner is None and not settled:
             return False
         job = self._catalog.input(job_id)
         if not is_successful(job):
@@ -116,24 +117,31 @@
         state = self._catalog.state(job.unwrap())
         if not is_successful(state):
             return state.failure().fault in _NOBODY_CAN_OWN
-        if self._catalog.keep_if_finished(job_id, state.unwrap().progress):
+        progress = state.unwrap().progress
+        if self._catalog.keep_if_finished(job_id, progress):
             return True
+        if not settled and progress.owner != lost_owner:
+            # Another has taken it over already, and this process has not heard of that one yet.
+            # Taken from it, the job's runs are cut and resumed, once for each process that starts.
+            return False
         return self._adopt(job.unwrap(), state.unwrap(), reason)
 
-    def orphaned(self, job_ids: Iterable[str], reason: str, *, certain: bool = False) -> None:
+    def orphaned(
+        self, job_ids: Iterable[str], reason: str, *, lost_owner: str | None = None
+    ) -> None:
         """Note jobs whose owner is gone; `adopt_orphans` finds each a new one.
 
         Args:
             job_ids: The jobs.
             reason: Why, for the log.
-            certain: Whether the owner gave them up or was seen to be gone.
+            lost_owner: Who gave them up or was seen to be gone, ``None`` when nobody was.
         """
-        orphan = _Orphan(since=self._clock.now(), reason=reason, certain=certain)
+        orphan = _Orphan(since=self._clock.now(), reason=reason, lost_owner=lost_owner)
         with self._orphans_lock:
             for job_id in job_ids:
                 known = self._orphans.get(job_id)
                 # What a start noted in the store before it heard of the owner holds nothing back.
-                if known is None or (certain and not known.certain):
+                if known is None or (lost_owner is not None and known.lost_owner != lost_owner):
                     self._orphans[job_id] = orphan
 
     def adopt_orphans(self, mine: Callable[[str], bool]) -> None:
@@ -150,7 +158,7 @@
             if self._has_owner(job_id):
                 settled = True
             elif mine(job_id) or now - orphan.since > OTHERS_TURN:
-                settled = self.find_owner(job_id, orphan.reason, certain=orphan.certain)
+                settled = self.find_owner(job_id, orphan.reason, lost_owner=orphan.lost_owner)
                 if settled and self._runner.get(job_id) is not None:
                     self._telemetry.time("job_orphan", self._clock.now() - orphan.since)
             else:
--- a/packages/node/src/carobspool_node/direct/_job_recovery.py
+++ b/packages/node/src/carobspool_node/direct/_job_recovery.py
@@ -82,7 +82,8 @@
 
     def peer_lost(self, peer: Peer) -> None:
         """Find owners for the jobs that a peer has named in its hints."""
-        self._adoption.orphaned(peer.open_jobs, f"lost {peer.identity}", certain=True)
+        reason = f"lost {peer.identity}"
+        self._adoption.orphaned(peer.open_jobs, reason, lost_owner=peer.identity)
         self._wake.set()
 
     def peer_gone(self, peer: Peer) -> None:
--- a/packages/node/tests/test_direct_job_adoption.py
+++ b/packages/node/tests/test_direct_job_adoption.py
@@ -42,13 +42,11 @@
         """Tell nobody."""
 
 
-def test_a_job_that_may_have_an_owner_is_taken_over_once_its_owner_says_it_has_none() -> None:
-    """An entry starts again and lists the store: a job there may have an owner that it has not
-    heard of yet, so it waits. The owner then tells that it gave the job up. Its first note of the
-    job must not hold it back: the items stood still for 2.2 s until another process had started."""
+def _start_beside(job_owner: str) -> tuple[JobAdoption, _Runner]:
+    """Return an entry that has just started, and a stored job of somebody in the store."""
     records = JobRecords(MemoryStore(MemoryObjects(), "e2"), 1_048_576)
     item = JobItem(item_id="i", path="/", headers={}, body=b"", tokens=1)
-    given = JobInput(job_id="j", host="h", path="/", owner="e1#1", submitted=0.0, items=(item,))
+    given = JobInput(job_id="j", host="h", path="/", owner=job_owner, submitted=0.0, items=(item,))
     assert records.create_input(given)
     runner = _Runner()
     adoption = JobAdoption(
@@ -59,9 +57,30 @@
         Telemetry(),
         peers_settled=lambda: False,
     )
+    return adoption, runner
+
+
+def test_a_job_that_may_have_an_owner_is_taken_over_once_its_owner_says_it_has_none() -> None:
+    """An entry starts again and lists the store: a job there may have an owner that it has not
+    heard of yet, so it waits. The owner then tells that it gave the job up. Its first note of the
+    job must not hold it back: the items stood still for 2.2 s until another process had started."""
+    adoption, runner = _start_beside("e1#1")
     adoption.orphaned(["j"], "recovered")
     adoption.adopt_orphans(lambda job_id: True)
     assert not runner.jobs
-    adoption.orphaned(["j"], "lost e1#1", certain=True)
+    adoption.orphaned(["j"], "lost e1#1", lost_owner="e1#1")
+    adoption.adopt_orphans(lambda job_id: True)
+    assert set(runner.jobs) == {"j"}
+
+
+def test_a_job_that_another_has_taken_over_is_left_to_it() -> None:
+    """An owner leaves and names the jobs that it gave up in all its hints until it is gone. Another
+    entry takes them over. Entries that start then hear of the first one before they hear of the
+    second, and took each job from its living owner, one after the other: its runs were cut."""
+    adoption, runner = _start_beside("e3#1")
+    adoption.orphaned(["j"], "lost e1#1", lost_owner="e1#1")
+    adoption.adopt_orphans(lambda job_id: True)
+    assert not runner.jobs
+    adoption.orphaned(["j"], "lost e3#1", lost_owner="e3#1")
     adoption.adopt_orphans(lambda job_id: True)
     assert set(runner.jobs) == {"j"}
