Entries start batch items in the order in which they are due across the fleet

Cause: each entry ordered its own items and started them wherever it saw room, all entries at once by the same hints. Change: hints name when an entry's waiting items are due (sixteen groups at most); an item starts only where more places are free than items elsewhere are due sooner. Room is left to others for 300 ms at most. Hints that tell of room wake the jobs.

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -3,6 +3,7 @@
 Pure: no network, no threads, no wall clock.
 """
 
+from carobspool_core.direct._backlog import Backlog, WaitingGroup, group_waiting
 from carobspool_core.direct._batch_order import BatchUrgency, ItemPace, urgency_of
 from carobspool_core.direct._configuration import (
     CallerLimits,
@@ -51,6 +52,7 @@
     choose_batch_upstream,
     choose_upstream,
     excess_of_batch,
+    room_for_batch,
     share_of_excess,
 )
 from carobspool_core.direct._queueing import (
@@ -78,6 +80,7 @@
     "LAPSE_GRACE",
     "LEAVING_RETRY_AFTER",
     "SILENT_AFTER",
+    "Backlog",
     "BatchUrgency",
     "CallerLimits",
     "Configuration",
@@ -103,6 +106,7 @@
     "Successor",
     "Upstream",
     "UpstreamList",
+    "WaitingGroup",
     "WeightedService",
     "by_identity",
     "by_instance",
@@ -110,6 +114,7 @@
     "choose_upstream",
     "excess_of_batch",
     "fits_quota",
+    "group_waiting",
     "has_returned",
     "has_time_for_job_call",
     "has_time_to_serve",
@@ -123,6 +128,7 @@
     "queue_limit",
     "results_from_json",
     "return_after",
+    "room_for_batch",
     "share_of_excess",
     "urgency_of",
 ]
--- a/packages/core/src/carobspool_core/direct/_placement.py
+++ b/packages/core/src/carobspool_core/direct/_placement.py
@@ -137,7 +137,7 @@
         if upstream.identity in suspects:
             continue
         load = loads.get(upstream.identity, Load())
-        free = upstream.slots - _reserve(upstream.slots, urgency) - load.total
+        free = _free_for_batch(upstream, load, urgency)
         if free <= 0:
             continue
         score = -free / upstream.slots + draw.random() * _JITTER
@@ -147,6 +147,26 @@
     return best
 
 
+def room_for_batch(
+    upstreams: Sequence[Upstream],
+    loads: Mapping[str, Load],
+    *,
+    urgency: BatchUrgency,
+    suspects: frozenset[str] = frozenset(),
+) -> int:
+    """Return how many batch items of one urgency could start now."""
+    room = 0
+    for upstream in upstreams:
+        if upstream.identity not in suspects:
+            load = loads.get(upstream.identity, Load())
+            room += max(0, _free_for_batch(upstream, load, urgency))
+    return room
+
+
+def _free_for_batch(upstream: Upstream, load: Load, urgency: BatchUrgency) -> int:
+    return upstream.slots - _reserve(upstream.slots, urgency) - load.total
+
+
 def _reserve(slots: int, urgency: BatchUrgency) -> int:
     reserve = BATCH_RESERVE if slots >= SMALL_UPSTREAM else min(1, slots - 1)
     return max(0, reserve - _TAKEN_OF_RESERVE.get(urgency, 0))
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -203,6 +203,7 @@
         callers = self._listen()
         self._peers.start(
             on_loads=self._take_loads,
+            on_backlog=self._runner.take_backlog,
             on_versions=self._declared.compare,
             on_lost=self._recovery.peer_lost,
             on_gone=self._recovery.peer_gone,
@@ -340,6 +341,7 @@
             leaving=self._leaving.is_set(),
             released=self._runner.released,
             store_ok=self._store.reachable,
+            backlog=self._runner.backlog(),
         )
 
     def _tidy(self) -> None:
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import ThreadPoolExecutor, wait
@@ -10,12 +11,16 @@
 
 from carobspool_core import Clock, Millis, wall_millis
 from carobspool_core.direct import (
+    Backlog,
+    BatchUrgency,
     Configuration,
     ItemEnd,
     ItemPace,
     ItemWork,
     Route,
     Upstream,
+    WaitingGroup,
+    group_waiting,
 )
 from carobspool_node.direct._item_order import WaitingItem, waiting_in_order
 from carobspool_node.direct._item_run import ItemRunner, RunEnd, RunOutcome
@@ -72,6 +77,9 @@
         self._proving: set[str] = set()
         self._released: frozenset[str] = frozenset()
         self._pace = ItemPace()
+        self._backlog = Backlog()
+        self._backlog_lock = threading.Lock()
+        self._waiting_dues: Sequence[float] = ()
 
     @property
     def released(self) -> frozenset[str]:
@@ -142,6 +150,16 @@
             if job is not None and job.told_ended():
                 self._ask_for_proof(job)
 
+    def backlog(self) -> Sequence[WaitingGroup]:
+        """Return the items that wait here and can still be on time, for hints."""
+        wall = wall_millis()
+        return group_waiting(max(0.0, due - wall) for due in self._waiting_dues)
+
+    def take_backlog(self, peer: str, groups: Sequence[WaitingGroup]) -> None:
+        """Take what waits at another entry."""
+        with self._backlog_lock:
+            self._backlog.take(peer, groups, self._clock.now())
+
     def waiting_tokens(self) -> dict[str, int]:
         """Return the tokens of unfinished items by route."""
         configuration = self._configuration()
@@ -212,12 +230,17 @@
         configuration = self._configuration()
         if configuration is None:
             return
-        jobs = self.owned()
-        for waiting in waiting_in_order(jobs, configuration, self._pace, now=self._clock.now()):
+        order = waiting_in_order(self.owned(), configuration, self._pace, now=self._clock.now())
+        for waiting in order:
             if self._stopped.is_set() or self._running >= MAX_RUNS:
-                return
+                break
             if not self._start(waiting):
-                return
+                break
+        self._waiting_dues = [
+            each.due
+            for each in order
+            if not each.work.running and each.urgency is not BatchUrgency.LATE
+        ]
 
     def _start(self, waiting: WaitingItem) -> bool:
         """Start an item if there is room; return whether there may be room for the next one."""
@@ -228,6 +251,8 @@
         if not self._is_still_ours(job):
             return True
         upstreams = self._usable(route.service_for(work.item.item_id))
+        if not self._goes_first(waiting, upstreams):
+            return False
         placed = self._loads.place_batch(upstreams, urgency=waiting.urgency, due=waiting.due)
         if placed is None:
             return False
@@ -238,6 +263,15 @@
         self._runs.submit(self._run, job, work, route, upstream, run)
         return True
 
+    def _goes_first(self, waiting: WaitingItem, upstreams: Sequence[Upstream]) -> bool:
+        """Whether there is room for an item that is not left to items of other entries."""
+        until_due = waiting.due - wall_millis()
+        if waiting.urgency is BatchUrgency.LATE:
+            until_due = math.inf
+        room = self._loads.room_for_batch(upstreams, urgency=waiting.urgency)
+        with self._backlog_lock:
+            return self._backlog.may_start(until_due, room=room, now=self._clock.now())
+
     def _is_too_old(self, job: OwnedJob, route: Route) -> bool:
         return bool(route.retention) and wall_millis() - job.input.submitted >= route.retention
 
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -25,6 +25,7 @@
     excess_of_batch,
     latest_starts,
     queue_limit,
+    room_for_batch,
     share_of_excess,
 )
 from carobspool_node.direct._channel import Cancellation
@@ -111,7 +112,7 @@
         self._on_change: Callable[[], None] = lambda: None
 
     def on_room(self, callback: Callable[[], None]) -> None:
-        """Call ``callback`` when a request has left an upstream."""
+        """Call ``callback`` when a request, of this entry or of another, has left an upstream."""
         self._on_change = callback
 
     def place_online(
@@ -208,6 +209,14 @@
             self._begin(chosen.identity, now).runs.append(run)
         return chosen, run
 
+    def room_for_batch(self, upstreams: Sequence[Upstream], *, urgency: BatchUrgency) -> int:
+        """Return how many batch items of one urgency could start now."""
+        now = self._clock.now()
+        with self._lock:
+            loads = self._loads(now)
+            suspects = self._suspected(now)
+        return room_for_batch(upstreams, loads, urgency=urgency, suspects=suspects)
+
     def end_batch(self, upstream: Upstream, run: BatchRun) -> None:
         """Count the end of a batch item's run."""
         with self._lock:
@@ -259,6 +268,10 @@
         with self._lock:
             if not knows_starts:
                 loads = self._of_current_starts(loads, upstreams)
+            _, before = self._peers.get(peer, (now, loads))
+            makes_room = any(
+                load.total > loads.get(identity, Load()).total for identity, load in before.items()
+            )
             self._peers[peer] = (now, loads)
             self._failures.take(peer, failures, now)
             self._note_avoided(now)
@@ -267,6 +280,8 @@
                     victims.extend(self._victims(upstream, now, own_first=False))
         for run in victims:
             run.cancellation.cancel()
+        if makes_room:
+            self._on_change()
 
     def restarted(self, upstream: Upstream) -> None:
         """Note that an upstream has started again, and has room."""
--- a/packages/node/src/carobspool_node/direct/_peer.py
+++ b/packages/node/src/carobspool_node/direct/_peer.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from carobspool_core import Millis
-from carobspool_core.direct import Load
+from carobspool_core.direct import Load, WaitingGroup
 
 
 @dataclass(slots=True, kw_only=True)
@@ -60,3 +60,4 @@
     leaving: bool
     released: frozenset[str]
     store_ok: bool
+    backlog: Sequence[WaitingGroup]
--- a/packages/node/src/carobspool_node/direct/_peer_messages.py
+++ b/packages/node/src/carobspool_node/direct/_peer_messages.py
@@ -48,8 +48,8 @@
 
 
 class Hint(RecordModel):
-    """One datagram. Those from ``j`` on are in full hints only; the version before sends none
-    of ``b``, ``d`` and ``r``.
+    """One datagram. Those from ``j`` on are in full hints only; the versions before send none
+    of ``b``, ``d``, ``p`` and ``r``.
     """
 
     n: Name
@@ -62,6 +62,7 @@
     x: bool
     r: list[Name] | None = None
     s: bool
+    p: list[Annotated[list[Count], Field(min_length=2, max_length=2)]] = []
     j: list[Name] | None = None
     f: list[Name] = []
     w: dict[str, Count] = {}
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -26,6 +26,7 @@
     SILENT_AFTER,
     Liveness,
     Load,
+    WaitingGroup,
     by_identity,
     by_instance,
     latest_starts,
@@ -48,6 +49,8 @@
 OnLoads = Callable[[str, Mapping[str, Load], Mapping[str, int], bool], None]
 """Takes a peer's name, what it has in flight, the failures that it has seen, both by the upstream's
 identity, and whether it knows upstreams' starts; if not, both come by the bare id."""
+OnBacklog = Callable[[str, Sequence[WaitingGroup]], None]
+"""Takes a peer's name and the batch items that wait there."""
 
 
 class Peers:
@@ -84,6 +87,7 @@
         self._liveness = Liveness(clock.now())
         self._ended: dict[str, Millis] = {}
         self._on_loads: OnLoads = lambda peer, loads, failures, knows_starts: None
+        self._on_backlog: OnBacklog = lambda peer, groups: None
         self._on_versions: Callable[[Mapping[str, int]], None] = lambda versions: None
         self._on_lost: Callable[[Peer], None] = lambda peer: None
         self._on_gone: Callable[[Peer], None] = lambda peer: None
@@ -101,6 +105,7 @@
         self,
         *,
         on_loads: OnLoads,
+        on_backlog: OnBacklog,
         on_versions: Callable[[Mapping[str, int]], None],
         on_lost: Callable[[Peer], None],
         on_gone: Callable[[Peer], None],
@@ -108,6 +113,7 @@
     ) -> None:
         """Start to send and to receive."""
         self._on_loads = on_loads
+        self._on_backlog = on_backlog
         self._on_versions = on_versions
         self._on_lost = on_lost
         self._on_gone = on_gone
@@ -235,6 +241,7 @@
             "x": hint.leaving,
             "r": sorted(hint.released),
             "s": hint.store_ok,
+            "p": [[int(group.until_due), group.items] for group in hint.backlog],
         }
         with self._lock:
             targets = dict(self._addresses)
@@ -312,6 +319,7 @@
         if lost is not None:
             self._on_lost(lost)
         self._on_ended(hint.d)
+        self._on_backlog(hint.n, [WaitingGroup(float(left), count) for left, count in hint.p])
         starts = hint.b or {}
         loads = by_identity({key: Load(*pair) for key, pair in hint.l.items()}, starts)
         self._on_loads(hint.n, loads, by_identity(hint.e, starts), hint.b is not None)
--- a/tests/fleet_load.py
+++ b/tests/fleet_load.py
@@ -8,12 +8,20 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from carobspool_core.direct import BatchUrgency, Upstream, urgency_of
+from carobspool_core.direct import (
+    Backlog,
+    BatchUrgency,
+    Upstream,
+    WaitingGroup,
+    group_waiting,
+    urgency_of,
+)
 from carobspool_node.direct._loads import BatchRun, LoadTable, Placement
 
 HINT_INTERVAL = 100.0
@@ -151,6 +159,7 @@
         self.by_instance = {each.instance: each for each in self.upstreams}
         self.waiting: list[deque[_Item]] = [deque() for _ in self.tables]
         self.running: list[list[_Run]] = [[] for _ in self.tables]
+        self.backlogs = [Backlog() for _ in self.tables]
         self.engines: dict[str, list[_Run]] = {each.instance: [] for each in self.upstreams}
         self.queue: dict[str, deque[_Run]] = {each.instance: deque() for each in self.upstreams}
         self.events: list[tuple[float, int, Callable[[], None]]] = []
@@ -218,6 +227,8 @@
     def start_items(self, entry: int) -> None:
         while self.waiting[entry]:
             item = min(self.waiting[entry], key=self.order)
+            if not self.goes_first(entry, item):
+                return
             placed = self.tables[entry].place_batch(
                 self.upstreams, urgency=self.urgency(item), due=item.submitted
             )
@@ -226,6 +237,21 @@
             self.waiting[entry].remove(item)
             self.begin(_Run(entry, placed[0].instance, item.left, batch=placed[1], item=item))
 
+    def goes_first(self, entry: int, item: _Item) -> bool:
+        urgency = self.urgency(item)
+        until_due = self.until_due(item) if urgency is not BatchUrgency.LATE else math.inf
+        room = self.tables[entry].room_for_batch(self.upstreams, urgency=urgency)
+        return self.backlogs[entry].may_start(until_due, room=room, now=self.clock.at)
+
+    def until_due(self, item: _Item) -> float:
+        return item.submitted + self.plan.due - self.clock.at
+
+    def backlog(self, entry: int) -> tuple[WaitingGroup, ...]:
+        on_time = [
+            each for each in self.waiting[entry] if self.urgency(each) is not BatchUrgency.LATE
+        ]
+        return group_waiting(self.until_due(each) for each in on_time)
+
     def urgency(self, item: _Item) -> BatchUrgency:
         return urgency_of(
             age=self.clock.at - item.submitted,
@@ -304,9 +330,12 @@
         loads = self.tables[entry].own_loads()
         failures = self.tables[entry].own_failures() if self.plan.tell_failures else {}
 
+        backlog = self.backlog(entry)
+
         def arrive() -> None:
             for other, table in enumerate(self.tables):
                 if other != entry:
+                    self.backlogs[other].take(f"entry-{entry}", backlog, self.clock.at)
                     table.take_hint(f"entry-{entry}", loads, self.upstreams, failures)
             self.drop_cancelled()
             for other in range(self.plan.entries):
