Streams wait for their slot at slow engines, and what cannot end in time is refused

Change: an upstream that sends events of other streams has not stopped; a stream that has not begun is sent on when the upstream is silent to all for 900 ms, or after the mean duration of a stream, which is observed. At engines whose streams take less than 900 ms nothing changes. A caller whose time left is under half the mean duration is refused at once as not run. A caller that leaves does not make an upstream suspect that has spoken to others meanwhile.

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -57,6 +57,8 @@
 )
 from carobspool_core.direct._queueing import (
     MeanDuration,
+    can_end,
+    given_up_at,
     has_returned,
     queue_limit,
     return_after,
@@ -110,10 +112,12 @@
     "WeightedService",
     "by_identity",
     "by_instance",
+    "can_end",
     "choose_batch_upstream",
     "choose_upstream",
     "excess_of_batch",
     "fits_quota",
+    "given_up_at",
     "group_waiting",
     "has_returned",
     "has_time_for_job_call",
--- a/packages/core/src/carobspool_core/direct/_queueing.py
+++ b/packages/core/src/carobspool_core/direct/_queueing.py
@@ -24,6 +24,8 @@
 """Weight of a new duration in the mean: the last twenty requests or so decide."""
 MAX_QUEUE = 16
 """Longest queue at one upstream however short its requests are; servers queue about 24."""
+SHORTEST_TO_MEAN = 0.5
+"""Duration of the shortest requests against the mean of their service."""
 SHORTEST_RETURN: Millis = 300.0
 LONGEST_RETURN: Millis = 1_500.0
 """Callers that are refused together return spread over this time; a burst lasts about two seconds,
@@ -65,6 +67,33 @@
     return deadline < timeout * RETURNED_BELOW
 
 
+def can_end(*, time_left: Millis, mean_duration: Millis) -> bool:
+    """Return whether a request may end within the time that its caller has left.
+
+    One that cannot is refused at once: its slot would be taken from others until it is cut off.
+    """
+    return time_left >= mean_duration * SHORTEST_TO_MEAN
+
+
+def given_up_at(
+    *, started: Millis, heard: Millis, silence: Millis, mean_duration: Millis
+) -> Millis:
+    """Return when a stream that may be resumed, and has not begun, goes on at another upstream.
+
+    An upstream that sends events of other streams has not stopped: the stream waits for a slot, as
+    it would at the end of another queue. Sent on, it runs there too and takes a place from others.
+    After the mean duration of a stream a slot has come free, and its answer must be lost.
+
+    Args:
+        started: When it was sent.
+        heard: When the upstream has last sent anything.
+        silence: How long an upstream that works is silent at most.
+        mean_duration: How long streams of the service run.
+    """
+    latest = started + max(silence, mean_duration)
+    return min(latest, max(started, heard) + silence)
+
+
 def return_after(draw: float, time_left: Millis) -> Millis:
     """Return when a refused caller is to come back.
 
--- a/packages/core/tests/test_direct_decisions.py
+++ b/packages/core/tests/test_direct_decisions.py
@@ -20,10 +20,12 @@
     Upstream,
     UpstreamList,
     WeightedService,
+    can_end,
     choose_batch_upstream,
     choose_upstream,
     excess_of_batch,
     fits_quota,
+    given_up_at,
     has_returned,
     has_time_to_serve,
     queue_limit,
@@ -415,3 +417,30 @@
     time_left: float | None, mean: float, taken: bool
 ) -> None:
     assert has_time_to_serve(time_left, mean) is taken
+
+
+@pytest.mark.parametrize(
+    ("heard", "mean", "found"),
+    [
+        (0.0, 700.0, 1_900.0),
+        (1_500.0, 700.0, 1_900.0),
+        (1_500.0, 2_200.0, 2_400.0),
+        (3_100.0, 2_200.0, 3_200.0),
+        (0.0, 2_200.0, 1_900.0),
+    ],
+)
+def test_a_stream_waits_for_its_slot_at_an_upstream_that_serves_others(
+    heard: float, mean: float, found: float
+) -> None:
+    """Sent at 1.0 s to engines whose streams take 0.7 or 2.2 s. One that says nothing is given up
+    after 0.9 s. One that is slow and full sends events of the others; given up by the same clock,
+    streams left its queue for the end of another one and ran twice."""
+    given_up = given_up_at(started=1_000.0, heard=heard, silence=900.0, mean_duration=mean)
+    assert given_up == found
+
+
+def test_a_request_that_cannot_end_in_time_is_refused() -> None:
+    """A caller comes back with 1.0 s of its time left, to engines whose streams take 2.2 s. It
+    would hold a slot for that second and be cut off."""
+    assert not can_end(time_left=1_000.0, mean_duration=2_200.0)
+    assert can_end(time_left=1_500.0, mean_duration=2_200.0)
--- a/packages/node/src/carobspool_node/direct/_channel.py
+++ b/packages/node/src/carobspool_node/direct/_channel.py
@@ -164,6 +164,10 @@
             self._raise_if_cancelled()
         return data
 
+    def wait_for_input(self, deadline: Millis, watch: CallerWatch | None = None) -> None:
+        """Wait until bytes, or an end of the connection, can be read."""
+        self._wait(select.POLLIN, deadline, watch)
+
     def send(self, data: bytes, deadline: Millis, watch: CallerWatch | None = None) -> None:
         """Send all bytes."""
         view = memoryview(data)
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -20,6 +20,8 @@
     Route,
     RouteKind,
     Upstream,
+    can_end,
+    given_up_at,
     has_returned,
     has_time_to_serve,
     return_after,
@@ -143,6 +145,21 @@
         )
         return False
 
+    def _can_end(self, attempt: Attempt, service: str) -> bool:
+        left = attempt.deadline - self._clock.now()
+        mean = self._loads.mean_duration(service)
+        if can_end(time_left=left, mean_duration=mean):
+            return True
+        attempt.last_failure = "it cannot end in the time that is left"
+        logging.info(
+            "event=no_time request=%s service=%s left_ms=%.0f mean_ms=%.0f",
+            attempt.request.request_id,
+            service,
+            left,
+            mean,
+        )
+        return False
+
     def _time_limit(self, request: CallerRequest, route: Route) -> Millis:
         limit = route.timeout
         value = request.header(self._names.deadline)
@@ -159,6 +176,9 @@
             if not attempt.may_have_run and not self._has_time(attempt):
                 self._fail(attempt, 503, "not_run", LEAVING_RETRY_AFTER)
                 return
+            if not attempt.may_have_run and not self._can_end(attempt, service):
+                self._give_up(attempt, full=True)
+                return
             placement = self._loads.place_online(
                 upstreams,
                 target_latency=attempt.route.target_latency,
@@ -199,7 +219,11 @@
         call = UpstreamCall(self._connections, upstream, self._names, watch=attempt.caller.watch)
         started = self._clock.now()
         try:
-            head = call.start(self._to_upstream(attempt, upstream), self._try_deadline(attempt))
+            head = call.start(
+                self._to_upstream(attempt, upstream),
+                self._try_deadline(attempt),
+                quiet_at=self._quiet_at(attempt, upstream, started),
+            )
             self._loads.heard(upstream)
             return self._take_answer(attempt, upstream, call, head)
         except CallFailedError as error:
@@ -220,7 +244,9 @@
             self._failed(attempt, upstream, str(error), sent=True)
             return False
         except CallerGoneError:
-            if not attempt.streaming and self._clock.now() - started > HANG_TIME:
+            waited = self._clock.now() - started
+            silent = self._loads.heard_at(upstream) <= started
+            if not attempt.streaming and silent and waited > HANG_TIME:
                 self._loads.suspect(upstream)
             raise
         finally:
@@ -248,10 +274,26 @@
         more_tries = attempt.runs + 1 < attempt.route.max_attempts
         if attempt.route.kind is RouteKind.SAFE and more_tries:
             return attempt.deadline - left * (1.0 - FIRST_TRY_SHARE)
-        if attempt.route.resumable and more_tries:
-            return min(attempt.deadline, self._clock.now() + STREAM_SILENCE)
         return attempt.deadline
 
+    def _quiet_at(
+        self, attempt: Attempt, upstream: Upstream, started: Millis
+    ) -> Callable[[], Millis] | None:
+        """Return when a resumable stream that has not begun goes on elsewhere, if it may."""
+        if not attempt.route.resumable or attempt.runs + 1 >= attempt.route.max_attempts:
+            return None
+        mean = self._loads.mean_duration(upstream.service)
+
+        def quiet_at() -> Millis:
+            return given_up_at(
+                started=started,
+                heard=self._loads.heard_at(upstream),
+                silence=STREAM_SILENCE,
+                mean_duration=mean,
+            )
+
+        return quiet_at
+
     def _to_upstream(self, attempt: Attempt, upstream: Upstream) -> UpstreamRequest:
         request = attempt.request
         names = self._names
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -245,6 +245,11 @@
         if own is not None:
             own.heard = self._clock.now()
 
+    def heard_at(self, upstream: Upstream) -> Millis:
+        """Return when an upstream has last sent something to this entry, 0 when it never has."""
+        own = self._own.get(upstream.identity)
+        return own.heard if own is not None else 0.0
+
     def take_hint(
         self,
         peer: str,
--- a/packages/node/src/carobspool_node/direct/_upstream_calls.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_calls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 import h11
@@ -170,9 +170,21 @@
         self._channel: Channel | None = None
         self._complete = False
 
-    def start(self, request: UpstreamRequest, deadline: Millis) -> UpstreamHead:
+    def start(
+        self,
+        request: UpstreamRequest,
+        deadline: Millis,
+        *,
+        quiet_at: Callable[[], Millis] | None = None,
+    ) -> UpstreamHead:
         """Send the request and return the head of its answer.
 
+        Args:
+            request: What to send.
+            deadline: When the call has to end.
+            quiet_at: Returns when the upstream will have been silent for too long, which moves on
+                while it answers others; ``None`` to wait until the deadline.
+
         Raises:
             CallFailedError: There is no answer to this request; ``sent`` tells the rest.
             DeadlinePassedError, CallerGoneError, RunCancelledError: As they say; may have run.
@@ -187,6 +199,7 @@
             data = _encode(channel.http, request)
             if not channel.send_or_answer(data, deadline, self._watch):
                 channel.idle_limit = -1.0
+            self._await_answer(channel, deadline, quiet_at)
             head = self._read_head(channel, request, deadline)
         except ConnectionBrokenError as error:
             raise CallFailedError(str(error), sent=True) from error
@@ -250,6 +263,20 @@
         if self._open.outlived:
             raise CallFailedError(_OUTLIVED, sent=True) from error
 
+    def _await_answer(
+        self, channel: Channel, deadline: Millis, quiet_at: Callable[[], Millis] | None
+    ) -> None:
+        """Wait until the first bytes are there, for as long as the upstream is not silent."""
+        if quiet_at is None:
+            return
+        while True:
+            try:
+                channel.wait_for_input(min(deadline, quiet_at()), self._watch)
+                return
+            except DeadlinePassedError:
+                if min(deadline, quiet_at()) <= self._clock.now():
+                    raise
+
     def _read_head(
         self, channel: Channel, request: UpstreamRequest, deadline: Millis
     ) -> UpstreamHead:
