Nobody new queues at an engine whose slots come free more slowly than the target

So at overload those who return must not crowd out those who are new. At the pace of all deployments seen (a slot each 90 to 121 ms) nothing changes.

--- a/packages/core/src/carobspool_core/direct/_queueing.py
+++ b/packages/core/src/carobspool_core/direct/_queueing.py
@@ -59,7 +59,7 @@
     if time_for_a_slot <= 0:
         return MAX_QUEUE
     places = int(target_latency * share / time_for_a_slot)
-    return max(2 if returned else 1, min(MAX_QUEUE, places))
+    return max(1 if returned else 0, min(MAX_QUEUE, places))
 
 
 def has_returned(*, deadline: Millis, timeout: Millis) -> bool:
