--- a/packages/core/src/carobspool_core/direct/_failure_reports.py
+++ b/packages/core/src/carobspool_core/direct/_failure_reports.py
@@ -4,8 +4,7 @@
 just because it finishes few, so the choice by load sends it more than its share. Each entry alone
 sees one failure in some seconds there, of a fleet's eighteen entries; together they see several a
 second. So entries tell each other how many they have seen, and an upstream with two failures of
-late is used only when the others are full. Of 2,760 requests over 20 engines, three of which failed
-half of theirs, 93 failed with it and 306 without (played by `tests/fleet_load.py`).
+late is used only when the others are full.
 """
 
 from __future__ import annotations
--- a/packages/core/src/carobspool_core/direct/_leaving.py
+++ b/packages/core/src/carobspool_core/direct/_leaving.py
@@ -11,8 +11,7 @@
 from carobspool_core._clock import Millis
 
 LONGEST_TO_MEAN = 3.0
-"""Longest duration of a request against the mean of its service: of 2,975 streams with a mean of
-0.85 s on a full fleet, 99 in 100 took at most 1.7 s and the longest 2.1 s."""
+"""Longest duration of a request against the mean of its service, on a full fleet."""
 SHORTEST_ROOM: Millis = 500.0
 """Time that any request is given, for plain calls whose mean of some 25 ms says little of the
 slowest."""
--- a/packages/core/src/carobspool_core/direct/_placement.py
+++ b/packages/core/src/carobspool_core/direct/_placement.py
@@ -31,9 +31,8 @@
 """Slots below which one is enough in reserve; two of four would halve the room for batch items."""
 SAMPLED = 5
 """Upstreams drawn at random among which the least loaded one is chosen. All entries see nearly the
-same loads, 100 ms old. Choosing the least loaded of all sends everybody to the same upstream in
-that time: of 18 entries over 20 engines 95.3% of the streams began in time, with five drawn 98.7%,
-with three or eight 98.4% and 98.0%."""
+same loads, 100 ms old; choosing the least loaded of all would send everybody to the same upstream
+in that time."""
 FULL_PENALTY = 0.25
 """Added when no slot is free: another upstream is better although more online requests run there.
 """
@@ -185,9 +184,8 @@
     """Return how many of its batch runs one entry cancels, of the excess at an upstream.
 
     Each entry decides alone. In an order that all of them know, drawn anew for each upstream, the
-    first ones cancel all that they run there until the excess is met. Sharing it out in proportion
-    and rounding up made every entry with a run there cancel one where one was needed in all: eight
-    times as many runs were cut as stood in the way, among 18 entries.
+    first ones cancel all that they run there until the excess is met. Shared out in proportion and
+    rounded up, every entry with a run there would cancel one where one is needed in all.
 
     Args:
         upstream: The upstream.
--- a/packages/core/src/carobspool_core/direct/_upstreams.py
+++ b/packages/core/src/carobspool_core/direct/_upstreams.py
@@ -14,7 +14,7 @@
 KEPT_SHARE = 0.5
 """A vanished upstream counts as lapsed only when less than this share of its service is left. An
 outage takes most registrations of a service at once; a single one that is missing when a lost
-connection to the store is back has really left, and was sent requests for 2.03 s instead of two."""
+connection to the store is back has really left."""
 LAPSE_GRACE: Millis = 1_900.0
 """How long an upstream that vanished around an outage of the store is still used.
 
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
 
@@ -24,7 +23,6 @@
     given_up_at,
     has_returned,
     has_time_to_serve,
-    return_after,
 )
 from carobspool_node.direct._attempt import Attempt
 from carobspool_node.direct._caller_connection import CallerConnection
@@ -33,7 +31,7 @@
     DeadlinePassedError,
     RunCancelledError,
 )
-from carobspool_node.direct._failure_answer import failure_answer
+from carobspool_node.direct._forwarded_request import upstream_request
 from carobspool_node.direct._loads import LoadTable
 from carobspool_node.direct._messages import (
     CallerRequest,
@@ -42,19 +40,17 @@
     UpstreamHead,
     end_to_end,
 )
+from carobspool_node.direct._request_endings import RequestEndings
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.direct._upstream_calls import (
     CallFailedError,
     UpstreamCall,
     UpstreamConnections,
-    UpstreamRequest,
 )
 
 NOT_RUN_TRIES = 3
 """Upstreams that may turn one request away unrun before its caller is told to come back. Each costs
 a round trip; when three are full, so probably are the others."""
-NO_UPSTREAM_RETRY_AFTER: Millis = 1_000.0
-"""Time after which a restarted server is listed again."""
 FIRST_TRY_SHARE = 0.45
 """Share of the time left that the first try of a repeatable request may take. Plain calls take
 20 to 110 ms of 600 and more; a server that has stopped leaves time for a second one."""
@@ -104,6 +100,7 @@
         self._usable = usable
         self._telemetry = telemetry
         self._time_left = time_left
+        self._endings = RequestEndings(clock, telemetry)
 
     def serve(self, request: CallerRequest, route: Route, caller: CallerConnection) -> None:
         """Serve one request to its end.
@@ -122,9 +119,9 @@
         try:
             self._try_upstreams(attempt)
         except DeadlinePassedError:
-            self._time_is_over(attempt)
+            self._endings.time_is_over(attempt)
         except CallerGoneError:
-            self._note(attempt, "caller_gone", 0)
+            self._endings.note(attempt, "caller_gone", 0)
             raise
 
     def _has_time(self, attempt: Attempt) -> bool:
@@ -174,10 +171,10 @@
             if attempt.deadline - self._clock.now() < MIN_TRY_TIME:
                 raise DeadlinePassedError("no time for another try")
             if not attempt.may_have_run and not self._has_time(attempt):
-                self._fail(attempt, 503, "not_run", LEAVING_RETRY_AFTER)
+                self._endings.refuse(attempt, LEAVING_RETRY_AFTER)
                 return
             if not attempt.may_have_run and not self._can_end(attempt, service):
-                self._give_up(attempt, full=True)
+                self._endings.give_up(attempt, full=True)
                 return
             placement = self._loads.place_online(
                 upstreams,
@@ -194,7 +191,7 @@
                     attempt.returned,
                     self._loads.describe(upstreams),
                 )
-                self._give_up(attempt, full=bool(upstreams))
+                self._endings.give_up(attempt, full=bool(upstreams))
                 return
             attempt.tried.add(placement.upstream.identity)
             attempt.met.append(f"{placement.upstream.instance}:{placement.load.total}")
@@ -206,7 +203,7 @@
             if done:
                 return
             if attempt.runs >= attempt.route.max_attempts or not self._may_go_on(attempt):
-                self._give_up(attempt, full=True)
+                self._endings.give_up(attempt, full=True)
                 return
 
     def _may_go_on(self, attempt: Attempt) -> bool:
@@ -220,7 +217,7 @@
         started = self._clock.now()
         try:
             head = call.start(
-                self._to_upstream(attempt, upstream),
+                upstream_request(attempt, upstream, self._names, now=started),
                 self._try_deadline(attempt),
                 quiet_at=self._quiet_at(attempt, upstream, started),
             )
@@ -294,28 +291,6 @@
 
         return quiet_at
 
-    def _to_upstream(self, attempt: Attempt, upstream: Upstream) -> UpstreamRequest:
-        request = attempt.request
-        names = self._names
-        headers = end_to_end(
-            request.headers, without=(names.deadline, names.expect_instance, b"content-length")
-        )
-        left = max(1, int(attempt.deadline - self._clock.now()))
-        headers.append((names.deadline, str(left).encode()))
-        headers.append((names.expect_instance, upstream.instance.encode()))
-        if attempt.last_event is not None:
-            headers = [(key, value) for key, value in headers if key.lower() != names.last_event]
-            headers.append((names.last_event, str(attempt.last_event).encode()))
-        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
-            headers.append((b"Content-Length", str(len(request.body)).encode()))
-        return UpstreamRequest(
-            method=request.method,
-            target=request.target,
-            headers=headers,
-            body=request.body,
-            request_id=request.request_id,
-        )
-
     def _take_answer(
         self, attempt: Attempt, upstream: Upstream, call: UpstreamCall, head: UpstreamHead
     ) -> bool:
@@ -345,7 +320,7 @@
         # the answer, and would open a new one.
         call.close()
         attempt.caller.answer(head.status, _answer_headers(head), body, reason=head.reason)
-        self._note(attempt, "answered", head.status)
+        self._endings.note(attempt, "answered", head.status)
         return True
 
     def _is_worth_another_try(self, attempt: Attempt, head: UpstreamHead) -> bool:
@@ -385,57 +360,7 @@
         attempt.runs += 1
         call.close()
         attempt.caller.finish_stream()
-        self._note(attempt, "streamed", head.status)
-
-    def _give_up(self, attempt: Attempt, *, full: bool) -> None:
-        if attempt.streaming:
-            self._note(attempt, "broken_off", 0)
-            attempt.caller.abort()
-            return
-        if attempt.may_have_run:
-            self._fail(attempt, 502, "unknown", None)
-            return
-        wait = self._return_after(attempt) if full else NO_UPSTREAM_RETRY_AFTER
-        self._fail(attempt, 503, "not_run", wait)
-
-    def _return_after(self, attempt: Attempt) -> Millis:
-        return return_after(random.random(), attempt.deadline - self._clock.now())
-
-    def _time_is_over(self, attempt: Attempt) -> None:
-        if attempt.streaming:
-            self._note(attempt, "time_over", 0)
-            attempt.caller.abort()
-            return
-        if attempt.may_have_run:
-            self._fail(attempt, 504, "unknown", None)
-            return
-        self._fail(attempt, 503, "not_run", self._return_after(attempt))
-
-    def _fail(
-        self, attempt: Attempt, status: int, outcome: str, retry_after: Millis | None
-    ) -> None:
-        self._note(attempt, outcome, status)
-        message = attempt.last_failure or "no upstream is free"
-        headers, body = failure_answer(message, outcome, retry_after)
-        attempt.caller.answer(status, headers, body)
-
-    def _note(self, attempt: Attempt, outcome: str, status: int) -> None:
-        took = self._clock.now() - attempt.request.arrived
-        self._telemetry.count("requests", route=attempt.route.kind.value, outcome=outcome)
-        self._telemetry.time("request", took)
-        logging.info(
-            "event=request request=%s route=%s outcome=%s status=%d runs=%d turned_away=%d"
-            " upstreams=%s took_ms=%.0f failure=%r",
-            attempt.request.request_id,
-            attempt.route.name,
-            outcome,
-            status,
-            attempt.runs,
-            attempt.turned_away,
-            ",".join(attempt.met),
-            took,
-            attempt.last_failure,
-        )
+        self._endings.note(attempt, "streamed", head.status)
 
 
 def _answer_headers(head: UpstreamHead) -> Headers:
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_forwarded_request.py
@@ -0,0 +1,37 @@
+"""A caller's request as it is sent to an upstream."""
+
+from __future__ import annotations
+
+from carobspool_core import Millis
+from carobspool_core.direct import Upstream
+from carobspool_node.direct._attempt import Attempt
+from carobspool_node.direct._messages import HeaderNames, end_to_end
+from carobspool_node.direct._upstream_calls import UpstreamRequest
+
+BODILESS = (b"GET", b"HEAD", b"DELETE")
+
+
+def upstream_request(
+    attempt: Attempt, upstream: Upstream, names: HeaderNames, *, now: Millis
+) -> UpstreamRequest:
+    """Return what an upstream is sent: for it alone, with the time that is left, from the event on
+    that the caller has not seen."""
+    request = attempt.request
+    headers = end_to_end(
+        request.headers, without=(names.deadline, names.expect_instance, b"content-length")
+    )
+    left = max(1, int(attempt.deadline - now))
+    headers.append((names.deadline, str(left).encode()))
+    headers.append((names.expect_instance, upstream.instance.encode()))
+    if attempt.last_event is not None:
+        headers = [(key, value) for key, value in headers if key.lower() != names.last_event]
+        headers.append((names.last_event, str(attempt.last_event).encode()))
+    if request.body or request.method not in BODILESS:
+        headers.append((b"Content-Length", str(len(request.body)).encode()))
+    return UpstreamRequest(
+        method=request.method,
+        target=request.target,
+        headers=headers,
+        body=request.body,
+        request_id=request.request_id,
+    )
--- a/packages/node/src/carobspool_node/direct/_item_run.py
+++ b/packages/node/src/carobspool_node/direct/_item_run.py
@@ -8,7 +8,8 @@
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import EventSplitter, ItemWork, Upstream
 from carobspool_node.direct._errors import DeadlinePassedError, RunCancelledError
-from carobspool_node.direct._loads import BatchRun, LoadTable
+from carobspool_node.direct._in_flight import BatchRun
+from carobspool_node.direct._loads import LoadTable
 from carobspool_node.direct._messages import HeaderNames, Headers, UpstreamHead, end_to_end
 from carobspool_node.direct._upstream_calls import (
     CallFailedError,
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -22,9 +22,10 @@
     WaitingGroup,
     group_waiting,
 )
+from carobspool_node.direct._in_flight import BatchRun
 from carobspool_node.direct._item_order import WaitingItem, waiting_in_order
 from carobspool_node.direct._item_run import ItemRunner, RunEnd, RunOutcome
-from carobspool_node.direct._loads import BatchRun, LoadTable
+from carobspool_node.direct._loads import LoadTable
 from carobspool_node.direct._owned_job import OwnedJob
 from carobspool_node.direct._telemetry import Telemetry
 
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -8,7 +8,6 @@
 
 import threading
 from collections.abc import Callable, Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
 
 from absl import logging
 
@@ -28,7 +27,7 @@
     room_for_batch,
     share_of_excess,
 )
-from carobspool_node.direct._channel import Cancellation
+from carobspool_node.direct._in_flight import BatchRun, OwnRequests, Placement
 
 SUSPECT_TIME: Millis = 1_000.0
 """How long an upstream is avoided after it could not be reached. A crashed server is back after
@@ -40,54 +39,6 @@
 """How long the last hint of another entry counts; its hints come several times a second."""
 
 
-@dataclass(slots=True, eq=False)
-class BatchRun:
-    """A batch item that runs at an upstream and can be cancelled.
-
-    Attributes:
-        started: When it was placed.
-        urgency: How it stood when it was placed.
-        due: When its job is due, by the wall clock; only for an order.
-        cancellation: Ends it.
-    """
-
-    started: Millis
-    urgency: BatchUrgency
-    due: float
-    cancellation: Cancellation = field(default_factory=Cancellation)
-
-
-@dataclass(slots=True)
-class _Own:
-    online: int = 0
-    runs: list[BatchRun] = field(default_factory=list)
-    heard: Millis = 0.0
-
-    @property
-    def total(self) -> int:
-        return self.online + len(self.runs)
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Placement:
-    """An online request at its upstream.
-
-    Attributes:
-        upstream: Where it goes.
-        started: When it was placed.
-        load: What was known to be in flight there.
-    """
-
-    upstream: Upstream
-    started: Millis
-    load: Load
-
-    @property
-    def found_free(self) -> bool:
-        """Whether a slot seemed free, so that the request's duration holds no wait."""
-        return self.load.total < self.upstream.slots
-
-
 class LoadTable:
     """What this entry and the others have in flight.
 
@@ -102,7 +53,7 @@
         self._failure_domain = failure_domain
         self._name = name
         self._lock = threading.Lock()
-        self._own: dict[str, _Own] = {}
+        self._own: dict[str, OwnRequests] = {}
         self._peers: dict[str, tuple[Millis, Mapping[str, Load]]] = {}
         self._suspects: dict[str, Millis] = {}
         self._failures = FailureReports()
@@ -341,8 +292,8 @@
     def _duration(self, service: str) -> MeanDuration:
         return self._durations.setdefault(service, MeanDuration())
 
-    def _begin(self, identity: str, now: Millis) -> _Own:
-        own = self._own.setdefault(identity, _Own())
+    def _begin(self, identity: str, now: Millis) -> OwnRequests:
+        own = self._own.setdefault(identity, OwnRequests())
         if not own.total:
             own.heard = now
         return own
--- a/packages/node/src/carobspool_node/direct/_owned_job.py
+++ b/packages/node/src/carobspool_node/direct/_owned_job.py
@@ -9,8 +9,8 @@
 
 from carobspool_core import Clock, Millis, StoreFailure, StoreFault
 from carobspool_core.direct import ItemResult, JobInput, JobWork
+from carobspool_node.direct._in_flight import BatchRun
 from carobspool_node.direct._job_records import JobRecords, StoredProgress
-from carobspool_node.direct._loads import BatchRun
 from carobspool_node.direct._ownership_proof import OwnershipProof
 
 COMMIT_INTERVAL: Millis = 900.0
--- a/packages/node/tests/test_direct_job_runner.py
+++ b/packages/node/tests/test_direct_job_runner.py
@@ -17,10 +17,11 @@
     Upstream,
     WeightedService,
 )
+from carobspool_node.direct._in_flight import BatchRun
 from carobspool_node.direct._item_run import RunEnd, RunOutcome
 from carobspool_node.direct._job_records import JobRecords, StoredProgress
 from carobspool_node.direct._job_runner import JobRunner
-from carobspool_node.direct._loads import BatchRun, LoadTable
+from carobspool_node.direct._loads import LoadTable
 from carobspool_node.direct._owned_job import OwnedJob
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_standins.memory_store import MemoryObjects, MemoryStore
--- a/packages/node/tests/test_direct_owned_job.py
+++ b/packages/node/tests/test_direct_owned_job.py
@@ -16,8 +16,8 @@
     JobItem,
     JobProgress,
 )
+from carobspool_node.direct._in_flight import BatchRun
 from carobspool_node.direct._job_records import JobRecords, StoredProgress
-from carobspool_node.direct._loads import BatchRun
 from carobspool_node.direct._owned_job import OwnedJob
 from carobspool_node.direct._ownership_proof import EXCUSED_TIME
 from carobspool_standins.memory_store import MemoryObjects, MemoryStore
