--- a/packages/node/src/carobspool_node/__main__.py
+++ b/packages/node/src/carobspool_node/__main__.py
@@ -15,7 +15,7 @@
 from carobspool_node.direct import DIRECT_ROLES, DirectSettings, load_direct_settings
 from carobspool_node.errors import NodeError
 from carobspool_node.process import run_entry, run_sidecar
-from carobspool_node.settings import EntrySettings, SidecarSettings, load_settings
+from carobspool_node.roles import EntrySettings, SidecarSettings, load_settings
 
 EXIT_SETTINGS = 2
 EXIT_START = 3
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -44,6 +44,7 @@
 from carobspool_node.direct._listener import Listener
 from carobspool_node.direct._loads import LoadTable
 from carobspool_node.direct._messages import CallerRequest
+from carobspool_node.direct._metrics_server import serve_metrics
 from carobspool_node.direct._peer import OwnHint
 from carobspool_node.direct._peer_api import PeerApi
 from carobspool_node.direct._peer_calls import PEER_HEADERS, PeerCaller
@@ -199,7 +200,7 @@
         )
         self._stop.listen()
         self._reload.listen()
-        self._telemetry.serve(settings.address, settings.metrics_port)
+        serve_metrics((settings.address, settings.metrics_port), self._telemetry, self._clock)
         callers = self._listen()
         self._peers.start(
             on_loads=self._take_loads,
--- a/packages/node/src/carobspool_node/direct/_keeper.py
+++ b/packages/node/src/carobspool_node/direct/_keeper.py
@@ -11,6 +11,7 @@
 from carobspool_core import ObjectChange, StoredObject, boottime_clock
 from carobspool_node.direct._deployment import Deployment
 from carobspool_node.direct._follow import Follower
+from carobspool_node.direct._metrics_server import serve_metrics
 from carobspool_node.direct._reload import SettingsReload
 from carobspool_node.direct._settings import DirectSettings
 from carobspool_node.direct._stop_signal import StopSignal
@@ -31,7 +32,8 @@
         self._settings = settings
         self._reload = reload
         self._deployment = deployment
-        self._store = deployment.open_store(settings, boottime_clock())
+        self._clock = boottime_clock()
+        self._store = deployment.open_store(settings, self._clock)
         self._telemetry = Telemetry()
         self._stop = StopSignal()
         self._answered: set[int] = set()
@@ -49,7 +51,7 @@
         logging.info("event=start node=%s role=keeper", settings.node)
         self._stop.listen()
         self._reload.listen()
-        self._telemetry.serve(settings.address, settings.metrics_port)
+        serve_metrics((settings.address, settings.metrics_port), self._telemetry, self._clock)
         self._follower.start()
         while not self._stop.wait(CHECK_INTERVAL_S):
             self._reload.check()
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_metrics.py
@@ -0,0 +1,109 @@
+"""Counters and latency histograms of one process, as text for Prometheus.
+
+They are counted here and handed to the library when somebody asks for the text: it brings an HTTP
+server and client of its own, and a process that starts again after a crash serves nobody while it
+imports them.
+"""
+
+from __future__ import annotations
+
+import threading
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Iterator
+from typing import Any
+
+import lazy_loader
+
+from carobspool_core import Millis
+
+prometheus: Any = lazy_loader.load("prometheus_client")
+
+_PREFIX = "carobspool_"
+_LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0)
+_LABELS = {
+    "requests": ("route", "outcome"),
+    "upstream_failures": ("service",),
+    "upstream_restarts": ("service",),
+    "job_calls": ("call", "outcome"),
+    "items": ("outcome",),
+    "job_proofs": ("outcome",),
+    "job_owners": ("change",),
+    "store_calls": ("call", "outcome"),
+    "bad_records": ("kind",),
+    "log_lines_dropped": (),
+}
+_TIMES = ("request", "first_event", "job_commit", "item_run", "job_orphan")
+
+
+class _Latencies:
+    """How many durations fell into each bucket, and their sum in seconds."""
+
+    __slots__ = ("counts", "total")
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(_LATENCY_BUCKETS_S) + 1)
+        self.total = 0.0
+
+
+class Metrics:
+    """What one process counts; safe for threads."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        # The library is imported by the first of them; two threads at once would meet it half done.
+        self._writing = threading.Lock()
+        self._counts: dict[str, Counter[tuple[str, ...]]] = {name: Counter() for name in _LABELS}
+        self._times = {name: _Latencies() for name in _TIMES}
+
+    def count(self, name: str, value: int = 1, **labels: str) -> None:
+        """Add to a counter."""
+        key = tuple(labels[label] for label in _LABELS[name])
+        with self._lock:
+            self._counts[name][key] += value
+
+    def time(self, name: str, duration: Millis) -> None:
+        """Record a duration in milliseconds."""
+        seconds = duration / 1000.0
+        latencies = self._times[name]
+        with self._lock:
+            latencies.counts[bisect_left(_LATENCY_BUCKETS_S, seconds)] += 1
+            latencies.total += seconds
+
+    def text(self) -> bytes:
+        """Return all metrics as text."""
+        with self._writing:
+            registry = prometheus.CollectorRegistry(auto_describe=False)
+            registry.register(self)
+            return bytes(prometheus.generate_latest(registry))
+
+    def collect(self) -> Iterator[Any]:
+        """Yield each metric, as the library's registry asks for them."""
+        with self._lock:
+            counts = {name: dict(found) for name, found in self._counts.items()}
+            times = {name: (list(each.counts), each.total) for name, each in self._times.items()}
+        for name, by_labels in counts.items():
+            counter = prometheus.metrics_core.CounterMetricFamily(
+                _PREFIX + name, name, labels=_LABELS[name]
+            )
+            if not _LABELS[name]:
+                by_labels.setdefault((), 0)
+            for labels, value in by_labels.items():
+                counter.add_metric(labels, value)
+            yield counter
+        for name, (buckets, total) in times.items():
+            histogram = prometheus.metrics_core.HistogramMetricFamily(
+                f"{_PREFIX}{name}_seconds", name
+            )
+            histogram.add_metric([], buckets=_cumulative(buckets), sum_value=total)
+            yield histogram
+
+
+def _cumulative(counts: list[int]) -> list[tuple[str, float]]:
+    """Return for each upper bound how many durations were no longer."""
+    found: list[tuple[str, float]] = []
+    seen = 0
+    for bound, count in zip((*map(str, _LATENCY_BUCKETS_S), "+Inf"), counts, strict=True):
+        seen += count
+        found.append((bound, float(seen)))
+    return found
--- a/packages/node/src/carobspool_node/direct/_settings.py
+++ b/packages/node/src/carobspool_node/direct/_settings.py
@@ -12,13 +12,7 @@
 
 from carobspool_core import Millis
 from carobspool_core.border import BorderModel, Problem, read_json, validate
-from carobspool_node.settings import (
-    HIGHEST_PORT,
-    IpAddress,
-    LogLevel,
-    NodeName,
-    setting,
-)
+from carobspool_node.settings import HIGHEST_PORT, IpAddress, LogLevel, NodeName, setting
 
 DIRECT_ROLES = ("direct-entry", "keeper")
 _ENDPOINT = re.compile(r"[0-9a-fA-F.:]+:[0-9]{1,5}")
--- a/packages/node/src/carobspool_node/jobs/_entry_jobs.py
+++ b/packages/node/src/carobspool_node/jobs/_entry_jobs.py
@@ -31,7 +31,7 @@
     keep_node_lease,
     watch_members,
 )
-from carobspool_node.settings import EntrySettings
+from carobspool_node.roles import EntrySettings
 
 WATCH_SHARE = 4
 """A watch lasts this part of the lease's time to live, so that an expiry is noticed soon."""
--- a/packages/node/src/carobspool_node/process/_entry_node.py
+++ b/packages/node/src/carobspool_node/process/_entry_node.py
@@ -53,7 +53,8 @@
 from carobspool_node.process._metrics import make_metrics
 from carobspool_node.process._shutdown import ShutdownRequest, end_process
 from carobspool_node.requests import Isolation
-from carobspool_node.settings import EntrySettings, set_up_logs
+from carobspool_node.roles import EntrySettings
+from carobspool_node.settings import set_up_logs
 from carobspool_node.store import http_object_store, make_reservations
 
 TICK_SECONDS = 1.0
--- a/packages/node/src/carobspool_node/process/_metrics.py
+++ b/packages/node/src/carobspool_node/process/_metrics.py
@@ -7,7 +7,7 @@
 import statsd
 
 from carobspool_core import Millis
-from carobspool_node.settings import Endpoint
+from carobspool_node.roles import Endpoint
 
 
 class Metrics(Protocol):
--- a/packages/node/src/carobspool_node/process/_sidecar_node.py
+++ b/packages/node/src/carobspool_node/process/_sidecar_node.py
@@ -30,7 +30,8 @@
 from carobspool_node.links import Identity, Link, load_peer_keys, send_quietly
 from carobspool_node.process._metrics import Metrics, make_metrics
 from carobspool_node.process._shutdown import ShutdownRequest, end_process
-from carobspool_node.settings import SidecarSettings, set_up_logs
+from carobspool_node.roles import SidecarSettings
+from carobspool_node.settings import set_up_logs
 from carobspool_node.store import http_object_store
 from carobspool_node.upstreams import (
     Reconciler,
--- a/packages/node/src/carobspool_node/settings/_settings.py
+++ b/packages/node/src/carobspool_node/roles/_settings.py
@@ -12,7 +12,7 @@
 
 from carobspool_core import Json, Millis, UpstreamKind
 from carobspool_core.border import Problem, read_json, validate
-from carobspool_node.settings._models import (
+from carobspool_node.roles._models import (
     EndpointModel,
     EntryModel,
     HttpModel,
--- a/packages/node/src/carobspool_node/settings/__init__.py
+++ b/packages/node/src/carobspool_node/settings/__init__.py
@@ -1,40 +1,29 @@
-"""Settings of a process, and the form of its log lines.
+"""What settings of every process are made of, and the form of its log lines.
 
-What a process is told when it starts belongs here: validated models, the data classes made of
-them, and the logs that they set up. Needs no other room; direct entries share it.
+Types of single settings, their declaration, and the logs that they set up belong here. Needs no
+other room; direct entries share it. A direct entry that starts again after a crash serves nobody
+while it imports, so the models of the other roles stand in `roles`.
 """
 
-from carobspool_node.settings._logs import LineFormatter, set_up_logs
-from carobspool_node.settings._models import (
+from carobspool_node.settings._fields import (
     HIGHEST_PORT,
-    EntryModel,
     IpAddress,
+    KeyHash,
     LogLevel,
     NodeName,
-    SidecarModel,
+    Url,
     setting,
 )
-from carobspool_node.settings._settings import (
-    Endpoint,
-    EntrySettings,
-    OrderSettings,
-    SidecarSettings,
-    load_settings,
-)
+from carobspool_node.settings._logs import LineFormatter, set_up_logs
 
 __all__ = [
-    "Endpoint",
-    "EntryModel",
-    "EntrySettings",
     "HIGHEST_PORT",
     "IpAddress",
+    "KeyHash",
     "LineFormatter",
     "LogLevel",
     "NodeName",
-    "OrderSettings",
-    "SidecarModel",
-    "SidecarSettings",
-    "load_settings",
+    "Url",
     "set_up_logs",
     "setting",
 ]
--- a/packages/node/src/carobspool_node/upstreams/_order_right.py
+++ b/packages/node/src/carobspool_node/upstreams/_order_right.py
@@ -25,7 +25,7 @@
     epoch_to_json,
     take_over_wait,
 )
-from carobspool_node.settings import OrderSettings
+from carobspool_node.roles import OrderSettings
 
 EPOCHS_PREFIX = "epochs/"
 
--- a/packages/node/src/carobspool_node/upstreams/_reconciler.py
+++ b/packages/node/src/carobspool_node/upstreams/_reconciler.py
@@ -21,7 +21,7 @@
     differences,
     next_order,
 )
-from carobspool_node.settings import OrderSettings
+from carobspool_node.roles import OrderSettings
 from carobspool_node.upstreams._engine_status import EngineStatus
 from carobspool_node.upstreams._order_right import OrderRight, RightError, RightFault
 
--- a/packages/node/tests/test_examples.py
+++ b/packages/node/tests/test_examples.py
@@ -9,7 +9,7 @@
 
 from carobspool_core import UpstreamKind
 from carobspool_core.schema import load_folder
-from carobspool_node.settings._settings import SidecarSettings, load_settings
+from carobspool_node.roles._settings import SidecarSettings, load_settings
 
 EXAMPLES = Path(__file__).resolve().parents[3] / "examples"
 SITES = {
--- a/packages/node/tests/test_reconciler.py
+++ b/packages/node/tests/test_reconciler.py
@@ -21,7 +21,7 @@
     OrderKind,
     RunningModel,
 )
-from carobspool_node.settings._settings import OrderSettings
+from carobspool_node.roles._settings import OrderSettings
 from carobspool_node.upstreams._reconciler import Reconciler, make_reconciler
 from carobspool_standins.memory_store import FaultKind, FaultRule, MemoryObjects, MemoryStore
 
--- a/packages/node/tests/test_settings.py
+++ b/packages/node/tests/test_settings.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from carobspool_node.settings._settings import (
+from carobspool_node.roles._settings import (
     AdmissionMode,
     Endpoint,
     EntrySettings,
--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -17,13 +17,13 @@
 from pydantic.fields import FieldInfo
 
 from carobspool_node.direct import DirectModel
-from carobspool_node.settings import EntryModel, SidecarModel
+from carobspool_node.roles import EntryModel, SidecarModel
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "SETTINGS.md"
 INTRODUCTION = """# Settings of `carobspoold`
 
 Written by `tools/settings_reference.py` from the models in
-`packages/node/src/carobspool_node/settings/_models.py` and `direct/_settings.py`; change those,
+`packages/node/src/carobspool_node/roles/_models.py` and `direct/_settings.py`; change those,
 not this page.
 
 One file for each process, in JSON with comments. `carobspoold check FILE` reads a file, prints
