Stand-in engine's order of arrival is read before the first run can end

Shown: with a pause of 80 ms before the load is read the test gives just that, each time. Ruled out: the engine's order or its count (the ends are in order, the load was right for that moment). Change: the engine is slowed a thousandfold until its load has been read, then set back; all assertions as they were.

--- a/packages/standins/tests/test_engine.py
+++ b/packages/standins/tests/test_engine.py
@@ -156,8 +156,13 @@
 
 
 def test_arrival_order_and_slots(serve):
-    """With one slot, requests run one after another as they came."""
+    """With one slot, requests run one after another as they came.
+
+    The engine is slow until its load is read: the first run would be over by then on a machine
+    that takes long to send three requests.
+    """
     client = serve(make_application(settings(slots=1)))
+    client.call("POST", "/faults", json_body={"slow_factor": 1000.0})
     with ThreadPoolExecutor(3) as pool:
         pending = []
         for number in range(3):
@@ -168,6 +173,7 @@
             wait_for(lambda count=number + 1: len(outcomes(client)) == count)
         load = client.call("GET", "/load").json
         assert (load["running"], load["waiting"], load["slots"]) == (1, 2, 1)
+        client.call("POST", "/faults/reset")
         assert all(one.result().status == 200 for one in pending)
     ends = [run["ended"] for run in client.call("GET", "/record").json["runs"]]
     assert ends == sorted(ends)
