--- a/packages/node/src/carobspool_node/direct/_callers.py
+++ b/packages/node/src/carobspool_node/direct/_callers.py
@@ -6,7 +6,7 @@
 
 from absl import logging
 
-from carobspool_core import Millis
+from carobspool_core import Clock, Millis
 from carobspool_core.direct import (
     LEAVING_RETRY_AFTER,
     Configuration,
@@ -44,6 +44,7 @@
 
     def __init__(
         self,
+        clock: Clock,
         dialect: CallerDialect,
         names: HeaderNames,
         forwarder: Forwarder,
@@ -53,6 +54,7 @@
         configuration: Callable[[], Configuration | None],
         time_left: Callable[[], Millis | None],
     ) -> None:
+        self._clock = clock
         self._dialect = dialect
         self._names = names
         self._forwarder = forwarder
@@ -146,11 +148,12 @@
     def _note(self, request: CallerRequest, call: str, outcome: Outcome) -> None:
         self._telemetry.count("job_calls", call=call, outcome=outcome.value)
         logging.info(
-            "event=job_call call=%s request=%s path=%s outcome=%s",
+            "event=job_call call=%s request=%s path=%s outcome=%s took_ms=%.0f",
             call,
             request.request_id,
             request.path,
             outcome.value,
+            self._clock.now() - request.arrived,
         )
 
     def _fail(self, caller: CallerConnection, outcome: Outcome, retry_after: Millis) -> None:
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -170,6 +170,7 @@
             lambda: self._exit.time_left,
         )
         self._api = CallerApi(
+            self._clock,
             deployment.dialect,
             deployment.headers,
             forwarder,
