--- a/packages/core/src/carobspool_core/_pacing.py
+++ b/packages/core/src/carobspool_core/_pacing.py
@@ -29,8 +29,7 @@
 
 _RESERVE = 4.0
 """The budget must hold the price of a start so many times over. Then the early tail of a burst,
-when many streams decode, is passed over, and the budget buys more starts a second or two later
-(docs/design/admission.md: batch 0.926 instead of 0.912)."""
+when many streams decode, is passed over, and the budget buys more starts a second or two later."""
 
 _MOST_EARNED = 60.0
 """Bound of the budget. It allows about a dozen prompts over a tail of few streams; more would let a
@@ -42,8 +41,8 @@
 
 _UNLEARNT_INTERVAL: Millis = 500.0
 """Time between batch prompts while the cost of a step is unknown, as at the start or before an
-upstream that reports no tokens. Without any start batch would starve there; at two a second the
-design's trial saw 1.5 times the time between tokens."""
+upstream that reports no tokens. Without any start batch would starve there; more often, prompts
+would stall the online streams all the time."""
 
 _STEPS_TO_FIRST_TOKEN = 2.0
 """Steps that slow a first token: the one under way at its arrival, and its own."""
--- a/packages/core/src/carobspool_core/direct/_handover.py
+++ b/packages/core/src/carobspool_core/direct/_handover.py
@@ -1,9 +1,9 @@
 """When a leaving entry hands its batch jobs over, and to whom.
 
 Load pattern: a rolling restart stops the next entry before the last one is back, so that for some
-seconds every entry is leaving. Jobs that are let go then have no owner until one has started again:
-with five entries stopped 0.6 s apart all batch work stood still for 3.7 s, with four for 4.8 s, of
-the 18 s in which jobs are due. A leaving entry therefore works on until another can take its jobs.
+seconds every entry is leaving. Jobs that are let go then have no owner until one has started again,
+and all batch work stands still for a large part of the time in which it is due. A leaving entry
+therefore works on until another can take its jobs.
 """
 
 from __future__ import annotations
--- a/packages/core/src/carobspool_core/direct/_waiting_quota.py
+++ b/packages/core/src/carobspool_core/direct/_waiting_quota.py
@@ -9,8 +9,8 @@
 from __future__ import annotations
 
 NEAR_LIMIT = 0.85
-"""Share of the limit from which an entry accepts only its share of the rest. A burst of six times
-the usual jobs adds about 2% of the limit within one round of hints."""
+"""Share of the limit from which an entry accepts only its share of the rest: what is left is more
+than a burst of jobs adds within one round of hints."""
 
 
 def fits_quota(
--- a/packages/node/src/carobspool_node/upstreams/_upstream_http.py
+++ b/packages/node/src/carobspool_node/upstreams/_upstream_http.py
@@ -154,7 +154,7 @@
         curl.setopt(pycurl.FORBID_REUSE, 1)
         curl.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
         # A process that is frozen while the connection opens would send on waking. On a crowded
-        # machine that moment lasts some milliseconds: 2 of 20 freezes under load fell into it.
+        # machine that moment lasts some milliseconds, long enough for a freeze to fall into it.
         curl.setopt(pycurl.PREREQFUNCTION, self._before_sending)
         return curl
 
