Hints twice as often: entries of a large fleet see each other's requests after 50 ms

The 24 entries see each other 100 ms late. Change: hints each 50 ms while loads change; whether they changed is seen without describing all that a full hint tells. Model, crowded fleet of 27, streams late because 24 entries do not see each other: 5.1% and 3.9% -> 2.8% and 1.7% (test).

--- a/packages/core/src/carobspool_core/direct/_backlog.py
+++ b/packages/core/src/carobspool_core/direct/_backlog.py
@@ -1,7 +1,7 @@
 """Which entry's batch items go first when there is less room than items that wait.
 
 Load pattern: a burst of online requests has ended, or some engines are gone, and every entry has
-items waiting. Each sees the same free places, by hints some 100 ms old. Without an order among them
+items waiting. Each sees the same free places, by hints some 50 ms old. Without an order among them
 all start items at once, more than there are places, and cut each other's runs; and items that are
 due late at one entry run before items that are due soon at another.
 
@@ -23,7 +23,7 @@
 TOLD_FOR: Millis = 700.0
 """How long what another entry told counts; it tells twice a second at least."""
 LONGEST_HOLD: Millis = 300.0
-"""How long room is left to others. They know of it after a hint and start within another 100 ms,
+"""How long room is left to others. They know of it after a hint and start within 100 ms,
 unless they cannot reach the upstreams; then nobody would use the room."""
 
 
--- a/packages/core/src/carobspool_core/direct/_placement.py
+++ b/packages/core/src/carobspool_core/direct/_placement.py
@@ -6,7 +6,7 @@
 up to a reserve, and an online request that finds every place taken has a batch item cancelled,
 which later resumes at its next event.
 
-Each entry sees its own requests at once and those of the others by hints some 100 ms old.
+Each entry sees its own requests at once and those of the others by hints some 50 ms old.
 """
 
 from __future__ import annotations
@@ -31,7 +31,7 @@
 """Slots below which one is enough in reserve; two of four would halve the room for batch items."""
 SAMPLED = 5
 """Upstreams drawn at random among which the least loaded one is chosen. All entries see nearly the
-same loads, 100 ms old; choosing the least loaded of all would send everybody to the same upstream
+same loads, 50 ms old; choosing the least loaded of all would send everybody to the same upstream
 in that time."""
 FULL_PENALTY = 0.25
 """Added when no slot is free: another upstream is better although more online requests run there.
--- a/packages/core/src/carobspool_core/direct/_shared_view.py
+++ b/packages/core/src/carobspool_core/direct/_shared_view.py
@@ -11,7 +11,7 @@
 
 CHANGE_TIME: Millis = 400.0
 """Longest time in which a change reaches every process in order: an answer of the store takes up to
-300 ms when it is slow, and hints come every 100 ms."""
+300 ms when it is slow, and hints come twenty times a second."""
 READ_AGAIN: Millis = 1_000.0
 """Time between two readings while the difference stays, for each is a priced call."""
 
--- a/packages/core/src/carobspool_core/direct/_waiting_quota.py
+++ b/packages/core/src/carobspool_core/direct/_waiting_quota.py
@@ -1,7 +1,7 @@
 """Limit of the tokens that wait on a batch route, over all entries.
 
 Load pattern: many jobs submitted at once, at several entries. Each entry knows its own count and
-the others' by hints some 100 ms old, so near the limit two entries could both accept the last job
+the others' by hints some 500 ms old, so near the limit two entries could both accept the last job
 that fits. Far from the limit an entry counts alone; near it each entry accepts only its share of
 what is left, which bounds the overrun without a call to the store.
 """
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -96,6 +96,7 @@
             name=settings.node,
             incarnation=self._incarnation,
             address=(settings.address, settings.peer_port),
+            loads=self._loads.own_loads,
             describe=self._own_hint,
         )
         self._store = RelayedStore(
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -36,9 +36,10 @@
 from carobspool_node.direct._peer_messages import MAX_NAME, Hint, decode_cbor
 from carobspool_node.direct._telemetry import Telemetry
 
-HINT_INTERVAL: Millis = 100.0
-"""Time between two hints while loads change. In it an entry places a handful of requests, which is
-how wrong its picture of the others can be."""
+HINT_INTERVAL: Millis = 50.0
+"""Time between two hints while loads change. What all entries place in it is how wrong their
+picture of each other can be: requests meet at one upstream and wait there while others have free
+slots, the longer the older the hints are. A hint costs each of the others a datagram to read."""
 FULL_HINT_INTERVAL: Millis = 500.0
 """Time between two hints that also name jobs; they are also the heartbeat."""
 ENDS_TOLD_FOR: Millis = 5_000.0
@@ -62,6 +63,7 @@
         name: Name of this entry.
         incarnation: Of this process.
         address: Where this entry takes hints.
+        loads: Returns what is in flight here.
         describe: Returns what to tell.
     """
 
@@ -73,12 +75,14 @@
         name: str,
         incarnation: str,
         address: tuple[str, int],
+        loads: Callable[[], Mapping[str, Load]],
         describe: Callable[[], OwnHint],
     ) -> None:
         self._clock = clock
         self._name = name
         self._incarnation = incarnation
         self._address = address
+        self._loads = loads
         self._describe = describe
         self._bad_hints = BadRecords(clock, telemetry, "hint", "sender")
         self._lock = threading.Lock()
@@ -183,7 +187,7 @@
                 full = now >= full_at
                 if full:
                     full_at = now + FULL_HINT_INTERVAL
-                loads = self._describe().loads
+                loads = self._loads()
                 if full or loads != told:
                     told = loads
                     self._tell(full=full)
--- a/packages/node/tests/test_direct_peers.py
+++ b/packages/node/tests/test_direct_peers.py
@@ -38,6 +38,7 @@
             name="e1",
             incarnation="1",
             address=("127.0.0.1", 0),
+            loads=dict,
             describe=_own_hint,
         )
         self.peers._on_ended = self.ended.extend
--- a/packages/node/tests/test_fleet_load.py
+++ b/packages/node/tests/test_fleet_load.py
@@ -42,6 +42,30 @@
     assert max(report.items) < 18_000.0
 
 
+CROWDED = FleetPlan(
+    entries=24,
+    engines=27,
+    slots=7,
+    calm_rate=53.0,
+    burst_rate=260.0,
+    jobs_rate=1.74,
+    stream=700.0,
+    length=10_400.0,
+)
+LATE_BY_OLD_HINTS = 1 / 30
+"""Aim: of thirty streams at most one is late because the entries do not see each other's."""
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_entries_that_hear_of_each_other_serve_a_crowded_fleet_nearly_like_one(seed: int) -> None:
+    """Bursts fill nearly all slots of 27 engines; 24 entries meet at the same ones, and a stream
+    waits there for the end of another while slots are free elsewhere. With hints 100 ms apart 5.1%
+    and 3.9% of the streams were late for that, with 50 ms 2.8% and 1.7%."""
+    several = play_fleet(CROWDED, seed).on_time(CROWDED.target)
+    one = play_fleet(replace(CROWDED, entries=1), seed).on_time(CROWDED.target)
+    assert one - several < LATE_BY_OLD_HINTS
+
+
 SMALL = FleetPlan(
     entries=4,
     engines=5,
--- a/tests/fleet_load.py
+++ b/tests/fleet_load.py
@@ -24,7 +24,7 @@
 )
 from carobspool_node.direct._loads import BatchRun, LoadTable, Placement
 
-HINT_INTERVAL = 100.0
+HINT_INTERVAL = 50.0
 HINT_TRAVEL = 3.0
 CANCEL_TIME = 10.0
 """From a cancellation to the free place: a round trip and an engine step."""
