Placement costs what it looks at: totals of all entries' loads are kept, not summed for each request

Ruled out: the draw of five and the scores themselves, 17 us.

Change: core `FleetLoads` keeps totals by what is new in each hint and each request; reports that are too old drop in the order in which they came. `UpstreamList` keeps the usable upstreams of a service and their keys until the list changes. Drawing looks at as many upstreams as could be suspects, not at all.

Test: totals always equal the sum of what counts, over drawn hints, pauses and requests (hypothesis).

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -14,6 +14,7 @@
 )
 from carobspool_core.direct._events import EventSplitter, StreamEvent
 from carobspool_core.direct._failure_reports import FailureReports
+from carobspool_core.direct._fleet_loads import NO_LOAD, PEER_TIME, FleetLoads, Load
 from carobspool_core.direct._handover import Successor, lets_jobs_go
 from carobspool_core.direct._job_codec import (
     job_from_json,
@@ -46,9 +47,9 @@
     Liveness,
     Silence,
 )
+from carobspool_core.direct._load_pace import LoadPace
 from carobspool_core.direct._placement import (
     BATCH_RESERVE,
-    Load,
     choose_batch_upstream,
     choose_upstream,
     excess_of_batch,
@@ -68,6 +69,7 @@
     by_identity,
     by_instance,
     identity_of,
+    key_of,
     latest_starts,
 )
 from carobspool_core.direct._upstreams import LAPSE_GRACE, Upstream, UpstreamList
@@ -81,6 +83,8 @@
     "GONE_AFTER",
     "LAPSE_GRACE",
     "LEAVING_RETRY_AFTER",
+    "NO_LOAD",
+    "PEER_TIME",
     "SILENT_AFTER",
     "Backlog",
     "BatchUrgency",
@@ -88,6 +92,7 @@
     "Configuration",
     "EventSplitter",
     "FailureReports",
+    "FleetLoads",
     "ItemEnd",
     "ItemPace",
     "ItemPart",
@@ -99,6 +104,7 @@
     "JobWork",
     "Liveness",
     "Load",
+    "LoadPace",
     "MeanDuration",
     "Route",
     "RouteKind",
@@ -125,6 +131,7 @@
     "identity_of",
     "job_from_json",
     "job_to_json",
+    "key_of",
     "latest_starts",
     "lets_jobs_go",
     "progress_from_json",
--- a/packages/core/src/carobspool_core/direct/_placement.py
+++ b/packages/core/src/carobspool_core/direct/_placement.py
@@ -13,11 +13,11 @@
 
 import random
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
 
 from xxhash import xxh3_64_intdigest
 
 from carobspool_core.direct._batch_order import BatchUrgency
+from carobspool_core.direct._fleet_loads import NO_LOAD, Load
 from carobspool_core.direct._upstreams import Upstream
 
 BATCH_RESERVE = 2
@@ -44,19 +44,6 @@
 _draw = random.Random()
 
 
-@dataclass(frozen=True, slots=True)
-class Load:
-    """Requests in flight at one upstream, from all entries, as far as they are known."""
-
-    online: int = 0
-    batch: int = 0
-
-    @property
-    def total(self) -> int:
-        """Online and batch requests together."""
-        return self.online + self.batch
-
-
 def choose_upstream(
     upstreams: Sequence[Upstream],
     loads: Mapping[str, Load],
@@ -82,15 +69,26 @@
         draw: Breaks ties.
     """
     draw = draw or _draw
-    sound = [each for each in upstreams if each.identity not in suspects]
-    if len(sound) > SAMPLED:
-        sampled = draw.sample(sound, SAMPLED)
+    sampled = _draw_sound(upstreams, suspects, draw)
+    if sampled:
         found = _least_loaded(sampled, loads, failure_domain, queue, suspects, draw)
         if found is not None:
             return found
     return _least_loaded(upstreams, loads, failure_domain, queue, suspects, draw)
 
 
+def _draw_sound(
+    upstreams: Sequence[Upstream], suspects: frozenset[str], draw: random.Random
+) -> Sequence[Upstream]:
+    """Return `SAMPLED` upstreams that are no suspects, none if there are no more than that."""
+    if len(upstreams) <= SAMPLED:
+        return ()
+    # However many upstreams there are, only as many are looked at as could be suspects.
+    drawn = draw.sample(upstreams, min(len(upstreams), SAMPLED + 1 + len(suspects)))
+    sound = [each for each in drawn if each.identity not in suspects]
+    return sound[:SAMPLED] if len(sound) > SAMPLED else ()
+
+
 def _least_loaded(
     upstreams: Sequence[Upstream],
     loads: Mapping[str, Load],
@@ -102,7 +100,7 @@
     best: Upstream | None = None
     best_score = float("inf")
     for upstream in upstreams:
-        load = loads.get(upstream.identity, Load())
+        load = loads.get(upstream.identity, NO_LOAD)
         if load.online >= upstream.slots + queue(upstream):
             continue
         score = load.online / upstream.slots
@@ -135,7 +133,7 @@
     for upstream in upstreams:
         if upstream.identity in suspects:
             continue
-        load = loads.get(upstream.identity, Load())
+        load = loads.get(upstream.identity, NO_LOAD)
         free = _free_for_batch(upstream, load, urgency)
         if free <= 0:
             continue
@@ -157,7 +155,7 @@
     room = 0
     for upstream in upstreams:
         if upstream.identity not in suspects:
-            load = loads.get(upstream.identity, Load())
+            load = loads.get(upstream.identity, NO_LOAD)
             room += max(0, _free_for_batch(upstream, load, urgency))
     return room
 
--- a/packages/core/src/carobspool_core/direct/_upstream_identity.py
+++ b/packages/core/src/carobspool_core/direct/_upstream_identity.py
@@ -13,6 +13,8 @@
 from collections.abc import Iterable, Mapping
 from typing import TypeVar
 
+from xxhash import xxh32_intdigest
+
 UNKNOWN_START = 0
 """Start of an upstream that does not tell it; any known start is a later one."""
 _Value = TypeVar("_Value")
@@ -30,6 +32,11 @@
     return instance if started == UNKNOWN_START else f"{instance}{_SEPARATOR}{started}"
 
 
+def key_of(identity: str) -> int:
+    """Return a key of four bytes, short enough for hints; two identities may share one."""
+    return xxh32_intdigest(identity.encode())
+
+
 def split_identity(identity: str) -> tuple[str, int]:
     """Return id and start."""
     instance, _, started = identity.partition(_SEPARATOR)
--- a/packages/core/src/carobspool_core/direct/_upstreams.py
+++ b/packages/core/src/carobspool_core/direct/_upstreams.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from xxhash import xxh3_64_intdigest
 
 from carobspool_core._clock import Millis
-from carobspool_core.direct._upstream_identity import UNKNOWN_START, identity_of
+from carobspool_core.direct._upstream_identity import UNKNOWN_START, identity_of, key_of
 
 KEPT_SHARE = 0.5
 """A vanished upstream counts as lapsed only when less than this share of its service is left. An
@@ -62,7 +62,7 @@
 class UpstreamList:
     """The registered upstreams, with a short memory for those that lapsed during an outage."""
 
-    __slots__ = ("_before", "_grace_until", "_lapsed", "_latest", "_listed")
+    __slots__ = ("_before", "_grace_until", "_keys", "_lapsed", "_latest", "_listed", "_ready")
 
     def __init__(self) -> None:
         self._listed: dict[str, Upstream] = {}
@@ -70,6 +70,9 @@
         self._latest: dict[str, Upstream] = {}
         self._grace_until: Millis = 0.0
         self._before: Counter[str] = Counter()
+        # Asked for by each request and each hint, and changed only with the list.
+        self._ready: dict[str, Sequence[Upstream]] = {}
+        self._keys: Mapping[int, str] | None = None
 
     def regained(self, now: Millis) -> None:
         """Note that the store answers again after it could not be read."""
@@ -88,6 +91,7 @@
         """
         for instance in unusable:
             self.refuse(instance)
+        self._changed()
         before = self._listed
         self._listed = {}
         restarted = []
@@ -115,11 +119,13 @@
 
         It has not lapsed, since it is there, so an outage of the store keeps nothing of it either.
         """
+        self._changed()
         self._listed.pop(instance, None)
         self._lapsed.pop(instance, None)
 
     def remove(self, instance: str, now: Millis) -> None:
         """Take the removal of a registration."""
+        self._changed()
         upstream = self._listed.pop(instance, None)
         if upstream is not None:
             self._vanished(upstream, now)
@@ -140,6 +146,7 @@
 
     def _take(self, upstream: Upstream) -> bool:
         """List an upstream; return whether an earlier start of it was known."""
+        self._changed()
         self._listed[upstream.instance] = upstream
         self._lapsed.pop(upstream.instance, None)
         earlier = self._latest.pop(upstream.instance, upstream)
@@ -148,6 +155,10 @@
             del self._latest[next(iter(self._latest))]
         return upstream.replaces(earlier)
 
+    def _changed(self) -> None:
+        self._ready.clear()
+        self._keys = None
+
     def _vanished(self, upstream: Upstream, now: Millis) -> None:
         """Keep an upstream that has lapsed with most of its service around an outage."""
         if not upstream.ready or now >= self._grace_until:
@@ -159,14 +170,21 @@
     def _ready_by_service(self) -> Counter[str]:
         return Counter(each.service for each in self._listed.values() if each.ready)
 
-    def usable(self, service: str, now: Millis) -> list[Upstream]:
+    def usable(self, service: str, now: Millis) -> Sequence[Upstream]:
         """Return the upstreams of a service that may receive new requests."""
+        ready = self._ready.get(service)
+        if ready is None:
+            ready = [
+                each for each in self._listed.values() if each.service == service and each.ready
+            ]
+            self._ready[service] = ready
+        if not self._lapsed:
+            return ready
         for instance, (_, until) in list(self._lapsed.items()):
             if now >= until:
                 del self._lapsed[instance]
-        found = [each for each in self._listed.values() if each.service == service and each.ready]
-        found.extend(each for each, _ in self._lapsed.values() if each.service == service)
-        return found
+        lapsed = (each for each, _ in self._lapsed.values() if each.service == service)
+        return [*ready, *lapsed]
 
     def knows(self, instance: str) -> bool:
         """Return whether an upstream is listed, or has lapsed a moment ago."""
@@ -177,6 +195,19 @@
         found = {each.identity for each in self._listed.values()}
         return found.union(each.identity for each, _ in self._lapsed.values())
 
+    def identities_by_key(self) -> Mapping[int, str]:
+        """Return the identities of all upstreams by their keys, without keys that two share."""
+        if self._keys is None:
+            found: dict[int, str] = {}
+            shared = set()
+            for identity in self.identities():
+                key = key_of(identity)
+                if key in found:
+                    shared.add(key)
+                found[key] = identity
+            self._keys = {key: each for key, each in found.items() if key not in shared}
+        return self._keys
+
     def listed(self) -> list[Upstream]:
         """Return every listed upstream."""
         return list(self._listed.values())
--- /dev/null
+++ b/packages/core/tests/test_direct_fleet_loads.py
@@ -0,0 +1,94 @@
+"""Totals of what all entries have in flight, against the sum of what each of them told."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carobspool_core.direct import NO_LOAD, PEER_TIME, FleetLoads, Load
+
+PEERS = ("e1", "e2", "e3")
+UPSTREAMS = ("u", "u/1", "v")
+COUNTS = st.integers(0, 9)
+LOADS = st.dictionaries(st.sampled_from(UPSTREAMS), st.builds(Load, COUNTS, COUNTS))
+
+
+@dataclass(frozen=True)
+class Hint:
+    """Loads that a peer tells; hints may be lost, doubled or of a process that starts again."""
+
+    peer: str
+    loads: Mapping[str, Load]
+
+
+@dataclass(frozen=True)
+class Pause:
+    """Time in which nothing is heard."""
+
+    duration: float
+
+
+@dataclass(frozen=True)
+class OwnChange:
+    """A request of this entry begins, or one that runs ends."""
+
+    upstream: str
+    batch: bool
+    begins: bool
+
+
+STEPS = st.one_of(
+    st.builds(Hint, st.sampled_from(PEERS), LOADS),
+    st.builds(Pause, st.sampled_from([1.0, PEER_TIME, PEER_TIME + 1.0])),
+    st.builds(OwnChange, st.sampled_from(UPSTREAMS), st.booleans(), st.booleans()),
+)
+
+
+@given(st.lists(STEPS, max_size=40))
+def test_totals_are_always_the_sum_of_what_counts(steps: list[Hint | Pause | OwnChange]) -> None:
+    """A total that drifts from the sum keeps an upstream full, or free, until the process ends."""
+    fleet = FleetLoads()
+    now = 0.0
+    told: dict[str, tuple[float, Mapping[str, Load]]] = {}
+    own = dict.fromkeys(UPSTREAMS, NO_LOAD)
+    for step in steps:
+        if isinstance(step, Hint):
+            fleet.expire(now)
+            before = told.get(step.peer, (0.0, step.loads))[1]
+            if now - told.get(step.peer, (now, {}))[0] > PEER_TIME:
+                before = step.loads
+            freed = fleet.take(step.peer, step.loads, now)
+            assert freed == any(
+                load.total > step.loads.get(upstream, NO_LOAD).total
+                for upstream, load in before.items()
+            )
+            told[step.peer] = (now, step.loads)
+        elif isinstance(step, Pause):
+            now += step.duration
+        else:
+            change = 1 if step.begins else -1
+            load = own[step.upstream]
+            running = load.batch if step.batch else load.online
+            if running + change < 0:
+                continue
+            online, batch = (0, change) if step.batch else (change, 0)
+            own[step.upstream] = Load(load.online + online, load.batch + batch)
+            fleet.add_own(step.upstream, online=online, batch=batch)
+        fleet.expire(now)
+        counted = [loads for received, loads in told.values() if now - received <= PEER_TIME]
+        for upstream in UPSTREAMS:
+            loads = [each.get(upstream, NO_LOAD) for each in counted] + [own[upstream]]
+            expected = Load(sum(each.online for each in loads), sum(each.batch for each in loads))
+            assert fleet.totals.get(upstream, NO_LOAD) == expected
+            at = {peer: load for peer, load in fleet.at(upstream).items() if load.total}
+            assert at == {
+                peer: loads[upstream]
+                for peer, (received, loads) in told.items()
+                if now - received <= PEER_TIME and loads.get(upstream, NO_LOAD).total
+            }
+        assert fleet.peers() == {
+            peer for peer, (received, _) in told.items() if now - received <= PEER_TIME
+        }
--- a/packages/core/tests/test_direct_upstreams.py
+++ b/packages/core/tests/test_direct_upstreams.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from carobspool_core.direct import Upstream, UpstreamList
+from dataclasses import replace
+
+import pytest
+
+from carobspool_core.direct import Upstream, UpstreamList, _upstreams
 
 
 def _upstream(instance: str) -> Upstream:
@@ -36,3 +40,30 @@
     upstreams.put(_upstream("a"))
     assert upstreams.usable("s", 0.0)
     assert upstreams.usable("another", 0.0) == []
+
+
+def test_two_upstreams_with_one_key_are_told_by_neither(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Load hints name upstreams by keys of four bytes. Loads of one that were taken for those of
+    another would keep it full, or free, for as long as both run."""
+    monkeypatch.setattr(_upstreams, "key_of", lambda identity: len(identity))
+    upstreams = UpstreamList()
+    for instance in ("a", "b", "cc"):
+        upstreams.put(_upstream(instance))
+    assert upstreams.identities_by_key() == {2: "cc"}
+    upstreams.remove("b", 0.0)
+    assert upstreams.identities_by_key() == {1: "a", 2: "cc"}
+
+
+def test_what_is_usable_follows_each_change_of_the_list() -> None:
+    """The answer is kept between requests; a kept one would send requests to what has left."""
+    upstreams = UpstreamList()
+    upstreams.put(_upstream("a"))
+    assert [each.instance for each in upstreams.usable("s", 0.0)] == ["a"]
+    upstreams.put(_upstream("b"))
+    assert [each.instance for each in upstreams.usable("s", 0.0)] == ["a", "b"]
+    upstreams.put(replace(_upstream("a"), ready=False))
+    assert [each.instance for each in upstreams.usable("s", 0.0)] == ["b"]
+    upstreams.remove("b", 0.0)
+    assert upstreams.usable("s", 0.0) == []
+    upstreams.replace([_upstream("c")], 0.0)
+    assert [each.instance for each in upstreams.usable("s", 0.0)] == ["c"]
--- a/packages/node/src/carobspool_node/direct/_declared.py
+++ b/packages/node/src/carobspool_node/direct/_declared.py
@@ -100,7 +100,7 @@
         for follower in self._followers.values():
             follower.start()
 
-    def usable(self, service: str) -> list[Upstream]:
+    def usable(self, service: str) -> Sequence[Upstream]:
         """Return the upstreams of a service that may receive new requests."""
         with self._upstreams_lock:
             return self._upstreams.usable(service, self._clock.now())
@@ -115,6 +115,11 @@
         with self._upstreams_lock:
             return self._upstreams.identities()
 
+    def identities_by_key(self) -> Mapping[int, str]:
+        """Return the identities of all upstreams known by the keys that hints name them by."""
+        with self._upstreams_lock:
+            return self._upstreams.identities_by_key()
+
     def versions(self) -> Mapping[str, int]:
         """Return what is known, as numbers for the others."""
         return {
--- a/packages/node/src/carobspool_node/direct/_in_flight.py
+++ b/packages/node/src/carobspool_node/direct/_in_flight.py
@@ -26,13 +26,21 @@
     cancellation: Cancellation = field(default_factory=Cancellation)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, kw_only=True)
 class OwnRequests:
-    """What this entry has in flight at one upstream, and when that has last sent anything."""
+    """What this entry has in flight at one upstream.
 
+    Attributes:
+        upstream: Where.
+        heard: When the upstream has last sent anything, or the first of these was sent.
+        online: Requests of callers.
+        runs: Batch items.
+    """
+
+    upstream: Upstream
+    heard: Millis
     online: int = 0
     runs: list[BatchRun] = field(default_factory=list)
-    heard: Millis = 0.0
 
     @property
     def total(self) -> int:
