Loads are told at each change in small hints; announcements are the heartbeat and name jobs when these change

Cause: 58 entries told each other everything 20 times a second at most, on a tick of 50 ms. What all of them place in 50 ms is unknown to the others: streams meet at one engine while slots are free elsewhere. Ruled out in the model: the draw of five, batch runs in the way (same with the view of one).

Change: an entry tells its loads as soon as they change, in a datagram of about 100 bytes (upstreams by a key of four bytes), within a budget of datagrams (`LoadPace`). All else goes twice a second and when it changes. Hints carry a sequence number, since a late one must not undo a newer one. Entries of the version before get what they understand. `Peers` is split: membership and silence (`PeerTable`), writing (`_announcement`, `_load_hint`). The wire's one-letter keys are aliases of the model now.

--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -5,7 +5,7 @@
 import random
 import threading
 import uuid
-from collections.abc import Mapping, Sequence
+from collections.abc import Hashable, Mapping, Sequence
 from pathlib import Path
 
 from absl import logging
@@ -49,7 +49,7 @@
 from carobspool_node.direct._peer_api import PeerApi
 from carobspool_node.direct._peer_calls import PEER_HEADERS, PeerCaller
 from carobspool_node.direct._peer_messages import EntryRecord
-from carobspool_node.direct._peers import Peers
+from carobspool_node.direct._peers import OwnState, PeerEvents, Peers
 from carobspool_node.direct._reload import SettingsReload
 from carobspool_node.direct._settings import DirectSettings
 from carobspool_node.direct._stop_signal import StopSignal
@@ -96,8 +96,13 @@
             name=settings.node,
             incarnation=self._incarnation,
             address=(settings.address, settings.peer_port),
-            loads=self._loads.own_loads,
-            describe=self._own_hint,
+            own=OwnState(
+                loads=self._loads.own_loads,
+                backlog=lambda: self._runner.backlog(),
+                urgent=self._urgent_state,
+                describe=self._own_hint,
+                identities_by_key=lambda: self._declared.identities_by_key(),
+            ),
         )
         self._store = RelayedStore(
             deployment.open_store(settings, self._clock),
@@ -111,7 +116,7 @@
             self._store,
             deployment,
             self._telemetry,
-            on_configuration=self._peers.tell_now,
+            on_configuration=self._peers.announce,
             on_restarted=self._upstream_restarted,
         )
         items = ItemRunner(self._clock, deployment.headers, self._loads, self._connections)
@@ -204,13 +209,16 @@
         self._reload.listen()
         serve_metrics((settings.address, settings.metrics_port), self._telemetry, self._clock)
         callers = self._listen()
+        self._loads.on_own_change(self._peers.loads_changed)
         self._peers.start(
-            on_loads=self._take_loads,
-            on_backlog=self._runner.take_backlog,
-            on_versions=self._declared.compare,
-            on_lost=self._recovery.peer_lost,
-            on_gone=self._recovery.peer_gone,
-            on_ended=self._runner.told_ended,
+            PeerEvents(
+                loads=self._take_loads,
+                backlog=self._runner.take_backlog,
+                versions=self._declared.compare,
+                lost=self._recovery.peer_lost,
+                gone=self._recovery.peer_gone,
+                ended=self._runner.told_ended,
+            )
         )
         self._declared.start()
         self._entries.start()
@@ -267,16 +275,16 @@
         name = stored.key.removeprefix("entries/")
         if deleted:
             self._bad_entries.mended(name)
-            self._peers.know(name, None)
+            self._peers.set_address(name, None)
             return
         try:
             address = read_record(EntryRecord, stored.value).address
         except UnusableRecordError as error:
             self._bad_entries.note(name, error)
-            self._peers.know(name, None)
+            self._peers.set_address(name, None)
             return
         self._bad_entries.mended(name)
-        self._peers.know(name, address)
+        self._peers.set_address(name, address)
 
     def _register(self) -> None:
         """Write this entry's address, so that the others find it."""
@@ -299,10 +307,10 @@
         self,
         peer: str,
         loads: Mapping[str, Load],
-        failures: Mapping[str, int],
+        failures: Mapping[str, int] | None,
         knows_starts: bool,
     ) -> None:
-        upstreams = self._declared.listed()
+        upstreams = () if knows_starts else self._declared.listed()
         self._loads.take_hint(peer, loads, upstreams, failures, knows_starts=knows_starts)
 
     def _upstream_restarted(self, upstream: Upstream) -> None:
@@ -333,6 +341,16 @@
         nodes.append(self._settings.node)
         return rendezvous_owner(duty, nodes) == self._settings.node
 
+    def _urgent_state(self) -> Hashable:
+        """Return what the others are to know at once, beside what is in flight."""
+        return (
+            tuple(self._declared.versions().values()),
+            sum(self._loads.own_failures().values()),
+            self._leaving.is_set(),
+            self._runner.released,
+            self._store.reachable,
+        )
+
     def _own_hint(self) -> OwnHint:
         return OwnHint(
             loads=self._loads.own_loads(),
--- a/packages/node/src/carobspool_node/direct/_exit.py
+++ b/packages/node/src/carobspool_node/direct/_exit.py
@@ -73,7 +73,7 @@
         began = self._clock.now()
         self._exit_at = began + self._limit - EXIT_MARGIN
         callers.drain()
-        self._peers.tell_now()
+        self._peers.announce()
         self._serve_on(callers, began)
         cut = callers.close()
         self._runner.stop(COMMITS_AT_EXIT)
@@ -109,7 +109,7 @@
         if not lets_jobs_go(successors, time_left=time_left, silent_after=SILENT_AFTER):
             return True
         self._runner.let_go(min(LAST_COMMITS, time_left))
-        self._peers.tell_now()
+        self._peers.announce()
         return False
 
     def _log_cut(self, cut: Sequence[CallerRequest]) -> None:
--- a/packages/node/src/carobspool_node/direct/_job_adoption.py
+++ b/packages/node/src/carobspool_node/direct/_job_adoption.py
@@ -89,7 +89,7 @@
         records = self._catalog.records
         identity = self._peers.identity
         self._runner.add(OwnedJob(job, stored, records, identity, self._clock, asked=asked))
-        self._peers.tell_now()
+        self._peers.announce()
         logging.info(
             "event=job_owned job=%s items=%d committed=%d",
             job.job_id,
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -252,7 +252,7 @@
                 return Outcome.UNAVAILABLE
             state = read.unwrap()
             if state.progress.ended:
-                self._peers.tell_ended(job_id)
+                self._peers.announce_ended(job_id)
                 return Outcome.DONE
             written = self._catalog.records.write_progress(
                 job_id,
@@ -268,11 +268,11 @@
                     written.unwrap().version,
                     self._peers.by_identity(state.progress.owner) is not None,
                 )
-                self._peers.tell_ended(job_id)
+                self._peers.announce_ended(job_id)
                 return Outcome.DONE
             fault = written.failure().fault
             if fault is StoreFault.UNKNOWN:
-                self._peers.tell_ended(job_id)
+                self._peers.announce_ended(job_id)
                 return Outcome.UNKNOWN
             if fault is not StoreFault.CONFLICT:
                 return Outcome.UNAVAILABLE
--- a/packages/node/src/carobspool_node/direct/_peer.py
+++ b/packages/node/src/carobspool_node/direct/_peer.py
@@ -24,6 +24,8 @@
         versions: What it has seen of the configuration and of the upstreams.
         leaving: Whether it is shutting down.
         store_ok: Whether it reaches the store.
+        sequence: Of its newest hint.
+        is_current: Whether it reads what entries of this version send.
     """
 
     name: str
@@ -36,6 +38,8 @@
     versions: Mapping[str, int] = field(default_factory=dict)
     leaving: bool = False
     store_ok: bool = True
+    sequence: int = -1
+    is_current: bool = False
 
     @property
     def identity(self) -> str:
--- a/packages/node/src/carobspool_node/direct/_peer_messages.py
+++ b/packages/node/src/carobspool_node/direct/_peer_messages.py
@@ -47,27 +47,35 @@
     address: Address
 
 
-class Hint(RecordModel):
-    """One datagram. Those from ``j`` on are in full hints only; the versions before send none
-    of ``b``, ``d``, ``p`` and ``r``.
+class Announcement(RecordModel):
+    """What an entry tells of itself twice a second, and at once when some of it changes.
+
+    Entries of the version before tell their loads by the upstreams' bare ids, with the starts
+    beside them, and send none of the fields that have a default.
     """
 
-    n: Name
-    i: Name
-    a: Address
-    l: dict[Name, Annotated[list[Count], Field(min_length=2, max_length=2)]]  # noqa: E741
-    e: dict[Name, Count]
-    v: dict[Name, Annotated[int, Field(ge=0, le=MAX_DIGEST)]]
-    b: dict[Name, Count] | None = None
-    x: bool
-    r: list[Name] | None = None
-    s: bool
-    p: list[Annotated[list[Count], Field(min_length=2, max_length=2)]] = []
-    j: list[Name] | None = None
-    f: list[Name] = []
-    w: dict[str, Count] = {}
-    q: list[Name] = []
-    d: list[Name] = []
+    name: Name = Field(alias="n")
+    incarnation: Name = Field(alias="i")
+    address: Address = Field(alias="a")
+    loads: dict[Name, Annotated[list[Count], Field(min_length=2, max_length=2)]] = Field(
+        alias="l", default={}
+    )
+    failures: dict[Name, Count] = Field(alias="e")
+    versions: dict[Name, Annotated[int, Field(ge=0, le=MAX_DIGEST)]] = Field(alias="v")
+    starts: dict[Name, Count] | None = Field(alias="b", default=None)
+    leaving: bool = Field(alias="x")
+    released: list[Name] | None = Field(alias="r", default=None)
+    store_ok: bool = Field(alias="s")
+    backlog: list[Annotated[list[Count], Field(min_length=2, max_length=2)]] = Field(
+        alias="p", default=[]
+    )
+    open_jobs: list[Name] | None = Field(alias="j", default=None)
+    done_jobs: list[Name] = Field(alias="f", default=[])
+    waiting: dict[str, Count] = Field(alias="w", default={})
+    silent: list[Name] = Field(alias="q", default=[])
+    ended: list[Name] = Field(alias="d", default=[])
+    sequence: Count | None = Field(alias="c", default=None)
+    packed_loads: bytes = Field(alias="k", default=b"")
 
 
 class ResultsCall(RecordModel):
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -1,9 +1,11 @@
 """Hints between entries: who lives, what each has in flight, which jobs each works on.
 
-Datagrams of CBOR, several a second. A lost one is replaced by the next; nothing that must be true
-rests on them. They choose upstreams, tell where a job's results are read without a call to the
-store, and show that an entry has fallen silent, whose jobs another then takes over by conditional
-write.
+Datagrams of CBOR. A lost one is replaced by the next; nothing that must be true rests on them. They
+choose upstreams, tell where a job's results are read without a call to the store, and show that an
+entry has fallen silent, whose jobs another then takes over by conditional write.
+
+An announcement tells all, twice a second, and is the heartbeat. Loads change far more often and are
+told at each change, in a hint of some hundred bytes.
 """
 
 from __future__ import annotations
@@ -11,49 +13,84 @@
 import contextlib
 import socket
 import threading
-from collections.abc import Callable, Mapping, Sequence
-from dataclasses import replace
-from typing import Any
+from collections.abc import Callable, Hashable, Mapping, Sequence
+from dataclasses import dataclass
 
-import cbor2
 from absl import logging
 
-from carobspool_core import Clock, Millis
+from carobspool_core import Clock, Json, Millis
 from carobspool_core.border import UnusableRecordError, read_record
-from carobspool_core.direct import (
-    DEAD_AFTER,
-    FORGET_AFTER,
-    SILENT_AFTER,
-    Liveness,
-    Load,
-    WaitingGroup,
-    by_identity,
-    by_instance,
-    latest_starts,
+from carobspool_core.direct import Load, LoadPace, WaitingGroup, by_identity
+from carobspool_node.direct._announcement import (
+    Sender,
+    encode_announcement,
+    encode_for_version_before,
+)
+from carobspool_node.direct._bad_records import BadRecords
+from carobspool_node.direct._load_hint import (
+    LoadHint,
+    encode_load_hint,
+    read_load_hint,
+    unpack_loads,
 )
-from carobspool_node.direct._bad_records import BadRecords, shown
 from carobspool_node.direct._peer import OwnHint, Peer
-from carobspool_node.direct._peer_messages import MAX_NAME, Hint, decode_cbor
+from carobspool_node.direct._peer_messages import Announcement, decode_cbor
+from carobspool_node.direct._peer_table import PeerTable
 from carobspool_node.direct._telemetry import Telemetry
 
-HINT_INTERVAL: Millis = 50.0
-"""Time between two hints while loads change. What all entries place in it is how wrong their
-picture of each other can be: requests meet at one upstream and wait there while others have free
-slots, the longer the older the hints are. A hint costs each of the others a datagram to read."""
-FULL_HINT_INTERVAL: Millis = 500.0
-"""Time between two hints that also name jobs; they are also the heartbeat."""
+TICK: Millis = 50.0
+"""Time between two looks at the silence of peers, and at what has to be announced at once."""
+HEARTBEAT_INTERVAL: Millis = 500.0
+"""Time between two announcements while nothing changes."""
+JOBS_INTERVAL: Millis = 2_000.0
+"""Time between two announcements that name the jobs although these have not changed."""
+JOBS_REPEATED_FOR: Millis = 1_100.0
+"""How long announcements name the jobs after they changed: a lost datagram is made up for by the
+next two."""
 ENDS_TOLD_FOR: Millis = 5_000.0
-"""How long hints name a job that this entry has ended in the store: ten full hints, and longer than
-a takeover that was under way takes (three calls of at most 1.5 s)."""
+"""How long announcements name a job that this entry has ended in the store: ten of them, and longer
+than a takeover that was under way takes (three calls of at most 1.5 s)."""
 MAX_DATAGRAM = 60_000
 
-OnLoads = Callable[[str, Mapping[str, Load], Mapping[str, int], bool], None]
-"""Takes a peer's name, what it has in flight, the failures that it has seen, both by the upstream's
-identity, and whether it knows upstreams' starts; if not, both come by the bare id."""
+OnLoads = Callable[[str, Mapping[str, Load], Mapping[str, int] | None, bool], None]
+"""Takes a peer's name, what it has in flight, the failures that it has seen if it tells them, both
+by the upstream's identity, and whether it knows upstreams' starts; if not, both come by the bare
+id."""
 OnBacklog = Callable[[str, Sequence[WaitingGroup]], None]
 """Takes a peer's name and the batch items that wait there."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnState:
+    """What this entry tells of itself.
+
+    Attributes:
+        loads: Returns what is in flight here, by the upstream's identity.
+        backlog: Returns the batch items that wait here.
+        urgent: Returns what is announced as soon as it changes.
+        describe: Returns all that an announcement holds.
+        identities_by_key: Returns the upstreams that load hints may name.
+    """
+
+    loads: Callable[[], Mapping[str, Load]]
+    backlog: Callable[[], Sequence[WaitingGroup]]
+    urgent: Callable[[], Hashable]
+    describe: Callable[[], OwnHint]
+    identities_by_key: Callable[[], Mapping[int, str]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerEvents:
+    """What is done with what peers tell, and with their silence."""
+
+    loads: OnLoads = lambda peer, loads, failures, knows_starts: None
+    backlog: OnBacklog = lambda peer, groups: None
+    versions: Callable[[Mapping[str, int]], None] = lambda versions: None
+    lost: Callable[[Peer], None] = lambda peer: None
+    gone: Callable[[Peer], None] = lambda peer: None
+    ended: Callable[[Sequence[str]], None] = lambda job_ids: None
+
+
 class Peers:
     """The other entries of the deployment.
 
@@ -63,8 +100,7 @@
         name: Name of this entry.
         incarnation: Of this process.
         address: Where this entry takes hints.
-        loads: Returns what is in flight here.
-        describe: Returns what to tell.
+        own: What this entry tells.
     """
 
     def __init__(
@@ -75,27 +111,21 @@
         name: str,
         incarnation: str,
         address: tuple[str, int],
-        loads: Callable[[], Mapping[str, Load]],
-        describe: Callable[[], OwnHint],
+        own: OwnState,
     ) -> None:
         self._clock = clock
-        self._name = name
-        self._incarnation = incarnation
-        self._address = address
-        self._loads = loads
-        self._describe = describe
+        self._sender = Sender(name=name, incarnation=incarnation, address=address)
+        self._own = own
         self._bad_hints = BadRecords(clock, telemetry, "hint", "sender")
+        self._table = PeerTable(clock, name)
+        self._events = PeerEvents()
         self._lock = threading.Lock()
-        self._peers: dict[str, Peer] = {}
-        self._addresses: dict[str, tuple[str, int]] = {}
-        self._liveness = Liveness(clock.now())
+        self._sequence = 0
+        self._jobs: tuple[frozenset[str], frozenset[str]] = (frozenset(), frozenset())
+        self._jobs_changed: Millis = clock.now()
+        self._jobs_told: Millis = 0.0
         self._ended: dict[str, Millis] = {}
-        self._on_loads: OnLoads = lambda peer, loads, failures, knows_starts: None
-        self._on_backlog: OnBacklog = lambda peer, groups: None
-        self._on_versions: Callable[[Mapping[str, int]], None] = lambda versions: None
-        self._on_lost: Callable[[Peer], None] = lambda peer: None
-        self._on_gone: Callable[[Peer], None] = lambda peer: None
-        self._on_ended: Callable[[Sequence[str]], None] = lambda job_ids: None
+        self._loads_changed = threading.Event()
         self._stopped = threading.Event()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(address)
@@ -103,48 +133,31 @@
     @property
     def identity(self) -> str:
         """Name and incarnation of this entry."""
-        return f"{self._name}#{self._incarnation}"
+        return f"{self._sender.name}#{self._sender.incarnation}"
 
-    def start(
-        self,
-        *,
-        on_loads: OnLoads,
-        on_backlog: OnBacklog,
-        on_versions: Callable[[Mapping[str, int]], None],
-        on_lost: Callable[[Peer], None],
-        on_gone: Callable[[Peer], None],
-        on_ended: Callable[[Sequence[str]], None],
-    ) -> None:
+    @property
+    def doubt_until(self) -> Millis:
+        """Until when others may have acted on jobs of this entry without its knowledge."""
+        return self._table.doubt_until
+
+    def start(self, events: PeerEvents) -> None:
         """Start to send and to receive."""
-        self._on_loads = on_loads
-        self._on_backlog = on_backlog
-        self._on_versions = on_versions
-        self._on_lost = on_lost
-        self._on_gone = on_gone
-        self._on_ended = on_ended
-        threading.Thread(target=self._receive, name="hints-in", daemon=True).start()
-        threading.Thread(target=self._send, name="hints-out", daemon=True).start()
+        self._events = events
+        threading.Thread(target=self._receive_loop, name="hints-in", daemon=True).start()
+        threading.Thread(target=self._send_loop, name="hints-out", daemon=True).start()
 
     def stop(self) -> None:
-        """Tell the others once more and stop."""
-        self._tell(full=True)
+        """Announce once more and stop."""
+        self.announce()
         self._stopped.set()
 
-    def know(self, name: str, address: tuple[str, int] | None) -> None:
+    def set_address(self, name: str, address: tuple[str, int] | None) -> None:
         """Take or drop a peer's address from the list of entries."""
-        if name == self._name:
-            return
-        with self._lock:
-            if address is None:
-                self._addresses.pop(name, None)
-            else:
-                self._addresses[name] = address
+        self._table.set_address(name, address)
 
     def live(self) -> list[Peer]:
         """Return the peers that were heard of late."""
-        now = self._clock.now()
-        with self._lock:
-            return [each for each in self._peers.values() if now - each.heard < DEAD_AFTER]
+        return self._table.live()
 
     def by_identity(self, identity: str) -> Peer | None:
         """Return a live peer by name and incarnation."""
@@ -160,116 +173,120 @@
                 return peer
         return None
 
-    @property
-    def doubt_until(self) -> Millis:
-        """Until when others may have acted on jobs of this entry without its knowledge."""
-        return self._liveness.doubt_until
+    def loads_changed(self) -> None:
+        """Tell the others soon what is in flight here."""
+        self._loads_changed.set()
 
-    def tell_ended(self, job_id: str) -> None:
+    def announce_ended(self, job_id: str) -> None:
         """Tell all peers, now and for some seconds, that a job has been ended in the store."""
         now = self._clock.now()
         with self._lock:
             self._ended = {key: at for key, at in self._ended.items() if now - at < ENDS_TOLD_FOR}
             self._ended[job_id] = now
-        self._tell(full=True)
+        self.announce()
+
+    def announce(self) -> None:
+        """Tell all peers everything, at once."""
+        hint = self._own.describe()
+        now = self._clock.now()
+        silent = self._table.silent()
+        targets = self._table.targets()
+        with self._lock:
+            ended = [key for key, at in self._ended.items() if now - at < ENDS_TOLD_FOR]
+            sequence = self._next_sequence()
+            with_jobs = self._names_jobs((hint.open_jobs, hint.done_jobs), now)
+        if targets.current:
+            data = encode_announcement(
+                self._sender,
+                hint,
+                sequence=sequence,
+                silent=silent,
+                ended=ended,
+                with_jobs=with_jobs,
+            )
+            self._send(data, targets.current)
+        if targets.others:
+            data = encode_for_version_before(
+                self._sender, hint, sequence=sequence, silent=silent, ended=ended
+            )
+            self._send(data, targets.others)
 
-    def tell_now(self) -> None:
-        """Send a full hint at once."""
-        self._tell(full=True)
+    def _names_jobs(self, jobs: tuple[frozenset[str], frozenset[str]], now: Millis) -> bool:
+        """Whether an announcement names the jobs; one that does not costs a fraction of it."""
+        if jobs != self._jobs:
+            self._jobs = jobs
+            self._jobs_changed = now
+        is_due = now - self._jobs_told >= JOBS_INTERVAL
+        if not is_due and now - self._jobs_changed >= JOBS_REPEATED_FOR:
+            return False
+        self._jobs_told = now
+        return True
 
-    def _send(self) -> None:
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
+    def _send(self, data: bytes, addresses: Sequence[tuple[str, int]]) -> None:
+        for address in addresses:
+            with contextlib.suppress(OSError):
+                self._socket.sendto(data, address)
+
+    def _send_loop(self) -> None:
+        announced: Hashable = None
         told: Mapping[str, Load] = {}
-        full_at: Millis = 0.0
-        while not self._stopped.wait(HINT_INTERVAL / 1000.0):
+        pace = LoadPace()
+        heartbeat_at: Millis = 0.0
+        tick_at: Millis = 0.0
+        while not self._stopped.is_set():
+            pause = TICK
             try:
                 now = self._clock.now()
-                self._notice_gaps(now)
-                full = now >= full_at
-                if full:
-                    full_at = now + FULL_HINT_INTERVAL
-                loads = self._loads()
-                if full or loads != told:
-                    told = loads
-                    self._tell(full=full)
+                if now >= tick_at:
+                    tick_at = now + TICK
+                    self._notice_silence()
+                    urgent = self._own.urgent()
+                    if now >= heartbeat_at or urgent != announced:
+                        heartbeat_at = now + HEARTBEAT_INTERVAL
+                        announced = urgent
+                        self.announce()
+                loads = self._own.loads()
+                if loads != told:
+                    addresses = self._table.targets().current
+                    pause = pace.wait(now, peers=len(addresses))
+                    if pause <= 0.0:
+                        told = loads
+                        self._tell_loads(loads, addresses)
+                        pace.sent(now, peers=len(addresses))
+                        pause = TICK
+                pause = min(pause, max(0.0, tick_at - self._clock.now()))
             except Exception:  # noqa: BLE001
                 logging.exception("event=hint_failed")
+            self._wait_for_change(pause)
 
-    def _notice_gaps(self, now: Millis) -> None:
-        with self._lock:
-            gap = self._liveness.look(now)
-            if gap:
-                # Hints that arrived during the pause are still unread; nobody is declared dead.
-                for peer in self._peers.values():
-                    peer.heard = max(peer.heard, now - SILENT_AFTER)
-        if gap:
-            logging.warning("event=process_stalled gap_ms=%.0f", gap)
-            return
-        lost = []
-        gone = []
-        with self._lock:
-            for peer in list(self._peers.values()):
-                silence = now - peer.heard
-                found = self._liveness.judge(peer.identity, silence, leaving=peer.leaving, now=now)
-                if found.is_lost and peer.open_jobs:
-                    lost.append(peer)
-                    self._peers[peer.name] = _without_jobs(peer)
-                if found.is_gone:
-                    gone.append(peer)
-                if found.is_forgotten:
-                    del self._peers[peer.name]
-        for peer in lost:
-            logging.warning(
-                "event=peer_lost peer=%s silent_ms=%.0f jobs=%d",
-                peer.identity,
-                now - peer.heard,
-                len(peer.open_jobs),
-            )
-            self._on_lost(peer)
-        for peer in gone:
-            self._on_gone(peer)
+    def _wait_for_change(self, pause: Millis) -> None:
+        self._loads_changed.wait(pause / 1000.0)
+        self._loads_changed.clear()
 
-    def _tell(self, *, full: bool) -> None:
-        hint = self._describe()
-        now = self._clock.now()
-        # By the bare id with the starts beside it, as entries of the version before read it.
-        starts = latest_starts([*hint.loads, *hint.failures])
-        loads = by_instance(hint.loads, starts)
-        message: dict[str, Any] = {
-            "n": self._name,
-            "i": self._incarnation,
-            "a": list(self._address),
-            "l": {key: [load.online, load.batch] for key, load in loads.items()},
-            "e": by_instance(hint.failures, starts),
-            "b": starts,
-            "v": dict(hint.versions),
-            "x": hint.leaving,
-            "r": sorted(hint.released),
-            "s": hint.store_ok,
-            "p": [[int(group.until_due), group.items] for group in hint.backlog],
-        }
+    def _tell_loads(self, loads: Mapping[str, Load], addresses: Sequence[tuple[str, int]]) -> None:
         with self._lock:
-            targets = dict(self._addresses)
-            for peer in self._peers.values():
-                if now - peer.heard < FORGET_AFTER:
-                    targets[peer.name] = peer.address
-            silent = [
-                peer.name
-                for peer in self._peers.values()
-                if now - peer.heard > SILENT_AFTER and not peer.leaving
-            ]
-            ended = [key for key, at in self._ended.items() if now - at < ENDS_TOLD_FOR]
-        if full:
-            message["j"] = sorted(hint.open_jobs)
-            message["f"] = sorted(hint.done_jobs)
-            message["w"] = dict(hint.waiting)
-            message["q"] = silent
-            message["d"] = ended
-        data = cbor2.dumps(message)
-        for address in targets.values():
-            with contextlib.suppress(OSError):
-                self._socket.sendto(data, address)
+            sequence = self._next_sequence()
+        data = encode_load_hint(
+            name=self._sender.name,
+            incarnation=self._sender.incarnation,
+            sequence=sequence,
+            loads=loads,
+            backlog=self._own.backlog(),
+        )
+        self._send(data, addresses)
+
+    def _notice_silence(self) -> None:
+        losses = self._table.notice_silence()
+        for peer in losses.lost:
+            self._events.lost(peer)
+        for peer in losses.gone:
+            self._events.gone(peer)
 
-    def _receive(self) -> None:
+    def _receive_loop(self) -> None:
         while True:
             try:
                 data, sender = self._socket.recvfrom(MAX_DATAGRAM)
@@ -279,7 +296,7 @@
                 logging.warning("event=hint_socket_failed reason=%r", error)
                 continue
             try:
-                self._take(read_record(Hint, decode_cbor(data)))
+                self._receive(decode_cbor(data))
             except UnusableRecordError as error:
                 self._bad_hints.tell(f"{sender[0]}:{sender[1]}", error)
             except Exception:  # noqa: BLE001
@@ -287,55 +304,42 @@
                 # others for dead and runs their jobs again.
                 logging.exception("event=hint_failed")
 
-    def _take(self, hint: Hint) -> None:
-        now = self._clock.now()
-        lost: Peer | None = None
-        with self._lock:
-            known = self._peers.get(hint.n)
-            silence = None
-            if known is not None and known.incarnation == hint.i:
-                silence = now - known.heard
-            self._liveness.heard(silence, now)
-            if known is None or known.incarnation != hint.i:
-                if known is not None and known.open_jobs:
-                    lost = known
-                known = Peer(name=hint.n, incarnation=hint.i, address=hint.a, heard=now)
-                self._peers[hint.n] = known
-                logging.info("event=peer_seen peer=%s", shown(known.identity, 2 * MAX_NAME))
-            known.heard = now
-            known.address = hint.a
-            known.leaving = hint.x
-            known.store_ok = hint.s
-            known.versions = hint.v
-            if hint.j is not None:
-                known.open_jobs = frozenset(hint.j)
-                known.done_jobs = frozenset(hint.f)
-                known.waiting = hint.w
-                if self._name in hint.q:
-                    self._liveness.reported_silent(now)
-            if hint.r is None and known.leaving and known.open_jobs:
-                # An entry of the version before gives up all its jobs as soon as it leaves.
-                lost = known
-                self._peers[hint.n] = _without_jobs(known)
-            elif hint.r:
-                # It has committed what it had of these and works on them no more.
-                lost = replace(known, open_jobs=frozenset(hint.r))
+    def _receive(self, message: Json) -> None:
+        loads = read_load_hint(message)
+        if loads is not None:
+            self._receive_loads(loads)
+            return
+        self._receive_announcement(read_record(Announcement, message))
+
+    def _receive_loads(self, told: LoadHint) -> None:
+        if not self._table.receive_loads(told):
+            return
+        self._events.backlog(told.name, told.backlog)
+        self._events.loads(told.name, self._known(told.loads), None, True)
+
+    def _receive_announcement(self, told: Announcement) -> None:
+        packed = unpack_loads(told.packed_loads)
+        lost = self._table.receive(told)
         if lost is not None:
-            self._on_lost(lost)
-        self._on_ended(hint.d)
-        self._on_backlog(hint.n, [WaitingGroup(float(left), count) for left, count in hint.p])
-        starts = hint.b or {}
-        loads = by_identity({key: Load(*pair) for key, pair in hint.l.items()}, starts)
-        self._on_loads(hint.n, loads, by_identity(hint.e, starts), hint.b is not None)
-        self._on_versions(hint.v)
-
-
-def _without_jobs(peer: Peer) -> Peer:
-    return Peer(
-        name=peer.name,
-        incarnation=peer.incarnation,
-        address=peer.address,
-        heard=peer.heard,
-        leaving=peer.leaving,
-        store_ok=False,
-    )
+            self._events.lost(lost)
+        self._events.ended(told.ended)
+        groups = [WaitingGroup(float(left), count) for left, count in told.backlog]
+        self._events.backlog(told.name, groups)
+        self._receive_all_loads(told, packed)
+        self._events.versions(told.versions)
+
+    def _receive_all_loads(self, told: Announcement, packed: Mapping[int, Load]) -> None:
+        starts = told.starts or {}
+        failures = by_identity(told.failures, starts)
+        if told.sequence is not None and not self._table.is_newest(
+            told.name, told.incarnation, told.sequence
+        ):
+            # A load hint sent after it has come before it.
+            return
+        loads = by_identity({key: Load(*pair) for key, pair in told.loads.items()}, starts)
+        loads |= self._known(packed)
+        self._events.loads(told.name, loads, failures, told.starts is not None)
+
+    def _known(self, loads: Mapping[int, Load]) -> dict[str, Load]:
+        identities = self._own.identities_by_key()
+        return {identities[key]: load for key, load in loads.items() if key in identities}
--- a/packages/node/tests/test_direct_job_adoption.py
+++ b/packages/node/tests/test_direct_job_adoption.py
@@ -38,7 +38,7 @@
     def by_identity(self, identity: str) -> None:
         """Return nobody."""
 
-    def tell_now(self) -> None:
+    def announce(self) -> None:
         """Tell nobody."""
 
 
--- a/packages/node/tests/test_direct_peers.py
+++ b/packages/node/tests/test_direct_peers.py
@@ -2,20 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from dataclasses import replace
 from typing import Any
 
+import cbor2
 import pytest
 
 from carobspool_core import Millis
-from carobspool_core.border import read_record
-from carobspool_core.direct import DOUBT_TIME
+from carobspool_core.direct import DOUBT_TIME, Load, WaitingGroup, key_of
+from carobspool_node.direct._announcement import Sender, encode_for_version_before
+from carobspool_node.direct._load_hint import encode_load_hint, pack_loads
 from carobspool_node.direct._peer import OwnHint
-from carobspool_node.direct._peer_messages import Hint
-from carobspool_node.direct._peers import Peers
+from carobspool_node.direct._peer_table import Targets
+from carobspool_node.direct._peers import OwnState, PeerEvents, Peers
 from carobspool_node.direct._telemetry import Telemetry
 
 TICK: Millis = 100.0
+ENGINE = "engine/1764700000000"
 
 
 class _Clock:
@@ -32,16 +36,22 @@
     def __init__(self) -> None:
         self.clock = _Clock()
         self.ended: list[str] = []
+        self.loads: dict[str, Load] = {}
         self.peers = Peers(
             self.clock,
             Telemetry(),
             name="e1",
             incarnation="1",
             address=("127.0.0.1", 0),
-            loads=dict,
-            describe=_own_hint,
+            own=OwnState(
+                loads=dict,
+                backlog=tuple,
+                urgent=lambda: None,
+                describe=_own_hint,
+                identities_by_key=lambda: {key_of(ENGINE): ENGINE},
+            ),
         )
-        self.peers._on_ended = self.ended.extend
+        self.peers._events = PeerEvents(ended=self.ended.extend, loads=self._take_loads)
         self.hear()
         self.wait(DOUBT_TIME + TICK, hearing=True)
 
@@ -54,7 +64,16 @@
         """Receive a full hint of another entry."""
         message = {"n": "e2", "i": "1", "a": ["127.0.0.1", 1], "l": {}, "e": {}, "v": {}}
         message |= {"x": False, "s": True, "j": [], "f": [], "w": {}, "q": []}
-        self.peers._take(read_record(Hint, message | changes))
+        self.peers._receive(message | changes)
+
+    def _take_loads(
+        self,
+        peer: str,
+        loads: Mapping[str, Load],
+        failures: Mapping[str, int] | None,
+        knows_starts: bool,
+    ) -> None:
+        self.loads = dict(loads)
 
     def wait(self, duration: Millis, *, hearing: bool) -> None:
         """Let time pass."""
@@ -63,7 +82,7 @@
             self.clock.time += TICK
             if hearing:
                 self.hear()
-            self.peers._notice_gaps(self.clock.time)
+            self.peers._notice_silence()
 
 
 def _own_hint() -> OwnHint:
@@ -75,7 +94,9 @@
         waiting={},
         versions={},
         leaving=False,
+        released=frozenset(),
         store_ok=True,
+        backlog=(),
     )
 
 
@@ -123,3 +144,88 @@
     assert entry.ended == []
     entry.hear(d=["j"])
     assert entry.ended == ["j"]
+
+
+def _load_hint(*, sequence: int, loads: Mapping[str, Load], incarnation: str = "1") -> Any:
+    return cbor2.loads(
+        encode_load_hint(
+            name="e2",
+            incarnation=incarnation,
+            sequence=sequence,
+            loads=loads,
+            backlog=[WaitingGroup(4_000.0, 3)],
+        )
+    )
+
+
+def test_a_load_hint_tells_what_its_sender_has_in_flight(entry: _Entry) -> None:
+    """Upstreams that the reader does not know are left out."""
+    entry.hear(c=1)
+    entry.peers._receive(_load_hint(sequence=2, loads={ENGINE: Load(3, 1), "other": Load(9, 9)}))
+    assert entry.loads == {ENGINE: Load(3, 1)}
+
+
+def test_a_hint_that_comes_late_does_not_undo_a_newer_one(entry: _Entry) -> None:
+    """Datagrams overtake each other; loads of an earlier moment would stand until the next one."""
+    entry.hear(c=1)
+    entry.peers._receive(_load_hint(sequence=4, loads={ENGINE: Load(4, 0)}))
+    entry.peers._receive(_load_hint(sequence=3, loads={ENGINE: Load(3, 0)}))
+    entry.hear(c=2, k=pack_loads({ENGINE: Load(2, 0)}))
+    assert entry.loads == {ENGINE: Load(4, 0)}
+    entry.hear(c=5, k=pack_loads({ENGINE: Load(5, 0)}))
+    assert entry.loads == {ENGINE: Load(5, 0)}
+
+
+def test_a_load_hint_of_a_process_that_is_gone_counts_for_nothing(entry: _Entry) -> None:
+    """It may arrive after the first announcement of the next process, and numbers start anew."""
+    entry.hear(i="2", c=1)
+    entry.peers._receive(_load_hint(sequence=90, loads={ENGINE: Load(9, 0)}))
+    assert entry.loads == {}
+    entry.peers._receive(_load_hint(sequence=2, loads={ENGINE: Load(1, 0)}, incarnation="2"))
+    assert entry.loads == {ENGINE: Load(1, 0)}
+
+
+def test_load_hints_keep_a_peer_alive(entry: _Entry) -> None:
+    """Announcements may all be lost for a while; whoever is heard at all is not separated."""
+    entry.hear(c=1)
+    for number in range(2, 40):
+        entry.clock.time += TICK
+        entry.peers._receive(_load_hint(sequence=number, loads={}))
+        entry.peers._notice_silence()
+        assert not entry.doubts
+
+
+def test_announcements_without_jobs_leave_those_known(entry: _Entry) -> None:
+    """Jobs are named when they change and now and then; a reader that forgot them in between would
+    ask the store for results, and take nothing over when their owner is lost."""
+    entry.hear(c=1, j=["j"], f=["k"])
+    entry.peers._receive(
+        {
+            "n": "e2",
+            "i": "1",
+            "a": ["127.0.0.1", 1],
+            "e": {},
+            "v": {},
+            "x": False,
+            "s": True,
+            "c": 2,
+        }
+    )
+    for job_id in ("j", "k"):
+        assert entry.peers.holder_of(job_id) is not None
+
+
+def test_both_versions_are_told_what_they_understand(entry: _Entry) -> None:
+    """An entry of the version before reads neither load hints nor packed loads."""
+    entry.hear()
+    assert entry.peers._table.targets() == Targets(current=[], others=[("127.0.0.1", 1)])
+    entry.hear(c=1)
+    assert entry.peers._table.targets() == Targets(current=[("127.0.0.1", 1)], others=[])
+    sender = Sender(name="e1", incarnation="1", address=("127.0.0.1", 7))
+    hint = replace(_own_hint(), loads={ENGINE: Load(2, 1)}, open_jobs=frozenset({"j"}))
+    told = cbor2.loads(
+        encode_for_version_before(sender, hint, sequence=1, silent=["e3"], ended=["k"])
+    )
+    assert told["l"] == {"engine": [2, 1]}
+    assert told["b"] == {"engine": 1764700000000}
+    assert (told["j"], told["q"], told["d"]) == (["j"], ["e3"], ["k"])
--- a/packages/node/tests/test_fleet_load.py
+++ b/packages/node/tests/test_fleet_load.py
@@ -66,6 +66,32 @@
     assert one - several < LATE_BY_OLD_HINTS
 
 
+HALLS = FleetPlan(
+    entries=58,
+    engines=30,
+    slots=7,
+    calm_rate=60.0,
+    burst_rate=296.0,
+    jobs_rate=1.97,
+    stream=700.0,
+    length=10_400.0,
+)
+LATE_AMONG_MANY = 1 / 50
+"""Aim for fleets of more than a hundred hosts: of fifty streams at most one is late because the
+entries do not see each other's."""
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_dozens_of_entries_place_streams_nearly_like_one(seed: int) -> None:
+    """Bursts want a little more than all slots of 30 engines, and 58 entries share them. Loads told
+    on a tick left streams queued behind placements that nobody had heard of yet."""
+    several = play_fleet(HALLS, seed)
+    one = play_fleet(replace(HALLS, entries=1), seed)
+    assert one.on_time(HALLS.target) - several.on_time(HALLS.target) < LATE_AMONG_MANY
+    assert len(several.items) == several.submitted
+    assert several.hints < 30 * HALLS.entries * HALLS.length / 1_000.0
+
+
 SMALL = FleetPlan(
     entries=4,
     engines=5,
--- a/tests/adapter/border_cases.py
+++ b/tests/adapter/border_cases.py
@@ -27,9 +27,9 @@
 )
 from carobspool_node.direct._job_records import _named_pieces, _segments
 from carobspool_node.direct._peer_messages import (
+    Announcement,
     EndCall,
     EntryRecord,
-    Hint,
     ResultsCall,
     decode_cbor,
     read_results,
@@ -251,9 +251,9 @@
 
 
 def _check_hint(data: bytes) -> None:
-    hint = read_record(Hint, decode_cbor(data))
-    assert all(len(pair) == 2 for pair in hint.l.values())
-    assert 1 <= hint.a[1] <= 65_535
+    hint = read_record(Announcement, decode_cbor(data))
+    assert all(len(pair) == 2 for pair in hint.loads.values())
+    assert 1 <= hint.address[1] <= 65_535
 
 
 def _check_call(data: bytes) -> None:
@@ -334,7 +334,7 @@
     "pieces": (_check_pieces, near({"pieces": ["x", 2]}, PROGRESS) | VALUES, _tolerate),
     "hint": (_check_hint, broken_cbor(HINT) | st.binary(max_size=64), _tolerate),
     "hint fields": (
-        lambda value: read_record(Hint, value),
+        lambda value: read_record(Announcement, value),
         near(HINT) | VALUES,
         _tolerate,
     ),
--- a/tests/direct/test_foreign_records.py
+++ b/tests/direct/test_foreign_records.py
@@ -102,6 +102,10 @@
     b"",
     b"\xff",
     cbor2.dumps([]),
+    cbor2.dumps(["l"]),
+    cbor2.dumps(["l", "e2", "1", 1, b"\0" * 7, b""]),
+    cbor2.dumps(["l", "e2", "1", 1, b"", b"\0" * 7]),
+    cbor2.dumps(["l", "e2", "1", -1, b"", b""]),
     cbor2.dumps({}),
     b"\x81" * 5_000,
     *(
--- a/tests/fleet_load.py
+++ b/tests/fleet_load.py
@@ -17,6 +17,8 @@
 from carobspool_core.direct import (
     Backlog,
     BatchUrgency,
+    Load,
+    LoadPace,
     Upstream,
     WaitingGroup,
     group_waiting,
@@ -24,7 +26,7 @@
 )
 from carobspool_node.direct._loads import BatchRun, LoadTable, Placement
 
-HINT_INTERVAL = 50.0
+ANNOUNCEMENT_INTERVAL = 500.0
 HINT_TRAVEL = 3.0
 CANCEL_TIME = 10.0
 """From a cancellation to the free place: a round trip and an engine step."""
@@ -91,6 +93,7 @@
         items: Times from a job's submission to the end of each of its items, in milliseconds.
         interruptions: Batch runs that gave way.
         submitted: Items submitted.
+        hints: Hints that the entries sent, each to all others.
     """
 
     first_events: list[float] = field(default_factory=list)
@@ -99,6 +102,7 @@
     items: list[float] = field(default_factory=list)
     interruptions: int = 0
     submitted: int = 0
+    hints: int = 0
 
     def on_time(self, target: float) -> float:
         """Return the share of the online requests whose first event came in time."""
@@ -160,6 +164,9 @@
         self.waiting: list[deque[_Item]] = [deque() for _ in self.tables]
         self.running: list[list[_Run]] = [[] for _ in self.tables]
         self.backlogs = [Backlog() for _ in self.tables]
+        self.paces = [LoadPace() for _ in self.tables]
+        self.told: list[dict[str, Load]] = [{} for _ in self.tables]
+        self.telling = [False for _ in self.tables]
         self.engines: dict[str, list[_Run]] = {each.instance: [] for each in self.upstreams}
         self.queue: dict[str, deque[_Run]] = {each.instance: deque() for each in self.upstreams}
         self.events: list[tuple[float, int, Callable[[], None]]] = []
@@ -171,7 +178,8 @@
 
     def play(self) -> FleetReport:
         for entry in range(self.plan.entries):
-            self.at(self.draw.uniform(0.0, HINT_INTERVAL), lambda entry=entry: self.hint(entry))
+            first = self.draw.uniform(0.0, ANNOUNCEMENT_INTERVAL)
+            self.at(first, lambda entry=entry: self.announce(entry))
         self.at(EVENT_INTERVAL, self.send_events)
         self.arrive(0.0, self.rate, self.online, self.plan.length)
         self.arrive(0.0, lambda _: self.plan.jobs_rate, self.submit, self.plan.length)
@@ -268,6 +276,7 @@
         self.running[run.entry].append(run)
         self.queue[run.engine].append(run)
         self.admit(run.engine)
+        self.loads_changed(run.entry)
 
     def admit(self, engine: str) -> None:
         while self.queue[engine] and len(self.engines[engine]) < self.plan.slots:
@@ -307,6 +316,7 @@
             table.end_online(run.placement, completed=True)
         elif run.batch is not None:
             table.end_batch(upstream, run.batch)
+        self.loads_changed(run.entry)
         self.admit(run.engine)
         self.start_items(run.entry)
 
@@ -326,10 +336,33 @@
         self.waiting[run.entry].appendleft(run.item)
         self.leave(run)
 
+    def announce(self, entry: int) -> None:
+        self.hint(entry)
+        self.at(self.clock.at + ANNOUNCEMENT_INTERVAL, lambda: self.announce(entry))
+
+    def loads_changed(self, entry: int) -> None:
+        if not self.telling[entry]:
+            self.telling[entry] = True
+            self.at(self.clock.at, lambda: self.tell_loads(entry))
+
+    def tell_loads(self, entry: int) -> None:
+        self.telling[entry] = False
+        if self.tables[entry].own_loads() == self.told[entry]:
+            return
+        peers = self.plan.entries - 1
+        wait = self.paces[entry].wait(self.clock.at, peers=peers)
+        if wait > 0.0:
+            self.telling[entry] = True
+            self.at(self.clock.at + wait, lambda: self.tell_loads(entry))
+            return
+        self.paces[entry].sent(self.clock.at, peers=peers)
+        self.hint(entry)
+
     def hint(self, entry: int) -> None:
         loads = self.tables[entry].own_loads()
+        self.told[entry] = loads
+        self.report.hints += 1
         failures = self.tables[entry].own_failures() if self.plan.tell_failures else {}
-
         backlog = self.backlog(entry)
 
         def arrive() -> None:
@@ -342,7 +375,6 @@
                 self.start_items(other)
 
         self.at(self.clock.at + HINT_TRAVEL, arrive)
-        self.at(self.clock.at + HINT_INTERVAL, lambda: self.hint(entry))
 
 
 def play_fleet(plan: FleetPlan, seed: int = 1) -> FleetReport:
