A store that takes no commit is asked with pauses, also for the last commit of a job

Cause: `commit_due` let a job whose items have all run commit at once, whatever had become of the last try. Ruled out: the relay (refused commits were not relayed), the loop's wake-ups alone (they only set the pace). Change: a pause of 400, then 800 ms after each commit that was not taken, whatever the reason for the next one. Test: `test_a_store_that_takes_no_commit_is_asked_with_pauses` failed before (one try each 10 ms).

--- a/packages/node/src/carobspool_node/direct/_owned_job.py
+++ b/packages/node/src/carobspool_node/direct/_owned_job.py
@@ -21,7 +21,9 @@
 after what is committed. An item runs for five seconds or more and the first result of a job comes
 after some four, so without checkpoints a loss threw away all that was running; one costs a call."""
 COMMIT_RETRY: Millis = 400.0
-"""Pause after a commit that the store did not take."""
+"""Pause after a commit that the store did not take; it doubles with each of them."""
+LONGEST_RETRY: Millis = 800.0
+"""A committed result is to be read soon after the store is back."""
 
 
 class OwnedJob:
@@ -57,6 +59,8 @@
         self._committing = threading.Lock()
         self._runs: set[BatchRun] = set()
         self._next_commit: Millis = 0.0
+        self._retry_at: Millis = 0.0
+        self._retry_pause: Millis = COMMIT_RETRY
         self._next_checkpoint: Millis = clock.now() + CHECKPOINT_INTERVAL
         self._events_committed = self._work.events_received
         self._lost = False
@@ -172,7 +176,7 @@
     def commit_due(self, now: Millis) -> bool:
         """Whether there is something to commit and it is time."""
         with self._lock:
-            if self._lost:
+            if self._lost or now < self._retry_at:
                 return False
             if not self._work.has_uncommitted:
                 return now >= self._next_checkpoint and self._has_new_events()
@@ -241,6 +245,7 @@
         with self._lock:
             if stored.progress.ended:
                 self._learn_end("commit")
+            self._retry_pause = COMMIT_RETRY
             self._version = stored.version
             self._segments = stored.segments
             self._work.adopt(stored.progress)
@@ -261,7 +266,8 @@
     def _not_committed(self, failure: StoreFailure, started: Millis) -> bool:
         with self._lock:
             self._work.not_committed()
-            self._next_commit = self._clock.now() + COMMIT_RETRY
+            self._retry_at = self._clock.now() + self._retry_pause
+            self._retry_pause = min(LONGEST_RETRY, self._retry_pause * 2.0)
         if failure.fault is StoreFault.NOT_FOUND:
             return self._not_proven(failure, started)
         if failure.fault is not StoreFault.CONFLICT or failure.current is None:
--- a/packages/node/tests/test_direct_owned_job.py
+++ b/packages/node/tests/test_direct_owned_job.py
@@ -6,8 +6,9 @@
 
 import pytest
 from returns.pipeline import is_successful
+from returns.result import Failure
 
-from carobspool_core import Millis
+from carobspool_core import Millis, StoreFailure, StoreFault
 from carobspool_core.direct import (
     BatchUrgency,
     ItemEnd,
@@ -18,7 +19,7 @@
 )
 from carobspool_node.direct._in_flight import BatchRun
 from carobspool_node.direct._job_records import JobRecords, StoredProgress
-from carobspool_node.direct._owned_job import OwnedJob
+from carobspool_node.direct._owned_job import COMMIT_RETRY, OwnedJob
 from carobspool_node.direct._ownership_proof import EXCUSED_TIME
 from carobspool_standins.memory_store import MemoryObjects, MemoryStore
 
@@ -121,6 +122,25 @@
     assert not job.proof.is_excused
 
 
+def test_a_store_that_takes_no_commit_is_asked_with_pauses(
+    store: MemoryStore, job: OwnedJob, clock: _Clock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All items have run and the store refuses at once. Without a pause the last commit was tried
+    again 60 times a second, by every entry with such a job."""
+    (work,) = job.work.open_items()
+    job.work.finish(work, ItemEnd.COMPLETED)
+    assert job.commit_due(clock.time)
+    refusal = Failure(StoreFailure(fault=StoreFault.UNAVAILABLE, key="j", detail="503"))
+    monkeypatch.setattr(store, "update", lambda key, value, *, version: refusal)
+    tries = 0
+    for _ in range(1_000):
+        clock.time += 10.0
+        if job.commit_due(clock.time):
+            tries += 1
+            assert not job.commit()
+    assert 5 <= tries <= 10_000.0 / COMMIT_RETRY + 1
+
+
 def test_a_peers_word_of_an_end_does_not_end_a_job_that_was_taken_over(
     records: JobRecords, job: OwnedJob
 ) -> None:
