Callers that need a store which is away come back later, so that their tries last

They try five times, and were told 0.8 s each time. Ruled out: jobs that fit nowhere (no 429 in the log), relays (no peer reached the store either). Change: while the store answers nobody, a caller is told a third of the time that it has left, the longest that callers heed, less a tenth at random; five tries then span 3.0 to 3.4 s of 4.15. Test: `test_callers_of_a_store_that_is_away_try_for_most_of_their_time`.

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -63,6 +63,7 @@
     has_returned,
     queue_limit,
     return_after,
+    return_after_outage,
 )
 from carobspool_core.direct._shared_view import SharedView
 from carobspool_core.direct._upstream_identity import (
@@ -143,6 +144,7 @@
     "queue_limit",
     "results_from_json",
     "return_after",
+    "return_after_outage",
     "room_for_batch",
     "share_of_excess",
     "turn_of",
--- a/packages/core/src/carobspool_core/direct/_queueing.py
+++ b/packages/core/src/carobspool_core/direct/_queueing.py
@@ -30,6 +30,8 @@
 LONGEST_RETURN: Millis = 1_500.0
 """Callers that are refused together return spread over this time; a burst lasts about two seconds,
 and callers wait for a third of the time that they have left at most, which is 1.6 s of 5."""
+OUTAGE_SPREAD = 0.1
+"""Share of the pause by which callers that wait for the store are spread."""
 
 
 class MeanDuration:
@@ -94,6 +96,21 @@
     return min(latest, max(started, heard) + silence)
 
 
+def return_after_outage(draw: float, time_left: Millis) -> Millis:
+    """Return when a caller is to come back whose call needs a store that answers nobody.
+
+    Load pattern: the store is away for some seconds, and callers try a few times only. Told to come
+    back soon, they have spent their tries before it is back; so each try is as late as the caller
+    waits, a third of the time that it has left, and the last one comes near the end of it.
+
+    Args:
+        draw: A random number from 0 to 1, which spreads the callers.
+        time_left: What is left of the caller's time.
+    """
+    latest = max(SHORTEST_RETURN, min(LONGEST_RETURN, time_left / 3.0))
+    return latest * (1.0 - OUTAGE_SPREAD * draw)
+
+
 def return_after(draw: float, time_left: Millis) -> Millis:
     """Return when a refused caller is to come back.
 
--- a/packages/core/tests/test_direct_queueing.py
+++ b/packages/core/tests/test_direct_queueing.py
@@ -15,6 +15,7 @@
     has_time_to_serve,
     queue_limit,
     return_after,
+    return_after_outage,
 )
 
 
@@ -134,6 +135,17 @@
     assert given_up == found
 
 
+def test_callers_of_a_store_that_is_away_try_for_most_of_their_time() -> None:
+    """The store is away for 3 s and callers try five times in 4.15 s. Told to come back after 0.8 s
+    at most, many had spent their tries 0.1 s before it was back."""
+    draw = random.Random(7)
+    for _ in range(100):
+        now = 0.0
+        for _ in range(4):
+            now += return_after_outage(draw.random(), 4_150.0 - now)
+        assert 3_000.0 < now < 4_000.0
+
+
 def test_a_request_that_cannot_end_in_time_is_refused() -> None:
     """A caller comes back with 1.0 s of its time left, to engines whose streams take 2.2 s. It
     would hold a slot for that second and be cut off."""
--- a/packages/node/src/carobspool_node/direct/_callers.py
+++ b/packages/node/src/carobspool_node/direct/_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 
 from absl import logging
@@ -13,6 +14,7 @@
     Route,
     RouteKind,
     has_time_for_job_call,
+    return_after_outage,
 )
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._deployment import CallerDialect, JobCall, ReadBody, ReadResults
@@ -27,8 +29,8 @@
 """An entry without a configuration has one within half a second of reaching the store."""
 QUOTA_RETRY_AFTER: Millis = 2_000.0
 """Time in which some waiting items finish; a job's items take some five seconds each."""
-STORE_RETRY_AFTER: Millis = 800.0
-"""Another entry may reach the store now; an outage lasts some seconds."""
+LONGEST_JOB_CALL: Millis = 4_000.0
+"""Time that a caller who names no deadline is taken to have for a call on a job."""
 MAX_WAIT: Millis = 1_000.0
 
 _STATUS = {
@@ -115,7 +117,9 @@
         if outcome is Outcome.DONE:
             caller.answer(202, [], b"")
             return
-        wait = QUOTA_RETRY_AFTER if outcome is Outcome.OVER_QUOTA else STORE_RETRY_AFTER
+        wait = QUOTA_RETRY_AFTER
+        if outcome is not Outcome.OVER_QUOTA:
+            wait = self._return_after(request, route.timeout)
         self._fail(caller, outcome, wait)
 
     def _serve_job_call(
@@ -128,7 +132,7 @@
                 caller.answer(200, headers, self._dialect.results(page))
                 return
             self._note(request, "read", page)
-            self._fail(caller, page, STORE_RETRY_AFTER)
+            self._fail(caller, page, self._return_after(request, LONGEST_JOB_CALL))
             return
         if isinstance(call, ReadBody):
             body = self._jobs.body(call.job_id, call.item_id)
@@ -136,14 +140,19 @@
                 caller.answer(200, [(b"Content-Type", b"application/octet-stream")], body)
                 return
             self._note(request, "body", body)
-            self._fail(caller, body, STORE_RETRY_AFTER)
+            self._fail(caller, body, self._return_after(request, LONGEST_JOB_CALL))
             return
         outcome = self._jobs.end(call.job_id)
         self._note(request, "end", outcome)
         if outcome is Outcome.DONE:
             caller.answer(200, [], b"")
             return
-        self._fail(caller, outcome, STORE_RETRY_AFTER)
+        self._fail(caller, outcome, self._return_after(request, LONGEST_JOB_CALL))
+
+    def _return_after(self, request: CallerRequest, limit: Millis) -> Millis:
+        deadline = request.time_limit(self._names.deadline, limit)
+        time_left = request.arrived + deadline - self._clock.now()
+        return return_after_outage(random.random(), time_left)
 
     def _note(self, request: CallerRequest, call: str, outcome: Outcome) -> None:
         self._telemetry.count("job_calls", call=call, outcome=outcome.value)
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -108,7 +108,7 @@
         Raises:
             CallerGoneError: The caller left; what ran for it was cancelled.
         """
-        limit = self._time_limit(request, route)
+        limit = request.time_limit(self._names.deadline, route.timeout)
         attempt = Attempt(
             request=request,
             route=route,
@@ -157,13 +157,6 @@
         )
         return False
 
-    def _time_limit(self, request: CallerRequest, route: Route) -> Millis:
-        limit = route.timeout
-        value = request.header(self._names.deadline)
-        if value is not None and value.isdigit():
-            limit = min(limit, float(value))
-        return limit
-
     def _try_upstreams(self, attempt: Attempt) -> None:
         service = attempt.route.service_for(attempt.request.request_id)
         while True:
--- a/packages/node/src/carobspool_node/direct/_messages.py
+++ b/packages/node/src/carobspool_node/direct/_messages.py
@@ -65,6 +65,18 @@
         """Return the value of a header, ``None`` when it is not there."""
         return find_header(self.headers, name)
 
+    def time_limit(self, name: bytes, limit: Millis) -> Millis:
+        """Return how long the caller waits.
+
+        Args:
+            name: Header in which it says so.
+            limit: Longest time in any case.
+        """
+        value = self.header(name)
+        if value is None or not value.isdigit():
+            return limit
+        return min(limit, float(value))
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamHead:
