--- /dev/null
+++ b/tests/direct/test_still_and_slow_servers.py
@@ -0,0 +1,146 @@
+"""Servers that go still and come back, run slow, reset connections or hang: what callers get."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+from direct_harness import Deployment, deployment, eventually, finished, submission
+
+from carobspool_standins.platform_server import ServedRequest, ServerConnection, stream_events
+
+EVENTS = 30
+PAUSE_S = 0.03
+TARGET_S = 0.3
+
+
+@pytest.fixture
+def system(tmp_path: Path) -> Iterator[Deployment]:
+    """Stand-ins without entries."""
+    with deployment(tmp_path) as running:
+        yield running
+
+
+class _GoesStill:
+    """Streams events, and stands still with open connections while it is told to."""
+
+    def __init__(self) -> None:
+        self.moves = threading.Event()
+        self.moves.set()
+
+    def __call__(self, request: ServedRequest, connection: ServerConnection) -> None:
+        connection.start_events(request)
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        for number in range(first, EVENTS + 1):
+            self.moves.wait(20.0)
+            connection.event(number)
+            time.sleep(PAUSE_S)
+        connection.end_events()
+
+
+def test_a_job_is_whole_although_its_server_went_still_and_came_back(system: Deployment) -> None:
+    """A server stands still in the middle of ten items, its connections open, and moves again after
+    five seconds. No item may be left half done, and no event of the still runs may come twice."""
+    still = _GoesStill()
+    system.server("engine", still)
+    system.server("engine", stream_events(EVENTS, pause_s=PAUSE_S))
+    entries = [system.entry("e1"), system.entry("e2")]
+    names = [f"item-{number}" for number in range(10)]
+    assert (
+        entries[0].call("POST", "/batch/j", body=submission(*names), request_id="job-1").status
+        == 202
+    )
+    time.sleep(0.4)
+    still.moves.clear()
+    threading.Timer(5.0, still.moves.set).start()
+    results = eventually(lambda: finished(entries[1], "job-1"), 15.0)
+    assert sorted(each["id"] for each in results) == sorted(names)
+    assert {each["state"] for each in results} == {"completed"}
+    assert len({each["text"] for each in results}) == 1
+    assert results[0]["text"].count("piece") == EVENTS
+
+
+def test_callers_do_not_wait_for_the_slow_servers_of_one_hall(system: Deployment) -> None:
+    """Two of six servers take two seconds to the first event. Streams go there too at first; as
+    their requests stay open, the others get nearly all, and most streams begin in time."""
+
+    def slow(request: ServedRequest, connection: ServerConnection) -> None:
+        time.sleep(2.0)
+        stream_events(6, pause_s=PAUSE_S)(request, connection)
+
+    for _ in range(2):
+        system.server("engine", slow)
+    for _ in range(4):
+        system.server("engine", stream_events(6, pause_s=PAUSE_S))
+    entry = system.entry("e1")
+
+    def first_event_s(_: int) -> float:
+        started = time.monotonic()
+        answer = entry.call("POST", "/resume/x", body=b"b")
+        took = time.monotonic() - started
+        assert answer.status == 200 and answer.complete
+        return took
+
+    with ThreadPoolExecutor(8) as callers:
+        times = list(callers.map(first_event_s, range(80)))
+    in_time = sum(each <= TARGET_S + 6 * PAUSE_S for each in times)
+    assert in_time >= 0.85 * len(times)
+
+
+def test_a_reply_is_made_and_delivered_once_although_connections_are_reset(
+    system: Deployment,
+) -> None:
+    """The server runs each request and resets the connection before the answer arrives, or in the
+    middle of it. What may not be repeated reaches a server once, and its caller learns that it may
+    have run; a stream that may be resumed has each event once."""
+    resets = Counter[str]()
+
+    def runs_and_resets(request: ServedRequest, connection: ServerConnection) -> None:
+        resets[request.request_id] += 1
+        connection.reset()
+
+    def breaks(request: ServedRequest, connection: ServerConnection) -> None:
+        connection.start_events(request)
+        for number in (1, 2, 3):
+            connection.event(number)
+        time.sleep(0.05)
+        connection.reset()
+
+    system.server("plain", runs_and_resets)
+    broken = system.server("engine", breaks)
+    system.server("engine", stream_events(6))
+    entry = system.entry("e1")
+    for number in range(5):
+        answer = entry.call("POST", "/once/x", body=b"b", request_id=f"once-{number}")
+        assert answer.status == 502
+        assert resets[f"once-{number}"] == 1
+    expected = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 7))
+    for _ in range(8):
+        answer = entry.call("POST", "/resume/x", body=b"b")
+        assert answer.complete
+        assert answer.body == expected
+        if broken.seen:
+            return
+        time.sleep(1.1)
+    pytest.fail("no stream met the server that breaks off")
+
+
+def test_a_lookup_is_answered_although_servers_hang(system: Deployment) -> None:
+    """One of three servers takes requests and says nothing. Every lookup is answered by another one
+    inside the route's time, and those that follow avoid the one that hangs."""
+    hangs = system.server("plain", lambda request, connection: time.sleep(10.0))
+    for _ in range(2):
+        system.server("plain", lambda request, connection: connection.answer(request))
+    entry = system.entry("e1")
+    slow = 0
+    for _ in range(30):
+        started = time.monotonic()
+        assert entry.call("GET", "/safe/x").status == 200
+        slow += time.monotonic() - started > 1.0
+    assert 1 <= len(hangs.seen) <= 6
+    assert slow <= len(hangs.seen)
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -22,7 +22,8 @@
 
 
 PLANNED = _words(
-    "release scale_in scale_out roll_term hup add_nodes config_change config_storm big_config retire"
+    "release scale_in scale_out roll_term hup add_nodes config_change config_storm big_config"
+    " retire"
 )
 """Kinds of planned work."""
 FAULTS = _words(
