After a loss of everything one entry lists the jobs a second time, not all of them

Ruled out: that the second listing finds more: what is noted is found an owner once it is known who lives; it is kept for one entry, for writes that land late.

--- a/packages/node/src/carobspool_node/direct/_job_recovery.py
+++ b/packages/node/src/carobspool_node/direct/_job_recovery.py
@@ -95,11 +95,15 @@
         """Take over what a start of the whole system left without an owner.
 
         What an earlier process of this node owned has no owner for certain, and is taken back at
-        once: its items would otherwise stand still until the entries know who else lives.
+        once: its items would otherwise stand still until the entries know who else lives. What
+        others owned is noted, and found an owner once it is known who lives. One entry then lists
+        the jobs again for all: after a loss of everything each listing is most of what the store
+        holds, and all entries would ask for it at once.
         """
         self._recover_all(lambda job_id, owner: self._was_own(owner))
         self._leaving.wait(max(0.0, SETTLE_TIME - (self._clock.now() - self._started)) / 1000.0)
-        self._recover_all(lambda job_id, owner: self._is_mine(job_id))
+        if self._has_duty(SEARCH_DUTY):
+            self._recover_all(lambda job_id, owner: self._is_mine(job_id))
         logging.info("event=recovered owned=%d", len(self._runner.owned()))
 
     def _recover_all(self, mine: Callable[[str, str], bool]) -> None:
