A submission goes through a peer while the store's answer is only late; peers that the store answered of late come first

Ruled out: a watch of the configuration at each entry as before (a silent cut shows after 3 s only, and each change and each outage would cost 58 calls again). Change: the creation of a job that has no answer after 120 ms is made through a peer besides. It names its object, so that whichever comes second finds it there. Announcements tell how long ago the store last answered; relays ask the freshest. Tests: `test_a_submission_does_not_wait…` failed before (10 s); both ways' outcomes in `test_a_late_submission_is_told…`.

--- a/packages/node/src/carobspool_node/direct/_announcement.py
+++ b/packages/node/src/carobspool_node/direct/_announcement.py
@@ -91,6 +91,7 @@
         "x": hint.leaving,
         "r": sorted(hint.released),
         "s": hint.store_ok,
+        "o": int(hint.answer_age),
         "p": [[int(group.turn), group.items] for group in hint.backlog],
     }
 
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -316,6 +316,7 @@
             leaving=self._leaving.is_set(),
             released=self._runner.released,
             store_ok=self._store.answered_last,
+            answer_age=self._store.answer_age,
             backlog=self._runner.backlog(),
         )
 
--- a/packages/node/src/carobspool_node/direct/_peer.py
+++ b/packages/node/src/carobspool_node/direct/_peer.py
@@ -23,7 +23,8 @@
         waiting: Waiting tokens by route.
         versions: What it has seen of the configuration and of the upstreams.
         leaving: Whether it is shutting down.
-        store_ok: Whether it reaches the store.
+        store_ok: Whether the store answered it when it last asked.
+        answer_age: How long before its last announcement that was.
         sequence: Of its newest hint.
         is_current: Whether it reads what entries of this version send.
     """
@@ -38,6 +39,7 @@
     versions: Mapping[str, int] = field(default_factory=dict)
     leaving: bool = False
     store_ok: bool = True
+    answer_age: Millis = 0.0
     sequence: int = -1
     is_current: bool = False
 
@@ -65,3 +67,4 @@
     released: frozenset[str]
     store_ok: bool
     backlog: Sequence[WaitingGroup]
+    answer_age: Millis = 0.0
--- a/packages/node/src/carobspool_node/direct/_peer_messages.py
+++ b/packages/node/src/carobspool_node/direct/_peer_messages.py
@@ -82,6 +82,7 @@
     ended: list[Name] = Field(alias="d", default=[])
     sequence: Count | None = Field(alias="c", default=None)
     packed_loads: bytes = Field(alias="k", default=b"")
+    answer_age: Count = Field(alias="o", default=0)
 
 
 class ResultsCall(RecordModel):
--- a/packages/node/src/carobspool_node/direct/_peer_table.py
+++ b/packages/node/src/carobspool_node/direct/_peer_table.py
@@ -139,6 +139,7 @@
                 self._names = None
             known.leaving = told.leaving
             known.store_ok = told.store_ok
+            known.answer_age = float(told.answer_age)
             known.versions = told.versions
             known.is_current = told.sequence is not None
             if told.open_jobs is not None:
--- a/packages/node/src/carobspool_node/direct/_store_relay.py
+++ b/packages/node/src/carobspool_node/direct/_store_relay.py
@@ -6,7 +6,9 @@
 
 Writes are conditional: they create an object or name the version that they replace. So a write
 whose answer is lost is made again through a peer. Whichever of the two comes second conflicts with
-an object of the same value, which tells that the write is done.
+an object of the same value, which tells that the write is done. For the same reason a write that a
+caller waits for goes through a peer already while its answer is only late: most entries call the
+store rarely, and learn by such a write that it does not hear them.
 """
 
 from __future__ import annotations
@@ -14,6 +16,7 @@
 import functools
 import time
 from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
 
 import cbor2
@@ -49,6 +52,11 @@
 """How long after a refusal the way through a peer is tried first; then the store is asked again."""
 RELAYS_TRIED = 2
 READS = ("get", "list")
+HEDGE_AFTER: Millis = 120.0
+"""Wait for an answer to a new object after which a peer is asked besides; one takes some 10 ms."""
+HEDGED = "jobs/"
+"""Kind of objects whose creation a caller waits for."""
+HEDGE_WORKERS = 8
 
 Answer = Result[Any, StoreFailure]
 
@@ -70,6 +78,8 @@
         self._telemetry = telemetry
         self._peers = peers
         self._refused_until: Millis = 0.0
+        self._answered: Millis = clock.now()
+        self._hedges = ThreadPoolExecutor(HEDGE_WORKERS, thread_name_prefix="hedge")
         self._bad_listings = BadRecords(clock, telemetry, "listing", "prefix")
 
     @property
@@ -82,6 +92,11 @@
         """Whether the store answered this process when it last asked."""
         return self._refused_until <= 0.0
 
+    @property
+    def answer_age(self) -> Millis:
+        """How long ago the store last answered this process."""
+        return self._clock.now() - self._answered
+
     def get(self, key: str) -> Result[StoredObject, StoreFailure]:
         """Read one object."""
         return self._call("get", key, lambda: self._direct.get(key), {})
@@ -95,7 +110,10 @@
 
     def create(self, key: str, value: Json) -> Result[StoredObject, StoreFailure]:
         """Write an object that must not exist yet."""
-        return self._call("create", key, lambda: self._direct.create(key, value), {"value": value})
+        extra = {"value": value}
+        if key.startswith(HEDGED) and self.reachable:
+            return self._hedged("create", key, lambda: self._direct.create(key, value), extra)
+        return self._call("create", key, lambda: self._direct.create(key, value), extra)
 
     def update(self, key: str, value: Json, *, version: int) -> Result[StoredObject, StoreFailure]:
         """Replace an object whose version must be ``version``."""
@@ -141,6 +159,27 @@
                 return relayed
         return answer
 
+    def _hedged(
+        self, operation: str, key: str, direct: Callable[[], Answer], extra: dict[str, Any]
+    ) -> Answer:
+        asked = self._hedges.submit(direct)
+        try:
+            answer = self._note(operation, key, asked.result(HEDGE_AFTER / 1000.0))
+        except TimeoutError:
+            relayed = self._relay(operation, key, extra)
+            if relayed is not None and not _is_unknown(relayed):
+                asked.add_done_callback(lambda late: self._note_late(operation, key, late))
+                return relayed
+            answer = self._note(operation, key, asked.result())
+            return answer if relayed is None or is_successful(answer) else relayed
+        if _is_refused(answer) or _is_unknown(answer):
+            return self._relay(operation, key, extra) or answer
+        return answer
+
+    def _note_late(self, operation: str, key: str, late: Future[Answer]) -> None:
+        if late.exception() is None:
+            self._note(operation, key, late.result())
+
     def _note(self, operation: str, key: str, answer: Answer) -> Answer:
         outcome = "done" if is_successful(answer) else answer.failure().fault.value
         kind = key.partition("/")[0]
@@ -149,6 +188,7 @@
             self._refused_until = self._clock.now() + REFUSED_TIME
         elif is_successful(answer):
             self._refused_until = 0.0
+            self._answered = self._clock.now()
             self._note_unreadable(key, answer.unwrap())
         return answer
 
@@ -163,7 +203,8 @@
 
     def _relay(self, operation: str, key: str, extra: dict[str, Any]) -> Answer | None:
         peers = [each for each in self._peers().live() if each.store_ok and not each.leaving]
-        peers.sort(key=lambda each: -each.heard)
+        # Most entries ask the store rarely; what they tell of it may be long out of date.
+        peers.sort(key=lambda each: (each.answer_age, -each.heard))
         body = {"op": operation, "key": key, **extra}
         unknown: Answer | None = None
         for peer in peers[:RELAYS_TRIED]:
--- a/packages/node/tests/test_direct_store_relay.py
+++ b/packages/node/tests/test_direct_store_relay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+import time
 from collections.abc import Sequence
 from typing import Any
 
@@ -99,3 +101,88 @@
         _DirectStore(StoreFault.UNAVAILABLE), _Caller([TURNED_AWAY, TURNED_AWAY, TURNED_AWAY])
     )
     assert store.create("jobs/a", {"x": 1}).failure().fault is StoreFault.UNAVAILABLE
+
+
+class _LateStore(_DirectStore):
+    """Answers only when it is let."""
+
+    def __init__(self, answer: Answer) -> None:
+        super().__init__(StoreFault.UNAVAILABLE)
+        self.late = threading.Event()
+        self._late_answer = answer
+
+    def _answer(self, key: str) -> Answer:
+        self.calls += 1
+        self.late.wait(10.0)
+        return self._late_answer
+
+
+MADE = Success(StoredObject(key="jobs/a", version=7, value={"x": 1}))
+LOST = Failure(StoreFailure(fault=StoreFault.UNKNOWN, key="jobs/a"))
+REFUSED = Failure(StoreFailure(fault=StoreFault.UNAVAILABLE, key="jobs/a"))
+
+
+def test_a_submission_does_not_wait_for_a_store_that_does_not_hear_this_entry() -> None:
+    """The entry is cut off and does not know it yet. Its caller waited until the connection had
+    timed out before a peer was asked, and the job's answer came too late for all of its items."""
+    direct = _LateStore(LOST)
+    store = _store(direct, _Caller([DONE]))
+    started = time.monotonic()
+    assert store.create("jobs/a", {"x": 1}) == MADE
+    assert time.monotonic() - started < 1.0
+    assert store.answered_last
+    direct.late.set()
+    until = time.monotonic() + 5.0
+    while store.answered_last and time.monotonic() < until:
+        time.sleep(0.01)
+    assert not store.answered_last
+
+
+@pytest.mark.parametrize(
+    ("late", "relayed", "found"),
+    [
+        (MADE, [TURNED_AWAY, TURNED_AWAY], MADE),
+        (MADE, [None, None], MADE),
+        (REFUSED, [TURNED_AWAY, TURNED_AWAY], StoreFault.UNAVAILABLE),
+        (REFUSED, [None, TURNED_AWAY], StoreFault.UNKNOWN),
+        (LOST, [TURNED_AWAY, TURNED_AWAY], StoreFault.UNKNOWN),
+        (LOST, [None, None], StoreFault.UNKNOWN),
+    ],
+)
+def test_a_late_submission_is_told_as_what_is_known_of_both_ways(
+    late: Answer, relayed: Sequence[Json | None], found: Answer | StoreFault
+) -> None:
+    """Told as not made although one of the two ways may have made it, a job would come twice."""
+    direct = _LateStore(late)
+    threading.Timer(0.3, direct.late.set).start()
+    answer = _store(direct, _Caller(relayed)).create("jobs/a", {"x": 1})
+    if isinstance(found, StoreFault):
+        assert answer.failure().fault is found
+    else:
+        assert answer == found
+
+
+def test_a_peer_that_the_store_answered_of_late_is_asked_first() -> None:
+    """Most entries ask the store rarely; what they last knew of it may be out of date."""
+    asked: list[str] = []
+
+    class _Noting(_Caller):
+        def call(self, peer: Peer, what: str, body: Json, timeout: Millis) -> tuple[int, Json]:
+            asked.append(peer.name)
+            return super().call(peer, what, body, timeout)
+
+    class _Aged(_Peers):
+        def live(self) -> list[Peer]:
+            peers = super().live()
+            peers[0].answer_age = 20_000.0
+            return peers
+
+    store = RelayedStore(
+        _DirectStore(StoreFault.UNKNOWN),  # type: ignore[arg-type]
+        _Noting([DONE]),  # type: ignore[arg-type]
+        Clock(lambda: 1_000.0),
+        Telemetry(),
+        lambda: _Aged(),  # type: ignore[arg-type, return-value]
+    )
+    assert store.update("jobs/a", {"x": 1}, version=6) == MADE
+    assert asked == ["c"]
