Loads are told in groups of entries that use the same upstreams; load hints are the heartbeat; second tries avoid who failed of late

Each entry told each other one of each change, and of all that it holds twice a second. Ruled out: serving itself (requests an entry are the same at each size). Change: where each service has enough upstreams, entries form groups of 16 or more, each with its part of the large services (at least 32 upstreams of the largest), cut from one order by hash; few move when one comes or goes. Loads are told inside the group at each change, to all others with the heartbeat. What finds no place in its part, or only suspects there, goes to the others. The heartbeat is a load hint of some sixty bytes; announcements come at changes, repeated twice, and every two seconds. Who has just started is greeted with one.

Test: test_a_second_try_does_not_go_where_requests_have_failed_of_late failed before.

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -15,6 +15,7 @@
 from carobspool_core.direct._events import EventSplitter, StreamEvent
 from carobspool_core.direct._failure_reports import FailureReports
 from carobspool_core.direct._fleet_loads import NO_LOAD, PEER_TIME, FleetLoads, Load
+from carobspool_core.direct._groups import group_count, members_of_group, part_of_group
 from carobspool_core.direct._handover import Successor, lets_jobs_go
 from carobspool_core.direct._job_codec import (
     job_from_json,
@@ -128,6 +129,7 @@
     "excess_of_batch",
     "fits_quota",
     "given_up_at",
+    "group_count",
     "group_waiting",
     "has_returned",
     "has_time_for_job_call",
@@ -139,6 +141,8 @@
     "key_of",
     "latest_starts",
     "lets_jobs_go",
+    "members_of_group",
+    "part_of_group",
     "progress_from_json",
     "progress_to_json",
     "queue_limit",
--- a/packages/core/src/carobspool_core/direct/_upstreams.py
+++ b/packages/core/src/carobspool_core/direct/_upstreams.py
@@ -75,7 +75,16 @@
 class UpstreamList:
     """The registered upstreams, with a short memory for those that lapsed during an outage."""
 
-    __slots__ = ("_before", "_grace_until", "_keys", "_lapsed", "_latest", "_listed", "_ready")
+    __slots__ = (
+        "_before",
+        "_grace_until",
+        "_keys",
+        "_lapsed",
+        "_largest",
+        "_latest",
+        "_listed",
+        "_ready",
+    )
 
     def __init__(self) -> None:
         self._listed: dict[str, Upstream] = {}
@@ -86,6 +95,7 @@
         # Asked for by each request and each hint, and changed only with the list.
         self._ready: dict[str, Sequence[Upstream]] = {}
         self._keys: Mapping[int, str] | None = None
+        self._largest: int | None = None
 
     def regained(self, now: Millis) -> None:
         """Note that the store answers again after it could not be read."""
@@ -184,6 +194,7 @@
     def _changed(self) -> None:
         self._ready.clear()
         self._keys = None
+        self._largest = None
 
     def _vanished(self, upstream: Upstream, now: Millis) -> None:
         """Keep an upstream that has lapsed with most of its service around an outage."""
@@ -212,6 +223,12 @@
         lapsed = (each for each, _ in self._lapsed.values() if each.service == service)
         return [*ready, *lapsed]
 
+    def largest_service(self) -> int:
+        """Return how many upstreams the largest service has, leaving ones left out."""
+        if self._largest is None:
+            self._largest = max(self._ready_by_service().values(), default=0)
+        return self._largest
+
     def knows(self, instance: str) -> bool:
         """Return whether an upstream is listed, or has lapsed a moment ago."""
         return instance in self._listed or instance in self._lapsed
--- /dev/null
+++ b/packages/core/tests/test_direct_groups.py
@@ -0,0 +1,69 @@
+"""Groups of entries and their parts of the upstreams."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carobspool_core.direct import group_count, members_of_group, part_of_group
+
+
+def _names(count: int) -> list[str]:
+    return [f"entry-{number}" for number in range(count)]
+
+
+def _ids(count: int) -> list[str]:
+    return [f"i-{number:08x}" for number in range(count)]
+
+
+@pytest.mark.parametrize(
+    ("entries", "upstreams", "found"),
+    [(4, 5, 1), (24, 27, 1), (58, 30, 1), (28, 300, 1), (100, 1_000, 6), (380, 414, 12)],
+)
+def test_small_fleets_are_one_group_and_large_ones_have_enough_upstreams_each(
+    entries: int, upstreams: int, found: int
+) -> None:
+    assert group_count(entries=entries, upstreams=upstreams) == found
+
+
+@given(st.integers(1, 200), st.integers(1, 12))
+def test_groups_are_equal_and_hold_each_entry_once(entries: int, groups: int) -> None:
+    names = _names(entries)
+    found = {name: members_of_group(name, names, groups) for name in names}
+    parts = dict(found.values())
+    assert sum(len(members) for members in parts.values()) == entries
+    for name, (number, members) in found.items():
+        assert name in members
+        assert parts[number] == members
+    sizes = [len(members) for members in parts.values()]
+    if entries >= groups:
+        assert len(parts) == groups
+        assert max(sizes) - min(sizes) <= 1
+
+
+@given(st.integers(0, 400), st.integers(1, 12))
+def test_each_upstream_of_a_large_service_belongs_to_one_group(count: int, groups: int) -> None:
+    ids = _ids(count)
+    parts = [part_of_group(ids, ids, number, groups) for number in range(groups)]
+    if count < 8 * groups or groups == 1:
+        assert all(list(part) == ids for part in parts)
+        return
+    assert sorted(each for part in parts for each in part) == sorted(ids)
+    sizes = [len(part) for part in parts]
+    assert max(sizes) - min(sizes) <= 1
+
+
+def test_few_members_move_when_one_comes_or_goes() -> None:
+    """Each move makes an entry open connections anew and start without a view of the loads."""
+    ids = _ids(414)
+    before = [set(part_of_group(ids, ids, number, 12)) for number in range(12)]
+    less = ids[:200] + ids[201:]
+    after = [set(part_of_group(less, less, number, 12)) for number in range(12)]
+    assert all(len(new - old) <= 1 for old, new in zip(before, after, strict=True))
+    names = _names(380)
+    moved = sum(
+        members_of_group(name, names, 12)[0] != members_of_group(name, names[:-1], 12)[0]
+        for name in names[:-1]
+    )
+    assert moved <= 12
--- a/packages/node/src/carobspool_node/direct/_announcement.py
+++ b/packages/node/src/carobspool_node/direct/_announcement.py
@@ -35,7 +35,6 @@
     sequence: int,
     silent: Sequence[str],
     ended: Sequence[str],
-    with_jobs: bool,
 ) -> bytes:
     """Return an announcement for entries of this version.
 
@@ -45,14 +44,11 @@
         sequence: Grows with each hint.
         silent: Peers that it does not hear.
         ended: Jobs that it has ended in the store of late.
-        with_jobs: Whether to name its jobs; the reader keeps what it knows of them otherwise.
     """
     message = _common(sender, hint, sequence)
     message |= {"k": pack_loads(hint.loads), "w": dict(hint.waiting)}
     message |= {"q": list(silent), "d": list(ended)}
-    if with_jobs:
-        message |= _jobs(hint)
-    return cbor2.dumps(message)
+    return cbor2.dumps(message | _jobs(hint))
 
 
 def encode_for_version_before(
--- a/packages/node/src/carobspool_node/direct/_declared.py
+++ b/packages/node/src/carobspool_node/direct/_declared.py
@@ -120,6 +120,11 @@
         with self._upstreams_lock:
             return self._upstreams.identities()
 
+    def largest_service(self) -> int:
+        """Return how many upstreams the largest service has, leaving ones left out."""
+        with self._upstreams_lock:
+            return self._upstreams.largest_service()
+
     def identities_by_key(self) -> Mapping[int, str]:
         """Return the identities of all upstreams known by the keys that hints name them by."""
         with self._upstreams_lock:
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -37,6 +37,7 @@
 from carobspool_node.direct._membership import Membership
 from carobspool_node.direct._messages import CallerRequest
 from carobspool_node.direct._metrics_server import serve_metrics
+from carobspool_node.direct._neighbourhood import Neighbourhood
 from carobspool_node.direct._peer import OwnHint
 from carobspool_node.direct._peer_api import PeerApi
 from carobspool_node.direct._peer_calls import PEER_HEADERS, PeerCaller
@@ -91,6 +92,7 @@
                 backlog=lambda: self._runner.backlog(),
                 urgent=self._urgent_state,
                 describe=self._own_hint,
+                shares_upstreams=lambda: self._neighbourhood.peers(),
                 identities_by_key=lambda: self._declared.identities_by_key(),
             ),
         )
@@ -120,6 +122,13 @@
             leaving=self._leaving,
             store_ok=lambda: self._store.answered_last,
         )
+        self._neighbourhood = Neighbourhood(
+            self._clock,
+            settings.node,
+            members=self._peers.members,
+            usable=self._declared.usable,
+            largest_service=self._declared.largest_service,
+        )
         items = ItemRunner(self._clock, deployment.headers, self._loads, self._connections)
         self._runner = JobRunner(
             self._clock,
@@ -127,7 +136,7 @@
             items,
             self._telemetry,
             configuration=lambda: self._declared.configuration,
-            usable=self._declared.usable,
+            usable=self._neighbourhood.near,
             doubt_until=lambda: self._peers.doubt_until,
         )
         bad_records = BadRecords(self._clock, self._telemetry, "job_record", "key")
@@ -175,7 +184,7 @@
             deployment.headers,
             self._loads,
             self._connections,
-            self._declared.usable,
+            self._neighbourhood.reach,
             self._telemetry,
             lambda: self._exit.time_left,
         )
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from http import HTTPStatus
 
 from absl import logging
@@ -40,6 +40,7 @@
     UpstreamHead,
     end_to_end,
 )
+from carobspool_node.direct._neighbourhood import Reach
 from carobspool_node.direct._request_endings import RequestEndings
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.direct._upstream_calls import (
@@ -78,7 +79,7 @@
         names: Header names of the deployment.
         loads: Requests in flight.
         connections: Kept connections.
-        usable: Returns the upstreams of a service.
+        reach: Returns the upstreams of a service.
         telemetry: Logs and metrics.
         time_left: Returns the time until this process exits, ``None`` when it is not leaving.
     """
@@ -89,7 +90,7 @@
         names: HeaderNames,
         loads: LoadTable,
         connections: UpstreamConnections,
-        usable: Callable[[str], Sequence[Upstream]],
+        reach: Callable[[str], Reach],
         telemetry: Telemetry,
         time_left: Callable[[], Millis | None],
     ) -> None:
@@ -97,7 +98,7 @@
         self._names = names
         self._loads = loads
         self._connections = connections
-        self._usable = usable
+        self._reach = reach
         self._telemetry = telemetry
         self._time_left = time_left
         self._endings = RequestEndings(clock, telemetry)
@@ -160,7 +161,7 @@
     def _try_upstreams(self, attempt: Attempt) -> None:
         service = attempt.route.service_for(attempt.request.request_id)
         while True:
-            upstreams = self._usable(service)
+            reach = self._reach(service)
             if attempt.deadline - self._clock.now() < MIN_TRY_TIME:
                 raise DeadlinePassedError("no time for another try")
             if not attempt.may_have_run and not self._has_time(attempt):
@@ -170,21 +171,22 @@
                 self._endings.give_up(attempt, full=True)
                 return
             placement = self._loads.place_online(
-                upstreams,
+                reach.near,
                 target_latency=attempt.route.target_latency,
                 returned=attempt.returned or attempt.streaming,
                 excluded=frozenset(attempt.tried),
+                far=reach.far,
             )
             if placement is None:
                 logging.info(
                     "event=no_place request=%s service=%s upstreams=%d returned=%s %s",
                     attempt.request.request_id,
                     service,
-                    len(upstreams),
+                    len(reach.near) + len(reach.far),
                     attempt.returned,
-                    self._loads.describe(upstreams),
+                    self._loads.describe(reach.near),
                 )
-                self._endings.give_up(attempt, full=bool(upstreams))
+                self._endings.give_up(attempt, full=bool(reach.near))
                 return
             attempt.tried.add(placement.upstream.identity)
             attempt.met.append(f"{placement.upstream.instance}:{placement.load.total}")
--- a/packages/node/src/carobspool_node/direct/_load_hint.py
+++ b/packages/node/src/carobspool_node/direct/_load_hint.py
@@ -1,4 +1,4 @@
-"""The small hint: what an entry has in flight, told at each change.
+"""The small hint: what an entry has in flight, told at each change, and the heartbeat.
 
 It is most of what entries send each other, so it names upstreams by a key of four bytes and the
 sender by what its announcements have told. Loads of an upstream that the reader does not know, or
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -73,6 +73,7 @@
         target_latency: Millis,
         returned: bool,
         excluded: frozenset[str] = frozenset(),
+        far: Sequence[Upstream] = (),
     ) -> Placement | None:
         """Choose an upstream and count the request; cancels batch items that stand in its way.
 
@@ -81,6 +82,8 @@
             target_latency: Within which the answer is on time.
             returned: Whether the caller was refused before.
             excluded: Identities of upstreams that this request has met already.
+            far: Further candidates for when the first ones are full or suspects; their loads are
+                known by heartbeats only.
 
         Returns:
             The placement, ``None`` when all upstreams are full for such a request.
@@ -96,17 +99,23 @@
 
         now = self._clock.now()
         with self._lock:
-            candidates = upstreams
-            if excluded:
-                candidates = [each for each in upstreams if each.identity not in excluded]
             loads = self._loads(now)
-            chosen = choose_upstream(
-                candidates,
-                loads,
-                failure_domain=self._failure_domain,
-                queue=queue,
-                suspects=self._suspected(now),
-            )
+            suspects = self._suspected(now, first_try=not excluded)
+            chosen = None
+            for candidates in (upstreams, far):
+                if excluded:
+                    candidates = [each for each in candidates if each.identity not in excluded]
+                found = choose_upstream(
+                    candidates,
+                    loads,
+                    failure_domain=self._failure_domain,
+                    queue=queue,
+                    suspects=suspects,
+                )
+                if found is not None and (chosen is None or found.identity not in suspects):
+                    chosen = found
+                if chosen is not None and chosen.identity not in suspects:
+                    break
             if chosen is None:
                 return None
             load = loads.get(chosen.identity, NO_LOAD)
@@ -330,8 +339,8 @@
         # that has just resumed would be the next to go, again and again, and end its job late.
         return sorted(live, key=lambda run: (run.urgency, -run.due, -run.started))[:count]
 
-    def _suspected(self, now: Millis) -> frozenset[str]:
-        suspects = self._suspects.current(now)
+    def _suspected(self, now: Millis, *, first_try: bool = True) -> frozenset[str]:
+        suspects = self._suspects.current(now, first_try=first_try)
         for identity, own in self._own.items():
             if now - own.heard > QUIET_TIME:
                 suspects.add(identity)
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_neighbourhood.py
@@ -0,0 +1,111 @@
+"""The part of the upstreams that this entry uses, and the entries that use the same."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from carobspool_core import Clock, Millis
+from carobspool_core.direct import Upstream, group_count, members_of_group, part_of_group
+
+MEMBERS_KNOWN_FOR: Millis = 250.0
+"""How long the group stands before it is worked out again; each request asks for it."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reach:
+    """The upstreams of one service, as one entry sees them.
+
+    Attributes:
+        near: Those that it uses; their loads are told in its group.
+        far: All others, for what finds no place among the near ones.
+    """
+
+    near: Sequence[Upstream]
+    far: Sequence[Upstream]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Group:
+    number: int
+    groups: int
+    members: frozenset[str]
+
+
+class Neighbourhood:
+    """Which group this entry belongs to; safe for threads.
+
+    Args:
+        clock: The process's clock.
+        name: Name of this entry.
+        members: Returns the names of the other entries.
+        usable: Returns the upstreams of a service, the same list until it changes.
+        largest_service: Returns how many upstreams the largest service has.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        name: str,
+        *,
+        members: Callable[[], frozenset[str]],
+        usable: Callable[[str], Sequence[Upstream]],
+        largest_service: Callable[[], int],
+    ) -> None:
+        self._clock = clock
+        self._name = name
+        self._members = members
+        self._usable = usable
+        self._largest_service = largest_service
+        self._lock = threading.Lock()
+        self._group = _Group(number=0, groups=1, members=frozenset({name}))
+        self._known_until: Millis = 0.0
+        self._reaches: dict[str, tuple[Sequence[Upstream], _Group, Reach]] = {}
+
+    def near(self, service: str) -> Sequence[Upstream]:
+        """Return the upstreams of a service that this entry uses."""
+        return self.reach(service).near
+
+    def reach(self, service: str) -> Reach:
+        """Return the upstreams of a service, those that this entry uses apart."""
+        upstreams = self._usable(service)
+        group = self._current()
+        if group.groups == 1:
+            return Reach(near=upstreams, far=())
+        known = self._reaches.get(service)
+        if known is not None and known[0] is upstreams and known[1] is group:
+            return known[2]
+        reach = _reach_of(upstreams, group)
+        self._reaches[service] = (upstreams, group, reach)
+        return reach
+
+    def peers(self) -> frozenset[str] | None:
+        """Return the entries that use the same upstreams, ``None`` for all."""
+        group = self._current()
+        return None if group.groups == 1 else group.members
+
+    def _current(self) -> _Group:
+        now = self._clock.now()
+        with self._lock:
+            if now < self._known_until:
+                return self._group
+            self._known_until = now + MEMBERS_KNOWN_FOR
+            names = self._members() | {self._name}
+            groups = group_count(entries=len(names), upstreams=self._largest_service())
+            number, members = 0, names
+            if groups > 1:
+                number, members = members_of_group(self._name, names, groups)
+            found = _Group(number=number, groups=groups, members=members)
+            if found != self._group:
+                self._group = found
+            return self._group
+
+
+def _reach_of(upstreams: Sequence[Upstream], group: _Group) -> Reach:
+    instances = [each.instance for each in upstreams]
+    near = part_of_group(upstreams, instances, group.number, group.groups)
+    if near is upstreams:
+        return Reach(near=upstreams, far=())
+    names = {each.instance for each in near}
+    return Reach(near=near, far=[each for each in upstreams if each.instance not in names])
--- a/packages/node/src/carobspool_node/direct/_peer_table.py
+++ b/packages/node/src/carobspool_node/direct/_peer_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 
 from absl import logging
@@ -22,11 +22,11 @@
     """Where hints go.
 
     Attributes:
-        current: Live entries of this version.
-        others: Entries of the version before, and those of which nothing is heard.
+        current: Addresses of live entries of this version, by name.
+        others: Addresses of entries of the version before, and of those of which nothing is heard.
     """
 
-    current: Sequence[tuple[str, int]]
+    current: Mapping[str, tuple[str, int]]
     others: Sequence[tuple[str, int]]
 
 
@@ -58,6 +58,7 @@
         self._peers: dict[str, Peer] = {}
         self._addresses: dict[str, tuple[str, int]] = {}
         self._names: int | None = None
+        self._newcomers: set[str] = set()
         self._liveness = Liveness(clock.now())
 
     @property
@@ -95,15 +96,30 @@
         now = self._clock.now()
         with self._lock:
             others = dict(self._addresses)
-            current = []
+            current = {}
             for peer in self._peers.values():
                 if peer.is_current and now - peer.heard < DEAD_AFTER:
-                    current.append(peer.address)
+                    current[peer.name] = peer.address
                     others.pop(peer.name, None)
                 elif now - peer.heard < FORGET_AFTER:
                     others[peer.name] = peer.address
         return Targets(current=current, others=list(others.values()))
 
+    def take_newcomers(self) -> set[str]:
+        """Return the processes that were first heard since the last call."""
+        with self._lock:
+            found = self._newcomers
+            self._newcomers = set()
+        return found
+
+    def members(self) -> frozenset[str]:
+        """Return the peers that were heard within the time of a restart and more."""
+        now = self._clock.now()
+        with self._lock:
+            return frozenset(
+                each.name for each in self._peers.values() if now - each.heard < FORGET_AFTER
+            )
+
     def silent(self) -> list[str]:
         """Return the peers that are not heard although they did not leave."""
         now = self._clock.now()
@@ -131,6 +147,7 @@
                     name=told.name, incarnation=told.incarnation, address=told.address, heard=now
                 )
                 self._peers[told.name] = known
+                self._newcomers.add(told.name)
                 logging.info("event=peer_seen peer=%s", shown(known.identity, 2 * MAX_NAME))
             known.heard = now
             known.address = told.address
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -4,8 +4,9 @@
 choose upstreams, tell where a job's results are read without a call to the store, and show that an
 entry has fallen silent, whose jobs another then takes over by conditional write.
 
-An announcement tells all, twice a second, and is the heartbeat. Loads change far more often and are
-told at each change, in a hint of some hundred bytes.
+An announcement tells all that an entry is and holds, when that changes and now and then. Loads
+change far more often and are told at each change, to the entries that use the same upstreams, in a
+hint of some sixty bytes. The same hint goes to all twice a second, as the heartbeat.
 """
 
 from __future__ import annotations
@@ -42,15 +43,15 @@
 TICK: Millis = 50.0
 """Time between two looks at the silence of peers, and at what has to be announced at once."""
 HEARTBEAT_INTERVAL: Millis = 500.0
+"""Time between two heartbeats."""
+ANNOUNCEMENT_INTERVAL: Millis = 2_000.0
 """Time between two announcements while nothing changes."""
-JOBS_INTERVAL: Millis = 2_000.0
-"""Time between two announcements that name the jobs although these have not changed."""
-JOBS_REPEATED_FOR: Millis = 1_100.0
-"""How long announcements name the jobs after they changed: a lost datagram is made up for by the
-next two."""
+REPEATED_FOR: Millis = 1_100.0
+"""How long heartbeats are announcements after a change: a lost datagram is made up for by the next
+two."""
 ENDS_TOLD_FOR: Millis = 5_000.0
-"""How long announcements name a job that this entry has ended in the store: ten of them, and longer
-than a takeover that was under way takes (three calls of at most 1.5 s)."""
+"""How long announcements name a job that this entry has ended in the store, twice a second: ten of
+them, and longer than a takeover that was under way takes (three calls of at most 1.5 s)."""
 MAX_DATAGRAM = 60_000
 GATHER: Millis = 8.0
 """Time in which hints are gathered before they are taken together. Dozens of entries send hundreds
@@ -75,6 +76,7 @@
         backlog: Returns the batch items that wait here.
         urgent: Returns what is announced as soon as it changes.
         describe: Returns all that an announcement holds.
+        shares_upstreams: Returns the peers that use the same upstreams, ``None`` for all.
         identities_by_key: Returns the upstreams that load hints may name.
     """
 
@@ -82,6 +84,7 @@
     backlog: Callable[[], Sequence[WaitingGroup]]
     urgent: Callable[[], Hashable]
     describe: Callable[[], OwnHint]
+    shares_upstreams: Callable[[], frozenset[str] | None]
     identities_by_key: Callable[[], Mapping[int, str]]
 
 
@@ -127,9 +130,8 @@
         self._events = PeerEvents()
         self._lock = threading.Lock()
         self._sequence = 0
-        self._jobs: tuple[frozenset[str], frozenset[str]] = (frozenset(), frozenset())
-        self._jobs_changed: Millis = clock.now()
-        self._jobs_told: Millis = 0.0
+        self._announced: Millis = 0.0
+        self._repeat_until: Millis = clock.now() + REPEATED_FOR
         self._ended: dict[str, Millis] = {}
         self._loads_changed = threading.Event()
         self._stopped = threading.Event()
@@ -204,40 +206,40 @@
 
     def announce(self) -> None:
         """Tell all peers everything, at once."""
-        hint = self._own.describe()
         now = self._clock.now()
-        silent = self._table.silent()
+        with self._lock:
+            self._announced = now
+            self._repeat_until = now + REPEATED_FOR
         targets = self._table.targets()
+        self._announce_to(list(targets.current.values()), targets.others)
+
+    def members(self) -> frozenset[str]:
+        """Return the peers that were heard within the time of a restart and more."""
+        return self._table.members()
+
+    def _announce_to(
+        self, current: Sequence[tuple[str, int]], others: Sequence[tuple[str, int]]
+    ) -> None:
+        hint = self._own.describe()
+        silent = self._table.silent()
+        ended = self._ends_to_tell()
         with self._lock:
-            ended = [key for key, at in self._ended.items() if now - at < ENDS_TOLD_FOR]
             sequence = self._next_sequence()
-            with_jobs = self._names_jobs((hint.open_jobs, hint.done_jobs), now)
-        if targets.current:
+        if current:
             data = encode_announcement(
-                self._sender,
-                hint,
-                sequence=sequence,
-                silent=silent,
-                ended=ended,
-                with_jobs=with_jobs,
+                self._sender, hint, sequence=sequence, silent=silent, ended=ended
             )
-            self._send(data, targets.current)
-        if targets.others:
+            self._send(data, current)
+        if others:
             data = encode_for_version_before(
                 self._sender, hint, sequence=sequence, silent=silent, ended=ended
             )
-            self._send(data, targets.others)
-
-    def _names_jobs(self, jobs: tuple[frozenset[str], frozenset[str]], now: Millis) -> bool:
-        """Whether an announcement names the jobs; one that does not costs a fraction of it."""
-        if jobs != self._jobs:
-            self._jobs = jobs
-            self._jobs_changed = now
-        is_due = now - self._jobs_told >= JOBS_INTERVAL
-        if not is_due and now - self._jobs_changed >= JOBS_REPEATED_FOR:
-            return False
-        self._jobs_told = now
-        return True
+            self._send(data, others)
+
+    def _ends_to_tell(self) -> list[str]:
+        now = self._clock.now()
+        with self._lock:
+            return [key for key, at in self._ended.items() if now - at < ENDS_TOLD_FOR]
 
     def _next_sequence(self) -> int:
         self._sequence += 1
@@ -261,14 +263,18 @@
                 if now >= tick_at:
                     tick_at = now + TICK
                     self._notice_silence()
-                    urgent = self._own.urgent()
-                    if now >= heartbeat_at or urgent != announced:
-                        heartbeat_at = now + HEARTBEAT_INTERVAL
+                    urgent = (self._own.urgent(), tuple(self._table.silent()))
+                    if urgent != announced:
                         announced = urgent
+                        heartbeat_at = now + HEARTBEAT_INTERVAL
                         self.announce()
+                    elif now >= heartbeat_at:
+                        heartbeat_at = now + HEARTBEAT_INTERVAL
+                        self._beat(now)
+                    self._greet_newcomers()
                 loads = self._own.loads()
                 if loads != told:
-                    addresses = self._table.targets().current
+                    addresses = self._load_targets()
                     pause = pace.wait(now, peers=len(addresses))
                     if pause <= 0.0:
                         told = loads
@@ -280,6 +286,31 @@
                 logging.exception("event=hint_failed")
             self._wait_for_change(pause)
 
+    def _beat(self, now: Millis) -> None:
+        """Tell all peers that this entry lives, by a load hint if there is nothing else to tell."""
+        targets = self._table.targets()
+        if now < self._repeat_until or now - self._announced >= ANNOUNCEMENT_INTERVAL:
+            self._announced = now
+            self._announce_to(list(targets.current.values()), targets.others)
+            return
+        if self._ends_to_tell() or self._table.silent():
+            self._announce_to(list(targets.current.values()), targets.others)
+            return
+        self._tell_loads(self._own.loads(), list(targets.current.values()))
+        self._announce_to((), targets.others)
+
+    def _greet_newcomers(self) -> None:
+        """Tell who has just started everything; it understands no load hint before."""
+        newcomers = self._table.take_newcomers()
+        if newcomers:
+            current = self._table.targets().current
+            self._announce_to([current[name] for name in newcomers if name in current], ())
+
+    def _load_targets(self) -> list[tuple[str, int]]:
+        names = self._own.shares_upstreams()
+        current = self._table.targets().current
+        return [each for name, each in current.items() if names is None or name in names]
+
     def _wait_for_change(self, pause: Millis) -> None:
         self._loads_changed.wait(pause / 1000.0)
         self._loads_changed.clear()
--- a/packages/node/src/carobspool_node/direct/_suspects.py
+++ b/packages/node/src/carobspool_node/direct/_suspects.py
@@ -12,6 +12,9 @@
 SUSPECT_TIME: Millis = 1_000.0
 """How long an upstream is avoided after it could not be reached. A crashed server is back after
 some seconds or drops from the list after three heartbeats; one try a second finds out."""
+PROBATION: Millis = 4_000.0
+"""How long after that an upstream gets only first tries. Somebody has to find out whether it is
+well again, but not a request that has met a failure already and may not be tried a third time."""
 
 
 class Suspects:
@@ -51,15 +54,21 @@
         """Return the failures that this entry has met at each upstream, for its hints."""
         return self._failures.own()
 
-    def current(self, now: Millis) -> set[str]:
-        """Return the identities of the upstreams that are avoided now."""
+    def current(self, now: Millis, *, first_try: bool) -> set[str]:
+        """Return the identities of the upstreams that are avoided now.
+
+        Args:
+            now: The time.
+            first_try: Whether for a request that has not met a failure yet.
+        """
         found = self._failures.failing(now)
-        found.update(identity for identity, until in self._until.items() if now < until)
+        longer = 0.0 if first_try else PROBATION
+        found.update(identity for identity, until in self._until.items() if now < until + longer)
         return found
 
     def forget(self, identities: set[str], peers: set[str], now: Millis) -> None:
         """Keep what is known of these upstreams and peers only."""
-        self._until = {key: at for key, at in self._until.items() if at > now}
+        self._until = {key: at for key, at in self._until.items() if at + PROBATION > now}
         known = latest_starts(identities)
         self._restarts = {key: at for key, at in self._restarts.items() if key in known}
         self._failures.keep_only(identities, peers)
--- a/packages/node/tests/test_direct_loads.py
+++ b/packages/node/tests/test_direct_loads.py
@@ -8,6 +8,7 @@
 
 from carobspool_core.direct import BatchUrgency, Load, Upstream
 from carobspool_node.direct._loads import LoadTable
+from carobspool_node.direct._suspects import SUSPECT_TIME
 
 
 class _Clock:
@@ -97,3 +98,44 @@
     table.restarted(second)
     table.take_hint("e2", told, [second, other], {}, knows_starts=False)
     assert "x:0+0/8 y!:1+0/8" in table.describe([second, other]).replace(",", " ")
+
+
+def test_a_request_goes_to_far_upstreams_when_the_near_ones_are_full_or_suspects() -> None:
+    """The upstreams of this entry's group are full, or have all failed, while others are idle."""
+    clock = _Clock()
+    table = LoadTable(clock, "z", name="e1")
+    near, far = _upstream("near"), _upstream("far")
+
+    def place() -> str:
+        placed = table.place_online([near], target_latency=300.0, returned=False, far=[near, far])
+        assert placed is not None
+        table.end_online(placed, completed=False)
+        return placed.upstream.instance
+
+    assert place() == "near"
+    table.suspect(near)
+    assert place() == "far"
+    clock.at = 5_000.0
+    assert place() == "near"
+    table.take_hint("e2", {"near": Load(400, 0)}, (), {})
+    assert place() == "far"
+    table.take_hint("e2", {"near": Load(400, 0), "far": Load(400, 0)}, (), {})
+    assert table.place_online([near], target_latency=300.0, returned=False, far=[far]) is None
+
+
+def test_a_second_try_does_not_go_where_requests_have_failed_of_late() -> None:
+    """An upstream is tried again a second after a failure. A request whose first try has failed met
+    it there, failed once more, and was cut off at its deadline."""
+    clock = _Clock()
+    table = LoadTable(clock, "z", name="e1")
+    slow, good = _upstream("slow"), _upstream("good")
+    table.suspect(slow)
+    table.take_hint("e2", {"good": Load(7, 0)}, (), {})
+    clock.at = SUSPECT_TIME + 1.0
+    first = table.place_online([slow, good], target_latency=300.0, returned=False)
+    assert first is not None and first.upstream is slow
+    met = frozenset({"another"})
+    second = table.place_online([slow, good], target_latency=300.0, returned=True, excluded=met)
+    assert second is not None and second.upstream is good
+    alone = table.place_online([slow], target_latency=300.0, returned=True, excluded=met)
+    assert alone is not None
--- a/packages/node/tests/test_direct_peers.py
+++ b/packages/node/tests/test_direct_peers.py
@@ -48,6 +48,7 @@
                 backlog=tuple,
                 urgent=lambda: None,
                 describe=_own_hint,
+                shares_upstreams=lambda: None,
                 identities_by_key=lambda: {key_of(ENGINE): ENGINE},
             ),
         )
@@ -218,9 +219,9 @@
 def test_both_versions_are_told_what_they_understand(entry: _Entry) -> None:
     """An entry of the version before reads neither load hints nor packed loads."""
     entry.hear()
-    assert entry.peers._table.targets() == Targets(current=[], others=[("127.0.0.1", 1)])
+    assert entry.peers._table.targets() == Targets(current={}, others=[("127.0.0.1", 1)])
     entry.hear(c=1)
-    assert entry.peers._table.targets() == Targets(current=[("127.0.0.1", 1)], others=[])
+    assert entry.peers._table.targets() == Targets(current={"e2": ("127.0.0.1", 1)}, others=[])
     sender = Sender(name="e1", incarnation="1", address=("127.0.0.1", 7))
     hint = replace(_own_hint(), loads={ENGINE: Load(2, 1)}, open_jobs=frozenset({"j"}))
     told = cbor2.loads(
@@ -229,3 +230,58 @@
     assert told["l"] == {"engine": [2, 1]}
     assert told["b"] == {"engine": 1764700000000}
     assert (told["j"], told["q"], told["d"]) == (["j"], ["e3"], ["k"])
+
+
+@pytest.fixture
+def sent(entry: _Entry, monkeypatch: pytest.MonkeyPatch) -> list[Any]:
+    """Return what the entry sends, decoded, as it grows."""
+    found: list[Any] = []
+
+    def send(data: bytes, addresses: Any) -> None:
+        found.extend([cbor2.loads(data)] * len(addresses))
+
+    monkeypatch.setattr(entry.peers, "_send", send)
+    return found
+
+
+def test_a_process_that_has_just_started_is_told_everything_once(
+    entry: _Entry, sent: list[Any]
+) -> None:
+    """It understands no load hint of a peer whose announcement it has not heard."""
+    entry.hear(n="e3", i="7", c=1)
+    entry.peers._greet_newcomers()
+    entry.peers._greet_newcomers()
+    assert [each["n"] for each in sent] == ["e1"]
+
+
+def test_a_heartbeat_announces_after_a_change_and_now_and_then(
+    entry: _Entry, sent: list[Any]
+) -> None:
+    """A lost announcement is made up for by the next heartbeats; after that they cost little."""
+    entry.hear(c=1)
+    entry.peers.announce()
+    kinds = []
+    for _ in range(9):
+        entry.clock.time += 500.0
+        entry.hear(c=1)
+        sent.clear()
+        entry.peers._beat(entry.clock.time)
+        kinds.append("loads" if isinstance(sent[-1], list) else "all")
+    assert kinds[:2] == ["all", "all"]
+    assert "loads" in kinds[2:]
+    assert "all" in kinds[3:]
+
+
+def test_silence_and_ends_are_announced_with_each_heartbeat(entry: _Entry, sent: list[Any]) -> None:
+    """The one that is not heard learns by it that it has to doubt its jobs, within a second."""
+    entry.hear(c=1)
+    entry.hear(n="e3", i="7", c=1)
+    entry.clock.time += 5_000.0
+    entry.hear(c=2)
+    entry.peers._beat(entry.clock.time)
+    entry.clock.time += 500.0
+    entry.hear(c=3)
+    sent.clear()
+    entry.peers._beat(entry.clock.time)
+    assert all(each["q"] == ["e3"] for each in sent if isinstance(each, dict))
+    assert any(isinstance(each, dict) for each in sent)
--- a/packages/node/tests/test_fleet_load.py
+++ b/packages/node/tests/test_fleet_load.py
@@ -92,6 +92,30 @@
     assert several.hints < 30 * HALLS.entries * HALLS.length / 1_000.0
 
 
+GROUPED = FleetPlan(
+    entries=32,
+    engines=64,
+    slots=7,
+    calm_rate=128.0,
+    burst_rate=627.0,
+    jobs_rate=3.7,
+    stream=700.0,
+    length=8_000.0,
+    groups=2,
+)
+
+
+def test_groups_with_a_part_of_the_engines_each_serve_nearly_like_one() -> None:
+    """Two groups of 16 entries hear of each other's loads twice a second only. What finds no place
+    in its part goes to the other one; no group may be late while the other has room."""
+    grouped = play_fleet(GROUPED)
+    one = play_fleet(replace(GROUPED, groups=1))
+    assert one.on_time(GROUPED.target) - grouped.on_time(GROUPED.target) < LATE_AMONG_MANY
+    assert grouped.refused == 0
+    assert len(grouped.items) == grouped.submitted
+    assert max(grouped.items) < GROUPED.due
+
+
 SMALL = FleetPlan(
     entries=4,
     engines=5,
--- a/tests/fleet_load.py
+++ b/tests/fleet_load.py
@@ -21,6 +21,8 @@
     Upstream,
     WaitingGroup,
     group_waiting,
+    members_of_group,
+    part_of_group,
     turn_of,
     urgency_of,
 )
@@ -62,6 +64,7 @@
         jobs_at_once: Jobs that come together after a fifth of the time.
         length: Time played in milliseconds.
         target: Time to the first event within which a stream is on time.
+        groups: Groups of entries, each with its part of the engines.
     """
 
     entries: int
@@ -80,6 +83,7 @@
     jobs_at_once: int = 0
     length: float = 34_000.0
     target: float = 300.0
+    groups: int = 1
 
 
 @dataclass(slots=True)
@@ -160,6 +164,13 @@
             LoadTable(self.clock, f"domain-{number % 3}", name=f"entry-{number}")
             for number in range(plan.entries)
         ]
+        names = [f"entry-{number}" for number in range(plan.entries)]
+        self.groups = [members_of_group(name, names, plan.groups) for name in names]
+        instances = [each.instance for each in self.upstreams]
+        self.near = [
+            part_of_group(self.upstreams, instances, number, plan.groups)
+            for number, _ in self.groups
+        ]
         self.by_instance = {each.instance: each for each in self.upstreams}
         self.waiting: list[deque[_Item]] = [deque() for _ in self.tables]
         self.running: list[list[_Run]] = [[] for _ in self.tables]
@@ -209,7 +220,10 @@
     def online(self) -> None:
         entry = self.draw.randrange(self.plan.entries)
         placement = self.tables[entry].place_online(
-            self.upstreams, target_latency=self.plan.target, returned=False
+            self.near[entry],
+            target_latency=self.plan.target,
+            returned=False,
+            far=self.upstreams if self.plan.groups > 1 else (),
         )
         if placement is None:
             self.report.refused += 1
@@ -238,7 +252,7 @@
             if not self.goes_first(entry, item):
                 return
             placed = self.tables[entry].place_batch(
-                self.upstreams, urgency=self.urgency(item), due=item.submitted
+                self.near[entry], urgency=self.urgency(item), due=item.submitted
             )
             if placed is None:
                 return
@@ -247,7 +261,7 @@
 
     def goes_first(self, entry: int, item: _Item) -> bool:
         urgency = self.urgency(item)
-        room = self.tables[entry].room_for_batch(self.upstreams, urgency=urgency)
+        room = self.tables[entry].room_for_batch(self.near[entry], urgency=urgency)
         return self.backlogs[entry].may_start(self.turn(item), room=room, now=self.clock.at)
 
     def turn(self, item: _Item) -> float:
@@ -335,7 +349,7 @@
         self.leave(run)
 
     def announce(self, entry: int) -> None:
-        self.hint(entry)
+        self.hint(entry, to_all=True)
         self.at(self.clock.at + ANNOUNCEMENT_INTERVAL, lambda: self.announce(entry))
 
     def loads_changed(self, entry: int) -> None:
@@ -347,7 +361,7 @@
         self.telling[entry] = False
         if self.tables[entry].own_loads() == self.told[entry]:
             return
-        peers = self.plan.entries - 1
+        peers = len(self.groups[entry][1]) - 1
         wait = self.paces[entry].wait(self.clock.at, peers=peers)
         if wait > 0.0:
             self.telling[entry] = True
@@ -356,7 +370,8 @@
         self.paces[entry].sent(self.clock.at, peers=peers)
         self.hint(entry)
 
-    def hint(self, entry: int) -> None:
+    def hint(self, entry: int, *, to_all: bool = False) -> None:
+        group = self.groups[entry][1]
         loads = self.tables[entry].own_loads()
         self.told[entry] = loads
         self.report.hints += 1
@@ -365,7 +380,7 @@
 
         def arrive() -> None:
             for other, table in enumerate(self.tables):
-                if other != entry:
+                if other != entry and (to_all or f"entry-{other}" in group):
                     self.backlogs[other].take(f"entry-{entry}", backlog, self.clock.at)
                     table.take_hint(f"entry-{entry}", loads, self.upstreams, failures)
             self.drop_cancelled()
