Organisations: keys, request limits counted together by all entries, names of jobs

- Keys are looked up by digest; CallerKeys of the sidecar path uses the same reading of the header.
- A job's name inside the system holds its organisation, so that records, relays, takeovers and calls need no check.
- An unknown key is denied only after another entry was asked for its version, four times a second at most.
- RequestLimits: one bucket an organisation for the whole deployment at each entry, counts told by hints.

Kept: part held back after 200 ms of silence while the organisation is hot, hints each 80 ms meanwhile, buckets filled at 0.97 of the rate.

--- a/packages/core/src/carobspool_core/border.py
+++ b/packages/core/src/carobspool_core/border.py
@@ -29,7 +29,7 @@
 PROBLEMS_SHOWN = 3
 """Problems of one record that its error tells; one is enough to find the writer."""
 
-SECRET_FIELDS = frozenset({"key_hashes", "order_key", "first_operator_key_hash"})
+SECRET_FIELDS = frozenset({"key_hashes", "api_keys", "order_key", "first_operator_key_hash"})
 """Fields whose values an error never shows: a key may stand there by mistake."""
 
 _OFFSET = re.compile(r"near (\d+)")
--- a/packages/core/src/carobspool_core/direct/_configuration.py
+++ b/packages/core/src/carobspool_core/direct/_configuration.py
@@ -9,6 +9,7 @@
 from xxhash import xxh3_64_intdigest
 
 from carobspool_core._clock import Millis
+from carobspool_core.organisations import OrganisationDirectory
 
 
 class RouteKind(StrEnum):
@@ -45,7 +46,9 @@
         resumable: Whether a stream can go on at another upstream after its last event.
         completion_target: Batch only: time from the first submission to the last result.
         retention: Batch only: time from the first submission after which an item may be given up.
-        waiting_limit: Batch only: tokens of unfinished items of all callers; 0 is no limit.
+        waiting_limit: Batch only: tokens of unfinished items of one organisation, of all callers
+            where there are none; 0 is no limit.
+        needs_key: Whether callers show a key, where organisations are declared.
     """
 
     name: str
@@ -61,6 +64,7 @@
     completion_target: Millis = 0.0
     retention: Millis = 0.0
     waiting_limit: int = 0
+    needs_key: bool = True
 
     @property
     def may_repeat(self) -> bool:
@@ -90,11 +94,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Configuration:
-    """One version of everything that the operator declares; versions only grow."""
+    """One version of everything that the operator declares; versions only grow.
+
+    Attributes:
+        version: Its number.
+        routes: Where requests go.
+        limits: What one caller may send.
+        organisations: Who may send requests, ``None`` when anybody may.
+    """
 
     version: int
     routes: tuple[Route, ...]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    organisations: OrganisationDirectory | None = field(default=None, compare=False)
     _by_host: Mapping[str, tuple[Route, ...]] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
@@ -113,3 +125,10 @@
             if path.startswith(route.path_prefix):
                 return route
         return None
+
+    def has_open_jobs_at(self, host: str) -> bool:
+        """Whether a host has a batch route whose callers show no key."""
+        return any(
+            route.kind is RouteKind.BATCH and not route.needs_key
+            for route in self._by_host.get(host, ())
+        )
--- a/packages/core/src/carobspool_core/direct/_job_codec.py
+++ b/packages/core/src/carobspool_core/direct/_job_codec.py
@@ -58,6 +58,7 @@
     owner: Text
     submitted: float
     items: list[_Item]
+    organisation: Text | None = None
 
 
 class _Progress(RecordModel):
@@ -71,7 +72,7 @@
 
 def job_to_json(job: JobInput) -> Json:
     """Return the stored form of a job's input."""
-    return {
+    record = {
         "host": job.host,
         "path": job.path,
         "owner": job.owner,
@@ -87,6 +88,9 @@
             for item in job.items
         ],
     }
+    if job.organisation is not None:
+        record["organisation"] = job.organisation
+    return record
 
 
 def job_from_json(job_id: str, value: Json) -> JobInput:
@@ -112,6 +116,7 @@
             )
             for number, item in enumerate(model.items)
         ),
+        organisation=model.organisation,
     )
 
 
--- a/packages/core/src/carobspool_core/direct/_job_work.py
+++ b/packages/core/src/carobspool_core/direct/_job_work.py
@@ -38,12 +38,14 @@
     """A batch job as submitted; it never changes.
 
     Attributes:
-        job_id: The caller's id of the job.
+        job_id: Name of the job inside the system.
         host: Selects the route of its items, with their paths.
         path: Path under which it was submitted.
         owner: The entry that accepted it, name and incarnation.
         submitted: Wall-clock milliseconds; only for time limits of a minute and more.
         items: Its items.
+        organisation: Whose it is; empty for a job of nobody, ``None`` where the operator declared
+            no organisations.
     """
 
     job_id: str
@@ -52,6 +54,7 @@
     owner: str
     submitted: float
     items: tuple[JobItem, ...]
+    organisation: str | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/packages/core/src/carobspool_core/organisations/__init__.py
@@ -0,0 +1,38 @@
+"""Organisations of direct entries: their keys, their request limits, and what belongs to them.
+
+Decisions only: no network, no threads, no clock. What a header or a datagram looks like stands in
+the node and in the platform's adapter.
+"""
+
+from carobspool_core.organisations._directory import Organisation, OrganisationDirectory, RateLimit
+from carobspool_core.organisations._job_identity import (
+    ID_SEPARATOR,
+    qualified_job_id,
+    waiting_key,
+)
+from carobspool_core.organisations._keys import key_digest, read_bearer
+from carobspool_core.organisations._request_limits import (
+    HOT_HEARTBEAT,
+    SILENT_AFTER,
+    Admission,
+    Neighbour,
+    RequestLimits,
+)
+from carobspool_core.organisations._unknown_keys import UnknownKeys
+
+__all__ = [
+    "HOT_HEARTBEAT",
+    "ID_SEPARATOR",
+    "SILENT_AFTER",
+    "Admission",
+    "Neighbour",
+    "Organisation",
+    "OrganisationDirectory",
+    "RateLimit",
+    "RequestLimits",
+    "UnknownKeys",
+    "key_digest",
+    "qualified_job_id",
+    "read_bearer",
+    "waiting_key",
+]
--- /dev/null
+++ b/packages/core/tests/test_request_limits.py
@@ -0,0 +1,228 @@
+"""Request limits that many entries keep together."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from limits_model import Fleet, poisson
+
+from carobspool_core.organisations import Neighbour, RateLimit, RequestLimits
+from carobspool_core.organisations._request_limits import (
+    FILLED,
+    HELD_FOR,
+    LONGEST_DEBT,
+    organisation_key,
+)
+
+LARGE = RateLimit(per_second=39.0, burst=39.0)
+SMALL = RateLimit(per_second=2.0, burst=2.0)
+HOT = 8.0
+"""A hot organisation's demand as a multiple of its limit."""
+
+
+def _one_entry(limit: RateLimit) -> RequestLimits:
+    limits = RequestLimits(0.0)
+    limits.configure({"o": limit}, 0.0)
+    return limits
+
+
+def _admit_all(limits: RequestLimits, now: float) -> int:
+    admitted = 0
+    while limits.admit("o", now).granted:
+        admitted += 1
+    return admitted
+
+
+def test_a_single_entry_admits_the_burst_and_then_the_rate() -> None:
+    limits = _one_entry(RateLimit(per_second=10.0, burst=20.0))
+    # With one token more for what hints tell late.
+    assert _admit_all(limits, 60_000.0) == 21
+    assert _admit_all(limits, 61_000.0) == 9
+    assert _admit_all(limits, 62_000.0) == 10
+
+
+def test_a_refused_caller_is_told_when_the_next_token_comes() -> None:
+    limits = _one_entry(RateLimit(per_second=10.0, burst=5.0))
+    _admit_all(limits, 60_000.0)
+    wait = limits.admit("o", 60_000.0).wait
+    assert 0.0 < wait <= 100.0 / FILLED + 0.001
+    assert not limits.admit("o", 60_000.0 + wait - 1.0).granted
+    assert limits.admit("o", 60_000.0 + wait + 1.0).granted
+
+
+def test_a_request_that_no_upstream_ran_is_given_back() -> None:
+    limits = _one_entry(RateLimit(per_second=1.0, burst=1.0))
+    assert _admit_all(limits, 60_000.0) == 2
+    limits.give_back("o", 60_000.0)
+    assert limits.admit("o", 60_000.0).granted
+
+
+def test_an_organisation_without_a_limit_is_never_refused() -> None:
+    limits = _one_entry(SMALL)
+    assert all(limits.admit("other", 60_000.0).granted for _ in range(1_000))
+
+
+def test_a_raised_burst_can_be_used_at_once() -> None:
+    limits = _one_entry(RateLimit(per_second=1.0, burst=2.0))
+    _admit_all(limits, 60_000.0)
+    limits.configure({"o": RateLimit(per_second=1.0, burst=12.0)}, 60_000.0)
+    assert _admit_all(limits, 60_000.0) == 10
+
+
+def test_a_lowered_limit_holds_at_once() -> None:
+    limits = _one_entry(RateLimit(per_second=100.0, burst=100.0))
+    limits.admit("o", 60_000.0)
+    limits.configure({"o": RateLimit(per_second=1.0, burst=3.0)}, 60_000.0)
+    assert _admit_all(limits, 60_000.0) == 4
+
+
+def test_what_others_admit_is_counted_once_however_often_it_is_told() -> None:
+    """Hints are doubled and told several times; counted twice they would refuse for nothing."""
+    limits = _one_entry(RateLimit(per_second=10.0, burst=10.0))
+    key = organisation_key("o")
+    limits.receive("e2", "1", {key: 0}, 60_000.0)
+    for _ in range(3):
+        limits.receive("e2", "1", {key: 6}, 60_000.0)
+    assert _admit_all(limits, 60_000.0) == 5
+
+
+def test_a_peer_that_jumps_puts_nobody_in_endless_debt() -> None:
+    """A broken count would otherwise shut an organisation out for hours."""
+    limits = _one_entry(RateLimit(per_second=1.0, burst=1.0))
+    key = organisation_key("o")
+    limits.receive("e2", "1", {key: 0}, 60_000.0)
+    limits.receive("e2", "1", {key: 30_000}, 60_000.0)
+    assert limits.admit("o", 60_000.0 + (LONGEST_DEBT + 2_000.0) / FILLED + 1.0).granted
+
+
+def test_the_part_of_a_silent_entry_is_held_back_for_a_while() -> None:
+    """The sides of a cut would otherwise admit the whole limit each."""
+    limits = _one_entry(RateLimit(per_second=10.0, burst=100.0))
+    limits.set_entries([Neighbour(name="e2", heard=60_000.0)], 60_000.0)
+    limits.admit("o", 60_000.0)
+    limits.set_entries([Neighbour(name="e2", heard=60_000.0)], 61_000.0)
+    assert 49 <= _admit_all(limits, 61_000.0) <= 51
+    later = 60_000.0 + HELD_FOR + 1.0
+    limits.set_entries([Neighbour(name="e2", heard=60_000.0)], later)
+    assert limits.entries == 1
+
+
+def test_an_entry_that_leaves_holds_nothing_back() -> None:
+    limits = _one_entry(SMALL)
+    limits.set_entries([Neighbour(name="e2", heard=60_000.0, leaving=True)], 62_000.0)
+    assert limits.entries == 1
+
+
+def test_idle_organisations_cost_nothing() -> None:
+    limits = _one_entry(SMALL)
+    limits.admit("o", 1_000.0)
+    limits.forget_idle(60_000.0, idle=30_000.0)
+    assert not limits._buckets
+    assert not limits._changed
+
+
+def _hot(entries: int, *, seed: int, at: list[int] | None = None) -> list[tuple[float, int, str]]:
+    numbers = range(entries) if at is None else at
+    rate = LARGE.per_second * HOT
+    return poisson(seed, rate, 12_000.0, numbers, "hot")
+
+
+@pytest.mark.parametrize("entries", [1, 3, 23])
+@pytest.mark.parametrize("spread", ["one", "all"])
+def test_a_hot_organisation_stays_within_its_limit(entries: int, spread: str) -> None:
+    fleet = Fleet(entries, {"hot": LARGE})
+    fleet.run(3_000.0)
+    fleet.run(12_000.0, _hot(entries, seed=3, at=[0] if spread == "one" else None))
+    assert fleet.worst_window("hot") <= fleet.bound("hot")
+    # What it may have, it gets.
+    assert len(fleet.admitted["hot"]) >= 0.95 * LARGE.per_second * 12.0
+
+
+def test_a_cut_does_not_double_a_limit() -> None:
+    """Each side hears nothing of what the other admits."""
+    fleet = Fleet(12, {"hot": LARGE})
+    fleet.run(3_000.0)
+    arrivals = _hot(12, seed=5)
+    fleet.run(3_000.0, arrivals)
+    fleet.cut({number: number % 2 for number in range(12)})
+    fleet.run(8_000.0, _hot(12, seed=6))
+    fleet.cut({})
+    fleet.run(6_000.0, _hot(12, seed=7))
+    assert fleet.worst_window("hot") <= fleet.bound("hot")
+
+
+def test_a_restart_of_all_does_not_hand_out_the_burst_again() -> None:
+    """No process is left that knows what was used just before."""
+    limit = RateLimit(per_second=10.0, burst=60.0)
+    fleet = Fleet(12, {"hot": limit})
+    fleet.run(8_000.0)
+    fleet.run(1_000.0, poisson(1, 200.0, 1_000.0, range(12), "hot"))
+    for number in range(12):
+        fleet.restart(number, 500.0)
+    fleet.run(5_000.0, poisson(2, 200.0, 5_000.0, range(12), "hot"))
+    assert fleet.worst_window("hot") <= fleet.bound("hot")
+
+
+def test_an_entry_that_stood_still_does_not_admit_as_if_it_were_alone() -> None:
+    """Its bucket has filled meanwhile, and it has heard nothing of what the others admitted."""
+    fleet = Fleet(6, {"hot": RateLimit(per_second=20.0, burst=60.0)})
+    fleet.run(5_000.0)
+    fleet.freeze(0, 4_000.0)
+    fleet.run(3_990.0, poisson(1, 160.0, 3_990.0, range(6), "hot"))
+    fleet.run(4_000.0, poisson(2, 160.0, 4_000.0, [0], "hot"))
+    assert fleet.worst_window("hot") <= fleet.bound("hot")
+
+
+@pytest.mark.parametrize("limit", [SMALL, LARGE], ids=["small", "large"])
+def test_an_organisation_below_its_limit_is_not_refused(limit: RateLimit) -> None:
+    """It is seen by one of two dozen entries at a time; a part each would refuse nearly all."""
+    fleet = Fleet(23, {"quiet": limit})
+    fleet.run(3_000.0)
+    step = 1_000.0 / (0.95 * limit.per_second)
+    arrivals = [(number * step, (number * 7) % 23, "quiet") for number in range(int(15_000 / step))]
+    fleet.run(16_000.0, arrivals)
+    assert fleet.refused["quiet"] == 0
+
+
+def test_a_burst_within_the_limit_is_admitted_whole() -> None:
+    fleet = Fleet(23, {"quiet": LARGE})
+    fleet.run(3_000.0)
+    fleet.run(1_000.0, [(5.0 * each, each % 23, "quiet") for each in range(int(LARGE.burst))])
+    assert fleet.refused["quiet"] == 0
+
+
+_FAULTS = st.lists(
+    st.tuples(
+        st.sampled_from(["cut", "heal", "restart", "freeze", "restart_all"]),
+        st.integers(0, 5),
+        st.floats(100.0, 2_500.0),
+    ),
+    max_size=3,
+)
+
+
+@settings(max_examples=100, deadline=None)
+@given(faults=_FAULTS, seed=st.integers(0, 1_000), loss=st.sampled_from([0.0, 0.02, 0.1]))
+def test_the_limit_holds_through_cuts_restarts_and_pauses(
+    faults: list[tuple[str, int, float]], seed: int, loss: float
+) -> None:
+    """Up to three in a window, while an organisation sends eight times its limit."""
+    fleet = Fleet(6, {"hot": LARGE}, seed=seed, loss=loss, delay=40.0)
+    fleet.run(3_000.0)
+    for number, (kind, entry, pause) in enumerate(faults):
+        if kind == "cut":
+            fleet.cut({each: int(each <= entry) for each in range(6)})
+        elif kind == "heal":
+            fleet.cut({})
+        elif kind == "restart":
+            fleet.restart(entry, 600.0)
+        elif kind == "freeze":
+            fleet.freeze(entry, pause)
+        else:
+            for each in range(6):
+                fleet.restart(each, 600.0)
+        rate = LARGE.per_second * HOT
+        fleet.run(pause, poisson(seed + number, rate, pause, range(6), "hot"))
+    fleet.run(3_000.0, poisson(seed, LARGE.per_second * HOT, 3_000.0, range(6), "hot"))
+    assert fleet.worst_window("hot") <= fleet.bound("hot")
--- a/packages/node/src/carobspool_node/callers/_caller_keys.py
+++ b/packages/node/src/carobspool_node/callers/_caller_keys.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -10,8 +9,8 @@
 from returns.result import Result, Success
 
 from carobspool_core import Caller, CallerRole, DesiredState, Failure, Organisation, Outcome
+from carobspool_core.organisations import key_digest, read_bearer
 
-_BEARER = "bearer "
 _BOOTSTRAP = "first-operator"
 
 
@@ -50,10 +49,10 @@
 
     def identify(self, authorization: str | None) -> Result[Identified, Failure]:
         """Return who sent a request with this ``Authorization`` header."""
-        if not authorization or not authorization.lower().startswith(_BEARER):
+        key = read_bearer(authorization or "")
+        if key is None:
             return Failed(_unauthorized("missing_key", "send the key as 'Authorization: Bearer …'"))
-        key = authorization[len(_BEARER) :].strip()
-        key_hash = hashlib.sha256(key.encode()).hexdigest()
+        key_hash = key_digest(key).hex()
         found = self._found.get(key_hash)
         if found is not None:
             return Success(found)
