Direct entries know organisations: keys, limits, whose a job is

Change: a request is judged by its own key before anything else is done; servers see the organisation's name and never a key; limits before upstreams, 429 with the time of the next token; waiting tokens by route and organisation; job calls reach jobs of the caller's organisation, and jobs of nobody (accepted before there were organisations). Hints that tell counts go to entries that say that they read them. A configuration that is known is not read again each two seconds. Ids that no object key or hint can hold (a slash, 150 characters) are refused with 400.

--- a/packages/node/src/carobspool_node/direct/_announcement.py
+++ b/packages/node/src/carobspool_node/direct/_announcement.py
@@ -11,6 +11,7 @@
 from carobspool_core.direct import by_instance, latest_starts
 from carobspool_node.direct._load_hint import pack_loads
 from carobspool_node.direct._peer import OwnHint
+from carobspool_node.organisations import pack_counts
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -47,7 +48,7 @@
     """
     message = _common(sender, hint, sequence)
     message |= {"k": pack_loads(hint.loads), "w": dict(hint.waiting)}
-    message |= {"q": list(silent), "d": list(ended)}
+    message |= {"q": list(silent), "d": list(ended), "g": pack_counts(hint.counts)}
     return cbor2.dumps(message | _jobs(hint))
 
 
--- a/packages/node/src/carobspool_node/direct/_attempt.py
+++ b/packages/node/src/carobspool_node/direct/_attempt.py
@@ -19,6 +19,8 @@
         route: Its route.
         caller: The caller's connection.
         deadline: When the caller is to have its answer.
+        organisation: The caller's, by name; empty when it has none, ``None`` when the operator
+            declares none.
         tried: Identities of the upstreams that it met.
         met: Their ids with what was in flight there, for the log.
         runs: Upstreams that ran it, or may have.
@@ -34,6 +36,7 @@
     route: Route
     caller: CallerConnection
     deadline: Millis
+    organisation: str | None = None
     tried: set[str] = field(default_factory=set)
     met: list[str] = field(default_factory=list)
     runs: int = 0
--- a/packages/node/src/carobspool_node/direct/_callers.py
+++ b/packages/node/src/carobspool_node/direct/_callers.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from typing import TypeVar
 
 from absl import logging
 
@@ -11,19 +12,28 @@
 from carobspool_core.direct import (
     LEAVING_RETRY_AFTER,
     Configuration,
+    JobInput,
     Route,
     RouteKind,
     has_time_for_job_call,
     return_after_outage,
 )
+from carobspool_core.organisations import Admission, qualified_job_id
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._deployment import CallerDialect, JobCall, ReadBody, ReadResults
 from carobspool_node.direct._errors import BadRequestError
 from carobspool_node.direct._failure_answer import failure_answer
 from carobspool_node.direct._forward import Forwarder
 from carobspool_node.direct._jobs import Jobs, Outcome, ResultsPage
-from carobspool_node.direct._messages import CallerRequest, HeaderNames
+from carobspool_node.direct._messages import AUTHORIZATION, CallerRequest, HeaderNames
 from carobspool_node.direct._telemetry import Telemetry
+from carobspool_node.organisations import (
+    ANYBODY,
+    Access,
+    CallerAccess,
+    CallerKeyRefused,
+    RequestQuota,
+)
 
 START_RETRY_AFTER: Millis = 500.0
 """An entry without a configuration has one within half a second of reaching the store."""
@@ -32,6 +42,15 @@
 LONGEST_JOB_CALL: Millis = 4_000.0
 """Time that a caller who names no deadline is taken to have for a call on a job."""
 MAX_WAIT: Millis = 1_000.0
+KEY_RETRY_AFTER: Millis = 500.0
+"""Time in which an entry that could ask nobody about a key hears of another entry."""
+LIMIT_SPREAD = 0.5
+"""Part by which refused callers come back later than the next token, drawn for each: all of them at
+once would find one token."""
+LONGEST_JOB_ID = 150
+"""Characters of a job's id; hints name jobs, and their fields are bounded."""
+
+_Found = TypeVar("_Found")
 
 _STATUS = {
     Outcome.NOT_FOUND: 404,
@@ -52,6 +71,8 @@
         forwarder: Forwarder,
         jobs: Jobs,
         telemetry: Telemetry,
+        access: CallerAccess,
+        quota: RequestQuota,
         *,
         configuration: Callable[[], Configuration | None],
         time_left: Callable[[], Millis | None],
@@ -62,6 +83,8 @@
         self._forwarder = forwarder
         self._jobs = jobs
         self._telemetry = telemetry
+        self._access = access
+        self._quota = quota
         self._configuration = configuration
         self._time_left = time_left
 
@@ -83,6 +106,8 @@
             )
             headers, body = failure_answer(str(error), "not_run", None)
             caller.answer(error.status, headers, body)
+        except CallerKeyRefused as error:
+            self._refuse_key(request, caller, error)
 
     def _serve_route(self, request: CallerRequest, caller: CallerConnection) -> None:
         configuration = self._configuration()
@@ -93,13 +118,30 @@
         if route is None:
             self._refuse(request, caller, 404, "no route matches", None)
             return
+        access = self._identify(request, is_exempt=not route.needs_key)
         if not request.request_id:
             raise BadRequestError("the request has no id", 400)
         if route.kind is RouteKind.BATCH:
             if self._has_time(request, caller):
-                self._submit(request, route, caller)
+                self._submit(request, route, caller, access)
+            return
+        if access.organisation is None:
+            self._forwarder.serve(request, route, caller, organisation=access.owner)
+            return
+        self._serve_within_limit(request, route, caller, access.organisation.name)
+
+    def _identify(self, request: CallerRequest, *, is_exempt: bool) -> Access:
+        return self._access.identify(request.header_values(AUTHORIZATION), is_exempt=is_exempt)
+
+    def _serve_within_limit(
+        self, request: CallerRequest, route: Route, caller: CallerConnection, organisation: str
+    ) -> None:
+        admission = self._quota.admit(organisation)
+        if not admission.granted:
+            self._refuse_over_limit(request, caller, organisation, admission)
             return
-        self._forwarder.serve(request, route, caller)
+        if not self._forwarder.serve(request, route, caller, organisation=organisation):
+            self._quota.give_back(organisation)
 
     def _has_time(self, request: CallerRequest, caller: CallerConnection) -> bool:
         """Whether a call on a job can end before this process does; if not, refuse it."""
@@ -108,11 +150,24 @@
         self._refuse(request, caller, 503, "this entry is leaving", LEAVING_RETRY_AFTER)
         return False
 
-    def _submit(self, request: CallerRequest, route: Route, caller: CallerConnection) -> None:
+    def _submit(
+        self, request: CallerRequest, route: Route, caller: CallerConnection, access: Access
+    ) -> None:
         if request.method != b"POST":
             raise BadRequestError("jobs are submitted with POST", 405)
-        items = self._dialect.job_items(request.body)
-        outcome = self._jobs.submit(request.request_id, request.host, request.path, items, route)
+        if not _is_job_id(request.request_id):
+            raise BadRequestError("the id is none that a job can have", 400)
+        job = JobInput(
+            job_id=qualified_job_id(request.request_id, access.owner),
+            host=request.host,
+            path=request.path,
+            owner="",
+            submitted=0.0,
+            items=tuple(self._dialect.job_items(request.body)),
+            organisation=access.owner,
+        )
+        unowned = request.request_id if access.owner else None
+        outcome = self._jobs.submit(job, route, unowned=unowned)
         self._note(request, "submit", outcome)
         if outcome is Outcome.DONE:
             caller.answer(202, [], b"")
@@ -125,8 +180,12 @@
     def _serve_job_call(
         self, call: JobCall, request: CallerRequest, caller: CallerConnection
     ) -> None:
+        owner = self._job_access(request).owner
         if isinstance(call, ReadResults):
-            page = self._jobs.results(call.job_id, call.after, min(call.wait, MAX_WAIT))
+            wait = min(call.wait, MAX_WAIT)
+            page = self._of_owner(
+                call, owner, lambda name: self._jobs.results(name, call.after, wait)
+            )
             if isinstance(page, ResultsPage):
                 headers = [(b"Content-Type", b"application/json")]
                 caller.answer(200, headers, self._dialect.results(page))
@@ -135,20 +194,38 @@
             self._fail(caller, page, self._return_after(request, LONGEST_JOB_CALL))
             return
         if isinstance(call, ReadBody):
-            body = self._jobs.body(call.job_id, call.item_id)
+            body = self._of_owner(call, owner, lambda name: self._jobs.body(name, call.item_id))
             if isinstance(body, bytes):
                 caller.answer(200, [(b"Content-Type", b"application/octet-stream")], body)
                 return
             self._note(request, "body", body)
             self._fail(caller, body, self._return_after(request, LONGEST_JOB_CALL))
             return
-        outcome = self._jobs.end(call.job_id)
+        outcome = self._of_owner(call, owner, self._jobs.end)
         self._note(request, "end", outcome)
         if outcome is Outcome.DONE:
             caller.answer(200, [], b"")
             return
         self._fail(caller, outcome, self._return_after(request, LONGEST_JOB_CALL))
 
+    def _job_access(self, request: CallerRequest) -> Access:
+        configuration = self._configuration()
+        if configuration is None:
+            return ANYBODY
+        values = request.header_values(AUTHORIZATION)
+        is_exempt = not values and configuration.has_open_jobs_at(request.host)
+        return self._identify(request, is_exempt=is_exempt)
+
+    def _of_owner(
+        self, call: JobCall, owner: str | None, act: Callable[[str], _Found | Outcome]
+    ) -> _Found | Outcome:
+        """Act on a job of the caller's organisation, or on one of nobody."""
+        found = act(qualified_job_id(call.job_id, owner))
+        if found is not Outcome.NOT_FOUND:
+            return found
+        unowned = self._jobs.unowned(call.job_id, owner)
+        return found if unowned is None else act(unowned)
+
     def _return_after(self, request: CallerRequest, limit: Millis) -> Millis:
         deadline = request.time_limit(self._names.deadline, limit)
         time_left = request.arrived + deadline - self._clock.now()
@@ -172,6 +249,38 @@
         headers, body = failure_answer(outcome.value, told, wait)
         caller.answer(status, headers, body)
 
+    def _refuse_key(
+        self, request: CallerRequest, caller: CallerConnection, error: CallerKeyRefused
+    ) -> None:
+        self._telemetry.count("refused_keys", reason=error.problem.name.lower())
+        if error.is_final:
+            self._refuse(request, caller, 401, error.problem.value, None)
+            return
+        self._refuse(request, caller, 503, error.problem.value, KEY_RETRY_AFTER)
+
+    def _refuse_over_limit(
+        self,
+        request: CallerRequest,
+        caller: CallerConnection,
+        organisation: str,
+        admission: Admission,
+    ) -> None:
+        self._telemetry.count("over_limit")
+        wait = admission.wait * (1.0 + LIMIT_SPREAD * random.random())
+        logging.info(
+            "event=over_limit request=%s organisation=%s level=%.2f entries_heard=%d entries=%d"
+            " wait_ms=%.0f",
+            request.request_id,
+            organisation,
+            admission.level,
+            admission.heard,
+            admission.entries,
+            wait,
+        )
+        message = f"organisation {organisation!r} is over its limit of requests a second"
+        headers, body = failure_answer(message, "not_run", wait)
+        caller.answer(429, headers, body)
+
     def _refuse(
         self,
         request: CallerRequest,
@@ -190,3 +299,10 @@
         )
         headers, body = failure_answer(reason, "not_run", retry_after)
         caller.answer(status, headers, body)
+
+
+def _is_job_id(request_id: str) -> bool:
+    """Whether an id can name a job: in objects' keys, in hints and in paths of calls."""
+    if len(request_id) > LONGEST_JOB_ID:
+        return False
+    return request_id.isascii() and request_id.isprintable() and not set(request_id) & set("/?# ")
--- a/packages/node/src/carobspool_node/direct/_declared.py
+++ b/packages/node/src/carobspool_node/direct/_declared.py
@@ -215,6 +215,9 @@
     def _take_configuration(self, stored: StoredObject) -> None:
         if stored.key != self._deployment.configuration_key or stored.value is None:
             return
+        known = self._stored_configuration
+        if known is not None and known[0] == stored.version:
+            return
         try:
             configuration = self._deployment.read_configuration(stored.value)
         except UnusableRecordError as error:
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -17,6 +17,7 @@
     Load,
     Upstream,
 )
+from carobspool_core.organisations import OrganisationDirectory
 from carobspool_node.direct._bad_records import BadRecords
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._callers import CallerApi
@@ -49,6 +50,7 @@
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.direct._upstream_calls import UpstreamConnections
 from carobspool_node.direct._view_exchange import ViewExchange
+from carobspool_node.organisations import TOLD_IN_ANNOUNCEMENTS_FOR, CallerAccess, RequestQuota
 
 CALLER_WORKERS = 400
 PEER_WORKERS = 100
@@ -81,6 +83,7 @@
         self._loads = LoadTable(self._clock, settings.failure_domain, name=settings.node)
         self._connections = UpstreamConnections(self._clock)
         self._peer_caller = PeerCaller(self._clock)
+        self._quota = RequestQuota(self._clock, neighbours=lambda: self._peers.neighbours())
         self._peers = Peers(
             self._clock,
             self._telemetry,
@@ -94,6 +97,10 @@
                 describe=self._own_hint,
                 shares_upstreams=lambda: self._neighbourhood.peers(),
                 identities_by_key=lambda: self._declared.identities_by_key(),
+                has_untold_counts=lambda: self._quota.has_untold,
+                counts_to_tell=lambda is_heartbeat: self._quota.counts_to_tell(
+                    is_heartbeat=is_heartbeat
+                ),
             ),
         )
         self._store = RelayedStore(
@@ -109,7 +116,7 @@
             deployment,
             self._telemetry,
             on_duty=lambda: self._membership.follows_store(),
-            on_configuration=self._peers.announce,
+            on_configuration=self._take_configuration,
             on_restarted=self._upstream_restarted,
         )
         self._membership = Membership(
@@ -176,7 +183,7 @@
             self._clock, catalog, self._runner, adoption, self._peers, self._peer_caller
         )
         self._views = ViewExchange(
-            self._clock, self._declared, self._peer_caller, self._peers.by_name
+            self._clock, self._declared, self._peer_caller, self._peers.by_name, self._peers.live
         )
         self._peer_api = PeerApi(self._clock, self._telemetry, self._jobs, self._store, self._views)
         forwarder = Forwarder(
@@ -188,6 +195,11 @@
             self._telemetry,
             lambda: self._exit.time_left,
         )
+        access = CallerAccess(
+            self._clock,
+            directory=self._directory,
+            confirm=self._views.confirm_configuration,
+        )
         self._api = CallerApi(
             self._clock,
             deployment.dialect,
@@ -195,6 +207,8 @@
             forwarder,
             self._jobs,
             self._telemetry,
+            access,
+            self._quota,
             configuration=lambda: self._declared.configuration,
             time_left=lambda: self._exit.time_left,
         )
@@ -223,6 +237,7 @@
                 lost=self._recovery.peer_lost,
                 gone=self._recovery.peer_gone,
                 ended=self._runner.told_ended,
+                counts=self._quota.receive,
             )
         )
         self._declared.start()
@@ -282,6 +297,14 @@
         upstreams = () if knows_starts else self._declared.listed()
         self._loads.take_hint(peer, loads, upstreams, failures, knows_starts=knows_starts)
 
+    def _directory(self) -> OrganisationDirectory | None:
+        configuration = self._declared.configuration
+        return None if configuration is None else configuration.organisations
+
+    def _take_configuration(self) -> None:
+        self._quota.configure(self._directory())
+        self._peers.announce()
+
     def _upstream_restarted(self, upstream: Upstream) -> None:
         ended = self._connections.calls.end_earlier(upstream)
         logging.info(
@@ -326,6 +349,7 @@
             released=self._runner.released,
             store_ok=self._store.answered_last,
             answer_age=self._store.answer_age,
+            counts=self._quota.recent_counts(TOLD_IN_ANNOUNCEMENTS_FOR),
             backlog=self._runner.backlog(),
         )
 
@@ -333,6 +357,7 @@
         identities = self._declared.identities()
         self._connections.forget(identities)
         self._loads.forget(identities)
+        self._quota.tidy()
         self._peer_caller.forget({peer.identity for peer in self._peers.live()})
 
     def _limits(self) -> CallerLimits:
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -103,8 +103,22 @@
         self._time_left = time_left
         self._endings = RequestEndings(clock, telemetry)
 
-    def serve(self, request: CallerRequest, route: Route, caller: CallerConnection) -> None:
-        """Serve one request to its end.
+    def serve(
+        self,
+        request: CallerRequest,
+        route: Route,
+        caller: CallerConnection,
+        *,
+        organisation: str | None = None,
+    ) -> bool:
+        """Serve one request to its end; return whether an upstream has run it, or may have.
+
+        Args:
+            request: The request.
+            route: Its route.
+            caller: The caller's connection.
+            organisation: The caller's, by name; empty when it has none, ``None`` when the operator
+                declares none.
 
         Raises:
             CallerGoneError: The caller left; what ran for it was cancelled.
@@ -115,6 +129,7 @@
             route=route,
             caller=caller,
             deadline=request.arrived + limit,
+            organisation=organisation,
             returned=has_returned(deadline=limit, timeout=route.timeout),
         )
         try:
@@ -124,6 +139,7 @@
         except CallerGoneError:
             self._endings.note(attempt, "caller_gone", 0)
             raise
+        return attempt.may_have_run or attempt.runs > 0
 
     def _has_time(self, attempt: Attempt) -> bool:
         time_left = self._time_left()
--- a/packages/node/src/carobspool_node/direct/_forwarded_request.py
+++ b/packages/node/src/carobspool_node/direct/_forwarded_request.py
@@ -5,7 +5,7 @@
 from carobspool_core import Millis
 from carobspool_core.direct import Upstream
 from carobspool_node.direct._attempt import Attempt
-from carobspool_node.direct._messages import HeaderNames, end_to_end
+from carobspool_node.direct._messages import HeaderNames, end_to_end, with_organisation
 from carobspool_node.direct._upstream_calls import UpstreamRequest
 
 BODILESS = (b"GET", b"HEAD", b"DELETE")
@@ -21,6 +21,7 @@
         request.headers, without=(names.deadline, names.expect_instance, b"content-length")
     )
     left = max(1, int(attempt.deadline - now))
+    headers = with_organisation(headers, names, attempt.organisation)
     headers.append((names.deadline, str(left).encode()))
     headers.append((names.expect_instance, upstream.instance.encode()))
     if attempt.last_event is not None:
--- a/packages/node/src/carobspool_node/direct/_item_run.py
+++ b/packages/node/src/carobspool_node/direct/_item_run.py
@@ -6,11 +6,17 @@
 from enum import StrEnum
 
 from carobspool_core import Clock, Millis
-from carobspool_core.direct import EventSplitter, ItemWork, Upstream
+from carobspool_core.direct import EventSplitter, ItemWork, JobInput, Upstream
 from carobspool_node.direct._errors import DeadlinePassedError, RunCancelledError
 from carobspool_node.direct._in_flight import BatchRun
 from carobspool_node.direct._loads import LoadTable
-from carobspool_node.direct._messages import HeaderNames, Headers, UpstreamHead, end_to_end
+from carobspool_node.direct._messages import (
+    HeaderNames,
+    Headers,
+    UpstreamHead,
+    end_to_end,
+    with_organisation,
+)
 from carobspool_node.direct._upstream_calls import (
     CallFailedError,
     UpstreamCall,
@@ -60,12 +66,12 @@
         self._loads = loads
         self._connections = connections
 
-    def run(self, host: str, work: ItemWork, upstream: Upstream, run: BatchRun) -> RunOutcome:
-        """Run an item; its text so far stays in ``work`` whatever happens."""
+    def run(self, job: JobInput, work: ItemWork, upstream: Upstream, run: BatchRun) -> RunOutcome:
+        """Run an item of a job; its text so far stays in ``work`` whatever happens."""
         call = UpstreamCall(self._connections, upstream, self._names, cancellation=run.cancellation)
         now = self._clock.now()
         try:
-            head = call.start(self._request(host, work, upstream), now + HEAD_TIMEOUT)
+            head = call.start(self._request(job, work, upstream), now + HEAD_TIMEOUT)
             self._loads.heard(upstream)
             return self._take(call, head, work, upstream)
         except CallFailedError as error:
@@ -106,12 +112,13 @@
             raise CallFailedError("the stream ends in the middle of an event", sent=True)
         return RunOutcome(end=RunEnd.COMPLETED)
 
-    def _request(self, host: str, work: ItemWork, upstream: Upstream) -> UpstreamRequest:
+    def _request(self, job: JobInput, work: ItemWork, upstream: Upstream) -> UpstreamRequest:
         names = self._names
         item = work.item
         own = (names.request_id, names.expect_instance, b"host", b"content-length")
         given: Headers = [(key.encode(), value.encode()) for key, value in item.headers.items()]
-        headers = [(b"Host", host.encode()), *end_to_end(given, without=own)]
+        given = with_organisation(end_to_end(given, without=own), names, job.organisation)
+        headers = [(b"Host", job.host.encode()), *given]
         headers.append((names.request_id, item.item_id.encode()))
         headers.append((names.expect_instance, upstream.instance.encode()))
         headers.append((b"Content-Length", str(len(item.body)).encode()))
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -20,6 +20,7 @@
     WaitingGroup,
     group_waiting,
 )
+from carobspool_core.organisations import waiting_key
 from carobspool_node.direct._in_flight import BatchRun
 from carobspool_node.direct._item_order import WaitingItem, waiting_in_order
 from carobspool_node.direct._item_run import ItemRunner, RunEnd, RunOutcome
@@ -163,7 +164,7 @@
             self._backlog.take(peer, groups, self._clock.now())
 
     def waiting_tokens(self) -> dict[str, int]:
-        """Return the tokens of unfinished items by route."""
+        """Return the tokens of unfinished items by route and organisation (`waiting_key`)."""
         configuration = self._configuration()
         found: dict[str, int] = {}
         if configuration is None:
@@ -172,8 +173,9 @@
             route = configuration.route_for(job.input.host, job.input.path)
             if route is None or job.finished:
                 continue
+            key = waiting_key(route.name, job.input.organisation)
             with job.lock:
-                found[route.name] = found.get(route.name, 0) + job.work.waiting_tokens
+                found[key] = found.get(key, 0) + job.work.waiting_tokens
         return found
 
     def _loop(self) -> None:
@@ -326,7 +328,7 @@
                 outcome = RunOutcome(end=RunEnd.INTERRUPTED, detail=run.cancellation.reason)
             else:
                 before = work.last_event
-                outcome = self._runner.run(job.input.host, work, upstream, run)
+                outcome = self._runner.run(job.input, work, upstream, run)
                 events = work.last_event - before
                 self._pace.ran(events=events, duration=self._clock.now() - started)
             self._take_outcome(job, work, route, outcome)
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -19,10 +19,10 @@
 from carobspool_core.direct import (
     ItemResult,
     JobInput,
-    JobItem,
     Route,
     fits_quota,
 )
+from carobspool_core.organisations import ID_SEPARATOR, waiting_key
 from carobspool_node.direct._job_adoption import JobAdoption
 from carobspool_node.direct._job_catalog import JobCatalog, nothing_done
 from carobspool_node.direct._job_runner import JobRunner
@@ -79,26 +79,24 @@
         self._peers = peers
         self._caller = caller
 
-    def submit(
-        self, job_id: str, host: str, path: str, items: Sequence[JobItem], route: Route
-    ) -> Outcome:
-        """Accept a job, once however often it comes."""
-        if self._runner.get(job_id) is not None or self._peers.holder_of(job_id) is not None:
+    def submit(self, job: JobInput, route: Route, *, unowned: str | None = None) -> Outcome:
+        """Accept a job, once however often it comes.
+
+        Args:
+            job: The job; its owner and time are set here.
+            route: Its route.
+            unowned: Name that it had if it was accepted before there were organisations.
+        """
+        job_id = job.job_id
+        if self._is_at_hand(job_id):
             return Outcome.DONE
-        if self._catalog.knows(job_id):
+        if unowned is not None and self._is_at_hand(unowned):
             return Outcome.DONE
-        tokens = sum(item.tokens for item in items)
-        if not self._fits(route, tokens):
+        tokens = sum(item.tokens for item in job.items)
+        if not self._fits(route, job.organisation, tokens):
             known = self._known(job_id)
             return Outcome.DONE if known else Outcome.OVER_QUOTA
-        job = JobInput(
-            job_id=job_id,
-            host=host,
-            path=path,
-            owner=self._peers.identity,
-            submitted=wall_millis(),
-            items=tuple(items),
-        )
+        job = replace(job, owner=self._peers.identity, submitted=wall_millis())
         asked = self._clock.now()
         created = self._catalog.records.create_input(job)
         if is_successful(created):
@@ -113,6 +111,13 @@
             return Outcome.UNKNOWN
         return Outcome.UNAVAILABLE
 
+    def unowned(self, job_id: str, organisation: str | None) -> str | None:
+        """Return the name of a stored job of nobody that has this bare id, ``None`` if none has."""
+        if not organisation or ID_SEPARATOR in job_id:
+            return None
+        job = self._input(job_id)
+        return None if isinstance(job, Outcome) or job.organisation else job_id
+
     def results(self, job_id: str, after: int, wait: Millis) -> ResultsPage | Outcome:
         """Return results from a position on, waiting up to ``wait`` for the first."""
         until = self._clock.now() + wait
@@ -192,16 +197,25 @@
     def _is_proven(self, job: OwnedJob) -> bool:
         return job.proof.holds(doubt_until=self._peers.doubt_until, max_age=VERIFY_AGE)
 
-    def _fits(self, route: Route, tokens: int) -> bool:
+    def _fits(self, route: Route, organisation: str | None, tokens: int) -> bool:
         peers = self._peers.live()
+        key = waiting_key(route.name, organisation)
         return fits_quota(
             limit=route.waiting_limit,
-            own_tokens=self._runner.waiting_tokens().get(route.name, 0),
-            other_tokens=sum(each.waiting.get(route.name, 0) for each in peers),
+            own_tokens=self._runner.waiting_tokens().get(key, 0),
+            other_tokens=sum(each.waiting.get(key, 0) for each in peers),
             job_tokens=tokens,
             entries=1 + len(peers),
         )
 
+    def _is_at_hand(self, job_id: str) -> bool:
+        """Whether a job is known here without a call to the store."""
+        return (
+            self._runner.get(job_id) is not None
+            or self._peers.holder_of(job_id) is not None
+            or self._catalog.knows(job_id)
+        )
+
     def _known(self, job_id: str) -> bool:
         return not isinstance(self._input(job_id), Outcome)
 
--- a/packages/node/src/carobspool_node/direct/_load_hint.py
+++ b/packages/node/src/carobspool_node/direct/_load_hint.py
@@ -10,15 +10,17 @@
 
 import struct
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import cbor2
 
 from carobspool_core import Json
 from carobspool_core.border import Problem, UnusableRecordError
 from carobspool_core.direct import Load, WaitingGroup, key_of
+from carobspool_node.organisations import pack_counts, unpack_counts
 
 _KIND = "l"
+_COUNTS_KIND = "u"
 _LOADS = struct.Struct(">IHH")
 _GROUPS = struct.Struct(">IH")
 _MOST = 0xFFFF
@@ -36,6 +38,7 @@
         sequence: Grows with each hint of the process; an older one that comes late says nothing.
         loads: By the upstream's key.
         backlog: The batch items that wait there.
+        counts: Requests that it has admitted, by the organisation's key; only what has changed.
     """
 
     name: str
@@ -43,6 +46,17 @@
     sequence: int
     loads: Mapping[int, Load]
     backlog: Sequence[WaitingGroup]
+    counts: Mapping[int, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CountsHint:
+    """What another entry has admitted, told to entries that share no upstream with it."""
+
+    name: str
+    incarnation: str
+    sequence: int
+    counts: Mapping[int, int]
 
 
 def pack_loads(loads: Mapping[str, Load]) -> bytes:
@@ -71,12 +85,23 @@
     sequence: int,
     loads: Mapping[str, Load],
     backlog: Iterable[WaitingGroup],
+    counts: Mapping[int, int] | None = None,
 ) -> bytes:
-    """Return a datagram."""
+    """Return a datagram; entries of the version before read none that tells counts."""
     groups = b"".join(
         _GROUPS.pack(min(int(group.turn), _LONGEST), min(group.items, _MOST)) for group in backlog
     )
-    return cbor2.dumps([_KIND, name, incarnation, sequence, pack_loads(loads), groups])
+    message = [_KIND, name, incarnation, sequence, pack_loads(loads), groups]
+    if counts:
+        message.append(pack_counts(counts))
+    return cbor2.dumps(message)
+
+
+def encode_counts_hint(
+    *, name: str, incarnation: str, sequence: int, counts: Mapping[int, int]
+) -> bytes:
+    """Return a datagram that tells counts alone."""
+    return cbor2.dumps([_COUNTS_KIND, name, incarnation, sequence, pack_counts(counts)])
 
 
 def read_load_hint(message: Json) -> LoadHint | None:
@@ -98,6 +123,7 @@
             int() as sequence,
             bytes() as loads,
             bytes() as groups,
+            *counts,
         ] if (
             0 <= sequence <= MAX_SEQUENCE and len(groups) % _GROUPS.size == 0
         ):
@@ -110,9 +136,35 @@
                 sequence=sequence,
                 loads=unpack_loads(loads),
                 backlog=backlog,
+                counts=_counts(counts),
             )
     raise _unusable("(body)", repr(message)[:80], "a load hint")
 
 
+def read_counts_hint(message: Json) -> CountsHint | None:
+    """Return a decoded datagram as counts alone, ``None`` when it is of another kind.
+
+    Raises:
+        UnusableRecordError: It tells counts that cannot be used.
+    """
+    match message:
+        case [str() as kind, str() as name, str() as incarnation, int() as sequence, packed] if (
+            kind == _COUNTS_KIND and 0 <= sequence <= MAX_SEQUENCE
+        ):
+            return CountsHint(
+                name=name, incarnation=incarnation, sequence=sequence, counts=_counts([packed])
+            )
+    return None
+
+
+def _counts(rest: Sequence[Json]) -> dict[int, int]:
+    match rest:
+        case []:
+            return {}
+        case [bytes() as packed, *_]:
+            return unpack_counts(packed)
+    raise _unusable("counts", repr(rest)[:80], "counts of requests")
+
+
 def _unusable(path: str, found: str, allowed: str) -> UnusableRecordError:
     return UnusableRecordError([Problem(file="", path=path, found=found, allowed=allowed)])
--- a/packages/node/src/carobspool_node/direct/_messages.py
+++ b/packages/node/src/carobspool_node/direct/_messages.py
@@ -8,6 +8,7 @@
 from carobspool_core import Millis
 
 Headers = list[tuple[bytes, bytes]]
+AUTHORIZATION = b"authorization"
 
 _ONE_CONNECTION_ONLY = frozenset(
     (
@@ -36,6 +37,7 @@
         signature: In an answer: the upstream made it.
         last_event: Id of the last event that was received of a stream.
         wait: Milliseconds that a read may be kept waiting.
+        organisation: Name of the caller's organisation; set for upstreams.
     """
 
     request_id: bytes = b"request-id"
@@ -45,6 +47,7 @@
     signature: bytes = b"carobspool-signature"
     last_event: bytes = b"last-event-id"
     wait: bytes = b"carobspool-wait-ms"
+    organisation: bytes = b"carobspool-organisation"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -65,6 +68,10 @@
         """Return the value of a header, ``None`` when it is not there."""
         return find_header(self.headers, name)
 
+    def header_values(self, name: bytes) -> list[bytes]:
+        """Return the values of all headers of a name given in lower case."""
+        return [value for key, value in self.headers if key.lower() == name]
+
     def time_limit(self, name: bytes, limit: Millis) -> Millis:
         """Return how long the caller waits.
 
@@ -104,6 +111,23 @@
     return None
 
 
+def with_organisation(headers: Headers, names: HeaderNames, organisation: str | None) -> Headers:
+    """Return headers as an upstream sees them: who calls, and no key.
+
+    Args:
+        headers: As the caller sent them.
+        names: Header names of the deployment.
+        organisation: The caller's; empty when it has none, ``None`` when none are declared.
+    """
+    if organisation is None:
+        return headers
+    hidden = (AUTHORIZATION, names.organisation)
+    found = [(key, value) for key, value in headers if key.lower() not in hidden]
+    if organisation:
+        found.append((names.organisation, organisation.encode()))
+    return found
+
+
 def end_to_end(headers: Iterable[tuple[bytes, bytes]], *, without: Iterable[bytes] = ()) -> Headers:
     """Return the headers that are passed on: all but those that concern one connection."""
     headers = list(headers)
--- a/packages/node/src/carobspool_node/direct/_metrics.py
+++ b/packages/node/src/carobspool_node/direct/_metrics.py
@@ -31,6 +31,8 @@
     "job_owners": ("change",),
     "store_calls": ("call", "kind", "outcome"),
     "bad_records": ("kind",),
+    "refused_keys": ("reason",),
+    "over_limit": (),
     "log_lines_dropped": (),
 }
 _TIMES = ("request", "first_event", "job_commit", "item_run", "job_orphan")
--- a/packages/node/src/carobspool_node/direct/_peer.py
+++ b/packages/node/src/carobspool_node/direct/_peer.py
@@ -26,7 +26,8 @@
         store_ok: Whether the store answered it when it last asked.
         answer_age: How long before its last announcement that was.
         sequence: Of its newest hint.
-        is_current: Whether it reads what entries of this version send.
+        is_current: Whether it reads load hints.
+        reads_counts: Whether it reads hints that tell counts of requests.
     """
 
     name: str
@@ -42,6 +43,7 @@
     answer_age: Millis = 0.0
     sequence: int = -1
     is_current: bool = False
+    reads_counts: bool = False
 
     @property
     def identity(self) -> str:
@@ -68,3 +70,4 @@
     store_ok: bool
     backlog: Sequence[WaitingGroup]
     answer_age: Millis = 0.0
+    counts: Mapping[int, int] = field(default_factory=dict)
--- a/packages/node/src/carobspool_node/direct/_peer_messages.py
+++ b/packages/node/src/carobspool_node/direct/_peer_messages.py
@@ -83,6 +83,7 @@
     sequence: Count | None = Field(alias="c", default=None)
     packed_loads: bytes = Field(alias="k", default=b"")
     answer_age: Count = Field(alias="o", default=0)
+    packed_counts: bytes | None = Field(alias="g", default=None)
 
 
 class ResultsCall(RecordModel):
--- a/packages/node/src/carobspool_node/direct/_peer_table.py
+++ b/packages/node/src/carobspool_node/direct/_peer_table.py
@@ -11,8 +11,9 @@
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import DEAD_AFTER, FORGET_AFTER, SILENT_AFTER, Liveness
+from carobspool_core.organisations import Neighbour
 from carobspool_node.direct._bad_records import shown
-from carobspool_node.direct._load_hint import LoadHint
+from carobspool_node.direct._load_hint import CountsHint, LoadHint
 from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._peer_messages import MAX_NAME, Announcement
 
@@ -22,11 +23,13 @@
     """Where hints go.
 
     Attributes:
-        current: Addresses of live entries of this version, by name.
+        current: Addresses of live entries that read load hints, by name.
+        counting: The names of those that read counts of requests too.
         others: Addresses of entries of the version before, and of those of which nothing is heard.
     """
 
     current: Mapping[str, tuple[str, int]]
+    counting: frozenset[str]
     others: Sequence[tuple[str, int]]
 
 
@@ -97,13 +100,26 @@
         with self._lock:
             others = dict(self._addresses)
             current = {}
+            counting = set()
             for peer in self._peers.values():
                 if peer.is_current and now - peer.heard < DEAD_AFTER:
                     current[peer.name] = peer.address
+                    if peer.reads_counts:
+                        counting.add(peer.name)
                     others.pop(peer.name, None)
                 elif now - peer.heard < FORGET_AFTER:
                     others[peer.name] = peer.address
-        return Targets(current=current, others=list(others.values()))
+        return Targets(current=current, counting=frozenset(counting), others=list(others.values()))
+
+    def neighbours(self) -> list[Neighbour]:
+        """Return all other entries, those that are only listed included."""
+        with self._lock:
+            found = [
+                Neighbour(name=each.name, heard=each.heard, leaving=each.leaving)
+                for each in self._peers.values()
+            ]
+            listed = self._addresses.keys() - self._peers.keys()
+        return found + [Neighbour(name=name, heard=None) for name in listed]
 
     def take_newcomers(self) -> set[str]:
         """Return the processes that were first heard since the last call."""
@@ -159,6 +175,7 @@
             known.answer_age = float(told.answer_age)
             known.versions = told.versions
             known.is_current = told.sequence is not None
+            known.reads_counts = told.packed_counts is not None
             if told.open_jobs is not None:
                 known.open_jobs = frozenset(told.open_jobs)
                 known.done_jobs = frozenset(told.done_jobs)
@@ -184,8 +201,8 @@
             known.sequence = sequence
             return True
 
-    def receive_loads(self, told: LoadHint) -> bool:
-        """Take a load hint; return whether it is of a known process and the newest of it."""
+    def receive_small(self, told: LoadHint | CountsHint) -> bool:
+        """Take a hint of loads or counts; return whether it is the newest of a known process."""
         if not self.is_newest(told.name, told.incarnation, told.sequence):
             return False
         now = self._clock.now()
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -23,22 +23,22 @@
 from carobspool_core import Clock, Json, Millis
 from carobspool_core.border import UnusableRecordError, read_record
 from carobspool_core.direct import Load, LoadPace, WaitingGroup, by_identity
-from carobspool_node.direct._announcement import (
-    Sender,
-    encode_announcement,
-    encode_for_version_before,
-)
+from carobspool_core.organisations import Neighbour
+from carobspool_node.direct._announcement import Sender
 from carobspool_node.direct._bad_records import BadRecords
+from carobspool_node.direct._hint_sender import HintSender
 from carobspool_node.direct._load_hint import (
+    CountsHint,
     LoadHint,
-    encode_load_hint,
+    read_counts_hint,
     read_load_hint,
     unpack_loads,
 )
 from carobspool_node.direct._peer import OwnHint, Peer
 from carobspool_node.direct._peer_messages import Announcement, decode_cbor
-from carobspool_node.direct._peer_table import PeerTable
+from carobspool_node.direct._peer_table import PeerTable, Targets
 from carobspool_node.direct._telemetry import Telemetry
+from carobspool_node.organisations import unpack_counts
 
 TICK: Millis = 50.0
 """Time between two looks at the silence of peers, and at what has to be announced at once."""
@@ -78,6 +78,9 @@
         describe: Returns all that an announcement holds.
         shares_upstreams: Returns the peers that use the same upstreams, ``None`` for all.
         identities_by_key: Returns the upstreams that load hints may name.
+        has_untold_counts: Whether requests were admitted that the others have not been told.
+        counts_to_tell: Returns the counts of requests for a hint to all, which tells them; takes
+            whether it is a heartbeat.
     """
 
     loads: Callable[[], Mapping[str, Load]]
@@ -86,6 +89,8 @@
     describe: Callable[[], OwnHint]
     shares_upstreams: Callable[[], frozenset[str] | None]
     identities_by_key: Callable[[], Mapping[int, str]]
+    has_untold_counts: Callable[[], bool] = lambda: False
+    counts_to_tell: Callable[[bool], Mapping[int, int]] = lambda is_heartbeat: {}
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -98,6 +103,7 @@
     lost: Callable[[Peer], None] = lambda peer: None
     gone: Callable[[Peer], None] = lambda peer: None
     ended: Callable[[Sequence[str]], None] = lambda job_ids: None
+    counts: Callable[[str, str, Mapping[int, int]], None] = lambda peer, incarnation, counts: None
 
 
 class Peers:
@@ -129,7 +135,6 @@
         self._table = PeerTable(clock, name)
         self._events = PeerEvents()
         self._lock = threading.Lock()
-        self._sequence = 0
         self._announced: Millis = 0.0
         self._repeat_until: Millis = clock.now() + REPEATED_FOR
         self._ended: dict[str, Millis] = {}
@@ -137,6 +142,7 @@
         self._stopped = threading.Event()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(address)
+        self._hints = HintSender(self._socket, self._sender)
 
     @property
     def identity(self) -> str:
@@ -217,39 +223,26 @@
         """Return the peers that were heard within the time of a restart and more."""
         return self._table.members()
 
+    def neighbours(self) -> list[Neighbour]:
+        """Return all other entries with when they were heard, those only listed included."""
+        return self._table.neighbours()
+
     def _announce_to(
         self, current: Sequence[tuple[str, int]], others: Sequence[tuple[str, int]]
     ) -> None:
-        hint = self._own.describe()
-        silent = self._table.silent()
-        ended = self._ends_to_tell()
-        with self._lock:
-            sequence = self._next_sequence()
-        if current:
-            data = encode_announcement(
-                self._sender, hint, sequence=sequence, silent=silent, ended=ended
-            )
-            self._send(data, current)
-        if others:
-            data = encode_for_version_before(
-                self._sender, hint, sequence=sequence, silent=silent, ended=ended
-            )
-            self._send(data, others)
+        self._hints.announce(
+            self._own.describe(),
+            current=current,
+            others=others,
+            silent=self._table.silent(),
+            ended=self._ends_to_tell(),
+        )
 
     def _ends_to_tell(self) -> list[str]:
         now = self._clock.now()
         with self._lock:
             return [key for key, at in self._ended.items() if now - at < ENDS_TOLD_FOR]
 
-    def _next_sequence(self) -> int:
-        self._sequence += 1
-        return self._sequence
-
-    def _send(self, data: bytes, addresses: Sequence[tuple[str, int]]) -> None:
-        for address in addresses:
-            with contextlib.suppress(OSError):
-                self._socket.sendto(data, address)
-
     def _send_loop(self) -> None:
         announced: Hashable = None
         told: Mapping[str, Load] = {}
@@ -273,13 +266,15 @@
                         self._beat(now)
                     self._greet_newcomers()
                 loads = self._own.loads()
-                if loads != told:
-                    addresses = self._load_targets()
-                    pause = pace.wait(now, peers=len(addresses))
+                if loads != told or self._own.has_untold_counts():
+                    targets = self._table.targets()
+                    sharers = self._own.shares_upstreams()
+                    told_peers = _count_told(targets, sharers)
+                    pause = pace.wait(now, peers=told_peers)
                     if pause <= 0.0:
                         told = loads
-                        self._tell_loads(loads, addresses)
-                        pace.sent(now, peers=len(addresses))
+                        self._tell_loads(loads, targets, sharers, is_heartbeat=False)
+                        pace.sent(now, peers=told_peers)
                         pause = TICK
                 pause = min(pause, max(0.0, tick_at - self._clock.now()))
             except Exception:  # noqa: BLE001
@@ -296,7 +291,7 @@
         if self._ends_to_tell() or self._table.silent():
             self._announce_to(list(targets.current.values()), targets.others)
             return
-        self._tell_loads(self._own.loads(), list(targets.current.values()))
+        self._tell_loads(self._own.loads(), targets, None, is_heartbeat=True)
         self._announce_to((), targets.others)
 
     def _greet_newcomers(self) -> None:
@@ -306,26 +301,25 @@
             current = self._table.targets().current
             self._announce_to([current[name] for name in newcomers if name in current], ())
 
-    def _load_targets(self) -> list[tuple[str, int]]:
-        names = self._own.shares_upstreams()
-        current = self._table.targets().current
-        return [each for name, each in current.items() if names is None or name in names]
-
     def _wait_for_change(self, pause: Millis) -> None:
         self._loads_changed.wait(pause / 1000.0)
         self._loads_changed.clear()
 
-    def _tell_loads(self, loads: Mapping[str, Load], addresses: Sequence[tuple[str, int]]) -> None:
-        with self._lock:
-            sequence = self._next_sequence()
-        data = encode_load_hint(
-            name=self._sender.name,
-            incarnation=self._sender.incarnation,
-            sequence=sequence,
-            loads=loads,
-            backlog=self._own.backlog(),
+    def _tell_loads(
+        self,
+        loads: Mapping[str, Load],
+        targets: Targets,
+        sharers: frozenset[str] | None,
+        *,
+        is_heartbeat: bool,
+    ) -> None:
+        self._hints.tell_loads(
+            loads,
+            self._own.backlog(),
+            self._own.counts_to_tell(is_heartbeat),
+            targets=targets,
+            sharers=sharers,
         )
-        self._send(data, addresses)
 
     def _notice_silence(self) -> None:
         losses = self._table.notice_silence()
@@ -370,26 +364,38 @@
         if loads is not None:
             self._receive_loads(loads)
             return
+        counts = read_counts_hint(message)
+        if counts is not None:
+            self._receive_counts(counts)
+            return
         self._receive_announcement(read_record(Announcement, message))
 
     def _receive_loads(self, told: LoadHint) -> None:
-        if not self._table.receive_loads(told):
+        if not self._table.receive_small(told):
             return
         self._events.backlog(told.name, told.backlog)
         self._events.loads(told.name, self._known(told.loads), None, True)
+        self._events.counts(told.name, told.incarnation, told.counts)
+
+    def _receive_counts(self, told: CountsHint) -> None:
+        if self._table.receive_small(told):
+            self._events.counts(told.name, told.incarnation, told.counts)
 
     def _receive_announcement(self, told: Announcement) -> None:
         packed = unpack_loads(told.packed_loads)
+        counts = unpack_counts(told.packed_counts or b"")
         lost = self._table.receive(told)
         if lost is not None:
             self._events.lost(lost)
         self._events.ended(told.ended)
         groups = [WaitingGroup(float(turn), count) for turn, count in told.backlog]
         self._events.backlog(told.name, groups)
-        self._receive_all_loads(told, packed)
+        self._receive_all_loads(told, packed, counts)
         self._events.versions(told.name, told.versions)
 
-    def _receive_all_loads(self, told: Announcement, packed: Mapping[int, Load]) -> None:
+    def _receive_all_loads(
+        self, told: Announcement, packed: Mapping[int, Load], counts: Mapping[int, int]
+    ) -> None:
         starts = told.starts or {}
         failures = by_identity(told.failures, starts)
         if told.sequence is not None and not self._table.is_newest(
@@ -400,7 +406,15 @@
         loads = by_identity({key: Load(*pair) for key, pair in told.loads.items()}, starts)
         loads |= self._known(packed)
         self._events.loads(told.name, loads, failures, told.starts is not None)
+        self._events.counts(told.name, told.incarnation, counts)
 
     def _known(self, loads: Mapping[int, Load]) -> dict[str, Load]:
         identities = self._own.identities_by_key()
         return {identities[key]: load for key, load in loads.items() if key in identities}
+
+
+def _count_told(targets: Targets, sharers: frozenset[str] | None) -> int:
+    """Return how many entries a change of loads is told to."""
+    if sharers is None:
+        return len(targets.current)
+    return sum(1 for name in targets.current if name in sharers)
--- a/packages/node/src/carobspool_node/direct/_view_exchange.py
+++ b/packages/node/src/carobspool_node/direct/_view_exchange.py
@@ -25,6 +25,10 @@
 
 PULL_TIMEOUT: Millis = 400.0
 """Longest time for one call to a peer, which answers from memory."""
+CONFIRM_TIMEOUT: Millis = 150.0
+"""Longest time for the question which version a peer knows; a caller waits meanwhile."""
+CONFIRM_TRIES = 2
+CONFIGURATION_VERSION = "configuration_version"
 PULL_PAUSE: Millis = 100.0
 """Pause after a call that brought nothing, before any peer is asked again."""
 
@@ -32,7 +36,7 @@
 class ViewCall(RecordModel):
     """A peer asks for what this entry knows."""
 
-    kind: Literal["configuration", "upstreams"]
+    kind: Literal["configuration", "upstreams", "configuration_version"]
 
 
 class _UpstreamRecord(RecordModel):
@@ -56,6 +60,10 @@
     lapsed: list[_LapsedRecord]
 
 
+class _VersionAnswer(RecordModel):
+    version: Count
+
+
 class _ConfigurationAnswer(RecordModel):
     revision: Count
     value: JsonValue
@@ -69,6 +77,7 @@
         declared: What is known here.
         caller: Calls peers.
         peer: Returns a live peer by its name.
+        live: Returns all live peers.
     """
 
     def __init__(
@@ -77,11 +86,13 @@
         declared: Declared,
         caller: PeerCaller,
         peer: Callable[[str], Peer | None],
+        live: Callable[[], Sequence[Peer]],
     ) -> None:
         self._clock = clock
         self._declared = declared
         self._caller = caller
         self._peer = peer
+        self._live = live
         self._lock = threading.Lock()
         self._pulling: set[str] = set()
         self._not_before: Millis = 0.0
@@ -89,6 +100,8 @@
 
     def serve(self, call: ViewCall) -> Json:
         """Return what is known here; ``None`` when nothing is."""
+        if call.kind == CONFIGURATION_VERSION:
+            return {"version": self._declared.versions()[CONFIGURATION]}
         if call.kind == CONFIGURATION:
             known = self._declared.stored_configuration()
             return None if known is None else {"revision": known[0], "value": known[1]}
@@ -110,6 +123,38 @@
         # What stays different for longer than such a call takes is read from the store.
         self._declared.compare(versions)
 
+    def confirm_configuration(self) -> bool:
+        """Ask whether the configuration known here is the newest, and take over a newer one.
+
+        Asked is the peer that the store has answered last; the store itself is never asked, so that
+        callers cannot cause calls to it.
+
+        Returns:
+            Whether that could be told. An entry without peers goes by what it knows.
+        """
+        peers = [each for each in self._live() if not each.leaving]
+        if not peers:
+            return True
+        for peer in sorted(peers, key=_age_of_knowledge)[:CONFIRM_TRIES]:
+            version = self._version_at(peer)
+            if version is None:
+                continue
+            if version > self._declared.versions()[CONFIGURATION]:
+                self._pull(CONFIGURATION, peer)
+            return version <= self._declared.versions()[CONFIGURATION]
+        return False
+
+    def _version_at(self, peer: Peer) -> int | None:
+        call = {"kind": CONFIGURATION_VERSION}
+        try:
+            status, answer = self._caller.call(peer, "view", call, CONFIRM_TIMEOUT)
+            if status != 200:
+                return None
+            return read_record(_VersionAnswer, answer).version
+        except (PeerCallError, UnusableRecordError) as error:
+            logging.info("event=confirm_failed peer=%s reason=%r", peer.identity, str(error))
+            return None
+
     def close(self) -> None:
         """Wait for the calls under way; nothing more is taken."""
         with self._lock:
@@ -163,6 +208,11 @@
         return self._declared.adopt_upstreams(upstreams.revision, view)
 
 
+def _age_of_knowledge(peer: Peer) -> tuple[bool, Millis]:
+    """Order peers by how lately the store has answered them."""
+    return not peer.store_ok, peer.answer_age
+
+
 def _upstream_record(upstream: Upstream) -> Mapping[str, str | int | bool | Sequence[str | int]]:
     return {
         "instance": upstream.instance,
--- a/packages/node/tests/test_direct_peers.py
+++ b/packages/node/tests/test_direct_peers.py
@@ -219,9 +219,13 @@
 def test_both_versions_are_told_what_they_understand(entry: _Entry) -> None:
     """An entry of the version before reads neither load hints nor packed loads."""
     entry.hear()
-    assert entry.peers._table.targets() == Targets(current={}, others=[("127.0.0.1", 1)])
+    assert entry.peers._table.targets() == Targets(
+        current={}, counting=frozenset(), others=[("127.0.0.1", 1)]
+    )
     entry.hear(c=1)
-    assert entry.peers._table.targets() == Targets(current={"e2": ("127.0.0.1", 1)}, others=[])
+    assert entry.peers._table.targets() == Targets(
+        current={"e2": ("127.0.0.1", 1)}, counting=frozenset(), others=[]
+    )
     sender = Sender(name="e1", incarnation="1", address=("127.0.0.1", 7))
     hint = replace(_own_hint(), loads={ENGINE: Load(2, 1)}, open_jobs=frozenset({"j"}))
     told = cbor2.loads(
@@ -240,7 +244,7 @@
     def send(data: bytes, addresses: Any) -> None:
         found.extend([cbor2.loads(data)] * len(addresses))
 
-    monkeypatch.setattr(entry.peers, "_send", send)
+    monkeypatch.setattr(entry.peers._hints, "_send", send)
     return found
 
 
--- a/packages/node/tests/test_direct_view_exchange.py
+++ b/packages/node/tests/test_direct_view_exchange.py
@@ -72,6 +72,7 @@
         declared,  # type: ignore[arg-type]
         caller,  # type: ignore[arg-type]
         lambda name: peer,
+        lambda: [peer],
     )
 
 
--- a/tests/test_import_rules.py
+++ b/tests/test_import_rules.py
@@ -19,7 +19,7 @@
 NODE_TESTS = ROOT / "packages/node/tests"
 ROOMS = frozenset(path.parent.name for path in NODE_SOURCE.glob("*/__init__.py"))
 ADAPTERS = frozenset({NODE, "carobspool_cli", "carobspool_standins", "carobspool_platform"})
-SHARED_WITH_DIRECT = frozenset({f"{NODE}.errors", f"{NODE}.settings"})
+SHARED_WITH_DIRECT = frozenset({f"{NODE}.errors", f"{NODE}.organisations", f"{NODE}.settings"})
 """All that direct entries take from the rest of the node; what stands behind these names runs on
 the users' hosts, with the libraries of deploy/requirements.txt only."""
 FACE_EXCEPTIONS = {
