--- a/packages/core/src/carobspool_core/organisations/_request_limits.py
+++ b/packages/core/src/carobspool_core/organisations/_request_limits.py
@@ -12,7 +12,7 @@
 
 An entry that is not heard may be admitting all the same. Its equal part of each limit is held back:
 the sides of a cut share a limit instead of having it twice. A process that has just started begins
-with one token of each bucket, so that a restart of all does not hand the bursts out again.
+with few tokens, so that a restart of all does not hand the bursts out again.
 """
 
 from __future__ import annotations
@@ -28,11 +28,14 @@
 
 SILENT_AFTER: Millis = 700.0
 """Silence after which an entry's part is held back: one heartbeat and the way of the next."""
-FILLED = 0.97
+FILLED = 0.95
 """Part of the rate at which buckets fill: what cuts, losses and restarts let through beyond a limit
 is made up for."""
 HOT_LEVEL = 0.75
 """Part of its burst below which an organisation is hot: its limit may be reached in a moment."""
+HOT_BURST = 8.0
+"""Burst below which an organisation is never hot: a cut lets a few requests of it through, and
+hundreds of small organisations would have all entries send hints all the time."""
 HOT_TIME: Millis = 1_000.0
 """How long an organisation counts as hot after its level was low."""
 HOT_HEARTBEAT: Millis = 80.0
@@ -53,6 +56,9 @@
 """A bucket is in debt by at most its burst and the tokens of this time, whatever others tell."""
 FIRST_LEVEL = 1.0
 """Tokens of each bucket when a process starts: many that start together hand out little."""
+FIRST_BURST = 4.0
+"""Tokens that it has beside these once it hears all others: what callers send again who were served
+by nobody during a restart of all."""
 NEWCOMER_TIME: Millis = 2_000.0
 """Time after the start in which the counts of the others are first heard."""
 COUNT_KEPT: Millis = 60_000.0
@@ -151,6 +157,7 @@
         self._entries = 1
         self._heard = 1
         self._near = 1
+        self._gained = 0.0
         self._hot_until: Millis = -math.inf
         self._own: dict[str, int] = {}
         self._changed: dict[str, Millis] = {}
@@ -200,13 +207,15 @@
                 peer = self._peers[each.name] = _Peer(listed_at=now)
             since = now - (peer.listed_at if each.heard is None else each.heard)
             is_silent = each.heard is None or since > SILENT_AFTER
-            if is_silent and not peer.is_silent:
+            if is_silent and not peer.is_silent and not each.leaving:
                 fallen_silent.append(peer)
             peer.is_silent = is_silent
             if is_silent and (each.leaving or since > HELD_FOR):
                 continue
             entries += 1
-            heard += 0 if is_silent else 1
+            if is_silent:
+                continue
+            heard += 1
             near += 1 if since <= NEAR else 0
         self._near = near
         if (heard, entries) != (self._heard, self._entries):
@@ -298,7 +307,8 @@
         bucket = self._buckets.get(name)
         if bucket is None:
             # As if it had been there since the start.
-            bucket = _Bucket(limit=limit, level=FIRST_LEVEL, filled=self._started)
+            first = FIRST_LEVEL + min(FIRST_BURST, limit.burst) * self._gained
+            bucket = _Bucket(limit=limit, level=first, filled=self._started)
             self._buckets[name] = bucket
         return bucket
 
@@ -310,15 +320,18 @@
 
     def _take(self, bucket: _Bucket, requests: float, now: Millis) -> None:
         bucket.take(requests, now)
-        if self._is_low(bucket):
+        if self._is_hot(bucket):
             self._hot_until = now + HOT_TIME
 
-    def _is_low(self, bucket: _Bucket) -> bool:
+    def _is_hot(self, bucket: _Bucket) -> bool:
+        """Whether an organisation is hot."""
+        if bucket.limit.burst < HOT_BURST:
+            return False
         return bucket.level < self._capacity(bucket.limit) * HOT_LEVEL
 
     def _waiting_for_hints(self, bucket: _Bucket) -> float:
         """Return the tokens that entries may be taking which were not heard just now."""
-        if not self._is_low(bucket):
+        if not self._is_hot(bucket):
             return 0.0
         return bucket.limit.burst * (self._heard - self._near) / self._entries
 
@@ -364,14 +377,20 @@
 
     def _share_anew(self, heard: int, entries: int, now: Millis) -> None:
         """Take another part of each limit; what fell away is taken out of the levels too."""
-        lost = max(0.0, self._share - heard / entries)
+        gained = heard / entries - self._share
+        lost = max(0.0, -gained)
+        is_new = now - self._started < NEWCOMER_TIME
         for bucket in self._buckets.values():
             self._fill(bucket, now)
-            if self._is_low(bucket):
+            if self._is_hot(bucket):
                 left = bucket.level - bucket.limit.burst * lost
                 bucket.level = max(min(bucket.level, 0.0), left)
         self._heard, self._entries = heard, entries
+        if is_new and gained > 0.0:
+            self._gained += gained
         for bucket in self._buckets.values():
+            if is_new and gained > 0.0:
+                bucket.level += min(FIRST_BURST, bucket.limit.burst) * gained
             bucket.level = min(bucket.level, self._capacity(bucket.limit))
 
     def _charge_silence(self, share: float, now: Millis) -> None:
