--- a/packages/core/src/carobspool_core/organisations/__init__.py
+++ b/packages/core/src/carobspool_core/organisations/__init__.py
@@ -12,7 +12,6 @@
 )
 from carobspool_core.organisations._keys import key_digest, read_bearer
 from carobspool_core.organisations._request_limits import (
-    HOT_HEARTBEAT,
     SILENT_AFTER,
     Admission,
     Neighbour,
@@ -21,7 +20,6 @@
 from carobspool_core.organisations._unknown_keys import UnknownKeys
 
 __all__ = [
-    "HOT_HEARTBEAT",
     "ID_SEPARATOR",
     "SILENT_AFTER",
     "Admission",
--- a/packages/core/src/carobspool_core/organisations/_request_limits.py
+++ b/packages/core/src/carobspool_core/organisations/_request_limits.py
@@ -40,9 +40,11 @@
 """How long an organisation counts as hot after its level was low."""
 HOT_HEARTBEAT: Millis = 80.0
 """Time between two hints of each entry while an organisation is hot."""
-NEAR: Millis = 200.0
-"""Silence from which an entry's part of a hot organisation's burst waits for its next hint. The
-organisation could otherwise take a whole burst on each side of a cut before silence shows it."""
+HOT_HEARTBEAT_BY_ENTRIES: Millis = 3.5
+"""The same for each entry there is, so that hints cost each of hundreds of entries no more."""
+NEAR_HEARTBEATS = 2.5
+"""Silence, in hints of that time, from which an entry's part of a hot organisation's burst waits
+for its next one. Each side of a cut could otherwise use up a burst before silence shows it."""
 HELD_FOR: Millis = 30_000.0
 """How long the part of a silent entry is held back; a cut that lasts is then taken for a loss."""
 COUNT_MODULUS = 1 << 16
@@ -172,6 +174,11 @@
         """Entries among them whose counts are known, this one included."""
         return self._heard
 
+    @property
+    def hot_heartbeat(self) -> Millis:
+        """Time between two hints of each entry while an organisation is hot."""
+        return max(HOT_HEARTBEAT, self._entries * HOT_HEARTBEAT_BY_ENTRIES)
+
     def is_hot(self, now: Millis) -> bool:
         """Whether some organisation may reach its limit in a moment."""
         return now < self._hot_until
@@ -200,6 +207,7 @@
     def set_entries(self, neighbours: Iterable[Neighbour], now: Millis) -> None:
         """Take who the other entries are and when each was heard."""
         near, heard, entries = 1, 1, 1
+        near_for = NEAR_HEARTBEATS * self.hot_heartbeat
         fallen_silent = []
         for each in neighbours:
             peer = self._peers.get(each.name)
@@ -216,7 +224,7 @@
             if is_silent:
                 continue
             heard += 1
-            near += 1 if since <= NEAR else 0
+            near += 1 if since <= near_for else 0
         self._near = near
         if (heard, entries) != (self._heard, self._entries):
             self._share_anew(heard, entries, now)
--- a/packages/core/tests/limits_model.py
+++ b/packages/core/tests/limits_model.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from carobspool_core import Millis
-from carobspool_core.organisations import HOT_HEARTBEAT, Neighbour, RateLimit, RequestLimits
+from carobspool_core.organisations import Neighbour, RateLimit, RequestLimits
 
 STEP: Millis = 5.0
 LOOK: Millis = 50.0
@@ -164,7 +164,8 @@
                 self._send(entry, within=200.0)
 
     def _is_due_while_hot(self, entry: ModelEntry) -> bool:
-        return entry.limits.is_hot(self.now) and self.now - entry.told >= HOT_HEARTBEAT
+        limits = entry.limits
+        return limits.is_hot(self.now) and self.now - entry.told >= limits.hot_heartbeat
 
     def _send(self, entry: ModelEntry, *, within: Millis) -> None:
         entry.untold = False
--- a/packages/node/src/carobspool_node/direct/_hint_sender.py
+++ b/packages/node/src/carobspool_node/direct/_hint_sender.py
@@ -7,6 +7,7 @@
 import threading
 from collections.abc import Iterable, Mapping, Sequence
 
+from carobspool_core import Clock, Millis
 from carobspool_core.direct import Load, WaitingGroup
 from carobspool_node.direct._announcement import (
     Sender,
@@ -19,17 +20,24 @@
 
 Address = tuple[str, int]
 
+COUNTS_GAP: Millis = 2.0
+"""Time between two hints of counts to entries that share no upstream, for each of these. They are
+told for the limits alone, which bear that, and heartbeats tell them all."""
+
 
 class HintSender:
     """Numbers and sends hints; safe for threads.
 
     Args:
+        clock: The process's clock.
         sock: Where they are sent from.
         sender: Who this entry is.
     """
 
-    def __init__(self, sock: socket.socket, sender: Sender) -> None:
+    def __init__(self, clock: Clock, sock: socket.socket, sender: Sender) -> None:
+        self._clock = clock
         self._socket = sock
+        self._counts_told: Millis = float("-inf")
         self._sender = sender
         self._lock = threading.Lock()
         self._sequence = 0
@@ -85,7 +93,7 @@
         self._send_loads(loads, backlog, {}, sequence, _addresses(targets, told - reading))
         self._send_loads(loads, backlog, counts, sequence, _addresses(targets, reading))
         rest = targets.counting - told
-        if counts and rest:
+        if counts and rest and self._may_tell_counts(len(rest)):
             data = encode_counts_hint(
                 name=self._sender.name,
                 incarnation=self._sender.incarnation,
@@ -114,6 +122,13 @@
         )
         self._send(data, addresses)
 
+    def _may_tell_counts(self, entries: int) -> bool:
+        now = self._clock.now()
+        if now - self._counts_told < entries * COUNTS_GAP:
+            return False
+        self._counts_told = now
+        return True
+
     def _next_sequence(self) -> int:
         with self._lock:
             self._sequence += 1
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -142,7 +142,7 @@
         self._stopped = threading.Event()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(address)
-        self._hints = HintSender(self._socket, self._sender)
+        self._hints = HintSender(clock, self._socket, self._sender)
 
     @property
     def identity(self) -> str:
--- a/packages/node/src/carobspool_node/organisations/_request_quota.py
+++ b/packages/node/src/carobspool_node/organisations/_request_quota.py
@@ -7,7 +7,6 @@
 
 from carobspool_core import Clock, Millis
 from carobspool_core.organisations import (
-    HOT_HEARTBEAT,
     Admission,
     Neighbour,
     OrganisationDirectory,
@@ -49,7 +48,7 @@
         if self._untold:
             return True
         now = self._clock.now()
-        return now - self._told >= HOT_HEARTBEAT and self._limits.is_hot(now)
+        return self._limits.is_hot(now) and now - self._told >= self._limits.hot_heartbeat
 
     def configure(self, directory: OrganisationDirectory | None) -> None:
         """Take the organisations of a new configuration."""
