--- a/packages/node/src/carobspool_node/organisations/_request_quota.py
+++ b/packages/node/src/carobspool_node/organisations/_request_quota.py
@@ -22,6 +22,8 @@
 TOLD_IN_ANNOUNCEMENTS_FOR: Millis = 10_000.0
 """How long announcements tell it, which come every two seconds and to whoever has just started."""
 IDLE_TIME: Millis = 30_000.0
+TIDY_INTERVAL: Millis = 10_000.0
+"""Time between two looks for idle organisations, which go through all that are active."""
 
 
 class RequestQuota:
@@ -41,6 +43,7 @@
         self._has_limits = False
         self._untold = False
         self._told: Millis = float("-inf")
+        self._tidied: Millis = clock.now()
 
     @property
     def has_untold(self) -> bool:
@@ -95,9 +98,13 @@
                 self._limits.receive(peer, incarnation, counts, now)
 
     def tidy(self) -> None:
-        """Drop what is kept of organisations that are idle."""
+        """Drop what is kept of organisations that are idle, now and then."""
+        now = self._clock.now()
+        if now - self._tidied < TIDY_INTERVAL:
+            return
+        self._tidied = now
         with self._lock:
-            self._limits.forget_idle(self._clock.now(), idle=IDLE_TIME)
+            self._limits.forget_idle(now, idle=IDLE_TIME)
 
     def _look(self, now: Millis) -> None:
         if now - self._looked < LOOK_INTERVAL:
