An entry that knows no configuration answers no call on jobs

Cause, found by reading: such an entry took callers for those of a deployment without organisations. It said 404 of jobs that there are (LOST), and gave results to whoever spelled a job's name inside the system. Change: 503 until a configuration is known; an id that spells a name reaches no organisation's job, also where none are declared. Test: test_an_entry_without_a_configuration_tells_nobody_of_jobs, failed before (404 and 200), passes.

--- a/packages/core/src/carobspool_core/organisations/_job_identity.py
+++ b/packages/core/src/carobspool_core/organisations/_job_identity.py
@@ -19,11 +19,8 @@
 
     Args:
         job_id: The caller's id of the job.
-        organisation: Who owns it; empty for a job of nobody, ``None`` where the operator declares
-            no organisations.
+        organisation: Who owns it; empty or ``None`` for a job of nobody.
     """
-    if organisation is None:
-        return job_id
     if not organisation:
         # An id that spells the name of an organisation's job must not reach it.
         return job_id + ID_SEPARATOR if ID_SEPARATOR in job_id else job_id
--- a/packages/node/src/carobspool_node/direct/_callers.py
+++ b/packages/node/src/carobspool_node/direct/_callers.py
@@ -28,7 +28,6 @@
 from carobspool_node.direct._messages import AUTHORIZATION, CallerRequest, HeaderNames
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.organisations import (
-    ANYBODY,
     Access,
     CallerAccess,
     CallerKeyRefused,
@@ -42,6 +41,7 @@
 LONGEST_JOB_CALL: Millis = 4_000.0
 """Time that a caller who names no deadline is taken to have for a call on a job."""
 MAX_WAIT: Millis = 1_000.0
+NOT_CONFIGURED = "no configuration is known yet"
 KEY_RETRY_AFTER: Millis = 500.0
 """Time in which an entry that could ask nobody about a key hears of another entry."""
 LIMIT_SPREAD = 0.5
@@ -112,7 +112,7 @@
     def _serve_route(self, request: CallerRequest, caller: CallerConnection) -> None:
         configuration = self._configuration()
         if configuration is None:
-            self._refuse(request, caller, 503, "no configuration is known yet", START_RETRY_AFTER)
+            self._refuse(request, caller, 503, NOT_CONFIGURED, START_RETRY_AFTER)
             return
         route = configuration.route_for(request.host, request.path)
         if route is None:
@@ -166,7 +166,7 @@
             items=tuple(self._dialect.job_items(request.body)),
             organisation=access.owner,
         )
-        unowned = request.request_id if access.owner else None
+        unowned = qualified_job_id(request.request_id, None) if access.owner else None
         outcome = self._jobs.submit(job, route, unowned=unowned)
         self._note(request, "submit", outcome)
         if outcome is Outcome.DONE:
@@ -180,7 +180,12 @@
     def _serve_job_call(
         self, call: JobCall, request: CallerRequest, caller: CallerConnection
     ) -> None:
-        owner = self._job_access(request).owner
+        configuration = self._configuration()
+        if configuration is None:
+            # Whose jobs there are is not known; a plain id could name any of them.
+            self._refuse(request, caller, 503, NOT_CONFIGURED, START_RETRY_AFTER)
+            return
+        owner = self._job_access(request, configuration).owner
         if isinstance(call, ReadResults):
             wait = min(call.wait, MAX_WAIT)
             page = self._of_owner(
@@ -208,10 +213,7 @@
             return
         self._fail(caller, outcome, self._return_after(request, LONGEST_JOB_CALL))
 
-    def _job_access(self, request: CallerRequest) -> Access:
-        configuration = self._configuration()
-        if configuration is None:
-            return ANYBODY
+    def _job_access(self, request: CallerRequest, configuration: Configuration) -> Access:
         values = request.header_values(AUTHORIZATION)
         is_exempt = not values and configuration.has_open_jobs_at(request.host)
         return self._identify(request, is_exempt=is_exempt)
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -22,7 +22,7 @@
     Route,
     fits_quota,
 )
-from carobspool_core.organisations import ID_SEPARATOR, waiting_key
+from carobspool_core.organisations import qualified_job_id, waiting_key
 from carobspool_node.direct._job_adoption import JobAdoption
 from carobspool_node.direct._job_catalog import JobCatalog, nothing_done
 from carobspool_node.direct._job_runner import JobRunner
@@ -112,11 +112,14 @@
         return Outcome.UNAVAILABLE
 
     def unowned(self, job_id: str, organisation: str | None) -> str | None:
-        """Return the name of a stored job of nobody that has this bare id, ``None`` if none has."""
-        if not organisation or ID_SEPARATOR in job_id:
+        """Return the name of a stored job of nobody with this id, ``None`` when there is none.
+
+        Such jobs were accepted where no organisations were declared, and any key reaches them.
+        """
+        if not organisation:
             return None
-        job = self._input(job_id)
-        return None if isinstance(job, Outcome) or job.organisation else job_id
+        name = qualified_job_id(job_id, None)
+        return None if isinstance(self._input(name), Outcome) else name
 
     def results(self, job_id: str, after: int, wait: Millis) -> ResultsPage | Outcome:
         """Return results from a position on, waiting up to ``wait`` for the first."""
--- a/tests/direct/test_organisations.py
+++ b/tests/direct/test_organisations.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import signal
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -23,6 +24,7 @@
     submission,
 )
 
+from carobspool_core.organisations import qualified_job_id
 from carobspool_standins.platform_server import ServedRequest, ServerConnection, stream_events
 
 ACME = {"Authorization": "Bearer acme-key"}
@@ -259,6 +261,26 @@
         assert entry.call("GET", "/api/lots/old?after=0").status == 401
 
 
+def test_an_entry_without_a_configuration_tells_nobody_of_jobs(tmp_path: Path) -> None:
+    """Whose a job is it does not know: it would answer anybody, or say that there is none."""
+    with deployment(tmp_path, *ROUTES) as system:
+        _configure(system, 2, *TENANTS)
+        system.server("engine", stream_events(2))
+        first = system.entry("e1")
+        body = submission("j-a")
+        assert first.call("POST", "/batch/x", body=body, headers=ACME, request_id="j").status == 202
+        eventually(lambda: _results(first, "j", ACME), 5.0)
+        first.signal(signal.SIGKILL)
+        first.process.wait()
+        system.objects.remove("config", "main")
+        entry = system.entry("e2", wait=False)
+        eventually(lambda: entry.logged("event=upstreams_listed"), 10.0)
+        for name in ("j", qualified_job_id("j", "acme")):
+            for headers in ({}, ACME, OTHER):
+                answer = entry.call("GET", f"/api/lots/{name}?after=0", headers=headers)
+                assert answer.status == 503
+
+
 def test_each_request_of_a_kept_connection_shows_its_own_key(running: Served) -> None:
     """The first key of a connection would otherwise open it for whoever comes after."""
     _, entry, _ = running
