Buckets fill at the whole rate while entries come and go not

It is made up for in the five seconds after one now. Model: 150 drawn plays of up to three faults, none beyond the bound; hot organisations at 1, 3, 23 entries within it.

--- a/packages/core/src/carobspool_core/organisations/_request_limits.py
+++ b/packages/core/src/carobspool_core/organisations/_request_limits.py
@@ -29,8 +29,10 @@
 SILENT_AFTER: Millis = 700.0
 """Silence after which an entry's part is held back: one heartbeat and the way of the next."""
 FILLED = 0.95
-"""Part of the rate at which buckets fill: what cuts, losses and restarts let through beyond a limit
-is made up for."""
+"""Part of the rate at which buckets fill for a while after entries fell silent, came or went: what
+was let through beyond a limit meanwhile is made up for."""
+MADE_UP_IN: Millis = 5_000.0
+"""How long after such a change."""
 HOT_LEVEL = 0.75
 """Part of its burst below which an organisation is hot: its limit may be reached in a moment."""
 HOT_BURST = 8.0
@@ -160,6 +162,7 @@
         self._heard = 1
         self._near = 1
         self._gained = 0.0
+        self._settled_at: Millis = now + MADE_UP_IN
         self._hot_until: Millis = -math.inf
         self._own: dict[str, int] = {}
         self._changed: dict[str, Millis] = {}
@@ -245,8 +248,8 @@
         if bucket.level - self._waiting_for_hints(bucket) >= 1.0:
             self._take(bucket, 1.0, now)
             self._note(organisation, 1, now)
-            return self._admission(bucket, granted=True)
-        return self._admission(bucket, granted=False)
+            return self._admission(bucket, now, granted=True)
+        return self._admission(bucket, now, granted=False)
 
     def give_back(self, organisation: str, now: Millis) -> None:
         """Return the token of a request that no upstream has run."""
@@ -303,9 +306,10 @@
     def _share(self) -> float:
         return self._heard / self._entries
 
-    def _rate(self, limit: RateLimit) -> float:
+    def _rate(self, limit: RateLimit, now: Millis) -> float:
         """Return the tokens that a bucket gains in a millisecond."""
-        return limit.per_second * FILLED * self._share / 1000.0
+        filled = 1.0 if now >= self._settled_at else FILLED
+        return limit.per_second * filled * self._share / 1000.0
 
     def _capacity(self, limit: RateLimit) -> float:
         late = max(1.0, limit.per_second * HINT_TIME / 1000.0)
@@ -323,7 +327,7 @@
     def _fill(self, bucket: _Bucket, now: Millis) -> None:
         elapsed = max(0.0, now - bucket.filled)
         bucket.filled = max(now, bucket.filled)
-        level = bucket.level + elapsed * self._rate(bucket.limit)
+        level = bucket.level + elapsed * self._rate(bucket.limit, now)
         bucket.level = min(level, self._capacity(bucket.limit))
 
     def _take(self, bucket: _Bucket, requests: float, now: Millis) -> None:
@@ -394,6 +398,7 @@
                 left = bucket.level - bucket.limit.burst * lost
                 bucket.level = max(min(bucket.level, 0.0), left)
         self._heard, self._entries = heard, entries
+        self._settled_at = now + MADE_UP_IN
         if is_new and gained > 0.0:
             self._gained += gained
         for bucket in self._buckets.values():
@@ -416,10 +421,10 @@
             if bucket.level < 1.0:
                 bucket.level -= bucket.taken_of_late(now) * share
 
-    def _admission(self, bucket: _Bucket, *, granted: bool) -> Admission:
+    def _admission(self, bucket: _Bucket, now: Millis, *, granted: bool) -> Admission:
         wait = 0.0
         if not granted:
-            rate = self._rate(bucket.limit)
+            rate = self._rate(bucket.limit, now)
             wait = max(SHORTEST_WAIT, (1.0 - bucket.level) / rate)
         return Admission(
             granted=granted,
