--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -15,6 +15,9 @@
 
 DAYS = Path(__file__).parents[1] / "deploy" / "days"
 FILES = sorted(DAYS.glob("*.toml"))
+OF_ORGANISATIONS = sorted(DAYS.glob("organisations/*.toml"))
+"""Days for sites whose operators declare organisations; the others refuse their kinds."""
+ALL_FILES = FILES + OF_ORGANISATIONS
 
 
 def _words(text: str) -> frozenset[str]:
@@ -33,6 +36,8 @@
     " give_up reset_conns"
 )
 """Kinds of faults."""
+ORGANISATIONS_PLANNED = PLANNED | {"revoke"}
+ORGANISATIONS_FAULTS = FAULTS | {"hot_tenant"}
 VARIANTS = {
     "config_change": "route weights timeout tenant quota down topup idle",
     "core_cut": "behind split all near oldest one_way seeds both lure relieve reset refuse",
@@ -47,6 +52,7 @@
     "release": "across all",
     "replace_with_reuse": "drain dark side across all",
     "retire": "wipe",
+    "revoke": "last",
     "roll_term": "remove leader starter",
     "scale_in": "spot reclaim dry across all",
     "srv_crash": "dark gone domain joined rack across all",
@@ -115,29 +121,32 @@
 
 def test_there_are_days() -> None:
     assert len(FILES) >= 26
+    assert len(OF_ORGANISATIONS) >= 2
 
 
-@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+@pytest.mark.parametrize("path", ALL_FILES, ids=lambda path: path.stem)
 def test_a_day_holds_known_fields_and_fits_any_site(path: Path) -> None:
     day = _read(path)
     assert set(day) <= DAY_FIELDS
     assert day["name"] == path.stem
     assert isinstance(day["seed"], int)
-    wrong = [each for entry in day.get("plan", []) for each in _faults_of(entry, PLANNED)]
-    wrong += [each for entry in day.get("faults", []) for each in _faults_of(entry, FAULTS)]
+    planned = ORGANISATIONS_PLANNED if path in OF_ORGANISATIONS else PLANNED
+    faults = ORGANISATIONS_FAULTS if path in OF_ORGANISATIONS else FAULTS
+    wrong = [each for entry in day.get("plan", []) for each in _faults_of(entry, planned)]
+    wrong += [each for entry in day.get("faults", []) for each in _faults_of(entry, faults)]
     assert not wrong
     assert day.get("plan") or day.get("faults")
     if "closing" in day:
         assert day["closing"]["kind"] in CLOSING_KINDS
 
 
-@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+@pytest.mark.parametrize("path", ALL_FILES, ids=lambda path: path.stem)
 def test_a_day_says_in_its_first_line_what_it_is_for(path: Path) -> None:
     assert re.match(r"# [A-Z].{20,}\.\n", path.read_text())
 
 
 def test_seeds_differ() -> None:
-    seeds = [_read(path)["seed"] for path in FILES]
+    seeds = [_read(path)["seed"] for path in ALL_FILES]
     assert len(set(seeds)) == len(seeds)
 
 
