--- a/packages/core/tests/test_request_limits.py
+++ b/packages/core/tests/test_request_limits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from limits_model import Fleet, poisson
 
@@ -208,16 +208,34 @@
         st.integers(0, 5),
         st.floats(100.0, 2_500.0),
     ),
-    max_size=3,
+    max_size=6,
 )
 
 
+_CUT_AND_RESTART_ALL = [
+    ("cut", 0, 1106.0),
+    ("restart_all", 0, 100.0),
+    ("cut", 0, 100.0),
+    ("cut", 2, 100.0),
+    ("restart", 0, 100.0),
+]
+_TWO_RESTARTS_OF_ALL = [
+    ("cut", 0, 996.0),
+    ("restart_all", 0, 896.0),
+    ("restart_all", 0, 131.0),
+]
+
+
 @settings(max_examples=40, deadline=None)
+@example(faults=_CUT_AND_RESTART_ALL, seed=0, loss=0.0)
+@example(faults=_TWO_RESTARTS_OF_ALL, seed=1, loss=0.0)
+@example(faults=[("cut", 0, 100.0), ("cut", 1, 1356.0)], seed=1, loss=0.02)
+@example(faults=[("cut", 0, 100.0), ("cut", 0, 100.0), ("cut", 0, 1451.0)], seed=102, loss=0.0)
 @given(faults=_FAULTS, seed=st.integers(0, 1_000), loss=st.sampled_from([0.0, 0.02, 0.1]))
 def test_the_limit_holds_through_cuts_restarts_and_pauses(
     faults: list[tuple[str, int, float]], seed: int, loss: float
 ) -> None:
-    """Up to three in a window, while an organisation sends eight times its limit."""
+    """Up to six of them, while an organisation sends eight times its limit."""
     fleet = Fleet(6, {"hot": LARGE}, seed=seed, loss=loss, delay=40.0)
     fleet.run(3_000.0)
     for number, (kind, entry, pause) in enumerate(faults):
