Who is told a change of loads is worked out in one place; unused names leave two faces

Found on reading the change: HintSender and Peers each went through the targets for the same set of names. Now Targets.told_loads says it to both. ID_SEPARATOR, SILENT_AFTER and ANYBODY were exported and used by nobody. Behaviour unchanged; lint, types and the tests of hints, peers, fleet load, limits, keys, rooms, membership and organisations pass (149).

--- a/packages/core/src/carobspool_core/organisations/__init__.py
+++ b/packages/core/src/carobspool_core/organisations/__init__.py
@@ -5,14 +5,9 @@
 """
 
 from carobspool_core.organisations._directory import Organisation, OrganisationDirectory, RateLimit
-from carobspool_core.organisations._job_identity import (
-    ID_SEPARATOR,
-    qualified_job_id,
-    waiting_key,
-)
+from carobspool_core.organisations._job_identity import qualified_job_id, waiting_key
 from carobspool_core.organisations._keys import key_digest, read_bearer
 from carobspool_core.organisations._request_limits import (
-    SILENT_AFTER,
     Admission,
     Neighbour,
     RequestLimits,
@@ -20,8 +15,6 @@
 from carobspool_core.organisations._unknown_keys import UnknownKeys
 
 __all__ = [
-    "ID_SEPARATOR",
-    "SILENT_AFTER",
     "Admission",
     "Neighbour",
     "Organisation",
--- a/packages/node/src/carobspool_node/direct/_hint_sender.py
+++ b/packages/node/src/carobspool_node/direct/_hint_sender.py
@@ -88,8 +88,8 @@
             sharers: Those that use the same upstreams, ``None`` for all; only these are told loads.
         """
         sequence = self._next_sequence()
-        told = {name for name in targets.current if sharers is None or name in sharers}
-        reading = told & targets.counting if counts else set()
+        told = targets.told_loads(sharers)
+        reading = told & targets.counting if counts else frozenset()
         self._send_loads(loads, backlog, {}, sequence, _addresses(targets, told - reading))
         self._send_loads(loads, backlog, counts, sequence, _addresses(targets, reading))
         rest = targets.counting - told
--- a/packages/node/src/carobspool_node/direct/_peer_table.py
+++ b/packages/node/src/carobspool_node/direct/_peer_table.py
@@ -32,6 +32,15 @@
     counting: frozenset[str]
     others: Sequence[tuple[str, int]]
 
+    def told_loads(self, sharers: frozenset[str] | None) -> frozenset[str]:
+        """Return the names of those that are told a change of loads.
+
+        Args:
+            sharers: Entries that use the same upstreams, ``None`` for all.
+        """
+        names = frozenset(self.current)
+        return names if sharers is None else names & sharers
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Losses:
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -269,7 +269,7 @@
                 if loads != told or self._own.has_untold_counts():
                     targets = self._table.targets()
                     sharers = self._own.shares_upstreams()
-                    told_peers = _count_told(targets, sharers)
+                    told_peers = len(targets.told_loads(sharers))
                     pause = pace.wait(now, peers=told_peers)
                     if pause <= 0.0:
                         told = loads
@@ -411,10 +411,3 @@
     def _known(self, loads: Mapping[int, Load]) -> dict[str, Load]:
         identities = self._own.identities_by_key()
         return {identities[key]: load for key, load in loads.items() if key in identities}
-
-
-def _count_told(targets: Targets, sharers: frozenset[str] | None) -> int:
-    """Return how many entries a change of loads is told to."""
-    if sharers is None:
-        return len(targets.current)
-    return sum(1 for name in targets.current if name in sharers)
--- a/packages/node/src/carobspool_node/organisations/__init__.py
+++ b/packages/node/src/carobspool_node/organisations/__init__.py
@@ -5,7 +5,6 @@
 """
 
 from carobspool_node.organisations._access import (
-    ANYBODY,
     Access,
     CallerAccess,
     CallerKeyRefused,
@@ -15,7 +14,6 @@
 from carobspool_node.organisations._request_quota import TOLD_IN_ANNOUNCEMENTS_FOR, RequestQuota
 
 __all__ = [
-    "ANYBODY",
     "TOLD_IN_ANNOUNCEMENTS_FOR",
     "Access",
     "CallerAccess",
