Tests of direct entries and clusters draw their ports from one chooser

Clusters reserve blocks of 20,000 to 32,000 by abstract sockets; direct deployments drew from 10,000 to 32,000 and reserved at 127.0.0.2. Neither saw the other's reservations, so between choice and listen() both could take one port when pytest's workers ran both kinds at a time.

Ruled out: ports of outgoing connections (they begin at 32,768 here).

Change: PortChooser becomes a public module of the stand-ins with close(); deployments use it.

--- a/packages/standins/src/carobspool_standins/_cluster.py
+++ b/packages/standins/src/carobspool_standins/_cluster.py
@@ -18,13 +18,12 @@
 from carobspool_standins._client import HttpClient, NoAnswer
 from carobspool_standins._member import Key, Member
 from carobspool_standins._processes import (
-    LOOPBACK,
     Command,
-    PortChooser,
     ProcessGroup,
     process_seconds,
 )
 from carobspool_standins.errors import ClusterError
+from carobspool_standins.ports import LOOPBACK, PortChooser
 
 CLOSE_SECONDS = 10.0
 STOP_SECONDS = 60.0
@@ -85,6 +84,7 @@
         system = [name for name in self._group.names if self._group.module(name) == NODE_MODULE]
         self._group.close(system, CLOSE_SECONDS)
         self._group.close(self._group.names, CLOSE_SECONDS)
+        self._ports.close()
 
     @contextlib.contextmanager
     def together(self) -> Iterator[None]:
--- a/packages/standins/src/carobspool_standins/_member.py
+++ b/packages/standins/src/carobspool_standins/_member.py
@@ -6,7 +6,7 @@
 import secrets
 from dataclasses import dataclass, field
 
-from carobspool_standins._processes import LOOPBACK
+from carobspool_standins.ports import LOOPBACK
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/standins/tests/test_relay.py
+++ b/packages/standins/tests/test_relay.py
@@ -8,9 +8,9 @@
 import pytest
 
 from carobspool_standins._client import HttpClient, NoAnswer
-from carobspool_standins._processes import PortChooser
 from carobspool_standins.plain import PlainSettings
 from carobspool_standins.plain import make_application as make_plain
+from carobspool_standins.ports import PortChooser
 from carobspool_standins.relay import RelayRoute, RelaySettings, make_application
 
 DELAY_MS = 30.0
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -7,9 +7,7 @@
 import http.client
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -30,13 +28,12 @@
     PlatformObjects,
     serve_platform_store,
 )
+from carobspool_standins.ports import PortChooser
 
 HOST = "callers.example"
 READY_S = 15.0
 STEP_S = 0.05
 PROGRAM = ("-m", "carobspool_platform")
-FIRST_PORT, END_OF_PORTS = 10_000, 32_000
-RESERVATIONS = "127.0.0.2"
 
 
 def route(prefix: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
@@ -150,6 +147,7 @@
     store: str
     folder: Path
     stack: ExitStack
+    ports: PortChooser
     entries: list[Entry] = field(default_factory=list)
     servers: list[PlatformServer] = field(default_factory=list)
 
@@ -184,7 +182,7 @@
         program: Sequence[str] = PROGRAM,
     ) -> Entry:
         """Start an entry; its log goes to a file unless a descriptor is given for it."""
-        port, ready_port, peer_port, metrics_port = _free_ports(4, self.stack)
+        port, ready_port, peer_port, metrics_port = (self.ports.choose() for _ in range(4))
         settings = self._settings(name, "direct-entry", peer_port, metrics_port)
         settings |= {"callers": f"127.0.0.1:{port}", "ready": f"127.0.0.1:{ready_port}"}
         settings["first_start"] = first_start
@@ -198,7 +196,7 @@
 
     def keeper(self, name: str) -> None:
         """Start a keeper."""
-        self._run(self._settings(name, "keeper", *_free_ports(2, self.stack)))
+        self._run(self._settings(name, "keeper", self.ports.choose(), self.ports.choose()))
 
     def _settings(self, name: str, role: str, peer_port: int, metrics_port: int) -> dict[str, Any]:
         return {
@@ -240,7 +238,8 @@
     objects.put("config", "main", configuration(1, *(routes or STANDARD_ROUTES)))
     with ExitStack() as stack:
         store = stack.enter_context(serve_platform_store(objects))
-        yield Deployment(objects, store, folder, stack)
+        ports = stack.enter_context(contextlib.closing(PortChooser()))
+        yield Deployment(objects, store, folder, stack, ports)
 
 
 def eventually(check: Callable[[], object], within_s: float) -> Any:
@@ -283,28 +282,6 @@
     return list(page["results"])
 
 
-def _free_ports(count: int, stack: ExitStack) -> list[int]:
-    """Return ports on which nothing listens, kept for this deployment until the stack ends.
-
-    They are drawn below those that the system gives to outgoing connections: such a port can be
-    taken by any other process between this look and the start of the entry. Another harness that
-    draws the same port finds it bound at a second address of the loopback, and draws again.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = random.randrange(FIRST_PORT, END_OF_PORTS)
-        reservation = socket.socket()
-        try:
-            reservation.bind((RESERVATIONS, port))
-            socket.create_server(("127.0.0.1", port)).close()
-        except OSError:
-            reservation.close()
-            continue
-        stack.enter_context(reservation)
-        ports.append(port)
-    return ports
-
-
 @contextmanager
 def _process(
     settings: Path, log: Path, descriptor: int | None, program: Sequence[str]
