Direct entries check what they read without deriving schemas at import

Cause: after everything is killed callers are served again when entries have imported; imports are nearly all of a start. The validator's library took a third of them: its models derive schemas and serializers when their classes are made.

Test: drawn values get the same verdict, the same problems and the same result from both; `pydantic` is not imported by the platform process.

--- a/packages/core/src/carobspool_core/direct/_job_codec.py
+++ b/packages/core/src/carobspool_core/direct/_job_codec.py
@@ -6,10 +6,7 @@
 import binascii
 from typing import Annotated, Any
 
-from pydantic import Field, PlainValidator
-
 from carobspool_core._ports import Json
-from carobspool_core.border import Problem, RecordModel, UnusableRecordError, read_record
 from carobspool_core.direct._job_work import (
     ItemEnd,
     ItemPart,
@@ -18,6 +15,8 @@
     JobItem,
     JobProgress,
 )
+from carobspool_core.problems import Problem, UnusableRecordError
+from carobspool_core.records import Check, Limits, Record, field, read_record
 
 
 def _checked_text(value: Any) -> str:
@@ -26,12 +25,12 @@
     return value
 
 
-Text = Annotated[str, PlainValidator(_checked_text)]
+Text = Annotated[str, Check(_checked_text)]
 """Any text. A validated ``str`` has no halves of surrogate pairs, but those stand for the bytes of
 an upstream's answer that are no UTF-8, and a job with such a result must stay readable."""
 
 _ENDS = tuple(each.value for each in ItemEnd)
-_Row = Annotated[list[Text], Field(min_length=3, max_length=3)]
+_Row = Annotated[list[Text], Limits(min_length=3, max_length=3)]
 
 
 def _checked_part(value: Any) -> ItemPart:
@@ -41,10 +40,10 @@
     raise ValueError("a list of the last event's number and a text")
 
 
-_Part = Annotated[ItemPart, PlainValidator(_checked_part)]
+_Part = Annotated[ItemPart, Check(_checked_part)]
 
 
-class _Item(RecordModel):
+class _Item(Record):
     id: Text
     path: Text
     headers: dict[Text, Text]
@@ -52,7 +51,7 @@
     tokens: int
 
 
-class _Job(RecordModel):
+class _Job(Record):
     host: Text
     path: Text
     owner: Text
@@ -61,10 +60,10 @@
     organisation: Text | None = None
 
 
-class _Progress(RecordModel):
+class _Progress(Record):
     owner: Text
     ended: bool
-    total: int = Field(ge=0)
+    total: int = field(ge=0)
     results: list[_Row]
     failures: dict[Text, int]
     parts: dict[Text, _Part] = {}
@@ -149,7 +148,7 @@
     )
 
 
-class _Results(RecordModel):
+class _Results(Record):
     results: list[_Row]
 
 
--- a/packages/node/src/carobspool_node/direct/_declared.py
+++ b/packages/node/src/carobspool_node/direct/_declared.py
@@ -9,8 +9,8 @@
 from absl import logging
 
 from carobspool_core import Clock, Json, Millis, ObjectChange, ObjectStore, StoredObject
-from carobspool_core.border import UnusableRecordError
 from carobspool_core.direct import Configuration, SharedView, Upstream, UpstreamList, UpstreamsView
+from carobspool_core.problems import UnusableRecordError
 from carobspool_node.direct._bad_records import BadRecords, shown
 from carobspool_node.direct._deployment import Deployment
 from carobspool_node.direct._follow import Follower
--- a/packages/node/src/carobspool_node/direct/_job_records.py
+++ b/packages/node/src/carobspool_node/direct/_job_records.py
@@ -11,15 +11,13 @@
 import uuid
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import Annotated, Any
 
 from absl import logging
-from pydantic import Field, field_validator
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from carobspool_core import Json, ObjectStore, StoredObject, StoreFailure, StoreFault
-from carobspool_core.border import Problem, RecordModel, UnusableRecordError, read_record
 from carobspool_core.direct import (
     ItemResult,
     JobInput,
@@ -30,6 +28,8 @@
     progress_to_json,
     results_from_json,
 )
+from carobspool_core.problems import Problem, UnusableRecordError
+from carobspool_core.records import Check, Record, field, read_record
 from carobspool_node.direct._bad_records import BadRecords, shown
 
 INPUTS = "jobs/"
@@ -274,21 +274,20 @@
     return value
 
 
-class _Pieces(RecordModel):
-    name: str = Field(min_length=1, max_length=MAX_PIECE_NAME)
-    count: int = Field(ge=0, le=MAX_PIECES)
+class _Pieces(Record):
+    name: str = field(min_length=1, max_length=MAX_PIECE_NAME)
+    count: int = field(ge=0, le=MAX_PIECES)
 
 
-class _LongInput(RecordModel):
-    pieces: _Pieces
+def _named(value: Any) -> Any:
+    match value:
+        case [name, count]:
+            return {"name": name, "count": count}
+    raise ValueError("a list of a name and a number")
 
-    @field_validator("pieces", mode="before")
-    @classmethod
-    def _of_list(cls, value: Any) -> Any:
-        match value:
-            case [name, count]:
-                return {"name": name, "count": count}
-        raise ValueError("a list of a name and a number")
+
+class _LongInput(Record):
+    pieces: Annotated[_Pieces, Check(_named, "before")]
 
 
 def _segments(value: Json) -> tuple[Segment, ...]:
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -15,7 +15,6 @@
 from returns.pipeline import is_successful
 
 from carobspool_core import Clock, Millis, StoreFailure, StoreFault, wall_millis
-from carobspool_core.border import UnusableRecordError
 from carobspool_core.direct import (
     ItemResult,
     JobInput,
@@ -23,6 +22,7 @@
     fits_quota,
 )
 from carobspool_core.organisations import qualified_job_id, waiting_key
+from carobspool_core.problems import UnusableRecordError
 from carobspool_node.direct._job_adoption import JobAdoption
 from carobspool_node.direct._job_catalog import JobCatalog, nothing_done
 from carobspool_node.direct._job_runner import JobRunner
--- a/packages/node/src/carobspool_node/direct/_load_hint.py
+++ b/packages/node/src/carobspool_node/direct/_load_hint.py
@@ -15,8 +15,8 @@
 import cbor2
 
 from carobspool_core import Json
-from carobspool_core.border import Problem, UnusableRecordError
 from carobspool_core.direct import Load, WaitingGroup, key_of
+from carobspool_core.problems import Problem, UnusableRecordError
 from carobspool_node.organisations import pack_counts, unpack_counts
 
 _KIND = "l"
--- a/packages/node/src/carobspool_node/direct/_membership.py
+++ b/packages/node/src/carobspool_node/direct/_membership.py
@@ -10,8 +10,9 @@
 
 from carobspool_core import Clock, Millis, ObjectChange, ObjectStore, StoredObject, StoreFault
 from carobspool_core import owner as rendezvous_owner
-from carobspool_core.border import UnusableRecordError, read_record
 from carobspool_core.direct import DutyCandidate, SharedView, has_watch_duty
+from carobspool_core.problems import UnusableRecordError
+from carobspool_core.records import read_record
 from carobspool_node.direct._bad_records import BadRecords
 from carobspool_node.direct._follow import Follower
 from carobspool_node.direct._peer_messages import EntryRecord
--- a/packages/node/src/carobspool_node/direct/_peer_api.py
+++ b/packages/node/src/carobspool_node/direct/_peer_api.py
@@ -6,7 +6,8 @@
 from absl import logging
 
 from carobspool_core import Clock, Json
-from carobspool_core.border import UnusableRecordError, read_record
+from carobspool_core.problems import UnusableRecordError
+from carobspool_core.records import read_record
 from carobspool_node.direct._bad_records import BadRecords
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._jobs import Jobs, Outcome
--- a/packages/node/src/carobspool_node/direct/_peer_messages.py
+++ b/packages/node/src/carobspool_node/direct/_peer_messages.py
@@ -13,11 +13,19 @@
 from typing import Annotated, Any, Literal
 
 import cbor2
-from pydantic import Field, JsonValue, PlainValidator
 
 from carobspool_core import Json, StoreFault
-from carobspool_core.border import Problem, RecordModel, UnusableRecordError, read_record
 from carobspool_core.direct import ItemResult, results_from_json
+from carobspool_core.problems import Problem, UnusableRecordError
+from carobspool_core.records import (
+    JSON_VALUE,
+    Check,
+    Limits,
+    Record,
+    UnionBy,
+    field,
+    read_record,
+)
 
 MAX_NAME = 200
 """Characters of the name of an entry, an upstream or a job."""
@@ -28,8 +36,8 @@
 """Longest that a peer may have a read wait: a day, in milliseconds; a task can sleep that long."""
 HIGHEST_PORT = 65_535
 
-Name = Annotated[str, Field(min_length=1, max_length=MAX_NAME)]
-Count = Annotated[int, Field(ge=0, le=MAX_COUNT)]
+Name = Annotated[str, Limits(min_length=1, max_length=MAX_NAME)]
+Count = Annotated[int, Limits(ge=0, le=MAX_COUNT)]
 
 
 def _read_address(value: Any) -> tuple[str, int]:
@@ -44,107 +52,107 @@
     return str(ipaddress.IPv4Address(host))
 
 
-Address = Annotated[tuple[str, int], PlainValidator(_read_address)]
+Address = Annotated[tuple[str, int], Check(_read_address)]
 
 
-class EntryRecord(RecordModel):
+class EntryRecord(Record):
     """An entry's object in the store."""
 
     address: Address
 
 
-class Announcement(RecordModel):
+class Announcement(Record):
     """What an entry tells of itself twice a second, and at once when some of it changes.
 
     Entries of the version before tell their loads by the upstreams' bare ids, with the starts
     beside them, and send none of the fields that have a default.
     """
 
-    name: Name = Field(alias="n")
-    incarnation: Name = Field(alias="i")
-    address: Address = Field(alias="a")
-    loads: dict[Name, Annotated[list[Count], Field(min_length=2, max_length=2)]] = Field(
+    name: Name = field(alias="n")
+    incarnation: Name = field(alias="i")
+    address: Address = field(alias="a")
+    loads: dict[Name, Annotated[list[Count], Limits(min_length=2, max_length=2)]] = field(
         alias="l", default={}
     )
-    failures: dict[Name, Count] = Field(alias="e")
-    versions: dict[Name, Annotated[int, Field(ge=0, le=MAX_DIGEST)]] = Field(alias="v")
-    starts: dict[Name, Count] | None = Field(alias="b", default=None)
-    leaving: bool = Field(alias="x")
-    released: list[Name] | None = Field(alias="r", default=None)
-    store_ok: bool = Field(alias="s")
-    backlog: list[Annotated[list[Count], Field(min_length=2, max_length=2)]] = Field(
+    failures: dict[Name, Count] = field(alias="e")
+    versions: dict[Name, Annotated[int, Limits(ge=0, le=MAX_DIGEST)]] = field(alias="v")
+    starts: dict[Name, Count] | None = field(alias="b", default=None)
+    leaving: bool = field(alias="x")
+    released: list[Name] | None = field(alias="r", default=None)
+    store_ok: bool = field(alias="s")
+    backlog: list[Annotated[list[Count], Limits(min_length=2, max_length=2)]] = field(
         alias="p", default=[]
     )
-    open_jobs: list[Name] | None = Field(alias="j", default=None)
-    done_jobs: list[Name] = Field(alias="f", default=[])
-    waiting: dict[str, Count] = Field(alias="w", default={})
-    silent: list[Name] = Field(alias="q", default=[])
-    ended: list[Name] = Field(alias="d", default=[])
-    sequence: Count | None = Field(alias="c", default=None)
-    packed_loads: bytes = Field(alias="k", default=b"")
-    answer_age: Count = Field(alias="o", default=0)
-    packed_counts: bytes | None = Field(alias="g", default=None)
-
-
-class ResultsCall(RecordModel):
+    open_jobs: list[Name] | None = field(alias="j", default=None)
+    done_jobs: list[Name] = field(alias="f", default=[])
+    waiting: dict[str, Count] = field(alias="w", default={})
+    silent: list[Name] = field(alias="q", default=[])
+    ended: list[Name] = field(alias="d", default=[])
+    sequence: Count | None = field(alias="c", default=None)
+    packed_loads: bytes = field(alias="k", default=b"")
+    answer_age: Count = field(alias="o", default=0)
+    packed_counts: bytes | None = field(alias="g", default=None)
+
+
+class ResultsCall(Record):
     """A peer reads results of a job that this entry owns."""
 
     id: Name
     after: Count
-    wait: Annotated[float, Field(ge=0, le=MAX_WAIT)]
+    wait: Annotated[float, Limits(ge=0, le=MAX_WAIT)]
 
 
-class EndCall(RecordModel):
+class EndCall(Record):
     """A peer ends a job that this entry owns."""
 
     id: Name
 
 
-class _GetCall(RecordModel):
+class _GetCall(Record):
     op: Literal["get"]
     key: Name
 
 
-class _ListCall(RecordModel):
+class _ListCall(Record):
     op: Literal["list"]
     key: Name
     after: str
     limit: Count
 
 
-class _CreateCall(RecordModel):
+class _CreateCall(Record):
     op: Literal["create"]
     key: Name
-    value: JsonValue
+    value: Annotated[Any, JSON_VALUE]
 
 
-class _UpdateCall(RecordModel):
+class _UpdateCall(Record):
     op: Literal["update"]
     key: Name
-    value: JsonValue
+    value: Annotated[Any, JSON_VALUE]
     version: Count
 
 
 StoreCall = _GetCall | _ListCall | _CreateCall | _UpdateCall
 
 
-class _StoreEnvelope(RecordModel):
-    call: Annotated[StoreCall, Field(discriminator="op")]
+class _StoreEnvelope(Record):
+    call: Annotated[StoreCall, UnionBy("op")]
 
 
-class _ResultsAnswer(RecordModel):
+class _ResultsAnswer(Record):
     total: Count
     results: list[Any]
 
 
-class StoreObjectAnswer(RecordModel):
+class StoreObjectAnswer(Record):
     """One object that a peer has read or written."""
 
     version: Count
-    value: JsonValue
+    value: Annotated[Any, JSON_VALUE]
 
 
-class StorePageAnswer(RecordModel):
+class StorePageAnswer(Record):
     """A page that a peer has read; each object stands as key, version and value."""
 
     revision: Count
@@ -153,7 +161,7 @@
     unreadable: Count = 0
 
 
-class StoreFaultAnswer(RecordModel):
+class StoreFaultAnswer(Record):
     """A call of a peer that failed; the object as it stands, as version and value."""
 
     fault: Literal[tuple(each.value for each in StoreFault)]  # type: ignore[valid-type]
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -21,9 +21,10 @@
 from absl import logging
 
 from carobspool_core import Clock, Json, Millis
-from carobspool_core.border import UnusableRecordError, read_record
 from carobspool_core.direct import Load, LoadPace, WaitingGroup, by_identity
 from carobspool_core.organisations import Neighbour
+from carobspool_core.problems import UnusableRecordError
+from carobspool_core.records import read_record
 from carobspool_node.direct._announcement import Sender
 from carobspool_node.direct._bad_records import BadRecords
 from carobspool_node.direct._hint_sender import HintSender
--- a/packages/node/src/carobspool_node/direct/_settings.py
+++ b/packages/node/src/carobspool_node/direct/_settings.py
@@ -5,56 +5,69 @@
 import re
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Literal
+from typing import Annotated, Literal
 
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from carobspool_core import Millis
-from carobspool_core.border import BorderModel, Problem, read_json, validate
-from carobspool_node.settings import HIGHEST_PORT, IpAddress, LogLevel, NodeName, setting
+from carobspool_core.problems import Problem, read_json
+from carobspool_core.records import Limits, Record, check, field
+from carobspool_node.settings import HIGHEST_PORT, IP_ADDRESS, NODE_NAME, LogLevel
 
 DIRECT_ROLES = ("direct-entry", "keeper")
 _ENDPOINT = re.compile(r"[0-9a-fA-F.:]+:[0-9]{1,5}")
 
 
-class DirectModel(BorderModel):
+_NodeName = Annotated[str, Limits(pattern=NODE_NAME)]
+_IpAddress = Annotated[str, Limits(pattern=IP_ADDRESS)]
+
+
+class DirectModel(Record, unknown_keys="forbid"):
     """Settings of a direct entry or a keeper."""
 
-    role: Literal["direct-entry", "keeper"] = setting("The process's role.", unit="name")
-    node: NodeName = setting("Name of this process, unique in the system.", unit="name")
-    failure_domain: NodeName = setting("Failure domain in which it stands.", unit="name")
-    address: IpAddress = setting("Address of its host.", unit="IP number")
-    callers: str | None = setting(
-        "Where callers connect; an entry has one.", unit="IP number:port", default=None
+    role: Literal["direct-entry", "keeper"] = field(description="The process's role.", unit="name")
+    node: _NodeName = field(description="Name of this process, unique in the system.", unit="name")
+    failure_domain: _NodeName = field(description="Failure domain in which it stands.", unit="name")
+    address: _IpAddress = field(description="Address of its host.", unit="IP number")
+    callers: str | None = field(
+        description="Where callers connect; an entry has one.", unit="IP number:port", default=None
     )
-    ready: str | None = setting(
-        "Where the balancer asks whether it is ready; an entry has one.",
+    ready: str | None = field(
+        description="Where the balancer asks whether it is ready; an entry has one.",
         unit="IP number:port",
         default=None,
     )
-    peer_port: int = setting(
-        "Port for hints (UDP) and calls (TCP) of other entries.",
+    peer_port: int = field(
+        description="Port for hints (UDP) and calls (TCP) of other entries.",
         unit="port",
         ge=1,
         le=HIGHEST_PORT,
     )
-    object_api: str = setting("Where the object store listens.", unit="IP number:port")
-    value_limit_bytes: int = setting("Longest object of the store.", unit="bytes", ge=4096)
-    shutdown_limit_s: float = setting(
-        "Time between the signal to end and the kill.", unit="s", gt=0
+    object_api: str = field(description="Where the object store listens.", unit="IP number:port")
+    value_limit_bytes: int = field(
+        description="Longest object of the store.", unit="bytes", ge=4096
+    )
+    shutdown_limit_s: float = field(
+        description="Time between the signal to end and the kill.", unit="s", gt=0
     )
-    job_retention_s: float = setting(
-        "How long the results of a finished job stay readable.", unit="s", gt=0, default=120.0
+    job_retention_s: float = field(
+        description="How long the results of a finished job stay readable.",
+        unit="s",
+        gt=0,
+        default=120.0,
     )
-    first_start: bool = setting(
-        "Whether the whole system starts for the first time, with an empty store.", unit="flag"
+    first_start: bool = field(
+        description="Whether the whole system starts for the first time, with an empty store.",
+        unit="flag",
     )
-    metrics_port: int = setting(
-        "Port on which metrics are served as text.", unit="port", ge=1, le=HIGHEST_PORT
+    metrics_port: int = field(
+        description="Port on which metrics are served as text.", unit="port", ge=1, le=HIGHEST_PORT
     )
-    log_level: LogLevel = setting(
-        "Least level that is logged; taken over without a restart.", unit="name", default="info"
+    log_level: LogLevel = field(
+        description="Least level that is logged; taken over without a restart.",
+        unit="name",
+        default="info",
     )
 
 
@@ -100,7 +113,7 @@
     value = read_json(path)
     if not is_successful(value):
         return Failure((value.failure(),))
-    checked = validate(DirectModel, value.unwrap(), file=path.name)
+    checked = check(DirectModel, value.unwrap(), file=path.name)
     if not is_successful(checked):
         return Failure(tuple(checked.failure()))
     model = checked.unwrap()
--- a/packages/node/src/carobspool_node/direct/_store_relay.py
+++ b/packages/node/src/carobspool_node/direct/_store_relay.py
@@ -35,7 +35,8 @@
     StoreFault,
     WatchBatch,
 )
-from carobspool_core.border import UnusableRecordError, read_record
+from carobspool_core.problems import UnusableRecordError
+from carobspool_core.records import read_record
 from carobspool_node.direct._bad_records import BadRecords
 from carobspool_node.direct._peer_calls import PeerCaller, PeerCallError
 from carobspool_node.direct._peer_messages import (
--- a/packages/node/src/carobspool_node/direct/_view_exchange.py
+++ b/packages/node/src/carobspool_node/direct/_view_exchange.py
@@ -10,14 +10,14 @@
 import threading
 from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 from absl import logging
-from pydantic import Field, JsonValue
 
 from carobspool_core import Clock, Json, Millis
-from carobspool_core.border import RecordModel, UnusableRecordError, read_record
 from carobspool_core.direct import Upstream, UpstreamsView
+from carobspool_core.problems import UnusableRecordError
+from carobspool_core.records import JSON_VALUE, Limits, Record, read_record
 from carobspool_node.direct._declared import CONFIGURATION, Declared
 from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._peer_calls import PeerCaller, PeerCallError
@@ -33,40 +33,40 @@
 """Pause after a call that brought nothing, before any peer is asked again."""
 
 
-class ViewCall(RecordModel):
+class ViewCall(Record):
     """A peer asks for what this entry knows."""
 
     kind: Literal["configuration", "upstreams", "configuration_version"]
 
 
-class _UpstreamRecord(RecordModel):
+class _UpstreamRecord(Record):
     instance: Name
     service: Name
     address: Address
     failure_domain: str
-    slots: Annotated[int, Field(ge=1)]
+    slots: Annotated[int, Limits(ge=1)]
     ready: bool
     started: Count
 
 
-class _LapsedRecord(RecordModel):
+class _LapsedRecord(Record):
     upstream: _UpstreamRecord
-    left: Annotated[float, Field(ge=0.0)]
+    left: Annotated[float, Limits(ge=0.0)]
 
 
-class _UpstreamsAnswer(RecordModel):
+class _UpstreamsAnswer(Record):
     revision: Count
     listed: list[_UpstreamRecord]
     lapsed: list[_LapsedRecord]
 
 
-class _VersionAnswer(RecordModel):
+class _VersionAnswer(Record):
     version: Count
 
 
-class _ConfigurationAnswer(RecordModel):
+class _ConfigurationAnswer(Record):
     revision: Count
-    value: JsonValue
+    value: Annotated[Any, JSON_VALUE]
 
 
 class ViewExchange:
--- a/packages/node/src/carobspool_node/organisations/_request_counts.py
+++ b/packages/node/src/carobspool_node/organisations/_request_counts.py
@@ -5,7 +5,7 @@
 import struct
 from collections.abc import Mapping
 
-from carobspool_core.border import Problem, UnusableRecordError
+from carobspool_core.problems import Problem, UnusableRecordError
 
 _COUNT = struct.Struct(">IH")
 
--- a/packages/node/src/carobspool_node/settings/_fields.py
+++ b/packages/node/src/carobspool_node/roles/_fields.py
@@ -2,20 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any
 
 from pydantic import Field
 from pydantic.config import JsonDict
 
-HIGHEST_PORT = 65_535
+from carobspool_node.settings import IP_ADDRESS, KEY_HASH, NODE_NAME, URL
 
-NodeName = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
-Url = Annotated[str, Field(pattern=r"^https?://[^\s/?#]+(/[^\s?#]*)?$")]
-IpAddress = Annotated[
-    str, Field(pattern=r"^([0-9]{1,3}(\.[0-9]{1,3}){3}|[0-9a-fA-F:]*:[0-9a-fA-F:]*)$")
-]
-KeyHash = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
-LogLevel = Literal["debug", "info", "warning", "error"]
+NodeName = Annotated[str, Field(pattern=NODE_NAME)]
+Url = Annotated[str, Field(pattern=URL)]
+IpAddress = Annotated[str, Field(pattern=IP_ADDRESS)]
+KeyHash = Annotated[str, Field(pattern=KEY_HASH)]
 
 
 def setting(description: str, *, unit: str, default: Any = ..., **bounds: Any) -> Any:
--- a/packages/node/src/carobspool_node/roles/_models.py
+++ b/packages/node/src/carobspool_node/roles/_models.py
@@ -9,15 +9,8 @@
 from typing import Literal
 
 from carobspool_core.border import BorderModel
-from carobspool_node.settings import (
-    HIGHEST_PORT,
-    IpAddress,
-    KeyHash,
-    LogLevel,
-    NodeName,
-    Url,
-    setting,
-)
+from carobspool_node.roles._fields import IpAddress, KeyHash, NodeName, Url, setting
+from carobspool_node.settings import HIGHEST_PORT, LogLevel
 
 MIB = 1_048_576
 MINUTE = 60_000.0
--- a/packages/node/tests/test_direct_relayed.py
+++ b/packages/node/tests/test_direct_relayed.py
@@ -7,7 +7,7 @@
 from returns.result import Success
 
 from carobspool_core import ObjectPage, StoredObject
-from carobspool_core.border import UnusableRecordError
+from carobspool_core.problems import UnusableRecordError
 from carobspool_node.direct._store_relay import _decode, _encode
 
 
--- a/packages/node/tests/test_direct_view_exchange.py
+++ b/packages/node/tests/test_direct_view_exchange.py
@@ -8,8 +8,8 @@
 import pytest
 
 from carobspool_core import Json, boottime_clock
-from carobspool_core.border import UnusableRecordError
 from carobspool_core.direct import Upstream, UpstreamsView
+from carobspool_core.problems import UnusableRecordError
 from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._peer_calls import PeerCallError
 from carobspool_node.direct._view_exchange import ViewCall, ViewExchange
--- a/packages/node/tests/test_hint_sender.py
+++ b/packages/node/tests/test_hint_sender.py
@@ -8,8 +8,8 @@
 import pytest
 
 from carobspool_core import Millis
-from carobspool_core.border import UnusableRecordError
 from carobspool_core.direct import Load
+from carobspool_core.problems import UnusableRecordError
 from carobspool_node.direct._announcement import Sender
 from carobspool_node.direct._hint_sender import HintSender
 from carobspool_node.direct._load_hint import (
--- a/tests/adapter/border_cases.py
+++ b/tests/adapter/border_cases.py
@@ -18,13 +18,14 @@
 from hypothesis import strategies as st
 
 from carobspool_core import Json
-from carobspool_core.border import UnusableRecordError, read_record
 from carobspool_core.direct import (
     Upstream,
     job_from_json,
     progress_from_json,
     results_from_json,
 )
+from carobspool_core.problems import UnusableRecordError
+from carobspool_core.records import read_record
 from carobspool_node.direct._job_records import _named_pieces, _segments
 from carobspool_node.direct._peer_messages import (
     Announcement,
--- a/tests/adapter/test_platform_names.py
+++ b/tests/adapter/test_platform_names.py
@@ -7,8 +7,8 @@
 import pytest
 
 from carobspool_core import Json
-from carobspool_core.border import UnusableRecordError
 from carobspool_core.direct import ItemEnd, ItemResult, RouteKind
+from carobspool_core.problems import UnusableRecordError
 from carobspool_node.direct import (
     BadRequestError,
     CallerRequest,
--- a/tests/adapter/test_registrations.py
+++ b/tests/adapter/test_registrations.py
@@ -7,7 +7,7 @@
 import pytest
 
 from carobspool_core import Json
-from carobspool_core.border import UnusableRecordError
+from carobspool_core.problems import UnusableRecordError
 from carobspool_platform._configuration import read_configuration
 from carobspool_platform._registrations import read_upstream
 
--- a/tests/test_import_rules.py
+++ b/tests/test_import_rules.py
@@ -176,6 +176,17 @@
     subprocess.run([sys.executable, "-c", program], check=True)
 
 
+def test_the_platform_process_starts_without_deriving_schemas() -> None:
+    """An entry that starts again after a crash serves nobody while it imports; the library that
+    derives schemas from models takes a third of that time."""
+    program = (
+        "import sys, carobspool_platform.__main__\n"
+        "assert 'pydantic_core' in sys.modules\n"
+        "assert not [name for name in sys.modules if name.partition('.')[0] == 'pydantic']"
+    )
+    subprocess.run([sys.executable, "-c", program], check=True)
+
+
 def test_the_sidecar_path_does_not_import_direct_entries() -> None:
     """Only the program, which starts either, knows both."""
     users = {
--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -16,6 +16,7 @@
 from pydantic import BaseModel
 from pydantic.fields import FieldInfo
 
+from carobspool_core.records import Field, Record, fields_of
 from carobspool_node.direct import DirectModel
 from carobspool_node.roles import EntryModel, SidecarModel
 
@@ -56,7 +57,7 @@
     """Return the reference page."""
     sections = [INTRODUCTION]
     for title, model in SECTIONS:
-        rows = "\n".join(_rows(model, ""))
+        rows = "\n".join(_record_rows(model) if issubclass(model, Record) else _rows(model, ""))
         sections.append(f"## {title}\n\n{HEADING}\n{rows}\n")
     return "\n".join(sections)
 
@@ -69,6 +70,20 @@
             yield from _rows(inner, f"{prefix}{name}.")
 
 
+def _record_rows(model: type[Record]) -> Iterator[str]:
+    fields = sorted(fields_of(model).items(), key=lambda item: item[0] != "role")
+    for name, (annotation, field) in fields:
+        default = "required" if field.required else _shown(field.default)
+        bounds = _limits(field) + _choices(annotation)
+        cells = [f"`{name}`", field.unit, default, "; ".join(bounds), field.description]
+        yield "| " + " | ".join(cells) + " |"
+
+
+def _limits(field: Field) -> list[str]:
+    given = field.limits.given()
+    return [f"{sign} {given[name]}" for name, sign in BOUNDS.items() if name in given]
+
+
 def _ordered(model: type[BaseModel]) -> list[tuple[str, FieldInfo]]:
     fields = list(model.model_fields.items())
     return sorted(fields, key=lambda item: item[0] != "role")
@@ -85,9 +100,11 @@
         return "required"
     if isinstance(field.default, BaseModel):
         return "as below"
-    if field.default is None:
-        return "none"
-    return f"`{json.dumps(field.default)}`"
+    return _shown(field.default)
+
+
+def _shown(default: Any) -> str:
+    return "none" if default is None else f"`{json.dumps(default)}`"
 
 
 def _bounds(field: FieldInfo) -> str:
@@ -97,10 +114,14 @@
             bound = getattr(rule, name, None)
             if bound is not None:
                 found.append(f"{sign} {bound}")
-    choices = get_args(field.annotation)
+    return "; ".join(found + _choices(field.annotation))
+
+
+def _choices(annotation: Any) -> list[str]:
+    choices = get_args(annotation)
     if choices and all(isinstance(choice, str) for choice in choices):
-        found.append(", ".join(f"`{choice}`" for choice in choices))
-    return "; ".join(found)
+        return [", ".join(f"`{choice}`" for choice in choices)]
+    return []
 
 
 def _inner(field: FieldInfo) -> type[BaseModel] | None:
