Receiving of hints, token buckets and peers' counts stand in modules of their own

`_hint_receiver`, `_token_bucket` and `_peer_counts` take one job each; behaviour unchanged. Tests follow the names (`_receiver.receive`).

--- a/packages/core/src/carobspool_core/organisations/_request_limits.py
+++ b/packages/core/src/carobspool_core/organisations/_request_limits.py
@@ -20,14 +20,19 @@
 import math
 from collections.abc import Iterable, Mapping
 
-from msgspec import Struct, field
-from xxhash import xxh32_intdigest
+from msgspec import Struct
 
 from carobspool_core._clock import Millis
 from carobspool_core.organisations._directory import RateLimit
+from carobspool_core.organisations._peer_counts import (
+    COUNT_MODULUS,
+    PeerCount,
+    PeerCounts,
+    count_difference,
+    organisation_key,
+)
+from carobspool_core.organisations._token_bucket import SILENT_AFTER, TokenBucket
 
-SILENT_AFTER: Millis = 700.0
-"""Silence after which an entry's part is held back: one heartbeat and the way of the next."""
 FILLED = 0.95
 """Part of the rate at which buckets fill for a while after entries fell silent, came or went: what
 was let through beyond a limit meanwhile is made up for."""
@@ -49,8 +54,6 @@
 for its next one. Each side of a cut could otherwise use up a burst before silence shows it."""
 HELD_FOR: Millis = 30_000.0
 """How long the part of a silent entry is held back; a cut that lasts is then taken for a loss."""
-COUNT_MODULUS = 1 << 16
-"""Counts are told modulo this; nobody admits half as many between two hints."""
 HINT_TIME: Millis = 40.0
 """Tokens of this time are kept beyond the burst, one at least. A full bucket takes none in until it
 hears of what others have admitted; without them an organisation at its limit would miss these."""
@@ -101,45 +104,6 @@
     leaving: bool = False
 
 
-class _Bucket(Struct):
-    limit: RateLimit
-    level: float
-    filled: Millis
-    taken: float = 0.0
-    taken_before: float = 0.0
-    taken_since: Millis = 0.0
-
-    def take(self, requests: float, now: Millis) -> None:
-        """Take tokens, and remember how many of late."""
-        since = now - self.taken_since
-        if since >= SILENT_AFTER:
-            self.taken_before = self.taken if since < 2 * SILENT_AFTER else 0.0
-            self.taken, self.taken_since = 0.0, now
-        self.level -= requests
-        self.taken += requests
-
-    def taken_of_late(self, now: Millis) -> float:
-        """Return the tokens taken in about the time after which an entry counts as silent."""
-        if now - self.taken_since >= 2 * SILENT_AFTER:
-            return 0.0
-        return self.taken + self.taken_before
-
-
-class _Count(Struct):
-    """What another entry has admitted of one organisation."""
-
-    value: int
-    heard: Millis
-    is_stale: bool = False
-
-
-class _Peer(Struct):
-    incarnation: str = ""
-    counts: dict[str, _Count] = field(default_factory=dict)
-    listed_at: Millis = 0.0
-    is_silent: bool = False
-
-
 class RequestLimits:
     """One entry's view of all limits. Not safe for threads; times are passed in.
 
@@ -151,8 +115,8 @@
         self._started = now
         self._limits: dict[str, RateLimit] = {}
         self._names: dict[int, list[str]] = {}
-        self._buckets: dict[str, _Bucket] = {}
-        self._peers: dict[str, _Peer] = {}
+        self._buckets: dict[str, TokenBucket] = {}
+        self._peers: dict[str, PeerCounts] = {}
         self._entries = 1
         self._heard = 1
         self._near = 1
@@ -210,7 +174,7 @@
         for each in neighbours:
             peer = self._peers.get(each.name)
             if peer is None:
-                peer = self._peers[each.name] = _Peer(listed_at=now)
+                peer = self._peers[each.name] = PeerCounts(listed_at=now)
             since = now - (peer.listed_at if each.heard is None else each.heard)
             is_silent = each.heard is None or since > SILENT_AFTER
             if is_silent and not peer.is_silent and not each.leaving:
@@ -274,7 +238,7 @@
         """Take what another entry has admitted; doubled and late hints change nothing twice."""
         peer = self._peers.get(peer_name)
         if peer is None:
-            peer = self._peers[peer_name] = _Peer(listed_at=now)
+            peer = self._peers[peer_name] = PeerCounts(listed_at=now)
         is_new = peer.incarnation != incarnation
         if is_new:
             peer.incarnation = incarnation
@@ -310,33 +274,33 @@
         late = max(1.0, limit.per_second * HINT_TIME / 1000.0)
         return max(1.0, (limit.burst + late) * self._share)
 
-    def _bucket(self, name: str, limit: RateLimit) -> _Bucket:
+    def _bucket(self, name: str, limit: RateLimit) -> TokenBucket:
         bucket = self._buckets.get(name)
         if bucket is None:
             # As if it had been there since the start.
             first = FIRST_LEVEL + min(FIRST_BURST, limit.burst) * self._gained
-            bucket = _Bucket(limit=limit, level=first, filled=self._started)
+            bucket = TokenBucket(limit=limit, level=first, filled=self._started)
             self._buckets[name] = bucket
         return bucket
 
-    def _fill(self, bucket: _Bucket, now: Millis) -> None:
+    def _fill(self, bucket: TokenBucket, now: Millis) -> None:
         elapsed = max(0.0, now - bucket.filled)
         bucket.filled = max(now, bucket.filled)
         level = bucket.level + elapsed * self._rate(bucket.limit, now)
         bucket.level = min(level, self._capacity(bucket.limit))
 
-    def _take(self, bucket: _Bucket, requests: float, now: Millis) -> None:
+    def _take(self, bucket: TokenBucket, requests: float, now: Millis) -> None:
         bucket.take(requests, now)
         if self._is_hot(bucket):
             self._hot_until = now + HOT_TIME
 
-    def _is_hot(self, bucket: _Bucket) -> bool:
+    def _is_hot(self, bucket: TokenBucket) -> bool:
         """Whether an organisation is hot."""
         if bucket.limit.burst < HOT_BURST:
             return False
         return bucket.level < self._capacity(bucket.limit) * HOT_LEVEL
 
-    def _waiting_for_hints(self, bucket: _Bucket) -> float:
+    def _waiting_for_hints(self, bucket: TokenBucket) -> float:
         """Return the tokens that entries may be taking which were not heard just now."""
         if not self._is_hot(bucket):
             return 0.0
@@ -347,14 +311,14 @@
         self._changed[name] = now
 
     def _take_count(
-        self, peer: _Peer, name: str, value: int, now: Millis, *, is_first: bool
+        self, peer: PeerCounts, name: str, value: int, now: Millis, *, is_first: bool
     ) -> None:
         known = peer.counts.get(name)
         if known is None:
-            peer.counts[name] = _Count(value=value, heard=now)
+            peer.counts[name] = PeerCount(value=value, heard=now)
             self._take_away(name, self._first_count(value, now, is_first=is_first), now)
             return
-        admitted = _difference(value, known.value)
+        admitted = count_difference(value, known.value)
         known.value, known.heard = value, now
         if known.is_stale:
             # Its part was held back while it was not heard.
@@ -416,7 +380,7 @@
             if bucket.level < 1.0:
                 bucket.level -= bucket.taken_of_late(now) * share
 
-    def _admission(self, bucket: _Bucket, now: Millis, *, granted: bool) -> Admission:
+    def _admission(self, bucket: TokenBucket, now: Millis, *, granted: bool) -> Admission:
         wait = 0.0
         if not granted:
             rate = self._rate(bucket.limit, now)
@@ -428,14 +392,3 @@
             heard=self._heard,
             entries=self._entries,
         )
-
-
-def organisation_key(name: str) -> int:
-    """Return a key of four bytes, short enough for hints; two organisations may share one."""
-    return xxh32_intdigest(name.encode())
-
-
-def _difference(value: int, before: int) -> int:
-    """Return how far a count has moved, which goes back when requests are given back."""
-    half = COUNT_MODULUS // 2
-    return (value - before + half) % COUNT_MODULUS - half
--- a/packages/core/tests/test_request_limits.py
+++ b/packages/core/tests/test_request_limits.py
@@ -8,12 +8,8 @@
 from limits_model import Fleet, poisson
 
 from carobspool_core.organisations import Neighbour, RateLimit, RequestLimits
-from carobspool_core.organisations._request_limits import (
-    FILLED,
-    HELD_FOR,
-    LONGEST_DEBT,
-    organisation_key,
-)
+from carobspool_core.organisations._peer_counts import organisation_key
+from carobspool_core.organisations._request_limits import FILLED, HELD_FOR, LONGEST_DEBT
 
 LARGE = RateLimit(per_second=39.0, burst=39.0)
 SMALL = RateLimit(per_second=2.0, burst=2.0)
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -25,6 +25,7 @@
 from carobspool_node.direct._deployment import Deployment
 from carobspool_node.direct._exit import EntryExit
 from carobspool_node.direct._forward import Forwarder
+from carobspool_node.direct._hint_receiver import PeerEvents
 from carobspool_node.direct._item_run import ItemRunner
 from carobspool_node.direct._job_adoption import JobAdoption
 from carobspool_node.direct._job_catalog import JobCatalog
@@ -42,7 +43,7 @@
 from carobspool_node.direct._peer import OwnHint
 from carobspool_node.direct._peer_api import PeerApi
 from carobspool_node.direct._peer_calls import PEER_HEADERS, PeerCaller
-from carobspool_node.direct._peers import OwnState, PeerEvents, Peers
+from carobspool_node.direct._peers import OwnState, Peers
 from carobspool_node.direct._reload import SettingsReload
 from carobspool_node.direct._settings import DirectSettings
 from carobspool_node.direct._stop_signal import StopSignal
--- a/packages/node/tests/test_direct_peers.py
+++ b/packages/node/tests/test_direct_peers.py
@@ -12,10 +12,11 @@
 from carobspool_core import Millis
 from carobspool_core.direct import DOUBT_TIME, Load, WaitingGroup, key_of
 from carobspool_node.direct._announcement import Sender, encode_for_version_before
+from carobspool_node.direct._hint_receiver import PeerEvents
 from carobspool_node.direct._load_hint import encode_load_hint, pack_loads
 from carobspool_node.direct._peer import OwnHint
 from carobspool_node.direct._peer_table import Targets
-from carobspool_node.direct._peers import OwnState, PeerEvents, Peers
+from carobspool_node.direct._peers import OwnState, Peers
 from carobspool_node.direct._telemetry import Telemetry
 
 TICK: Millis = 100.0
@@ -52,7 +53,8 @@
                 identities_by_key=lambda: {key_of(ENGINE): ENGINE},
             ),
         )
-        self.peers._events = PeerEvents(ended=self.ended.extend, loads=self._take_loads)
+        events = PeerEvents(ended=self.ended.extend, loads=self._take_loads)
+        self.peers._events = self.peers._receiver._events = events
         self.hear()
         self.wait(DOUBT_TIME + TICK, hearing=True)
 
@@ -65,7 +67,7 @@
         """Receive a full hint of another entry."""
         message = {"n": "e2", "i": "1", "a": ["127.0.0.1", 1], "l": {}, "e": {}, "v": {}}
         message |= {"x": False, "s": True, "j": [], "f": [], "w": {}, "q": []}
-        self.peers._receive(message | changes)
+        self.peers._receiver.receive(message | changes)
 
     def _take_loads(
         self,
@@ -162,15 +164,17 @@
 def test_a_load_hint_tells_what_its_sender_has_in_flight(entry: _Entry) -> None:
     """Upstreams that the reader does not know are left out."""
     entry.hear(c=1)
-    entry.peers._receive(_load_hint(sequence=2, loads={ENGINE: Load(3, 1), "other": Load(9, 9)}))
+    entry.peers._receiver.receive(
+        _load_hint(sequence=2, loads={ENGINE: Load(3, 1), "other": Load(9, 9)})
+    )
     assert entry.loads == {ENGINE: Load(3, 1)}
 
 
 def test_a_hint_that_comes_late_does_not_undo_a_newer_one(entry: _Entry) -> None:
     """Datagrams overtake each other; loads of an earlier moment would stand until the next one."""
     entry.hear(c=1)
-    entry.peers._receive(_load_hint(sequence=4, loads={ENGINE: Load(4, 0)}))
-    entry.peers._receive(_load_hint(sequence=3, loads={ENGINE: Load(3, 0)}))
+    entry.peers._receiver.receive(_load_hint(sequence=4, loads={ENGINE: Load(4, 0)}))
+    entry.peers._receiver.receive(_load_hint(sequence=3, loads={ENGINE: Load(3, 0)}))
     entry.hear(c=2, k=pack_loads({ENGINE: Load(2, 0)}))
     assert entry.loads == {ENGINE: Load(4, 0)}
     entry.hear(c=5, k=pack_loads({ENGINE: Load(5, 0)}))
@@ -180,9 +184,11 @@
 def test_a_load_hint_of_a_process_that_is_gone_counts_for_nothing(entry: _Entry) -> None:
     """It may arrive after the first announcement of the next process, and numbers start anew."""
     entry.hear(i="2", c=1)
-    entry.peers._receive(_load_hint(sequence=90, loads={ENGINE: Load(9, 0)}))
+    entry.peers._receiver.receive(_load_hint(sequence=90, loads={ENGINE: Load(9, 0)}))
     assert entry.loads == {}
-    entry.peers._receive(_load_hint(sequence=2, loads={ENGINE: Load(1, 0)}, incarnation="2"))
+    entry.peers._receiver.receive(
+        _load_hint(sequence=2, loads={ENGINE: Load(1, 0)}, incarnation="2")
+    )
     assert entry.loads == {ENGINE: Load(1, 0)}
 
 
@@ -191,7 +197,7 @@
     entry.hear(c=1)
     for number in range(2, 40):
         entry.clock.time += TICK
-        entry.peers._receive(_load_hint(sequence=number, loads={}))
+        entry.peers._receiver.receive(_load_hint(sequence=number, loads={}))
         entry.peers._notice_silence()
         assert not entry.doubts
 
@@ -200,7 +206,7 @@
     """Jobs are named when they change and now and then; a reader that forgot them in between would
     ask the store for results, and take nothing over when their owner is lost."""
     entry.hear(c=1, j=["j"], f=["k"])
-    entry.peers._receive(
+    entry.peers._receiver.receive(
         {
             "n": "e2",
             "i": "1",
