The soak plays organisations: keys, a hot one over its limit at all entries, keys taken away

Every caller shows the key of the organisation that its request or job belongs to by its id.

The soak without organisations: hooks only, the judge also counts 401 as a denial.

--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -268,15 +268,20 @@
     return json.dumps({"items": items}).encode()
 
 
-def read_results(entry: Entry, job_id: str, after: int = 0) -> dict[str, Any] | int:
+def read_results(
+    entry: Entry, job_id: str, after: int = 0, *, headers: dict[str, str] | None = None
+) -> dict[str, Any] | int:
     """Return a page of results, or the status of a refusal."""
-    answer = entry.call("GET", f"/api/lots/{job_id}?after={after}", headers={"Wait-Ms": "200"})
+    sent = {"Wait-Ms": "200"} | (headers or {})
+    answer = entry.call("GET", f"/api/lots/{job_id}?after={after}", headers=sent)
     return json.loads(answer.body) if answer.status == 200 else answer.status
 
 
-def finished(entry: Entry, job_id: str) -> list[dict[str, Any]] | None:
+def finished(
+    entry: Entry, job_id: str, *, headers: dict[str, str] | None = None
+) -> list[dict[str, Any]] | None:
     """Return all results of a job once it is done."""
-    page = read_results(entry, job_id)
+    page = read_results(entry, job_id, headers=headers)
     if isinstance(page, int) or len(page["results"]) < page["total"]:
         return None
     return list(page["results"])
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,7 @@
 from collections.abc import Callable, Sequence
 from contextlib import ExitStack
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
@@ -88,23 +89,22 @@
         self._faulty = threading.Event()
         self._disturbances = Disturbances()
         self._processes = {f"e{number}": threading.Lock() for number in range(MAX_ENTRIES)}
-        self._judge = Judge(self._record, self._disturbances, system.entries)
+        self._judge = Judge(self._record, self._disturbances, system.entries, self._headers)
         self._troubled = threading.Event()
         self._troubles: list[threading.Thread] = []
         self._version = 1
 
     def run(self) -> Record:
         """Play the faults under load, then a calm, then judge."""
+        self._declare()
         for number, service in enumerate(SERVICES):
             self._serve(service, self._behave(number))
         for number in range(MAX_ENTRIES):
             self._start(f"e{number}", first_start=True)
         time.sleep(2.6)
-        tasks = [self._call_online, self._call_online, self._submit_jobs, self._read_jobs]
-        tasks += [self._end_held_job, self._end_held_job]
         callers = [
             threading.Thread(target=self._until_stopped, args=(task, random.Random(number)))
-            for number, task in enumerate(tasks)
+            for number, task in enumerate(self._tasks())
         ]
         for caller in callers:
             caller.start()
@@ -127,6 +127,26 @@
         self._judge.ends()
         return self._record
 
+    def _tasks(self) -> list[Callable[[random.Random], None]]:
+        """Return what callers do side by side."""
+        tasks = [self._call_online, self._call_online, self._submit_jobs, self._read_jobs]
+        return [*tasks, self._end_held_job, self._end_held_job]
+
+    def _headers(self, name: str) -> dict[str, str]:
+        """Return what a caller sends beside the id of its request or job."""
+        return {}
+
+    def _saw(self, request: ServedRequest) -> None:
+        """Judge a request as a server sees it."""
+
+    def _began(self, request: ServedRequest) -> None:
+        """Note that a server runs a request."""
+
+    def _declare(self, *routes: dict[str, Any]) -> None:
+        """Write the next configuration."""
+        self._version += 1
+        self._system.configure(self._version, *STANDARD_ROUTES, *routes)
+
     def _serve(self, service: str, behave: Behaviour) -> None:
         """Start a server that is reached through a relay."""
         server = self._system.server(service, behave)
@@ -155,6 +175,7 @@
 
         def behave(request: ServedRequest, connection: ServerConnection) -> None:
             self._record.arrived(request.request_id)
+            self._saw(request)
             if request.request_id.startswith(HELD):
                 connection.not_run(request)
                 return
@@ -165,6 +186,7 @@
                 connection.not_run(request)
                 return
             self._record.ran(request.request_id)
+            self._began(request)
             if request.target.startswith(("/stream/", "/resume/", "/batch/")):
                 _stream(request, connection, cut=draw.randrange(EVENTS) if faulty else None)
                 return
@@ -201,6 +223,7 @@
                 request_id = uuid.uuid4().hex
                 target = f"/{kind}/{draw.randrange(1_000)}"
                 headers = {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": "2500"}
+                headers |= self._headers(request_id)
                 sent = time.monotonic()
                 try:
                     connection.request("POST", target, body=b"x", headers=headers)
@@ -219,6 +242,15 @@
         finally:
             connection.close()
 
+    def _call_job(
+        self, entry: Entry, method: str, target: str, job_id: str, body: bytes = b""
+    ) -> Answer:
+        headers = self._headers(job_id)
+        request_id = job_id if method == "POST" else None
+        return entry.call(
+            method, target, body=body, headers=headers, request_id=request_id, timeout=6.0
+        )
+
     def _submit_jobs(self, draw: random.Random) -> None:
         job_id = uuid.uuid4().hex[:16]
         items = [f"{job_id}-{number}" for number in range(draw.randrange(1, 8))]
@@ -227,7 +259,7 @@
         for _ in range(3):
             entry = draw.choice(list(self._entries.values()))
             try:
-                found = entry.call("POST", "/batch/x", body=body, request_id=job_id, timeout=6.0)
+                found = self._call_job(entry, "POST", "/batch/x", job_id, body)
                 statuses.append(found.status)
             except (OSError, http.client.HTTPException):
                 statuses.append(0)
@@ -247,7 +279,7 @@
         entry = draw.choice(list(self._entries.values()))
         status = 0
         try:
-            status = entry.call("DELETE", f"/api/lots/{job_id}", timeout=6.0).status
+            status = self._call_job(entry, "DELETE", f"/api/lots/{job_id}", job_id).status
         finally:
             with self._record.lock:
                 if status == 200:
@@ -262,7 +294,7 @@
         owner = draw.choice(sorted(self._entries))
         body = submission(*items, path="/batch/x")
         entry = self._entries[owner]
-        if entry.call("POST", "/batch/x", body=body, request_id=job_id, timeout=6.0).status != 202:
+        if self._call_job(entry, "POST", "/batch/x", job_id, body).status != 202:
             # It may have been accepted all the same, so it has to end.
             owner = ""
         time.sleep(draw.random() * 2.5)
@@ -274,9 +306,8 @@
             troubled = owner if trouble is not None else ""
             name = draw.choice([each for each in sorted(self._entries) if each != troubled])
             try:
-                status = (
-                    self._entries[name].call("DELETE", f"/api/lots/{job_id}", timeout=6.0).status
-                )
+                target = f"/api/lots/{job_id}"
+                status = self._call_job(self._entries[name], "DELETE", target, job_id).status
             except (OSError, http.client.HTTPException):
                 status = 0
             if status == 200:
@@ -308,7 +339,8 @@
             time.sleep(0.1)
             return
         job_id = draw.choice(known[-12:])
-        page = read_results(draw.choice(list(self._entries.values())), job_id)
+        entry = draw.choice(list(self._entries.values()))
+        page = read_results(entry, job_id, headers=self._headers(job_id))
         if page == 404:
             self._record.violated(f"job {job_id}: unknown after its acceptance")
         if not isinstance(page, int):
@@ -427,9 +459,8 @@
         return list(self._relays).index(relay)
 
     def _reconfigure(self, draw: random.Random) -> None:
-        self._version += 1
         changed = route("/extra/", "safe", "plain", timeout_ms=draw.randrange(1_000, 3_000))
-        self._system.configure(self._version, *STANDARD_ROUTES, changed)
+        self._declare(changed)
 
     def _refuse_all(self, draw: random.Random) -> None:
         faults = self._system.objects.faults
@@ -510,9 +541,9 @@
     connection.end_events()
 
 
-def main() -> int:
+def run_seeds(play_one: Callable[[int, float, Path], Record], description: str | None) -> int:
     """Play seeds one after the other; the exit code tells whether any promise was broken."""
-    parser = argparse.ArgumentParser(description=__doc__)
+    parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--first", type=int, default=int(time.time()) % 1_000_000)
     parser.add_argument("--seconds", type=float, default=12.0)
@@ -520,7 +551,7 @@
     broken = 0
     for seed in range(options.first, options.first + options.seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        record = play(seed, options.seconds, folder)
+        record = play_one(seed, options.seconds, folder)
         found = {"seed": seed, "violations": record.violations, "calls": dict(record.calls)}
         found["jobs"] = [len(record.accepted), len(record.refused), len(record.ended)]
         found["held"] = len(record.held)
@@ -531,4 +562,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_seeds(play, __doc__))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import pytest
+from soak import organisations
 from soak.soak import play
 
 SECONDS = 8.0
@@ -27,3 +28,13 @@
     assert record.violations == []
     assert record.accepted
     assert record.calls["safe 200"] > 10
+
+
+def test_keys_and_limits_hold_under_a_random_schedule_of_faults(tmp_path: Path) -> None:
+    """Each caller shows a key; one organisation sends many times what it may, at every entry, and
+    keys are taken away, while entries are killed, stopped, frozen and restarted."""
+    record = organisations.play(1, SECONDS, tmp_path)
+    assert record.violations == []
+    assert record.accepted
+    assert record.calls["hot run"] > 50
+    assert record.calls["hot refused"] > 50
--- a/tests/soak_judge.py
+++ b/tests/soak_judge.py
@@ -5,7 +5,7 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
 
@@ -68,11 +68,17 @@
         record: What was seen.
         disturbances: When which entry was disturbed.
         entries: Every entry that was ever started.
+        headers: Returns what a caller of a job sends beside its id.
     """
 
     def __init__(
-        self, record: Record, disturbances: Disturbances, entries: Sequence[Entry]
+        self,
+        record: Record,
+        disturbances: Disturbances,
+        entries: Sequence[Entry],
+        headers: Callable[[str], dict[str, str]],
     ) -> None:
+        self._headers = headers
         self._record = record
         self._disturbances = disturbances
         self._entries = entries
@@ -88,8 +94,8 @@
             self._record.violated(f"{kind} {request_id}: told {answer.status}, ran {runs} times")
         if kind in ("once", "stream") and runs > 1:
             self._record.violated(f"{kind} {request_id}: ran {runs} times")
-        if answer.status == 404:
-            self._record.violated(f"{kind} {request_id}: denied")
+        if answer.status in (401, 404):
+            self._record.violated(f"{kind} {request_id}: denied with {answer.status}")
         if answer.status != 200 or not answer.complete:
             return
         if kind in ("safe", "once"):
@@ -146,7 +152,7 @@
                 # Its end was answered with neither a success nor a promise that nothing was done.
                 continue
             for entry in entries:
-                self._job(job_id, items, finished(entry, job_id))
+                self._job(job_id, items, finished(entry, job_id, headers=self._headers(job_id)))
         for job_id, items in record.refused.items():
             if any(record.runs[item] for item in items):
                 record.violated(f"job {job_id}: refused each time, and ran")
