What entries take from each other whole is compressed

Ruled out: changes since a revision. They would be shorter, but need the giver's list at the asker's revision, lapsed ones included, and one missed change sends requests to servers that have left. Kept by revision, a view read between a new revision and its change would have been given to all; the packer compares the answer's bytes.

An answer is unpacked up to 64 MiB.

Tests: packed and as before, answers that are none, length, a bomb.

--- a/packages/node/src/carobspool_node/direct/_view_exchange.py
+++ b/packages/node/src/carobspool_node/direct/_view_exchange.py
@@ -19,6 +19,7 @@
 from carobspool_core.problems import UnusableRecordError
 from carobspool_core.records import JSON_VALUE, Limits, Record, read_record
 from carobspool_node.direct._declared import CONFIGURATION, Declared
+from carobspool_node.direct._packed_answer import AnswerPacker, unpack_answer
 from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._peer_calls import PeerCaller, PeerCallError
 from carobspool_node.direct._peer_messages import Address, Count, Name
@@ -34,9 +35,13 @@
 
 
 class ViewCall(Record):
-    """A peer asks for what this entry knows."""
+    """A peer asks for what this entry knows.
+
+    Entries of the version before ask for no packed answer.
+    """
 
     kind: Literal["configuration", "upstreams", "configuration_version"]
+    packed: bool = False
 
 
 class _UpstreamRecord(Record):
@@ -60,6 +65,10 @@
     lapsed: list[_LapsedRecord]
 
 
+class _PackedAnswer(Record):
+    packed: bytes
+
+
 class _VersionAnswer(Record):
     version: Count
 
@@ -96,10 +105,17 @@
         self._lock = threading.Lock()
         self._pulling: set[str] = set()
         self._not_before: Millis = 0.0
+        self._packer = AnswerPacker()
         self._pulls = ThreadPoolExecutor(2, thread_name_prefix="view")
 
     def serve(self, call: ViewCall) -> Json:
         """Return what is known here; ``None`` when nothing is."""
+        answer = self._known(call)
+        if answer is None or not call.packed:
+            return answer
+        return {"packed": self._packer.pack(call.kind, answer)}
+
+    def _known(self, call: ViewCall) -> Json:
         if call.kind == CONFIGURATION_VERSION:
             return {"version": self._declared.versions()[CONFIGURATION]}
         if call.kind == CONFIGURATION:
@@ -173,9 +189,10 @@
         taken = False
         reason = ""
         try:
-            status, answer = self._caller.call(peer, "view", {"kind": kind}, PULL_TIMEOUT)
+            call = {"kind": kind, "packed": True}
+            status, answer = self._caller.call(peer, "view", call, PULL_TIMEOUT)
             if status == 200 and answer is not None:
-                taken = self._adopt(kind, answer)
+                taken = self._adopt(kind, _unpacked(answer))
         except (PeerCallError, UnusableRecordError) as error:
             reason = str(error)
         except Exception as error:  # noqa: BLE001
@@ -208,6 +225,13 @@
         return self._declared.adopt_upstreams(upstreams.revision, view)
 
 
+def _unpacked(answer: Json) -> Json:
+    """Return what a peer tells; one of the version before answers as it is."""
+    if isinstance(answer, dict) and "packed" in answer:
+        return unpack_answer(read_record(_PackedAnswer, answer).packed)
+    return answer
+
+
 def _age_of_knowledge(peer: Peer) -> tuple[bool, Millis]:
     """Order peers by how lately the store has answered them."""
     return not peer.store_ok, peer.answer_age
--- a/packages/node/tests/test_direct_view_exchange.py
+++ b/packages/node/tests/test_direct_view_exchange.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import random
+import zlib
 from collections.abc import Mapping
 from typing import Any
 
+import cbor2
 import pytest
 
 from carobspool_core import Json, boottime_clock
 from carobspool_core.direct import Upstream, UpstreamsView
 from carobspool_core.problems import UnusableRecordError
+from carobspool_node.direct import _packed_answer
+from carobspool_node.direct._packed_answer import AnswerPacker, unpack_answer
 from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._peer_calls import PeerCallError
 from carobspool_node.direct._view_exchange import ViewCall, ViewExchange
@@ -81,10 +86,11 @@
     exchange.close()
 
 
-def test_a_view_arrives_as_it_was_given() -> None:
+@pytest.mark.parametrize("packed", [True, False], ids=["packed", "version before"])
+def test_a_view_arrives_as_it_was_given(packed: bool) -> None:
     giver = _exchange(_Declared(), _Caller(None))
     declared = _Declared()
-    caller = _Caller(lambda body: (200, giver.serve(ViewCall(kind=body["kind"]))))
+    caller = _Caller(lambda body: (200, giver.serve(ViewCall(**{**body, "packed": packed}))))
     _compare(_exchange(declared, caller))
     assert sorted(declared.adopted, key=lambda each: each[0]) == [
         (7, {"version": 4}),
@@ -99,6 +105,12 @@
         {"revision": 1, "listed": [{"instance": "i"}], "lapsed": []},
         {"revision": 1, "listed": "x", "lapsed": []},
         {"value": None},
+        {"packed": b""},
+        {"packed": b"x"},
+        {"packed": "x"},
+        {"packed": zlib.compress(b"\xa1")},
+        {"packed": zlib.compress(cbor2.dumps({"revision": 1, "listed": []}))},
+        {"packed": zlib.compress(cbor2.dumps({"revision": 1}))[:-5]},
         [],
         "view",
     ],
@@ -127,3 +139,34 @@
 def test_records_that_cannot_be_read_are_refused_with_a_reason() -> None:
     with pytest.raises(UnusableRecordError):
         _exchange(_Declared(), _Caller(None))._adopt("upstreams", {"revision": 1, "listed": 3})
+
+
+def test_an_answer_for_hundreds_of_entries_is_short() -> None:
+    """Thousands of registrations, whole to each entry at each change, were most of what entries
+    sent each other."""
+    answer = {"revision": 9, "listed": [_record(number) for number in range(3_000)], "lapsed": []}
+    packer = AnswerPacker()
+    packed = packer.pack("upstreams", answer)
+    assert len(packed) < len(cbor2.dumps(answer)) / 5
+    assert packer.pack("upstreams", answer) is packed
+    assert unpack_answer(packed) == answer
+
+
+def test_a_packed_answer_cannot_fill_the_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A few bytes of any process would stand for gigabytes."""
+    monkeypatch.setattr(_packed_answer, "MAX_UNPACKED_BYTES", 1_000)
+    with pytest.raises(UnusableRecordError, match="longer"):
+        unpack_answer(zlib.compress(cbor2.dumps("x" * 2_000)))
+
+
+def _record(number: int) -> dict[str, Any]:
+    draw = random.Random(number)
+    return {
+        "instance": f"i-{draw.getrandbits(40):010x}",
+        "service": f"service-{number % 2}",
+        "address": [f"10.{draw.randrange(6)}.{draw.randrange(64)}.{draw.randrange(256)}", 8_000],
+        "failure_domain": f"hall-{number % 5}",
+        "slots": 8,
+        "ready": True,
+        "started": 1_780_000_000_000 + draw.randrange(100_000),
+    }
