Names of the records package: bounds, validated by, validate

`Limits` was also the name of an organisation's limits in the same package, `check` and `Check` differed by a letter, and the other way of validation calls the function `validate`. A record made in code has its defaults (test); on the deployed path records are made by the engine alone.

--- a/packages/core/src/carobspool_core/direct/_job_codec.py
+++ b/packages/core/src/carobspool_core/direct/_job_codec.py
@@ -16,7 +16,7 @@
     JobProgress,
 )
 from carobspool_core.problems import Problem, UnusableRecordError
-from carobspool_core.records import Check, Limits, Record, field, read_record
+from carobspool_core.records import Bounds, Record, ValidatedBy, field, read_record
 
 
 def _checked_text(value: Any) -> str:
@@ -25,12 +25,12 @@
     return value
 
 
-Text = Annotated[str, Check(_checked_text)]
+Text = Annotated[str, ValidatedBy(_checked_text)]
 """Any text. A validated ``str`` has no halves of surrogate pairs, but those stand for the bytes of
 an upstream's answer that are no UTF-8, and a job with such a result must stay readable."""
 
 _ENDS = tuple(each.value for each in ItemEnd)
-_Row = Annotated[list[Text], Limits(min_length=3, max_length=3)]
+_Row = Annotated[list[Text], Bounds(min_length=3, max_length=3)]
 
 
 def _checked_part(value: Any) -> ItemPart:
@@ -40,7 +40,7 @@
     raise ValueError("a list of the last event's number and a text")
 
 
-_Part = Annotated[ItemPart, Check(_checked_part)]
+_Part = Annotated[ItemPart, ValidatedBy(_checked_part)]
 
 
 class _Item(Record):
--- a/packages/core/src/carobspool_core/records/__init__.py
+++ b/packages/core/src/carobspool_core/records/__init__.py
@@ -9,25 +9,25 @@
 
 from carobspool_core.records._declaration import (
     JSON_VALUE,
-    Check,
+    Bounds,
     Field,
-    Limits,
     Record,
     UnionBy,
+    ValidatedBy,
     field,
     fields_of,
 )
-from carobspool_core.records._reading import check, read_record
+from carobspool_core.records._reading import read_record, validate
 
 __all__ = [
     "JSON_VALUE",
-    "Check",
+    "ValidatedBy",
     "Field",
-    "Limits",
+    "Bounds",
     "Record",
     "UnionBy",
-    "check",
     "field",
     "fields_of",
     "read_record",
+    "validate",
 ]
--- a/packages/core/src/carobspool_core/records/_core_schema.py
+++ b/packages/core/src/carobspool_core/records/_core_schema.py
@@ -8,11 +8,11 @@
 
 from carobspool_core.records._declaration import (
     JSON_VALUE,
-    Check,
+    Bounds,
     Field,
-    Limits,
     Record,
     UnionBy,
+    ValidatedBy,
     fields_of,
 )
 
@@ -68,7 +68,7 @@
 
 
 def _field(annotation: Any, declared: Field) -> Schema:
-    schema = _limited(_schema(annotation), declared.limits)
+    schema = _bounded(_schema(annotation), declared.bounds)
     if not declared.required:
         # A mutable default is shared by all that is read unless it is copied.
         copied = isinstance(declared.default, dict | list)
@@ -102,13 +102,13 @@
             return _JSON_VALUE
         if isinstance(mark, UnionBy):
             return _tagged_union(inner, mark.field)
-        if isinstance(mark, Check) and mark.when == "plain":
+        if isinstance(mark, ValidatedBy) and mark.when == "plain":
             return {"type": "function-plain", "function": _function(mark)}
     schema = _schema(inner)
     for mark in marks:
-        if isinstance(mark, Limits):
-            schema = _limited(schema, mark)
-        if isinstance(mark, Check):
+        if isinstance(mark, Bounds):
+            schema = _bounded(schema, mark)
+        if isinstance(mark, ValidatedBy):
             schema = {
                 "type": f"function-{mark.when}",
                 "function": _function(mark),
@@ -117,7 +117,7 @@
     return schema
 
 
-def _function(mark: Check) -> Schema:
+def _function(mark: ValidatedBy) -> Schema:
     return {"type": "no-info", "function": mark.function}
 
 
@@ -129,12 +129,12 @@
     return {"type": "tagged-union", "discriminator": name, "choices": choices}
 
 
-def _limited(schema: Schema, limits: Limits) -> Schema:
-    given = limits.given()
+def _bounded(schema: Schema, bounds: Bounds) -> Schema:
+    given = bounds.given()
     if not given:
         return schema
     if schema["type"] == "nullable":
-        return {**schema, "schema": _limited(schema["schema"], limits)}
+        return {**schema, "schema": _bounded(schema["schema"], bounds)}
     return {**schema, **given}
 
 
--- a/packages/core/src/carobspool_core/records/_declaration.py
+++ b/packages/core/src/carobspool_core/records/_declaration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from copy import copy
 from typing import Any, ClassVar, Literal, NoReturn, get_type_hints
 
 from msgspec import Struct
@@ -11,7 +12,7 @@
 """Default of a field that must be given."""
 
 
-class Limits(Struct, frozen=True, kw_only=True):
+class Bounds(Struct, frozen=True, kw_only=True):
     """Bounds of a value; ``None`` where there is none.
 
     Attributes:
@@ -40,7 +41,7 @@
         return {name: value for name, value in found.items() if value is not None}
 
 
-class Check(Struct, frozen=True):
+class ValidatedBy(Struct, frozen=True):
     """A function that checks or converts a value; it raises ``ValueError`` with what is allowed.
 
     Attributes:
@@ -74,7 +75,7 @@
     """What is declared of a field beside its type.
 
     Attributes:
-        limits: Bounds of its value.
+        bounds: Bounds of its value.
         alias: Its name in what is read, if another one.
         default: Value when it is left out; `REQUIRED` without one.
         description: What it decides, for a reference page.
@@ -83,7 +84,7 @@
     Since 0.3.
     """
 
-    limits: Limits = Limits()
+    bounds: Bounds = Bounds()
     alias: str | None = None
     default: Any = REQUIRED
     description: str = ""
@@ -101,7 +102,7 @@
     default: Any = REQUIRED,
     description: str = "",
     unit: str = "",
-    **limits: Any,
+    **bounds: Any,
 ) -> Any:
     """Return the declaration of a field, to stand where its default would.
 
@@ -110,12 +111,12 @@
         default: Value when it is left out.
         description: What it decides, for a reference page.
         unit: Unit or kind of the value, likewise.
-        limits: Bounds by the names of `Limits`.
+        bounds: Its bounds, by the names of `Bounds`.
 
     Since 0.3.
     """
     return Field(
-        limits=Limits(**limits), alias=alias, default=default, description=description, unit=unit
+        bounds=Bounds(**bounds), alias=alias, default=default, description=description, unit=unit
     )
 
 
@@ -140,8 +141,11 @@
             cls.unknown_keys = unknown_keys
 
     def __init__(self, **values: Any) -> None:
-        """Take values that are known to be valid."""
-        self.__dict__.update(values)
+        """Take values that are known to be valid; fields left out have their defaults."""
+        for name, (_, declared) in fields_of(type(self)).items():
+            if name not in values and declared.required:
+                raise TypeError(f"{type(self).__name__} needs {name}")
+            self.__dict__[name] = values[name] if name in values else copy(declared.default)
 
     def __setattr__(self, name: str, value: Any) -> NoReturn:
         raise AttributeError(f"{type(self).__name__} cannot be changed")
--- a/packages/core/src/carobspool_core/records/_reading.py
+++ b/packages/core/src/carobspool_core/records/_reading.py
@@ -17,10 +17,10 @@
 _VALIDATORS: dict[type[Record], SchemaValidator] = {}
 
 
-def check(
+def validate(
     model: type[AnyRecord], value: Json, *, file: str = ""
 ) -> Result[AnyRecord, tuple[Problem, ...]]:
-    """Check a JSON value against a model.
+    """ValidatedBy a JSON value against a model.
 
     Args:
         model: The model.
@@ -36,7 +36,7 @@
 
 
 def read_record(model: type[AnyRecord], value: Json) -> AnyRecord:
-    """Check a record of another writer.
+    """ValidatedBy a record of another writer.
 
     Args:
         model: The model.
--- a/packages/core/tests/test_records.py
+++ b/packages/core/tests/test_records.py
@@ -11,17 +11,17 @@
 from pydantic import Field, JsonValue
 from returns.pipeline import is_successful
 
-from carobspool_core.border import BorderModel, validate
+from carobspool_core import border
 from carobspool_core.problems import UnusableRecordError
 from carobspool_core.records import (
     JSON_VALUE,
-    Check,
-    Limits,
+    Bounds,
     Record,
     UnionBy,
-    check,
+    ValidatedBy,
     field,
     read_record,
+    validate,
 )
 
 
@@ -32,7 +32,7 @@
 
 
 class _InnerRecord(Record, unknown_keys="forbid"):
-    name: Annotated[str, Limits(min_length=1, max_length=3)]
+    name: Annotated[str, Bounds(min_length=1, max_length=3)]
     share: float = field(ge=0, le=1)
 
 
@@ -40,7 +40,7 @@
     count: int = field(ge=0, le=9)
     kind: Literal["a", "b"]
     inner: _InnerRecord | None = None
-    rows: list[Annotated[list[int], Limits(min_length=1, max_length=2)]] = field(
+    rows: list[Annotated[list[int], Bounds(min_length=1, max_length=2)]] = field(
         alias="r", default=[]
     )
     tags: dict[str, bool] = {}
@@ -50,12 +50,12 @@
     node: str = field(default="x", pattern="^[a-z]+$")
 
 
-class _InnerModel(BorderModel):
+class _InnerModel(border.BorderModel):
     name: str = Field(min_length=1, max_length=3)
     share: float = Field(ge=0, le=1)
 
 
-class _OuterModel(BorderModel):
+class _OuterModel(border.BorderModel):
     count: int = Field(ge=0, le=9)
     kind: Literal["a", "b"]
     inner: _InnerModel | None = None
@@ -95,7 +95,7 @@
 def test_records_refuse_what_declared_files_refuse(drawn: Any, count: int, kind: str) -> None:
     """Two ways of validation that differ would take from a peer what a file may not hold."""
     value = {"count": count, "kind": kind, **drawn} if isinstance(drawn, dict) else drawn
-    found, expected = check(_OuterRecord, value), validate(_OuterModel, value)
+    found, expected = validate(_OuterRecord, value), border.validate(_OuterModel, value)
     assert is_successful(found) == is_successful(expected)
     if not is_successful(expected):
         problems = [str(each).replace("Record", "Model") for each in found.failure()]
@@ -115,7 +115,7 @@
     """A checking function's words reach the reader of the log, with the place."""
 
     class Sized(Record):
-        size: Annotated[int, Check(_even)]
+        size: Annotated[int, ValidatedBy(_even)]
 
     with pytest.raises(UnusableRecordError, match="size: found 3; allowed: an even number"):
         read_record(Sized, {"size": 3})
@@ -157,3 +157,13 @@
     for value in (math.nan, math.inf):
         with pytest.raises(UnusableRecordError):
             read_record(_InnerRecord, {"name": "a", "share": value})
+
+
+def test_a_record_made_in_code_has_its_defaults() -> None:
+    """A field that was left out would read as its declaration."""
+    made = _OuterRecord(count=1, kind="a")
+    assert (made.rows, made.limit, made.node) == ([], None, "x")
+    made.rows.append([1])
+    assert _OuterRecord(count=1, kind="a").rows == []
+    with pytest.raises(TypeError, match="needs kind"):
+        _OuterRecord(count=1)
--- a/packages/node/src/carobspool_node/direct/_job_records.py
+++ b/packages/node/src/carobspool_node/direct/_job_records.py
@@ -30,7 +30,7 @@
     results_from_json,
 )
 from carobspool_core.problems import Problem, UnusableRecordError
-from carobspool_core.records import Check, Record, field, read_record
+from carobspool_core.records import Record, ValidatedBy, field, read_record
 from carobspool_node.direct._bad_records import BadRecords, shown
 
 INPUTS = "jobs/"
@@ -285,7 +285,7 @@
 
 
 class _LongInput(Record):
-    pieces: Annotated[_Pieces, Check(_named, "before")]
+    pieces: Annotated[_Pieces, ValidatedBy(_named, "before")]
 
 
 def _segments(value: Json) -> tuple[Segment, ...]:
--- a/packages/node/src/carobspool_node/direct/_peer_messages.py
+++ b/packages/node/src/carobspool_node/direct/_peer_messages.py
@@ -19,10 +19,10 @@
 from carobspool_core.problems import Problem, UnusableRecordError
 from carobspool_core.records import (
     JSON_VALUE,
-    Check,
-    Limits,
+    Bounds,
     Record,
     UnionBy,
+    ValidatedBy,
     field,
     read_record,
 )
@@ -36,8 +36,8 @@
 """Longest that a peer may have a read wait: a day, in milliseconds; a task can sleep that long."""
 HIGHEST_PORT = 65_535
 
-Name = Annotated[str, Limits(min_length=1, max_length=MAX_NAME)]
-Count = Annotated[int, Limits(ge=0, le=MAX_COUNT)]
+Name = Annotated[str, Bounds(min_length=1, max_length=MAX_NAME)]
+Count = Annotated[int, Bounds(ge=0, le=MAX_COUNT)]
 
 
 def _read_address(value: Any) -> tuple[str, int]:
@@ -52,7 +52,7 @@
     return str(ipaddress.IPv4Address(host))
 
 
-Address = Annotated[tuple[str, int], Check(_read_address)]
+Address = Annotated[tuple[str, int], ValidatedBy(_read_address)]
 
 
 class EntryRecord(Record):
@@ -71,16 +71,16 @@
     name: Name = field(alias="n")
     incarnation: Name = field(alias="i")
     address: Address = field(alias="a")
-    loads: dict[Name, Annotated[list[Count], Limits(min_length=2, max_length=2)]] = field(
+    loads: dict[Name, Annotated[list[Count], Bounds(min_length=2, max_length=2)]] = field(
         alias="l", default={}
     )
     failures: dict[Name, Count] = field(alias="e")
-    versions: dict[Name, Annotated[int, Limits(ge=0, le=MAX_DIGEST)]] = field(alias="v")
+    versions: dict[Name, Annotated[int, Bounds(ge=0, le=MAX_DIGEST)]] = field(alias="v")
     starts: dict[Name, Count] | None = field(alias="b", default=None)
     leaving: bool = field(alias="x")
     released: list[Name] | None = field(alias="r", default=None)
     store_ok: bool = field(alias="s")
-    backlog: list[Annotated[list[Count], Limits(min_length=2, max_length=2)]] = field(
+    backlog: list[Annotated[list[Count], Bounds(min_length=2, max_length=2)]] = field(
         alias="p", default=[]
     )
     open_jobs: list[Name] | None = field(alias="j", default=None)
@@ -99,7 +99,7 @@
 
     id: Name
     after: Count
-    wait: Annotated[float, Limits(ge=0, le=MAX_WAIT)]
+    wait: Annotated[float, Bounds(ge=0, le=MAX_WAIT)]
 
 
 class EndCall(Record):
--- a/packages/node/src/carobspool_node/direct/_settings.py
+++ b/packages/node/src/carobspool_node/direct/_settings.py
@@ -12,15 +12,15 @@
 
 from carobspool_core import Millis
 from carobspool_core.problems import Problem, read_json
-from carobspool_core.records import Limits, Record, check, field
+from carobspool_core.records import Bounds, Record, field, validate
 from carobspool_node.settings import HIGHEST_PORT, IP_ADDRESS, NODE_NAME, LogLevel
 
 DIRECT_ROLES = ("direct-entry", "keeper")
 _ENDPOINT = re.compile(r"[0-9a-fA-F.:]+:[0-9]{1,5}")
 
 
-_NodeName = Annotated[str, Limits(pattern=NODE_NAME)]
-_IpAddress = Annotated[str, Limits(pattern=IP_ADDRESS)]
+_NodeName = Annotated[str, Bounds(pattern=NODE_NAME)]
+_IpAddress = Annotated[str, Bounds(pattern=IP_ADDRESS)]
 
 
 class DirectModel(Record, unknown_keys="forbid"):
@@ -112,7 +112,7 @@
     value = read_json(path)
     if not is_successful(value):
         return Failure((value.failure(),))
-    checked = check(DirectModel, value.unwrap(), file=path.name)
+    checked = validate(DirectModel, value.unwrap(), file=path.name)
     if not is_successful(checked):
         return Failure(tuple(checked.failure()))
     model = checked.unwrap()
--- a/packages/node/src/carobspool_node/direct/_view_exchange.py
+++ b/packages/node/src/carobspool_node/direct/_view_exchange.py
@@ -17,7 +17,7 @@
 from carobspool_core import Clock, Json, Millis
 from carobspool_core.direct import Upstream, UpstreamsView
 from carobspool_core.problems import UnusableRecordError
-from carobspool_core.records import JSON_VALUE, Limits, Record, read_record
+from carobspool_core.records import JSON_VALUE, Bounds, Record, read_record
 from carobspool_node.direct._declared import CONFIGURATION, Declared
 from carobspool_node.direct._packed_answer import AnswerPacker, unpack_answer
 from carobspool_node.direct._peer import Peer
@@ -49,14 +49,14 @@
     service: Name
     address: Address
     failure_domain: str
-    slots: Annotated[int, Limits(ge=1)]
+    slots: Annotated[int, Bounds(ge=1)]
     ready: bool
     started: Count
 
 
 class _LapsedRecord(Record):
     upstream: _UpstreamRecord
-    left: Annotated[float, Limits(ge=0.0)]
+    left: Annotated[float, Bounds(ge=0.0)]
 
 
 class _UpstreamsAnswer(Record):
--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -74,13 +74,13 @@
     fields = sorted(fields_of(model).items(), key=lambda item: item[0] != "role")
     for name, (annotation, field) in fields:
         default = "required" if field.required else _shown(field.default)
-        bounds = _limits(field) + _choices(annotation)
+        bounds = _record_bounds(field) + _choices(annotation)
         cells = [f"`{name}`", field.unit, default, "; ".join(bounds), field.description]
         yield "| " + " | ".join(cells) + " |"
 
 
-def _limits(field: Field) -> list[str]:
-    given = field.limits.given()
+def _record_bounds(field: Field) -> list[str]:
+    given = field.bounds.given()
     return [f"{sign} {given[name]}" for name, sign in BOUNDS.items() if name in given]
 
 
