--- a/packages/core/src/carobspool_core/border.py
+++ b/packages/core/src/carobspool_core/border.py
@@ -48,7 +48,7 @@
 def validate(
     model: type[AnyModel], value: Json, *, file: str = ""
 ) -> Result[AnyModel, tuple[Problem, ...]]:
-    """ValidatedBy a JSON value against a model.
+    """Check a JSON value against a model.
 
     Args:
         model: The model.
--- a/packages/core/src/carobspool_core/records/_reading.py
+++ b/packages/core/src/carobspool_core/records/_reading.py
@@ -20,7 +20,7 @@
 def validate(
     model: type[AnyRecord], value: Json, *, file: str = ""
 ) -> Result[AnyRecord, tuple[Problem, ...]]:
-    """ValidatedBy a JSON value against a model.
+    """Check a JSON value against a model.
 
     Args:
         model: The model.
@@ -36,7 +36,7 @@
 
 
 def read_record(model: type[AnyRecord], value: Json) -> AnyRecord:
-    """ValidatedBy a record of another writer.
+    """Check a record of another writer.
 
     Args:
         model: The model.
