Direct entries: failed tries name the request's fingerprint and whether the upstream ended

A failed try now logs fingerprint= (organisation, method, host, target, body) and ended= (a new connection is refused, or the upstream has restarted). A probe that connects is kept for the next call.

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -19,6 +19,7 @@
 )
 from carobspool_core.direct._events import EventSplitter, StreamEvent
 from carobspool_core.direct._failure_reports import FailureReports
+from carobspool_core.direct._fingerprint import request_fingerprint
 from carobspool_core.direct._fleet_loads import NO_LOAD, PEER_LOAD_TTL, FleetLoads, Load
 from carobspool_core.direct._groups import group_count, group_of_entry, upstreams_of_group
 from carobspool_core.direct._handover import HandoverCandidate, should_release_jobs
@@ -148,6 +149,7 @@
     "progress_from_json",
     "progress_to_json",
     "queue_limit",
+    "request_fingerprint",
     "results_from_json",
     "retry_delay",
     "retry_delay_in_outage",
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -240,7 +240,8 @@
             self._loads.record_activity(upstream)
             return self._relay_answer(state, upstream, call, head)
         except CallFailedError as error:
-            self._record_failure(state, upstream, str(error), sent=error.sent)
+            ended = error.sent and call.upstream_has_ended()
+            self._record_failure(state, upstream, str(error), sent=error.sent, ended=ended)
             return False
         except _StreamBrokenError as error:
             self._record_failure(state, upstream, str(error), sent=True)
@@ -266,16 +267,24 @@
             call.close()
 
     def _record_failure(
-        self, state: RequestState, upstream: Upstream, reason: str, *, sent: bool
+        self,
+        state: RequestState,
+        upstream: Upstream,
+        reason: str,
+        *,
+        sent: bool,
+        ended: bool = False,
     ) -> None:
         self._loads.record_failure(upstream)
         state.last_failure = reason
         self._telemetry.count("upstream_failures", service=upstream.service)
         logging.info(
-            "event=try_failed request=%s upstream=%s sent=%s reason=%r",
+            "event=try_failed request=%s fingerprint=%s upstream=%s sent=%s ended=%s reason=%r",
             state.request.request_id,
+            state.fingerprint(),
             upstream.instance,
             sent,
+            ended,
             reason,
         )
         if sent:
--- a/packages/node/src/carobspool_node/direct/_item_run.py
+++ b/packages/node/src/carobspool_node/direct/_item_run.py
@@ -4,10 +4,18 @@
 
 from enum import StrEnum
 
+from absl import logging
 from msgspec import Struct
 
 from carobspool_core import Clock, Millis
-from carobspool_core.direct import EventSplitter, ItemWork, JobInput, Upstream
+from carobspool_core.direct import (
+    EventSplitter,
+    ItemWork,
+    JobInput,
+    JobItem,
+    Upstream,
+    request_fingerprint,
+)
 from carobspool_node.direct._errors import CallCancelledError, DeadlinePassedError
 from carobspool_node.direct._in_flight import BatchRun
 from carobspool_node.direct._loads import LoadTable
@@ -55,10 +63,17 @@
 
 
 class RunOutcome(Struct, frozen=True, kw_only=True):
-    """How a run ended, with details for the log."""
+    """How a run ended, with details for the log.
+
+    Attributes:
+        end: How the run ended.
+        detail: The reason.
+        upstream_ended: Whether the run broke because the process of its upstream ended.
+    """
 
     end: RunEnd
     detail: str = ""
+    upstream_ended: bool = False
 
 
 class ItemRunner:
@@ -90,7 +105,17 @@
             return self._read_response(call, head, work, upstream)
         except CallFailedError as error:
             self._loads.record_failure(upstream)
-            return RunOutcome(end=RunEnd.BROKEN, detail=str(error))
+            ended = error.sent and call.upstream_has_ended()
+            if ended:
+                logging.info(
+                    "event=try_failed request=%s fingerprint=%s upstream=%s sent=True ended=True"
+                    " reason=%r",
+                    work.item.item_id,
+                    item_fingerprint(job, work.item),
+                    upstream.instance,
+                    str(error),
+                )
+            return RunOutcome(end=RunEnd.BROKEN, detail=str(error), upstream_ended=ended)
         except DeadlinePassedError:
             self._loads.record_failure(upstream)
             return RunOutcome(end=RunEnd.BROKEN, detail="deadline exceeded")
@@ -151,6 +176,17 @@
         )
 
 
+def item_fingerprint(job: JobInput, item: JobItem) -> str:
+    """Return the fingerprint by which an item is recognised in each of its runs."""
+    return request_fingerprint(
+        organisation=job.organisation,
+        method=b"POST",
+        host=job.host,
+        target=item.path.encode(),
+        body=item.body,
+    )
+
+
 def _refusal_outcome(status: int) -> RunOutcome:
     if status == 422:
         return RunOutcome(end=RunEnd.REJECTED, detail="status 422")
--- a/packages/node/src/carobspool_node/direct/_request_state.py
+++ b/packages/node/src/carobspool_node/direct/_request_state.py
@@ -5,7 +5,7 @@
 from msgspec import Struct, field
 
 from carobspool_core import Millis
-from carobspool_core.direct import Route
+from carobspool_core.direct import Route, request_fingerprint
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._messages import CallerRequest
 
@@ -46,3 +46,14 @@
     streaming: bool = False
     is_retry: bool = False
     last_failure: str = ""
+
+    def fingerprint(self) -> str:
+        """Return the fingerprint by which the request is recognised if it is sent again."""
+        request = self.request
+        return request_fingerprint(
+            organisation=self.organisation,
+            method=request.method,
+            host=request.host,
+            target=request.target,
+            body=request.body,
+        )
--- a/packages/node/src/carobspool_node/direct/_upstream_calls.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_calls.py
@@ -22,6 +22,8 @@
 CONNECT_TIMEOUT: Millis = 300.0
 """Connecting takes 1 ms plus a round trip of at most 3 ms; a host without power does not respond.
 A lost SYN is retransmitted after a second, so calling another upstream is faster than waiting."""
+PROBE_TIMEOUT: Millis = 100.0
+"""A host whose process has ended refuses a connection within a round trip."""
 DEFAULT_IDLE_LIMIT: Millis = 1_000.0
 """How long a connection stays in the pool if its upstream sends no keep-alive timeout."""
 IDLE_LIMIT_FRACTION = 0.7
@@ -103,13 +105,21 @@
             return
         channel.http.start_next_cycle()
         channel.fresh = False
-        channel.last_used = self._clock.now()
-        with self._lock:
-            idle = self._idle.setdefault(upstream.identity, [])
-            if len(idle) < MAX_IDLE_PER_UPSTREAM:
-                idle.append(channel)
-                return
-        channel.close()
+        self._add_idle(upstream, channel)
+
+    def has_ended(self, upstream: Upstream) -> bool:
+        """Return whether an upstream refuses connections: no process runs there any more.
+
+        An upstream that does not respond may be cut off and still run. A connection that opens is
+        added to the pool.
+        """
+        try:
+            channel = connect(upstream.address, PROBE_TIMEOUT, self._clock)
+        except ConnectionBrokenError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        channel.idle_limit = DEFAULT_IDLE_LIMIT
+        self._add_idle(upstream, channel)
+        return False
 
     def retain_only(self, identities: set[str]) -> None:
         """Close idle connections to upstreams not in ``identities``, and expired ones."""
@@ -126,6 +136,15 @@
         for channel in dropped:
             channel.close()
 
+    def _add_idle(self, upstream: Upstream, channel: Channel) -> None:
+        channel.last_used = self._clock.now()
+        with self._lock:
+            idle = self._idle.setdefault(upstream.identity, [])
+            if len(idle) < MAX_IDLE_PER_UPSTREAM:
+                idle.append(channel)
+                return
+        channel.close()
+
     def _open(self, upstream: Upstream) -> Channel:
         try:
             channel = connect(upstream.address, CONNECT_TIMEOUT, self._clock)
@@ -169,6 +188,7 @@
         self._watch = watch
         self._channel: Channel | None = None
         self._complete = False
+        self._connection_broken = False
 
     def start(
         self,
@@ -207,6 +227,7 @@
             self._await_answer(channel, deadline, idle_deadline)
             head = self._read_head(channel, request, deadline)
         except ConnectionBrokenError as error:
+            self._connection_broken = True
             raise CallFailedError(str(error), sent=True) from error
         except CallCancelledError as error:
             self._raise_if_upstream_restarted(error)
@@ -231,6 +252,7 @@
             try:
                 event = channel.next_event(min(deadline, idle_deadline), self._watch)
             except ConnectionBrokenError as error:
+                self._connection_broken = True
                 raise CallFailedError(str(error), sent=True) from error
             except DeadlinePassedError as error:
                 if idle_deadline >= deadline:
@@ -252,6 +274,16 @@
         """Return the whole body."""
         return b"".join(self.body(deadline))
 
+    def upstream_has_ended(self) -> bool:
+        """Return whether the call failed because the process that ran it has ended.
+
+        A lost answer breaks one connection as well; only an upstream that accepts no new connection
+        has ended. Blocks for `PROBE_TIMEOUT` at most.
+        """
+        if self._open_call.upstream_restarted:
+            return True
+        return self._connection_broken and self._connections.has_ended(self._upstream)
+
     def close(self) -> None:
         """Release the connection to the pool if the answer is complete, else close it."""
         self._connections.calls.remove(self._open_call)
