Direct entries: isolate requests that crash the upstreams that run them

Callers saw streams cut and 502 on every engine in turn: one reading note ended each server that began it, its caller sent it again under a new id and through any entry, and ten servers ended in 16 seconds. The rule (BUDGET) allows three retries after the third crash and its window; five came.

Cause: direct entries knew requests by id alone. Core's table of suspects (`_suspects`) was used behind sidecars only; docs/PROMISES.md named the gap ("copies of it are not recognised").

Now: a call whose upstream refuses new connections right after it broke (or has restarted) is a crash for the request's fingerprint. The evidence goes to all entries in a datagram before the caller receives its failure. Copies of a suspect meet at the upstream that rendezvous hashing prefers, a completed copy clears it at all entries, and after three crashes it is refused at once with 422. Quarantines are kept in the store (`quarantines/`) and compared between entries by a digest in the announcements, so restarts, late starts, lost datagrams and separations don't lose them. A batch item may not be given up for this and pauses instead, 10 s after the third crash and doubled by each further. A broken connection at a server that lives is no evidence. While no suspect is known nothing is hashed.

Why three and not two as behind sidecars: there each run of a suspect is claimed in the store first. Here that would refuse bystanders whenever the store is down.

Failed on the way: a counter that was not declared ended each call with a KeyError; found by the test.

--- a/packages/core/src/carobspool_core/_suspect_records.py
+++ b/packages/core/src/carobspool_core/_suspect_records.py
@@ -10,6 +10,7 @@
 from carobspool_core._outcome import Failure, invalid_request, unavailable
 
 CRASHES_TO_QUARANTINE = 2
+"""Enough where each run of a suspect is claimed: then no two suspects share an upstream."""
 SUSPECT_RETENTION: Millis = 86_400_000.0
 """Evidence is kept for a day, so that a caller that resends each hour crashes two upstreams in all
 instead of two an hour. An innocent request that returns within the day is cleared by its first run.
@@ -56,11 +57,26 @@
     values: dict[str, str]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Evidence:
+    """The evidence against one fingerprint.
+
+    Attributes:
+        crashes: Number of crashes that the fingerprint is not cleared of.
+        last_crash_at: When the last of them became known.
+    """
+
+    crashes: int
+    last_crash_at: Millis
+
+
 @dataclass(slots=True, kw_only=True)
 class SuspectRecord:
     """The evidence against one fingerprint, and the claim of its single run."""
 
     changed: Millis
+    crashes_to_quarantine: int = CRASHES_TO_QUARANTINE
+    last_crash_at: Millis = 0.0
     crashes: set[str] = field(default_factory=set)
     cleared: set[str] = field(default_factory=set)
     claim: str = ""
@@ -73,16 +89,20 @@
         """Number of crashes that the fingerprint is not cleared of."""
         return len(self.crashes - self.cleared)
 
+    @property
+    def is_quarantined(self) -> bool:
+        """Whether the evidence suffices for a quarantine."""
+        return self.evidence >= self.crashes_to_quarantine
+
     @property
     def retention(self) -> Millis:
         """Time for which the record is kept after its last change."""
-        quarantined = self.evidence >= CRASHES_TO_QUARANTINE
-        return QUARANTINE_RETENTION if quarantined else SUSPECT_RETENTION
+        return QUARANTINE_RETENTION if self.is_quarantined else SUSPECT_RETENTION
 
 
 def quarantined_failure() -> Failure:
     """Return the failure of a quarantined request, which the caller should not retry."""
-    message = "this request crashed two upstreams and is not run again"
+    message = "this request crashed each upstream that ran it and is not run again"
     return invalid_request(
         "request_quarantined", message, status=HTTPStatus.UNPROCESSABLE_ENTITY.value
     )
--- a/packages/core/src/carobspool_core/_suspects.py
+++ b/packages/core/src/carobspool_core/_suspects.py
@@ -28,6 +28,7 @@
 from carobspool_core._outcome import Failure
 from carobspool_core._suspect_records import (
     CRASHES_TO_QUARANTINE,
+    Evidence,
     SuspectRecord,
     SuspectUpdate,
     Verdict,
@@ -48,28 +49,50 @@
 
     Args:
         clock: The process's clock.
+        crashes_to_quarantine: Number of crashes after which a fingerprint is quarantined.
 
     Since 0.1.
     """
 
-    __slots__ = ("_claim_count", "_clock", "_records")
+    __slots__ = ("_claim_count", "_clock", "_crashes_to_quarantine", "_records")
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, *, crashes_to_quarantine: int = CRASHES_TO_QUARANTINE) -> None:
         self._clock = clock
+        self._crashes_to_quarantine = crashes_to_quarantine
         self._records: OrderedDict[str, SuspectRecord] = OrderedDict()
         self._claim_count = 0
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is known of any fingerprint."""
+        return not self._records
+
     def check(self, fingerprint: str, now: Millis) -> Verdict:
         """Return whether a request may run; call this method before the request is processed."""
         record = self._unexpired_record(fingerprint, now)
         if record is None or not record.evidence:
             return Verdict(kind=VerdictKind.CLEAR)
-        if record.evidence >= CRASHES_TO_QUARANTINE:
+        if record.is_quarantined:
             return Verdict(kind=VerdictKind.QUARANTINED, failure=quarantined_failure())
         if now < record.held_until:
             return Verdict(kind=VerdictKind.SUSPECT, failure=already_running_failure())
         return Verdict(kind=VerdictKind.SUSPECT)
 
+    def evidence(self, fingerprint: str, now: Millis) -> Evidence:
+        """Return the evidence against a fingerprint."""
+        record = self._unexpired_record(fingerprint, now)
+        if record is None:
+            return Evidence(crashes=0, last_crash_at=0.0)
+        return Evidence(crashes=record.evidence, last_crash_at=record.last_crash_at)
+
+    def quarantined(self, now: Millis) -> list[tuple[SuspectUpdate, Millis]]:
+        """Return the state of all quarantined fingerprints, each with the time since its change."""
+        return [
+            (self._make_update(fingerprint, record, now), now - record.changed)
+            for fingerprint, record in self._records.items()
+            if record.is_quarantined and now - record.changed < record.retention
+        ]
+
     def claim(
         self, fingerprint: str, holder: str, host: str, now: Millis, *, timeout: Millis
     ) -> Result[SuspectUpdate, Failure]:
@@ -156,6 +179,7 @@
             if name in record.crashes:
                 continue
             record.crashes.add(name)
+            record.last_crash_at = now
             record.held_until = now
             changes.append(self._make_update(fingerprint, record, now))
         return changes
@@ -167,18 +191,33 @@
             The change to send, or ``None`` if the request was not a suspect or is quarantined.
         """
         record = self._unexpired_record(fingerprint, now)
-        if record is None or not 0 < record.evidence < CRASHES_TO_QUARANTINE:
+        if record is None or not record.evidence or record.is_quarantined:
             return None
         record.cleared |= record.crashes
         record.held_until = now
         return self._make_update(fingerprint, record, now)
 
-    def merge(self, fingerprint: str, values: Mapping[str, str], now: Millis) -> None:
-        """Merge the values of another entry's hint or of the fingerprint's object."""
+    def merge(
+        self, fingerprint: str, values: Mapping[str, str], now: Millis, *, age: Millis = 0.0
+    ) -> None:
+        """Merge the values of another entry's hint or of the fingerprint's object.
+
+        Args:
+            fingerprint: The fingerprint.
+            values: The values of a `SuspectUpdate`.
+            now: The current time.
+            age: Time since the sender's last change. The retention of a new record counts from that
+                change; otherwise entries would renew an expired record for each other.
+        """
+        known = self._unexpired_record(fingerprint, now)
+        changed = now - age if known is None else max(known.changed, now - age)
         record = self._refresh_or_create(fingerprint, now)
+        record.changed = changed
         evidence_before = record.evidence
         record.crashes |= _split_ids(values.get("crashes", ""))
         record.cleared |= _split_ids(values.get("cleared", ""))
+        if record.evidence > evidence_before:
+            record.last_crash_at = now - age
         if record.evidence != evidence_before:
             record.held_until = now
         self._merge_claim(record, values, now)
@@ -237,7 +276,9 @@
     def _refresh_or_create(self, fingerprint: str, now: Millis) -> SuspectRecord:
         record = self._unexpired_record(fingerprint, now)
         if record is None:
-            record = self._records[fingerprint] = SuspectRecord(changed=now)
+            record = self._records[fingerprint] = SuspectRecord(
+                changed=now, crashes_to_quarantine=self._crashes_to_quarantine
+            )
         record.changed = now
         self._records.move_to_end(fingerprint)
         if len(self._records) > MAX_RECORDS:
@@ -248,7 +289,7 @@
         # Evicts the oldest suspect first. Evicting a quarantined record would let a known culprit
         # crash two more upstreams; an evicted suspect costs at most one.
         for fingerprint, record in self._records.items():
-            if fingerprint != kept and record.evidence < CRASHES_TO_QUARANTINE:
+            if fingerprint != kept and not record.is_quarantined:
                 del self._records[fingerprint]
                 return
         self._records.popitem(last=False)
@@ -262,16 +303,19 @@
             values["holder"] = record.holder
             values["host"] = record.host
             values["held_ms"] = f"{max(0.0, record.held_until - now):.0f}"
-        quarantined = record.evidence >= CRASHES_TO_QUARANTINE
-        return SuspectUpdate(fingerprint=fingerprint, quarantined=quarantined, values=values)
+        return SuspectUpdate(
+            fingerprint=fingerprint, quarantined=record.is_quarantined, values=values
+        )
 
 
-def make_suspect_table(clock: Clock) -> SuspectTable:
+def make_suspect_table(
+    clock: Clock, *, crashes_to_quarantine: int = CRASHES_TO_QUARANTINE
+) -> SuspectTable:
     """Return an empty table of suspects.
 
     Since 0.1.
     """
-    return SuspectTable(clock)
+    return SuspectTable(clock, crashes_to_quarantine=crashes_to_quarantine)
 
 
 def _split_ids(ids: str) -> set[str]:
--- a/packages/core/tests/test_suspects.py
+++ b/packages/core/tests/test_suspects.py
@@ -250,3 +250,29 @@
     assert gate.admit("b") is not None
     gate.release("a")
     assert gate.admit("b") is None
+
+
+def test_entries_do_not_renew_an_expired_quarantine_for_each_other() -> None:
+    """Guards against a quarantine without end: each merge would count as a new change."""
+    clock = ManualClock()
+    one, other = make_suspect_table(clock), make_suspect_table(clock)
+    for number in range(2):
+        one.record_crash(f"h{number}", [CULPRIT], clock.now())
+    clock.advance(7 * DAY - 1.0)
+    ((update, age),) = one.quarantined(clock.now())
+    other.merge(CULPRIT, update.values, clock.now(), age=age)
+    assert other.check(CULPRIT, clock.now()).kind is VerdictKind.QUARANTINED
+    clock.advance(2.0)
+    assert one.quarantined(clock.now()) == other.quarantined(clock.now()) == []
+    assert other.check(CULPRIT, clock.now()).kind is VerdictKind.CLEAR
+
+
+def test_the_number_of_crashes_to_a_quarantine_is_the_tables() -> None:
+    clock = ManualClock()
+    table = make_suspect_table(clock, crashes_to_quarantine=3)
+    kinds = []
+    for number in range(3):
+        table.record_crash(f"h{number}", [CULPRIT], clock.now())
+        kinds.append(table.check(CULPRIT, clock.now()).kind)
+    assert kinds == [VerdictKind.SUSPECT, VerdictKind.SUSPECT, VerdictKind.QUARANTINED]
+    assert table.evidence(CULPRIT, clock.now()).crashes == 3
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -4,14 +4,12 @@
 
 import threading
 import uuid
-from collections.abc import Hashable, Mapping
+from collections.abc import Hashable, Mapping, Sequence
 from pathlib import Path
 
 from absl import logging
 
-from carobspool_core import (
-    boottime_clock,
-)
+from carobspool_core import SuspectUpdate, boottime_clock
 from carobspool_core.direct import (
     CallerLimits,
     Load,
@@ -21,6 +19,7 @@
 from carobspool_node.direct._bad_records import BadRecords
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._callers import CallerApi
+from carobspool_node.direct._crash_isolation import CrashIsolation
 from carobspool_node.direct._declared import DeclaredState
 from carobspool_node.direct._deployment import Deployment
 from carobspool_node.direct._exit import EntryExit
@@ -44,6 +43,7 @@
 from carobspool_node.direct._peer_api import PeerApi
 from carobspool_node.direct._peer_calls import PEER_HEADERS, PeerCaller
 from carobspool_node.direct._peers import HintSources, Peers
+from carobspool_node.direct._quarantine_store import QuarantineStore
 from carobspool_node.direct._reload import SettingsReload
 from carobspool_node.direct._settings import DirectSettings
 from carobspool_node.direct._stop_signal import StopSignal
@@ -115,6 +115,15 @@
             self._telemetry,
             lambda: self._peers,
         )
+        self._quarantines = QuarantineStore(
+            self._clock,
+            self._store,
+            self._telemetry,
+            merge=lambda suspects: self._isolation.merge(suspects),
+        )
+        self._isolation = CrashIsolation(
+            self._clock, self._telemetry, tell=self._tell_suspects, save=self._quarantines.save
+        )
         self._declared = DeclaredState(
             self._clock,
             self._store,
@@ -141,7 +150,9 @@
             usable=self._declared.usable,
             largest_service=self._declared.largest_service,
         )
-        items = ItemRunner(self._clock, deployment.headers, self._loads, self._connections)
+        items = ItemRunner(
+            self._clock, deployment.headers, self._loads, self._connections, self._isolation
+        )
         self._runner = JobRunner(
             self._clock,
             self._loads,
@@ -188,7 +199,12 @@
             self._clock, catalog, self._runner, adoption, self._peers, self._peer_caller
         )
         self._views = ViewExchange(
-            self._clock, self._declared, self._peer_caller, self._peers.by_name, self._peers.live
+            self._clock,
+            self._declared,
+            self._peer_caller,
+            self._peers.by_name,
+            self._peers.live,
+            self._isolation,
         )
         self._peer_api = PeerApi(self._clock, self._telemetry, self._jobs, self._store, self._views)
         forwarder = Forwarder(
@@ -199,6 +215,7 @@
             self._group_assignment.split_upstreams,
             self._telemetry,
             lambda: self._exit.time_left,
+            self._isolation,
         )
         access = CallerAuthenticator(
             self._clock,
@@ -243,9 +260,11 @@
                 gone=self._recovery.peer_gone,
                 ended=self._runner.handle_ended_jobs,
                 counts=self._quota.apply_peer_counts,
+                suspects=self._isolation.merge,
             )
         )
         self._declared.start()
+        self._quarantines.start()
         self._runner.start()
         self._membership.start()
         self._recovery.start(first_start=settings.first_start)
@@ -255,6 +274,7 @@
             self._reload.check()
         self._leaving.set()
         self._exit.run(callers)
+        self._quarantines.stop()
         return 0
 
     def _start_listeners(self) -> Listener:
@@ -310,6 +330,12 @@
         self._quota.configure(self._directory())
         self._peers.announce()
 
+    def _tell_suspects(self, updates: Sequence[SuspectUpdate]) -> None:
+        self._peers.send_suspects(updates)
+        if not self._peers.hears_all_known():
+            # Entries that do not hear this one may have seen the request crash other upstreams.
+            self._quarantines.reload()
+
     def _on_upstream_restarted(self, upstream: Upstream) -> None:
         ended = self._connections.calls.end_calls_to_earlier_starts(upstream)
         logging.info(
@@ -355,7 +381,11 @@
             open_jobs=self._runner.job_ids(finished=False),
             done_jobs=self._runner.job_ids(finished=True),
             waiting=self._runner.waiting_tokens(),
-            versions={**self._declared.versions(), **self._membership.versions()},
+            versions={
+                **self._declared.versions(),
+                **self._membership.versions(),
+                **self._isolation.versions(),
+            },
             leaving=self._leaving.is_set(),
             released=self._runner.released,
             store_ok=self._store.last_call_answered,
@@ -369,6 +399,7 @@
         self._connections.retain_only(identities)
         self._loads.retain_only(identities)
         self._quota.drop_idle()
+        self._isolation.remove_expired()
         self._peer_caller.retain_only({peer.identity for peer in self._peers.live()})
 
     def _caller_limits(self) -> CallerLimits:
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -12,7 +12,7 @@
 
 from absl import logging
 
-from carobspool_core import Clock, Millis
+from carobspool_core import Clock, Millis, VerdictKind, preferred_nodes
 from carobspool_core.direct import (
     LEAVING_RETRY_AFTER,
     EventSplitter,
@@ -25,6 +25,7 @@
     is_retry_by_deadline,
 )
 from carobspool_node.direct._caller_connection import CallerConnection
+from carobspool_node.direct._crash_isolation import CrashIsolation
 from carobspool_node.direct._errors import (
     CallCancelledError,
     CallerGoneError,
@@ -32,6 +33,7 @@
 )
 from carobspool_node.direct._forwarded_request import upstream_request
 from carobspool_node.direct._group_assignment import UpstreamSplit
+from carobspool_node.direct._in_flight import Placement
 from carobspool_node.direct._loads import LoadTable
 from carobspool_node.direct._messages import (
     CallerRequest,
@@ -53,6 +55,8 @@
 """Number of upstreams that may reject one request without running it before its caller receives
 503. Each rejection costs a round trip; if three upstreams are full, the others probably are full as
 well."""
+MAX_SUSPECT_CHOICES = 3
+"""Number of upstreams that a suspect may run at if those that it prefers are full."""
 CALL_TIME_FRACTION = 0.45
 """Fraction of the remaining time that one call for a repeatable request may take while another call
 is still allowed. Plain calls take 20 to 110 ms of a limit of 600 ms or more, so the rest leaves
@@ -85,6 +89,7 @@
         split_upstreams: Returns the upstreams of a service.
         telemetry: Logs and metrics.
         time_left: Returns the time until this process exits, ``None`` if it is not shutting down.
+        isolation: Isolates requests that crash upstreams.
     """
 
     def __init__(
@@ -96,6 +101,7 @@
         split_upstreams: Callable[[str], UpstreamSplit],
         telemetry: Telemetry,
         time_left: Callable[[], Millis | None],
+        isolation: CrashIsolation,
     ) -> None:
         self._clock = clock
         self._names = names
@@ -104,6 +110,7 @@
         self._split_upstreams = split_upstreams
         self._telemetry = telemetry
         self._time_left = time_left
+        self._isolation = isolation
         self._endings = RequestEndings(clock, telemetry)
 
     def serve(
@@ -182,6 +189,10 @@
     def _try_upstreams(self, state: RequestState) -> None:
         service = state.route.choose_service(state.request.request_id)
         while True:
+            verdict = self._isolation.check(state.fingerprint)
+            if verdict is VerdictKind.QUARANTINED:
+                self._endings.end_quarantined(state)
+                return
             split = self._split_upstreams(service)
             if state.deadline - self._clock.now() < MIN_CALL_TIME:
                 raise DeadlinePassedError("not enough time for another call")
@@ -191,13 +202,10 @@
             if not state.may_have_run and not self._can_finish_in_time(state, service):
                 self._endings.give_up(state, has_upstreams=True)
                 return
-            placement = self._loads.place_online(
-                split.near,
-                target_latency=state.route.target_latency,
-                is_retry=state.is_retry or state.streaming,
-                excluded=frozenset(state.tried),
-                far=split.far,
-            )
+            if verdict is VerdictKind.SUSPECT:
+                placement = self._place_suspect(state, split)
+            else:
+                placement = self._place(state, split)
             if placement is None:
                 logging.info(
                     "event=no_place request=%s service=%s upstreams=%d returned=%s %s",
@@ -222,6 +230,27 @@
                 self._endings.give_up(state, has_upstreams=True)
                 return
 
+    def _place(self, state: RequestState, split: UpstreamSplit) -> Placement | None:
+        return self._loads.place_online(
+            split.near,
+            target_latency=state.route.target_latency,
+            is_retry=state.is_retry or state.streaming,
+            excluded=frozenset(state.tried),
+            far=split.far,
+        )
+
+    def _place_suspect(self, state: RequestState, split: UpstreamSplit) -> Placement | None:
+        """Place a suspect at the upstream that all entries prefer for it, or else at the next."""
+        candidates = {each.identity: each for each in (*split.near, *split.far)}
+        untried = [each for key, each in candidates.items() if key not in state.tried]
+        healthy = {each.identity: each for each in self._loads.healthy(untried)}
+        preferred = preferred_nodes(state.fingerprint(), healthy, MAX_SUSPECT_CHOICES)
+        for identity in preferred:
+            placement = self._place(state, UpstreamSplit(near=(healthy[identity],), far=()))
+            if placement is not None:
+                return placement
+        return None if preferred else self._place(state, split)
+
     def _may_retry(self, state: RequestState) -> bool:
         if state.turned_away >= MAX_REJECTIONS:
             return False
@@ -241,6 +270,8 @@
             return self._relay_answer(state, upstream, call, head)
         except CallFailedError as error:
             ended = error.sent and call.upstream_has_ended()
+            if ended:
+                self._isolation.record_crash(state.fingerprint(), upstream)
             self._record_failure(state, upstream, str(error), sent=error.sent, ended=ended)
             return False
         except _StreamBrokenError as error:
@@ -335,6 +366,7 @@
             self._relay_stream(state, upstream, call, head)
             return True
         body = call.read_body(self._call_deadline(state))
+        self._isolation.record_completion(state.fingerprint)
         state.runs += 1
         state.may_have_run = True
         if (
@@ -391,6 +423,7 @@
             state.streaming = True
             state.caller.start_stream(head.status, _answer_headers(head), head.reason)
         state.runs += 1
+        self._isolation.record_completion(state.fingerprint)
         call.close()
         state.caller.finish_stream()
         self._endings.record(state, "streamed", head.status)
--- a/packages/node/src/carobspool_node/direct/_hint_receiver.py
+++ b/packages/node/src/carobspool_node/direct/_hint_receiver.py
@@ -26,6 +26,7 @@
 from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._peer_messages import Announcement, decode_cbor
 from carobspool_node.direct._peer_table import PeerTable
+from carobspool_node.direct._suspect_messages import SuspectState, read_suspects_hint
 from carobspool_node.organisations import unpack_counts
 
 MAX_DATAGRAM_BYTES = 60_000
@@ -55,6 +56,7 @@
         ended: Called with the ids of jobs that a peer has ended in the store.
         counts: Called with a peer's name, its incarnation and the number of requests that it has
             admitted, by the organisation's key.
+        suspects: Called with changed evidence against requests that crash upstreams.
     """
 
     loads: LoadsCallback = lambda peer, loads, failures, knows_starts: None
@@ -64,6 +66,7 @@
     gone: Callable[[Peer], None] = lambda peer: None
     ended: Callable[[Sequence[str]], None] = lambda job_ids: None
     counts: Callable[[str, str, Mapping[int, int]], None] = lambda peer, incarnation, counts: None
+    suspects: Callable[[Sequence[SuspectState]], None] = lambda suspects: None
 
 
 class HintReceiver:
@@ -117,6 +120,11 @@
         if counts is not None:
             self._apply_counts_hint(counts)
             return
+        suspects = read_suspects_hint(message)
+        if suspects is not None:
+            if self._table.knows(suspects.name, suspects.incarnation):
+                self._events.suspects(suspects.suspects)
+            return
         self._apply_announcement(read_record(Announcement, message))
 
     def _receive_loop(self) -> None:
--- a/packages/node/src/carobspool_node/direct/_hint_sender.py
+++ b/packages/node/src/carobspool_node/direct/_hint_sender.py
@@ -7,7 +7,7 @@
 import threading
 from collections.abc import Iterable, Mapping, Sequence
 
-from carobspool_core import Clock, Millis
+from carobspool_core import Clock, Millis, SuspectUpdate
 from carobspool_core.direct import Load, WaitingGroup
 from carobspool_node.direct._announcement import (
     Sender,
@@ -17,6 +17,7 @@
 from carobspool_node.direct._load_hint import encode_counts_hint, encode_load_hint
 from carobspool_node.direct._peer import AnnouncementContent
 from carobspool_node.direct._peer_table import HintTargets
+from carobspool_node.direct._suspect_messages import encode_suspects_hint
 
 Address = tuple[str, int]
 
@@ -105,6 +106,13 @@
             )
             self._send(data, _addresses(targets, counts_only))
 
+    def send_suspects(self, updates: Sequence[SuspectUpdate], targets: HintTargets) -> None:
+        """Send changed evidence against requests to the entries that read such hints."""
+        data = encode_suspects_hint(
+            name=self._sender.name, incarnation=self._sender.incarnation, updates=updates
+        )
+        self._send(data, _addresses(targets, targets.suspect_readers))
+
     def _send_load_hint(
         self,
         loads: Mapping[str, Load],
--- a/packages/node/src/carobspool_node/direct/_item_run.py
+++ b/packages/node/src/carobspool_node/direct/_item_run.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from functools import partial
 
-from absl import logging
 from msgspec import Struct
 
 from carobspool_core import Clock, Millis
@@ -16,6 +16,7 @@
     Upstream,
     request_fingerprint,
 )
+from carobspool_node.direct._crash_isolation import CrashIsolation
 from carobspool_node.direct._errors import CallCancelledError, DeadlinePassedError
 from carobspool_node.direct._in_flight import BatchRun
 from carobspool_node.direct._loads import LoadTable
@@ -68,12 +69,12 @@
     Attributes:
         end: How the run ended.
         detail: The reason.
-        upstream_ended: Whether the run broke because the process of its upstream ended.
+        not_before: Earliest time of the next run.
     """
 
     end: RunEnd
     detail: str = ""
-    upstream_ended: bool = False
+    not_before: Millis = 0.0
 
 
 class ItemRunner:
@@ -85,7 +86,9 @@
         names: HeaderNames,
         loads: LoadTable,
         connections: UpstreamConnections,
+        isolation: CrashIsolation,
     ) -> None:
+        self._isolation = isolation
         self._clock = clock
         self._names = names
         self._loads = loads
@@ -97,25 +100,32 @@
         Events that were received before a failure or a cancellation stay in ``work``, so that the
         next run resumes after them.
         """
-        call = UpstreamCall(self._connections, upstream, self._names, cancellation=run.cancellation)
+        fingerprint = partial(_item_fingerprint, job, work.item)
         now = self._clock.now()
+        not_before = self._isolation.item_not_before(fingerprint)
+        if not_before > now:
+            return RunOutcome(
+                end=RunEnd.INTERRUPTED,
+                detail="the item crashed each upstream that ran it",
+                not_before=not_before,
+            )
+        call = UpstreamCall(self._connections, upstream, self._names, cancellation=run.cancellation)
         try:
             head = call.start(self._request(job, work, upstream), now + HEAD_TIMEOUT)
             self._loads.record_activity(upstream)
-            return self._read_response(call, head, work, upstream)
+            outcome = self._read_response(call, head, work, upstream)
+            if outcome.end is not RunEnd.NOT_RUN:
+                self._isolation.record_completion(fingerprint)
+            return outcome
         except CallFailedError as error:
             self._loads.record_failure(upstream)
-            ended = error.sent and call.upstream_has_ended()
-            if ended:
-                logging.info(
-                    "event=try_failed request=%s fingerprint=%s upstream=%s sent=True ended=True"
-                    " reason=%r",
-                    work.item.item_id,
-                    item_fingerprint(job, work.item),
-                    upstream.instance,
-                    str(error),
-                )
-            return RunOutcome(end=RunEnd.BROKEN, detail=str(error), upstream_ended=ended)
+            if error.sent and call.upstream_has_ended():
+                self._isolation.record_crash(fingerprint(), upstream)
+            return RunOutcome(
+                end=RunEnd.BROKEN,
+                detail=str(error),
+                not_before=self._isolation.item_not_before(fingerprint),
+            )
         except DeadlinePassedError:
             self._loads.record_failure(upstream)
             return RunOutcome(end=RunEnd.BROKEN, detail="deadline exceeded")
@@ -176,7 +186,7 @@
         )
 
 
-def item_fingerprint(job: JobInput, item: JobItem) -> str:
+def _item_fingerprint(job: JobInput, item: JobItem) -> str:
     """Return the fingerprint by which an item is recognised in each of its runs."""
     return request_fingerprint(
         organisation=job.organisation,
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -386,6 +386,7 @@
                 work.not_before = now + NOT_RUN_RETRY_DELAY
             elif outcome.end is RunEnd.BROKEN:
                 work.not_before = now + BROKEN_RETRY_DELAY
+            work.not_before = max(work.not_before, outcome.not_before)
 
     def _count_item(
         self,
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import (
@@ -130,6 +130,12 @@
             run.cancellation.cancel(PREEMPTED_BY_OWN_REQUEST)
         return Placement(upstream=chosen, started=now, load=load)
 
+    def healthy(self, upstreams: Iterable[Upstream]) -> list[Upstream]:
+        """Return those upstreams that neither failed recently nor are silent."""
+        with self._lock:
+            suspects = self._current_suspects(self._clock.now())
+        return [each for each in upstreams if each.identity not in suspects]
+
     def describe(self, upstreams: Sequence[Upstream]) -> str:
         """Return the loads, mean duration and age of hints that explain a refusal, for the log."""
         now = self._clock.now()
--- a/packages/node/src/carobspool_node/direct/_metrics.py
+++ b/packages/node/src/carobspool_node/direct/_metrics.py
@@ -25,6 +25,8 @@
     "requests": ("route", "outcome"),
     "upstream_failures": ("service",),
     "upstream_restarts": ("service",),
+    "crashed_runs": ("service",),
+    "quarantines": (),
     "job_calls": ("call", "outcome"),
     "items": ("outcome",),
     "job_proofs": ("outcome",),
--- a/packages/node/src/carobspool_node/direct/_peer.py
+++ b/packages/node/src/carobspool_node/direct/_peer.py
@@ -9,6 +9,9 @@
 from carobspool_core import Millis
 from carobspool_core.direct import Load, WaitingGroup
 
+QUARANTINES = "quarantines"
+"""Name of the digest of the quarantined requests among the versions."""
+
 
 class Peer(Struct, kw_only=True):
     """Another entry, as its last hints describe it.
@@ -45,6 +48,11 @@
     reads_load_hints: bool = False
     reads_counts: bool = False
 
+    @property
+    def reads_suspects(self) -> bool:
+        """Whether the peer reads hints about requests that crash upstreams."""
+        return QUARANTINES in self.versions
+
     @property
     def identity(self) -> str:
         """Name and incarnation of the peer."""
--- a/packages/node/src/carobspool_node/direct/_peer_table.py
+++ b/packages/node/src/carobspool_node/direct/_peer_table.py
@@ -26,11 +26,13 @@
         current: Addresses of live entries that read load hints, by name.
         count_readers: Names of those entries that read request counts too.
         others: Addresses of entries of the previous version, and of entries without a recent hint.
+        suspect_readers: Names of the current entries that read evidence against requests.
     """
 
     current: Mapping[str, tuple[str, int]]
     count_readers: frozenset[str]
     others: Sequence[tuple[str, int]]
+    suspect_readers: frozenset[str] = frozenset()
 
     def load_recipients(self, sharers: frozenset[str] | None) -> frozenset[str]:
         """Return the names of the entries to which a change of loads is sent.
@@ -109,16 +111,22 @@
             others = dict(self._addresses)
             current = {}
             count_readers = set()
+            suspect_readers = set()
             for peer in self._peers.values():
                 if peer.reads_load_hints and now - peer.last_heard_at < DEAD_AFTER:
                     current[peer.name] = peer.address
                     if peer.reads_counts:
                         count_readers.add(peer.name)
+                    if peer.reads_suspects:
+                        suspect_readers.add(peer.name)
                     others.pop(peer.name, None)
                 elif now - peer.last_heard_at < FORGET_AFTER:
                     others[peer.name] = peer.address
         return HintTargets(
-            current=current, count_readers=frozenset(count_readers), others=list(others.values())
+            current=current,
+            count_readers=frozenset(count_readers),
+            suspect_readers=frozenset(suspect_readers),
+            others=list(others.values()),
         )
 
     def known_peers(self) -> list[KnownPeer]:
@@ -213,6 +221,12 @@
                 lost = replace(peer, open_jobs=frozenset(announcement.released))
         return lost
 
+    def knows(self, name: str, incarnation: str) -> bool:
+        """Return whether a process is known from its announcements."""
+        with self._lock:
+            peer = self._peers.get(name)
+            return peer is not None and peer.incarnation == incarnation
+
     def advance_sequence(self, name: str, incarnation: str, sequence: int) -> bool:
         """Record the sequence number of a hint.
 
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -19,7 +19,7 @@
 from absl import logging
 from msgspec import Struct
 
-from carobspool_core import Clock, Millis
+from carobspool_core import Clock, Millis, SuspectUpdate
 from carobspool_core.direct import Load, LoadSendLimiter, WaitingGroup
 from carobspool_core.organisations import KnownPeer
 from carobspool_node.direct._announcement import Sender
@@ -177,6 +177,14 @@
             self._ended_at[job_id] = now
         self.announce()
 
+    def send_suspects(self, updates: Sequence[SuspectUpdate]) -> None:
+        """Send changed evidence against requests that crash upstreams, at once."""
+        self._hints.send_suspects(updates, self._table.targets())
+
+    def hears_all_known(self) -> bool:
+        """Return whether hints of all known entries arrive."""
+        return len(self.live()) >= len(self.known_peers())
+
     def announce(self) -> None:
         """Send an announcement to all peers at once."""
         now = self._clock.now()
--- a/packages/node/src/carobspool_node/direct/_request_endings.py
+++ b/packages/node/src/carobspool_node/direct/_request_endings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from http import HTTPStatus
 
 from absl import logging
 
@@ -59,6 +60,16 @@
         """Answer 503: the request has not run, and the caller may retry after ``retry_after``."""
         self._fail(state, 503, "not_run", retry_after)
 
+    def end_quarantined(self, state: RequestState) -> None:
+        """End a request that is not sent to another upstream since it crashed several."""
+        state.last_failure = "this request crashed each upstream that ran it and is not run again"
+        if state.streaming or state.may_have_run:
+            self.give_up(state, has_upstreams=True)
+            return
+        self.record(state, "quarantined", HTTPStatus.UNPROCESSABLE_ENTITY)
+        headers, body = failure_answer(state.last_failure, "not_run", None)
+        state.caller.answer(HTTPStatus.UNPROCESSABLE_ENTITY, headers, body)
+
     def record(self, state: RequestState, outcome: str, status: int) -> None:
         """Log and count a request's outcome; ``status`` is 0 if its answer was not completed."""
         duration = self._clock.now() - state.request.arrived
--- a/packages/node/src/carobspool_node/direct/_view_exchange.py
+++ b/packages/node/src/carobspool_node/direct/_view_exchange.py
@@ -19,9 +19,10 @@
 from carobspool_core.direct import Upstream, UpstreamsSnapshot
 from carobspool_core.problems import UnusableRecordError
 from carobspool_core.records import JSON_VALUE, Bounds, Record, read_record
+from carobspool_node.direct._crash_isolation import CrashIsolation
 from carobspool_node.direct._declared import CONFIGURATION, DeclaredState
 from carobspool_node.direct._packed_answer import AnswerPacker, unpack_answer
-from carobspool_node.direct._peer import Peer
+from carobspool_node.direct._peer import QUARANTINES, Peer
 from carobspool_node.direct._peer_calls import PeerCaller, PeerCallError
 from carobspool_node.direct._peer_messages import Address, Count, Name
 
@@ -41,7 +42,7 @@
     Entries of the previous version do not ask for a compressed answer.
     """
 
-    kind: Literal["configuration", "upstreams", "configuration_version"]
+    kind: Literal["configuration", "upstreams", "configuration_version", "quarantines"]
     packed: bool = False
 
 
@@ -88,6 +89,7 @@
         caller: Makes calls to peers.
         peer: Returns a live peer by its name.
         live: Returns all live peers.
+        isolation: Evidence against requests that crash upstreams.
     """
 
     def __init__(
@@ -97,12 +99,14 @@
         caller: PeerCaller,
         peer: Callable[[str], Peer | None],
         live: Callable[[], Sequence[Peer]],
+        isolation: CrashIsolation,
     ) -> None:
         self._clock = clock
         self._declared = declared
         self._caller = caller
         self._peer = peer
         self._live = live
+        self._isolation = isolation
         self._lock = threading.Lock()
         self._pulling: set[str] = set()
         self._no_pull_before: Millis = 0.0
@@ -122,6 +126,8 @@
         if call.kind == CONFIGURATION:
             stored = self._declared.stored_configuration()
             return None if stored is None else {"revision": stored[0], "value": stored[1]}
+        if call.kind == QUARANTINES:
+            return self._isolation.quarantines_to_send()
         revision, view = self._declared.upstreams_view()
         return {
             "revision": revision,
@@ -133,7 +139,10 @@
 
     def pull_newer_views(self, name: str, versions: Mapping[str, int]) -> None:
         """Fetch the views of which a peer announces a newer version."""
-        for kind in self._declared.newer_views(versions):
+        kinds = [*self._declared.newer_views(versions)]
+        if self._isolation.should_pull(versions):
+            kinds.append(QUARANTINES)
+        for kind in kinds:
             peer = self._peer(name)
             if peer is not None and self._start_pull(kind):
                 self._pulls.submit(self._pull, kind, peer)
@@ -220,6 +229,9 @@
         if kind == CONFIGURATION:
             found = read_record(_ConfigurationAnswer, answer)
             return self._declared.adopt_configuration(found.revision, found.value)
+        if kind == QUARANTINES:
+            self._isolation.adopt(answer)
+            return True
         upstreams = read_record(_UpstreamsAnswer, answer)
         view = UpstreamsSnapshot(
             listed=[_upstream_from_record(each) for each in upstreams.listed],
--- a/packages/node/tests/test_direct_view_exchange.py
+++ b/packages/node/tests/test_direct_view_exchange.py
@@ -14,9 +14,11 @@
 from carobspool_core.direct import Upstream, UpstreamsSnapshot
 from carobspool_core.problems import UnusableRecordError
 from carobspool_node.direct import _packed_answer
+from carobspool_node.direct._crash_isolation import CrashIsolation
 from carobspool_node.direct._packed_answer import AnswerPacker, unpack_answer
 from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._peer_calls import PeerCallError
+from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.direct._view_exchange import ViewCall, ViewExchange
 
 ENGINE = Upstream(
@@ -70,6 +72,12 @@
         return self.answer(body)
 
 
+def _isolation() -> CrashIsolation:
+    return CrashIsolation(
+        boottime_clock(), Telemetry(), tell=lambda updates: None, save=lambda update: None
+    )
+
+
 def _exchange(declared: _Declared, caller: _Caller) -> ViewExchange:
     peer = Peer(name="e2", incarnation="1", address=("127.0.0.1", 1), last_heard_at=0.0)
     return ViewExchange(
@@ -78,6 +86,7 @@
         caller,  # type: ignore[arg-type]
         lambda name: peer,
         lambda: [peer],
+        _isolation(),
     )
 
 
--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -3,19 +3,29 @@
 from __future__ import annotations
 
 import itertools
+import signal
 import threading
 import time
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
-from direct_harness import Deployment, Entry, deployment, eventually
+from direct_harness import (
+    Answer,
+    Deployment,
+    Entry,
+    deployment,
+    eventually,
+    fetch_results_page,
+    job_body,
+)
 
 from carobspool_standins.platform_server import (
     PlatformServer,
     RequestHandler,
     ServedRequest,
     ServerConnection,
+    event_stream_handler,
 )
 
 MARKER = b"no server survives this"
@@ -30,13 +40,14 @@
 class CrashingFleet:
     """Servers that crash on marked requests; each is replaced by a new one at another address."""
 
-    def __init__(self, system: Deployment, service: str) -> None:
+    def __init__(self, system: Deployment, service: str, *, servers: int = SERVERS) -> None:
         self._system = system
         self._service = service
         self._lock = threading.Lock()
+        self._crashed: set[str] = set()
         self.crash_times: list[float] = []
         self.arrival_times: list[float] = []
-        for _ in range(SERVERS):
+        for _ in range(servers):
             self._start_server()
 
     def arrivals_after(self, moment: float) -> int:
@@ -48,9 +59,11 @@
         holder.append(self._system.start_server(self._service, self._handler(holder)))
 
     def _handler(self, holder: list[PlatformServer]) -> RequestHandler:
+        serve_sound_request = _answer if self._service == "plain" else event_stream_handler(5)
+
         def handle_request(request: ServedRequest, connection: ServerConnection) -> None:
             if MARKER not in request.body:
-                connection.send_response(request)
+                serve_sound_request(request, connection)
                 return
             with self._lock:
                 self.arrival_times.append(time.monotonic())
@@ -61,6 +74,9 @@
 
     def _crash(self, server: PlatformServer) -> None:
         with self._lock:
+            if server.instance in self._crashed:
+                return
+            self._crashed.add(server.instance)
             self.crash_times.append(time.monotonic())
         server.crash()
         self._system.objects.remove("servers", server.instance)
@@ -77,10 +93,42 @@
         ] == []
 
 
+def _answer(request: ServedRequest, connection: ServerConnection) -> None:
+    if request.target.endswith("/slow"):
+        time.sleep(0.3)
+    connection.send_response(request)
+
+
 def _service(target: str) -> str:
     return "engine" if target.startswith(("/stream", "/resume")) else "plain"
 
 
+def _start_entries(system: Deployment, count: int) -> list[Entry]:
+    entries = [system.start_entry(f"e{number}", wait=False) for number in range(count)]
+    for entry in entries:
+        eventually(entry.is_ready, 15.0)
+    return entries
+
+
+def _wait_until_served(entries: list[Entry], target: str) -> None:
+    for entry in entries:
+        eventually(lambda e=entry: _call(e, target, b"sound").status == 200, 5.0)
+
+
+def _call(entry: Entry, target: str, body: bytes) -> Answer:
+    return entry.call("POST", target, body=body)
+
+
+def _send_until_quarantined(entries: list[Entry], target: str) -> None:
+    """Send the marked request through the entries in turn until each of them refuses it."""
+
+    def is_refused(entry: Entry) -> bool:
+        return _call(entry, target, MARKER).status == 422
+
+    for entry in entries:
+        eventually(lambda e=entry: is_refused(e), 15.0)
+
+
 def _send_until_crashed(entries: list[Entry], fleet: CrashingFleet, target: str) -> None:
     """Send the marked request through the entries in turn until `CRASHES` servers have crashed."""
     for entry in itertools.islice(itertools.cycle(entries), 4 * CRASHES):
@@ -99,12 +147,138 @@
     system: Deployment, target: str
 ) -> None:
     """Guards against a caller's copies of one request that end one server after the other."""
-    entries = [system.start_entry(f"e{number}", wait=False) for number in range(3)]
+    entries = _start_entries(system, 3)
     fleet = CrashingFleet(system, _service(target))
-    for entry in entries:
-        eventually(entry.is_ready, 15.0)
+    _wait_until_served(entries, target)
     _send_until_crashed(entries, fleet, target)
     time.sleep(STABILITY_WINDOW_S)
     late = time.monotonic()
     statuses = _send_late_copies(entries, target)
     assert fleet.arrivals_after(late) <= MAX_LATE_RETRIES, statuses
+
+
+def test_an_entry_refuses_a_request_that_crashed_servers_of_others(system: Deployment) -> None:
+    """Guards against an entry that starts later, or starts again, and runs the request anew."""
+    entries = _start_entries(system, 2)
+    fleet = CrashingFleet(system, "plain")
+    _wait_until_served(entries, "/once/x")
+    _send_until_quarantined(entries, "/once/x")
+    crashes = len(fleet.crash_times)
+    assert crashes == CRASHES
+    later = system.start_entry("e2")
+    eventually(lambda: later.log_lines_containing("event=quarantined"), 5.0)
+    assert _call(later, "/once/x", MARKER).status == 422
+    assert _call(later, "/once/x", b"sound").status == 200
+    assert len(fleet.crash_times) == crashes
+
+
+def test_a_quarantine_outlasts_the_loss_of_all_entries(system: Deployment) -> None:
+    """Guards against a caller that comes back after all entries were killed at once."""
+    entries = _start_entries(system, 2)
+    fleet = CrashingFleet(system, "plain")
+    _wait_until_served(entries, "/once/x")
+    _send_until_quarantined(entries, "/once/x")
+    eventually(lambda: any(e.log_lines_containing("quarantine_saved") for e in entries), 3.0)
+    for entry in entries:
+        entry.process.kill()
+        entry.process.wait()
+    crashes = len(fleet.crash_times)
+    again = _start_entries(system, 2)
+    for entry in again:
+        eventually(lambda e=entry: e.log_lines_containing("event=quarantined"), 5.0)
+        assert _call(entry, "/once/x", MARKER).status == 422
+    assert len(fleet.crash_times) == crashes
+
+
+def test_a_frozen_entry_learns_of_the_quarantine(system: Deployment) -> None:
+    """Guards against an entry that missed every hint and runs the request after its return."""
+    entries = _start_entries(system, 3)
+    fleet = CrashingFleet(system, "plain")
+    _wait_until_served(entries, "/once/x")
+    entries[2].send_signal(signal.SIGSTOP)
+    _send_until_quarantined(entries[:2], "/once/x")
+    crashes = len(fleet.crash_times)
+    time.sleep(2.0)
+    entries[2].send_signal(signal.SIGCONT)
+    eventually(lambda: entries[2].log_lines_containing("event=quarantined"), 5.0)
+    assert _call(entries[2], "/once/x", MARKER).status == 422
+    assert len(fleet.crash_times) == crashes
+
+
+def test_copies_of_a_suspect_that_are_sent_at_once_crash_one_server(system: Deployment) -> None:
+    """Guards against copies of a suspect that spread over the fleet and crash a server each."""
+    entries = _start_entries(system, 3)
+    fleet = CrashingFleet(system, "plain")
+    _wait_until_served(entries, "/once/x")
+    _call(entries[0], "/once/x", MARKER)
+    assert len(fleet.crash_times) == 1
+    time.sleep(0.5)
+    for _ in range(2):
+        callers = [
+            threading.Thread(target=_call, args=(entry, "/once/x", MARKER)) for entry in entries * 2
+        ]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        time.sleep(0.5)
+    assert len(fleet.crash_times) == CRASHES
+    assert {_call(entry, "/once/x", MARKER).status for entry in entries} == {422}
+
+
+def test_an_item_that_crashes_servers_pauses_and_others_finish(system: Deployment) -> None:
+    """Guards against a batch item that ends one server after the other until its retention."""
+    entries = _start_entries(system, 2)
+    fleet = CrashingFleet(system, "engine")
+    _wait_until_served(entries, "/stream/x")
+    names = [f"sound-{number}" for number in range(6)]
+    body = job_body(*names, MARKER.decode())
+    assert entries[0].call("POST", "/batch/1", body=body, request_id="job-1").status == 202
+    eventually(lambda: len(fleet.crash_times) >= CRASHES, 20.0)
+    time.sleep(STABILITY_WINDOW_S)
+    late = time.monotonic()
+    time.sleep(5.0)
+    assert fleet.arrivals_after(late) <= 1
+    page = fetch_results_page(entries[1], "job-1")
+    assert isinstance(page, dict)
+    assert {each["id"]: each["state"] for each in page["results"]} == dict.fromkeys(
+        names, "completed"
+    )
+
+
+def test_a_request_whose_answers_are_lost_is_not_taken_for_a_crashing_one(
+    system: Deployment,
+) -> None:
+    """Guards against refusing a request whose connections break while its servers live."""
+    entry = system.start_entry("e1")
+    answers = iter([False] * 8)
+
+    def lose_answers(request: ServedRequest, connection: ServerConnection) -> None:
+        if next(answers, True):
+            connection.send_response(request)
+        else:
+            connection.reset()
+
+    for _ in range(4):
+        system.start_server("plain", lose_answers)
+    time.sleep(0.6)
+    statuses = [_call(entry, "/once/x", b"sound").status for _ in range(10)]
+    assert 422 not in statuses
+    assert statuses[-1] == 200
+    assert entry.log_lines_containing("event=run_crashed") == []
+
+
+def test_a_bystander_is_cleared_by_its_next_run(system: Deployment) -> None:
+    """Guards against refusing a request that ran beside the culprit in several crashes."""
+    entry = system.start_entry("e1")
+    fleet = CrashingFleet(system, "plain", servers=1)
+    _wait_until_served([entry], "/once/x")
+    for number in range(CRASHES + 1):
+        beside = threading.Thread(target=_call, args=(entry, "/once/slow", b"bystander"))
+        beside.start()
+        time.sleep(0.1)
+        _call(entry, "/once/x", MARKER + str(number).encode())
+        beside.join()
+        eventually(lambda: _call(entry, "/once/slow", b"bystander").status == 200, 5.0)
+    assert len(fleet.crash_times) == CRASHES + 1
+    assert len(entry.log_lines_containing("event=suspect_cleared")) == CRASHES + 1
