--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import re
 import signal
 import threading
 import time
@@ -226,7 +227,10 @@
     assert {_call(entry, "/once/x", MARKER).status for entry in entries} == {422}
 
 
-def test_an_item_that_crashes_servers_pauses_and_others_finish(system: Deployment) -> None:
+@pytest.mark.parametrize("owner_killed", [False, True], ids=["same owner", "new owner"])
+def test_an_item_that_crashes_servers_pauses_and_others_finish(
+    system: Deployment, owner_killed: bool
+) -> None:
     """Guards against a batch item that ends one server after the other until its retention."""
     entries = _start_entries(system, 2)
     fleet = CrashingFleet(system, "engine")
@@ -235,17 +239,52 @@
     body = job_body(*names, MARKER.decode())
     assert entries[0].call("POST", "/batch/1", body=body, request_id="job-1").status == 202
     eventually(lambda: len(fleet.crash_times) >= CRASHES, 20.0)
+    time.sleep(0.1)
+    if owner_killed:
+        entries[0].process.kill()
     time.sleep(STABILITY_WINDOW_S)
     late = time.monotonic()
     time.sleep(5.0)
     assert fleet.arrivals_after(late) <= 1
-    page = fetch_results_page(entries[1], "job-1")
+    page = eventually(lambda: fetch_results_page(entries[1], "job-1"), 5.0)
     assert isinstance(page, dict)
     assert {each["id"]: each["state"] for each in page["results"]} == dict.fromkeys(
         names, "completed"
     )
 
 
+def test_an_entry_without_its_peers_reads_the_quarantine_from_the_store(
+    system: Deployment,
+) -> None:
+    """Guards against an entry that hears no peer and crashes three more servers by itself."""
+    entry = system.start_entry("e1")
+    fleet = CrashingFleet(system, "plain")
+    _wait_until_served([entry], "/once/x")
+    system.objects.put("entries", "e9", {"address": ["127.0.0.1", 9]})
+    time.sleep(3.0)
+    _call(entry, "/once/x", MARKER)
+    (crashed,) = entry.log_lines_containing("event=run_crashed")
+    fingerprint = re.findall("fingerprint=([0-9a-f]+)", crashed)[0]
+    value = {"crashes": ["i-1", "i-2", "i-3"], "at": int(time.time() * 1000)}
+    system.objects.put("quarantines", fingerprint, value)
+    time.sleep(1.0)
+    _call(entry, "/once/x", MARKER)
+    eventually(lambda: entry.log_lines_containing("event=quarantined"), 2.0)
+    assert _call(entry, "/once/x", MARKER).status == 422
+    assert len(fleet.crash_times) == 2
+
+
+def test_an_unusable_quarantine_in_the_store_holds_up_nothing(system: Deployment) -> None:
+    """Guards against a record of another writer that keeps an entry from the valid ones."""
+    at = int(time.time() * 1000)
+    system.objects.put("quarantines", "a", {"crashes": "x"})
+    system.objects.put("quarantines", "b", {"crashes": ["i-1", "i-2", "i-3"], "at": at})
+    system.objects.put("quarantines", "c", [])
+    entry = system.start_entry("e1")
+    eventually(lambda: entry.log_lines_containing("event=quarantined fingerprint=b"), 5.0)
+    assert len(entry.log_lines_containing("event=bad_quarantine")) == 2
+
+
 def test_a_request_whose_answers_are_lost_is_not_taken_for_a_crashing_one(
     system: Deployment,
 ) -> None:
