Direct entries: a completed run lifts a quarantine, and quarantines pause instead of lasting

A popular request was then refused with 422 for a week, also by entries at which its copies were just completing. Cause: completion cleared suspects only, as behind sidecars, where a quarantine follows two claimed runs and can't come about like this.

Now: a copy that completes lifts the quarantine at all entries and in the store; a quarantine refuses for 60 s, doubled by each further crash, so that a request of which no copy was left gets another run. Lifted quarantines are part of the digest and of what peers read, so that entries agree. Reading a quarantine no longer renews its retention. A fingerprint is computed once a request.

Ruled out: counting crashes at the same moment once. Copies of a culprit sent together crash servers at the same moment too; three rounds of two copies would then reach servers after the third crash.

Test test_a_request_at_servers_that_were_lost_together_is_served_again: fails on the code before (never 200 within 3 s), passes after; test_crashing_requests.py 15 passed, twice.

--- a/packages/core/src/carobspool_core/_suspect_records.py
+++ b/packages/core/src/carobspool_core/_suspect_records.py
@@ -94,6 +94,11 @@
         """Whether the evidence suffices for a quarantine."""
         return self.evidence >= self.crashes_to_quarantine
 
+    @property
+    def was_quarantined(self) -> bool:
+        """Whether the evidence has sufficed for a quarantine, lifted or not."""
+        return len(self.crashes) >= self.crashes_to_quarantine
+
     @property
     def retention(self) -> Millis:
         """Time for which the record is kept after its last change."""
--- a/packages/core/src/carobspool_core/_suspects.py
+++ b/packages/core/src/carobspool_core/_suspects.py
@@ -85,14 +85,25 @@
             return Evidence(crashes=0, last_crash_at=0.0)
         return Evidence(crashes=record.evidence, last_crash_at=record.last_crash_at)
 
-    def quarantined(self, now: Millis) -> list[tuple[SuspectUpdate, Millis]]:
-        """Return the state of all quarantined fingerprints, each with the time since its change."""
+    def quarantines(self, now: Millis) -> list[tuple[SuspectUpdate, Millis]]:
+        """Return the state of all fingerprints that are or were quarantined.
+
+        A lifted quarantine is included, so that entries that merge the result lift it as well.
+
+        Returns:
+            Each state with the time since its last change.
+        """
         return [
             (self._make_update(fingerprint, record, now), now - record.changed)
             for fingerprint, record in self._records.items()
-            if record.is_quarantined and now - record.changed < record.retention
+            if record.was_quarantined and now - record.changed < record.retention
         ]
 
+    def state(self, fingerprint: str, now: Millis) -> SuspectUpdate | None:
+        """Return a fingerprint's state, ``None`` if nothing is known of it."""
+        record = self._unexpired_record(fingerprint, now)
+        return None if record is None else self._make_update(fingerprint, record, now)
+
     def claim(
         self, fingerprint: str, holder: str, host: str, now: Millis, *, timeout: Millis
     ) -> Result[SuspectUpdate, Failure]:
@@ -184,14 +195,23 @@
             changes.append(self._make_update(fingerprint, record, now))
         return changes
 
-    def record_completion(self, fingerprint: str, now: Millis) -> SuspectUpdate | None:
-        """Clear a suspect that completed; a quarantined request stays quarantined.
+    def record_completion(
+        self, fingerprint: str, now: Millis, *, lift: bool = False
+    ) -> SuspectUpdate | None:
+        """Clear a suspect that completed.
+
+        Args:
+            fingerprint: The suspect's fingerprint.
+            now: The current time.
+            lift: Whether this ends a quarantine as well.
 
         Returns:
-            The change to send, or ``None`` if the request was not a suspect or is quarantined.
+            The change to send, or ``None`` if nothing has changed.
         """
         record = self._unexpired_record(fingerprint, now)
-        if record is None or not record.evidence or record.is_quarantined:
+        if record is None or not record.evidence:
+            return None
+        if record.is_quarantined and not lift:
             return None
         record.cleared |= record.crashes
         record.held_until = now
--- a/packages/core/tests/test_suspects.py
+++ b/packages/core/tests/test_suspects.py
@@ -259,11 +259,11 @@
     for number in range(2):
         one.record_crash(f"h{number}", [CULPRIT], clock.now())
     clock.advance(7 * DAY - 1.0)
-    ((update, age),) = one.quarantined(clock.now())
+    ((update, age),) = one.quarantines(clock.now())
     other.merge(CULPRIT, update.values, clock.now(), age=age)
     assert other.check(CULPRIT, clock.now()).kind is VerdictKind.QUARANTINED
     clock.advance(2.0)
-    assert one.quarantined(clock.now()) == other.quarantined(clock.now()) == []
+    assert one.quarantines(clock.now()) == other.quarantines(clock.now()) == []
     assert other.check(CULPRIT, clock.now()).kind is VerdictKind.CLEAR
 
 
@@ -276,3 +276,17 @@
         kinds.append(table.check(CULPRIT, clock.now()).kind)
     assert kinds == [VerdictKind.SUSPECT, VerdictKind.SUSPECT, VerdictKind.QUARANTINED]
     assert table.evidence(CULPRIT, clock.now()).crashes == 3
+
+
+def test_a_completed_run_lifts_a_quarantine_if_asked_to() -> None:
+    """Guards against refusing a request for a week that was at several crashes by chance."""
+    clock = ManualClock()
+    one, other = make_suspect_table(clock), make_suspect_table(clock)
+    for number in range(2):
+        for update in one.record_crash(f"h{number}", [CULPRIT], clock.now()):
+            other.merge(CULPRIT, update.values, clock.now())
+    assert one.record_completion(CULPRIT, clock.now()) is None
+    assert one.record_completion(CULPRIT, clock.now(), lift=True) is not None
+    ((update, age),) = one.quarantines(clock.now())
+    other.merge(CULPRIT, update.values, clock.now(), age=age)
+    assert other.check(CULPRIT, clock.now()).kind is VerdictKind.CLEAR
--- a/packages/node/src/carobspool_node/direct/_crash_isolation.py
+++ b/packages/node/src/carobspool_node/direct/_crash_isolation.py
@@ -6,9 +6,10 @@
 
 A request whose upstream ends becomes a suspect at all entries. Its next copies meet at the upstream
 that rendezvous hashing prefers for it, so that copies sent at the same time crash one upstream and
-not several, and other suspects run elsewhere. A copy that completes clears the suspect. After
-`CRASHES_TO_QUARANTINE` crashes online copies are refused at once. A batch item has to stay
-unfinished instead, and runs again after a pause that doubles with each further crash.
+not several, and other suspects run elsewhere. After `CRASHES_TO_QUARANTINE` crashes copies are
+refused at once, and batch items wait, until a pause is over that doubles with each further crash.
+A copy that completes, sent before the quarantine or after the pause, lifts it: servers that are
+lost together look like crashes of each request that runs on several of them.
 
 Evidence travels by datagrams before the caller receives its failure. Quarantines are also written
 to the store and compared between entries, so that lost datagrams, restarts and separations do not
@@ -37,9 +38,12 @@
 CRASHES_TO_QUARANTINE = 3
 """Copies of suspects are not claimed in the store, which may be down. So an innocent request can
 meet the culprit again at its second upstream; three crashes in common are unlikely."""
+ONLINE_PAUSE: Millis = 60_000.0
+"""Time after `CRASHES_TO_QUARANTINE` crashes in which online copies are refused; doubled by each
+further crash. Servers that were lost together are back within seconds."""
 ITEM_PAUSE: Millis = 10_000.0
-"""Pause of a batch item after `CRASHES_TO_QUARANTINE` crashes; doubled by each further one."""
-MAX_ITEM_PAUSE: Millis = 3_600_000.0
+"""The same for a batch item, which must be finished and cannot be sent again by its caller."""
+MAX_PAUSE: Millis = 86_400_000.0
 PULL_INTERVAL: Millis = 1_000.0
 """Minimum time between two reads of other entries' quarantines."""
 EXPIRY_INTERVAL: Millis = 60_000.0
@@ -52,7 +56,7 @@
         clock: The process's clock.
         telemetry: Counts runs that crashed.
         tell: Sends changed evidence to the other entries.
-        save: Writes a quarantine to the store, without blocking.
+        save: Writes a quarantine, or that it is lifted, to the store, without blocking.
     """
 
     def __init__(
@@ -83,8 +87,12 @@
         if self._table.is_empty:
             return VerdictKind.CLEAR
         key = fingerprint()
+        now = self._clock.now()
         with self._lock:
-            return self._table.check(key, self._clock.now()).kind
+            kind = self._table.check(key, now).kind
+            if kind is VerdictKind.QUARANTINED and now >= self._pause_end(key, ONLINE_PAUSE, now):
+                return VerdictKind.SUSPECT
+        return kind
 
     def item_not_before(self, fingerprint: Callable[[], str]) -> Millis:
         """Return the earliest time at which a batch item may run, 0 if it may run at any time."""
@@ -92,11 +100,14 @@
             return 0.0
         key = fingerprint()
         with self._lock:
-            evidence = self._table.evidence(key, self._clock.now())
+            return self._pause_end(key, ITEM_PAUSE, self._clock.now())
+
+    def _pause_end(self, fingerprint: str, pause: Millis, now: Millis) -> Millis:
+        evidence = self._table.evidence(fingerprint, now)
         excess = evidence.crashes - CRASHES_TO_QUARANTINE
         if excess < 0:
             return 0.0
-        return evidence.last_crash_at + min(ITEM_PAUSE * 2.0**excess, MAX_ITEM_PAUSE)
+        return evidence.last_crash_at + min(pause * 2.0**excess, MAX_PAUSE)
 
     def record_crash(self, fingerprint: str, upstream: Upstream) -> None:
         """Record that an upstream ended while it ran a request, and tell the other entries.
@@ -135,11 +146,17 @@
         if self._table.is_empty:
             return
         key = fingerprint()
+        now = self._clock.now()
         with self._lock:
-            update = self._table.record_completion(key, self._clock.now())
-        if update is not None:
-            logging.info("event=suspect_cleared fingerprint=%s", key)
-            self._tell((update,))
+            was_quarantined = self._table.check(key, now).kind is VerdictKind.QUARANTINED
+            update = self._table.record_completion(key, now, lift=True)
+            self._digest = None
+        if update is None:
+            return
+        logging.info("event=suspect_cleared fingerprint=%s lifted=%s", key, was_quarantined)
+        self._tell((update,))
+        if was_quarantined:
+            self._save(update)
 
     def merge(self, suspects: Iterable[SuspectState]) -> None:
         """Merge evidence from other entries or from the store."""
@@ -150,19 +167,20 @@
                 before = self._table.check(each.fingerprint, now).kind
                 self._table.merge(each.fingerprint, each.values, now, age=each.age)
                 after = self._table.check(each.fingerprint, now).kind
-                if after is VerdictKind.QUARANTINED and before is not after:
-                    quarantined.append(self._table.current_state(each.fingerprint, now))
+                update = self._table.state(each.fingerprint, now)
+                if update and after is VerdictKind.QUARANTINED and before is not after:
+                    quarantined.append(update)
             self._digest = None
         for update in quarantined:
             self._report_quarantine(update)
 
     def versions(self) -> Mapping[str, int]:
-        """Return the digest of the quarantined fingerprints, for announcements."""
+        """Return the digest of the quarantines and of those that were lifted, for announcements."""
         with self._lock:
             if self._digest is None:
-                found = self._table.quarantined(self._clock.now())
-                names = "\n".join(sorted(update.fingerprint for update, _ in found))
-                self._digest = xxh3_64_intdigest(names.encode()) if names else 0
+                found = self._table.quarantines(self._clock.now())
+                lines = sorted(f"{each.fingerprint} {each.quarantined}" for each, _ in found)
+                self._digest = xxh3_64_intdigest("\n".join(lines).encode()) if lines else 0
             return {QUARANTINES: self._digest}
 
     def should_pull(self, versions: Mapping[str, int]) -> bool:
@@ -181,9 +199,9 @@
         return True
 
     def quarantines_to_send(self) -> dict[str, Any]:
-        """Return all quarantines, as another entry reads them."""
+        """Return all quarantines, lifted ones included, as another entry reads them."""
         with self._lock:
-            found = self._table.quarantined(self._clock.now())
+            found = self._table.quarantines(self._clock.now())
         return {"suspects": [suspect_to_record(update, age) for update, age in found]}
 
     def adopt(self, message: Json) -> None:
--- a/packages/node/src/carobspool_node/direct/_quarantine_store.py
+++ b/packages/node/src/carobspool_node/direct/_quarantine_store.py
@@ -9,13 +9,16 @@
 
 from absl import logging
 from returns.pipeline import is_successful
+from returns.result import Result
 
 from carobspool_core import (
     QUARANTINE_RETENTION,
     Clock,
+    Json,
     Millis,
     ObjectStore,
     StoredObject,
+    StoreFailure,
     StoreFault,
     SuspectUpdate,
     wall_millis,
@@ -29,12 +32,15 @@
 
 PREFIX = "quarantines/"
 RETRY_DELAY: Millis = 1_000.0
+MAX_WRITES = 600
+"""Attempts to write one quarantine: the store may be away for ten minutes."""
 RELOAD_INTERVAL: Millis = 1_000.0
 """Minimum time between two readings that crashes have caused."""
 
 
 class _StoredQuarantine(Record):
     crashes: Annotated[list[Name], Bounds(max_length=MAX_CRASHES_SENT)]
+    cleared: Annotated[list[Name], Bounds(max_length=MAX_CRASHES_SENT)] = []
     at: Count
 
 
@@ -74,8 +80,8 @@
         self._worker.shutdown(wait=False, cancel_futures=True)
 
     def save(self, update: SuspectUpdate) -> None:
-        """Write a quarantine, again and again until the store has it."""
-        self._submit(lambda: self._create(update))
+        """Write the state of a quarantine, again and again until the store has it."""
+        self._submit(lambda: self._write_until_stored(update))
 
     def reload(self) -> None:
         """Read the quarantines once, at most once in `RELOAD_INTERVAL`."""
@@ -124,19 +130,59 @@
             return None
         return SuspectState(
             fingerprint=stored.key.removeprefix(PREFIX),
-            values={"crashes": " ".join(record.crashes)},
+            values={"crashes": " ".join(record.crashes), "cleared": " ".join(record.cleared)},
             age=age,
         )
 
-    def _create(self, update: SuspectUpdate) -> None:
-        crashes = update.values["crashes"].split()[:MAX_CRASHES_SENT]
-        value = {"crashes": crashes, "at": wall_millis()}
-        while not self._stopped.is_set():
-            written = self._store.create(PREFIX + update.fingerprint, value)
+    def _write_until_stored(self, update: SuspectUpdate) -> None:
+        current: StoredObject | None = None
+        for _ in range(MAX_WRITES):
+            written = self._write(update, current)
             fault = None if is_successful(written) else written.failure().fault
-            if fault not in (StoreFault.UNAVAILABLE, StoreFault.UNKNOWN):
+            if fault is StoreFault.CONFLICT:
+                current = written.failure().current
+                if current is None or self._has_all(current, update):
+                    fault = None
+            if fault is None:
                 logging.info(
-                    "event=quarantine_saved fingerprint=%s fault=%s", update.fingerprint, fault
+                    "event=quarantine_saved fingerprint=%s quarantined=%s",
+                    update.fingerprint,
+                    update.quarantined,
                 )
                 return
-            self._stopped.wait(RETRY_DELAY / 1000.0)
+            if fault is not StoreFault.CONFLICT and self._stopped.wait(RETRY_DELAY / 1000.0):
+                return
+        logging.warning("event=quarantine_not_saved fingerprint=%s", update.fingerprint)
+
+    def _write(
+        self, update: SuspectUpdate, current: StoredObject | None
+    ) -> Result[StoredObject, StoreFailure]:
+        key = PREFIX + update.fingerprint
+        crashes, cleared = _ids(update, "crashes"), _ids(update, "cleared")
+        if current is None:
+            return self._store.create(key, _value(crashes, cleared))
+        state = self._read(current)
+        if state is not None:
+            crashes |= set(state.values["crashes"].split())
+            cleared |= set(state.values["cleared"].split())
+        return self._store.update(key, _value(crashes, cleared), version=current.version)
+
+    def _has_all(self, current: StoredObject, update: SuspectUpdate) -> bool:
+        state = self._read(current)
+        return (
+            state is not None
+            and _ids(update, "crashes") <= set(state.values["crashes"].split())
+            and _ids(update, "cleared") <= set(state.values["cleared"].split())
+        )
+
+
+def _ids(update: SuspectUpdate, name: str) -> set[str]:
+    return set(update.values.get(name, "").split())
+
+
+def _value(crashes: set[str], cleared: set[str]) -> Json:
+    return {
+        "crashes": sorted(crashes)[:MAX_CRASHES_SENT],
+        "cleared": sorted(cleared)[:MAX_CRASHES_SENT],
+        "at": wall_millis(),
+    }
--- a/packages/node/src/carobspool_node/direct/_request_state.py
+++ b/packages/node/src/carobspool_node/direct/_request_state.py
@@ -30,6 +30,7 @@
         streaming: Whether the head of a streamed answer was sent to the caller.
         is_retry: Whether the caller has retried the request after a refusal.
         last_failure: Why the last call failed.
+        known_fingerprint: The fingerprint, once it was computed.
     """
 
     request: CallerRequest
@@ -46,14 +47,17 @@
     streaming: bool = False
     is_retry: bool = False
     last_failure: str = ""
+    known_fingerprint: str = ""
 
     def fingerprint(self) -> str:
         """Return the fingerprint by which the request is recognised if it is sent again."""
-        request = self.request
-        return request_fingerprint(
-            organisation=self.organisation,
-            method=request.method,
-            host=request.host,
-            target=request.target,
-            body=request.body,
-        )
+        if not self.known_fingerprint:
+            request = self.request
+            self.known_fingerprint = request_fingerprint(
+                organisation=self.organisation,
+                method=request.method,
+                host=request.host,
+                target=request.target,
+                body=request.body,
+            )
+        return self.known_fingerprint
--- a/packages/node/tests/test_direct_crash_isolation.py
+++ b/packages/node/tests/test_direct_crash_isolation.py
@@ -14,11 +14,16 @@
 from carobspool_node.direct._crash_isolation import (
     CRASHES_TO_QUARANTINE,
     ITEM_PAUSE,
+    ONLINE_PAUSE,
     PULL_INTERVAL,
     CrashIsolation,
 )
 from carobspool_node.direct._peer import QUARANTINES
-from carobspool_node.direct._suspect_messages import encode_suspects_hint, read_suspects_hint
+from carobspool_node.direct._suspect_messages import (
+    SuspectState,
+    encode_suspects_hint,
+    read_suspects_hint,
+)
 from carobspool_node.direct._telemetry import Telemetry
 
 CULPRIT = "culprit"
@@ -155,6 +160,46 @@
     assert pauses == [0.0, 0.0, ITEM_PAUSE, 2 * ITEM_PAUSE, 4 * ITEM_PAUSE]
 
 
+def test_a_quarantined_request_runs_again_after_a_pause_that_doubles() -> None:
+    """Guards against refusing for good what was at three crashes by chance."""
+    clock = ManualClock()
+    entry = Entry(clock)
+    for number in range(CRASHES_TO_QUARANTINE):
+        _crash(entry, number)
+    for excess in range(3):
+        clock.advance(ONLINE_PAUSE * 2.0**excess - 1.0)
+        assert entry.verdict() is VerdictKind.QUARANTINED
+        clock.advance(1.0)
+        assert entry.verdict() is VerdictKind.SUSPECT
+        _crash(entry, CRASHES_TO_QUARANTINE + excess)
+
+
+def test_a_lifted_quarantine_reaches_entries_that_missed_the_hint() -> None:
+    """Guards against entries that differ for good in whether a request is refused."""
+    clock = ManualClock()
+    one, other = Entry(clock), Entry(clock)
+    for number in range(CRASHES_TO_QUARANTINE):
+        _crash(one, number)
+        other.receive(one.take_told())
+    one.isolation.record_completion(lambda: CULPRIT)
+    assert [each.quarantined for each in one.saved] == [True, False]
+    assert other.verdict() is VerdictKind.QUARANTINED
+    assert other.isolation.should_pull(one.isolation.versions())
+    other.isolation.adopt(one.isolation.quarantines_to_send())
+    assert other.verdict() is VerdictKind.CLEAR
+    assert one.isolation.versions() == other.isolation.versions()
+
+
+def test_reading_a_quarantine_does_not_renew_it() -> None:
+    """Guards against quarantines whose retention begins anew at each start of an entry."""
+    clock = ManualClock()
+    entry = Entry(clock)
+    state = SuspectState(fingerprint=CULPRIT, values={"crashes": "a b c"}, age=5_000.0)
+    entry.isolation.merge([state])
+    (sent,) = entry.isolation.quarantines_to_send()["suspects"]
+    assert sent["o"] == 5_000
+
+
 def test_one_read_in_an_interval_although_all_peers_differ() -> None:
     """Guards against hundreds of calls when hundreds of entries announce a new digest."""
     clock = ManualClock()
--- a/packages/node/tests/test_direct_view_exchange.py
+++ b/packages/node/tests/test_direct_view_exchange.py
@@ -10,7 +10,7 @@
 import cbor2
 import pytest
 
-from carobspool_core import Json, boottime_clock
+from carobspool_core import Json, VerdictKind, boottime_clock
 from carobspool_core.direct import Upstream, UpstreamsSnapshot
 from carobspool_core.problems import UnusableRecordError
 from carobspool_node.direct import _packed_answer
@@ -18,6 +18,7 @@
 from carobspool_node.direct._packed_answer import AnswerPacker, unpack_answer
 from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._peer_calls import PeerCallError
+from carobspool_node.direct._suspect_messages import SuspectState
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.direct._view_exchange import ViewCall, ViewExchange
 
@@ -78,7 +79,9 @@
     )
 
 
-def _exchange(declared: _Declared, caller: _Caller) -> ViewExchange:
+def _exchange(
+    declared: _Declared, caller: _Caller, isolation: CrashIsolation | None = None
+) -> ViewExchange:
     peer = Peer(name="e2", incarnation="1", address=("127.0.0.1", 1), last_heard_at=0.0)
     return ViewExchange(
         boottime_clock(),
@@ -86,7 +89,7 @@
         caller,  # type: ignore[arg-type]
         lambda name: peer,
         lambda: [peer],
-        _isolation(),
+        isolation or _isolation(),
     )
 
 
@@ -107,6 +110,18 @@
     ]
 
 
+def test_quarantines_arrive_from_a_peer_that_announces_others() -> None:
+    """Guards against an entry that missed all hints of a request that crashes its servers."""
+    known, missing = _isolation(), _isolation()
+    known.merge([SuspectState(fingerprint="f", values={"crashes": "a b c"})])
+    server = _exchange(_Declared(), _Caller(None), known)
+    caller = _Caller(lambda body: (200, server.serve(ViewCall(**body))))
+    exchange = _exchange(_Declared(), caller, missing)
+    exchange.pull_newer_views("e2", known.versions())
+    exchange.close()
+    assert missing.check(lambda: "f") is VerdictKind.QUARANTINED
+
+
 @pytest.mark.parametrize(
     "answer",
     [
--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -83,6 +83,11 @@
 
         return handle_request
 
+    def lose(self, server: PlatformServer) -> None:
+        """Crash a server for good."""
+        server.crash()
+        self._system.objects.remove("servers", server.instance)
+
     def _crash(self, server: PlatformServer) -> None:
         with self._lock:
             if server.instance in self._crashed:
@@ -284,6 +289,29 @@
     assert len(fleet.crash_times) == 2
 
 
+def test_a_request_at_servers_that_were_lost_together_is_served_again(system: Deployment) -> None:
+    """Guards against refusing a request that ran on all servers of a failure domain at its loss."""
+    entries = _start_entries(system, 2)
+    fleet = CrashingFleet(system, "plain", servers=CRASHES + 1)
+    _wait_until_served(entries, "/once/x")
+    callers = []
+    for number in range(4 * CRASHES):
+        target = (entries[number % 2], "/once/slow", b"popular")
+        callers.append(threading.Thread(target=_call, args=target))
+        callers[-1].start()
+    eventually(lambda: fleet.slow_arrivals == len(callers), 3.0)
+    *lost, kept = [server for server in system.servers if server.requests]
+    assert len(lost) == CRASHES
+    for server in lost:
+        fleet.lose(server)
+    for caller in callers:
+        caller.join()
+    assert any(entry.log_lines_containing("event=quarantined") for entry in entries)
+    for entry in entries:
+        eventually(lambda e=entry: _call(e, "/once/slow", b"popular").status == 200, 3.0)
+    assert kept.requests
+
+
 def test_an_unusable_quarantine_in_the_store_holds_up_nothing(system: Deployment) -> None:
     """Guards against a record of another writer that keeps an entry from the valid ones."""
     at = int(time.time() * 1000)
