Direct entries: compute the digest of quarantines only when one changes

Each crash, hint and completion of a suspect made the next announcement walk all suspects, 20,000 at most; with hundreds of entries hundreds of announcements a second compare the digest.

--- a/packages/node/src/carobspool_node/direct/_crash_isolation.py
+++ b/packages/node/src/carobspool_node/direct/_crash_isolation.py
@@ -123,7 +123,8 @@
             )
             self._reported.add(fingerprint)
             crashes = self._table.evidence(fingerprint, now).crashes
-            self._digest = None
+            if crashes >= CRASHES_TO_QUARANTINE:
+                self._digest = None
         self._telemetry.count("crashed_runs", service=upstream.service)
         logging.info(
             "event=run_crashed fingerprint=%s upstream=%s crashes=%d",
@@ -151,7 +152,8 @@
         with self._lock:
             was_quarantined = self._table.check(key, now).kind is VerdictKind.QUARANTINED
             update = self._table.record_completion(key, now, lift=True)
-            self._digest = None
+            if was_quarantined:
+                self._digest = None
         if update is None:
             return
         logging.info("event=suspect_cleared fingerprint=%s lifted=%s", key, was_quarantined)
@@ -169,9 +171,12 @@
                 self._table.merge(each.fingerprint, each.values, now, age=each.age)
                 after = self._table.check(each.fingerprint, now).kind
                 update = self._table.state(each.fingerprint, now)
-                if update and after is VerdictKind.QUARANTINED and before is not after:
+                if update is None:
+                    continue
+                if len(update.values["crashes"].split()) >= CRASHES_TO_QUARANTINE:
+                    self._digest = None
+                if after is VerdictKind.QUARANTINED and before is not after:
                     quarantined.append(update)
-            self._digest = None
         for update in quarantined:
             self._report_quarantine(update)
 
--- a/packages/node/tests/test_direct_crash_isolation.py
+++ b/packages/node/tests/test_direct_crash_isolation.py
@@ -8,7 +8,7 @@
 import cbor2
 import pytest
 
-from carobspool_core import Json, ManualClock, SuspectUpdate, VerdictKind
+from carobspool_core import Json, ManualClock, SuspectTable, SuspectUpdate, VerdictKind
 from carobspool_core.direct import Upstream, request_fingerprint
 from carobspool_core.problems import UnusableRecordError
 from carobspool_node.direct._crash_isolation import (
@@ -200,6 +200,20 @@
     assert sent["o"] == 5_000
 
 
+def test_the_digest_is_not_computed_again_for_suspects(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a pass over all suspects at each of hundreds of announcements a second."""
+    entry = Entry(ManualClock())
+    _crash(entry, 1)
+    entry.isolation.versions()
+    monkeypatch.setattr(SuspectTable, "quarantines", None)
+    for number in range(3):
+        _crash(entry, 1)
+        entry.receive([SuspectUpdate(fingerprint="f", quarantined=False, values={"crashes": "a"})])
+        entry.isolation.record_completion(lambda: CULPRIT)
+        _crash(entry, 2 + number)
+        assert entry.isolation.versions() == {QUARANTINES: 0}
+
+
 def test_one_read_in_an_interval_although_all_peers_differ() -> None:
     """Guards against hundreds of calls when hundreds of entries announce a new digest."""
     clock = ManualClock()
