--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -48,7 +48,7 @@
     "platform_compact": "drain keyed rebalance rewind",
     "platform_down": "nodes silent busy reset lapse revoke leader",
     "platform_lost": "late",
-    "poison": "long",
+    "poison": "long deadly",
     "release": "across all",
     "replace_with_reuse": "drain dark side across all",
     "retire": "wipe",
