Core: decide which entry relays hints between failure domains

Each entry sends each change of its loads to every other entry, so the traffic between domains grows with the square of the number of entries. Nothing uses it yet.

--- /dev/null
+++ b/packages/core/src/carobspool_core/hint_relays/_relay_choice.py
@@ -0,0 +1,71 @@
+"""Choice of the entry that relays the hints of a failure domain.
+
+Load pattern: two dozen to hundreds of entries in a few failure domains report dozens of load
+changes a second each, on hosts whose processor and link capacities differ by a factor of seven. A
+relay handles the changes of its whole domain, so it should run on one of the larger hosts, and
+another entry must replace it within moments of its failure, without an agreement among entries.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from msgspec import Struct
+
+from carobspool_core._clock import Millis
+from carobspool_core._rendezvous import preferred_node
+
+RELAY_SILENT_AFTER: Millis = 600.0
+"""Time without a message from an entry after which another entry is chosen as the relay. Each entry
+sends a heartbeat every 500 ms, so a shorter time would replace healthy relays that are idle."""
+
+
+class RelayEntry(Struct, frozen=True, kw_only=True):
+    """A live entry that reads bundles.
+
+    Attributes:
+        name: Name of the entry.
+        domain: Failure domain of the entry.
+        heard_at: Time at which the last message that the entry itself sent has arrived.
+        capacity: Share of processor times cores, 0 if unknown.
+        leaving: Whether the entry is shutting down.
+        relays: Whether the entry acts as a relay if it is chosen.
+    """
+
+    name: str
+    domain: str
+    heard_at: Millis
+    capacity: float = 0.0
+    leaving: bool = False
+    relays: bool = True
+
+
+def choose_relay(domain: str, entries: Iterable[RelayEntry], now: Millis) -> str | None:
+    """Return the name of the relay of a failure domain, ``None`` if no entry can be the relay.
+
+    Args:
+        domain: The failure domain, which is the key of the rendezvous hash.
+        entries: Entries of that domain.
+        now: Current time.
+    """
+    able = [
+        each
+        for each in entries
+        if each.relays and not each.leaving and now - each.heard_at <= RELAY_SILENT_AFTER
+    ]
+    if not able:
+        return None
+    best = max(_capacity_class(each.capacity) for each in able)
+    return preferred_node(
+        domain, [each.name for each in able if _capacity_class(each.capacity) == best]
+    )
+
+
+def _capacity_class(capacity: float) -> float:
+    """Return the capacity rounded down to a power of two.
+
+    Among hosts within a factor of two the hash decides, so that the relays of the groups of a
+    domain are spread over several hosts.
+    """
+    return math.floor(math.log2(capacity)) if capacity > 0.0 else -math.inf
