Hints: relays between failure domains, counters by kind and crossing

Setting hint_relays (off by default) lets one entry of each domain pass load hints and counts hints on in bundles. hint_bytes and hint_datagrams count what an entry sends. tools/cost_hints.py plays a fleet with the real encoders.

--- a/packages/node/src/carobspool_node/direct/_announcement.py
+++ b/packages/node/src/carobspool_node/direct/_announcement.py
@@ -21,11 +21,16 @@
         name: Name of the entry.
         incarnation: Incarnation of the entry's process.
         address: Address at which the entry receives hints and calls.
+        failure_domain: Failure domain of the entry; announced, if not empty, to state that the
+            entry reads bundles.
+        host_capacity: Announced capacity of the host, ``None`` if the entry does not relay hints.
     """
 
     name: str
     incarnation: str
     address: tuple[str, int]
+    failure_domain: str = ""
+    host_capacity: float | None = None
 
 
 def encode_announcement(
@@ -48,7 +53,7 @@
     message = _common_fields(sender, hint, sequence)
     message |= {"k": pack_loads(hint.loads), "w": dict(hint.waiting)}
     message |= {"q": list(silent), "d": list(ended), "g": pack_counts(hint.counts)}
-    return cbor2.dumps(message | _job_fields(hint))
+    return cbor2.dumps(message | _relay_fields(sender) | _job_fields(hint))
 
 
 def encode_announcement_for_previous_version(
@@ -94,5 +99,14 @@
     }
 
 
+def _relay_fields(sender: Sender) -> dict[str, Any]:
+    fields: dict[str, Any] = {}
+    if sender.failure_domain:
+        fields["z"] = sender.failure_domain
+    if sender.host_capacity is not None:
+        fields["h"] = sender.host_capacity
+    return fields
+
+
 def _job_fields(hint: AnnouncementContent) -> dict[str, Any]:
     return {"j": sorted(hint.open_jobs), "f": sorted(hint.done_jobs)}
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -106,7 +106,10 @@
                 claim_unsent_counts=lambda is_heartbeat: self._quota.claim_unsent_counts(
                     is_heartbeat=is_heartbeat
                 ),
+                is_leaving=self._leaving.is_set,
             ),
+            failure_domain=settings.failure_domain,
+            host_capacity=None if settings.hint_relays == "off" else settings.host_capacity,
         )
         self._store = RelayedStore(
             deployment.open_store(settings, self._clock),
--- a/packages/node/src/carobspool_node/direct/_hint_receiver.py
+++ b/packages/node/src/carobspool_node/direct/_hint_receiver.py
@@ -13,7 +13,8 @@
 
 from carobspool_core import Json, Millis
 from carobspool_core.direct import Load, WaitingGroup, by_identity
-from carobspool_core.problems import UnusableRecordError
+from carobspool_core.hint_relays import HintKind, WaitingHint
+from carobspool_core.problems import Problem, UnusableRecordError
 from carobspool_core.records import read_record
 from carobspool_node.direct._bad_records import BadRecords
 from carobspool_node.direct._load_hint import (
@@ -27,6 +28,7 @@
 from carobspool_node.direct._peer_messages import Announcement, decode_cbor
 from carobspool_node.direct._peer_table import PeerTable
 from carobspool_node.direct._suspect_messages import SuspectState, read_suspects_hint
+from carobspool_node.hint_relays import HintRelays, read_bundle
 from carobspool_node.organisations import unpack_counts
 
 MAX_DATAGRAM_BYTES = 60_000
@@ -77,6 +79,7 @@
         table: Table of the peers.
         identities_by_key: Returns the upstreams that load hints may name.
         bad_hints: Logs and counts invalid datagrams.
+        relays: Passes hints on between failure domains.
     """
 
     def __init__(
@@ -85,11 +88,13 @@
         table: PeerTable,
         identities_by_key: Callable[[], Mapping[int, str]],
         bad_hints: BadRecords,
+        relays: HintRelays,
     ) -> None:
         self._socket = hints
         self._table = table
         self._identities_by_key = identities_by_key
         self._bad_hints = bad_hints
+        self._relays = relays
         self._events = PeerCallbacks()
         self._stopped = threading.Event()
 
@@ -106,20 +111,30 @@
         """Make the receiving thread exit at the next socket error."""
         self._stopped.set()
 
-    def receive(self, message: Json) -> None:
+    def receive(self, message: Json, data: bytes = b"") -> None:
         """Apply one decoded hint.
 
+        Args:
+            message: The decoded hint.
+            data: The hint as received, which this entry may have to pass on.
+
         Raises:
             UnusableRecordError: The message is not a valid hint.
         """
         loads = read_load_hint(message)
         if loads is not None:
+            self._collect(loads, "load", data)
             self._apply_load_hint(loads)
             return
         counts = read_counts_hint(message)
         if counts is not None:
+            self._collect(counts, "counts", data)
             self._apply_counts_hint(counts)
             return
+        bundle = read_bundle(message)
+        if bundle is not None:
+            self._receive_bundle(bundle.relay, bundle.incarnation, bundle.hints)
+            return
         suspects = read_suspects_hint(message)
         if suspects is not None:
             if self._table.knows(suspects.name, suspects.incarnation):
@@ -150,7 +165,7 @@
 
     def _receive_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
         try:
-            self.receive(decode_cbor(data))
+            self.receive(decode_cbor(data), data)
         except UnusableRecordError as error:
             self._bad_hints.report(f"{sender[0]}:{sender[1]}", error)
         except Exception:  # noqa: BLE001
@@ -158,16 +173,46 @@
             # declares all peers dead and runs their jobs again.
             logging.exception("event=hint_failed")
 
-    def _apply_load_hint(self, hint: LoadHint) -> None:
+    def _collect(self, hint: LoadHint | CountsHint, kind: HintKind, data: bytes) -> None:
+        """Let the relays keep a hint of the own domain, if this entry is the relay."""
+        if not data or not self._relays.is_relay:
+            return
+        if self._table.domain_of(hint.name, hint.incarnation) == self._relays.domain:
+            self._relays.collect(_waiting_hint(hint, kind, data))
+
+    def _receive_bundle(self, relay: str, incarnation: str, hints: Sequence[bytes]) -> None:
+        """Apply the hints of a bundle; distribute them if they come from another domain.
+
+        Bundles of unknown processes are ignored.
+        """
+        domain = self._table.domain_of(relay, incarnation)
+        if domain is None:
+            return
+        self._relays.record_bundle(relay)
+        for data in hints:
+            try:
+                hint, kind = _read_relayed_hint(data)
+            except UnusableRecordError as error:
+                self._bad_hints.report(relay, error)
+                continue
+            is_from_relay_domain = self._table.domain_of(hint.name, hint.incarnation) == domain
+            if domain != self._relays.domain and is_from_relay_domain:
+                self._relays.distribute(_waiting_hint(hint, kind, data))
+            if isinstance(hint, LoadHint):
+                self._apply_load_hint(hint, relayed=True)
+            else:
+                self._apply_counts_hint(hint, relayed=True)
+
+    def _apply_load_hint(self, hint: LoadHint, *, relayed: bool = False) -> None:
         """Pass a hint's backlog, loads and counts to the callbacks, unless the table rejects it."""
-        if not self._table.record_hint(hint):
+        if not self._table.record_hint(hint, relayed=relayed):
             return
         self._events.backlog(hint.name, hint.backlog)
         self._events.loads(hint.name, self._by_known_identity(hint.loads), None, True)
         self._events.counts(hint.name, hint.incarnation, hint.counts)
 
-    def _apply_counts_hint(self, hint: CountsHint) -> None:
-        if self._table.record_hint(hint):
+    def _apply_counts_hint(self, hint: CountsHint, *, relayed: bool = False) -> None:
+        if self._table.record_hint(hint, relayed=relayed):
             self._events.counts(hint.name, hint.incarnation, hint.counts)
 
     def _apply_announcement(self, announcement: Announcement) -> None:
@@ -202,3 +247,32 @@
     def _by_known_identity(self, loads: Mapping[int, Load]) -> dict[str, Load]:
         identities = self._identities_by_key()
         return {identities[key]: load for key, load in loads.items() if key in identities}
+
+
+def _read_relayed_hint(data: bytes) -> tuple[LoadHint | CountsHint, HintKind]:
+    """Read a hint of a bundle.
+
+    Raises:
+        UnusableRecordError: It is neither a load hint nor a counts hint.
+    """
+    message = decode_cbor(data)
+    loads = read_load_hint(message)
+    if loads is not None:
+        return loads, "load"
+    counts = read_counts_hint(message)
+    if counts is not None:
+        return counts, "counts"
+    problem = Problem(
+        file="", path="bundle", found=repr(message)[:80], allowed="load hints and counts hints"
+    )
+    raise UnusableRecordError([problem])
+
+
+def _waiting_hint(hint: LoadHint | CountsHint, kind: HintKind, data: bytes) -> WaitingHint:
+    return WaitingHint(
+        name=hint.name,
+        incarnation=hint.incarnation,
+        sequence=hint.sequence,
+        kind=kind,
+        data=data,
+    )
--- a/packages/node/src/carobspool_node/direct/_hint_sender.py
+++ b/packages/node/src/carobspool_node/direct/_hint_sender.py
@@ -5,10 +5,11 @@
 import contextlib
 import socket
 import threading
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from carobspool_core import Clock, Millis, SuspectUpdate
 from carobspool_core.direct import Load, WaitingGroup
+from carobspool_core.hint_relays import HintKind, WaitingHint
 from carobspool_node.direct._announcement import (
     Sender,
     encode_announcement,
@@ -18,6 +19,7 @@
 from carobspool_node.direct._peer import AnnouncementContent
 from carobspool_node.direct._peer_table import HintTargets
 from carobspool_node.direct._suspect_messages import encode_suspects_hint
+from carobspool_node.hint_relays import HintTraffic
 
 Address = tuple[str, int]
 
@@ -34,13 +36,24 @@
         clock: The process's clock.
         sock: Socket from which hints are sent.
         sender: Name, incarnation and address of this entry.
+        traffic: Counts the sent datagrams.
+        collect: Called with each hint that this entry, as the relay, has to pass on.
     """
 
-    def __init__(self, clock: Clock, sock: socket.socket, sender: Sender) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        sock: socket.socket,
+        sender: Sender,
+        traffic: HintTraffic | None = None,
+        collect: Callable[[WaitingHint], None] = lambda hint: None,
+    ) -> None:
         self._clock = clock
         self._socket = sock
         self._counts_sent_at: Millis = float("-inf")
         self._sender = sender
+        self._traffic = traffic
+        self._collect = collect
         self._lock = threading.Lock()
         self._sequence = 0
 
@@ -69,7 +82,7 @@
         ):
             if addresses:
                 data = encode(self._sender, hint, sequence=sequence, silent=silent, ended=ended)
-                self._send(data, addresses)
+                self._dispatch("announcement", data, addresses)
 
     def send_loads(
         self,
@@ -80,7 +93,7 @@
         targets: HintTargets,
         sharers: frozenset[str] | None,
     ) -> None:
-        """Send load hints and counts hints.
+        """Send load hints and counts hints, or leave them to the relays for some entries.
 
         Args:
             loads: Requests in flight at this entry, by the upstream's identity.
@@ -90,28 +103,43 @@
             sharers: Entries that use the same upstreams, ``None`` for all; only these get loads.
         """
         sequence = self._next_sequence()
-        recipients = targets.load_recipients(sharers)
+        all_recipients = targets.load_recipients(sharers)
+        recipients = all_recipients - targets.relayed
         with_counts = recipients & targets.count_readers if counts else frozenset()
         self._send_load_hint(
             loads, backlog, {}, sequence, _addresses(targets, recipients - with_counts)
         )
         self._send_load_hint(loads, backlog, counts, sequence, _addresses(targets, with_counts))
-        counts_only = targets.count_readers - recipients
+        is_relay = bool(targets.relayed) and targets.relay is None
+        if is_relay:
+            self._pass_on("load", sequence, self._load_hint(loads, backlog, counts, sequence))
+        counts_only = targets.count_readers - all_recipients
         if counts and counts_only and self._admit_counts_hint(len(counts_only)):
-            data = encode_counts_hint(
-                name=self._sender.name,
-                incarnation=self._sender.incarnation,
-                sequence=sequence,
-                counts=counts,
-            )
-            self._send(data, _addresses(targets, counts_only))
+            data = self._counts_hint(counts, sequence)
+            names = counts_only - targets.relayed
+            if is_relay:
+                self._pass_on("counts", sequence, data)
+            elif targets.relay is not None and counts_only & targets.relayed:
+                names |= {targets.relay}
+            self._dispatch("counts", data, _addresses(targets, names & targets.current.keys()))
+
+    def send_heartbeat_without_loads(
+        self, counts: Mapping[int, int], targets: HintTargets, names: frozenset[str]
+    ) -> None:
+        """Send a heartbeat to entries that need no loads of this entry."""
+        data = self._counts_hint(counts, self._next_sequence())
+        self._dispatch("counts", data, _addresses(targets, names & targets.count_readers))
+
+    def send_bundle(self, data: bytes, addresses: Sequence[Address]) -> None:
+        """Send hints that this entry passes on as a relay."""
+        self._dispatch("relayed", data, addresses)
 
     def send_suspects(self, updates: Sequence[SuspectUpdate], targets: HintTargets) -> None:
         """Send changed evidence against requests to the entries that read such hints."""
         data = encode_suspects_hint(
             name=self._sender.name, incarnation=self._sender.incarnation, updates=updates
         )
-        self._send(data, _addresses(targets, targets.suspect_readers))
+        self._dispatch("suspects", data, _addresses(targets, targets.suspect_readers))
 
     def _send_load_hint(
         self,
@@ -121,9 +149,18 @@
         sequence: int,
         addresses: Sequence[Address],
     ) -> None:
-        if not addresses:
-            return
-        data = encode_load_hint(
+        if addresses:
+            data = self._load_hint(loads, backlog, counts, sequence)
+            self._dispatch("load", data, addresses)
+
+    def _load_hint(
+        self,
+        loads: Mapping[str, Load],
+        backlog: Sequence[WaitingGroup],
+        counts: Mapping[int, int],
+        sequence: int,
+    ) -> bytes:
+        return encode_load_hint(
             name=self._sender.name,
             incarnation=self._sender.incarnation,
             sequence=sequence,
@@ -131,7 +168,25 @@
             backlog=backlog,
             counts=counts,
         )
-        self._send(data, addresses)
+
+    def _counts_hint(self, counts: Mapping[int, int], sequence: int) -> bytes:
+        return encode_counts_hint(
+            name=self._sender.name,
+            incarnation=self._sender.incarnation,
+            sequence=sequence,
+            counts=counts,
+        )
+
+    def _pass_on(self, kind: HintKind, sequence: int, data: bytes) -> None:
+        self._collect(
+            WaitingHint(
+                name=self._sender.name,
+                incarnation=self._sender.incarnation,
+                sequence=sequence,
+                kind=kind,
+                data=data,
+            )
+        )
 
     def _admit_counts_hint(self, entries: int) -> bool:
         """Return whether a counts hint may be sent now, and restart its interval if so."""
@@ -146,6 +201,11 @@
             self._sequence += 1
             return self._sequence
 
+    def _dispatch(self, kind: str, data: bytes, addresses: Sequence[Address]) -> None:
+        self._send(data, addresses)
+        if self._traffic is not None:
+            self._traffic.record(kind, len(data), addresses)
+
     def _send(self, data: bytes, addresses: Iterable[Address]) -> None:
         for address in addresses:
             with contextlib.suppress(OSError):
--- a/packages/node/src/carobspool_node/direct/_metrics.py
+++ b/packages/node/src/carobspool_node/direct/_metrics.py
@@ -36,7 +36,10 @@
     "refused_keys": ("reason",),
     "over_limit": (),
     "log_lines_dropped": (),
+    "hint_bytes": ("kind", "crossing"),
+    "hint_datagrams": ("kind", "crossing"),
 }
+_GAUGE_NAMES = ("hint_relay",)
 _HISTOGRAM_NAMES = ("request", "first_event", "job_commit", "item_run", "job_orphan")
 
 
@@ -61,6 +64,7 @@
             name: Counter() for name in _COUNTER_LABELS
         }
         self._histograms = {name: _Histogram() for name in _HISTOGRAM_NAMES}
+        self._gauges = dict.fromkeys(_GAUGE_NAMES, 0.0)
 
     def count(self, name: str, value: int = 1, **labels: str) -> None:
         """Add to a counter."""
@@ -68,6 +72,11 @@
         with self._lock:
             self._counters[name][key] += value
 
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set the current value of a gauge."""
+        with self._lock:
+            self._gauges[name] = value
+
     def observe_duration(self, name: str, duration: Millis) -> None:
         """Record a duration in milliseconds."""
         seconds = duration / 1000.0
@@ -87,6 +96,7 @@
         """Yield each metric; called by the library's registry."""
         with self._lock:
             counts = {name: dict(found) for name, found in self._counters.items()}
+            gauges = dict(self._gauges)
             durations_by_name = {
                 name: (list(each.counts), each.total) for name, each in self._histograms.items()
             }
@@ -99,6 +109,8 @@
             for labels, value in by_labels.items():
                 counter.add_metric(labels, value)
             yield counter
+        for name, gauge in gauges.items():
+            yield prometheus.metrics_core.GaugeMetricFamily(_PREFIX + name, name, value=gauge)
         for name, (buckets, total) in durations_by_name.items():
             histogram = prometheus.metrics_core.HistogramMetricFamily(
                 f"{_PREFIX}{name}_seconds", name
--- a/packages/node/src/carobspool_node/direct/_peer.py
+++ b/packages/node/src/carobspool_node/direct/_peer.py
@@ -31,6 +31,11 @@
         sequence: Sequence number of the newest hint.
         reads_load_hints: Whether the peer reads load hints.
         reads_counts: Whether the peer reads hints that carry request counts.
+        failure_domain: Failure domain of the peer, ``None`` if the peer does not read bundles.
+        host_capacity: Share of processor times cores, 0 if unknown; ``None`` if the peer does not
+            relay hints.
+        direct_sequence: Sequence number of the newest hint that no relay passed on.
+        relayed_at: Time at which a relay last passed on a newer hint of the peer.
     """
 
     name: str
@@ -47,6 +52,10 @@
     sequence: int = -1
     reads_load_hints: bool = False
     reads_counts: bool = False
+    failure_domain: str | None = None
+    host_capacity: float | None = None
+    direct_sequence: int = -1
+    relayed_at: Millis = float("-inf")
 
     @property
     def reads_suspects(self) -> bool:
--- a/packages/node/src/carobspool_node/direct/_peer_messages.py
+++ b/packages/node/src/carobspool_node/direct/_peer_messages.py
@@ -35,6 +35,8 @@
 MAX_WAIT_MS = 86_400_000.0
 """Longest wait that a peer may request for a read: one day, which a thread can sleep."""
 HIGHEST_PORT = 65_535
+MAX_CAPACITY = 1e6
+"""Largest processor capacity of a host, in cores."""
 
 Name = Annotated[str, Bounds(min_length=1, max_length=MAX_NAME_CHARS)]
 Count = Annotated[int, Bounds(ge=0, le=MAX_COUNT)]
@@ -92,6 +94,10 @@
     packed_loads: bytes = field(alias="k", default=b"")
     answer_age: Count = field(alias="o", default=0)
     packed_counts: bytes | None = field(alias="g", default=None)
+    failure_domain: Name | None = field(alias="z", default=None)
+    host_capacity: Annotated[float, Bounds(ge=0, le=MAX_CAPACITY)] | None = field(
+        alias="h", default=None
+    )
 
 
 class ResultsCall(Record):
--- a/packages/node/src/carobspool_node/direct/_peer_table.py
+++ b/packages/node/src/carobspool_node/direct/_peer_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from absl import logging
 from msgspec import Struct
@@ -12,6 +12,7 @@
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import DEAD_AFTER, FORGET_AFTER, SILENT_AFTER, Liveness
+from carobspool_core.hint_relays import RelayEntry
 from carobspool_core.organisations import KnownPeer
 from carobspool_node.direct._bad_records import printable_text
 from carobspool_node.direct._load_hint import CountsHint, LoadHint
@@ -27,12 +28,17 @@
         count_readers: Names of those entries that read request counts too.
         others: Addresses of entries of the previous version, and of entries without a recent hint.
         suspect_readers: Names of the current entries that read evidence against requests.
+        relayed: Names of the current entries that get load hints and counts hints through relays.
+        relay: Name of the relay that passes this entry's hints on to them, ``None`` if this entry
+            is the relay or no relay is used.
     """
 
     current: Mapping[str, tuple[str, int]]
     count_readers: frozenset[str]
     others: Sequence[tuple[str, int]]
     suspect_readers: frozenset[str] = frozenset()
+    relayed: frozenset[str] = frozenset()
+    relay: str | None = None
 
     def load_recipients(self, sharers: frozenset[str] | None) -> frozenset[str]:
         """Return the names of the entries to which a change of loads is sent.
@@ -43,6 +49,11 @@
         names = frozenset(self.current)
         return names if sharers is None else names & sharers
 
+    def without(self, names: frozenset[str]) -> HintTargets:
+        """Return the targets without some of the current entries."""
+        current = {name: at for name, at in self.current.items() if name not in names}
+        return replace(self, current=current, count_readers=self.count_readers - names)
+
 
 class SilentPeers(Struct, frozen=True, kw_only=True):
     """Peers that a check for silence has newly found.
@@ -70,6 +81,7 @@
         self._lock = threading.Lock()
         self._peers: dict[str, Peer] = {}
         self._addresses: dict[str, tuple[str, int]] = {}
+        self._domains: dict[tuple[str, int], str] = {}
         self._names_digest: int | None = None
         self._new_peers: set[str] = set()
         self._liveness = Liveness(clock.now())
@@ -129,11 +141,52 @@
             others=list(others.values()),
         )
 
+    def addresses(self, names: Iterable[str]) -> list[tuple[str, int]]:
+        """Return the addresses of the peers of these names; unknown names are left out."""
+        with self._lock:
+            return [self._peers[name].address for name in names if name in self._peers]
+
+    def domain_at(self, address: tuple[str, int]) -> str | None:
+        """Return the failure domain that the entry at an address has announced."""
+        return self._domains.get(address)
+
+    def domain_of(self, name: str, incarnation: str) -> str | None:
+        """Return the announced failure domain of a process, ``None`` if there is none."""
+        with self._lock:
+            peer = self._peers.get(name)
+            if peer is None or peer.incarnation != incarnation:
+                return None
+            return peer.failure_domain
+
+    def bundle_readers(self) -> list[RelayEntry]:
+        """Return the live peers that read bundles."""
+        now = self._clock.now()
+        with self._lock:
+            return [
+                RelayEntry(
+                    name=each.name,
+                    domain=each.failure_domain,
+                    heard_at=each.last_heard_at,
+                    capacity=each.host_capacity or 0.0,
+                    leaving=each.leaving,
+                    relays=each.host_capacity is not None,
+                )
+                for each in self._peers.values()
+                if each.failure_domain is not None and now - each.last_heard_at < DEAD_AFTER
+            ]
+
     def known_peers(self) -> list[KnownPeer]:
-        """Return all other entries with the arrival of their last hint, ``None`` if only listed."""
+        """Return all other entries with the arrival of their last hint, ``None`` if only listed.
+
+        Hints that relays passed on count.
+        """
         with self._lock:
             found = [
-                KnownPeer(name=each.name, last_heard_at=each.last_heard_at, leaving=each.leaving)
+                KnownPeer(
+                    name=each.name,
+                    last_heard_at=max(each.last_heard_at, each.relayed_at),
+                    leaving=each.leaving,
+                )
                 for each in self._peers.values()
             ]
             listed = self._addresses.keys() - self._peers.keys()
@@ -205,6 +258,10 @@
             peer.versions = announcement.versions
             peer.reads_load_hints = announcement.sequence is not None
             peer.reads_counts = announcement.packed_counts is not None
+            peer.failure_domain = announcement.failure_domain
+            peer.host_capacity = announcement.host_capacity
+            if announcement.failure_domain is not None:
+                self._domains[announcement.address] = announcement.failure_domain
             if announcement.open_jobs is not None:
                 peer.open_jobs = frozenset(announcement.open_jobs)
                 peer.done_jobs = frozenset(announcement.done_jobs)
@@ -239,22 +296,35 @@
             if peer is None or peer.incarnation != incarnation or sequence <= peer.sequence:
                 return False
             peer.sequence = sequence
+            peer.direct_sequence = max(peer.direct_sequence, sequence)
             return True
 
-    def record_hint(self, hint: LoadHint | CountsHint) -> bool:
+    def record_hint(self, hint: LoadHint | CountsHint, *, relayed: bool = False) -> bool:
         """Record the arrival of a load hint or counts hint.
 
+        Args:
+            hint: The hint.
+            relayed: Whether a relay passed it on. Such a hint is no sign of life: its sender may be
+                cut off from this entry, and its announcements may not arrive.
+
         Returns:
             Whether the hint is the newest of a known process.
         """
-        if not self.advance_sequence(hint.name, hint.incarnation, hint.sequence):
-            return False
         now = self._clock.now()
         with self._lock:
-            peer = self._peers[hint.name]
-            self._liveness.record_hint(now - peer.last_heard_at, now)
-            peer.last_heard_at = now
-        return True
+            peer = self._peers.get(hint.name)
+            if peer is None or peer.incarnation != hint.incarnation:
+                return False
+            is_newest = hint.sequence > peer.sequence
+            if relayed:
+                peer.relayed_at = now if is_newest else peer.relayed_at
+            elif hint.sequence > peer.direct_sequence:
+                # A relayed hint may have overtaken this one, which is a sign of life all the same.
+                peer.direct_sequence = hint.sequence
+                self._liveness.record_hint(now - peer.last_heard_at, now)
+                peer.last_heard_at = now
+            peer.sequence = max(peer.sequence, hint.sequence)
+            return is_newest
 
     def check_silence(self) -> SilentPeers:
         """Return the peers that have become lost or gone, and update the table.
@@ -285,6 +355,7 @@
                     gone.append(peer)
                 if found.is_forgotten:
                     del self._peers[peer.name]
+                    self._domains.pop(peer.address, None)
         for peer in lost:
             logging.warning(
                 "event=peer_lost peer=%s silent_ms=%.0f jobs=%d",
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -18,9 +18,11 @@
 
 from absl import logging
 from msgspec import Struct
+from msgspec.structs import replace
 
 from carobspool_core import Clock, Millis, SuspectUpdate
 from carobspool_core.direct import Load, LoadSendLimiter, WaitingGroup
+from carobspool_core.hint_relays import RelayEntry
 from carobspool_core.organisations import KnownPeer
 from carobspool_node.direct._announcement import Sender
 from carobspool_node.direct._bad_records import BadRecords
@@ -29,6 +31,7 @@
 from carobspool_node.direct._peer import AnnouncementContent, Peer
 from carobspool_node.direct._peer_table import HintTargets, PeerTable
 from carobspool_node.direct._telemetry import Telemetry
+from carobspool_node.hint_relays import HintRelays, HintTraffic
 
 CHECK_INTERVAL: Millis = 50.0
 """Time between two checks for silent peers and for state that has to be announced at once."""
@@ -57,6 +60,7 @@
         has_unsent_counts: Returns whether a hint has to report request counts now.
         claim_unsent_counts: Returns the request counts for the next hint to all peers and marks
             them as reported; the argument states whether the hint is a heartbeat.
+        is_leaving: Returns whether this entry is shutting down.
     """
 
     loads: Callable[[], Mapping[str, Load]]
@@ -67,6 +71,7 @@
     identities_by_key: Callable[[], Mapping[int, str]]
     has_unsent_counts: Callable[[], bool] = lambda: False
     claim_unsent_counts: Callable[[bool], Mapping[int, int]] = lambda is_heartbeat: {}
+    is_leaving: Callable[[], bool] = lambda: False
 
 
 class Peers:
@@ -79,6 +84,9 @@
         incarnation: Incarnation of this process.
         address: Address at which this entry receives hints.
         own: Functions that supply the content of this entry's hints.
+        failure_domain: Failure domain of this entry, announced to the peers unless it is empty.
+        host_capacity: Share of processor times cores, 0 if unknown; ``None`` if the setting
+            ``hint_relays`` is off.
     """
 
     def __init__(
@@ -90,9 +98,17 @@
         incarnation: str,
         address: tuple[str, int],
         own: HintSources,
+        failure_domain: str = "",
+        host_capacity: float | None = None,
     ) -> None:
         self._clock = clock
-        self._sender = Sender(name=name, incarnation=incarnation, address=address)
+        self._sender = Sender(
+            name=name,
+            incarnation=incarnation,
+            address=address,
+            failure_domain=failure_domain,
+            host_capacity=host_capacity,
+        )
         self._own = own
         self._table = PeerTable(clock, name)
         self._events = PeerCallbacks()
@@ -104,9 +120,28 @@
         self._stopped = threading.Event()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(address)
-        self._hints = HintSender(clock, self._socket, self._sender)
+        self._relays = HintRelays(
+            clock,
+            RelayEntry(
+                name=name,
+                domain=failure_domain,
+                heard_at=0.0,
+                capacity=host_capacity or 0.0,
+                relays=host_capacity is not None,
+            ),
+            incarnation,
+            peers=self._table.bundle_readers,
+            group=own.upstream_sharers,
+            is_leaving=own.is_leaving,
+            send=lambda data, names: self._hints.send_bundle(data, self._table.addresses(names)),
+            set_relay_gauge=lambda value: telemetry.set_gauge("hint_relay", value),
+        )
+        traffic = HintTraffic(telemetry.count, failure_domain, self._table.domain_at)
+        self._hints = HintSender(clock, self._socket, self._sender, traffic, self._relays.collect)
         bad_hints = BadRecords(clock, telemetry, "hint", "sender")
-        self._receiver = HintReceiver(self._socket, self._table, own.identities_by_key, bad_hints)
+        self._receiver = HintReceiver(
+            self._socket, self._table, own.identities_by_key, bad_hints, self._relays
+        )
 
     @property
     def identity(self) -> str:
@@ -118,16 +153,23 @@
         """Time until which peers may have acted on this entry's jobs without its knowledge."""
         return self._table.ownership_uncertain_until
 
+    @property
+    def relays_in_force(self) -> bool:
+        """Whether hints to other failure domains go through relays; cheap, for each request."""
+        return self._relays.in_force
+
     def start(self, events: PeerCallbacks) -> None:
         """Start to send and receive hints."""
         self._events = events
         self._receiver.start(events)
+        self._relays.start()
         threading.Thread(target=self._send_loop, name="hints-out", daemon=True).start()
 
     def stop(self) -> None:
         """Send a last announcement and stop."""
         self.announce()
         self._stopped.set()
+        self._relays.stop()
         self._receiver.stop()
 
     def set_address(self, name: str, address: tuple[str, int] | None) -> None:
@@ -242,13 +284,19 @@
                     self._announce_to_new_peers()
                 loads = self._own.loads()
                 if loads != sent_loads or self._own.has_unsent_counts():
-                    targets = self._table.targets()
+                    targets = self._targets_for_change()
                     sharers = self._own.upstream_sharers()
-                    recipients = len(targets.load_recipients(sharers))
+                    recipients = len(targets.load_recipients(sharers) - targets.relayed)
                     pause = send_limiter.delay_before_send(now, peers=recipients)
                     if pause <= 0.0:
                         sent_loads = loads
-                        self._send_loads(loads, targets, sharers, is_heartbeat=False)
+                        self._hints.send_loads(
+                            loads,
+                            self._own.backlog(),
+                            self._own.claim_unsent_counts(False),
+                            targets=targets,
+                            sharers=sharers,
+                        )
                         send_limiter.record_send(now, peers=recipients)
                         pause = CHECK_INTERVAL
                 pause = min(pause, max(0.0, check_at - self._clock.now()))
@@ -256,6 +304,15 @@
                 logging.exception("event=hint_failed")
             self._wait_for_change(pause)
 
+    def _targets_for_change(self) -> HintTargets:
+        """Return the addresses for a change of loads or counts, which relays may pass on."""
+        targets = self._table.targets()
+        plan = self._relays.plan_for_sending()
+        if not plan.served:
+            return targets
+        relay = None if plan.is_relay else plan.own_relay
+        return replace(targets, relayed=plan.served & targets.count_readers, relay=relay)
+
     def _send_heartbeat(self, now: Millis) -> None:
         """Send a heartbeat to all peers: an announcement if one is due, or else a load hint."""
         targets = self._table.targets()
@@ -266,7 +323,14 @@
         if self._ended_jobs_to_announce() or self._table.silent():
             self._announce_to(list(targets.current.values()), targets.others)
             return
-        self._send_loads(self._own.loads(), targets, None, is_heartbeat=True)
+        counts = self._own.claim_unsent_counts(True)
+        unrelated = self._relays.unrelated() & targets.count_readers
+        if unrelated:
+            self._hints.send_heartbeat_without_loads(counts, targets, unrelated)
+            targets = targets.without(unrelated)
+        self._hints.send_loads(
+            self._own.loads(), self._own.backlog(), counts, targets=targets, sharers=None
+        )
         self._announce_to((), targets.others)
 
     def _announce_to_new_peers(self) -> None:
@@ -283,22 +347,6 @@
         self._loads_changed.wait(pause / 1000.0)
         self._loads_changed.clear()
 
-    def _send_loads(
-        self,
-        loads: Mapping[str, Load],
-        targets: HintTargets,
-        sharers: frozenset[str] | None,
-        *,
-        is_heartbeat: bool,
-    ) -> None:
-        self._hints.send_loads(
-            loads,
-            self._own.backlog(),
-            self._own.claim_unsent_counts(is_heartbeat),
-            targets=targets,
-            sharers=sharers,
-        )
-
     def _check_silence(self) -> None:
         silent = self._table.check_silence()
         for peer in silent.lost:
--- a/packages/node/src/carobspool_node/direct/_settings.py
+++ b/packages/node/src/carobspool_node/direct/_settings.py
@@ -13,6 +13,7 @@
 from carobspool_core import Millis
 from carobspool_core.problems import Problem, read_json
 from carobspool_core.records import Bounds, Record, field, validate
+from carobspool_node.direct._peer_messages import MAX_CAPACITY
 from carobspool_node.settings import HIGHEST_PORT, IP_ADDRESS, NODE_NAME, LogLevel
 
 DIRECT_ROLES = ("direct-entry", "keeper")
@@ -69,6 +70,24 @@
         unit="name",
         default="info",
     )
+    hint_relays: Literal["off", "auto"] = field(
+        description=(
+            "Whether hints between failure domains go through one entry of each domain; `auto`:"
+            " while 12 entries or more live in two domains or more, and three or more in its own."
+        ),
+        unit="name",
+        default="off",
+    )
+    host_capacity: float = field(
+        description=(
+            "Share of processor times cores of its host, 0 if unknown; entries with more relay"
+            " hints."
+        ),
+        unit="cores",
+        ge=0,
+        le=MAX_CAPACITY,
+        default=0.0,
+    )
 
 
 class DirectSettings(Struct, frozen=True, kw_only=True):
@@ -89,6 +108,8 @@
         first_start: Whether the whole system starts for the first time, with an empty store.
         metrics_port: Port on which metrics are served.
         log_level: Least severe level that is logged.
+        hint_relays: ``off`` or ``auto``.
+        host_capacity: Share of processor times cores of the host, 0 if unknown.
     """
 
     role: str
@@ -105,6 +126,8 @@
     first_start: bool
     metrics_port: int
     log_level: str
+    hint_relays: str = "off"
+    host_capacity: float = 0.0
 
 
 def load_direct_settings(path: Path) -> Result[DirectSettings, tuple[Problem, ...]]:
@@ -139,6 +162,8 @@
             first_start=model.first_start,
             metrics_port=model.metrics_port,
             log_level=model.log_level,
+            hint_relays=model.hint_relays,
+            host_capacity=model.host_capacity,
         )
     )
 
--- a/packages/node/src/carobspool_node/direct/_telemetry.py
+++ b/packages/node/src/carobspool_node/direct/_telemetry.py
@@ -54,6 +54,10 @@
         """Add to a counter."""
         self._metrics.count(name, value, **labels)
 
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set the current value of a gauge."""
+        self._metrics.set_gauge(name, value)
+
     def observe_duration(self, name: str, duration: Millis) -> None:
         """Record a duration in milliseconds."""
         self._metrics.observe_duration(name, duration)
--- /dev/null
+++ b/packages/node/src/carobspool_node/hint_relays/_relays.py
@@ -0,0 +1,250 @@
+"""Relay hints between failure domains, and tell the sender of hints which entries relays serve."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Iterable, Mapping, Sequence
+
+from absl import logging
+
+from carobspool_core import Clock, Millis
+from carobspool_core.hint_relays import (
+    COUNTS_PASS_ON_INTERVAL,
+    NO_RELAYS,
+    BundleBuffer,
+    HintKind,
+    RelayEntry,
+    RelayPlan,
+    WaitingHint,
+    make_relay_plan,
+    sends_directly,
+    split_by_size,
+)
+from carobspool_node.hint_relays._bundle import encode_bundle
+from carobspool_node.hint_relays._relay_log import RelayLog
+
+PLAN_INTERVAL: Millis = 50.0
+"""Time for which the relays are cached. Choosing them visits each entry, and the choice changes
+600 ms after a failure at the earliest."""
+PRESENCE_INTERVAL: Millis = 50.0
+"""Longest time between two bundles of a relay to its domain while hints arrive from it."""
+PRESENCE_AFTER_HINT: Millis = 1_000.0
+"""Time after a hint in which the relay stays present; each entry sends a heartbeat every 500 ms."""
+IDLE_PAUSE: Millis = 50.0
+"""Time between two runs of the thread while no hint waits; well below the limit for a pause."""
+
+
+def _make_buffers(now: Millis) -> Mapping[HintKind, BundleBuffer]:
+    return {
+        "load": BundleBuffer(now),
+        "counts": BundleBuffer(now, COUNTS_PASS_ON_INTERVAL),
+    }
+
+
+class HintRelays:
+    """Decides which entries relays serve, and passes hints on while this entry is a relay.
+
+    Safe for threads.
+
+    Args:
+        clock: The process's clock.
+        own: This entry; ``relays`` states whether the setting allows relays.
+        incarnation: Incarnation of this process.
+        peers: Returns the other live entries that read bundles.
+        group: Returns the entries that use the same upstreams, ``None`` for all entries.
+        is_leaving: Returns whether this entry is shutting down.
+        send: Sends a datagram to the entries of these names.
+        set_relay_gauge: Sets the metric that states whether this entry is a relay.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        own: RelayEntry,
+        incarnation: str,
+        *,
+        peers: Callable[[], Sequence[RelayEntry]],
+        group: Callable[[], frozenset[str] | None],
+        is_leaving: Callable[[], bool],
+        send: Callable[[bytes, Iterable[str]], None],
+        set_relay_gauge: Callable[[float], None],
+    ) -> None:
+        self._clock = clock
+        self._own = own
+        self._incarnation = incarnation
+        self._peers = peers
+        self._group = group
+        self._is_leaving = is_leaving
+        self._send = send
+        self._log = RelayLog(own.domain, set_relay_gauge)
+        self._lock = threading.Lock()
+        self._plan = NO_RELAYS
+        self._planned_at: Millis = float("-inf")
+        self._bundle_at: dict[str, Millis] = {}
+        self._outward = _make_buffers(clock.now())
+        self._inward = _make_buffers(clock.now())
+        self._collected_at: Millis = float("-inf")
+        self._present_at: Millis = float("-inf")
+        self._hint_waits = threading.Event()
+        self._stopped = threading.Event()
+
+    @property
+    def domain(self) -> str:
+        """Failure domain of this entry."""
+        return self._own.domain
+
+    @property
+    def in_force(self) -> bool:
+        """Whether relays are in force."""
+        return self._own.relays and self._current_plan().in_force
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether this entry passes the hints of its domain on to the other domains."""
+        return self._own.relays and self._current_plan().is_relay
+
+    def start(self) -> None:
+        """Start the thread that passes hints on, if the setting allows relays."""
+        if self._own.relays:
+            threading.Thread(target=self._run, name="hint-relay", daemon=True).start()
+
+    def stop(self) -> None:
+        """Make the thread exit."""
+        self._stopped.set()
+        self._hint_waits.set()
+
+    def unrelated(self) -> frozenset[str]:
+        """Return the entries whose heartbeats carry no loads; none while relays are not in force.
+
+        They are in other domains and share no upstream with this entry.
+        """
+        return self._current_plan().unrelated if self._own.relays else frozenset()
+
+    def plan_for_sending(self) -> RelayPlan:
+        """Return the relays to be used for the next hint, `NO_RELAYS` to send it directly."""
+        if not self._own.relays:
+            return NO_RELAYS
+        plan = self._current_plan()
+        now = self._clock.now()
+        heard_at = self._bundle_at.get(plan.own_relay or "")
+        direct = sends_directly(plan, heard_at, now)
+        self._log.record_sending(plan, direct=direct, heard_at=heard_at, now=now)
+        return NO_RELAYS if direct else plan
+
+    def collect(self, hint: WaitingHint) -> None:
+        """Keep a hint of this entry, or of an entry of its domain, for the other domains.
+
+        Hints of entries that use other upstreams have a relay of their own and are ignored.
+        Hints that arrived in a bundle must not be passed to this method: they would be passed on a
+        second time.
+        """
+        if not self.is_relay:
+            return
+        if hint.name != self._own.name and hint.name not in self._plan.sharers:
+            return
+        now = self._clock.now()
+        with self._lock:
+            self._collected_at = now
+            kept = self._outward[hint.kind].add(hint, now)
+        if kept:
+            self._hint_waits.set()
+
+    def distribute(self, hint: WaitingHint) -> None:
+        """Keep a hint that a relay of another domain has sent, for the entries of this domain."""
+        if not self._own.relays:
+            return
+        with self._lock:
+            kept = self._inward[hint.kind].add(hint, self._clock.now())
+        if kept:
+            self._hint_waits.set()
+
+    def record_bundle(self, relay: str) -> None:
+        """Record the arrival of a bundle."""
+        self._bundle_at[relay] = self._clock.now()
+
+    def run_once(self) -> Millis:
+        """Send the bundles that are due; return the time until the next run."""
+        now = self._clock.now()
+        plan = self._current_plan()
+        with self._lock:
+            buffers = (*self._outward.values(), *self._inward.values())
+            paused = [each.record_tick(now) for each in buffers]
+            if any(paused):
+                logging.warning("event=relay_paused relay=%s", self._own.name)
+            outward = [hint for each in self._outward.values() for hint in each.take(now)]
+            loads, counts = self._inward["load"].take(now), self._inward["counts"].take(now)
+            delays = [each.delay_before_take(now) for each in buffers]
+        if plan.is_relay:
+            self._send_bundles(outward, plan.relays.values())
+        self._send_bundles(counts, plan.others)
+        if self._send_bundles(loads, plan.sharers):
+            self._present_at = now
+        self._show_presence(plan, now)
+        return min([IDLE_PAUSE, *(each for each in delays if each is not None)])
+
+    def _run(self) -> None:
+        pause = IDLE_PAUSE
+        while not self._stopped.is_set():
+            self._hint_waits.wait(pause / 1000.0)
+            self._hint_waits.clear()
+            try:
+                pause = self.run_once()
+                if pause < IDLE_PAUSE:
+                    # Hints that arrive meanwhile wait for the same time and wake nobody.
+                    self._stopped.wait(pause / 1000.0)
+                    pause = 0.0
+            except Exception:  # noqa: BLE001
+                logging.exception("event=relay_failed")
+                self._stopped.wait(IDLE_PAUSE / 1000.0)
+
+    def _show_presence(self, plan: RelayPlan, now: Millis) -> None:
+        """Send an empty bundle to the own domain if the relay would otherwise seem silent."""
+        if not plan.is_relay or now - self._present_at < PRESENCE_INTERVAL - 1.0:
+            return
+        if now - self._collected_at > PRESENCE_AFTER_HINT:
+            return
+        self._present_at = now
+        self._send(encode_bundle(self._own.name, self._incarnation, ()), plan.sharers)
+
+    def _send_bundles(self, hints: Sequence[WaitingHint], names: Iterable[str]) -> bool:
+        recipients = list(names)
+        if not hints or not recipients:
+            return False
+        for part in split_by_size(hints):
+            self._send(encode_bundle(self._own.name, self._incarnation, part), recipients)
+        return True
+
+    def _current_plan(self) -> RelayPlan:
+        """Return the cached plan, or a new one after `PLAN_INTERVAL`."""
+        now = self._clock.now()
+        if now - self._planned_at < PLAN_INTERVAL:
+            return self._plan
+        self._planned_at = now
+        own = RelayEntry(
+            name=self._own.name,
+            domain=self._own.domain,
+            heard_at=now,
+            capacity=self._own.capacity,
+            leaving=self._is_leaving(),
+        )
+        peers = [self._with_bundles(each) for each in self._peers()]
+        plan = make_relay_plan(own, peers, self._group(), now)
+        names = {each.name for each in peers}
+        self._bundle_at = {name: at for name, at in self._bundle_at.items() if name in names}
+        self._log.record_plan(plan, now)
+        self._plan = plan
+        return plan
+
+    def _with_bundles(self, peer: RelayEntry) -> RelayEntry:
+        """Return a peer with its last bundle as a sign of life."""
+        bundle_at = self._bundle_at.get(peer.name)
+        if bundle_at is None or bundle_at <= peer.heard_at:
+            return peer
+        return RelayEntry(
+            name=peer.name,
+            domain=peer.domain,
+            heard_at=bundle_at,
+            capacity=peer.capacity,
+            leaving=peer.leaving,
+            relays=peer.relays,
+        )
--- a/tests/test_import_rules.py
+++ b/tests/test_import_rules.py
@@ -22,7 +22,9 @@
 NODE_TESTS = ROOT / "packages/node/tests"
 SUBPACKAGES = frozenset(path.parent.name for path in NODE_SOURCE.glob("*/__init__.py"))
 ADAPTERS = frozenset({NODE, "carobspool_cli", "carobspool_standins", "carobspool_platform"})
-ALLOWED_IN_DIRECT = frozenset({f"{NODE}.errors", f"{NODE}.organisations", f"{NODE}.settings"})
+ALLOWED_IN_DIRECT = frozenset(
+    f"{NODE}.{name}" for name in ("errors", "hint_relays", "organisations", "settings")
+)
 """Modules that direct entries may import from the rest of the node. Their code runs on the users'
 hosts, which have only the libraries of deploy/requirements.txt."""
 PRIVATE_IMPORT_EXCEPTIONS = {
@@ -35,6 +37,12 @@
         )
         for module in ("_job_records", "_peer_messages", "_store_relay")
     },
+    **{
+        ("tools/cost_hints.py", f"{NODE}.direct.{module}"): (
+            "measures the bytes of hints with the encoders and the sender that entries use"
+        )
+        for module in ("_announcement", "_hint_sender", "_peer", "_peer_table")
+    },
 }
 """Imports of a subpackage's private modules from outside, each with its reason; keep it short."""
 
