Request limits: property tests with hints that go through relays

The model passes hints on with the decisions of carobspool_core.hint_relays: 12 entries in three domains, with cuts, restarts, pauses and lost messages.

--- a/packages/core/tests/limits_model.py
+++ b/packages/core/tests/limits_model.py
@@ -6,7 +6,7 @@
 import itertools
 import random
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from carobspool_core import Millis
@@ -23,6 +23,27 @@
 """Requests beyond that fraction that a window may hold."""
 
 
+@dataclass(slots=True, frozen=True)
+class Bundle:
+    """Hints that a relay passes on."""
+
+    hints: Sequence[Hint]
+
+
+@dataclass(slots=True, frozen=True)
+class Hint:
+    """Counts of an entry, as it sends them."""
+
+    name: str
+    incarnation: int
+    sequence: int
+    counts: Mapping[int, int]
+
+
+Message = Hint | Bundle
+"""What one entry sends to another: its own hint, or hints that it passes on as a relay."""
+
+
 @dataclass(slots=True)
 class ModelEntry:
     """One entry, and the hints that it has received from the others.
@@ -77,7 +98,7 @@
         self.refused: dict[str, int] = defaultdict(int)
         self.groups: dict[str, int] = {}
         self._delay, self._loss = delay, loss
-        self._hints: list[tuple[Millis, int, str, str, int, int, dict[int, int]]] = []
+        self._messages: list[tuple[Millis, int, str, str, Message]] = []
         self._numbers = itertools.count()
         self._sequence = itertools.count()
         self.entries = [self._new_entry(f"e{number}") for number in range(entries)]
@@ -189,16 +210,25 @@
         entry.has_unsent_counts = False
         entry.hint_sent_at = self.now
         counts = entry.limits.recent_counts(self.now, within=within)
-        sequence = next(self._sequence)
-        for other in self.entries:
-            if other is entry or self._is_partitioned(entry, other):
+        hint = Hint(entry.name, entry.incarnation, next(self._sequence), counts)
+        for other in self._recipients(entry, hint, is_heartbeat=within > 200.0):
+            self._transmit(entry, other, hint)
+
+    def _recipients(
+        self, entry: ModelEntry, hint: Hint, *, is_heartbeat: bool
+    ) -> Sequence[ModelEntry]:
+        """Return the entries to which a hint is sent directly."""
+        return self.entries
+
+    def _transmit(self, entry: ModelEntry, other: ModelEntry, message: Message) -> None:
+        if other is entry or self._is_partitioned(entry, other):
+            return
+        for _ in range(2 if self.random.random() < self._loss else 1):
+            if self.random.random() < self._loss:
                 continue
-            for _ in range(2 if self.random.random() < self._loss else 1):
-                if self.random.random() < self._loss:
-                    continue
-                at = self.now + 1.0 + self.random.random() * self._delay
-                hint = (entry.name, other.name, entry.incarnation, sequence, counts)
-                heapq.heappush(self._hints, (at, next(self._numbers), *hint))
+            at = self.now + 1.0 + self.random.random() * self._delay
+            sent = (at, next(self._numbers), entry.name, other.name, message)
+            heapq.heappush(self._messages, sent)
 
     def _is_partitioned(self, one: ModelEntry, other: ModelEntry) -> bool:
         return self.groups.get(one.name, 0) != self.groups.get(other.name, 0)
@@ -206,23 +236,32 @@
     def _deliver(self) -> None:
         by_name = {each.name: each for each in self.entries}
         delayed = []
-        while self._hints and self._hints[0][0] <= self.now:
-            hint = heapq.heappop(self._hints)
-            _, _, sender, receiver, incarnation, sequence, counts = hint
+        while self._messages and self._messages[0][0] <= self.now:
+            sent = heapq.heappop(self._messages)
+            _, _, sender, receiver, message = sent
             entry = by_name[receiver]
             if self.now < entry.down_until:
                 continue
             if not self._is_up(entry):
-                delayed.append(hint)
+                delayed.append(sent)
                 continue
-            newest = entry.newest_hints.get(sender, (-1, -1))
-            if (incarnation, sequence) <= newest:
-                continue
-            entry.newest_hints[sender] = (incarnation, sequence)
-            entry.heard[sender] = self.now
-            entry.limits.apply_peer_counts(sender, str(incarnation), counts, self.now)
-        for hint in delayed:
-            heapq.heappush(self._hints, (self.now + STEP, *hint[1:]))
+            self._receive(entry, sender, message)
+        for sent in delayed:
+            heapq.heappush(self._messages, (self.now + STEP, *sent[1:]))
+
+    def _receive(self, entry: ModelEntry, sender: str, message: Message) -> None:
+        """Apply a message that has arrived at an entry."""
+        if isinstance(message, Hint):
+            self._apply(entry, message)
+
+    def _apply(self, entry: ModelEntry, hint: Hint) -> None:
+        newest = entry.newest_hints.get(hint.name, (-1, -1))
+        if (hint.incarnation, hint.sequence) <= newest:
+            return
+        entry.newest_hints[hint.name] = (hint.incarnation, hint.sequence)
+        entry.heard[hint.name] = self.now
+        incarnation = str(hint.incarnation)
+        entry.limits.apply_peer_counts(hint.name, incarnation, hint.counts, self.now)
 
 
 def poisson(
--- a/packages/core/tests/test_request_limits.py
+++ b/packages/core/tests/test_request_limits.py
@@ -6,6 +6,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from limits_model import Fleet, poisson
+from relayed_limits_model import RelayedFleet
 
 from carobspool_core.organisations import KnownPeer, RateLimit, RequestLimits
 from carobspool_core.organisations._peer_counts import organisation_key
@@ -228,6 +229,26 @@
 ]
 
 
+def _play_faults(fleet: Fleet, faults: list[tuple[str, int, float]], seed: int) -> None:
+    """Let the faults occur in turn while an organisation sends eight times its limit."""
+    numbers = range(len(fleet.entries))
+    for number, (kind, entry, pause) in enumerate(faults):
+        if kind == "cut":
+            fleet.partition({each: int(each <= entry) for each in numbers})
+        elif kind == "heal":
+            fleet.partition({})
+        elif kind == "restart":
+            fleet.restart(entry, 600.0)
+        elif kind == "freeze":
+            fleet.freeze(entry, pause)
+        else:
+            for each in numbers:
+                fleet.restart(each, 600.0)
+        rate = LARGE.per_second * DEMAND_FACTOR
+        fleet.run(pause, poisson(seed + number, rate, pause, numbers, "hot"))
+    fleet.run(3_000.0, poisson(seed, LARGE.per_second * DEMAND_FACTOR, 3_000.0, numbers, "hot"))
+
+
 @settings(max_examples=40, deadline=None)
 @example(faults=_CUT_AND_RESTART_ALL, seed=0, loss=0.0)
 @example(faults=_TWO_RESTARTS_OF_ALL, seed=1, loss=0.0)
@@ -244,19 +265,31 @@
     """Up to six faults occur in turn while an organisation sends eight times its limit."""
     fleet = Fleet(6, {"hot": LARGE}, seed=seed, loss=loss, delay=40.0)
     fleet.run(3_000.0)
-    for number, (kind, entry, pause) in enumerate(faults):
-        if kind == "cut":
-            fleet.partition({each: int(each <= entry) for each in range(6)})
-        elif kind == "heal":
-            fleet.partition({})
-        elif kind == "restart":
-            fleet.restart(entry, 600.0)
-        elif kind == "freeze":
-            fleet.freeze(entry, pause)
-        else:
-            for each in range(6):
-                fleet.restart(each, 600.0)
-        rate = LARGE.per_second * DEMAND_FACTOR
-        fleet.run(pause, poisson(seed + number, rate, pause, range(6), "hot"))
-    fleet.run(3_000.0, poisson(seed, LARGE.per_second * DEMAND_FACTOR, 3_000.0, range(6), "hot"))
+    _play_faults(fleet, faults, seed)
+    assert fleet.worst_window("hot") <= fleet.bound("hot")
+
+
+def test_a_hot_organisation_stays_within_its_limit_with_relays() -> None:
+    """Counts that relays delay or drop would let each domain admit the whole limit."""
+    fleet = RelayedFleet(24, {"hot": LARGE}, domains=4)
+    fleet.run(3_000.0)
+    assert len(fleet.relays()) == 4
+    fleet.run(12_000.0, _hot_arrivals(24, seed=3))
+    assert fleet.worst_window("hot") <= fleet.bound("hot")
+    assert len(fleet.admitted["hot"]) >= REDUCED_REFILL * LARGE.per_second * 12.0
+    assert fleet.relayed_count > 1_000
+
+
+@settings(max_examples=20, deadline=None)
+@example(faults=_CUT_AND_RESTART_ALL, seed=0, loss=0.0)
+@example(faults=_TWO_RESTARTS_OF_ALL, seed=1, loss=0.02)
+@example(faults=[("freeze", each, 1_000.0) for each in range(6)], seed=2, loss=0.1)
+@given(faults=_FAULTS, seed=st.integers(0, 1_000), loss=st.sampled_from([0.0, 0.02, 0.1]))
+def test_the_limit_holds_with_relays_through_partitions_restarts_and_pauses(
+    faults: list[tuple[str, int, float]], seed: int, loss: float
+) -> None:
+    """The faults also hit the relays: 12 entries are in three domains, and cuts divide domains."""
+    fleet = RelayedFleet(12, {"hot": LARGE}, domains=3, seed=seed, loss=loss, delay=40.0)
+    fleet.run(3_000.0)
+    _play_faults(fleet, faults, seed)
     assert fleet.worst_window("hot") <= fleet.bound("hot")
