--- a/packages/core/src/carobspool_core/hint_relays/__init__.py
+++ b/packages/core/src/carobspool_core/hint_relays/__init__.py
@@ -17,6 +17,7 @@
     RELAY_SILENT_AFTER,
     RelayEntry,
     choose_relay,
+    cut_off_entries,
 )
 from carobspool_core.hint_relays._relay_plan import (
     NO_RELAYS,
@@ -40,6 +41,7 @@
     "RelayPlan",
     "WaitingHint",
     "choose_relay",
+    "cut_off_entries",
     "make_relay_plan",
     "relays_in_force",
     "sends_directly",
--- a/packages/core/src/carobspool_core/hint_relays/_relay_choice.py
+++ b/packages/core/src/carobspool_core/hint_relays/_relay_choice.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 from msgspec import Struct
 
@@ -31,6 +31,7 @@
         capacity: Share of processor times cores, 0 if unknown.
         leaving: Whether the entry is shutting down.
         relays: Whether the entry acts as a relay if it is chosen.
+        is_cut_off: Whether the entry and another live entry do not hear each other.
     """
 
     name: str
@@ -39,6 +40,7 @@
     capacity: float = 0.0
     leaving: bool = False
     relays: bool = True
+    is_cut_off: bool = False
 
 
 def choose_relay(domain: str, entries: Iterable[RelayEntry], now: Millis) -> str | None:
@@ -56,12 +58,40 @@
     ]
     if not able:
         return None
+    # If reports concern all of them, the entry that reports may be the one that is cut off.
+    able = [each for each in able if not each.is_cut_off] or able
     best = max(_capacity_class(each.capacity) for each in able)
     return preferred_node(
         domain, [each.name for each in able if _capacity_class(each.capacity) == best]
     )
 
 
+def cut_off_entries(
+    reports: Mapping[str, Collection[str]], heard: Collection[str], own: str
+) -> frozenset[str]:
+    """Return the entries that lack hints of another live entry, or whose hints another one lacks.
+
+    A relay must reach the relays of all domains in both directions. Entries announce whom they do
+    not hear, so that all entries find the same ones.
+
+    Args:
+        reports: Names of the silent entries that each live entry reports, the own entry included.
+        heard: Names of the entries that the own entry hears.
+        own: Name of the own entry.
+    """
+    found: set[str] = set()
+    for name, silent in reports.items():
+        for each in silent:
+            if name != own and (each == own or each in heard):
+                found |= {name, each}
+            elif name == own and not any(
+                each in others for other, others in reports.items() if other != own
+            ):
+                # Other entries hear it, so the fault is at this entry or on its link.
+                found.add(own)
+    return frozenset(found)
+
+
 def _capacity_class(capacity: float) -> float:
     """Return the capacity rounded down to a power of two.
 
--- a/packages/core/src/carobspool_core/hint_relays/_relay_plan.py
+++ b/packages/core/src/carobspool_core/hint_relays/_relay_plan.py
@@ -24,9 +24,9 @@
 """Fewest live entries of the own domain; with two, a relay saves no datagram to its only fellow and
 its loss leaves nobody to relay for."""
 SEND_DIRECTLY_AFTER: Millis = 150.0
-"""Time without a bundle of the own domain's relay after which an entry sends directly. It is three
-times the relay's longest pause, so that one lost datagram causes no direct hints, and far below the
-500 ms after which heartbeats replace the information anyway."""
+"""Time without an empty bundle of the own domain's relay after which an entry sends directly. The
+relay sends one every 50 ms, so that one lost datagram causes no direct hints, and heartbeats
+replace the information only after 500 ms."""
 
 
 class RelayPlan(Struct, frozen=True, kw_only=True):
@@ -116,18 +116,18 @@
     )
 
 
-def sends_directly(plan: RelayPlan, bundle_at: Millis | None, now: Millis) -> bool:
+def sends_directly(plan: RelayPlan, present_at: Millis | None, now: Millis) -> bool:
     """Return whether this entry sends its hints to all other domains itself.
 
     Args:
         plan: The relays as this entry sees them.
-        bundle_at: Arrival of the last bundle of the own domain's relay, ``None`` if none arrived.
-            Only an entry that acts as the relay sends bundles, so that an entry also sends directly
-            while its choice differs from that of the others.
+        present_at: Arrival of the last empty bundle of the own domain's relay, ``None`` if none
+            arrived. Only an entry that acts as the relay sends empty bundles, so that an entry also
+            sends directly while its choice differs from that of the relay.
         now: Current time.
     """
     if not plan.in_force or plan.own_relay is None:
         return True
     if plan.is_relay:
         return False
-    return bundle_at is None or now - bundle_at > SEND_DIRECTLY_AFTER
+    return present_at is None or now - present_at > SEND_DIRECTLY_AFTER
--- a/packages/core/tests/relayed_limits_model.py
+++ b/packages/core/tests/relayed_limits_model.py
@@ -29,9 +29,9 @@
     def __init__(self, now: Millis) -> None:
         self.outward, self.inward = BundleBuffer(now), BundleBuffer(now)
         self.heard: dict[str, Millis] = {}
-        self.bundle_at: dict[str, Millis] = {}
+        self.present_at: dict[str, Millis] = {}
         self.plan = RelayPlan()
-        self.planned_at = self.present_at = float("-inf")
+        self.planned_at = self.showed_at = float("-inf")
 
 
 class RelayedFleet(Fleet):
@@ -76,7 +76,7 @@
         plan = self._plan(entry, state)
         if is_heartbeat:
             return self.entries
-        if sends_directly(plan, state.bundle_at.get(plan.own_relay or ""), self.now):
+        if sends_directly(plan, state.present_at.get(plan.own_relay or ""), self.now):
             return self.entries
         if plan.is_relay:
             state.outward.add(self._waiting(hint), self.now)
@@ -86,7 +86,8 @@
         state = self._state(entry)
         is_fellow = self.domains[sender] == self.domains[entry.name]
         if isinstance(message, Bundle):
-            state.bundle_at[sender] = self.now
+            if not message.hints:
+                state.present_at[sender] = self.now
             for each in message.hints:
                 if not is_fellow:
                     state.inward.add(self._waiting(each), self.now)
@@ -109,11 +110,14 @@
     ) -> None:
         plan = self._plan(entry, state)
         outward, inward = state.outward.take(self.now), state.inward.take(self.now)
-        is_present = plan.is_relay and self.now - state.present_at >= PRESENCE_INTERVAL
-        if inward or is_present:
-            state.present_at = self.now
-            for name in plan.sharers:
+        shows_presence = plan.is_relay and self.now - state.showed_at >= PRESENCE_INTERVAL
+        if shows_presence:
+            state.showed_at = self.now
+        for name in plan.sharers:
+            if inward:
                 self._transmit(entry, by_name[name], self._bundle(inward))
+            if shows_presence:
+                self._transmit(entry, by_name[name], Bundle(()))
         if outward and plan.is_relay:
             self.relayed_count += len(outward)
             for name in plan.relays.values():
--- a/packages/node/src/carobspool_node/direct/_hint_receiver.py
+++ b/packages/node/src/carobspool_node/direct/_hint_receiver.py
@@ -188,7 +188,7 @@
         domain = self._table.domain_of(relay, incarnation)
         if domain is None:
             return
-        self._relays.record_bundle(relay)
+        self._relays.record_bundle(relay, is_empty=not hints)
         for data in hints:
             try:
                 hint, kind = _read_relayed_hint(data)
--- a/packages/node/src/carobspool_node/direct/_peer.py
+++ b/packages/node/src/carobspool_node/direct/_peer.py
@@ -9,6 +9,11 @@
 from carobspool_core import Millis
 from carobspool_core.direct import Load, WaitingGroup
 
+RELAYED_ALLOWANCE: Millis = 350.0
+"""Time for which relayed hints extend the last direct sign of life, so that one lost heartbeat does
+not make a peer silent while its load hints go through relays. A peer that does not hear this entry
+reports that 1.3 s before it takes over jobs, and the report still ends the allowed silence of
+1.25 s."""
 QUARANTINES = "quarantines"
 """Name of the digest of the quarantined requests among the versions."""
 
@@ -35,6 +40,7 @@
         host_capacity: Share of processor times cores, 0 if unknown; ``None`` if the peer does not
             relay hints.
         direct_sequence: Sequence number of the newest hint that no relay passed on.
+        silent: Names of the entries from which the peer receives no hints.
         relayed_at: Time at which a relay last passed on a newer hint of the peer.
     """
 
@@ -55,8 +61,14 @@
     failure_domain: str | None = None
     host_capacity: float | None = None
     direct_sequence: int = -1
+    silent: frozenset[str] = frozenset()
     relayed_at: Millis = float("-inf")
 
+    @property
+    def alive_at(self) -> Millis:
+        """Time of the last sign of life, extended by relayed hints for `RELAYED_ALLOWANCE`."""
+        return max(self.last_heard_at, min(self.relayed_at, self.last_heard_at + RELAYED_ALLOWANCE))
+
     @property
     def reads_suspects(self) -> bool:
         """Whether the peer reads hints about requests that crash upstreams."""
--- a/packages/node/src/carobspool_node/direct/_peer_table.py
+++ b/packages/node/src/carobspool_node/direct/_peer_table.py
@@ -12,7 +12,7 @@
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import DEAD_AFTER, FORGET_AFTER, SILENT_AFTER, Liveness
-from carobspool_core.hint_relays import RelayEntry
+from carobspool_core.hint_relays import RELAY_SILENT_AFTER, RelayEntry, cut_off_entries
 from carobspool_core.organisations import KnownPeer
 from carobspool_node.direct._bad_records import printable_text
 from carobspool_node.direct._load_hint import CountsHint, LoadHint
@@ -158,9 +158,20 @@
                 return None
             return peer.failure_domain
 
+    def cut_off(self) -> frozenset[str]:
+        """Return the entries, this one included, that some live entry does not hear."""
+        now = self._clock.now()
+        reports = {self._name: self.silent()}
+        with self._lock:
+            live = [each for each in self._peers.values() if now - each.last_heard_at < DEAD_AFTER]
+        reports |= {each.name: list(each.silent) for each in live if each.silent}
+        heard = {each.name for each in live if now - each.last_heard_at <= RELAY_SILENT_AFTER}
+        return cut_off_entries(reports, heard, self._name)
+
     def bundle_readers(self) -> list[RelayEntry]:
         """Return the live peers that read bundles."""
         now = self._clock.now()
+        cut_off = self.cut_off()
         with self._lock:
             return [
                 RelayEntry(
@@ -170,6 +181,7 @@
                     capacity=each.host_capacity or 0.0,
                     leaving=each.leaving,
                     relays=each.host_capacity is not None,
+                    is_cut_off=each.name in cut_off,
                 )
                 for each in self._peers.values()
                 if each.failure_domain is not None and now - each.last_heard_at < DEAD_AFTER
@@ -216,7 +228,7 @@
             return [
                 peer.name
                 for peer in self._peers.values()
-                if now - peer.last_heard_at > SILENT_AFTER and not peer.leaving
+                if now - peer.alive_at > SILENT_AFTER and not peer.leaving
             ]
 
     def apply_announcement(self, announcement: Announcement) -> Peer | None:
@@ -231,7 +243,7 @@
             peer = self._peers.get(announcement.name)
             silence = None
             if peer is not None and peer.incarnation == announcement.incarnation:
-                silence = now - peer.last_heard_at
+                silence = now - peer.alive_at
             self._liveness.record_hint(silence, now)
             if peer is None or peer.incarnation != announcement.incarnation:
                 if peer is not None and peer.open_jobs:
@@ -258,9 +270,11 @@
             peer.versions = announcement.versions
             peer.reads_load_hints = announcement.sequence is not None
             peer.reads_counts = announcement.packed_counts is not None
-            peer.failure_domain = announcement.failure_domain
-            peer.host_capacity = announcement.host_capacity
+            peer.silent = frozenset(announcement.silent)
             if announcement.failure_domain is not None:
+                # An entry that does not hear this one sends the format of the previous version.
+                peer.failure_domain = announcement.failure_domain
+                peer.host_capacity = announcement.host_capacity
                 self._domains[announcement.address] = announcement.failure_domain
             if announcement.open_jobs is not None:
                 peer.open_jobs = frozenset(announcement.open_jobs)
@@ -304,8 +318,9 @@
 
         Args:
             hint: The hint.
-            relayed: Whether a relay passed it on. Such a hint is no sign of life: its sender may be
-                cut off from this entry, and its announcements may not arrive.
+            relayed: Whether a relay passed it on. Such a hint is a sign of life for a short time
+                only: its sender may be cut off from this entry, and its announcements may not
+                arrive.
 
         Returns:
             Whether the hint is the newest of a known process.
@@ -321,7 +336,7 @@
             elif hint.sequence > peer.direct_sequence:
                 # A relayed hint may have overtaken this one, which is a sign of life all the same.
                 peer.direct_sequence = hint.sequence
-                self._liveness.record_hint(now - peer.last_heard_at, now)
+                self._liveness.record_hint(now - peer.alive_at, now)
                 peer.last_heard_at = now
             peer.sequence = max(peer.sequence, hint.sequence)
             return is_newest
@@ -344,7 +359,7 @@
                 logging.warning("event=process_stalled gap_ms=%.0f", gap)
                 return SilentPeers()
             for peer in list(self._peers.values()):
-                silence = now - peer.last_heard_at
+                silence = now - peer.alive_at
                 found = self._liveness.evaluate_peer(
                     peer.identity, silence, leaving=peer.leaving, now=now
                 )
--- a/packages/node/src/carobspool_node/hint_relays/_relays.py
+++ b/packages/node/src/carobspool_node/hint_relays/_relays.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 from absl import logging
+from msgspec.structs import replace
 
 from carobspool_core import Clock, Millis
 from carobspool_core.hint_relays import (
@@ -27,7 +28,7 @@
 """Time for which the relays are cached. Choosing them visits each entry, and the choice changes
 600 ms after a failure at the earliest."""
 PRESENCE_INTERVAL: Millis = 50.0
-"""Longest time between two bundles of a relay to its domain while hints arrive from it."""
+"""Time between two empty bundles of a relay to its domain while hints arrive from there."""
 PRESENCE_AFTER_HINT: Millis = 1_000.0
 """Time after a hint in which the relay stays present; each entry sends a heartbeat every 500 ms."""
 IDLE_PAUSE: Millis = 50.0
@@ -53,6 +54,7 @@
         peers: Returns the other live entries that read bundles.
         group: Returns the entries that use the same upstreams, ``None`` for all entries.
         is_leaving: Returns whether this entry is shutting down.
+        is_cut_off: Returns whether this entry and another live entry do not hear each other.
         send: Sends a datagram to the entries of these names.
         set_relay_gauge: Sets the metric that states whether this entry is a relay.
     """
@@ -66,6 +68,7 @@
         peers: Callable[[], Sequence[RelayEntry]],
         group: Callable[[], frozenset[str] | None],
         is_leaving: Callable[[], bool],
+        is_cut_off: Callable[[], bool],
         send: Callable[[bytes, Iterable[str]], None],
         set_relay_gauge: Callable[[float], None],
     ) -> None:
@@ -75,12 +78,14 @@
         self._peers = peers
         self._group = group
         self._is_leaving = is_leaving
+        self._is_cut_off = is_cut_off
         self._send = send
         self._log = RelayLog(own.domain, set_relay_gauge)
         self._lock = threading.Lock()
         self._plan = NO_RELAYS
         self._planned_at: Millis = float("-inf")
         self._bundle_at: dict[str, Millis] = {}
+        self._relay_seen_at: dict[str, Millis] = {}
         self._outward = _make_buffers(clock.now())
         self._inward = _make_buffers(clock.now())
         self._collected_at: Millis = float("-inf")
@@ -126,7 +131,7 @@
             return NO_RELAYS
         plan = self._current_plan()
         now = self._clock.now()
-        heard_at = self._bundle_at.get(plan.own_relay or "")
+        heard_at = self._relay_seen_at.get(plan.own_relay or "")
         direct = sends_directly(plan, heard_at, now)
         self._log.record_sending(plan, direct=direct, heard_at=heard_at, now=now)
         return NO_RELAYS if direct else plan
@@ -158,9 +163,16 @@
         if kept:
             self._hint_waits.set()
 
-    def record_bundle(self, relay: str) -> None:
-        """Record the arrival of a bundle."""
-        self._bundle_at[relay] = self._clock.now()
+    def record_bundle(self, relay: str, *, is_empty: bool) -> None:
+        """Record the arrival of a bundle; an empty one states that its sender acts as the relay.
+
+        An entry also distributes bundles of other domains while it is not the relay, since the
+        entries there may still choose it.
+        """
+        now = self._clock.now()
+        self._bundle_at[relay] = now
+        if is_empty:
+            self._relay_seen_at[relay] = now
 
     def run_once(self) -> Millis:
         """Send the bundles that are due; return the time until the next run."""
@@ -177,8 +189,7 @@
         if plan.is_relay:
             self._send_bundles(outward, plan.relays.values())
         self._send_bundles(counts, plan.others)
-        if self._send_bundles(loads, plan.sharers):
-            self._present_at = now
+        self._send_bundles(loads, plan.sharers)
         self._show_presence(plan, now)
         return min([IDLE_PAUSE, *(each for each in delays if each is not None)])
 
@@ -198,7 +209,7 @@
                 self._stopped.wait(IDLE_PAUSE / 1000.0)
 
     def _show_presence(self, plan: RelayPlan, now: Millis) -> None:
-        """Send an empty bundle to the own domain if the relay would otherwise seem silent."""
+        """Send an empty bundle to the own domain, at most every `PRESENCE_INTERVAL`."""
         if not plan.is_relay or now - self._present_at < PRESENCE_INTERVAL - 1.0:
             return
         if now - self._collected_at > PRESENCE_AFTER_HINT:
@@ -206,13 +217,12 @@
         self._present_at = now
         self._send(encode_bundle(self._own.name, self._incarnation, ()), plan.sharers)
 
-    def _send_bundles(self, hints: Sequence[WaitingHint], names: Iterable[str]) -> bool:
+    def _send_bundles(self, hints: Sequence[WaitingHint], names: Iterable[str]) -> None:
         recipients = list(names)
-        if not hints or not recipients:
-            return False
+        if not recipients:
+            return
         for part in split_by_size(hints):
             self._send(encode_bundle(self._own.name, self._incarnation, part), recipients)
-        return True
 
     def _current_plan(self) -> RelayPlan:
         """Return the cached plan, or a new one after `PLAN_INTERVAL`."""
@@ -226,11 +236,13 @@
             heard_at=now,
             capacity=self._own.capacity,
             leaving=self._is_leaving(),
+            is_cut_off=self._is_cut_off(),
         )
         peers = [self._with_bundles(each) for each in self._peers()]
         plan = make_relay_plan(own, peers, self._group(), now)
         names = {each.name for each in peers}
-        self._bundle_at = {name: at for name, at in self._bundle_at.items() if name in names}
+        self._bundle_at = _only(names, self._bundle_at)
+        self._relay_seen_at = _only(names, self._relay_seen_at)
         self._log.record_plan(plan, now)
         self._plan = plan
         return plan
@@ -240,11 +252,8 @@
         bundle_at = self._bundle_at.get(peer.name)
         if bundle_at is None or bundle_at <= peer.heard_at:
             return peer
-        return RelayEntry(
-            name=peer.name,
-            domain=peer.domain,
-            heard_at=bundle_at,
-            capacity=peer.capacity,
-            leaving=peer.leaving,
-            relays=peer.relays,
-        )
+        return replace(peer, heard_at=bundle_at)
+
+
+def _only(names: Collection[str], times: Mapping[str, Millis]) -> dict[str, Millis]:
+    return {name: at for name, at in list(times.items()) if name in names}
--- a/tools/cost_hints.py
+++ b/tools/cost_hints.py
@@ -87,6 +87,7 @@
             peers=lambda: peers,
             group=lambda: self.group,
             is_leaving=lambda: False,
+            is_cut_off=lambda: False,
             send=lambda data, to: self.hints.send_bundle(data, [(each, 1) for each in to]),
             set_relay_gauge=lambda value: None,
         )
@@ -164,7 +165,7 @@
         message = cbor2.loads(data)
         bundle = read_bundle(message)
         if bundle is not None:
-            self.relays.record_bundle(bundle.relay)
+            self.relays.record_bundle(bundle.relay, is_empty=not bundle.hints)
             if self.play.domains[bundle.relay] != self.domain:
                 for each in bundle.hints:
                     self.relays.distribute(_waiting(cbor2.loads(each), each))
