--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -189,6 +189,7 @@
         store: str | None = None,
         output: int | None = None,
         program: Sequence[str] = PROGRAM,
+        **changes: Any,
     ) -> Entry:
         """Start an entry process.
 
@@ -199,12 +200,14 @@
             store: Address of the store, the deployment's own by default.
             output: File descriptor for the log, which goes to a file by default.
             program: Arguments of the Python interpreter.
+            changes: Other settings of the entry.
         """
         port, ready_port, peer_port, metrics_port = (self.ports.choose() for _ in range(4))
         settings = self._process_settings(name, "direct-entry", peer_port, metrics_port)
         settings |= {"callers": f"127.0.0.1:{port}", "ready": f"127.0.0.1:{ready_port}"}
         settings["first_start"] = first_start
         settings["object_api"] = store or self.store
+        settings |= changes
         process, log = self._start_process(settings, output, program)
         entry = Entry(name, port, ready_port, peer_port, metrics_port, process, log)
         self.entries.append(entry)
