--- a/packages/node/src/carobspool_node/direct/_hint_receiver.py
+++ b/packages/node/src/carobspool_node/direct/_hint_receiver.py
@@ -13,8 +13,7 @@
 
 from carobspool_core import Json, Millis
 from carobspool_core.direct import Load, WaitingGroup, by_identity
-from carobspool_core.hint_relays import HintKind, WaitingHint
-from carobspool_core.problems import Problem, UnusableRecordError
+from carobspool_core.problems import UnusableRecordError
 from carobspool_core.records import read_record
 from carobspool_node.direct._bad_records import BadRecords
 from carobspool_node.direct._load_hint import (
@@ -27,6 +26,7 @@
 from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._peer_messages import Announcement, decode_cbor
 from carobspool_node.direct._peer_table import PeerTable
+from carobspool_node.direct._relayed_hints import RelayedHints
 from carobspool_node.direct._suspect_messages import SuspectState, read_suspects_hint
 from carobspool_node.hint_relays import HintRelays, read_bundle
 from carobspool_node.organisations import unpack_counts
@@ -94,7 +94,7 @@
         self._table = table
         self._identities_by_key = identities_by_key
         self._bad_hints = bad_hints
-        self._relays = relays
+        self._relayed = RelayedHints(table, relays, bad_hints)
         self._events = PeerCallbacks()
         self._stopped = threading.Event()
 
@@ -123,17 +123,18 @@
         """
         loads = read_load_hint(message)
         if loads is not None:
-            self._collect(loads, "load", data)
+            self._relayed.collect(loads, data)
             self._apply_load_hint(loads)
             return
         counts = read_counts_hint(message)
         if counts is not None:
-            self._collect(counts, "counts", data)
+            self._relayed.collect(counts, data)
             self._apply_counts_hint(counts)
             return
         bundle = read_bundle(message)
         if bundle is not None:
-            self._receive_bundle(bundle.relay, bundle.incarnation, bundle.hints)
+            for hint in self._relayed.open_bundle(bundle.relay, bundle.incarnation, bundle.hints):
+                self._apply_relayed(hint)
             return
         suspects = read_suspects_hint(message)
         if suspects is not None:
@@ -173,35 +174,11 @@
             # declares all peers dead and runs their jobs again.
             logging.exception("event=hint_failed")
 
-    def _collect(self, hint: LoadHint | CountsHint, kind: HintKind, data: bytes) -> None:
-        """Let the relays keep a hint of the own domain, if this entry is the relay."""
-        if not data or not self._relays.is_relay:
-            return
-        if self._table.domain_of(hint.name, hint.incarnation) == self._relays.domain:
-            self._relays.collect(_waiting_hint(hint, kind, data))
-
-    def _receive_bundle(self, relay: str, incarnation: str, hints: Sequence[bytes]) -> None:
-        """Apply the hints of a bundle; distribute them if they come from another domain.
-
-        Bundles of unknown processes are ignored.
-        """
-        domain = self._table.domain_of(relay, incarnation)
-        if domain is None:
-            return
-        self._relays.record_bundle(relay, is_empty=not hints)
-        for data in hints:
-            try:
-                hint, kind = _read_relayed_hint(data)
-            except UnusableRecordError as error:
-                self._bad_hints.report(relay, error)
-                continue
-            is_from_relay_domain = self._table.domain_of(hint.name, hint.incarnation) == domain
-            if domain != self._relays.domain and is_from_relay_domain:
-                self._relays.distribute(_waiting_hint(hint, kind, data))
-            if isinstance(hint, LoadHint):
-                self._apply_load_hint(hint, relayed=True)
-            else:
-                self._apply_counts_hint(hint, relayed=True)
+    def _apply_relayed(self, hint: LoadHint | CountsHint) -> None:
+        if isinstance(hint, LoadHint):
+            self._apply_load_hint(hint, relayed=True)
+        else:
+            self._apply_counts_hint(hint, relayed=True)
 
     def _apply_load_hint(self, hint: LoadHint, *, relayed: bool = False) -> None:
         """Pass a hint's backlog, loads and counts to the callbacks, unless the table rejects it."""
@@ -247,32 +224,3 @@
     def _by_known_identity(self, loads: Mapping[int, Load]) -> dict[str, Load]:
         identities = self._identities_by_key()
         return {identities[key]: load for key, load in loads.items() if key in identities}
-
-
-def _read_relayed_hint(data: bytes) -> tuple[LoadHint | CountsHint, HintKind]:
-    """Read a hint of a bundle.
-
-    Raises:
-        UnusableRecordError: It is neither a load hint nor a counts hint.
-    """
-    message = decode_cbor(data)
-    loads = read_load_hint(message)
-    if loads is not None:
-        return loads, "load"
-    counts = read_counts_hint(message)
-    if counts is not None:
-        return counts, "counts"
-    problem = Problem(
-        file="", path="bundle", found=repr(message)[:80], allowed="load hints and counts hints"
-    )
-    raise UnusableRecordError([problem])
-
-
-def _waiting_hint(hint: LoadHint | CountsHint, kind: HintKind, data: bytes) -> WaitingHint:
-    return WaitingHint(
-        name=hint.name,
-        incarnation=hint.incarnation,
-        sequence=hint.sequence,
-        kind=kind,
-        data=data,
-    )
--- a/packages/node/src/carobspool_node/direct/_peer_table.py
+++ b/packages/node/src/carobspool_node/direct/_peer_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 
 from absl import logging
 from msgspec import Struct
@@ -12,12 +12,6 @@
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import DEAD_AFTER, FORGET_AFTER, SILENT_AFTER, Liveness
-from carobspool_core.hint_relays import (
-    RELAY_SILENT_AFTER,
-    RelayEntry,
-    RelayPeers,
-    cut_off_entries,
-)
 from carobspool_core.organisations import KnownPeer
 from carobspool_node.direct._bad_records import printable_text
 from carobspool_node.direct._load_hint import CountsHint, LoadHint
@@ -86,7 +80,6 @@
         self._lock = threading.Lock()
         self._peers: dict[str, Peer] = {}
         self._addresses: dict[str, tuple[str, int]] = {}
-        self._domains: dict[tuple[str, int], str] = {}
         self._names_digest: int | None = None
         self._new_peers: set[str] = set()
         self._liveness = Liveness(clock.now())
@@ -146,14 +139,10 @@
             others=list(others.values()),
         )
 
-    def addresses(self, names: Iterable[str]) -> list[tuple[str, int]]:
-        """Return the addresses of the peers of these names; unknown names are left out."""
+    def peers(self) -> list[Peer]:
+        """Return all peers that are not forgotten."""
         with self._lock:
-            return [self._peers[name].address for name in names if name in self._peers]
-
-    def domain_at(self, address: tuple[str, int]) -> str | None:
-        """Return the failure domain that the entry at an address has announced."""
-        return self._domains.get(address)
+            return list(self._peers.values())
 
     def domain_of(self, name: str, incarnation: str) -> str | None:
         """Return the announced failure domain of a process, ``None`` if there is none."""
@@ -163,26 +152,6 @@
                 return None
             return peer.failure_domain
 
-    def bundle_readers(self) -> RelayPeers:
-        """Return the live peers that read bundles."""
-        now = self._clock.now()
-        cut_off = self._cut_off()
-        with self._lock:
-            entries = [
-                RelayEntry(
-                    name=each.name,
-                    domain=each.failure_domain,
-                    heard_at=each.last_heard_at,
-                    capacity=each.host_capacity or 0.0,
-                    leaving=each.leaving,
-                    relays=each.host_capacity is not None,
-                    is_cut_off=each.name in cut_off,
-                )
-                for each in self._peers.values()
-                if each.failure_domain is not None and now - each.last_heard_at < DEAD_AFTER
-            ]
-        return RelayPeers(entries=entries, is_cut_off=self._name in cut_off)
-
     def known_peers(self) -> list[KnownPeer]:
         """Return all other entries with the arrival of their last hint, ``None`` if only listed.
 
@@ -271,7 +240,6 @@
                 # An entry that does not hear this one sends the format of the previous version.
                 peer.failure_domain = announcement.failure_domain
                 peer.host_capacity = announcement.host_capacity
-                self._domains[announcement.address] = announcement.failure_domain
             if announcement.open_jobs is not None:
                 peer.open_jobs = frozenset(announcement.open_jobs)
                 peer.done_jobs = frozenset(announcement.done_jobs)
@@ -366,7 +334,6 @@
                     gone.append(peer)
                 if found.is_forgotten:
                     del self._peers[peer.name]
-                    self._domains.pop(peer.address, None)
         for peer in lost:
             logging.warning(
                 "event=peer_lost peer=%s silent_ms=%.0f jobs=%d",
@@ -376,16 +343,6 @@
             )
         return SilentPeers(lost=lost, gone=gone)
 
-    def _cut_off(self) -> frozenset[str]:
-        """Return the entries, this one included, that some live entry does not hear."""
-        now = self._clock.now()
-        reports = {self._name: self.silent()}
-        with self._lock:
-            live = [each for each in self._peers.values() if now - each.last_heard_at < DEAD_AFTER]
-        reports |= {each.name: list(each.silent) for each in live if each.silent}
-        heard = {each.name for each in live if now - each.last_heard_at <= RELAY_SILENT_AFTER}
-        return cut_off_entries(reports, heard, self._name)
-
 
 def _without_jobs(peer: Peer) -> Peer:
     return replace(
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -18,7 +18,6 @@
 
 from absl import logging
 from msgspec import Struct
-from msgspec.structs import replace
 
 from carobspool_core import Clock, Millis, SuspectUpdate
 from carobspool_core.direct import Load, LoadSendLimiter, WaitingGroup
@@ -30,6 +29,7 @@
 from carobspool_node.direct._hint_sender import HintSender
 from carobspool_node.direct._peer import AnnouncementContent, Peer
 from carobspool_node.direct._peer_table import HintTargets, PeerTable
+from carobspool_node.direct._relay_view import RelayView, targets_with_relays
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.hint_relays import HintRelays, HintTraffic
 
@@ -120,6 +120,7 @@
         self._stopped = threading.Event()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(address)
+        view = RelayView(clock, self._table, name)
         self._relays = HintRelays(
             clock,
             RelayEntry(
@@ -130,13 +131,13 @@
                 relays=host_capacity is not None,
             ),
             incarnation,
-            peers=self._table.bundle_readers,
+            peers=view.peers,
             group=own.upstream_sharers,
             is_leaving=own.is_leaving,
-            send=lambda data, names: self._hints.send_bundle(data, self._table.addresses(names)),
+            send=lambda data, names: self._hints.send_bundle(data, view.addresses(names)),
             set_relay_gauge=lambda value: telemetry.set_gauge("hint_relay", value),
         )
-        traffic = HintTraffic(telemetry.count, failure_domain, self._table.domain_at)
+        traffic = HintTraffic(telemetry.count, failure_domain, view.domain_at)
         self._hints = HintSender(clock, self._socket, self._sender, traffic, self._relays.collect)
         bad_hints = BadRecords(clock, telemetry, "hint", "sender")
         self._receiver = HintReceiver(
@@ -306,12 +307,7 @@
 
     def _targets_for_change(self) -> HintTargets:
         """Return the addresses for a change of loads or counts, which relays may pass on."""
-        targets = self._table.targets()
-        plan = self._relays.plan_for_sending()
-        if not plan.served:
-            return targets
-        relay = None if plan.is_relay else plan.own_relay
-        return replace(targets, relayed=plan.served & targets.count_readers, relay=relay)
+        return targets_with_relays(self._table.targets(), self._relays.plan_for_sending())
 
     def _send_heartbeat(self, now: Millis) -> None:
         """Send a heartbeat to all peers: an announcement if one is due, or else a load hint."""
