Hint relays: pass over relays of other domains whose bundles end

Run: pytest packages/node/tests/test_hint_relays.py packages/core/tests/test_hint_relays.py, 43 passed.

--- a/packages/core/src/carobspool_core/hint_relays/__init__.py
+++ b/packages/core/src/carobspool_core/hint_relays/__init__.py
@@ -19,6 +19,7 @@
     RelayPeers,
     choose_relay,
     cut_off_entries,
+    with_bundle,
 )
 from carobspool_core.hint_relays._relay_plan import (
     NO_RELAYS,
@@ -48,4 +49,5 @@
     "relays_in_force",
     "sends_directly",
     "split_by_size",
+    "with_bundle",
 ]
--- a/packages/core/src/carobspool_core/hint_relays/_bundle_buffer.py
+++ b/packages/core/src/carobspool_core/hint_relays/_bundle_buffer.py
@@ -18,8 +18,8 @@
 """Shortest time between two bundles to the same entries. A hint passes two relays, so the delay
 stays below the 50 ms that placement tolerates."""
 COUNTS_PASS_ON_INTERVAL: Millis = 200.0
-"""The same for counts hints, which go to the many entries that share no upstream. Two such waits are
-shorter than the 500 ms after which heartbeats report all counts directly."""
+"""The same for counts hints, which go to the many entries that share no upstream. Two such waits
+are shorter than the 500 ms after which heartbeats report all counts directly."""
 MAX_BUNDLE_BYTES = 32_000
 """Most bytes of a bundle, well under the longest datagram that entries receive."""
 BUNDLE_OVERHEAD_BYTES = 600
--- a/packages/core/src/carobspool_core/hint_relays/_relay_choice.py
+++ b/packages/core/src/carobspool_core/hint_relays/_relay_choice.py
@@ -12,6 +12,7 @@
 from collections.abc import Collection, Iterable, Mapping, Sequence
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from carobspool_core._clock import Millis
 from carobspool_core._rendezvous import preferred_node
@@ -20,6 +21,14 @@
 """Time without a message from an entry after which another entry is chosen as the relay. Each entry
 sends a heartbeat every 500 ms, so a shorter time would replace healthy relays that are idle."""
 
+RELAY_STOPPED_AFTER: Millis = 150.0
+"""Time without a bundle after which a relay of another domain, which sends one every 50 ms, counts
+as out of reach. Each side of a partition would otherwise send the hints of its entries to relays on
+the other side for 600 ms, and a request limit would be exceeded by the requests of that time."""
+STOPPED_MEMORY: Millis = 2_200.0
+"""Time after the last bundle in which its end counts against an entry, which may just not be a
+relay any more; after that time a partition shows as a dead entry."""
+
 
 class RelayEntry(Struct, frozen=True, kw_only=True):
     """A live entry that reads bundles.
@@ -78,6 +87,20 @@
     )
 
 
+def with_bundle(
+    entry: RelayEntry, bundle_at: Millis | None, *, own_domain: str, now: Millis
+) -> RelayEntry:
+    """Return an entry with the conclusions from the last bundle that it sent to the own entry."""
+    if bundle_at is None:
+        return entry
+    has_stopped = RELAY_STOPPED_AFTER < now - bundle_at <= STOPPED_MEMORY
+    return replace(
+        entry,
+        heard_at=max(entry.heard_at, bundle_at),
+        is_cut_off=entry.is_cut_off or (has_stopped and entry.domain != own_domain),
+    )
+
+
 def cut_off_entries(
     reports: Mapping[str, Collection[str]], heard: Collection[str], own: str
 ) -> frozenset[str]:
--- a/packages/core/tests/test_hint_relays.py
+++ b/packages/core/tests/test_hint_relays.py
@@ -19,6 +19,7 @@
     make_relay_plan,
     relays_in_force,
     sends_directly,
+    with_bundle,
 )
 
 NOW: Millis = 10_000.0
@@ -86,6 +87,15 @@
     assert choose_relay("d0", entries, NOW) is not None
 
 
+def test_a_relay_of_another_domain_whose_bundles_end_is_passed_over() -> None:
+    """In a partition each side would send its hints to relays on the other side for 600 ms."""
+    relay = RelayEntry(name="e1", domain="d1", heard_at=NOW)
+    for age, is_cut_off in ((None, False), (100.0, False), (200.0, True), (3_000.0, False)):
+        at = None if age is None else NOW - age
+        assert with_bundle(relay, at, own_domain="d2", now=NOW).is_cut_off is is_cut_off
+        assert not with_bundle(relay, at, own_domain="d1", now=NOW).is_cut_off
+
+
 def test_entries_that_do_not_hear_each_other_are_cut_off_unless_one_is_dead() -> None:
     """A relay that is cut off from a domain would lose the hints of its own."""
     heard = {"e1", "e2", "e3"}
--- a/packages/node/src/carobspool_node/hint_relays/_relays.py
+++ b/packages/node/src/carobspool_node/hint_relays/_relays.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 from absl import logging
-from msgspec.structs import replace
 
 from carobspool_core import Clock, Millis
 from carobspool_core.hint_relays import (
@@ -21,6 +20,7 @@
     make_relay_plan,
     sends_directly,
     split_by_size,
+    with_bundle,
 )
 from carobspool_node.hint_relays._bundle import encode_bundle
 from carobspool_node.hint_relays._relay_log import RelayLog
@@ -29,7 +29,8 @@
 """Time for which the relays are cached. Choosing them visits each entry, and the choice changes
 600 ms after a failure at the earliest."""
 PRESENCE_INTERVAL: Millis = 50.0
-"""Time between two empty bundles of a relay to its domain while hints arrive from there."""
+"""Time between two empty bundles of a relay to its domain while hints arrive from there, and
+longest time between two bundles to other relays."""
 PRESENCE_AFTER_HINT: Millis = 1_000.0
 """Time after a hint in which the relay stays present; each entry sends a heartbeat every 500 ms."""
 IDLE_PAUSE: Millis = 50.0
@@ -89,6 +90,7 @@
         self._inward = _make_buffers(clock.now())
         self._collected_at: Millis = float("-inf")
         self._present_at: Millis = float("-inf")
+        self._outward_at: Millis = float("-inf")
         self._hint_waits = threading.Event()
         self._stopped = threading.Event()
 
@@ -185,7 +187,8 @@
             outward = [hint for each in self._outward.values() for hint in each.take(now)]
             loads, counts = self._inward["load"].take(now), self._inward["counts"].take(now)
             delays = [each.delay_before_take(now) for each in buffers]
-        if plan.is_relay:
+        if plan.is_relay and outward:
+            self._outward_at = now
             self._send_bundles(outward, plan.relays.values())
         self._send_bundles(counts, plan.others)
         self._send_bundles(loads, plan.sharers)
@@ -208,13 +211,16 @@
                 self._stopped.wait(IDLE_PAUSE / 1000.0)
 
     def _show_presence(self, plan: RelayPlan, now: Millis) -> None:
-        """Send an empty bundle to the own domain, at most every `PRESENCE_INTERVAL`."""
+        """Send an empty bundle to the own domain, and to relays that have had no bundle."""
         if not plan.is_relay or now - self._present_at < PRESENCE_INTERVAL - 1.0:
             return
         if now - self._collected_at > PRESENCE_AFTER_HINT:
             return
         self._present_at = now
-        self._send(encode_bundle(self._own.name, self._incarnation, ()), plan.sharers)
+        names = set(plan.sharers)
+        if now - self._outward_at >= PRESENCE_INTERVAL - 1.0:
+            names.update(plan.relays.values())
+        self._send(encode_bundle(self._own.name, self._incarnation, ()), names)
 
     def _send_bundles(self, hints: Sequence[WaitingHint], names: Iterable[str]) -> None:
         recipients = list(names)
@@ -248,7 +254,10 @@
             leaving=self._is_leaving(),
             is_cut_off=known.is_cut_off,
         )
-        peers = [self._with_bundles(each) for each in known.entries]
+        peers = [
+            with_bundle(each, self._bundle_at.get(each.name), own_domain=self._own.domain, now=now)
+            for each in known.entries
+        ]
         plan = make_relay_plan(own, peers, self._group(), now)
         names = {each.name for each in peers}
         self._bundle_at = _only(names, self._bundle_at)
@@ -256,13 +265,6 @@
         self._log.record_plan(plan, now)
         return plan
 
-    def _with_bundles(self, peer: RelayEntry) -> RelayEntry:
-        """Return a peer with its last bundle as a sign of life."""
-        bundle_at = self._bundle_at.get(peer.name)
-        if bundle_at is None or bundle_at <= peer.heard_at:
-            return peer
-        return replace(peer, heard_at=bundle_at)
-
 
 def _only(names: Collection[str], times: Mapping[str, Millis]) -> dict[str, Millis]:
     return {name: at for name, at in list(times.items()) if name in names}
