--- a/packages/node/src/carobspool_node/direct/_peer_table.py
+++ b/packages/node/src/carobspool_node/direct/_peer_table.py
@@ -27,12 +27,17 @@
         count_readers: Names of those entries that read request counts too.
         others: Addresses of entries of the previous version, and of entries without a recent hint.
         suspect_readers: Names of the current entries that read evidence against requests.
+        relayed: Names of the current entries that get load hints and counts hints through relays.
+        relay: Name of the relay that passes this entry's hints on to them, ``None`` if this entry
+            is the relay or no relay is used.
     """
 
     current: Mapping[str, tuple[str, int]]
     count_readers: frozenset[str]
     others: Sequence[tuple[str, int]]
     suspect_readers: frozenset[str] = frozenset()
+    relayed: frozenset[str] = frozenset()
+    relay: str | None = None
 
     def load_recipients(self, sharers: frozenset[str] | None) -> frozenset[str]:
         """Return the names of the entries to which a change of loads is sent.
@@ -43,6 +48,11 @@
         names = frozenset(self.current)
         return names if sharers is None else names & sharers
 
+    def without(self, names: frozenset[str]) -> HintTargets:
+        """Return the targets without some of the current entries."""
+        current = {name: at for name, at in self.current.items() if name not in names}
+        return replace(self, current=current, count_readers=self.count_readers - names)
+
 
 class SilentPeers(Struct, frozen=True, kw_only=True):
     """Peers that a check for silence has newly found.
@@ -129,11 +139,31 @@
             others=list(others.values()),
         )
 
+    def peers(self) -> list[Peer]:
+        """Return all peers that are not forgotten."""
+        with self._lock:
+            return list(self._peers.values())
+
+    def domain_of(self, name: str, incarnation: str) -> str | None:
+        """Return the announced failure domain of a process, ``None`` if there is none."""
+        with self._lock:
+            peer = self._peers.get(name)
+            if peer is None or peer.incarnation != incarnation:
+                return None
+            return peer.failure_domain
+
     def known_peers(self) -> list[KnownPeer]:
-        """Return all other entries with the arrival of their last hint, ``None`` if only listed."""
+        """Return all other entries with the arrival of their last hint, ``None`` if only listed.
+
+        Hints that relays passed on count.
+        """
         with self._lock:
             found = [
-                KnownPeer(name=each.name, last_heard_at=each.last_heard_at, leaving=each.leaving)
+                KnownPeer(
+                    name=each.name,
+                    last_heard_at=max(each.last_heard_at, each.relayed_at),
+                    leaving=each.leaving,
+                )
                 for each in self._peers.values()
             ]
             listed = self._addresses.keys() - self._peers.keys()
@@ -163,7 +193,7 @@
             return [
                 peer.name
                 for peer in self._peers.values()
-                if now - peer.last_heard_at > SILENT_AFTER and not peer.leaving
+                if now - peer.alive_at > SILENT_AFTER and not peer.leaving
             ]
 
     def apply_announcement(self, announcement: Announcement) -> Peer | None:
@@ -178,7 +208,7 @@
             peer = self._peers.get(announcement.name)
             silence = None
             if peer is not None and peer.incarnation == announcement.incarnation:
-                silence = now - peer.last_heard_at
+                silence = now - peer.alive_at
             self._liveness.record_hint(silence, now)
             if peer is None or peer.incarnation != announcement.incarnation:
                 if peer is not None and peer.open_jobs:
@@ -205,6 +235,11 @@
             peer.versions = announcement.versions
             peer.reads_load_hints = announcement.sequence is not None
             peer.reads_counts = announcement.packed_counts is not None
+            peer.silent = frozenset(announcement.silent)
+            if announcement.failure_domain is not None:
+                # An entry that does not hear this one sends the format of the previous version.
+                peer.failure_domain = announcement.failure_domain
+                peer.host_capacity = announcement.host_capacity
             if announcement.open_jobs is not None:
                 peer.open_jobs = frozenset(announcement.open_jobs)
                 peer.done_jobs = frozenset(announcement.done_jobs)
@@ -239,22 +274,36 @@
             if peer is None or peer.incarnation != incarnation or sequence <= peer.sequence:
                 return False
             peer.sequence = sequence
+            peer.direct_sequence = max(peer.direct_sequence, sequence)
             return True
 
-    def record_hint(self, hint: LoadHint | CountsHint) -> bool:
+    def record_hint(self, hint: LoadHint | CountsHint, *, relayed: bool = False) -> bool:
         """Record the arrival of a load hint or counts hint.
 
+        Args:
+            hint: The hint.
+            relayed: Whether a relay passed it on. Such a hint is a sign of life for a short time
+                only: its sender may be cut off from this entry, and its announcements may not
+                arrive.
+
         Returns:
             Whether the hint is the newest of a known process.
         """
-        if not self.advance_sequence(hint.name, hint.incarnation, hint.sequence):
-            return False
         now = self._clock.now()
         with self._lock:
-            peer = self._peers[hint.name]
-            self._liveness.record_hint(now - peer.last_heard_at, now)
-            peer.last_heard_at = now
-        return True
+            peer = self._peers.get(hint.name)
+            if peer is None or peer.incarnation != hint.incarnation:
+                return False
+            is_newest = hint.sequence > peer.sequence
+            if relayed:
+                peer.relayed_at = now if is_newest else peer.relayed_at
+            elif hint.sequence > peer.direct_sequence:
+                # A relayed hint may have overtaken this one, which is a sign of life all the same.
+                peer.direct_sequence = hint.sequence
+                self._liveness.record_hint(now - peer.alive_at, now)
+                peer.last_heard_at = now
+            peer.sequence = max(peer.sequence, hint.sequence)
+            return is_newest
 
     def check_silence(self) -> SilentPeers:
         """Return the peers that have become lost or gone, and update the table.
@@ -274,7 +323,7 @@
                 logging.warning("event=process_stalled gap_ms=%.0f", gap)
                 return SilentPeers()
             for peer in list(self._peers.values()):
-                silence = now - peer.last_heard_at
+                silence = now - peer.alive_at
                 found = self._liveness.evaluate_peer(
                     peer.identity, silence, leaving=peer.leaving, now=now
                 )
