Placement: own failure domain first, where the entry asks for it

Every request to another domain crosses the links between domains. LoadTable gets the callable prefers_own_domain (default: false).

--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -8,6 +8,7 @@
 
 import threading
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from functools import partial
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import (
@@ -25,6 +26,7 @@
     queue_limit,
     runs_to_cancel,
 )
+from carobspool_core.upstream_pace import OwnDomainFirst
 from carobspool_node.direct._in_flight import BatchRun, Placement, UpstreamInFlight
 from carobspool_node.direct._suspects import Suspects
 
@@ -43,12 +45,22 @@
         clock: The process's clock.
         failure_domain: Failure domain in which this entry runs.
         name: Name of this entry, as in its hints to peers.
+        prefers_own_domain: Returns whether placement prefers upstreams of the own failure domain.
     """
 
-    def __init__(self, clock: Clock, failure_domain: str, *, name: str) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        failure_domain: str,
+        *,
+        name: str,
+        prefers_own_domain: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._clock = clock
         self._failure_domain = failure_domain
         self._name = name
+        self._prefers_own_domain = prefers_own_domain
+        self._own_domain = OwnDomainFirst(failure_domain)
         self._lock = threading.Lock()
         self._own: dict[str, UpstreamInFlight] = {}
         self._fleet = FleetLoads()
@@ -104,17 +116,18 @@
         with self._lock:
             loads = self._total_loads(now)
             suspects = self._current_suspects(now, first_try=not excluded)
+            choose = partial(
+                choose_upstream,
+                loads=loads,
+                failure_domain=self._failure_domain,
+                queue_limit_of=queue_limit_of,
+                suspects=suspects,
+            )
             chosen = None
             for candidates in (upstreams, far):
                 if excluded:
                     candidates = [each for each in candidates if each.identity not in excluded]
-                candidate = choose_upstream(
-                    candidates,
-                    loads,
-                    failure_domain=self._failure_domain,
-                    queue_limit_of=queue_limit_of,
-                    suspects=suspects,
-                )
+                candidate = self._choose_online(candidates, loads, suspects, choose)
                 if candidate is not None and (chosen is None or candidate.identity not in suspects):
                     chosen = candidate
                 if chosen is not None and chosen.identity not in suspects:
@@ -187,12 +200,17 @@
         """
         now = self._clock.now()
         with self._lock:
-            chosen = choose_batch_upstream(
-                upstreams,
-                self._total_loads(now),
+            loads = self._total_loads(now)
+            choose = partial(
+                choose_batch_upstream,
+                loads=loads,
                 urgency=urgency,
                 suspects=self._current_suspects(now),
             )
+            if self._prefers_own_domain():
+                chosen = self._own_domain.choose_batch(upstreams, loads, choose=choose)
+            else:
+                chosen = choose(upstreams)
             if chosen is None:
                 return None
             run = BatchRun(started=now, urgency=urgency, due=due)
@@ -327,6 +345,17 @@
         }
         return by_identity(loads, starts)
 
+    def _choose_online(
+        self,
+        upstreams: Sequence[Upstream],
+        loads: Mapping[str, Load],
+        suspects: frozenset[str],
+        choose: Callable[[Sequence[Upstream]], Upstream | None],
+    ) -> Upstream | None:
+        if not self._prefers_own_domain():
+            return choose(upstreams)
+        return self._own_domain.choose_online(upstreams, loads, suspects=suspects, choose=choose)
+
     def _mean_duration(self, service: str) -> MeanDuration:
         return self._durations.setdefault(service, MeanDuration())
 
