Placement: choose by the expected first event, where the setting placement is auto

Slots alone say nothing of an upstream's speed or of a prompt that takes up to 340 ms to read. With placement auto an entry estimates paces from pauses between events, reading times from first events and kept prompt parts from its placements and a hash, and chooses the upstream of the soonest first event. Announcements carry the paces (field m). Requests larger than an engine's memory get 413. With the default, slots, nothing changes.

Run: direct and fleet-load tests of core and node and the import rules, all passed; no test of the new behaviour yet.

--- a/packages/core/src/carobspool_core/direct/_configuration.py
+++ b/packages/core/src/carobspool_core/direct/_configuration.py
@@ -101,12 +101,15 @@
         routes: All routes.
         limits: Size limits and timeouts of callers' connections.
         organisations: Organisations that may send requests, ``None`` if any caller may.
+        engine_memory: Tokens that an engine of a service keeps in memory, by service; services
+            without a declared size are absent.
     """
 
     version: int
     routes: tuple[Route, ...]
     limits: CallerLimits = field(default_factory=CallerLimits)
     organisations: OrganisationDirectory | None = field(default=None, compare=False)
+    engine_memory: Mapping[str, int] = field(default_factory=dict, hash=False)
     _by_host: Mapping[str, tuple[Route, ...]] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
--- a/packages/core/src/carobspool_core/direct/_fleet_loads.py
+++ b/packages/core/src/carobspool_core/direct/_fleet_loads.py
@@ -108,6 +108,11 @@
         """Return the peers whose loads have not expired."""
         return set(self._reports)
 
+    @property
+    def peer_count(self) -> int:
+        """Number of peers whose loads have not expired."""
+        return len(self._reports)
+
     def report_ages(self, now: Millis) -> Iterator[Millis]:
         """Yield the time since the last hint of each peer."""
         return (now - report.received for report in self._reports.values())
--- /dev/null
+++ b/packages/core/src/carobspool_core/upstream_pace/_prompt_parts.py
@@ -0,0 +1,153 @@
+"""Which upstreams have probably read which shared prompt parts.
+
+Load pattern: 30 to 3,000 prompt parts that many requests share, some of them hot, and engines that
+keep some 100,000 tokens of them. An entry sees its own placements only. A rendezvous hash names the
+upstream to which every entry sends a part first, so that entries agree without messages.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Mapping, Sequence
+
+from carobspool_core._clock import Millis
+from carobspool_core._rendezvous import preferred_nodes
+from carobspool_core.direct import Upstream
+
+MAX_PARTS = 4_096
+MAX_HOLDERS = 6
+"""Upstreams remembered for one part; each is a candidate of every choice with that part."""
+HOMES = 3
+"""Upstreams of the hash among the candidates: the first, and two to which a hot part spreads."""
+KEPT_TIME: Millis = 30_000.0
+"""Longest time for which a part counts as kept where nothing shows that it was evicted."""
+_CERTAINTY_BY_RANK = (0.5, 0.2, 0.1)
+"""Share of a part's tokens that counts as kept at the upstreams of its hash if this entry has not
+sent it there for long: another entry may have done so. The later ones are less likely to have it,
+and a request that finds the first one busy prefers them, so that a hot part spreads there."""
+HASH_BUCKETS = 512
+"""Parts with equal buckets have the same upstreams. The ranking of 2,900 upstreams takes 1 ms, so
+it is computed once for each bucket and not for each part."""
+MAX_RANKINGS = 8
+"""Lists of upstreams with cached rankings: the near and far ones of a few services."""
+USABLE_MEMORY = 0.6
+"""Share of an engine's memory that holds parts read earlier; running requests need the rest."""
+
+
+class PromptParts:
+    """Parts kept at upstreams, by key of a prefix. Not thread-safe; callers pass in the time."""
+
+    __slots__ = ("_kept", "_rankings", "_read")
+
+    def __init__(self) -> None:
+        # Holders of each part: time of the last placement, and the upstream's read tokens then.
+        self._kept: OrderedDict[int, dict[str, tuple[Millis, float]]] = OrderedDict()
+        self._read: dict[str, float] = {}
+        # Rankings by bucket for each list of upstreams; the list itself is kept, so its id holds.
+        self._rankings: dict[int, tuple[Sequence[Upstream], dict[int, Sequence[Upstream]]]] = {}
+
+    def homes(self, key: int, upstreams: Sequence[Upstream]) -> Sequence[Upstream]:
+        """Return the upstreams to which all entries send a part first, in order."""
+        ranking = self._rankings.get(id(upstreams))
+        if ranking is None or ranking[0] is not upstreams:
+            if len(self._rankings) >= MAX_RANKINGS:
+                self._rankings.clear()
+            ranking = self._rankings[id(upstreams)] = (upstreams, {})
+        bucket = key % HASH_BUCKETS
+        found = ranking[1].get(bucket)
+        if found is None:
+            by_identity = {each.identity: each for each in upstreams}
+            names = preferred_nodes(f"prompt-part {bucket}", by_identity, HOMES)
+            found = ranking[1][bucket] = [by_identity[name] for name in names]
+        return found
+
+    def holders(self, key: int) -> Mapping[str, tuple[Millis, float]]:
+        """Return the identities of upstreams to which this entry has sent a part."""
+        return self._kept.get(key, {})
+
+    def kept_tokens(
+        self,
+        prefixes: Sequence[tuple[int, int]],
+        identity: str,
+        homes: Sequence[Sequence[str]],
+        *,
+        capacity: int | None,
+        now: Millis,
+    ) -> float:
+        """Return how many tokens of a prompt an upstream has probably read.
+
+        Args:
+            prefixes: Keys and tokens of the prompt's shared prefixes, the shortest first.
+            identity: Identity of the upstream.
+            homes: Identities of the upstreams of the hash for each prefix, in order.
+            capacity: Tokens that the upstream's memory holds, ``None`` if unknown.
+            now: Current time.
+        """
+        expected = 0.0
+        for index in range(len(prefixes) - 1, -1, -1):
+            key, tokens = prefixes[index]
+            if tokens <= expected:
+                break
+            holders = self._kept.get(key)
+            placed = None if holders is None else holders.get(identity)
+            if placed is not None and self._is_kept(identity, placed, capacity, now):
+                return float(tokens)
+            if identity not in homes[index]:
+                continue
+            certainty = _CERTAINTY_BY_RANK[homes[index].index(identity)]
+            expected = max(expected, tokens * certainty)
+        return expected
+
+    def record(
+        self,
+        prefixes: Sequence[tuple[int, int]],
+        identity: str,
+        *,
+        unread: float,
+        entries: int,
+        now: Millis,
+    ) -> None:
+        """Record that an upstream reads a prompt.
+
+        Args:
+            prefixes: Keys and tokens of the prompt's shared prefixes.
+            identity: Identity of the upstream.
+            unread: Prompt tokens that it probably has to read.
+            entries: Number of entries, which probably send it as many tokens each.
+            now: Current time.
+        """
+        read = self._read[identity] = self._read.get(identity, 0.0) + unread * entries
+        for key, _ in prefixes:
+            holders = self._kept.setdefault(key, {})
+            self._kept.move_to_end(key)
+            holders.pop(identity, None)
+            holders[identity] = (now, read)
+            if len(holders) > MAX_HOLDERS:
+                del holders[next(iter(holders))]
+        while len(self._kept) > MAX_PARTS:
+            self._kept.popitem(last=False)
+
+    def forget(self, prefixes: Sequence[tuple[int, int]], identity: str) -> None:
+        """Forget that an upstream has read a prompt that it rejected or failed to read."""
+        for key, _ in prefixes:
+            self._kept.get(key, {}).pop(identity, None)
+
+    def retain_only(self, identities: set[str]) -> None:
+        """Drop upstreams that are gone, earlier starts included."""
+        gone = self._read.keys() - identities
+        for identity in gone:
+            del self._read[identity]
+        if not gone:
+            return
+        for holders in self._kept.values():
+            for identity in holders.keys() & gone:
+                del holders[identity]
+
+    def _is_kept(
+        self, identity: str, placed: tuple[Millis, float], capacity: int | None, now: Millis
+    ) -> bool:
+        if now - placed[0] > KEPT_TIME:
+            return False
+        if capacity is None:
+            return True
+        return self._read.get(identity, 0.0) - placed[1] <= capacity * USABLE_MEMORY
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -56,6 +56,7 @@
     CallerAuthenticator,
     RequestQuota,
 )
+from carobspool_node.upstream_pace import UpstreamPaces
 
 CALLER_WORKERS = 400
 PEER_WORKERS = 100
@@ -85,7 +86,10 @@
         self._incarnation = uuid.uuid4().hex[:8]
         self._stop = StopSignal()
         self._leaving = threading.Event()
-        self._loads = LoadTable(self._clock, settings.failure_domain, name=settings.node)
+        self._paces = self._make_paces()
+        self._loads = LoadTable(
+            self._clock, settings.failure_domain, name=settings.node, paces=self._paces
+        )
         self._connections = UpstreamConnections(self._clock)
         self._peer_caller = PeerCaller(self._clock)
         self._quota = RequestQuota(self._clock, known_peers=lambda: self._peers.known_peers())
@@ -261,6 +265,7 @@
                 ended=self._runner.handle_ended_jobs,
                 counts=self._quota.apply_peer_counts,
                 suspects=self._isolation.merge,
+                paces=self._apply_peer_paces,
             )
         )
         self._declared.start()
@@ -392,12 +397,36 @@
             answer_age=self._store.answer_age,
             counts=self._quota.recent_counts(ANNOUNCEMENT_RESEND_TIME),
             backlog=self._runner.backlog(),
+            paces=b"" if self._paces is None else self._paces.packed(),
+        )
+
+    def _make_paces(self) -> UpstreamPaces | None:
+        """Return the estimates of upstreams, ``None`` while slots alone decide."""
+        if self._settings.placement != "auto":
+            return None
+        return UpstreamPaces(
+            self._clock,
+            self._settings.failure_domain,
+            self._deployment.headers,
+            listed=lambda: self._declared.listed(),
+            capacity_of=self._engine_memory,
+            on_error=lambda error: self._telemetry.observe_duration("first_event_error", error),
         )
 
+    def _engine_memory(self, service: str) -> int | None:
+        configuration = self._declared.configuration
+        return None if configuration is None else configuration.engine_memory.get(service)
+
+    def _apply_peer_paces(self, packed: bytes) -> None:
+        if self._paces is not None:
+            self._paces.apply_peer(packed)
+
     def _clean_up(self) -> None:
         identities = self._declared.identities()
         self._connections.retain_only(identities)
         self._loads.retain_only(identities)
+        if self._paces is not None:
+            self._telemetry.set_gauge("paced_upstreams", self._paces.retain_only(identities))
         self._quota.drop_idle()
         self._isolation.remove_expired()
         self._peer_caller.retain_only({peer.identity for peer in self._peers.live()})
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -141,6 +141,7 @@
             deadline=request.arrived + limit,
             organisation=organisation,
             is_retry=is_retry_by_deadline(deadline=limit, timeout=route.timeout),
+            demand=self._loads.choice.demand_of(request.header),
         )
         try:
             self._try_upstreams(state)
@@ -188,6 +189,9 @@
 
     def _try_upstreams(self, state: RequestState) -> None:
         service = state.route.choose_service(state.request.request_id)
+        if self._loads.choice.is_too_large(service, state.demand):
+            self._endings.end_too_large(state)
+            return
         while True:
             verdict = self._isolation.check(state.fingerprint)
             if verdict is VerdictKind.QUARANTINED:
@@ -218,6 +222,7 @@
                 self._endings.give_up(state, has_upstreams=bool(split.near))
                 return
             state.tried.add(placement.upstream.identity)
+            state.forecast = placement.forecast
             state.upstream_loads.append(f"{placement.upstream.instance}:{placement.load.total}")
             answered = False
             try:
@@ -237,6 +242,7 @@
             is_retry=state.is_retry or state.streaming,
             excluded=frozenset(state.tried),
             far=split.far,
+            demand=state.demand,
         )
 
     def _place_suspect(self, state: RequestState, split: UpstreamSplit) -> Placement | None:
@@ -395,6 +401,9 @@
         self, state: RequestState, upstream: Upstream, call: UpstreamCall, head: UpstreamHead
     ) -> None:
         splitter = EventSplitter()
+        pauses = self._loads.choice.follow_events(
+            upstream, state.forecast, is_resumed=state.streaming
+        )
         silence = STREAM_IDLE_TIMEOUT if state.route.resumable else None
         for data in call.body(state.deadline, idle_timeout=silence):
             self._loads.record_activity(upstream)
@@ -410,6 +419,8 @@
                     state.last_event = event.event_id
             if not pieces:
                 continue
+            if pauses is not None:
+                pauses.record(len(pieces))
             if not state.streaming:
                 state.streaming = True
                 state.caller.start_stream(head.status, _answer_headers(head), head.reason)
--- a/packages/node/src/carobspool_node/direct/_hint_receiver.py
+++ b/packages/node/src/carobspool_node/direct/_hint_receiver.py
@@ -67,6 +67,7 @@
     ended: Callable[[Sequence[str]], None] = lambda job_ids: None
     counts: Callable[[str, str, Mapping[int, int]], None] = lambda peer, incarnation, counts: None
     suspects: Callable[[Sequence[SuspectState]], None] = lambda suspects: None
+    paces: Callable[[bytes], None] = lambda packed: None
 
 
 class HintReceiver:
@@ -182,6 +183,7 @@
         ]
         self._events.backlog(announcement.name, groups)
         self._apply_announced_loads(announcement, packed, counts)
+        self._events.paces(announcement.packed_paces)
         self._events.versions(announcement.name, announcement.versions)
 
     def _apply_announced_loads(
--- a/packages/node/src/carobspool_node/direct/_in_flight.py
+++ b/packages/node/src/carobspool_node/direct/_in_flight.py
@@ -6,6 +6,7 @@
 
 from carobspool_core import Millis
 from carobspool_core.direct import BatchUrgency, Load, Upstream
+from carobspool_core.upstream_pace import Forecast
 from carobspool_node.direct._channel import Cancellation
 
 
@@ -17,12 +18,14 @@
         urgency: Urgency class of the item when it was placed.
         due: When the job is due, by the wall clock; used only to order runs.
         cancellation: Cancels the run.
+        forecast: What was expected of the run, ``None`` while slots alone decide.
     """
 
     started: Millis
     urgency: BatchUrgency
     due: float
     cancellation: Cancellation = field(default_factory=Cancellation)
+    forecast: Forecast | None = None
 
 
 class UpstreamInFlight(Struct, kw_only=True):
@@ -54,11 +57,13 @@
         upstream: The chosen upstream.
         started: When the request was placed.
         load: Load that was known to be in flight at the upstream before.
+        forecast: What was expected of the request, ``None`` while slots alone decide.
     """
 
     upstream: Upstream
     started: Millis
     load: Load
+    forecast: Forecast | None = None
 
     @property
     def had_free_slot(self) -> bool:
--- a/packages/node/src/carobspool_node/direct/_item_run.py
+++ b/packages/node/src/carobspool_node/direct/_item_run.py
@@ -113,7 +113,7 @@
         try:
             head = call.start(self._request(job, work, upstream), now + HEAD_TIMEOUT)
             self._loads.record_activity(upstream)
-            outcome = self._read_response(call, head, work, upstream)
+            outcome = self._read_response(call, head, work, upstream, run)
             if outcome.end is not RunEnd.NOT_RUN:
                 self._isolation.record_completion(fingerprint)
             return outcome
@@ -135,7 +135,12 @@
             call.close()
 
     def _read_response(
-        self, call: UpstreamCall, head: UpstreamHead, work: ItemWork, upstream: Upstream
+        self,
+        call: UpstreamCall,
+        head: UpstreamHead,
+        work: ItemWork,
+        upstream: Upstream,
+        run: BatchRun,
     ) -> RunOutcome:
         deadline = self._clock.now() + MAX_RUN_DURATION
         if head.header(self._names.not_run) is not None or head.status == 421:
@@ -147,9 +152,15 @@
             call.read_body(deadline)
             return _refusal_outcome(head.status)
         splitter = EventSplitter()
+        pauses = self._loads.choice.follow_events(
+            upstream, run.forecast, is_resumed=work.last_event > 0
+        )
         for data in call.body(deadline, idle_timeout=MAX_EVENT_GAP):
             self._loads.record_activity(upstream)
-            for event in splitter.feed(data):
+            events = splitter.feed(data)
+            if pauses is not None:
+                pauses.record(len(events))
+            for event in events:
                 if event.event_id is None:
                     continue
                 if event.event_id <= work.last_event:
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -271,7 +271,12 @@
         upstreams = self._usable(route.choose_service(work.item.item_id))
         if not self._is_ahead_of_peers(waiting, upstreams):
             return False
-        placed = self._loads.place_batch(upstreams, urgency=waiting.urgency, due=waiting.due)
+        placed = self._loads.place_batch(
+            upstreams,
+            urgency=waiting.urgency,
+            due=waiting.due,
+            demand=self._loads.choice.demand_of_item(work.item.headers),
+        )
         if placed is None:
             return False
         upstream, run = placed
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -8,7 +8,6 @@
 
 import threading
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from functools import partial
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import (
@@ -19,16 +18,15 @@
     MeanDuration,
     Upstream,
     by_identity,
-    choose_batch_upstream,
-    choose_upstream,
     excess_batch_runs,
     free_batch_slots,
     queue_limit,
     runs_to_cancel,
 )
-from carobspool_core.upstream_pace import OwnDomainFirst
+from carobspool_core.upstream_pace import PromptDemand
 from carobspool_node.direct._in_flight import BatchRun, Placement, UpstreamInFlight
 from carobspool_node.direct._suspects import Suspects
+from carobspool_node.upstream_pace import UpstreamChoice, UpstreamPaces
 
 UPSTREAM_SILENCE_LIMIT: Millis = 600.0
 """Time without data after which an upstream with requests in flight counts as hung. A working
@@ -41,11 +39,15 @@
 class LoadTable:
     """The requests that this entry and its peers have in flight at each upstream.
 
+    Attributes:
+        choice: The choice of upstreams that is in force.
+
     Args:
         clock: The process's clock.
         failure_domain: Failure domain in which this entry runs.
         name: Name of this entry, as in its hints to peers.
         prefers_own_domain: Returns whether placement prefers upstreams of the own failure domain.
+        paces: Estimates of what upstreams can do now, ``None`` if slots alone decide.
     """
 
     def __init__(
@@ -55,12 +57,11 @@
         *,
         name: str,
         prefers_own_domain: Callable[[], bool] = lambda: False,
+        paces: UpstreamPaces | None = None,
     ) -> None:
         self._clock = clock
-        self._failure_domain = failure_domain
         self._name = name
-        self._prefers_own_domain = prefers_own_domain
-        self._own_domain = OwnDomainFirst(failure_domain)
+        self.choice = UpstreamChoice(failure_domain, prefers_own_domain, paces)
         self._lock = threading.Lock()
         self._own: dict[str, UpstreamInFlight] = {}
         self._fleet = FleetLoads()
@@ -89,6 +90,7 @@
         is_retry: bool,
         excluded: frozenset[str] = frozenset(),
         far: Sequence[Upstream] = (),
+        demand: PromptDemand | None = None,
     ) -> Placement | None:
         """Choose an upstream for an online request, count it, and preempt batch items if needed.
 
@@ -99,6 +101,7 @@
             excluded: Identities of upstreams that this request has already tried.
             far: Candidates to use when all preferred upstreams are full or suspect. Their loads are
                 known from heartbeats only.
+            demand: Tokens and prompt parts of the request, ``None`` if not stated.
 
         Returns:
             The placement, or ``None`` when no upstream has room for the request.
@@ -107,7 +110,8 @@
         def queue_limit_of(upstream: Upstream) -> int:
             return queue_limit(
                 slots=upstream.slots,
-                mean_duration=self._mean_duration(upstream.service).value,
+                mean_duration=self._mean_duration(upstream.service).value
+                * self.choice.pace_of(upstream),
                 target_latency=target_latency,
                 is_retry=is_retry,
             )
@@ -116,18 +120,18 @@
         with self._lock:
             loads = self._total_loads(now)
             suspects = self._current_suspects(now, first_try=not excluded)
-            choose = partial(
-                choose_upstream,
-                loads=loads,
-                failure_domain=self._failure_domain,
-                queue_limit_of=queue_limit_of,
-                suspects=suspects,
-            )
             chosen = None
             for candidates in (upstreams, far):
                 if excluded:
                     candidates = [each for each in candidates if each.identity not in excluded]
-                candidate = self._choose_online(candidates, loads, suspects, choose)
+                candidate = self.choice.online(
+                    candidates,
+                    loads=loads,
+                    suspects=suspects,
+                    queue_limit_of=queue_limit_of,
+                    demand=demand,
+                    mean_duration_of=self._mean_duration_of,
+                )
                 if candidate is not None and (chosen is None or candidate.identity not in suspects):
                     chosen = candidate
                 if chosen is not None and chosen.identity not in suspects:
@@ -138,10 +142,18 @@
             self._get_or_add_own(chosen, now).online += 1
             self._fleet.add_own(chosen.identity, online=1)
             preempted = self._runs_to_preempt(chosen, now, own_first=True)
+            forecast = self.choice.forecast(
+                chosen,
+                upstreams,
+                load,
+                demand=demand,
+                mean_duration_of=self._mean_duration_of,
+                entries=self._fleet.peer_count + 1,
+            )
         self._on_own_change()
         for run in preempted:
             run.cancellation.cancel(PREEMPTED_BY_OWN_REQUEST)
-        return Placement(upstream=chosen, started=now, load=load)
+        return Placement(upstream=chosen, started=now, load=load, forecast=forecast)
 
     def healthy(self, upstreams: Iterable[Upstream]) -> list[Upstream]:
         """Return those upstreams that neither failed recently nor are silent."""
@@ -182,11 +194,17 @@
             self._drop_if_idle(own)
             if completed and placement.had_free_slot:
                 self._mean_duration(upstream.service).add(self._clock.now() - placement.started)
+        self.choice.end(placement.forecast, has_read=completed)
         self._on_own_change()
         self._on_capacity_freed()
 
     def place_batch(
-        self, upstreams: Sequence[Upstream], *, urgency: BatchUrgency, due: float
+        self,
+        upstreams: Sequence[Upstream],
+        *,
+        urgency: BatchUrgency,
+        due: float,
+        demand: PromptDemand | None = None,
     ) -> tuple[Upstream, BatchRun] | None:
         """Choose an upstream with room for a batch item and count the item.
 
@@ -194,6 +212,7 @@
             upstreams: Candidates.
             urgency: Urgency of the item; a more urgent item may use more slots.
             due: Wall-clock time at which the item's job is due.
+            demand: Tokens and prompt parts of the item, ``None`` if not stated.
 
         Returns:
             The upstream and the item's run, or ``None`` when no candidate has room.
@@ -201,19 +220,25 @@
         now = self._clock.now()
         with self._lock:
             loads = self._total_loads(now)
-            choose = partial(
-                choose_batch_upstream,
+            chosen = self.choice.batch(
+                upstreams,
                 loads=loads,
-                urgency=urgency,
                 suspects=self._current_suspects(now),
+                urgency=urgency,
+                demand=demand,
+                mean_duration_of=self._mean_duration_of,
             )
-            if self._prefers_own_domain():
-                chosen = self._own_domain.choose_batch(upstreams, loads, choose=choose)
-            else:
-                chosen = choose(upstreams)
             if chosen is None:
                 return None
-            run = BatchRun(started=now, urgency=urgency, due=due)
+            forecast = self.choice.forecast(
+                chosen,
+                upstreams,
+                loads.get(chosen.identity, NO_LOAD),
+                demand=demand,
+                mean_duration_of=self._mean_duration_of,
+                entries=self._fleet.peer_count + 1,
+            )
+            run = BatchRun(started=now, urgency=urgency, due=due, forecast=forecast)
             self._get_or_add_own(chosen, now).runs.append(run)
             self._fleet.add_own(chosen.identity, batch=1)
         self._on_own_change()
@@ -234,6 +259,7 @@
             own.runs.remove(run)
             self._fleet.add_own(upstream.identity, batch=-1)
             self._drop_if_idle(own)
+        self.choice.end(run.forecast, has_read=True)
         self._on_own_change()
         self._on_capacity_freed()
 
@@ -345,20 +371,12 @@
         }
         return by_identity(loads, starts)
 
-    def _choose_online(
-        self,
-        upstreams: Sequence[Upstream],
-        loads: Mapping[str, Load],
-        suspects: frozenset[str],
-        choose: Callable[[Sequence[Upstream]], Upstream | None],
-    ) -> Upstream | None:
-        if not self._prefers_own_domain():
-            return choose(upstreams)
-        return self._own_domain.choose_online(upstreams, loads, suspects=suspects, choose=choose)
-
     def _mean_duration(self, service: str) -> MeanDuration:
         return self._durations.setdefault(service, MeanDuration())
 
+    def _mean_duration_of(self, service: str) -> Millis:
+        return self._mean_duration(service).value
+
     def _get_or_add_own(self, upstream: Upstream, now: Millis) -> UpstreamInFlight:
         """Return this entry's work at an upstream; add an empty record if there is none."""
         own = self._own.get(upstream.identity)
--- a/packages/node/src/carobspool_node/direct/_messages.py
+++ b/packages/node/src/carobspool_node/direct/_messages.py
@@ -38,6 +38,9 @@
         last_event: Id of the last event received from a stream.
         wait: Milliseconds for which a read may wait for results.
         organisation: Name of the caller's organisation; set in requests to upstreams.
+        model: Name of the model that a request needs.
+        token_count: ``PROMPT,MAX_OUTPUT``: tokens of the prompt, and most tokens of the output.
+        prompt_parts: ``ID:TOKENS,…``: parts of the prompt, the last one not shared.
     """
 
     request_id: bytes = b"request-id"
@@ -48,6 +51,9 @@
     last_event: bytes = b"last-event-id"
     wait: bytes = b"carobspool-wait-ms"
     organisation: bytes = b"carobspool-organisation"
+    model: bytes = b"carobspool-model"
+    token_count: bytes = b"carobspool-tokens"
+    prompt_parts: bytes = b"carobspool-prompt-parts"
 
 
 class CallerRequest(Struct, frozen=True, kw_only=True):
--- a/packages/node/src/carobspool_node/direct/_metrics.py
+++ b/packages/node/src/carobspool_node/direct/_metrics.py
@@ -37,7 +37,15 @@
     "over_limit": (),
     "log_lines_dropped": (),
 }
-_HISTOGRAM_NAMES = ("request", "first_event", "job_commit", "item_run", "job_orphan")
+_HISTOGRAM_NAMES = (
+    "request",
+    "first_event",
+    "job_commit",
+    "item_run",
+    "job_orphan",
+    "first_event_error",
+)
+_GAUGE_NAMES = ("paced_upstreams",)
 
 
 class _Histogram:
@@ -60,6 +68,7 @@
         self._counters: dict[str, Counter[tuple[str, ...]]] = {
             name: Counter() for name in _COUNTER_LABELS
         }
+        self._gauges = dict.fromkeys(_GAUGE_NAMES, 0.0)
         self._histograms = {name: _Histogram() for name in _HISTOGRAM_NAMES}
 
     def count(self, name: str, value: int = 1, **labels: str) -> None:
@@ -68,6 +77,11 @@
         with self._lock:
             self._counters[name][key] += value
 
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        with self._lock:
+            self._gauges[name] = value
+
     def observe_duration(self, name: str, duration: Millis) -> None:
         """Record a duration in milliseconds."""
         seconds = duration / 1000.0
@@ -86,6 +100,7 @@
     def collect(self) -> Iterator[Any]:
         """Yield each metric; called by the library's registry."""
         with self._lock:
+            gauges = dict(self._gauges)
             counts = {name: dict(found) for name, found in self._counters.items()}
             durations_by_name = {
                 name: (list(each.counts), each.total) for name, each in self._histograms.items()
@@ -99,6 +114,8 @@
             for labels, value in by_labels.items():
                 counter.add_metric(labels, value)
             yield counter
+        for name, gauge in gauges.items():
+            yield prometheus.metrics_core.GaugeMetricFamily(_PREFIX + name, name, value=gauge)
         for name, (buckets, total) in durations_by_name.items():
             histogram = prometheus.metrics_core.HistogramMetricFamily(
                 f"{_PREFIX}{name}_seconds", name
--- a/packages/node/src/carobspool_node/direct/_request_endings.py
+++ b/packages/node/src/carobspool_node/direct/_request_endings.py
@@ -60,6 +60,13 @@
         """Answer 503: the request has not run, and the caller may retry after ``retry_after``."""
         self._fail(state, 503, "not_run", retry_after)
 
+    def end_too_large(self, state: RequestState) -> None:
+        """End a request that is larger than the memory of any engine of its service."""
+        state.last_failure = "the request needs more tokens than any engine of the service holds"
+        self.record(state, "too_large", HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        headers, body = failure_answer(state.last_failure, "not_run", None)
+        state.caller.answer(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, headers, body)
+
     def end_quarantined(self, state: RequestState) -> None:
         """End a request that is not sent to another upstream since it crashed several."""
         state.last_failure = "this request crashed each upstream that ran it and is not run again"
--- a/packages/node/src/carobspool_node/direct/_request_state.py
+++ b/packages/node/src/carobspool_node/direct/_request_state.py
@@ -6,6 +6,7 @@
 
 from carobspool_core import Millis
 from carobspool_core.direct import Route, request_fingerprint
+from carobspool_core.upstream_pace import Forecast, PromptDemand
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._messages import CallerRequest
 
@@ -30,6 +31,8 @@
         streaming: Whether the head of a streamed answer was sent to the caller.
         is_retry: Whether the caller has retried the request after a refusal.
         last_failure: Why the last call failed.
+        demand: Tokens and prompt parts that the request states, ``None`` if it states none.
+        forecast: What is expected of the current call, ``None`` if slots alone decide.
         known_fingerprint: The fingerprint, once it was computed.
     """
 
@@ -47,6 +50,8 @@
     streaming: bool = False
     is_retry: bool = False
     last_failure: str = ""
+    demand: PromptDemand | None = None
+    forecast: Forecast | None = None
     known_fingerprint: str = ""
 
     def fingerprint(self) -> str:
--- a/packages/node/src/carobspool_node/direct/_settings.py
+++ b/packages/node/src/carobspool_node/direct/_settings.py
@@ -64,6 +64,11 @@
     metrics_port: int = field(
         description="Port on which metrics are served as text.", unit="port", ge=1, le=HIGHEST_PORT
     )
+    placement: Literal["slots", "auto"] = field(
+        description="Whether an upstream is chosen by its slots alone, or by what it can do now.",
+        unit="name",
+        default="slots",
+    )
     log_level: LogLevel = field(
         description="Least level that is logged; taken over without a restart.",
         unit="name",
@@ -89,6 +94,7 @@
         first_start: Whether the whole system starts for the first time, with an empty store.
         metrics_port: Port on which metrics are served.
         log_level: Least severe level that is logged.
+        placement: ``slots`` or ``auto``.
     """
 
     role: str
@@ -105,6 +111,7 @@
     first_start: bool
     metrics_port: int
     log_level: str
+    placement: str = "slots"
 
 
 def load_direct_settings(path: Path) -> Result[DirectSettings, tuple[Problem, ...]]:
@@ -139,6 +146,7 @@
             first_start=model.first_start,
             metrics_port=model.metrics_port,
             log_level=model.log_level,
+            placement=model.placement,
         )
     )
 
--- a/packages/node/src/carobspool_node/direct/_telemetry.py
+++ b/packages/node/src/carobspool_node/direct/_telemetry.py
@@ -58,6 +58,10 @@
         """Record a duration in milliseconds."""
         self._metrics.observe_duration(name, duration)
 
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self._metrics.set_gauge(name, value)
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return self._metrics.text()
