--- a/packages/core/src/carobspool_core/upstream_pace/_batch_choice.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_batch_choice.py
@@ -59,7 +59,7 @@
         if chosen is None or estimates.fits(chosen, loads, wanted):
             return chosen
     draw = draw or _draw
-    wanted = estimates.with_parts(wanted, upstreams)
+    estimates.add_parts(wanted, upstreams, now)
     best: Upstream | None = None
     best_score = float("inf")
     for upstream in upstreams:
@@ -70,7 +70,7 @@
         online = loads.get(upstream.identity, NO_LOAD).online
         # The slot that the item takes is in use too, so that an idle slow upstream has a cost.
         used = (upstream.slots - free + 1 + STREAM_WEIGHT * online) / upstream.slots
-        reading = estimates.expected(upstream, NO_LOAD, wanted, now)[0] / wanted.mean_duration
+        reading = estimates.expected(upstream, NO_LOAD, wanted) / wanted.mean_duration
         score = used * pace + reading + draw.random() * JITTER
         if score < best_score:
             best, best_score = upstream, score
--- a/packages/core/src/carobspool_core/upstream_pace/_choice.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_choice.py
@@ -16,12 +16,12 @@
 
 SAMPLE_SIZE = 5
 """As in the choice by slots: against all entries choosing the same upstream within 50 ms."""
-PREFIXES_OF_CANDIDATES = 2
-"""Prefixes whose upstreams of the hash are candidates: the longest ones, which save most."""
+SAMPLE_SIZE_WITH_PARTS = 3
+"""Beside the upstreams of the hash, so that a choice compares as many."""
+PREFIXES_OF_CANDIDATES = 1
+"""Prefixes whose upstreams of the hash are candidates: the longest one, which saves most."""
 OTHER_DOMAIN_TIME: Millis = 3.0
 """A round trip between domains costs a few milliseconds; breaks ties."""
-NO_MEMORY_TIME: Millis = 100_000.0
-"""Exceeds every wait: an upstream without room in its memory is chosen only if all have none."""
 SUSPECT_TIME: Millis = 1_000_000.0
 """Exceeds every other time: a suspect is chosen only if all candidates are suspects."""
 JITTER: Millis = 1.0
@@ -89,29 +89,33 @@
             if chosen is None or self._estimates.fits(chosen, loads, wanted):
                 return chosen
             self._reason = "memory"
-            return self._soonest(upstreams, loads, wanted, now, draw or _draw) or chosen
+            return self._soonest(upstreams, loads, wanted, draw or _draw) or chosen
         draw = draw or _draw
-        wanted = self._estimates.with_parts(wanted, upstreams)
+        self._estimates.add_parts(wanted, upstreams, now)
         self._reason = "parts" if wanted.prefixes else "pace"
         candidates = self._sample(upstreams, wanted, draw)
-        chosen = self._soonest(candidates, loads, wanted, now, draw)
+        chosen = self._soonest(candidates, loads, wanted, draw)
         if chosen is None and candidates is not upstreams:
-            chosen = self._soonest(upstreams, loads, wanted, now, draw)
+            chosen = self._soonest(upstreams, loads, wanted, draw)
         return chosen
 
     def _sample(
         self, upstreams: Sequence[Upstream], wanted: Wanted, draw: random.Random
     ) -> Sequence[Upstream]:
+        """Return a few random upstreams that are not suspects, and those of the hash of parts."""
         if len(upstreams) <= SAMPLE_SIZE:
             return upstreams
-        count = min(len(upstreams), SAMPLE_SIZE + len(wanted.suspects))
-        sample = draw.sample(upstreams, count)
-        if not wanted.prefixes:
-            return sample
-        found = {each.identity: each for each in sample}
+        found: dict[str, Upstream] = {}
         for key, _ in wanted.prefixes[-PREFIXES_OF_CANDIDATES:]:
             for home in self._estimates.parts.homes(key, upstreams):
                 found[home.identity] = home
+        size = SAMPLE_SIZE_WITH_PARTS if found else SAMPLE_SIZE
+        count = len(upstreams)
+        # Drawn with repetitions, which costs a third of a sample without them.
+        for _ in range(size):
+            upstream = upstreams[int(draw.random() * count)]
+            if upstream.identity not in wanted.suspects:
+                found[upstream.identity] = upstream
         return list(found.values())
 
     def _soonest(
@@ -119,25 +123,38 @@
         candidates: Sequence[Upstream],
         loads: Mapping[str, Load],
         wanted: Wanted,
-        now: Millis,
         draw: random.Random,
     ) -> Upstream | None:
+        """Return the candidate of the soonest first event; its memory has room if any has."""
         self._candidates = candidates
+        best = self._best(candidates, loads, wanted, draw)
+        if best is None or self._estimates.fits(best, loads, wanted):
+            return best
+        fitting = [each for each in candidates if self._estimates.fits(each, loads, wanted)]
+        return self._best(fitting, loads, wanted, draw) or best
+
+    def _best(
+        self,
+        candidates: Sequence[Upstream],
+        loads: Mapping[str, Load],
+        wanted: Wanted,
+        draw: random.Random,
+    ) -> Upstream | None:
+        expected = self._estimates.expected
+        suspects = wanted.suspects
         best: Upstream | None = None
         best_time = float("inf")
         for upstream in candidates:
             load = loads.get(upstream.identity, NO_LOAD)
-            over = load.online - upstream.slots
+            over = load[0] - upstream.slots
             if over >= 0 and over >= wanted.queue_limit_of(upstream):
                 continue
-            time = self._estimates.expected(upstream, load, wanted, now)[0]
-            time += draw.random() * JITTER
+            time = expected(upstream, load, wanted) + draw.random() * JITTER
             if upstream.failure_domain != self._failure_domain:
                 time += OTHER_DOMAIN_TIME
-            if upstream.identity in wanted.suspects:
+            if upstream.identity in suspects:
                 time += SUSPECT_TIME
-            if not self._estimates.fits(upstream, loads, wanted):
-                time += NO_MEMORY_TIME
             if time < best_time:
-                best, best_time = upstream, time
+                best = upstream
+                best_time = time
         return best
--- a/packages/core/src/carobspool_core/upstream_pace/_estimates.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_estimates.py
@@ -12,8 +12,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 
-from msgspec import Struct
-from msgspec.structs import replace
+from msgspec import Struct, field
 
 from carobspool_core._clock import Millis
 from carobspool_core.direct import NO_LOAD, Load, Upstream
@@ -27,11 +26,16 @@
 """Shorter shared parts are read in 20 ms, less than a request waits for a slot."""
 PREEMPTION_TIME: Millis = 20.0
 """Time in which a batch item leaves its slot: a round trip and one engine step."""
+LOW_SHARE_WEIGHT = 0.3
+HIGH_SHARE_WEIGHT = 1.0
+"""Parts of a slot's time that a full upstream costs. The first grows with the share of slots in use
+and spreads load; the second with its fourth power, since other entries may have taken the last free
+slots during the age of their reports."""
 BATCH_WEIGHT = 0.2
 """Batch items are preempted, so they count less than online requests, as in the choice by slots."""
 
 
-class Wanted(Struct, frozen=True, kw_only=True):
+class Wanted(Struct, kw_only=True):
     """A request to be placed, and what is known about the service.
 
     Attributes:
@@ -41,7 +45,7 @@
         suspects: Identities of upstreams that seem to have stopped.
         capacity: Tokens that an engine of the service holds, ``None`` if not declared.
         prefixes: Keys and tokens of the shared prefixes that count.
-        homes: Identities of the upstreams of the hash for each of these prefixes, in order.
+        kept: Prompt tokens that upstreams have probably kept, by identity.
     """
 
     demand: PromptDemand | None
@@ -50,7 +54,7 @@
     suspects: frozenset[str] = frozenset()
     capacity: int | None = None
     prefixes: Sequence[tuple[int, int]] = ()
-    homes: Sequence[Sequence[str]] = ()
+    kept: Mapping[str, float] = field(default_factory=dict)
 
 
 class UpstreamEstimates:
@@ -62,39 +66,42 @@
         self.parts = PromptParts()
         self.memory = EngineMemory()
 
-    def with_parts(self, wanted: Wanted, upstreams: Sequence[Upstream]) -> Wanted:
-        """Return the request with the prefixes that count and the upstreams of their hash."""
-        if wanted.demand is None or not counts_parts(wanted.demand) or not upstreams:
-            return wanted
-        prefixes = wanted.demand.prefixes()
-        homes = [
-            [home.identity for home in self.parts.homes(key, upstreams)] for key, _ in prefixes
-        ]
-        return replace(wanted, prefixes=prefixes, homes=homes)
-
-    def expected(
-        self, upstream: Upstream, load: Load, wanted: Wanted, now: Millis
-    ) -> tuple[Millis, float]:
-        """Return the expected time to the first event, and the prompt tokens to be read for it."""
+    def add_parts(self, wanted: Wanted, upstreams: Sequence[Upstream], now: Millis) -> None:
+        """Add to a request its shared prefixes and where they are kept, if they are long enough."""
+        if wanted.prefixes or not upstreams or not counts_parts(wanted.demand):
+            return
+        assert wanted.demand is not None
+        wanted.prefixes = wanted.demand.prefixes()
+        wanted.kept = self.parts.kept_tokens(
+            wanted.prefixes, upstreams, capacity=wanted.capacity, now=now
+        )
+
+    def expected(self, upstream: Upstream, load: Load, wanted: Wanted) -> Millis:
+        """Return the expected time to the first event."""
         identity = upstream.identity
         pace = self.paces.relative.get(identity, 1.0)
-        line = self.times.line(identity, upstream.service, pace)
         slots = upstream.slots
+        online, batch = load
         slot_time = wanted.mean_duration * pace / slots
-        time = line.base + (load.online + load.batch * BATCH_WEIGHT) / slots * slot_time
-        if load.online >= slots:
-            time += (load.online - slots + 1) * slot_time
-        elif load.online + load.batch >= slots:
-            time += PREEMPTION_TIME
+        share = (online + batch * BATCH_WEIGHT) / slots
+        if online >= slots:
+            time = (LOW_SHARE_WEIGHT + HIGH_SHARE_WEIGHT + online - slots + 1) * slot_time
+        else:
+            time = (LOW_SHARE_WEIGHT * share + HIGH_SHARE_WEIGHT * share**4) * slot_time
+            if online + batch >= slots:
+                time += PREEMPTION_TIME
+        line = self.times.line(identity, upstream.service, pace)
         demand = wanted.demand
         if demand is None:
-            return time, 0.0
-        unread = float(demand.prompt_tokens)
-        if wanted.prefixes:
-            unread -= self.parts.kept_tokens(
-                wanted.prefixes, identity, wanted.homes, capacity=wanted.capacity, now=now
-            )
-        return time + line.per_token * (unread + self.memory.unread(identity)), unread
+            return time + line.base
+        unread = demand.prompt_tokens - wanted.kept.get(identity, 0.0)
+        return time + line.base + line.per_token * (unread + self.memory.unread(identity))
+
+    def unread(self, upstream: Upstream, wanted: Wanted) -> float:
+        """Return the prompt tokens that an upstream probably has to read."""
+        if wanted.demand is None:
+            return 0.0
+        return wanted.demand.prompt_tokens - wanted.kept.get(upstream.identity, 0.0)
 
     def fits(self, upstream: Upstream, loads: Mapping[str, Load], wanted: Wanted) -> bool:
         """Whether a request's tokens fit into an upstream's memory beside what runs there."""
@@ -118,13 +125,13 @@
             entries: Number of entries that use the upstream.
             now: Current time.
         """
-        expected, unread = self.expected(upstream, load, wanted, now)
+        unread = self.unread(upstream, wanted)
         demand = wanted.demand
         forecast = Forecast(
             identity=upstream.identity,
             service=upstream.service,
             started=now,
-            expected=expected,
+            expected=self.expected(upstream, load, wanted),
             unread=unread,
             tokens=0.0 if demand is None else unread + demand.max_output_tokens,
             has_free_slot=load.total < upstream.slots,
--- a/packages/core/src/carobspool_core/upstream_pace/_prompt_parts.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_prompt_parts.py
@@ -21,7 +21,7 @@
 """Upstreams of the hash among the candidates: the first, and two to which a hot part spreads."""
 KEPT_TIME: Millis = 30_000.0
 """Longest time for which a part counts as kept where nothing shows that it was evicted."""
-_CERTAINTY_BY_RANK = (0.5, 0.2, 0.1)
+CERTAINTY_BY_RANK = (0.8, 0.4, 0.2)
 """Share of a part's tokens that counts as kept at the upstreams of its hash if this entry has not
 sent it there for long: another entry may have done so. The later ones are less likely to have it,
 and a request that finds the first one busy prefers them, so that a hot part spreads there."""
@@ -68,35 +68,28 @@
     def kept_tokens(
         self,
         prefixes: Sequence[tuple[int, int]],
-        identity: str,
-        homes: Sequence[Sequence[str]],
+        upstreams: Sequence[Upstream],
         *,
         capacity: int | None,
         now: Millis,
-    ) -> float:
-        """Return how many tokens of a prompt an upstream has probably read.
+    ) -> dict[str, float]:
+        """Return how many tokens of a prompt upstreams have probably kept, by identity.
 
         Args:
             prefixes: Keys and tokens of the prompt's shared prefixes, the shortest first.
-            identity: Identity of the upstream.
-            homes: Identities of the upstreams of the hash for each prefix, in order.
+            upstreams: Upstreams of the service.
             capacity: Tokens that the upstream's memory holds, ``None`` if unknown.
             now: Current time.
         """
-        expected = 0.0
-        for index in range(len(prefixes) - 1, -1, -1):
-            key, tokens = prefixes[index]
-            if tokens <= expected:
-                break
-            holders = self._kept.get(key)
-            placed = None if holders is None else holders.get(identity)
-            if placed is not None and self._is_kept(identity, placed, capacity, now):
-                return float(tokens)
-            if identity not in homes[index]:
-                continue
-            certainty = _CERTAINTY_BY_RANK[homes[index].index(identity)]
-            expected = max(expected, tokens * certainty)
-        return expected
+        found: dict[str, float] = {}
+        for key, tokens in prefixes:
+            for home, certainty in zip(self.homes(key, upstreams), CERTAINTY_BY_RANK, strict=False):
+                identity = home.identity
+                found[identity] = max(found.get(identity, 0.0), tokens * certainty)
+            for identity, placed in self._kept.get(key, {}).items():
+                if self._is_kept(identity, placed, capacity, now):
+                    found[identity] = float(tokens)
+        return found
 
     def record(
         self,
--- a/packages/node/src/carobspool_node/upstream_pace/_upstream_paces.py
+++ b/packages/node/src/carobspool_node/upstream_pace/_upstream_paces.py
@@ -59,6 +59,7 @@
         self._estimates = UpstreamEstimates()
         self._choice = FirstEventChoice(failure_domain, self._estimates)
         self._choices = 0
+        self._last_wanted: Wanted | None = None
         self._by_key: Mapping[int, Upstream] = {}
         self._keys_valid_until: Millis = 0.0
 
@@ -101,9 +102,10 @@
         now = self._clock.now()
         with self._lock:
             chosen = self._choice.choose(upstreams, loads, wanted, now=now)
+            self._last_wanted = wanted
             self._choices += 1
             if chosen is not None and self._choices % LOGGED_SHARE == 0:
-                self._log_choice(chosen, upstreams, loads, wanted, now)
+                self._log_choice(chosen, loads, wanted)
         return chosen
 
     def choose_batch(
@@ -126,6 +128,7 @@
             capacity=self._capacity_of(upstreams[0].service),
         )
         with self._lock:
+            self._last_wanted = wanted
             return choose_batch(
                 self._estimates,
                 upstreams,
@@ -146,16 +149,15 @@
         entries: int,
     ) -> Forecast:
         """Record that a request was placed; return what is expected of it."""
-        wanted = Wanted(
-            demand=demand,
-            mean_duration=mean_duration,
-            capacity=self._capacity_of(chosen.service),
-        )
+        now = self._clock.now()
         with self._lock:
-            wanted = self._estimates.with_parts(wanted, upstreams)
-            return self._estimates.place(
-                chosen, load, wanted, entries=entries, now=self._clock.now()
-            )
+            wanted = self._last_wanted
+            if wanted is None or wanted.demand is not demand:
+                capacity = self._capacity_of(chosen.service)
+                wanted = Wanted(demand=demand, mean_duration=mean_duration, capacity=capacity)
+            self._last_wanted = None
+            self._estimates.add_parts(wanted, upstreams, now)
+            return self._estimates.place(chosen, load, wanted, entries=entries, now=now)
 
     def end(self, forecast: Forecast, *, has_read: bool) -> None:
         """Count the end of a request.
@@ -225,20 +227,13 @@
             self._by_key = {short_key_of(each.identity): each for each in self._listed()}
         return self._by_key
 
-    def _log_choice(
-        self,
-        chosen: Upstream,
-        upstreams: Sequence[Upstream],
-        loads: Mapping[str, Load],
-        wanted: Wanted,
-        now: Millis,
-    ) -> None:
-        wanted = self._estimates.with_parts(wanted, upstreams)
+    def _log_choice(self, chosen: Upstream, loads: Mapping[str, Load], wanted: Wanted) -> None:
         shown = []
         for each in list(self._choice.candidates or (chosen,))[:MAX_LOGGED_CANDIDATES]:
             load = loads.get(each.identity, NO_LOAD)
-            time, unread = self._estimates.expected(each, load, wanted, now)
             pace = self._estimates.paces.relative.get(each.identity, 1.0)
+            unread = self._estimates.unread(each, wanted)
+            time = self._estimates.expected(each, load, wanted)
             shown.append(
                 f"{each.instance}:{load.total}/{each.slots}:{pace:.2f}:{unread:.0f}:{time:.0f}"
             )
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -157,6 +157,8 @@
     ports: PortChooser
     entries: list[Entry] = field(default_factory=list)
     servers: list[PlatformServer] = field(default_factory=list)
+    settings: dict[str, Any] = field(default_factory=dict)
+    """Settings of entries started later that differ from the usual ones."""
 
     def start_server(
         self, service: str, handle_request: RequestHandler, *, started: int | None = None
@@ -205,6 +207,7 @@
         settings |= {"callers": f"127.0.0.1:{port}", "ready": f"127.0.0.1:{ready_port}"}
         settings["first_start"] = first_start
         settings["object_api"] = store or self.store
+        settings |= self.settings
         process, log = self._start_process(settings, output, program)
         entry = Entry(name, port, ready_port, peer_port, metrics_port, process, log)
         self.entries.append(entry)
--- a/tests/fleet_load.py
+++ b/tests/fleet_load.py
@@ -65,6 +65,7 @@
         length: Simulated time in milliseconds.
         target: Time to the first event within which a stream is on time.
         groups: Groups of entries, each with its own share of the engines.
+        hint_delay: Time from a hint's sending to its arrival.
     """
 
     entries: int
@@ -84,6 +85,7 @@
     length: float = 34_000.0
     target: float = 300.0
     groups: int = 1
+    hint_delay: float = HINT_DELAY
 
 
 @dataclass(slots=True)
@@ -389,7 +391,7 @@
             for other in range(self.plan.entries):
                 self.start_items(other)
 
-        self.at(self.clock.at + HINT_DELAY, arrive)
+        self.at(self.clock.at + self.plan.hint_delay, arrive)
 
 
 def simulate_fleet(plan: FleetPlan, seed: int = 1) -> FleetReport:
