--- a/packages/core/src/carobspool_core/upstream_pace/_prompt_parts.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_prompt_parts.py
@@ -21,7 +21,7 @@
 """Upstreams of the hash among the candidates: the first, and two to which a hot part spreads."""
 KEPT_TIME: Millis = 30_000.0
 """Longest time for which a part counts as kept where nothing shows that it was evicted."""
-CERTAINTY_BY_RANK = (0.8, 0.4, 0.2)
+CERTAINTY_BY_RANK = (0.95, 0.8, 0.6)
 """Share of a part's tokens that counts as kept at the upstreams of its hash if this entry has not
 sent it there for long: another entry may have done so. The later ones are less likely to have it,
 and a request that finds the first one busy prefers them, so that a hot part spreads there."""
