--- a/packages/core/src/carobspool_core/upstream_pace/_choice.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_choice.py
@@ -93,21 +93,21 @@
         draw = draw or _draw
         self._estimates.add_parts(wanted, upstreams, now)
         self._reason = "parts" if wanted.prefixes else "pace"
-        candidates = self._sample(upstreams, wanted, draw)
+        candidates = self._sample(upstreams, wanted, now, draw)
         chosen = self._soonest(candidates, loads, wanted, draw)
         if chosen is None and candidates is not upstreams:
             chosen = self._soonest(upstreams, loads, wanted, draw)
         return chosen
 
     def _sample(
-        self, upstreams: Sequence[Upstream], wanted: Wanted, draw: random.Random
+        self, upstreams: Sequence[Upstream], wanted: Wanted, now: Millis, draw: random.Random
     ) -> Sequence[Upstream]:
         """Return a few random upstreams that are not suspects, and those of the hash of parts."""
         if len(upstreams) <= SAMPLE_SIZE:
             return upstreams
         found: dict[str, Upstream] = {}
         for key, _ in wanted.prefixes[-PREFIXES_OF_CANDIDATES:]:
-            for home in self._estimates.parts.homes(key, upstreams):
+            for home in self._estimates.parts.homes(key, upstreams, now):
                 found[home.identity] = home
         size = SAMPLE_SIZE_WITH_PARTS if found else SAMPLE_SIZE
         count = len(upstreams)
--- a/packages/core/src/carobspool_core/upstream_pace/_prompt_parts.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_prompt_parts.py
@@ -25,6 +25,11 @@
 """Share of a part's tokens that counts as kept at the upstreams of its hash if this entry has not
 sent it there for long: another entry may have done so. The later ones are less likely to have it,
 and a request that finds the first one busy prefers them, so that a hot part spreads there."""
+NEW_TIME: Millis = 5_000.0
+"""Time for which the parts of its hash count as unread at an upstream that has appeared or started
+again. Each hot part is sent there several times a second, so it has read them by then."""
+NEW_CERTAINTY = 0.1
+"""Enough that entries agree on the same upstream when all have to read a part."""
 HASH_BUCKETS = 512
 """Parts with equal buckets have the same upstreams. The ranking of 2,900 upstreams takes 1 ms, so
 it is computed once for each bucket and not for each part."""
@@ -37,22 +42,24 @@
 class PromptParts:
     """Parts kept at upstreams, by key of a prefix. Not thread-safe; callers pass in the time."""
 
-    __slots__ = ("_kept", "_rankings", "_read")
+    __slots__ = ("_first_seen", "_kept", "_rankings", "_read")
 
     def __init__(self) -> None:
         # Holders of each part: time of the last placement, and the upstream's read tokens then.
         self._kept: OrderedDict[int, dict[str, tuple[Millis, float]]] = OrderedDict()
         self._read: dict[str, float] = {}
+        self._first_seen: dict[str, Millis] = {}
         # Rankings by bucket for each list of upstreams; the list itself is kept, so its id holds.
         self._rankings: dict[int, tuple[Sequence[Upstream], dict[int, Sequence[Upstream]]]] = {}
 
-    def homes(self, key: int, upstreams: Sequence[Upstream]) -> Sequence[Upstream]:
+    def homes(self, key: int, upstreams: Sequence[Upstream], now: Millis) -> Sequence[Upstream]:
         """Return the upstreams to which all entries send a part first, in order."""
         ranking = self._rankings.get(id(upstreams))
         if ranking is None or ranking[0] is not upstreams:
             if len(self._rankings) >= MAX_RANKINGS:
                 self._rankings.clear()
             ranking = self._rankings[id(upstreams)] = (upstreams, {})
+            self._note_new(upstreams, now)
         bucket = key % HASH_BUCKETS
         found = ranking[1].get(bucket)
         if found is None:
@@ -83,8 +90,11 @@
         """
         found: dict[str, float] = {}
         for key, tokens in prefixes:
-            for home, certainty in zip(self.homes(key, upstreams), CERTAINTY_BY_RANK, strict=False):
+            homes = self.homes(key, upstreams, now)
+            for home, certainty in zip(homes, CERTAINTY_BY_RANK, strict=False):
                 identity = home.identity
+                if now - self._first_seen.get(identity, now) < NEW_TIME:
+                    certainty = NEW_CERTAINTY
                 found[identity] = max(found.get(identity, 0.0), tokens * certainty)
             for identity, placed in self._kept.get(key, {}).items():
                 if self._is_kept(identity, placed, capacity, now):
@@ -127,6 +137,8 @@
 
     def retain_only(self, identities: set[str]) -> None:
         """Drop upstreams that are gone, earlier starts included."""
+        for identity in self._first_seen.keys() - identities:
+            del self._first_seen[identity]
         gone = self._read.keys() - identities
         for identity in gone:
             del self._read[identity]
@@ -136,6 +148,12 @@
             for identity in holders.keys() & gone:
                 del holders[identity]
 
+    def _note_new(self, upstreams: Sequence[Upstream], now: Millis) -> None:
+        # The upstreams of the first list were running before this entry.
+        first_seen = now if self._first_seen else float("-inf")
+        for upstream in upstreams:
+            self._first_seen.setdefault(upstream.identity, first_seen)
+
     def _is_kept(
         self, identity: str, placed: tuple[Millis, float], capacity: int | None, now: Millis
     ) -> bool:
