--- a/packages/node/src/carobspool_node/direct/_metrics.py
+++ b/packages/node/src/carobspool_node/direct/_metrics.py
@@ -39,8 +39,15 @@
     "hint_bytes": ("kind", "crossing"),
     "hint_datagrams": ("kind", "crossing"),
 }
-_GAUGE_NAMES = ("hint_relay",)
-_HISTOGRAM_NAMES = ("request", "first_event", "job_commit", "item_run", "job_orphan")
+_GAUGE_NAMES = ("hint_relay", "paced_upstreams")
+_HISTOGRAM_NAMES = (
+    "request",
+    "first_event",
+    "job_commit",
+    "item_run",
+    "job_orphan",
+    "first_event_error",
+)
 
 
 class _Histogram:
--- a/packages/node/src/carobspool_node/direct/_peer_messages.py
+++ b/packages/node/src/carobspool_node/direct/_peer_messages.py
@@ -98,6 +98,7 @@
     host_capacity: Annotated[float, Bounds(ge=0, le=MAX_CAPACITY)] | None = field(
         alias="h", default=None
     )
+    packed_paces: bytes = field(alias="m", default=b"")
 
 
 class ResultsCall(Record):
--- a/packages/node/src/carobspool_node/direct/_settings.py
+++ b/packages/node/src/carobspool_node/direct/_settings.py
@@ -65,6 +65,11 @@
     metrics_port: int = field(
         description="Port on which metrics are served as text.", unit="port", ge=1, le=HIGHEST_PORT
     )
+    placement: Literal["slots", "auto"] = field(
+        description="Whether an upstream is chosen by its slots alone, or by what it can do now.",
+        unit="name",
+        default="slots",
+    )
     log_level: LogLevel = field(
         description="Least level that is logged; taken over without a restart.",
         unit="name",
@@ -110,6 +115,7 @@
         log_level: Least severe level that is logged.
         hint_relays: ``off`` or ``auto``.
         host_capacity: Share of processor times cores of the host, 0 if unknown.
+        placement: ``slots`` or ``auto``.
     """
 
     role: str
@@ -128,6 +134,7 @@
     log_level: str
     hint_relays: str = "off"
     host_capacity: float = 0.0
+    placement: str = "slots"
 
 
 def load_direct_settings(path: Path) -> Result[DirectSettings, tuple[Problem, ...]]:
@@ -164,6 +171,7 @@
             log_level=model.log_level,
             hint_relays=model.hint_relays,
             host_capacity=model.host_capacity,
+            placement=model.placement,
         )
     )
 
