Online queue: decisions, adapter and wiring into the direct entry

Cause: for seconds at a time more online requests arrive than there are slots, and an entry either fills an engine's first-come queue or refuses.

Change: while the setting online_queue is in force, requests that find no slot wait at the entry, ordered by rank, by whether they can be on time, and fairly by organisation. Entries report what waits in the eighth element of a load hint and the announcement field u, and draw for the slots that become free. Fair queues can serve a caller's requests by deadline and evict the newest request of the heaviest caller.

--- a/packages/core/src/carobspool_core/_fairqueue.py
+++ b/packages/core/src/carobspool_core/_fairqueue.py
@@ -60,8 +60,9 @@
     Since 0.1.
     """
 
-    def __init__(self, bounds: QueueBounds) -> None:
+    def __init__(self, bounds: QueueBounds, *, by_deadline: bool = False) -> None:
         self._bounds = bounds
+        self._by_deadline = by_deadline
         self._backlogs: dict[str, _CallerBacklog[T]] = {}
         self._caller_of: dict[RequestId, str] = {}
         self._heads: list[tuple[float, int, str]] = []
@@ -102,7 +103,13 @@
         to that tag. This takes at least one round, with one request of each caller, and at most as
         long as serving all waiting requests.
         """
-        if self._tokens_per_ms <= 0.0 or not self._caller_of:
+        if self._tokens_per_ms <= 0.0:
+            return 0.0
+        return self.cost_ahead(caller, weight) * _WAIT_MARGIN / self._tokens_per_ms
+
+    def cost_ahead(self, caller: str, weight: float) -> float:
+        """Return the estimated tokens that are served before a new request of ``caller``."""
+        if not self._caller_of:
             return 0.0
         backlog = self._backlogs.get(caller)
         if backlog is None:
@@ -113,7 +120,7 @@
             weights = self._busy_weight
         round_cost = self._cost * len(self._backlogs) / len(self._caller_of)
         ahead = max(round_cost, (tag - self._virtual_time) * weights)
-        return min(self._cost, ahead) * _WAIT_MARGIN / self._tokens_per_ms
+        return min(self._cost, ahead)
 
     def push(
         self, ticket: FairQueueItem[T], now: Millis
@@ -172,6 +179,13 @@
         self._detach(ticket, backlog)
         return ticket
 
+    def evict(self) -> FairQueueItem[T] | None:
+        """Remove and return the newest request of the heaviest caller, the least urgent one.
+
+        In a queue by deadline it is that caller's request with the latest deadline.
+        """
+        return self._evict_newest(self._heaviest()) if self._caller_of else None
+
     def expire(self, now: Millis) -> list[FairQueueItem[T]]:
         """Remove and return all requests that can no longer meet their deadline."""
         expired: list[FairQueueItem[T]] = []
@@ -199,7 +213,7 @@
         backlog = self._backlogs.get(ticket.caller)
         if backlog is None:
             backlog = self._open_backlog(ticket)
-        backlog.tickets[ticket.id] = ticket
+        self._add_to_backlog(backlog, ticket)
         backlog.cost += ticket.cost
         self._cost += ticket.cost
         self._caller_of[ticket.id] = ticket.caller
@@ -208,6 +222,13 @@
         heapq.heappush(self._weighted_costs, (-backlog.weighted_cost, self._order, ticket.caller))
         self._rebuild_stale_heaps()
 
+    def _add_to_backlog(self, backlog: _CallerBacklog[T], ticket: FairQueueItem[T]) -> None:
+        last = next(reversed(backlog.tickets.values()), None)
+        backlog.tickets[ticket.id] = ticket
+        if self._by_deadline and last is not None and ticket.start_by < last.start_by:
+            ordered = sorted(backlog.tickets.values(), key=lambda each: each.start_by)
+            backlog.tickets = OrderedDict((each.id, each) for each in ordered)
+
     def _open_backlog(self, ticket: FairQueueItem[T]) -> _CallerBacklog[T]:
         tag = self._idle_tags.pop(ticket.caller, 0.0)
         start = max(self._virtual_time, tag)
@@ -299,12 +320,16 @@
             heapq.heapify(self._heads)
 
 
-def make_fair_queue(bounds: QueueBounds | None = None) -> FairQueue[T]:
+def make_fair_queue(
+    bounds: QueueBounds | None = None, *, by_deadline: bool = False
+) -> FairQueue[T]:
     """Return an empty queue.
 
     Args:
         bounds: Bounds of the queue; ``None`` means the defaults of `QueueBounds`.
+        by_deadline: Whether the requests of one caller are served by their latest start instead of
+            in order of arrival.
 
     Since 0.1.
     """
-    return FairQueue(bounds or QueueBounds())
+    return FairQueue(bounds or QueueBounds(), by_deadline=by_deadline)
--- /dev/null
+++ b/packages/core/src/carobspool_core/online_queue/__init__.py
@@ -0,0 +1,52 @@
+"""Decisions about online requests that wait at the entries for a slot.
+
+This package decides only: it uses no network, no threads and no clock. Random numbers and the time
+are passed in.
+"""
+
+from carobspool_core.online_queue._entry_queue import (
+    MAX_WAITING,
+    EntryQueue,
+    QueuedRequest,
+    WaitingClass,
+)
+from carobspool_core.online_queue._fleet_waiting import REPORT_TTL, FleetWaiting
+from carobspool_core.online_queue._free_slots import HOLD_TIME, Competition, FreeSlots
+from carobspool_core.online_queue._rules import (
+    DEFAULT_COST,
+    MAX_RANK,
+    cost_of,
+    further_places,
+    queue_in_force,
+    rank_of,
+)
+from carobspool_core.online_queue._wait_estimate import (
+    MIN_RETRY_AFTER,
+    ReturnTimes,
+    RunTimes,
+    predicted_wait,
+    retry_after,
+)
+
+__all__ = [
+    "DEFAULT_COST",
+    "HOLD_TIME",
+    "MAX_RANK",
+    "MAX_WAITING",
+    "MIN_RETRY_AFTER",
+    "REPORT_TTL",
+    "Competition",
+    "EntryQueue",
+    "FleetWaiting",
+    "FreeSlots",
+    "QueuedRequest",
+    "ReturnTimes",
+    "RunTimes",
+    "WaitingClass",
+    "cost_of",
+    "further_places",
+    "predicted_wait",
+    "queue_in_force",
+    "rank_of",
+    "retry_after",
+]
--- a/packages/core/src/carobspool_core/organisations/_directory.py
+++ b/packages/core/src/carobspool_core/organisations/_directory.py
@@ -65,6 +65,10 @@
         """Return the organisation that holds a key, by the key's digest."""
         return self._by_digest.get(digest)
 
+    def find_by_name(self, name: str) -> Organisation | None:
+        """Return the organisation of a name."""
+        return self._by_name.get(name)
+
     def limits(self) -> Mapping[str, RateLimit]:
         """Return the limits by name, of the organisations that have one."""
         return {each.name: each.limit for each in self if each.limit is not None}
--- a/packages/node/src/carobspool_node/direct/_announcement.py
+++ b/packages/node/src/carobspool_node/direct/_announcement.py
@@ -48,6 +48,8 @@
     message = _common_fields(sender, hint, sequence)
     message |= {"k": pack_loads(hint.loads), "w": dict(hint.waiting)}
     message |= {"q": list(silent), "d": list(ended), "g": pack_counts(hint.counts)}
+    if hint.queued:
+        message["u"] = hint.queued
     return cbor2.dumps(message | _job_fields(hint))
 
 
--- a/packages/node/src/carobspool_node/direct/_callers.py
+++ b/packages/node/src/carobspool_node/direct/_callers.py
@@ -74,6 +74,7 @@
         access: CallerAuthenticator,
         quota: RequestQuota,
         *,
+        delay_over_limit: Callable[[str, Millis], Millis | None],
         configuration: Callable[[], Configuration | None],
         time_left: Callable[[], Millis | None],
     ) -> None:
@@ -85,6 +86,7 @@
         self._telemetry = telemetry
         self._access = access
         self._quota = quota
+        self._delay_over_limit = delay_over_limit
         self._configuration = configuration
         self._time_left = time_left
 
@@ -277,7 +279,9 @@
         admission: Admission,
     ) -> None:
         self._telemetry.count("over_limit")
-        wait = admission.retry_after * (1.0 + RETRY_JITTER_FRACTION * random.random())
+        wait = self._delay_over_limit(organisation, admission.retry_after)
+        if wait is None:
+            wait = admission.retry_after * (1.0 + RETRY_JITTER_FRACTION * random.random())
         logging.info(
             "event=over_limit request=%s organisation=%s level=%.2f entries_heard=%d entries=%d"
             " wait_ms=%.0f",
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -26,6 +26,7 @@
 from carobspool_node.direct._forward import Forwarder
 from carobspool_node.direct._group_assignment import GroupAssignment
 from carobspool_node.direct._hint_receiver import PeerCallbacks
+from carobspool_node.direct._in_flight import Placement
 from carobspool_node.direct._item_run import ItemRunner
 from carobspool_node.direct._job_adoption import JobAdoption
 from carobspool_node.direct._job_catalog import JobCatalog
@@ -39,11 +40,12 @@
 from carobspool_node.direct._membership import Membership
 from carobspool_node.direct._messages import CallerRequest
 from carobspool_node.direct._metrics_server import serve_metrics
-from carobspool_node.direct._peer import AnnouncementContent
+from carobspool_node.direct._peer import AnnouncementContent, Peer
 from carobspool_node.direct._peer_api import PeerApi
 from carobspool_node.direct._peer_calls import PEER_HEADERS, PeerCaller
 from carobspool_node.direct._peers import HintSources, Peers
 from carobspool_node.direct._quarantine_store import QuarantineStore
+from carobspool_node.direct._queued_requests import QueuedRequests
 from carobspool_node.direct._reload import SettingsReload
 from carobspool_node.direct._settings import DirectSettings
 from carobspool_node.direct._stop_signal import StopSignal
@@ -51,6 +53,7 @@
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.direct._upstream_calls import UpstreamConnections
 from carobspool_node.direct._view_exchange import ViewExchange
+from carobspool_node.online_queue import OnlineQueue
 from carobspool_node.organisations import (
     ANNOUNCEMENT_RESEND_TIME,
     CallerAuthenticator,
@@ -106,6 +109,7 @@
                 claim_unsent_counts=lambda is_heartbeat: self._quota.claim_unsent_counts(
                     is_heartbeat=is_heartbeat
                 ),
+                waiting=lambda: self._queue.report(),
             ),
         )
         self._store = RelayedStore(
@@ -150,6 +154,22 @@
             usable=self._declared.usable,
             largest_service=self._declared.largest_service,
         )
+        self._queue: OnlineQueue[Placement] = OnlineQueue(
+            self._clock,
+            self._telemetry,
+            room=lambda service: self._queued.room(service),
+            sharers=self._group_assignment.group_members,
+            on_change=self._peers.schedule_load_hint,
+        )
+        self._queued = QueuedRequests(
+            self._clock,
+            deployment.headers,
+            self._loads,
+            self._queue,
+            self._group_assignment.split_upstreams,
+            self._quota,
+            setting=settings.online_queue,
+        )
         items = ItemRunner(
             self._clock, deployment.headers, self._loads, self._connections, self._isolation
         )
@@ -177,6 +197,7 @@
             self._peers,
             self._telemetry,
             limit=settings.shutdown_limit,
+            before_close=self._queue.close,
         )
         adoption = JobAdoption(
             self._clock,
@@ -216,6 +237,7 @@
             self._telemetry,
             lambda: self._exit.time_left,
             self._isolation,
+            self._queued,
         )
         access = CallerAuthenticator(
             self._clock,
@@ -231,6 +253,7 @@
             self._telemetry,
             access,
             self._quota,
+            delay_over_limit=self._queued.delay_over_limit,
             configuration=lambda: self._declared.configuration,
             time_left=lambda: self._exit.time_left,
         )
@@ -251,16 +274,18 @@
         serve_metrics((settings.address, settings.metrics_port), self._telemetry, self._clock)
         callers = self._start_listeners()
         self._loads.set_own_change_callback(self._peers.schedule_load_hint)
+        self._start_queue()
         self._peers.start(
             PeerCallbacks(
                 loads=self._adopt_peer_loads,
                 backlog=self._runner.update_peer_backlog,
                 versions=self._compare_versions,
                 lost=self._recovery.peer_lost,
-                gone=self._recovery.peer_gone,
+                gone=self._on_peer_gone,
                 ended=self._runner.handle_ended_jobs,
                 counts=self._quota.apply_peer_counts,
                 suspects=self._isolation.merge,
+                waiting=self._queue.apply_report,
             )
         )
         self._declared.start()
@@ -308,6 +333,16 @@
             listener.start()
         return callers
 
+    def _start_queue(self) -> None:
+        if self._settings.online_queue == "off":
+            return
+        self._loads.add_departure_callback(self._queue.capacity_freed)
+        self._queue.start()
+
+    def _on_peer_gone(self, peer: Peer) -> None:
+        self._queue.forget_peer(peer.name)
+        self._recovery.peer_gone(peer)
+
     def _compare_versions(self, peer: str, versions: Mapping[str, int]) -> None:
         self._views.pull_newer_views(peer, versions)
         self._membership.refresh_if_behind(versions)
@@ -328,6 +363,7 @@
 
     def _on_configuration(self) -> None:
         self._quota.configure(self._directory())
+        self._queued.configure(self._declared.configuration)
         self._peers.announce()
 
     def _tell_suspects(self, updates: Sequence[SuspectUpdate]) -> None:
@@ -392,6 +428,7 @@
             answer_age=self._store.answer_age,
             counts=self._quota.recent_counts(ANNOUNCEMENT_RESEND_TIME),
             backlog=self._runner.backlog(),
+            queued=self._queue.report(),
         )
 
     def _clean_up(self) -> None:
--- a/packages/node/src/carobspool_node/direct/_exit.py
+++ b/packages/node/src/carobspool_node/direct/_exit.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from absl import logging
 
@@ -45,6 +45,7 @@
         peers: The other entries.
         telemetry: Flushes the log.
         limit: Time between the signal to stop and the kill.
+        before_close: Called before requests in progress are answered with an unknown outcome.
     """
 
     def __init__(
@@ -55,12 +56,14 @@
         telemetry: Telemetry,
         *,
         limit: Millis,
+        before_close: Callable[[], None] = lambda: None,
     ) -> None:
         self._clock = clock
         self._runner = runner
         self._peers = peers
         self._telemetry = telemetry
         self._time_to_kill = limit
+        self._before_close = before_close
         self._exit_at: Millis | None = None
 
     @property
@@ -76,6 +79,7 @@
         callers.drain()
         self._peers.announce()
         self._serve_until_drained(callers, started)
+        self._before_close()
         cut = callers.close()
         self._runner.stop(EXIT_COMMIT_TIMEOUT)
         self._peers.stop()
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -42,6 +42,7 @@
     UpstreamHead,
     end_to_end_headers,
 )
+from carobspool_node.direct._queued_requests import QueuedRequests
 from carobspool_node.direct._request_endings import RequestEndings
 from carobspool_node.direct._request_state import RequestState
 from carobspool_node.direct._telemetry import Telemetry
@@ -50,6 +51,7 @@
     UpstreamCall,
     UpstreamConnections,
 )
+from carobspool_node.online_queue import QueueRefusedError
 
 MAX_REJECTIONS = 3
 """Number of upstreams that may reject one request without running it before its caller receives
@@ -90,6 +92,7 @@
         telemetry: Logs and metrics.
         time_left: Returns the time until this process exits, ``None`` if it is not shutting down.
         isolation: Isolates requests that crash upstreams.
+        queued: Lets requests wait for a slot, while that is in force.
     """
 
     def __init__(
@@ -102,6 +105,7 @@
         telemetry: Telemetry,
         time_left: Callable[[], Millis | None],
         isolation: CrashIsolation,
+        queued: QueuedRequests,
     ) -> None:
         self._clock = clock
         self._names = names
@@ -111,6 +115,7 @@
         self._telemetry = telemetry
         self._time_left = time_left
         self._isolation = isolation
+        self._queued = queued
         self._endings = RequestEndings(clock, telemetry)
 
     def serve(
@@ -146,10 +151,16 @@
             self._try_upstreams(state)
         except DeadlinePassedError:
             self._endings.end_at_deadline(state)
+        except QueueRefusedError as refusal:
+            state.last_failure = refusal.reason
+            try:
+                self._endings.refuse(state, refusal.retry_after, status=refusal.status)
+            finally:
+                self._queued.refusal_answered(refusal)
         except CallerGoneError:
             self._endings.record(state, "caller_gone", 0)
             raise
-        return state.may_have_run or state.runs > 0
+        return state.may_have_run or state.runs > 0 or state.is_refunded
 
     def _has_time_before_exit(self, state: RequestState) -> bool:
         """Return whether the request can probably end before this process exits."""
@@ -202,10 +213,8 @@
             if not state.may_have_run and not self._can_finish_in_time(state, service):
                 self._endings.give_up(state, has_upstreams=True)
                 return
-            if verdict is VerdictKind.SUSPECT:
-                placement = self._place_suspect(state, split)
-            else:
-                placement = self._place(state, split)
+            is_suspect = verdict is VerdictKind.SUSPECT
+            placement = self._find_place(state, service, split, is_suspect=is_suspect)
             if placement is None:
                 logging.info(
                     "event=no_place request=%s service=%s upstreams=%d returned=%s %s",
@@ -225,31 +234,52 @@
             finally:
                 self._loads.end_online(placement, completed=answered)
             if answered:
+                self._queued.record_run(placement)
                 return
             if state.runs >= state.route.max_attempts or not self._may_retry(state):
                 self._endings.give_up(state, has_upstreams=True)
                 return
 
-    def _place(self, state: RequestState, split: UpstreamSplit) -> Placement | None:
+    def _find_place(
+        self, state: RequestState, service: str, split: UpstreamSplit, *, is_suspect: bool
+    ) -> Placement | None:
+        place_at = self._place_suspect if is_suspect else self._place
+        if not self._queued.in_force:
+            return place_at(state, split)
+        return self._queued.place(
+            state,
+            service,
+            lambda split, places: place_at(state, split, places),
+            is_suspect=is_suspect,
+            has_time_before_exit=lambda: self._has_time_before_exit(state),
+        )
+
+    def _place(
+        self, state: RequestState, split: UpstreamSplit, queue_places: int | None = None
+    ) -> Placement | None:
         return self._loads.place_online(
             split.near,
             target_latency=state.route.target_latency,
             is_retry=state.is_retry or state.streaming,
             excluded=frozenset(state.tried),
             far=split.far,
+            queue_places=queue_places,
         )
 
-    def _place_suspect(self, state: RequestState, split: UpstreamSplit) -> Placement | None:
+    def _place_suspect(
+        self, state: RequestState, split: UpstreamSplit, queue_places: int | None = None
+    ) -> Placement | None:
         """Place a suspect at the upstream that all entries prefer for it, or else at the next."""
         candidates = {each.identity: each for each in (*split.near, *split.far)}
         untried = [each for key, each in candidates.items() if key not in state.tried]
         healthy = {each.identity: each for each in self._loads.healthy(untried)}
         preferred = preferred_nodes(state.fingerprint(), healthy, MAX_SUSPECT_CHOICES)
         for identity in preferred:
-            placement = self._place(state, UpstreamSplit(near=(healthy[identity],), far=()))
+            only = UpstreamSplit(near=(healthy[identity],), far=())
+            placement = self._place(state, only, queue_places)
             if placement is not None:
                 return placement
-        return None if preferred else self._place(state, split)
+        return None if preferred else self._place(state, split, queue_places)
 
     def _may_retry(self, state: RequestState) -> bool:
         if state.turned_away >= MAX_REJECTIONS:
@@ -379,6 +409,7 @@
             return False
         if state.streaming:
             raise _StreamBrokenError(f"status {head.status} instead of the stream's rest")
+        self._queued.record_first_event(state, upstream.service)
         # The connection returns to the pool before the answer is sent: the caller's next request
         # arrives within a millisecond of the answer and would otherwise open a new connection.
         call.close()
@@ -413,6 +444,7 @@
             if not state.streaming:
                 state.streaming = True
                 state.caller.start_stream(head.status, _answer_headers(head), head.reason)
+                self._queued.record_first_event(state, upstream.service)
                 self._telemetry.observe_duration(
                     "first_event", self._clock.now() - state.request.arrived
                 )
--- a/packages/node/src/carobspool_node/direct/_hint_receiver.py
+++ b/packages/node/src/carobspool_node/direct/_hint_receiver.py
@@ -57,6 +57,8 @@
         counts: Called with a peer's name, its incarnation and the number of requests that it has
             admitted, by the organisation's key.
         suspects: Called with changed evidence against requests that crash upstreams.
+        waiting: Called with a peer's name and the packed numbers of online requests that wait
+            there.
     """
 
     loads: LoadsCallback = lambda peer, loads, failures, knows_starts: None
@@ -67,6 +69,7 @@
     ended: Callable[[Sequence[str]], None] = lambda job_ids: None
     counts: Callable[[str, str, Mapping[int, int]], None] = lambda peer, incarnation, counts: None
     suspects: Callable[[Sequence[SuspectState]], None] = lambda suspects: None
+    waiting: Callable[[str, bytes], None] = lambda peer, packed: None
 
 
 class HintReceiver:
@@ -163,6 +166,7 @@
         if not self._table.record_hint(hint):
             return
         self._events.backlog(hint.name, hint.backlog)
+        self._events.waiting(hint.name, hint.waiting)
         self._events.loads(hint.name, self._by_known_identity(hint.loads), None, True)
         self._events.counts(hint.name, hint.incarnation, hint.counts)
 
@@ -194,6 +198,7 @@
         ):
             # A load hint that was sent later has already arrived.
             return
+        self._events.waiting(announcement.name, announcement.packed_waiting)
         loads = by_identity({key: Load(*pair) for key, pair in announcement.loads.items()}, starts)
         loads |= self._by_known_identity(packed)
         self._events.loads(announcement.name, loads, failures, announcement.starts is not None)
--- a/packages/node/src/carobspool_node/direct/_hint_sender.py
+++ b/packages/node/src/carobspool_node/direct/_hint_sender.py
@@ -79,6 +79,7 @@
         *,
         targets: HintTargets,
         sharers: frozenset[str] | None,
+        waiting: bytes = b"",
     ) -> None:
         """Send load hints and counts hints.
 
@@ -88,14 +89,17 @@
             counts: Changed counts of admitted requests, by the organisation's key.
             targets: Addresses of the other entries.
             sharers: Entries that use the same upstreams, ``None`` for all; only these get loads.
+            waiting: Numbers of the online requests that wait at this entry, packed.
         """
         sequence = self._next_sequence()
         recipients = targets.load_recipients(sharers)
-        with_counts = recipients & targets.count_readers if counts else frozenset()
+        with_counts = recipients & targets.count_readers if counts or waiting else frozenset()
         self._send_load_hint(
             loads, backlog, {}, sequence, _addresses(targets, recipients - with_counts)
         )
-        self._send_load_hint(loads, backlog, counts, sequence, _addresses(targets, with_counts))
+        self._send_load_hint(
+            loads, backlog, counts, sequence, _addresses(targets, with_counts), waiting
+        )
         counts_only = targets.count_readers - recipients
         if counts and counts_only and self._admit_counts_hint(len(counts_only)):
             data = encode_counts_hint(
@@ -120,6 +124,7 @@
         counts: Mapping[int, int],
         sequence: int,
         addresses: Sequence[Address],
+        waiting: bytes = b"",
     ) -> None:
         if not addresses:
             return
@@ -130,6 +135,7 @@
             loads=loads,
             backlog=backlog,
             counts=counts,
+            waiting=waiting,
         )
         self._send(data, addresses)
 
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -103,7 +103,7 @@
 
     def start(self) -> None:
         """Start the scheduling loop."""
-        self._loads.set_departure_callback(self._wake.set)
+        self._loads.add_departure_callback(self._wake.set)
         threading.Thread(target=self._loop, name="jobs", daemon=True).start()
 
     def stop(self, timeout: Millis) -> None:
--- a/packages/node/src/carobspool_node/direct/_load_hint.py
+++ b/packages/node/src/carobspool_node/direct/_load_hint.py
@@ -40,6 +40,7 @@
         backlog: Batch items that wait at the sender.
         counts: Changed counts of the requests that the sender has admitted, by the organisation's
             key.
+        waiting: Numbers of the online requests that wait at the sender, packed.
     """
 
     name: str
@@ -48,6 +49,7 @@
     loads: Mapping[int, Load]
     backlog: Sequence[WaitingGroup]
     counts: Mapping[int, int] = field(default_factory=dict)
+    waiting: bytes = b""
 
 
 class CountsHint(Struct, frozen=True, kw_only=True):
@@ -88,15 +90,22 @@
     loads: Mapping[str, Load],
     backlog: Iterable[WaitingGroup],
     counts: Mapping[int, int] | None = None,
+    waiting: bytes = b"",
 ) -> bytes:
-    """Encode a load hint. Entries of the previous version reject a load hint with counts."""
+    """Encode a load hint.
+
+    Entries that do not read counts reject a load hint with counts. Entries that read counts accept
+    what follows the counts.
+    """
     groups = b"".join(
         _GROUP_STRUCT.pack(min(int(group.start_order), _MAX_UINT32), min(group.items, _MAX_UINT16))
         for group in backlog
     )
     message = [_LOAD_HINT_KIND, name, incarnation, sequence, pack_loads(loads), groups]
-    if counts:
-        message.append(pack_counts(counts))
+    if counts or waiting:
+        message.append(pack_counts(counts or {}))
+    if waiting:
+        message.append(waiting)
     return cbor2.dumps(message)
 
 
@@ -144,6 +153,7 @@
                 loads=unpack_loads(loads),
                 backlog=backlog,
                 counts=_read_counts(counts),
+                waiting=_read_waiting(counts),
             )
     raise _unusable("(body)", repr(message)[:80], "a load hint")
 
@@ -176,5 +186,12 @@
     raise _unusable("counts", repr(rest)[:80], "counts of requests")
 
 
+def _read_waiting(rest: Sequence[Json]) -> bytes:
+    match rest:
+        case [_, bytes() as packed, *_]:
+            return packed
+    return b""
+
+
 def _unusable(path: str, found: str, allowed: str) -> UnusableRecordError:
     return UnusableRecordError([Problem(file="", path=path, found=found, allowed=allowed)])
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -54,16 +54,16 @@
         self._fleet = FleetLoads()
         self._suspects = Suspects()
         self._durations: dict[str, MeanDuration] = {}
-        self._on_capacity_freed: Callable[[], None] = lambda: None
+        self._capacity_callbacks: list[Callable[[], None]] = []
         self._on_own_change: Callable[[], None] = lambda: None
 
-    def set_departure_callback(self, callback: Callable[[], None]) -> None:
-        """Set the callback for freed capacity at an upstream.
+    def add_departure_callback(self, callback: Callable[[], None]) -> None:
+        """Add a callback for freed capacity at an upstream.
 
         A request or batch item of this entry or of a peer has ended there, or the upstream has
         restarted.
         """
-        self._on_capacity_freed = callback
+        self._capacity_callbacks.append(callback)
 
     def set_own_change_callback(self, callback: Callable[[], None]) -> None:
         """Set the callback for the start or end of a request or batch item of this entry."""
@@ -77,6 +77,7 @@
         is_retry: bool,
         excluded: frozenset[str] = frozenset(),
         far: Sequence[Upstream] = (),
+        queue_places: int | None = None,
     ) -> Placement | None:
         """Choose an upstream for an online request, count it, and preempt batch items if needed.
 
@@ -87,12 +88,16 @@
             excluded: Identities of upstreams that this request has already tried.
             far: Candidates to use when all preferred upstreams are full or suspect. Their loads are
                 known from heartbeats only.
+            queue_places: Limit of the online requests beyond the slots of each upstream; ``None``
+                for the limit that follows from the target latency.
 
         Returns:
             The placement, or ``None`` when no upstream has room for the request.
         """
 
         def queue_limit_of(upstream: Upstream) -> int:
+            if queue_places is not None:
+                return queue_places
             return queue_limit(
                 slots=upstream.slots,
                 mean_duration=self._mean_duration(upstream.service).value,
@@ -130,6 +135,27 @@
             run.cancellation.cancel(PREEMPTED_BY_OWN_REQUEST)
         return Placement(upstream=chosen, started=now, load=load)
 
+    def online_room(self, upstreams: Sequence[Upstream], queue_places: int) -> tuple[int, int]:
+        """Return how many more online requests upstreams take, and the number of their slots.
+
+        Upstreams that seem to have stopped are left out unless all of them do.
+
+        Args:
+            upstreams: The upstreams.
+            queue_places: Limit of the online requests beyond the slots of each upstream.
+        """
+        now = self._clock.now()
+        with self._lock:
+            loads = self._total_loads(now)
+            suspects = self._current_suspects(now)
+            healthy = [each for each in upstreams if each.identity not in suspects]
+            free = slots = 0
+            for upstream in healthy or upstreams:
+                slots += upstream.slots
+                load = loads.get(upstream.identity, NO_LOAD)
+                free += max(0, upstream.slots + queue_places - load.online)
+        return free, slots
+
     def healthy(self, upstreams: Iterable[Upstream]) -> list[Upstream]:
         """Return those upstreams that neither failed recently nor are silent."""
         with self._lock:
@@ -170,7 +196,7 @@
             if completed and placement.had_free_slot:
                 self._mean_duration(upstream.service).add(self._clock.now() - placement.started)
         self._on_own_change()
-        self._on_capacity_freed()
+        self._notify_capacity_freed()
 
     def place_batch(
         self, upstreams: Sequence[Upstream], *, urgency: BatchUrgency, due: float
@@ -217,7 +243,7 @@
             self._fleet.add_own(upstream.identity, batch=-1)
             self._drop_if_idle(own)
         self._on_own_change()
-        self._on_capacity_freed()
+        self._notify_capacity_freed()
 
     def mean_duration(self, service: str) -> Millis:
         """Return the mean duration of a service's requests that found a free slot."""
@@ -283,13 +309,13 @@
         for run in preempted:
             run.cancellation.cancel(PREEMPTED_BY_PEER_REQUESTS)
         if frees_capacity:
-            self._on_capacity_freed()
+            self._notify_capacity_freed()
 
     def record_restart(self, upstream: Upstream) -> None:
         """Record that an upstream has restarted, which leaves its slots free."""
         with self._lock:
             self._suspects.record_restart(upstream)
-        self._on_capacity_freed()
+        self._notify_capacity_freed()
 
     def own_loads(self) -> dict[str, Load]:
         """Return the requests that this entry has in flight, by the upstream's identity."""
@@ -327,6 +353,10 @@
         }
         return by_identity(loads, starts)
 
+    def _notify_capacity_freed(self) -> None:
+        for callback in self._capacity_callbacks:
+            callback()
+
     def _mean_duration(self, service: str) -> MeanDuration:
         return self._durations.setdefault(service, MeanDuration())
 
--- a/packages/node/src/carobspool_node/direct/_messages.py
+++ b/packages/node/src/carobspool_node/direct/_messages.py
@@ -38,6 +38,7 @@
         last_event: Id of the last event received from a stream.
         wait: Milliseconds for which a read may wait for results.
         organisation: Name of the caller's organisation; set in requests to upstreams.
+        token_count: Prompt and maximum output tokens of a request, as ``PROMPT,MAX_OUTPUT``.
     """
 
     request_id: bytes = b"request-id"
@@ -48,6 +49,7 @@
     last_event: bytes = b"last-event-id"
     wait: bytes = b"carobspool-wait-ms"
     organisation: bytes = b"carobspool-organisation"
+    token_count: bytes = b"carobspool-tokens"
 
 
 class CallerRequest(Struct, frozen=True, kw_only=True):
--- a/packages/node/src/carobspool_node/direct/_metrics.py
+++ b/packages/node/src/carobspool_node/direct/_metrics.py
@@ -36,8 +36,11 @@
     "refused_keys": ("reason",),
     "over_limit": (),
     "log_lines_dropped": (),
+    "queued": ("rank",),
+    "dequeued": ("rank",),
+    "queue_refused": ("rank", "status"),
 }
-_HISTOGRAM_NAMES = ("request", "first_event", "job_commit", "item_run", "job_orphan")
+_HISTOGRAM_NAMES = ("request", "first_event", "job_commit", "item_run", "job_orphan", "queue_wait")
 
 
 class _Histogram:
--- a/packages/node/src/carobspool_node/direct/_peer.py
+++ b/packages/node/src/carobspool_node/direct/_peer.py
@@ -78,3 +78,4 @@
     backlog: Sequence[WaitingGroup]
     answer_age: Millis = 0.0
     counts: Mapping[int, int] = field(default_factory=dict)
+    queued: bytes = b""
--- a/packages/node/src/carobspool_node/direct/_peer_messages.py
+++ b/packages/node/src/carobspool_node/direct/_peer_messages.py
@@ -92,6 +92,7 @@
     packed_loads: bytes = field(alias="k", default=b"")
     answer_age: Count = field(alias="o", default=0)
     packed_counts: bytes | None = field(alias="g", default=None)
+    packed_waiting: bytes = field(alias="u", default=b"")
 
 
 class ResultsCall(Record):
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -57,6 +57,7 @@
         has_unsent_counts: Returns whether a hint has to report request counts now.
         claim_unsent_counts: Returns the request counts for the next hint to all peers and marks
             them as reported; the argument states whether the hint is a heartbeat.
+        waiting: Returns the packed numbers of the online requests that wait at this entry.
     """
 
     loads: Callable[[], Mapping[str, Load]]
@@ -67,6 +68,7 @@
     identities_by_key: Callable[[], Mapping[int, str]]
     has_unsent_counts: Callable[[], bool] = lambda: False
     claim_unsent_counts: Callable[[bool], Mapping[int, int]] = lambda is_heartbeat: {}
+    waiting: Callable[[], bytes] = lambda: b""
 
 
 class Peers:
@@ -220,7 +222,7 @@
 
     def _send_loop(self) -> None:
         announced_state: Hashable = None
-        sent_loads: Mapping[str, Load] = {}
+        sent_loads: tuple[Mapping[str, Load], bytes] = ({}, b"")
         send_limiter = LoadSendLimiter()
         heartbeat_at: Millis = 0.0
         check_at: Millis = 0.0
@@ -241,14 +243,15 @@
                         self._send_heartbeat(now)
                     self._announce_to_new_peers()
                 loads = self._own.loads()
-                if loads != sent_loads or self._own.has_unsent_counts():
+                waiting = self._own.waiting()
+                if (loads, waiting) != sent_loads or self._own.has_unsent_counts():
                     targets = self._table.targets()
                     sharers = self._own.upstream_sharers()
                     recipients = len(targets.load_recipients(sharers))
                     pause = send_limiter.delay_before_send(now, peers=recipients)
                     if pause <= 0.0:
-                        sent_loads = loads
-                        self._send_loads(loads, targets, sharers, is_heartbeat=False)
+                        sent_loads = (loads, waiting)
+                        self._send_loads(loads, waiting, targets, sharers, is_heartbeat=False)
                         send_limiter.record_send(now, peers=recipients)
                         pause = CHECK_INTERVAL
                 pause = min(pause, max(0.0, check_at - self._clock.now()))
@@ -266,7 +269,7 @@
         if self._ended_jobs_to_announce() or self._table.silent():
             self._announce_to(list(targets.current.values()), targets.others)
             return
-        self._send_loads(self._own.loads(), targets, None, is_heartbeat=True)
+        self._send_loads(self._own.loads(), self._own.waiting(), targets, None, is_heartbeat=True)
         self._announce_to((), targets.others)
 
     def _announce_to_new_peers(self) -> None:
@@ -286,6 +289,7 @@
     def _send_loads(
         self,
         loads: Mapping[str, Load],
+        waiting: bytes,
         targets: HintTargets,
         sharers: frozenset[str] | None,
         *,
@@ -297,6 +301,7 @@
             self._own.claim_unsent_counts(is_heartbeat),
             targets=targets,
             sharers=sharers,
+            waiting=waiting,
         )
 
     def _check_silence(self) -> None:
--- a/packages/node/src/carobspool_node/direct/_request_endings.py
+++ b/packages/node/src/carobspool_node/direct/_request_endings.py
@@ -56,9 +56,9 @@
             return
         self.refuse(state, self._retry_after(state))
 
-    def refuse(self, state: RequestState, retry_after: Millis) -> None:
-        """Answer 503: the request has not run, and the caller may retry after ``retry_after``."""
-        self._fail(state, 503, "not_run", retry_after)
+    def refuse(self, state: RequestState, retry_after: Millis | None, *, status: int = 503) -> None:
+        """Answer that the request has not run and that the caller may retry after a time."""
+        self._fail(state, status, "not_run", retry_after)
 
     def end_quarantined(self, state: RequestState) -> None:
         """End a request that is not sent to another upstream since it crashed several."""
--- a/packages/node/src/carobspool_node/direct/_request_state.py
+++ b/packages/node/src/carobspool_node/direct/_request_state.py
@@ -31,6 +31,8 @@
         is_retry: Whether the caller has retried the request after a refusal.
         last_failure: Why the last call failed.
         known_fingerprint: The fingerprint, once it was computed.
+        is_refunded: Whether the token of the organisation's limit was returned.
+        placed_at: When the request was last placed at an upstream.
     """
 
     request: CallerRequest
@@ -48,6 +50,8 @@
     is_retry: bool = False
     last_failure: str = ""
     known_fingerprint: str = ""
+    is_refunded: bool = False
+    placed_at: Millis = 0.0
 
     def fingerprint(self) -> str:
         """Return the fingerprint by which the request is recognised if it is sent again."""
--- a/packages/node/src/carobspool_node/direct/_settings.py
+++ b/packages/node/src/carobspool_node/direct/_settings.py
@@ -69,6 +69,12 @@
         unit="name",
         default="info",
     )
+    online_queue: Literal["off", "auto", "on"] = field(
+        description="Whether online requests that find no slot wait in an order; `auto`: while an"
+        " organisation has a priority.",
+        unit="name",
+        default="off",
+    )
 
 
 class DirectSettings(Struct, frozen=True, kw_only=True):
@@ -89,6 +95,8 @@
         first_start: Whether the whole system starts for the first time, with an empty store.
         metrics_port: Port on which metrics are served.
         log_level: Least severe level that is logged.
+        online_queue: Whether online requests wait at the entry for a slot: ``off``, ``auto`` (while
+            an organisation has a priority) or ``on``.
     """
 
     role: str
@@ -105,6 +113,7 @@
     first_start: bool
     metrics_port: int
     log_level: str
+    online_queue: str = "off"
 
 
 def load_direct_settings(path: Path) -> Result[DirectSettings, tuple[Problem, ...]]:
@@ -139,6 +148,7 @@
             first_start=model.first_start,
             metrics_port=model.metrics_port,
             log_level=model.log_level,
+            online_queue=model.online_queue,
         )
     )
 
--- /dev/null
+++ b/packages/node/src/carobspool_node/online_queue/_reports.py
@@ -0,0 +1,35 @@
+"""Encode and decode the numbers of waiting requests that entries report in their hints."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Mapping
+
+from carobspool_core.online_queue import WaitingClass
+
+_RECORD = struct.Struct(">BBH")
+_MAX_BYTE = 0xFF
+_MAX_COUNT = 0xFFFF
+
+
+def pack_waiting(counts: Mapping[WaitingClass, int]) -> bytes:
+    """Pack the numbers of waiting requests by rank and class, the most urgent first."""
+    return b"".join(
+        _RECORD.pack(min(rank, _MAX_BYTE), is_late, min(counts[rank, is_late], _MAX_COUNT))
+        for rank, is_late in sorted(counts)
+    )
+
+
+def unpack_waiting(packed: bytes) -> dict[WaitingClass, int]:
+    """Unpack the numbers of waiting requests.
+
+    Bytes that are no whole records, and classes that this version does not know, count as nothing
+    that waits: a later version may report more.
+    """
+    if len(packed) % _RECORD.size:
+        return {}
+    found: dict[WaitingClass, int] = {}
+    for rank, is_late, count in _RECORD.iter_unpack(packed):
+        if is_late in (0, 1) and count:
+            found[rank, is_late] = found.get((rank, is_late), 0) + count
+    return found
--- /dev/null
+++ b/packages/node/src/carobspool_node/online_queue/_service_queue.py
@@ -0,0 +1,177 @@
+"""The queue of one service: its waiting requests, its free slots and its refusals."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Generic
+
+from carobspool_core import Millis
+from carobspool_core.online_queue import (
+    Competition,
+    EntryQueue,
+    FleetWaiting,
+    FreeSlots,
+    QueuedRequest,
+    ReturnTimes,
+    RunTimes,
+    predicted_wait,
+    retry_after,
+)
+from carobspool_node.online_queue._requests import P, QueueRefusedError, Ticket, WaitingRequest
+
+RUN_TIME_MARGIN = 0.8
+"""Fraction of the mean run that must be left before the deadline for a start. Runs of one service
+differ by some 20 percent, and a run that is cut off has occupied its slot for nothing."""
+
+
+class ServiceQueue(Generic[P]):
+    """The requests that wait for one service. Not thread-safe.
+
+    Args:
+        peers: Requests that wait at the other entries.
+        draw: Random numbers.
+    """
+
+    def __init__(self, peers: FleetWaiting, draw: Random) -> None:
+        self._peers = peers
+        self._draw = draw
+        self._free = FreeSlots(draw)
+        self._returns = ReturnTimes()
+        self._tickets: dict[int, Ticket[P]] = {}
+        self._continued: dict[int, Ticket[P]] = {}
+        self._slots = 0
+        self.queue = EntryQueue()
+        self.times = RunTimes()
+
+    @property
+    def tickets(self) -> list[Ticket[P]]:
+        """All requests that wait, continued ones included."""
+        return [*self._tickets.values(), *self._continued.values()]
+
+    def observe(self, free: int, slots: int, now: Millis) -> None:
+        """Record the free slots and the slots of all upstreams."""
+        self._slots = slots
+        self._free.observe(free, now)
+
+    def place_at_once(self, request: WaitingRequest[P], rank: int, now: Millis) -> P | None:
+        """Place a request that need not wait."""
+        if request.is_continued:
+            return request.place()
+        if len(self.queue):
+            return None
+        own = (rank, 0)
+        competition = self._competition(own, 1)
+        return request.place() if self._free.take(competition, now) else None
+
+    def add(self, ticket: Ticket[P], now: Millis) -> None:
+        """Queue a request, or record why it is refused instead."""
+        request = ticket.request
+        if request.is_continued:
+            self._continued[ticket.number] = ticket
+            return
+        rate = self.times.free_rate(self._slots)
+        ticket.predicted = predicted_wait(
+            self.queue,
+            self._peers,
+            rank=ticket.rank,
+            organisation=request.organisation,
+            is_retry=request.is_retry,
+            free_rate=rate,
+        )
+        queued = self._queued(ticket)
+        if now > queued.latest_start:
+            raise self.refuse(ticket, "it cannot end in the time that is left", now)
+        if not request.is_retry and now + ticket.predicted > queued.on_time_until:
+            raise self.refuse(ticket, "it would wait too long for a slot", now)
+        self.queue.add(queued, now)
+        self._tickets[ticket.number] = ticket
+
+    def refuse(self, ticket: Ticket[P], reason: str, now: Millis) -> QueueRefusedError:
+        """Return a refusal whose Retry-After follows from the work that waits."""
+        rate = self.times.free_rate(self._slots)
+        delay = retry_after(
+            self._returns,
+            wait=ticket.predicted,
+            spacing=(1 + len(self._peers)) / rate if rate > 0.0 else 0.0,
+            time_left=ticket.request.deadline - now,
+            now=now,
+            drawn=self._draw.random(),
+        )
+        return QueueRefusedError(reason, retry_after=delay)
+
+    def start_next(self, now: Millis) -> list[Ticket[P]]:
+        """Place the requests that may start now and return them."""
+        started = []
+        for ticket in list(self._continued.values()):
+            placement = ticket.request.place()
+            if placement is not None:
+                del self._continued[ticket.number]
+                ticket.end(placement=placement)
+                started.append(ticket)
+        while (request := self.queue.first(now)) is not None:
+            # A slot that this entry may use for its most urgent class goes to the request whose
+            # turn it is, which may be of a less urgent rank.
+            counts = self.queue.counts()
+            own = min(counts)
+            if not self._free.take(self._competition(own, counts[own]), now):
+                break
+            ticket = self._tickets[request.number]
+            placement = ticket.request.place()
+            if placement is None:
+                break
+            self.queue.start(request)
+            del self._tickets[request.number]
+            ticket.end(placement=placement)
+            started.append(ticket)
+        return started
+
+    def end_expired(self, now: Millis) -> list[Ticket[P]]:
+        """End and return the requests that can no longer end before their deadlines."""
+        ended = []
+        for request in self.queue.expire(now):
+            ticket = self._tickets.pop(request.number)
+            reason = "it cannot end in the time that is left"
+            ticket.end(refused=self.refuse(ticket, reason, now))
+            ended.append(ticket)
+        return ended
+
+    def evict(self, now: Millis) -> Ticket[P] | None:
+        """Refuse the least urgent request to make room, and return it."""
+        request = self.queue.evict()
+        if request is None:
+            return None
+        ticket = self._tickets.pop(request.number)
+        ticket.end(refused=self.refuse(ticket, "too many requests wait", now))
+        return ticket
+
+    def remove(self, ticket: Ticket[P]) -> None:
+        """Remove a request whose wait has ended otherwise."""
+        self.queue.remove(ticket.number)
+        self._tickets.pop(ticket.number, None)
+        self._continued.pop(ticket.number, None)
+
+    def change_rank(self, ticket: Ticket[P], rank: int, now: Millis) -> None:
+        """Queue a waiting request again in another rank."""
+        if self.queue.remove(ticket.number) is not None:
+            ticket.rank = rank
+            self.queue.add(self._queued(ticket), now)
+
+    def _queued(self, ticket: Ticket[P]) -> QueuedRequest:
+        request = ticket.request
+        return QueuedRequest(
+            number=ticket.number,
+            rank=ticket.rank,
+            organisation=request.organisation,
+            cost=request.cost,
+            on_time_until=self.times.on_time_until(request.arrived, request.target_latency),
+            latest_start=request.deadline - self.times.run * RUN_TIME_MARGIN,
+            is_retry=request.is_retry,
+        )
+
+    def _competition(self, own: tuple[int, int], count: int) -> Competition:
+        return Competition(
+            ahead=self._peers.ahead(own),
+            equal=self._peers.equal(own),
+            own=count,
+            peers=len(self._peers),
+        )
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -12,7 +12,7 @@
 import sys
 import time
 import uuid
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -189,6 +189,7 @@
         store: str | None = None,
         output: int | None = None,
         program: Sequence[str] = PROGRAM,
+        changes: Mapping[str, Any] | None = None,
     ) -> Entry:
         """Start an entry process.
 
@@ -199,12 +200,14 @@
             store: Address of the store, the deployment's own by default.
             output: File descriptor for the log, which goes to a file by default.
             program: Arguments of the Python interpreter.
+            changes: Settings that differ from the defaults.
         """
         port, ready_port, peer_port, metrics_port = (self.ports.choose() for _ in range(4))
         settings = self._process_settings(name, "direct-entry", peer_port, metrics_port)
         settings |= {"callers": f"127.0.0.1:{port}", "ready": f"127.0.0.1:{ready_port}"}
         settings["first_start"] = first_start
         settings["object_api"] = store or self.store
+        settings |= changes or {}
         process, log = self._start_process(settings, output, program)
         entry = Entry(name, port, ready_port, peer_port, metrics_port, process, log)
         self.entries.append(entry)
--- a/tests/test_import_rules.py
+++ b/tests/test_import_rules.py
@@ -22,7 +22,14 @@
 NODE_TESTS = ROOT / "packages/node/tests"
 SUBPACKAGES = frozenset(path.parent.name for path in NODE_SOURCE.glob("*/__init__.py"))
 ADAPTERS = frozenset({NODE, "carobspool_cli", "carobspool_standins", "carobspool_platform"})
-ALLOWED_IN_DIRECT = frozenset({f"{NODE}.errors", f"{NODE}.organisations", f"{NODE}.settings"})
+ALLOWED_IN_DIRECT = frozenset(
+    {
+        f"{NODE}.errors",
+        f"{NODE}.online_queue",
+        f"{NODE}.organisations",
+        f"{NODE}.settings",
+    }
+)
 """Modules that direct entries may import from the rest of the node. Their code runs on the users'
 hosts, which have only the libraries of deploy/requirements.txt."""
 PRIVATE_IMPORT_EXCEPTIONS = {
