Online queue: free slots by upstream, drawn shares, a model of the stated load

Cause: in a model of 24 entries with hints 50 ms old, entries started several requests at the same freed slot, and requests waited at the engines.

Change: free slots are tracked for each upstream and a request is placed where its slot is free; the entry whose request left a slot keeps it; unseen arrivals of other entries count as competitors; an upstream gets a further request only if its slots become free within 100 ms of each other.

--- a/packages/core/src/carobspool_core/online_queue/__init__.py
+++ b/packages/core/src/carobspool_core/online_queue/__init__.py
@@ -11,7 +11,7 @@
     WaitingClass,
 )
 from carobspool_core.online_queue._fleet_waiting import REPORT_TTL, FleetWaiting
-from carobspool_core.online_queue._free_slots import HOLD_TIME, Competition, FreeSlots
+from carobspool_core.online_queue._free_slots import HINT_AGE, HOLD_TIME, Competition, FreeSlots
 from carobspool_core.online_queue._rules import (
     DEFAULT_COST,
     MAX_RANK,
@@ -22,6 +22,7 @@
 )
 from carobspool_core.online_queue._wait_estimate import (
     MIN_RETRY_AFTER,
+    ArrivalRates,
     ReturnTimes,
     RunTimes,
     predicted_wait,
@@ -35,6 +36,8 @@
     "MAX_WAITING",
     "MIN_RETRY_AFTER",
     "REPORT_TTL",
+    "HINT_AGE",
+    "ArrivalRates",
     "Competition",
     "EntryQueue",
     "FleetWaiting",
--- a/packages/core/src/carobspool_core/online_queue/_free_slots.py
+++ b/packages/core/src/carobspool_core/online_queue/_free_slots.py
@@ -4,11 +4,14 @@
 hints that are some 50 ms old. If each entry started a request at each free slot, the requests would
 queue at a few engines, and less urgent requests would take the slots of more urgent ones. Each
 entry therefore draws a number for each free slot that it sees. It uses the slot if the number is
-below its share of the waiting requests.
+below its share of the waiting requests. A slot that a request of its own has left is known to this
+entry first; it uses that slot unless fewer requests wait here than at the mean of the entries.
 """
 
 from __future__ import annotations
 
+from collections import deque
+from collections.abc import Mapping
 from random import Random
 
 from msgspec import Struct
@@ -21,10 +24,18 @@
 entry's chance doubles with each further period, beginning at two of the entries that wait. With two
 entries the slot is free to both at once; with dozens, all would start requests at the same engine
 if the hold ended at once."""
+HINT_AGE: Millis = 50.0
+"""Age of the information about other entries."""
+TREND_TIME: Millis = 300.0
+"""Time over which the number of free slots is compared, to estimate the starts of other entries
+that are not reported yet; within it some ten hints of each entry arrive."""
+SCARCE_SHARE = 0.125
+"""Slots are scarce if less than this share of them is free, one at each engine of 8 slots. While
+they are not, requests that wait at other entries wait for other services."""
 MAX_DOUBLINGS = 16
 """Periods after which a slot is free to any number of entries."""
-MAX_TRACKED = 64
-"""Free slots for which numbers are drawn. If more are free, they are hardly scarce."""
+MAX_CONSIDERED = 64
+"""Free slots that one decision considers, the longest free first; it needs only one."""
 
 
 class Competition(Struct, frozen=True, kw_only=True):
@@ -35,17 +46,33 @@
         equal: Requests of the same class at peers.
         own: Requests of the same class at this entry, the first one included.
         peers: Number of peers with waiting requests.
+        unseen_ahead: Requests of more urgent ranks that have probably arrived at peers since their
+            last reports.
+        unseen_equal: The same for requests of the same class.
     """
 
     ahead: int = 0
     equal: int = 0
     own: int = 1
     peers: int = 0
+    unseen_ahead: float = 0.0
+    unseen_equal: float = 0.0
+
+    @property
+    def share(self) -> float:
+        """Share of this entry in the requests of its class."""
+        return self.own / (self.own + max(self.equal, self.unseen_equal))
+
+    @property
+    def entries(self) -> float:
+        """Number of entries that may wait, this one included."""
+        return 1.0 + max(self.peers, self.unseen_ahead + self.unseen_equal)
 
 
 class _FreeSlot(Struct, eq=False):
     since: Millis
     drawn: float
+    is_own: bool
 
 
 class FreeSlots:
@@ -57,42 +84,101 @@
 
     def __init__(self, draw: Random) -> None:
         self._draw = draw
-        # Ordered by the time at which this entry first saw the slot free.
-        self._slots: list[_FreeSlot] = []
+        # Slots of one upstream are ordered by the time at which this entry first saw them free.
+        self._slots: dict[str, list[_FreeSlot]] = {}
         self._free = 0
-
-    def observe(self, free: int, now: Millis) -> None:
-        """Record how many slots are free now."""
-        self._free = max(0, free)
-        tracked = min(self._free, MAX_TRACKED)
-        if tracked < len(self._slots):
-            # The slots that were taken are those that this entry was least likely to use.
-            taken = sorted(self._slots, key=lambda slot: slot.drawn)[tracked:]
-            self._slots = [slot for slot in self._slots if slot not in taken]
-        while len(self._slots) < tracked:
-            self._slots.append(_FreeSlot(now, self._draw.random()))
-
-    def take(self, competition: Competition, now: Millis) -> bool:
-        """Take a slot for the first request of this entry; return whether it may use one."""
-        if self._free > competition.ahead + competition.equal:
+        self._is_scarce = False
+        self._scarcity_changed_at: Millis = float("-inf")
+        self._left_by_own: set[str] = set()
+        self._history: deque[tuple[Millis, int]] = deque()
+
+    def own_request_ended(self, identity: str) -> None:
+        """Record that a request of this entry is about to leave its slot at an upstream."""
+        self._left_by_own.add(identity)
+
+    def observe(self, free: Mapping[str, int], total_slots: int, now: Millis) -> None:
+        """Record how many slots are free at each upstream, by its identity, and all slots."""
+        for identity in self._slots.keys() - free.keys():
+            del self._slots[identity]
+        for identity, count in free.items():
+            slots = self._slots.get(identity)
+            if slots is None:
+                slots = self._slots[identity] = []
+            if len(slots) != count:
+                self._adjust(identity, slots, count, now)
+        self._left_by_own.clear()
+        self._free = sum(free.values())
+        is_scarce = self._free < total_slots * SCARCE_SHARE
+        if is_scarce != self._is_scarce:
+            self._is_scarce, self._scarcity_changed_at = is_scarce, now
+        self._history.append((now, self._free))
+        while now - self._history[0][0] > TREND_TIME:
+            self._history.popleft()
+
+    def usable(self, competition: Competition, now: Millis) -> frozenset[str] | None:
+        """Return the upstreams that the first request of this entry may use.
+
+        Returns:
+            Identities of upstreams, ``None`` for all of them.
+        """
+        if not self._is_scarce and now - self._scarcity_changed_at > HOLD_TIME:
+            return None
+        if self._free <= self._unseen_starts(now):
+            return frozenset()
+        # Each peer that waits may have started one more request that it has not reported yet.
+        if self._free > competition.ahead + competition.equal + competition.entries - 1.0:
+            return None
+        by_age = [
+            (slot.since, identity, slot)
+            for identity, slots in self._slots.items()
+            for slot in slots
+        ]
+        by_age.sort(key=lambda each: each[0])
+        found = set()
+        for index, (since, identity, slot) in enumerate(by_age[:MAX_CONSIDERED]):
+            age = now - max(since, self._scarcity_changed_at)
+            if slot.drawn < _chance(slot, index, age, competition):
+                found.add(identity)
+        return frozenset(found)
+
+    def take(self, identity: str) -> None:
+        """Record that a request of this entry has started at an upstream."""
+        slots = self._slots.get(identity)
+        if slots:
+            slots.remove(min(slots, key=lambda slot: slot.drawn))
             self._free -= 1
-            del self._slots[: len(self._slots) - self._free]
-            return True
-        share = competition.own / (competition.own + competition.equal)
-        for index, slot in enumerate(self._slots):
-            if slot.drawn < _chance(index, now - slot.since, share, competition):
-                del self._slots[index]
-                self._free -= 1
-                return True
-        return False
-
-
-def _chance(index: int, age: Millis, share: float, competition: Competition) -> float:
-    """Return the chance that this entry uses a free slot of an age."""
-    chance = share
-    if index < competition.ahead:
-        chance = share / STARTS_PER_TURN
+
+    def _adjust(self, identity: str, slots: list[_FreeSlot], count: int, now: Millis) -> None:
+        while len(slots) > count:
+            # Other entries have taken the slots that this entry was least likely to use.
+            slots.remove(max(slots, key=lambda slot: slot.drawn))
+        while len(slots) < count:
+            slots.append(_FreeSlot(now, self._draw.random(), identity in self._left_by_own))
+            self._left_by_own.discard(identity)
+
+    def _unseen_starts(self, now: Millis) -> float:
+        """Return how many of the free slots are probably taken by starts not yet reported."""
+        since, free = self._history[0]
+        span = max(HINT_AGE, now - since)
+        return max(0.0, (free - self._free) / span * HINT_AGE)
+
+
+def _chance(slot: _FreeSlot, index: int, age: Millis, competition: Competition) -> float:
+    """Return the chance that this entry uses a free slot of an age.
+
+    Args:
+        slot: The slot.
+        index: Number of slots that have been free for longer.
+        age: How long the slot has been free.
+        competition: The requests that compete for it.
+    """
+    ahead = competition.ahead + (0.0 if slot.is_own else competition.unseen_ahead)
+    chance = competition.share
+    if index < ahead:
+        chance = competition.share / STARTS_PER_TURN
+    elif slot.is_own:
+        chance = competition.own * (1 + competition.peers) / (competition.own + competition.equal)
     periods = min(MAX_DOUBLINGS, int(age / HOLD_TIME))
     if periods:
-        chance = max(chance, 2.0**periods / (1 + competition.peers))
+        chance = max(chance, 2.0**periods / competition.entries)
     return chance
--- a/packages/core/src/carobspool_core/online_queue/_rules.py
+++ b/packages/core/src/carobspool_core/online_queue/_rules.py
@@ -9,13 +9,18 @@
 
 from collections.abc import Iterable
 
+from carobspool_core._clock import Millis
 from carobspool_core.organisations import Organisation
 
 MAX_RANK = 255
 """Highest rank that fits into the byte of a report."""
 SLOTS_PER_FURTHER_PLACE = 8
-"""An engine of 8 slots frees one every 250 ms or so; one further request covers the round trip of
-some 50 ms until the freed slot is filled again."""
+"""One further request for every 8 slots covers the round trip of some 50 ms during which a freed
+slot would otherwise stay empty."""
+MAX_FURTHER_WAIT: Millis = 100.0
+"""Mean time between two slots that become free at an upstream, above which it gets no further
+request. Such a request would wait there for longer than the slot would stay empty, and no more
+urgent request could go before it."""
 OUTPUT_TOKEN_COST = 10.0
 """Cost of an output token in prompt tokens: an engine reads many prompt tokens in the step that
 writes one token."""
@@ -44,8 +49,15 @@
     return max(0, min(MAX_RANK, priority))
 
 
-def further_places(slots: int) -> int:
-    """Return how many requests an upstream gets beyond its slots."""
+def further_places(slots: int, mean_run: Millis) -> int:
+    """Return how many requests an upstream gets beyond its slots.
+
+    Args:
+        slots: Slots of the upstream.
+        mean_run: Mean time that a request occupies a slot.
+    """
+    if mean_run / slots > MAX_FURTHER_WAIT:
+        return 0
     return max(1, slots // SLOTS_PER_FURTHER_PLACE)
 
 
--- a/packages/core/src/carobspool_core/online_queue/_wait_estimate.py
+++ b/packages/core/src/carobspool_core/online_queue/_wait_estimate.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import math
+
 from msgspec import Struct
 
 from carobspool_core._clock import Millis
@@ -28,6 +30,8 @@
 """Time to the first event of a prompt of 450 tokens, until it is measured."""
 INITIAL_RUN: Millis = 400.0
 """Time that a request occupies a slot, until it is measured."""
+RATE_TIME: Millis = 1_000.0
+"""Time over which arrivals are averaged; bursts and pauses last two to three seconds."""
 SMOOTHING = 0.05
 """Weight of a new sample; the means cover about the last forty requests."""
 
@@ -38,18 +42,24 @@
     Attributes:
         first_event: Time to the first event of a stream, or to the answer.
         run: Time to the end.
+        first_events: Number of samples of the first event.
+        runs: Number of samples of the end.
     """
 
     first_event: Millis = INITIAL_FIRST_EVENT
     run: Millis = INITIAL_RUN
+    first_events: int = 0
+    runs: int = 0
 
     def add_first_event(self, duration: Millis) -> None:
         """Add the time to the first event of one request."""
-        self.first_event += (duration - self.first_event) * SMOOTHING
+        self.first_events += 1
+        self.first_event += (duration - self.first_event) * _weight(self.first_events)
 
     def add_run(self, duration: Millis) -> None:
         """Add the time that one request took."""
-        self.run += (duration - self.run) * SMOOTHING
+        self.runs += 1
+        self.run += (duration - self.run) * _weight(self.runs)
 
     def on_time_until(self, arrived: Millis, target_latency: Millis) -> Millis:
         """Return the latest start with which a request is on time."""
@@ -61,6 +71,33 @@
         return slots / max(1.0, self.run)
 
 
+class ArrivalRates:
+    """Recent arrivals at this entry by rank. Not thread-safe; callers pass in the time."""
+
+    __slots__ = ("_rates",)
+
+    def __init__(self) -> None:
+        self._rates: dict[int, tuple[float, Millis]] = {}
+
+    def add(self, rank: int, now: Millis) -> None:
+        """Count an arrival."""
+        self._rates[rank] = (self.rate(rank, now) + 1.0 / RATE_TIME, now)
+
+    def rate(self, rank: int, now: Millis) -> float:
+        """Return the arrivals of a rank in a millisecond."""
+        rate, at = self._rates.get(rank, (0.0, now))
+        return rate * math.exp((at - now) / RATE_TIME)
+
+    def rate_before(self, rank: int, now: Millis) -> float:
+        """Return the arrivals of all more urgent ranks in a millisecond."""
+        return sum(self.rate(each, now) for each in self._rates if each < rank)
+
+
+def _weight(samples: int) -> float:
+    """Return the weight of a sample; the first ones replace the initial value."""
+    return max(SMOOTHING, 1.0 / samples)
+
+
 def predicted_wait(
     queue: EntryQueue,
     peers: FleetWaiting,
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -232,6 +232,7 @@
             try:
                 answered = self._call_upstream(state, placement.upstream)
             finally:
+                self._queued.request_ends(placement)
                 self._loads.end_online(placement, completed=answered)
             if answered:
                 self._queued.record_run(placement)
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -135,8 +135,12 @@
             run.cancellation.cancel(PREEMPTED_BY_OWN_REQUEST)
         return Placement(upstream=chosen, started=now, load=load)
 
-    def online_room(self, upstreams: Sequence[Upstream], queue_places: int) -> tuple[int, int]:
-        """Return how many more online requests upstreams take, and the number of their slots.
+    def online_room(
+        self, upstreams: Sequence[Upstream], queue_places: int
+    ) -> tuple[dict[str, int], int]:
+        """Return how many more online requests each upstream takes, and the slots of all of them.
+
+        Upstreams without room are omitted, by identity.
 
         Upstreams that seem to have stopped are left out unless all of them do.
 
@@ -149,11 +153,14 @@
             loads = self._total_loads(now)
             suspects = self._current_suspects(now)
             healthy = [each for each in upstreams if each.identity not in suspects]
-            free = slots = 0
+            free: dict[str, int] = {}
+            slots = 0
             for upstream in healthy or upstreams:
                 slots += upstream.slots
                 load = loads.get(upstream.identity, NO_LOAD)
-                free += max(0, upstream.slots + queue_places - load.online)
+                room = upstream.slots + queue_places - load.online
+                if room > 0:
+                    free[upstream.identity] = room
         return free, slots
 
     def healthy(self, upstreams: Iterable[Upstream]) -> list[Upstream]:
--- a/packages/node/src/carobspool_node/direct/_queued_requests.py
+++ b/packages/node/src/carobspool_node/direct/_queued_requests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import LEAVING_RETRY_AFTER, Configuration
@@ -94,9 +94,15 @@
             CallerGoneError: The caller has disconnected.
         """
 
-        def place() -> Placement | None:
+        def place(usable: frozenset[str] | None) -> Placement | None:
             split = self._split_upstreams(service)
-            return place_at(split, _places(split))
+            places = self._places(service, split)
+            if usable is not None:
+                split = UpstreamSplit(
+                    near=[each for each in split.near if each.identity in usable],
+                    far=[each for each in split.far if each.identity in usable],
+                )
+            return place_at(split, places)
 
         def refusal() -> QueueRefusedError | None:
             if not has_time_before_exit():
@@ -136,12 +142,12 @@
         state.placed_at = self._clock.now()
         return placement
 
-    def room(self, service: str) -> tuple[int, int]:
-        """Return how many more online requests the upstreams of a service take, and their slots."""
+    def room(self, service: str) -> tuple[Mapping[str, int], int]:
+        """Return how many more online requests each upstream of a service takes, and all slots."""
         split = self._split_upstreams(service)
-        places = _places(split)
+        places = self._places(service, split)
         free, slots = self._loads.online_room(split.near, places)
-        if free == 0 and split.far:
+        if not free and split.far:
             free, _ = self._loads.online_room(split.far, places)
         return free, slots
 
@@ -150,6 +156,12 @@
         if state.placed_at > 0.0:
             self._queue.record_first_event(service, self._clock.now() - state.placed_at)
 
+    def request_ends(self, placement: Placement) -> None:
+        """Record that a request is about to leave its slot."""
+        if self._in_force:
+            upstream = placement.upstream
+            self._queue.request_ends(upstream.service, upstream.identity)
+
     def record_run(self, placement: Placement) -> None:
         """Record that a request has completed."""
         if self._in_force:
@@ -175,6 +187,11 @@
             return None
         return self._queue.delay_over_limit(organisation, wait=wait, per_second=limit.per_second)
 
+    def _places(self, service: str, split: UpstreamSplit) -> int:
+        """Return the further places at each upstream, by the smallest one."""
+        slots = min((each.slots for each in split.near or split.far), default=1)
+        return further_places(slots, self._queue.mean_run(service))
+
     def _has_untried(self, state: RequestState, service: str) -> bool:
         split = self._split_upstreams(service)
         return any(each.identity not in state.tried for each in (*split.near, *split.far))
@@ -222,8 +239,3 @@
         state.is_refunded = True
         message = f"organisation {organisation!r} is over its limit of requests a second"
         return QueueRefusedError(message, status=429, retry_after=admission.retry_after)
-
-
-def _places(split: UpstreamSplit) -> int:
-    """Return the further places at each upstream, by the smallest one."""
-    return further_places(min((each.slots for each in split.near or split.far), default=1))
--- a/packages/node/src/carobspool_node/online_queue/_queue.py
+++ b/packages/node/src/carobspool_node/online_queue/_queue.py
@@ -5,14 +5,14 @@
 import itertools
 import threading
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import Generic
 
 from absl import logging
 
 from carobspool_core import Clock, Millis
-from carobspool_core.online_queue import MAX_WAITING, FleetWaiting, ReturnTimes
+from carobspool_core.online_queue import MAX_WAITING, FleetWaiting, ReturnTimes, RunTimes
 from carobspool_node.online_queue._queue_log import QueueLog, QueueTelemetry
 from carobspool_node.online_queue._reports import pack_waiting, unpack_waiting
 from carobspool_node.online_queue._requests import P, QueueRefusedError, Ticket, WaitingRequest
@@ -38,8 +38,8 @@
     Args:
         clock: The process's clock.
         telemetry: Counters and histograms.
-        room: Returns, for a service, how many more online requests its upstreams take, and their
-            slots.
+        room: Returns, for a service, how many more online requests each upstream takes, by its
+            identity, and the slots of all its upstreams.
         sharers: Returns the peers that use the same upstreams, ``None`` for all peers.
         on_change: Called when the number of waiting requests has changed.
         draw: Random numbers.
@@ -50,7 +50,7 @@
         clock: Clock,
         telemetry: QueueTelemetry,
         *,
-        room: Callable[[str], tuple[int, int]],
+        room: Callable[[str], tuple[Mapping[str, int], int]],
         sharers: Callable[[], frozenset[str] | None] = lambda: None,
         on_change: Callable[[], None] = lambda: None,
         draw: Random | None = None,
@@ -127,6 +127,17 @@
         with self._lock:
             self._service(service).times.add_run(duration)
 
+    def mean_run(self, service: str) -> Millis:
+        """Return the mean time that a request of a service occupies a slot."""
+        found = self._services.get(service)
+        return RunTimes().run if found is None else found.times.run
+
+    def request_ends(self, service: str, identity: str) -> None:
+        """Record that a request of this entry is about to leave its slot at an upstream."""
+        if self._waiting:
+            with self._lock:
+                self._service(service).own_request_ended(identity)
+
     def record_first_event(self, service: str, duration: Millis) -> None:
         """Record how long a request took from its placement to its first event or its answer."""
         with self._lock:
--- a/packages/node/src/carobspool_node/online_queue/_requests.py
+++ b/packages/node/src/carobspool_node/online_queue/_requests.py
@@ -10,8 +10,18 @@
 from msgspec import Struct
 
 from carobspool_core import Millis
+from carobspool_core.direct import Upstream
 
-P = TypeVar("P")
+
+class Placed(Protocol):
+    """A request that is counted at an upstream."""
+
+    @property
+    def upstream(self) -> Upstream:
+        """The upstream."""
+
+
+P = TypeVar("P", bound=Placed)
 
 
 class CallerWatch(Protocol):
@@ -59,7 +69,8 @@
             upstreams only. It is placed when there is room, out of order.
         may_have_run: Whether an upstream may have run it; it is then never refused.
         watch: Detects that the caller has disconnected.
-        place: Counts the request at an upstream with room, and returns the placement if any.
+        place: Counts the request at an upstream with room, and returns the placement if any. The
+            argument names the upstreams that may be chosen by identity, ``None`` for all.
         release: Gives up a placement that is not used.
         rank: Returns the rank by the current configuration.
         refusal: Returns why the request cannot wait any longer, ``None`` if it can.
@@ -78,7 +89,7 @@
     is_continued: bool
     may_have_run: bool
     watch: CallerWatch
-    place: Callable[[], P | None]
+    place: Callable[[frozenset[str] | None], P | None]
     release: Callable[[P], None]
     rank: Callable[[], int]
     refusal: Callable[[], QueueRefusedError | None]
--- a/packages/node/src/carobspool_node/online_queue/_service_queue.py
+++ b/packages/node/src/carobspool_node/online_queue/_service_queue.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from random import Random
 from typing import Generic
 
 from carobspool_core import Millis
 from carobspool_core.online_queue import (
+    HINT_AGE,
+    ArrivalRates,
     Competition,
     EntryQueue,
     FleetWaiting,
@@ -40,6 +43,8 @@
         self._tickets: dict[int, Ticket[P]] = {}
         self._continued: dict[int, Ticket[P]] = {}
         self._slots = 0
+        self._arrivals = ArrivalRates()
+        self.entries = 1
         self.queue = EntryQueue()
         self.times = RunTimes()
 
@@ -48,20 +53,23 @@
         """All requests that wait, continued ones included."""
         return [*self._tickets.values(), *self._continued.values()]
 
-    def observe(self, free: int, slots: int, now: Millis) -> None:
-        """Record the free slots and the slots of all upstreams."""
+    def observe(self, free: Mapping[str, int], slots: int, now: Millis) -> None:
+        """Record the free slots by upstream, and the slots of all upstreams."""
         self._slots = slots
-        self._free.observe(free, now)
+        self._free.observe(free, slots, now)
+
+    def own_request_ended(self, identity: str) -> None:
+        """Record that a request of this entry is about to leave its slot at an upstream."""
+        self._free.own_request_ended(identity)
 
     def place_at_once(self, request: WaitingRequest[P], rank: int, now: Millis) -> P | None:
         """Place a request that need not wait."""
+        self._arrivals.add(rank, now)
         if request.is_continued:
-            return request.place()
+            return request.place(None)
         if len(self.queue):
             return None
-        own = (rank, 0)
-        competition = self._competition(own, 1)
-        return request.place() if self._free.take(competition, now) else None
+        return self._place(request, self._competition((rank, 0), 1, now), now)
 
     def add(self, ticket: Ticket[P], now: Millis) -> None:
         """Queue a request, or record why it is refused instead."""
@@ -103,7 +111,7 @@
         """Place the requests that may start now and return them."""
         started = []
         for ticket in list(self._continued.values()):
-            placement = ticket.request.place()
+            placement = ticket.request.place(None)
             if placement is not None:
                 del self._continued[ticket.number]
                 ticket.end(placement=placement)
@@ -113,10 +121,8 @@
             # turn it is, which may be of a less urgent rank.
             counts = self.queue.counts()
             own = min(counts)
-            if not self._free.take(self._competition(own, counts[own]), now):
-                break
             ticket = self._tickets[request.number]
-            placement = ticket.request.place()
+            placement = self._place(ticket.request, self._competition(own, counts[own], now), now)
             if placement is None:
                 break
             self.queue.start(request)
@@ -156,6 +162,15 @@
             ticket.rank = rank
             self.queue.add(self._queued(ticket), now)
 
+    def _place(self, request: WaitingRequest[P], competition: Competition, now: Millis) -> P | None:
+        usable = self._free.usable(competition, now)
+        if usable is not None and not usable:
+            return None
+        placement = request.place(usable)
+        if placement is not None:
+            self._free.take(placement.upstream.identity)
+        return placement
+
     def _queued(self, ticket: Ticket[P]) -> QueuedRequest:
         request = ticket.request
         return QueuedRequest(
@@ -168,10 +183,14 @@
             is_retry=request.is_retry,
         )
 
-    def _competition(self, own: tuple[int, int], count: int) -> Competition:
+    def _competition(self, own: tuple[int, int], count: int, now: Millis) -> Competition:
+        rank, is_late = own
+        peers = self.entries - 1
         return Competition(
             ahead=self._peers.ahead(own),
             equal=self._peers.equal(own),
             own=count,
             peers=len(self._peers),
+            unseen_ahead=self._arrivals.rate_before(rank, now) * peers * HINT_AGE,
+            unseen_equal=0.0 if is_late else self._arrivals.rate(rank, now) * peers * HINT_AGE,
         )
