--- a/packages/node/src/carobspool_node/direct/_announcement.py
+++ b/packages/node/src/carobspool_node/direct/_announcement.py
@@ -55,6 +55,8 @@
     message |= {"q": list(silent), "d": list(ended), "g": pack_counts(hint.counts)}
     if hint.paces:
         message["m"] = hint.paces
+    if hint.queued:
+        message["u"] = hint.queued
     return cbor2.dumps(message | _relay_fields(sender) | _job_fields(hint))
 
 
--- a/packages/node/src/carobspool_node/direct/_hint_sender.py
+++ b/packages/node/src/carobspool_node/direct/_hint_sender.py
@@ -92,6 +92,7 @@
         *,
         targets: HintTargets,
         sharers: frozenset[str] | None,
+        waiting: bytes = b"",
     ) -> None:
         """Send load hints and counts hints, or leave them to the relays for some entries.
 
@@ -101,18 +102,22 @@
             counts: Changed counts of admitted requests, by the organisation's key.
             targets: Addresses of the other entries.
             sharers: Entries that use the same upstreams, ``None`` for all; only these get loads.
+            waiting: Numbers of the online requests that wait at this entry, packed.
         """
         sequence = self._next_sequence()
         all_recipients = targets.load_recipients(sharers)
         recipients = all_recipients - targets.relayed
-        with_counts = recipients & targets.count_readers if counts else frozenset()
+        with_counts = recipients & targets.count_readers if counts or waiting else frozenset()
         self._send_load_hint(
             loads, backlog, {}, sequence, _addresses(targets, recipients - with_counts)
         )
-        self._send_load_hint(loads, backlog, counts, sequence, _addresses(targets, with_counts))
+        self._send_load_hint(
+            loads, backlog, counts, sequence, _addresses(targets, with_counts), waiting
+        )
         is_relay = bool(targets.relayed) and targets.relay is None
         if is_relay:
-            self._pass_on("load", sequence, self._load_hint(loads, backlog, counts, sequence))
+            data = self._load_hint(loads, backlog, counts, sequence, waiting)
+            self._pass_on("load", sequence, data)
         counts_only = targets.count_readers - all_recipients
         if counts and counts_only and self._admit_counts_hint(len(counts_only)):
             data = self._counts_hint(counts, sequence)
@@ -148,9 +153,10 @@
         counts: Mapping[int, int],
         sequence: int,
         addresses: Sequence[Address],
+        waiting: bytes = b"",
     ) -> None:
         if addresses:
-            data = self._load_hint(loads, backlog, counts, sequence)
+            data = self._load_hint(loads, backlog, counts, sequence, waiting)
             self._dispatch("load", data, addresses)
 
     def _load_hint(
@@ -159,6 +165,7 @@
         backlog: Sequence[WaitingGroup],
         counts: Mapping[int, int],
         sequence: int,
+        waiting: bytes,
     ) -> bytes:
         return encode_load_hint(
             name=self._sender.name,
@@ -167,6 +174,7 @@
             loads=loads,
             backlog=backlog,
             counts=counts,
+            waiting=waiting,
         )
 
     def _counts_hint(self, counts: Mapping[int, int], sequence: int) -> bytes:
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -67,16 +67,16 @@
         self._fleet = FleetLoads()
         self._suspects = Suspects()
         self._durations: dict[str, MeanDuration] = {}
-        self._on_capacity_freed: Callable[[], None] = lambda: None
+        self._capacity_callbacks: list[Callable[[], None]] = []
         self._on_own_change: Callable[[], None] = lambda: None
 
-    def set_departure_callback(self, callback: Callable[[], None]) -> None:
-        """Set the callback for freed capacity at an upstream.
+    def add_departure_callback(self, callback: Callable[[], None]) -> None:
+        """Add a callback for freed capacity at an upstream.
 
         A request or batch item of this entry or of a peer has ended there, or the upstream has
         restarted.
         """
-        self._on_capacity_freed = callback
+        self._capacity_callbacks.append(callback)
 
     def set_own_change_callback(self, callback: Callable[[], None]) -> None:
         """Set the callback for the start or end of a request or batch item of this entry."""
@@ -91,6 +91,7 @@
         excluded: frozenset[str] = frozenset(),
         far: Sequence[Upstream] = (),
         demand: PromptDemand | None = None,
+        queue_places: int | None = None,
     ) -> Placement | None:
         """Choose an upstream for an online request, count it, and preempt batch items if needed.
 
@@ -102,12 +103,16 @@
             far: Candidates to use when all preferred upstreams are full or suspect. Their loads are
                 known from heartbeats only.
             demand: Tokens and prompt parts of the request, ``None`` if not stated.
+            queue_places: Limit of the online requests beyond the slots of each upstream; ``None``
+                for the limit that follows from the target latency.
 
         Returns:
             The placement, or ``None`` when no upstream has room for the request.
         """
 
         def queue_limit_of(upstream: Upstream) -> int:
+            if queue_places is not None:
+                return queue_places
             return queue_limit(
                 slots=upstream.slots,
                 mean_duration=self._mean_duration(upstream.service).value
@@ -155,6 +160,34 @@
             run.cancellation.cancel(PREEMPTED_BY_OWN_REQUEST)
         return Placement(upstream=chosen, started=now, load=load, forecast=forecast)
 
+    def online_room(
+        self, upstreams: Sequence[Upstream], queue_places: int
+    ) -> tuple[dict[str, int], int]:
+        """Return how many more online requests each upstream takes, and the slots of all of them.
+
+        Upstreams without room are omitted, by identity.
+
+        Upstreams that seem to have stopped are left out unless all of them do.
+
+        Args:
+            upstreams: The upstreams.
+            queue_places: Limit of the online requests beyond the slots of each upstream.
+        """
+        now = self._clock.now()
+        with self._lock:
+            loads = self._total_loads(now)
+            suspects = self._current_suspects(now)
+            healthy = [each for each in upstreams if each.identity not in suspects]
+            free: dict[str, int] = {}
+            slots = 0
+            for upstream in healthy or upstreams:
+                slots += upstream.slots
+                load = loads.get(upstream.identity, NO_LOAD)
+                room = upstream.slots + queue_places - load.online
+                if room > 0:
+                    free[upstream.identity] = room
+        return free, slots
+
     def healthy(self, upstreams: Iterable[Upstream]) -> list[Upstream]:
         """Return those upstreams that neither failed recently nor are silent."""
         with self._lock:
@@ -196,7 +229,7 @@
                 self._mean_duration(upstream.service).add(self._clock.now() - placement.started)
         self.choice.end(placement.forecast, has_read=completed)
         self._on_own_change()
-        self._on_capacity_freed()
+        self._notify_capacity_freed()
 
     def place_batch(
         self,
@@ -261,7 +294,7 @@
             self._drop_if_idle(own)
         self.choice.end(run.forecast, has_read=True)
         self._on_own_change()
-        self._on_capacity_freed()
+        self._notify_capacity_freed()
 
     def mean_duration(self, service: str) -> Millis:
         """Return the mean duration of a service's requests that found a free slot."""
@@ -327,13 +360,13 @@
         for run in preempted:
             run.cancellation.cancel(PREEMPTED_BY_PEER_REQUESTS)
         if frees_capacity:
-            self._on_capacity_freed()
+            self._notify_capacity_freed()
 
     def record_restart(self, upstream: Upstream) -> None:
         """Record that an upstream has restarted, which leaves its slots free."""
         with self._lock:
             self._suspects.record_restart(upstream)
-        self._on_capacity_freed()
+        self._notify_capacity_freed()
 
     def own_loads(self) -> dict[str, Load]:
         """Return the requests that this entry has in flight, by the upstream's identity."""
@@ -371,6 +404,10 @@
         }
         return by_identity(loads, starts)
 
+    def _notify_capacity_freed(self) -> None:
+        for callback in self._capacity_callbacks:
+            callback()
+
     def _mean_duration(self, service: str) -> MeanDuration:
         return self._durations.setdefault(service, MeanDuration())
 
--- a/packages/node/src/carobspool_node/direct/_metrics.py
+++ b/packages/node/src/carobspool_node/direct/_metrics.py
@@ -38,6 +38,9 @@
     "log_lines_dropped": (),
     "hint_bytes": ("kind", "crossing"),
     "hint_datagrams": ("kind", "crossing"),
+    "queued": ("rank",),
+    "dequeued": ("rank",),
+    "queue_refused": ("rank", "status"),
 }
 _GAUGE_NAMES = ("hint_relay", "paced_upstreams")
 _HISTOGRAM_NAMES = (
@@ -47,6 +50,7 @@
     "item_run",
     "job_orphan",
     "first_event_error",
+    "queue_wait",
 )
 
 
--- a/packages/node/src/carobspool_node/direct/_peer.py
+++ b/packages/node/src/carobspool_node/direct/_peer.py
@@ -100,3 +100,4 @@
     answer_age: Millis = 0.0
     counts: Mapping[int, int] = field(default_factory=dict)
     paces: bytes = b""
+    queued: bytes = b""
--- a/packages/node/src/carobspool_node/direct/_peer_messages.py
+++ b/packages/node/src/carobspool_node/direct/_peer_messages.py
@@ -99,6 +99,7 @@
         alias="h", default=None
     )
     packed_paces: bytes = field(alias="m", default=b"")
+    packed_waiting: bytes = field(alias="u", default=b"")
 
 
 class ResultsCall(Record):
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -61,6 +61,7 @@
         claim_unsent_counts: Returns the request counts for the next hint to all peers and marks
             them as reported; the argument states whether the hint is a heartbeat.
         is_leaving: Returns whether this entry is shutting down.
+        waiting: Returns the packed numbers of the online requests that wait at this entry.
     """
 
     loads: Callable[[], Mapping[str, Load]]
@@ -72,6 +73,7 @@
     has_unsent_counts: Callable[[], bool] = lambda: False
     claim_unsent_counts: Callable[[bool], Mapping[int, int]] = lambda is_heartbeat: {}
     is_leaving: Callable[[], bool] = lambda: False
+    waiting: Callable[[], bytes] = lambda: b""
 
 
 class Peers:
@@ -263,7 +265,7 @@
 
     def _send_loop(self) -> None:
         announced_state: Hashable = None
-        sent_loads: Mapping[str, Load] = {}
+        sent_loads: tuple[Mapping[str, Load], bytes] = ({}, b"")
         send_limiter = LoadSendLimiter()
         heartbeat_at: Millis = 0.0
         check_at: Millis = 0.0
@@ -284,19 +286,21 @@
                         self._send_heartbeat(now)
                     self._announce_to_new_peers()
                 loads = self._own.loads()
-                if loads != sent_loads or self._own.has_unsent_counts():
+                waiting = self._own.waiting()
+                if (loads, waiting) != sent_loads or self._own.has_unsent_counts():
                     targets = self._targets_for_change()
                     sharers = self._own.upstream_sharers()
                     recipients = len(targets.load_recipients(sharers) - targets.relayed)
                     pause = send_limiter.delay_before_send(now, peers=recipients)
                     if pause <= 0.0:
-                        sent_loads = loads
+                        sent_loads = (loads, waiting)
                         self._hints.send_loads(
                             loads,
                             self._own.backlog(),
                             self._own.claim_unsent_counts(False),
                             targets=targets,
                             sharers=sharers,
+                            waiting=waiting,
                         )
                         send_limiter.record_send(now, peers=recipients)
                         pause = CHECK_INTERVAL
@@ -325,7 +329,12 @@
             self._hints.send_heartbeat_without_loads(counts, targets, unrelated)
             targets = targets.without(unrelated)
         self._hints.send_loads(
-            self._own.loads(), self._own.backlog(), counts, targets=targets, sharers=None
+            self._own.loads(),
+            self._own.backlog(),
+            counts,
+            targets=targets,
+            sharers=None,
+            waiting=self._own.waiting(),
         )
         self._announce_to((), targets.others)
 
--- a/packages/node/src/carobspool_node/direct/_request_state.py
+++ b/packages/node/src/carobspool_node/direct/_request_state.py
@@ -34,6 +34,8 @@
         demand: Tokens and prompt parts that the request states, ``None`` if it states none.
         forecast: What is expected of the current call, ``None`` if slots alone decide.
         known_fingerprint: The fingerprint, once it was computed.
+        is_refunded: Whether the token of the organisation's limit was returned.
+        placed_at: When the request was last placed at an upstream.
     """
 
     request: CallerRequest
@@ -53,6 +55,8 @@
     demand: PromptDemand | None = None
     forecast: Forecast | None = None
     known_fingerprint: str = ""
+    is_refunded: bool = False
+    placed_at: Millis = 0.0
 
     def fingerprint(self) -> str:
         """Return the fingerprint by which the request is recognised if it is sent again."""
--- a/packages/node/src/carobspool_node/direct/_settings.py
+++ b/packages/node/src/carobspool_node/direct/_settings.py
@@ -16,6 +16,7 @@
 from carobspool_node.direct._peer_messages import MAX_CAPACITY
 from carobspool_node.settings import HIGHEST_PORT, IP_ADDRESS, NODE_NAME, LogLevel
 
+MAX_CORES = 4_096
 DIRECT_ROLES = ("direct-entry", "keeper")
 _ENDPOINT = re.compile(r"[0-9a-fA-F.:]+:[0-9]{1,5}")
 
@@ -83,16 +84,29 @@
         unit="name",
         default="off",
     )
-    host_capacity: float = field(
+    processor_share: float = field(
         description=(
-            "Share of processor times cores of its host, 0 if unknown; entries with more relay"
-            " hints."
+            "Share of its host's processor, 0 if unknown; times `processor_cores` this is the"
+            " capacity by which the relay of hints is chosen."
         ),
         unit="cores",
         ge=0,
         le=MAX_CAPACITY,
         default=0.0,
     )
+    processor_cores: int = field(
+        description="How many times as fast as one core its host's processor is.",
+        unit="cores",
+        ge=1,
+        le=MAX_CORES,
+        default=1,
+    )
+    online_queue: Literal["off", "auto", "on"] = field(
+        description="Whether online requests that find no slot wait in an order; `auto`: while an"
+        " organisation has a priority.",
+        unit="name",
+        default="off",
+    )
 
 
 class DirectSettings(Struct, frozen=True, kw_only=True):
@@ -116,6 +130,8 @@
         hint_relays: ``off`` or ``auto``.
         host_capacity: Share of processor times cores of the host, 0 if unknown.
         placement: ``slots`` or ``auto``.
+        online_queue: Whether online requests wait at the entry for a slot: ``off``, ``auto`` (while
+            an organisation has a priority) or ``on``.
     """
 
     role: str
@@ -135,6 +151,7 @@
     hint_relays: str = "off"
     host_capacity: float = 0.0
     placement: str = "slots"
+    online_queue: str = "off"
 
 
 def load_direct_settings(path: Path) -> Result[DirectSettings, tuple[Problem, ...]]:
@@ -170,8 +187,9 @@
             metrics_port=model.metrics_port,
             log_level=model.log_level,
             hint_relays=model.hint_relays,
-            host_capacity=model.host_capacity,
+            host_capacity=model.processor_share * model.processor_cores,
             placement=model.placement,
+            online_queue=model.online_queue,
         )
     )
 
