Records: refuse numbers that are not finite in any JSON value

Cause: the schema of a record states allow_inf_nan in the configuration of its model, which pydantic-core does not apply to definitions, and a field of JSON_VALUE refers to a definition. read_record therefore took inf and nan there, while border.validate refused them. The test found this only when hypothesis drew such a number.

Change: the definition refuses them itself, at every depth and with the same message ("value.float: found inf; allowed: a finite number"). Four explicit examples make the test independent of the draw.

Readers of such fields are the configuration that a peer sends, and the values of relayed store calls. The entries themselves write no such numbers, but json.loads reads NaN and 1e999 in objects of other writers. A peer would refuse a relayed read of such an object and treat the store as unreachable, so the serving entry now sends the object without its value, as it does for values that CBOR cannot encode. Listings are not affected. A configuration with such a number in an unknown field is no longer taken from a peer; by the code it is still read from the store.

Without the change of the relay, the three cases of the new test fail.

--- a/packages/core/src/carobspool_core/records/_core_schema.py
+++ b/packages/core/src/carobspool_core/records/_core_schema.py
@@ -37,7 +37,8 @@
     "choices": {
         "NoneType": {"type": "none"},
         "bool": {"type": "bool"},
-        "float": {"type": "float"},
+        # The configuration of a model does not apply to definitions.
+        "float": {"type": "float", "allow_inf_nan": False},
         "int": {"type": "int"},
         "str": {"type": "str"},
         "list": {"type": "list", "items_schema": _JSON_VALUE_SCHEMA},
--- a/packages/core/src/carobspool_core/records/_declaration.py
+++ b/packages/core/src/carobspool_core/records/_declaration.py
@@ -71,7 +71,7 @@
 
 
 JSON_VALUE = _JsonValue()
-"""Annotation of a field that holds any JSON value."""
+"""Annotation of a field that holds any JSON value; its numbers are finite at every depth."""
 
 
 class Field(Struct, frozen=True, kw_only=True):
--- a/packages/core/tests/test_records.py
+++ b/packages/core/tests/test_records.py
@@ -6,7 +6,7 @@
 from typing import Annotated, Any, Literal
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 from pydantic import Field, JsonValue
 from returns.pipeline import is_successful
@@ -91,6 +91,10 @@
 )
 
 
+@example({"value": math.inf}, 1, "a")
+@example({"value": -math.inf}, 1, "a")
+@example({"value": math.nan}, 1, "a")
+@example({"value": [1.5, {"q": [math.nan]}], "limit": math.inf}, 1, "a")
 @given(_RECORDS | _VALUES, st.integers(-1, 10), st.sampled_from(["a", "b", "c"]))
 def test_records_refuse_what_declared_files_refuse(drawn: Any, count: int, kind: str) -> None:
     """Records and `border` models accept the same values and report the same problems.
--- a/packages/node/src/carobspool_node/direct/_store_relay.py
+++ b/packages/node/src/carobspool_node/direct/_store_relay.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import functools
+import json
 import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -250,7 +251,7 @@
 
 
 def encode_store_result(answer: StoreResult) -> Json:
-    """Encode the result of a relayed call; values that CBOR cannot encode become ``None``."""
+    """Encode the result of a relayed call; values that cannot be sent become ``None``."""
     if is_successful(answer):
         found = answer.unwrap()
         if isinstance(found, ObjectPage):
@@ -264,7 +265,10 @@
                 "objects": encodable,
                 "unreadable": found.unreadable + len(objects) - len(encodable),
             }
-        return {"version": found.version, "value": _encodable_or_none(found.value)}
+        # The peer refuses an answer with NaN or infinities, which the store's JSON may contain. It
+        # would report the store as unreachable instead of this object as unreadable.
+        value = found.value if _is_finite(found.value) else None
+        return {"version": found.version, "value": _encodable_or_none(value)}
     failure = answer.failure()
     current = failure.current
     return {
@@ -281,6 +285,14 @@
     return value if _is_encodable(value) else None
 
 
+def _is_finite(value: Json) -> bool:
+    try:
+        json.dumps(value, allow_nan=False)
+    except (ValueError, RecursionError):
+        return False
+    return True
+
+
 def _is_encodable(value: Json) -> bool:
     # JSON values can contain unpaired surrogates, which UTF-8 cannot encode, and can be nested
     # too deeply.
--- a/packages/node/tests/test_direct_relayed.py
+++ b/packages/node/tests/test_direct_relayed.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 import cbor2
 import pytest
 from returns.result import Success
@@ -24,6 +26,19 @@
     assert (found.revision, found.unreadable) == (9, 2)
 
 
+@pytest.mark.parametrize("number", ["NaN", "-Infinity", "1e999"])
+def test_an_object_with_a_number_that_is_not_finite_is_relayed_without_its_value(
+    number: str,
+) -> None:
+    """Guards against an answer that the asking entry refuses: it would take the store for
+    unreachable, and not the one object for unreadable."""
+    value = json.loads(f'{{"n": [1, {number}]}}')
+    stored = StoredObject(key="jobs/a", version=4, value=value)
+    sent = cbor2.loads(cbor2.dumps(encode_store_result(Success(stored))))
+    found = decode_store_result("jobs/a", sent).unwrap()
+    assert found == StoredObject(key="jobs/a", version=4, value=None)
+
+
 def test_an_invalid_relayed_object_is_counted_and_the_others_are_kept() -> None:
     good = ["servers/a", 1, {"n": 1}]
     bad = [None, [], ["servers/b"], ["servers/b", "1", {}], [7, 1, {}], ["jobs/j", 1, {}]]
