Tests: wait until the entry has learnt that servers were removed

Cause: the fixture `served` of tests/direct/test_online.py removed the servers of the last test and slept 0.2 s. An entry that learns of the removal later still has a server, and the next test, which expects a refusal, gets 200.

Change: the harness asks the entry for its view of the servers with the call that peers use, and the fixture waits until no server is left in it that is not registered. Neither a log line nor a metric shows this reliably: a listing that removes a server logs nothing.

--- a/tests/direct/test_online.py
+++ b/tests/direct/test_online.py
@@ -30,13 +30,10 @@
 
 @pytest.fixture
 def served(running: Served) -> Iterator[Served]:
-    """The deployment and its entry; the test's servers are removed after the test."""
+    """The deployment and its entry; after the test, the entry has no servers."""
     system, _ = running
     yield running
-    for server in system.servers:
-        system.objects.remove("servers", server.instance)
-    system.servers.clear()
-    time.sleep(0.2)
+    system.remove_servers()
 
 
 def _settle() -> None:
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -18,6 +18,8 @@
 from pathlib import Path
 from typing import Any
 
+import cbor2
+
 from carobspool_standins.platform_server import (
     PlatformServer,
     RequestHandler,
@@ -32,6 +34,8 @@
 
 HOST = "callers.example"
 READY_S = 15.0
+REMOVAL_KNOWN_S = 15.0
+"""How long entries may take to learn that servers were removed; usually it takes 0.3 s."""
 STEP_S = 0.05
 PROGRAM = ("-m", "carobspool_platform")
 
@@ -137,6 +141,18 @@
         finally:
             connection.close()
 
+    def known_servers(self) -> set[str]:
+        """Return the instances to which the entry may send requests, as it tells its peers."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.peer_port, timeout=5.0)
+        try:
+            headers = {"Host": "entry", "Request-Id": uuid.uuid4().hex}
+            connection.request("POST", "/view", cbor2.dumps({"kind": "upstreams"}), headers)
+            view = cbor2.loads(connection.getresponse().read())
+        finally:
+            connection.close()
+        lapsed = [each["upstream"] for each in view["lapsed"]]
+        return {str(each["instance"]) for each in (*view["listed"], *lapsed)}
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         os.kill(self.process.pid, number)
@@ -170,6 +186,16 @@
         self.objects.put("servers", instance, server.registration(service))
         return server
 
+    def remove_servers(self) -> None:
+        """Remove all servers, and wait until no entry knows a server that is not registered."""
+        for server in self.servers:
+            self.objects.remove("servers", server.instance)
+        self.servers.clear()
+        with self.objects.changed:
+            registered = {name for kind, name in self.objects.objects if kind == "servers"}
+        for entry in self.entries:
+            eventually(lambda e=entry: e.known_servers() <= registered, REMOVAL_KNOWN_S)
+
     def restart_server(self, server: PlatformServer, service: str) -> None:
         """Restart a server under its id, after a crash or a loss of its link, and register it."""
         server.start()
