--- a/packages/core/src/carobspool_core/hint_relays/_bundle_buffer.py
+++ b/packages/core/src/carobspool_core/hint_relays/_bundle_buffer.py
@@ -20,6 +20,10 @@
 COUNTS_PASS_ON_INTERVAL: Millis = 200.0
 """The same for counts hints, which go to the many entries that share no upstream. Two such waits
 are shorter than the 500 ms after which heartbeats report all counts directly."""
+RELAYED_HINT_AGE: Millis = 60.0
+"""Age of a relayed hint on arrival, about the waits in two relays and in three receivers. Request
+limits count a relayed hint as heard so much earlier: they reserve the share of peers that are not
+heard for some 200 ms, and a partition must not be noticed later than with direct hints."""
 MAX_BUNDLE_BYTES = 32_000
 """Most bytes of a bundle, well under the longest datagram that entries receive."""
 BUNDLE_OVERHEAD_BYTES = 600
--- a/packages/core/src/carobspool_core/hint_relays/_relay_choice.py
+++ b/packages/core/src/carobspool_core/hint_relays/_relay_choice.py
@@ -21,7 +21,7 @@
 """Time without a message from an entry after which another entry is chosen as the relay. Each entry
 sends a heartbeat every 500 ms, so a shorter time would replace healthy relays that are idle."""
 
-RELAY_STOPPED_AFTER: Millis = 150.0
+RELAY_STOPPED_AFTER: Millis = 100.0
 """Time without a bundle after which a relay of another domain, which sends one every 50 ms, counts
 as out of reach. Each side of a partition would otherwise send the hints of its entries to relays on
 the other side for 600 ms, and a request limit would be exceeded by the requests of that time."""
--- a/packages/node/src/carobspool_node/direct/_peer_table.py
+++ b/packages/node/src/carobspool_node/direct/_peer_table.py
@@ -12,6 +12,7 @@
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import DEAD_AFTER, FORGET_AFTER, SILENT_AFTER, Liveness
+from carobspool_core.hint_relays import RELAYED_HINT_AGE
 from carobspool_core.organisations import KnownPeer
 from carobspool_node.direct._bad_records import printable_text
 from carobspool_node.direct._load_hint import CountsHint, LoadHint
@@ -155,13 +156,13 @@
     def known_peers(self) -> list[KnownPeer]:
         """Return all other entries with the arrival of their last hint, ``None`` if only listed.
 
-        Hints that relays passed on count.
+        Hints that relays passed on count, with their age.
         """
         with self._lock:
             found = [
                 KnownPeer(
                     name=each.name,
-                    last_heard_at=max(each.last_heard_at, each.relayed_at),
+                    last_heard_at=max(each.last_heard_at, each.relayed_at - RELAYED_HINT_AGE),
                     leaving=each.leaving,
                 )
                 for each in self._peers.values()
