--- a/packages/node/src/carobspool_node/direct/_relay_view.py
+++ b/packages/node/src/carobspool_node/direct/_relay_view.py
@@ -33,6 +33,7 @@
         self._clock = clock
         self._table = table
         self._name = name
+        self._addresses: dict[str, tuple[str, int]] = {}
         self._domains: dict[tuple[str, int], str] = {}
         self._domains_until: Millis = float("-inf")
 
@@ -41,6 +42,7 @@
         now = self._clock.now()
         live = [each for each in self._table.peers() if now - each.last_heard_at < DEAD_AFTER]
         cut_off = self._cut_off(live, now)
+        self._addresses = {each.name: each.address for each in live}
         entries = [
             RelayEntry(
                 name=each.name,
@@ -57,9 +59,8 @@
         return RelayPeers(entries=entries, is_cut_off=self._name in cut_off)
 
     def addresses(self, names: Iterable[str]) -> list[tuple[str, int]]:
-        """Return the addresses of the peers of these names; unknown names are left out."""
-        wanted = set(names)
-        return [each.address for each in self._table.peers() if each.name in wanted]
+        """Return the addresses of live peers, as of the last call of `peers`."""
+        return [self._addresses[name] for name in names if name in self._addresses]
 
     def domain_at(self, address: tuple[str, int]) -> str | None:
         """Return the failure domain that the entry at an address has announced."""
--- a/packages/node/src/carobspool_node/direct/_relayed_hints.py
+++ b/packages/node/src/carobspool_node/direct/_relayed_hints.py
@@ -56,8 +56,10 @@
             except UnusableRecordError as error:
                 self._bad_hints.report(relay, error)
                 continue
-            is_from_relay_domain = self._table.domain_of(hint.name, hint.incarnation) == domain
-            if domain != self._relays.domain and is_from_relay_domain:
+            if (
+                domain != self._relays.domain
+                and self._table.domain_of(hint.name, hint.incarnation) == domain
+            ):
                 self._relays.distribute(_waiting_hint(hint, data))
             yield hint
 
--- a/packages/node/src/carobspool_node/hint_relays/_relays.py
+++ b/packages/node/src/carobspool_node/hint_relays/_relays.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 from absl import logging
@@ -11,6 +12,7 @@
 from carobspool_core.hint_relays import (
     COUNTS_PASS_ON_INTERVAL,
     NO_RELAYS,
+    PASS_ON_INTERVAL,
     BundleBuffer,
     HintKind,
     RelayEntry,
@@ -33,8 +35,8 @@
 longest time between two bundles to other relays."""
 PRESENCE_AFTER_HINT: Millis = 1_000.0
 """Time after a hint in which the relay stays present; each entry sends a heartbeat every 500 ms."""
-IDLE_PAUSE: Millis = 50.0
-"""Time between two runs of the thread while no hint waits; well below the limit for a pause."""
+IDLE_PAUSE: Millis = PRESENCE_INTERVAL - PASS_ON_INTERVAL
+"""Longest wait for a hint after the interval between two runs of the thread."""
 
 
 def _make_buffers(now: Millis) -> Mapping[HintKind, BundleBuffer]:
@@ -152,7 +154,7 @@
         with self._lock:
             self._collected_at = now
             kept = self._outward[hint.kind].add(hint, now)
-        if kept:
+        if kept and not self._hint_waits.is_set():
             self._hint_waits.set()
 
     def distribute(self, hint: WaitingHint) -> None:
@@ -161,7 +163,7 @@
             return
         with self._lock:
             kept = self._inward[hint.kind].add(hint, self._clock.now())
-        if kept:
+        if kept and not self._hint_waits.is_set():
             self._hint_waits.set()
 
     def record_bundle(self, relay: str, *, is_empty: bool) -> None:
@@ -175,8 +177,8 @@
         if is_empty:
             self._relay_seen_at[relay] = now
 
-    def run_once(self) -> Millis:
-        """Send the bundles that are due; return the time until the next run."""
+    def run_once(self) -> None:
+        """Send the bundles that are due."""
         now = self._clock.now()
         plan = self._current_plan()
         with self._lock:
@@ -186,29 +188,23 @@
                 logging.warning("event=relay_paused relay=%s", self._own.name)
             outward = [hint for each in self._outward.values() for hint in each.take(now)]
             loads, counts = self._inward["load"].take(now), self._inward["counts"].take(now)
-            delays = [each.delay_before_take(now) for each in buffers]
         if plan.is_relay and outward:
             self._outward_at = now
             self._send_bundles(outward, plan.relays.values())
         self._send_bundles(counts, plan.others)
         self._send_bundles(loads, plan.sharers)
         self._show_presence(plan, now)
-        return min([IDLE_PAUSE, *(each for each in delays if each is not None)])
 
     def _run(self) -> None:
-        pause = IDLE_PAUSE
         while not self._stopped.is_set():
-            self._hint_waits.wait(pause / 1000.0)
+            self._hint_waits.wait(IDLE_PAUSE / 1000.0)
             self._hint_waits.clear()
             try:
-                pause = self.run_once()
-                if pause < IDLE_PAUSE:
-                    # Hints that arrive meanwhile wait for the same time and wake nobody.
-                    self._stopped.wait(pause / 1000.0)
-                    pause = 0.0
+                self.run_once()
             except Exception:  # noqa: BLE001
                 logging.exception("event=relay_failed")
-                self._stopped.wait(IDLE_PAUSE / 1000.0)
+            # All hints of this time are passed on in one run; each wake-up costs more than a hint.
+            time.sleep(PASS_ON_INTERVAL / 1000.0)
 
     def _show_presence(self, plan: RelayPlan, now: Millis) -> None:
         """Send an empty bundle to the own domain, and to relays that have had no bundle."""
