--- a/packages/node/tests/test_hint_relays.py
+++ b/packages/node/tests/test_hint_relays.py
@@ -12,6 +12,8 @@
 from carobspool_core.hint_relays import MAX_BUNDLE_BYTES, WaitingHint, split_by_size
 from carobspool_core.problems import UnusableRecordError
 from carobspool_node.direct._load_hint import encode_load_hint
+from carobspool_node.direct._telemetry import Telemetry
+from carobspool_node.hint_relays import HintTraffic
 from carobspool_node.hint_relays._bundle import encode_bundle, read_bundle
 
 DOMAINS = ("a", "b", "c")
@@ -225,6 +227,36 @@
     assert ("e0", "e11") in reached
 
 
+def test_heartbeats_to_unrelated_entries_carry_no_loads(net: Net) -> None:
+    """At hundreds of entries they are most of the bytes, and their readers use few of the loads."""
+    net.group = frozenset(name for name in net.entries if name not in ("e9", "e10", "e11"))
+    net.run(1_000.0)
+    net.sent.clear()
+    net.run(2_000.0)
+    to_unrelated = [each[2] for each in net.sent if each[:2] == ("e0", "e10")]
+    kinds = {message[0] for message in to_unrelated if isinstance(message, list)}
+    assert kinds == {"u"}
+    assert sum(isinstance(message, list) for message in to_unrelated) >= 2
+    to_fellow = [each[2] for each in net.sent if each[:2] == ("e0", "e9")]
+    assert "l" in {message[0] for message in to_fellow if isinstance(message, list)}
+    assert _lost(net) == []
+
+
+def test_sent_bytes_are_counted_by_kind_and_crossing() -> None:
+    """Operators decide by these counters whether the links between domains carry the hints."""
+    telemetry = Telemetry()
+    domains = {("x", 1): "a", ("x", 2): "b"}
+    traffic = HintTraffic(telemetry.count, "a", domains.get)
+    traffic.record("load", 100, [("x", 1), ("x", 2), ("x", 2), ("x", 3)])
+    text = telemetry.text().decode()
+    for crossing, number in (("same", 1), ("other", 2), ("unknown", 1)):
+        labels = f'{{crossing="{crossing}",kind="load"}}'
+        assert f"carobspool_hint_bytes_total{labels} {number * 100.0}" in text
+        assert f"carobspool_hint_datagrams_total{labels} {number}.0" in text
+    telemetry.set_gauge("hint_relay", 1.0)
+    assert "carobspool_hint_relay 1.0" in telemetry.text().decode()
+
+
 def _hint(sequence: int = 1) -> bytes:
     return encode_load_hint(name="e1", incarnation="1", sequence=sequence, loads={}, backlog=())
 
