--- a/packages/core/tests/relayed_limits_model.py
+++ b/packages/core/tests/relayed_limits_model.py
@@ -21,7 +21,8 @@
 )
 from carobspool_core.organisations import RateLimit
 
-PLAN_INTERVAL: Millis = 50.0
+PLAN_INTERVAL: Millis = 100.0
+RELAY_PLAN_INTERVAL: Millis = 50.0
 PRESENCE_INTERVAL: Millis = 50.0
 DOMAIN_DELAY: Millis = 15.0
 """Upper bound of the random part of a delay inside a domain: the receiver's batch of 8 ms, and less
@@ -137,7 +138,8 @@
                 self._transmit(entry, by_name[name], self._bundle(outward))
 
     def _plan(self, entry: ModelEntry, state: _Relaying) -> RelayPlan:
-        if self.now - state.planned_at >= PLAN_INTERVAL:
+        interval = RELAY_PLAN_INTERVAL if state.plan.is_relay else PLAN_INTERVAL
+        if self.now - state.planned_at >= interval:
             state.planned_at = self.now
             domain = self.domains[entry.name]
             peers = [
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -137,7 +137,7 @@
             send=lambda data, names: self._hints.send_bundle(data, view.addresses(names)),
             set_relay_gauge=lambda value: telemetry.set_gauge("hint_relay", value),
         )
-        traffic = HintTraffic(telemetry.count, failure_domain, view.domain_at)
+        traffic = HintTraffic(telemetry.count, failure_domain, view.domains)
         self._hints = HintSender(clock, self._socket, self._sender, traffic, self._relays.collect)
         bad_hints = BadRecords(clock, telemetry, "hint", "sender")
         self._receiver = HintReceiver(
--- a/packages/node/src/carobspool_node/direct/_relay_view.py
+++ b/packages/node/src/carobspool_node/direct/_relay_view.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import DEAD_AFTER
@@ -62,8 +62,8 @@
         """Return the addresses of live peers, as of the last call of `peers`."""
         return [self._addresses[name] for name in names if name in self._addresses]
 
-    def domain_at(self, address: tuple[str, int]) -> str | None:
-        """Return the failure domain that the entry at an address has announced."""
+    def domains(self) -> Mapping[tuple[str, int], str]:
+        """Return the announced failure domains by address, at most `DOMAINS_INTERVAL` old."""
         now = self._clock.now()
         if now >= self._domains_until:
             self._domains_until = now + DOMAINS_INTERVAL
@@ -72,7 +72,7 @@
                 for each in self._table.peers()
                 if each.failure_domain is not None
             }
-        return self._domains.get(address)
+        return self._domains
 
     def _cut_off(self, live: Iterable[Peer], now: Millis) -> frozenset[str]:
         """Return the entries, this one included, that some live entry does not hear."""
--- a/packages/node/src/carobspool_node/hint_relays/_relays.py
+++ b/packages/node/src/carobspool_node/hint_relays/_relays.py
@@ -27,16 +27,18 @@
 from carobspool_node.hint_relays._bundle import encode_bundle
 from carobspool_node.hint_relays._relay_log import RelayLog
 
-PLAN_INTERVAL: Millis = 50.0
-"""Time for which the relays are cached. Choosing them visits each entry, and the choice changes
-600 ms after a failure at the earliest."""
+PLAN_INTERVAL: Millis = 100.0
+"""Time for which the relays are cached. Choosing them visits each entry, and an entry that is not a
+relay notices a lost one 600 ms after its last message at the earliest."""
+RELAY_PLAN_INTERVAL: Millis = 50.0
+"""The same at a relay, which passes over other relays 100 ms after their last bundle."""
 PRESENCE_INTERVAL: Millis = 50.0
 """Time between two empty bundles of a relay to its domain while hints arrive from there, and
 longest time between two bundles to other relays."""
 PRESENCE_AFTER_HINT: Millis = 1_000.0
 """Time after a hint in which the relay stays present; each entry sends a heartbeat every 500 ms."""
 IDLE_PAUSE: Millis = PRESENCE_INTERVAL - PASS_ON_INTERVAL
-"""Longest wait for a hint after the interval between two runs of the thread."""
+"""Longest wait for a hint after the interval between two runs of a relay's thread."""
 
 
 def _make_buffers(now: Millis) -> Mapping[HintKind, BundleBuffer]:
@@ -197,7 +199,8 @@
 
     def _run(self) -> None:
         while not self._stopped.is_set():
-            self._hint_waits.wait(IDLE_PAUSE / 1000.0)
+            pause = IDLE_PAUSE if self._plan.is_relay else PLAN_INTERVAL - PASS_ON_INTERVAL
+            self._hint_waits.wait(pause / 1000.0)
             self._hint_waits.clear()
             try:
                 self.run_once()
@@ -226,12 +229,13 @@
             self._send(encode_bundle(self._own.name, self._incarnation, part), recipients)
 
     def _current_plan(self) -> RelayPlan:
-        """Return the cached plan, or a new one after `PLAN_INTERVAL`.
+        """Return the cached plan, or a new one after its interval.
 
         While one thread makes a plan the others use the cached one.
         """
         now = self._clock.now()
-        if now - self._planned_at < PLAN_INTERVAL or not self._planning.acquire(blocking=False):
+        interval = RELAY_PLAN_INTERVAL if self._plan.is_relay else PLAN_INTERVAL
+        if now - self._planned_at < interval or not self._planning.acquire(blocking=False):
             return self._plan
         try:
             self._planned_at = now
--- a/packages/node/src/carobspool_node/hint_relays/_traffic.py
+++ b/packages/node/src/carobspool_node/hint_relays/_traffic.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
 Address = tuple[str, int]
@@ -19,18 +18,18 @@
     Args:
         count: Adds to a counter.
         failure_domain: Failure domain of this entry.
-        domain_at: Returns the failure domain of the entry at an address, ``None`` if unknown.
+        domains: Returns the known failure domains by address.
     """
 
     def __init__(
         self,
         count: _CountMetric,
         failure_domain: str,
-        domain_at: Callable[[Address], str | None],
+        domains: Callable[[], Mapping[Address, str]],
     ) -> None:
         self._count = count
         self._failure_domain = failure_domain
-        self._domain_at = domain_at
+        self._domains = domains
 
     def record(self, kind: str, size: int, addresses: Iterable[Address]) -> None:
         """Count a datagram of ``size`` bytes that was sent to each of the addresses.
@@ -39,12 +38,11 @@
         The crossing is ``unknown`` for entries of the previous build, which do not announce their
         domain, and for entries that have not been heard yet.
         """
-        for crossing, number in Counter(map(self._crossing, addresses)).items():
-            self._count("hint_bytes", size * number, kind=kind, crossing=crossing)
-            self._count("hint_datagrams", number, kind=kind, crossing=crossing)
-
-    def _crossing(self, address: Address) -> str:
-        domain = self._domain_at(address)
-        if domain is None:
-            return "unknown"
-        return "same" if domain == self._failure_domain else "other"
+        domains = self._domains()
+        found = [domains.get(each) for each in addresses]
+        same, unknown = found.count(self._failure_domain), found.count(None)
+        other = len(found) - same - unknown
+        for crossing, number in (("same", same), ("other", other), ("unknown", unknown)):
+            if number:
+                self._count("hint_bytes", size * number, kind=kind, crossing=crossing)
+                self._count("hint_datagrams", number, kind=kind, crossing=crossing)
--- a/packages/node/tests/test_hint_relays.py
+++ b/packages/node/tests/test_hint_relays.py
@@ -246,7 +246,7 @@
     """Operators decide by these counters whether the links between domains carry the hints."""
     telemetry = Telemetry()
     domains = {("x", 1): "a", ("x", 2): "b"}
-    traffic = HintTraffic(telemetry.count, "a", domains.get)
+    traffic = HintTraffic(telemetry.count, "a", lambda: domains)
     traffic.record("load", 100, [("x", 1), ("x", 2), ("x", 2), ("x", 3)])
     text = telemetry.text().decode()
     for crossing, number in (("same", 1), ("other", 2), ("unknown", 1)):
--- a/tools/cost_hints.py
+++ b/tools/cost_hints.py
@@ -100,7 +100,7 @@
                 failure_domain=domain,
                 host_capacity=0.5 if play.relayed else None,
             ),
-            HintTraffic(self.record, domain, lambda address: play.domains[address[0]]),
+            HintTraffic(self.record, domain, lambda: play.domains_by_address),
             self.relays.collect,
         )
         current = {each.name: (each.name, 1) for each in peers}
@@ -183,6 +183,7 @@
         self._numbers = itertools.count()
         names = [f"entry-{number:03}" for number in range(fleet.entries)]
         self.domains = {name: f"zone-{number % fleet.domains}" for number, name in enumerate(names)}
+        self.domains_by_address = {(name, 1): domain for name, domain in self.domains.items()}
         self._upstreams = [f"i-{number:08x}/1764700000{number:03}" for number in range(60)]
         known = [
             RelayEntry(name=name, domain=domain, heard_at=float("inf"))
