--- a/packages/node/tests/test_hint_relays.py
+++ b/packages/node/tests/test_hint_relays.py
@@ -188,6 +188,35 @@
     assert "old" not in passed_on
 
 
+def test_an_entry_with_the_setting_off_reads_bundles(net: Net) -> None:
+    """Settings are changed one entry after the other; it must neither relay nor miss hints."""
+    off = net.add("off", "a", capacity=None)
+    off.peers.announce()
+    net.run(1_000.0)
+    assert net.worst_age(1_000.0, net.pairs()) <= RELAYED_AGE
+    assert not off.is_relay
+    net.sent.clear()
+    net.run(500.0)
+    assert any(receiver == "off" for _, receiver, _ in net.take_sent("b"))
+
+
+def test_a_hint_is_passed_on_byte_for_byte(net: Net) -> None:
+    """Entries of a newer build add elements to load hints; relays must not cut them off."""
+    relay = net.relay_of("a")
+    fellow = next(each for each in net.entries.values() if each.domain == "a" and each is not relay)
+    data = cbor2.dumps(["l", fellow.name, "1", 10**6, b"", b"", b"", b"\x00\x01\x00\x05", "more"])
+    net.run(30.0)
+    relay.peers._receiver._receive_datagram(data, fellow.address)
+    net.sent.clear()
+    net.run(60.0)
+    reached = {
+        _domain(net, receiver)
+        for sender, receiver, message in net.take_sent("b")
+        if data in message[3]
+    }
+    assert reached == {"b", "c"}
+
+
 def test_with_the_setting_off_each_change_goes_to_each_entry(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
