Hint relays: empty bundles every 50 ms also while hints arrive; bounded line on pauses

The thread sent them every 60 ms while hints arrived. event=relay_paused is logged by relays only, once a second at most.

Run: pytest packages/node/tests/test_hint_relays.py tests/direct/test_hint_relays.py, 27 passed.

--- a/packages/node/src/carobspool_node/hint_relays/_relay_log.py
+++ b/packages/node/src/carobspool_node/hint_relays/_relay_log.py
@@ -68,6 +68,11 @@
             )
         self._was_direct = lost
 
+    def record_pause(self, relay: str, now: Millis) -> None:
+        """Log that this entry, a relay, has paused and dropped what it held."""
+        if self._may_log("paused", self._domain, now):
+            logging.warning("event=relay_paused domain=%s relay=%s", self._domain, relay)
+
     def _may_log(self, kind: str, domain: str, now: Millis) -> bool:
         if now - self._logged_at.get((kind, domain), float("-inf")) < LOG_INTERVAL:
             return False
--- a/packages/node/src/carobspool_node/hint_relays/_relays.py
+++ b/packages/node/src/carobspool_node/hint_relays/_relays.py
@@ -186,10 +186,10 @@
         with self._lock:
             buffers = (*self._outward.values(), *self._inward.values())
             paused = [each.record_tick(now) for each in buffers]
-            if any(paused):
-                logging.warning("event=relay_paused relay=%s", self._own.name)
             outward = [hint for each in self._outward.values() for hint in each.take(now)]
             loads, counts = self._inward["load"].take(now), self._inward["counts"].take(now)
+        if plan.is_relay and any(paused):
+            self._log.record_pause(self._own.name, now)
         if plan.is_relay and outward:
             self._outward_at = now
             self._send_bundles(outward, plan.relays.values())
@@ -207,7 +207,14 @@
             except Exception:  # noqa: BLE001
                 logging.exception("event=relay_failed")
             # All hints of this time are passed on in one run; each wake-up costs more than a hint.
-            time.sleep(PASS_ON_INTERVAL / 1000.0)
+            time.sleep(self._pause_after_run() / 1000.0)
+
+    def _pause_after_run(self) -> Millis:
+        """Return the time until the next bundle may be sent, or an empty one must be sent."""
+        until_presence = self._present_at + PRESENCE_INTERVAL - self._clock.now()
+        if self._plan.is_relay and until_presence > 0.0:
+            return min(PASS_ON_INTERVAL, until_presence)
+        return PASS_ON_INTERVAL
 
     def _show_presence(self, plan: RelayPlan, now: Millis) -> None:
         """Send an empty bundle to the own domain, and to relays that have had no bundle."""
--- a/tools/cost_hints.py
+++ b/tools/cost_hints.py
@@ -34,7 +34,7 @@
 
 HEARTBEAT: Millis = 500.0
 HEARTBEATS_PER_ANNOUNCEMENT = 4
-RELAY_RUN: Millis = 20.0
+RELAY_RUN: Millis = 10.0
 DELAY: Millis = 5.0
 """Time from the sending of a datagram until its batch is read."""
 HOT_HINT_PER_ENTRY: Millis = 3.5
