--- a/packages/node/src/carobspool_node/direct/_relay_view.py
+++ b/packages/node/src/carobspool_node/direct/_relay_view.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import DEAD_AFTER
@@ -33,6 +33,7 @@
         self._clock = clock
         self._table = table
         self._name = name
+        self._addresses: dict[str, tuple[str, int]] = {}
         self._domains: dict[tuple[str, int], str] = {}
         self._domains_until: Millis = float("-inf")
 
@@ -41,6 +42,7 @@
         now = self._clock.now()
         live = [each for each in self._table.peers() if now - each.last_heard_at < DEAD_AFTER]
         cut_off = self._cut_off(live, now)
+        self._addresses = {each.name: each.address for each in live}
         entries = [
             RelayEntry(
                 name=each.name,
@@ -57,12 +59,11 @@
         return RelayPeers(entries=entries, is_cut_off=self._name in cut_off)
 
     def addresses(self, names: Iterable[str]) -> list[tuple[str, int]]:
-        """Return the addresses of the peers of these names; unknown names are left out."""
-        wanted = set(names)
-        return [each.address for each in self._table.peers() if each.name in wanted]
+        """Return the addresses of live peers, as of the last call of `peers`."""
+        return [self._addresses[name] for name in names if name in self._addresses]
 
-    def domain_at(self, address: tuple[str, int]) -> str | None:
-        """Return the failure domain that the entry at an address has announced."""
+    def domains(self) -> Mapping[tuple[str, int], str]:
+        """Return the announced failure domains by address, at most `DOMAINS_INTERVAL` old."""
         now = self._clock.now()
         if now >= self._domains_until:
             self._domains_until = now + DOMAINS_INTERVAL
@@ -71,7 +72,7 @@
                 for each in self._table.peers()
                 if each.failure_domain is not None
             }
-        return self._domains.get(address)
+        return self._domains
 
     def _cut_off(self, live: Iterable[Peer], now: Millis) -> frozenset[str]:
         """Return the entries, this one included, that some live entry does not hear."""
--- a/packages/node/src/carobspool_node/hint_relays/_relays.py
+++ b/packages/node/src/carobspool_node/hint_relays/_relays.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 from absl import logging
@@ -11,6 +12,7 @@
 from carobspool_core.hint_relays import (
     COUNTS_PASS_ON_INTERVAL,
     NO_RELAYS,
+    PASS_ON_INTERVAL,
     BundleBuffer,
     HintKind,
     RelayEntry,
@@ -25,16 +27,18 @@
 from carobspool_node.hint_relays._bundle import encode_bundle
 from carobspool_node.hint_relays._relay_log import RelayLog
 
-PLAN_INTERVAL: Millis = 50.0
-"""Time for which the relays are cached. Choosing them visits each entry, and the choice changes
-600 ms after a failure at the earliest."""
+PLAN_INTERVAL: Millis = 100.0
+"""Time for which the relays are cached. Choosing them visits each entry, and an entry that is not a
+relay notices a lost one 600 ms after its last message at the earliest."""
+RELAY_PLAN_INTERVAL: Millis = 50.0
+"""The same at a relay, which passes over other relays 100 ms after their last bundle."""
 PRESENCE_INTERVAL: Millis = 50.0
 """Time between two empty bundles of a relay to its domain while hints arrive from there, and
 longest time between two bundles to other relays."""
 PRESENCE_AFTER_HINT: Millis = 1_000.0
 """Time after a hint in which the relay stays present; each entry sends a heartbeat every 500 ms."""
-IDLE_PAUSE: Millis = 50.0
-"""Time between two runs of the thread while no hint waits; well below the limit for a pause."""
+IDLE_PAUSE: Millis = PRESENCE_INTERVAL - PASS_ON_INTERVAL
+"""Longest wait for a hint after the interval between two runs of a relay's thread."""
 
 
 def _make_buffers(now: Millis) -> Mapping[HintKind, BundleBuffer]:
@@ -152,7 +156,7 @@
         with self._lock:
             self._collected_at = now
             kept = self._outward[hint.kind].add(hint, now)
-        if kept:
+        if kept and not self._hint_waits.is_set():
             self._hint_waits.set()
 
     def distribute(self, hint: WaitingHint) -> None:
@@ -161,7 +165,7 @@
             return
         with self._lock:
             kept = self._inward[hint.kind].add(hint, self._clock.now())
-        if kept:
+        if kept and not self._hint_waits.is_set():
             self._hint_waits.set()
 
     def record_bundle(self, relay: str, *, is_empty: bool) -> None:
@@ -175,40 +179,42 @@
         if is_empty:
             self._relay_seen_at[relay] = now
 
-    def run_once(self) -> Millis:
-        """Send the bundles that are due; return the time until the next run."""
+    def run_once(self) -> None:
+        """Send the bundles that are due."""
         now = self._clock.now()
         plan = self._current_plan()
         with self._lock:
             buffers = (*self._outward.values(), *self._inward.values())
             paused = [each.record_tick(now) for each in buffers]
-            if any(paused):
-                logging.warning("event=relay_paused relay=%s", self._own.name)
             outward = [hint for each in self._outward.values() for hint in each.take(now)]
             loads, counts = self._inward["load"].take(now), self._inward["counts"].take(now)
-            delays = [each.delay_before_take(now) for each in buffers]
+        if plan.is_relay and any(paused):
+            self._log.record_pause(self._own.name, now)
         if plan.is_relay and outward:
             self._outward_at = now
             self._send_bundles(outward, plan.relays.values())
         self._send_bundles(counts, plan.others)
         self._send_bundles(loads, plan.sharers)
         self._show_presence(plan, now)
-        return min([IDLE_PAUSE, *(each for each in delays if each is not None)])
 
     def _run(self) -> None:
-        pause = IDLE_PAUSE
         while not self._stopped.is_set():
+            pause = IDLE_PAUSE if self._plan.is_relay else PLAN_INTERVAL - PASS_ON_INTERVAL
             self._hint_waits.wait(pause / 1000.0)
             self._hint_waits.clear()
             try:
-                pause = self.run_once()
-                if pause < IDLE_PAUSE:
-                    # Hints that arrive meanwhile wait for the same time and wake nobody.
-                    self._stopped.wait(pause / 1000.0)
-                    pause = 0.0
+                self.run_once()
             except Exception:  # noqa: BLE001
                 logging.exception("event=relay_failed")
-                self._stopped.wait(IDLE_PAUSE / 1000.0)
+            # All hints of this time are passed on in one run; each wake-up costs more than a hint.
+            time.sleep(self._pause_after_run() / 1000.0)
+
+    def _pause_after_run(self) -> Millis:
+        """Return the time until the next bundle may be sent, or an empty one must be sent."""
+        until_presence = self._present_at + PRESENCE_INTERVAL - self._clock.now()
+        if self._plan.is_relay and until_presence > 0.0:
+            return min(PASS_ON_INTERVAL, until_presence)
+        return PASS_ON_INTERVAL
 
     def _show_presence(self, plan: RelayPlan, now: Millis) -> None:
         """Send an empty bundle to the own domain, and to relays that have had no bundle."""
@@ -230,12 +236,13 @@
             self._send(encode_bundle(self._own.name, self._incarnation, part), recipients)
 
     def _current_plan(self) -> RelayPlan:
-        """Return the cached plan, or a new one after `PLAN_INTERVAL`.
+        """Return the cached plan, or a new one after its interval.
 
         While one thread makes a plan the others use the cached one.
         """
         now = self._clock.now()
-        if now - self._planned_at < PLAN_INTERVAL or not self._planning.acquire(blocking=False):
+        interval = RELAY_PLAN_INTERVAL if self._plan.is_relay else PLAN_INTERVAL
+        if now - self._planned_at < interval or not self._planning.acquire(blocking=False):
             return self._plan
         try:
             self._planned_at = now
--- a/packages/node/tests/test_hint_relays.py
+++ b/packages/node/tests/test_hint_relays.py
@@ -12,6 +12,8 @@
 from carobspool_core.hint_relays import MAX_BUNDLE_BYTES, WaitingHint, split_by_size
 from carobspool_core.problems import UnusableRecordError
 from carobspool_node.direct._load_hint import encode_load_hint
+from carobspool_node.direct._telemetry import Telemetry
+from carobspool_node.hint_relays import HintTraffic
 from carobspool_node.hint_relays._bundle import encode_bundle, read_bundle
 
 DOMAINS = ("a", "b", "c")
@@ -186,6 +188,35 @@
     assert "old" not in passed_on
 
 
+def test_an_entry_with_the_setting_off_reads_bundles(net: Net) -> None:
+    """Settings are changed one entry after the other; it must neither relay nor miss hints."""
+    off = net.add("off", "a", capacity=None)
+    off.peers.announce()
+    net.run(1_000.0)
+    assert net.worst_age(1_000.0, net.pairs()) <= RELAYED_AGE
+    assert not off.is_relay
+    net.sent.clear()
+    net.run(500.0)
+    assert any(receiver == "off" for _, receiver, _ in net.take_sent("b"))
+
+
+def test_a_hint_is_passed_on_byte_for_byte(net: Net) -> None:
+    """Entries of a newer build add elements to load hints; relays must not cut them off."""
+    relay = net.relay_of("a")
+    fellow = next(each for each in net.entries.values() if each.domain == "a" and each is not relay)
+    data = cbor2.dumps(["l", fellow.name, "1", 10**6, b"", b"", b"", b"\x00\x01\x00\x05", "more"])
+    net.run(30.0)
+    relay.peers._receiver._receive_datagram(data, fellow.address)
+    net.sent.clear()
+    net.run(60.0)
+    reached = {
+        _domain(net, receiver)
+        for sender, receiver, message in net.take_sent("b")
+        if data in message[3]
+    }
+    assert reached == {"b", "c"}
+
+
 def test_with_the_setting_off_each_change_goes_to_each_entry(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -225,6 +256,36 @@
     assert ("e0", "e11") in reached
 
 
+def test_heartbeats_to_unrelated_entries_carry_no_loads(net: Net) -> None:
+    """At hundreds of entries they are most of the bytes, and their readers use few of the loads."""
+    net.group = frozenset(name for name in net.entries if name not in ("e9", "e10", "e11"))
+    net.run(1_000.0)
+    net.sent.clear()
+    net.run(2_000.0)
+    to_unrelated = [each[2] for each in net.sent if each[:2] == ("e0", "e10")]
+    kinds = {message[0] for message in to_unrelated if isinstance(message, list)}
+    assert kinds == {"u"}
+    assert sum(isinstance(message, list) for message in to_unrelated) >= 2
+    to_fellow = [each[2] for each in net.sent if each[:2] == ("e0", "e9")]
+    assert "l" in {message[0] for message in to_fellow if isinstance(message, list)}
+    assert _lost(net) == []
+
+
+def test_sent_bytes_are_counted_by_kind_and_crossing() -> None:
+    """Operators decide by these counters whether the links between domains carry the hints."""
+    telemetry = Telemetry()
+    domains = {("x", 1): "a", ("x", 2): "b"}
+    traffic = HintTraffic(telemetry.count, "a", lambda: domains)
+    traffic.record("load", 100, [("x", 1), ("x", 2), ("x", 2), ("x", 3)])
+    text = telemetry.text().decode()
+    for crossing, number in (("same", 1), ("other", 2), ("unknown", 1)):
+        labels = f'{{crossing="{crossing}",kind="load"}}'
+        assert f"carobspool_hint_bytes_total{labels} {number * 100.0}" in text
+        assert f"carobspool_hint_datagrams_total{labels} {number}.0" in text
+    telemetry.set_gauge("hint_relay", 1.0)
+    assert "carobspool_hint_relay 1.0" in telemetry.text().decode()
+
+
 def _hint(sequence: int = 1) -> bytes:
     return encode_load_hint(name="e1", incarnation="1", sequence=sequence, loads={}, backlog=())
 
--- a/tools/cost_hints.py
+++ b/tools/cost_hints.py
@@ -34,7 +34,7 @@
 
 HEARTBEAT: Millis = 500.0
 HEARTBEATS_PER_ANNOUNCEMENT = 4
-RELAY_RUN: Millis = 20.0
+RELAY_RUN: Millis = 10.0
 DELAY: Millis = 5.0
 """Time from the sending of a datagram until its batch is read."""
 HOT_HINT_PER_ENTRY: Millis = 3.5
@@ -100,7 +100,7 @@
                 failure_domain=domain,
                 host_capacity=0.5 if play.relayed else None,
             ),
-            HintTraffic(self.record, domain, lambda address: play.domains[address[0]]),
+            HintTraffic(self.record, domain, lambda: play.domains_by_address),
             self.relays.collect,
         )
         current = {each.name: (each.name, 1) for each in peers}
@@ -183,6 +183,7 @@
         self._numbers = itertools.count()
         names = [f"entry-{number:03}" for number in range(fleet.entries)]
         self.domains = {name: f"zone-{number % fleet.domains}" for number, name in enumerate(names)}
+        self.domains_by_address = {(name, 1): domain for name, domain in self.domains.items()}
         self._upstreams = [f"i-{number:08x}/1764700000{number:03}" for number in range(60)]
         known = [
             RelayEntry(name=name, domain=domain, heard_at=float("inf"))
