Placement by pace: draws of the load table compared, batch items, cheaper expectation

The expected time of a candidate creates no objects and raises no powers. Tests compare the load table's draws with those of the choice by slots, for both settings, and cover batch items.

--- a/packages/core/src/carobspool_core/upstream_pace/_estimates.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_estimates.py
@@ -68,9 +68,10 @@
 
     def add_parts(self, wanted: Wanted, upstreams: Sequence[Upstream], now: Millis) -> None:
         """Add to a request its shared prefixes and where they are kept, if they are long enough."""
-        if wanted.prefixes or not upstreams or not counts_parts(wanted.demand):
+        if wanted.prefixes or not upstreams or wanted.demand is None:
+            return
+        if not counts_parts(wanted.demand):
             return
-        assert wanted.demand is not None
         wanted.prefixes = wanted.demand.prefixes()
         wanted.kept = self.parts.kept_tokens(
             wanted.prefixes, upstreams, capacity=wanted.capacity, now=now
@@ -87,15 +88,15 @@
         if online >= slots:
             time = (LOW_SHARE_WEIGHT + HIGH_SHARE_WEIGHT + online - slots + 1) * slot_time
         else:
-            time = (LOW_SHARE_WEIGHT * share + HIGH_SHARE_WEIGHT * share**4) * slot_time
+            square = share * share
+            time = (LOW_SHARE_WEIGHT * share + HIGH_SHARE_WEIGHT * square * square) * slot_time
             if online + batch >= slots:
                 time += PREEMPTION_TIME
-        line = self.times.line(identity, upstream.service, pace)
-        demand = wanted.demand
-        if demand is None:
-            return time + line.base
-        unread = demand.prompt_tokens - wanted.kept.get(identity, 0.0)
-        return time + line.base + line.per_token * (unread + self.memory.unread(identity))
+        unread = 0.0
+        if wanted.demand is not None:
+            unread = wanted.demand.prompt_tokens - wanted.kept.get(identity, 0.0)
+            unread += self.memory.unread.get(identity, 0.0)
+        return time + self.times.expected(identity, upstream.service, pace, unread)
 
     def unread(self, upstream: Upstream, wanted: Wanted) -> float:
         """Return the prompt tokens that an upstream probably has to read."""
--- a/packages/core/src/carobspool_core/upstream_pace/_first_event.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_first_event.py
@@ -75,16 +75,17 @@
         self._by_identity: dict[str, _Fit] = {}
         self._by_service: dict[str, _Fit] = {}
 
-    def line(self, identity: str, service: str, relative_pace: float) -> Line:
-        """Return the line of an upstream; without samples, its service's line at its pace."""
+    def expected(self, identity: str, service: str, relative_pace: float, tokens: float) -> Millis:
+        """Return the expected time, without samples by the service's line and the pace."""
         fit = self._by_identity.get(identity)
         if fit is not None:
-            return fit.line
+            line = fit.line
+            return line.base + line.per_token * tokens
         known = self._by_service.get(service)
-        base = known.line if known is not None else Line()
-        if relative_pace == 1.0:
-            return base
-        return Line(base.base * relative_pace, base.per_token * relative_pace)
+        if known is not None:
+            line = known.line
+            return (line.base + line.per_token * tokens) * relative_pace
+        return (INITIAL_BASE + INITIAL_PER_TOKEN * tokens) * relative_pace
 
     def add_sample(
         self,
@@ -106,8 +107,8 @@
             relative_pace: Pace of the upstream by the mean of its service.
             now: Current time.
         """
-        prior = self.line(identity, service, relative_pace)
-        time = min(time, prior.at(tokens) * MAX_SAMPLE_RATIO)
+        expected = self.expected(identity, service, relative_pace, tokens)
+        time = min(time, expected * MAX_SAMPLE_RATIO)
         of_service = self._by_service.setdefault(service, _Fit())
         of_service.add(tokens, time, of_service.line, now)
         fit = self._by_identity.get(identity)
--- a/packages/core/src/carobspool_core/upstream_pace/_memory.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_memory.py
@@ -42,13 +42,17 @@
 
 
 class EngineMemory:
-    """Tokens of this entry's requests at each upstream. Not thread-safe."""
+    """Tokens of this entry's requests at each upstream. Not thread-safe.
 
-    __slots__ = ("_mean_tokens", "_own", "_reading", "_unread")
+    Attributes:
+        unread: Tokens that each upstream still has to read for requests of this entry.
+    """
+
+    __slots__ = ("_mean_tokens", "_own", "_reading", "unread")
 
     def __init__(self) -> None:
         self._own: dict[str, tuple[int, float]] = {}
-        self._unread: dict[str, float] = {}
+        self.unread: dict[str, float] = {}
         # Ids of the forecasts whose first event has not arrived; their owners keep them alive.
         self._reading: set[int] = set()
         self._mean_tokens: dict[str, float] = {}
@@ -79,18 +83,14 @@
             self._own.pop(forecast.identity, None)
         return has_read
 
-    def unread(self, identity: str) -> float:
-        """Return the tokens of this entry's requests that an upstream still has to read."""
-        return self._unread.get(identity, 0.0)
-
     def used(self, identity: str, service: str, load: Load) -> float:
         """Return the tokens in use at an upstream; requests of other entries count as average."""
         count, tokens = self._own.get(identity, (0, 0.0))
         return tokens + max(0, load.total - count) * self._mean_tokens.get(service, 0.0)
 
     def _add_unread(self, forecast: Forecast, tokens: float) -> None:
-        left = self._unread.get(forecast.identity, 0.0) + tokens
+        left = self.unread.get(forecast.identity, 0.0) + tokens
         if left > 0.5:
-            self._unread[forecast.identity] = left
+            self.unread[forecast.identity] = left
         else:
-            self._unread.pop(forecast.identity, None)
+            self.unread.pop(forecast.identity, None)
--- a/packages/core/tests/test_upstream_pace_choice.py
+++ b/packages/core/tests/test_upstream_pace_choice.py
@@ -125,6 +125,19 @@
     assert estimates.paces.relative[POOL[0].identity] > 1.8
 
 
+def test_a_batch_item_goes_where_it_is_fast_and_beside_few_streams() -> None:
+    """Guards against items that hold a slow upstream's slots, or slow the streams of a busy one."""
+    estimates = UpstreamEstimates()
+    for each in POOL[:3]:
+        _sample(estimates, each, 90.0 if each is POOL[0] else 30.0, 1_000.0)
+    loads = {POOL[1].identity: Load(3, 0), POOL[2].identity: Load(0, 3)}
+    for _ in range(20):
+        chosen = choose_batch(
+            estimates, POOL[:3], loads, _wanted(), urgency=BatchUrgency.ORDINARY, now=1_000.0
+        )
+        assert chosen is POOL[2]
+
+
 def test_one_hung_call_does_not_distort_an_estimate() -> None:
     """Guards against an upstream that is avoided because one call paused for two seconds."""
     estimates = UpstreamEstimates()
--- a/packages/node/tests/test_upstream_pace.py
+++ b/packages/node/tests/test_upstream_pace.py
@@ -3,14 +3,25 @@
 from __future__ import annotations
 
 import logging
+import random
 import struct
 
 import cbor2
 import pytest
 from _uneven_fleet import UnevenPlan, simulate_uneven
 
-from carobspool_core.direct import Upstream, short_key_of
+from carobspool_core.direct import (
+    BatchUrgency,
+    Load,
+    Upstream,
+    _placement,
+    choose_batch_upstream,
+    choose_upstream,
+    queue_limit,
+    short_key_of,
+)
 from carobspool_core.records import read_record
+from carobspool_core.upstream_pace import PromptDemand
 from carobspool_node.direct import HeaderNames
 from carobspool_node.direct._announcement import Sender, encode_announcement
 from carobspool_node.direct._loads import LoadTable
@@ -90,6 +101,47 @@
     assert reader.packed() == b""
 
 
+@pytest.mark.parametrize("placement", ["slots", "auto"])
+def test_the_load_table_draws_as_before_on_a_uniform_fleet(
+    placement: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against placement that changes although the setting or the fleet doesn't call for
+    it: upstreams and the state of the generator are those of the choice by slots."""
+    drawn, expected_draw = random.Random(3), random.Random(3)
+    monkeypatch.setattr(_placement, "_draw", drawn)
+    clock = _Clock()
+    pool = [_upstream(f"engine-{number}") for number in range(12)]
+    paces = _paces(clock) if placement == "auto" else None
+    table = LoadTable(clock, "z", name="e", paces=paces)
+    loads: dict[str, Load] = {}
+    demand = PromptDemand("m", 900, 50, (("a", 800), ("b", 100))) if paces else None
+    for number in range(150):
+        if number % 3:
+            expected = choose_upstream(
+                pool, loads, failure_domain="z", queue_limit_of=_queue_limit_of, draw=expected_draw
+            )
+            placed = table.place_online(pool, target_latency=300.0, is_retry=False, demand=demand)
+            assert (placed and placed.upstream) is expected
+            added = Load(1, 0)
+        else:
+            expected = choose_batch_upstream(
+                pool, loads, urgency=BatchUrgency.ORDINARY, draw=expected_draw
+            )
+            run = table.place_batch(pool, urgency=BatchUrgency.ORDINARY, due=0.0, demand=demand)
+            assert (run and run[0]) is expected
+            added = Load(0, 1)
+        assert drawn.getstate() == expected_draw.getstate()
+        if expected is not None:
+            known = loads.get(expected.identity, Load())
+            loads[expected.identity] = Load(known.online + added.online, known.batch + added.batch)
+
+
+def _queue_limit_of(upstream: Upstream) -> int:
+    return queue_limit(
+        slots=upstream.slots, mean_duration=400.0, target_latency=300.0, is_retry=False
+    )
+
+
 def test_one_choice_in_fifty_is_logged_with_its_reason(caplog: pytest.LogCaptureFixture) -> None:
     """Guards against a log that floods, or that doesn't tell why an upstream was chosen."""
     clock = _Clock()
@@ -111,7 +163,7 @@
     "calm_rate": 38.0,
     "burst_rate": 188.0,
     "jobs_rate": 0.8,
-    "length": 5_200.0,
+    "length": 10_400.0,
     "target": 308.0,
     "hint_delay": 50.0,
 }
