Paces: uniform fleets stay uniform although pauses vary

The median of seven pauses that vary by a third differed by more than 1.2 between equal upstreams, so the choice left that by slots. Paces are now means of samples bounded by 1.5 times that median, drawn towards the average by 20 samples where they are compared; a recent median 1.8 times the mean still makes a service uneven at once.

--- a/packages/core/src/carobspool_core/upstream_pace/_paces.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_paces.py
@@ -28,10 +28,16 @@
 """Half-life of a sample's weight: two announcements, so that a lost one leaves an estimate."""
 PRIOR_SAMPLES = 3.0
 """Weight of the average in an estimate, so that a single sample moves it by a quarter."""
+SAMPLE_RATIO = 1.5
+"""A sample counts in the mean as at most this multiple of the median, and at least its inverse."""
+RECENT_RATIO = 1.8
+"""A recent median this far above the mean makes a service uneven at once: a slow phase is 2.5 times
+slower, and the median of samples that deviate by a third stays below."""
 UNIFORM_RATIO = 1.2
 """Paces within this ratio differ by less than a slot of eight, so slots alone decide."""
-MIN_CERTAIN_SAMPLES = 8.0
-"""Samples from which an estimate is compared with others: one window."""
+UNIFORM_PRIOR_SAMPLES = 20.0
+"""Weight of the average where paces are compared: pauses that deviate by a third then stay within
+`UNIFORM_RATIO` in fleets of uniform engines."""
 REFRESH_INTERVAL: Millis = 250.0
 """Time between two computations of a service's mean; half of a slow phase."""
 MAX_PAUSE: Millis = 6_553.5
@@ -44,23 +50,38 @@
     service: str
     pauses: deque[tuple[Millis, Millis]] = field(default_factory=lambda: deque(maxlen=WINDOW))
     own_weight: float = 0.0
+    own_mean: Millis = 0.0
     own_at: Millis = 0.0
     peer_weight: float = 0.0
     peer_mean: Millis = 0.0
     peer_at: Millis = 0.0
 
     def own(self, now: Millis) -> tuple[float, Millis]:
-        """Return weight and median of the own samples."""
-        if not self.pauses:
-            return 0.0, 0.0
-        return _decayed(self.own_weight, now - self.own_at), median(p for _, p in self.pauses)
+        """Return weight and mean of the own samples."""
+        return _decayed(self.own_weight, now - self.own_at), self.own_mean
+
+    def add(self, pause: Millis, now: Millis) -> None:
+        """Add an own sample."""
+        self.pauses.append((now, pause))
+        usual = self.median()
+        bounded = min(max(pause, usual / SAMPLE_RATIO), usual * SAMPLE_RATIO)
+        self.own_weight = _decayed(self.own_weight, now - self.own_at) + 1.0
+        self.own_mean += (bounded - self.own_mean) / self.own_weight
+        self.own_at = now
+
+    def median(self) -> Millis:
+        """Return the median of the last own samples, of which there is at least one."""
+        return median(pause for _, pause in self.pauses)
+
+    def is_recent(self, now: Millis) -> bool:
+        """Whether the majority of the last own samples is recent."""
+        if len(self.pauses) < RECENT_SAMPLES:
+            return False
+        return now - self.pauses[-RECENT_SAMPLES][0] <= RECENT
 
     def combined(self, now: Millis) -> tuple[float, Millis]:
         """Return weight and mean pause of own and reported samples."""
         own_weight, own = self.own(now)
-        recent = len(self.pauses) >= RECENT_SAMPLES and now - self.pauses[-4][0] <= RECENT
-        if recent:
-            return max(own_weight, float(RECENT_SAMPLES)), own
         peer_weight = _decayed(self.peer_weight, now - self.peer_at)
         weight = own_weight + peer_weight
         if weight <= 0.0:
@@ -90,9 +111,7 @@
         estimate = self._estimates.get(identity)
         if estimate is None:
             estimate = self._estimates[identity] = _Estimate(service=service)
-        estimate.pauses.append((now, min(max(pause, 0.1), MAX_PAUSE)))
-        estimate.own_weight = _decayed(estimate.own_weight, now - estimate.own_at) + 1.0
-        estimate.own_at = now
+        estimate.add(min(max(pause, 0.1), MAX_PAUSE), now)
         mean = self._means.get(service)
         if mean:
             self._relative[identity] = _relative(estimate, mean, now)
@@ -159,15 +178,22 @@
             mean = self._means.get(service)
             if not mean:
                 continue
-            relative = self._relative[identity] = _relative(estimate, mean, now)
-            if estimate.combined(now)[0] >= MIN_CERTAIN_SAMPLES:
-                slowest[service] = max(slowest.get(service, 0.0), relative)
-                fastest[service] = min(fastest.get(service, MAX_RELATIVE), relative)
+            self._relative[identity] = _relative(estimate, mean, now)
+            weight, pause = estimate.combined(now)
+            relative = (weight * pause / mean + UNIFORM_PRIOR_SAMPLES) / (
+                weight + UNIFORM_PRIOR_SAMPLES
+            )
+            if estimate.is_recent(now) and estimate.median() > RECENT_RATIO * mean:
+                relative = RECENT_RATIO
+            slowest[service] = max(slowest.get(service, 0.0), relative)
+            fastest[service] = min(fastest.get(service, MAX_RELATIVE), relative)
         self._uniform = {each: slowest[each] <= fastest[each] * UNIFORM_RATIO for each in slowest}
 
 
 def _relative(estimate: _Estimate, mean: Millis, now: Millis) -> float:
     weight, pause = estimate.combined(now)
+    if estimate.is_recent(now):
+        weight, pause = max(weight, float(RECENT_SAMPLES)), estimate.median()
     found = (weight * pause / mean + PRIOR_SAMPLES) / (weight + PRIOR_SAMPLES)
     return min(max(found, MIN_RELATIVE), MAX_RELATIVE)
 
