--- a/packages/core/src/carobspool_core/upstream_pace/_choice.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_choice.py
@@ -152,7 +152,7 @@
             time = expected(upstream, load, wanted) + draw.random() * JITTER
             if upstream.failure_domain != self._failure_domain:
                 time += OTHER_DOMAIN_TIME
-            if upstream.identity in suspects:
+            if suspects and upstream.identity in suspects:
                 time += SUSPECT_TIME
             if time < best_time:
                 best = upstream
--- a/packages/core/src/carobspool_core/upstream_pace/_demand.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_demand.py
@@ -39,7 +39,10 @@
     @property
     def shared_tokens(self) -> int:
         """Tokens in parts that other requests may share."""
-        return sum(tokens for _, tokens in self.parts[:-1])
+        total = 0
+        for _, tokens in self.parts[:-1]:
+            total += tokens
+        return total
 
     @property
     def total_tokens(self) -> int:
--- a/packages/core/src/carobspool_core/upstream_pace/_estimates.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_estimates.py
@@ -70,7 +70,7 @@
         """Add to a request its shared prefixes and where they are kept, if they are long enough."""
         if wanted.prefixes or not upstreams or wanted.demand is None:
             return
-        if not counts_parts(wanted.demand):
+        if wanted.demand.shared_tokens < MIN_SHARED_TOKENS:
             return
         wanted.prefixes = wanted.demand.prefixes()
         wanted.kept = self.parts.kept_tokens(
--- a/packages/core/src/carobspool_core/upstream_pace/_paces.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_paces.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Mapping
 from statistics import median
 
 from msgspec import Struct, field
@@ -90,22 +89,22 @@
 
 
 class Paces:
-    """Pace estimates by identity of the upstream. Not thread-safe; callers pass in the time."""
+    """Pace estimates by identity of the upstream. Not thread-safe; callers pass in the time.
 
-    __slots__ = ("_estimates", "_means", "_refreshed_at", "_relative", "_uniform")
+    Attributes:
+        relative: Pause of each upstream by the mean of its service; above 1 is slow, and an absent
+            upstream is average. A plain attribute, since each choice reads it several times.
+    """
+
+    __slots__ = ("_estimates", "_means", "_refreshed_at", "_uniform", "relative")
 
     def __init__(self) -> None:
         self._estimates: dict[str, _Estimate] = {}
         self._means: dict[str, Millis] = {}
-        self._relative: dict[str, float] = {}
+        self.relative: dict[str, float] = {}
         self._uniform: dict[str, bool] = {}
         self._refreshed_at: Millis = float("-inf")
 
-    @property
-    def relative(self) -> Mapping[str, float]:
-        """Pause of each upstream by the mean of its service; above 1 is slow, absent is average."""
-        return self._relative
-
     def add_sample(self, identity: str, service: str, pause: Millis, now: Millis) -> None:
         """Add one pause between two events that this entry received."""
         estimate = self._estimates.get(identity)
@@ -114,7 +113,7 @@
         estimate.add(min(max(pause, 0.1), MAX_PAUSE), now)
         mean = self._means.get(service)
         if mean:
-            self._relative[identity] = _relative(estimate, mean, now)
+            self.relative[identity] = _relative(estimate, mean, now)
 
     def merge(self, identity: str, service: str, pause: Millis, samples: int, now: Millis) -> None:
         """Add the estimate of a peer."""
@@ -166,11 +165,11 @@
         """Drop all other upstreams; return the number of upstreams with an estimate."""
         for identity in self._estimates.keys() - identities:
             del self._estimates[identity]
-            self._relative.pop(identity, None)
+            self.relative.pop(identity, None)
         return len(self._estimates)
 
     def _set_relative(self, now: Millis) -> None:
-        self._relative = {}
+        self.relative = {}
         slowest: dict[str, float] = {}
         fastest: dict[str, float] = {}
         for identity, estimate in self._estimates.items():
@@ -178,7 +177,7 @@
             mean = self._means.get(service)
             if not mean:
                 continue
-            self._relative[identity] = _relative(estimate, mean, now)
+            self.relative[identity] = _relative(estimate, mean, now)
             weight, pause = estimate.combined(now)
             relative = (weight * pause / mean + UNIFORM_PRIOR_SAMPLES) / (
                 weight + UNIFORM_PRIOR_SAMPLES
--- a/packages/core/src/carobspool_core/upstream_pace/_prompt_parts.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_prompt_parts.py
@@ -95,7 +95,9 @@
                 identity = home.identity
                 if now - self._first_seen.get(identity, now) < NEW_TIME:
                     certainty = NEW_CERTAINTY
-                found[identity] = max(found.get(identity, 0.0), tokens * certainty)
+                expected = tokens * certainty
+                if expected > found.get(identity, 0.0):
+                    found[identity] = expected
             for identity, placed in self._kept.get(key, {}).items():
                 if self._is_kept(identity, placed, capacity, now):
                     found[identity] = float(tokens)
