--- a/packages/node/tests/test_upstream_pace.py
+++ b/packages/node/tests/test_upstream_pace.py
@@ -5,6 +5,8 @@
 import logging
 import random
 import struct
+from dataclasses import replace
+from functools import partial
 
 import cbor2
 import pytest
@@ -142,6 +144,25 @@
     )
 
 
+def test_the_own_domain_comes_first_only_while_it_is_preferred() -> None:
+    """Guards against a preference that is in force without being asked for, or is lost with it."""
+    clock = _Clock()
+    pool = [
+        replace(_upstream(f"e-{number}"), failure_domain="zy"[number % 2]) for number in range(12)
+    ]
+    for prefers, domains in ((True, {"z"}), (False, {"z", "y"})):
+        table = LoadTable(clock, "z", name="e", prefers_own_domain=partial(bool, prefers))
+        chosen = [table.place_online(pool, target_latency=300.0, is_retry=False) for _ in range(12)]
+        assert {each.upstream.failure_domain for each in chosen if each is not None} == domains
+
+
+def test_a_reader_ignores_unknown_fields_and_the_absence_of_paces() -> None:
+    """Guards against entries of two builds that reject each other's announcements."""
+    fields = {"n": "e", "i": "x", "a": ["127.0.0.1", 1], "e": {}, "v": {}, "x": False, "s": True}
+    assert read_record(Announcement, fields).packed_paces == b""
+    assert read_record(Announcement, fields | {"later": 1, "m": b"12345678"}).packed_paces
+
+
 def test_one_choice_in_fifty_is_logged_with_its_reason(caplog: pytest.LogCaptureFixture) -> None:
     """Guards against a log that floods, or that doesn't tell why an upstream was chosen."""
     clock = _Clock()
