Prompt parts: a part that an entry has not seen goes to the first upstream of its hash

The three upstreams of the hash counted nearly the same for every part, so the few requests with a rare part were spread over three engines.

--- a/packages/core/src/carobspool_core/upstream_pace/_prompt_parts.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_prompt_parts.py
@@ -22,9 +22,12 @@
 KEPT_TIME: Millis = 30_000.0
 """Longest time for which a part counts as kept where nothing shows that it was evicted."""
 CERTAINTY_BY_RANK = (0.95, 0.8, 0.6)
-"""Share of a part's tokens that counts as kept at the upstreams of its hash if this entry has not
-sent it there for long: another entry may have done so. The later ones are less likely to have it,
-and a request that finds the first one busy prefers them, so that a hot part spreads there."""
+"""Share of a part's tokens that counts as kept at the upstreams of its hash if this entry has sent
+it elsewhere: other entries have probably done so too, and a part that finds its first upstream busy
+spreads to the next ones."""
+FIRST_CERTAINTY_BY_RANK = (0.95, 0.3, 0.1)
+"""The same for a part that this entry has not seen: it is probably rare, and only the first
+upstream has it. Nearly equal shares would send the few requests with it to three upstreams."""
 NEW_TIME: Millis = 5_000.0
 """Time for which the parts of its hash count as unread at an upstream that has appeared or started
 again. Each hot part is sent there several times a second, so it has read them by then."""
@@ -90,15 +93,19 @@
         """
         found: dict[str, float] = {}
         for key, tokens in prefixes:
+            holders = self._kept.get(key)
+            shares = FIRST_CERTAINTY_BY_RANK if holders is None else CERTAINTY_BY_RANK
             homes = self.homes(key, upstreams, now)
-            for home, certainty in zip(homes, CERTAINTY_BY_RANK, strict=False):
+            for home, certainty in zip(homes, shares, strict=False):
                 identity = home.identity
                 if now - self._first_seen.get(identity, now) < NEW_TIME:
                     certainty = NEW_CERTAINTY
                 expected = tokens * certainty
                 if expected > found.get(identity, 0.0):
                     found[identity] = expected
-            for identity, placed in self._kept.get(key, {}).items():
+            if holders is None:
+                continue
+            for identity, placed in holders.items():
                 if self._is_kept(identity, placed, capacity, now):
                     found[identity] = float(tokens)
         return found
