Online queue: a common draw for free slots

Cause: independent draws let several entries start requests at one free slot.

Change: entries draw the same winner by a hash of the slot and the entry, in proportion to the numbers of reported requests; an entry takes part once its requests are probably reported. Starts of this entry do not count as unseen starts of others, so a single entry fills all slots at once.

--- a/packages/core/src/carobspool_core/online_queue/_fleet_waiting.py
+++ b/packages/core/src/carobspool_core/online_queue/_fleet_waiting.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 
 from msgspec import Struct
+from xxhash import xxh3_64_intdigest
 
 from carobspool_core._clock import Millis
 from carobspool_core.online_queue._entry_queue import WaitingClass
@@ -17,6 +19,10 @@
 """How long a report counts. Every entry reports at least twice a second."""
 
 
+_MIX = 0x9E3779B97F4A7C15
+_MASK = 2**64 - 1
+
+
 class _Report(Struct, frozen=True):
     received: Millis
     counts: Mapping[WaitingClass, int]
@@ -29,6 +35,8 @@
         # Ordered by time of receipt, the oldest report first.
         self._reports: dict[str, _Report] = {}
         self._totals: dict[WaitingClass, int] = {}
+        self._by_class: dict[WaitingClass, dict[str, int]] = {}
+        self._hashes: dict[str, int] = {}
 
     def __len__(self) -> int:
         """Return the number of peers with waiting requests."""
@@ -38,10 +46,12 @@
         """Replace the report of a peer; return whether fewer of its requests wait than before."""
         previous = self._reports.pop(peer, None)
         before: Mapping[WaitingClass, int] = {} if previous is None else previous.counts
-        self._add(before, -1)
+        self._remove(peer, before)
         if counts:
             self._reports[peer] = _Report(now, counts)
-            self._add(counts, 1)
+            for key, count in counts.items():
+                self._totals[key] = self._totals.get(key, 0) + count
+                self._by_class.setdefault(key, {})[peer] = count
         return sum(counts.values()) < sum(before.values())
 
     def expire(self, now: Millis) -> None:
@@ -50,7 +60,7 @@
             peer, report = next(iter(self._reports.items()))
             if now - report.received <= REPORT_TTL:
                 return
-            self._add(self._reports.pop(peer).counts, -1)
+            self._remove(peer, self._reports.pop(peer).counts)
 
     def ahead(self, waiting: WaitingClass) -> int:
         """Return the number of requests in more urgent classes."""
@@ -70,10 +80,36 @@
             return now - report.received
         return 0.0
 
-    def _add(self, counts: Mapping[WaitingClass, int], sign: int) -> None:
+    def is_drawn(self, slot: str, waiting: WaitingClass, own: str, count: int) -> bool:
+        """Return whether a slot is drawn for this entry among those that wait in a class.
+
+        All entries draw the same winner, by a hash of the slot and the entry, with a chance in
+        proportion to the numbers of waiting requests.
+
+        Args:
+            slot: Name of the slot.
+            waiting: Class of this entry's request.
+            own: Name of this entry.
+            count: Number of requests of the class that wait here.
+        """
+        key = xxh3_64_intdigest(slot.encode())
+        score = self._score(key, own, count)
+        for peer, theirs in self._by_class.get(waiting, {}).items():
+            if self._score(key, peer, theirs) < score:
+                return False
+        return True
+
+    def _score(self, slot: int, entry: str, count: int) -> float:
+        hashed = self._hashes.get(entry)
+        if hashed is None:
+            hashed = self._hashes[entry] = xxh3_64_intdigest(entry.encode())
+        mixed = (slot ^ hashed) * _MIX & _MASK
+        mixed = (mixed ^ (mixed >> 29)) * _MIX & _MASK
+        return -math.log(((mixed >> 11) + 0.5) / 2**53) / count
+
+    def _remove(self, peer: str, counts: Mapping[WaitingClass, int]) -> None:
         for key, count in counts.items():
-            total = self._totals.get(key, 0) + sign * count
-            if total > 0:
-                self._totals[key] = total
-            else:
-                self._totals.pop(key, None)
+            self._totals[key] -= count
+            del self._by_class[key][peer]
+            if not self._by_class[key]:
+                del self._by_class[key], self._totals[key]
--- a/packages/core/src/carobspool_core/online_queue/_free_slots.py
+++ b/packages/core/src/carobspool_core/online_queue/_free_slots.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from random import Random
 
 from msgspec import Struct
@@ -90,11 +90,15 @@
         self._is_scarce = False
         self._scarcity_changed_at: Millis = float("-inf")
         self._left_by_own: set[str] = set()
+        # Requests of this entry that have started less those that have ended.
+        self._own_balance = 0
+        # Free slots as they would be if no request of this entry had started or ended.
         self._history: deque[tuple[Millis, int]] = deque()
 
     def own_request_ended(self, identity: str) -> None:
         """Record that a request of this entry is about to leave its slot at an upstream."""
         self._left_by_own.add(identity)
+        self._own_balance -= 1
 
     def observe(self, free: Mapping[str, int], total_slots: int, now: Millis) -> None:
         """Record how many slots are free at each upstream, by its identity, and all slots."""
@@ -111,13 +115,20 @@
         is_scarce = self._free < total_slots * SCARCE_SHARE
         if is_scarce != self._is_scarce:
             self._is_scarce, self._scarcity_changed_at = is_scarce, now
-        self._history.append((now, self._free))
+        self._history.append((now, self._free + self._own_balance))
         while now - self._history[0][0] > TREND_TIME:
             self._history.popleft()
 
-    def usable(self, competition: Competition, now: Millis) -> frozenset[str] | None:
+    def usable(
+        self, competition: Competition, now: Millis, is_drawn: Callable[[str], bool]
+    ) -> frozenset[str] | None:
         """Return the upstreams that the first request of this entry may use.
 
+        Args:
+            competition: The requests that compete for the slots.
+            now: Current time.
+            is_drawn: Returns whether a free slot at an upstream is drawn for this entry.
+
         Returns:
             Identities of upstreams, ``None`` for all of them.
         """
@@ -135,10 +146,14 @@
         ]
         by_age.sort(key=lambda each: each[0])
         found = set()
+        ends = competition.ahead + competition.equal + competition.own
         for index, (since, identity, slot) in enumerate(by_age[:MAX_CONSIDERED]):
             age = now - max(since, self._scarcity_changed_at)
             if slot.drawn < _chance(slot, index, age, competition):
                 found.add(identity)
+                continue
+            if competition.ahead <= index < ends and is_drawn(identity):
+                found.add(identity)
         return frozenset(found)
 
     def take(self, identity: str) -> None:
@@ -147,6 +162,7 @@
         if slots:
             slots.remove(min(slots, key=lambda slot: slot.drawn))
             self._free -= 1
+        self._own_balance += 1
 
     def _adjust(self, identity: str, slots: list[_FreeSlot], count: int, now: Millis) -> None:
         while len(slots) > count:
@@ -160,7 +176,7 @@
         """Return how many of the free slots are probably taken by starts not yet reported."""
         since, free = self._history[0]
         span = max(HINT_AGE, now - since)
-        return max(0.0, (free - self._free) / span * HINT_AGE)
+        return max(0.0, (free - self._free - self._own_balance) / span * HINT_AGE)
 
 
 def _chance(slot: _FreeSlot, index: int, age: Millis, competition: Competition) -> float:
@@ -172,9 +188,8 @@
         age: How long the slot has been free.
         competition: The requests that compete for it.
     """
-    ahead = competition.ahead + (0.0 if slot.is_own else competition.unseen_ahead)
-    chance = competition.share
-    if index < ahead:
+    chance = 0.0
+    if index < competition.ahead:
         chance = competition.share / STARTS_PER_TURN
     elif slot.is_own:
         chance = competition.own * (1 + competition.peers) / (competition.own + competition.equal)
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -157,8 +157,10 @@
         self._queue: OnlineQueue[Placement] = OnlineQueue(
             self._clock,
             self._telemetry,
+            name=settings.node,
             room=lambda service: self._queued.room(service),
             sharers=self._group_assignment.group_members,
+            entries=self._count_sharers,
             on_change=self._peers.schedule_load_hint,
         )
         self._queued = QueuedRequests(
@@ -333,6 +335,11 @@
             listener.start()
         return callers
 
+    def _count_sharers(self) -> int:
+        """Return the number of entries that use the same upstreams, this one included."""
+        members = self._group_assignment.group_members()
+        return 1 + len(self._peers.members()) if members is None else len(members)
+
     def _start_queue(self) -> None:
         if self._settings.online_queue == "off":
             return
--- a/packages/node/src/carobspool_node/online_queue/_queue.py
+++ b/packages/node/src/carobspool_node/online_queue/_queue.py
@@ -23,6 +23,8 @@
 TICK_S = 0.02
 """Time between two checks while requests wait: a third of the time for which a slot is held."""
 IDLE_TICK_S = 1.0
+ENTRIES_COUNT_INTERVAL: Millis = 1_000.0
+"""Shortest time between two counts of the entries; they change when one starts or ends."""
 MAX_TOKEN_WAIT: Millis = 5_000.0
 """Longest time ahead for which tokens are promised to callers over a limit. Callers that do not
 return would otherwise delay the later ones more and more."""
@@ -38,9 +40,11 @@
     Args:
         clock: The process's clock.
         telemetry: Counters and histograms.
+        name: Name of this entry.
         room: Returns, for a service, how many more online requests each upstream takes, by its
             identity, and the slots of all its upstreams.
         sharers: Returns the peers that use the same upstreams, ``None`` for all peers.
+        entries: Returns the number of entries that use the same upstreams, this one included.
         on_change: Called when the number of waiting requests has changed.
         draw: Random numbers.
     """
@@ -50,15 +54,21 @@
         clock: Clock,
         telemetry: QueueTelemetry,
         *,
+        name: str,
         room: Callable[[str], tuple[Mapping[str, int], int]],
         sharers: Callable[[], frozenset[str] | None] = lambda: None,
+        entries: Callable[[], int] = lambda: 1,
         on_change: Callable[[], None] = lambda: None,
         draw: Random | None = None,
     ) -> None:
         self._clock = clock
+        self._name = name
         self._log = QueueLog(telemetry)
         self._room = room
         self._sharers = sharers
+        self._entries = entries
+        self._entry_count = 1
+        self._entries_counted_at: Millis = float("-inf")
         self._on_change = on_change
         self._draw = draw or Random()
         self._lock = threading.Lock()
@@ -134,9 +144,8 @@
 
     def request_ends(self, service: str, identity: str) -> None:
         """Record that a request of this entry is about to leave its slot at an upstream."""
-        if self._waiting:
-            with self._lock:
-                self._service(service).own_request_ended(identity)
+        with self._lock:
+            self._service(service).own_request_ended(identity)
 
     def record_first_event(self, service: str, duration: Millis) -> None:
         """Record how long a request took from its placement to its first event or its answer."""
@@ -204,7 +213,7 @@
             self._peers.expire(now)
             changed = False
             for name, service in self._services.items():
-                service.observe(*self._room(name), now)
+                self._observe(service, name, now)
                 changed = self._pass(service, now) or changed
         if changed:
             self._on_change()
@@ -244,7 +253,7 @@
         self._peers.expire(now)
         rank = request.rank()
         service = self._service(request.service)
-        service.observe(*self._room(request.service), now)
+        self._observe(service, request.service, now)
         placement = service.place_at_once(request, rank, now)
         if placement is not None:
             self._log.placed_at_once()
@@ -266,6 +275,13 @@
                 self._forget(started)
         return ticket
 
+    def _observe(self, service: ServiceQueue[P], name: str, now: Millis) -> None:
+        if now - self._entries_counted_at > ENTRIES_COUNT_INTERVAL:
+            self._entries_counted_at = now
+            self._entry_count = self._entries()
+        service.entries = self._entry_count
+        service.observe(*self._room(name), now)
+
     def _evict_surplus(self, now: Millis) -> None:
         while len(self._waiting) > MAX_WAITING or self._body_bytes > MAX_BODY_BYTES:
             fullest = max(self._services.values(), key=lambda each: each.queue.least_urgent())
@@ -277,7 +293,7 @@
     def _service(self, name: str) -> ServiceQueue[P]:
         service = self._services.get(name)
         if service is None:
-            service = self._services[name] = ServiceQueue(self._peers, self._draw)
+            service = self._services[name] = ServiceQueue(self._name, self._peers, self._draw)
         return service
 
     def _end(self, ticket: Ticket[P], refusal: QueueRefusedError | None) -> None:
--- a/packages/node/src/carobspool_node/online_queue/_service_queue.py
+++ b/packages/node/src/carobspool_node/online_queue/_service_queue.py
@@ -22,6 +22,9 @@
 )
 from carobspool_node.online_queue._requests import P, QueueRefusedError, Ticket, WaitingRequest
 
+REPORT_AGE: Millis = 50.0
+"""How long requests of a class must wait before this entry takes part in common draws: until then
+the peers do not know of them and may draw one of their own for the same slot."""
 RUN_TIME_MARGIN = 0.8
 """Fraction of the mean run that must be left before the deadline for a start. Runs of one service
 differ by some 20 percent, and a run that is cut off has occupied its slot for nothing."""
@@ -31,11 +34,13 @@
     """The requests that wait for one service. Not thread-safe.
 
     Args:
+        name: Name of this entry.
         peers: Requests that wait at the other entries.
         draw: Random numbers.
     """
 
-    def __init__(self, peers: FleetWaiting, draw: Random) -> None:
+    def __init__(self, name: str, peers: FleetWaiting, draw: Random) -> None:
+        self._name = name
         self._peers = peers
         self._draw = draw
         self._free = FreeSlots(draw)
@@ -43,6 +48,7 @@
         self._tickets: dict[int, Ticket[P]] = {}
         self._continued: dict[int, Ticket[P]] = {}
         self._slots = 0
+        self._waiting_since: dict[tuple[int, int], Millis] = {}
         self._arrivals = ArrivalRates()
         self.entries = 1
         self.queue = EntryQueue()
@@ -69,7 +75,7 @@
             return request.place(None)
         if len(self.queue):
             return None
-        return self._place(request, self._competition((rank, 0), 1, now), now)
+        return self._place(request, (rank, 0), 1, now)
 
     def add(self, ticket: Ticket[P], now: Millis) -> None:
         """Queue a request, or record why it is refused instead."""
@@ -109,6 +115,7 @@
 
     def start_next(self, now: Millis) -> list[Ticket[P]]:
         """Place the requests that may start now and return them."""
+        self._note_waiting(now)
         started = []
         for ticket in list(self._continued.values()):
             placement = ticket.request.place(None)
@@ -122,7 +129,7 @@
             counts = self.queue.counts()
             own = min(counts)
             ticket = self._tickets[request.number]
-            placement = self._place(ticket.request, self._competition(own, counts[own], now), now)
+            placement = self._place(ticket.request, own, counts[own], now)
             if placement is None:
                 break
             self.queue.start(request)
@@ -162,8 +169,23 @@
             ticket.rank = rank
             self.queue.add(self._queued(ticket), now)
 
-    def _place(self, request: WaitingRequest[P], competition: Competition, now: Millis) -> P | None:
-        usable = self._free.usable(competition, now)
+    def _place(
+        self, request: WaitingRequest[P], own: tuple[int, int], count: int, now: Millis
+    ) -> P | None:
+        """Place a request at a slot that this entry may use for its class.
+
+        Args:
+            request: The request.
+            own: The most urgent class that waits here.
+            count: Number of requests of this class that wait here.
+            now: Current time.
+        """
+        usable = self._free.usable(
+            self._competition(own, count, now),
+            now,
+            lambda identity: self._is_reported(own, now)
+            and self._peers.is_drawn(identity, own, self._name, count),
+        )
         if usable is not None and not usable:
             return None
         placement = request.place(usable)
@@ -171,6 +193,16 @@
             self._free.take(placement.upstream.identity)
         return placement
 
+    def _note_waiting(self, now: Millis) -> None:
+        """Record since when requests of each class have waited."""
+        self._waiting_since = {
+            key: self._waiting_since.get(key, now) for key in self.queue.counts()
+        }
+
+    def _is_reported(self, waiting: tuple[int, int], now: Millis) -> bool:
+        """Return whether the peers probably know that requests of a class wait here."""
+        return now - self._waiting_since.get(waiting, now) >= REPORT_AGE
+
     def _queued(self, ticket: Ticket[P]) -> QueuedRequest:
         request = ticket.request
         return QueuedRequest(
--- a/packages/node/tests/online_queue_model.py
+++ b/packages/node/tests/online_queue_model.py
@@ -94,7 +94,7 @@
         self.loads = FleetLoads()
         self.own: Counter[str] = Counter()
         self.peers = FleetWaiting()
-        self.queue: ServiceQueue[Placed] = ServiceQueue(self.peers, draw)
+        self.queue: ServiceQueue[Placed] = ServiceQueue(name, self.peers, draw)
         self.tickets: dict[int, tuple[Ticket[Placed], Call]] = {}
         self.is_hint_due = False
 
@@ -138,7 +138,7 @@
         if self.now > self.plan.length or self.draw.random() * top > self.plan.rate(self.now):
             return
         organisation, rank = self.plan.organisation(self.draw, self.now)
-        call = Call(self.now, organisation, rank, self.plan.run * self.draw.uniform(0.85, 1.15))
+        call = Call(self.now, organisation, rank, self.plan.run * self.draw.uniform(0.6, 1.4))
         self.calls.append(call)
         entry = self.draw.choice(self._entries)
         if self._is_frozen(entry):
