--- a/packages/core/src/carobspool_core/online_queue/_entry_queue.py
+++ b/packages/core/src/carobspool_core/online_queue/_entry_queue.py
@@ -22,7 +22,8 @@
 served slowly under a long overload, but their requests do not all reach their deadlines."""
 MAX_WAITING = 256
 """Waiting requests of one process. Each occupies a thread of the 400 that serve callers."""
-_BOUNDS = QueueBounds(total=2 * MAX_WAITING, per_caller=2 * MAX_WAITING)
+_BOUNDS = QueueBounds(total=4_096, per_caller=4_096)
+"""Far above `MAX_WAITING`, which the adapter enforces over all services."""
 
 RETURNED, ON_TIME, LATE = 0, 1, 2
 
--- a/packages/core/src/carobspool_core/online_queue/_fleet_waiting.py
+++ b/packages/core/src/carobspool_core/online_queue/_fleet_waiting.py
@@ -19,8 +19,9 @@
 """How long a report counts. Every entry reports at least twice a second."""
 
 
-_MIX = 0x9E3779B97F4A7C15
-_MASK = 2**64 - 1
+MAX_DRAWS = 512
+"""Upstreams whose draws are kept; an entry uses some 60."""
+MIN_DRAW = 1e-12
 
 
 class _Report(Struct, frozen=True):
@@ -36,7 +37,8 @@
         self._reports: dict[str, _Report] = {}
         self._totals: dict[WaitingClass, int] = {}
         self._by_class: dict[WaitingClass, dict[str, int]] = {}
-        self._hashes: dict[str, int] = {}
+        # Computed once, since each free slot compares the draws of all entries that wait.
+        self._draws: dict[str, dict[str, float]] = {}
 
     def __len__(self) -> int:
         """Return the number of peers with waiting requests."""
@@ -92,20 +94,28 @@
             own: Name of this entry.
             count: Number of requests of the class that wait here.
         """
-        key = xxh3_64_intdigest(slot.encode())
-        score = self._score(key, own, count)
-        for peer, theirs in self._by_class.get(waiting, {}).items():
-            if self._score(key, peer, theirs) < score:
+        theirs = self._by_class.get(waiting)
+        if not theirs:
+            return True
+        draws = self._draws.get(slot)
+        if draws is None:
+            if len(self._draws) >= MAX_DRAWS:
+                self._draws.clear()
+            draws = self._draws[slot] = {}
+        score = self._draw(draws, slot, own) / count
+        for peer, number in theirs.items():
+            drawn = draws.get(peer) or self._draw(draws, slot, peer)
+            if drawn < score * number:
                 return False
         return True
 
-    def _score(self, slot: int, entry: str, count: int) -> float:
-        hashed = self._hashes.get(entry)
-        if hashed is None:
-            hashed = self._hashes[entry] = xxh3_64_intdigest(entry.encode())
-        mixed = (slot ^ hashed) * _MIX & _MASK
-        mixed = (mixed ^ (mixed >> 29)) * _MIX & _MASK
-        return -math.log(((mixed >> 11) + 0.5) / 2**53) / count
+    def _draw(self, draws: dict[str, float], slot: str, entry: str) -> float:
+        """Return the draw of an entry for a slot: an exponential variable, the lowest wins."""
+        drawn = draws.get(entry)
+        if drawn is None:
+            point = (xxh3_64_intdigest(f"{slot} {entry}".encode()) + 1) / 2**64
+            drawn = draws[entry] = max(MIN_DRAW, -math.log(point))
+        return drawn
 
     def _remove(self, peer: str, counts: Mapping[WaitingClass, int]) -> None:
         for key, count in counts.items():
--- a/packages/core/src/carobspool_core/online_queue/_free_slots.py
+++ b/packages/core/src/carobspool_core/online_queue/_free_slots.py
@@ -152,7 +152,7 @@
             if slot.drawn < _chance(slot, index, age, competition):
                 found.add(identity)
                 continue
-            if competition.ahead <= index < ends and is_drawn(identity):
+            if not found and competition.ahead <= index < ends and is_drawn(identity):
                 found.add(identity)
         return frozenset(found)
 
