--- a/packages/core/src/carobspool_core/online_queue/_entry_queue.py
+++ b/packages/core/src/carobspool_core/online_queue/_entry_queue.py
@@ -61,6 +61,8 @@
         self._ranks: dict[int, tuple[FairQueue[QueuedRequest], ...]] = {}
         self._passed_over: dict[int, int] = {}
         self._requests: dict[int, QueuedRequest] = {}
+        # Requests whose latest start had passed when they were found to be late.
+        self._overdue: list[QueuedRequest] = []
 
     def __len__(self) -> int:
         return len(self._requests)
@@ -94,6 +96,9 @@
         request = self._requests.pop(number, None)
         if request is None:
             return None
+        if request in self._overdue:
+            self._overdue.remove(request)
+            return request
         for group in self._ranks[request.rank]:
             if group.remove(_id(number)) is not None:
                 break
@@ -111,10 +116,6 @@
                 return item.item
         return None
 
-    def class_of(self, request: QueuedRequest) -> WaitingClass:
-        """Return the class in which a request waits."""
-        return request.rank, int(_id(request.number) in self._ranks[request.rank][LATE])
-
     def start(self, request: QueuedRequest) -> None:
         """Remove the request that `first` has returned and count its start."""
         for group in self._ranks[request.rank]:
@@ -131,7 +132,9 @@
     def expire(self, now: Millis) -> list[QueuedRequest]:
         """Remove and return the requests that can no longer end before their deadlines."""
         self._move_late(now)
-        expired = []
+        expired, self._overdue = self._overdue, []
+        for request in expired:
+            del self._requests[request.number]
         for rank, (returned, _, late) in list(self._ranks.items()):
             for item in (*returned.expire(now), *late.expire(now)):
                 del self._requests[item.item.number]
@@ -200,9 +203,13 @@
         ).unwrap()
 
     def _move_late(self, now: Millis) -> None:
-        for _, on_time, _ in list(self._ranks.values()):
+        for rank, (_, on_time, _) in list(self._ranks.items()):
             for item in on_time.expire(now):
+                if item.item.latest_start < now:
+                    self._overdue.append(item.item)
+                    continue
                 self._push(item.item, LATE, now)
+            self._drop_if_empty(rank)
 
     def _next_rank(self) -> int:
         starved = [
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -226,6 +226,8 @@
                 )
                 self._endings.give_up(state, has_upstreams=bool(split.near))
                 return
+            if self._was_quarantined_meanwhile(state, placement):
+                return
             state.tried.add(placement.upstream.identity)
             state.upstream_loads.append(f"{placement.upstream.instance}:{placement.load.total}")
             answered = False
@@ -255,6 +257,16 @@
             has_time_before_exit=lambda: self._has_time_before_exit(state),
         )
 
+    def _was_quarantined_meanwhile(self, state: RequestState, placement: Placement) -> bool:
+        """End a request that was quarantined while it waited; return whether it was."""
+        if not self._queued.in_force:
+            return False
+        if self._isolation.check(state.fingerprint) is not VerdictKind.QUARANTINED:
+            return False
+        self._loads.end_online(placement, completed=False)
+        self._endings.end_quarantined(state)
+        return True
+
     def _place(
         self, state: RequestState, split: UpstreamSplit, queue_places: int | None = None
     ) -> Placement | None:
--- a/packages/node/src/carobspool_node/online_queue/_queue.py
+++ b/packages/node/src/carobspool_node/online_queue/_queue.py
@@ -12,17 +12,19 @@
 from absl import logging
 
 from carobspool_core import Clock, Millis
-from carobspool_core.online_queue import MAX_WAITING, FleetWaiting, ReturnTimes, RunTimes
+from carobspool_core.online_queue import FleetWaiting, ReturnTimes, RunTimes
 from carobspool_node.online_queue._queue_log import QueueLog, QueueTelemetry
 from carobspool_node.online_queue._reports import pack_waiting, unpack_waiting
 from carobspool_node.online_queue._requests import P, QueueRefusedError, Ticket, WaitingRequest
 from carobspool_node.online_queue._service_queue import ServiceQueue
+from carobspool_node.online_queue._waiting_tickets import WaitingTickets
 
-MAX_BODY_BYTES = 8_000_000
-"""Bytes of the bodies of waiting requests in one process."""
 TICK_S = 0.02
 """Time between two checks while requests wait: a third of the time for which a slot is held."""
 IDLE_TICK_S = 1.0
+CHECK_INTERVAL: Millis = 100.0
+"""Time between two checks of each waiting request for an entry that leaves or a service without
+upstreams."""
 ENTRIES_COUNT_INTERVAL: Millis = 1_000.0
 """Shortest time between two counts of the entries; they change when one starts or ends."""
 MAX_TOKEN_WAIT: Millis = 5_000.0
@@ -30,7 +32,7 @@
 return would otherwise delay the later ones more and more."""
 LEAVING_RETRY_AFTER: Millis = 20.0
 """Retry delay when the entry closes: almost none, since the retry reaches another entry."""
-CLOSE_TIMEOUT_S = 0.2
+CLOSE_TIMEOUT_S = 0.1
 """How long the closing entry waits until the refused callers have their answers."""
 
 
@@ -75,11 +77,9 @@
         self._peers = FleetWaiting()
         self._services: dict[str, ServiceQueue[P]] = {}
         self._numbers = itertools.count(1)
-        self._waiting: dict[int, Ticket[P]] = {}
-        self._body_bytes = 0
-        self._unanswered = 0
+        self._waiting: WaitingTickets[P] = WaitingTickets(self._lock)
+        self._checked_at: Millis = float("-inf")
         self._returns: dict[str, ReturnTimes] = {}
-        self._answered = threading.Condition(self._lock)
         self._closed = False
         self._wake = threading.Event()
 
@@ -102,6 +102,7 @@
         if not isinstance(found, Ticket):
             return found
         self._on_change()
+        self._wake.set()
         try:
             while not found.ended:
                 found.wait(request.deadline - self._clock.now())
@@ -117,7 +118,7 @@
         """Record that the caller of a refused request has its answer."""
         if refusal.has_waited:
             with self._lock:
-                self._count_answered()
+                self._waiting.count_answered()
 
     def delay_over_limit(self, organisation: str, *, wait: Millis, per_second: float) -> Millis:
         """Return the Retry-After of a caller whose organisation is over its limit.
@@ -185,7 +186,7 @@
         """Apply a changed configuration to the requests that wait."""
         with self._lock:
             now = self._clock.now()
-            for ticket in list(self._waiting.values()):
+            for ticket in self._waiting.all():
                 refusal = None
                 if not ticket.request.may_have_run:
                     refusal = ticket.request.refusal_by_configuration()
@@ -202,16 +203,16 @@
         """Refuse all waiting and new requests, and wait until the waiting ones are answered."""
         with self._lock:
             self._closed = True
-            for ticket in list(self._waiting.values()):
+            for ticket in self._waiting.all():
                 self._end(ticket, _leaving())
-            self._answered.wait_for(lambda: self._unanswered == 0, CLOSE_TIMEOUT_S)
+            self._waiting.wait_answered(CLOSE_TIMEOUT_S)
 
     def start_waiting(self) -> None:
         """Start the waiting requests that may start now, and refuse those that cannot wait."""
         with self._lock:
             now = self._clock.now()
             self._peers.expire(now)
-            changed = False
+            changed = self._end_unservable(now)
             for name, service in self._services.items():
                 self._observe(service, name, now)
                 changed = self._pass(service, now) or changed
@@ -233,18 +234,23 @@
                 logging.exception("event=queue_failed")
 
     def _pass(self, service: ServiceQueue[P], now: Millis) -> bool:
-        ended = service.end_expired(now)
-        for ticket in service.tickets:
-            refusal = None if ticket.request.may_have_run else ticket.request.refusal()
-            if refusal is not None:
-                service.remove(ticket)
-                ticket.end(refused=refusal)
-                ended.append(ticket)
-        ended += service.start_next(now)
+        ended = service.end_expired(now) + service.start_next(now)
         for ticket in ended:
-            self._forget(ticket)
+            self._waiting.remove(ticket)
         return bool(ended)
 
+    def _end_unservable(self, now: Millis) -> bool:
+        """Refuse requests that cannot wait any longer; return whether there were any."""
+        if now - self._checked_at < CHECK_INTERVAL:
+            return False
+        self._checked_at = now
+        before = len(self._waiting)
+        for ticket in self._waiting.all():
+            refusal = None if ticket.request.may_have_run else ticket.request.refusal()
+            if refusal is not None:
+                self._end(ticket, refusal)
+        return len(self._waiting) < before
+
     def _place_or_queue(self, request: WaitingRequest[P]) -> P | Ticket[P] | None:
         """Place a request at once, or queue it and return its ticket."""
         if self._closed and not request.may_have_run:
@@ -265,14 +271,12 @@
             self._log.refused(ticket, refusal, now, self._peers.oldest_age(now))
             raise
         ticket.prepare_wait()
-        self._waiting[ticket.number] = ticket
-        self._unanswered += 1
-        self._body_bytes += request.body_bytes
+        self._waiting.add(ticket)
         self._evict_surplus(now)
         self._log.queued(ticket, len(service.queue), self._peers.oldest_age(now))
         if not ticket.ended:
             for started in service.start_next(now):
-                self._forget(started)
+                self._waiting.remove(started)
         return ticket
 
     def _observe(self, service: ServiceQueue[P], name: str, now: Millis) -> None:
@@ -283,12 +287,12 @@
         service.observe(*self._room(name), now)
 
     def _evict_surplus(self, now: Millis) -> None:
-        while len(self._waiting) > MAX_WAITING or self._body_bytes > MAX_BODY_BYTES:
+        while self._waiting.exceed_bounds:
             fullest = max(self._services.values(), key=lambda each: each.queue.least_urgent())
             evicted = fullest.evict(now)
             if evicted is None:
                 return
-            self._forget(evicted)
+            self._waiting.remove(evicted)
 
     def _service(self, name: str) -> ServiceQueue[P]:
         service = self._services.get(name)
@@ -299,11 +303,7 @@
     def _end(self, ticket: Ticket[P], refusal: QueueRefusedError | None) -> None:
         self._service(ticket.request.service).remove(ticket)
         ticket.end(refused=refusal)
-        self._forget(ticket)
-
-    def _forget(self, ticket: Ticket[P]) -> None:
-        if self._waiting.pop(ticket.number, None) is not None:
-            self._body_bytes -= ticket.request.body_bytes
+        self._waiting.remove(ticket)
 
     def _end_at_deadline(self, ticket: Ticket[P]) -> None:
         now = self._clock.now()
@@ -321,7 +321,7 @@
         with self._lock:
             if not ticket.ended:
                 self._end(ticket, None)
-            self._count_answered()
+            self._waiting.count_answered()
         if ticket.placement is not None:
             ticket.request.release(ticket.placement)
         self._on_change()
@@ -333,15 +333,10 @@
             if ticket.refused is not None:
                 self._log.refused(ticket, ticket.refused, now, age)
                 raise ticket.refused
-            self._count_answered()
+            self._waiting.count_answered()
         self._log.dequeued(ticket, now, age)
         return ticket.placement
 
-    def _count_answered(self) -> None:
-        self._unanswered -= 1
-        if not self._unanswered:
-            self._answered.notify_all()
-
 
 def _leaving() -> QueueRefusedError:
     return QueueRefusedError("this entry is leaving", retry_after=LEAVING_RETRY_AFTER)
