Tests: declare the engine's slots in the tests of head-of-line blocking

Cause: the engine of these tests has 16 slots, but the harness declared no number, so the sidecar used the default of 32. It kept 32 batch streams at the engine, half of them in the engine's own queue, had to preempt twice as many as the test assumes, and sent the second third of the burst into that queue, where it waits in order of arrival. The test therefore did not test admission at full slots as its text says.

The bound is unchanged.

A stall of the engine's step thread of more than about 0.15 s in only the second burst can still fail the test.

--- a/tests/promises/test_head_of_line.py
+++ b/tests/promises/test_head_of_line.py
@@ -15,6 +15,9 @@
 STEP_BASE_MS = 16.0
 STEP_STREAM_MS = 0.4
 ENGINE = {"step_base_ms": STEP_BASE_MS, "step_stream_ms": STEP_STREAM_MS, "slots": SLOTS}
+PLAN = SitePlan(entries=1, engines=1, engine=ENGINE, upstream={"slots": SLOTS})
+"""The declared slots are those of the engine. With the default of 32, the sidecar would start twice
+as many streams as the engine runs, and the rest would wait in the engine's own queue."""
 DECODE_STEP_S = (STEP_BASE_MS + SLOTS * STEP_STREAM_MS) / 1000.0
 ALLOWED_RATIO = 1.25
 REQUESTS = 15
@@ -55,7 +58,7 @@
     Batch streams take all slots, and more of them are queued. Each online request preempts one; the
     preempted items finish later, each with exactly one result.
     """
-    with running_site(tmp_path, SitePlan(entries=1, engines=1, engine=ENGINE)) as site:
+    with running_site(tmp_path, PLAN) as site:
         idle = statistics.median(_first_token_times(site, "idle", pause_s=0.05))
         lines, batch_id = _fill_engine_with_batch(site, 60)
         full = statistics.median(_first_token_times(site, "full", pause_s=0.1))
@@ -67,7 +70,7 @@
 
 def test_a_burst_of_three_times_the_slots(tmp_path: Path) -> None:
     """Batch work delays the first tokens of a burst by at most a quarter and one decode step."""
-    with running_site(tmp_path, SitePlan(entries=1, engines=1, engine=ENGINE)) as site:
+    with running_site(tmp_path, PLAN) as site:
         idle_times = _burst(site, "alone")
         lines, batch_id = _fill_engine_with_batch(site, 60)
         loaded_times = _burst(site, "beside")
