Settings: the deployment's entries ask for the queue, placement by pace and relays

The relay's capacity comes from the host's share of a processor and its cores, two settings, since templates cannot multiply. The test of the templates learns the five settings and which of them only entries use; a new test shows that a file of the previous version leaves all three decisions off.

--- a/packages/node/tests/test_direct_settings.py
+++ b/packages/node/tests/test_direct_settings.py
@@ -29,8 +29,23 @@
     "job_retention_s": 120,
     "first_start": True,
     "metrics_port": 5,
+    "online_queue": "auto",
+    "placement": "auto",
+    "hint_relays": "auto",
+    "processor_share": 0.5,
+    "processor_cores": 3,
     "log_level": "info",
 }
+NEW_SETTINGS = {
+    "online_queue",
+    "placement",
+    "hint_relays",
+    "processor_share",
+    "processor_cores",
+}
+"""Settings that the previous version does not have."""
+ENTRY_SETTINGS = {"callers", "ready"} | NEW_SETTINGS
+"""Settings that only entries use."""
 
 
 def _write(path: Path, **changes: Json) -> Path:
@@ -42,6 +57,17 @@
     settings = load_direct_settings(_write(tmp_path / "s.json")).unwrap()
     assert settings.callers == ("127.0.0.1", 1)
     assert settings.shutdown_limit == 8_000.0
+    assert settings.host_capacity == 1.5
+
+
+def test_new_decisions_are_off_unless_the_settings_ask_for_them(tmp_path: Path) -> None:
+    """A deployment whose settings are of the previous version must be served as before."""
+    earlier = {name: value for name, value in GOOD.items() if name not in NEW_SETTINGS}
+    (tmp_path / "s.json").write_text(json.dumps(earlier))
+    settings = load_direct_settings(tmp_path / "s.json").unwrap()
+    found = (settings.online_queue, settings.placement, settings.hint_relays)
+    assert found == ("off", "slots", "off")
+    assert settings.host_capacity == 0.0
 
 
 @pytest.mark.parametrize(
@@ -54,6 +80,10 @@
         ("log_level", "loud"),
         ("role", "boss"),
         ("first_start", "yes"),
+        ("online_queue", "sometimes"),
+        ("placement", "fastest"),
+        ("hint_relays", "on"),
+        ("processor_cores", 0),
         ("unheard_of", 1),
     ],
 )
@@ -68,7 +98,7 @@
     for name, role in (("entry", "direct-entry"), ("keeper", "keeper")):
         text = (folder / f"{name}.settings.json").read_text()
         keys = {line.split('"')[1] for line in text.splitlines() if line.startswith('  "')}
-        expected = set(GOOD) - (set() if name == "entry" else {"callers", "ready"})
+        expected = set(GOOD) - (set() if name == "entry" else ENTRY_SETTINGS)
         assert keys == expected
         assert f'"role": "{role}"' in text
 
