Online queue: arrivals of more urgent ranks lengthen the predicted wait

Cause: the prediction counted what waits now, but not the requests of more urgent ranks that come during the wait and go first.

Change: the rate of free slots is reduced by the arrivals of more urgent ranks, measured here and taken for all entries, down to the least share of a rank.

--- a/packages/core/src/carobspool_core/online_queue/__init__.py
+++ b/packages/core/src/carobspool_core/online_queue/__init__.py
@@ -26,6 +26,7 @@
     ReturnTimes,
     RunTimes,
     predicted_wait,
+    rate_left,
     retry_after,
 )
 
@@ -49,6 +50,7 @@
     "cost_of",
     "further_places",
     "predicted_wait",
+    "rate_left",
     "queue_in_force",
     "rank_of",
     "retry_after",
--- a/packages/core/src/carobspool_core/online_queue/_wait_estimate.py
+++ b/packages/core/src/carobspool_core/online_queue/_wait_estimate.py
@@ -133,6 +133,20 @@
     return (ahead + 1.0) / free_rate
 
 
+def rate_left(free_rate: float, urgent_rate: float) -> float:
+    """Return the slots that become free for a rank in a millisecond.
+
+    Requests of more urgent ranks that arrive during the wait take their slots first. Without them
+    the prediction was too short for all ranks but the first, whose requests then waited and were
+    late in place of a refusal that leaves time for a retry.
+
+    Args:
+        free_rate: Slots that become free in a millisecond.
+        urgent_rate: Arrivals of more urgent ranks at all entries in a millisecond.
+    """
+    return max(free_rate - urgent_rate, free_rate / STARTS_PER_TURN)
+
+
 class ReturnTimes:
     """Return times given to refused callers. Not thread-safe; callers pass in the time."""
 
--- a/packages/core/tests/test_online_queue.py
+++ b/packages/core/tests/test_online_queue.py
@@ -18,7 +18,9 @@
     QueuedRequest,
     ReturnTimes,
     cost_of,
+    predicted_wait,
     queue_in_force,
+    rate_left,
     retry_after,
 )
 from carobspool_core.organisations import Organisation
@@ -145,6 +147,28 @@
     assert len(set(delays)) == len(delays)
 
 
+def test_arrivals_of_more_urgent_ranks_lengthen_the_predicted_wait() -> None:
+    """A request of a lower rank would wait and be late, in place of a refusal that comes at once.
+
+    The engines free 0.3 slots a millisecond, and the most urgent rank asks for half or all of them.
+    """
+    queue = EntryQueue()
+    for number in range(9):
+        queue.add(_request(number, rank=1), 0.0)
+    waits = [
+        predicted_wait(
+            queue,
+            FleetWaiting(),
+            rank=1,
+            organisation="o",
+            is_retry=False,
+            free_rate=rate_left(0.3, urgent),
+        )
+        for urgent in (0.0, 0.15, 0.3)
+    ]
+    assert waits == pytest.approx([33.3, 66.7, 333.3], rel=0.01)
+
+
 def test_the_queue_is_in_force_only_where_it_is_called_for() -> None:
     """Deployments without priorities are served as before."""
     plain, ranked = Organisation(name="a"), Organisation(name="b", priority=1)
--- a/packages/node/src/carobspool_node/online_queue/_service_queue.py
+++ b/packages/node/src/carobspool_node/online_queue/_service_queue.py
@@ -18,6 +18,7 @@
     ReturnTimes,
     RunTimes,
     predicted_wait,
+    rate_left,
     retry_after,
 )
 from carobspool_node.online_queue._requests import P, QueueRefusedError, Ticket, WaitingRequest
@@ -90,7 +91,7 @@
             rank=ticket.rank,
             organisation=request.organisation,
             is_retry=request.is_retry,
-            free_rate=rate,
+            free_rate=rate_left(rate, self._arrivals.rate_before(ticket.rank, now) * self.entries),
         )
         queued = self._queued(ticket)
         if now > queued.latest_start:
