--- a/packages/core/src/carobspool_core/organisations/_request_limits.py
+++ b/packages/core/src/carobspool_core/organisations/_request_limits.py
@@ -54,6 +54,16 @@
 HOT_HINT_INTERVAL_PER_ENTRY: Millis = 3.5
 """The interval is at least this time multiplied by the number of entries, so that hints cost an
 entry no more in a deployment of hundreds of entries."""
+DIRECT_HINT_LEVEL = 0.95
+"""Fraction of the bucket capacity below which changes go directly to all entries although relays
+are in force. With `HOT_LEVEL`, entries admitted so much before they learnt of each other that 3 of
+12 plays of one sequence of faults exceeded the limit."""
+MIN_DIRECT_HINT_BURST = 20.0
+"""Burst from which `DIRECT_HINT_LEVEL` applies. Below it each request would pass that level, and
+the requests admitted during the delay of relays are few."""
+DIRECT_HINT_TIME: Millis = 200.0
+"""How long changes go directly after a level was below `DIRECT_HINT_LEVEL`, as long as hints repeat
+a count."""
 RECENT_HINT_INTERVALS = 2.5
 """Silence of a peer, in hint intervals, from which its share of a hot organisation's burst is
 reserved until its next hint. Each side of a partition could otherwise use up a whole burst before
@@ -132,6 +142,7 @@
         self._startup_gain = 0.0
         self._full_refill_at: Millis = now + REDUCED_REFILL_TIME
         self._hot_until: Millis = -math.inf
+        self._direct_until: Millis = -math.inf
         self._own_counts: dict[str, int] = {}
         self._changed_at: dict[str, Millis] = {}
 
@@ -154,6 +165,10 @@
         """Return whether any organisation may reach its limit within moments."""
         return now < self._hot_until
 
+    def needs_direct_hints(self, now: Millis) -> bool:
+        """Return whether relays would delay counts so much that a limit may be exceeded."""
+        return now < max(self._hot_until, self._direct_until)
+
     def configure(self, limits: Mapping[str, RateLimit], now: Millis) -> None:
         """Replace the limits; tokens that were consumed before the change stay consumed.
 
@@ -315,6 +330,11 @@
         bucket.consume(tokens, now)
         if self._is_hot(bucket):
             self._hot_until = now + HOT_TIME
+        elif (
+            bucket.limit.burst >= MIN_DIRECT_HINT_BURST
+            and bucket.level < self._capacity(bucket.limit) * DIRECT_HINT_LEVEL
+        ):
+            self._direct_until = now + DIRECT_HINT_TIME
 
     def _is_hot(self, bucket: TokenBucket) -> bool:
         """Return whether the bucket's organisation may reach its limit within moments."""
--- a/packages/core/tests/relayed_limits_model.py
+++ b/packages/core/tests/relayed_limits_model.py
@@ -85,7 +85,7 @@
     ) -> Sequence[ModelEntry]:
         state = self._state(entry)
         plan = self._plan(entry, state)
-        if is_heartbeat or entry.limits.has_hot_organisation(self.now):
+        if is_heartbeat or entry.limits.needs_direct_hints(self.now):
             return self.entries
         if sends_directly(plan, state.present_at.get(plan.own_relay or ""), self.now):
             return self.entries
--- a/packages/core/tests/test_request_limits.py
+++ b/packages/core/tests/test_request_limits.py
@@ -12,6 +12,7 @@
 from carobspool_core.organisations import KnownPeer, RateLimit, RequestLimits
 from carobspool_core.organisations._peer_counts import organisation_key
 from carobspool_core.organisations._request_limits import (
+    DIRECT_HINT_TIME,
     MAX_DEBT_TIME,
     REDUCED_REFILL,
     SILENT_SHARE_HELD_FOR,
@@ -228,6 +229,13 @@
     ("restart_all", 0, 896.0),
     ("restart_all", 0, 131.0),
 ]
+_CUT_AND_RESTART = [("cut", 0, 2402.19408514563), ("restart", 0, 100.96665923330521)]
+_CUT_AND_RESTART_LATER = [
+    ("cut", 1, 491.96332730915435),
+    ("heal", 4, 381.51301811467533),
+    ("restart_all", 3, 1194.350900033448),
+    ("heal", 4, 2142.062593984721),
+]
 
 
 def _play_faults(fleet: Fleet, faults: list[tuple[str, int, float]], seed: int) -> None:
@@ -270,6 +278,24 @@
     assert fleet.worst_window("hot") <= fleet.bound("hot")
 
 
+def test_changes_go_directly_to_all_entries_before_an_organisation_is_hot() -> None:
+    """A limit would be exceeded by the requests that entries admit before they know of each other.
+
+    A small organisation below its limit must not keep relays from being used.
+    """
+    large, small = _one_entry(LARGE), _one_entry(RateLimit(per_second=15.0, burst=15.0))
+    for _ in range(3):
+        assert not large.needs_direct_hints(60_000.0)
+        large.admit("o", 60_000.0)
+        small.admit("o", 60_000.0)
+    assert large.needs_direct_hints(60_000.0)
+    assert not large.has_hot_organisation(60_000.0)
+    assert not small.needs_direct_hints(60_000.0)
+    assert not large.needs_direct_hints(60_000.0 + DIRECT_HINT_TIME)
+    _admit_all(small, 60_001.0)
+    assert small.needs_direct_hints(60_001.0)
+
+
 def test_a_hot_organisation_stays_within_its_limit_with_relays() -> None:
     """Counts that relays delay or drop would let each domain admit the whole limit."""
     fleet = RelayedFleet(24, {"hot": LARGE}, domains=4)
@@ -285,6 +311,8 @@
 @example(faults=_CUT_AND_RESTART_ALL, seed=0, loss=0.0)
 @example(faults=_TWO_RESTARTS_OF_ALL, seed=1, loss=0.02)
 @example(faults=[("freeze", each, 1_000.0) for each in range(6)], seed=2, loss=0.1)
+@example(faults=_CUT_AND_RESTART, seed=180, loss=0.1)
+@example(faults=_CUT_AND_RESTART_LATER, seed=690, loss=0.0)
 @given(faults=_FAULTS, seed=st.integers(0, 1_000), loss=st.sampled_from([0.0, 0.02, 0.1]))
 def test_the_limit_holds_with_relays_through_partitions_restarts_and_pauses(
     faults: list[tuple[str, int, float]], seed: int, loss: float
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -106,7 +106,7 @@
                 claim_unsent_counts=lambda is_heartbeat: self._quota.claim_unsent_counts(
                     is_heartbeat=is_heartbeat
                 ),
-                needs_direct_hints=lambda: self._quota.has_hot_organisation,
+                needs_direct_hints=lambda: self._quota.needs_direct_hints,
                 is_leaving=self._leaving.is_set,
             ),
             failure_domain=settings.failure_domain,
--- a/packages/node/src/carobspool_node/organisations/_request_quota.py
+++ b/packages/node/src/carobspool_node/organisations/_request_quota.py
@@ -59,13 +59,13 @@
         )
 
     @property
-    def has_hot_organisation(self) -> bool:
-        """Whether an organisation may reach its limit within moments; takes no lock.
+    def needs_direct_hints(self) -> bool:
+        """Whether relays would delay counts so much that a limit may be exceeded; takes no lock.
 
         Counts that relays pass on are about 60 ms older than direct ones. At a limit, the requests
         of that time would be admitted beyond it.
         """
-        return self._limits.has_hot_organisation(self._clock.now())
+        return self._limits.needs_direct_hints(self._clock.now())
 
     def configure(self, directory: OrganisationDirectory | None) -> None:
         """Apply the limits of a new configuration."""
