Batch items: read a demand from headers with lone surrogates

Stored items may have such headers. The exception ended the pass over all waiting items, so that an entry with one such item started no item at all.

--- a/packages/node/src/carobspool_node/upstream_pace/_upstream_choice.py
+++ b/packages/node/src/carobspool_node/upstream_pace/_upstream_choice.py
@@ -50,7 +50,11 @@
         """Return the demand that a batch item's headers state, ``None`` if slots alone decide."""
         if self._paces is None:
             return None
-        found = {name.lower().encode(): value.encode() for name, value in headers.items()}
+        # Headers of stored items may contain lone surrogates, which UTF-8 can't represent.
+        found = {
+            name.lower().encode(errors="replace"): value.encode(errors="replace")
+            for name, value in headers.items()
+        }
         return self._paces.demand_of(found.get)
 
     def pace_of(self, upstream: Upstream) -> float:
--- a/packages/node/tests/test_upstream_pace.py
+++ b/packages/node/tests/test_upstream_pace.py
@@ -224,3 +224,13 @@
 def test_a_uniform_fleet_is_as_on_time_as_with_slots_alone() -> None:
     """Guards against losses where nothing calls for estimates."""
     assert _played("auto", {})[0] >= _played("slots", {})[0] - 0.005
+
+
+def test_an_item_header_that_is_not_unicode_does_not_stop_the_start_of_items() -> None:
+    """Guards against one stored item that keeps an entry from starting any: its headers may contain
+    lone surrogates, and an exception ends the pass over all waiting items."""
+    choice = LoadTable(_Clock(), "z", name="e", paces=_paces(_Clock())).choice
+    headers = {"x-\udcff": "\udcff", "Carobspool-Tokens": "250,30", "Carobspool-Model": "\ud800"}
+    demand = choice.demand_of_item(headers)
+    assert demand is not None
+    assert demand.prompt_tokens == 250
