Batch choice: place an item that fits into no upstream's memory

The item waited for an upstream without any request, possibly for ever. Items are started in order and the first one without a place ends the pass, so all items behind it waited as well.

--- a/packages/core/src/carobspool_core/upstream_pace/_batch_choice.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_batch_choice.py
@@ -38,7 +38,10 @@
     now: Millis,
     draw: random.Random | None = None,
 ) -> Upstream | None:
-    """Return the upstream for a batch item, ``None`` if none has a slot and memory for it.
+    """Return the upstream for a batch item, ``None`` if none has a slot for it.
+
+    An item that fits into no upstream's memory is placed all the same, as an online request is: it
+    would otherwise wait for an idle upstream, and the items behind it would wait too.
 
     Args:
         estimates: The entry's estimates.
@@ -62,9 +65,13 @@
     estimates.add_parts(wanted, upstreams, now)
     best: Upstream | None = None
     best_score = float("inf")
+    has_room = False
     for upstream in upstreams:
         free = free_batch_slots((upstream,), loads, urgency=urgency, suspects=wanted.suspects)
-        if free <= 0 or not estimates.fits(upstream, loads, wanted):
+        if free <= 0:
+            continue
+        fits = estimates.fits(upstream, loads, wanted)
+        if has_room and not fits:
             continue
         pace = estimates.paces.relative.get(upstream.identity, 1.0)
         online = loads.get(upstream.identity, NO_LOAD).online
@@ -72,6 +79,6 @@
         used = (upstream.slots - free + 1 + STREAM_WEIGHT * online) / upstream.slots
         reading = estimates.expected(upstream, NO_LOAD, wanted) / wanted.mean_duration
         score = used * pace + reading + draw.random() * JITTER
-        if score < best_score:
-            best, best_score = upstream, score
+        if score < best_score or fits > has_room:
+            best, best_score, has_room = upstream, score, fits
     return best
--- a/packages/node/src/carobspool_node/upstream_pace/_upstream_paces.py
+++ b/packages/node/src/carobspool_node/upstream_pace/_upstream_paces.py
@@ -118,7 +118,7 @@
         urgency: BatchUrgency,
         suspects: frozenset[str],
     ) -> Upstream | None:
-        """Return the upstream for a batch item, ``None`` if none has a slot and memory for it."""
+        """Return the upstream for a batch item, ``None`` if none has a slot for it."""
         if not upstreams:
             return None
         wanted = Wanted(
--- a/packages/node/tests/test_upstream_pace.py
+++ b/packages/node/tests/test_upstream_pace.py
@@ -234,3 +234,18 @@
     demand = choice.demand_of_item(headers)
     assert demand is not None
     assert demand.prompt_tokens == 250
+
+
+def test_an_item_that_does_not_fit_is_started_all_the_same() -> None:
+    """Guards against an item that waits for ever for an engine without other requests, and that
+    blocks all items behind it: items are started in order, and the first without a place ends the
+    pass."""
+    clock = _Clock()
+    paces = UpstreamPaces(clock, "z", HeaderNames(), capacity_of=lambda service: 100_000)
+    table = LoadTable(clock, "z", name="e", paces=paces)
+    large = PromptDemand("m", 60_000, 100)
+    for _ in POOL:
+        placed = table.place_batch(POOL, urgency=BatchUrgency.ORDINARY, due=0.0, demand=large)
+        assert placed is not None
+    assert set(table.own_loads().values()) == {Load(0, 1)}
+    assert table.place_batch(POOL, urgency=BatchUrgency.ORDINARY, due=0.0, demand=large)
