--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -259,7 +259,7 @@
             own.runs.remove(run)
             self._fleet.add_own(upstream.identity, batch=-1)
             self._drop_if_idle(own)
-        self.choice.end(run.forecast, has_read=True)
+        self.choice.end(run.forecast, has_read=False)
         self._on_own_change()
         self._on_capacity_freed()
 
--- a/packages/node/tests/test_upstream_pace.py
+++ b/packages/node/tests/test_upstream_pace.py
@@ -249,3 +249,21 @@
         assert placed is not None
     assert set(table.own_loads().values()) == {Load(0, 1)}
     assert table.place_batch(POOL, urgency=BatchUrgency.ORDINARY, due=0.0, demand=large)
+
+
+def test_a_part_of_an_item_that_was_not_run_does_not_count_as_kept() -> None:
+    """Guards against parts sought at an upstream that turned the item away or failed first."""
+    clock = _Clock()
+    table = LoadTable(clock, "z", name="e", paces=_paces(clock))
+    demand = PromptDemand("m", 6_100, 50, (("a", 6_000), ("b", 100)))
+    for has_read in (False, True):
+        placed = table.place_batch(POOL, urgency=BatchUrgency.ORDINARY, due=0.0, demand=demand)
+        assert placed is not None
+        upstream, run = placed
+        if has_read:
+            table.choice.follow_events(upstream, run.forecast, is_resumed=False).record(1)
+        table.end_batch(upstream, run)
+        again = table.place_online([upstream], target_latency=300.0, is_retry=False, demand=demand)
+        assert again is not None
+        assert (again.forecast.unread == 100.0) is has_read
+        table.end_online(again, completed=False)
