Paces: bound the first samples of an upstream by the mean of its service

The median of one or two samples is moved by one long pause: a hung call among the first two gave a relative pace of up to 17, which was also announced to the other entries.

--- a/packages/core/src/carobspool_core/upstream_pace/_paces.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_paces.py
@@ -59,10 +59,13 @@
         """Return weight and mean of the own samples."""
         return _decayed(self.own_weight, now - self.own_at), self.own_mean
 
-    def add(self, pause: Millis, now: Millis) -> None:
-        """Add an own sample."""
+    def add(self, pause: Millis, now: Millis, mean: Millis | None) -> None:
+        """Add an own sample; the first ones are bounded by the mean of the service if known.
+
+        One long pause would move the median of fewer than `RECENT_SAMPLES` samples.
+        """
         self.pauses.append((now, pause))
-        usual = self.median()
+        usual = mean if mean and len(self.pauses) < RECENT_SAMPLES else self.median()
         bounded = min(max(pause, usual / SAMPLE_RATIO), usual * SAMPLE_RATIO)
         self.own_weight = _decayed(self.own_weight, now - self.own_at) + 1.0
         self.own_mean += (bounded - self.own_mean) / self.own_weight
@@ -110,8 +113,8 @@
         estimate = self._estimates.get(identity)
         if estimate is None:
             estimate = self._estimates[identity] = _Estimate(service=service)
-        estimate.add(min(max(pause, 0.1), MAX_PAUSE), now)
         mean = self._means.get(service)
+        estimate.add(min(max(pause, 0.1), MAX_PAUSE), now, mean)
         if mean:
             self.relative[identity] = _relative(estimate, mean, now)
 
--- a/packages/core/tests/test_upstream_pace_choice.py
+++ b/packages/core/tests/test_upstream_pace_choice.py
@@ -259,3 +259,18 @@
         estimates.paces.refresh(number * 5.0)
         if number > 1_000:
             assert estimates.paces.is_uniform("engine"), number
+
+
+@pytest.mark.parametrize("earlier", [0, 1, 2, 3])
+def test_a_hung_call_among_the_first_does_not_distort_an_estimate(earlier: int) -> None:
+    """Guards against an upstream that is avoided, and reported as slow, because one of its first
+    calls paused for two seconds: the median of so few samples is the long pause itself."""
+    estimates = UpstreamEstimates()
+    _sample(estimates, POOL[1], 30.0, 1_000.0)
+    _sample(estimates, POOL[0], 30.0, 1_000.0, earlier)
+    estimates.paces.refresh(1_000.0)
+    estimates.paces.add_sample(POOL[0].identity, "engine", 2_000.0, 1_001.0)
+    estimates.paces.refresh(1_500.0)
+    assert estimates.paces.relative[POOL[0].identity] <= 1.15
+    assert estimates.paces.own_estimates(1_500.0)[POOL[0].identity][0] <= 30.0 * 1.5
+    assert estimates.paces.is_uniform("engine")
