Choice by pace: compare all upstreams only if none of a sample has room

On uniform fleets every request that did not fit compared all upstreams, so that all entries chose the same one. On uneven fleets a request was placed without room although others had room.

--- a/packages/core/src/carobspool_core/upstream_pace/_choice.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_choice.py
@@ -89,15 +89,28 @@
             if chosen is None or self._estimates.fits(chosen, loads, wanted):
                 return chosen
             self._reason = "memory"
-            return self._soonest(upstreams, loads, wanted, draw or _draw) or chosen
+            return self._soonest_of_sample(upstreams, loads, wanted, now, draw or _draw) or chosen
         draw = draw or _draw
         self._estimates.add_parts(wanted, upstreams, now)
         self._reason = "parts" if wanted.prefixes else "pace"
+        return self._soonest_of_sample(upstreams, loads, wanted, now, draw)
+
+    def _soonest_of_sample(
+        self,
+        upstreams: Sequence[Upstream],
+        loads: Mapping[str, Load],
+        wanted: Wanted,
+        now: Millis,
+        draw: random.Random,
+    ) -> Upstream | None:
+        """Return the best upstream of a sample, or of all if none of the sample has room."""
         candidates = self._sample(upstreams, wanted, now, draw)
         chosen = self._soonest(candidates, loads, wanted, draw)
-        if chosen is None and candidates is not upstreams:
-            chosen = self._soonest(upstreams, loads, wanted, draw)
-        return chosen
+        if candidates is upstreams:
+            return chosen
+        if chosen is not None and self._estimates.fits(chosen, loads, wanted):
+            return chosen
+        return self._soonest(upstreams, loads, wanted, draw) or chosen
 
     def _sample(
         self, upstreams: Sequence[Upstream], wanted: Wanted, now: Millis, draw: random.Random
--- a/packages/core/tests/test_upstream_pace_choice.py
+++ b/packages/core/tests/test_upstream_pace_choice.py
@@ -274,3 +274,48 @@
     assert estimates.paces.relative[POOL[0].identity] <= 1.15
     assert estimates.paces.own_estimates(1_500.0)[POOL[0].identity][0] <= 30.0 * 1.5
     assert estimates.paces.is_uniform("engine")
+
+
+@pytest.mark.parametrize("is_uniform", [True, False])
+def test_a_request_finds_the_only_upstream_with_room(is_uniform: bool) -> None:
+    """Guards against a request placed where it doesn't fit, since no upstream of the random sample
+    has room although another one has."""
+    estimates = UpstreamEstimates()
+    if not is_uniform:
+        _sample(estimates, POOL[0], 90.0, 0.0)
+        _sample(estimates, POOL[1], 30.0, 0.0)
+    choice = FirstEventChoice("domain-0", estimates)
+    long = PromptDemand("m", 60_000, 1_000)
+    for each in POOL[:-1]:
+        estimates.place(each, Load(), _wanted(long, 100_000), entries=1, now=0.0)
+    loads = {each.identity: Load(1) for each in POOL[:-1]} | {POOL[-1].identity: Load(3)}
+    for _ in range(3):
+        short = _wanted(PromptDemand("m", 250, 50))
+        estimates.place(POOL[-1], Load(), short, entries=1, now=0.0)
+    for seed in range(20):
+        draw = random.Random(seed)
+        assert choice.choose(POOL, loads, _wanted(long, 100_000), now=1.0, draw=draw) is POOL[-1]
+
+
+def test_a_memory_check_does_not_compare_all_upstreams() -> None:
+    """Guards against a choice whose cost grows with the fleet, and against all entries choosing the
+    same upstream, when the one chosen by slots has no room."""
+    estimates = UpstreamEstimates()
+    pool = [_upstream(f"engine-{number}") for number in range(200)]
+    choice = FirstEventChoice("domain-0", estimates)
+    long, short = PromptDemand("m", 60_000, 1_000), PromptDemand("m", 250, 50)
+    loads: dict[str, Load] = {}
+    for number, each in enumerate(pool):
+        running = [short] * 7 if number % 2 else [long]
+        for demand in running:
+            estimates.place(each, Load(), _wanted(demand), entries=1, now=0.0)
+        loads[each.identity] = Load(len(running))
+    compared = []
+    for seed in range(20):
+        wanted = _wanted(long, 100_000)
+        chosen = choice.choose(pool, loads, wanted, now=1.0, draw=random.Random(seed))
+        assert chosen is not None
+        assert estimates.fits(chosen, loads, wanted)
+        compared.append(len(choice.candidates))
+    # None of a sample has room in one case of 32.
+    assert sum(count > 8 for count in compared) <= 3
