--- a/packages/core/src/carobspool_core/upstream_pace/_choice.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_choice.py
@@ -22,8 +22,9 @@
 """Prefixes whose upstreams of the hash are candidates: the longest one, which saves most."""
 OTHER_DOMAIN_TIME: Millis = 3.0
 """A round trip between domains costs a few milliseconds; breaks ties."""
-SUSPECT_TIME: Millis = 1_000_000.0
-"""Exceeds every other time: a suspect is chosen only if all candidates are suspects."""
+SUSPECT_TIME: Millis = 1e12
+"""Exceeds every other time, also that of reading `MAX_TOKENS` for each of some hundred requests at
+1 ms per token: a suspect is chosen only if all candidates are suspects."""
 JITTER: Millis = 1.0
 """Random part that breaks ties, about a hundredth of the time in which a slot becomes free."""
 _draw = random.Random()
--- a/packages/core/tests/test_upstream_pace_choice.py
+++ b/packages/core/tests/test_upstream_pace_choice.py
@@ -319,3 +319,22 @@
         compared.append(len(choice.candidates))
     # None of a sample has room in one case of 32.
     assert sum(count > 8 for count in compared) <= 3
+
+
+def test_a_suspect_is_chosen_last_whatever_token_counts_callers_state() -> None:
+    """Guards against requests sent to a stopped upstream since callers state huge prompts."""
+    pool = [_upstream("a"), _upstream("b")]
+    estimates = UpstreamEstimates()
+    choice = FirstEventChoice("domain-1", estimates)
+    _sample(estimates, pool[0], 90.0, 0.0)
+    _sample(estimates, pool[1], 30.0, 0.0)
+    for _ in range(8):
+        huge = _wanted(PromptDemand("m", 10_000_000, 1))
+        estimates.place(pool[0], Load(), huge, entries=1, now=0.0)
+    wanted = Wanted(
+        demand=PromptDemand("m", 250, 50),
+        mean_duration=760.0,
+        queue_limit_of=lambda _: 2,
+        suspects=frozenset({pool[1].identity}),
+    )
+    assert choice.choose(pool, {}, wanted, now=1.0) is pool[0]
