--- a/packages/core/src/carobspool_core/upstream_pace/_prompt_parts.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_prompt_parts.py
@@ -53,16 +53,21 @@
         self._read: dict[str, float] = {}
         self._first_seen: dict[str, Millis] = {}
         # Rankings by bucket for each list of upstreams; the list itself is kept, so its id holds.
-        self._rankings: dict[int, tuple[Sequence[Upstream], dict[int, Sequence[Upstream]]]] = {}
+        # The least recently used list is dropped: a retried request has a list of its own, which
+        # must not displace those that all requests use.
+        self._rankings: OrderedDict[
+            int, tuple[Sequence[Upstream], dict[int, Sequence[Upstream]]]
+        ] = OrderedDict()
 
     def homes(self, key: int, upstreams: Sequence[Upstream], now: Millis) -> Sequence[Upstream]:
         """Return the upstreams to which all entries send a part first, in order."""
         ranking = self._rankings.get(id(upstreams))
         if ranking is None or ranking[0] is not upstreams:
             if len(self._rankings) >= MAX_RANKINGS:
-                self._rankings.clear()
+                self._rankings.popitem(last=False)
             ranking = self._rankings[id(upstreams)] = (upstreams, {})
             self._note_new(upstreams, now)
+        self._rankings.move_to_end(id(upstreams))
         bucket = key % HASH_BUCKETS
         found = ranking[1].get(bucket)
         if found is None:
--- a/packages/core/tests/test_upstream_pace_choice.py
+++ b/packages/core/tests/test_upstream_pace_choice.py
@@ -338,3 +338,13 @@
         suspects=frozenset({pool[1].identity}),
     )
     assert choice.choose(pool, {}, wanted, now=1.0) is pool[0]
+
+
+def test_lists_of_one_call_leave_the_rankings_of_a_service() -> None:
+    """Guards against new rankings, 1 ms each at 2,900 upstreams, in the requests of all callers
+    while some requests are retried: each retry has its own list of upstreams."""
+    parts = UpstreamEstimates().parts
+    ranked = parts.homes(7, POOL, 0.0)
+    for number in range(50):
+        parts.homes(7, [each for each in POOL if each is not POOL[number % 12]], 0.0)
+        assert parts.homes(7, POOL, 0.0) is ranked
