--- a/tests/adapter/test_platform_names.py
+++ b/tests/adapter/test_platform_names.py
@@ -72,6 +72,23 @@
     assert config.limits.idle_timeout == 4.0
 
 
+@pytest.mark.parametrize(
+    "tokens", [True, False, 0, -1, 1.5, "9000", None, [], {}], ids=lambda each: repr(each)
+)
+def test_a_declared_engine_memory_of_another_form_counts_as_not_declared(tokens: Json) -> None:
+    """Guards against a configuration that refuses all requests with 413, such as with ``true``, or
+    that can't be read, because of a field that earlier versions ignored."""
+    services = [
+        {"name": "s1", "engine": {"kv_capacity_tokens": tokens}},
+        {"name": "s2", "engine": {"kv_capacity_tokens": 9_000}},
+        {"name": 3, "engine": {"kv_capacity_tokens": 9_000}},
+        {"name": "s4", "engine": None},
+        "s5",
+    ]
+    value = {"version": 1, "routes": [ROUTE], "services": services, "limits": LIMITS}
+    assert read_configuration(value).engine_memory == {"s2": 9_000}
+
+
 def test_an_unknown_kind_of_route_may_not_repeat() -> None:
     value = {"version": 1, "routes": [ROUTE | {"kind": "new"}], "limits": LIMITS}
     assert read_configuration(value).routes[0].kind is RouteKind.UNSAFE
