--- a/packages/core/src/carobspool_core/upstream_pace/_prompt_parts.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_prompt_parts.py
@@ -36,6 +36,9 @@
 HASH_BUCKETS = 512
 """Parts with equal buckets have the same upstreams. The ranking of 2,900 upstreams takes 1 ms, so
 it is computed once for each bucket and not for each part."""
+MAX_NEW_RANKINGS = 2
+"""Buckets ranked in one choice, which holds the lock of all placements; 31 at once took 100 ms at
+2,900 upstreams. The others are ranked in the next choices."""
 MAX_RANKINGS = 8
 """Lists of upstreams with cached rankings: the near and far ones of a few services."""
 USABLE_MEMORY = 0.6
@@ -97,11 +100,11 @@
             now: Current time.
         """
         found: dict[str, float] = {}
+        homes_by_key = self._homes_by_key(prefixes, upstreams, now)
         for key, tokens in prefixes:
             holders = self._kept.get(key)
             shares = FIRST_CERTAINTY_BY_RANK if holders is None else CERTAINTY_BY_RANK
-            homes = self.homes(key, upstreams, now)
-            for home, certainty in zip(homes, shares, strict=False):
+            for home, certainty in zip(homes_by_key.get(key, ()), shares, strict=False):
                 identity = home.identity
                 if now - self._first_seen.get(identity, now) < NEW_TIME:
                     certainty = NEW_CERTAINTY
@@ -162,6 +165,22 @@
             for identity in holders.keys() & gone:
                 del holders[identity]
 
+    def _homes_by_key(
+        self, prefixes: Sequence[tuple[int, int]], upstreams: Sequence[Upstream], now: Millis
+    ) -> dict[int, Sequence[Upstream]]:
+        """Return the upstreams of the hash of prefixes; of unranked ones only the longest."""
+        found = {}
+        left = MAX_NEW_RANKINGS
+        for key, _ in reversed(prefixes):
+            ranking = self._rankings.get(id(upstreams))
+            known = ranking[1] if ranking is not None and ranking[0] is upstreams else {}
+            if key % HASH_BUCKETS not in known:
+                if not left:
+                    continue
+                left -= 1
+            found[key] = self.homes(key, upstreams, now)
+        return found
+
     def _note_new(self, upstreams: Sequence[Upstream], now: Millis) -> None:
         # The upstreams of the first list were running before this entry.
         first_seen = now if self._first_seen else float("-inf")
--- a/packages/core/tests/test_upstream_pace_choice.py
+++ b/packages/core/tests/test_upstream_pace_choice.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from carobspool_core._rendezvous import preferred_nodes
 from carobspool_core.direct import (
     BatchUrgency,
     Load,
@@ -20,6 +21,7 @@
     PromptDemand,
     UpstreamEstimates,
     Wanted,
+    _prompt_parts,
     choose_batch,
     read_demand,
 )
@@ -348,3 +350,28 @@
     for number in range(50):
         parts.homes(7, [each for each in POOL if each is not POOL[number % 12]], 0.0)
         assert parts.homes(7, POOL, 0.0) is ranked
+
+
+def test_many_parts_on_a_new_list_of_upstreams_do_not_hold_up_other_requests(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against one request with many parts that holds the load table's lock for 100 ms at
+    2,900 upstreams: after each change of the list, and at each retry, nothing is ranked yet."""
+    ranked: list[str] = []
+
+    def count(key: str, nodes: dict[str, Upstream], limit: int) -> list[str]:
+        ranked.append(key)
+        return preferred_nodes(key, nodes, limit)
+
+    monkeypatch.setattr(_prompt_parts, "preferred_nodes", count)
+    estimates = UpstreamEstimates()
+    parts = tuple((f"{number:x}", 1_200) for number in range(31))
+    demand = PromptDemand("m", 40_000, 50, (*parts, ("ff", 1)))
+    first = _with_parts(estimates, demand, POOL)
+    assert len(ranked) <= 2
+    assert first.kept[estimates.parts.homes(first.prefixes[-1][0], POOL, 0.0)[0].identity] > 30_000
+    assert len(ranked) <= 2
+    for _ in range(20):
+        _with_parts(estimates, demand, POOL)
+    buckets = {key % _prompt_parts.HASH_BUCKETS for key, _ in first.prefixes}
+    assert len(ranked) == len(buckets)
