Batch choice: an item leaves the own domain for an upstream with room

Where the own domain is preferred, an item was placed there without room although other domains had room. Without room anywhere the choice is made among all upstreams.

--- a/packages/core/src/carobspool_core/upstream_pace/_batch_choice.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_batch_choice.py
@@ -36,6 +36,7 @@
     *,
     urgency: BatchUrgency,
     now: Millis,
+    needs_room: bool = False,
     draw: random.Random | None = None,
 ) -> Upstream | None:
     """Return the upstream for a batch item, ``None`` if none has a slot for it.
@@ -50,6 +51,7 @@
         wanted: The item.
         urgency: Urgency of the item; a more urgent item may use more slots.
         now: Current time.
+        needs_room: Whether to return ``None`` if the item fits into no upstream's memory.
         draw: Random numbers for ties.
     """
     if not upstreams:
@@ -71,7 +73,7 @@
         if free <= 0:
             continue
         fits = estimates.fits(upstream, loads, wanted)
-        if has_room and not fits:
+        if not fits and (has_room or needs_room):
             continue
         pace = estimates.paces.relative.get(upstream.identity, 1.0)
         online = loads.get(upstream.identity, NO_LOAD).online
--- a/packages/node/src/carobspool_node/upstream_pace/_upstream_choice.py
+++ b/packages/node/src/carobspool_node/upstream_pace/_upstream_choice.py
@@ -117,7 +117,11 @@
             )
         if not self._prefers_own_domain():
             return choose(upstreams)
-        return self._own_domain.choose_batch(upstreams, loads, choose=choose)
+        if self._paces is None or not upstreams:
+            return self._own_domain.choose_batch(upstreams, loads, choose=choose)
+        with_room = partial(choose, needs_room=True)
+        chosen = self._own_domain.choose_batch(upstreams, loads, choose=with_room)
+        return chosen or choose(upstreams)
 
     def forecast(
         self,
--- a/packages/node/src/carobspool_node/upstream_pace/_upstream_paces.py
+++ b/packages/node/src/carobspool_node/upstream_pace/_upstream_paces.py
@@ -117,6 +117,7 @@
         mean_duration: Millis,
         urgency: BatchUrgency,
         suspects: frozenset[str],
+        needs_room: bool = False,
     ) -> Upstream | None:
         """Return the upstream for a batch item, ``None`` if none has a slot for it."""
         if not upstreams:
@@ -135,6 +136,7 @@
                 loads,
                 wanted,
                 urgency=urgency,
+                needs_room=needs_room,
                 now=self._clock.now(),
             )
 
--- a/packages/node/tests/test_upstream_pace.py
+++ b/packages/node/tests/test_upstream_pace.py
@@ -267,3 +267,18 @@
         assert again is not None
         assert (again.forecast.unread == 100.0) is has_read
         table.end_online(again, completed=False)
+
+
+def test_an_item_leaves_the_own_domain_for_an_upstream_with_room() -> None:
+    """Guards against an item that fills the memory of its own domain while others have room."""
+    clock = _Clock()
+    pool = [_upstream("near"), replace(_upstream("far"), failure_domain="y")]
+    paces = UpstreamPaces(clock, "z", HeaderNames(), capacity_of=lambda service: 100_000)
+    table = LoadTable(clock, "z", name="e", prefers_own_domain=lambda: True, paces=paces)
+    large = PromptDemand("m", 60_000, 100)
+    chosen = [
+        table.place_batch(pool, urgency=BatchUrgency.ORDINARY, due=0.0, demand=large)
+        for _ in range(3)
+    ]
+    assert [placed and placed[0].instance for placed in chosen] == ["near", "far", "near"]
+    assert table.place_batch([], urgency=BatchUrgency.ORDINARY, due=0.0, demand=large) is None
