--- a/packages/core/src/carobspool_core/upstream_pace/_choice.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_choice.py
@@ -22,8 +22,9 @@
 """Prefixes whose upstreams of the hash are candidates: the longest one, which saves most."""
 OTHER_DOMAIN_TIME: Millis = 3.0
 """A round trip between domains costs a few milliseconds; breaks ties."""
-SUSPECT_TIME: Millis = 1_000_000.0
-"""Exceeds every other time: a suspect is chosen only if all candidates are suspects."""
+SUSPECT_TIME: Millis = 1e12
+"""Exceeds every other time, also that of reading `MAX_TOKENS` for each of some hundred requests at
+1 ms per token: a suspect is chosen only if all candidates are suspects."""
 JITTER: Millis = 1.0
 """Random part that breaks ties, about a hundredth of the time in which a slot becomes free."""
 _draw = random.Random()
@@ -89,15 +90,28 @@
             if chosen is None or self._estimates.fits(chosen, loads, wanted):
                 return chosen
             self._reason = "memory"
-            return self._soonest(upstreams, loads, wanted, draw or _draw) or chosen
+            return self._soonest_of_sample(upstreams, loads, wanted, now, draw or _draw) or chosen
         draw = draw or _draw
         self._estimates.add_parts(wanted, upstreams, now)
         self._reason = "parts" if wanted.prefixes else "pace"
+        return self._soonest_of_sample(upstreams, loads, wanted, now, draw)
+
+    def _soonest_of_sample(
+        self,
+        upstreams: Sequence[Upstream],
+        loads: Mapping[str, Load],
+        wanted: Wanted,
+        now: Millis,
+        draw: random.Random,
+    ) -> Upstream | None:
+        """Return the best upstream of a sample, or of all if none of the sample has room."""
         candidates = self._sample(upstreams, wanted, now, draw)
         chosen = self._soonest(candidates, loads, wanted, draw)
-        if chosen is None and candidates is not upstreams:
-            chosen = self._soonest(upstreams, loads, wanted, draw)
-        return chosen
+        if candidates is upstreams:
+            return chosen
+        if chosen is not None and self._estimates.fits(chosen, loads, wanted):
+            return chosen
+        return self._soonest(upstreams, loads, wanted, draw) or chosen
 
     def _sample(
         self, upstreams: Sequence[Upstream], wanted: Wanted, now: Millis, draw: random.Random
--- a/packages/core/tests/test_upstream_pace_choice.py
+++ b/packages/core/tests/test_upstream_pace_choice.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from carobspool_core._rendezvous import preferred_nodes
 from carobspool_core.direct import (
     BatchUrgency,
     Load,
@@ -20,6 +21,7 @@
     PromptDemand,
     UpstreamEstimates,
     Wanted,
+    _prompt_parts,
     choose_batch,
     read_demand,
 )
@@ -259,3 +261,117 @@
         estimates.paces.refresh(number * 5.0)
         if number > 1_000:
             assert estimates.paces.is_uniform("engine"), number
+
+
+@pytest.mark.parametrize("earlier", [0, 1, 2, 3])
+def test_a_hung_call_among_the_first_does_not_distort_an_estimate(earlier: int) -> None:
+    """Guards against an upstream that is avoided, and reported as slow, because one of its first
+    calls paused for two seconds: the median of so few samples is the long pause itself."""
+    estimates = UpstreamEstimates()
+    _sample(estimates, POOL[1], 30.0, 1_000.0)
+    _sample(estimates, POOL[0], 30.0, 1_000.0, earlier)
+    estimates.paces.refresh(1_000.0)
+    estimates.paces.add_sample(POOL[0].identity, "engine", 2_000.0, 1_001.0)
+    estimates.paces.refresh(1_500.0)
+    assert estimates.paces.relative[POOL[0].identity] <= 1.15
+    assert estimates.paces.own_estimates(1_500.0)[POOL[0].identity][0] <= 30.0 * 1.5
+    assert estimates.paces.is_uniform("engine")
+
+
+@pytest.mark.parametrize("is_uniform", [True, False])
+def test_a_request_finds_the_only_upstream_with_room(is_uniform: bool) -> None:
+    """Guards against a request placed where it doesn't fit, since no upstream of the random sample
+    has room although another one has."""
+    estimates = UpstreamEstimates()
+    if not is_uniform:
+        _sample(estimates, POOL[0], 90.0, 0.0)
+        _sample(estimates, POOL[1], 30.0, 0.0)
+    choice = FirstEventChoice("domain-0", estimates)
+    long = PromptDemand("m", 60_000, 1_000)
+    for each in POOL[:-1]:
+        estimates.place(each, Load(), _wanted(long, 100_000), entries=1, now=0.0)
+    loads = {each.identity: Load(1) for each in POOL[:-1]} | {POOL[-1].identity: Load(3)}
+    for _ in range(3):
+        short = _wanted(PromptDemand("m", 250, 50))
+        estimates.place(POOL[-1], Load(), short, entries=1, now=0.0)
+    for seed in range(20):
+        draw = random.Random(seed)
+        assert choice.choose(POOL, loads, _wanted(long, 100_000), now=1.0, draw=draw) is POOL[-1]
+
+
+def test_a_memory_check_does_not_compare_all_upstreams() -> None:
+    """Guards against a choice whose cost grows with the fleet, and against all entries choosing the
+    same upstream, when the one chosen by slots has no room."""
+    estimates = UpstreamEstimates()
+    pool = [_upstream(f"engine-{number}") for number in range(200)]
+    choice = FirstEventChoice("domain-0", estimates)
+    long, short = PromptDemand("m", 60_000, 1_000), PromptDemand("m", 250, 50)
+    loads: dict[str, Load] = {}
+    for number, each in enumerate(pool):
+        running = [short] * 7 if number % 2 else [long]
+        for demand in running:
+            estimates.place(each, Load(), _wanted(demand), entries=1, now=0.0)
+        loads[each.identity] = Load(len(running))
+    compared = []
+    for seed in range(20):
+        wanted = _wanted(long, 100_000)
+        chosen = choice.choose(pool, loads, wanted, now=1.0, draw=random.Random(seed))
+        assert chosen is not None
+        assert estimates.fits(chosen, loads, wanted)
+        compared.append(len(choice.candidates))
+    # None of a sample has room in one case of 32.
+    assert sum(count > 8 for count in compared) <= 3
+
+
+def test_a_suspect_is_chosen_last_whatever_token_counts_callers_state() -> None:
+    """Guards against requests sent to a stopped upstream since callers state huge prompts."""
+    pool = [_upstream("a"), _upstream("b")]
+    estimates = UpstreamEstimates()
+    choice = FirstEventChoice("domain-1", estimates)
+    _sample(estimates, pool[0], 90.0, 0.0)
+    _sample(estimates, pool[1], 30.0, 0.0)
+    for _ in range(8):
+        huge = _wanted(PromptDemand("m", 10_000_000, 1))
+        estimates.place(pool[0], Load(), huge, entries=1, now=0.0)
+    wanted = Wanted(
+        demand=PromptDemand("m", 250, 50),
+        mean_duration=760.0,
+        queue_limit_of=lambda _: 2,
+        suspects=frozenset({pool[1].identity}),
+    )
+    assert choice.choose(pool, {}, wanted, now=1.0) is pool[0]
+
+
+def test_lists_of_one_call_leave_the_rankings_of_a_service() -> None:
+    """Guards against new rankings, 1 ms each at 2,900 upstreams, in the requests of all callers
+    while some requests are retried: each retry has its own list of upstreams."""
+    parts = UpstreamEstimates().parts
+    ranked = parts.homes(7, POOL, 0.0)
+    for number in range(50):
+        parts.homes(7, [each for each in POOL if each is not POOL[number % 12]], 0.0)
+        assert parts.homes(7, POOL, 0.0) is ranked
+
+
+def test_many_parts_on_a_new_list_of_upstreams_do_not_hold_up_other_requests(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against one request with many parts that holds the load table's lock for 100 ms at
+    2,900 upstreams: after each change of the list, and at each retry, nothing is ranked yet."""
+    ranked: list[str] = []
+
+    def count(key: str, nodes: dict[str, Upstream], limit: int) -> list[str]:
+        ranked.append(key)
+        return preferred_nodes(key, nodes, limit)
+
+    monkeypatch.setattr(_prompt_parts, "preferred_nodes", count)
+    estimates = UpstreamEstimates()
+    parts = tuple((f"{number:x}", 1_200) for number in range(31))
+    demand = PromptDemand("m", 40_000, 50, (*parts, ("ff", 1)))
+    first = _with_parts(estimates, demand, POOL)
+    assert len(ranked) <= 2
+    assert first.kept[estimates.parts.homes(first.prefixes[-1][0], POOL, 0.0)[0].identity] > 30_000
+    assert len(ranked) <= 2
+    for _ in range(20):
+        _with_parts(estimates, demand, POOL)
+    buckets = {key % _prompt_parts.HASH_BUCKETS for key, _ in first.prefixes}
+    assert len(ranked) == len(buckets)
--- a/packages/node/tests/test_upstream_pace.py
+++ b/packages/node/tests/test_upstream_pace.py
@@ -224,3 +224,61 @@
 def test_a_uniform_fleet_is_as_on_time_as_with_slots_alone() -> None:
     """Guards against losses where nothing calls for estimates."""
     assert _played("auto", {})[0] >= _played("slots", {})[0] - 0.005
+
+
+def test_an_item_header_that_is_not_unicode_does_not_stop_the_start_of_items() -> None:
+    """Guards against one stored item that keeps an entry from starting any: its headers may contain
+    lone surrogates, and an exception ends the pass over all waiting items."""
+    choice = LoadTable(_Clock(), "z", name="e", paces=_paces(_Clock())).choice
+    headers = {"x-\udcff": "\udcff", "Carobspool-Tokens": "250,30", "Carobspool-Model": "\ud800"}
+    demand = choice.demand_of_item(headers)
+    assert demand is not None
+    assert demand.prompt_tokens == 250
+
+
+def test_an_item_that_does_not_fit_is_started_all_the_same() -> None:
+    """Guards against an item that waits for ever for an engine without other requests, and that
+    blocks all items behind it: items are started in order, and the first without a place ends the
+    pass."""
+    clock = _Clock()
+    paces = UpstreamPaces(clock, "z", HeaderNames(), capacity_of=lambda service: 100_000)
+    table = LoadTable(clock, "z", name="e", paces=paces)
+    large = PromptDemand("m", 60_000, 100)
+    for _ in POOL:
+        placed = table.place_batch(POOL, urgency=BatchUrgency.ORDINARY, due=0.0, demand=large)
+        assert placed is not None
+    assert set(table.own_loads().values()) == {Load(0, 1)}
+    assert table.place_batch(POOL, urgency=BatchUrgency.ORDINARY, due=0.0, demand=large)
+
+
+def test_a_part_of_an_item_that_was_not_run_does_not_count_as_kept() -> None:
+    """Guards against parts sought at an upstream that turned the item away or failed first."""
+    clock = _Clock()
+    table = LoadTable(clock, "z", name="e", paces=_paces(clock))
+    demand = PromptDemand("m", 6_100, 50, (("a", 6_000), ("b", 100)))
+    for has_read in (False, True):
+        placed = table.place_batch(POOL, urgency=BatchUrgency.ORDINARY, due=0.0, demand=demand)
+        assert placed is not None
+        upstream, run = placed
+        if has_read:
+            table.choice.follow_events(upstream, run.forecast, is_resumed=False).record(1)
+        table.end_batch(upstream, run)
+        again = table.place_online([upstream], target_latency=300.0, is_retry=False, demand=demand)
+        assert again is not None
+        assert (again.forecast.unread == 100.0) is has_read
+        table.end_online(again, completed=False)
+
+
+def test_an_item_leaves_the_own_domain_for_an_upstream_with_room() -> None:
+    """Guards against an item that fills the memory of its own domain while others have room."""
+    clock = _Clock()
+    pool = [_upstream("near"), replace(_upstream("far"), failure_domain="y")]
+    paces = UpstreamPaces(clock, "z", HeaderNames(), capacity_of=lambda service: 100_000)
+    table = LoadTable(clock, "z", name="e", prefers_own_domain=lambda: True, paces=paces)
+    large = PromptDemand("m", 60_000, 100)
+    chosen = [
+        table.place_batch(pool, urgency=BatchUrgency.ORDINARY, due=0.0, demand=large)
+        for _ in range(3)
+    ]
+    assert [placed and placed[0].instance for placed in chosen] == ["near", "far", "near"]
+    assert table.place_batch([], urgency=BatchUrgency.ORDINARY, due=0.0, demand=large) is None
