Online queue: late requests of returned callers wait in the late class

Cause: in a trial with real processes, late returned callers went before new requests, which were then refused and came back late as well.

Change: a returned caller goes before new requests while it can be on time, and then waits in the late class until its deadline can no longer be met.

Runs: test_online_queue_model.py, both test_online_queue.py of units and the one of real processes, 34 passed.

--- a/packages/core/src/carobspool_core/online_queue/_entry_queue.py
+++ b/packages/core/src/carobspool_core/online_queue/_entry_queue.py
@@ -2,8 +2,10 @@
 
 Load pattern: for seconds at a time more requests arrive than there are slots, from organisations of
 different ranks, one of which may send many times its usual rate. Requests go by rank. Within a rank
-come first the callers that return after a refusal, then the requests that can still be on time,
-then the late ones. Each of these groups is a fair queue over the organisations.
+come first the requests that can still be on time, those of callers that return after a refusal
+before new ones, and then the late ones. Each of these three groups is a fair queue over the
+organisations. If late requests of returned callers went before new ones, nearly all new requests
+would be refused during a burst and come back late as well.
 """
 
 from __future__ import annotations
@@ -28,8 +30,7 @@
 RETURNED, ON_TIME, LATE = 0, 1, 2
 
 WaitingClass = tuple[int, int]
-"""Rank, and 0 for requests that can still be on time or 1 for late ones. Callers that return after
-a refusal are in class 0, since they go before the new requests of their rank."""
+"""Rank, and 0 for requests that can still be on time or 1 for late ones."""
 
 
 class QueuedRequest(Struct, frozen=True, kw_only=True, eq=False):
@@ -86,7 +87,7 @@
     def add(self, request: QueuedRequest, now: Millis) -> None:
         """Queue a request whose latest start has not passed."""
         group = RETURNED if request.is_retry else ON_TIME
-        if group == ON_TIME and request.on_time_until < now:
+        if request.on_time_until < now:
             group = LATE
         self._requests[request.number] = request
         self._push(request, group, now)
@@ -135,8 +136,8 @@
         expired, self._overdue = self._overdue, []
         for request in expired:
             del self._requests[request.number]
-        for rank, (returned, _, late) in list(self._ranks.items()):
-            for item in (*returned.expire(now), *late.expire(now)):
+        for rank, (_, _, late) in list(self._ranks.items()):
+            for item in late.expire(now):
                 del self._requests[item.item.number]
                 expired.append(item.item)
             self._drop_if_empty(rank)
@@ -187,7 +188,7 @@
             )
             self._ranks[request.rank] = queues
         start_by = request.latest_start
-        if group == ON_TIME:
+        if group != LATE:
             start_by = min(start_by, request.on_time_until)
         queues[group].push(
             FairQueueItem(
@@ -203,8 +204,8 @@
         ).unwrap()
 
     def _move_late(self, now: Millis) -> None:
-        for rank, (_, on_time, _) in list(self._ranks.items()):
-            for item in on_time.expire(now):
+        for rank, (returned, on_time, _) in list(self._ranks.items()):
+            for item in (*returned.expire(now), *on_time.expire(now)):
                 if item.item.latest_start < now:
                     self._overdue.append(item.item)
                     continue
