--- a/packages/core/src/carobspool_core/upstream_pace/_own_domain.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_own_domain.py
@@ -13,8 +13,9 @@
 
 from carobspool_core.direct import NO_LOAD, Load, Upstream
 
-MAX_EXTRA_SHARE = 0.25
-"""Two of eight slots: the slots that batch items leave free, so the request still finds one."""
+MAX_EXTRA_SHARE = 0.125
+"""One of eight slots. Servers slow down as they fill: with two slots, a service with one server in
+each domain answered its calls a third later."""
 MAX_EXTRA_BATCH_SLOTS = 2
 """A batch item waits for no slot, so a difference of the reserve's size costs it nothing."""
 
--- a/packages/core/tests/test_upstream_pace_own_domain.py
+++ b/packages/core/tests/test_upstream_pace_own_domain.py
@@ -29,10 +29,11 @@
 @pytest.mark.parametrize(
     ("own", "other", "suspects", "expected"),
     [
-        (2, 0, (), "own"),
-        (3, 0, (), "other"),
-        (7, 5, (), "own"),
-        (8, 6, (), "other"),
+        (1, 0, (), "own"),
+        (2, 0, (), "other"),
+        (7, 6, (), "own"),
+        (7, 5, (), "other"),
+        (8, 7, (), "other"),
         (8, 8, (), "own"),
         (0, 0, ("own",), "other"),
     ],
--- a/packages/node/tests/test_online_queue_model.py
+++ b/packages/node/tests/test_online_queue_model.py
@@ -26,15 +26,14 @@
     return found
 
 
-@pytest.mark.parametrize(("delay", "least"), [(15.0, 0.9), (50.0, 0.85)])
-def test_entries_come_near_full_knowledge(delay: float, least: float) -> None:
+@pytest.mark.parametrize("delay", [15.0, 50.0])
+def test_entries_come_near_full_knowledge(delay: float) -> None:
     """24 entries with hints that are late and partly lost (2%): without shares of the free slots
-    they would queue at the same engines, or leave slots empty. The target is 0.9 at both delays;
-    0.878 is reached at 50 ms."""
+    they would queue at the same engines, or leave slots empty."""
     plan = Plan(rate=steps, hint_delay=delay)
     found = mean(_ratios(plan))
     assert found > mean(_ratios(replace(plan, first_come=True))) + 0.05
-    assert found >= least
+    assert found >= 0.9
 
 
 def test_a_burst_of_one_organisation_costs_the_others_little() -> None:
@@ -60,15 +59,10 @@
     assert mean(lost) <= 0.02
 
 
-@pytest.mark.parametrize(
-    ("entries", "delay", "least"), [(1, 0.0, 0.95), (24, 15.0, 0.85)], ids=["one", "many"]
-)
-def test_the_most_urgent_rank_is_on_time_beyond_the_capacity(
-    entries: int, delay: float, least: float
-) -> None:
+@pytest.mark.parametrize(("entries", "delay"), [(1, 0.0), (24, 15.0)], ids=["one", "many"])
+def test_the_most_urgent_rank_is_on_time_beyond_the_capacity(entries: int, delay: float) -> None:
     """Rank 0 takes three quarters of the capacity and rank 2 as much again: requests of rank 2 must
-    not make those of rank 0 late, and still get their least share. The target of 0.95 is reached
-    with one entry; 24 entries with hints 15 ms old reach 0.87 to 0.93."""
+    not make those of rank 0 late, and still get their least share."""
     # 9 engines run 1.3 times as fast: 217 slots of 1.9 s serve 117 requests a second.
     plan = Plan(
         rate=lambda now: 180.0,
@@ -81,7 +75,7 @@
     calls = [each for each in Fleet(plan, 1).play() if each.arrived > 4_000.0]
     urgent = [each for each in calls if each.rank == 0]
     others = [each for each in calls if each.rank == 2]
-    assert on_time_share(plan, urgent) >= least
+    assert on_time_share(plan, urgent) >= 0.95
     assert sum(each.first_event < float("inf") for each in others) > len(others) * 0.05
 
 
