Choice by pace: a request leaves the own domain for an upstream with room

Where the own domain is preferred, a request was placed there without room although other domains had room.

--- a/packages/node/src/carobspool_node/upstream_pace/_upstream_choice.py
+++ b/packages/node/src/carobspool_node/upstream_pace/_upstream_choice.py
@@ -92,7 +92,15 @@
         by_parts = self._paces is not None and counts_parts(demand)
         if by_parts or not self._prefers_own_domain():
             return choose(upstreams)
-        return self._own_domain.choose_online(upstreams, loads, suspects=suspects, choose=choose)
+        if self._paces is None or not upstreams:
+            return self._own_domain.choose_online(
+                upstreams, loads, suspects=suspects, choose=choose
+            )
+        with_room = partial(choose, needs_room=True)
+        chosen = self._own_domain.choose_online(
+            upstreams, loads, suspects=suspects, choose=with_room
+        )
+        return chosen or choose(upstreams)
 
     def batch(
         self,
--- a/packages/node/src/carobspool_node/upstream_pace/_upstream_paces.py
+++ b/packages/node/src/carobspool_node/upstream_pace/_upstream_paces.py
@@ -88,8 +88,12 @@
         mean_duration: Millis,
         queue_limit_of: Callable[[Upstream], int],
         suspects: frozenset[str],
+        needs_room: bool = False,
     ) -> Upstream | None:
-        """Return the upstream for an online request, ``None`` if all queues are full."""
+        """Return the upstream for an online request, ``None`` if all queues are full.
+
+        With ``needs_room``, ``None`` also if the request fits into no upstream's memory.
+        """
         if not upstreams:
             return None
         wanted = Wanted(
@@ -103,6 +107,8 @@
         with self._lock:
             chosen = self._choice.choose(upstreams, loads, wanted, now=now)
             self._last_wanted = wanted
+            if needs_room and chosen and not self._estimates.fits(chosen, loads, wanted):
+                return None
             self._choices += 1
             if chosen is not None and self._choices % LOGGED_SHARE == 0:
                 self._log_choice(chosen, loads, wanted)
