--- a/packages/core/tests/relayed_limits_model.py
+++ b/packages/core/tests/relayed_limits_model.py
@@ -35,6 +35,7 @@
     def __init__(self, now: Millis) -> None:
         self.outward, self.inward = BundleBuffer(now), BundleBuffer(now)
         self.heard: dict[str, Millis] = {}
+        self.direct_hints: dict[str, tuple[int, int]] = {}
         self.present_at: dict[str, Millis] = {}
         self.bundle_at: dict[str, Millis] = {}
         self.plan = RelayPlan()
@@ -101,11 +102,14 @@
             if not message.hints:
                 state.present_at[sender] = self.now
             for each in message.hints:
-                if not is_fellow:
+                newest = state.direct_hints.get(each.name, (-1, -1))
+                if not is_fellow and (each.incarnation, each.sequence) > newest:
                     state.inward.add(self._waiting(each), self.now)
                 self._apply(entry, each, age=RELAYED_HINT_AGE)
             return
         state.heard[sender] = self.now
+        number = (message.incarnation, message.sequence)
+        state.direct_hints[sender] = max(state.direct_hints.get(sender, number), number)
         if is_fellow and self._plan(entry, state).is_relay:
             state.outward.add(self._waiting(message), self.now)
         self._apply(entry, message)
--- a/packages/node/src/carobspool_node/direct/_peer_table.py
+++ b/packages/node/src/carobspool_node/direct/_peer_table.py
@@ -278,6 +278,14 @@
             peer.direct_sequence = max(peer.direct_sequence, sequence)
             return True
 
+    def has_direct_hint(self, hint: LoadHint | CountsHint) -> bool:
+        """Return whether a hint, or a newer one of its process, has arrived directly."""
+        with self._lock:
+            peer = self._peers.get(hint.name)
+            if peer is None or peer.incarnation != hint.incarnation:
+                return False
+            return hint.sequence <= peer.direct_sequence
+
     def record_hint(self, hint: LoadHint | CountsHint, *, relayed: bool = False) -> bool:
         """Record the arrival of a load hint or counts hint.
 
--- a/packages/node/src/carobspool_node/direct/_relayed_hints.py
+++ b/packages/node/src/carobspool_node/direct/_relayed_hints.py
@@ -59,6 +59,8 @@
             if (
                 domain != self._relays.domain
                 and self._table.domain_of(hint.name, hint.incarnation) == domain
+                # Its entry sends directly, to the other entries of this domain too.
+                and not self._table.has_direct_hint(hint)
             ):
                 self._relays.distribute(_waiting_hint(hint, data))
             yield hint
--- a/packages/node/tests/test_hint_relays.py
+++ b/packages/node/tests/test_hint_relays.py
@@ -84,6 +84,18 @@
         assert len(receivers) == (11 if needs_direct_hints else 3)
 
 
+def test_hints_that_arrived_directly_are_not_distributed_again(net: Net) -> None:
+    """A relay would send its domain all hints of hot entries a second time."""
+    for entry in net.entries.values():
+        entry.needs_direct_hints = True
+    net.run(500.0)
+    net.sent.clear()
+    net.run(1_000.0)
+    for sender, receiver, message in net.take_sent("b"):
+        if _domain(net, sender) == _domain(net, receiver):
+            assert not message[3]
+
+
 def test_an_entry_sends_directly_while_its_relay_is_dead(net: Net) -> None:
     """A killed relay would otherwise leave its domain with heartbeats until the next choice."""
     relay = net.relay_of("a")
--- a/tools/cost_hints.py
+++ b/tools/cost_hints.py
@@ -1,11 +1,12 @@
 """Bytes and datagrams of hints that an entry sends, by kind and crossing, direct and relayed.
 
-python tools/cost_hints.py [--seconds 6] [--fleets 24 100 380]
+python tools/cost_hints.py [--seconds 6] [--fleets 24 100 380] [--hot never always]
 
 Plays a fleet in virtual time with the real encoders, senders and relays; no datagram leaves the
 process and none is lost. The printed figures are payload bytes per entry and second. ``datagrams``
 counts the datagrams that an entry sends and receives in a second: the mean of all entries and the
-busiest entry.
+busiest entry. ``hot`` states whether an organisation is near its limit all the time; entries then
+send more hints, and send them directly to all entries.
 """
 
 from __future__ import annotations
@@ -25,7 +26,7 @@
 
 from carobspool_core import Millis
 from carobspool_core.direct import Load, WaitingGroup, group_count, group_of_entry
-from carobspool_core.hint_relays import RelayEntry, RelayPeers, WaitingHint
+from carobspool_core.hint_relays import NO_RELAYS, RelayEntry, RelayPeers, WaitingHint
 from carobspool_node.direct._announcement import Sender
 from carobspool_node.direct._hint_sender import HintSender
 from carobspool_node.direct._peer import AnnouncementContent
@@ -80,6 +81,7 @@
         self.group = None if groups == 1 else group_of_entry(name, names, groups)[1]
         self.counts: dict[int, Millis] = {}
         self.last_sent: Millis = 0.0
+        self.direct_sequences: dict[str, int] = {}
         self.relays = HintRelays(
             play.clock,
             RelayEntry(name=name, domain=domain, heard_at=0.0, relays=play.relayed),
@@ -122,7 +124,7 @@
 
     def change(self) -> None:
         """Send the loads and counts after a change."""
-        plan = self.relays.plan_for_sending()
+        plan = NO_RELAYS if self.play.is_hot else self.relays.plan_for_sending()
         relay = None if plan.is_relay else plan.own_relay
         self.last_sent = self.play.clock.time
         self.hints.send_loads(
@@ -167,16 +169,20 @@
             self.relays.record_bundle(bundle.relay, is_empty=not bundle.hints)
             if self.play.domains[bundle.relay] != self.domain:
                 for each in bundle.hints:
-                    self.relays.distribute(_waiting(cbor2.loads(each), each))
-        elif isinstance(message, list) and self.play.domains[message[1]] == self.domain:
-            self.relays.collect(_waiting(message, data))
+                    hint = _waiting(cbor2.loads(each), each)
+                    if hint.sequence > self.direct_sequences.get(hint.name, 0):
+                        self.relays.distribute(hint)
+        elif isinstance(message, list):
+            self.direct_sequences[message[1]] = message[3]
+            if self.play.domains[message[1]] == self.domain:
+                self.relays.collect(_waiting(message, data))
 
 
 class Play:
     """A fleet in virtual time."""
 
-    def __init__(self, fleet: Fleet, *, relayed: bool, seed: int = 1) -> None:
-        self.fleet, self.relayed = fleet, relayed
+    def __init__(self, fleet: Fleet, *, relayed: bool, is_hot: bool, seed: int = 1) -> None:
+        self.fleet, self.relayed, self.is_hot = fleet, relayed, is_hot
         self.random = random.Random(seed)
         self.clock = _VirtualClock()
         self._events: list[tuple[Millis, int, Callable[[], None]]] = []
@@ -200,8 +206,9 @@
         for entry in self.entries.values():
             self._every(HEARTBEAT, entry.beat)
             self._poisson(entry)
-            hot = max(80.0, HOT_HINT_PER_ENTRY * self.fleet.entries)
-            self._every(20.0, lambda number, entry=entry, hot=hot: self._hot_hint(entry, hot))
+            if self.is_hot:
+                hot = max(80.0, HOT_HINT_PER_ENTRY * self.fleet.entries)
+                self._every(20.0, lambda number, entry=entry, hot=hot: self._hot_hint(entry, hot))
             if self.relayed:
                 self._every(RELAY_RUN, lambda number, entry=entry: entry.relays.run_once())
         is_counted = False
@@ -287,7 +294,8 @@
 def report(play: Play, seconds: float) -> None:
     """Print the figures of a play."""
     fleet, entries = play.fleet, list(play.entries.values())
-    label = f"entries={fleet.entries} domains={fleet.domains} relayed={play.relayed}"
+    label = f"entries={fleet.entries} domains={fleet.domains} hot={play.is_hot}"
+    label += f" relayed={play.relayed}"
     per_entry = seconds * len(entries)
     sent: Counter[tuple[str, str, str]] = Counter()
     for entry in entries:
@@ -324,11 +332,14 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=6.0)
     parser.add_argument("--fleets", type=int, nargs="+", default=[24, 100, 380])
+    parser.add_argument(
+        "--hot", choices=["never", "always"], nargs="+", default=["never", "always"]
+    )
     options = parser.parse_args()
-    for entries in options.fleets:
+    for entries, hot in itertools.product(options.fleets, options.hot):
         for relayed in (False, True):
             started = time.process_time()
-            play = Play(FLEETS[entries], relayed=relayed)
+            play = Play(FLEETS[entries], relayed=relayed, is_hot=hot == "always")
             play.run(options.seconds * 1_000.0)
             report(play, options.seconds)
             print(f"processor_s={time.process_time() - started:.1f}")
