--- a/packages/node/src/carobspool_node/hint_relays/_relay_log.py
+++ b/packages/node/src/carobspool_node/hint_relays/_relay_log.py
@@ -76,5 +76,9 @@
     def _may_log(self, kind: str, domain: str, now: Millis) -> bool:
         if now - self._logged_at.get((kind, domain), float("-inf")) < LOG_INTERVAL:
             return False
+        # Domain names come from announcements, so the times of names not in use must not pile up.
+        for key, at in list(self._logged_at.items()):
+            if now - at >= LOG_INTERVAL:
+                self._logged_at.pop(key, None)
         self._logged_at[(kind, domain)] = now
         return True
