--- a/packages/node/src/carobspool_node/hint_relays/_relays.py
+++ b/packages/node/src/carobspool_node/hint_relays/_relays.py
@@ -172,8 +172,11 @@
         """Record the arrival of a bundle; an empty one states that its sender acts as the relay.
 
         An entry also distributes bundles of other domains while it is not the relay, since the
-        entries there may still choose it.
+        entries there may still choose it. With the setting off nothing is recorded, since it makes
+        no plans, which drop the times of entries that are gone.
         """
+        if not self._own.relays:
+            return
         now = self._clock.now()
         self._bundle_at[relay] = now
         if is_empty:
--- a/packages/node/tests/test_hint_relays.py
+++ b/packages/node/tests/test_hint_relays.py
@@ -84,6 +84,16 @@
         assert len(receivers) == (11 if needs_direct_hints else 3)
 
 
+def test_an_entry_with_the_setting_off_keeps_no_times_of_bundles(net: Net) -> None:
+    """It makes no plans, which drop the times of entries that are gone."""
+    reader = net.add("reader", "a", capacity=None)
+    _settle(net)
+    net.run(500.0)
+    assert any(receiver == "reader" for _, receiver, _ in net.take_sent("b"))
+    assert not reader.peers._relays._bundle_at
+    assert not reader.peers._relays._relay_seen_at
+
+
 def test_hints_that_arrived_directly_are_not_distributed_again(net: Net) -> None:
     """A relay would send its domain all hints of hot entries a second time."""
     for entry in net.entries.values():
