--- a/tests/harness.py
+++ b/tests/harness.py
@@ -37,7 +37,6 @@
         engines: Number of engines, named ``engine-1`` and so on, each with ``sidecar-N``.
         plain_services: Number of plain services, named ``plain-1``, with ``sidecar-plain-N``.
         engine: Settings of the engines.
-        upstream: Further fields of the engines in the desired state.
         entry: Settings of the entries.
         sidecar: Settings of the sidecars.
         state: Further sections of the desired state.
@@ -47,7 +46,6 @@
     engines: int = 2
     plain_services: int = 0
     engine: Mapping[str, Any] = field(default_factory=lambda: dict(FAST_ENGINE))
-    upstream: Mapping[str, Any] = field(default_factory=dict)
     entry: Mapping[str, Any] = field(default_factory=dict)
     sidecar: Mapping[str, Any] = field(default_factory=dict)
     state: Mapping[str, Any] = field(default_factory=dict)
@@ -266,7 +264,6 @@
                     engine,
                     models=[MODEL],
                     failure_domain=FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)],
-                    declared=dict(plan.upstream),
                     **plan.sidecar,
                 )
             for number, plain in enumerate(plain_services):
--- a/tests/promises/test_head_of_line.py
+++ b/tests/promises/test_head_of_line.py
@@ -15,7 +15,7 @@
 STEP_BASE_MS = 16.0
 STEP_STREAM_MS = 0.4
 ENGINE = {"step_base_ms": STEP_BASE_MS, "step_stream_ms": STEP_STREAM_MS, "slots": SLOTS}
-PLAN = SitePlan(entries=1, engines=1, engine=ENGINE, upstream={"slots": SLOTS})
+PLAN = SitePlan(entries=1, engines=1, engine=ENGINE, sidecar={"declared": {"slots": SLOTS}})
 """The declared slots are those of the engine. With the default of 32, the sidecar would start twice
 as many streams as the engine runs, and the rest would wait in the engine's own queue."""
 DECODE_STEP_S = (STEP_BASE_MS + SLOTS * STEP_STREAM_MS) / 1000.0
