Stream backups: fixed interfaces and the platform's calls

Cause: streams that may run only once are lost when their engine ends. The decisions and the adapter in the node need names, settings and a protocol that both they and the platform use. Nothing uses them yet, so requests are served as before.

--- a/packages/core/src/carobspool_core/direct/_configuration.py
+++ b/packages/core/src/carobspool_core/direct/_configuration.py
@@ -103,6 +103,8 @@
         organisations: Organisations that may send requests, ``None`` if any caller may.
         engine_memory: Tokens that an engine of a service keeps in memory, by service; services
             without a declared size are absent.
+        engine_backups: Services whose engines can keep a copy of a run's memory on another engine.
+        engine_moves: Services whose engines can stop a run and move its memory to another engine.
     """
 
     version: int
@@ -110,6 +112,8 @@
     limits: CallerLimits = field(default_factory=CallerLimits)
     organisations: OrganisationDirectory | None = field(default=None, compare=False)
     engine_memory: Mapping[str, int] = field(default_factory=dict, hash=False)
+    engine_backups: frozenset[str] = frozenset()
+    engine_moves: frozenset[str] = frozenset()
     _by_host: Mapping[str, tuple[Route, ...]] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
--- a/packages/node/src/carobspool_node/direct/_deployment.py
+++ b/packages/node/src/carobspool_node/direct/_deployment.py
@@ -12,6 +12,7 @@
 from carobspool_node.direct._jobs import ResultsPage
 from carobspool_node.direct._messages import CallerRequest, HeaderNames
 from carobspool_node.direct._settings import DirectSettings
+from carobspool_node.stream_backups import RunMoves
 
 
 class ReadResults(Struct, frozen=True, kw_only=True):
@@ -74,6 +75,7 @@
         retirement_prefix: Key prefix of requests to empty a host.
         retired: Status object that reports a host as empty.
         ready_path: Path of the load balancer's health check.
+        run_moves: Format of the calls that move runs, ``None`` if the platform has no such calls.
     """
 
     headers: HeaderNames
@@ -86,3 +88,4 @@
     retirement_prefix: str
     retired: Json
     ready_path: str
+    run_moves: RunMoves | None = None
--- a/packages/node/src/carobspool_node/direct/_messages.py
+++ b/packages/node/src/carobspool_node/direct/_messages.py
@@ -41,6 +41,8 @@
         model: Name of the model that a request needs.
         token_count: ``PROMPT,MAX_OUTPUT``: tokens of the prompt, and most tokens of the output.
         prompt_parts: ``ID:TOKENS,…``: parts of the prompt, the last one not shared.
+        run_backup: ``IP:PORT`` of the engine that receives a copy of the run's memory.
+        run_from: ``IP:PORT/ID``: the engine and request id, or handle, of the run to continue.
     """
 
     request_id: bytes = b"request-id"
@@ -54,6 +56,8 @@
     model: bytes = b"carobspool-model"
     token_count: bytes = b"carobspool-tokens"
     prompt_parts: bytes = b"carobspool-prompt-parts"
+    run_backup: bytes = b"carobspool-run-backup"
+    run_from: bytes = b"carobspool-run-from"
 
 
 class CallerRequest(Struct, frozen=True, kw_only=True):
--- a/packages/node/src/carobspool_node/direct/_settings.py
+++ b/packages/node/src/carobspool_node/direct/_settings.py
@@ -107,6 +107,12 @@
         unit="name",
         default="off",
     )
+    stream_backups: Literal["off", "auto"] = field(
+        description="Whether streams that may run only once continue at another engine when their"
+        " engine ends; `auto`: at services whose engines declare backups.",
+        unit="name",
+        default="off",
+    )
 
 
 class DirectSettings(Struct, frozen=True, kw_only=True):
@@ -132,6 +138,7 @@
         placement: ``slots`` or ``auto``.
         online_queue: Whether online requests wait at the entry for a slot: ``off``, ``auto`` (while
             an organisation has a priority) or ``on``.
+        stream_backups: ``off`` or ``auto``.
     """
 
     role: str
@@ -152,6 +159,7 @@
     host_capacity: float = 0.0
     placement: str = "slots"
     online_queue: str = "off"
+    stream_backups: str = "off"
 
 
 def load_direct_settings(path: Path) -> Result[DirectSettings, tuple[Problem, ...]]:
@@ -190,6 +198,7 @@
             host_capacity=model.processor_share * model.processor_cores,
             placement=model.placement,
             online_queue=model.online_queue,
+            stream_backups=model.stream_backups,
         )
     )
 
--- a/packages/node/tests/test_direct_settings.py
+++ b/packages/node/tests/test_direct_settings.py
@@ -30,6 +30,7 @@
     "first_start": True,
     "metrics_port": 5,
     "online_queue": "auto",
+    "stream_backups": "auto",
     "placement": "auto",
     "hint_relays": "auto",
     "processor_share": 0.5,
@@ -38,6 +39,7 @@
 }
 NEW_SETTINGS = {
     "online_queue",
+    "stream_backups",
     "placement",
     "hint_relays",
     "processor_share",
@@ -67,6 +69,7 @@
     settings = load_direct_settings(tmp_path / "s.json").unwrap()
     found = (settings.online_queue, settings.placement, settings.hint_relays)
     assert found == ("off", "slots", "off")
+    assert settings.stream_backups == "off"
     assert settings.host_capacity == 0.0
 
 
@@ -83,6 +86,7 @@
         ("online_queue", "sometimes"),
         ("placement", "fastest"),
         ("hint_relays", "on"),
+        ("stream_backups", "on"),
         ("processor_cores", 0),
         ("unheard_of", 1),
     ],
--- a/tests/test_import_rules.py
+++ b/tests/test_import_rules.py
@@ -30,6 +30,7 @@
         "online_queue",
         "organisations",
         "settings",
+        "stream_backups",
         "upstream_pace",
     )
 )
