Direct entries: streams that run once continue at a second engine

Cause: an engine that ends or breaks off its answers loses up to 8 streams that may run only once; their callers may not send them again.

Change: while stream_backups is auto and the service's engines declare backups, a request for such a stream names a second engine that receives a copy of the run's memory. If the process has ended, the stream continues from the copy. If only the connection broke, the run is stopped by a move first; without a certain stop the stream ends as before. Headers of callers that name copies are removed.

A move without an answer within 150 ms, and an engine that cannot be reached and is still registered, end the stream: the first run may be working.

--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -19,9 +19,11 @@
 from carobspool_node.direct._bad_records import BadRecords
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._callers import CallerApi
+from carobspool_node.direct._continued_streams import ContinuedStreams
 from carobspool_node.direct._crash_isolation import CrashIsolation
 from carobspool_node.direct._declared import DeclaredState
 from carobspool_node.direct._deployment import Deployment
+from carobspool_node.direct._engine_calls import EngineCalls
 from carobspool_node.direct._exit import EntryExit
 from carobspool_node.direct._forward import Forwarder
 from carobspool_node.direct._group_assignment import GroupAssignment
@@ -59,6 +61,7 @@
     CallerAuthenticator,
     RequestQuota,
 )
+from carobspool_node.stream_backups import StreamBackups
 from carobspool_node.upstream_pace import UpstreamPaces
 
 CALLER_WORKERS = 400
@@ -252,6 +255,7 @@
             lambda: self._exit.time_left,
             self._isolation,
             self._queued,
+            self._make_continued_streams(),
         )
         access = CallerAuthenticator(
             self._clock,
@@ -465,6 +469,26 @@
             on_error=lambda error: self._telemetry.observe_duration("first_event_error", error),
         )
 
+    def _make_continued_streams(self) -> ContinuedStreams:
+        names = self._deployment.headers
+        backups = StreamBackups(
+            self._clock,
+            self._telemetry,
+            setting=self._settings.stream_backups,
+            moves=self._deployment.run_moves,
+            configuration=lambda: self._declared.configuration,
+            listed=self._declared.listed,
+            call=EngineCalls(self._clock, names).call,
+        )
+        return ContinuedStreams(
+            self._clock,
+            names,
+            self._loads,
+            self._isolation,
+            backups,
+            self._group_assignment.split_upstreams,
+        )
+
     def _engine_memory(self, service: str) -> int | None:
         configuration = self._declared.configuration
         return None if configuration is None else configuration.engine_memory.get(service)
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -15,7 +15,6 @@
 from carobspool_core import Clock, Millis, VerdictKind, preferred_nodes
 from carobspool_core.direct import (
     LEAVING_RETRY_AFTER,
-    EventSplitter,
     Route,
     RouteKind,
     Upstream,
@@ -25,6 +24,7 @@
     is_retry_by_deadline,
 )
 from carobspool_node.direct._caller_connection import CallerConnection
+from carobspool_node.direct._continued_streams import MIN_CALL_TIME, ContinuedStreams
 from carobspool_node.direct._crash_isolation import CrashIsolation
 from carobspool_node.direct._errors import (
     CallCancelledError,
@@ -38,13 +38,17 @@
 from carobspool_node.direct._messages import (
     CallerRequest,
     HeaderNames,
-    Headers,
     UpstreamHead,
-    end_to_end_headers,
 )
 from carobspool_node.direct._queued_requests import QueuedRequests
 from carobspool_node.direct._request_endings import RequestEndings
 from carobspool_node.direct._request_state import RequestState
+from carobspool_node.direct._stream_relay import (
+    STREAM_IDLE_TIMEOUT,
+    StreamBrokenError,
+    StreamRelay,
+    answer_headers,
+)
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.direct._upstream_calls import (
     CallFailedError,
@@ -63,21 +67,12 @@
 """Fraction of the remaining time that one call for a repeatable request may take while another call
 is still allowed. Plain calls take 20 to 110 ms of a limit of 600 ms or more, so the rest leaves
 time for a second call if the server has stopped."""
-STREAM_IDLE_TIMEOUT: Millis = 900.0
-"""Time without data after which a resumable stream continues at another upstream. Events arrive
-every 30 ms; callers give up after two seconds."""
 DEADLINE_EXCEEDED_STATUS = HTTPStatus.GATEWAY_TIMEOUT
 """Status with which an upstream reports that the request's deadline has passed. It does not count
 as a failure of the upstream."""
 HANG_THRESHOLD: Millis = 1_000.0
 """If a caller disconnects after waiting this long for a first byte, the upstream counts as hanging:
 queueing adds at most 270 ms and a first event takes some 50 ms."""
-MIN_CALL_TIME: Millis = 20.0
-"""A call is not sent if less time than this is left."""
-
-
-class _StreamBrokenError(Exception):
-    """An upstream did not deliver the rest of an event stream, or skipped an event."""
 
 
 class Forwarder:
@@ -93,6 +88,7 @@
         time_left: Returns the time until this process exits, ``None`` if it is not shutting down.
         isolation: Isolates requests that crash upstreams.
         queued: Lets requests wait for a slot, while that is in force.
+        continued: Continues streams that may run only once.
     """
 
     def __init__(
@@ -106,6 +102,7 @@
         time_left: Callable[[], Millis | None],
         isolation: CrashIsolation,
         queued: QueuedRequests,
+        continued: ContinuedStreams,
     ) -> None:
         self._clock = clock
         self._names = names
@@ -116,7 +113,9 @@
         self._time_left = time_left
         self._isolation = isolation
         self._queued = queued
+        self._continued = continued
         self._endings = RequestEndings(clock, telemetry)
+        self._relay = StreamRelay(clock, loads, queued, telemetry, isolation, self._endings)
 
     def serve(
         self,
@@ -237,13 +236,17 @@
             state.upstream_loads.append(f"{placement.upstream.instance}:{placement.load.total}")
             answered = False
             try:
+                self._continued.begin(state, placement.upstream, split, is_suspect=is_suspect)
                 answered = self._call_upstream(state, placement.upstream)
             finally:
                 self._queued.request_ends(placement)
                 self._loads.end_online(placement, completed=answered)
+                self._continued.end(state)
             if answered:
                 self._queued.record_run(placement)
                 return
+            if self._continued.continue_stream(state, self._call_upstream):
+                return
             if state.runs >= state.route.max_attempts or not self._may_retry(state):
                 self._endings.give_up(state, has_upstreams=True)
                 return
@@ -305,25 +308,36 @@
             return False
         return state.route.is_retryable or not state.may_have_run
 
-    def _call_upstream(self, state: RequestState, upstream: Upstream) -> bool:
-        """Call one upstream; return whether the caller has received its answer."""
+    def _call_upstream(
+        self, state: RequestState, upstream: Upstream, run_from: bytes | None = None
+    ) -> bool:
+        """Call one upstream; return whether the caller has received its answer.
+
+        Args:
+            state: The request.
+            upstream: The upstream to call.
+            run_from: Names the run that the call continues, ``None`` if the request begins.
+        """
         call = UpstreamCall(self._connections, upstream, self._names, watch=state.caller.watch)
         started = self._clock.now()
         try:
             head = call.start(
-                upstream_request(state, upstream, self._names, now=started),
+                upstream_request(state, upstream, self._names, now=started, run_from=run_from),
                 self._call_deadline(state),
                 idle_deadline=self._idle_deadline(state, upstream, started),
             )
             self._loads.record_activity(upstream)
             return self._relay_answer(state, upstream, call, head)
         except CallFailedError as error:
+            failed_at = self._clock.now()
             ended = error.sent and call.upstream_has_ended()
             if ended:
                 self._isolation.record_crash(state.fingerprint(), upstream)
+            if error.sent:
+                state.progress.record_failure(failed_at, has_ended=ended)
             self._record_failure(state, upstream, str(error), sent=error.sent, ended=ended)
             return False
-        except _StreamBrokenError as error:
+        except StreamBrokenError as error:
             self._record_failure(state, upstream, str(error), sent=True)
             return False
         except DeadlinePassedError:
@@ -404,6 +418,7 @@
         """Relay the upstream's answer; return whether the caller has received it."""
         if head.header(self._names.not_run) is not None or head.status == 421:
             call.read_body(state.deadline)
+            state.progress.turned_away = True
             state.turned_away += 1
             state.last_failure = f"turned away with {head.status}"
             return False
@@ -412,7 +427,7 @@
         if head.header(b"content-encoding") is not None:
             raise CallFailedError("an answer with a foreign encoding", sent=True)
         if head.succeeded and state.route.kind is RouteKind.STREAM:
-            self._relay_stream(state, upstream, call, head)
+            self._relay.relay(state, upstream, call, head)
             return True
         body = call.read_body(self._call_deadline(state))
         self._isolation.record_completion(state.fingerprint)
@@ -427,12 +442,12 @@
             state.last_failure = f"status {head.status}"
             return False
         if state.streaming:
-            raise _StreamBrokenError(f"status {head.status} instead of the stream's rest")
+            raise StreamBrokenError(f"status {head.status} instead of the stream's rest")
         self._queued.record_first_event(state, upstream.service)
         # The connection returns to the pool before the answer is sent: the caller's next request
         # arrives within a millisecond of the answer and would otherwise open a new connection.
         call.close()
-        state.caller.answer(head.status, _answer_headers(head), body, reason=head.reason)
+        state.caller.answer(head.status, answer_headers(head), body, reason=head.reason)
         self._endings.record(state, "answered", head.status)
         return True
 
@@ -440,50 +455,3 @@
         if head.status < 500 or state.runs >= state.route.max_attempts:
             return False
         return state.route.kind is RouteKind.SAFE
-
-    def _relay_stream(
-        self, state: RequestState, upstream: Upstream, call: UpstreamCall, head: UpstreamHead
-    ) -> None:
-        splitter = EventSplitter()
-        pauses = self._loads.choice.follow_events(
-            upstream, state.forecast, is_resumed=state.streaming
-        )
-        silence = STREAM_IDLE_TIMEOUT if state.route.resumable else None
-        for data in call.body(state.deadline, idle_timeout=silence):
-            self._loads.record_activity(upstream)
-            pieces = []
-            for event in splitter.feed(data):
-                if state.last_event is not None and event.event_id is not None:
-                    if event.event_id <= state.last_event:
-                        continue
-                    if event.event_id != state.last_event + 1:
-                        raise _StreamBrokenError("an event is missing")
-                pieces.append(event.raw)
-                if event.event_id is not None:
-                    state.last_event = event.event_id
-            if not pieces:
-                continue
-            if pauses is not None:
-                pauses.record(len(pieces))
-            if not state.streaming:
-                state.streaming = True
-                state.caller.start_stream(head.status, _answer_headers(head), head.reason)
-                self._queued.record_first_event(state, upstream.service)
-                self._telemetry.observe_duration(
-                    "first_event", self._clock.now() - state.request.arrived
-                )
-            state.caller.send_piece(b"".join(pieces))
-        if splitter.incomplete:
-            raise _StreamBrokenError("the stream ends in the middle of an event")
-        if not state.streaming:
-            state.streaming = True
-            state.caller.start_stream(head.status, _answer_headers(head), head.reason)
-        state.runs += 1
-        self._isolation.record_completion(state.fingerprint)
-        call.close()
-        state.caller.finish_stream()
-        self._endings.record(state, "streamed", head.status)
-
-
-def _answer_headers(head: UpstreamHead) -> Headers:
-    return end_to_end_headers(head.headers, without=(b"content-length",))
--- a/packages/node/src/carobspool_node/direct/_item_run.py
+++ b/packages/node/src/carobspool_node/direct/_item_run.py
@@ -175,7 +175,10 @@
     def _request(self, job: JobInput, work: ItemWork, upstream: Upstream) -> UpstreamRequest:
         names = self._names
         item = work.item
-        replaced_names = (names.request_id, names.expect_instance, b"host", b"content-length")
+        replaced_names = (
+            *(names.request_id, names.expect_instance, names.run_backup, names.run_from),
+            *(b"host", b"content-length"),
+        )
         item_headers: Headers = [
             (key.encode(), value.encode()) for key, value in item.headers.items()
         ]
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -194,6 +194,18 @@
             suspects = self._current_suspects(self._clock.now())
         return [each for each in upstreams if each.identity not in suspects]
 
+    def healthy_loads(self, upstreams: Sequence[Upstream]) -> list[tuple[Upstream, Load]]:
+        """Return the upstreams of `healthy` with their loads."""
+        now = self._clock.now()
+        with self._lock:
+            loads = self._total_loads(now)
+            suspects = self._current_suspects(now)
+            return [
+                (each, loads.get(each.identity, NO_LOAD))
+                for each in upstreams
+                if each.identity not in suspects
+            ]
+
     def describe(self, upstreams: Sequence[Upstream]) -> str:
         """Return the loads, mean duration and age of hints that explain a refusal, for the log."""
         now = self._clock.now()
--- a/packages/node/src/carobspool_node/direct/_metrics.py
+++ b/packages/node/src/carobspool_node/direct/_metrics.py
@@ -41,6 +41,9 @@
     "queued": ("rank",),
     "dequeued": ("rank",),
     "queue_refused": ("rank", "status"),
+    "streams_backed_up": (),
+    "streams_continued": ("way",),
+    "streams_lost": ("reason",),
 }
 _GAUGE_NAMES = ("hint_relay", "paced_upstreams")
 _HISTOGRAM_NAMES = (
@@ -51,6 +54,7 @@
     "job_orphan",
     "first_event_error",
     "queue_wait",
+    "continuation_pause",
 )
 
 
--- a/packages/node/src/carobspool_node/direct/_request_state.py
+++ b/packages/node/src/carobspool_node/direct/_request_state.py
@@ -9,6 +9,7 @@
 from carobspool_core.upstream_pace import Forecast, PromptDemand
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._messages import CallerRequest
+from carobspool_node.stream_backups import StreamProgress
 
 
 class RequestState(Struct, kw_only=True):
@@ -36,6 +37,7 @@
         known_fingerprint: The fingerprint, once it was computed.
         is_refunded: Whether the token of the organisation's limit was returned.
         placed_at: When the request was last placed at an upstream.
+        progress: Events and copy of the current run of a stream.
     """
 
     request: CallerRequest
@@ -57,6 +59,7 @@
     known_fingerprint: str = ""
     is_refunded: bool = False
     placed_at: Millis = 0.0
+    progress: StreamProgress = field(default_factory=StreamProgress)
 
     def fingerprint(self) -> str:
         """Return the fingerprint by which the request is recognised if it is sent again."""
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_stream_relay.py
@@ -0,0 +1,108 @@
+"""Relays the event stream of an upstream to its caller, without a gap or a repeated event."""
+
+from __future__ import annotations
+
+from carobspool_core import Clock, Millis
+from carobspool_core.direct import EventSplitter, Upstream
+from carobspool_node.direct._crash_isolation import CrashIsolation
+from carobspool_node.direct._loads import LoadTable
+from carobspool_node.direct._messages import Headers, UpstreamHead, end_to_end_headers
+from carobspool_node.direct._queued_requests import QueuedRequests
+from carobspool_node.direct._request_endings import RequestEndings
+from carobspool_node.direct._request_state import RequestState
+from carobspool_node.direct._telemetry import Telemetry
+from carobspool_node.direct._upstream_calls import UpstreamCall
+
+STREAM_IDLE_TIMEOUT: Millis = 900.0
+"""Time without data after which a resumable stream continues at another upstream. Events arrive
+every 30 ms; callers give up after two seconds."""
+
+
+class StreamBrokenError(Exception):
+    """An upstream did not deliver the rest of an event stream, or skipped an event."""
+
+
+class StreamRelay:
+    """Relays event streams.
+
+    Args:
+        clock: The process's clock.
+        loads: Requests in flight at each upstream.
+        queued: Requests that wait for a slot.
+        telemetry: Logs and metrics.
+        isolation: Isolates requests that crash upstreams.
+        endings: Records the outcome of requests.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        loads: LoadTable,
+        queued: QueuedRequests,
+        telemetry: Telemetry,
+        isolation: CrashIsolation,
+        endings: RequestEndings,
+    ) -> None:
+        self._clock = clock
+        self._loads = loads
+        self._queued = queued
+        self._telemetry = telemetry
+        self._isolation = isolation
+        self._endings = endings
+
+    def relay(
+        self, state: RequestState, upstream: Upstream, call: UpstreamCall, head: UpstreamHead
+    ) -> None:
+        """Relay a stream to its end, after the events that the caller has received.
+
+        Raises:
+            StreamBrokenError: An event is missing, or the stream ends in the middle of one.
+            CallFailedError: The stream ended early.
+            DeadlinePassedError: The deadline of the request has passed.
+            CallerGoneError: The caller has disconnected.
+        """
+        splitter = EventSplitter()
+        pauses = self._loads.choice.follow_events(
+            upstream, state.forecast, is_resumed=state.streaming
+        )
+        silence = STREAM_IDLE_TIMEOUT if state.route.resumable else None
+        for data in call.body(state.deadline, idle_timeout=silence):
+            self._loads.record_activity(upstream)
+            pieces = []
+            for event in splitter.feed(data):
+                if state.last_event is not None and event.event_id is not None:
+                    if event.event_id <= state.last_event:
+                        continue
+                    if event.event_id != state.last_event + 1:
+                        raise StreamBrokenError("an event is missing")
+                pieces.append(event.raw)
+                if event.event_id is not None:
+                    state.last_event = event.event_id
+            if not pieces:
+                continue
+            if pauses is not None:
+                pauses.record(len(pieces))
+            if not state.streaming:
+                state.streaming = True
+                state.caller.start_stream(head.status, answer_headers(head), head.reason)
+                self._queued.record_first_event(state, upstream.service)
+                self._telemetry.observe_duration(
+                    "first_event", self._clock.now() - state.request.arrived
+                )
+            state.caller.send_piece(b"".join(pieces))
+            state.progress.record_events(self._clock.now())
+        if splitter.incomplete:
+            raise StreamBrokenError("the stream ends in the middle of an event")
+        if not state.streaming:
+            state.streaming = True
+            state.caller.start_stream(head.status, answer_headers(head), head.reason)
+        state.runs += 1
+        self._isolation.record_completion(state.fingerprint)
+        call.close()
+        state.caller.finish_stream()
+        self._endings.record(state, "streamed", head.status)
+
+
+def answer_headers(head: UpstreamHead) -> Headers:
+    """Return the headers of an upstream's answer that its caller receives."""
+    return end_to_end_headers(head.headers, without=(b"content-length",))
