--- a/packages/standins/src/carobspool_standins/_platform_server_start.py
+++ b/packages/standins/src/carobspool_standins/_platform_server_start.py
@@ -22,6 +22,8 @@
         self.started = started
         self.listener = socket.create_server(address)
         self.address: tuple[str, int] = self.listener.getsockname()
+        self.listening = True
+        self.crashed = False
         self._lock = threading.Lock()
         self._sockets: set[socket.socket] = set()
         self._held_output: list[tuple[socket.socket, bytes]] | None = None
@@ -42,13 +44,15 @@
 
     def stop_listening(self) -> None:
         """Close the listener."""
+        self.listening = False
         # On Linux, only a shutdown wakes a thread that is blocked in accept.
         with contextlib.suppress(OSError):
             self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
 
     def reset_all(self) -> None:
-        """Reset every connection."""
+        """Reset every connection, as the end of the process does."""
+        self.crashed = True
         with self._lock:
             sockets = list(self._sockets)
             self._sockets.clear()
--- a/packages/standins/src/carobspool_standins/platform_server.py
+++ b/packages/standins/src/carobspool_standins/platform_server.py
@@ -47,6 +47,16 @@
         self._start = start
         self.closed = False
 
+    @property
+    def address(self) -> str:
+        """``IP:PORT`` at which the server received the request."""
+        return "{}:{}".format(*self._start.address)
+
+    @property
+    def server_crashed(self) -> bool:
+        """Whether the start that received the request has crashed."""
+        return self._start.crashed
+
     def send(self, data: bytes) -> None:
         """Send raw bytes; errors of a closed connection are ignored."""
         self._start.send(self._socket, data)
@@ -150,6 +160,11 @@
     _start: ServerStart | None = None
     _isolated_starts: list[ServerStart] = field(default_factory=list)
 
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the server accepts connections."""
+        return self._start is not None and self._start.listening
+
     def registration(self, service: str, *, state: str = "ready", zone: str = "z1") -> object:
         """Return the server's entry in the list of servers."""
         entry: dict[str, object] = {
