Hint relays: only counts go directly near limits

Cause: while an organisation is near its limit an entry sent everything directly.

Change: loads, backlog and waiting counts stay with the relays; counts go in counts hints to all entries. A change without new loads sends counts hints only. Receivers compare loads with loads and counts with counts; both hints of a change have the same number. Entries announce this (field "y"). To an entry without the field everything goes directly, and to all entries if a chosen relay lacks it, since that relay would not distribute the load hints. Relays no longer collect counts hints if no entry lacks a shared upstream.

The tool sends hot hints without new loads as counts hints.

Also, from the review of the relays: names and domains of announcements are escaped in the log lines of relays and of lost peers. printable_text moved to carobspool_core.problems, since hint_relays may not import direct.

Tests: two tests of tests/test_hint_relays.py stated that everything goes directly near a limit. They are replaced by tests of what goes where, with the same bounds. The test of hints that are not distributed again now makes all entries send directly as they do while their relay is silent.

--- a/packages/core/src/carobspool_core/problems.py
+++ b/packages/core/src/carobspool_core/problems.py
@@ -124,6 +124,13 @@
     )
 
 
+def printable_text(text: str, limit: int) -> str:
+    """Return untrusted text in a form fit for a log line: printable ASCII, cut to ``limit``."""
+    found = text[: limit + 1].encode("ascii", "backslashreplace").decode()
+    found = "".join(each if each.isprintable() else "?" for each in found)
+    return found if len(found) <= limit else f"{found[:limit]}..."
+
+
 def _unreadable_file_problem(file: str, error: Exception) -> Problem:
     found = type(error).__name__
     return Problem(file=file, path="(file)", found=found, allowed="a readable file in UTF-8")
--- a/packages/core/tests/limits_model.py
+++ b/packages/core/tests/limits_model.py
@@ -32,12 +32,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Hint:
-    """Counts of an entry, as it sends them."""
+    """Counts of an entry, as it sends them; ``has_loads`` states whether it is a load hint."""
 
     name: str
     incarnation: int
     sequence: int
     counts: Mapping[int, int]
+    has_loads: bool = True
 
 
 Message = Hint | Bundle
@@ -207,18 +208,20 @@
         )
 
     def _send(self, entry: ModelEntry, *, within: Millis) -> None:
+        is_heartbeat = within > 200.0
+        has_loads = is_heartbeat or entry.has_unsent_counts
         entry.has_unsent_counts = False
         entry.hint_sent_at = self.now
         counts = entry.limits.recent_counts(self.now, within=within)
-        hint = Hint(entry.name, entry.incarnation, next(self._sequence), counts)
-        for other in self._recipients(entry, hint, is_heartbeat=within > 200.0):
-            self._transmit(entry, other, hint)
+        hint = Hint(entry.name, entry.incarnation, next(self._sequence), counts, has_loads)
+        for other, sent in self._direct_hints(entry, hint, is_heartbeat=is_heartbeat):
+            self._transmit(entry, other, sent)
 
-    def _recipients(
+    def _direct_hints(
         self, entry: ModelEntry, hint: Hint, *, is_heartbeat: bool
-    ) -> Sequence[ModelEntry]:
-        """Return the entries to which a hint is sent directly."""
-        return self.entries
+    ) -> Iterable[tuple[ModelEntry, Hint]]:
+        """Return the entries to which a hint is sent directly, with what is sent to each."""
+        return [(each, hint) for each in self.entries]
 
     def _transmit(self, entry: ModelEntry, other: ModelEntry, message: Message) -> None:
         if other is entry or self._is_partitioned(entry, other):
--- a/packages/core/tests/relayed_limits_model.py
+++ b/packages/core/tests/relayed_limits_model.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import replace
 
 from limits_model import Bundle, Fleet, Hint, Message, ModelEntry
 
@@ -35,7 +36,7 @@
     def __init__(self, now: Millis) -> None:
         self.outward, self.inward = BundleBuffer(now), BundleBuffer(now)
         self.heard: dict[str, Millis] = {}
-        self.direct_hints: dict[str, tuple[int, int]] = {}
+        self.direct_loads: dict[str, tuple[int, int]] = {}
         self.present_at: dict[str, Millis] = {}
         self.bundle_at: dict[str, Millis] = {}
         self.plan = RelayPlan()
@@ -81,18 +82,22 @@
     def _state(self, entry: ModelEntry) -> _Relaying:
         return self._relaying[(entry.name, entry.incarnation)]
 
-    def _recipients(
+    def _direct_hints(
         self, entry: ModelEntry, hint: Hint, *, is_heartbeat: bool
-    ) -> Sequence[ModelEntry]:
+    ) -> Iterable[tuple[ModelEntry, Hint]]:
         state = self._state(entry)
         plan = self._plan(entry, state)
-        if is_heartbeat or entry.limits.needs_direct_hints(self.now):
-            return self.entries
-        if sends_directly(plan, state.present_at.get(plan.own_relay or ""), self.now):
-            return self.entries
-        if plan.is_relay:
+        present_at = state.present_at.get(plan.own_relay or "")
+        if is_heartbeat or sends_directly(plan, present_at, self.now):
+            load_hint = replace(hint, has_loads=True)
+            return [(each, load_hint) for each in self.entries]
+        if plan.is_relay and hint.has_loads:
             state.outward.add(self._waiting(hint), self.now)
-        return [each for each in self.entries if each.name not in plan.served]
+        found = [(each, hint) for each in self.entries if each.name not in plan.served]
+        if entry.limits.needs_direct_hints(self.now):
+            counts_hint = replace(hint, has_loads=False)
+            found += [(each, counts_hint) for each in self.entries if each.name in plan.served]
+        return found
 
     def _receive(self, entry: ModelEntry, sender: str, message: Message) -> None:
         state = self._state(entry)
@@ -102,16 +107,17 @@
             if not message.hints:
                 state.present_at[sender] = self.now
             for each in message.hints:
-                newest = state.direct_hints.get(each.name, (-1, -1))
+                newest = state.direct_loads.get(each.name, (-1, -1))
                 if not is_fellow and (each.incarnation, each.sequence) > newest:
                     state.inward.add(self._waiting(each), self.now)
                 self._apply(entry, each, age=RELAYED_HINT_AGE)
             return
         state.heard[sender] = self.now
-        number = (message.incarnation, message.sequence)
-        state.direct_hints[sender] = max(state.direct_hints.get(sender, number), number)
-        if is_fellow and self._plan(entry, state).is_relay:
-            state.outward.add(self._waiting(message), self.now)
+        if message.has_loads:
+            number = (message.incarnation, message.sequence)
+            state.direct_loads[sender] = max(state.direct_loads.get(sender, number), number)
+            if is_fellow and self._plan(entry, state).is_relay:
+                state.outward.add(self._waiting(message), self.now)
         self._apply(entry, message)
 
     def _send_due_hints(self) -> None:
--- a/packages/node/src/carobspool_node/direct/_announcement.py
+++ b/packages/node/src/carobspool_node/direct/_announcement.py
@@ -107,6 +107,8 @@
     fields: dict[str, Any] = {}
     if sender.failure_domain:
         fields["z"] = sender.failure_domain
+        # States that the sender compares load hints and counts hints separately.
+        fields["y"] = True
     if sender.host_capacity is not None:
         fields["h"] = sender.host_capacity
     return fields
--- a/packages/node/src/carobspool_node/direct/_bad_records.py
+++ b/packages/node/src/carobspool_node/direct/_bad_records.py
@@ -14,6 +14,7 @@
 from xxhash import xxh3_64_intdigest
 
 from carobspool_core import Clock, Millis
+from carobspool_core.problems import printable_text
 from carobspool_node.direct._telemetry import Telemetry
 
 MAX_LINES = 50
@@ -114,12 +115,5 @@
             return unlogged
 
 
-def printable_text(text: str, limit: int) -> str:
-    """Return untrusted text in a form fit for a log line: printable ASCII, cut to ``limit``."""
-    found = text[: limit + 1].encode("ascii", "backslashreplace").decode()
-    found = "".join(each if each.isprintable() else "?" for each in found)
-    return found if len(found) <= limit else f"{found[:limit]}..."
-
-
 def _digest(text: str) -> int:
     return xxh3_64_intdigest(text.encode("utf-8", "surrogatepass"))
--- a/packages/node/src/carobspool_node/direct/_declared.py
+++ b/packages/node/src/carobspool_node/direct/_declared.py
@@ -16,8 +16,8 @@
     UpstreamsSnapshot,
     ViewVersion,
 )
-from carobspool_core.problems import UnusableRecordError
-from carobspool_node.direct._bad_records import BadRecords, printable_text
+from carobspool_core.problems import UnusableRecordError, printable_text
+from carobspool_node.direct._bad_records import BadRecords
 from carobspool_node.direct._deployment import Deployment
 from carobspool_node.direct._follow import Follower
 from carobspool_node.direct._telemetry import Telemetry
--- a/packages/node/src/carobspool_node/direct/_hint_receiver.py
+++ b/packages/node/src/carobspool_node/direct/_hint_receiver.py
@@ -25,7 +25,7 @@
 )
 from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._peer_messages import Announcement, decode_cbor
-from carobspool_node.direct._peer_table import PeerTable
+from carobspool_node.direct._peer_table import NewContent, PeerTable
 from carobspool_node.direct._relayed_hints import RelayedHints
 from carobspool_node.direct._suspect_messages import SuspectState, read_suspects_hint
 from carobspool_node.hint_relays import HintRelays, read_bundle
@@ -185,16 +185,17 @@
             self._apply_counts_hint(hint, relayed=True)
 
     def _apply_load_hint(self, hint: LoadHint, *, relayed: bool = False) -> None:
-        """Pass a hint's backlog, loads and counts to the callbacks, unless the table rejects it."""
-        if not self._table.record_hint(hint, relayed=relayed):
-            return
-        self._events.backlog(hint.name, hint.backlog)
-        self._events.waiting(hint.name, hint.waiting)
-        self._events.loads(hint.name, self._by_known_identity(hint.loads), None, True)
-        self._events.counts(hint.name, hint.incarnation, hint.counts)
+        """Pass the backlog, loads and counts of a hint to the callbacks, as far as they are new."""
+        new = self._table.record_hint(hint, relayed=relayed)
+        if new.loads:
+            self._events.backlog(hint.name, hint.backlog)
+            self._events.waiting(hint.name, hint.waiting)
+            self._events.loads(hint.name, self._by_known_identity(hint.loads), None, True)
+        if new.counts:
+            self._events.counts(hint.name, hint.incarnation, hint.counts)
 
     def _apply_counts_hint(self, hint: CountsHint, *, relayed: bool = False) -> None:
-        if self._table.record_hint(hint, relayed=relayed):
+        if self._table.record_hint(hint, relayed=relayed).counts:
             self._events.counts(hint.name, hint.incarnation, hint.counts)
 
     def _apply_announcement(self, announcement: Announcement) -> None:
@@ -217,16 +218,21 @@
     ) -> None:
         starts = announcement.starts or {}
         failures = by_identity(announcement.failures, starts)
-        if announcement.sequence is not None and not self._table.advance_sequence(
-            announcement.name, announcement.incarnation, announcement.sequence
-        ):
-            # A load hint that was sent later has already arrived.
-            return
-        self._events.waiting(announcement.name, announcement.packed_waiting)
-        loads = by_identity({key: Load(*pair) for key, pair in announcement.loads.items()}, starts)
-        loads |= self._by_known_identity(packed)
-        self._events.loads(announcement.name, loads, failures, announcement.starts is not None)
-        self._events.counts(announcement.name, announcement.incarnation, counts)
+        new = NewContent(loads=True, counts=True)
+        if announcement.sequence is not None:
+            # A hint that was sent later may have arrived already.
+            new = self._table.advance_sequence(
+                announcement.name, announcement.incarnation, announcement.sequence
+            )
+        if new.loads:
+            self._events.waiting(announcement.name, announcement.packed_waiting)
+            loads = by_identity(
+                {key: Load(*pair) for key, pair in announcement.loads.items()}, starts
+            )
+            loads |= self._by_known_identity(packed)
+            self._events.loads(announcement.name, loads, failures, announcement.starts is not None)
+        if new.counts:
+            self._events.counts(announcement.name, announcement.incarnation, counts)
 
     def _by_known_identity(self, loads: Mapping[int, Load]) -> dict[str, Load]:
         identities = self._identities_by_key()
--- a/packages/node/src/carobspool_node/direct/_hint_sender.py
+++ b/packages/node/src/carobspool_node/direct/_hint_sender.py
@@ -93,9 +93,13 @@
         targets: HintTargets,
         sharers: frozenset[str] | None,
         waiting: bytes = b"",
+        loads_changed: bool = True,
     ) -> None:
         """Send load hints and counts hints, or leave them to the relays for some entries.
 
+        While counts go directly, the load hint and the counts hint of a change have the same
+        number, since they carry the same counts.
+
         Args:
             loads: Requests in flight at this entry, by the upstream's identity.
             backlog: Batch items that wait at this entry.
@@ -103,10 +107,18 @@
             targets: Addresses of the other entries.
             sharers: Entries that use the same upstreams, ``None`` for all; only these get loads.
             waiting: Numbers of the online requests that wait at this entry, packed.
+            loads_changed: Whether the loads or waiting requests have changed since the last hint.
+                If they have not, and counts go directly, counts hints are sent in place of load
+                hints.
         """
         sequence = self._next_sequence()
         all_recipients = targets.load_recipients(sharers)
         recipients = all_recipients - targets.relayed
+        counts_recipients: frozenset[str] = frozenset()
+        if targets.sends_counts_directly:
+            if not loads_changed:
+                recipients = all_recipients - targets.kind_separators
+            counts_recipients = all_recipients - recipients
         with_counts = recipients & targets.count_readers if counts or waiting else frozenset()
         self._send_load_hint(
             loads, backlog, {}, sequence, _addresses(targets, recipients - with_counts)
@@ -115,18 +127,36 @@
             loads, backlog, counts, sequence, _addresses(targets, with_counts), waiting
         )
         is_relay = bool(targets.relayed) and targets.relay is None
-        if is_relay:
+        if is_relay and (loads_changed or not targets.sends_counts_directly):
             data = self._load_hint(loads, backlog, counts, sequence, waiting)
             self._pass_on("load", sequence, data)
-        counts_only = targets.count_readers - all_recipients
+        self._send_counts(counts, sequence, targets, all_recipients, counts_recipients)
+
+    def _send_counts(
+        self,
+        counts: Mapping[int, int],
+        sequence: int,
+        targets: HintTargets,
+        load_recipients: frozenset[str],
+        names: frozenset[str],
+    ) -> None:
+        """Send a counts hint to the named entries and, if due, to those that get no loads."""
+        counts_only = targets.count_readers - load_recipients
+        passes_on = False
         if counts and counts_only and self._admit_counts_hint(len(counts_only)):
-            data = self._counts_hint(counts, sequence)
-            names = counts_only - targets.relayed
-            if is_relay:
-                self._pass_on("counts", sequence, data)
-            elif targets.relay is not None and counts_only & targets.relayed:
-                names |= {targets.relay}
-            self._dispatch("counts", data, _addresses(targets, names & targets.current.keys()))
+            if targets.sends_counts_directly:
+                names |= counts_only
+            else:
+                names |= counts_only - targets.relayed
+                passes_on = bool(targets.relayed) and targets.relay is None
+                if targets.relay is not None and counts_only & targets.relayed:
+                    names |= {targets.relay}
+        if not names and not passes_on:
+            return
+        data = self._counts_hint(counts, sequence)
+        if passes_on:
+            self._pass_on("counts", sequence, data)
+        self._dispatch("counts", data, _addresses(targets, names & targets.current.keys()))
 
     def send_heartbeat_without_loads(
         self, counts: Mapping[int, int], targets: HintTargets, names: frozenset[str]
--- a/packages/node/src/carobspool_node/direct/_job_records.py
+++ b/packages/node/src/carobspool_node/direct/_job_records.py
@@ -29,9 +29,9 @@
     progress_to_json,
     results_from_json,
 )
-from carobspool_core.problems import Problem, UnusableRecordError
+from carobspool_core.problems import Problem, UnusableRecordError, printable_text
 from carobspool_core.records import Record, ValidatedBy, field, read_record
-from carobspool_node.direct._bad_records import BadRecords, printable_text
+from carobspool_node.direct._bad_records import BadRecords
 
 INPUTS = "jobs/"
 PROGRESS = "progress/"
--- a/packages/node/src/carobspool_node/direct/_peer.py
+++ b/packages/node/src/carobspool_node/direct/_peer.py
@@ -33,13 +33,17 @@
         leaving: Whether the peer is shutting down.
         store_ok: Whether the store answered the peer's last call.
         answer_age: Time from the store's last answer to the peer's last announcement.
-        sequence: Sequence number of the newest hint.
+        load_sequence: Sequence number of the newest loads.
+        counts_sequence: Sequence number of the newest request counts.
         reads_load_hints: Whether the peer reads load hints.
         reads_counts: Whether the peer reads hints that carry request counts.
         failure_domain: Failure domain of the peer, ``None`` if the peer does not read bundles.
         host_capacity: Share of processor times cores, 0 if unknown; ``None`` if the peer does not
             relay hints.
-        direct_sequence: Sequence number of the newest hint that no relay passed on.
+        direct_load_sequence: Sequence number of the newest loads that no relay passed on.
+        direct_counts_sequence: Sequence number of the newest counts hint that no relay passed on.
+        separates_kinds: Whether the peer compares the numbers of load hints with those of load
+            hints only, and the numbers of counts with those of counts.
         silent: Names of the entries from which the peer receives no hints.
         relayed_at: Time at which a relay last passed on a newer hint of the peer.
     """
@@ -55,12 +59,15 @@
     leaving: bool = False
     store_ok: bool = True
     answer_age: Millis = 0.0
-    sequence: int = -1
+    load_sequence: int = -1
+    counts_sequence: int = -1
     reads_load_hints: bool = False
     reads_counts: bool = False
     failure_domain: str | None = None
     host_capacity: float | None = None
-    direct_sequence: int = -1
+    direct_load_sequence: int = -1
+    direct_counts_sequence: int = -1
+    separates_kinds: bool = False
     silent: frozenset[str] = frozenset()
     relayed_at: Millis = float("-inf")
 
--- a/packages/node/src/carobspool_node/direct/_peer_messages.py
+++ b/packages/node/src/carobspool_node/direct/_peer_messages.py
@@ -100,6 +100,7 @@
     )
     packed_paces: bytes = field(alias="m", default=b"")
     packed_waiting: bytes = field(alias="u", default=b"")
+    separates_kinds: bool = field(alias="y", default=False)
 
 
 class ResultsCall(Record):
--- a/packages/node/src/carobspool_node/direct/_peer_table.py
+++ b/packages/node/src/carobspool_node/direct/_peer_table.py
@@ -14,7 +14,7 @@
 from carobspool_core.direct import DEAD_AFTER, FORGET_AFTER, SILENT_AFTER, Liveness
 from carobspool_core.hint_relays import RELAYED_HINT_AGE
 from carobspool_core.organisations import KnownPeer
-from carobspool_node.direct._bad_records import printable_text
+from carobspool_core.problems import printable_text
 from carobspool_node.direct._load_hint import CountsHint, LoadHint
 from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._peer_messages import MAX_NAME_CHARS, Announcement
@@ -31,6 +31,9 @@
         relayed: Names of the current entries that get load hints and counts hints through relays.
         relay: Name of the relay that passes this entry's hints on to them, ``None`` if this entry
             is the relay or no relay is used.
+        kind_separators: Names of the current entries that compare load hints and counts hints
+            separately, so that one of them may overtake the other.
+        sends_counts_directly: Whether counts go directly to the relayed entries too.
     """
 
     current: Mapping[str, tuple[str, int]]
@@ -39,6 +42,8 @@
     suspect_readers: frozenset[str] = frozenset()
     relayed: frozenset[str] = frozenset()
     relay: str | None = None
+    kind_separators: frozenset[str] = frozenset()
+    sends_counts_directly: bool = False
 
     def load_recipients(self, sharers: frozenset[str] | None) -> frozenset[str]:
         """Return the names of the entries to which a change of loads is sent.
@@ -49,12 +54,32 @@
         names = frozenset(self.current)
         return names if sharers is None else names & sharers
 
+    def direct_recipients(self, sharers: frozenset[str] | None) -> frozenset[str]:
+        """Return the names of the entries to which this entry itself sends a change."""
+        names = self.load_recipients(sharers)
+        return names if self.sends_counts_directly else names - self.relayed
+
     def without(self, names: frozenset[str]) -> HintTargets:
         """Return the targets without some of the current entries."""
         current = {name: at for name, at in self.current.items() if name not in names}
         return replace(self, current=current, count_readers=self.count_readers - names)
 
 
+class NewContent(Struct, frozen=True, kw_only=True):
+    """Which contents of a hint are newer than all that were received before.
+
+    Attributes:
+        loads: Whether its loads, backlog and numbers of waiting requests are.
+        counts: Whether its request counts are.
+    """
+
+    loads: bool
+    counts: bool
+
+
+NOTHING_NEW = NewContent(loads=False, counts=False)
+
+
 class SilentPeers(Struct, frozen=True, kw_only=True):
     """Peers that a check for silence has newly found.
 
@@ -123,11 +148,14 @@
             current = {}
             count_readers = set()
             suspect_readers = set()
+            kind_separators = set()
             for peer in self._peers.values():
                 if peer.reads_load_hints and now - peer.last_heard_at < DEAD_AFTER:
                     current[peer.name] = peer.address
                     if peer.reads_counts:
                         count_readers.add(peer.name)
+                        if peer.separates_kinds:
+                            kind_separators.add(peer.name)
                     if peer.reads_suspects:
                         suspect_readers.add(peer.name)
                     others.pop(peer.name, None)
@@ -138,6 +166,7 @@
             count_readers=frozenset(count_readers),
             suspect_readers=frozenset(suspect_readers),
             others=list(others.values()),
+            kind_separators=frozenset(kind_separators),
         )
 
     def peers(self) -> list[Peer]:
@@ -241,6 +270,7 @@
                 # An entry that does not hear this one sends the format of the previous version.
                 peer.failure_domain = announcement.failure_domain
                 peer.host_capacity = announcement.host_capacity
+                peer.separates_kinds = announcement.separates_kinds
             if announcement.open_jobs is not None:
                 peer.open_jobs = frozenset(announcement.open_jobs)
                 peer.done_jobs = frozenset(announcement.done_jobs)
@@ -263,32 +293,42 @@
             peer = self._peers.get(name)
             return peer is not None and peer.incarnation == incarnation
 
-    def advance_sequence(self, name: str, incarnation: str, sequence: int) -> bool:
-        """Record the sequence number of a hint.
+    def advance_sequence(self, name: str, incarnation: str, sequence: int) -> NewContent:
+        """Record the sequence number of an announcement, which carries loads and counts.
 
         Returns:
-            Whether the hint is newer than all earlier hints of its process; false for unknown
-            processes.
+            What is newer than all earlier hints of its process; nothing for unknown processes.
         """
         with self._lock:
             peer = self._peers.get(name)
-            if peer is None or peer.incarnation != incarnation or sequence <= peer.sequence:
-                return False
-            peer.sequence = sequence
-            peer.direct_sequence = max(peer.direct_sequence, sequence)
-            return True
+            if peer is None or peer.incarnation != incarnation:
+                return NOTHING_NEW
+            new = NewContent(
+                loads=sequence > peer.load_sequence, counts=sequence > peer.counts_sequence
+            )
+            peer.load_sequence = max(peer.load_sequence, sequence)
+            peer.counts_sequence = max(peer.counts_sequence, sequence)
+            peer.direct_load_sequence = max(peer.direct_load_sequence, sequence)
+            return new
 
     def has_direct_hint(self, hint: LoadHint | CountsHint) -> bool:
-        """Return whether a hint, or a newer one of its process, has arrived directly."""
+        """Return whether the content of a hint, or a newer one of its process, came directly."""
         with self._lock:
             peer = self._peers.get(hint.name)
             if peer is None or peer.incarnation != hint.incarnation:
                 return False
-            return hint.sequence <= peer.direct_sequence
+            newest = peer.direct_load_sequence
+            if isinstance(hint, CountsHint):
+                # A load hint that is sent directly goes to all entries, with the counts.
+                newest = max(newest, peer.direct_counts_sequence)
+            return hint.sequence <= newest
 
-    def record_hint(self, hint: LoadHint | CountsHint, *, relayed: bool = False) -> bool:
+    def record_hint(self, hint: LoadHint | CountsHint, *, relayed: bool = False) -> NewContent:
         """Record the arrival of a load hint or counts hint.
 
+        The loads of a hint are compared with loads and its counts with counts: while counts go
+        directly and loads through relays, the counts arrive first with the higher number.
+
         Args:
             hint: The hint.
             relayed: Whether a relay passed it on. Such a hint is a sign of life for a short time
@@ -296,23 +336,31 @@
                 arrive.
 
         Returns:
-            Whether the hint is the newest of a known process.
+            What is newer than all earlier hints of its process; nothing for unknown processes.
         """
         now = self._clock.now()
+        has_loads = isinstance(hint, LoadHint)
         with self._lock:
             peer = self._peers.get(hint.name)
             if peer is None or peer.incarnation != hint.incarnation:
-                return False
-            is_newest = hint.sequence > peer.sequence
+                return NOTHING_NEW
+            new = NewContent(
+                loads=has_loads and hint.sequence > peer.load_sequence,
+                counts=hint.sequence > peer.counts_sequence,
+            )
             if relayed:
+                is_newest = new.loads if has_loads else new.counts
                 peer.relayed_at = now if is_newest else peer.relayed_at
-            elif hint.sequence > peer.direct_sequence:
+            elif _advance_direct_sequence(peer, hint):
                 # A relayed hint may have overtaken this one, which is a sign of life all the same.
-                peer.direct_sequence = hint.sequence
                 self._liveness.record_hint(now - peer.alive_at, now)
                 peer.last_heard_at = now
-            peer.sequence = max(peer.sequence, hint.sequence)
-            return is_newest
+            if new.loads:
+                peer.load_sequence = hint.sequence
+            # A load hint without counts may be sent before a counts hint of a lower number arrives.
+            if new.counts and (hint.counts or not has_loads):
+                peer.counts_sequence = hint.sequence
+            return new
 
     def check_silence(self) -> SilentPeers:
         """Return the peers that have become lost or gone, and update the table.
@@ -346,13 +394,24 @@
         for peer in lost:
             logging.warning(
                 "event=peer_lost peer=%s silent_ms=%.0f jobs=%d",
-                peer.identity,
+                printable_text(peer.identity, 2 * MAX_NAME_CHARS),
                 now - peer.last_heard_at,
                 len(peer.open_jobs),
             )
         return SilentPeers(lost=lost, gone=gone)
 
 
+def _advance_direct_sequence(peer: Peer, hint: LoadHint | CountsHint) -> bool:
+    """Record the number of a hint that came directly; return whether it is the newest of a kind."""
+    if isinstance(hint, CountsHint):
+        is_newest = hint.sequence > peer.direct_counts_sequence
+        peer.direct_counts_sequence = max(peer.direct_counts_sequence, hint.sequence)
+    else:
+        is_newest = hint.sequence > peer.direct_load_sequence
+        peer.direct_load_sequence = max(peer.direct_load_sequence, hint.sequence)
+    return is_newest
+
+
 def _without_jobs(peer: Peer) -> Peer:
     return replace(
         peer, open_jobs=frozenset(), done_jobs=frozenset(), waiting={}, versions={}, store_ok=False
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -60,7 +60,7 @@
         has_unsent_counts: Returns whether a hint has to report request counts now.
         claim_unsent_counts: Returns the request counts for the next hint to all peers and marks
             them as reported; the argument states whether the hint is a heartbeat.
-        needs_direct_hints: Returns whether changes go directly to all entries, also while relays
+        needs_direct_hints: Returns whether counts go directly to all entries, also while relays
             are in force; called for each change that is sent, not for each request.
         is_leaving: Returns whether this entry is shutting down.
         waiting: Returns the packed numbers of the online requests that wait at this entry.
@@ -290,10 +290,11 @@
                     self._announce_to_new_peers()
                 loads = self._own.loads()
                 waiting = self._own.waiting()
-                if (loads, waiting) != sent_loads or self._own.has_unsent_counts():
+                loads_changed = (loads, waiting) != sent_loads
+                if loads_changed or self._own.has_unsent_counts():
                     targets = self._targets_for_change()
                     sharers = self._own.upstream_sharers()
-                    recipients = len(targets.load_recipients(sharers) - targets.relayed)
+                    recipients = len(targets.direct_recipients(sharers))
                     pause = send_limiter.delay_before_send(now, peers=recipients)
                     if pause <= 0.0:
                         sent_loads = (loads, waiting)
@@ -304,6 +305,7 @@
                             targets=targets,
                             sharers=sharers,
                             waiting=waiting,
+                            loads_changed=loads_changed,
                         )
                         send_limiter.record_send(now, peers=recipients)
                         pause = CHECK_INTERVAL
@@ -316,9 +318,9 @@
         """Return the addresses for a change of loads or counts, which relays may pass on."""
         targets = self._table.targets()
         plan = self._relays.plan_for_sending()
-        if self._own.needs_direct_hints():
-            return targets
-        return targets_with_relays(targets, plan)
+        return targets_with_relays(
+            targets, plan, sends_counts_directly=self._own.needs_direct_hints()
+        )
 
     def _send_heartbeat(self, now: Millis) -> None:
         """Send a heartbeat to all peers: an announcement if one is due, or else a load hint."""
--- a/packages/node/src/carobspool_node/direct/_relay_view.py
+++ b/packages/node/src/carobspool_node/direct/_relay_view.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Iterable, Mapping
 
+from msgspec.structs import replace
+
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import DEAD_AFTER
 from carobspool_core.hint_relays import (
@@ -82,16 +84,24 @@
         return cut_off_entries(reports, heard, self._name)
 
 
-def targets_with_relays(targets: HintTargets, plan: RelayPlan) -> HintTargets:
-    """Return the targets of a change, of which relays serve those that read counts too."""
+def targets_with_relays(
+    targets: HintTargets, plan: RelayPlan, *, sends_counts_directly: bool
+) -> HintTargets:
+    """Return the targets of a change, of which relays serve those that read counts too.
+
+    Entries of the previous build drop a relayed load hint after a direct counts hint of a higher
+    number. While counts go directly, they get everything directly, and so do all entries if one of
+    the relays is of the previous build, since it would not distribute the load hint.
+    """
     if not plan.served:
         return targets
     relay = None if plan.is_relay else plan.own_relay
-    return HintTargets(
-        current=targets.current,
-        count_readers=targets.count_readers,
-        others=targets.others,
-        suspect_readers=targets.suspect_readers,
-        relayed=plan.served & targets.count_readers,
-        relay=relay,
+    served = plan.served & targets.count_readers
+    if sends_counts_directly:
+        served &= targets.kind_separators
+        relays = {*plan.relays.values(), *(() if relay is None else (relay,))}
+        if not served or not relays <= targets.kind_separators:
+            return targets
+    return replace(
+        targets, relayed=served, relay=relay, sends_counts_directly=sends_counts_directly
     )
--- a/packages/node/src/carobspool_node/hint_relays/_relay_log.py
+++ b/packages/node/src/carobspool_node/hint_relays/_relay_log.py
@@ -8,10 +8,13 @@
 
 from carobspool_core import Millis
 from carobspool_core.hint_relays import RelayPlan
+from carobspool_core.problems import printable_text
 
 LOG_INTERVAL: Millis = 1_000.0
 """Shortest time between two lines about the same domain, so that a relay whose messages arrive
 irregularly does not fill the log."""
+MAX_NAME_CHARS = 80
+"""Longest name in a line. Names and domains come from announcements, which any process can send."""
 
 
 class RelayLog:
@@ -46,9 +49,12 @@
                 reason = "no_entry_able" if plan.in_force else "relays_not_in_force"
             else:
                 self._relays[domain] = after
-                reason = "first" if before is None else f"replaces_{before}"
+                reason = "first" if before is None else f"replaces_{_shown(before)}"
             logging.info(
-                "event=relay_chosen domain=%s relay=%s reason=%s", domain, after or "none", reason
+                "event=relay_chosen domain=%s relay=%s reason=%s",
+                _shown(domain),
+                _shown(after),
+                reason,
             )
         if plan.is_relay != self._was_relay:
             self._was_relay = plan.is_relay
@@ -63,7 +69,7 @@
             logging.warning(
                 "event=relay_lost domain=%s relay=%s silent_ms=%.0f",
                 self._domain,
-                plan.own_relay or "none",
+                _shown(plan.own_relay),
                 -1.0 if heard_at is None else now - heard_at,
             )
         self._was_direct = lost
@@ -82,3 +88,7 @@
                 self._logged_at.pop(key, None)
         self._logged_at[(kind, domain)] = now
         return True
+
+
+def _shown(name: str | None) -> str:
+    return "none" if name is None else printable_text(name, MAX_NAME_CHARS)
--- a/packages/node/src/carobspool_node/hint_relays/_relays.py
+++ b/packages/node/src/carobspool_node/hint_relays/_relays.py
@@ -150,7 +150,11 @@
         """
         if not self.is_relay:
             return
-        if hint.name != self._own.name and hint.name not in self._plan.sharers:
+        plan = self._plan
+        if hint.name != self._own.name and hint.name not in plan.sharers:
+            return
+        if hint.kind == "counts" and not (plan.unrelated or plan.others):
+            # Counts hints are passed on for entries that share no upstream, and there are none.
             return
         now = self._clock.now()
         with self._lock:
--- a/packages/node/tests/_relay_net.py
+++ b/packages/node/tests/_relay_net.py
@@ -55,6 +55,7 @@
         self.needs_direct_hints = False
         self.lost: list[str] = []
         self.known: dict[str, int] = {}
+        self.counted: dict[str, int] = {}
         self.received: list[Any] = []
         self.telemetry = Telemetry()
         self.peers = Peers(
@@ -78,7 +79,7 @@
             host_capacity=capacity,
         )
         self.peers._events = self.peers._receiver._events = PeerCallbacks(
-            loads=self._record, lost=self._record_lost
+            loads=self._record, lost=self._record_lost, counts=self._record_counts
         )
 
     @property
@@ -91,14 +92,15 @@
         """Whether the entry acts as a relay."""
         return self.peers._relays.is_relay
 
-    def change(self) -> None:
-        """Send a change of loads as the sending thread does."""
+    def change(self, *, loads_changed: bool = True) -> None:
+        """Send a change of loads and counts, or of counts alone, as the sending thread does."""
         self.peers._hints.send_loads(
             self._loads(),
             (),
-            {7: 1},
+            {7: self.net.load_now()},
             targets=self.peers._targets_for_change(),
             sharers=self.net.group,
+            loads_changed=loads_changed,
         )
 
     def _loads(self) -> dict[str, Load]:
@@ -116,6 +118,7 @@
             released=frozenset(),
             store_ok=True,
             backlog=(),
+            counts={7: self.net.load_now()},
         )
 
     def _record(self, peer: str, loads: Any, failures: Any, knows_starts: bool) -> None:
@@ -124,6 +127,11 @@
         assert load >= self.known.get(peer, 0), f"{self.name} went back on the loads of {peer}"
         self.known[peer] = load
 
+    def _record_counts(self, peer: str, incarnation: str, counts: Any) -> None:
+        count = counts.get(7, self.counted.get(peer, 0))
+        assert count >= self.counted.get(peer, 0), f"{self.name} went back on the counts of {peer}"
+        self.counted[peer] = count
+
     def _record_lost(self, peer: Peer) -> None:
         self.lost.append(peer.name)
 
@@ -139,6 +147,8 @@
         self.entries: dict[str, Entry] = {}
         self.group: frozenset[str] | None = None
         self.cut: Callable[[Entry, Entry], bool] = lambda sender, receiver: False
+        self.loses: Callable[[Entry, Entry, Any], bool] = lambda sender, receiver, message: False
+        self.previous_build: set[str] = set()
         self.sent: list[tuple[str, str, Any]] = []
         self._patch = patch
         self._by_address: dict[Address, Entry] = {}
@@ -184,12 +194,15 @@
                 if self._is_due(10.0, 0.0):
                     entry.peers._relays.run_once()
 
-    def worst_age(self, duration: Millis, pairs: Iterable[tuple[Entry, Entry]]) -> Millis:
+    def worst_age(
+        self, duration: Millis, pairs: Iterable[tuple[Entry, Entry]], *, of_counts: bool = False
+    ) -> Millis:
         """Run for a time; return the greatest age of a load that a reader knew of an entry.
 
         Args:
             duration: How long to run.
             pairs: Pairs of the entry and the reader.
+            of_counts: Whether to return the age of a count instead.
         """
         checked = list(pairs)
         worst = 0.0
@@ -197,7 +210,8 @@
         while self.time < until:
             self.run(STEP)
             now = self.load_now()
-            worst = max([worst, *((now - r.known.get(e.name, 0)) * STEP for e, r in checked)])
+            known = [(r.counted if of_counts else r.known).get(e.name, 0) for e, r in checked]
+            worst = max([worst, *((now - each) * STEP for each in known)])
         return worst
 
     def pairs(self, origin: str = "", reader: str = "") -> list[tuple[Entry, Entry]]:
@@ -230,8 +244,12 @@
     def send(self, sender: Address, receiver: Address, data: bytes) -> None:
         """Send a datagram."""
         one, other = self._by_address[sender], self._by_address[receiver]
-        self.sent.append((one.name, other.name, cbor2.loads(data)))
-        if not self.cut(one, other):
+        message = cbor2.loads(data)
+        if one.name in self.previous_build and isinstance(message, dict):
+            message.pop("y", None)
+            data = cbor2.dumps(message)
+        self.sent.append((one.name, other.name, message))
+        if not self.cut(one, other) and not self.loses(one, other, message):
             heapq.heappush(
                 self._waiting, (self.time + DELAY, next(self._numbers), other.name, data)
             )
--- a/packages/node/tests/test_hint_relays.py
+++ b/packages/node/tests/test_hint_relays.py
@@ -9,12 +9,20 @@
 from _relay_net import Entry, Net
 from msgspec.structs import replace
 
-from carobspool_core.hint_relays import MAX_BUNDLE_BYTES, WaitingHint, split_by_size
+from carobspool_core.hint_relays import (
+    MAX_BUNDLE_BYTES,
+    NO_RELAYS,
+    RelayPlan,
+    WaitingHint,
+    split_by_size,
+)
 from carobspool_core.problems import UnusableRecordError
-from carobspool_node.direct._load_hint import encode_load_hint
+from carobspool_node.direct._hint_receiver import PeerCallbacks
+from carobspool_node.direct._load_hint import encode_counts_hint, encode_load_hint
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.hint_relays import HintTraffic
 from carobspool_node.hint_relays._bundle import encode_bundle, read_bundle
+from carobspool_node.hint_relays._relay_log import RelayLog
 
 DOMAINS = ("a", "b", "c")
 RELAYED_AGE = 110.0
@@ -67,21 +75,136 @@
     assert all(each.peers.relays_in_force for each in net.entries.values())
 
 
+def _receivers(net: Net, kind: str) -> set[str]:
+    return {other for _, other, _ in net.take_sent(kind)}
+
+
 @pytest.mark.parametrize("is_relay", [False, True])
-def test_an_entry_with_a_hot_organisation_sends_changes_to_all_entries(
+def test_an_entry_with_a_hot_organisation_sends_only_counts_to_all_entries(
     net: Net, is_relay: bool
 ) -> None:
-    """Counts that are older by the waits in two relays let requests exceed a limit."""
+    """Counts that are older by the waits in two relays let requests exceed a limit; loads that go
+    directly too cost more bytes than without relays."""
     relay = net.relay_of("a")
-    hot, *_ = [
-        each for each in net.entries.values() if each.domain == "a" and (each is relay) == is_relay
-    ]
-    for needs_direct_hints in (True, False):
-        hot.needs_direct_hints = needs_direct_hints
-        net.sent.clear()
-        hot.change()
-        receivers = {other for _, other, _ in net.take_sent("l")}
-        assert len(receivers) == (11 if needs_direct_hints else 3)
+    hot, *_ = [e for e in net.entries.values() if e.domain == "a" and (e is relay) == is_relay]
+    hot.needs_direct_hints = True
+    for loads_changed, receivers in ((True, (3, 8)), (False, (0, 11))):
+        hot.change(loads_changed=loads_changed)
+        sent = list(net.sent)
+        assert len(_receivers(net, "l")) == receivers[0]
+        net.sent[:] = sent
+        counts = net.take_sent("u")
+        assert len({other for _, other, _ in counts}) == len(counts) == receivers[1]
+        assert all(message[4] for _, _, message in counts)
+    hot.needs_direct_hints = False
+    hot.change()
+    assert len(_receivers(net, "l")) == 3
+
+
+def test_loads_go_through_relays_while_organisations_are_hot(net: Net) -> None:
+    """Some organisation is nearly always near its limit, and relays would save nothing."""
+    for entry in net.entries.values():
+        entry.needs_direct_hints = True
+    net.run(500.0)
+    assert net.worst_age(1_000.0, net.pairs()) <= RELAYED_AGE
+    assert net.worst_age(1_000.0, net.pairs(), of_counts=True) <= 70.0
+    net.sent.clear()
+    net.run(1_000.0)
+    sent = [each for each in net.sent if isinstance(each[2], list)]
+    crossing = [each for each in sent if _domain(net, each[0]) != _domain(net, each[1])]
+    assert sum(each[2][0] == "l" for each in crossing) <= 12 * 8 * 2
+    passed_on = [data for _, _, message in sent if message[0] == "b" for data in message[3]]
+    assert {cbor2.loads(data)[0] for data in passed_on} == {"l"}
+
+
+def test_loads_are_compared_with_loads_and_counts_with_counts(net: Net) -> None:
+    """A load hint that relays delay would be dropped after a direct counts hint that was sent
+    later, and its older counts must not be applied after those."""
+    relay = net.relay_of("a")
+    reader = next(e for e in net.entries.values() if e.domain == "a" and e is not relay)
+    origin = next(e for e in net.entries.values() if e.domain == "b")
+    heard: list[object] = []
+    reader.peers._receiver._events = PeerCallbacks(
+        loads=lambda peer, loads, failures, knows_starts: heard.append("loads"),
+        counts=lambda peer, incarnation, counts: heard.append(counts),
+    )
+    who = {"name": origin.name, "incarnation": "1"}
+
+    def receive(data: bytes, *, relayed: bool = False) -> list[object]:
+        heard.clear()
+        bundle = encode_bundle(relay.name, "1", [data])
+        reader.peers._receiver._receive_datagram(bundle if relayed else data, ("127.0.0.1", 1))
+        return list(heard)
+
+    def load_hint(number: int, counts: dict[int, int]) -> bytes:
+        return encode_load_hint(
+            **who, sequence=10**6 + number, loads={}, backlog=(), counts=counts  # type: ignore[arg-type]
+        )
+
+    def counts_hint(number: int, counts: dict[int, int]) -> bytes:
+        return encode_counts_hint(**who, sequence=10**6 + number, counts=counts)
+
+    assert receive(counts_hint(5, {7: 5})) == [{7: 5}]
+    assert receive(load_hint(4, {7: 4}), relayed=True) == ["loads"]
+    assert receive(load_hint(4, {7: 4}), relayed=True) == []
+    assert receive(load_hint(3, {7: 3})) == []
+    assert receive(load_hint(7, {7: 7}), relayed=True) == ["loads", {7: 7}]
+    assert receive(counts_hint(6, {7: 6})) == []
+    # A load hint that carries no counts says nothing of those that were sent before it.
+    assert receive(load_hint(9, {})) == ["loads", {}]
+    assert receive(counts_hint(8, {7: 8})) == [{7: 8}]
+
+
+def test_relayed_load_hints_make_up_for_lost_counts_hints(net: Net) -> None:
+    """Each domain would admit the whole limit while the direct hints of the others are lost."""
+    for entry in net.entries.values():
+        entry.needs_direct_hints = True
+    net.run(500.0)
+    net.loses = lambda sender, receiver, message: (
+        sender.domain != receiver.domain and message[0] == "u"
+        if isinstance(message, list)
+        else False
+    )
+    assert net.worst_age(2_000.0, net.pairs(), of_counts=True) <= RELAYED_AGE
+    assert _lost(net) == []
+
+
+def test_counts_arrive_directly_while_the_relay_is_dead_and_an_organisation_is_hot(
+    net: Net,
+) -> None:
+    """A limit would be exceeded by what its domain admits until the next relay is chosen."""
+    for entry in net.entries.values():
+        entry.needs_direct_hints = True
+    net.run(500.0)
+    net.relay_of("a").is_up = False
+    assert net.worst_age(700.0, net.pairs(), of_counts=True) <= 70.0
+    net.run(200.0)
+    net.relay_of("a").is_up = False
+    assert net.worst_age(700.0, net.pairs()) <= FALLBACK_AGE + 50.0
+
+
+@pytest.mark.parametrize("is_relay", [False, True])
+def test_an_entry_that_compares_all_hints_gets_everything_directly(
+    net: Net, is_relay: bool
+) -> None:
+    """It drops a relayed load hint after a direct counts hint, and as a relay it passes on none."""
+    old = next(e for e in net.entries.values() if e.domain == "b" and e.is_relay == is_relay)
+    net.previous_build.add(old.name)
+    old.peers.announce()
+    net.run(50.0)
+    hot = next(e for e in net.entries.values() if e.domain == "a")
+    hot.needs_direct_hints = True
+    net.sent.clear()
+    hot.change()
+    sent = list(net.sent)
+    assert _receivers(net, "l") == {
+        e.name for e in net.entries.values() if is_relay or e.domain == "a" or e is old
+    } - {hot.name}
+    net.sent[:] = sent
+    assert old.name not in _receivers(net, "u")
+    net.sent.clear()
+    hot.change(loads_changed=False)
+    assert old.name in _receivers(net, "l")
 
 
 def test_an_entry_with_the_setting_off_keeps_no_times_of_bundles(net: Net) -> None:
@@ -94,10 +217,12 @@
     assert not reader.peers._relays._relay_seen_at
 
 
-def test_hints_that_arrived_directly_are_not_distributed_again(net: Net) -> None:
-    """A relay would send its domain all hints of hot entries a second time."""
+def test_hints_that_arrived_directly_are_not_distributed_again(
+    net: Net, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A relay would send its domain all hints of entries that send directly a second time."""
     for entry in net.entries.values():
-        entry.needs_direct_hints = True
+        monkeypatch.setattr(entry.peers._relays, "plan_for_sending", lambda: NO_RELAYS)
     net.run(500.0)
     net.sent.clear()
     net.run(1_000.0)
@@ -106,6 +231,18 @@
             assert not message[3]
 
 
+def test_names_of_announcements_are_escaped_in_the_log(caplog: pytest.LogCaptureFixture) -> None:
+    """Any process can send an announcement whose names contain line breaks."""
+    log = RelayLog("a", lambda value: None)
+    plan = RelayPlan(in_force=True, own_relay="e1\nevent=x", relays={"b\nevent=y": "e2"})
+    with caplog.at_level("INFO"):
+        log.record_plan(plan, 0.0)
+        log.record_plan(replace(plan, own_relay="e3"), 2_000.0)
+        log.record_sending(plan, direct=True, heard_at=None, now=4_000.0)
+    assert len(caplog.messages) == 4
+    assert not any("\n" in each for each in caplog.messages)
+
+
 def test_an_entry_sends_directly_while_its_relay_is_dead(net: Net) -> None:
     """A killed relay would otherwise leave its domain with heartbeats until the next choice."""
     relay = net.relay_of("a")
--- a/tools/cost_hints.py
+++ b/tools/cost_hints.py
@@ -6,7 +6,7 @@
 process and none is lost. The printed figures are payload bytes per entry and second. ``datagrams``
 counts the datagrams that an entry sends and receives in a second: the mean of all entries and the
 busiest entry. ``hot`` states whether an organisation is near its limit all the time; entries then
-send more hints, and send them directly to all entries.
+send more hints, and send counts directly to all entries.
 """
 
 from __future__ import annotations
@@ -22,15 +22,15 @@
 
 import cbor2
 from msgspec import Struct
-from msgspec.structs import replace
 
 from carobspool_core import Millis
 from carobspool_core.direct import Load, WaitingGroup, group_count, group_of_entry
-from carobspool_core.hint_relays import NO_RELAYS, RelayEntry, RelayPeers, WaitingHint
+from carobspool_core.hint_relays import RelayEntry, RelayPeers, WaitingHint
 from carobspool_node.direct._announcement import Sender
 from carobspool_node.direct._hint_sender import HintSender
 from carobspool_node.direct._peer import AnnouncementContent
 from carobspool_node.direct._peer_table import HintTargets
+from carobspool_node.direct._relay_view import targets_with_relays
 from carobspool_node.hint_relays import HintRelays, HintTraffic, read_bundle
 
 HEARTBEAT: Millis = 500.0
@@ -81,7 +81,7 @@
         self.group = None if groups == 1 else group_of_entry(name, names, groups)[1]
         self.counts: dict[int, Millis] = {}
         self.last_sent: Millis = 0.0
-        self.direct_sequences: dict[str, int] = {}
+        self.direct_sequences: dict[tuple[str, str], int] = {}
         self.relays = HintRelays(
             play.clock,
             RelayEntry(name=name, domain=domain, heard_at=0.0, relays=play.relayed),
@@ -111,6 +111,7 @@
             count_readers=frozenset(current),
             others=[],
             suspect_readers=frozenset(),
+            kind_separators=frozenset(current),
         )
 
     def record(self, name: str, value: int = 1, **labels: str) -> None:
@@ -122,17 +123,17 @@
         self.handled += 1
         self.play.send(self.name, address[0], data)
 
-    def change(self) -> None:
-        """Send the loads and counts after a change."""
-        plan = NO_RELAYS if self.play.is_hot else self.relays.plan_for_sending()
-        relay = None if plan.is_relay else plan.own_relay
+    def change(self, *, loads_changed: bool = True) -> None:
+        """Send the loads and counts after a change, or counts alone without one."""
+        plan = self.relays.plan_for_sending()
         self.last_sent = self.play.clock.time
         self.hints.send_loads(
             self.play.draw_loads(),
             [WaitingGroup(5e5, 9)],
             self._counts(200.0),
-            targets=replace(self.targets, relayed=plan.served, relay=relay),
+            targets=targets_with_relays(self.targets, plan, sends_counts_directly=self.play.is_hot),
             sharers=self.group,
+            loads_changed=loads_changed,
         )
 
     def beat(self, number: int) -> None:
@@ -170,10 +171,12 @@
             if self.play.domains[bundle.relay] != self.domain:
                 for each in bundle.hints:
                     hint = _waiting(cbor2.loads(each), each)
-                    if hint.sequence > self.direct_sequences.get(hint.name, 0):
+                    kinds = ("l",) if hint.kind == "load" else ("l", "u")
+                    newest = max(self.direct_sequences.get((hint.name, kind), 0) for kind in kinds)
+                    if hint.sequence > newest:
                         self.relays.distribute(hint)
         elif isinstance(message, list):
-            self.direct_sequences[message[1]] = message[3]
+            self.direct_sequences[(message[1], message[0])] = message[3]
             if self.play.domains[message[1]] == self.domain:
                 self.relays.collect(_waiting(message, data))
 
@@ -253,7 +256,7 @@
     def _hot_hint(self, entry: _Entry, interval: Millis) -> None:
         """Send a hint as an entry does while an organisation is near its limit."""
         if self.clock.time - entry.last_sent >= interval:
-            entry.change()
+            entry.change(loads_changed=False)
 
     def _poisson(self, entry: _Entry) -> None:
         """Let an entry start and end requests at random times."""
