Setting prefer_own_domain

Cause: relays of hints switched on the preference for the own failure domain, so neither could be used without the other.

Change: setting prefer_own_domain, off (default) or auto (in force while relays are). With hint_relays auto alone, placement no longer prefers the own domain.

--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -94,7 +94,9 @@
             self._clock,
             settings.failure_domain,
             name=settings.node,
-            prefers_own_domain=lambda: self._peers.relays_in_force,
+            prefers_own_domain=lambda: (
+                settings.prefer_own_domain == "auto" and self._peers.relays_in_force
+            ),
             paces=self._paces,
         )
         self._connections = UpstreamConnections(self._clock)
--- a/packages/node/src/carobspool_node/direct/_settings.py
+++ b/packages/node/src/carobspool_node/direct/_settings.py
@@ -84,6 +84,14 @@
         unit="name",
         default="off",
     )
+    prefer_own_domain: Literal["off", "auto"] = field(
+        description=(
+            "Whether requests and batch items go to upstreams of the own failure domain first;"
+            " `auto`: while hints go through relays (`hint_relays`)."
+        ),
+        unit="name",
+        default="off",
+    )
     processor_share: float = field(
         description=(
             "Share of its host's processor, 0 if unknown; times `processor_cores` this is the"
@@ -128,6 +136,7 @@
         metrics_port: Port on which metrics are served.
         log_level: Least severe level that is logged.
         hint_relays: ``off`` or ``auto``.
+        prefer_own_domain: ``off`` or ``auto``, in force while relays of hints are.
         host_capacity: Share of processor times cores of the host, 0 if unknown.
         placement: ``slots`` or ``auto``.
         online_queue: Whether online requests wait at the entry for a slot: ``off``, ``auto`` (while
@@ -149,6 +158,7 @@
     metrics_port: int
     log_level: str
     hint_relays: str = "off"
+    prefer_own_domain: str = "off"
     host_capacity: float = 0.0
     placement: str = "slots"
     online_queue: str = "off"
@@ -187,6 +197,7 @@
             metrics_port=model.metrics_port,
             log_level=model.log_level,
             hint_relays=model.hint_relays,
+            prefer_own_domain=model.prefer_own_domain,
             host_capacity=model.processor_share * model.processor_cores,
             placement=model.placement,
             online_queue=model.online_queue,
--- a/packages/node/tests/test_direct_settings.py
+++ b/packages/node/tests/test_direct_settings.py
@@ -32,6 +32,7 @@
     "online_queue": "auto",
     "placement": "auto",
     "hint_relays": "auto",
+    "prefer_own_domain": "auto",
     "processor_share": 0.5,
     "processor_cores": 3,
     "log_level": "info",
@@ -40,6 +41,7 @@
     "online_queue",
     "placement",
     "hint_relays",
+    "prefer_own_domain",
     "processor_share",
     "processor_cores",
 }
@@ -67,6 +69,7 @@
     settings = load_direct_settings(tmp_path / "s.json").unwrap()
     found = (settings.online_queue, settings.placement, settings.hint_relays)
     assert found == ("off", "slots", "off")
+    assert settings.prefer_own_domain == "off"
     assert settings.host_capacity == 0.0
 
 
@@ -83,6 +86,7 @@
         ("online_queue", "sometimes"),
         ("placement", "fastest"),
         ("hint_relays", "on"),
+        ("prefer_own_domain", "on"),
         ("processor_cores", 0),
         ("unheard_of", 1),
     ],
