Announcements to unrelated entries every six seconds

Cause: at 300 entries announcements are half of the bytes that an entry sends.

Change: while relays are in force, entries of other domains that share no upstream get an announcement every 6 s and a heartbeat in place of the others. Changes that receivers act on (leaving, ended jobs, silent entries, store, failures, versions, started jobs) go to all entries at once and are repeated, as before. An entry that may have missed announcements (its process is new, or one of the two did not hear the other) gets each one for 10 s.

Heartbeats to these entries repeat counts for 600 ms while no organisation is near its limit, 1,300 ms otherwise as before.

The tool now spreads the announcements of the entries over time.

Faults found in the review, fixed here: - Failure counts of a peer were dropped with its loads after 2 s, so that the next report of an entry without load hints was a baseline and its failures did not count.

--- a/packages/core/src/carobspool_core/direct/_failure_reports.py
+++ b/packages/core/src/carobspool_core/direct/_failure_reports.py
@@ -22,6 +22,9 @@
 FAILURE_WINDOW: Millis = 2_000.0
 """How long a failure counts. Afterwards the upstream is tried again; if it still fails, it is
 avoided again after two more failures."""
+PEER_COUNTS_TTL: Millis = 30_000.0
+"""How long the counts of a peer are kept after its last report. Entries that share no upstream
+report every six seconds; the first report after the counts were dropped adds no failures."""
 _MAX_FAILURES_KEPT = 16
 
 
@@ -32,7 +35,7 @@
 
     def __init__(self) -> None:
         self._own_counts: dict[str, int] = {}
-        self._peer_counts: dict[str, Mapping[str, int]] = {}
+        self._peer_counts: dict[str, tuple[Millis, Mapping[str, int]]] = {}
         self._failure_times: dict[str, deque[Millis]] = {}
 
     def record_failure(self, identity: str, now: Millis) -> None:
@@ -50,10 +53,11 @@
         The first report of a peer is only a baseline and adds no failures: it covers the time
         before this entry first received the counts of the peer.
         """
-        previous_counts = self._peer_counts.get(peer)
-        self._peer_counts[peer] = counts
-        if previous_counts is None:
+        previous_report = self._peer_counts.get(peer)
+        self._peer_counts[peer] = (now, counts)
+        if previous_report is None:
             return
+        _, previous_counts = previous_report
         for identity, count in counts.items():
             previous = previous_counts.get(identity, 0)
             # A peer that has restarted counts from 0 again and reports a lower number.
@@ -69,8 +73,8 @@
                 failing_upstreams.add(identity)
         return failing_upstreams
 
-    def retain_only(self, identities: set[str], peers: set[str]) -> None:
-        """Drop the failures of all other upstreams and the counts of all other peers."""
+    def retain_only(self, identities: set[str], now: Millis) -> None:
+        """Drop the failures of all other upstreams, and counts older than `PEER_COUNTS_TTL`."""
         self._own_counts = {
             key: count for key, count in self._own_counts.items() if key in identities
         }
@@ -78,7 +82,9 @@
             key: times for key, times in self._failure_times.items() if key in identities
         }
         self._peer_counts = {
-            key: counts for key, counts in self._peer_counts.items() if key in peers
+            key: (received_at, counts)
+            for key, (received_at, counts) in self._peer_counts.items()
+            if now - received_at < PEER_COUNTS_TTL
         }
 
     def _add(self, identity: str, count: int, now: Millis) -> None:
--- a/packages/core/src/carobspool_core/hint_relays/_bundle_buffer.py
+++ b/packages/core/src/carobspool_core/hint_relays/_bundle_buffer.py
@@ -69,7 +69,15 @@
         interval: Shortest time between two takes.
     """
 
-    __slots__ = ("_discards_until", "_interval", "_newest", "_ran_at", "_taken_at", "_waiting")
+    __slots__ = (
+        "_discards_until",
+        "_has_paused",
+        "_interval",
+        "_newest",
+        "_ran_at",
+        "_taken_at",
+        "_waiting",
+    )
 
     def __init__(self, now: Millis, interval: Millis = PASS_ON_INTERVAL) -> None:
         self._interval = interval
@@ -77,17 +85,18 @@
         self._newest: dict[str, tuple[str, int]] = {}
         self._taken_at: Millis = float("-inf")
         self._ran_at = now
+        self._has_paused = False
         self._discards_until: Millis = float("-inf")
 
     def record_tick(self, now: Millis) -> bool:
-        """Record that the process runs; return whether it had paused and its hints were dropped."""
-        gap = now - self._ran_at
-        self._ran_at = now
-        if gap <= PAUSE_LIMIT:
-            return False
-        self._waiting.clear()
-        self._discards_until = now + DISCARD_TIME
-        return True
+        """Record that the process runs.
+
+        Returns:
+            Whether it has paused since the last call, so that its hints were dropped.
+        """
+        self._drop_after_pause(now)
+        has_paused, self._has_paused = self._has_paused, False
+        return has_paused
 
     def add(self, hint: WaitingHint, now: Millis) -> bool:
         """Keep a hint unless an equally new one of its entry was kept before.
@@ -95,7 +104,7 @@
         Returns:
             Whether the hint will be passed on.
         """
-        self.record_tick(now)
+        self._drop_after_pause(now)
         if now < self._discards_until:
             return False
         incarnation, sequence = self._newest.get(hint.name, ("", -1))
@@ -115,13 +124,22 @@
 
     def take(self, now: Millis) -> list[WaitingHint]:
         """Return and remove the hints to be passed on now."""
-        if self.record_tick(now) or self.delay_before_take(now) != 0.0:
+        self._drop_after_pause(now)
+        if self.delay_before_take(now) != 0.0:
             return []
         found = list(self._waiting.values())
         self._waiting.clear()
         self._taken_at = now
         return found
 
+    def _drop_after_pause(self, now: Millis) -> None:
+        gap = now - self._ran_at
+        self._ran_at = now
+        if gap > PAUSE_LIMIT:
+            self._waiting.clear()
+            self._discards_until = now + DISCARD_TIME
+            self._has_paused = True
+
 
 def split_by_size(hints: Iterable[WaitingHint]) -> Iterator[list[bytes]]:
     """Yield the encoded hints in parts that each fit into one bundle.
--- a/packages/core/tests/relayed_limits_model.py
+++ b/packages/core/tests/relayed_limits_model.py
@@ -135,7 +135,7 @@
         shows_presence = plan.is_relay and self.now - state.showed_at >= PRESENCE_INTERVAL
         if shows_presence:
             state.showed_at = self.now
-        for name in plan.sharers:
+        for name in sorted(plan.sharers):
             if inward:
                 self._transmit(entry, by_name[name], self._bundle(inward))
             if shows_presence:
--- a/packages/core/tests/test_hint_relays.py
+++ b/packages/core/tests/test_hint_relays.py
@@ -194,6 +194,8 @@
     buffer.add(_hint(sequence=1), NOW)
     resumed = NOW + 400.0
     assert not buffer.add(_hint(sequence=2), resumed)
+    # The thread that receives hints may find the pause first; the log line must not be lost.
+    assert [buffer.record_tick(resumed) for _ in range(2)] == [True, False]
     assert buffer.take(resumed + 40.0) == []
     assert buffer.add(_hint(sequence=3), resumed + 60.0)
     assert len(buffer.take(resumed + 60.0)) == 1
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -119,6 +119,7 @@
                 claim_unsent_counts=lambda is_heartbeat: self._quota.claim_unsent_counts(
                     is_heartbeat=is_heartbeat
                 ),
+                recent_counts=self._quota.recent_counts,
                 needs_direct_hints=lambda: self._quota.needs_direct_hints,
                 is_leaving=self._leaving.is_set,
                 waiting=lambda: self._queue.report(),
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -385,7 +385,7 @@
         now = self._clock.now()
         with self._lock:
             self._fleet.expire(now)
-            self._suspects.retain_only(identities, self._fleet.peers(), now)
+            self._suspects.retain_only(identities, now)
 
     def _by_current_identity(
         self, loads: Mapping[str, Load], upstreams: Sequence[Upstream]
--- a/packages/node/src/carobspool_node/direct/_peer.py
+++ b/packages/node/src/carobspool_node/direct/_peer.py
@@ -46,6 +46,8 @@
             hints only, and the numbers of counts with those of counts.
         silent: Names of the entries from which the peer receives no hints.
         relayed_at: Time at which a relay last passed on a newer hint of the peer.
+        unsettled_at: Time of the last sign that the peer may have missed announcements of this
+            entry: its process is new, or one of the two did not hear the other.
     """
 
     name: str
@@ -70,6 +72,7 @@
     separates_kinds: bool = False
     silent: frozenset[str] = frozenset()
     relayed_at: Millis = float("-inf")
+    unsettled_at: Millis = float("-inf")
 
     @property
     def alive_at(self) -> Millis:
--- a/packages/node/src/carobspool_node/direct/_peer_table.py
+++ b/packages/node/src/carobspool_node/direct/_peer_table.py
@@ -19,6 +19,10 @@
 from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._peer_messages import MAX_NAME_CHARS, Announcement
 
+SETTLED_AFTER: Millis = 10_000.0
+"""Time after a sign that a peer may have missed announcements in which it gets each one; these are
+five, beside the repetitions after a change."""
+
 
 class HintTargets(Struct, frozen=True, kw_only=True):
     """Addresses to which hints are sent.
@@ -34,6 +38,8 @@
         kind_separators: Names of the current entries that compare load hints and counts hints
             separately, so that one of them may overtake the other.
         sends_counts_directly: Whether counts go directly to the relayed entries too.
+        settled: Names of the current entries without a sign within `SETTLED_AFTER` that they have
+            missed announcements.
     """
 
     current: Mapping[str, tuple[str, int]]
@@ -44,6 +50,7 @@
     relay: str | None = None
     kind_separators: frozenset[str] = frozenset()
     sends_counts_directly: bool = False
+    settled: frozenset[str] = frozenset()
 
     def load_recipients(self, sharers: frozenset[str] | None) -> frozenset[str]:
         """Return the names of the entries to which a change of loads is sent.
@@ -149,6 +156,7 @@
             count_readers = set()
             suspect_readers = set()
             kind_separators = set()
+            settled = set()
             for peer in self._peers.values():
                 if peer.reads_load_hints and now - peer.last_heard_at < DEAD_AFTER:
                     current[peer.name] = peer.address
@@ -158,6 +166,8 @@
                             kind_separators.add(peer.name)
                     if peer.reads_suspects:
                         suspect_readers.add(peer.name)
+                    if now - peer.unsettled_at >= SETTLED_AFTER:
+                        settled.add(peer.name)
                     others.pop(peer.name, None)
                 elif now - peer.last_heard_at < FORGET_AFTER:
                     others[peer.name] = peer.address
@@ -167,6 +177,7 @@
             suspect_readers=frozenset(suspect_readers),
             others=list(others.values()),
             kind_separators=frozenset(kind_separators),
+            settled=frozenset(settled),
         )
 
     def peers(self) -> list[Peer]:
@@ -248,12 +259,15 @@
                     incarnation=announcement.incarnation,
                     address=announcement.address,
                     last_heard_at=now,
+                    unsettled_at=now,
                 )
                 self._peers[announcement.name] = peer
                 self._new_peers.add(announcement.name)
                 logging.info(
                     "event=peer_seen peer=%s", printable_text(peer.identity, 2 * MAX_NAME_CHARS)
                 )
+            if (silence or 0.0) > SILENT_AFTER or self._name in announcement.silent:
+                peer.unsettled_at = now
             peer.last_heard_at = now
             peer.address = announcement.address
             if announcement.name not in self._addresses:
@@ -353,7 +367,10 @@
                 peer.relayed_at = now if is_newest else peer.relayed_at
             elif _advance_direct_sequence(peer, hint):
                 # A relayed hint may have overtaken this one, which is a sign of life all the same.
-                self._liveness.record_hint(now - peer.alive_at, now)
+                silence = now - peer.alive_at
+                self._liveness.record_hint(silence, now)
+                if silence > SILENT_AFTER:
+                    peer.unsettled_at = now
                 peer.last_heard_at = now
             if new.loads:
                 peer.load_sequence = hint.sequence
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -38,9 +38,15 @@
 HEARTBEAT_INTERVAL: Millis = 500.0
 ANNOUNCEMENT_INTERVAL: Millis = 2_000.0
 """Time between two announcements while nothing changes."""
+UNRELATED_ANNOUNCEMENT_INTERVAL: Millis = 6_000.0
+"""The same to entries of other domains that share no upstream, while relays are in force. They are
+most of the entries of a large deployment, use little of an announcement, and get heartbeats too."""
 REPEAT_ANNOUNCEMENT_FOR: Millis = 1_100.0
 """Time after a change in which each heartbeat is an announcement, so that two more follow a lost
 datagram."""
+UNRELATED_COUNTS_TIME: Millis = 600.0
+"""How long heartbeats to those entries repeat a count while no organisation is near its limit: in
+one heartbeat at least. Counts hints that relays pass on report it too, and announcements."""
 ANNOUNCE_ENDED_FOR: Millis = 5_000.0
 """Time for which announcements name a job that this entry has ended in the store. At two a second
 these are ten announcements, and the time exceeds that of a takeover in progress (three calls of at
@@ -60,6 +66,7 @@
         has_unsent_counts: Returns whether a hint has to report request counts now.
         claim_unsent_counts: Returns the request counts for the next hint to all peers and marks
             them as reported; the argument states whether the hint is a heartbeat.
+        recent_counts: Returns the request counts that have changed within a time before now.
         needs_direct_hints: Returns whether counts go directly to all entries, also while relays
             are in force; called for each change that is sent, not for each request.
         is_leaving: Returns whether this entry is shutting down.
@@ -74,6 +81,7 @@
     identities_by_key: Callable[[], Mapping[int, str]]
     has_unsent_counts: Callable[[], bool] = lambda: False
     claim_unsent_counts: Callable[[bool], Mapping[int, int]] = lambda is_heartbeat: {}
+    recent_counts: Callable[[Millis], Mapping[int, int]] = lambda within: {}
     needs_direct_hints: Callable[[], bool] = lambda: False
     is_leaving: Callable[[], bool] = lambda: False
     waiting: Callable[[], bytes] = lambda: b""
@@ -119,6 +127,7 @@
         self._events = PeerCallbacks()
         self._lock = threading.Lock()
         self._announced_at: Millis = 0.0
+        self._announced_to_all_at: Millis = 0.0
         self._repeat_until: Millis = clock.now() + REPEAT_ANNOUNCEMENT_FOR
         self._ended_at: dict[str, Millis] = {}
         self._loads_changed = threading.Event()
@@ -237,7 +246,7 @@
         """Send an announcement to all peers at once."""
         now = self._clock.now()
         with self._lock:
-            self._announced_at = now
+            self._announced_at = self._announced_to_all_at = now
             self._repeat_until = now + REPEAT_ANNOUNCEMENT_FOR
         targets = self._table.targets()
         self._announce_to(list(targets.current.values()), targets.others)
@@ -325,17 +334,25 @@
     def _send_heartbeat(self, now: Millis) -> None:
         """Send a heartbeat to all peers: an announcement if one is due, or else a load hint."""
         targets = self._table.targets()
-        if now < self._repeat_until or now - self._announced_at >= ANNOUNCEMENT_INTERVAL:
-            self._announced_at = now
+        unrelated = self._relays.unrelated() & targets.count_readers
+        seldom = unrelated & targets.settled
+        interval = UNRELATED_ANNOUNCEMENT_INTERVAL if seldom else ANNOUNCEMENT_INTERVAL
+        if now < self._repeat_until or now - self._announced_to_all_at >= interval:
+            self._announced_at = self._announced_to_all_at = now
             self._announce_to(list(targets.current.values()), targets.others)
             return
         if self._ended_jobs_to_announce() or self._table.silent():
             self._announce_to(list(targets.current.values()), targets.others)
             return
         counts = self._own.claim_unsent_counts(True)
-        unrelated = self._relays.unrelated() & targets.count_readers
+        if now - self._announced_at >= ANNOUNCEMENT_INTERVAL:
+            self._announced_at = now
+            self._send_unrelated_heartbeat(counts, targets, seldom)
+            often = targets.without(seldom).current
+            self._announce_to(list(often.values()), targets.others)
+            return
         if unrelated:
-            self._hints.send_heartbeat_without_loads(counts, targets, unrelated)
+            self._send_unrelated_heartbeat(counts, targets, unrelated)
             targets = targets.without(unrelated)
         self._hints.send_loads(
             self._own.loads(),
@@ -347,6 +364,20 @@
         )
         self._announce_to((), targets.others)
 
+    def _send_unrelated_heartbeat(
+        self, counts: Mapping[int, int], targets: HintTargets, names: frozenset[str]
+    ) -> None:
+        """Send a heartbeat to entries of other domains that share no upstream.
+
+        Args:
+            counts: Counts that a heartbeat reports while an organisation is near its limit.
+            targets: Addresses of the other entries.
+            names: Names of those entries.
+        """
+        if not self._own.needs_direct_hints():
+            counts = self._own.recent_counts(UNRELATED_COUNTS_TIME)
+        self._hints.send_heartbeat_without_loads(counts, targets, names)
+
     def _announce_to_new_peers(self) -> None:
         """Send an announcement to peers that have just started.
 
--- a/packages/node/src/carobspool_node/direct/_suspects.py
+++ b/packages/node/src/carobspool_node/direct/_suspects.py
@@ -68,14 +68,14 @@
         )
         return found
 
-    def retain_only(self, identities: set[str], peers: set[str], now: Millis) -> None:
-        """Drop the records of upstreams and peers other than the given ones."""
+    def retain_only(self, identities: set[str], now: Millis) -> None:
+        """Drop the records of upstreams other than the given ones, and old reports of peers."""
         self._suspect_until = {
             key: at for key, at in self._suspect_until.items() if at + PROBATION_TIME > now
         }
         known = latest_starts(identities)
         self._restarts = {key: at for key, at in self._restarts.items() if key in known}
-        self._failures.retain_only(identities, peers)
+        self._failures.retain_only(identities, now)
         self._log_avoided_changes(now)
 
     def _log_avoided_changes(self, now: Millis) -> None:
--- a/tools/cost_hints.py
+++ b/tools/cost_hints.py
@@ -35,6 +35,8 @@
 
 HEARTBEAT: Millis = 500.0
 HEARTBEATS_PER_ANNOUNCEMENT = 4
+HEARTBEATS_PER_UNRELATED_ANNOUNCEMENT = 12
+UNRELATED_COUNTS_TIME: Millis = 600.0
 RELAY_RUN: Millis = 10.0
 DELAY: Millis = 5.0
 """Time from the sending of a datagram until its batch is read."""
@@ -74,6 +76,7 @@
 
     def __init__(self, play: Play, name: str, domain: str, peers: list[RelayEntry]) -> None:
         self.play, self.name, self.domain = play, name, domain
+        self.number = int(name.rpartition("-")[2])
         self.sent: Counter[tuple[str, str, str]] = Counter()
         self.handled = 0
         names = [each.name for each in peers] + [name]
@@ -137,16 +140,21 @@
         )
 
     def beat(self, number: int) -> None:
-        """Send a heartbeat."""
+        """Send a heartbeat; the announcements of the entries are spread over time."""
+        number += self.number
+        counts = self._counts(1_300.0)
+        recent = counts if self.play.is_hot else self._counts(UNRELATED_COUNTS_TIME)
+        targets, unrelated = self.targets, self.relays.unrelated()
         if number % HEARTBEATS_PER_ANNOUNCEMENT == 0:
+            if number % HEARTBEATS_PER_UNRELATED_ANNOUNCEMENT and unrelated:
+                self.hints.send_heartbeat_without_loads(recent, targets, unrelated)
+                targets = targets.without(unrelated)
             content = self.play.describe(self._counts(10_000.0))
-            to = list(self.targets.current.values())
+            to = list(targets.current.values())
             self.hints.announce(content, current=to, others=(), silent=(), ended=())
             return
-        counts = self._counts(1_300.0)
-        targets, unrelated = self.targets, self.relays.unrelated()
         if unrelated:
-            self.hints.send_heartbeat_without_loads(counts, targets, unrelated)
+            self.hints.send_heartbeat_without_loads(recent, targets, unrelated)
             targets = targets.without(unrelated)
         backlog = [WaitingGroup(5e5, 9)]
         loads = self.play.draw_loads()
