--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -97,7 +97,9 @@
             self._clock,
             settings.failure_domain,
             name=settings.node,
-            prefers_own_domain=lambda: self._peers.relays_in_force,
+            prefers_own_domain=lambda: (
+                settings.prefer_own_domain == "auto" and self._peers.relays_in_force
+            ),
             paces=self._paces,
         )
         self._connections = UpstreamConnections(self._clock)
@@ -120,6 +122,7 @@
                 claim_unsent_counts=lambda is_heartbeat: self._quota.claim_unsent_counts(
                     is_heartbeat=is_heartbeat
                 ),
+                recent_counts=self._quota.recent_counts,
                 needs_direct_hints=lambda: self._quota.needs_direct_hints,
                 is_leaving=self._leaving.is_set,
                 waiting=lambda: self._queue.report(),
--- a/packages/node/tests/test_direct_settings.py
+++ b/packages/node/tests/test_direct_settings.py
@@ -33,6 +33,7 @@
     "stream_backups": "auto",
     "placement": "auto",
     "hint_relays": "auto",
+    "prefer_own_domain": "auto",
     "processor_share": 0.5,
     "processor_cores": 3,
     "log_level": "info",
@@ -42,6 +43,7 @@
     "stream_backups",
     "placement",
     "hint_relays",
+    "prefer_own_domain",
     "processor_share",
     "processor_cores",
 }
@@ -70,6 +72,7 @@
     found = (settings.online_queue, settings.placement, settings.hint_relays)
     assert found == ("off", "slots", "off")
     assert settings.stream_backups == "off"
+    assert settings.prefer_own_domain == "off"
     assert settings.host_capacity == 0.0
 
 
@@ -87,6 +90,7 @@
         ("placement", "fastest"),
         ("hint_relays", "on"),
         ("stream_backups", "on"),
+        ("prefer_own_domain", "on"),
         ("processor_cores", 0),
         ("unheard_of", 1),
     ],
