Loads of entries that report them seldom keep counting

Cause: entries of other groups use services too small to be split, but report their loads only in announcements while relays are in force. Loads expired after 2 s, so that with announcements every 6 s a third of these loads would have been known at any time.

Change: a counts hint keeps the loads of its sender, for 6.5 s after they were reported at most. A peer that is silent for 2 s loses its loads as before.

--- a/packages/core/src/carobspool_core/direct/_fleet_loads.py
+++ b/packages/core/src/carobspool_core/direct/_fleet_loads.py
@@ -18,6 +18,9 @@
 
 PEER_LOAD_TTL: Millis = 2_000.0
 """How long the last hint of a peer counts; a peer sends hints several times a second."""
+MAX_LOADS_AGE: Millis = 6_500.0
+"""How long loads count while hints without loads arrive. Entries that share only small services
+report loads every six seconds; if their loads expired in between, most of them would be missing."""
 
 
 class Load(NamedTuple):
@@ -41,6 +44,7 @@
 class _Report(Struct, frozen=True):
     received: Millis
     loads: Mapping[str, Load]
+    loads_received: Millis
 
 
 class FleetLoads:
@@ -75,7 +79,7 @@
             now: Current time.
         """
         previous_report = self._reports.pop(peer, None)
-        self._reports[peer] = _Report(now, loads)
+        self._reports[peer] = _Report(now, loads, now)
         before: Mapping[str, Load] = previous_report.loads if previous_report is not None else {}
         has_decreased = False
         for identity, load in loads.items():
@@ -90,6 +94,15 @@
                 has_decreased = has_decreased or previous.total > 0
         return has_decreased
 
+    def record_hint_without_loads(self, peer: str, now: Millis) -> None:
+        """Keep the loads of a peer that is alive, for `MAX_LOADS_AGE` at most."""
+        report = self._reports.get(peer)
+        if report is None or now - report.received > PEER_LOAD_TTL:
+            return
+        if now - report.loads_received < MAX_LOADS_AGE:
+            del self._reports[peer]
+            self._reports[peer] = _Report(now, report.loads, report.loads_received)
+
     def expire(self, now: Millis) -> None:
         """Drop the loads of peers that sent no hint for `PEER_LOAD_TTL`."""
         while self._reports:
--- a/packages/core/tests/test_direct_fleet_loads.py
+++ b/packages/core/tests/test_direct_fleet_loads.py
@@ -95,3 +95,20 @@
         assert fleet.peers() == {
             peer for peer, (received, _) in reported.items() if now - received <= PEER_LOAD_TTL
         }
+
+
+def test_hints_without_loads_keep_the_loads_of_a_peer_that_is_alive() -> None:
+    """Entries that share only small services report loads every six seconds; without the loads of
+    most of them, such a service would be overfilled."""
+    fleet = FleetLoads()
+    for peer in ("alive", "silent"):
+        fleet.update_peer(peer, {"u": Load(1, 0)}, 0.0)
+    for now in range(500, 6_001, 500):
+        fleet.record_hint_without_loads("alive", float(now))
+        fleet.expire(float(now))
+        assert fleet.peers() == ({"alive", "silent"} if now <= PEER_LOAD_TTL else {"alive"})
+    # Loads that no announcement renews do not count for ever, and expired ones do not come back.
+    for now in range(6_500, 9_001, 500):
+        fleet.record_hint_without_loads("alive", float(now))
+    fleet.expire(9_000.0)
+    assert fleet.totals == {}
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -301,6 +301,7 @@
                 gone=self._on_peer_gone,
                 ended=self._runner.handle_ended_jobs,
                 counts=self._quota.apply_peer_counts,
+                without_loads=self._loads.record_hint_without_loads,
                 suspects=self._isolation.merge,
                 paces=self._apply_peer_paces,
                 waiting=self._queue.apply_report,
--- a/packages/node/src/carobspool_node/direct/_hint_receiver.py
+++ b/packages/node/src/carobspool_node/direct/_hint_receiver.py
@@ -58,6 +58,7 @@
         ended: Called with the ids of jobs that a peer has ended in the store.
         counts: Called with a peer's name, its incarnation and the number of requests that it has
             admitted, by the organisation's key.
+        without_loads: Called with a peer's name when a hint without loads has arrived.
         suspects: Called with changed evidence against requests that crash upstreams.
         waiting: Called with a peer's name and the packed numbers of online requests that wait
             there.
@@ -70,6 +71,7 @@
     gone: Callable[[Peer], None] = lambda peer: None
     ended: Callable[[Sequence[str]], None] = lambda job_ids: None
     counts: Callable[[str, str, Mapping[int, int]], None] = lambda peer, incarnation, counts: None
+    without_loads: Callable[[str], None] = lambda peer: None
     suspects: Callable[[Sequence[SuspectState]], None] = lambda suspects: None
     paces: Callable[[bytes], None] = lambda packed: None
     waiting: Callable[[str, bytes], None] = lambda peer, packed: None
@@ -196,6 +198,7 @@
 
     def _apply_counts_hint(self, hint: CountsHint, *, relayed: bool = False) -> None:
         if self._table.record_hint(hint, relayed=relayed).counts:
+            self._events.without_loads(hint.name)
             self._events.counts(hint.name, hint.incarnation, hint.counts)
 
     def _apply_announcement(self, announcement: Announcement) -> None:
--- a/packages/node/src/carobspool_node/direct/_loads.py
+++ b/packages/node/src/carobspool_node/direct/_loads.py
@@ -362,6 +362,11 @@
         if frees_capacity:
             self._notify_capacity_freed()
 
+    def record_hint_without_loads(self, peer: str) -> None:
+        """Keep the loads of a peer from which a hint without loads has arrived."""
+        with self._lock:
+            self._fleet.record_hint_without_loads(peer, self._clock.now())
+
     def record_restart(self, upstream: Upstream) -> None:
         """Record that an upstream has restarted, which leaves its slots free."""
         with self._lock:
--- a/packages/node/tests/test_counts_near_limits.py
+++ b/packages/node/tests/test_counts_near_limits.py
@@ -103,6 +103,7 @@
     reader.peers._receiver._events = PeerCallbacks(
         loads=lambda peer, loads, failures, knows_starts: heard.append("loads"),
         counts=lambda peer, incarnation, counts: heard.append(counts),
+        without_loads=heard.append,
     )
     who = {"name": origin.name, "incarnation": "1"}
 
@@ -120,7 +121,7 @@
     def counts_hint(number: int, counts: dict[int, int]) -> bytes:
         return encode_counts_hint(**who, sequence=10**6 + number, counts=counts)
 
-    assert receive(counts_hint(5, {7: 5})) == [{7: 5}]
+    assert receive(counts_hint(5, {7: 5})) == [origin.name, {7: 5}]
     assert receive(load_hint(4, {7: 4}), relayed=True) == ["loads"]
     assert receive(load_hint(4, {7: 4}), relayed=True) == []
     assert receive(load_hint(3, {7: 3})) == []
@@ -128,7 +129,7 @@
     assert receive(counts_hint(6, {7: 6})) == []
     # A load hint that carries no counts says nothing of those that were sent before it.
     assert receive(load_hint(9, {})) == ["loads", {}]
-    assert receive(counts_hint(8, {7: 8})) == [{7: 8}]
+    assert receive(counts_hint(8, {7: 8})) == [origin.name, {7: 8}]
 
 
 def test_relayed_load_hints_make_up_for_lost_counts_hints(net: Net) -> None:
