Stream backups: a later start of an engine is asked before its streams continue

Cause: a request can reach a new start of an engine before the registration is read. Change: only a refused connection shows the end without a question; with a later start the engine is asked by a move first, and 404 shows the end.

--- a/packages/node/src/carobspool_node/direct/_continued_streams.py
+++ b/packages/node/src/carobspool_node/direct/_continued_streams.py
@@ -108,7 +108,7 @@
         ends = reason()
         if ends is not None:
             return ends
-        found = self._backups.next_run(run, has_ended=progress.has_ended)
+        found = self._backups.next_run(run, is_refused=progress.is_refused)
         if isinstance(found, LossReason):
             return found
         if found.source_crashed:
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -334,7 +334,8 @@
             if ended:
                 self._isolation.record_crash(state.fingerprint(), upstream)
             if error.sent:
-                state.progress.record_failure(failed_at, has_ended=ended)
+                is_refused = ended and not call.upstream_restarted
+                state.progress.record_failure(failed_at, is_refused=is_refused)
             self._record_failure(state, upstream, str(error), sent=error.sent, ended=ended)
             return False
         except StreamBrokenError as error:
--- a/packages/node/src/carobspool_node/direct/_upstream_calls.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_calls.py
@@ -274,6 +274,14 @@
         """Return the whole body."""
         return b"".join(self.body(deadline))
 
+    @property
+    def upstream_restarted(self) -> bool:
+        """Whether the call was ended because its upstream has a later start.
+
+        A call can have reached that start before its registration was known.
+        """
+        return self._open_call.upstream_restarted
+
     def upstream_has_ended(self) -> bool:
         """Return whether the call failed because the process that ran it has ended.
 
--- a/packages/node/src/carobspool_node/stream_backups/_stream_backups.py
+++ b/packages/node/src/carobspool_node/stream_backups/_stream_backups.py
@@ -143,17 +143,19 @@
             if self._copied_tokens[run.target.identity] <= 0:
                 del self._copied_tokens[run.target.identity]
 
-    def next_run(self, run: BackedUpRun, *, has_ended: bool) -> NextRun | LossReason:
+    def next_run(self, run: BackedUpRun, *, is_refused: bool) -> NextRun | LossReason:
         """Return where a broken stream continues, or why it must not.
 
         A run that may still be working is stopped first. If it cannot be stopped for certain, the
         stream ends: the continuation would be a second run of a request that may run only once.
+        A later start of the engine does not show that the run has ended. The request may have
+        reached that start before its registration was known here; its answer to the move tells.
 
         Args:
             run: The run whose connection broke.
-            has_ended: Whether the process of its engine is known to have ended.
+            is_refused: Whether the engine then refused connections.
         """
-        if has_ended or self._has_newer_start(run.source):
+        if is_refused:
             return _from_copy(run)
         configuration = self._configuration()
         if self._moves is None or configuration is None:
@@ -234,9 +236,6 @@
             reason.value,
         )
 
-    def _has_newer_start(self, upstream: Upstream) -> bool:
-        return any(each.replaces(upstream) for each in self._listed())
-
     def _is_registered(self, upstream: Upstream) -> bool:
         return any(each.instance == upstream.instance for each in self._listed())
 
--- a/packages/node/src/carobspool_node/stream_backups/_stream_progress.py
+++ b/packages/node/src/carobspool_node/stream_backups/_stream_progress.py
@@ -18,7 +18,7 @@
         first_event_at: When the first event of this run reached the caller, ``None`` before it.
         last_event_at: When the last event reached the caller.
         failed_at: When the call of this run failed after it was sent, ``None`` if it did not.
-        has_ended: Whether the process of the engine is then known to have ended.
+        is_refused: Whether the engine then refused connections, so that its process has ended.
         turned_away: Whether the engine answered that it did not run the request.
         continuations: How often the request was continued.
         on_first_event: Called with the time of the first event of this run.
@@ -28,7 +28,7 @@
     first_event_at: Millis | None = None
     last_event_at: Millis = 0.0
     failed_at: Millis | None = None
-    has_ended: bool = False
+    is_refused: bool = False
     turned_away: bool = False
     continuations: int = 0
     on_first_event: Callable[[Millis], None] | None = None
@@ -40,13 +40,13 @@
         self.run = run
         self.first_event_at = None
         self.failed_at = None
-        self.has_ended = self.turned_away = False
+        self.is_refused = self.turned_away = False
         self.on_first_event = on_first_event
 
-    def record_failure(self, failed_at: Millis, *, has_ended: bool) -> None:
+    def record_failure(self, failed_at: Millis, *, is_refused: bool) -> None:
         """Record that the call of the current run failed after it was sent."""
         self.failed_at = failed_at
-        self.has_ended = has_ended
+        self.is_refused = is_refused
 
     def record_events(self, now: Millis) -> None:
         """Record that events of the current run have reached the caller."""
--- a/tests/direct/test_stream_backups.py
+++ b/tests/direct/test_stream_backups.py
@@ -14,11 +14,9 @@
     deployment,
     eventually,
 )
-from stream_fleet import EVENTS, MARKER, Caller, Fleet
+from stream_fleet import EVENTS, MARKER, SURE_AFTER_S, Caller, Fleet
 
 GAP_AIM_S = 0.3
-SURE_AFTER_S = 0.1
-"""A stream whose first event is older than this at a crash must be completed."""
 CRASHES = 3
 
 
