Direct entry: construction in factory functions next to it

Names, log lines, the order of arguments, and the lines of placement, queue, forwarder and callbacks stay. The parts that hints are made from are held in one struct, which is set at the end of the construction; hints are sent only after the start.

--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -4,65 +4,43 @@
 
 import threading
 import uuid
-from collections.abc import Hashable, Mapping, Sequence
+from collections.abc import Mapping
 from pathlib import Path
 
 from absl import logging
 
-from carobspool_core import SuspectUpdate, boottime_clock
-from carobspool_core.direct import (
-    CallerLimits,
-    Load,
-    Upstream,
-)
+from carobspool_core import boottime_clock
+from carobspool_core.direct import CallerLimits, Upstream
 from carobspool_core.organisations import OrganisationDirectory
-from carobspool_node.direct._bad_records import BadRecords
-from carobspool_node.direct._caller_connection import CallerConnection
-from carobspool_node.direct._callers import CallerApi
-from carobspool_node.direct._crash_isolation import CrashIsolation
 from carobspool_node.direct._declared import DeclaredState
 from carobspool_node.direct._deployment import Deployment
+from carobspool_node.direct._entry_callers import make_caller_api
+from carobspool_node.direct._entry_hints import HintParts, loads_receiver, make_peers
+from carobspool_node.direct._entry_jobs import make_job_parts
+from carobspool_node.direct._entry_listeners import start_listeners
+from carobspool_node.direct._entry_paces import make_paces
+from carobspool_node.direct._entry_store import make_store_parts
 from carobspool_node.direct._exit import EntryExit
 from carobspool_node.direct._forward import Forwarder
 from carobspool_node.direct._group_assignment import GroupAssignment
 from carobspool_node.direct._hint_receiver import PeerCallbacks
 from carobspool_node.direct._in_flight import Placement
 from carobspool_node.direct._item_run import ItemRunner
-from carobspool_node.direct._job_adoption import JobAdoption
-from carobspool_node.direct._job_catalog import JobCatalog
-from carobspool_node.direct._job_records import JobRecords
-from carobspool_node.direct._job_recovery import JobRecovery
-from carobspool_node.direct._job_retention import JobRetention
-from carobspool_node.direct._job_runner import JobRunner
-from carobspool_node.direct._jobs import Jobs
-from carobspool_node.direct._listener import Listener
 from carobspool_node.direct._loads import LoadTable
-from carobspool_node.direct._membership import Membership
-from carobspool_node.direct._messages import CallerRequest
 from carobspool_node.direct._metrics_server import serve_metrics
-from carobspool_node.direct._peer import AnnouncementContent, Peer
+from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._peer_api import PeerApi
-from carobspool_node.direct._peer_calls import PEER_HEADERS, PeerCaller
-from carobspool_node.direct._peers import HintSources, Peers
-from carobspool_node.direct._quarantine_store import QuarantineStore
+from carobspool_node.direct._peer_calls import PeerCaller
 from carobspool_node.direct._queued_requests import QueuedRequests
 from carobspool_node.direct._reload import SettingsReload
 from carobspool_node.direct._settings import DirectSettings
 from carobspool_node.direct._stop_signal import StopSignal
-from carobspool_node.direct._store_relay import RelayedStore
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.direct._upstream_calls import UpstreamConnections
 from carobspool_node.direct._view_exchange import ViewExchange
 from carobspool_node.online_queue import OnlineQueue
-from carobspool_node.organisations import (
-    ANNOUNCEMENT_RESEND_TIME,
-    CallerAuthenticator,
-    RequestQuota,
-)
-from carobspool_node.upstream_pace import UpstreamPaces
+from carobspool_node.organisations import RequestQuota
 
-CALLER_WORKERS = 400
-PEER_WORKERS = 100
 STACK_BYTES = 256 * 1024
 """Stack size of a thread. Each connection has a thread; the default would reserve 8 MB for each."""
 CLEANUP_INTERVAL_S = 1.0
@@ -72,7 +50,6 @@
 One entry reads for all entries, and its hints show the others that they have missed a change, so
 that a change is known within some three seconds at the price of one call a second."""
 POLL_DUTY = "poll"
-RETENTION_DUTY = "retention"
 
 
 class DirectEntry:
@@ -89,7 +66,9 @@
         self._incarnation = uuid.uuid4().hex[:8]
         self._stop = StopSignal()
         self._leaving = threading.Event()
-        self._paces = self._make_paces()
+        self._paces = make_paces(
+            settings, self._clock, deployment.headers, self._telemetry, lambda: self._declared
+        )
         self._loads = LoadTable(
             self._clock,
             settings.failure_domain,
@@ -100,46 +79,21 @@
         self._connections = UpstreamConnections(self._clock)
         self._peer_caller = PeerCaller(self._clock)
         self._quota = RequestQuota(self._clock, known_peers=lambda: self._peers.known_peers())
-        self._peers = Peers(
-            self._clock,
-            self._telemetry,
-            name=settings.node,
-            incarnation=self._incarnation,
-            address=(settings.address, settings.peer_port),
-            own=HintSources(
-                loads=self._loads.own_loads,
-                backlog=lambda: self._runner.backlog(),
-                urgent=self._urgent_state,
-                describe=self._own_hint,
-                upstream_sharers=lambda: self._group_assignment.group_members(),
-                identities_by_key=lambda: self._declared.identities_by_key(),
-                has_unsent_counts=lambda: self._quota.has_unsent_counts,
-                claim_unsent_counts=lambda is_heartbeat: self._quota.claim_unsent_counts(
-                    is_heartbeat=is_heartbeat
-                ),
-                needs_direct_hints=lambda: self._quota.needs_direct_hints,
-                is_leaving=self._leaving.is_set,
-                waiting=lambda: self._queue.report(),
-            ),
-            failure_domain=settings.failure_domain,
-            host_capacity=None if settings.hint_relays == "off" else settings.host_capacity,
+        self._peers = make_peers(
+            settings, self._clock, self._telemetry, self._incarnation, lambda: self._hint_parts
         )
-        self._store = RelayedStore(
-            deployment.open_store(settings, self._clock),
-            self._peer_caller,
-            self._clock,
-            self._telemetry,
-            lambda: self._peers,
-        )
-        self._quarantines = QuarantineStore(
+        stored = make_store_parts(
+            settings,
+            deployment,
             self._clock,
-            self._store,
             self._telemetry,
-            merge=lambda suspects: self._isolation.merge(suspects),
-        )
-        self._isolation = CrashIsolation(
-            self._clock, self._telemetry, tell=self._tell_suspects, save=self._quarantines.save
+            self._peers,
+            self._peer_caller,
+            self._leaving,
         )
+        self._store = stored.store
+        self._isolation, self._quarantines = stored.isolation, stored.quarantines
+        self._membership = stored.membership
         self._declared = DeclaredState(
             self._clock,
             self._store,
@@ -149,16 +103,6 @@
             on_configuration=self._on_configuration,
             on_restarted=self._on_upstream_restarted,
         )
-        self._membership = Membership(
-            self._clock,
-            self._store,
-            self._peers,
-            self._telemetry,
-            node=settings.node,
-            address=(settings.address, settings.peer_port),
-            leaving=self._leaving,
-            store_ok=lambda: self._store.last_call_answered,
-        )
         self._group_assignment = GroupAssignment(
             self._clock,
             settings.node,
@@ -187,24 +131,22 @@
         items = ItemRunner(
             self._clock, deployment.headers, self._loads, self._connections, self._isolation
         )
-        self._runner = JobRunner(
+        parts = make_job_parts(
+            settings,
             self._clock,
-            self._loads,
-            items,
             self._telemetry,
-            configuration=lambda: self._declared.configuration,
-            usable=self._group_assignment.near,
-            ownership_uncertain_until=lambda: self._peers.ownership_uncertain_until,
-        )
-        bad_records = BadRecords(self._clock, self._telemetry, "job_record", "key")
-        records = JobRecords(self._store, settings.value_limit, bad_records)
-        catalog = JobCatalog(records)
-        self._retention = JobRetention(
-            self._clock,
-            records,
-            settings.job_retention,
-            has_duty=lambda: self._membership.has_duty(RETENTION_DUTY),
+            loads=self._loads,
+            items=items,
+            store=self._store,
+            declared=self._declared,
+            membership=self._membership,
+            group_assignment=self._group_assignment,
+            peers=self._peers,
+            peer_caller=self._peer_caller,
+            leaving=self._leaving,
         )
+        self._jobs, self._runner = parts.jobs, parts.runner
+        self._recovery, self._retention = parts.recovery, parts.retention
         self._exit = EntryExit(
             self._clock,
             self._runner,
@@ -213,26 +155,6 @@
             limit=settings.shutdown_limit,
             before_close=self._queue.close,
         )
-        adoption = JobAdoption(
-            self._clock,
-            catalog,
-            self._runner,
-            self._peers,
-            self._telemetry,
-            are_peers_known=lambda: self._recovery.are_peers_known(),
-        )
-        self._recovery = JobRecovery(
-            self._clock,
-            adoption,
-            self._runner,
-            self._peers,
-            node=settings.node,
-            leaving=self._leaving,
-            has_duty=self._membership.has_duty,
-        )
-        self._jobs = Jobs(
-            self._clock, catalog, self._runner, adoption, self._peers, self._peer_caller
-        )
         self._views = ViewExchange(
             self._clock,
             self._declared,
@@ -253,23 +175,31 @@
             self._isolation,
             self._queued,
         )
-        access = CallerAuthenticator(
+        self._api = make_caller_api(
+            deployment,
             self._clock,
+            self._telemetry,
+            forwarder=forwarder,
+            jobs=self._jobs,
+            quota=self._quota,
+            queued=self._queued,
+            declared=self._declared,
             directory=self._directory,
-            confirm_configuration=self._views.confirm_configuration,
+            views=self._views,
+            entry_exit=self._exit,
         )
-        self._api = CallerApi(
-            self._clock,
-            deployment.dialect,
-            deployment.headers,
-            forwarder,
-            self._jobs,
-            self._telemetry,
-            access,
-            self._quota,
-            delay_over_limit=self._queued.delay_over_limit,
-            configuration=lambda: self._declared.configuration,
-            time_left=lambda: self._exit.time_left,
+        self._hint_parts = HintParts(
+            loads=self._loads,
+            paces=self._paces,
+            quota=self._quota,
+            leaving=self._leaving,
+            store=self._store,
+            isolation=self._isolation,
+            declared=self._declared,
+            membership=self._membership,
+            group_assignment=self._group_assignment,
+            queue=self._queue,
+            runner=self._runner,
         )
 
     def run(self) -> int:
@@ -286,12 +216,21 @@
         self._stop.listen()
         self._reload.listen()
         serve_metrics((settings.address, settings.metrics_port), self._telemetry, self._clock)
-        callers = self._start_listeners()
+        callers = start_listeners(
+            settings,
+            self._clock,
+            self._deployment.headers,
+            limits=self._caller_limits,
+            callers=self._api.handle,
+            peers=self._peer_api.handle,
+            ready_path=self._deployment.ready_path,
+            is_ready=lambda: self._is_ready,
+        )
         self._loads.set_own_change_callback(self._peers.schedule_load_hint)
         self._start_queue()
         self._peers.start(
             PeerCallbacks(
-                loads=self._adopt_peer_loads,
+                loads=loads_receiver(self._loads, self._declared),
                 backlog=self._runner.update_peer_backlog,
                 versions=self._compare_versions,
                 lost=self._recovery.peer_lost,
@@ -317,37 +256,6 @@
         self._quarantines.stop()
         return 0
 
-    def _start_listeners(self) -> Listener:
-        settings = self._settings
-        assert settings.callers is not None and settings.ready is not None
-        callers = Listener(
-            settings.callers,
-            workers=CALLER_WORKERS,
-            clock=self._clock,
-            names=self._deployment.headers,
-            limits=self._caller_limits,
-            handle=self._api.handle,
-        )
-        ready = Listener(
-            settings.ready,
-            workers=4,
-            clock=self._clock,
-            names=PEER_HEADERS,
-            limits=CallerLimits,
-            handle=self._answer_ready,
-        )
-        peers = Listener(
-            (settings.address, settings.peer_port),
-            workers=PEER_WORKERS,
-            clock=self._clock,
-            names=PEER_HEADERS,
-            limits=CallerLimits,
-            handle=self._peer_api.handle,
-        )
-        for listener in (callers, ready, peers):
-            listener.start()
-        return callers
-
     def _count_sharers(self) -> int:
         """Return the number of entries that use the same upstreams, this one included."""
         members = self._group_assignment.group_members()
@@ -367,16 +275,6 @@
         self._views.pull_newer_views(peer, versions)
         self._membership.refresh_if_behind(versions)
 
-    def _adopt_peer_loads(
-        self,
-        peer: str,
-        loads: Mapping[str, Load],
-        failures: Mapping[str, int] | None,
-        knows_starts: bool,
-    ) -> None:
-        upstreams = () if knows_starts else self._declared.listed()
-        self._loads.apply_hint(peer, loads, upstreams, failures, knows_starts=knows_starts)
-
     def _directory(self) -> OrganisationDirectory | None:
         configuration = self._declared.configuration
         return None if configuration is None else configuration.organisations
@@ -386,12 +284,6 @@
         self._queued.configure(self._declared.configuration)
         self._peers.announce()
 
-    def _tell_suspects(self, updates: Sequence[SuspectUpdate]) -> None:
-        self._peers.send_suspects(updates)
-        if not self._peers.hears_all_known():
-            # Entries that do not hear this one may have seen the request crash other upstreams.
-            self._quarantines.reload()
-
     def _on_upstream_restarted(self, upstream: Upstream) -> None:
         ended = self._connections.calls.end_calls_to_earlier_starts(upstream)
         logging.info(
@@ -417,58 +309,6 @@
             except Exception:  # noqa: BLE001
                 logging.exception("event=poll_failed")
 
-    def _urgent_state(self) -> Hashable:
-        """Return a value whose change requires an immediate hint to the other entries.
-
-        Changes of the requests in flight are announced separately.
-        """
-        return (
-            tuple(self._declared.digests().values()),
-            sum(self._loads.own_failures().values()),
-            self._leaving.is_set(),
-            self._runner.released,
-            self._store.last_call_answered,
-        )
-
-    def _own_hint(self) -> AnnouncementContent:
-        return AnnouncementContent(
-            loads=self._loads.own_loads(),
-            failures=self._loads.own_failures(),
-            open_jobs=self._runner.job_ids(finished=False),
-            done_jobs=self._runner.job_ids(finished=True),
-            waiting=self._runner.waiting_tokens(),
-            versions={
-                **self._declared.versions(),
-                **self._membership.versions(),
-                **self._isolation.versions(),
-            },
-            leaving=self._leaving.is_set(),
-            released=self._runner.released,
-            store_ok=self._store.last_call_answered,
-            answer_age=self._store.answer_age,
-            counts=self._quota.recent_counts(ANNOUNCEMENT_RESEND_TIME),
-            backlog=self._runner.backlog(),
-            paces=b"" if self._paces is None else self._paces.packed(),
-            queued=self._queue.report(),
-        )
-
-    def _make_paces(self) -> UpstreamPaces | None:
-        """Return the estimates of upstreams, ``None`` while slots alone decide."""
-        if self._settings.placement != "auto":
-            return None
-        return UpstreamPaces(
-            self._clock,
-            self._settings.failure_domain,
-            self._deployment.headers,
-            listed=lambda: self._declared.listed(),
-            capacity_of=self._engine_memory,
-            on_error=lambda error: self._telemetry.observe_duration("first_event_error", error),
-        )
-
-    def _engine_memory(self, service: str) -> int | None:
-        configuration = self._declared.configuration
-        return None if configuration is None else configuration.engine_memory.get(service)
-
     def _apply_peer_paces(self, packed: bytes) -> None:
         if self._paces is not None:
             self._paces.apply_peer(packed)
@@ -491,12 +331,6 @@
     def _is_ready(self) -> bool:
         return self._declared.can_route and not self._leaving.is_set()
 
-    def _answer_ready(self, request: CallerRequest, caller: CallerConnection) -> None:
-        if request.path != self._deployment.ready_path:
-            caller.answer(404, [], b"")
-            return
-        caller.answer(200 if self._is_ready else 503, [], b"")
-
 
 def make_direct_entry(settings: DirectSettings, deployment: Deployment, path: Path) -> DirectEntry:
     """Return an entry that is not started yet.
