Stand-ins: a cut-off engine copies nothing and closes no connection

Cause: an engine that lost its network went on to send copies, and closed the connections of its runs when it started again. A test of a cut-off engine then saw a broken connection, which in reality stays open and silent. Change: copies need a reachable source, and only a stopped run closes its connection.

--- a/packages/standins/src/carobspool_standins/engine_backups.py
+++ b/packages/standins/src/carobspool_standins/engine_backups.py
@@ -141,7 +141,7 @@
             run.connection.end_stream()
             with self._lock:
                 self._copies = {key: e for key, e in self._copies.items() if e.run is not run}
-        elif not run.connection.server_crashed:
+        elif run.stop.is_set():
             run.connection.close()
         run.over.set()
 
@@ -155,12 +155,14 @@
         """Copy what the run has produced since the last copy to the engine named by the request."""
         now = time.monotonic()
         target = self._servers.get(run.request.headers.get("kv-backup", ""))
-        if target is None or now - run.copied_at < COPY_INTERVAL_S:
+        if target is None or not (run.server.is_reachable and target.is_reachable):
+            return
+        if now - run.copied_at < COPY_INTERVAL_S:
             return
         run.copied_at = now
         limit = self.faults(run.server).copied_events
         events = run.events if limit is None else min(run.events, limit)
-        if not (events and target.is_reachable) or self.faults(target).no_room:
+        if not events or self.faults(target).no_room:
             return
         copy = RunMemory(run, target, target.started, events, now + COPY_TTL_S)
         with self._lock:
