--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -10,7 +10,7 @@
 from absl import logging
 
 from carobspool_core import boottime_clock
-from carobspool_core.direct import CallerLimits, Upstream
+from carobspool_core.direct import CallerLimits
 from carobspool_core.organisations import OrganisationDirectory
 from carobspool_node.direct._declared import DeclaredState
 from carobspool_node.direct._deployment import Deployment
@@ -19,6 +19,7 @@
 from carobspool_node.direct._entry_jobs import make_job_parts
 from carobspool_node.direct._entry_listeners import start_listeners
 from carobspool_node.direct._entry_paces import make_paces
+from carobspool_node.direct._entry_restarts import restart_handler
 from carobspool_node.direct._entry_store import make_store_parts
 from carobspool_node.direct._exit import EntryExit
 from carobspool_node.direct._forward import Forwarder
@@ -101,7 +102,7 @@
             self._telemetry,
             on_duty=lambda: self._membership.follows_store(),
             on_configuration=self._on_configuration,
-            on_restarted=self._on_upstream_restarted,
+            on_restarted=restart_handler(self._connections, self._loads, self._telemetry),
         )
         self._group_assignment = GroupAssignment(
             self._clock,
@@ -284,18 +285,6 @@
         self._queued.configure(self._declared.configuration)
         self._peers.announce()
 
-    def _on_upstream_restarted(self, upstream: Upstream) -> None:
-        ended = self._connections.calls.end_calls_to_earlier_starts(upstream)
-        logging.info(
-            "event=upstream_restarted upstream=%s started=%d service=%s calls_ended=%d",
-            upstream.instance,
-            upstream.started,
-            upstream.service,
-            ended,
-        )
-        self._telemetry.count("upstream_restarts", service=upstream.service)
-        self._loads.record_restart(upstream)
-
     def _poll_store(self) -> None:
         """Periodically read the store and remove expired jobs on behalf of all entries.
 
