Jobs: an owner that missed a takeover stops at once

Cause: an entry took a job from a live owner whose hints did not name it yet. The store holds a job before its answer has reached the owner, and hints are read in batches of 8 ms. A search of the store after a start or a departure, or a repeated submission, in that time made a second owner. The first owner asked the store only after silence, restarts, departures and reported ends, and a job whose items receive nothing has no commit that could conflict. The job was then ended through the second owner, and the first went on.

Change: a job is left to a live owner that does not name it for 3 s, except when the owner itself has released it. An owner whose job a peer names asks the store at once and starts no item before the answer (event=job_claimed).

Before: both new tests with real processes fail with 90 arrivals in the 2 s after the bound, and one unit test of the hints fails. After: none arrives.

--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -297,6 +297,7 @@
                 lost=self._recovery.peer_lost,
                 gone=self._on_peer_gone,
                 ended=self._runner.handle_ended_jobs,
+                jobs=self._runner.handle_jobs_of_peer,
                 counts=self._quota.apply_peer_counts,
                 suspects=self._isolation.merge,
                 paces=self._apply_peer_paces,
--- a/packages/node/src/carobspool_node/direct/_hint_receiver.py
+++ b/packages/node/src/carobspool_node/direct/_hint_receiver.py
@@ -6,7 +6,8 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from itertools import chain
 
 from absl import logging
 from msgspec import Struct
@@ -56,6 +57,8 @@
         lost: Called with a peer whose jobs need new owners.
         gone: Called with a peer that is not expected to come back.
         ended: Called with the ids of jobs that a peer has ended in the store.
+        jobs: Called with the identity of a peer and the ids of the jobs that it works on or holds
+            results of.
         counts: Called with a peer's name, its incarnation and the number of requests that it has
             admitted, by the organisation's key.
         suspects: Called with changed evidence against requests that crash upstreams.
@@ -69,6 +72,7 @@
     lost: Callable[[Peer], None] = lambda peer: None
     gone: Callable[[Peer], None] = lambda peer: None
     ended: Callable[[Sequence[str]], None] = lambda job_ids: None
+    jobs: Callable[[str, Iterable[str]], None] = lambda peer, job_ids: None
     counts: Callable[[str, str, Mapping[int, int]], None] = lambda peer, incarnation, counts: None
     suspects: Callable[[Sequence[SuspectState]], None] = lambda suspects: None
     paces: Callable[[bytes], None] = lambda packed: None
@@ -204,6 +208,10 @@
         if lost is not None:
             self._events.lost(lost)
         self._events.ended(announcement.ended)
+        self._events.jobs(
+            f"{announcement.name}#{announcement.incarnation}",
+            chain(announcement.open_jobs or (), announcement.done_jobs),
+        )
         groups = [
             WaitingGroup(float(start_order), count) for start_order, count in announcement.backlog
         ]
--- a/packages/node/src/carobspool_node/direct/_job_adoption.py
+++ b/packages/node/src/carobspool_node/direct/_job_adoption.py
@@ -26,6 +26,11 @@
 FALLBACK_ADOPTION_DELAY: Millis = 3_000.0
 """Time in which only the assigned entry takes over a job without an owner. That entry detects the
 loss within a few hints, and its takeover takes three calls to the store."""
+UNNAMED_JOB_DELAY: Millis = 3_000.0
+"""Time for which a job is left to a live owner whose hints do not name it. A new owner announces
+the job as soon as the store has answered, and an entry can read the job from the store before. An
+owner that still does not name the job has not received the answer to its write and does not run the
+job. The time exceeds that of a call to a store that does not answer (1.5 s) and two heartbeats."""
 
 _UNRECOVERABLE_FAULTS = (StoreFault.NOT_FOUND, StoreFault.UNREADABLE)
 """Faults that no retry resolves. Retries would cost a call to the store each half second for as
@@ -78,6 +83,8 @@
         self._takeover_lock = threading.Lock()
         self._orphans: dict[str, _Orphan] = {}
         self._orphans_lock = threading.Lock()
+        self._unnamed: dict[str, tuple[str, Millis]] = {}
+        """Owner and time of the first read of each orphan that its live owner does not name."""
 
     def start_owning(self, job: JobInput, stored: StoredProgress, *, requested_at: Millis) -> None:
         """Start to run a job that the store shows as owned by this entry.
@@ -131,6 +138,8 @@
             # Another entry has taken the job over, and this process has received no hint from it
             # yet. Taking over the job would interrupt its runs once for each process that starts.
             return False
+        if progress.owner != lost_owner and self._is_left_to_owner(job_id, progress.owner):
+            return False
         return self._take_over(job.unwrap(), state.unwrap(), reason)
 
     def add_orphans(
@@ -175,6 +184,7 @@
             if resolved:
                 with self._orphans_lock:
                     self._orphans.pop(job_id, None)
+                    self._unnamed.pop(job_id, None)
 
     def take_over_stored_jobs(self, is_assigned: Callable[[str, str], bool]) -> bool:
         """Take over open jobs in the store whose owner is gone; return whether the store was read.
@@ -216,8 +226,12 @@
             state = read.unwrap()
         if self._catalog.cache_if_finished(job_id, state.progress):
             return
-        assigned_here = is_assigned(job_id, state.progress.owner)
-        if not assigned_here or not self._take_over(job.unwrap(), state, "recovered"):
+        owner = state.progress.owner
+        if (
+            not is_assigned(job_id, owner)
+            or self._is_left_to_owner(job_id, owner)
+            or not self._take_over(job.unwrap(), state, "recovered")
+        ):
             self.add_orphans([job_id], "recovered")
 
     def _skip_unreadable(self, job_id: str, failure: StoreFailure) -> None:
@@ -232,6 +246,19 @@
         """Return whether this entry owns the job or the hints of a peer name it."""
         return self._runner.get(job_id) is not None or self._peers.find_job_peer(job_id) is not None
 
+    def _is_left_to_owner(self, job_id: str, owner: str) -> bool:
+        """Whether the owner of a job is live and may not have named the job in its hints yet."""
+        peer = self._peers.by_identity(owner)
+        if peer is None or peer.serves_job(job_id):
+            return False
+        now = self._clock.now()
+        with self._orphans_lock:
+            known_owner, since = self._unnamed.get(job_id, (owner, now))
+            if known_owner != owner:
+                since = now
+            self._unnamed[job_id] = (owner, since)
+        return now - since < UNNAMED_JOB_DELAY
+
     def _take_over(self, job: JobInput, state: StoredProgress, reason: str) -> bool:
         """Become the owner of a job unless it has a live owner; return whether it has one now."""
         job_id = job.job_id
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -165,6 +165,22 @@
             if job is not None and job.report_ended():
                 self._submit_verification(job)
 
+    def handle_jobs_of_peer(self, peer: str, job_ids: Iterable[str]) -> None:
+        """Verify the unfinished jobs of this entry that a peer names as its own.
+
+        Args:
+            peer: Identity of the peer.
+            job_ids: The jobs that the peer works on or holds results of.
+        """
+        with self._lock:
+            claimed = [self._jobs[job_id] for job_id in job_ids if job_id in self._jobs]
+        for job in claimed:
+            if job.lost or job.finished:
+                continue
+            logging.info("event=job_claimed job=%s peer=%s", job.job_id, peer)
+            job.proof.report_claimed()
+            self._submit_verification(job)
+
     def backlog(self) -> Sequence[WaitingGroup]:
         """Return the waiting items of this entry, grouped for the hints to its peers."""
         wall = wall_millis()
--- a/packages/node/src/carobspool_node/direct/_ownership_proof.py
+++ b/packages/node/src/carobspool_node/direct/_ownership_proof.py
@@ -3,7 +3,7 @@
 
 Another entry takes over a job when it receives no hints from the job's owner, and ends a job in the
 store when it cannot call the owner. Both are writes to the store. The owner learns of them only
-when it reads or writes the job's progress itself.
+when it reads or writes the job's progress itself. Silence and hints of peers show when it has to.
 """
 
 from __future__ import annotations
@@ -26,12 +26,13 @@
             be too late: other entries may have written between the store's answer and its arrival.
     """
 
-    __slots__ = ("_clock", "_end_reported_at", "_grace_until", "_requested_at")
+    __slots__ = ("_claimed_at", "_clock", "_end_reported_at", "_grace_until", "_requested_at")
 
     def __init__(self, clock: Clock, *, requested_at: Millis) -> None:
         self._clock = clock
         self._requested_at = requested_at
         self._end_reported_at: Millis = -math.inf
+        self._claimed_at: Millis = -math.inf
         self._grace_until: Millis = 0.0
 
     @property
@@ -75,6 +76,13 @@
         """Record that a peer reports to have ended the job in the store."""
         self._end_reported_at = self._clock.now()
 
+    def report_claimed(self) -> None:
+        """Record that a peer works on the job or holds its results.
+
+        One of the two entries has missed that the other took the job over.
+        """
+        self._claimed_at = self._clock.now()
+
     def is_valid(self, *, ownership_uncertain_until: Millis, max_age: Millis) -> bool:
         """Whether the proof rules out a takeover or an end by another entry.
 
@@ -85,6 +93,6 @@
             max_age: Age up to which a proof is accepted regardless of
                 ``ownership_uncertain_until``.
         """
-        if self.is_end_unverified:
+        if self.is_end_unverified or self._requested_at <= self._claimed_at:
             return False
         return self._requested_at >= ownership_uncertain_until or self.age < max_age
--- a/packages/node/tests/test_direct_job_adoption.py
+++ b/packages/node/tests/test_direct_job_adoption.py
@@ -1,15 +1,18 @@
-"""Takeover of jobs by an entry that has just started."""
+"""Takeover of jobs whose owner is gone, unknown or new."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
-from carobspool_core import boottime_clock
+import pytest
+
+from carobspool_core import Millis
 from carobspool_core.direct import JobInput, JobItem
-from carobspool_node.direct._job_adoption import JobAdoption
+from carobspool_node.direct._job_adoption import UNNAMED_JOB_DELAY, JobAdoption
 from carobspool_node.direct._job_catalog import JobCatalog
 from carobspool_node.direct._job_records import JobRecords
 from carobspool_node.direct._owned_job import OwnedJob
+from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_standins.memory_store import MemoryObjects, MemoryStore
 
@@ -27,22 +30,41 @@
         return self.jobs.get(job_id)
 
 
-class _NoPeers:
-    """No hint of another entry has arrived yet."""
+class _Clock:
+    def __init__(self) -> None:
+        self.time: Millis = 100_000.0
+
+    def now(self) -> Millis:
+        return self.time
+
+
+class _Peers:
+    """The peers whose hints have arrived, none at first."""
 
     identity = "e2#1"
 
-    def find_job_peer(self, job_id: str) -> None:
-        """Return no peer."""
+    def __init__(self) -> None:
+        self.live: list[Peer] = []
 
-    def by_identity(self, identity: str) -> None:
-        """Return no peer."""
+    def find_job_peer(self, job_id: str) -> Peer | None:
+        """Return the peer that names a job in its hints."""
+        return next((each for each in self.live if each.serves_job(job_id)), None)
+
+    def by_identity(self, identity: str) -> Peer | None:
+        """Return the peer of an identity."""
+        return next((each for each in self.live if each.identity == identity), None)
 
     def announce(self) -> None:
         """Do nothing, since there is no peer."""
 
 
-def _start_with_stored_job(job_owner: str) -> tuple[JobAdoption, _Runner]:
+def _start_with_stored_job(
+    job_owner: str,
+    peers: _Peers | None = None,
+    clock: _Clock | None = None,
+    *,
+    are_peers_known: bool = False,
+) -> tuple[JobAdoption, _Runner]:
     """Return the adoption and runner of an entry that has just started, with a job in the store."""
     records = JobRecords(MemoryStore(MemoryObjects(), "e2"), 1_048_576)
     item = JobItem(item_id="i", path="/", headers={}, body=b"", tokens=1)
@@ -50,12 +72,12 @@
     assert records.create_input(given)
     runner = _Runner()
     adoption = JobAdoption(
-        boottime_clock(),
+        clock or _Clock(),
         JobCatalog(records),
         runner,  # type: ignore[arg-type]
-        _NoPeers(),  # type: ignore[arg-type]
+        peers or _Peers(),  # type: ignore[arg-type]
         Telemetry(),
-        are_peers_known=lambda: False,
+        are_peers_known=lambda: are_peers_known,
     )
     return adoption, runner
 
@@ -84,3 +106,65 @@
     adoption.add_orphans(["j"], "lost e3#1", lost_owner="e3#1")
     adoption.adopt_orphans(lambda job_id: True)
     assert set(runner.jobs) == {"j"}
+
+
+def _peer(name: str, *jobs: str) -> Peer:
+    return Peer(
+        name=name,
+        incarnation="1",
+        address=("127.0.0.1", 1),
+        last_heard_at=0.0,
+        open_jobs=frozenset(jobs),
+    )
+
+
+@pytest.mark.parametrize("listed", [False, True], ids=["resubmitted", "listed"])
+def test_job_is_left_to_a_live_owner_that_has_not_named_it_yet(listed: bool) -> None:
+    """A job can be read from the store before the store's answer has reached the entry that wrote
+    it, and before that entry's hints name it. An entry that listed the jobs at that moment, or to
+    which the job was submitted again, took it from its live owner, and both ran its items."""
+    peers, clock = _Peers(), _Clock()
+    adoption, runner = _start_with_stored_job("e1#1", peers, clock, are_peers_known=True)
+    peers.live = [_peer("e1")]
+    if listed:
+        assert adoption.take_over_stored_jobs(lambda job_id, owner: True)
+    else:
+        assert not adoption.ensure_owner("j", "submitted again")
+        adoption.add_orphans(["j"], "submitted again")
+    clock.time += 500.0
+    adoption.adopt_orphans(lambda job_id: True)
+    assert not runner.jobs
+    peers.live = [_peer("e1", "j")]
+    clock.time += UNNAMED_JOB_DELAY
+    adoption.adopt_orphans(lambda job_id: True)
+    peers.live = []
+    adoption.adopt_orphans(lambda job_id: True)
+    assert not runner.jobs
+
+
+def test_job_that_its_live_owner_does_not_run_is_taken_over_after_a_while() -> None:
+    """The answer to the write that made the owner the owner was lost, so the owner does not know
+    that the job is its own. Without a limit on the delay, the job would never run."""
+    peers, clock = _Peers(), _Clock()
+    adoption, runner = _start_with_stored_job("e1#1", peers, clock, are_peers_known=True)
+    peers.live = [_peer("e1")]
+    adoption.add_orphans(["j"], "submitted again")
+    adoption.adopt_orphans(lambda job_id: True)
+    clock.time += UNNAMED_JOB_DELAY - 1.0
+    adoption.adopt_orphans(lambda job_id: True)
+    assert not runner.jobs
+    clock.time += 1.0
+    adoption.adopt_orphans(lambda job_id: True)
+    assert set(runner.jobs) == {"j"}
+
+
+def test_new_owner_of_an_orphan_gets_time_to_name_the_job() -> None:
+    """Two entries try for seconds to take over a job while the store refuses them. One succeeds
+    after the outage, and the other reads the job before the new owner's hints name it."""
+    peers, clock = _Peers(), _Clock()
+    adoption, runner = _start_with_stored_job("e3#1", peers, clock, are_peers_known=True)
+    peers.live = [_peer("e3")]
+    adoption.add_orphans(["j"], "lost e1#1", lost_owner="e1#1")
+    clock.time += UNNAMED_JOB_DELAY
+    adoption.adopt_orphans(lambda job_id: True)
+    assert not runner.jobs
--- a/packages/node/tests/test_direct_owned_job.py
+++ b/packages/node/tests/test_direct_owned_job.py
@@ -177,6 +177,23 @@
     assert job.proof.is_valid(ownership_uncertain_until=0.0, max_age=1_500.0)
 
 
+def test_no_item_starts_between_a_claim_of_a_peer_and_its_verification(
+    records: JobRecords, job: OwnedJob, clock: _Clock
+) -> None:
+    """A peer names the job among its own. The proof is recent, but may be from before a takeover
+    that no silence of the peer has announced."""
+    clock.time += 10.0
+    job.proof.report_claimed()
+    assert not job.proof.is_valid(ownership_uncertain_until=0.0, max_age=1_500.0)
+    clock.time += 10.0
+    assert job.verify()
+    assert job.proof.is_valid(ownership_uncertain_until=0.0, max_age=1_500.0)
+    _change(records, owner="e2#1")
+    job.proof.report_claimed()
+    assert not job.verify()
+    assert job.lost
+
+
 def test_commit_sent_before_a_reported_end_does_not_verify_it(job: OwnedJob, clock: _Clock) -> None:
     """A commit is sent before the report of the end arrives and is answered after it."""
     requested_at = clock.time
--- a/packages/node/tests/test_direct_peers.py
+++ b/packages/node/tests/test_direct_peers.py
@@ -37,6 +37,7 @@
     def __init__(self) -> None:
         self.clock = _Clock()
         self.ended: list[str] = []
+        self.jobs: list[tuple[str, list[str]]] = []
         self.loads: dict[str, Load] = {}
         self.peers = Peers(
             self.clock,
@@ -53,7 +54,11 @@
                 identities_by_key=lambda: {short_key_of(ENGINE): ENGINE},
             ),
         )
-        events = PeerCallbacks(ended=self.ended.extend, loads=self._record_loads)
+        events = PeerCallbacks(
+            ended=self.ended.extend,
+            jobs=lambda peer, job_ids: self.jobs.append((peer, list(job_ids))),
+            loads=self._record_loads,
+        )
         self.peers._events = self.peers._receiver._events = events
         self.hear()
         self.wait(OWNERSHIP_UNCERTAIN_TIME + TICK, hearing=True)
@@ -149,6 +154,13 @@
     assert entry.ended == ["j"]
 
 
+def test_announcements_name_the_jobs_of_their_sender(entry: _Entry) -> None:
+    """An owner that misses a takeover of its job finds the job among those of the new owner."""
+    entry.jobs.clear()
+    entry.hear(j=["open"], f=["done"])
+    assert entry.jobs == [("e2#1", ["open", "done"])]
+
+
 def _load_hint(*, sequence: int, loads: Mapping[str, Load], incarnation: str = "1") -> Any:
     return cbor2.loads(
         encode_load_hint(
--- a/tests/direct/test_job_ends.py
+++ b/tests/direct/test_job_ends.py
@@ -18,9 +18,12 @@
 from contextlib import ExitStack
 from pathlib import Path
 
+import cbor2
 import pytest
 from direct_harness import Deployment, Entry, deployment, eventually, job_body
 
+from carobspool_standins._faults import FaultBoard
+from carobspool_standins._relay_link import Relay, RelayFaults
 from carobspool_standins.platform_server import ServedRequest, ServerConnection
 
 END_BOUND_S = 3.0
@@ -124,3 +127,89 @@
     answer = other.call("DELETE", "/api/lots/j")
     assert answer.status == 503
     assert float(answer.headers["retry-after"]) > 0
+
+
+def test_job_is_not_taken_from_an_owner_that_has_not_named_it_yet(system: Deployment) -> None:
+    """The store's answer to the owner takes 100 ms, and the job is submitted to the other entry in
+    that time. The other entry finds the job in the store, and no hint of the owner names it yet. It
+    used to take the job over. The owner learned of that from its next commit, and a job whose items
+    receive nothing has nothing to commit: the owner sent its items on and on after its end."""
+    engine = _RefusingEngine()
+    system.start_server("engine", engine.handle_request)
+    host, _, port = system.store.rpartition(":")
+    listener = system.stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+    board = FaultBoard(RelayFaults)
+    Relay(listener, (host, int(port)), lambda: board.current.delay_ms or 0.0, board)
+    owner = system.start_entry("e1", store=f"127.0.0.1:{listener.getsockname()[1]}")
+    other = system.start_entry("e2")
+    eventually(lambda: other.log_lines_containing("event=peer_seen peer=e1"), 3)
+    time.sleep(5.0)
+    board.merge({"delay_ms": 50.0})
+    submission = threading.Thread(
+        target=owner.call,
+        args=("POST", "/batch/j"),
+        kwargs={"body": job_body(*IDS), "request_id": "j"},
+    )
+    submission.start()
+    until = time.monotonic() + 3.0
+    while ("jobs", "j") not in system.objects.objects and time.monotonic() < until:
+        time.sleep(0.001)
+    assert other.call("POST", "/batch/j", body=job_body(*IDS), request_id="j").status == 202
+    submission.join()
+    board.reset()
+    eventually(lambda: engine.arrivals, 3)
+    time.sleep(1.0)
+    assert other.call("DELETE", "/api/lots/j").status == 200
+    _assert_no_arrival_after_bound(engine, time.monotonic())
+    assert not other.log_lines_containing("event=job_taken_over job=j")
+
+
+def test_owner_that_hears_another_owner_of_its_job_asks_the_store(system: Deployment) -> None:
+    """Another entry, played by the test, has taken the job over, and its hints name the job. No
+    silence and no restart makes the owner doubt that the job is still its own. It used to send the
+    items of the job until one of them received an event, also after the job had been ended."""
+    engine = _RefusingEngine()
+    system.start_server("engine", engine.handle_request)
+    owner = system.start_entry("e1")
+    with _Announcer(owner) as other:
+        time.sleep(5.0)
+        assert owner.call("POST", "/batch/j", body=job_body(*IDS), request_id="j").status == 202
+        eventually(lambda: engine.arrivals, 3)
+        progress = {"owner": other.identity, "ended": True, "total": len(IDS), "results": []}
+        system.objects.put("progress", "j", progress | {"failures": {}})
+        other.jobs = ["j"]
+        _assert_no_arrival_after_bound(engine, time.monotonic())
+    assert owner.log_lines_containing(f"event=job_claimed job=j peer={other.identity}")
+
+
+class _Announcer:
+    """Sends the announcements of an entry that has no process.
+
+    Attributes:
+        jobs: The finished jobs whose results the entry holds.
+    """
+
+    identity = "e2#1"
+
+    def __init__(self, entry: Entry) -> None:
+        self.jobs: list[str] = []
+        self._entry = entry
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._announce)
+
+    def __enter__(self) -> _Announcer:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self._stopped.set()
+        self._thread.join()
+
+    def _announce(self) -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.bind(("127.0.0.1", 0))
+            message = {"n": "e2", "i": "1", "a": list(sender.getsockname()), "l": {}, "e": {}}
+            message |= {"v": {}, "x": False, "s": True, "j": [], "w": {}, "q": []}
+            while not self._stopped.wait(0.2):
+                data = cbor2.dumps(message | {"f": self.jobs})
+                sender.sendto(data, ("127.0.0.1", self._entry.peer_port))
