Online queue: a lowered limit applies to requests that wait

Cause: when the limit of an organisation changed, each of its waiting requests got its token back and consumed the same token again, so a lower limit never refused any of them, and each later change of anything else repeated this. Change: the tokens of all waiting requests under the changed limit are returned first, and each is then admitted anew, once.

--- a/packages/node/src/carobspool_node/direct/_queued_requests.py
+++ b/packages/node/src/carobspool_node/direct/_queued_requests.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable, Mapping
 
+from msgspec import Struct
+
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import LEAVING_RETRY_AFTER, Configuration
 from carobspool_core.online_queue import cost_of, further_places, queue_in_force, rank_of
@@ -21,6 +23,22 @@
 """Places a request at one of some upstreams, with a number of further places at each."""
 
 
+class _Admission(Struct, eq=False):
+    """The admission of a waiting request by the limit of its organisation.
+
+    Attributes:
+        state: The request.
+        organisation: Name of the organisation.
+        limit: The limit by which the request was admitted.
+        is_due: Whether the request has its token back and must be admitted anew.
+    """
+
+    state: RequestState
+    organisation: str
+    limit: RateLimit | None
+    is_due: bool = False
+
+
 class QueuedRequests:
     """Lets online requests wait for a slot, by the current configuration.
 
@@ -54,6 +72,7 @@
         self._setting = setting
         self._configuration: Configuration | None = None
         self._in_force = queue_in_force(setting, None)
+        self._admissions: set[_Admission] = set()
 
     @property
     def in_force(self) -> bool:
@@ -65,6 +84,7 @@
         self._configuration = configuration
         directory = None if configuration is None else configuration.organisations
         self._in_force = queue_in_force(self._setting, directory)
+        self._return_tokens()
         self._queue.reconsider()
 
     def place(
@@ -117,28 +137,34 @@
         if not self._has_untried(state, service):
             return None
         organisation = state.organisation or ""
-        limit = self._limit(organisation)
-        placement = self._queue.place(
-            WaitingRequest(
-                request_id=state.request.request_id,
-                service=service,
-                organisation=organisation,
-                cost=cost_of(state.request.header(self._names.token_count)),
-                body_bytes=len(state.request.body),
-                arrived=state.request.arrived,
-                target_latency=state.route.target_latency,
-                deadline=state.deadline,
-                is_retry=state.is_retry,
-                is_continued=is_suspect or bool(state.tried),
-                may_have_run=state.may_have_run,
-                watch=state.caller.watch,
-                place=place,
-                release=lambda unused: self._loads.end_online(unused, completed=False),
-                rank=lambda: self._rank(state, organisation),
-                refusal=refusal,
-                refusal_by_configuration=lambda: self._refusal(state, organisation, limit),
-            )
+        admission = _Admission(state, organisation, self._limit(organisation))
+        self._admissions.add(admission)
+        request = WaitingRequest(
+            request_id=state.request.request_id,
+            service=service,
+            organisation=organisation,
+            cost=cost_of(state.request.header(self._names.token_count)),
+            body_bytes=len(state.request.body),
+            arrived=state.request.arrived,
+            target_latency=state.route.target_latency,
+            deadline=state.deadline,
+            is_retry=state.is_retry,
+            is_continued=is_suspect or bool(state.tried),
+            may_have_run=state.may_have_run,
+            watch=state.caller.watch,
+            place=place,
+            release=lambda unused: self._loads.end_online(unused, completed=False),
+            rank=lambda: self._rank(state, organisation),
+            refusal=refusal,
+            refusal_by_configuration=lambda: self._refusal(state, organisation, admission),
         )
+        try:
+            placement = self._queue.place(request)
+        finally:
+            self._admissions.discard(admission)
+            if admission.is_due and not state.is_refunded:
+                # Its wait has ended between the return of its token and the new admission.
+                self._quota.admit(organisation)
         state.placed_at = self._clock.now()
         return placement
 
@@ -196,6 +222,19 @@
         split = self._split_upstreams(service)
         return any(each.identity not in state.tried for each in (*split.near, *split.far))
 
+    def _return_tokens(self) -> None:
+        """Return the tokens of waiting requests whose limit has changed; they need new ones.
+
+        All are returned before the first request is admitted anew. If each request got its own
+        token back and consumed it again, a lower limit would never refuse any of them.
+        """
+        for each in list(self._admissions):
+            limit = self._limit(each.organisation)
+            if each.is_due or each.state.may_have_run or limit == each.limit:
+                continue
+            each.limit, each.is_due = limit, True
+            self._quota.refund(each.organisation)
+
     def _organisation(self, name: str) -> Organisation | None:
         configuration = self._configuration
         if configuration is None or configuration.organisations is None:
@@ -210,7 +249,7 @@
         return rank_of(state.route.priority, self._organisation(organisation))
 
     def _refusal(
-        self, state: RequestState, organisation: str, limit: RateLimit | None
+        self, state: RequestState, organisation: str, admitted: _Admission
     ) -> QueueRefusedError | None:
         """Return why the current configuration refuses a waiting request."""
         configuration = self._configuration
@@ -229,10 +268,9 @@
             found = None if key is None else directory.find_by_key_digest(key_digest(key))
             if found is None or found.name != organisation:
                 return QueueRefusedError("the key is not known", status=401, retry_after=None)
-        if self._limit(organisation) == limit:
+        if not admitted.is_due:
             return None
-        # The request is admitted anew, under the limit that is valid now.
-        self._quota.refund(organisation)
+        admitted.is_due = False
         admission = self._quota.admit(organisation)
         if admission.granted:
             return None
--- a/tests/direct/test_online_queue.py
+++ b/tests/direct/test_online_queue.py
@@ -210,6 +210,39 @@
         gate.release(PLACES)
 
 
+def test_a_changed_limit_applies_to_waiting_requests(tmp_path: Path) -> None:
+    """The limit of an organisation is lowered while its requests wait: those beyond the new limit
+    must not run, and those within it must not be refused by a further change of something else."""
+
+    def declared(version: int, rate_per_s: float, burst: int, priority: int) -> dict[str, Any]:
+        tenants = [
+            {"name": "kept", "api_keys": ["kept-key"], "priority": priority},
+            {"name": "changed", "api_keys": ["changed-key"], "priority": 1}
+            | {"rate_per_s": rate_per_s, "burst": burst},
+        ]
+        return configuration(version, *ROUTES) | {"tenants": tenants}
+
+    with deployment(tmp_path, *ROUTES) as system:
+        system.objects.put("config", "main", declared(2, 50.0, 50, 1))
+        gate, callers = _gate(system), Callers()
+        entry = system.start_entry("e1", online_queue="auto")
+        _fill(entry, gate, callers, Authorization="Bearer kept-key")
+        for number in range(6):
+            callers.send(entry, f"changed-{number}", Authorization="Bearer changed-key")
+        _wait_queued(entry, 6)
+        # Three tokens are left: the burst, and one for the delay of hints.
+        system.objects.put("config", "main", declared(3, 0.01, 2, 1))
+        eventually(lambda: len(callers.answers) == 3, 5.0)
+        assert {answer.status for answer in callers.answers.values()} == {429}
+        system.objects.put("config", "main", declared(4, 0.01, 2, 0))
+        time.sleep(1.0)
+        assert len(callers.answers) == 3
+        gate.release(PLACES + 3)
+        eventually(lambda: len(callers.answers) == PLACES + 6, 5.0)
+        assert len(gate.started) == PLACES + 3
+        assert [each.status for each in callers.answers.values()].count(200) == PLACES + 3
+
+
 def test_requests_go_on_when_half_of_the_engines_are_gone(system: Deployment) -> None:
     """One of two engines stops while requests wait. The waiting requests run at the other one, and
     those that can no longer be on time are refused with a Retry-After and not left to wait."""
