--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -255,7 +255,8 @@
                 without_loads=self._loads.record_hint_without_loads,
                 suspects=self._isolation.merge,
                 paces=self._apply_peer_paces,
-                waiting=self._queue.apply_report,
+                waiting=self._queue.reports.apply_report,
+                handovers=self._queue.reports.apply_handovers,
             )
         )
         self._declared.start()
@@ -284,7 +285,7 @@
         self._queue.start()
 
     def _on_peer_gone(self, peer: Peer) -> None:
-        self._queue.forget_peer(peer.name)
+        self._queue.reports.forget_peer(peer.name)
         self._recovery.peer_gone(peer)
 
     def _compare_versions(self, peer: str, versions: Mapping[str, int]) -> None:
--- a/packages/node/src/carobspool_node/direct/_entry_hints.py
+++ b/packages/node/src/carobspool_node/direct/_entry_hints.py
@@ -79,7 +79,7 @@
             recent_counts=lambda age: parts().quota.recent_counts(age),
             needs_direct_hints=lambda: parts().quota.needs_direct_hints,
             is_leaving=lambda: parts().leaving.is_set(),
-            waiting=lambda: parts().queue.report(),
+            queue=lambda: parts().queue.reports.report(),
         ),
         failure_domain=settings.failure_domain,
         host_capacity=None if settings.hint_relays == "off" else settings.host_capacity,
@@ -119,7 +119,7 @@
         counts=parts.quota.recent_counts(ANNOUNCEMENT_RESEND_TIME),
         backlog=parts.runner.backlog(),
         paces=b"" if parts.paces is None else parts.paces.packed(),
-        queued=parts.queue.report(),
+        queued=parts.queue.reports.report().waiting,
     )
 
 
--- a/packages/node/src/carobspool_node/direct/_metrics.py
+++ b/packages/node/src/carobspool_node/direct/_metrics.py
@@ -44,6 +44,7 @@
     "streams_backed_up": (),
     "streams_continued": ("way",),
     "streams_lost": ("reason",),
+    "slots_handed": ("outcome",),
 }
 _GAUGE_NAMES = ("hint_relay", "paced_upstreams")
 _HISTOGRAM_NAMES = (
