Jobs: an entry that ends a job behind its own takeover tells itself

Cause: an entry is asked to end a job, does not own it, and waits up to 1.8 s for the old owner or reads the store. Another of its threads takes the job over meanwhile. The end is written behind that takeover and reported to the peers only, so the entry sends the items of the job on until the silence or start of some peer makes it check.

Change: an end written to the store is reported to the own runner too. A report that arrives before the answer to the own takeover is remembered for 10 s. An entry that took over a job which it was accepting itself held it twice; the first record now stops, and its eviction no longer drops the second.

--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -44,6 +44,9 @@
 """Maximum age of the proof of ownership with which an item may start when other entries may have
 taken over or ended the job since. A job that was ended through another entry must not start items
 three seconds later, and a loss of contact between entries is detected within 0.9 s."""
+ENDS_REMEMBERED_FOR: Millis = 10_000.0
+"""Time for which a reported end of a job is remembered. The entry that wrote the end reports it for
+5 s, and the answer to a write that made this entry the owner can arrive 3.5 s after the write."""
 MAX_FINISHED_JOBS = 64
 """Finished jobs that an entry serves from memory; older ones are read from the store."""
 
@@ -87,6 +90,7 @@
         self._run_pool = ThreadPoolExecutor(MAX_CONCURRENT_RUNS, thread_name_prefix="item")
         self._commit_pool = ThreadPoolExecutor(8, thread_name_prefix="commit")
         self._verify_pool = ThreadPoolExecutor(4, thread_name_prefix="proof")
+        self._reported_ends: dict[str, Millis] = {}
         self._run_count = 0
         self._committing: set[str] = set()
         self._verifying: set[str] = set()
@@ -138,9 +142,19 @@
             logging.info("event=job_released job=%s", job.job_id)
 
     def add(self, job: OwnedJob) -> None:
-        """Start to run a job."""
+        """Start to run a job.
+
+        An entry that searches the store can take over a job that it is just accepting itself. The
+        earlier record of the job then stops, so that its items do not run twice.
+        """
         with self._lock:
+            replaced = self._jobs.get(job.job_id)
             self._jobs[job.job_id] = job
+            is_end_reported = job.job_id in self._reported_ends
+        if replaced is not None:
+            replaced.mark_lost()
+        if is_end_reported and job.report_ended():
+            self._submit_verification(job)
         self._wake.set()
 
     def get(self, job_id: str) -> OwnedJob | None:
@@ -158,11 +172,26 @@
         jobs = self.owned()
         return frozenset(job.job_id for job in jobs if job.finished is finished and not job.lost)
 
-    def handle_ended_jobs(self, job_ids: Iterable[str]) -> None:
-        """Handle a peer's report that jobs were ended in the store, by verifying each at once."""
-        for job_id in job_ids:
-            job = self.get(job_id)
-            if job is not None and job.report_ended():
+    def handle_ended_jobs(self, job_ids: Sequence[str]) -> None:
+        """Handle a report that jobs were ended in the store, by verifying each at once.
+
+        A job can also be added after the report, when the answer to a takeover from before the end
+        arrives.
+        """
+        now = self._clock.now()
+        with self._lock:
+            for job_id in job_ids:
+                self._reported_ends[job_id] = now
+            expired = [
+                job_id
+                for job_id, at in self._reported_ends.items()
+                if now - at >= ENDS_REMEMBERED_FOR
+            ]
+            for job_id in expired:
+                del self._reported_ends[job_id]
+            ended = [self._jobs[job_id] for job_id in job_ids if job_id in self._jobs]
+        for job in ended:
+            if job.report_ended():
                 self._submit_verification(job)
 
     def handle_jobs_of_peer(self, peer: str, job_ids: Iterable[str]) -> None:
@@ -225,7 +254,8 @@
         evicted = [job for job in jobs if job.lost] + finished[:excess]
         for job in evicted:
             with self._lock:
-                self._jobs.pop(job.job_id, None)
+                if self._jobs.get(job.job_id) is job:
+                    del self._jobs[job.job_id]
             logging.info("event=job_dropped job=%s lost=%s", job.job_id, job.lost)
 
     def _submit_due_commits(self) -> None:
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -308,7 +308,7 @@
                 return Outcome.UNAVAILABLE
             state = read.unwrap()
             if state.progress.ended:
-                self._peers.announce_ended(job_id)
+                self._report_ended(job_id)
                 return Outcome.DONE
             written = self._catalog.records.write_progress(
                 job_id,
@@ -324,16 +324,25 @@
                     written.unwrap().version,
                     self._peers.by_identity(state.progress.owner) is not None,
                 )
-                self._peers.announce_ended(job_id)
+                self._report_ended(job_id)
                 return Outcome.DONE
             fault = written.failure().fault
             if fault is StoreFault.UNKNOWN:
-                self._peers.announce_ended(job_id)
+                self._report_ended(job_id)
                 return Outcome.UNKNOWN
             if fault is not StoreFault.CONFLICT:
                 return Outcome.UNAVAILABLE
         return Outcome.UNAVAILABLE
 
+    def _report_ended(self, job_id: str) -> None:
+        """Report an end in the store to the peers, and to this entry.
+
+        Another thread of this entry may have taken the job over between the read that found no
+        owner here and the write of the end.
+        """
+        self._peers.announce_ended(job_id)
+        self._runner.handle_ended_jobs([job_id])
+
 
 def _page_from(total: int, after: int, results: Sequence[ItemResult]) -> ResultsPage:
     return ResultsPage(total=total, after=after, results=results[after:])
--- a/packages/node/tests/test_direct_job_runner.py
+++ b/packages/node/tests/test_direct_job_runner.py
@@ -7,6 +7,7 @@
 
 from carobspool_core import boottime_clock, wall_millis
 from carobspool_core.direct import (
+    BatchUrgency,
     Configuration,
     ItemWork,
     JobInput,
@@ -107,3 +108,33 @@
     assert runs.done.wait(5.0)
     runner.stop(1_000.0)
     assert runs.order == ["old0", "old1", "near0", "near1", "new0", "new1"]
+
+
+def test_a_job_that_is_added_twice_runs_once() -> None:
+    """An entry accepted a job, and its own search of the store took the job over while the store's
+    answer was on its way. Both records of the job ran its items, and the end of the job cancelled
+    only the runs of the second."""
+    clock = boottime_clock()
+    records = JobRecords(MemoryStore(MemoryObjects(), "e"), 1_048_576)
+    runner = JobRunner(
+        clock,
+        LoadTable(clock, "z", name="e1"),
+        _Runs(),  # type: ignore[arg-type]
+        Telemetry(),
+        configuration=lambda: None,
+        usable=lambda service: [ENGINE],
+        ownership_uncertain_until=lambda: 0.0,
+    )
+
+    def make(job: JobInput, stored: StoredProgress) -> OwnedJob:
+        return OwnedJob(job, stored, records, "e#1", clock, requested_at=clock.now())
+
+    first, second = (_job("j", "/slow/x", 0.0, make) for _ in range(2))
+    run = BatchRun(started=0.0, urgency=BatchUrgency.ORDINARY, due=0.0)
+    first.add_run(run)
+    runner.add(first)
+    runner.add(second)
+    assert first.lost
+    assert run.cancellation.cancelled
+    runner._evict_jobs()
+    assert runner.get("j") is second
--- a/tests/direct/test_job_ends.py
+++ b/tests/direct/test_job_ends.py
@@ -20,11 +20,23 @@
 
 import cbor2
 import pytest
-from direct_harness import Deployment, Entry, deployment, eventually, job_body
+from direct_harness import (
+    STANDARD_ROUTES,
+    Deployment,
+    Entry,
+    deployment,
+    eventually,
+    job_body,
+    route,
+)
 
 from carobspool_standins._faults import FaultBoard
 from carobspool_standins._relay_link import Relay, RelayFaults
-from carobspool_standins.platform_server import ServedRequest, ServerConnection
+from carobspool_standins.platform_server import (
+    ServedRequest,
+    ServerConnection,
+    event_stream_handler,
+)
 
 END_BOUND_S = 3.0
 """Time after the acknowledgement beyond which no item of an ended job may reach an upstream."""
@@ -39,13 +51,16 @@
 
 
 class _RefusingEngine:
-    """Refuses every item without running it, and records when each arrived."""
+    """Refuses every item without running it, and records when each arrived. Runs long streams."""
 
     def __init__(self) -> None:
         self.arrivals: list[float] = []
         self._lock = threading.Lock()
 
     def handle_request(self, request: ServedRequest, connection: ServerConnection) -> None:
+        if request.target.startswith("/long/"):
+            event_stream_handler(80, pause_s=0.1)(request, connection)
+            return
         with self._lock:
             self.arrivals.append(time.monotonic())
         connection.send_not_executed(request)
@@ -129,6 +144,40 @@
     assert float(answer.headers["retry-after"]) > 0
 
 
+def test_end_that_an_entry_writes_behind_its_own_takeover_stops_its_items(
+    system: Deployment,
+) -> None:
+    """The owner accepts no calls, leaves, and releases the job. The other entry still waits for the
+    owner's answer to the end of the job when another of its threads takes the job over, so that it
+    writes the end to the store. It reported the end to its peers, but not to itself. A stream keeps
+    the owner from exiting, so that no silence made the new owner check the store."""
+    engine = _RefusingEngine()
+    system.settings["shutdown_limit_s"] = 12
+    long = route("/long/", "streaming", "engine", timeout_ms=9_000)
+    system.write_configuration(2, *STANDARD_ROUTES, long)
+    owner, other = _start_entries_with_job(system, engine)
+    headers = {"Deadline-Ms": "9000"}
+    stream = threading.Thread(target=lambda: owner.call("POST", "/long/x", headers=headers))
+    stream.start()
+    with ExitStack() as silent:
+        for _ in range(130):
+            address = ("127.0.0.1", owner.peer_port)
+            silent.enter_context(socket.create_connection(address))
+        found: list[int] = []
+        end = threading.Thread(
+            target=lambda: found.append(other.call("DELETE", "/api/lots/j").status)
+        )
+        end.start()
+        time.sleep(0.3)
+        owner.send_signal(signal.SIGTERM)
+        end.join()
+        assert found == [200]
+        _assert_no_arrival_after_bound(engine, time.monotonic())
+    stream.join()
+    assert other.log_lines_containing("event=job_taken_over job=j")
+    assert other.log_lines_containing("event=job_ended job=j through=store owner=e2")
+
+
 def test_job_is_not_taken_from_an_owner_that_has_not_named_it_yet(system: Deployment) -> None:
     """The store's answer to the owner takes 100 ms, and the job is submitted to the other entry in
     that time. The other entry finds the job in the store, and no hint of the owner names it yet. It
