Stand-ins: a connection accepted during a crash is reset

Cause: a connection that the accepting thread registered after the crash had reset the others stayed open. The crashed server then read its request, sent the head of an answer and fell silent, so a caller waited until its deadline and the request counted as a run. Change: such a connection is reset as well. The new test fails without it (time-out instead of a reset).

--- a/packages/standins/src/carobspool_standins/_platform_server_start.py
+++ b/packages/standins/src/carobspool_standins/_platform_server_start.py
@@ -29,9 +29,12 @@
         self._held_output: list[tuple[socket.socket, bytes]] | None = None
 
     def add_connection(self, sock: socket.socket) -> None:
-        """Add an accepted connection."""
+        """Add an accepted connection, which is reset if the server has crashed since."""
         with self._lock:
             self._sockets.add(sock)
+            has_crashed = self.crashed
+        if has_crashed:
+            self.reset_all()
 
     def send(self, sock: socket.socket, data: bytes) -> None:
         """Send on a connection, or buffer the bytes while output is held."""
@@ -52,8 +55,8 @@
 
     def reset_all(self) -> None:
         """Reset every connection, as the end of the process does."""
-        self.crashed = True
         with self._lock:
+            self.crashed = True
             sockets = list(self._sockets)
             self._sockets.clear()
         for sock in sockets:
--- a/packages/standins/tests/test_engine_backups.py
+++ b/packages/standins/tests/test_engine_backups.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import re
+import socket
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -12,6 +13,7 @@
 
 import pytest
 
+from carobspool_standins._platform_server_start import ServerStart
 from carobspool_standins.engine_backups import EngineBackups
 from carobspool_standins.platform_server import PlatformServer, serve_platform_server
 
@@ -173,3 +175,15 @@
         "request r runs twice",
         "request r works at two engines",
     ]
+
+
+def test_a_connection_accepted_during_a_crash_is_reset() -> None:
+    """Guards against a crashed server that still takes a request and leaves it open and silent."""
+    start = ServerStart(1, ("127.0.0.1", 0))
+    with socket.create_connection(start.address, timeout=1.0) as caller:
+        accepted, _ = start.listener.accept()
+        start.stop_listening()
+        start.reset_all()
+        start.add_connection(accepted)
+        with pytest.raises(ConnectionResetError):
+            caller.recv(1)
