Test of escaped names: set the level of the logger that writes them

Cause: in a whole run, a test before it had raised the level of absl's logger, so that of the four lines only the warning was recorded; alone it passed. caplog now sets that logger's level. The checks are unchanged.

--- a/packages/node/tests/test_hint_relays.py
+++ b/packages/node/tests/test_hint_relays.py
@@ -76,7 +76,7 @@
     """Any process can send an announcement whose names contain line breaks."""
     log = RelayLog("a", lambda value: None)
     plan = RelayPlan(in_force=True, own_relay="e1\nevent=x", relays={"b\nevent=y": "e2"})
-    with caplog.at_level("INFO"):
+    with caplog.at_level("INFO", logger="absl"):
         log.record_plan(plan, 0.0)
         log.record_plan(replace(plan, own_relay="e3"), 2_000.0)
         log.record_sending(plan, direct=True, heard_at=None, now=4_000.0)
