--- a/tests/direct/test_online_queue.py
+++ b/tests/direct/test_online_queue.py
@@ -99,6 +99,21 @@
     time.sleep(0.2)
 
 
+def _warm_up(entry: Entry, gate: Gate, callers: Callers, **headers: str) -> None:
+    """Let short requests run first.
+
+    An entry whose only known run took more than 800 ms, as on a busy machine, gives an engine of 8
+    slots no further place, and the end of one of nine requests then leaves no room.
+    """
+    time.sleep(0.6)
+    gate.release(8)
+    for number in range(8):
+        callers.send(entry, f"short-{number}", **headers)
+    eventually(lambda: len(callers.answers) == 8, 5.0)
+    callers.answers.clear()
+    gate.started.clear()
+
+
 def _wait_queued(entry: Entry, count: int) -> None:
     eventually(lambda: len(entry.log_lines_containing("event=queued ")) == count, 5.0)
 
@@ -115,6 +130,7 @@
     requests behind it go on in the order of their ranks."""
     gate, callers = _gate(system), Callers()
     entry = system.start_entry("e1", **ON)
+    _warm_up(entry, gate, callers)
     _fill(entry, gate, callers)
     with socket.create_connection(("127.0.0.1", entry.port)) as caller:
         head = f"POST /stream/a HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: gone\r\n"
@@ -161,6 +177,7 @@
     other entry's request from a free slot."""
     gate, callers = _gate(system), Callers()
     first, second = _two_entries(system)
+    _warm_up(first, gate, callers)
     _fill(first, gate, callers)
     for each in range(6):
         callers.send(second, f"urgent-{each}")
@@ -192,6 +209,7 @@
         system.objects.put("config", "main", declared(2, tenants, 2))
         gate, callers = _gate(system), Callers()
         entry = system.start_entry("e1", online_queue="auto")
+        _warm_up(entry, gate, callers, Authorization="Bearer kept-key")
         _fill(entry, gate, callers, Authorization="Bearer kept-key")
         for name in ("kept", "raised", "revoked"):
             callers.send(entry, name, Authorization=f"Bearer {name}-key")
