Soak: a variant in which requests compete for slots

Organisations of three priorities, entries with online_queue, placement and hint_relays set to auto, engines of 2 slots, 15 callers in bursts of 2.5 s out of 5 s. Checks: a request refused with 503 or 429 never runs, also after its answer; a stream runs at most once; an undisturbed entry answers by the deadline and 0.5 s; no rank gets more than ten answers over 2 s without a result while no link is disturbed.

The check now looks at each burst; a series of refusals in one burst still breaks it (checked with made-up calls).

--- a/packages/standins/src/carobspool_standins/platform_server.py
+++ b/packages/standins/src/carobspool_standins/platform_server.py
@@ -139,6 +139,7 @@
         started: Unix milliseconds of the latest start; 0 if the server does not publish it.
         requests: Requests of all starts, in order of arrival.
         connections: Number of connections accepted over all starts.
+        slots: Number of requests that the server publishes to run at once.
     """
 
     instance: str
@@ -147,6 +148,7 @@
     started: int
     requests: list[ServedRequest] = field(default_factory=list)
     connections: int = 0
+    slots: int = 8
     _start: ServerStart | None = None
     _isolated_starts: list[ServerStart] = field(default_factory=list)
 
@@ -157,7 +159,7 @@
             "address": f"{self.address[0]}:{self.address[1]}",
             "zone": zone,
             "version": "v1",
-            "slots": 8,
+            "slots": self.slots,
             "state": state,
             "cold_remaining_ms": 0,
             "sequence": 1,
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 import pytest
-from soak import organisations
+from soak import competition, organisations
 from soak.soak import play
 
 SECONDS = 8.0
@@ -38,3 +38,12 @@
     assert record.accepted
     assert record.calls["hot run"] > 50
     assert record.calls["hot refused"] > 50
+
+
+def test_competing_requests_are_answered_under_a_random_schedule_of_faults(tmp_path: Path) -> None:
+    """Organisations of three priorities compete for few slots. Requests that were refused and ran,
+    that waited beyond their deadlines or whose rank was never served would break a promise."""
+    record = competition.play(1, SECONDS, tmp_path)
+    assert record.violations == []
+    assert record.calls["queued"] > 50
+    assert record.calls["line 200"] > 50
