--- a/packages/core/src/carobspool_core/online_queue/_free_slots.py
+++ b/packages/core/src/carobspool_core/online_queue/_free_slots.py
@@ -29,12 +29,11 @@
 of the waiting requests, and after the hold two of them do: a slot with two requests costs less than
 a slot that stays empty."""
 CAUTION = 0.06
-"""Factor on the chance among more entries. With 1, a third of the starts of a model of 24 entries
-met a slot in use. Since slots are handed over, a slot that stays free is mostly on its way to its
-next user: in that model, 0.89 of full knowledge were on time with 0.06 and 0.88 with 0.25."""
+"""Factor on the chance among more entries. Since slots are handed over, a slot that stays
+free is mostly on its way to its next user. With 1, a third of such starts met a slot in use."""
 SAFE_SHARE = 0.4
 """Share of the free slots that the others may use within a hint's age so that this entry uses any
-slot at once. With 1, a third of such starts met a slot in use in that model."""
+slot at once. Other entries start requests there that this entry does not know of yet."""
 HINT_AGE: Millis = 50.0
 """Age of the information about other entries."""
 TREND_TIME: Millis = 300.0
@@ -136,7 +135,7 @@
         slots.remove(next(each for each in slots if each.is_own))
         self._free -= 1
 
-    def give_up(self, identity: str) -> None:
+    def release_own(self, identity: str) -> None:
         """Leave a slot of this entry to the rules for slots of other entries."""
         next(each for each in self._slots[identity] if each.is_own).is_own = False
 
--- a/packages/core/src/carobspool_core/online_queue/_handover.py
+++ b/packages/core/src/carobspool_core/online_queue/_handover.py
@@ -19,8 +19,7 @@
 MIN_SURPLUS = 2
 """A slot goes to a peer in the same class that has at least this many more requests waiting, so
 that the peer still has more than this entry afterwards. A slot that is handed over stays empty for
-some 60 ms: in a model of 24 entries with hints 50 ms old, 0.91 of full knowledge were on time with
-this number, and 0.90 if a slot is kept in proportion to the mean of the entries."""
+some 60 ms, which a smaller difference does not outweigh."""
 
 
 def choose_receiver(
--- a/packages/core/src/carobspool_core/online_queue/_handover_readers.py
+++ b/packages/core/src/carobspool_core/online_queue/_handover_readers.py
@@ -42,7 +42,7 @@
         found = {names[key]: count for key, count in promised.items() if key in names}
         return found | dict.fromkeys(self._silent, NEVER_DUE)
 
-    def hear(self, peer: str, loads: Mapping[int, Load]) -> Mapping[int, Load]:
+    def record_loads(self, peer: str, loads: Mapping[int, Load]) -> Mapping[int, Load]:
         """Record the loads of a peer that reads handovers; return those of its previous hint."""
         self._non_readers.discard(peer)
         self._silent.discard(peer)
@@ -51,7 +51,7 @@
         self._names[short_key_of(peer)] = peer
         return before
 
-    def hear_non_reader(self, peer: str) -> None:
+    def record_previous_build(self, peer: str) -> None:
         """Record that a peer runs the previous build."""
         self.forget(peer)
         self._non_readers.add(peer)
--- a/packages/core/src/carobspool_core/online_queue/_handovers.py
+++ b/packages/core/src/carobspool_core/online_queue/_handovers.py
@@ -1,7 +1,7 @@
 """The handovers of slots that last, as one entry knows them.
 
-Load pattern: hints between dozens of entries are up to 50 ms old and 2% of them are lost, so each
-entry hears of a handover late, several times or not at all.
+Load pattern: hints between dozens of entries are up to 50 ms old and 2% of them are lost, so a
+handover reaches an entry late, several times or not at all.
 """
 
 from __future__ import annotations
@@ -73,7 +73,7 @@
         self._next_number = first_number % NUMBERS
         self._sent: list[_Lasting] = []
         # By sender and number: those that last, and when those that have ended were ended.
-        self._heard: dict[tuple[str, int], _Lasting] = {}
+        self._known: dict[tuple[str, int], _Lasting] = {}
         self._ended: dict[tuple[str, int], Millis] = {}
         self._taken: Counter[int] = Counter()
         self._received: Counter[int] = Counter()
@@ -117,32 +117,31 @@
             for each in self._sent
         ]
 
-    def hear(self, sender: str, handovers: Iterable[Handover], now: Millis) -> bool:
+    def apply_handovers(self, sender: str, handovers: Iterable[Handover], now: Millis) -> bool:
         """Record the handovers in a hint; return whether one is new and for this entry.
 
         A sender repeats its handovers, so those that it no longer names have ended.
         """
         named = {(sender, each.number): each for each in handovers}
-        for key in [key for key in self._heard if key[0] == sender and key not in named]:
-            self._end_heard(key, now)
+        for key in [key for key in self._known if key[0] == sender and key not in named]:
+            self._end_known(key, now)
         is_new = False
         for key, each in named.items():
-            if key in self._heard or key in self._ended or each.age > HANDOVER_TIME:
+            if key in self._known or key in self._ended or each.age > HANDOVER_TIME:
                 continue
             began = now - each.age
-            self._heard[key] = self._begin(each.upstream, each.receiver, each.number, began)
+            self._known[key] = self._begin(each.upstream, each.receiver, each.number, began)
             is_new = is_new or each.receiver == self._key
         return is_new
 
-    def hear_loads(
+    def apply_loads(
         self, peer: str, loads: Mapping[int, Load], waiting: int, now: Millis
     ) -> tuple[int, int]:
         """Record the loads in a hint of a peer that reads handovers, by the upstream's key.
 
         A further request of the receiver at the upstream ends a handover. This entry also takes
-        back the slots for which no requests of the receiver wait any longer: in a model of 24
-        entries with hints 50 ms old, two of five handovers reached a receiver whose requests had
-        found other slots meanwhile.
+        back the slots for which no requests of the receiver wait any longer: they have often found
+        other slots before the handover reaches the receiver.
 
         Args:
             peer: Name of the peer.
@@ -155,7 +154,7 @@
             taken back.
         """
         key = short_key_of(peer)
-        before = self.readers.hear(peer, loads)
+        before = self.readers.record_loads(peer, loads)
         if key not in self._promised:
             return 0, 0
         started: dict[int, int] = {}
@@ -166,10 +165,10 @@
         used = [each for each in sent if _take_one(started, each.upstream)]
         for each in used:
             self._end_sent(each)
-        heard = [each for each in self._heard.items() if each[1].receiver == key]
-        for number, other in heard:
+        known = [each for each in self._known.items() if each[1].receiver == key]
+        for number, other in known:
             if _take_one(started, other.upstream):
-                self._end_heard(number, now)
+                self._end_known(number, now)
         surplus = [each for each in sent if each not in used][waiting:]
         for each in surplus:
             self._take_back(each, now)
@@ -179,9 +178,9 @@
         """Record that this entry uses a slot; if one was handed over to it, that handover ends."""
         if upstream not in self._received:
             return
-        for key, each in self._heard.items():
+        for key, each in self._known.items():
             if each.receiver == self._key and each.upstream == upstream:
-                self._end_heard(key, now)
+                self._end_known(key, now)
                 return
 
     def expire(self, now: Millis) -> int:
@@ -194,8 +193,8 @@
         for each in late:
             self._take_back(each, now)
             self.readers.mark_silent(each.receiver)
-        for key in [k for k, each in self._heard.items() if now - each.began > HANDOVER_TIME]:
-            self._end_heard(key, now)
+        for key in [k for k, each in self._known.items() if now - each.began > HANDOVER_TIME]:
+            self._end_known(key, now)
         while self._ended:
             key = next(iter(self._ended))
             if now - self._ended[key] <= MEMORY_TIME:
@@ -215,7 +214,7 @@
         return self._returned.pop(upstream, None) is not None
 
     def _lasting(self) -> Iterator[_Lasting]:
-        return itertools.chain(self._sent, self._heard.values())
+        return itertools.chain(self._sent, self._known.values())
 
     def _begin(self, upstream: int, receiver: int, number: int, began: Millis) -> _Lasting:
         if receiver == self._key:
@@ -232,8 +231,8 @@
         _subtract(self._taken, handover.upstream)
         _subtract(self._promised, handover.receiver)
 
-    def _end_heard(self, key: tuple[str, int], now: Millis) -> None:
-        self._end(self._heard.pop(key))
+    def _end_known(self, key: tuple[str, int], now: Millis) -> None:
+        self._end(self._known.pop(key))
         self._ended[key] = now
 
     def _end_sent(self, handover: _Lasting) -> None:
--- a/packages/node/src/carobspool_node/online_queue/_peer_reports.py
+++ b/packages/node/src/carobspool_node/online_queue/_peer_reports.py
@@ -70,7 +70,7 @@
         """
         now = self._clock.now()
         with self._lock:
-            is_new = self._queues.hear_handovers(peer, packed, loads, now)
+            is_new = self._queues.apply_handovers(peer, packed, loads, now)
         if is_new:
             self._wake()
 
--- a/packages/node/src/carobspool_node/online_queue/_service_queues.py
+++ b/packages/node/src/carobspool_node/online_queue/_service_queues.py
@@ -100,7 +100,7 @@
         """End the handovers whose time is over."""
         self._log.handovers_ended("expired", self.handovers.expire(now))
 
-    def hear_handovers(
+    def apply_handovers(
         self, peer: str, packed: bytes | None, loads: Mapping[int, Load], now: Millis
     ) -> bool:
         """Record the handovers and loads in a hint; return whether a slot is new for this entry.
@@ -114,10 +114,10 @@
         waiting = self.peers.count(peer)
         if packed is None and waiting:
             # Entries of this version always add the element to what waits.
-            self.handovers.readers.hear_non_reader(peer)
-        is_new = self.handovers.hear(peer, unpack_handovers(packed or b""), now)
+            self.handovers.readers.record_previous_build(peer)
+        is_new = self.handovers.apply_handovers(peer, unpack_handovers(packed or b""), now)
         if packed is not None or peer in self.handovers.readers:
-            used, taken_back = self.handovers.hear_loads(peer, loads, waiting, now)
+            used, taken_back = self.handovers.apply_loads(peer, loads, waiting, now)
             self._log.handovers_ended("used", used)
             self._log.handovers_ended("expired", taken_back)
             is_new = is_new or taken_back > 0
--- a/packages/node/src/carobspool_node/online_queue/_service_slots.py
+++ b/packages/node/src/carobspool_node/online_queue/_service_slots.py
@@ -86,7 +86,7 @@
         receiver, waiting = found
         if receiver not in self._handovers.readers:
             # The peer uses the slot by its own rules.
-            self._free.give_up(identity)
+            self._free.release_own(identity)
             return True
         number = self._handovers.send(key_of(identity), receiver, now)
         self._free.hand_over(identity)
--- a/packages/node/tests/online_queue_model.py
+++ b/packages/node/tests/online_queue_model.py
@@ -306,9 +306,9 @@
         if self._is_frozen(peer):
             return
         peer.peers.update(name, waiting, self.now)
-        is_handed = peer.handovers.hear(name, handed, self.now)
+        is_handed = peer.handovers.apply_handovers(name, handed, self.now)
         by_key = {short_key_of(each): load for each, load in loads.items()}
-        peer.handovers.hear_loads(name, by_key, sum(waiting.values()), self.now)
+        peer.handovers.apply_loads(name, by_key, sum(waiting.values()), self.now)
         is_freed = peer.loads.update_peer(name, loads, self.now)
         if (
             peer.queue.free.has_own_slots
--- a/packages/node/tests/test_slot_handover.py
+++ b/packages/node/tests/test_slot_handover.py
@@ -86,12 +86,12 @@
         message: list[Any] = cbor2.loads(data)
         return message[:8] if is_previous_build else message
 
-    def hear(self, message: list[Any]) -> None:
+    def receive(self, message: list[Any]) -> None:
         """Receive a hint."""
         hint = read_load_hint(message)
         assert hint is not None
         self.queues.peers.update(hint.name, unpack_waiting(hint.waiting), self.now)
-        self.queues.hear_handovers(hint.name, hint.handovers, hint.loads, self.now)
+        self.queues.apply_handovers(hint.name, hint.handovers, hint.loads, self.now)
         self.loads.update_peer(hint.name, {SLOT: hint.loads[short_key_of(SLOT)]}, self.now)
         self.queues.start_all(self.now)
 
@@ -130,7 +130,7 @@
 
 def _tell(node: _Node, *others: _Node) -> None:
     for other in others:
-        other.hear(node.hint())
+        other.receive(node.hint())
 
 
 def _time_to_start(node: _Node, limit: float) -> float:
@@ -190,8 +190,8 @@
     """A repeated hint must not entitle the receiver to the next slot of the engine."""
     sender, receiver, _ = fleet
     hint = sender.hint()
-    receiver.hear(hint)
-    receiver.hear(hint)
+    receiver.receive(hint)
+    receiver.receive(hint)
     assert receiver.own == 1
     assert receiver.waiting == 1
     assert not receiver.handovers.received
@@ -206,7 +206,7 @@
     assert len(sender.hint()[8]) == 12
     _tell(sender, other, receiver)
     _tell(receiver, sender)
-    sender.hear(receiver.hint(is_previous_build=True))
+    sender.receive(receiver.hint(is_previous_build=True))
     sender.end_one(sender.now + TICK)
     assert sender.queues.peers.by_peer((0, 0)) == {"receiver": 1}
     assert not sender.handovers.lasting(sender.now)
