--- a/packages/standins/src/carobspool_standins/engine_backups.py
+++ b/packages/standins/src/carobspool_standins/engine_backups.py
@@ -138,9 +138,10 @@
             self._copy(run)
         run.finished = run.events == self._events and run.is_working
         if run.finished:
-            run.connection.end_stream()
+            # Before the end of the stream, which a test may see at once.
             with self._lock:
                 self._copies = {key: e for key, e in self._copies.items() if e.run is not run}
+            run.connection.end_stream()
         elif run.stop.is_set():
             run.connection.close()
         run.over.set()
--- a/packages/standins/tests/test_engine_backups.py
+++ b/packages/standins/tests/test_engine_backups.py
@@ -113,9 +113,12 @@
     backups, first, second = engines
     call = _Call(first, kv_backup=_address(second))
     _wait_for(lambda: backups.copies(second) == {"r"})
+    # Without room the run, which goes on, makes no new copy before the check.
+    backups.faults(second).no_room = True
     second.crash()
     second.start()
     assert backups.copies(second) == set()
+    backups.faults(second).no_room = False
     assert call.ids == list(range(1, EVENTS + 1))
     assert backups.copies(second) == set()
 
