--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -39,6 +39,7 @@
 ORGANISATION_PLANNED_KINDS = PLANNED_KINDS | {"revoke"}
 ORGANISATION_FAULT_KINDS = FAULT_KINDS | {"hot_tenant"}
 VARIANTS = {
+    "answer_lost": "reset",
     "config_change": "route weights timeout tenant quota down topup idle",
     "core_cut": "behind split all near oldest one_way seeds both lure relieve reset refuse",
     "garble": "extra unframed early rot",
