Logs: software versions of the servers at which a stream goes on

Callers held events of two software versions in one stream. The entries' logs named the servers by id only, and no line said that a stream was resumed within its answer or taken up by its caller, so the versions had to be read from the operator's log, and a caller that takes a stream up could not be told from a new request.

Registrations already carry the version; it is now kept with the upstream and passed on between entries. 'stream_continued' names both versions; 'stream_resumed' and 'stream_taken_up' are new. The stand-ins of servers start with a version and publish it. No decision changes.

--- a/packages/core/src/carobspool_core/direct/_upstreams.py
+++ b/packages/core/src/carobspool_core/direct/_upstreams.py
@@ -40,6 +40,7 @@
         slots: Number of requests that the server runs at once.
         ready: ``False`` if the server is draining and accepts no new requests.
         started: Start of the server in Unix milliseconds, by its own clock; 0 if unknown.
+        version: Version of the server's software; empty if unknown.
         identity: Id and start of the server; the key of all state about it.
     """
 
@@ -50,6 +51,7 @@
     slots: int
     ready: bool
     started: int = UNKNOWN_START
+    version: str = ""
     identity: str = field(init=False)
 
     def __post_init__(self) -> None:
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -234,6 +234,7 @@
             state.tried.add(placement.upstream.identity)
             state.forecast = placement.forecast
             state.upstream_loads.append(f"{placement.upstream.instance}:{placement.load.total}")
+            self._log_if_it_goes_on(state, placement.upstream)
             answered = False
             try:
                 self._continued.begin(state, placement.upstream, split, is_suspect=is_suspect)
@@ -251,6 +252,28 @@
                 self._endings.give_up(state, has_upstreams=True)
                 return
 
+    def _log_if_it_goes_on(self, state: RequestState, upstream: Upstream) -> None:
+        """Log where a stream goes on, within its answer or taken up by its caller."""
+        names = self._names
+        if state.streaming:
+            logging.info(
+                "event=stream_resumed request=%s after=%s from_version=%s to=%s to_version=%s",
+                state.request.request_id,
+                state.last_event,
+                state.version,
+                upstream.instance,
+                upstream.version,
+            )
+        elif state.request.header(names.resumes) is not None:
+            logging.info(
+                "event=stream_taken_up request=%s resumes=%s after=%s to=%s to_version=%s",
+                state.request.request_id,
+                (state.request.header(names.resumes) or b"").decode("latin-1"),
+                (state.request.header(names.last_event) or b"").decode("latin-1"),
+                upstream.instance,
+                upstream.version,
+            )
+
     def _find_place(
         self, state: RequestState, service: str, split: UpstreamSplit, *, is_suspect: bool
     ) -> Placement | None:
--- a/packages/node/src/carobspool_node/direct/_messages.py
+++ b/packages/node/src/carobspool_node/direct/_messages.py
@@ -36,6 +36,8 @@
         not_run: In an answer: shows that the upstream did not run the request.
         signature: In an answer: shows that an upstream produced it.
         last_event: Id of the last event received from a stream.
+        resumes: In a request that takes a stream up: request id of the caller's attempt that
+            brought the stream's first event.
         wait: Milliseconds for which a read may wait for results.
         organisation: Name of the caller's organisation; set in requests to upstreams.
         model: Name of the model that a request needs.
@@ -51,6 +53,7 @@
     not_run: bytes = b"carobspool-not-run"
     signature: bytes = b"carobspool-signature"
     last_event: bytes = b"last-event-id"
+    resumes: bytes = b"carobspool-resumes"
     wait: bytes = b"carobspool-wait-ms"
     organisation: bytes = b"carobspool-organisation"
     model: bytes = b"carobspool-model"
--- a/packages/node/src/carobspool_node/direct/_stream_relay.py
+++ b/packages/node/src/carobspool_node/direct/_stream_relay.py
@@ -84,6 +84,7 @@
                 pauses.record(len(pieces))
             if not state.streaming:
                 state.streaming = True
+                state.version = upstream.version
                 state.caller.start_stream(head.status, answer_headers(head), head.reason)
                 self._queued.record_first_event(state, upstream.service)
                 self._telemetry.observe_duration(
--- a/packages/node/src/carobspool_node/direct/_view_exchange.py
+++ b/packages/node/src/carobspool_node/direct/_view_exchange.py
@@ -24,7 +24,7 @@
 from carobspool_node.direct._packed_answer import AnswerPacker, unpack_answer
 from carobspool_node.direct._peer import QUARANTINES, Peer
 from carobspool_node.direct._peer_calls import PeerCaller, PeerCallError
-from carobspool_node.direct._peer_messages import Address, Count, Name
+from carobspool_node.direct._peer_messages import MAX_NAME_CHARS, Address, Count, Name
 
 PULL_TIMEOUT: Millis = 400.0
 """Timeout of a call for a view, which the peer answers from memory."""
@@ -54,6 +54,7 @@
     slots: Annotated[int, Bounds(ge=1)]
     ready: bool
     started: Count
+    version: Annotated[str, Bounds(max_length=MAX_NAME_CHARS)] = ""
 
 
 class _LapsedRecord(Record):
@@ -261,6 +262,7 @@
         "slots": upstream.slots,
         "ready": upstream.ready,
         "started": upstream.started,
+        "version": upstream.version,
     }
 
 
@@ -273,4 +275,5 @@
         slots=record.slots,
         ready=record.ready,
         started=record.started,
+        version=record.version,
     )
--- a/packages/node/src/carobspool_node/stream_backups/_stream_backups.py
+++ b/packages/node/src/carobspool_node/stream_backups/_stream_backups.py
@@ -225,10 +225,13 @@
         self._metrics.count("streams_continued", way=next_run.way.value)
         self._metrics.observe_duration("continuation_pause", pause)
         logging.info(
-            "event=stream_continued request=%s from=%s to=%s way=%s events=%d pause_ms=%.0f",
+            "event=stream_continued request=%s from=%s to=%s from_version=%s to_version=%s way=%s"
+            " events=%d pause_ms=%.0f",
             run.request_id,
             run.source.instance,
             next_run.upstream.instance,
+            run.source.version,
+            next_run.upstream.version,
             next_run.way.value,
             events,
             pause,
--- a/packages/standins/src/carobspool_standins/_platform_server_start.py
+++ b/packages/standins/src/carobspool_standins/_platform_server_start.py
@@ -16,10 +16,12 @@
     Args:
         started: Unix milliseconds of the start.
         address: Address to listen on.
+        version: Version of the software that runs.
     """
 
-    def __init__(self, started: int, address: tuple[str, int]) -> None:
+    def __init__(self, started: int, address: tuple[str, int], version: str = "v1") -> None:
         self.started = started
+        self.version = version
         self.listener = socket.create_server(address)
         self.address: tuple[str, int] = self.listener.getsockname()
         self.listening = True
--- a/packages/standins/src/carobspool_standins/platform_server.py
+++ b/packages/standins/src/carobspool_standins/platform_server.py
@@ -32,6 +32,8 @@
     body: bytes
     started: int = 0
     """Unix milliseconds of the start of the server that received the request."""
+    version: str = "v1"
+    """Software version of that start."""
 
     @property
     def request_id(self) -> str:
@@ -150,6 +152,7 @@
         requests: Requests of all starts, in order of arrival.
         connections: Number of connections accepted over all starts.
         slots: Number of requests that the server publishes to run at once.
+        version: Version of the software that the next start runs and that the server publishes.
     """
 
     instance: str
@@ -159,6 +162,7 @@
     requests: list[ServedRequest] = field(default_factory=list)
     connections: int = 0
     slots: int = 8
+    version: str = "v1"
     _start: ServerStart | None = None
     _isolated_starts: list[ServerStart] = field(default_factory=list)
 
@@ -173,7 +177,7 @@
             "service": service,
             "address": f"{self.address[0]}:{self.address[1]}",
             "zone": zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": state,
             "cold_remaining_ms": 0,
@@ -186,12 +190,12 @@
     def start(self) -> None:
         """Start listening; after a crash or `isolate`, restart with the same id and address."""
         if self._start is None:
-            self._start = ServerStart(self.started, self.address)
+            self._start = ServerStart(self.started, self.address, self.version)
             self.address = self._start.address
         else:
             # Above the previous start time, even if the wall clock was set back in the meantime.
             self.started = max(self.started + 1, int(time.time() * 1000))
-            self._start = ServerStart(self.started, self._start.address)
+            self._start = ServerStart(self.started, self._start.address, self.version)
         start = self._start
         threading.Thread(target=_accept_connections, args=(self, start), daemon=True).start()
 
@@ -225,7 +229,11 @@
 
 @contextmanager
 def serve_platform_server(
-    instance: str, handle_request: RequestHandler, *, started: int | None = None
+    instance: str,
+    handle_request: RequestHandler,
+    *,
+    started: int | None = None,
+    version: str = "v1",
 ) -> Iterator[PlatformServer]:
     """Run a server on loopback.
 
@@ -233,9 +241,12 @@
         instance: Id of the server.
         handle_request: Function that handles a request.
         started: Unix milliseconds of the first start; now by default, 0 to publish none.
+        version: Version of the software that the first start runs.
     """
     first_start = int(time.time() * 1000) if started is None else started
-    server = PlatformServer(instance, ("127.0.0.1", 0), handle_request, first_start)
+    server = PlatformServer(
+        instance, ("127.0.0.1", 0), handle_request, first_start, version=version
+    )
     server.start()
     try:
         yield server
@@ -259,7 +270,7 @@
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     while True:
-        request = _read_request(http, sock, start.started)
+        request = _read_request(http, sock, start)
         if request is None:
             sock.close()
             return
@@ -277,7 +288,9 @@
             http.receive_data(trailing)
 
 
-def _read_request(http: h11.Connection, sock: socket.socket, started: int) -> ServedRequest | None:
+def _read_request(
+    http: h11.Connection, sock: socket.socket, start: ServerStart
+) -> ServedRequest | None:
     head: h11.Request | None = None
     body = b""
     while True:
@@ -294,6 +307,13 @@
             body += bytes(event.data)
         elif isinstance(event, h11.EndOfMessage) and head is not None:
             headers = {key.decode().lower(): value.decode() for key, value in head.headers}
-            return ServedRequest(head.method.decode(), head.target.decode(), headers, body, started)
+            return ServedRequest(
+                head.method.decode(),
+                head.target.decode(),
+                headers,
+                body,
+                started=start.started,
+                version=start.version,
+            )
         else:
             return None
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -177,12 +177,17 @@
     """Settings of entries started later that differ from the usual ones."""
 
     def start_server(
-        self, service: str, handle_request: RequestHandler, *, started: int | None = None
+        self,
+        service: str,
+        handle_request: RequestHandler,
+        *,
+        started: int | None = None,
+        version: str = "v1",
     ) -> PlatformServer:
-        """Start a server and register it in the store."""
+        """Start a server of a software version and register it in the store."""
         instance = f"i-{uuid.uuid4().hex[:8]}"
         server = self.stack.enter_context(
-            serve_platform_server(instance, handle_request, started=started)
+            serve_platform_server(instance, handle_request, started=started, version=version)
         )
         self.servers.append(server)
         self.objects.put("servers", instance, server.registration(service))
