--- a/packages/standins/src/carobspool_standins/engine_backups.py
+++ b/packages/standins/src/carobspool_standins/engine_backups.py
@@ -39,8 +39,8 @@
     Attributes:
         runs: All runs, in the order in which they began.
         violations: What must never happen: a request that runs twice, a run that goes on from
-            another request's memory, a handle that is used twice, and a run that goes on while the
-            earlier one works.
+            another request's memory or at another software version, a handle that is used twice,
+            and a run that goes on while the earlier one works.
     """
 
     def __init__(self, events: int, *, pause_s: float = 0.03) -> None:
@@ -134,7 +134,7 @@
             run.events = number
             skipped = self.faults(run.server).skips_event and run.way != "new"
             if not skipped or number != after + 1:
-                run.connection.send_event(number)
+                run.connection.send_event(number, f"{run.request.version} {number}")
             self._copy(run)
         run.finished = run.events == self._events and run.is_working
         if run.finished:
@@ -192,6 +192,11 @@
         first = memory.run.request
         if (first.request_id, first.body) != (request.request_id, request.body):
             self.violations.append(f"request {request.request_id} goes on from {first.request_id}")
+        if first.version != request.version:
+            self.violations.append(
+                f"request {request.request_id} began at {first.version}, goes on at"
+                f" {request.version}"
+            )
         for earlier in self.runs:
             if earlier.request.request_id == request.request_id and earlier.is_working:
                 earlier.continued_at = time.monotonic()
--- a/tests/stream_fleet.py
+++ b/tests/stream_fleet.py
@@ -1,4 +1,7 @@
-"""Callers of streams that may run only once, and engines that copy and move their runs."""
+"""Callers of streams, and engines that copy and move the runs of streams that may run only once.
+
+The data of each event begins with the software version of the engine that has made it.
+"""
 
 from __future__ import annotations
 
@@ -7,6 +10,7 @@
 import threading
 import time
 import uuid
+from collections.abc import Sequence
 
 from direct_harness import HOST, Deployment, Entry, eventually
 
@@ -21,15 +25,33 @@
 
 
 class Caller:
-    """Reads one stream in a thread, with the arrival time of each event."""
-
-    def __init__(self, entry: Entry, *, body: bytes = b"x") -> None:
+    """Reads one stream in a thread, with the arrival time of each event.
+
+    Args:
+        entry: The entry that is called.
+        body: Body of the request.
+        target: Path of the request.
+        takes_up: A caller whose stream broke and is taken up here.
+    """
+
+    def __init__(
+        self,
+        entry: Entry,
+        *,
+        body: bytes = b"x",
+        target: str = "/stream/1",
+        takes_up: Caller | None = None,
+    ) -> None:
         self.request_id = uuid.uuid4().hex
         self.status = 0
         self.events: list[tuple[int, float]] = []
+        self.versions: set[str] = set()
         self.complete = False
+        self.answered_after = 0.0
         self._entry = entry
         self._body = body
+        self.target = target
+        self._takes_up = takes_up
         self._thread = threading.Thread(target=self._read, daemon=True)
         self._thread.start()
 
@@ -38,6 +60,17 @@
         """Ids of the received events."""
         return [number for number, _ in self.events]
 
+    @property
+    def origin(self) -> Caller:
+        """The caller that received the first event of the stream."""
+        return self if self._takes_up is None else self._takes_up.origin
+
+    @property
+    def held_versions(self) -> set[str]:
+        """Software versions whose events the stream holds, over all attempts."""
+        earlier = set() if self._takes_up is None else self._takes_up.held_versions
+        return earlier | self.versions
+
     @property
     def age(self) -> float:
         """Time since the first event."""
@@ -57,14 +90,20 @@
     def _read(self) -> None:
         headers = {"Host": HOST, "Request-Id": self.request_id, "Deadline-Ms": "3000"}
         headers |= {"Kv-Backup": "127.0.0.1:9", "Kv-From": "127.0.0.1:9/x"}
+        if self._takes_up is not None:
+            headers["Resumes"] = self.origin.request_id
+            headers["Last-Event-Id"] = str(self._takes_up.ids[-1])
+        sent = time.monotonic()
         connection = http.client.HTTPConnection("127.0.0.1", self._entry.port, timeout=10.0)
         try:
-            connection.request("POST", "/stream/1", self._body, headers)
+            connection.request("POST", self.target, self._body, headers)
             response = connection.getresponse()
             self.status = response.status
+            self.answered_after = time.monotonic() - sent
             while piece := response.read1(65_536):
                 now = time.monotonic()
                 self.events += [(int(each), now) for each in re.findall(rb"id: (\d+)", piece)]
+                self.versions |= {each.decode() for each in re.findall(rb"data: (\S+)", piece)}
             self.complete = True
         except (OSError, http.client.HTTPException):
             pass
@@ -73,21 +112,35 @@
 
 
 class Fleet:
-    """Entries, and engines that copy and move runs."""
-
-    def __init__(self, system: Deployment, *, entries: int = 1, engines: int = 2) -> None:
+    """Entries, and engines that copy and move runs.
+
+    Args:
+        system: The deployment.
+        entries: Number of entries.
+        engines: Number of engines.
+        versions: Software versions that the engines run, in turn.
+    """
+
+    def __init__(
+        self,
+        system: Deployment,
+        *,
+        entries: int = 1,
+        engines: int = 2,
+        versions: Sequence[str] = ("v1",),
+    ) -> None:
         self.system = system
         self.engines = EngineBackups(EVENTS, pause_s=PAUSE_S)
-        for _ in range(engines):
-            self.start_engine()
+        for number in range(engines):
+            self.start_engine(versions[number % len(versions)])
         for number in range(entries):
             system.start_entry(f"e{number}", wait=False)
         for entry in system.entries:
             eventually(entry.is_ready, 15.0)
 
-    def start_engine(self) -> PlatformServer:
+    def start_engine(self, version: str = "v1") -> PlatformServer:
         """Start an engine that ends when it runs a request with `MARKER`."""
-        server = self.system.start_server("engine", self._handle)
+        server = self.system.start_server("engine", self._handle, version=version)
         return self.engines.add(server)
 
     def call(self, *, body: bytes = b"x") -> tuple[Caller, PlatformServer, PlatformServer]:
@@ -110,4 +163,18 @@
             port = int(connection.address.rpartition(":")[2])
             server = next(each for each in self.system.servers if each.address[1] == port)
             threading.Timer(PAUSE_S + delay_s, server.crash).start()
+        if request.target.startswith("/resume/"):
+            stream_from_last_event(request, connection)
+            return
         self.engines.handle_request(request, connection)
+
+
+def stream_from_last_event(request: ServedRequest, connection: ServerConnection) -> None:
+    """Stream the events after ``Last-Event-Id``, until the server's process ends."""
+    connection.send_stream_headers(request)
+    for number in range(int(request.headers.get("last-event-id", "0")) + 1, EVENTS + 1):
+        time.sleep(PAUSE_S)
+        if connection.server_crashed:
+            return
+        connection.send_event(number, f"{request.version} {number}")
+    connection.end_stream()
