Streams go on within an answer at the software version that began them

Callers received one answer with events of two software versions: an entry that resumed a broken stream, or continued it from its copy, chose among all servers of the service.

Cause: an upstream was any server of its service; nothing that a choice read said which software runs there. Now a stream keeps the version of the server that brought its first event, and every choice for it (slots, queue, suspects, copies) sees only servers of that version. Without one the answer ends at once. A version that is not known equals none, so a stream never joins by default.

Before: test_a_broken_stream_goes_on_within_its_answer_at_its_version and test_a_stream_whose_version_nobody_serves_ends_at_once fail for /resume/ and /stream/.

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -80,7 +80,13 @@
     latest_starts,
     short_key_of,
 )
-from carobspool_core.direct._upstreams import LAPSE_GRACE, Upstream, UpstreamList, UpstreamsSnapshot
+from carobspool_core.direct._upstreams import (
+    LAPSE_GRACE,
+    UNKNOWN_VERSION,
+    Upstream,
+    UpstreamList,
+    UpstreamsSnapshot,
+)
 from carobspool_core.direct._waiting_quota import fits_quota
 from carobspool_core.direct._watch_duty import WatchCandidate, should_watch_store
 
@@ -95,6 +101,7 @@
     "OWNERSHIP_UNCERTAIN_TIME",
     "PEER_LOAD_TTL",
     "SILENT_AFTER",
+    "UNKNOWN_VERSION",
     "BatchUrgency",
     "CallerLimits",
     "Configuration",
--- a/packages/core/src/carobspool_core/direct/_upstreams.py
+++ b/packages/core/src/carobspool_core/direct/_upstreams.py
@@ -24,6 +24,8 @@
 Dropping the upstreams at once would leave a healthy service without upstreams for that time. Using
 them for longer would send requests to upstreams that are really gone.
 """
+UNKNOWN_VERSION = ""
+"""Version of a server whose registration came from an entry that does not read versions."""
 MAX_REMEMBERED_STARTS = 4_096
 """Ids whose latest start is remembered after their removal; far more than a fleet has at once."""
 
@@ -51,7 +53,7 @@
     slots: int
     ready: bool
     started: int = UNKNOWN_START
-    version: str = ""
+    version: str = UNKNOWN_VERSION
     identity: str = field(init=False)
 
     def __post_init__(self) -> None:
@@ -62,6 +64,10 @@
         """Whether this is a later start of the same server."""
         return self.instance == other.instance and self.started > other.started
 
+    def runs_version(self, version: str) -> bool:
+        """Whether the server is known to run a software version; an unknown one equals none."""
+        return version != UNKNOWN_VERSION and self.version == version
+
 
 class UpstreamsSnapshot(Struct, frozen=True, kw_only=True):
     """A snapshot of the upstreams that one entry knows, for another entry.
--- a/packages/core/src/carobspool_core/stream_backups/_backup_choice.py
+++ b/packages/core/src/carobspool_core/stream_backups/_backup_choice.py
@@ -55,6 +55,8 @@
 ) -> Upstream | None:
     """Return the engine that receives the copy of a run, ``None`` if there is none with room.
 
+    It runs the same software version, since a stream can go on at no other one.
+
     Engines of the source's failure domain come first, because a copy between domains takes twice as
     long. Among these the smallest share of slots in use decides. Ties are resolved by rendezvous
     hashing on the request id, so that the copies of one engine's runs spread over the others.
@@ -72,6 +74,8 @@
         upstream = each.upstream
         if upstream.instance == source.instance or upstream.address == source.address:
             continue
+        if not upstream.runs_version(source.version):
+            continue
         if capacity is not None and each.tokens + tokens > capacity * MEMORY_SHARE:
             continue
         crosses = upstream.failure_domain != source.failure_domain
--- a/packages/core/src/carobspool_core/stream_backups/_continuation.py
+++ b/packages/core/src/carobspool_core/stream_backups/_continuation.py
@@ -40,6 +40,7 @@
     STILL_RUNNING = "still_running"
     NO_COPY = "no_copy"
     SECOND_FAILED = "second_failed"
+    OTHER_VERSION = "other_version"
 
 
 class RunFacts(Struct, frozen=True, kw_only=True):
--- a/packages/core/tests/test_stream_backups.py
+++ b/packages/core/tests/test_stream_backups.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from carobspool_core.direct import Route, RouteKind, Upstream
+from carobspool_core.direct import UNKNOWN_VERSION, Route, RouteKind, Upstream
 from carobspool_core.stream_backups import (
     BackupCandidate,
     LossReason,
@@ -17,7 +17,7 @@
 )
 
 
-def _engine(name: str, domain: str = "z1") -> Upstream:
+def _engine(name: str, domain: str = "z1", version: str = "v1") -> Upstream:
     return Upstream(
         instance=name,
         service="s",
@@ -26,11 +26,14 @@
         slots=8,
         ready=True,
         started=1,
+        version=version,
     )
 
 
-def _candidate(name: str, domain: str = "z1", *, in_use: int = 0, tokens: float = 0) -> object:
-    return BackupCandidate(upstream=_engine(name, domain), in_use=in_use, tokens=tokens)
+def _candidate(
+    name: str, domain: str = "z1", *, in_use: int = 0, tokens: float = 0, version: str = "v1"
+) -> object:
+    return BackupCandidate(upstream=_engine(name, domain, version), in_use=in_use, tokens=tokens)
 
 
 def _choose(*candidates: object, request_id: str = "r", capacity: int | None = None) -> str | None:
@@ -78,6 +81,13 @@
     assert _choose(_candidate("a")) is None
 
 
+@pytest.mark.parametrize("version", ["v2", UNKNOWN_VERSION])
+def test_a_copy_goes_to_no_engine_of_another_version(version: str) -> None:
+    """Guards against streams that go on at another software version."""
+    assert _choose(_candidate("b", version=version)) is None
+    assert _choose(_candidate("b", version=version), _candidate("c", "z2", in_use=7)) == "c"
+
+
 def test_a_copy_needs_room_in_the_memory_of_its_engine() -> None:
     """Guards against copies that preempt the requests of an engine whose memory is nearly full."""
     full = _candidate("b", tokens=7_600)
--- a/packages/node/src/carobspool_node/direct/_continued_streams.py
+++ b/packages/node/src/carobspool_node/direct/_continued_streams.py
@@ -162,6 +162,7 @@
     def _choose(
         self, state: RequestState, upstream: Upstream, split: UpstreamSplit, *, is_suspect: bool
     ) -> BackedUpRun | None:
+        split = split.running(upstream.version)
         # Loads of far upstreams are known from heartbeats only, and would all seem to be free.
         healthy = self._loads.healthy_loads(split.near)
         if len(healthy) < MIN_HEALTHY:
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -207,7 +207,7 @@
             if verdict is VerdictKind.QUARANTINED:
                 self._endings.end_quarantined(state)
                 return
-            split = self._split_upstreams(service)
+            split = self._split_upstreams(service).running(state.version)
             if state.deadline - self._clock.now() < MIN_CALL_TIME:
                 raise DeadlinePassedError("not enough time for another call")
             if not state.may_have_run and not self._has_time_before_exit(state):
--- a/packages/node/src/carobspool_node/direct/_group_assignment.py
+++ b/packages/node/src/carobspool_node/direct/_group_assignment.py
@@ -25,6 +25,15 @@
     near: Sequence[Upstream]
     far: Sequence[Upstream]
 
+    def running(self, version: str | None) -> UpstreamSplit:
+        """Return the upstreams that run a software version; ``None`` stands for any version."""
+        if version is None:
+            return self
+        return UpstreamSplit(
+            near=[each for each in self.near if each.runs_version(version)],
+            far=[each for each in self.far if each.runs_version(version)],
+        )
+
 
 class _Group(Struct, frozen=True, kw_only=True):
     """The group of this entry: its number among ``groups`` groups, and the names of its members."""
--- a/packages/node/src/carobspool_node/direct/_queued_requests.py
+++ b/packages/node/src/carobspool_node/direct/_queued_requests.py
@@ -115,7 +115,7 @@
         """
 
         def place(usable: frozenset[str] | None) -> Placement | None:
-            split = self._split_upstreams(service)
+            split = self._split_upstreams(service).running(state.version)
             places = self._places(service, split)
             if usable is not None:
                 split = UpstreamSplit(
@@ -127,7 +127,7 @@
         def refusal() -> QueueRefusedError | None:
             if not has_time_before_exit():
                 return QueueRefusedError(state.last_failure, retry_after=LEAVING_RETRY_AFTER)
-            split = self._split_upstreams(service)
+            split = self._split_upstreams(service).running(state.version)
             if not split.near and not split.far:
                 return QueueRefusedError(
                     "no upstream is registered", retry_after=NO_UPSTREAM_RETRY_AFTER
@@ -219,7 +219,7 @@
         return further_places(slots, self._queue.mean_run(service))
 
     def _has_untried(self, state: RequestState, service: str) -> bool:
-        split = self._split_upstreams(service)
+        split = self._split_upstreams(service).running(state.version)
         return any(each.identity not in state.tried for each in (*split.near, *split.far))
 
     def _return_tokens(self) -> None:
--- a/packages/node/src/carobspool_node/direct/_request_state.py
+++ b/packages/node/src/carobspool_node/direct/_request_state.py
@@ -30,8 +30,8 @@
         may_have_run: Whether the request was sent to an upstream that did not reject it.
         last_event: Id of the last event that was forwarded to the caller.
         streaming: Whether the head of a streamed answer was sent to the caller.
-        version: Software version of the upstream that brought the stream's first event, ``None``
-            before it.
+        version: Software version at which the stream must go on: that of the upstream that brought
+            its first event. ``None`` before that event.
         is_retry: Whether the caller has retried the request after a refusal.
         last_failure: Why the last call failed.
         demand: Tokens and prompt parts that the request states, ``None`` if it states none.
--- a/packages/node/tests/test_stream_backups.py
+++ b/packages/node/tests/test_stream_backups.py
@@ -44,6 +44,7 @@
         slots=8,
         ready=True,
         started=started,
+        version="v1",
     )
 
 
--- a/tests/direct/test_stream_versions.py
+++ b/tests/direct/test_stream_versions.py
@@ -75,3 +75,40 @@
     assert fleet.engines.violations == []
     went_on = [each for each in taken_up if each.complete and each.ids[-1] == EVENTS]
     assert len(went_on) >= SHARE_THAT_GOES_ON * len(taken_up)
+
+
+@pytest.mark.parametrize("target", ["/resume/1", "/stream/1"])
+def test_a_broken_stream_goes_on_within_its_answer_at_its_version(
+    system: Deployment, target: str
+) -> None:
+    """Guards against an answer whose events come from servers of two versions."""
+    fleet = Fleet(system, entries=1, engines=4, versions=VERSIONS)
+    callers = [Caller(system.entries[0], target=target) for _ in range(16)]
+    eventually(lambda: all(each.events for each in callers), 3.0)
+    time.sleep(2 * SURE_AFTER_S)
+    system.servers[0].crash()
+    for each in callers:
+        each.join()
+    assert _joined(callers) == []
+    assert fleet.engines.violations == []
+    assert [each.ids for each in callers] == [list(range(1, EVENTS + 1))] * len(callers)
+    assert {version for each in callers for version in each.versions} == set(VERSIONS)
+
+
+@pytest.mark.parametrize("target", ["/resume/1", "/stream/1"])
+def test_a_stream_whose_version_nobody_serves_ends_at_once(system: Deployment, target: str) -> None:
+    """Guards against callers that wait until their deadline for a version that is gone."""
+    fleet = Fleet(system, entries=1, engines=3, versions=("v1", "v2", "v2"))
+    callers = [Caller(system.entries[0], target=target) for _ in range(12)]
+    eventually(lambda: all(each.events for each in callers), 3.0)
+    time.sleep(2 * SURE_AFTER_S)
+    system.servers[0].crash()
+    crashed_at = time.monotonic()
+    lost = [each for each in callers if each.versions == {"v1"}]
+    for each in lost:
+        each.join()
+    assert time.monotonic() - crashed_at < 0.5
+    assert lost and not any(each.complete for each in lost)
+    assert all(each.join().complete for each in callers if each not in lost)
+    assert _joined(callers) == []
+    assert fleet.engines.violations == []
