Streams that callers take up go on at the software version that began them

Cause: the version was known at the entry at which the stream began, and to nobody else; the entry that was asked to let it go on chose a server as for a new request. The class: a fact that decides about a later event is kept where the first event happened, and the later one happens elsewhere.

While servers of several versions serve, or have served within the time that a stream can last, an entry tells two peers, chosen by rendezvous on the stream's id, the origin of each resumable stream before it forwards the first event. An entry that is asked to let a stream go on looks at what it knows, then asks four peers chosen in the same way. Two holders and the entry itself outlast the loss of any two entries at a moment. If no one knows the stream, it goes on only when this entry and all that answer know a single version for that whole time; otherwise it is refused at once, as not run. A stream also stays with the service of its first event: a route that splits requests by their ids chose anew for each attempt.

While one version serves and all entries agree on the registrations, nothing is sent: test_one_version_costs_no_message.

Weighed: the store (a write for each stream, at 400 a second for all), asking all peers at the resume (a killed entry can't answer), a version derived from the id (needs the same weights at all entries throughout a rollout).

--- a/packages/core/src/carobspool_core/direct/_configuration.py
+++ b/packages/core/src/carobspool_core/direct/_configuration.py
@@ -72,6 +72,11 @@
         """Whether a request may run more than once."""
         return self.kind in (RouteKind.SAFE, RouteKind.BATCH) or self.resumable
 
+    @property
+    def service_names(self) -> frozenset[str]:
+        """Names of the services that receive the requests."""
+        return frozenset(weighted.service for weighted in self.services)
+
     def choose_service(self, key: str) -> str:
         """Return the service for a request, chosen by weight; equal keys get the same service."""
         total = sum(weighted.weight for weighted in self.services)
--- a/packages/core/src/carobspool_core/direct/_upstreams.py
+++ b/packages/core/src/carobspool_core/direct/_upstreams.py
@@ -254,6 +254,11 @@
         found = {each.identity for each in self._listed.values()}
         return found.union(each.identity for each, _ in self._lapsed.values())
 
+    def versions(self) -> set[tuple[str, str]]:
+        """Return the service and software version of each known upstream."""
+        known = (*self._listed.values(), *(each for each, _ in self._lapsed.values()))
+        return {(each.service, each.version) for each in known}
+
     def identities_by_key(self) -> Mapping[int, str]:
         """Return the identities of all known upstreams by short key, without shared keys."""
         if self._key_cache is None:
--- /dev/null
+++ b/packages/core/src/carobspool_core/stream_versions/__init__.py
@@ -0,0 +1,33 @@
+"""Decisions about the software version at which a stream that its caller takes up goes on.
+
+What servers of two software versions write does not fit together, and servers do not check it. The
+entry at which a stream began knows the version, and may be gone when the caller takes the stream up
+at another entry.
+
+This package decides only: it uses no network, no threads and no clock; callers pass in the time.
+"""
+
+from carobspool_core.stream_versions._history import VersionHistory, VersionsView, stream_window
+from carobspool_core.stream_versions._holders import holders_of, peers_to_ask
+from carobspool_core.stream_versions._origins import (
+    KnownBy,
+    KnownOrigin,
+    OriginAnswer,
+    OriginTable,
+    StreamOrigin,
+    decide_origin,
+)
+
+__all__ = [
+    "KnownBy",
+    "KnownOrigin",
+    "OriginAnswer",
+    "OriginTable",
+    "StreamOrigin",
+    "VersionHistory",
+    "VersionsView",
+    "decide_origin",
+    "holders_of",
+    "peers_to_ask",
+    "stream_window",
+]
--- a/packages/node/src/carobspool_node/direct/_declared.py
+++ b/packages/node/src/carobspool_node/direct/_declared.py
@@ -17,6 +17,7 @@
     ViewVersion,
 )
 from carobspool_core.problems import UnusableRecordError, printable_text
+from carobspool_core.stream_versions import VersionHistory, VersionsView, stream_window
 from carobspool_node.direct._bad_records import BadRecords
 from carobspool_node.direct._deployment import Deployment
 from carobspool_node.direct._follow import Follower
@@ -47,6 +48,8 @@
         on_duty: Returns whether this process watches the store itself.
         on_configuration: Called after a newer configuration was applied.
         on_restarted: Called with each upstream that has restarted under the same id.
+        on_upstreams: Called after each change of the upstreams.
+        first_start: Whether no upstream has served before this process starts.
     """
 
     def __init__(
@@ -59,11 +62,15 @@
         on_duty: Callable[[], bool],
         on_configuration: Callable[[], None],
         on_restarted: Callable[[Upstream], None],
+        on_upstreams: Callable[[], None] = lambda: None,
+        first_start: bool = False,
     ) -> None:
         self._clock = clock
         self._deployment = deployment
         self._on_configuration = on_configuration
         self._on_restarted = on_restarted
+        self._on_upstreams = on_upstreams
+        self._versions = VersionHistory(knows_past=first_start)
         self._configuration: Configuration | None = None
         self._stored_configuration: tuple[int, Json] | None = None
         self._upstreams = UpstreamList()
@@ -126,6 +133,17 @@
         with self._upstreams_lock:
             return self._upstreams.identities()
 
+    def services(self) -> set[str]:
+        """Return the services with registered upstreams."""
+        with self._upstreams_lock:
+            return self._versions.services()
+
+    def versions_of(self, service: str) -> VersionsView:
+        """Return the software versions of a service at which a stream can have begun."""
+        window = stream_window(self._configuration)
+        with self._upstreams_lock:
+            return self._versions.view(service, self._clock.now(), window)
+
     def largest_service(self) -> int:
         """Return the size of the largest service, without upstreams that are shutting down."""
         with self._upstreams_lock:
@@ -148,6 +166,10 @@
             _STARTS: self._starts_view.version,
         }
 
+    def knows_the_same_starts(self, versions: Mapping[str, int]) -> bool:
+        """Return whether a process with these ``versions`` lists the same starts of upstreams."""
+        return versions.get(_STARTS, 0) == self._starts_view.version
+
     def newer_views(self, versions: Mapping[str, int]) -> list[str]:
         """Return the names of the views that are newer at a process with these ``versions``."""
         found = []
@@ -187,7 +209,7 @@
             self._upstreams_listed = True
 
         adopted = self._followers[UPSTREAMS].adopt(revision, apply)
-        self._report_restarted(restarted)
+        self._report_changes(restarted)
         return adopted
 
     def _upstreams_differ(self, versions: Mapping[str, int]) -> bool:
@@ -265,7 +287,7 @@
         if not self._upstreams_listed:
             logging.info("event=upstreams_listed count=%d unusable=%d", len(found), len(unusable))
         self._upstreams_listed = True
-        self._report_restarted(restarted)
+        self._report_changes(restarted)
 
     def _on_upstream_changed(self, change: ObjectChange) -> None:
         name = self._instance_id(change.object)
@@ -292,15 +314,17 @@
             change.deleted,
             change.object.version,
         )
-        self._report_restarted(restarted)
+        self._report_changes(restarted)
 
     def _update_digests(self) -> None:
         self._upstreams_view.version = self._upstreams.digest()
         self._starts_view.version = self._upstreams.digest_of_starts()
+        self._versions.record(self._upstreams.versions(), self._clock.now())
 
-    def _report_restarted(self, upstreams: Sequence[Upstream]) -> None:
-        for upstream in upstreams:
+    def _report_changes(self, restarted: Sequence[Upstream]) -> None:
+        for upstream in restarted:
             self._on_restarted(upstream)
+        self._on_upstreams()
 
     def _instance_id(self, stored: StoredObject) -> str:
         return stored.key.removeprefix(self._deployment.upstream_prefix)
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -12,6 +12,7 @@
 from carobspool_core import boottime_clock
 from carobspool_core.direct import CallerLimits
 from carobspool_core.organisations import OrganisationDirectory
+from carobspool_core.stream_versions import stream_window
 from carobspool_node.direct._declared import DeclaredState
 from carobspool_node.direct._deployment import Deployment
 from carobspool_node.direct._entry_callers import make_caller_api
@@ -37,6 +38,7 @@
 from carobspool_node.direct._reload import SettingsReload
 from carobspool_node.direct._settings import DirectSettings
 from carobspool_node.direct._stop_signal import StopSignal
+from carobspool_node.direct._stream_origins import StreamOrigins
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.direct._upstream_calls import UpstreamConnections
 from carobspool_node.direct._view_exchange import ViewExchange
@@ -105,7 +107,22 @@
             self._telemetry,
             on_duty=lambda: self._membership.follows_store(),
             on_configuration=self._on_configuration,
-            on_restarted=restart_handler(self._connections, self._loads, self._telemetry),
+            on_restarted=restart_handler(
+                self._connections,
+                self._loads,
+                self._telemetry,
+                doubt_streams=lambda upstream: self._origins.upstream_restarted(upstream),
+            ),
+            on_upstreams=lambda: self._origins.upstreams_changed(),
+            first_start=settings.first_start,
+        )
+        self._origins = StreamOrigins(
+            self._clock,
+            name=settings.node,
+            peers=self._peers,
+            views=self._declared,
+            window=lambda: stream_window(self._declared.configuration),
+            call_peer=self._peer_caller.call,
         )
         self._group_assignment = GroupAssignment(
             self._clock,
@@ -167,7 +184,9 @@
             self._peers.live,
             self._isolation,
         )
-        self._peer_api = PeerApi(self._clock, self._telemetry, self._jobs, self._store, self._views)
+        self._peer_api = PeerApi(
+            self._clock, self._telemetry, self._jobs, self._store, self._views, self._origins
+        )
         forwarder = Forwarder(
             self._clock,
             deployment.headers,
@@ -188,6 +207,7 @@
                 isolation=self._isolation,
                 split_upstreams=self._group_assignment.split_upstreams,
             ),
+            self._origins,
         )
         self._api = make_caller_api(
             deployment,
@@ -254,6 +274,7 @@
                 counts=self._quota.apply_peer_counts,
                 without_loads=self._loads.record_hint_without_loads,
                 suspects=self._isolation.merge,
+                origins=self._origins.receive,
                 paces=self._apply_peer_paces,
                 waiting=self._queue.reports.apply_report,
                 handovers=self._queue.reports.apply_handovers,
@@ -326,6 +347,7 @@
             self._telemetry.set_gauge("paced_upstreams", self._paces.retain_only(identities))
         self._quota.drop_idle()
         self._isolation.remove_expired()
+        self._origins.remove_expired()
         self._peer_caller.retain_only({peer.identity for peer in self._peers.live()})
 
     def _caller_limits(self) -> CallerLimits:
--- a/packages/node/src/carobspool_node/direct/_entry_restarts.py
+++ b/packages/node/src/carobspool_node/direct/_entry_restarts.py
@@ -13,7 +13,11 @@
 
 
 def restart_handler(
-    connections: UpstreamConnections, loads: LoadTable, telemetry: Telemetry
+    connections: UpstreamConnections,
+    loads: LoadTable,
+    telemetry: Telemetry,
+    *,
+    doubt_streams: Callable[[Upstream], None],
 ) -> Callable[[Upstream], None]:
     """Return the function that handles the new start of an upstream.
 
@@ -21,6 +25,8 @@
         connections: Ends the calls to earlier starts.
         loads: Clears the failures of the upstream and reports its free slots.
         telemetry: Counts restarts.
+        doubt_streams: Called with the upstream, at which streams may have begun before its
+            registration was known.
     """
 
     def handle(upstream: Upstream) -> None:
@@ -34,5 +40,6 @@
         )
         telemetry.count("upstream_restarts", service=upstream.service)
         loads.record_restart(upstream)
+        doubt_streams(upstream)
 
     return handle
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -42,7 +42,8 @@
 )
 from carobspool_node.direct._queued_requests import QueuedRequests
 from carobspool_node.direct._request_endings import RequestEndings
-from carobspool_node.direct._request_state import RequestState
+from carobspool_node.direct._request_state import RequestState, stream_id_of, takes_stream_up
+from carobspool_node.direct._stream_origins import StreamOrigins
 from carobspool_node.direct._stream_relay import (
     STREAM_IDLE_TIMEOUT,
     StreamBrokenError,
@@ -89,6 +90,7 @@
         isolation: Isolates requests that crash upstreams.
         queued: Lets requests wait for a slot, while that is in force.
         continued: Continues streams that may run only once.
+        origins: Remembers the software versions at which streams began.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         isolation: CrashIsolation,
         queued: QueuedRequests,
         continued: ContinuedStreams,
+        origins: StreamOrigins,
     ) -> None:
         self._clock = clock
         self._names = names
@@ -114,8 +117,11 @@
         self._isolation = isolation
         self._queued = queued
         self._continued = continued
+        self._origins = origins
         self._endings = RequestEndings(clock, telemetry)
-        self._relay = StreamRelay(clock, loads, queued, telemetry, isolation, self._endings)
+        self._relay = StreamRelay(
+            clock, loads, queued, telemetry, isolation, self._endings, on_first_event=self._begin
+        )
 
     def serve(
         self,
@@ -143,6 +149,8 @@
             route=route,
             caller=caller,
             deadline=request.arrived + limit,
+            stream_id=stream_id_of(request, route, self._names),
+            takes_up=takes_stream_up(request, route, self._names),
             organisation=organisation,
             is_retry=is_retry_by_deadline(deadline=limit, timeout=route.timeout),
             demand=self._loads.choice.demand_of(request.header),
@@ -167,7 +175,7 @@
         time_left = self._time_left()
         if time_left is None:
             return True
-        service = state.route.choose_service(state.request.request_id)
+        service = self._service_of(state)
         mean = self._loads.mean_duration(service)
         if has_time_to_serve(time_left, mean):
             return True
@@ -198,7 +206,9 @@
         return False
 
     def _try_upstreams(self, state: RequestState) -> None:
-        service = state.route.choose_service(state.request.request_id)
+        if state.takes_up and not self._find_origin(state):
+            return
+        service = self._service_of(state)
         if self._loads.choice.is_too_large(service, state.demand):
             self._endings.end_too_large(state)
             return
@@ -208,6 +218,8 @@
                 self._endings.end_quarantined(state)
                 return
             split = self._split_upstreams(service).running(state.version)
+            if state.version is not None and not split.near and not split.far:
+                state.last_failure = f"no upstream runs the stream's version {state.version!r}"
             if state.deadline - self._clock.now() < MIN_CALL_TIME:
                 raise DeadlinePassedError("not enough time for another call")
             if not state.may_have_run and not self._has_time_before_exit(state):
@@ -234,7 +246,7 @@
             state.tried.add(placement.upstream.identity)
             state.forecast = placement.forecast
             state.upstream_loads.append(f"{placement.upstream.instance}:{placement.load.total}")
-            self._log_if_it_goes_on(state, placement.upstream)
+            self._log_resumed(state, placement.upstream)
             answered = False
             try:
                 self._continued.begin(state, placement.upstream, split, is_suspect=is_suspect)
@@ -252,27 +264,63 @@
                 self._endings.give_up(state, has_upstreams=True)
                 return
 
-    def _log_if_it_goes_on(self, state: RequestState, upstream: Upstream) -> None:
-        """Log where a stream goes on, within its answer or taken up by its caller."""
-        names = self._names
-        if state.streaming:
-            logging.info(
-                "event=stream_resumed request=%s after=%s from_version=%s to=%s to_version=%s",
-                state.request.request_id,
-                state.last_event,
-                state.version,
-                upstream.instance,
-                upstream.version,
-            )
-        elif state.request.header(names.resumes) is not None:
-            logging.info(
-                "event=stream_taken_up request=%s resumes=%s after=%s to=%s to_version=%s",
-                state.request.request_id,
-                (state.request.header(names.resumes) or b"").decode("latin-1"),
-                (state.request.header(names.last_event) or b"").decode("latin-1"),
-                upstream.instance,
-                upstream.version,
-            )
+    def _service_of(self, state: RequestState) -> str:
+        """Return the service that serves a request; a stream stays with that of its first event."""
+        return state.service or state.route.choose_service(state.request.request_id)
+
+    def _find_origin(self, state: RequestState) -> bool:
+        """Find where a stream began that its caller takes up; refuse it if that is uncertain.
+
+        Returns:
+            Whether the stream may go on.
+        """
+        found = self._origins.find(state.stream_id, state.route)
+        origin = found.origin
+        is_routed = origin is not None and origin.service in state.route.service_names
+        logging.info(
+            "event=stream_taken_up request=%s resumes=%s after=%s service=%s version=%s known_by=%s"
+            " age_ms=%.0f asked=%d answered=%d goes_on=%s",
+            state.request.request_id,
+            state.stream_id,
+            (state.request.header(self._names.last_event) or b"").decode("latin-1"),
+            "" if origin is None else origin.service,
+            "" if origin is None else origin.version,
+            found.known_by.value,
+            found.age,
+            found.asked,
+            found.answered,
+            is_routed,
+        )
+        self._telemetry.count(
+            "streams_taken_up", known_by=found.known_by.value, goes_on=str(is_routed).lower()
+        )
+        if origin is None or not is_routed:
+            state.last_failure = "it is not certain at which software version the stream began"
+            self._endings.refuse_take_up(state, is_final=not found.may_be_known_elsewhere)
+            return False
+        state.service, state.version = origin.service, origin.version
+        return True
+
+    def _begin(self, state: RequestState, upstream: Upstream) -> None:
+        """Record the origin of a stream whose first event is about to be forwarded."""
+        state.service = upstream.service
+        if state.version is None:
+            state.version = upstream.version
+        if state.route.resumable:
+            self._origins.begin(state.stream_id, upstream)
+
+    def _log_resumed(self, state: RequestState, upstream: Upstream) -> None:
+        """Log where a stream goes on within its answer."""
+        if not state.streaming:
+            return
+        logging.info(
+            "event=stream_resumed request=%s after=%s from_version=%s to=%s to_version=%s",
+            state.request.request_id,
+            state.last_event,
+            state.version,
+            upstream.instance,
+            upstream.version,
+        )
 
     def _find_place(
         self, state: RequestState, service: str, split: UpstreamSplit, *, is_suspect: bool
--- a/packages/node/src/carobspool_node/direct/_hint_receiver.py
+++ b/packages/node/src/carobspool_node/direct/_hint_receiver.py
@@ -24,6 +24,7 @@
     read_load_hint,
     unpack_loads,
 )
+from carobspool_node.direct._origin_messages import OriginsHint, read_origins_hint
 from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._peer_messages import Announcement, decode_cbor
 from carobspool_node.direct._peer_table import NewContent, PeerTable
@@ -64,6 +65,7 @@
             admitted, by the organisation's key.
         without_loads: Called with a peer's name when a hint without loads has arrived.
         suspects: Called with changed evidence against requests that crash upstreams.
+        origins: Called with the origin of streams that began at a peer.
         waiting: Called with a peer's name and the packed numbers of online requests that wait
             there.
         handovers: Called with a peer's name, the packed slots that it hands over, and its loads by
@@ -80,6 +82,7 @@
     counts: Callable[[str, str, Mapping[int, int]], None] = lambda peer, incarnation, counts: None
     without_loads: Callable[[str], None] = lambda peer: None
     suspects: Callable[[Sequence[SuspectState]], None] = lambda suspects: None
+    origins: Callable[[OriginsHint], None] = lambda hint: None
     paces: Callable[[bytes], None] = lambda packed: None
     waiting: Callable[[str, bytes], None] = lambda peer, packed: None
     handovers: HandoversCallback = lambda peer, packed, loads: None
@@ -155,6 +158,11 @@
             if self._table.knows(suspects.name, suspects.incarnation):
                 self._events.suspects(suspects.suspects)
             return
+        origins = read_origins_hint(message)
+        if origins is not None:
+            if self._table.knows(origins.name, origins.incarnation):
+                self._events.origins(origins)
+            return
         self._apply_announcement(read_record(Announcement, message))
 
     def _receive_loop(self) -> None:
--- a/packages/node/src/carobspool_node/direct/_hint_sender.py
+++ b/packages/node/src/carobspool_node/direct/_hint_sender.py
@@ -11,6 +11,7 @@
 from carobspool_core.direct import Load, WaitingGroup
 from carobspool_core.hint_relays import HintKind, WaitingHint
 from carobspool_core.online_queue import NOTHING_QUEUED, QueueReport
+from carobspool_core.stream_versions import StreamOrigin
 from carobspool_node.direct._announcement import (
     Sender,
     encode_announcement,
@@ -18,6 +19,7 @@
 )
 from carobspool_node.direct._hint_targets import HintTargets
 from carobspool_node.direct._load_hint import encode_counts_hint, encode_load_hint
+from carobspool_node.direct._origin_messages import encode_origins_hint
 from carobspool_node.direct._peer import AnnouncementContent
 from carobspool_node.direct._suspect_messages import encode_suspects_hint
 from carobspool_node.hint_relays import HintTraffic
@@ -179,6 +181,23 @@
         )
         self._dispatch("suspects", data, _addresses(targets, targets.suspect_readers))
 
+    def send_origins(
+        self,
+        origin: StreamOrigin,
+        streams: Sequence[str],
+        targets: HintTargets,
+        names: Sequence[str],
+    ) -> None:
+        """Tell some of the current entries where streams began."""
+        data = encode_origins_hint(
+            name=self._sender.name,
+            incarnation=self._sender.incarnation,
+            origin=origin,
+            streams=streams,
+        )
+        known = [name for name in names if name in targets.current]
+        self._dispatch("origins", data, _addresses(targets, known))
+
     def _send_load_hint(
         self,
         loads: Mapping[str, Load],
--- a/packages/node/src/carobspool_node/direct/_metrics.py
+++ b/packages/node/src/carobspool_node/direct/_metrics.py
@@ -44,6 +44,7 @@
     "streams_backed_up": (),
     "streams_continued": ("way",),
     "streams_lost": ("reason",),
+    "streams_taken_up": ("known_by", "goes_on"),
     "slots_handed": ("outcome",),
 }
 _GAUGE_NAMES = ("hint_relay", "paced_upstreams")
--- a/packages/node/src/carobspool_node/direct/_peer_api.py
+++ b/packages/node/src/carobspool_node/direct/_peer_api.py
@@ -12,6 +12,7 @@
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._jobs import Jobs, Outcome
 from carobspool_node.direct._messages import CallerRequest
+from carobspool_node.direct._origin_messages import OriginCall
 from carobspool_node.direct._peer_calls import PEER_HEADERS
 from carobspool_node.direct._peer_messages import (
     EndCall,
@@ -20,6 +21,7 @@
     read_store_call,
 )
 from carobspool_node.direct._store_relay import RelayedStore
+from carobspool_node.direct._stream_origins import ORIGIN_OPERATION, StreamOrigins
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.direct._view_exchange import ViewCall, ViewExchange
 
@@ -34,10 +36,12 @@
         jobs: Jobs,
         store: RelayedStore,
         views: ViewExchange,
+        origins: StreamOrigins,
     ) -> None:
         self._jobs = jobs
         self._store = store
         self._views = views
+        self._origins = origins
         self._bad_calls = BadRecords(clock, telemetry, "peer_call", "path")
 
     def handle(self, request: CallerRequest, caller: CallerConnection) -> None:
@@ -71,6 +75,8 @@
             return 200, self._store.serve_relay(read_store_call(body))
         if request.path == "/view":
             return 200, self._views.serve(read_record(ViewCall, body))
+        if request.path == f"/{ORIGIN_OPERATION}":
+            return 200, self._origins.serve(read_record(OriginCall, body))
         return 404, None
 
     def _results(self, call: ResultsCall) -> tuple[int, Json]:
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -24,6 +24,7 @@
 from carobspool_core.hint_relays import RelayEntry
 from carobspool_core.online_queue import NOTHING_QUEUED, QueueReport
 from carobspool_core.organisations import KnownPeer
+from carobspool_core.stream_versions import StreamOrigin
 from carobspool_node.direct._announcement import Sender
 from carobspool_node.direct._bad_records import BadRecords
 from carobspool_node.direct._hint_receiver import HintReceiver, PeerCallbacks
@@ -240,6 +241,12 @@
         """Send changed evidence against requests that crash upstreams, at once."""
         self._hints.send_suspects(updates, self._table.targets())
 
+    def send_origins(
+        self, origin: StreamOrigin, streams: Sequence[str], names: Sequence[str]
+    ) -> None:
+        """Tell some live peers where streams began."""
+        self._hints.send_origins(origin, streams, self._table.targets(), names)
+
     def hears_all_known(self) -> bool:
         """Return whether hints of all known entries arrive."""
         return len(self.live()) >= len(self.known_peers())
--- a/packages/node/src/carobspool_node/direct/_request_endings.py
+++ b/packages/node/src/carobspool_node/direct/_request_endings.py
@@ -60,6 +60,17 @@
         """Answer that the request has not run and that the caller may retry after a time."""
         self._fail(state, status, "not_run", retry_after)
 
+    def refuse_take_up(self, state: RequestState, *, is_final: bool) -> None:
+        """Refuse a stream that its caller takes up and that may not go on here.
+
+        Args:
+            state: The request.
+            is_final: Whether no other entry can let it go on either; the caller is then told to
+                return only when its time is over.
+        """
+        time_left = max(0.0, state.deadline - self._clock.now())
+        self.refuse(state, time_left if is_final else self._retry_after(state))
+
     def end_too_large(self, state: RequestState) -> None:
         """End a request that is larger than the memory of any engine of its service."""
         state.last_failure = "the request needs more tokens than any engine of the service holds"
--- a/packages/node/src/carobspool_node/direct/_request_state.py
+++ b/packages/node/src/carobspool_node/direct/_request_state.py
@@ -5,10 +5,11 @@
 from msgspec import Struct, field
 
 from carobspool_core import Millis
-from carobspool_core.direct import Route, request_fingerprint
+from carobspool_core.direct import Route, RouteKind, request_fingerprint
 from carobspool_core.upstream_pace import Forecast, PromptDemand
 from carobspool_node.direct._caller_connection import CallerConnection
-from carobspool_node.direct._messages import CallerRequest
+from carobspool_node.direct._messages import CallerRequest, HeaderNames
+from carobspool_node.direct._peer_messages import MAX_NAME_CHARS
 from carobspool_node.stream_backups import StreamProgress
 
 
@@ -17,6 +18,9 @@
 
     Attributes:
         request: The request as the caller sent it.
+        stream_id: Request id of the caller's attempt that brought the first event of the stream;
+            that of the request itself unless it takes a stream up.
+        takes_up: Whether the caller takes up a stream that an earlier attempt began.
         route: The route that matches the request.
         caller: The caller's connection.
         deadline: Time by which the caller must have its answer.
@@ -30,8 +34,10 @@
         may_have_run: Whether the request was sent to an upstream that did not reject it.
         last_event: Id of the last event that was forwarded to the caller.
         streaming: Whether the head of a streamed answer was sent to the caller.
+        service: Service of the upstream that brought the stream's first event; empty before that
+            event is known.
         version: Software version at which the stream must go on: that of the upstream that brought
-            its first event. ``None`` before that event.
+            its first event. ``None`` before that event is known.
         is_retry: Whether the caller has retried the request after a refusal.
         last_failure: Why the last call failed.
         demand: Tokens and prompt parts that the request states, ``None`` if it states none.
@@ -46,6 +52,8 @@
     route: Route
     caller: CallerConnection
     deadline: Millis
+    stream_id: str = ""
+    takes_up: bool = False
     organisation: str | None = None
     tried: set[str] = field(default_factory=set)
     upstream_loads: list[str] = field(default_factory=list)
@@ -54,6 +62,7 @@
     may_have_run: bool = False
     last_event: int | None = None
     streaming: bool = False
+    service: str = ""
     version: str | None = None
     is_retry: bool = False
     last_failure: str = ""
@@ -76,3 +85,22 @@
                 body=request.body,
             )
         return self.known_fingerprint
+
+
+def takes_stream_up(request: CallerRequest, route: Route, names: HeaderNames) -> bool:
+    """Return whether a caller takes up a stream of which it has received events."""
+    if route.kind is not RouteKind.STREAM:
+        return False
+    after = request.header(names.last_event)
+    return request.header(names.resumes) is not None or after not in (None, b"0")
+
+
+def stream_id_of(request: CallerRequest, route: Route, names: HeaderNames) -> str:
+    """Return the id of a request's stream, empty if the caller takes one up and does not name it.
+
+    A name that no request can have counts as none.
+    """
+    if not takes_stream_up(request, route, names):
+        return request.request_id
+    named = (request.header(names.resumes) or b"").decode("latin-1")
+    return named if len(named) <= MAX_NAME_CHARS and named.isprintable() else ""
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_stream_origins.py
@@ -0,0 +1,286 @@
+"""Remembers the software version at which streams began, also for the streams of other entries.
+
+A caller can take a resumable stream up at any entry after its connection has broken, and the entry
+at which the stream began may be gone. While servers of several versions serve, that entry tells two
+peers, chosen by the stream's id, before it forwards the first event. Any entry finds them again by
+the id that the caller names. A stream whose version is not known for certain does not go on.
+
+Nothing is sent while a single version serves: the registrations then tell the version of each
+stream.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Sequence
+from concurrent.futures import Future, ThreadPoolExecutor, as_completed
+from typing import Any, Protocol
+
+from absl import logging
+from msgspec import Struct
+
+from carobspool_core import Clock, Json, Millis
+from carobspool_core.direct import UNKNOWN_VERSION, Route, Upstream
+from carobspool_core.problems import UnusableRecordError
+from carobspool_core.stream_versions import (
+    KnownBy,
+    OriginAnswer,
+    OriginTable,
+    StreamOrigin,
+    VersionsView,
+    decide_origin,
+    holders_of,
+    peers_to_ask,
+)
+from carobspool_node.direct._origin_messages import (
+    MAX_STREAMS_SENT,
+    OriginCall,
+    OriginsHint,
+    origin_answer_to_record,
+    read_origin_answer,
+)
+from carobspool_node.direct._peer import Peer
+from carobspool_node.direct._peer_calls import PeerCallError
+
+ASK_TIMEOUT: Millis = 150.0
+"""Longest wait for the peers' answers. A peer answers from memory within a round trip; callers
+notice a pause of 300 ms."""
+MAX_CONCURRENT_CALLS = 16
+"""Calls to peers in progress: those for four streams that are taken up at the same moment."""
+ORIGIN_OPERATION = "stream-origin"
+
+
+class OriginPeers(Protocol):
+    """The other entries."""
+
+    def live(self) -> list[Peer]:
+        """Return the peers whose hints have arrived recently."""
+
+    def hears_all_known(self) -> bool:
+        """Return whether hints of all known entries arrive."""
+
+    def send_origins(
+        self, origin: StreamOrigin, streams: Sequence[str], names: Sequence[str]
+    ) -> None:
+        """Tell some live peers where streams began."""
+
+
+class OriginViews(Protocol):
+    """What this entry knows of the registered upstreams."""
+
+    def services(self) -> set[str]:
+        """Return the services with registered upstreams."""
+
+    def versions_of(self, service: str) -> VersionsView:
+        """Return the software versions of a service at which a stream can have begun."""
+
+    def knows_the_same_starts(self, versions: Any) -> bool:
+        """Return whether a process with these ``versions`` lists the same starts of upstreams."""
+
+
+class FoundOrigin(Struct, frozen=True, kw_only=True):
+    """The origin of a stream that a caller takes up, with details for the log.
+
+    Attributes:
+        origin: The origin, ``None`` if it is not known for certain.
+        known_by: Who knows it.
+        age: Time since it was learned there; 0 if it follows from the registrations.
+        asked: Number of peers that were asked.
+        answered: Number of those that have answered.
+    """
+
+    origin: StreamOrigin | None
+    known_by: KnownBy
+    age: Millis = 0.0
+    asked: int = 0
+    answered: int = 0
+
+    @property
+    def may_be_known_elsewhere(self) -> bool:
+        """Whether a peer that may know the origin was not reached."""
+        return self.known_by is KnownBy.NOBODY and (not self.asked or self.answered < self.asked)
+
+
+class StreamOrigins:
+    """The origins of streams at one entry. Thread-safe.
+
+    Args:
+        clock: The process's clock.
+        name: Name of this entry.
+        peers: The other entries.
+        views: The registered upstreams.
+        window: Returns how long a stream may be taken up after its first event.
+        call_peer: Calls a peer, with operation, body and timeout; returns status and answer.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        *,
+        name: str,
+        peers: OriginPeers,
+        views: OriginViews,
+        window: Callable[[], Millis],
+        call_peer: Callable[[Peer, str, Any, Millis], tuple[int, Any]],
+    ) -> None:
+        self._clock = clock
+        self._name = name
+        self._peers = peers
+        self._views = views
+        self._window = window
+        self._call_peer = call_peer
+        self._lock = threading.Lock()
+        self._table = OriginTable()
+        self._told: set[str] = set()
+        self._calls = ThreadPoolExecutor(MAX_CONCURRENT_CALLS, thread_name_prefix="origin")
+
+    def begin(self, stream_id: str, upstream: Upstream) -> None:
+        """Record the origin of a stream, before its first event is forwarded.
+
+        Args:
+            stream_id: Request id of the caller's attempt that brings the first event.
+            upstream: The upstream that has sent the event.
+        """
+        origin = StreamOrigin(service=upstream.service, version=upstream.version)
+        with self._lock:
+            self._table.add(stream_id, origin, self._clock.now(), instance=upstream.instance)
+        if self._must_tell(upstream.service):
+            self._tell([stream_id], origin)
+
+    def find(self, stream_id: str, route: Route) -> FoundOrigin:
+        """Return the origin of a stream that a caller takes up.
+
+        Args:
+            stream_id: Request id of the attempt that brought the first event; empty if the caller
+                does not name it.
+            route: The route of the request.
+        """
+        now = self._clock.now()
+        with self._lock:
+            known = self._table.find(stream_id)
+        if known is not None:
+            origin = known.origin if known.origin.is_certain else None
+            return FoundOrigin(origin=origin, known_by=KnownBy.OWN, age=now - known.known_at)
+        service = route.choose_service(stream_id)
+        own = self._views.versions_of(service)
+        live = self._peers.live()
+        if own.sole_version is not None and self._all_agree(live):
+            origin = StreamOrigin(service=service, version=own.sole_version)
+            return FoundOrigin(origin=origin, known_by=KnownBy.REGISTRATIONS)
+        asked = peers_to_ask(stream_id, self._name, [peer.name for peer in live])
+        answers = self._ask([peer for peer in live if peer.name in asked], stream_id, service)
+        has_peers = bool(live) or not self._peers.hears_all_known()
+        decided, known_by = decide_origin(service, own, answers, has_peers=has_peers)
+        return FoundOrigin(
+            origin=decided,
+            known_by=known_by,
+            age=max((each.age for each in answers if each.origin is not None), default=0.0),
+            asked=len(asked),
+            answered=len(answers),
+        )
+
+    def receive(self, hint: OriginsHint) -> None:
+        """Record the origin of streams that began at a peer."""
+        now = self._clock.now()
+        with self._lock:
+            for stream_id in hint.streams:
+                self._table.add(stream_id, hint.origin, now)
+
+    def serve(self, call: OriginCall) -> Json:
+        """Return the answer to a peer's call."""
+        with self._lock:
+            known = self._table.find(call.stream)
+        return origin_answer_to_record(
+            OriginAnswer(
+                origin=None if known is None else known.origin,
+                age=0.0 if known is None else self._clock.now() - known.known_at,
+                view=self._views.versions_of(call.service),
+            )
+        )
+
+    def upstreams_changed(self) -> None:
+        """Tell peers the streams in progress of each service that has got a second version."""
+        for service in self._views.services():
+            if not self._must_tell(service):
+                self._told.discard(service)
+                continue
+            if service in self._told:
+                continue
+            self._told.add(service)
+            with self._lock:
+                begun = self._table.begun_here(service)
+            for origin, streams in begun.items():
+                self._tell(streams, origin)
+
+    def upstream_restarted(self, upstream: Upstream) -> None:
+        """Doubt the streams that began at an upstream which now runs another version."""
+        with self._lock:
+            doubted = self._table.doubt_instance(upstream.instance, upstream.version)
+        if not doubted:
+            return
+        logging.info(
+            "event=origins_doubted upstream=%s version=%s streams=%d",
+            upstream.instance,
+            upstream.version,
+            len(doubted),
+        )
+        self._tell(doubted, StreamOrigin(service=upstream.service, version=UNKNOWN_VERSION))
+
+    def remove_expired(self) -> None:
+        """Forget the origins of streams that can no longer be taken up."""
+        before = self._clock.now() - self._window()
+        with self._lock:
+            self._table.remove_older(before)
+
+    def _must_tell(self, service: str) -> bool:
+        """Whether registrations alone may not tell the version of a service's streams."""
+        return self._views.versions_of(service).sole_version is None
+
+    def _tell(self, streams: Sequence[str], origin: StreamOrigin) -> None:
+        names = [peer.name for peer in self._peers.live() if not peer.leaving]
+        by_holder: dict[str, list[str]] = {}
+        for stream_id in streams:
+            for holder in holders_of(stream_id, names):
+                by_holder.setdefault(holder, []).append(stream_id)
+        for holder, told in by_holder.items():
+            for start in range(0, len(told), MAX_STREAMS_SENT):
+                self._peers.send_origins(origin, told[start : start + MAX_STREAMS_SENT], [holder])
+
+    def _all_agree(self, live: Sequence[Peer]) -> bool:
+        """Whether every known entry is heard and lists the same starts of upstreams."""
+        if not self._peers.hears_all_known():
+            return False
+        return all(self._views.knows_the_same_starts(peer.versions) for peer in live)
+
+    def _ask(self, peers: Sequence[Peer], stream_id: str, service: str) -> list[OriginAnswer]:
+        """Return the answers of peers, up to the first one that knows the origin."""
+        body = {"stream": stream_id, "service": service}
+        calls = [self._calls.submit(self._ask_peer, peer, body) for peer in peers]
+        answers = []
+        try:
+            for call in as_completed(calls, ASK_TIMEOUT / 1000.0):
+                answer = call.result()
+                if answer is None:
+                    continue
+                answers.append(answer)
+                if answer.origin is not None:
+                    break
+        except TimeoutError:
+            pass
+        finally:
+            _cancel_all(calls)
+        return answers
+
+    def _ask_peer(self, peer: Peer, body: Json) -> OriginAnswer | None:
+        try:
+            status, answer = self._call_peer(peer, ORIGIN_OPERATION, body, ASK_TIMEOUT)
+            # Entries of the previous version answer 404.
+            return read_origin_answer(answer) if status == 200 else None
+        except (PeerCallError, UnusableRecordError) as error:
+            logging.info("event=origin_call_failed peer=%s reason=%r", peer.identity, str(error))
+            return None
+
+
+def _cancel_all(calls: Sequence[Future[OriginAnswer | None]]) -> None:
+    for call in calls:
+        call.cancel()
--- a/packages/node/src/carobspool_node/direct/_stream_relay.py
+++ b/packages/node/src/carobspool_node/direct/_stream_relay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import EventSplitter, Upstream
 from carobspool_node.direct._crash_isolation import CrashIsolation
@@ -32,6 +34,8 @@
         telemetry: Logs and metrics.
         isolation: Isolates requests that crash upstreams.
         endings: Records the outcome of requests.
+        on_first_event: Called with the request and the upstream before the first event is
+            forwarded.
     """
 
     def __init__(
@@ -42,6 +46,8 @@
         telemetry: Telemetry,
         isolation: CrashIsolation,
         endings: RequestEndings,
+        *,
+        on_first_event: Callable[[RequestState, Upstream], None],
     ) -> None:
         self._clock = clock
         self._loads = loads
@@ -49,6 +55,7 @@
         self._telemetry = telemetry
         self._isolation = isolation
         self._endings = endings
+        self._on_first_event = on_first_event
 
     def relay(
         self, state: RequestState, upstream: Upstream, call: UpstreamCall, head: UpstreamHead
@@ -84,7 +91,7 @@
                 pauses.record(len(pieces))
             if not state.streaming:
                 state.streaming = True
-                state.version = upstream.version
+                self._on_first_event(state, upstream)
                 state.caller.start_stream(head.status, answer_headers(head), head.reason)
                 self._queued.record_first_event(state, upstream.service)
                 self._telemetry.observe_duration(
