Batch items resume at the software version that sent their events

Results of batch jobs held text of two software versions: an item that was interrupted or broken off resumed at any server, at the same owner and, from the events that the last owner had committed, at the next one.

Cause: as for streams, the events are kept without the version that sent them. Now a received part and its committed record carry it. An item resumes where its version runs; it starts over elsewhere when nobody runs that version, or once it has waited for as long as the repeated events take (a version whose last server is full or dead would otherwise hold it until its retention).

The record keeps the form of a part that entries of the previous version read; the versions stand beside the parts. A part without one starts over.

Before: test_the_text_of_a_batch_item_comes_from_one_version fails in each of its three cases (owner stays, is lost, is lost with the version). After: they pass. A first try waited for the version as long as a server of it was registered: the case of a crashed server whose registration stays did not end.

--- a/packages/core/src/carobspool_core/direct/_batch_order.py
+++ b/packages/core/src/carobspool_core/direct/_batch_order.py
@@ -71,6 +71,10 @@
         if events > 0:
             self._mean_event_time += (duration / events - self._mean_event_time) * _SMOOTHING
 
+    def estimate_time_of(self, events: int) -> Millis:
+        """Estimate how long a run takes to bring a number of events."""
+        return events * self._mean_event_time
+
     def estimate_remaining(self, last_event: int) -> Millis:
         """Estimate how long an item still runs after its event ``last_event``."""
         left = max(self._mean_events - last_event, self._mean_events * MIN_REMAINING_SHARE)
--- a/packages/core/src/carobspool_core/direct/_job_codec.py
+++ b/packages/core/src/carobspool_core/direct/_job_codec.py
@@ -6,6 +6,8 @@
 import binascii
 from typing import Annotated, Any
 
+from msgspec.structs import replace
+
 from carobspool_core._ports import Json
 from carobspool_core.direct._job_work import (
     ItemOutcome,
@@ -15,6 +17,7 @@
     JobProgress,
     PartialItem,
 )
+from carobspool_core.direct._upstreams import UNKNOWN_VERSION
 from carobspool_core.problems import Problem, UnusableRecordError
 from carobspool_core.records import Bounds, Record, ValidatedBy, field, read_record
 
@@ -68,6 +71,8 @@
     results: list[_Row]
     failures: dict[Text, int]
     parts: dict[Text, _PartialItem] = {}
+    parts_version: Text = UNKNOWN_VERSION
+    part_versions: dict[Text, Text] = {}
 
 
 def job_to_json(job: JobInput) -> Json:
@@ -121,7 +126,13 @@
 
 
 def progress_to_json(progress: JobProgress) -> Json:
-    """Convert the progress of a job to its stored form."""
+    """Convert the progress of a job to its stored form.
+
+    The software versions of the parts stand beside them, since entries of the previous version read
+    a part of two elements only: one version for all, and those of the parts that differ from it.
+    """
+    versions = {key: each.version for key, each in progress.parts.items()}
+    usual = max(versions.values(), key=list(versions.values()).count, default=UNKNOWN_VERSION)
     return {
         "owner": progress.owner,
         "ended": progress.ended,
@@ -129,6 +140,8 @@
         "results": [[each.item_id, each.outcome.value, each.text] for each in progress.results],
         "failures": dict(progress.failures),
         "parts": {key: [each.last_event, each.text] for key, each in progress.parts.items()},
+        "parts_version": usual,
+        "part_versions": {key: each for key, each in versions.items() if each != usual},
     }
 
 
@@ -145,7 +158,10 @@
         total=model.total,
         results=_results(model.results),
         failures=model.failures,
-        parts=model.parts,
+        parts={
+            key: replace(each, version=model.part_versions.get(key, model.parts_version))
+            for key, each in model.parts.items()
+        },
     )
 
 
--- a/packages/core/src/carobspool_core/direct/_job_work.py
+++ b/packages/core/src/carobspool_core/direct/_job_work.py
@@ -14,6 +14,7 @@
 from msgspec import Struct, field
 
 from carobspool_core._clock import Millis
+from carobspool_core.direct._upstreams import UNKNOWN_VERSION, Upstream
 
 
 class ItemOutcome(StrEnum):
@@ -71,10 +72,13 @@
     Attributes:
         last_event: Id of the last received event.
         text: Data of the events in order, separated by line feeds.
+        version: Software version of the upstream that sent them; `UNKNOWN_VERSION` if the entry
+            that committed them did not record it.
     """
 
     last_event: int
     text: str
+    version: str = UNKNOWN_VERSION
 
 
 class JobProgress(Struct, frozen=True, kw_only=True):
@@ -110,6 +114,9 @@
         received_texts: Data of the events after the committed ones, in order.
         running: Whether a run is in progress.
         not_before: Earliest time at which the next run may start.
+        version: Software version of the upstream that sent the received events.
+        waits_since: Since when the item waits for its next event from an upstream of that version,
+            ``None`` while it does not.
     """
 
     item: JobItem
@@ -118,6 +125,8 @@
     received_texts: list[str] = field(default_factory=list)
     running: bool = False
     not_before: Millis = 0.0
+    version: str = UNKNOWN_VERSION
+    waits_since: Millis | None = None
 
     @property
     def last_event(self) -> int:
@@ -138,13 +147,30 @@
             return self.committed_part
         committed = self.committed_part.last_event if self.committed_part is not None else 0
         return PartialItem(
-            last_event=committed + len(texts), text=_join_texts(self.committed_part, texts)
+            last_event=committed + len(texts),
+            text=_join_texts(self.committed_part, texts),
+            version=self.version,
         )
 
+    def may_resume_at(self, upstream: Upstream) -> bool:
+        """Whether the next run may resume at an upstream, or has nothing to resume."""
+        return not self.last_event or upstream.runs_version(self.version)
+
+    def may_start_over(self, now: Millis, *, repeated: Millis) -> bool:
+        """Whether starting over is better than waiting longer for an upstream of the version.
+
+        Args:
+            now: Current time.
+            repeated: Time that the received events take again. Once the item has waited for as
+                long, waiting may cost more.
+        """
+        return self.waits_since is not None and now - self.waits_since >= repeated
+
     def discard_received(self) -> None:
         """Discard all received events; the next run starts from the beginning."""
         self.committed_part = None
         self.received_texts = []
+        self.version = UNKNOWN_VERSION
 
 
 class JobWork:
@@ -164,6 +190,7 @@
                 item=each,
                 failures=progress.failures.get(each.item_id, 0),
                 committed_part=progress.parts.get(each.item_id),
+                version=_version_of(progress.parts.get(each.item_id)),
             )
             for each in job.items
             if each.item_id not in committed_ids
@@ -286,6 +313,10 @@
         self._needs_commit = True
 
 
+def _version_of(part: PartialItem | None) -> str:
+    return UNKNOWN_VERSION if part is None else part.version
+
+
 def _join_texts(committed_part: PartialItem | None, texts: Sequence[str]) -> str:
     parts = list(texts) if committed_part is None else [committed_part.text, *texts]
     return "\n".join(parts)
--- a/packages/core/src/carobspool_core/direct/_upstreams.py
+++ b/packages/core/src/carobspool_core/direct/_upstreams.py
@@ -245,6 +245,10 @@
             self._largest_service_size = max(self._count_ready_by_service().values(), default=0)
         return self._largest_service_size
 
+    def find(self, instance: str) -> Upstream | None:
+        """Return the listed upstream of an id, ``None`` if there is none."""
+        return self._listed.get(instance)
+
     def knows(self, instance: str) -> bool:
         """Return whether an upstream is listed or lapsed recently."""
         return instance in self._listed or instance in self._lapsed
--- a/packages/core/tests/test_direct_job_work.py
+++ b/packages/core/tests/test_direct_job_work.py
@@ -6,11 +6,15 @@
 from hypothesis import strategies as st
 
 from carobspool_core.direct import (
+    UNKNOWN_VERSION,
     ItemOutcome,
+    ItemWork,
     JobInput,
     JobItem,
     JobProgress,
     JobWork,
+    PartialItem,
+    Upstream,
     job_from_json,
     job_to_json,
     progress_from_json,
@@ -164,3 +168,52 @@
         assert committed[: len(longest_seen)] == longest_seen[: len(committed)]
         longest_seen = max(longest_seen, committed, key=len)
         assert len(set(committed)) == len(committed)
+
+
+def _engine(version: str) -> Upstream:
+    return Upstream(
+        instance="i",
+        service="s",
+        address=("127.0.0.1", 1),
+        failure_domain="z",
+        slots=8,
+        ready=True,
+        version=version,
+    )
+
+
+def test_an_item_resumes_only_at_the_version_that_sent_its_events() -> None:
+    """Guards against a text that two software versions have written."""
+    work = ItemWork(item=_job().items[0])
+    assert work.may_resume_at(_engine("v2"))
+    work.received_texts.append("x")
+    assert not work.may_resume_at(_engine(UNKNOWN_VERSION))
+    work.version = "v1"
+    assert work.may_resume_at(_engine("v1"))
+    assert not work.may_resume_at(_engine("v2"))
+    work.discard_received()
+    assert work.may_resume_at(_engine("v2"))
+
+
+def test_an_item_starts_over_once_it_has_waited_for_as_long_as_that_takes() -> None:
+    """Guards against items that wait without end for the last busy server of their version."""
+    work = ItemWork(item=_job().items[0], received_texts=["x"], version="v1")
+    assert not work.may_start_over(9_999.0, repeated=0.0)
+    work.waits_since = 1_000.0
+    assert not work.may_start_over(1_999.0, repeated=1_000.0)
+    assert work.may_start_over(2_000.0, repeated=1_000.0)
+
+
+def test_stored_parts_keep_their_versions() -> None:
+    """Guards against a next owner that resumes an item at another version, or at a guessed one."""
+    versions = {"a": "v1", "b": "v2", "c": "v1"}
+    parts = {
+        key: PartialItem(last_event=1, text="t", version=each) for key, each in versions.items()
+    }
+    stored = progress_to_json(JobProgress(owner="e#1", total=3, parts=parts))
+    assert {key: each.version for key, each in progress_from_json(stored).parts.items()} == versions
+    # An entry of the previous version reads and writes a part of two elements, and no versions.
+    assert stored["parts"] == {key: [1, "t"] for key in versions}
+    del stored["parts_version"], stored["part_versions"]
+    read = progress_from_json(stored)
+    assert {each.version for each in read.parts.values()} == {UNKNOWN_VERSION}
--- a/packages/node/src/carobspool_node/direct/_declared.py
+++ b/packages/node/src/carobspool_node/direct/_declared.py
@@ -133,6 +133,12 @@
         with self._upstreams_lock:
             return self._upstreams.identities()
 
+    def has_other_version(self, upstream: Upstream) -> bool:
+        """Return whether an upstream has started again at another software version."""
+        with self._upstreams_lock:
+            registered = self._upstreams.find(upstream.instance)
+        return registered is not None and registered.version != upstream.version
+
     def services(self) -> set[str]:
         """Return the services with registered upstreams."""
         with self._upstreams_lock:
--- a/packages/node/src/carobspool_node/direct/_entry_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_entry_jobs.py
@@ -84,6 +84,7 @@
         configuration=lambda: declared.configuration,
         usable=group_assignment.near,
         ownership_uncertain_until=lambda: peers.ownership_uncertain_until,
+        has_other_version=declared.has_other_version,
     )
     records = JobRecords(
         store, settings.value_limit, BadRecords(clock, telemetry, "job_record", "key")
--- a/packages/node/src/carobspool_node/direct/_item_run.py
+++ b/packages/node/src/carobspool_node/direct/_item_run.py
@@ -167,6 +167,9 @@
                     continue
                 if event.event_id != work.last_event + 1:
                     raise CallFailedError("an event id is missing from the sequence", sent=True)
+                if not work.last_event:
+                    work.version = upstream.version
+                work.waits_since = None
                 work.received_texts.append(event.data)
         if splitter.incomplete:
             raise CallFailedError("the stream ends in the middle of an event", sent=True)
--- a/packages/node/src/carobspool_node/direct/_job_records.py
+++ b/packages/node/src/carobspool_node/direct/_job_records.py
@@ -200,7 +200,7 @@
             # Parts of unfinished items only save work after the loss of the owner. They are
             # dropped if necessary; the results have to fit.
             logging.info("event=parts_left_out job=%s parts=%d", job_id, len(progress.parts))
-            value["parts"] = {}
+            value["parts"] = value["part_versions"] = {}
         key = PROGRESS + job_id
         if version == 0:
             written = self._store.create(key, value)
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -63,6 +63,8 @@
         usable: Returns the upstreams of a service that this entry may use.
         ownership_uncertain_until: Returns until when other entries may have taken over or ended
             jobs of this one.
+        has_other_version: Returns whether an upstream has started again at another software
+            version.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         configuration: Callable[[], Configuration | None],
         usable: Callable[[str], Sequence[Upstream]],
         ownership_uncertain_until: Callable[[], Millis],
+        has_other_version: Callable[[Upstream], bool] = lambda upstream: False,
     ) -> None:
         self._clock = clock
         self._loads = loads
@@ -83,6 +86,7 @@
         self._configuration = configuration
         self._usable = usable
         self._ownership_uncertain_until = ownership_uncertain_until
+        self._has_other_version = has_other_version
         self._lock = threading.Lock()
         self._jobs: dict[str, OwnedJob] = {}
         self._wake = threading.Event()
@@ -317,14 +321,15 @@
         upstreams = self._usable(route.choose_service(work.item.item_id))
         if not self._is_ahead_of_peers(waiting, upstreams):
             return False
+        candidates = self._candidates(work, upstreams)
         placed = self._loads.place_batch(
-            upstreams,
+            candidates,
             urgency=waiting.urgency,
             due=waiting.due,
             demand=self._loads.choice.demand_of_item(work.item.headers),
         )
         if placed is None:
-            return False
+            return len(candidates) < len(upstreams)
         upstream, run = placed
         work.running = True
         job.add_run(run)
@@ -332,6 +337,21 @@
         self._run_pool.submit(self._run, job, work, route, upstream, run)
         return True
 
+    def _candidates(self, work: ItemWork, upstreams: Sequence[Upstream]) -> Sequence[Upstream]:
+        """Return the upstreams at which an item may run now.
+
+        An item resumes where its version runs, if it does not have to wait too long for that, and
+        starts over elsewhere.
+        """
+        resumable_at = [each for each in upstreams if work.may_resume_at(each)]
+        if len(resumable_at) in (0, len(upstreams)):
+            return upstreams
+        now = self._clock.now()
+        if work.waits_since is None:
+            work.waits_since = now
+        repeated = self._duration_estimate.estimate_time_of(work.last_event)
+        return upstreams if work.may_start_over(now, repeated=repeated) else resumable_at
+
     def _is_ahead_of_peers(self, waiting: WaitingItem, upstreams: Sequence[Upstream]) -> bool:
         """Whether there is capacity for an item beyond what more urgent items of peers need."""
         start_order = waiting.start_order_at(wall_millis())
@@ -401,9 +421,13 @@
             if run.cancellation.cancelled or job.lost or job.work.ended:
                 outcome = RunOutcome(end=RunEnd.INTERRUPTED, detail=run.cancellation.reason)
             else:
+                if not work.may_resume_at(upstream):
+                    self._start_over(job, work, upstream)
                 before = work.last_event
                 outcome = self._item_runner.run(job.input, work, upstream, run)
                 events = work.last_event - before
+                if self._has_other_version(upstream):
+                    outcome = self._doubt(job, work, upstream, outcome, resumed=before > 0)
                 self._duration_estimate.record_run(
                     events=events, duration=self._clock.now() - started
                 )
@@ -420,6 +444,48 @@
             self._loads.end_batch(upstream, run)
             self._wake.set()
 
+    def _start_over(self, job: OwnedJob, work: ItemWork, upstream: Upstream) -> None:
+        """Discard the events of an item that cannot resume at an upstream."""
+        logging.info(
+            "event=item_started_over job=%s item=%s events=%d from_version=%s to=%s to_version=%s",
+            job.job_id,
+            work.item.item_id,
+            work.last_event,
+            work.version,
+            upstream.instance,
+            upstream.version,
+        )
+        with job.lock:
+            work.discard_received()
+
+    def _doubt(
+        self,
+        job: OwnedJob,
+        work: ItemWork,
+        upstream: Upstream,
+        outcome: RunOutcome,
+        *,
+        resumed: bool,
+    ) -> RunOutcome:
+        """Discard events that may come from a later start of an upstream at another version.
+
+        Args:
+            job: The job of the item.
+            work: The item.
+            upstream: The upstream as it was when the run began.
+            outcome: How the run ended.
+            resumed: Whether the run resumed after events of an earlier one.
+
+        Returns:
+            How the run counts. A run that brought the whole item comes from one start.
+        """
+        if not work.last_event or (outcome.end is RunEnd.COMPLETED and not resumed):
+            return outcome
+        self._start_over(job, work, upstream)
+        if outcome.end is not RunEnd.COMPLETED:
+            return outcome
+        return RunOutcome(end=RunEnd.BROKEN, detail="its upstream has another software version")
+
     def _apply_outcome(
         self, job: OwnedJob, work: ItemWork, route: Route, outcome: RunOutcome
     ) -> None:
--- a/tests/direct/test_stream_versions.py
+++ b/tests/direct/test_stream_versions.py
@@ -8,9 +8,19 @@
 import time
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
-from direct_harness import STANDARD_ROUTES, Deployment, Entry, configuration, deployment, eventually
+from direct_harness import (
+    STANDARD_ROUTES,
+    Deployment,
+    Entry,
+    all_results,
+    configuration,
+    deployment,
+    eventually,
+    job_body,
+)
 from stream_fleet import EVENTS, SURE_AFTER_S, Caller, Fleet
 
 VERSIONS = ("v1", "v2")
@@ -254,3 +264,42 @@
     eventually(lambda: _datagrams(system.entries[0], "origins") > 0, 3.0)
     _kill(system.entries[0])
     _assert_most_go_on(_take_up(callers, system.entries[1:]))
+
+
+def _assert_one_version_each(results: list[dict[str, Any]] | None, ids: list[str]) -> None:
+    """Check that each item is whole and that the text of each comes from one version."""
+    assert results is not None
+    assert sorted(each["id"] for each in results) == ids
+    for each in results:
+        lines = each["text"].split("\n")
+        version = lines[0].split()[0]
+        assert lines == [f"{version} {number}" for number in range(1, EVENTS + 1)]
+
+
+@pytest.mark.parametrize("fault", ["engine", "owner", "both"])
+def test_the_text_of_a_batch_item_comes_from_one_version(system: Deployment, fault: str) -> None:
+    """Guards against an item that its owner or the next one resumes at another version."""
+    fleet = Fleet(system, entries=3, engines=2, versions=VERSIONS)
+    owner, *others = system.entries
+    ids = [f"item{number}" for number in range(8)]
+    assert owner.call("POST", "/batch/1", body=job_body(*ids), request_id="job1").status == 202
+    eventually(lambda: fleet.lines("event=job_commit job=job1 done=True"), 5.0)
+    assert all(server.requests for server in system.servers)
+    if fault != "owner":
+        system.servers[0].crash()
+    if fault != "engine":
+        _kill(owner)
+        # The version at which half of the items began is gone when the next owner starts.
+        system.objects.remove("servers", system.servers[0].instance)
+    results = eventually(lambda: all_results(others[0], "job1"), 20.0)
+    _assert_one_version_each(results, ids)
+    resumed = [
+        request
+        for server in system.servers
+        for request in server.requests
+        if "last-event-id" in request.headers
+    ]
+    assert fault != "owner" or resumed
+    assert all(request.version == "v2" for request in resumed if fault == "both")
+    if fault != "owner":
+        assert fleet.lines("event=item_started_over .* from_version=v1 .* to_version=v2")
--- a/tests/stream_fleet.py
+++ b/tests/stream_fleet.py
@@ -21,6 +21,8 @@
 
 EVENTS = 40
 PAUSE_S = 0.03
+ITEM_PAUSE_S = 0.1
+"""Batch items last longer than the time between two commits of their events."""
 SURE_AFTER_S = 0.1
 """A stream whose first event is older than this at a crash must be completed."""
 MARKER = b"no engine survives this"
@@ -170,7 +172,7 @@
             port = int(connection.address.rpartition(":")[2])
             server = next(each for each in self.system.servers if each.address[1] == port)
             threading.Timer(PAUSE_S + delay_s, server.crash).start()
-        if request.target.startswith("/resume/"):
+        if request.target.startswith(("/resume/", "/batch/")):
             stream_from_last_event(request, connection)
             return
         self.engines.handle_request(request, connection)
@@ -179,8 +181,9 @@
 def stream_from_last_event(request: ServedRequest, connection: ServerConnection) -> None:
     """Stream the events after ``Last-Event-Id``, until the server's process ends."""
     connection.send_stream_headers(request)
+    pause_s = ITEM_PAUSE_S if request.target.startswith("/batch/") else PAUSE_S
     for number in range(int(request.headers.get("last-event-id", "0")) + 1, EVENTS + 1):
-        time.sleep(PAUSE_S)
+        time.sleep(pause_s)
         if connection.server_crashed:
             return
         connection.send_event(number, f"{request.version} {number}")
