Streams do not go on from or at a server that is back with another version

A server can start again under its id with other software, and its registration is known some time after the start. Until then an entry means the old version: a stream that begins there is remembered with the wrong one, and a run could be moved to it.

Now a broken stream whose server has another version by then ends as well, and so does a move to such a server. Entries announce themselves at once when a service gets a second version, so that no peer relies on older registrations meanwhile.

Not closed: a server that runs another version already, chosen for a stream that goes on before any entry has read its registration. Nothing in its answer shows the version.

--- a/packages/node/src/carobspool_node/direct/_continued_streams.py
+++ b/packages/node/src/carobspool_node/direct/_continued_streams.py
@@ -31,6 +31,8 @@
         isolation: Isolates requests that crash upstreams.
         backups: The copies of this entry's streams.
         split_upstreams: Returns the upstreams of a service.
+        has_other_version: Returns whether an upstream has started again at another software
+            version.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         isolation: CrashIsolation,
         backups: StreamBackups,
         split_upstreams: Callable[[str], UpstreamSplit],
+        has_other_version: Callable[[Upstream], bool],
     ) -> None:
         self._clock = clock
         self._names = names
@@ -48,6 +51,7 @@
         self._isolation = isolation
         self._backups = backups
         self._split_upstreams = split_upstreams
+        self._has_other_version = has_other_version
 
     def begin(
         self, state: RequestState, upstream: Upstream, split: UpstreamSplit, *, is_suspect: bool
@@ -106,6 +110,8 @@
             return reason_to_end(facts, min_time_left=MIN_CALL_TIME)
 
         ends = reason()
+        if ends is None and self._has_other_version(run.source):
+            ends = LossReason.OTHER_VERSION
         if ends is not None:
             return ends
         found = self._backups.next_run(run, is_refused=progress.is_refused)
@@ -115,6 +121,8 @@
             self._isolation.record_crash(state.fingerprint(), run.source)
         # The move took time, in which the deadline or a quarantine may have come.
         ends = reason()
+        if ends is None and self._has_other_version(found.upstream):
+            ends = LossReason.OTHER_VERSION
         if ends is not None and found.handle:
             self._backups.free(run, found.handle)
         return found if ends is None else ends
--- a/packages/node/src/carobspool_node/direct/_entry_streams.py
+++ b/packages/node/src/carobspool_node/direct/_entry_streams.py
@@ -38,4 +38,12 @@
         listed=declared.listed,
         call=EngineCalls(clock, deployment.headers).call,
     )
-    return ContinuedStreams(clock, deployment.headers, loads, isolation, backups, split_upstreams)
+    return ContinuedStreams(
+        clock,
+        deployment.headers,
+        loads,
+        isolation,
+        backups,
+        split_upstreams,
+        declared.has_other_version,
+    )
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -15,6 +15,7 @@
 from carobspool_core import Clock, Millis, VerdictKind, preferred_nodes
 from carobspool_core.direct import (
     LEAVING_RETRY_AFTER,
+    UNKNOWN_VERSION,
     Route,
     RouteKind,
     Upstream,
@@ -258,6 +259,8 @@
             if answered:
                 self._queued.record_run(placement)
                 return
+            if state.streaming and self._origins.is_doubtful(placement.upstream):
+                state.version = UNKNOWN_VERSION
             if self._continued.continue_stream(state, self._call_upstream):
                 return
             if state.runs >= state.route.max_attempts or not self._may_retry(state):
--- a/packages/node/src/carobspool_node/direct/_stream_origins.py
+++ b/packages/node/src/carobspool_node/direct/_stream_origins.py
@@ -59,6 +59,9 @@
     def hears_all_known(self) -> bool:
         """Return whether hints of all known entries arrive."""
 
+    def announce(self) -> None:
+        """Send the state of this entry to all peers at once."""
+
     def send_origins(
         self, origin: StreamOrigin, streams: Sequence[str], names: Sequence[str]
     ) -> None:
@@ -74,6 +77,9 @@
     def versions_of(self, service: str) -> VersionsView:
         """Return the software versions of a service at which a stream can have begun."""
 
+    def has_other_version(self, upstream: Upstream) -> bool:
+        """Return whether an upstream has started again at another software version."""
+
     def knows_the_same_starts(self, versions: Any) -> bool:
         """Return whether a process with these ``versions`` lists the same starts of upstreams."""
 
@@ -199,7 +205,11 @@
         )
 
     def upstreams_changed(self) -> None:
-        """Tell peers the streams in progress of each service that has got a second version."""
+        """Tell peers the streams in progress of each service that has got a second version.
+
+        The announcement shows all peers that their registrations are outdated before a stream can
+        have begun at the new version.
+        """
         for service in self._views.services():
             if not self._must_tell(service):
                 self._told.discard(service)
@@ -207,6 +217,7 @@
             if service in self._told:
                 continue
             self._told.add(service)
+            self._peers.announce()
             with self._lock:
                 begun = self._table.begun_here(service)
             for origin, streams in begun.items():
@@ -218,6 +229,7 @@
             doubted = self._table.doubt_instance(upstream.instance, upstream.version)
         if not doubted:
             return
+        self._peers.announce()
         logging.info(
             "event=origins_doubted upstream=%s version=%s streams=%d",
             upstream.instance,
@@ -226,6 +238,13 @@
         )
         self._tell(doubted, StreamOrigin(service=upstream.service, version=UNKNOWN_VERSION))
 
+    def is_doubtful(self, upstream: Upstream) -> bool:
+        """Whether a stream may have events of a later start of an upstream, at another version.
+
+        A registration is known some time after the start that it describes.
+        """
+        return self._views.has_other_version(upstream)
+
     def remove_expired(self) -> None:
         """Forget the origins of streams that can no longer be taken up."""
         before = self._clock.now() - self._window()
--- a/tests/direct/test_stream_versions.py
+++ b/tests/direct/test_stream_versions.py
@@ -303,3 +303,50 @@
     assert all(request.version == "v2" for request in resumed if fault == "both")
     if fault != "owner":
         assert fleet.lines("event=item_started_over .* from_version=v1 .* to_version=v2")
+
+
+@pytest.mark.parametrize("target", ["/resume/1", "/stream/1"])
+def test_a_stream_does_not_go_on_at_a_server_that_is_back_with_another_version(
+    system: Deployment, target: str
+) -> None:
+    """Guards against a server that is taken for its earlier start, which ran another version."""
+    fleet = Fleet(system, entries=2, engines=2)
+    callers = [Caller(system.entries[0], target=target) for _ in range(8)]
+    eventually(lambda: all(each.events for each in callers), 3.0)
+    time.sleep(2 * SURE_AFTER_S)
+    back, other = system.servers
+    back.crash()
+    back.version = "v2"
+    system.restart_server(back, "engine")
+    eventually(lambda: fleet.lines("event=upstream_restarted"), 3.0)
+    other.crash()
+    for each in callers:
+        each.join()
+    assert _joined(callers) == []
+    assert fleet.engines.violations == []
+    if target == "/resume/1":
+        taken_up = [Caller(system.entries[1], target=e.target, takes_up=e) for e in callers]
+        assert {each.join().status for each in taken_up if not each.complete} <= {0, 200, 503}
+        assert _joined(taken_up) == []
+
+
+def test_a_stream_that_may_have_begun_at_a_later_start_is_not_taken_up(system: Deployment) -> None:
+    """Guards against a version read from a registration that is older than the server's start."""
+    fleet = Fleet(system, entries=2, engines=1)
+    (server,) = system.servers
+    server.crash()
+    server.version = "v2"
+    # It runs again before its registration says so.
+    server.start()
+    callers = []
+    for _ in range(4):
+        callers.append(Caller(system.entries[0], target="/resume/1"))
+    eventually(lambda: all(each.events for each in callers), 3.0)
+    system.objects.put("servers", server.instance, server.registration("engine"))
+    fleet.start_engine("v1")
+    eventually(lambda: fleet.lines("event=origins_doubted"), 3.0)
+    for each in callers:
+        each.leave()
+    taken_up = [Caller(system.entries[1], target=e.target, takes_up=e.join()) for e in callers]
+    assert {each.join().status for each in taken_up} == {503}
+    assert _joined(taken_up) == []
