Streams that go on may wait longer for the few servers of their version

Callers that took a stream up were refused although servers of its version ran: once, beside other tests, 8 of 14, since the requests of the killed entry were still counted there ('no_place ... loads=i-:10+0/8') and a stream may go on at these servers only. A refusal makes what the caller has received worthless, and its client tries once more at most.

A stream that goes on now waits for up to a second behind others, as its caller does, instead of the part of the target latency that a new request may wait.

--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -72,6 +72,10 @@
 DEADLINE_EXCEEDED_STATUS = HTTPStatus.GATEWAY_TIMEOUT
 """Status with which an upstream reports that the request's deadline has passed. It does not count
 as a failure of the upstream."""
+MAX_PAUSE: Millis = 1_000.0
+"""Longest wait of a stream that goes on. Its caller has received a part that a refusal makes
+worthless, only the servers of one version can serve it, and callers give up after two seconds
+without an event."""
 HANG_THRESHOLD: Millis = 1_000.0
 """If a caller disconnects after waiting this long for a first byte, the upstream counts as hanging:
 queueing adds at most 270 ms and a first event takes some 50 ms."""
@@ -352,10 +356,12 @@
     def _place(
         self, state: RequestState, split: UpstreamSplit, queue_places: int | None = None
     ) -> Placement | None:
+        target = state.route.target_latency
+        goes_on = state.version is not None
         return self._loads.place_online(
             split.near,
-            target_latency=state.route.target_latency,
-            is_retry=state.is_retry or state.streaming,
+            target_latency=max(target, MAX_PAUSE) if goes_on else target,
+            is_retry=state.is_retry or goes_on,
             excluded=frozenset(state.tried),
             far=split.far,
             demand=state.demand,
