Soak: rollouts of software versions; a test of a fault that stays open

tests/soak/versions.py replaces engines by ones of other versions while callers break their connections and take their streams up at any entry, beside the other series of faults.

The soak replaces servers under new ids, as the platform's rollouts do.

--- a/tests/direct/test_stream_versions.py
+++ b/tests/direct/test_stream_versions.py
@@ -350,3 +350,22 @@
     taken_up = [Caller(system.entries[1], target=e.target, takes_up=e.join()) for e in callers]
     assert {each.join().status for each in taken_up} == {503}
     assert _joined(taken_up) == []
+
+
+def test_a_stream_does_not_go_on_at_a_server_whose_new_version_is_not_registered_yet(
+    system: Deployment,
+) -> None:
+    """Guards against a server that is back with another version before an entry reads of it."""
+    fleet = Fleet(system, entries=1, engines=2)
+    callers = [Caller(system.entries[0], target="/resume/1") for _ in range(8)]
+    eventually(lambda: all(len(each.ids) > 2 for each in callers), 3.0)
+    back, other = system.servers
+    back.crash()
+    back.version = "v2"
+    back.start()
+    # An upstream that has failed is avoided for a second while others are left.
+    eventually(lambda: fleet.lines("event=upstream_used_again"), 3.0)
+    more = [Caller(system.entries[0], target="/resume/1") for _ in range(8)]
+    eventually(lambda: all(len(each.ids) > 2 for each in more), 3.0)
+    other.crash()
+    assert _joined([each.join() for each in (*callers, *more)]) == []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 import pytest
-from soak import competition, organisations
+from soak import competition, organisations, versions
 from soak.soak import play
 
 SECONDS = 8.0
@@ -47,3 +47,13 @@
     assert record.violations == []
     assert record.calls["queued"] > 50
     assert record.calls["line 200"] > 50
+
+
+def test_streams_keep_their_version_under_a_random_schedule_of_faults(tmp_path: Path) -> None:
+    """Servers are replaced by ones of other software versions, while entries are killed, stopped,
+    paused and restarted and callers take their streams up at any entry."""
+    record = versions.play(1, SECONDS, tmp_path)
+    assert record.violations == []
+    assert record.accepted
+    assert record.calls["versioned complete"] > 20
+    assert record.calls["went on"] > 10
