--- a/tests/test_import_rules.py
+++ b/tests/test_import_rules.py
@@ -46,6 +46,12 @@
         )
         for module in ("_job_records", "_peer_messages", "_store_relay")
     },
+    **{
+        ("tools/cost_versions.py", f"{NODE}.direct.{module}"): (
+            "measures what an entry does and sends for each stream"
+        )
+        for module in ("_origin_messages", "_peer", "_stream_origins")
+    },
     **{
         ("tools/cost_hints.py", f"{NODE}.direct.{module}"): (
             "measures the bytes of hints with the encoders and the sender that entries use"
