--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -15,7 +15,6 @@
 from carobspool_core import Clock, Millis, VerdictKind, preferred_nodes
 from carobspool_core.direct import (
     LEAVING_RETRY_AFTER,
-    UNKNOWN_VERSION,
     Route,
     RouteKind,
     Upstream,
@@ -51,6 +50,7 @@
     StreamRelay,
     answer_headers,
 )
+from carobspool_node.direct._stream_versions import StreamVersions
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.direct._upstream_calls import (
     CallFailedError,
@@ -122,10 +122,16 @@
         self._isolation = isolation
         self._queued = queued
         self._continued = continued
-        self._origins = origins
         self._endings = RequestEndings(clock, telemetry)
+        self._versions = StreamVersions(names, telemetry, origins, self._endings)
         self._relay = StreamRelay(
-            clock, loads, queued, telemetry, isolation, self._endings, on_first_event=self._begin
+            clock,
+            loads,
+            queued,
+            telemetry,
+            isolation,
+            self._endings,
+            on_first_event=self._versions.begin,
         )
 
     def serve(
@@ -211,7 +217,7 @@
         return False
 
     def _try_upstreams(self, state: RequestState) -> None:
-        if state.takes_up and not self._find_origin(state):
+        if state.takes_up and not self._versions.take_up(state):
             return
         service = self._service_of(state)
         if self._loads.choice.is_too_large(service, state.demand):
@@ -251,7 +257,7 @@
             state.tried.add(placement.upstream.identity)
             state.forecast = placement.forecast
             state.upstream_loads.append(f"{placement.upstream.instance}:{placement.load.total}")
-            self._log_resumed(state, placement.upstream)
+            self._versions.log_resumed(state, placement.upstream)
             answered = False
             try:
                 self._continued.begin(state, placement.upstream, split, is_suspect=is_suspect)
@@ -263,8 +269,7 @@
             if answered:
                 self._queued.record_run(placement)
                 return
-            if state.streaming and self._origins.is_doubtful(placement.upstream):
-                state.version = UNKNOWN_VERSION
+            self._versions.record_failure(state, placement.upstream)
             if self._continued.continue_stream(state, self._call_upstream):
                 return
             if state.runs >= state.route.max_attempts or not self._may_retry(state):
@@ -275,60 +280,6 @@
         """Return the service that serves a request; a stream stays with that of its first event."""
         return state.service or state.route.choose_service(state.request.request_id)
 
-    def _find_origin(self, state: RequestState) -> bool:
-        """Find where a stream began that its caller takes up; refuse it if that is uncertain.
-
-        Returns:
-            Whether the stream may go on.
-        """
-        found = self._origins.find(state.stream_id, state.route)
-        origin = found.origin
-        is_routed = origin is not None and origin.service in state.route.service_names
-        logging.info(
-            "event=stream_taken_up request=%s resumes=%s after=%s service=%s version=%s known_by=%s"
-            " age_ms=%.0f asked=%d answered=%d goes_on=%s",
-            state.request.request_id,
-            state.stream_id,
-            (state.request.header(self._names.last_event) or b"").decode("latin-1"),
-            "" if origin is None else origin.service,
-            "" if origin is None else origin.version,
-            found.known_by.value,
-            found.age,
-            found.asked,
-            found.answered,
-            is_routed,
-        )
-        self._telemetry.count(
-            "streams_taken_up", known_by=found.known_by.value, goes_on=str(is_routed).lower()
-        )
-        if origin is None or not is_routed:
-            state.last_failure = "it is not certain at which software version the stream began"
-            self._endings.refuse_take_up(state, is_final=not found.may_be_known_elsewhere)
-            return False
-        state.service, state.version = origin.service, origin.version
-        return True
-
-    def _begin(self, state: RequestState, upstream: Upstream) -> None:
-        """Record the origin of a stream whose first event is about to be forwarded."""
-        state.service = upstream.service
-        if state.version is None:
-            state.version = upstream.version
-        if state.route.resumable:
-            self._origins.begin(state.stream_id, upstream)
-
-    def _log_resumed(self, state: RequestState, upstream: Upstream) -> None:
-        """Log where a stream goes on within its answer."""
-        if not state.streaming:
-            return
-        logging.info(
-            "event=stream_resumed request=%s after=%s from_version=%s to=%s to_version=%s",
-            state.request.request_id,
-            state.last_event,
-            state.version,
-            upstream.instance,
-            upstream.version,
-        )
-
     def _find_place(
         self, state: RequestState, service: str, split: UpstreamSplit, *, is_suspect: bool
     ) -> Placement | None:
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_stream_versions.py
@@ -0,0 +1,94 @@
+"""The software version at which each online stream goes on."""
+
+from __future__ import annotations
+
+from absl import logging
+
+from carobspool_core.direct import UNKNOWN_VERSION, Upstream
+from carobspool_node.direct._messages import HeaderNames
+from carobspool_node.direct._request_endings import RequestEndings
+from carobspool_node.direct._request_state import RequestState
+from carobspool_node.direct._stream_origins import StreamOrigins
+from carobspool_node.direct._telemetry import Telemetry
+
+
+class StreamVersions:
+    """Binds streams to the version of the upstream that brought their first event.
+
+    Args:
+        names: Header names of the deployment.
+        telemetry: Logs and metrics.
+        origins: Remembers where streams began.
+        endings: Ends requests.
+    """
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        telemetry: Telemetry,
+        origins: StreamOrigins,
+        endings: RequestEndings,
+    ) -> None:
+        self._names = names
+        self._telemetry = telemetry
+        self._origins = origins
+        self._endings = endings
+
+    def begin(self, state: RequestState, upstream: Upstream) -> None:
+        """Bind a stream whose first event is about to be forwarded."""
+        state.service = upstream.service
+        if state.version is None:
+            state.version = upstream.version
+        if state.route.resumable:
+            self._origins.begin(state.stream_id, upstream)
+
+    def take_up(self, state: RequestState) -> bool:
+        """Bind a stream that its caller takes up, or refuse it if its version is not certain.
+
+        Returns:
+            Whether the stream may go on.
+        """
+        found = self._origins.find(state.stream_id, state.route)
+        origin = found.origin
+        goes_on = origin is not None and origin.service in state.route.service_names
+        logging.info(
+            "event=stream_taken_up request=%s resumes=%s after=%s service=%s version=%s known_by=%s"
+            " age_ms=%.0f asked=%d answered=%d goes_on=%s",
+            state.request.request_id,
+            state.stream_id,
+            (state.request.header(self._names.last_event) or b"").decode("latin-1"),
+            "" if origin is None else origin.service,
+            "" if origin is None else origin.version,
+            found.known_by.value,
+            found.age,
+            found.asked,
+            found.answered,
+            goes_on,
+        )
+        self._telemetry.count(
+            "streams_taken_up", known_by=found.known_by.value, goes_on=str(goes_on).lower()
+        )
+        if origin is None or not goes_on:
+            state.last_failure = "it is not certain at which software version the stream began"
+            self._endings.refuse_take_up(state, is_final=not found.may_be_known_elsewhere)
+            return False
+        state.service, state.version = origin.service, origin.version
+        return True
+
+    def record_failure(self, state: RequestState, upstream: Upstream) -> None:
+        """Leave the version of a stream uncertain if its upstream may have had another one."""
+        if state.streaming and self._origins.is_doubtful(upstream):
+            state.version = UNKNOWN_VERSION
+
+    def log_resumed(self, state: RequestState, upstream: Upstream) -> None:
+        """Log where a stream goes on within its answer."""
+        if not state.streaming:
+            return
+        logging.info(
+            "event=stream_resumed request=%s after=%s from_version=%s to=%s to_version=%s",
+            state.request.request_id,
+            state.last_event,
+            state.version,
+            upstream.instance,
+            upstream.version,
+        )
--- /dev/null
+++ b/packages/node/tests/test_direct_stream_origins.py
@@ -0,0 +1,220 @@
+"""Whom an entry tells and asks where a stream began, and what it makes of the answers."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import cbor2
+import pytest
+
+from carobspool_core import boottime_clock
+from carobspool_core.direct import Route, RouteKind, Upstream, WeightedService
+from carobspool_core.problems import UnusableRecordError
+from carobspool_core.stream_versions import (
+    KnownBy,
+    OriginAnswer,
+    StreamOrigin,
+    VersionsView,
+)
+from carobspool_node.direct._origin_messages import (
+    MAX_STREAMS_SENT,
+    OriginsHint,
+    encode_origins_hint,
+    origin_answer_to_record,
+    read_origin_answer,
+    read_origins_hint,
+)
+from carobspool_node.direct._peer import Peer
+from carobspool_node.direct._peer_calls import PeerCallError
+from carobspool_node.direct._stream_origins import StreamOrigins
+
+V1 = StreamOrigin(service="s", version="v1")
+ROUTE = Route(
+    name="r",
+    host="h",
+    path_prefix="/",
+    kind=RouteKind.STREAM,
+    timeout=5_000.0,
+    target_latency=300.0,
+    priority=0,
+    services=(WeightedService(service="s", weight=1.0),),
+    resumable=True,
+)
+
+
+def _upstream(version: str = "v1") -> Upstream:
+    return Upstream(
+        instance="i-1",
+        service="s",
+        address=("127.0.0.1", 1),
+        failure_domain="z",
+        slots=8,
+        ready=True,
+        version=version,
+    )
+
+
+class _Fleet:
+    """Five peers and the registrations, as one entry sees them."""
+
+    def __init__(self, *versions: str, is_complete: bool = True) -> None:
+        self.view = VersionsView(versions=frozenset(versions), is_complete=is_complete)
+        self.agree = True
+        self.told: list[tuple[StreamOrigin, list[str], list[str]]] = []
+        self.asked: list[str] = []
+        self.announced = 0
+        self.answers: dict[str, OriginAnswer | Exception | float] = {}
+        self.peers = [
+            Peer(name=f"e{n}", incarnation="1", address=("127.0.0.1", 1), last_heard_at=0.0)
+            for n in range(1, 6)
+        ]
+        self.origins = StreamOrigins(
+            boottime_clock(),
+            name="e0",
+            peers=self,
+            views=self,
+            window=lambda: 15_000.0,
+            call_peer=self._answer,
+        )
+
+    def live(self) -> list[Peer]:
+        return list(self.peers)
+
+    def hears_all_known(self) -> bool:
+        return True
+
+    def announce(self) -> None:
+        self.announced += 1
+
+    def send_origins(
+        self, origin: StreamOrigin, streams: Sequence[str], names: Sequence[str]
+    ) -> None:
+        self.told.append((origin, list(streams), list(names)))
+
+    def services(self) -> set[str]:
+        return {"s"}
+
+    def versions_of(self, service: str) -> VersionsView:
+        return self.view
+
+    def has_other_version(self, upstream: Upstream) -> bool:
+        return False
+
+    def knows_the_same_starts(self, versions: Mapping[str, int]) -> bool:
+        return self.agree
+
+    def _answer(self, peer: Peer, operation: str, body: Any, timeout: float) -> tuple[int, Any]:
+        self.asked.append(peer.name)
+        answer = self.answers.get(peer.name)
+        if isinstance(answer, Exception):
+            raise answer
+        if isinstance(answer, float):
+            time.sleep(answer)
+            return 404, None
+        if answer is None:
+            answer = OriginAnswer(origin=None, age=0.0, view=self.view)
+        return 200, origin_answer_to_record(answer)
+
+
+def test_two_peers_are_told_while_two_versions_serve() -> None:
+    """Guards against an origin that is lost with the entry at which the stream began."""
+    fleet = _Fleet("v1", "v2")
+    fleet.peers[0].leaving = True
+    fleet.origins.begin("a", _upstream())
+    assert [each[:2] for each in fleet.told] == [(V1, ["a"])] * 2
+    holders = [name for _, _, names in fleet.told for name in names]
+    assert len(set(holders)) == 2 and "e1" not in holders
+
+
+def test_nobody_is_told_or_asked_while_one_version_serves() -> None:
+    """Guards against messages that nobody needs."""
+    fleet = _Fleet("v1")
+    fleet.origins.begin("a", _upstream())
+    found = fleet.origins.find("b", ROUTE)
+    assert (found.origin, found.known_by) == (V1, KnownBy.REGISTRATIONS)
+    assert fleet.told == [] and fleet.asked == []
+
+
+@pytest.mark.parametrize("reason", ["peers disagree", "just started"])
+def test_peers_are_asked_while_one_version_is_not_certain(reason: str) -> None:
+    """Guards against an entry that relies on registrations which others know to be outdated."""
+    fleet = _Fleet("v2", is_complete=reason != "just started")
+    fleet.agree = reason != "peers disagree"
+    origin = OriginAnswer(
+        origin=V1, age=5.0, view=VersionsView(versions=frozenset(), is_complete=True)
+    )
+    fleet.answers = {peer.name: origin for peer in fleet.peers}
+    found = fleet.origins.find("a", ROUTE)
+    assert (found.origin, found.known_by, found.age) == (V1, KnownBy.PEER, 5.0)
+
+
+def test_a_stream_that_a_peer_has_told_is_known_here() -> None:
+    """Guards against a question for what this entry has been told."""
+    fleet = _Fleet("v1", "v2")
+    fleet.origins.receive(OriginsHint(name="e1", incarnation="1", origin=V1, streams=["a"]))
+    found = fleet.origins.find("a", ROUTE)
+    assert (found.origin, found.known_by, fleet.asked) == (V1, KnownBy.OWN, [])
+
+
+def test_peers_that_do_not_answer_are_not_waited_for() -> None:
+    """Guards against callers that wait for entries which are frozen or of the previous version."""
+    fleet = _Fleet("v1", "v2")
+    fleet.answers = {peer.name: 1.0 for peer in fleet.peers}
+    fleet.answers["e1"] = PeerCallError("refused")
+    started = time.monotonic()
+    found = fleet.origins.find("a", ROUTE)
+    assert time.monotonic() - started < 0.4
+    assert found.origin is None and found.known_by is KnownBy.NOBODY
+    assert found.may_be_known_elsewhere
+
+
+def test_streams_in_progress_are_told_once_a_second_version_appears() -> None:
+    """Guards against streams that began before a rollout and are refused after it."""
+    fleet = _Fleet("v1")
+    for number in range(MAX_STREAMS_SENT + 1):
+        fleet.origins.begin(f"s{number}", _upstream())
+    fleet.view = VersionsView(versions=frozenset({"v1", "v2"}), is_complete=True)
+    fleet.origins.upstreams_changed()
+    told = [stream for _, streams, _ in fleet.told for stream in streams]
+    assert len(told) == 2 * (MAX_STREAMS_SENT + 1)
+    assert max(len(streams) for _, streams, _ in fleet.told) <= MAX_STREAMS_SENT
+    fleet.origins.upstreams_changed()
+    assert (len(told), fleet.announced) == (2 * (MAX_STREAMS_SENT + 1), 1)
+
+
+def test_messages_read_as_they_were_sent() -> None:
+    """Guards against an origin that changes on its way."""
+    data = encode_origins_hint(name="e1", incarnation="x", origin=V1, streams=["a", "b"])
+    hint = read_origins_hint(cbor2.loads(data))
+    assert hint == OriginsHint(name="e1", incarnation="x", origin=V1, streams=["a", "b"])
+    view = VersionsView(versions=frozenset({"v1", ""}), is_complete=True)
+    for origin in (None, V1):
+        answer = OriginAnswer(origin=origin, age=7.0, view=view)
+        assert read_origin_answer(origin_answer_to_record(answer)) == answer
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        ["o"],
+        ["o", "e1", "x", "s", "v1", "a"],
+        ["o", "e1", "x", "s", 1, ["a"]],
+        ["o", "e1", "x", "", "v1", ["a"]],
+        ["o", "e1", "x", "s", "v1", [""]],
+        ["o", "e1", "x", "s", "v1", ["a"] * (MAX_STREAMS_SENT + 1)],
+        ["o", 1, "x", "s", "v1", ["a"]],
+    ],
+)
+def test_a_bad_hint_names_no_stream(message: list[object]) -> None:
+    """Guards against a hint of another writer that ends the thread which reads hints."""
+    with pytest.raises(UnusableRecordError):
+        read_origins_hint(message)
+
+
+@pytest.mark.parametrize("message", [None, [], {"origin": None}, {"origin": {"service": 1}}])
+def test_a_bad_answer_counts_as_none(message: object) -> None:
+    """Guards against an answer of another writer that ends a caller's request."""
+    with pytest.raises(UnusableRecordError):
+        read_origin_answer(message)
