Streams that cannot be named to other entries are not told to them

A stream that its caller takes up without naming it goes on while one version serves; its empty id then went into hints, which peers count as bad ones, once a second version appeared.

--- a/packages/node/src/carobspool_node/direct/_request_state.py
+++ b/packages/node/src/carobspool_node/direct/_request_state.py
@@ -96,11 +96,12 @@
 
 
 def stream_id_of(request: CallerRequest, route: Route, names: HeaderNames) -> str:
-    """Return the id of a request's stream, empty if the caller takes one up and does not name it.
+    """Return the id of a request's stream, empty if other entries cannot be told or asked of it.
 
-    A name that no request can have counts as none.
+    That is so if the caller takes a stream up without naming it, and for ids longer than entries
+    send.
     """
-    if not takes_stream_up(request, route, names):
-        return request.request_id
-    named = (request.header(names.resumes) or b"").decode("latin-1")
-    return named if len(named) <= MAX_NAME_CHARS and named.isprintable() else ""
+    stream_id = request.request_id
+    if takes_stream_up(request, route, names):
+        stream_id = (request.header(names.resumes) or b"").decode("latin-1")
+    return stream_id if len(stream_id) <= MAX_NAME_CHARS else ""
--- a/packages/node/src/carobspool_node/direct/_stream_versions.py
+++ b/packages/node/src/carobspool_node/direct/_stream_versions.py
@@ -39,7 +39,7 @@
         state.service = upstream.service
         if state.version is None:
             state.version = upstream.version
-        if state.route.resumable:
+        if state.route.resumable and state.stream_id:
             self._origins.begin(state.stream_id, upstream)
 
     def take_up(self, state: RequestState) -> bool:
--- a/tests/direct/test_stream_versions.py
+++ b/tests/direct/test_stream_versions.py
@@ -231,6 +231,21 @@
     assert fleet.lines("event=stream_taken_up .* known_by=nobody .* goes_on=False")
 
 
+@pytest.mark.parametrize("named", ["", "x" * 300, "unknown"])
+def test_a_stream_without_a_usable_name_is_refused_while_two_versions_serve(
+    system: Deployment, named: str
+) -> None:
+    """Guards against a stream that goes on at any version since its caller does not name it."""
+    fleet = Fleet(system, entries=2, engines=2, versions=VERSIONS)
+    headers = {"Last-Event-Id": "3"} | ({"Resumes": named} if named else {})
+    answer = system.entries[0].call("POST", "/resume/1", body=b"x", headers=headers)
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    begun = system.entries[0].call("POST", "/resume/1", body=b"x", request_id="y" * 300)
+    assert begun.status == 200 and begun.complete
+    assert fleet.lines("event=bad_hint") == []
+
+
 def _datagrams(entry: Entry, kind: str) -> float:
     """Return how many hints of a kind an entry has sent."""
     connection = http.client.HTTPConnection("127.0.0.1", entry.metrics_port, timeout=5.0)
