A stream does not go on at a server whose new version is not registered yet

Callers saw streams, and submitters items, that went on at a server which had started again under its id with another software version, before its registration said so.

Cause: the version of a server was read from its registration, which is known some time after the start that it describes. Nothing tied the process that answers to the registration.

Ruled out: the headers of an answer (they show no start); asking over a connection of its own (the server can start again between the question and the request); asking before each stream that begins (a question for each connection, also while nothing fails).

Change: before a stream or an item goes on at a server whose registration states a start, the server is asked for the start of its process (/api/report, born) on the connection that then carries the request. A connection ends with its process, so one answer holds for all that goes on over it. After another start, another id or no answer in 250 ms the next server of the version is tried. Stand-ins of servers answer the report.

Not closed: a stream that begins at such a start counts as one of the registered version until the registration is read.

--- a/packages/node/src/carobspool_node/direct/__init__.py
+++ b/packages/node/src/carobspool_node/direct/__init__.py
@@ -25,6 +25,7 @@
     DirectSettings,
     load_direct_settings,
 )
+from carobspool_node.direct._start_check import StartReport
 
 __all__ = [
     "DIRECT_ROLES",
@@ -42,6 +43,7 @@
     "ReadBody",
     "ReadResults",
     "ResultsPage",
+    "StartReport",
     "load_direct_settings",
     "make_direct_entry",
     "make_keeper",
--- a/packages/node/src/carobspool_node/direct/_channel.py
+++ b/packages/node/src/carobspool_node/direct/_channel.py
@@ -113,9 +113,13 @@
         last_used: When the connection was opened or last released to a pool.
         idle_limit: How long the connection may stay idle; 0 until it is known, negative if the
             connection must not be reused.
+        start_confirmed: Whether the upstream has confirmed its registered start on the connection.
     """
 
-    __slots__ = ("_cancellation", "_clock", "_http", "_socket", "fresh", "idle_limit", "last_used")
+    __slots__ = (
+        *("_cancellation", "_clock", "_http", "_socket"),
+        *("fresh", "idle_limit", "last_used", "start_confirmed"),
+    )
 
     def __init__(self, sock: socket.socket, http: h11.Connection, clock: Clock) -> None:
         self._socket = sock
@@ -125,6 +129,7 @@
         self.fresh = True
         self.last_used: Millis = clock.now()
         self.idle_limit: Millis = 0.0
+        self.start_confirmed = False
 
     @property
     def http(self) -> h11.Connection:
--- a/packages/node/src/carobspool_node/direct/_deployment.py
+++ b/packages/node/src/carobspool_node/direct/_deployment.py
@@ -12,6 +12,7 @@
 from carobspool_node.direct._jobs import ResultsPage
 from carobspool_node.direct._messages import CallerRequest, HeaderNames
 from carobspool_node.direct._settings import DirectSettings
+from carobspool_node.direct._start_check import StartReport
 from carobspool_node.stream_backups import RunMoves
 
 
@@ -76,6 +77,7 @@
         retired: Status object that reports a host as empty.
         ready_path: Path of the load balancer's health check.
         run_moves: Format of the calls that move runs, ``None`` if the platform has no such calls.
+        start_report: How upstreams are asked when they started, ``None`` if they cannot be asked.
     """
 
     headers: HeaderNames
@@ -89,3 +91,4 @@
     retired: Json
     ready_path: str
     run_moves: RunMoves | None = None
+    start_report: StartReport | None = None
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -82,7 +82,7 @@
             ),
             paces=self._paces,
         )
-        self._connections = UpstreamConnections(self._clock)
+        self._connections = UpstreamConnections(self._clock, deployment.start_report)
         self._peer_caller = PeerCaller(self._clock)
         self._quota = RequestQuota(self._clock, known_peers=lambda: self._peers.known_peers())
         self._peers = make_peers(
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -356,6 +356,7 @@
                 upstream_request(state, upstream, self._names, now=started, run_from=run_from),
                 self._call_deadline(state),
                 idle_deadline=self._idle_deadline(state, upstream, started),
+                goes_on=state.version is not None,
             )
             self._loads.record_activity(upstream)
             return self._relay_answer(state, upstream, call, head)
--- a/packages/node/src/carobspool_node/direct/_item_run.py
+++ b/packages/node/src/carobspool_node/direct/_item_run.py
@@ -111,7 +111,11 @@
             )
         call = UpstreamCall(self._connections, upstream, self._names, cancellation=run.cancellation)
         try:
-            head = call.start(self._request(job, work, upstream), now + HEAD_TIMEOUT)
+            head = call.start(
+                self._request(job, work, upstream),
+                now + HEAD_TIMEOUT,
+                goes_on=work.last_event > 0,
+            )
             self._loads.record_activity(upstream)
             outcome = self._read_response(call, head, work, upstream, run)
             if outcome.end is not RunEnd.NOT_RUN:
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_start_check.py
@@ -0,0 +1,106 @@
+"""Asks an upstream when it started, on the connection that carries the next request to it.
+
+An upstream can start again under its id and address, at another software version, and its new
+registration is known only some time later. What goes on at an upstream after events of another one
+must not reach such a start. A connection ends with the process that serves it, so one answer holds
+for all requests on it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import h11
+from msgspec import Struct
+
+from carobspool_core import Millis
+from carobspool_core.direct import Upstream
+from carobspool_node.direct._channel import Channel
+from carobspool_node.direct._errors import ConnectionBrokenError
+from carobspool_node.direct._messages import HeaderNames, Headers
+
+MAX_REPORT_BYTES = 1_000_000
+"""Far above the report of an upstream that lists some hundred runs."""
+
+
+class StartReport(Struct, frozen=True, kw_only=True):
+    """How upstreams are asked when they started.
+
+    Attributes:
+        path: Path of an upstream's report on itself.
+        read_started: Returns the Unix milliseconds of the start from the report's body, 0 if the
+            report does not state them.
+    """
+
+    path: str
+    read_started: Callable[[bytes], int]
+
+
+class OtherStartError(Exception):
+    """The process at the upstream's address is not known to be its registered start."""
+
+
+def confirm_start(
+    channel: Channel,
+    upstream: Upstream,
+    report: StartReport,
+    names: HeaderNames,
+    deadline: Millis,
+) -> bool:
+    """Ask an upstream for its start on a new connection.
+
+    Upstreams whose report does not state a start pass.
+
+    Args:
+        channel: The connection.
+        upstream: The upstream as it is registered.
+        report: How it is asked.
+        names: Header names of the deployment.
+        deadline: Time by which it must have answered.
+
+    Returns:
+        Whether the connection can carry further requests.
+
+    Raises:
+        OtherStartError: It has started again, or does not answer as itself.
+        ConnectionBrokenError: The connection broke.
+        DeadlinePassedError: It has not answered.
+    """
+    http = channel.http
+    headers: Headers = [
+        (b"Host", upstream.address[0].encode()),
+        (names.expect_instance, upstream.instance.encode()),
+    ]
+    head = http.send(h11.Request(method=b"GET", target=report.path.encode(), headers=headers))
+    channel.send((head or b"") + (http.send(h11.EndOfMessage()) or b""), deadline)
+    status, body = _read_answer(channel, deadline)
+    if status != 200:
+        raise OtherStartError(f"status {status} instead of the upstream's report")
+    started = report.read_started(body)
+    if started and started != upstream.started:
+        raise OtherStartError(f"registered with start {upstream.started}, and started at {started}")
+    if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+        return False
+    if http.trailing_data[0]:
+        return False
+    http.start_next_cycle()
+    channel.fresh = False
+    channel.start_confirmed = True
+    return True
+
+
+def _read_answer(channel: Channel, deadline: Millis) -> tuple[int, bytes]:
+    status = 0
+    body = b""
+    while True:
+        event = channel.next_event(deadline)
+        if isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > MAX_REPORT_BYTES:
+                raise ConnectionBrokenError("the upstream's report is too long")
+        elif isinstance(event, h11.EndOfMessage):
+            return status, body
+        elif not isinstance(event, h11.InformationalResponse):
+            raise ConnectionBrokenError("closed before an answer")
--- a/packages/node/src/carobspool_node/direct/_upstream_calls.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_calls.py
@@ -18,12 +18,16 @@
 )
 from carobspool_node.direct._messages import HeaderNames, Headers, UpstreamHead, find_header
 from carobspool_node.direct._open_calls import OpenCall, OpenCalls
+from carobspool_node.direct._start_check import OtherStartError, StartReport, confirm_start
 
 CONNECT_TIMEOUT: Millis = 300.0
 """Connecting takes 1 ms plus a round trip of at most 3 ms; a host without power does not respond.
 A lost SYN is retransmitted after a second, so calling another upstream is faster than waiting."""
 PROBE_TIMEOUT: Millis = 100.0
 """A host whose process has ended refuses a connection within a round trip."""
+START_CHECK_TIMEOUT: Millis = 250.0
+"""Longest wait for an upstream's report, which it answers without a slot. Callers give up after two
+seconds without an event, so that a stream can go on elsewhere."""
 DEFAULT_IDLE_LIMIT: Millis = 1_000.0
 """How long a connection stays in the pool if its upstream sends no keep-alive timeout."""
 IDLE_LIMIT_FRACTION = 0.7
@@ -62,10 +66,15 @@
 
     Connections are keyed by the upstream's identity, which changes at each start: a late answer
     from an earlier start never matches a request to the new one.
+
+    Args:
+        clock: The process's clock.
+        start_report: How upstreams are asked when they started, ``None`` if they cannot be asked.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, start_report: StartReport | None = None) -> None:
         self._clock = clock
+        self._start_report = start_report
         self._lock = threading.Lock()
         self._idle: dict[str, list[Channel]] = {}
         self._calls = OpenCalls(clock)
@@ -96,6 +105,30 @@
                 return channel
             channel.close()
 
+    def acquire_confirmed(self, upstream: Upstream, names: HeaderNames) -> Channel:
+        """Return a connection to the start of an upstream that its registration describes.
+
+        Raises:
+            CallFailedError: No connection can be opened, or the upstream has started again or does
+                not answer; no request was sent.
+        """
+        if self._start_report is None or not upstream.started:
+            return self.acquire(upstream)
+        channel = self._take_confirmed(upstream)
+        if channel is not None:
+            return channel
+        channel = self._open(upstream)
+        deadline = self._clock.now() + START_CHECK_TIMEOUT
+        try:
+            is_reusable = confirm_start(channel, upstream, self._start_report, names, deadline)
+        except (OtherStartError, ConnectionBrokenError, DeadlinePassedError) as error:
+            channel.close()
+            raise CallFailedError(f"start not confirmed: {error}", sent=False) from error
+        if is_reusable:
+            return channel
+        channel.close()
+        return self._open(upstream)
+
     def release(self, upstream: Upstream, channel: Channel) -> None:
         """Return a connection to the pool if it can be reused, else close it."""
         channel.set_cancellation(None)
@@ -145,6 +178,16 @@
                 return
         channel.close()
 
+    def _take_confirmed(self, upstream: Upstream) -> Channel | None:
+        """Return an idle connection on which the upstream has confirmed its start, if any."""
+        with self._lock:
+            idle = self._idle.get(upstream.identity, [])
+            for channel in reversed(idle):
+                if channel.start_confirmed and self._is_usable(channel):
+                    idle.remove(channel)
+                    return channel
+        return None
+
     def _open(self, upstream: Upstream) -> Channel:
         try:
             channel = connect(upstream.address, CONNECT_TIMEOUT, self._clock)
@@ -196,6 +239,7 @@
         deadline: Millis,
         *,
         idle_deadline: Callable[[], Millis] | None = None,
+        goes_on: bool = False,
     ) -> UpstreamHead:
         """Send the request and return the head of its answer.
 
@@ -205,6 +249,8 @@
             idle_deadline: Returns the time at which the upstream counts as silent. This time
                 advances while the upstream answers other requests. ``None`` waits until
                 ``deadline``.
+            goes_on: Whether the answer goes on after events of another upstream, so that it must
+                come from the start of this one that its registration describes.
 
         Raises:
             CallFailedError: The upstream sent no answer to this request; ``sent`` says whether the
@@ -215,7 +261,10 @@
             CallCancelledError: Another task cancelled the call; the request may have run.
         """
         self._connections.calls.add(self._open_call)
-        channel = self._connections.acquire(self._upstream)
+        if goes_on:
+            channel = self._connections.acquire_confirmed(self._upstream, self._names)
+        else:
+            channel = self._connections.acquire(self._upstream)
         self._channel = channel
         if self._open_call.upstream_restarted:
             raise CallFailedError(_UPSTREAM_RESTARTED, sent=False)
--- a/packages/node/tests/test_direct_upstream_calls.py
+++ b/packages/node/tests/test_direct_upstream_calls.py
@@ -1,11 +1,13 @@
-"""One request to an upstream that answers late."""
+"""Requests to an upstream that answers late, or that has started again."""
 
 from __future__ import annotations
 
+import json
 import socket
 import threading
 import time
 from collections.abc import Iterator
+from contextlib import contextmanager
 
 import pytest
 
@@ -13,11 +15,21 @@
 from carobspool_core.direct import Upstream
 from carobspool_node.direct._errors import DeadlinePassedError
 from carobspool_node.direct._messages import HeaderNames
+from carobspool_node.direct._start_check import StartReport
 from carobspool_node.direct._upstream_calls import (
+    START_CHECK_TIMEOUT,
+    CallFailedError,
     UpstreamCall,
     UpstreamConnections,
     UpstreamRequest,
 )
+from carobspool_standins.platform_server import (
+    REPORT_PATH,
+    PlatformServer,
+    ServedRequest,
+    ServerConnection,
+    serve_platform_server,
+)
 
 NAMES = HeaderNames(**{each: b"x-" + each.encode() for each in HeaderNames.__struct_fields__})
 ANSWER_AFTER_S = 0.4
@@ -71,3 +83,103 @@
         assert call.start(request, started + 5_000.0, idle_deadline=idle_deadline).status == 200
     finally:
         call.close()
+
+
+SERVER_NAMES = HeaderNames(expect_instance=b"expect-instance", signature=b"server-stamp")
+STARTED = 1_700_000_000_000
+REPORT = StartReport(path=REPORT_PATH, read_started=lambda body: json.loads(body).get("born", 0))
+
+
+def _answer(request: ServedRequest, connection: ServerConnection) -> None:
+    connection.send_response(request)
+
+
+@contextmanager
+def _server(started: int = STARTED) -> Iterator[PlatformServer]:
+    with serve_platform_server("u", _answer, started=started) as server:
+        yield server
+
+
+def _registered(server: PlatformServer, instance: str = "u") -> Upstream:
+    return Upstream(
+        instance=instance,
+        service="engine",
+        address=server.address,
+        failure_domain="a",
+        slots=8,
+        ready=True,
+        started=STARTED,
+    )
+
+
+def _go_on(connections: UpstreamConnections, upstream: Upstream) -> int:
+    """Make a call that goes on after events of another upstream; return its status."""
+    call = UpstreamCall(connections, upstream, SERVER_NAMES)
+    request = UpstreamRequest(
+        method=b"POST",
+        target=b"/",
+        headers=[(b"Host", b"h"), (b"Request-Id", b"r"), (b"Content-Length", b"0")],
+        body=b"",
+        request_id="r",
+    )
+    deadline = connections.clock.now() + 5_000.0
+    try:
+        head = call.start(request, deadline, goes_on=True)
+        call.read_body(deadline)
+        return head.status
+    finally:
+        call.close()
+
+
+def test_an_upstream_confirms_its_start_once_on_each_connection() -> None:
+    """Guards against a question before each stream that goes on."""
+    connections = UpstreamConnections(monotonic_clock(), REPORT)
+    with _server() as server:
+        assert [_go_on(connections, _registered(server)) for _ in range(3)] == [200] * 3
+        assert (server.reports, server.connections) == (1, 1)
+        server.crash()
+        server.started = STARTED - 1
+        server.start()
+        assert server.started != STARTED
+        with pytest.raises(CallFailedError, match="registered with start") as failure:
+            _go_on(connections, _registered(server))
+        assert not failure.value.sent
+        assert len(server.requests) == 3
+
+
+def test_nothing_goes_on_at_an_upstream_under_another_id() -> None:
+    """Guards against an address that another upstream has taken over."""
+    connections = UpstreamConnections(monotonic_clock(), REPORT)
+    with _server() as server:
+        with pytest.raises(CallFailedError, match="status 421"):
+            _go_on(connections, _registered(server, instance="earlier"))
+        assert not server.requests
+
+
+def test_an_upstream_whose_report_states_no_start_is_called() -> None:
+    """Guards against streams that end because an upstream does not state its start."""
+    connections = UpstreamConnections(monotonic_clock(), REPORT)
+    with _server(started=0) as server:
+        assert _go_on(connections, _registered(server)) == 200
+
+
+def test_an_upstream_that_does_not_report_is_given_up_soon() -> None:
+    """Guards against a stream that waits for a frozen upstream until its caller gives up."""
+    clock = monotonic_clock()
+    connections = UpstreamConnections(clock, REPORT)
+    with _server() as server:
+        server.hold_output()
+        began = clock.now()
+        with pytest.raises(CallFailedError, match="start not confirmed"):
+            _go_on(connections, _registered(server))
+        assert START_CHECK_TIMEOUT <= clock.now() - began < 2 * START_CHECK_TIMEOUT
+        assert not server.requests
+
+
+def test_an_upstream_that_closes_after_its_report_is_called_on_another_connection() -> None:
+    """Guards against streams that cannot go on at servers without persistent connections."""
+    connections = UpstreamConnections(monotonic_clock(), REPORT)
+    with _server() as server:
+        server.closes_after_report = True
+        assert _go_on(connections, _registered(server)) == 200
+        assert (server.reports, server.connections) == (1, 2)
--- a/packages/standins/src/carobspool_standins/_platform_server_start.py
+++ b/packages/standins/src/carobspool_standins/_platform_server_start.py
@@ -30,6 +30,10 @@
         self._sockets: set[socket.socket] = set()
         self._held_output: list[tuple[socket.socket, bytes]] | None = None
 
+    def report(self) -> dict[str, object]:
+        """Return what the server reports on itself."""
+        return {"state": "ready"} | ({"born": self.started} if self.started else {})
+
     def add_connection(self, sock: socket.socket) -> None:
         """Add an accepted connection, which is reset if the server has crashed since."""
         with self._lock:
--- a/packages/standins/src/carobspool_standins/platform_server.py
+++ b/packages/standins/src/carobspool_standins/platform_server.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import socket
 import threading
 import time
@@ -21,6 +22,8 @@
 
 from carobspool_standins._platform_server_start import RESET_ON_CLOSE, ServerStart
 
+REPORT_PATH = "/api/report"
+
 
 @dataclass(frozen=True, slots=True)
 class ServedRequest:
@@ -74,6 +77,19 @@
         head = f"HTTP/1.1 {status} No\r\nNot-Executed: 1\r\nRequest-Id: {request.request_id}\r\n"
         self.send(head.encode() + b"Content-Length: 0\r\n\r\n")
 
+    def send_json(self, value: object, *, closes: bool = False) -> None:
+        """Send an unsigned response with a JSON body, as for calls on the server itself.
+
+        Args:
+            value: The body.
+            closes: Whether the connection ends with the response.
+        """
+        body = json.dumps(value).encode()
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n"
+        self.send(head % len(body) + (b"Connection: close\r\n" if closes else b"") + b"\r\n" + body)
+        if closes:
+            self.close()
+
     def send_stream_headers(self, request: ServedRequest) -> None:
         """Send the headers of a signed event stream."""
         head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request.request_id}\r\nServer-Stamp: s\r\n"
@@ -151,8 +167,10 @@
         started: Unix milliseconds of the latest start; 0 if the server does not publish it.
         requests: Requests of all starts, in order of arrival.
         connections: Number of connections accepted over all starts.
+        reports: Number of times that a start was asked for its report on itself.
         slots: Number of requests that the server publishes to run at once.
         version: Version of the software that the next start runs and that the server publishes.
+        closes_after_report: Whether the server closes a connection after its report on itself.
     """
 
     instance: str
@@ -161,8 +179,10 @@
     started: int
     requests: list[ServedRequest] = field(default_factory=list)
     connections: int = 0
+    reports: int = 0
     slots: int = 8
     version: str = "v1"
+    closes_after_report: bool = False
     _start: ServerStart | None = None
     _isolated_starts: list[ServerStart] = field(default_factory=list)
 
@@ -212,6 +232,10 @@
         start.stop_listening()
         self._isolated_starts.append(start)
 
+    def hold_output(self) -> None:
+        """Go silent, with all connections open and new ones accepted."""
+        self._current_start().hold_output()
+
     def deliver_held_output(self) -> None:
         """Send the output that was held since the server was isolated."""
         for start in self._isolated_starts:
@@ -274,10 +298,16 @@
         if request is None:
             sock.close()
             return
-        server.requests.append(request)
         connection = ServerConnection(sock, start)
+        is_report = request.target == REPORT_PATH
+        if is_report:
+            server.reports += 1
+        else:
+            server.requests.append(request)
         if request.headers.get("expect-instance", server.instance) != server.instance:
             connection.send_not_executed(request, 421)
+        elif is_report:
+            connection.send_json(start.report(), closes=server.closes_after_report)
         else:
             server.handle_request(request, connection)
         if connection.closed:
--- a/tests/adapter/test_registrations.py
+++ b/tests/adapter/test_registrations.py
@@ -9,7 +9,7 @@
 from carobspool_core import Json
 from carobspool_core.problems import UnusableRecordError
 from carobspool_platform._configuration import read_configuration
-from carobspool_platform._registrations import read_upstream
+from carobspool_platform._registrations import read_started, read_upstream
 
 GOOD: dict[str, Json] = {
     "service": "s",
@@ -129,3 +129,21 @@
     assert read_configuration(value).version == 7
     with pytest.raises(UnusableRecordError):
         read_configuration(value | changes)
+
+
+@pytest.mark.parametrize(
+    ("report", "started"),
+    [
+        (b'{"stage":"both","born":1764831600000,"running":2}', 1764831600000),
+        (b'{"stage":"both","running":2}', 0),
+        (b'{"born":"1764831600000"}', 0),
+        (b'{"born":true}', 0),
+        (b'{"born":-4}', 0),
+        (b'[{"born":5}]', 0),
+        (b"not JSON", 0),
+        (b"\xff", 0),
+    ],
+)
+def test_the_start_that_a_report_states(report: bytes, started: int) -> None:
+    """Guards against a start taken from a report that does not state one."""
+    assert read_started(report) == started
--- a/tests/direct/test_stream_versions.py
+++ b/tests/direct/test_stream_versions.py
@@ -384,3 +384,26 @@
     eventually(lambda: all(len(each.ids) > 2 for each in more), 3.0)
     other.crash()
     assert _joined([each.join() for each in (*callers, *more)]) == []
+
+
+def test_a_batch_item_does_not_resume_at_a_server_whose_new_version_is_not_registered_yet(
+    system: Deployment,
+) -> None:
+    """Guards against an item that resumes at a server taken for its earlier start."""
+    fleet = Fleet(system, entries=1, engines=2)
+    entry = system.entries[0]
+    ids = [f"item{number}" for number in range(6)]
+    assert entry.call("POST", "/batch/1", body=job_body(*ids), request_id="job1").status == 202
+    back, other = system.servers
+    eventually(lambda: all(server.requests for server in system.servers), 5.0)
+    back.crash()
+    back.version = "v2"
+    back.start()
+    eventually(lambda: fleet.lines("event=upstream_used_again"), 3.0)
+    other.crash()
+    system.objects.remove("servers", other.instance)
+    eventually(lambda: fleet.lines("event=item .*(start not confirmed|outcome=completed)"), 5.0)
+    system.objects.put("servers", back.instance, back.registration("engine"))
+    results = eventually(lambda: all_results(entry, "job1"), 20.0)
+    _assert_one_version_each(results, ids)
+    assert fleet.lines("event=item_started_over .* from_version=v1 .* to_version=v2")
