A stream that began at a start not registered yet does not go on

Callers saw streams of two versions also where the first events came from a server that had started again at another version: the entry took it for the start that was still registered.

Cause: the same as for a stream that goes on at such a server. The version of a first event was that of the registration, which is known some time after the start.

Change: a restart breaks the open connections to a server, so after a broken, refused or closed connection the server is asked for its start before a stream or an item begins there, until one connection is confirmed. Another start is used, but the version of what begins there is uncertain: it does not go on, and two peers are told so. The pool of connections has a module of its own.

--- a/packages/core/src/carobspool_core/direct/_upstreams.py
+++ b/packages/core/src/carobspool_core/direct/_upstreams.py
@@ -25,7 +25,8 @@
 them for longer would send requests to upstreams that are really gone.
 """
 UNKNOWN_VERSION = ""
-"""Version of a server whose registration came from an entry that does not read versions."""
+"""Version of a server whose registration came from an entry that does not read versions, and of
+events that may come from a start of their server that is not registered yet."""
 MAX_REMEMBERED_STARTS = 4_096
 """Ids whose latest start is remembered after their removal; far more than a fleet has at once."""
 
--- a/packages/node/src/carobspool_node/direct/_channel.py
+++ b/packages/node/src/carobspool_node/direct/_channel.py
@@ -113,7 +113,8 @@
         last_used: When the connection was opened or last released to a pool.
         idle_limit: How long the connection may stay idle; 0 until it is known, negative if the
             connection must not be reused.
-        start_confirmed: Whether the upstream has confirmed its registered start on the connection.
+        start_confirmed: Whether the upstream was registered with the start that it has stated on
+            the connection, ``None`` if it was not asked.
     """
 
     __slots__ = (
@@ -129,7 +130,7 @@
         self.fresh = True
         self.last_used: Millis = clock.now()
         self.idle_limit: Millis = 0.0
-        self.start_confirmed = False
+        self.start_confirmed: bool | None = None
 
     @property
     def http(self) -> h11.Connection:
@@ -145,6 +146,17 @@
         """Replace the HTTP state and keep the socket."""
         self._http = http
 
+    def start_next_request(self) -> bool:
+        """Prepare for the next request; return whether the connection can carry one."""
+        http = self._http
+        if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+            return False
+        if http.trailing_data[0]:
+            return False
+        http.start_next_cycle()
+        self.fresh = False
+        return True
+
     def set_cancellation(self, cancellation: Cancellation | None) -> None:
         """Set the cancellation that can end the call on this connection; ``None`` detaches it."""
         if self._cancellation is not None:
--- a/packages/node/src/carobspool_node/direct/_continued_streams.py
+++ b/packages/node/src/carobspool_node/direct/_continued_streams.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from carobspool_core import Clock, Millis, VerdictKind
-from carobspool_core.direct import Upstream
+from carobspool_core.direct import UNKNOWN_VERSION, Upstream
 from carobspool_core.stream_backups import MIN_HEALTHY, LossReason, RunFacts, reason_to_end
 from carobspool_core.upstream_pace import read_demand
 from carobspool_node.direct._crash_isolation import CrashIsolation
@@ -110,7 +110,7 @@
             return reason_to_end(facts, min_time_left=MIN_CALL_TIME)
 
         ends = reason()
-        if ends is None and self._has_other_version(run.source):
+        if ends is None and self._may_have_other_version(state, run.source):
             ends = LossReason.OTHER_VERSION
         if ends is not None:
             return ends
@@ -127,6 +127,10 @@
             self._backups.free(run, found.handle)
         return found if ends is None else ends
 
+    def _may_have_other_version(self, state: RequestState, source: Upstream) -> bool:
+        """Whether the events of a stream may come from a later start of its upstream."""
+        return state.version == UNKNOWN_VERSION or self._has_other_version(source)
+
     def _run(
         self,
         state: RequestState,
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -40,7 +40,7 @@
 from carobspool_node.direct._stop_signal import StopSignal
 from carobspool_node.direct._stream_origins import StreamOrigins
 from carobspool_node.direct._telemetry import Telemetry
-from carobspool_node.direct._upstream_calls import UpstreamConnections
+from carobspool_node.direct._upstream_connections import UpstreamConnections
 from carobspool_node.direct._view_exchange import ViewExchange
 from carobspool_node.online_queue import OnlineQueue
 from carobspool_node.organisations import RequestQuota
--- a/packages/node/src/carobspool_node/direct/_entry_restarts.py
+++ b/packages/node/src/carobspool_node/direct/_entry_restarts.py
@@ -9,7 +9,7 @@
 from carobspool_core.direct import Upstream
 from carobspool_node.direct._loads import LoadTable
 from carobspool_node.direct._telemetry import Telemetry
-from carobspool_node.direct._upstream_calls import UpstreamConnections
+from carobspool_node.direct._upstream_connections import UpstreamConnections
 
 
 def restart_handler(
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -52,11 +52,8 @@
 )
 from carobspool_node.direct._stream_versions import StreamVersions
 from carobspool_node.direct._telemetry import Telemetry
-from carobspool_node.direct._upstream_calls import (
-    CallFailedError,
-    UpstreamCall,
-    UpstreamConnections,
-)
+from carobspool_node.direct._upstream_calls import Joins, UpstreamCall
+from carobspool_node.direct._upstream_connections import CallFailedError, UpstreamConnections
 from carobspool_node.online_queue import QueueRefusedError
 
 MAX_REJECTIONS = 3
@@ -356,8 +353,9 @@
                 upstream_request(state, upstream, self._names, now=started, run_from=run_from),
                 self._call_deadline(state),
                 idle_deadline=self._idle_deadline(state, upstream, started),
-                goes_on=state.version is not None,
+                joins=_joins(state),
             )
+            state.start_confirmed = call.start_confirmed
             self._loads.record_activity(upstream)
             return self._relay_answer(state, upstream, call, head)
         except CallFailedError as error:
@@ -488,3 +486,10 @@
         if head.status < 500 or state.runs >= state.route.max_attempts:
             return False
         return state.route.kind is RouteKind.SAFE
+
+
+def _joins(state: RequestState) -> Joins | None:
+    """Return which events the events of the next call for a request may join."""
+    if state.version is not None:
+        return Joins.BEFORE
+    return Joins.AFTER if state.route.kind is RouteKind.STREAM else None
--- a/packages/node/src/carobspool_node/direct/_item_run.py
+++ b/packages/node/src/carobspool_node/direct/_item_run.py
@@ -9,6 +9,7 @@
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import (
+    UNKNOWN_VERSION,
     EventSplitter,
     ItemWork,
     JobInput,
@@ -27,12 +28,8 @@
     end_to_end_headers,
     replace_credentials,
 )
-from carobspool_node.direct._upstream_calls import (
-    CallFailedError,
-    UpstreamCall,
-    UpstreamConnections,
-    UpstreamRequest,
-)
+from carobspool_node.direct._upstream_calls import Joins, UpstreamCall, UpstreamRequest
+from carobspool_node.direct._upstream_connections import CallFailedError, UpstreamConnections
 
 HEAD_TIMEOUT: Millis = 4_000.0
 """Longest time to the first event of an item. The item can wait at an engine behind a burst of
@@ -114,7 +111,7 @@
             head = call.start(
                 self._request(job, work, upstream),
                 now + HEAD_TIMEOUT,
-                goes_on=work.last_event > 0,
+                joins=Joins.BEFORE if work.last_event else Joins.AFTER,
             )
             self._loads.record_activity(upstream)
             outcome = self._read_response(call, head, work, upstream, run)
@@ -172,7 +169,7 @@
                 if event.event_id != work.last_event + 1:
                     raise CallFailedError("an event id is missing from the sequence", sent=True)
                 if not work.last_event:
-                    work.version = upstream.version
+                    work.version = upstream.version if call.start_confirmed else UNKNOWN_VERSION
                 work.waits_since = None
                 work.received_texts.append(event.data)
         if splitter.incomplete:
--- a/packages/node/src/carobspool_node/direct/_peer_calls.py
+++ b/packages/node/src/carobspool_node/direct/_peer_calls.py
@@ -13,12 +13,8 @@
 from carobspool_node.direct._messages import HeaderNames
 from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._peer_messages import decode_cbor
-from carobspool_node.direct._upstream_calls import (
-    CallFailedError,
-    UpstreamCall,
-    UpstreamConnections,
-    UpstreamRequest,
-)
+from carobspool_node.direct._upstream_calls import UpstreamCall, UpstreamRequest
+from carobspool_node.direct._upstream_connections import CallFailedError, UpstreamConnections
 
 PEER_HEADERS = HeaderNames()
 """Header names of calls between entries, the same in every deployment."""
--- a/packages/node/src/carobspool_node/direct/_request_state.py
+++ b/packages/node/src/carobspool_node/direct/_request_state.py
@@ -38,6 +38,8 @@
             event is known.
         version: Software version at which the stream must go on: that of the upstream that brought
             its first event. ``None`` before that event is known.
+        start_confirmed: Whether nothing says that the current call reached another start of its
+            upstream than the registered one.
         is_retry: Whether the caller has retried the request after a refusal.
         last_failure: Why the last call failed.
         demand: Tokens and prompt parts that the request states, ``None`` if it states none.
@@ -64,6 +66,7 @@
     streaming: bool = False
     service: str = ""
     version: str | None = None
+    start_confirmed: bool = True
     is_retry: bool = False
     last_failure: str = ""
     demand: PromptDemand | None = None
--- a/packages/node/src/carobspool_node/direct/_start_check.py
+++ b/packages/node/src/carobspool_node/direct/_start_check.py
@@ -1,9 +1,8 @@
 """Asks an upstream when it started, on the connection that carries the next request to it.
 
 An upstream can start again under its id and address, at another software version, and its new
-registration is known only some time later. What goes on at an upstream after events of another one
-must not reach such a start. A connection ends with the process that serves it, so one answer holds
-for all requests on it.
+registration is known only some time later. A connection ends with the process that serves it, so
+one answer holds for all requests on it.
 """
 
 from __future__ import annotations
@@ -36,20 +35,18 @@
     read_started: Callable[[bytes], int]
 
 
-class OtherStartError(Exception):
-    """The process at the upstream's address is not known to be its registered start."""
+class NoReportError(Exception):
+    """An upstream has answered, but not with its report."""
 
 
-def confirm_start(
+def ask_start(
     channel: Channel,
     upstream: Upstream,
     report: StartReport,
     names: HeaderNames,
     deadline: Millis,
-) -> bool:
-    """Ask an upstream for its start on a new connection.
-
-    Upstreams whose report does not state a start pass.
+) -> int:
+    """Ask the process at the other end of a new connection when it started.
 
     Args:
         channel: The connection.
@@ -59,10 +56,10 @@
         deadline: Time by which it must have answered.
 
     Returns:
-        Whether the connection can carry further requests.
+        Unix milliseconds, 0 if its report does not state them.
 
     Raises:
-        OtherStartError: It has started again, or does not answer as itself.
+        NoReportError: The process refuses, or belongs to another upstream.
         ConnectionBrokenError: The connection broke.
         DeadlinePassedError: It has not answered.
     """
@@ -75,18 +72,8 @@
     channel.send((head or b"") + (http.send(h11.EndOfMessage()) or b""), deadline)
     status, body = _read_answer(channel, deadline)
     if status != 200:
-        raise OtherStartError(f"status {status} instead of the upstream's report")
-    started = report.read_started(body)
-    if started and started != upstream.started:
-        raise OtherStartError(f"registered with start {upstream.started}, and started at {started}")
-    if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
-        return False
-    if http.trailing_data[0]:
-        return False
-    http.start_next_cycle()
-    channel.fresh = False
-    channel.start_confirmed = True
-    return True
+        raise NoReportError(f"status {status} instead of the upstream's report")
+    return report.read_started(body)
 
 
 def _read_answer(channel: Channel, deadline: Millis) -> tuple[int, bytes]:
--- a/packages/node/src/carobspool_node/direct/_stream_origins.py
+++ b/packages/node/src/carobspool_node/direct/_stream_origins.py
@@ -140,17 +140,18 @@
         self._told: set[str] = set()
         self._calls = ThreadPoolExecutor(MAX_CONCURRENT_CALLS, thread_name_prefix="origin")
 
-    def begin(self, stream_id: str, upstream: Upstream) -> None:
+    def begin(self, stream_id: str, upstream: Upstream, version: str) -> None:
         """Record the origin of a stream, before its first event is forwarded.
 
         Args:
             stream_id: Request id of the caller's attempt that brings the first event.
             upstream: The upstream that has sent the event.
+            version: Its software version; `UNKNOWN_VERSION` if that is not certain.
         """
-        origin = StreamOrigin(service=upstream.service, version=upstream.version)
+        origin = StreamOrigin(service=upstream.service, version=version)
         with self._lock:
             self._table.add(stream_id, origin, self._clock.now(), instance=upstream.instance)
-        if self._must_tell(upstream.service):
+        if not origin.is_certain or self._must_tell(upstream.service):
             self._tell([stream_id], origin)
 
     def find(self, stream_id: str, route: Route) -> FoundOrigin:
--- a/packages/node/src/carobspool_node/direct/_stream_versions.py
+++ b/packages/node/src/carobspool_node/direct/_stream_versions.py
@@ -38,9 +38,9 @@
         """Bind a stream whose first event is about to be forwarded."""
         state.service = upstream.service
         if state.version is None:
-            state.version = upstream.version
+            state.version = upstream.version if state.start_confirmed else UNKNOWN_VERSION
         if state.route.resumable and state.stream_id:
-            self._origins.begin(state.stream_id, upstream)
+            self._origins.begin(state.stream_id, upstream, state.version)
 
     def take_up(self, state: RequestState) -> bool:
         """Bind a stream that its caller takes up, or refuse it if its version is not certain.
--- a/packages/node/src/carobspool_node/direct/_upstream_calls.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_calls.py
@@ -2,43 +2,48 @@
 
 from __future__ import annotations
 
-import threading
 from collections.abc import Callable, Iterator
+from enum import Enum, auto
 
 import h11
 from msgspec import Struct
 
-from carobspool_core import Clock, Millis
+from carobspool_core import Millis
 from carobspool_core.direct import Upstream
-from carobspool_node.direct._channel import CallerWatch, Cancellation, Channel, connect
+from carobspool_node.direct._channel import CallerWatch, Cancellation, Channel
 from carobspool_node.direct._errors import (
     CallCancelledError,
     ConnectionBrokenError,
     DeadlinePassedError,
 )
 from carobspool_node.direct._messages import HeaderNames, Headers, UpstreamHead, find_header
-from carobspool_node.direct._open_calls import OpenCall, OpenCalls
-from carobspool_node.direct._start_check import OtherStartError, StartReport, confirm_start
-
-CONNECT_TIMEOUT: Millis = 300.0
-"""Connecting takes 1 ms plus a round trip of at most 3 ms; a host without power does not respond.
-A lost SYN is retransmitted after a second, so calling another upstream is faster than waiting."""
-PROBE_TIMEOUT: Millis = 100.0
-"""A host whose process has ended refuses a connection within a round trip."""
-START_CHECK_TIMEOUT: Millis = 250.0
-"""Longest wait for an upstream's report, which it answers without a slot. Callers give up after two
-seconds without an event, so that a stream can go on elsewhere."""
-DEFAULT_IDLE_LIMIT: Millis = 1_000.0
-"""How long a connection stays in the pool if its upstream sends no keep-alive timeout."""
+from carobspool_node.direct._open_calls import OpenCall
+from carobspool_node.direct._upstream_connections import (
+    DEFAULT_IDLE_LIMIT,
+    CallFailedError,
+    UpstreamConnections,
+)
+
 IDLE_LIMIT_FRACTION = 0.7
 """Fraction of the upstream's keep-alive timeout; the rest covers the next request's transit."""
-MAX_IDLE_PER_UPSTREAM = 24
-"""Three times the slots of an engine; more connections to one upstream are never in use at once."""
 MAX_STRAY_ANSWERS = 4
 """Answers to earlier requests after which a connection counts as broken."""
 _UPSTREAM_RESTARTED = "the upstream has started again"
 
 
+class Joins(Enum):
+    """Which events the events of an answer may join.
+
+    Attributes:
+        BEFORE: Those that another call has brought before, so that the answer must come from the
+            start of the upstream that its registration describes.
+        AFTER: Those that another call may bring later.
+    """
+
+    BEFORE = auto()
+    AFTER = auto()
+
+
 class UpstreamRequest(Struct, frozen=True, kw_only=True):
     """A request as it is sent to an upstream."""
 
@@ -49,160 +54,6 @@
     request_id: str
 
 
-class CallFailedError(Exception):
-    """A call returned no valid answer.
-
-    Attributes:
-        sent: Whether the upstream may have run the request.
-    """
-
-    def __init__(self, reason: str, *, sent: bool) -> None:
-        super().__init__(reason)
-        self.sent = sent
-
-
-class UpstreamConnections:
-    """Pool of idle connections to upstreams, and the calls in progress.
-
-    Connections are keyed by the upstream's identity, which changes at each start: a late answer
-    from an earlier start never matches a request to the new one.
-
-    Args:
-        clock: The process's clock.
-        start_report: How upstreams are asked when they started, ``None`` if they cannot be asked.
-    """
-
-    def __init__(self, clock: Clock, start_report: StartReport | None = None) -> None:
-        self._clock = clock
-        self._start_report = start_report
-        self._lock = threading.Lock()
-        self._idle: dict[str, list[Channel]] = {}
-        self._calls = OpenCalls(clock)
-
-    @property
-    def clock(self) -> Clock:
-        """The process's clock."""
-        return self._clock
-
-    @property
-    def calls(self) -> OpenCalls:
-        """The calls in progress."""
-        return self._calls
-
-    def acquire(self, upstream: Upstream) -> Channel:
-        """Return an idle connection from the pool, or a new one.
-
-        Raises:
-            CallFailedError: No connection can be opened; nothing was sent.
-        """
-        while True:
-            with self._lock:
-                idle = self._idle.get(upstream.identity)
-                channel = idle.pop() if idle else None
-            if channel is None:
-                return self._open(upstream)
-            if self._is_usable(channel):
-                return channel
-            channel.close()
-
-    def acquire_confirmed(self, upstream: Upstream, names: HeaderNames) -> Channel:
-        """Return a connection to the start of an upstream that its registration describes.
-
-        Raises:
-            CallFailedError: No connection can be opened, or the upstream has started again or does
-                not answer; no request was sent.
-        """
-        if self._start_report is None or not upstream.started:
-            return self.acquire(upstream)
-        channel = self._take_confirmed(upstream)
-        if channel is not None:
-            return channel
-        channel = self._open(upstream)
-        deadline = self._clock.now() + START_CHECK_TIMEOUT
-        try:
-            is_reusable = confirm_start(channel, upstream, self._start_report, names, deadline)
-        except (OtherStartError, ConnectionBrokenError, DeadlinePassedError) as error:
-            channel.close()
-            raise CallFailedError(f"start not confirmed: {error}", sent=False) from error
-        if is_reusable:
-            return channel
-        channel.close()
-        return self._open(upstream)
-
-    def release(self, upstream: Upstream, channel: Channel) -> None:
-        """Return a connection to the pool if it can be reused, else close it."""
-        channel.set_cancellation(None)
-        reusable = channel.http.our_state is h11.DONE and channel.http.their_state is h11.DONE
-        if not reusable or channel.http.trailing_data[0] or channel.has_input():
-            channel.close()
-            return
-        channel.http.start_next_cycle()
-        channel.fresh = False
-        self._add_idle(upstream, channel)
-
-    def has_ended(self, upstream: Upstream) -> bool:
-        """Return whether an upstream refuses connections: no process runs there any more.
-
-        An upstream that does not respond may be cut off and still run. A connection that opens is
-        added to the pool.
-        """
-        try:
-            channel = connect(upstream.address, PROBE_TIMEOUT, self._clock)
-        except ConnectionBrokenError as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
-        channel.idle_limit = DEFAULT_IDLE_LIMIT
-        self._add_idle(upstream, channel)
-        return False
-
-    def retain_only(self, identities: set[str]) -> None:
-        """Close idle connections to upstreams not in ``identities``, and expired ones."""
-        dropped: list[Channel] = []
-        with self._lock:
-            for identity in list(self._idle):
-                if identity not in identities:
-                    dropped.extend(self._idle.pop(identity))
-                    continue
-                idle = self._idle[identity]
-                expired = [each for each in idle if not self._is_recent(each)]
-                self._idle[identity] = [each for each in idle if each not in expired]
-                dropped.extend(expired)
-        for channel in dropped:
-            channel.close()
-
-    def _add_idle(self, upstream: Upstream, channel: Channel) -> None:
-        channel.last_used = self._clock.now()
-        with self._lock:
-            idle = self._idle.setdefault(upstream.identity, [])
-            if len(idle) < MAX_IDLE_PER_UPSTREAM:
-                idle.append(channel)
-                return
-        channel.close()
-
-    def _take_confirmed(self, upstream: Upstream) -> Channel | None:
-        """Return an idle connection on which the upstream has confirmed its start, if any."""
-        with self._lock:
-            idle = self._idle.get(upstream.identity, [])
-            for channel in reversed(idle):
-                if channel.start_confirmed and self._is_usable(channel):
-                    idle.remove(channel)
-                    return channel
-        return None
-
-    def _open(self, upstream: Upstream) -> Channel:
-        try:
-            channel = connect(upstream.address, CONNECT_TIMEOUT, self._clock)
-        except ConnectionBrokenError as error:
-            raise CallFailedError(str(error), sent=False) from error
-        return channel
-
-    def _is_recent(self, channel: Channel) -> bool:
-        return self._clock.now() - channel.last_used < channel.idle_limit
-
-    def _is_usable(self, channel: Channel) -> bool:
-        # Input on an idle connection is either data that belongs to no request or a close.
-        return self._is_recent(channel) and not channel.has_input()
-
-
 class UpstreamCall:
     """One request on one connection.
 
@@ -232,6 +83,7 @@
         self._channel: Channel | None = None
         self._complete = False
         self._connection_broken = False
+        self._start_confirmed = True
 
     def start(
         self,
@@ -239,7 +91,7 @@
         deadline: Millis,
         *,
         idle_deadline: Callable[[], Millis] | None = None,
-        goes_on: bool = False,
+        joins: Joins | None = None,
     ) -> UpstreamHead:
         """Send the request and return the head of its answer.
 
@@ -249,8 +101,7 @@
             idle_deadline: Returns the time at which the upstream counts as silent. This time
                 advances while the upstream answers other requests. ``None`` waits until
                 ``deadline``.
-            goes_on: Whether the answer goes on after events of another upstream, so that it must
-                come from the start of this one that its registration describes.
+            joins: Which events the answer's events may join, ``None`` if none.
 
         Raises:
             CallFailedError: The upstream sent no answer to this request; ``sent`` says whether the
@@ -261,10 +112,12 @@
             CallCancelledError: Another task cancelled the call; the request may have run.
         """
         self._connections.calls.add(self._open_call)
-        if goes_on:
-            channel = self._connections.acquire_confirmed(self._upstream, self._names)
-        else:
+        if joins is None:
             channel = self._connections.acquire(self._upstream)
+        else:
+            channel, self._start_confirmed = self._connections.acquire_checked(
+                self._upstream, self._names, goes_on=joins is Joins.BEFORE
+            )
         self._channel = channel
         if self._open_call.upstream_restarted:
             raise CallFailedError(_UPSTREAM_RESTARTED, sent=False)
@@ -276,7 +129,7 @@
             self._await_answer(channel, deadline, idle_deadline)
             head = self._read_head(channel, request, deadline)
         except ConnectionBrokenError as error:
-            self._connection_broken = True
+            self._record_broken()
             raise CallFailedError(str(error), sent=True) from error
         except CallCancelledError as error:
             self._raise_if_upstream_restarted(error)
@@ -301,7 +154,7 @@
             try:
                 event = channel.next_event(min(deadline, idle_deadline), self._watch)
             except ConnectionBrokenError as error:
-                self._connection_broken = True
+                self._record_broken()
                 raise CallFailedError(str(error), sent=True) from error
             except DeadlinePassedError as error:
                 if idle_deadline >= deadline:
@@ -331,6 +184,11 @@
         """
         return self._open_call.upstream_restarted
 
+    @property
+    def start_confirmed(self) -> bool:
+        """Whether nothing says that another start answers than the registration describes."""
+        return self._start_confirmed
+
     def upstream_has_ended(self) -> bool:
         """Return whether the call failed because the process that ran it has ended.
 
@@ -363,6 +221,10 @@
             return
         channel.close()
 
+    def _record_broken(self) -> None:
+        self._connection_broken = True
+        self._connections.record_broken(self._upstream)
+
     def _raise_if_upstream_restarted(self, error: CallCancelledError) -> None:
         if self._open_call.upstream_restarted:
             raise CallFailedError(_UPSTREAM_RESTARTED, sent=True) from error
--- /dev/null
+++ b/packages/node/src/carobspool_node/direct/_upstream_connections.py
@@ -0,0 +1,224 @@
+"""Connections to upstreams: a pool of idle ones, and which start of an upstream they lead to."""
+
+from __future__ import annotations
+
+import threading
+
+from absl import logging
+
+from carobspool_core import Clock, Millis
+from carobspool_core.direct import Upstream
+from carobspool_node.direct._channel import Channel, connect
+from carobspool_node.direct._errors import ConnectionBrokenError, DeadlinePassedError
+from carobspool_node.direct._messages import HeaderNames
+from carobspool_node.direct._open_calls import OpenCalls
+from carobspool_node.direct._start_check import NoReportError, StartReport, ask_start
+
+CONNECT_TIMEOUT: Millis = 300.0
+"""Connecting takes 1 ms plus a round trip of at most 3 ms; a host without power does not respond.
+A lost SYN is retransmitted after a second, so calling another upstream is faster than waiting."""
+PROBE_TIMEOUT: Millis = 100.0
+"""A host whose process has ended refuses a connection within a round trip."""
+START_CHECK_TIMEOUT: Millis = 250.0
+"""Longest wait for an upstream's report, which it answers without a slot. Callers give up after two
+seconds without an event, so that a stream can go on elsewhere."""
+DEFAULT_IDLE_LIMIT: Millis = 1_000.0
+"""How long a connection stays in the pool if its upstream sends no keep-alive timeout."""
+MAX_IDLE_PER_UPSTREAM = 24
+"""Three times the slots of an engine; more connections to one upstream are never in use at once."""
+
+
+class CallFailedError(Exception):
+    """A call returned no valid answer.
+
+    Attributes:
+        sent: Whether the upstream may have run the request.
+    """
+
+    def __init__(self, reason: str, *, sent: bool) -> None:
+        super().__init__(reason)
+        self.sent = sent
+
+
+class UpstreamConnections:
+    """Pool of idle connections to upstreams, and the calls in progress.
+
+    Connections are keyed by the upstream's identity, which changes at each start: a late answer
+    from an earlier start never matches a request to the new one.
+
+    Args:
+        clock: The process's clock.
+        start_report: How upstreams are asked when they started, ``None`` if they cannot be asked.
+    """
+
+    def __init__(self, clock: Clock, start_report: StartReport | None = None) -> None:
+        self._clock = clock
+        self._start_report = start_report
+        self._lock = threading.Lock()
+        self._idle: dict[str, list[Channel]] = {}
+        self._broken: set[str] = set()
+        self._calls = OpenCalls(clock)
+
+    @property
+    def clock(self) -> Clock:
+        """The process's clock."""
+        return self._clock
+
+    @property
+    def calls(self) -> OpenCalls:
+        """The calls in progress."""
+        return self._calls
+
+    def acquire(self, upstream: Upstream) -> Channel:
+        """Return an idle connection from the pool, or a new one.
+
+        Raises:
+            CallFailedError: No connection can be opened; nothing was sent.
+        """
+        return self._take_idle(upstream) or self._open(upstream)
+
+    def acquire_checked(
+        self, upstream: Upstream, names: HeaderNames, *, goes_on: bool
+    ) -> tuple[Channel, bool]:
+        """Return a connection, and whether it leads to the start that the registration describes.
+
+        Args:
+            upstream: The upstream as it is registered.
+            names: Header names of the deployment.
+            goes_on: Whether the upstream is asked in any case. Otherwise it is asked only after a
+                connection to it has broken, as each restart breaks those that were open.
+
+        Raises:
+            CallFailedError: No connection can be opened, or the upstream does not answer; no
+                request was sent.
+        """
+        if self._start_report is None or not upstream.started:
+            return self.acquire(upstream), True
+        if not goes_on:
+            idle = self._take_idle(upstream)
+            if upstream.identity not in self._broken:
+                return idle or self._open(upstream), True
+            if idle is not None:
+                with self._lock:
+                    self._idle.setdefault(upstream.identity, []).append(idle)
+        channel = self._take_asked(upstream) or self._open_and_ask(upstream, names)
+        confirmed = channel.start_confirmed is True
+        if goes_on and not confirmed:
+            channel.close()
+            raise CallFailedError("start not confirmed: it has started again", sent=False)
+        return channel, confirmed
+
+    def record_broken(self, upstream: Upstream) -> None:
+        """Record that a connection to an upstream has broken, or could not be opened."""
+        with self._lock:
+            self._broken.add(upstream.identity)
+
+    def release(self, upstream: Upstream, channel: Channel) -> None:
+        """Return a connection to the pool if it can be reused, else close it."""
+        channel.set_cancellation(None)
+        if channel.has_input() or not channel.start_next_request():
+            channel.close()
+            return
+        self._add_idle(upstream, channel)
+
+    def has_ended(self, upstream: Upstream) -> bool:
+        """Return whether an upstream refuses connections: no process runs there any more.
+
+        An upstream that does not respond may be cut off and still run. A connection that opens is
+        added to the pool.
+        """
+        try:
+            channel = connect(upstream.address, PROBE_TIMEOUT, self._clock)
+        except ConnectionBrokenError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        channel.idle_limit = DEFAULT_IDLE_LIMIT
+        self._add_idle(upstream, channel)
+        return False
+
+    def retain_only(self, identities: set[str]) -> None:
+        """Close idle connections to upstreams not in ``identities``, and expired ones."""
+        dropped: list[Channel] = []
+        with self._lock:
+            self._broken &= identities
+            for identity in list(self._idle):
+                if identity not in identities:
+                    dropped.extend(self._idle.pop(identity))
+                    continue
+                idle = self._idle[identity]
+                expired = [each for each in idle if not self._is_recent(each)]
+                self._idle[identity] = [each for each in idle if each not in expired]
+                dropped.extend(expired)
+        for channel in dropped:
+            channel.close()
+
+    def _add_idle(self, upstream: Upstream, channel: Channel) -> None:
+        channel.last_used = self._clock.now()
+        with self._lock:
+            idle = self._idle.setdefault(upstream.identity, [])
+            if len(idle) < MAX_IDLE_PER_UPSTREAM:
+                idle.append(channel)
+                return
+        channel.close()
+
+    def _take_idle(self, upstream: Upstream) -> Channel | None:
+        """Return an idle connection, ``None`` if there is none that can be used."""
+        while True:
+            with self._lock:
+                idle = self._idle.get(upstream.identity)
+                channel = idle.pop() if idle else None
+            if channel is None or self._is_usable(channel):
+                return channel
+            if channel.has_input():
+                self.record_broken(upstream)
+            channel.close()
+
+    def _take_asked(self, upstream: Upstream) -> Channel | None:
+        """Return an idle connection on which the upstream has been asked for its start, if any."""
+        with self._lock:
+            idle = self._idle.get(upstream.identity, [])
+            for channel in reversed(idle):
+                if channel.start_confirmed is not None and self._is_usable(channel):
+                    idle.remove(channel)
+                    return channel
+        return None
+
+    def _open_and_ask(self, upstream: Upstream, names: HeaderNames) -> Channel:
+        """Open a connection and ask the upstream for its start."""
+        assert self._start_report is not None
+        channel = self._open(upstream)
+        deadline = self._clock.now() + START_CHECK_TIMEOUT
+        try:
+            started = ask_start(channel, upstream, self._start_report, names, deadline)
+        except (NoReportError, ConnectionBrokenError, DeadlinePassedError) as error:
+            channel.close()
+            raise CallFailedError(f"start not confirmed: {error}", sent=False) from error
+        if not channel.start_next_request():
+            channel.close()
+            channel = self._open(upstream)
+        channel.start_confirmed = started in (0, upstream.started)
+        if channel.start_confirmed:
+            with self._lock:
+                self._broken.discard(upstream.identity)
+            return channel
+        logging.info(
+            "event=other_start upstream=%s registered=%d started=%d",
+            upstream.instance,
+            upstream.started,
+            started,
+        )
+        return channel
+
+    def _open(self, upstream: Upstream) -> Channel:
+        try:
+            channel = connect(upstream.address, CONNECT_TIMEOUT, self._clock)
+        except ConnectionBrokenError as error:
+            self.record_broken(upstream)
+            raise CallFailedError(str(error), sent=False) from error
+        return channel
+
+    def _is_recent(self, channel: Channel) -> bool:
+        return self._clock.now() - channel.last_used < channel.idle_limit
+
+    def _is_usable(self, channel: Channel) -> bool:
+        # Input on an idle connection is either data that belongs to no request or a close.
+        return self._is_recent(channel) and not channel.has_input()
--- a/packages/node/tests/test_direct_stream_origins.py
+++ b/packages/node/tests/test_direct_stream_origins.py
@@ -10,7 +10,13 @@
 import pytest
 
 from carobspool_core import boottime_clock
-from carobspool_core.direct import Route, RouteKind, Upstream, WeightedService
+from carobspool_core.direct import (
+    UNKNOWN_VERSION,
+    Route,
+    RouteKind,
+    Upstream,
+    WeightedService,
+)
 from carobspool_core.problems import UnusableRecordError
 from carobspool_core.stream_versions import (
     KnownBy,
@@ -122,7 +128,7 @@
     """Guards against an origin that is lost with the entry at which the stream began."""
     fleet = _Fleet("v1", "v2")
     fleet.peers[0].leaving = True
-    fleet.origins.begin("a", _upstream())
+    fleet.origins.begin("a", _upstream(), "v1")
     assert [each[:2] for each in fleet.told] == [(V1, ["a"])] * 2
     holders = [name for _, _, names in fleet.told for name in names]
     assert len(set(holders)) == 2 and "e1" not in holders
@@ -131,12 +137,20 @@
 def test_nobody_is_told_or_asked_while_one_version_serves() -> None:
     """Guards against messages that nobody needs."""
     fleet = _Fleet("v1")
-    fleet.origins.begin("a", _upstream())
+    fleet.origins.begin("a", _upstream(), "v1")
     found = fleet.origins.find("b", ROUTE)
     assert (found.origin, found.known_by) == (V1, KnownBy.REGISTRATIONS)
     assert fleet.told == [] and fleet.asked == []
 
 
+def test_peers_are_told_of_a_stream_whose_version_is_not_certain() -> None:
+    """Guards against a version taken from a registration that is older than the server's start."""
+    fleet = _Fleet("v1")
+    fleet.origins.begin("a", _upstream(), UNKNOWN_VERSION)
+    assert [origin.is_certain for origin, _, _ in fleet.told] == [False] * 2
+    assert fleet.origins.find("a", ROUTE).origin is None
+
+
 @pytest.mark.parametrize("reason", ["peers disagree", "just started"])
 def test_peers_are_asked_while_one_version_is_not_certain(reason: str) -> None:
     """Guards against an entry that relies on registrations which others know to be outdated."""
@@ -174,7 +188,7 @@
     """Guards against streams that began before a rollout and are refused after it."""
     fleet = _Fleet("v1")
     for number in range(MAX_STREAMS_SENT + 1):
-        fleet.origins.begin(f"s{number}", _upstream())
+        fleet.origins.begin(f"s{number}", _upstream(), "v1")
     fleet.view = VersionsView(versions=frozenset({"v1", "v2"}), is_complete=True)
     fleet.origins.upstreams_changed()
     told = [stream for _, streams, _ in fleet.told for stream in streams]
--- a/packages/node/tests/test_direct_upstream_calls.py
+++ b/packages/node/tests/test_direct_upstream_calls.py
@@ -16,12 +16,11 @@
 from carobspool_node.direct._errors import DeadlinePassedError
 from carobspool_node.direct._messages import HeaderNames
 from carobspool_node.direct._start_check import StartReport
-from carobspool_node.direct._upstream_calls import (
+from carobspool_node.direct._upstream_calls import Joins, UpstreamCall, UpstreamRequest
+from carobspool_node.direct._upstream_connections import (
     START_CHECK_TIMEOUT,
     CallFailedError,
-    UpstreamCall,
     UpstreamConnections,
-    UpstreamRequest,
 )
 from carobspool_standins.platform_server import (
     REPORT_PATH,
@@ -112,8 +111,10 @@
     )
 
 
-def _go_on(connections: UpstreamConnections, upstream: Upstream) -> int:
-    """Make a call that goes on after events of another upstream; return its status."""
+def _call(
+    connections: UpstreamConnections, upstream: Upstream, joins: Joins | None = Joins.BEFORE
+) -> tuple[int, bool]:
+    """Make a call; return its status and whether the start is confirmed."""
     call = UpstreamCall(connections, upstream, SERVER_NAMES)
     request = UpstreamRequest(
         method=b"POST",
@@ -124,25 +125,29 @@
     )
     deadline = connections.clock.now() + 5_000.0
     try:
-        head = call.start(request, deadline, goes_on=True)
+        head = call.start(request, deadline, joins=joins)
         call.read_body(deadline)
-        return head.status
+        return head.status, call.start_confirmed
     finally:
         call.close()
 
 
+def _start_again(server: PlatformServer) -> None:
+    """Restart a server without registering its new start."""
+    server.crash()
+    server.start()
+    assert server.started != STARTED
+
+
 def test_an_upstream_confirms_its_start_once_on_each_connection() -> None:
     """Guards against a question before each stream that goes on."""
     connections = UpstreamConnections(monotonic_clock(), REPORT)
     with _server() as server:
-        assert [_go_on(connections, _registered(server)) for _ in range(3)] == [200] * 3
+        assert [_call(connections, _registered(server)) for _ in range(3)] == [(200, True)] * 3
         assert (server.reports, server.connections) == (1, 1)
-        server.crash()
-        server.started = STARTED - 1
-        server.start()
-        assert server.started != STARTED
-        with pytest.raises(CallFailedError, match="registered with start") as failure:
-            _go_on(connections, _registered(server))
+        _start_again(server)
+        with pytest.raises(CallFailedError, match="it has started again") as failure:
+            _call(connections, _registered(server))
         assert not failure.value.sent
         assert len(server.requests) == 3
 
@@ -152,7 +157,7 @@
     connections = UpstreamConnections(monotonic_clock(), REPORT)
     with _server() as server:
         with pytest.raises(CallFailedError, match="status 421"):
-            _go_on(connections, _registered(server, instance="earlier"))
+            _call(connections, _registered(server, instance="earlier"))
         assert not server.requests
 
 
@@ -160,7 +165,7 @@
     """Guards against streams that end because an upstream does not state its start."""
     connections = UpstreamConnections(monotonic_clock(), REPORT)
     with _server(started=0) as server:
-        assert _go_on(connections, _registered(server)) == 200
+        assert _call(connections, _registered(server)) == (200, True)
 
 
 def test_an_upstream_that_does_not_report_is_given_up_soon() -> None:
@@ -171,7 +176,7 @@
         server.hold_output()
         began = clock.now()
         with pytest.raises(CallFailedError, match="start not confirmed"):
-            _go_on(connections, _registered(server))
+            _call(connections, _registered(server))
         assert START_CHECK_TIMEOUT <= clock.now() - began < 2 * START_CHECK_TIMEOUT
         assert not server.requests
 
@@ -181,5 +186,31 @@
     connections = UpstreamConnections(monotonic_clock(), REPORT)
     with _server() as server:
         server.closes_after_report = True
-        assert _go_on(connections, _registered(server)) == 200
+        assert _call(connections, _registered(server)) == (200, True)
         assert (server.reports, server.connections) == (1, 2)
+
+
+def test_an_upstream_is_asked_before_a_stream_begins_once_a_connection_has_broken() -> None:
+    """Guards against a stream that counts as one of the version which is registered."""
+    connections = UpstreamConnections(monotonic_clock(), REPORT)
+    with _server() as server:
+        upstream = _registered(server)
+        assert _call(connections, upstream, Joins.AFTER) == (200, True)
+        assert server.reports == 0
+        _start_again(server)
+        assert [_call(connections, upstream, Joins.AFTER) for _ in range(2)] == [(200, False)] * 2
+        assert _call(connections, upstream, None) == (200, True)
+        assert server.reports == 1
+        with pytest.raises(CallFailedError, match="start not confirmed"):
+            _call(connections, upstream)
+        assert server.reports == 1
+
+
+def test_an_upstream_is_not_asked_again_after_a_connection_has_broken() -> None:
+    """Guards against a question before each stream once one connection has broken."""
+    connections = UpstreamConnections(monotonic_clock(), REPORT)
+    with _server() as server:
+        upstream = _registered(server)
+        connections.record_broken(upstream)
+        assert [_call(connections, upstream, Joins.AFTER) for _ in range(3)] == [(200, True)] * 3
+        assert server.reports == 1
--- a/tests/direct/test_stream_versions.py
+++ b/tests/direct/test_stream_versions.py
@@ -407,3 +407,30 @@
     results = eventually(lambda: all_results(entry, "job1"), 20.0)
     _assert_one_version_each(results, ids)
     assert fleet.lines("event=item_started_over .* from_version=v1 .* to_version=v2")
+
+
+def test_a_stream_that_began_at_a_start_not_registered_yet_does_not_go_on(
+    system: Deployment,
+) -> None:
+    """Guards against a stream that counts as one of the version which is still registered."""
+    fleet = Fleet(system, entries=1, engines=2)
+    callers = [Caller(system.entries[0], target="/resume/1") for _ in range(8)]
+    eventually(lambda: all(len(each.ids) > 2 for each in callers), 3.0)
+    back, other = system.servers
+    back.crash()
+    back.version = "v2"
+    back.start()
+    eventually(lambda: fleet.lines("event=upstream_used_again"), 3.0)
+    more = [Caller(system.entries[0], target=target) for target in ("/resume/1", "/stream/1") * 6]
+    eventually(lambda: all(len(each.ids) > 2 for each in more), 3.0)
+    began_at_back = [each for each in more if each.versions == {"v2"}]
+    assert began_at_back
+    back.crash()
+    assert _joined([each.join() for each in (*callers, *more)]) == []
+    assert not any(each.complete for each in began_at_back)
+    taken_up = [
+        Caller(system.entries[0], target=each.target, takes_up=each)
+        for each in began_at_back
+        if each.target == "/resume/1"
+    ]
+    assert {each.join().status for each in taken_up} <= {503}
