--- a/packages/node/src/carobspool_node/direct/_declared.py
+++ b/packages/node/src/carobspool_node/direct/_declared.py
@@ -72,6 +72,7 @@
         self._on_upstreams = on_upstreams
         self._versions = VersionHistory(knows_past=first_start)
         self._configuration: Configuration | None = None
+        self._stream_window = stream_window(None)
         self._stored_configuration: tuple[int, Json] | None = None
         self._upstreams = UpstreamList()
         self._upstreams_lock = threading.Lock()
@@ -108,6 +109,11 @@
         """The configuration in force, ``None`` until one is read. Its version never decreases."""
         return self._configuration
 
+    @property
+    def stream_window(self) -> Millis:
+        """How long after its first event a stream may be taken up by its caller."""
+        return self._stream_window
+
     @property
     def can_route(self) -> bool:
         """Whether requests can be routed."""
@@ -146,9 +152,8 @@
 
     def versions_of(self, service: str) -> VersionsView:
         """Return the software versions of a service at which a stream can have begun."""
-        window = stream_window(self._configuration)
         with self._upstreams_lock:
-            return self._versions.view(service, self._clock.now(), window)
+            return self._versions.view(service, self._clock.now(), self._stream_window)
 
     def largest_service(self) -> int:
         """Return the size of the largest service, without upstreams that are shutting down."""
@@ -266,6 +271,7 @@
         if current is not None and configuration.version <= current.version:
             return
         self._configuration = configuration
+        self._stream_window = stream_window(configuration)
         self._stored_configuration = (stored.version, stored.value)
         self._configuration_view.version = configuration.version
         logging.info(
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -12,7 +12,6 @@
 from carobspool_core import boottime_clock
 from carobspool_core.direct import CallerLimits
 from carobspool_core.organisations import OrganisationDirectory
-from carobspool_core.stream_versions import stream_window
 from carobspool_node.direct._declared import DeclaredState
 from carobspool_node.direct._deployment import Deployment
 from carobspool_node.direct._entry_callers import make_caller_api
@@ -121,7 +120,7 @@
             name=settings.node,
             peers=self._peers,
             views=self._declared,
-            window=lambda: stream_window(self._declared.configuration),
+            window=lambda: self._declared.stream_window,
             call_peer=self._peer_caller.call,
         )
         self._group_assignment = GroupAssignment(
