Requests begin at servers that are slow to report their start

Callers were refused with 503 while busy servers had free slots.

Cause: asks a server for its start on each new connection for streams, and a call failed if the server had not answered in 250 ms, also where nothing had begun elsewhere. After three such servers a request is refused.

Change: where something begins, the answer is awaited for 900 ms, as a stream waits for data, and never beyond the caller's deadline. The call asks, not the pool, so that a caller who leaves and the cancellation of a batch item end the wait; before, neither did. The pool looks for idle connections in one place, no longer polls them under its lock, and closes those that cannot be used.

--- a/packages/node/src/carobspool_node/direct/_start_check.py
+++ b/packages/node/src/carobspool_node/direct/_start_check.py
@@ -14,7 +14,7 @@
 
 from carobspool_core import Millis
 from carobspool_core.direct import Upstream
-from carobspool_node.direct._channel import Channel
+from carobspool_node.direct._channel import CallerWatch, Channel
 from carobspool_node.direct._errors import ConnectionBrokenError
 from carobspool_node.direct._messages import HeaderNames, Headers
 
@@ -45,6 +45,7 @@
     report: StartReport,
     names: HeaderNames,
     deadline: Millis,
+    watch: CallerWatch | None,
 ) -> int:
     """Ask the process at the other end of a new connection when it started.
 
@@ -54,6 +55,7 @@
         report: How it is asked.
         names: Header names of the deployment.
         deadline: Time by which it must have answered.
+        watch: Detects that the caller has disconnected.
 
     Returns:
         Unix milliseconds, 0 if its report does not state them.
@@ -62,6 +64,8 @@
         NoReportError: The process refuses, or belongs to another upstream.
         ConnectionBrokenError: The connection broke.
         DeadlinePassedError: It has not answered.
+        CallerGoneError: The caller has disconnected.
+        CallCancelledError: Another task cancelled the call.
     """
     http = channel.http
     headers: Headers = [
@@ -69,18 +73,20 @@
         (names.expect_instance, upstream.instance.encode()),
     ]
     head = http.send(h11.Request(method=b"GET", target=report.path.encode(), headers=headers))
-    channel.send((head or b"") + (http.send(h11.EndOfMessage()) or b""), deadline)
-    status, body = _read_answer(channel, deadline)
+    channel.send((head or b"") + (http.send(h11.EndOfMessage()) or b""), deadline, watch)
+    status, body = _read_answer(channel, deadline, watch)
     if status != 200:
         raise NoReportError(f"status {status} instead of the upstream's report")
     return report.read_started(body)
 
 
-def _read_answer(channel: Channel, deadline: Millis) -> tuple[int, bytes]:
+def _read_answer(
+    channel: Channel, deadline: Millis, watch: CallerWatch | None
+) -> tuple[int, bytes]:
     status = 0
     body = b""
     while True:
-        event = channel.next_event(deadline)
+        event = channel.next_event(deadline, watch)
         if isinstance(event, h11.Response):
             status = event.status_code
         elif isinstance(event, h11.Data):
--- a/packages/node/src/carobspool_node/direct/_upstream_calls.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_calls.py
@@ -6,6 +6,7 @@
 from enum import Enum, auto
 
 import h11
+from absl import logging
 from msgspec import Struct
 
 from carobspool_core import Millis
@@ -13,11 +14,13 @@
 from carobspool_node.direct._channel import CallerWatch, Cancellation, Channel
 from carobspool_node.direct._errors import (
     CallCancelledError,
+    CallerGoneError,
     ConnectionBrokenError,
     DeadlinePassedError,
 )
 from carobspool_node.direct._messages import HeaderNames, Headers, UpstreamHead, find_header
 from carobspool_node.direct._open_calls import OpenCall
+from carobspool_node.direct._start_check import NoReportError, StartReport, ask_start
 from carobspool_node.direct._upstream_connections import (
     DEFAULT_IDLE_LIMIT,
     CallFailedError,
@@ -26,6 +29,12 @@
 
 IDLE_LIMIT_FRACTION = 0.7
 """Fraction of the upstream's keep-alive timeout; the rest covers the next request's transit."""
+CHECK_TIMEOUT: Millis = 250.0
+"""Longest wait for an upstream's report before something goes on there. It is answered without a
+slot, and callers give up after two seconds without an event."""
+FIRST_CHECK_TIMEOUT: Millis = 900.0
+"""The same before something begins there: as long as a stream waits for data. Another upstream need
+not be faster, and none has a part of the answer yet."""
 MAX_STRAY_ANSWERS = 4
 """Answers to earlier requests after which a connection counts as broken."""
 _UPSTREAM_RESTARTED = "the upstream has started again"
@@ -112,12 +121,7 @@
             CallCancelledError: Another task cancelled the call; the request may have run.
         """
         self._connections.calls.add(self._open_call)
-        if joins is None:
-            channel = self._connections.acquire(self._upstream)
-        else:
-            channel, self._start_confirmed = self._connections.acquire_checked(
-                self._upstream, self._names, goes_on=joins is Joins.BEFORE
-            )
+        channel = self._acquire(joins, deadline)
         self._channel = channel
         if self._open_call.upstream_restarted:
             raise CallFailedError(_UPSTREAM_RESTARTED, sent=False)
@@ -221,6 +225,52 @@
             return
         channel.close()
 
+    def _acquire(self, joins: Joins | None, deadline: Millis) -> Channel:
+        """Return a connection; one whose events may join others leads to a start that is known."""
+        report = self._connections.start_report
+        if joins is None or report is None or not self._upstream.started:
+            return self._connections.acquire(self._upstream)
+        channel = self._connections.acquire(self._upstream, asked=True)
+        if channel.start_confirmed is None:
+            timeout = CHECK_TIMEOUT if joins is Joins.BEFORE else FIRST_CHECK_TIMEOUT
+            deadline = min(deadline, self._clock.now() + timeout)
+            channel = self._ask_start(channel, report, deadline)
+        self._start_confirmed = channel.start_confirmed is True
+        if joins is Joins.BEFORE and not self._start_confirmed:
+            channel.close()
+            raise CallFailedError("start not confirmed: it has started again", sent=False)
+        return channel
+
+    def _ask_start(self, channel: Channel, report: StartReport, deadline: Millis) -> Channel:
+        """Ask for the upstream's start on a new connection; return one for the request."""
+        upstream = self._upstream
+        channel.set_cancellation(self._open_call.cancellation)
+        try:
+            started = ask_start(channel, upstream, report, self._names, deadline, self._watch)
+        except (NoReportError, ConnectionBrokenError, DeadlinePassedError) as error:
+            channel.close()
+            raise CallFailedError(f"start not confirmed: {error}", sent=False) from error
+        except CallCancelledError as error:
+            channel.close()
+            if self._open_call.upstream_restarted:
+                raise CallFailedError(_UPSTREAM_RESTARTED, sent=False) from error
+            raise
+        except CallerGoneError:
+            channel.close()
+            raise
+        if not channel.start_next_request():
+            channel.close()
+            channel = self._connections.open(upstream)
+        channel.start_confirmed = started in (0, upstream.started)
+        if not channel.start_confirmed:
+            logging.info(
+                "event=other_start upstream=%s registered=%d started=%d",
+                upstream.instance,
+                upstream.started,
+                started,
+            )
+        return channel
+
     def _raise_if_upstream_restarted(self, error: CallCancelledError) -> None:
         if self._open_call.upstream_restarted:
             raise CallFailedError(_UPSTREAM_RESTARTED, sent=True) from error
--- a/packages/node/src/carobspool_node/direct/_upstream_connections.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_connections.py
@@ -1,27 +1,21 @@
-"""Connections to upstreams: a pool of idle ones, and which start of an upstream they lead to."""
+"""Pool of idle connections to upstreams."""
 
 from __future__ import annotations
 
 import threading
 
-from absl import logging
-
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import Upstream
 from carobspool_node.direct._channel import Channel, connect
-from carobspool_node.direct._errors import ConnectionBrokenError, DeadlinePassedError
-from carobspool_node.direct._messages import HeaderNames
+from carobspool_node.direct._errors import ConnectionBrokenError
 from carobspool_node.direct._open_calls import OpenCalls
-from carobspool_node.direct._start_check import NoReportError, StartReport, ask_start
+from carobspool_node.direct._start_check import StartReport
 
 CONNECT_TIMEOUT: Millis = 300.0
 """Connecting takes 1 ms plus a round trip of at most 3 ms; a host without power does not respond.
 A lost SYN is retransmitted after a second, so calling another upstream is faster than waiting."""
 PROBE_TIMEOUT: Millis = 100.0
 """A host whose process has ended refuses a connection within a round trip."""
-START_CHECK_TIMEOUT: Millis = 250.0
-"""Longest wait for an upstream's report, which it answers without a slot. Callers give up after two
-seconds without an event, so that a stream can go on elsewhere."""
 DEFAULT_IDLE_LIMIT: Millis = 1_000.0
 """How long a connection stays in the pool if its upstream sends no keep-alive timeout."""
 MAX_IDLE_PER_UPSTREAM = 24
@@ -68,36 +62,34 @@
         """The calls in progress."""
         return self._calls
 
-    def acquire(self, upstream: Upstream) -> Channel:
+    @property
+    def start_report(self) -> StartReport | None:
+        """How upstreams are asked when they started, ``None`` if they cannot be asked."""
+        return self._start_report
+
+    def acquire(self, upstream: Upstream, *, asked: bool = False) -> Channel:
         """Return an idle connection from the pool, or a new one.
 
+        Args:
+            upstream: The upstream.
+            asked: Whether only those idle connections will do on which the upstream has been asked
+                for its start.
+
         Raises:
             CallFailedError: No connection can be opened; nothing was sent.
         """
-        return self._take_idle(upstream) or self._open(upstream)
+        return self._take_idle(upstream, asked=asked) or self.open(upstream)
 
-    def acquire_checked(
-        self, upstream: Upstream, names: HeaderNames, *, goes_on: bool
-    ) -> tuple[Channel, bool]:
-        """Return a connection, and whether it leads to the start that the registration describes.
-
-        Args:
-            upstream: The upstream as it is registered.
-            names: Header names of the deployment.
-            goes_on: Whether only that start will do.
+    def open(self, upstream: Upstream) -> Channel:
+        """Return a new connection.
 
         Raises:
-            CallFailedError: No connection can be opened, the upstream does not answer, or only the
-                registered start will do and another one answers; no request was sent.
+            CallFailedError: No connection can be opened; nothing was sent.
         """
-        if self._start_report is None or not upstream.started:
-            return self.acquire(upstream), True
-        channel = self._take_asked(upstream) or self._open_and_ask(upstream, names)
-        confirmed = channel.start_confirmed is True
-        if goes_on and not confirmed:
-            channel.close()
-            raise CallFailedError("start not confirmed: it has started again", sent=False)
-        return channel, confirmed
+        try:
+            return connect(upstream.address, CONNECT_TIMEOUT, self._clock)
+        except ConnectionBrokenError as error:
+            raise CallFailedError(str(error), sent=False) from error
 
     def release(self, upstream: Upstream, channel: Channel) -> None:
         """Return a connection to the pool if it can be reused, else close it."""
@@ -145,56 +137,21 @@
                 return
         channel.close()
 
-    def _take_idle(self, upstream: Upstream) -> Channel | None:
+    def _take_idle(self, upstream: Upstream, *, asked: bool) -> Channel | None:
         """Return an idle connection, ``None`` if there is none that can be used."""
         while True:
             with self._lock:
-                idle = self._idle.get(upstream.identity)
-                channel = idle.pop() if idle else None
+                idle = self._idle.get(upstream.identity, [])
+                fitting = (
+                    each for each in reversed(idle) if not asked or each.start_confirmed is not None
+                )
+                channel = next(fitting, None)
+                if channel is not None:
+                    idle.remove(channel)
             if channel is None or self._is_usable(channel):
                 return channel
             channel.close()
 
-    def _take_asked(self, upstream: Upstream) -> Channel | None:
-        """Return an idle connection on which the upstream has been asked for its start, if any."""
-        with self._lock:
-            idle = self._idle.get(upstream.identity, [])
-            for channel in reversed(idle):
-                if channel.start_confirmed is not None and self._is_usable(channel):
-                    idle.remove(channel)
-                    return channel
-        return None
-
-    def _open_and_ask(self, upstream: Upstream, names: HeaderNames) -> Channel:
-        """Open a connection and ask the upstream for its start."""
-        assert self._start_report is not None
-        channel = self._open(upstream)
-        deadline = self._clock.now() + START_CHECK_TIMEOUT
-        try:
-            started = ask_start(channel, upstream, self._start_report, names, deadline)
-        except (NoReportError, ConnectionBrokenError, DeadlinePassedError) as error:
-            channel.close()
-            raise CallFailedError(f"start not confirmed: {error}", sent=False) from error
-        if not channel.start_next_request():
-            channel.close()
-            channel = self._open(upstream)
-        channel.start_confirmed = started in (0, upstream.started)
-        if not channel.start_confirmed:
-            logging.info(
-                "event=other_start upstream=%s registered=%d started=%d",
-                upstream.instance,
-                upstream.started,
-                started,
-            )
-        return channel
-
-    def _open(self, upstream: Upstream) -> Channel:
-        try:
-            channel = connect(upstream.address, CONNECT_TIMEOUT, self._clock)
-        except ConnectionBrokenError as error:
-            raise CallFailedError(str(error), sent=False) from error
-        return channel
-
     def _is_recent(self, channel: Channel) -> bool:
         return self._clock.now() - channel.last_used < channel.idle_limit
 
--- a/packages/node/tests/test_direct_upstream_calls.py
+++ b/packages/node/tests/test_direct_upstream_calls.py
@@ -13,15 +13,18 @@
 
 from carobspool_core import Millis, monotonic_clock
 from carobspool_core.direct import Upstream
-from carobspool_node.direct._errors import DeadlinePassedError
+from carobspool_node.direct._channel import Cancellation
+from carobspool_node.direct._errors import CallCancelledError, DeadlinePassedError
 from carobspool_node.direct._messages import HeaderNames
 from carobspool_node.direct._start_check import StartReport
-from carobspool_node.direct._upstream_calls import Joins, UpstreamCall, UpstreamRequest
-from carobspool_node.direct._upstream_connections import (
-    START_CHECK_TIMEOUT,
-    CallFailedError,
-    UpstreamConnections,
+from carobspool_node.direct._upstream_calls import (
+    CHECK_TIMEOUT,
+    FIRST_CHECK_TIMEOUT,
+    Joins,
+    UpstreamCall,
+    UpstreamRequest,
 )
+from carobspool_node.direct._upstream_connections import CallFailedError, UpstreamConnections
 from carobspool_standins.platform_server import (
     REPORT_PATH,
     PlatformServer,
@@ -170,7 +173,11 @@
         assert _call(connections, _registered(server)) == (200, True)
 
 
-def test_an_upstream_that_does_not_report_is_given_up_soon() -> None:
+@pytest.mark.parametrize(
+    ("joins", "timeout"),
+    [(Joins.BEFORE, CHECK_TIMEOUT), (Joins.AFTER, FIRST_CHECK_TIMEOUT)],
+)
+def test_an_upstream_that_does_not_report_is_given_up_soon(joins: Joins, timeout: Millis) -> None:
     """Guards against a stream that waits for a frozen upstream until its caller gives up."""
     clock = monotonic_clock()
     connections = UpstreamConnections(clock, REPORT)
@@ -178,11 +185,20 @@
         server.hold_output()
         began = clock.now()
         with pytest.raises(CallFailedError, match="start not confirmed"):
-            _call(connections, _registered(server))
-        assert START_CHECK_TIMEOUT <= clock.now() - began < 2 * START_CHECK_TIMEOUT
+            _call(connections, _registered(server), joins)
+        assert timeout <= clock.now() - began < timeout + CHECK_TIMEOUT
         assert not server.requests
 
 
+def test_a_stream_begins_at_an_upstream_that_reports_late() -> None:
+    """Guards against requests that are refused since a busy server is slow to report."""
+    connections = UpstreamConnections(monotonic_clock(), REPORT)
+    with _server() as server:
+        server.hold_output()
+        threading.Timer(1.5 * CHECK_TIMEOUT / 1_000.0, server.release_output).start()
+        assert _call(connections, _registered(server), Joins.AFTER) == (200, True)
+
+
 def test_an_upstream_that_closes_after_its_report_is_called_on_another_connection() -> None:
     """Guards against streams that cannot go on at servers without persistent connections."""
     connections = UpstreamConnections(monotonic_clock(), REPORT)
@@ -214,3 +230,26 @@
     with _server() as server:
         assert _call(connections, _registered(server), None) == (200, True)
         assert server.reports == 0
+
+
+def test_a_question_for_the_start_can_be_cancelled() -> None:
+    """Guards against a batch item that cannot be preempted while its upstream is silent."""
+    clock = monotonic_clock()
+    cancellation = Cancellation()
+    with _server() as server:
+        server.hold_output()
+        call = UpstreamCall(
+            UpstreamConnections(clock, REPORT),
+            _registered(server),
+            SERVER_NAMES,
+            cancellation=cancellation,
+        )
+        threading.Timer(0.1, cancellation.cancel, ["preempted"]).start()
+        request = UpstreamRequest(
+            method=b"POST", target=b"/", headers=[(b"Host", b"h")], body=b"", request_id="r"
+        )
+        began = clock.now()
+        with pytest.raises(CallCancelledError):
+            call.start(request, began + 5_000.0, joins=Joins.AFTER)
+        call.close()
+        assert clock.now() - began < CHECK_TIMEOUT
--- a/packages/standins/src/carobspool_standins/platform_server.py
+++ b/packages/standins/src/carobspool_standins/platform_server.py
@@ -238,6 +238,10 @@
         """Go silent, with all connections open and new ones accepted."""
         self._current_start().hold_output()
 
+    def release_output(self) -> None:
+        """Send the output that was held by `hold_output`, and stop holding it."""
+        self._current_start().release_output()
+
     def deliver_held_output(self) -> None:
         """Send the output that was held since the server was isolated."""
         for start in self._isolated_starts:
