One exchange of a whole request with an upstream; the version that a call counts as

No change of behaviour.

- The calls to engines and the question for an upstream's start each read an answer in a loop of their own: `Channel.exchange` serves both, with a longest body where one is set.
- `UpstreamCall.version` states what a stream or an item that begins counts as, so that the request's state holds no `start_confirmed` and the item's runner does not decide it again.
- Hints of three kinds compared their first element in the same way: `is_hint`.
- The usual version of a job's parts is counted once instead of once for each part.

Tests of calls compare the version (the registered one, or unknown) where they compared whether the start was confirmed: the same cases, as strict.

--- a/packages/core/src/carobspool_core/direct/_job_codec.py
+++ b/packages/core/src/carobspool_core/direct/_job_codec.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+from collections import Counter
 from typing import Annotated, Any
 
 from msgspec.structs import replace
@@ -132,7 +133,7 @@
     a part of two elements only: one version for all, and those of the parts that differ from it.
     """
     versions = {key: each.version for key, each in progress.parts.items()}
-    usual = max(versions.values(), key=list(versions.values()).count, default=UNKNOWN_VERSION)
+    usual = Counter(versions.values()).most_common(1)[0][0] if versions else UNKNOWN_VERSION
     return {
         "owner": progress.owner,
         "ended": progress.ended,
--- a/packages/node/src/carobspool_node/direct/_channel.py
+++ b/packages/node/src/carobspool_node/direct/_channel.py
@@ -146,6 +146,46 @@
         """Replace the HTTP state and keep the socket."""
         self._http = http
 
+    def exchange(
+        self,
+        request: h11.Request,
+        body: bytes,
+        deadline: Millis,
+        *,
+        watch: CallerWatch | None = None,
+        max_bytes: int | None = None,
+    ) -> tuple[int, bytes]:
+        """Send a request and return the status and the body of its answer.
+
+        Args:
+            request: Head of the request.
+            body: Its body.
+            deadline: Time by which the whole answer must have arrived.
+            watch: Detects that the caller has disconnected.
+            max_bytes: Longest body that is accepted, ``None`` for any.
+
+        Raises:
+            ConnectionBrokenError: The connection broke, or the answer is invalid or too long.
+            DeadlinePassedError: ``deadline`` has passed.
+            CallerGoneError: The watched caller has disconnected.
+            CallCancelledError: The call was cancelled.
+        """
+        self.send(encode_request(self._http, request, body), deadline, watch)
+        status = 0
+        answer = b""
+        while True:
+            event = self.next_event(deadline, watch)
+            if isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                answer += bytes(event.data)
+                if max_bytes is not None and len(answer) > max_bytes:
+                    raise ConnectionBrokenError(f"an answer of more than {max_bytes} bytes")
+            elif isinstance(event, h11.EndOfMessage):
+                return status, answer
+            elif not isinstance(event, h11.InformationalResponse):
+                raise ConnectionBrokenError("closed before an answer")
+
     def start_next_request(self) -> bool:
         """Prepare for the next request; return whether the connection can carry one."""
         http = self._http
@@ -283,6 +323,15 @@
             raise CallCancelledError("cancelled")
 
 
+def encode_request(http: h11.Connection, request: h11.Request, body: bytes) -> bytes:
+    """Return the bytes of a request, which must state the length of its body."""
+    parts = [http.send(request) or b""]
+    if body:
+        parts.append(http.send(h11.Data(data=body)) or b"")
+    parts.append(http.send(h11.EndOfMessage()) or b"")
+    return b"".join(parts)
+
+
 def connect(address: tuple[str, int], timeout: Millis, clock: Clock) -> Channel:
     """Connect to a server.
 
--- a/packages/node/src/carobspool_node/direct/_engine_calls.py
+++ b/packages/node/src/carobspool_node/direct/_engine_calls.py
@@ -6,7 +6,7 @@
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import Upstream
-from carobspool_node.direct._channel import Channel, connect
+from carobspool_node.direct._channel import connect
 from carobspool_node.direct._errors import ConnectionBrokenError, DeadlinePassedError
 from carobspool_node.direct._messages import HeaderNames, Headers
 from carobspool_node.stream_backups import EngineAnswer, Reach
@@ -48,30 +48,11 @@
                 (b"Connection", b"close"),
             ]
             request = h11.Request(method=method, target=path, headers=headers)
-            parts = [channel.http.send(request) or b""]
-            if body:
-                parts.append(channel.http.send(h11.Data(data=body)) or b"")
-            parts.append(channel.http.send(h11.EndOfMessage()) or b"")
-            channel.send(b"".join(parts), deadline)
-            return _read_answer(channel, deadline)
+            status, answer = channel.exchange(request, body, deadline)
+            return EngineAnswer(Reach.ANSWERED, status, answer)
         except ConnectionBrokenError:
             return EngineAnswer(Reach.BROKEN)
         except DeadlinePassedError:
             return EngineAnswer(Reach.NO_ANSWER)
         finally:
             channel.close()
-
-
-def _read_answer(channel: Channel, deadline: Millis) -> EngineAnswer:
-    status = 0
-    body = b""
-    while True:
-        event = channel.next_event(deadline)
-        if isinstance(event, h11.Response):
-            status = event.status_code
-        elif isinstance(event, h11.Data):
-            body += bytes(event.data)
-        elif isinstance(event, h11.EndOfMessage):
-            return EngineAnswer(Reach.ANSWERED, status, body)
-        elif not isinstance(event, h11.InformationalResponse):
-            raise ConnectionBrokenError("closed before an answer")
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -152,13 +152,14 @@
             CallerGoneError: The caller disconnected; the call made for it was cancelled.
         """
         limit = request.time_limit(self._names.deadline, route.timeout)
+        takes_up = takes_stream_up(request, route, self._names)
         state = RequestState(
             request=request,
             route=route,
             caller=caller,
             deadline=request.arrived + limit,
-            stream_id=stream_id_of(request, route, self._names),
-            takes_up=takes_stream_up(request, route, self._names),
+            stream_id=stream_id_of(request, self._names, takes_up=takes_up),
+            takes_up=takes_up,
             organisation=organisation,
             is_retry=is_retry_by_deadline(deadline=limit, timeout=route.timeout),
             demand=self._loads.choice.demand_of(request.header),
@@ -355,7 +356,6 @@
                 idle_deadline=self._idle_deadline(state, upstream, started),
                 joins=_joins(state),
             )
-            state.start_confirmed = call.start_confirmed
             self._loads.record_activity(upstream)
             return self._relay_answer(state, upstream, call, head)
         except CallFailedError as error:
--- a/packages/node/src/carobspool_node/direct/_item_run.py
+++ b/packages/node/src/carobspool_node/direct/_item_run.py
@@ -9,7 +9,6 @@
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import (
-    UNKNOWN_VERSION,
     EventSplitter,
     ItemWork,
     JobInput,
@@ -169,7 +168,7 @@
                 if event.event_id != work.last_event + 1:
                     raise CallFailedError("an event id is missing from the sequence", sent=True)
                 if not work.last_event:
-                    work.version = upstream.version if call.start_confirmed else UNKNOWN_VERSION
+                    work.version = call.version
                 work.waits_since = None
                 work.received_texts.append(event.data)
         if splitter.incomplete:
--- a/packages/node/src/carobspool_node/direct/_load_hint.py
+++ b/packages/node/src/carobspool_node/direct/_load_hint.py
@@ -17,6 +17,7 @@
 from carobspool_core import Json
 from carobspool_core.direct import Load, WaitingGroup, short_key_of
 from carobspool_core.problems import Problem, UnusableRecordError
+from carobspool_node.direct._peer_messages import is_hint
 from carobspool_node.organisations import pack_counts, unpack_counts
 
 _LOAD_HINT_KIND = "l"
@@ -129,11 +130,8 @@
     Raises:
         UnusableRecordError: The load hint is invalid.
     """
-    match message:
-        case [str() as kind, *_] if kind == _LOAD_HINT_KIND:
-            pass
-        case _:
-            return None
+    if not is_hint(message, _LOAD_HINT_KIND):
+        return None
     match message:
         case [
             _,
--- a/packages/node/src/carobspool_node/direct/_origin_messages.py
+++ b/packages/node/src/carobspool_node/direct/_origin_messages.py
@@ -9,10 +9,15 @@
 from msgspec import Struct
 
 from carobspool_core import Json, Millis
-from carobspool_core.problems import Problem, UnusableRecordError
 from carobspool_core.records import Bounds, Record, read_record
 from carobspool_core.stream_versions import OriginAnswer, StreamOrigin, VersionsView
-from carobspool_node.direct._peer_messages import MAX_NAME_CHARS, Count, Name
+from carobspool_node.direct._peer_messages import (
+    MAX_NAME_CHARS,
+    Count,
+    Name,
+    is_hint,
+    unusable_hint,
+)
 
 _ORIGINS_HINT_KIND = "o"
 MAX_STREAMS_SENT = 64
@@ -50,6 +55,10 @@
     service: Name
     version: Version
 
+    @property
+    def origin(self) -> StreamOrigin:
+        return StreamOrigin(service=self.service, version=self.version)
+
 
 class _OriginsRecord(Record):
     origin: _OriginRecord
@@ -81,24 +90,21 @@
     Raises:
         UnusableRecordError: The hint is invalid.
     """
-    match message:
-        case [str() as kind, *_] if kind == _ORIGINS_HINT_KIND:
-            pass
-        case _:
-            return None
+    if not is_hint(message, _ORIGINS_HINT_KIND):
+        return None
     match message:
         case [_, str() as name, str() as incarnation, service, version, streams]:
             record = read_record(
                 _OriginsRecord,
                 {"origin": {"service": service, "version": version}, "streams": streams},
             )
-            origin = StreamOrigin(service=record.origin.service, version=record.origin.version)
             return OriginsHint(
-                name=name, incarnation=incarnation, origin=origin, streams=record.streams
+                name=name,
+                incarnation=incarnation,
+                origin=record.origin.origin,
+                streams=record.streams,
             )
-    found = repr(message)[:MAX_NAME_CHARS]
-    problem = Problem(file="", path="(body)", found=found, allowed="a hint about streams")
-    raise UnusableRecordError([problem])
+    raise unusable_hint(message, "a hint about streams")
 
 
 def origin_answer_to_record(answer: OriginAnswer) -> Json:
@@ -121,11 +127,8 @@
         UnusableRecordError: The answer is invalid.
     """
     record = read_record(_OriginAnswer, message)
-    origin = record.origin
     return OriginAnswer(
-        origin=(
-            None if origin is None else StreamOrigin(service=origin.service, version=origin.version)
-        ),
+        origin=None if record.origin is None else record.origin.origin,
         age=Millis(record.age),
         view=VersionsView(versions=frozenset(record.versions), is_complete=record.is_complete),
     )
--- a/packages/node/src/carobspool_node/direct/_peer_messages.py
+++ b/packages/node/src/carobspool_node/direct/_peer_messages.py
@@ -42,6 +42,17 @@
 Count = Annotated[int, Bounds(ge=0, le=MAX_COUNT)]
 
 
+def is_hint(message: Json, kind: str) -> bool:
+    """Return whether a decoded datagram is a hint of a kind, which is its first element."""
+    return isinstance(message, list) and message[:1] == [kind]
+
+
+def unusable_hint(message: Json, allowed: str) -> UnusableRecordError:
+    """Return the error for a hint that has the right kind and another form than ``allowed``."""
+    found = repr(message)[:MAX_NAME_CHARS]
+    return UnusableRecordError([Problem(file="", path="(body)", found=found, allowed=allowed)])
+
+
 def _read_address(value: Any) -> tuple[str, int]:
     match value:
         case [str() as host, int() as port] if 1 <= port <= HIGHEST_PORT:
--- a/packages/node/src/carobspool_node/direct/_queued_requests.py
+++ b/packages/node/src/carobspool_node/direct/_queued_requests.py
@@ -115,7 +115,7 @@
         """
 
         def place(usable: frozenset[str] | None) -> Placement | None:
-            split = self._split_upstreams(service).running(state.version)
+            split = self._candidates(state, service)
             places = self._places(service, split)
             if usable is not None:
                 split = UpstreamSplit(
@@ -127,7 +127,7 @@
         def refusal() -> QueueRefusedError | None:
             if not has_time_before_exit():
                 return QueueRefusedError(state.last_failure, retry_after=LEAVING_RETRY_AFTER)
-            split = self._split_upstreams(service).running(state.version)
+            split = self._candidates(state, service)
             if not split.near and not split.far:
                 return QueueRefusedError(
                     "no upstream is registered", retry_after=NO_UPSTREAM_RETRY_AFTER
@@ -218,8 +218,12 @@
         slots = min((each.slots for each in split.near or split.far), default=1)
         return further_places(slots, self._queue.mean_run(service))
 
+    def _candidates(self, state: RequestState, service: str) -> UpstreamSplit:
+        """Return the upstreams of a service at which a request may run."""
+        return self._split_upstreams(service).running(state.version)
+
     def _has_untried(self, state: RequestState, service: str) -> bool:
-        split = self._split_upstreams(service).running(state.version)
+        split = self._candidates(state, service)
         return any(each.identity not in state.tried for each in (*split.near, *split.far))
 
     def _return_tokens(self) -> None:
--- a/packages/node/src/carobspool_node/direct/_request_state.py
+++ b/packages/node/src/carobspool_node/direct/_request_state.py
@@ -38,8 +38,6 @@
             event is known.
         version: Software version at which the stream must go on: that of the upstream that brought
             its first event. ``None`` before that event is known.
-        start_confirmed: Whether nothing says that the current call reached another start of its
-            upstream than the registered one.
         is_retry: Whether the caller has retried the request after a refusal.
         last_failure: Why the last call failed.
         demand: Tokens and prompt parts that the request states, ``None`` if it states none.
@@ -66,7 +64,6 @@
     streaming: bool = False
     service: str = ""
     version: str | None = None
-    start_confirmed: bool = True
     is_retry: bool = False
     last_failure: str = ""
     demand: PromptDemand | None = None
@@ -98,13 +95,13 @@
     return request.header(names.resumes) is not None or after not in (None, b"0")
 
 
-def stream_id_of(request: CallerRequest, route: Route, names: HeaderNames) -> str:
+def stream_id_of(request: CallerRequest, names: HeaderNames, *, takes_up: bool) -> str:
     """Return the id of a request's stream, empty if other entries cannot be told or asked of it.
 
     That is so if the caller takes a stream up without naming it, and for ids longer than entries
     send.
     """
     stream_id = request.request_id
-    if takes_stream_up(request, route, names):
+    if takes_up:
         stream_id = (request.header(names.resumes) or b"").decode("latin-1")
     return stream_id if len(stream_id) <= MAX_NAME_CHARS else ""
--- a/packages/node/src/carobspool_node/direct/_start_check.py
+++ b/packages/node/src/carobspool_node/direct/_start_check.py
@@ -15,7 +15,6 @@
 from carobspool_core import Millis
 from carobspool_core.direct import Upstream
 from carobspool_node.direct._channel import CallerWatch, Channel
-from carobspool_node.direct._errors import ConnectionBrokenError
 from carobspool_node.direct._messages import HeaderNames, Headers
 
 MAX_REPORT_BYTES = 1_000_000
@@ -67,33 +66,12 @@
         CallerGoneError: The caller has disconnected.
         CallCancelledError: Another task cancelled the call.
     """
-    http = channel.http
     headers: Headers = [
         (b"Host", upstream.address[0].encode()),
         (names.expect_instance, upstream.instance.encode()),
     ]
-    head = http.send(h11.Request(method=b"GET", target=report.path.encode(), headers=headers))
-    channel.send((head or b"") + (http.send(h11.EndOfMessage()) or b""), deadline, watch)
-    status, body = _read_answer(channel, deadline, watch)
+    request = h11.Request(method=b"GET", target=report.path.encode(), headers=headers)
+    status, body = channel.exchange(request, b"", deadline, watch=watch, max_bytes=MAX_REPORT_BYTES)
     if status != 200:
         raise NoReportError(f"status {status} instead of the upstream's report")
     return report.read_started(body)
-
-
-def _read_answer(
-    channel: Channel, deadline: Millis, watch: CallerWatch | None
-) -> tuple[int, bytes]:
-    status = 0
-    body = b""
-    while True:
-        event = channel.next_event(deadline, watch)
-        if isinstance(event, h11.Response):
-            status = event.status_code
-        elif isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > MAX_REPORT_BYTES:
-                raise ConnectionBrokenError("the upstream's report is too long")
-        elif isinstance(event, h11.EndOfMessage):
-            return status, body
-        elif not isinstance(event, h11.InformationalResponse):
-            raise ConnectionBrokenError("closed before an answer")
--- a/packages/node/src/carobspool_node/direct/_stream_relay.py
+++ b/packages/node/src/carobspool_node/direct/_stream_relay.py
@@ -34,8 +34,8 @@
         telemetry: Logs and metrics.
         isolation: Isolates requests that crash upstreams.
         endings: Records the outcome of requests.
-        on_first_event: Called with the request and the upstream before the first event is
-            forwarded.
+        on_first_event: Called with the request, the upstream and its software version before the
+            first event is forwarded.
     """
 
     def __init__(
@@ -47,7 +47,7 @@
         isolation: CrashIsolation,
         endings: RequestEndings,
         *,
-        on_first_event: Callable[[RequestState, Upstream], None],
+        on_first_event: Callable[[RequestState, Upstream, str], None],
     ) -> None:
         self._clock = clock
         self._loads = loads
@@ -91,7 +91,7 @@
                 pauses.record(len(pieces))
             if not state.streaming:
                 state.streaming = True
-                self._on_first_event(state, upstream)
+                self._on_first_event(state, upstream, call.version)
                 state.caller.start_stream(head.status, answer_headers(head), head.reason)
                 self._queued.record_first_event(state, upstream.service)
                 self._telemetry.observe_duration(
--- a/packages/node/src/carobspool_node/direct/_stream_versions.py
+++ b/packages/node/src/carobspool_node/direct/_stream_versions.py
@@ -34,11 +34,11 @@
         self._origins = origins
         self._endings = endings
 
-    def begin(self, state: RequestState, upstream: Upstream) -> None:
-        """Bind a stream whose first event is about to be forwarded."""
+    def begin(self, state: RequestState, upstream: Upstream, version: str) -> None:
+        """Bind a stream whose first event is about to be forwarded to an upstream's version."""
         state.service = upstream.service
         if state.version is None:
-            state.version = upstream.version if state.start_confirmed else UNKNOWN_VERSION
+            state.version = version
         if state.route.resumable and state.stream_id:
             self._origins.begin(state.stream_id, upstream, state.version)
 
--- a/packages/node/src/carobspool_node/direct/_suspect_messages.py
+++ b/packages/node/src/carobspool_node/direct/_suspect_messages.py
@@ -9,9 +9,8 @@
 from msgspec import Struct
 
 from carobspool_core import Json, Millis, SuspectUpdate
-from carobspool_core.problems import Problem, UnusableRecordError
 from carobspool_core.records import Bounds, Record, field, read_record
-from carobspool_node.direct._peer_messages import MAX_NAME_CHARS, Count, Name
+from carobspool_node.direct._peer_messages import Count, Name, is_hint, unusable_hint
 
 _SUSPECTS_HINT_KIND = "s"
 MAX_CRASHES_SENT = 64
@@ -69,18 +68,13 @@
     Raises:
         UnusableRecordError: The hint is invalid.
     """
-    match message:
-        case [str() as kind, *_] if kind == _SUSPECTS_HINT_KIND:
-            pass
-        case _:
-            return None
+    if not is_hint(message, _SUSPECTS_HINT_KIND):
+        return None
     match message:
         case [_, str() as name, str() as incarnation, list() as suspects]:
             states = read_suspects({"suspects": suspects})
             return SuspectsHint(name=name, incarnation=incarnation, suspects=states)
-    found = repr(message)[:MAX_NAME_CHARS]
-    problem = Problem(file="", path="(body)", found=found, allowed="a hint about suspects")
-    raise UnusableRecordError([problem])
+    raise unusable_hint(message, "a hint about suspects")
 
 
 def suspect_to_record(update: SuspectUpdate, age: Millis = 0.0) -> dict[str, Any]:
--- a/packages/node/src/carobspool_node/direct/_upstream_calls.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_calls.py
@@ -10,8 +10,13 @@
 from msgspec import Struct
 
 from carobspool_core import Millis
-from carobspool_core.direct import Upstream
-from carobspool_node.direct._channel import CallerWatch, Cancellation, Channel
+from carobspool_core.direct import UNKNOWN_VERSION, Upstream
+from carobspool_node.direct._channel import (
+    CallerWatch,
+    Cancellation,
+    Channel,
+    encode_request,
+)
 from carobspool_node.direct._errors import (
     CallCancelledError,
     CallerGoneError,
@@ -189,9 +194,9 @@
         return self._open_call.upstream_restarted
 
     @property
-    def start_confirmed(self) -> bool:
-        """Whether nothing says that another start answers than the registration describes."""
-        return self._start_confirmed
+    def version(self) -> str:
+        """Software version of the upstream, `UNKNOWN_VERSION` if another start of it answers."""
+        return self._upstream.version if self._start_confirmed else UNKNOWN_VERSION
 
     def upstream_has_ended(self) -> bool:
         """Return whether the call failed because the process that ran it has ended.
@@ -331,14 +336,8 @@
 
 
 def _encode(http: h11.Connection, request: UpstreamRequest) -> bytes:
-    head = http.send(
-        h11.Request(method=request.method, target=request.target, headers=request.headers)
-    )
-    parts = [head or b""]
-    if request.body:
-        parts.append(http.send(h11.Data(data=request.body)) or b"")
-    parts.append(http.send(h11.EndOfMessage()) or b"")
-    return b"".join(parts)
+    head = h11.Request(method=request.method, target=request.target, headers=request.headers)
+    return encode_request(http, head, request.body)
 
 
 def _idle_limit(headers: Headers) -> Millis:
--- a/packages/node/tests/test_direct_upstream_calls.py
+++ b/packages/node/tests/test_direct_upstream_calls.py
@@ -12,7 +12,7 @@
 import pytest
 
 from carobspool_core import Millis, monotonic_clock
-from carobspool_core.direct import Upstream
+from carobspool_core.direct import UNKNOWN_VERSION, Upstream
 from carobspool_node.direct._channel import Cancellation
 from carobspool_node.direct._errors import CallCancelledError, DeadlinePassedError
 from carobspool_node.direct._messages import HeaderNames
@@ -89,6 +89,7 @@
 
 SERVER_NAMES = HeaderNames(expect_instance=b"expect-instance", signature=b"server-stamp")
 STARTED = 1_700_000_000_000
+VERSION = "v1"
 REPORT = StartReport(path=REPORT_PATH, read_started=lambda body: json.loads(body).get("born", 0))
 
 
@@ -111,13 +112,14 @@
         slots=8,
         ready=True,
         started=STARTED,
+        version=VERSION,
     )
 
 
 def _call(
     connections: UpstreamConnections, upstream: Upstream, joins: Joins | None = Joins.BEFORE
-) -> tuple[int, bool]:
-    """Make a call; return its status and whether the start is confirmed."""
+) -> tuple[int, str]:
+    """Make a call; return its status and the version that it counts as."""
     call = UpstreamCall(connections, upstream, SERVER_NAMES)
     request = UpstreamRequest(
         method=b"POST",
@@ -130,7 +132,7 @@
     try:
         head = call.start(request, deadline, joins=joins)
         call.read_body(deadline)
-        return head.status, call.start_confirmed
+        return head.status, call.version
     finally:
         call.close()
 
@@ -146,7 +148,7 @@
     """Guards against a question before each stream that goes on."""
     connections = UpstreamConnections(monotonic_clock(), REPORT)
     with _server() as server:
-        assert [_call(connections, _registered(server)) for _ in range(3)] == [(200, True)] * 3
+        assert [_call(connections, _registered(server)) for _ in range(3)] == [(200, VERSION)] * 3
         assert (server.reports, server.connections) == (1, 1)
         _start_again(server)
         # The resets of its connections may arrive later.
@@ -170,7 +172,7 @@
     """Guards against streams that end because an upstream does not state its start."""
     connections = UpstreamConnections(monotonic_clock(), REPORT)
     with _server(started=0) as server:
-        assert _call(connections, _registered(server)) == (200, True)
+        assert _call(connections, _registered(server)) == (200, VERSION)
 
 
 @pytest.mark.parametrize(
@@ -196,7 +198,7 @@
     with _server() as server:
         server.hold_output()
         threading.Timer(1.5 * CHECK_TIMEOUT / 1_000.0, server.release_output).start()
-        assert _call(connections, _registered(server), Joins.AFTER) == (200, True)
+        assert _call(connections, _registered(server), Joins.AFTER) == (200, VERSION)
 
 
 def test_an_upstream_that_closes_after_its_report_is_called_on_another_connection() -> None:
@@ -204,7 +206,7 @@
     connections = UpstreamConnections(monotonic_clock(), REPORT)
     with _server() as server:
         server.closes_after_report = True
-        assert _call(connections, _registered(server)) == (200, True)
+        assert _call(connections, _registered(server)) == (200, VERSION)
         assert (server.reports, server.connections) == (1, 2)
 
 
@@ -213,11 +215,13 @@
     connections = UpstreamConnections(monotonic_clock(), REPORT)
     with _server() as server:
         upstream = _registered(server)
-        assert _call(connections, upstream, Joins.AFTER) == (200, True)
+        assert _call(connections, upstream, Joins.AFTER) == (200, VERSION)
         _start_again(server)
         # The resets of its connections may arrive later.
         connections.retain_only(set())
-        assert [_call(connections, upstream, Joins.AFTER) for _ in range(2)] == [(200, False)] * 2
+        assert [_call(connections, upstream, Joins.AFTER) for _ in range(2)] == [
+            (200, UNKNOWN_VERSION)
+        ] * 2
         assert server.reports == 2
         with pytest.raises(CallFailedError, match="start not confirmed"):
             _call(connections, upstream)
@@ -228,7 +232,7 @@
     """Guards against a question before each request."""
     connections = UpstreamConnections(monotonic_clock(), REPORT)
     with _server() as server:
-        assert _call(connections, _registered(server), None) == (200, True)
+        assert _call(connections, _registered(server), None) == (200, VERSION)
         assert server.reports == 0
 
 
