--- a/tests/direct/test_stream_versions.py
+++ b/tests/direct/test_stream_versions.py
@@ -439,3 +439,29 @@
         if each.target == "/resume/1"
     ]
     assert {each.join().status for each in taken_up} <= {503}
+
+
+def test_no_entry_lets_a_stream_go_on_that_began_at_a_start_not_registered_yet(
+    system: Deployment,
+) -> None:
+    """Guards against an entry which takes the registered version for that of a peer's stream."""
+    fleet = Fleet(system, entries=6, engines=2)
+    first, *others = system.entries
+    back, _ = system.servers
+    back.crash()
+    back.version = "v2"
+    back.start()
+    begun = [Caller(first, target="/resume/1") for _ in range(12)]
+    eventually(lambda: all(len(each.ids) > 2 for each in begun), 3.0)
+    began_at_back = [each for each in begun if each.versions == {"v2"}]
+    assert began_at_back
+    for each in begun:
+        each.leave()
+    taken_up = [
+        Caller(entry, target=each.target, takes_up=each.join())
+        for each in began_at_back
+        for entry in others
+    ]
+    assert _joined([each.join() for each in taken_up]) == []
+    assert {each.status for each in taken_up} == {503}
+    assert fleet.lines("known_by=registrations") == []
