Entries announce that streams of an uncertain version began

Cause: the entry at which such a stream begins tells two peers that its version is uncertain. All others saw one registered version, heard everybody and agreed on the registrations, so that they asked nobody. They cannot disagree: the registration is the same old one everywhere.

The entry, and the two peers that it tells, now state in their announcements that streams of an uncertain version began within the window. While any entry states it, take-ups ask the four preferred peers, among whom are the two that know. The first such stream is announced before its first event is forwarded; later ones of the same window cost no message to all.

Ruled out: telling all peers of each stream. When many servers restart during a store outage, each stream would cost a datagram to every entry.

--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -230,6 +230,7 @@
             isolation=self._isolation,
             declared=self._declared,
             membership=self._membership,
+            origins=self._origins,
             group_assignment=self._group_assignment,
             queue=self._queue,
             runner=self._runner,
--- a/packages/node/src/carobspool_node/direct/_entry_hints.py
+++ b/packages/node/src/carobspool_node/direct/_entry_hints.py
@@ -21,6 +21,7 @@
 from carobspool_node.direct._peers import HintSources, Peers
 from carobspool_node.direct._settings import DirectSettings
 from carobspool_node.direct._store_relay import RelayedStore
+from carobspool_node.direct._stream_origins import StreamOrigins
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.online_queue import OnlineQueue
 from carobspool_node.organisations import ANNOUNCEMENT_RESEND_TIME, RequestQuota
@@ -38,6 +39,7 @@
     isolation: CrashIsolation
     declared: DeclaredState
     membership: Membership
+    origins: StreamOrigins
     group_assignment: GroupAssignment
     queue: OnlineQueue[Placement]
     runner: JobRunner
@@ -111,6 +113,7 @@
             **parts.declared.versions(),
             **parts.membership.versions(),
             **parts.isolation.versions(),
+            **parts.origins.versions(),
         },
         leaving=parts.leaving.is_set(),
         released=parts.runner.released,
--- a/packages/node/src/carobspool_node/direct/_stream_origins.py
+++ b/packages/node/src/carobspool_node/direct/_stream_origins.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import Future, ThreadPoolExecutor, as_completed
 from typing import Any, Protocol
 
@@ -48,6 +48,9 @@
 MAX_CONCURRENT_CALLS = 16
 """Calls to peers in progress: those for four streams that are taken up at the same moment."""
 ORIGIN_OPERATION = "stream-origin"
+_UNCERTAIN = "uncertain_origins"
+"""Key among the versions that entries announce: present while streams of an uncertain version that
+began at this entry, or of which it was told, can be taken up."""
 
 
 class OriginPeers(Protocol):
@@ -138,6 +141,8 @@
         self._lock = threading.Lock()
         self._table = OriginTable()
         self._told: set[str] = set()
+        self._began_uncertain_until: Millis = float("-inf")
+        self._told_uncertain_until: Millis = float("-inf")
         self._calls = ThreadPoolExecutor(MAX_CONCURRENT_CALLS, thread_name_prefix="origin")
 
     def begin(self, stream_id: str, upstream: Upstream, version: str) -> None:
@@ -151,9 +156,16 @@
         origin = StreamOrigin(service=upstream.service, version=version)
         with self._lock:
             self._table.add(stream_id, origin, self._clock.now(), instance=upstream.instance)
+        if not origin.is_certain:
+            self._record_uncertain()
         if not origin.is_certain or self._must_tell(upstream.service):
             self._tell([stream_id], origin)
 
+    def versions(self) -> Mapping[str, int]:
+        """Return what announcements state so that peers ask before they rely on registrations."""
+        until = max(self._began_uncertain_until, self._told_uncertain_until)
+        return {_UNCERTAIN: 1} if self._clock.now() < until else {}
+
     def find(self, stream_id: str, route: Route) -> FoundOrigin:
         """Return the origin of a stream that a caller takes up.
 
@@ -192,6 +204,8 @@
         with self._lock:
             for stream_id in hint.streams:
                 self._table.add(stream_id, hint.origin, now)
+        if not hint.origin.is_certain:
+            self._told_uncertain_until = now + self._window()
 
     def serve(self, call: OriginCall) -> Json:
         """Return the answer to a peer's call."""
@@ -252,6 +266,18 @@
         with self._lock:
             self._table.remove_older(before)
 
+    def _record_uncertain(self) -> None:
+        """Announce that streams have begun whose version the registrations do not tell.
+
+        Peers that are not told of these streams would take them for ones of the only registered
+        version. One announcement holds for all streams of the time that it covers.
+        """
+        now = self._clock.now()
+        is_announced = now < self._began_uncertain_until
+        self._began_uncertain_until = now + self._window()
+        if not is_announced:
+            self._peers.announce()
+
     def _must_tell(self, service: str) -> bool:
         """Whether registrations alone may not tell the version of a service's streams."""
         return self._views.versions_of(service).sole_version is None
@@ -267,10 +293,13 @@
                 self._peers.send_origins(origin, told[start : start + MAX_STREAMS_SENT], [holder])
 
     def _all_agree(self, live: Sequence[Peer]) -> bool:
-        """Whether every known entry is heard and lists the same starts of upstreams."""
-        if not self._peers.hears_all_known():
+        """Whether every known entry is heard and has seen the same starts of upstreams."""
+        if not self._peers.hears_all_known() or self.versions():
             return False
-        return all(self._views.knows_the_same_starts(peer.versions) for peer in live)
+        return all(
+            _UNCERTAIN not in peer.versions and self._views.knows_the_same_starts(peer.versions)
+            for peer in live
+        )
 
     def _ask(self, peers: Sequence[Peer], stream_id: str, service: str) -> list[OriginAnswer]:
         """Return the answers of peers, up to the first one that knows the origin."""
--- a/packages/node/tests/test_direct_stream_origins.py
+++ b/packages/node/tests/test_direct_stream_origins.py
@@ -151,11 +151,34 @@
     assert fleet.origins.find("a", ROUTE).origin is None
 
 
-@pytest.mark.parametrize("reason", ["peers disagree", "just started"])
+def test_a_stream_whose_version_is_not_certain_is_announced_once() -> None:
+    """Guards against entries that rely on registrations, and against a message to all a stream."""
+    fleet = _Fleet("v1")
+    assert fleet.origins.versions() == {}
+    for stream_id in ("a", "b"):
+        fleet.origins.begin(stream_id, _upstream(), UNKNOWN_VERSION)
+    assert (fleet.announced, len(fleet.origins.versions())) == (1, 1)
+
+
+def test_a_peer_that_is_told_of_an_uncertain_stream_announces_it_too() -> None:
+    """Guards against what is forgotten with the entry at which the stream began."""
+    fleet = _Fleet("v1")
+    uncertain = StreamOrigin(service="s", version=UNKNOWN_VERSION)
+    fleet.origins.receive(OriginsHint(name="e1", incarnation="1", origin=uncertain, streams=["a"]))
+    assert len(fleet.origins.versions()) == 1
+    fleet.origins.begin("b", _upstream(), UNKNOWN_VERSION)
+    assert fleet.announced == 1
+
+
+@pytest.mark.parametrize("reason", ["peers disagree", "just started", "uncertain streams"])
 def test_peers_are_asked_while_one_version_is_not_certain(reason: str) -> None:
     """Guards against an entry that relies on registrations which others know to be outdated."""
     fleet = _Fleet("v2", is_complete=reason != "just started")
     fleet.agree = reason != "peers disagree"
+    if reason == "uncertain streams":
+        announcing = _Fleet("v2")
+        announcing.origins.begin("b", _upstream(), UNKNOWN_VERSION)
+        fleet.peers[-1].versions = announcing.origins.versions()
     origin = OriginAnswer(
         origin=V1, age=5.0, view=VersionsView(versions=frozenset(), is_complete=True)
     )
