--- a/tests/direct/test_stream_versions.py
+++ b/tests/direct/test_stream_versions.py
@@ -23,6 +23,8 @@
 )
 from stream_fleet import EVENTS, SURE_AFTER_S, Caller, Fleet
 
+from carobspool_standins.platform_server import PlatformServer
+
 VERSIONS = ("v1", "v2")
 SHARE_THAT_GOES_ON = 0.5
 """Of the streams that are taken up while two servers of their version serve, the least share that
@@ -48,6 +50,13 @@
     entry.process.wait()
 
 
+def _start_unregistered(server: PlatformServer) -> None:
+    """Start a server again at version ``v2``, and leave its registration as it was."""
+    server.crash()
+    server.version = "v2"
+    server.start()
+
+
 def _joined(callers: list[Caller]) -> list[str]:
     """Return the streams that hold events of two versions."""
     return [
@@ -353,10 +362,7 @@
     fleet = Fleet(system, entries=2, engines=1)
     (server,) = system.servers
     server.reports_start = event == "other_start"
-    server.crash()
-    server.version = "v2"
-    # It runs again before its registration says so.
-    server.start()
+    _start_unregistered(server)
     callers = []
     for _ in range(4):
         callers.append(Caller(system.entries[0], target="/resume/1"))
@@ -380,9 +386,7 @@
     callers = [Caller(system.entries[0], target="/resume/1") for _ in range(8)]
     eventually(lambda: all(len(each.ids) > 2 for each in callers), 3.0)
     back, other = system.servers
-    back.crash()
-    back.version = "v2"
-    back.start()
+    _start_unregistered(back)
     # An upstream that has failed is avoided for a second while others are left.
     eventually(lambda: fleet.lines("event=upstream_used_again"), 3.0)
     more = [Caller(system.entries[0], target="/resume/1") for _ in range(8)]
@@ -401,9 +405,7 @@
     assert entry.call("POST", "/batch/1", body=job_body(*ids), request_id="job1").status == 202
     back, other = system.servers
     eventually(lambda: all(server.requests for server in system.servers), 5.0)
-    back.crash()
-    back.version = "v2"
-    back.start()
+    _start_unregistered(back)
     eventually(lambda: fleet.lines("event=upstream_used_again"), 3.0)
     other.crash()
     system.objects.remove("servers", other.instance)
@@ -422,9 +424,7 @@
     callers = [Caller(system.entries[0], target="/resume/1") for _ in range(8)]
     eventually(lambda: all(len(each.ids) > 2 for each in callers), 3.0)
     back, other = system.servers
-    back.crash()
-    back.version = "v2"
-    back.start()
+    _start_unregistered(back)
     eventually(lambda: fleet.lines("event=upstream_used_again"), 3.0)
     more = [Caller(system.entries[0], target=target) for target in ("/resume/1", "/stream/1") * 6]
     eventually(lambda: all(len(each.ids) > 2 for each in more), 3.0)
@@ -448,9 +448,7 @@
     fleet = Fleet(system, entries=6, engines=2)
     first, *others = system.entries
     back, _ = system.servers
-    back.crash()
-    back.version = "v2"
-    back.start()
+    _start_unregistered(back)
     begun = [Caller(first, target="/resume/1") for _ in range(12)]
     eventually(lambda: all(len(each.ids) > 2 for each in begun), 3.0)
     began_at_back = [each for each in begun if each.versions == {"v2"}]
