Tests: one deployment for streams that continue, go on or run at a later start

Three fixtures built the same deployment; test_early_restart_review.py now checks as well that no entry logs an error.

--- a/tests/direct/test_early_restart_review.py
+++ b/tests/direct/test_early_restart_review.py
@@ -8,14 +8,8 @@
 from pathlib import Path
 
 import pytest
-from direct_harness import (
-    STANDARD_ROUTES,
-    Deployment,
-    Entry,
-    configuration,
-    deployment,
-    eventually,
-)
+from direct_harness import Deployment, Entry, eventually
+from stream_fleet import stream_deployment
 
 from carobspool_standins.engine_backups import EngineBackups
 
@@ -23,11 +17,7 @@
 @pytest.fixture
 def system(tmp_path: Path) -> Iterator[Deployment]:
     """A deployment of stand-ins without entries, whose engines declare copies and moves."""
-    with deployment(tmp_path) as running:
-        running.settings["stream_backups"] = "auto"
-        services = [{"name": "engine", "engine": {"backups": True, "moves": True}}]
-        declared = configuration(2, *STANDARD_ROUTES) | {"services": services}
-        running.objects.put("config", "main", declared)
+    with stream_deployment(tmp_path) as running:
         yield running
 
 
--- a/tests/direct/test_stream_backups.py
+++ b/tests/direct/test_stream_backups.py
@@ -8,13 +8,10 @@
 
 import pytest
 from direct_harness import (
-    STANDARD_ROUTES,
     Deployment,
-    configuration,
-    deployment,
     eventually,
 )
-from stream_fleet import EVENTS, MARKER, SURE_AFTER_S, Caller, Fleet
+from stream_fleet import EVENTS, MARKER, SURE_AFTER_S, Caller, Fleet, stream_deployment
 
 GAP_AIM_S = 0.3
 CRASHES = 3
@@ -24,15 +21,8 @@
 @pytest.fixture
 def system(tmp_path: Path) -> Iterator[Deployment]:
     """A deployment of stand-ins without entries, whose engines declare copies and moves."""
-    with deployment(tmp_path) as running:
-        running.settings["stream_backups"] = "auto"
-        services = [{"name": "engine", "engine": {"backups": True, "moves": True}}]
-        declared = configuration(2, *STANDARD_ROUTES) | {"services": services}
-        running.objects.put("config", "main", declared)
+    with stream_deployment(tmp_path) as running:
         yield running
-        assert [e.log_lines_containing("level=error") for e in running.entries] == [
-            [] for _ in running.entries
-        ]
 
 
 def _assert_continued(fleet: Fleet, caller: Caller, way: str) -> None:
--- a/tests/direct/test_stream_versions.py
+++ b/tests/direct/test_stream_versions.py
@@ -12,16 +12,13 @@
 
 import pytest
 from direct_harness import (
-    STANDARD_ROUTES,
     Deployment,
     Entry,
     all_results,
-    configuration,
-    deployment,
     eventually,
     job_body,
 )
-from stream_fleet import EVENTS, SURE_AFTER_S, Caller, Fleet
+from stream_fleet import EVENTS, SURE_AFTER_S, Caller, Fleet, stream_deployment
 
 from carobspool_standins.platform_server import PlatformServer
 
@@ -34,15 +31,8 @@
 @pytest.fixture
 def system(tmp_path: Path) -> Iterator[Deployment]:
     """A deployment of stand-ins without entries, whose engines declare copies and moves."""
-    with deployment(tmp_path) as running:
-        running.settings["stream_backups"] = "auto"
-        services = [{"name": "engine", "engine": {"backups": True, "moves": True}}]
-        declared = configuration(2, *STANDARD_ROUTES) | {"services": services}
-        running.objects.put("config", "main", declared)
+    with stream_deployment(tmp_path) as running:
         yield running
-        assert [e.log_lines_containing("level=error") for e in running.entries] == [
-            [] for _ in running.entries
-        ]
 
 
 def _kill(entry: Entry) -> None:
--- a/tests/stream_fleet.py
+++ b/tests/stream_fleet.py
@@ -12,9 +12,18 @@
 import threading
 import time
 import uuid
-from collections.abc import Sequence
-
-from direct_harness import HOST, Deployment, Entry, eventually
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+
+from direct_harness import (
+    HOST,
+    STANDARD_ROUTES,
+    Deployment,
+    Entry,
+    configuration,
+    deployment,
+    eventually,
+)
 
 from carobspool_standins.engine_backups import EngineBackups
 from carobspool_standins.platform_server import PlatformServer, ServedRequest, ServerConnection
@@ -28,6 +37,20 @@
 MARKER = b"no engine survives this"
 
 
+@contextlib.contextmanager
+def stream_deployment(folder: Path) -> Iterator[Deployment]:
+    """A deployment without entries whose engines declare copies and moves; no entry logs errors."""
+    with deployment(folder) as running:
+        running.settings["stream_backups"] = "auto"
+        services = [{"name": "engine", "engine": {"backups": True, "moves": True}}]
+        declared = configuration(2, *STANDARD_ROUTES) | {"services": services}
+        running.objects.put("config", "main", declared)
+        yield running
+        assert [e.log_lines_containing("level=error") for e in running.entries] == [
+            [] for _ in running.entries
+        ]
+
+
 class Caller:
     """Reads one stream in a thread, with the arrival time of each event.
 
