Soak: registrations that another series has removed; stacks of processes that do not stop

Such a removal is now skipped.

The check and the limit stay as they are. A process that does not stop is now aborted with the fault handler on, so that its log shows its stacks if it is still running.

--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -350,7 +350,8 @@
 def _run_process(
     settings: Path, log: Path, descriptor: int | None, program: Sequence[str]
 ) -> Iterator[subprocess.Popen[bytes]]:
-    environment = {**os.environ, "CAROBSPOOL_SETTINGS": str(settings)}
+    variables = {"CAROBSPOOL_SETTINGS": str(settings), "PYTHONFAULTHANDLER": "1"}
+    environment = {**os.environ, **variables}
     command = [sys.executable, *program]
     with log.open("wb") as file:
         output = file if descriptor is None else descriptor
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -68,6 +68,8 @@
 """More connections than an entry serves at once for the calls of other entries."""
 STOP_LIMIT_S = 8.0
 """Longest time from a stop request to the end of a process, two seconds more than its own limit."""
+ABORT_LIMIT_S = 2.0
+"""Longest time in which a process that did not stop writes its stacks."""
 SETTLE_S = 1.2
 MAX_ENTRIES = 3
 SERVICES = ("plain", "plain", "engine", "engine", "engine")
@@ -420,6 +422,10 @@
         except subprocess.TimeoutExpired:
             log = self._entries[name].log.name
             self._record.add_violation(f"{name} did not stop in time, its log is {log}")
+            # The fault handler writes the stacks of all threads to the log.
+            process.send_signal(signal.SIGABRT)
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                process.wait(timeout=ABORT_LIMIT_S)
             process.kill()
             process.wait()
         time.sleep(pause)
@@ -495,13 +501,18 @@
         service = self._services[server.instance]
         state = draw.choice(("draining", "gone"))
         if state == "gone":
-            self._system.objects.remove("servers", server.instance)
+            self._deregister(server)
         else:
             entry = server.registration(service, state="draining")
             self._system.objects.put("servers", server.instance, entry)
         time.sleep(draw.random())
         self._system.objects.put("servers", server.instance, server.registration(service))
 
+    def _deregister(self, server: PlatformServer) -> None:
+        # Another series of faults may have removed the registration.
+        with contextlib.suppress(KeyError):
+            self._system.objects.remove("servers", server.instance)
+
     def _crash_server(self, draw: random.Random) -> None:
         server = draw.choice(self._system.servers)
         server.crash()
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -78,7 +78,7 @@
         version = draw.choice([each for each in VERSIONS if each != old.version])
         self._start_server("engine", self._behave(next(self._numbers)), version)
         time.sleep(draw.random() * 0.5)
-        self._system.objects.remove("servers", old.instance)
+        self._deregister(old)
         time.sleep(draw.random() * SERVED_AFTER_REMOVAL_S)
         old.crash()
 
