A failed call names the parts of its prompt and whether the server had written

The logs of the incident could not tell whether the requests in flight at each crash had a part of their prompts in common, nor whether a server had written on them: event=try_failed names both.

--- a/packages/core/src/carobspool_core/upstream_pace/__init__.py
+++ b/packages/core/src/carobspool_core/upstream_pace/__init__.py
@@ -5,7 +5,7 @@
 
 from carobspool_core.upstream_pace._batch_choice import choose_batch
 from carobspool_core.upstream_pace._choice import FirstEventChoice
-from carobspool_core.upstream_pace._demand import PromptDemand, read_demand
+from carobspool_core.upstream_pace._demand import PromptDemand, read_demand, read_shared_parts
 from carobspool_core.upstream_pace._estimates import UpstreamEstimates, Wanted, counts_parts
 from carobspool_core.upstream_pace._first_event import FirstEventTimes
 from carobspool_core.upstream_pace._memory import EngineMemory, Forecast
@@ -30,4 +30,5 @@
     "choose_batch",
     "counts_parts",
     "read_demand",
+    "read_shared_parts",
 ]
--- a/packages/core/src/carobspool_core/upstream_pace/_demand.py
+++ b/packages/core/src/carobspool_core/upstream_pace/_demand.py
@@ -16,6 +16,8 @@
 """Far more than any engine holds; a larger number in a header is a mistake."""
 MAX_PARTS = 32
 """Bounds the work of one placement; prompts consist of some five parts."""
+MAX_SHARED_PARTS = 128
+"""Bounds what one request that was in flight at a crash adds to a hint, some 10 KB."""
 _MAX_MODEL_CHARS = 200
 _TOKEN_COUNT = re.compile(rb"([0-9]{1,8})[ \t]*,[ \t]*([0-9]{1,8})")
 _PART = re.compile(rb"([0-9a-fA-F]{1,64}):([0-9]{1,8})")
@@ -89,6 +91,23 @@
     return PromptDemand(_read_model(model or b""), prompt, output, parts)
 
 
+def read_shared_parts(prompt_parts: bytes | None) -> tuple[str, ...]:
+    """Return the ids of a prompt's shared parts: the first `MAX_SHARED_PARTS`, without the last.
+
+    Unlike `read_demand` this needs no token count, and keeps the parts before an invalid one.
+
+    Args:
+        prompt_parts: ``ID:TOKENS,…`` with hexadecimal ids.
+    """
+    found: dict[str, None] = {}
+    for piece in (prompt_parts or b"").split(b",")[:-1][:MAX_SHARED_PARTS]:
+        match = _PART.fullmatch(piece.strip())
+        if match is None:
+            break
+        found[match[1].decode().lower()] = None
+    return tuple(found)
+
+
 def _read_model(value: bytes) -> str:
     name = value.strip().decode("ascii", errors="replace")
     return name if name.isprintable() and len(name) <= _MAX_MODEL_CHARS else ""
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -60,6 +60,8 @@
 """Number of upstreams that may reject one request without running it before its caller receives
 503. Each rejection costs a round trip; if three upstreams are full, the others probably are full as
 well."""
+MAX_PARTS_LOGGED = 16
+"""Parts of a prompt in one log line; most prompts have two or three shared ones."""
 MAX_SUSPECT_CHOICES = 3
 """Number of upstreams that a suspect may run at if those that it prefers are full."""
 CALL_TIME_FRACTION = 0.45
@@ -163,6 +165,7 @@
             organisation=organisation,
             is_retry=is_retry_by_deadline(deadline=limit, timeout=route.timeout),
             demand=self._loads.choice.demand_of(request.header),
+            names=self._names,
         )
         try:
             self._try_upstreams(state)
@@ -404,11 +407,14 @@
         state.last_failure = reason
         self._telemetry.count("upstream_failures", service=upstream.service)
         logging.info(
-            "event=try_failed request=%s fingerprint=%s upstream=%s sent=%s ended=%s reason=%r",
+            "event=try_failed request=%s fingerprint=%s parts=%s upstream=%s sent=%s written=%s"
+            " ended=%s reason=%r",
             state.request.request_id,
             state.fingerprint(),
+            ",".join(state.shared_parts()[:MAX_PARTS_LOGGED]),
             upstream.instance,
             sent,
+            state.has_written,
             ended,
             reason,
         )
--- a/packages/node/src/carobspool_node/direct/_request_state.py
+++ b/packages/node/src/carobspool_node/direct/_request_state.py
@@ -6,7 +6,7 @@
 
 from carobspool_core import Millis
 from carobspool_core.direct import Route, RouteKind, request_fingerprint
-from carobspool_core.upstream_pace import Forecast, PromptDemand
+from carobspool_core.upstream_pace import Forecast, PromptDemand, read_shared_parts
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._messages import CallerRequest, HeaderNames
 from carobspool_node.direct._peer_messages import MAX_NAME_CHARS
@@ -42,7 +42,9 @@
         last_failure: Why the last call failed.
         demand: Tokens and prompt parts that the request states, ``None`` if it states none.
         forecast: What is expected of the current call, ``None`` if slots alone decide.
+        names: Header names of the deployment.
         known_fingerprint: The fingerprint, once it was computed.
+        known_parts: Ids of the prompt's shared parts, once they were read.
         is_refunded: Whether the token of the organisation's limit was returned.
         placed_at: When the request was last placed at an upstream.
         progress: Events and copy of the current run of a stream.
@@ -68,7 +70,9 @@
     last_failure: str = ""
     demand: PromptDemand | None = None
     forecast: Forecast | None = None
+    names: HeaderNames = field(default_factory=HeaderNames)
     known_fingerprint: str = ""
+    known_parts: tuple[str, ...] | None = None
     is_refunded: bool = False
     placed_at: Millis = 0.0
     progress: StreamProgress = field(default_factory=StreamProgress)
@@ -86,6 +90,17 @@
             )
         return self.known_fingerprint
 
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the ids of the parts of the prompt that other requests may share."""
+        if self.known_parts is None:
+            self.known_parts = read_shared_parts(self.request.header(self.names.prompt_parts))
+        return self.known_parts
+
+    @property
+    def has_written(self) -> bool:
+        """Whether the upstream of the current call has sent an event."""
+        return self.progress.first_event_at is not None
+
 
 def takes_stream_up(request: CallerRequest, route: Route, names: HeaderNames) -> bool:
     """Return whether a caller takes up a stream of which it has received events."""
