--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -7,10 +7,11 @@
 import signal
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
+from crashing_fleet import SERVERS, CrashingFleet
 from direct_harness import (
     HOST,
     Answer,
@@ -36,65 +37,34 @@
 CRASHES = 3
 MAX_LATE_RETRIES = 3
 """RULES.md, BUDGET: retries that reach servers `STABILITY_WINDOW_S` after the third crash."""
-SERVERS = 9
 SLOW_S = 0.5
 ROUTES = {"once": "/once/x", "safe": "/safe/x", "stream": "/stream/x", "resume": "/resume/x"}
 
 
-class CrashingFleet:
-    """Servers that crash on marked requests; each is replaced by a new one at another address."""
-
-    def __init__(self, system: Deployment, service: str, *, servers: int = SERVERS) -> None:
-        self._system = system
-        self._service = service
-        self._lock = threading.Lock()
-        self._crashed: set[str] = set()
-        self.crash_times: list[float] = []
-        self.arrival_times: list[float] = []
-        for _ in range(servers):
-            self._start_server()
-
-    def arrivals_after(self, moment: float) -> int:
-        """Return how many marked requests reached a server after ``moment``."""
-        return sum(arrived > moment for arrived in self.arrival_times)
-
-    @property
-    def slow_arrivals(self) -> int:
-        """How many slow requests have reached a server."""
-        return sum(_slow_requests(server) for server in self._system.servers)
-
-    def _start_server(self) -> None:
-        holder: list[PlatformServer] = []
-        holder.append(self._system.start_server(self._service, self._handler(holder)))
-
-    def _handler(self, holder: list[PlatformServer]) -> RequestHandler:
-        serve_sound_request = _answer if self._service == "plain" else event_stream_handler(5)
+def _crashing_fleet(system: Deployment, service: str, *, servers: int = SERVERS) -> CrashingFleet:
+    """Start servers that crash on marked requests."""
+    serve_sound_request = _answer if service == "plain" else event_stream_handler(5)
 
+    def make_handler(crash: Callable[[], None]) -> RequestHandler:
         def handle_request(request: ServedRequest, connection: ServerConnection) -> None:
-            if MARKER not in request.body:
+            if not _is_marked(request):
                 serve_sound_request(request, connection)
                 return
-            with self._lock:
-                self.arrival_times.append(time.monotonic())
             time.sleep(0.05)
-            self._crash(holder[0])
+            crash()
 
         return handle_request
 
-    def lose(self, server: PlatformServer) -> None:
-        """Crash a server for good."""
-        server.crash()
-        self._system.objects.remove("servers", server.instance)
+    return CrashingFleet(system, service, _is_marked, make_handler, servers=servers)
 
-    def _crash(self, server: PlatformServer) -> None:
-        with self._lock:
-            if server.instance in self._crashed:
-                return
-            self._crashed.add(server.instance)
-            self.crash_times.append(time.monotonic())
-        server.crash()
-        self._system.objects.remove("servers", server.instance)
-        self._start_server()
+
+def _is_marked(request: ServedRequest) -> bool:
+    return MARKER in request.body
+
+
+def _slow_arrivals(system: Deployment) -> int:
+    """Return how many slow requests have reached a server."""
+    return sum(_slow_requests(server) for server in system.servers)
 
 
 @pytest.fixture
@@ -177,7 +147,7 @@
 ) -> None:
     """Guards against a caller's copies of one request that end one server after the other."""
     entries = _start_entries(system, 3)
-    fleet = CrashingFleet(system, _service(target))
+    fleet = _crashing_fleet(system, _service(target))
     _wait_until_served(entries, target)
     _send_until_crashed(entries, fleet, target)
     time.sleep(STABILITY_WINDOW_S)
@@ -189,7 +159,7 @@
 def test_an_entry_refuses_a_request_that_crashed_servers_of_others(system: Deployment) -> None:
     """Guards against an entry that starts later, or starts again, and runs the request anew."""
     entries = _start_entries(system, 2)
-    fleet = CrashingFleet(system, "plain")
+    fleet = _crashing_fleet(system, "plain")
     _wait_until_served(entries, "/once/x")
     _send_until_quarantined(entries, "/once/x")
     crashes = len(fleet.crash_times)
@@ -204,7 +174,7 @@
 def test_a_quarantine_outlasts_the_loss_of_all_entries(system: Deployment) -> None:
     """Guards against a caller that comes back after all entries were killed at once."""
     entries = _start_entries(system, 2)
-    fleet = CrashingFleet(system, "plain")
+    fleet = _crashing_fleet(system, "plain")
     _wait_until_served(entries, "/once/x")
     _send_until_quarantined(entries, "/once/x")
     eventually(lambda: any(e.log_lines_containing("quarantine_saved") for e in entries), 3.0)
@@ -222,7 +192,7 @@
 def test_a_frozen_entry_learns_of_the_quarantine(system: Deployment) -> None:
     """Guards against an entry that missed every hint and runs the request after its return."""
     entries = _start_entries(system, 3)
-    fleet = CrashingFleet(system, "plain")
+    fleet = _crashing_fleet(system, "plain")
     _wait_until_served(entries, "/once/x")
     entries[2].send_signal(signal.SIGSTOP)
     _send_until_quarantined(entries[:2], "/once/x")
@@ -237,7 +207,7 @@
 def test_copies_of_a_suspect_that_are_sent_at_once_crash_one_server(system: Deployment) -> None:
     """Guards against copies of a suspect that spread over the fleet and crash a server each."""
     entries = _start_entries(system, 3)
-    fleet = CrashingFleet(system, "plain")
+    fleet = _crashing_fleet(system, "plain")
     _wait_until_served(entries, "/once/x")
     _call(entries[0], "/once/x", MARKER)
     assert len(fleet.crash_times) == 1
@@ -261,7 +231,7 @@
 ) -> None:
     """Guards against a batch item that ends one server after the other until its retention."""
     entries = _start_entries(system, 2)
-    fleet = CrashingFleet(system, "engine")
+    fleet = _crashing_fleet(system, "engine")
     _wait_until_served(entries, "/stream/x")
     names = [f"sound-{number}" for number in range(6)]
     body = job_body(*names, MARKER.decode())
@@ -286,7 +256,7 @@
 ) -> None:
     """Guards against an entry that hears no peer and crashes three more servers by itself."""
     entry = system.start_entry("e1")
-    fleet = CrashingFleet(system, "plain")
+    fleet = _crashing_fleet(system, "plain")
     _wait_until_served([entry], "/once/x")
     system.objects.put("entries", "e9", {"address": ["127.0.0.1", 9]})
     time.sleep(3.0)
@@ -305,7 +275,7 @@
 def test_a_request_at_servers_that_were_lost_together_is_served_again(system: Deployment) -> None:
     """Guards against refusing a request that ran on all servers of a failure domain at its loss."""
     entries = _start_entries(system, 2)
-    fleet = CrashingFleet(system, "plain", servers=CRASHES + 1)
+    fleet = _crashing_fleet(system, "plain", servers=CRASHES + 1)
     for entry in entries:
         _wait_until_all_called(entry, system.servers, "/once/x")
     callers = []
@@ -313,7 +283,7 @@
         target = (entries[number % 2], "/once/slow", b"popular")
         callers.append(threading.Thread(target=_call, args=target))
         callers[-1].start()
-    eventually(lambda: fleet.slow_arrivals == len(callers), 3.0)
+    eventually(lambda: _slow_arrivals(system) == len(callers), 3.0)
     *lost, kept = system.servers
     popular = [_slow_requests(server) for server in system.servers]
     assert all(popular), popular
@@ -385,13 +355,13 @@
 def test_a_bystander_is_cleared_by_its_next_run(system: Deployment) -> None:
     """Guards against refusing a request that ran beside the culprit in several crashes."""
     entry = system.start_entry("e1")
-    fleet = CrashingFleet(system, "plain", servers=1)
+    fleet = _crashing_fleet(system, "plain", servers=1)
     _wait_until_served([entry], "/once/x")
     for number in range(CRASHES + 1):
-        before = fleet.slow_arrivals
+        before = _slow_arrivals(system)
         beside = threading.Thread(target=_call, args=(entry, "/once/slow", b"bystander"))
         beside.start()
-        eventually(lambda b=before: fleet.slow_arrivals > b, 3.0)
+        eventually(lambda b=before: _slow_arrivals(system) > b, 3.0)
         _call(entry, "/once/x", MARKER + str(number).encode())
         beside.join()
         eventually(lambda: _call(entry, "/once/slow", b"bystander").status == 200, 5.0)
