Requests are also known by the parts of their prompts, and those that crash servers are refused

Cause: evidence was kept by the whole request only. Requests that share one part of their prompts, under which each server ends as it begins to write, were new ones each time.

Change: the table of suspects holds fingerprints of shared parts (id and model) beside those of whole requests. A part is evidence if the server that ended had written no event of that call; it is cleared at all entries by the first event of any request or item with it. It is refused after three crashes that span 300 ms at least, so that a popular part at servers that are lost together is not refused in between. A quarantined fingerprint explains its crashes: what else was in flight there is freed, and of several that were at the same crashes only a request with all of them is refused. Suspects by part go to one upstream by rendezvous, or anywhere once that is full. Calls that wait at a server for a part that is quarantined meanwhile are ended, and requests that wait at the entry are refused. An entry that does not hear all others writes evidence to the store as well, before there are three crashes.

Ruled out: refusing by the first part (sound requests share it); counting crashes at the same moment once (a first version of this refused nothing more, but a loss of a failure domain within 300 ms under a popular part would have). Failed try: ending calls for whole requests that were quarantined too; a popular request at servers that were lost together was then never cleared (test_a_request_at_servers_that_were_lost_together_is_served_again failed).

--- a/packages/core/src/carobspool_core/__init__.pyi
+++ b/packages/core/src/carobspool_core/__init__.pyi
@@ -125,7 +125,15 @@
 )
 from ._subsets import SubsetAssignment, make_subset_assignment, subset_size
 from ._suspect_gate import SuspectGate, make_suspect_gate
-from ._suspect_records import QUARANTINE_RETENTION, SuspectUpdate, Verdict, VerdictKind
+from ._suspect_records import (
+    ITEM_PREFIX,
+    PART_PREFIX,
+    QUARANTINE_RETENTION,
+    Evidence,
+    SuspectUpdate,
+    Verdict,
+    VerdictKind,
+)
 from ._suspects import SuspectTable, make_suspect_table
 from ._tickets import FairQueueItem, QueueBounds
 from ._work import (
@@ -137,6 +145,8 @@
 )
 
 __all__ = [
+    "ITEM_PREFIX",
+    "PART_PREFIX",
     "QUARANTINE_RETENTION",
     "Admission",
     "AdmissionDecision",
@@ -175,6 +185,7 @@
     "EngineState",
     "EpochError",
     "EpochRecord",
+    "Evidence",
     "Failure",
     "FailureDetector",
     "FairQueue",
--- a/packages/core/src/carobspool_core/_suspects.py
+++ b/packages/core/src/carobspool_core/_suspects.py
@@ -10,6 +10,9 @@
 that was in flight at both crashes is quarantined. Two upstreams are lost, and a third run never
 starts. A suspect that completes is cleared.
 
+A request is also known by the parts of its prompt, each with a fingerprint of its own (`verdicts`),
+since requests that have only one part in common can crash their upstreams as well.
+
 The state of a fingerprint is two grow-only sets, its crashes and the crashes it is cleared of, so
 hints may arrive in any order, late or more than once. The claim of the single run does not rely on
 hints: the entry writes it to the fingerprint's object by a conditional write before it sends the
@@ -19,7 +22,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
@@ -28,6 +31,9 @@
 from carobspool_core._outcome import Failure
 from carobspool_core._suspect_records import (
     CRASHES_TO_QUARANTINE,
+    ITEM_PREFIX,
+    MIN_PART_SPAN,
+    PART_PREFIX,
     Evidence,
     SuspectRecord,
     SuspectUpdate,
@@ -54,12 +60,13 @@
     Since 0.1.
     """
 
-    __slots__ = ("_claim_count", "_clock", "_crashes_to_quarantine", "_records")
+    __slots__ = ("_claim_count", "_clock", "_crashes_to_quarantine", "_quarantined", "_records")
 
     def __init__(self, clock: Clock, *, crashes_to_quarantine: int = CRASHES_TO_QUARANTINE) -> None:
         self._clock = clock
         self._crashes_to_quarantine = crashes_to_quarantine
         self._records: OrderedDict[str, SuspectRecord] = OrderedDict()
+        self._quarantined: set[str] = set()
         self._claim_count = 0
 
     @property
@@ -78,6 +85,71 @@
             return Verdict(kind=VerdictKind.SUSPECT, failure=already_running_failure())
         return Verdict(kind=VerdictKind.SUSPECT)
 
+    def verdicts(self, fingerprints: Collection[str], now: Millis) -> list[Verdict]:
+        """Return the verdicts on a request that is known by several fingerprints.
+
+        A crash counts against the fingerprint that was at most crashes: it explains its crashes,
+        and what else was in flight there is not quarantined for them. Of fingerprints that were at
+        the same crashes each may be the culprit, so that only a request with all of them is.
+
+        Args:
+            fingerprints: The fingerprints of the request itself and of the parts of its prompt.
+            now: The current time.
+
+        Returns:
+            A verdict for each suspected fingerprint, the one with the most crashes first.
+        """
+        found: list[tuple[int, Verdict]] = []
+        for fingerprint in fingerprints:
+            record = self._unexpired_record(fingerprint, now)
+            if record is None or not record.evidence:
+                continue
+            unexplained, is_ambiguous = self._unexplained(record, fingerprints, now)
+            quarantined = record.is_quarantined and not is_ambiguous
+            if quarantined and len(unexplained) >= self._crashes_to_quarantine:
+                kind = VerdictKind.QUARANTINED
+            elif unexplained or record.is_quarantined:
+                kind = VerdictKind.SUSPECT
+            else:
+                continue
+            found.append((record.evidence, Verdict(kind=kind, fingerprint=fingerprint)))
+        found.sort(key=lambda each: -each[0])
+        return [verdict for _, verdict in found]
+
+    def unexplained_crashes(self, fingerprint: str, now: Millis) -> Evidence:
+        """Return the evidence against a fingerprint that no quarantined one explains."""
+        record = self._unexpired_record(fingerprint, now)
+        if record is None:
+            return Evidence(crashes=0, last_crash_at=0.0)
+        unexplained, _ = self._unexplained(record, (fingerprint,), now)
+        return Evidence(crashes=len(unexplained), last_crash_at=record.last_crash_at)
+
+    def _unexplained(
+        self, record: SuspectRecord, fingerprints: Collection[str], now: Millis
+    ) -> tuple[set[str], bool]:
+        """Return the crashes that no other fingerprint explains, and whether one was at the same.
+
+        Args:
+            record: The record of one of the fingerprints.
+            fingerprints: Fingerprints of the request, which explain nothing away.
+            now: The current time.
+        """
+        own = record.uncleared
+        left = set(own)
+        is_ambiguous = False
+        for fingerprint in list(self._quarantined):
+            if fingerprint in fingerprints or fingerprint.startswith(ITEM_PREFIX):
+                continue
+            other = self._unexpired_record(fingerprint, now)
+            if other is None:
+                continue
+            crashes = other.uncleared
+            if len(crashes) > len(own):
+                left -= crashes
+            elif crashes == own:
+                is_ambiguous = True
+        return left, is_ambiguous
+
     def evidence(self, fingerprint: str, now: Millis) -> Evidence:
         """Return the evidence against a fingerprint."""
         record = self._unexpired_record(fingerprint, now)
@@ -189,9 +261,9 @@
             record = self._refresh_or_create(fingerprint, now)
             if name in record.crashes:
                 continue
-            record.crashes.add(name)
-            record.last_crash_at = now
+            record.add_crashes({name}, now)
             record.held_until = now
+            self._index(fingerprint, record)
             changes.append(self._make_update(fingerprint, record, now))
         return changes
 
@@ -213,8 +285,11 @@
             return None
         if record.is_quarantined and not lift:
             return None
+        cleared_now = record.uncleared
         record.cleared |= record.crashes
+        record.drop_cleared(cleared_now)
         record.held_until = now
+        self._index(fingerprint, record)
         return self._make_update(fingerprint, record, now)
 
     def merge(
@@ -234,12 +309,14 @@
         record = self._refresh_or_create(fingerprint, now)
         record.changed = changed
         evidence_before = record.evidence
-        record.crashes |= _split_ids(values.get("crashes", ""))
+        crashes = _split_ids(values.get("crashes", ""))
         record.cleared |= _split_ids(values.get("cleared", ""))
-        if record.evidence > evidence_before:
-            record.last_crash_at = now - age
+        record.add_crashes(crashes, now - age)
+        record.drop_cleared(crashes)
+        record.confirmed |= _split_ids(values.get("confirmed", ""))
         if record.evidence != evidence_before:
             record.held_until = now
+        self._index(fingerprint, record)
         self._merge_claim(record, values, now)
 
     def current_state(self, fingerprint: str, now: Millis) -> SuspectUpdate:
@@ -257,7 +334,17 @@
             if now - record.changed >= record.retention
         ]
         for fingerprint in expired:
-            del self._records[fingerprint]
+            self._remove(fingerprint)
+
+    def _index(self, fingerprint: str, record: SuspectRecord) -> None:
+        if record.is_quarantined:
+            self._quarantined.add(fingerprint)
+        else:
+            self._quarantined.discard(fingerprint)
+
+    def _remove(self, fingerprint: str) -> None:
+        del self._records[fingerprint]
+        self._quarantined.discard(fingerprint)
 
     def _set_claim(
         self, fingerprint: str, record: SuspectRecord, now: Millis, timeout: Millis
@@ -290,14 +377,16 @@
             return None
         if now - record.changed < record.retention:
             return record
-        del self._records[fingerprint]
+        self._remove(fingerprint)
         return None
 
     def _refresh_or_create(self, fingerprint: str, now: Millis) -> SuspectRecord:
         record = self._unexpired_record(fingerprint, now)
         if record is None:
             record = self._records[fingerprint] = SuspectRecord(
-                changed=now, crashes_to_quarantine=self._crashes_to_quarantine
+                changed=now,
+                crashes_to_quarantine=self._crashes_to_quarantine,
+                min_span=MIN_PART_SPAN if fingerprint.startswith(PART_PREFIX) else 0.0,
             )
         record.changed = now
         self._records.move_to_end(fingerprint)
@@ -310,21 +399,26 @@
         # crash two more upstreams; an evicted suspect costs at most one.
         for fingerprint, record in self._records.items():
             if fingerprint != kept and not record.is_quarantined:
-                del self._records[fingerprint]
+                self._remove(fingerprint)
                 return
-        self._records.popitem(last=False)
+        self._remove(next(iter(self._records)))
 
     def _make_update(self, fingerprint: str, record: SuspectRecord, now: Millis) -> SuspectUpdate:
         values = {"crashes": " ".join(sorted(record.crashes))}
         if record.cleared:
             values["cleared"] = " ".join(sorted(record.cleared))
+        if record.min_span and record.confirmed:
+            values["confirmed"] = " ".join(sorted(record.confirmed))
         if record.holder:
             values["claim"] = record.claim
             values["holder"] = record.holder
             values["host"] = record.host
             values["held_ms"] = f"{max(0.0, record.held_until - now):.0f}"
         return SuspectUpdate(
-            fingerprint=fingerprint, quarantined=record.is_quarantined, values=values
+            fingerprint=fingerprint,
+            quarantined=record.is_quarantined,
+            values=values,
+            was_quarantined=record.was_quarantined,
         )
 
 
--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -19,7 +19,11 @@
 )
 from carobspool_core.direct._events import EventSplitter, StreamEvent
 from carobspool_core.direct._failure_reports import FailureReports
-from carobspool_core.direct._fingerprint import request_fingerprint
+from carobspool_core.direct._fingerprint import (
+    item_fingerprint,
+    part_fingerprint,
+    request_fingerprint,
+)
 from carobspool_core.direct._fleet_loads import NO_LOAD, PEER_LOAD_TTL, FleetLoads, Load
 from carobspool_core.direct._groups import group_count, group_of_entry, upstreams_of_group
 from carobspool_core.direct._handover import HandoverCandidate, should_release_jobs
@@ -150,9 +154,11 @@
     "has_time_to_serve",
     "identity_of",
     "is_retry_by_deadline",
+    "item_fingerprint",
     "job_from_json",
     "job_to_json",
     "latest_starts",
+    "part_fingerprint",
     "progress_from_json",
     "progress_to_json",
     "queue_limit",
--- a/packages/node/src/carobspool_node/direct/_continued_streams.py
+++ b/packages/node/src/carobspool_node/direct/_continued_streams.py
@@ -98,13 +98,13 @@
         progress = state.progress
 
         def reason() -> LossReason | None:
-            verdict = self._isolation.check(state.fingerprint)
+            verdict = self._isolation.check(state.fingerprints)
             facts = RunFacts(
                 last_event=state.last_event,
                 first_event_at=progress.first_event_at,
                 failed_at=failed_at,
                 continuations=progress.continuations,
-                is_quarantined=verdict is VerdictKind.QUARANTINED,
+                is_quarantined=verdict.kind is VerdictKind.QUARANTINED,
                 time_left=state.deadline - self._clock.now(),
             )
             return reason_to_end(facts, min_time_left=MIN_CALL_TIME)
@@ -118,7 +118,7 @@
         if isinstance(found, LossReason):
             return found
         if found.source_crashed:
-            self._isolation.record_crash(state.fingerprint(), run.source)
+            self._isolation.record_crash((state.fingerprint(),), run.source)
         # The move took time, in which the deadline or a quarantine may have come.
         ends = reason()
         if ends is None and self._has_other_version(found.upstream):
@@ -155,7 +155,8 @@
         state.forecast = None if placement is None else placement.forecast
         answered = False
         try:
-            is_suspect = self._isolation.check(state.fingerprint) is not VerdictKind.CLEAR
+            verdict = self._isolation.check(state.fingerprints)
+            is_suspect = verdict.kind is not VerdictKind.CLEAR
             self.begin(
                 state, upstream, self._split_upstreams(upstream.service), is_suspect=is_suspect
             )
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -95,6 +95,7 @@
             self._peers,
             self._peer_caller,
             self._leaving,
+            on_quarantine=lambda: self._forwarder.quarantines_changed(),
         )
         self._store = stored.store
         self._isolation, self._quarantines = stored.isolation, stored.quarantines
@@ -186,7 +187,7 @@
         self._peer_api = PeerApi(
             self._clock, self._telemetry, self._jobs, self._store, self._views, self._origins
         )
-        forwarder = Forwarder(
+        self._forwarder = Forwarder(
             self._clock,
             deployment.headers,
             self._loads,
@@ -212,7 +213,7 @@
             deployment,
             self._clock,
             self._telemetry,
-            forwarder=forwarder,
+            forwarder=self._forwarder,
             jobs=self._jobs,
             quota=self._quota,
             queued=self._queued,
--- a/packages/node/src/carobspool_node/direct/_entry_store.py
+++ b/packages/node/src/carobspool_node/direct/_entry_store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from msgspec import Struct
 
@@ -43,6 +43,8 @@
     peers: Peers,
     peer_caller: PeerCaller,
     leaving: threading.Event,
+    *,
+    on_quarantine: Callable[[], None],
 ) -> StoreParts:
     """Return the store, the isolation of requests and the list of entries.
 
@@ -54,6 +56,7 @@
         peers: The other entries, which send and receive evidence against requests.
         peer_caller: Calls the other entries.
         leaving: Set when this process is to stop.
+        on_quarantine: Called after a request or a part of prompts was quarantined.
     """
     store = RelayedStore(
         deployment.open_store(settings, clock), peer_caller, clock, telemetry, lambda: peers
@@ -65,10 +68,15 @@
     def tell(updates: Sequence[SuspectUpdate]) -> None:
         peers.send_suspects(updates)
         if not peers.hears_all_known():
-            # Entries that do not hear this one may have seen the request crash other upstreams.
+            # Entries that do not hear this one may have seen the request, or others with the same
+            # part, crash other upstreams.
+            for update in updates:
+                quarantines.save(update)
             quarantines.reload()
 
-    isolation = CrashIsolation(clock, telemetry, tell=tell, save=quarantines.save)
+    isolation = CrashIsolation(
+        clock, telemetry, tell=tell, save=quarantines.save, on_quarantine=on_quarantine
+    )
     membership = Membership(
         clock,
         store,
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -8,11 +8,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 
 from absl import logging
 
-from carobspool_core import Clock, Millis, VerdictKind, preferred_nodes
+from carobspool_core import PART_PREFIX, Clock, Millis, VerdictKind, preferred_nodes
 from carobspool_core.direct import (
     LEAVING_RETRY_AFTER,
     Route,
@@ -41,7 +42,7 @@
     UpstreamHead,
 )
 from carobspool_node.direct._queued_requests import QueuedRequests
-from carobspool_node.direct._request_endings import RequestEndings
+from carobspool_node.direct._request_endings import QUARANTINED_REASON, RequestEndings
 from carobspool_node.direct._request_state import RequestState, stream_id_of, takes_stream_up
 from carobspool_node.direct._stream_origins import StreamOrigins
 from carobspool_node.direct._stream_relay import (
@@ -52,6 +53,7 @@
 )
 from carobspool_node.direct._stream_versions import StreamVersions
 from carobspool_node.direct._telemetry import Telemetry
+from carobspool_node.direct._unwritten_calls import UnwrittenCalls
 from carobspool_node.direct._upstream_calls import Joins, UpstreamCall
 from carobspool_node.direct._upstream_connections import CallFailedError, UpstreamConnections
 from carobspool_node.online_queue import QueueRefusedError
@@ -121,6 +123,7 @@
         self._isolation = isolation
         self._queued = queued
         self._continued = continued
+        self._unwritten = UnwrittenCalls(self._has_quarantined_part)
         self._endings = RequestEndings(clock, telemetry)
         self._versions = StreamVersions(names, telemetry, origins, self._endings)
         self._relay = StreamRelay(
@@ -225,8 +228,8 @@
             self._endings.end_too_large(state)
             return
         while True:
-            verdict = self._isolation.check(state.fingerprint)
-            if verdict is VerdictKind.QUARANTINED:
+            verdict = self._isolation.check(state.fingerprints)
+            if verdict.kind is VerdictKind.QUARANTINED:
                 self._endings.end_quarantined(state)
                 return
             split = self._split_upstreams(service).running(state.version)
@@ -240,8 +243,8 @@
             if not state.may_have_run and not self._can_finish_in_time(state, service):
                 self._endings.give_up(state, has_upstreams=True)
                 return
-            is_suspect = verdict is VerdictKind.SUSPECT
-            placement = self._find_place(state, service, split, is_suspect=is_suspect)
+            is_suspect = verdict.kind is VerdictKind.SUSPECT
+            placement = self._find_place(state, service, split, suspect=verdict.fingerprint)
             if placement is None:
                 logging.info(
                     "event=no_place request=%s service=%s upstreams=%d returned=%s %s",
@@ -282,24 +285,38 @@
         return state.service or state.route.choose_service(state.request.request_id)
 
     def _find_place(
-        self, state: RequestState, service: str, split: UpstreamSplit, *, is_suspect: bool
+        self, state: RequestState, service: str, split: UpstreamSplit, *, suspect: str
     ) -> Placement | None:
-        place_at = self._place_suspect if is_suspect else self._place
+        """Place a request, whose suspected fingerprint is ``suspect``, empty if it has none."""
+        place_at = partial(self._place_suspect, suspect) if suspect else self._place
         if not self._queued.in_force:
             return place_at(state, split)
         return self._queued.place(
             state,
             service,
             lambda split, places: place_at(state, split, places),
-            is_suspect=is_suspect,
+            is_suspect=bool(suspect),
+            is_quarantined=lambda: self._is_quarantined(state),
             has_time_before_exit=lambda: self._has_time_before_exit(state),
         )
 
+    def quarantines_changed(self) -> None:
+        """End the calls for requests that must not begin at their upstreams any more."""
+        self._unwritten.end_quarantined()
+
+    def _is_quarantined(self, state: RequestState) -> bool:
+        return self._isolation.check(state.fingerprints).kind is VerdictKind.QUARANTINED
+
+    def _has_quarantined_part(self, state: RequestState) -> bool:
+        verdict = self._isolation.check(state.fingerprints)
+        is_part = verdict.fingerprint.startswith(PART_PREFIX)
+        return is_part and verdict.kind is VerdictKind.QUARANTINED
+
     def _was_quarantined_meanwhile(self, state: RequestState, placement: Placement) -> bool:
         """End a request that was quarantined while it waited; return whether it was."""
         if not self._queued.in_force:
             return False
-        if self._isolation.check(state.fingerprint) is not VerdictKind.QUARANTINED:
+        if not self._is_quarantined(state):
             return False
         self._loads.end_online(placement, completed=False)
         self._endings.end_quarantined(state)
@@ -321,19 +338,34 @@
         )
 
     def _place_suspect(
-        self, state: RequestState, split: UpstreamSplit, queue_places: int | None = None
+        self,
+        suspect: str,
+        state: RequestState,
+        split: UpstreamSplit,
+        queue_places: int | None = None,
     ) -> Placement | None:
-        """Place a suspect at the upstream that all entries prefer for it, or else at the next."""
+        """Place a suspect at the upstream that all entries prefer for it, or else at the next.
+
+        A part may be popular, so that these are full; a request with it then runs at any other.
+
+        Args:
+            suspect: The suspected fingerprint.
+            state: The request.
+            split: The upstreams of the service.
+            queue_places: Further places at each upstream, see `LoadTable.place_online`.
+        """
         candidates = {each.identity: each for each in (*split.near, *split.far)}
         untried = [each for key, each in candidates.items() if key not in state.tried]
         healthy = {each.identity: each for each in self._loads.healthy(untried)}
-        preferred = preferred_nodes(state.fingerprint(), healthy, MAX_SUSPECT_CHOICES)
+        preferred = preferred_nodes(suspect, healthy, MAX_SUSPECT_CHOICES)
         for identity in preferred:
             only = UpstreamSplit(near=(healthy[identity],), far=())
             placement = self._place(state, only, queue_places)
             if placement is not None:
                 return placement
-        return None if preferred else self._place(state, split, queue_places)
+        if preferred and not suspect.startswith(PART_PREFIX):
+            return None
+        return self._place(state, split, queue_places)
 
     def _may_retry(self, state: RequestState) -> bool:
         if state.turned_away >= MAX_REJECTIONS:
@@ -351,6 +383,12 @@
             run_from: Names the run that the call continues, ``None`` if the request begins.
         """
         call = UpstreamCall(self._connections, upstream, self._names, watch=state.caller.watch)
+        with self._unwritten.watch(state, call):
+            return self._exchange(state, upstream, call, run_from)
+
+    def _exchange(
+        self, state: RequestState, upstream: Upstream, call: UpstreamCall, run_from: bytes | None
+    ) -> bool:
         started = self._clock.now()
         try:
             head = call.start(
@@ -365,7 +403,8 @@
             failed_at = call.failed_at()
             ended = error.sent and call.upstream_has_ended()
             if ended:
-                self._isolation.record_crash(state.fingerprint(), upstream)
+                crashed = state.fingerprints()[: 1 if state.has_written else None]
+                self._isolation.record_crash(crashed, upstream)
             if error.sent:
                 is_refused = ended and not call.upstream_restarted
                 state.progress.record_failure(failed_at, is_refused=is_refused)
@@ -382,8 +421,10 @@
             self._loads.record_failure(upstream)
             state.last_failure = "no answer in the time of one try"
             return False
-        except CallCancelledError as error:
-            self._record_failure(state, upstream, str(error), sent=True)
+        except CallCancelledError:
+            state.last_failure = QUARANTINED_REASON
+            state.may_have_run = True
+            state.runs += 1
             return False
         except CallerGoneError:
             waited = self._clock.now() - started
@@ -467,7 +508,7 @@
             self._relay.relay(state, upstream, call, head)
             return True
         body = call.read_body(self._call_deadline(state))
-        self._isolation.record_completion(state.fingerprint)
+        self._isolation.record_completion(state.fingerprints)
         state.runs += 1
         state.may_have_run = True
         if (
--- a/packages/node/src/carobspool_node/direct/_item_run.py
+++ b/packages/node/src/carobspool_node/direct/_item_run.py
@@ -14,8 +14,10 @@
     JobInput,
     JobItem,
     Upstream,
-    request_fingerprint,
+    item_fingerprint,
+    part_fingerprint,
 )
+from carobspool_core.upstream_pace import read_shared_parts
 from carobspool_node.direct._crash_isolation import CrashIsolation
 from carobspool_node.direct._errors import CallCancelledError, DeadlinePassedError
 from carobspool_node.direct._in_flight import BatchRun
@@ -102,7 +104,7 @@
         if not_before > now:
             return RunOutcome(
                 end=RunEnd.INTERRUPTED,
-                detail="the item crashed each upstream that ran it",
+                detail="upstreams ended while they ran the item",
                 not_before=not_before,
             )
         call = UpstreamCall(self._connections, upstream, self._names, cancellation=run.cancellation)
@@ -115,12 +117,12 @@
             self._loads.record_activity(upstream)
             outcome = self._read_response(call, head, work, upstream, run)
             if outcome.end is not RunEnd.NOT_RUN:
-                self._isolation.record_completion(fingerprint)
+                self._isolation.record_completion(lambda: (fingerprint(),))
             return outcome
         except CallFailedError as error:
             self._loads.record_failure(upstream)
             if error.sent and call.upstream_has_ended():
-                self._isolation.record_crash(fingerprint(), upstream)
+                self._isolation.record_crash((fingerprint(),), upstream)
             return RunOutcome(
                 end=RunEnd.BROKEN,
                 detail=str(error),
@@ -155,11 +157,15 @@
         pauses = self._loads.choice.follow_events(
             upstream, run.forecast, is_resumed=work.last_event > 0
         )
+        has_written = False
         for data in call.body(deadline, idle_timeout=MAX_EVENT_GAP):
             self._loads.record_activity(upstream)
             events = splitter.feed(data)
             if pauses is not None:
                 pauses.record(len(events))
+            if events and not has_written:
+                has_written = True
+                self._isolation.record_written(partial(self._part_fingerprints, work.item))
             for event in events:
                 if event.event_id is None:
                     continue
@@ -175,6 +181,12 @@
             raise CallFailedError("the stream ends in the middle of an event", sent=True)
         return RunOutcome(end=RunEnd.COMPLETED)
 
+    def _part_fingerprints(self, item: JobItem) -> list[str]:
+        headers = {key.lower(): value.encode() for key, value in item.headers.items()}
+        model = headers.get(self._names.model.decode(), b"")
+        parts = read_shared_parts(headers.get(self._names.prompt_parts.decode()))
+        return [part_fingerprint(model, each) for each in parts]
+
     def _request(self, job: JobInput, work: ItemWork, upstream: Upstream) -> UpstreamRequest:
         names = self._names
         item = work.item
@@ -205,9 +217,8 @@
 
 def _item_fingerprint(job: JobInput, item: JobItem) -> str:
     """Return the fingerprint by which an item is recognised in each of its runs."""
-    return request_fingerprint(
+    return item_fingerprint(
         organisation=job.organisation,
-        method=b"POST",
         host=job.host,
         target=item.path.encode(),
         body=item.body,
--- a/packages/node/src/carobspool_node/direct/_quarantine_store.py
+++ b/packages/node/src/carobspool_node/direct/_quarantine_store.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
-from typing import Annotated
+from typing import Annotated, Any
 
 from absl import logging
 from returns.pipeline import is_successful
@@ -34,6 +34,7 @@
 RETRY_DELAY: Millis = 1_000.0
 MAX_WRITES = 600
 """Attempts to write one quarantine: the store may be away for ten minutes."""
+_ID_SETS = ("crashes", "cleared", "confirmed")
 RELOAD_INTERVAL: Millis = 1_000.0
 """Minimum time between two readings that crashes have caused."""
 
@@ -41,6 +42,7 @@
 class _StoredQuarantine(Record):
     crashes: Annotated[list[Name], Bounds(max_length=MAX_CRASHES_SENT)]
     cleared: Annotated[list[Name], Bounds(max_length=MAX_CRASHES_SENT)] = []
+    confirmed: Annotated[list[Name], Bounds(max_length=MAX_CRASHES_SENT)] = []
     at: Count
 
 
@@ -130,7 +132,11 @@
             return None
         return SuspectState(
             fingerprint=stored.key.removeprefix(PREFIX),
-            values={"crashes": " ".join(record.crashes), "cleared": " ".join(record.cleared)},
+            values={
+                "crashes": " ".join(record.crashes),
+                "cleared": " ".join(record.cleared),
+                "confirmed": " ".join(record.confirmed),
+            },
             age=age,
         )
 
@@ -158,31 +164,26 @@
         self, update: SuspectUpdate, current: StoredObject | None
     ) -> Result[StoredObject, StoreFailure]:
         key = PREFIX + update.fingerprint
-        crashes, cleared = _ids(update, "crashes"), _ids(update, "cleared")
+        ids = {name: _ids(update.values, name) for name in _ID_SETS}
         if current is None:
-            return self._store.create(key, _value(crashes, cleared))
+            return self._store.create(key, _value(ids))
         state = self._read(current)
         if state is not None:
-            crashes |= set(state.values["crashes"].split())
-            cleared |= set(state.values["cleared"].split())
-        return self._store.update(key, _value(crashes, cleared), version=current.version)
+            for name in _ID_SETS:
+                ids[name] |= _ids(state.values, name)
+        return self._store.update(key, _value(ids), version=current.version)
 
     def _has_all(self, current: StoredObject, update: SuspectUpdate) -> bool:
         state = self._read(current)
-        return (
-            state is not None
-            and _ids(update, "crashes") <= set(state.values["crashes"].split())
-            and _ids(update, "cleared") <= set(state.values["cleared"].split())
+        return state is not None and all(
+            _ids(update.values, name) <= _ids(state.values, name) for name in _ID_SETS
         )
 
 
-def _ids(update: SuspectUpdate, name: str) -> set[str]:
-    return set(update.values.get(name, "").split())
+def _ids(values: Mapping[str, str], name: str) -> set[str]:
+    return set(values.get(name, "").split())
 
 
-def _value(crashes: set[str], cleared: set[str]) -> Json:
-    return {
-        "crashes": sorted(crashes)[:MAX_CRASHES_SENT],
-        "cleared": sorted(cleared)[:MAX_CRASHES_SENT],
-        "at": wall_millis(),
-    }
+def _value(ids: Mapping[str, set[str]]) -> Json:
+    value: dict[str, Any] = {name: sorted(ids[name])[:MAX_CRASHES_SENT] for name in _ID_SETS}
+    return value | {"at": wall_millis()}
--- a/packages/node/src/carobspool_node/direct/_queued_requests.py
+++ b/packages/node/src/carobspool_node/direct/_queued_requests.py
@@ -14,7 +14,7 @@
 from carobspool_node.direct._in_flight import Placement
 from carobspool_node.direct._loads import LoadTable
 from carobspool_node.direct._messages import AUTHORIZATION, HeaderNames
-from carobspool_node.direct._request_endings import NO_UPSTREAM_RETRY_AFTER
+from carobspool_node.direct._request_endings import NO_UPSTREAM_RETRY_AFTER, QUARANTINED_REASON
 from carobspool_node.direct._request_state import RequestState
 from carobspool_node.online_queue import OnlineQueue, QueueRefusedError, WaitingRequest
 from carobspool_node.organisations import RequestQuota
@@ -94,6 +94,7 @@
         place_at: PlaceAt,
         *,
         is_suspect: bool,
+        is_quarantined: Callable[[], bool],
         has_time_before_exit: Callable[[], bool],
     ) -> Placement | None:
         """Wait until a request has a place.
@@ -103,6 +104,7 @@
             service: Its service.
             place_at: Places the request if there is room.
             is_suspect: Whether the request may run at certain upstreams only.
+            is_quarantined: Returns whether the request is refused since it crashes upstreams.
             has_time_before_exit: Returns whether the request can end before this process exits.
 
         Returns:
@@ -125,6 +127,8 @@
             return place_at(split, places)
 
         def refusal() -> QueueRefusedError | None:
+            if is_quarantined():
+                return QueueRefusedError(QUARANTINED_REASON, status=422, retry_after=None)
             if not has_time_before_exit():
                 return QueueRefusedError(state.last_failure, retry_after=LEAVING_RETRY_AFTER)
             split = self._candidates(state, service)
--- a/packages/node/src/carobspool_node/direct/_request_endings.py
+++ b/packages/node/src/carobspool_node/direct/_request_endings.py
@@ -15,6 +15,9 @@
 
 NO_UPSTREAM_RETRY_AFTER: Millis = 1_000.0
 """A restarted server is registered again after about this time."""
+QUARANTINED_REASON = (
+    "this request, or a part of its prompt, crashed each upstream that ran it and is not run again"
+)
 
 
 class RequestEndings:
@@ -80,7 +83,7 @@
 
     def end_quarantined(self, state: RequestState) -> None:
         """End a request that is not sent to another upstream since it crashed several."""
-        state.last_failure = "this request crashed each upstream that ran it and is not run again"
+        state.last_failure = QUARANTINED_REASON
         if state.streaming or state.may_have_run:
             self.give_up(state, has_upstreams=True)
             return
--- a/packages/node/src/carobspool_node/direct/_request_state.py
+++ b/packages/node/src/carobspool_node/direct/_request_state.py
@@ -5,7 +5,7 @@
 from msgspec import Struct, field
 
 from carobspool_core import Millis
-from carobspool_core.direct import Route, RouteKind, request_fingerprint
+from carobspool_core.direct import Route, RouteKind, part_fingerprint, request_fingerprint
 from carobspool_core.upstream_pace import Forecast, PromptDemand, read_shared_parts
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._messages import CallerRequest, HeaderNames
@@ -44,7 +44,7 @@
         forecast: What is expected of the current call, ``None`` if slots alone decide.
         names: Header names of the deployment.
         known_fingerprint: The fingerprint, once it was computed.
-        known_parts: Ids of the prompt's shared parts, once they were read.
+        known_parts: Fingerprints of the prompt's shared parts, once they were computed.
         is_refunded: Whether the token of the organisation's limit was returned.
         placed_at: When the request was last placed at an upstream.
         progress: Events and copy of the current run of a stream.
@@ -92,10 +92,19 @@
 
     def shared_parts(self) -> tuple[str, ...]:
         """Return the ids of the parts of the prompt that other requests may share."""
+        return read_shared_parts(self.request.header(self.names.prompt_parts))
+
+    def part_fingerprints(self) -> tuple[str, ...]:
+        """Return the fingerprints of the shared parts of the prompt."""
         if self.known_parts is None:
-            self.known_parts = read_shared_parts(self.request.header(self.names.prompt_parts))
+            model = self.request.header(self.names.model) or b""
+            self.known_parts = tuple(part_fingerprint(model, each) for each in self.shared_parts())
         return self.known_parts
 
+    def fingerprints(self) -> tuple[str, ...]:
+        """Return the fingerprints of the request and of the shared parts of its prompt."""
+        return (self.fingerprint(), *self.part_fingerprints())
+
     @property
     def has_written(self) -> bool:
         """Whether the upstream of the current call has sent an event."""
--- a/packages/node/src/carobspool_node/direct/_stream_relay.py
+++ b/packages/node/src/carobspool_node/direct/_stream_relay.py
@@ -97,6 +97,8 @@
                 self._telemetry.observe_duration(
                     "first_event", self._clock.now() - state.request.arrived
                 )
+            if not state.has_written:
+                self._isolation.record_written(state.part_fingerprints)
             state.caller.send_piece(b"".join(pieces))
             state.progress.record_events(self._clock.now())
         if splitter.incomplete:
@@ -105,7 +107,7 @@
             state.streaming = True
             state.caller.start_stream(head.status, answer_headers(head), head.reason)
         state.runs += 1
-        self._isolation.record_completion(state.fingerprint)
+        self._isolation.record_completion(lambda: (state.fingerprint(),))
         call.close()
         state.caller.finish_stream()
         self._endings.record(state, "streamed", head.status)
--- a/packages/node/src/carobspool_node/direct/_suspect_messages.py
+++ b/packages/node/src/carobspool_node/direct/_suspect_messages.py
@@ -46,6 +46,9 @@
     cleared: Annotated[list[Name], Bounds(max_length=MAX_CRASHES_SENT)] = field(
         alias="k", default=[]
     )
+    confirmed: Annotated[list[Name], Bounds(max_length=MAX_CRASHES_SENT)] = field(
+        alias="q", default=[]
+    )
     age: Count = field(alias="o", default=0)
 
 
@@ -79,12 +82,15 @@
 
 def suspect_to_record(update: SuspectUpdate, age: Millis = 0.0) -> dict[str, Any]:
     """Return a fingerprint's state as it is sent; ``age`` is the time since its last change."""
-    return {
+    found: dict[str, Any] = {
         "f": update.fingerprint,
         "c": update.values.get("crashes", "").split()[:MAX_CRASHES_SENT],
         "k": update.values.get("cleared", "").split()[:MAX_CRASHES_SENT],
         "o": max(0, int(age)),
     }
+    if "confirmed" in update.values:
+        found["q"] = update.values["confirmed"].split()[:MAX_CRASHES_SENT]
+    return found
 
 
 def read_suspects(message: Json) -> list[SuspectState]:
@@ -96,7 +102,11 @@
     return [
         SuspectState(
             fingerprint=each.fingerprint,
-            values={"crashes": " ".join(each.crashes), "cleared": " ".join(each.cleared)},
+            values={
+                "crashes": " ".join(each.crashes),
+                "cleared": " ".join(each.cleared),
+                "confirmed": " ".join(each.confirmed),
+            },
             age=float(each.age),
         )
         for each in read_record(_Suspects, message).suspects
--- a/packages/node/src/carobspool_node/direct/_upstream_calls.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_calls.py
@@ -198,6 +198,14 @@
         """Software version of the upstream, `UNKNOWN_VERSION` if another start of it answers."""
         return self._upstream.version if self._start_confirmed else UNKNOWN_VERSION
 
+    def cancel(self, reason: str) -> None:
+        """End the call from another task; it ends with `CallCancelledError`.
+
+        Args:
+            reason: Reason of the cancellation, for the log.
+        """
+        self._open_call.cancellation.cancel(reason)
+
     def upstream_has_ended(self) -> bool:
         """Return whether the call failed because the process that ran it has ended.
 
--- a/packages/node/tests/test_direct_crash_isolation.py
+++ b/packages/node/tests/test_direct_crash_isolation.py
@@ -44,7 +44,7 @@
 
     def verdict(self, fingerprint: str = CULPRIT) -> VerdictKind:
         """Return whether the request may run here."""
-        return self.isolation.check(lambda: fingerprint)
+        return self.isolation.check(lambda: (fingerprint,)).kind
 
     def receive(self, updates: Sequence[SuspectUpdate]) -> None:
         """Receive a hint from another entry."""
@@ -72,7 +72,7 @@
 
 
 def _crash(entry: Entry, number: int) -> None:
-    entry.isolation.record_crash(CULPRIT, _upstream(number))
+    entry.isolation.record_crash((CULPRIT,), _upstream(number))
 
 
 def test_a_request_is_recognised_by_content_and_organisation() -> None:
@@ -134,7 +134,7 @@
         _crash(one, number)
         other.receive(one.take_told())
         assert other.verdict() is VerdictKind.SUSPECT
-        other.isolation.record_completion(lambda: CULPRIT)
+        other.isolation.record_completion(lambda: (CULPRIT,))
         one.receive(other.take_told())
         assert one.verdict() is VerdictKind.CLEAR
 
@@ -181,7 +181,7 @@
     for number in range(CRASHES_TO_QUARANTINE):
         _crash(one, number)
         other.receive(one.take_told())
-    one.isolation.record_completion(lambda: CULPRIT)
+    one.isolation.record_completion(lambda: (CULPRIT,))
     assert [each.quarantined for each in one.saved] == [True, False]
     assert other.verdict() is VerdictKind.QUARANTINED
     assert other.isolation.should_pull(one.isolation.versions())
@@ -209,7 +209,7 @@
     for number in range(3):
         _crash(entry, 1)
         entry.receive([SuspectUpdate(fingerprint="f", quarantined=False, values={"crashes": "a"})])
-        entry.isolation.record_completion(lambda: CULPRIT)
+        entry.isolation.record_completion(lambda: (CULPRIT,))
         _crash(entry, 2 + number)
         assert entry.isolation.versions() == {QUARANTINES: 0}
 
--- a/packages/node/tests/test_direct_view_exchange.py
+++ b/packages/node/tests/test_direct_view_exchange.py
@@ -119,7 +119,7 @@
     exchange = _exchange(_Declared(), caller, missing)
     exchange.pull_newer_views("e2", known.versions())
     exchange.close()
-    assert missing.check(lambda: "f") is VerdictKind.QUARANTINED
+    assert missing.check(lambda: ("f",)).kind is VerdictKind.QUARANTINED
 
 
 @pytest.mark.parametrize(
