--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -17,6 +17,7 @@
     Answer,
     Deployment,
     Entry,
+    all_results,
     deployment,
     eventually,
     fetch_results_page,
@@ -38,6 +39,10 @@
 MAX_LATE_RETRIES = 3
 """RULES.md, BUDGET: retries that reach servers `STABILITY_WINDOW_S` after the third crash."""
 SLOW_S = 0.5
+UNLUCKY = "unlucky"
+UNLUCKY_CRASHES = 6
+CALM_S = 18.0
+"""SYSTEM.md, `finish_s`: an item must be done by then after the traffic has ended."""
 ROUTES = {"once": "/once/x", "safe": "/safe/x", "stream": "/stream/x", "resume": "/resume/x"}
 
 
@@ -251,6 +256,37 @@
     )
 
 
+@pytest.mark.parametrize("owner_killed", [False, True], ids=["same owner", "new owner"])
+def test_an_item_under_which_servers_crashed_is_done_once_they_are_calm(
+    system: Deployment, owner_killed: bool
+) -> None:
+    """Guards against a sound item that is left behind since servers happened to end under it."""
+    entries = _start_entries(system, 2)
+    is_calm = threading.Event()
+    holders: list[PlatformServer] = []
+
+    def serve(request: ServedRequest, connection: ServerConnection) -> None:
+        if UNLUCKY.encode() in request.body and not is_calm.is_set():
+            (holder,) = [each for each in system.servers if request in each.requests]
+            holders.append(holder)
+        event_stream_handler(5, pause_s=0.1)(request, connection)
+
+    for _ in range(UNLUCKY_CRASHES + 4):
+        system.start_server("engine", serve)
+    body = job_body(UNLUCKY, "sound-1", "sound-2")
+    assert entries[0].call("POST", "/batch/1", body=body, request_id="job-1").status == 202
+    for number in range(UNLUCKY_CRASHES):
+        server = eventually(lambda n=number: holders[n] if len(holders) > n else None, 25.0)
+        time.sleep(0.05)
+        server.crash()
+        system.objects.remove("servers", server.instance)
+    is_calm.set()
+    if owner_killed:
+        entries[0].process.kill()
+    results = eventually(lambda: all_results(entries[1], "job-1"), CALM_S)
+    assert {each["state"] for each in results} == {"completed"}
+
+
 def test_an_entry_without_its_peers_reads_the_quarantine_from_the_store(
     system: Deployment,
 ) -> None:
