Connections that callers keep open do not hold up new ones at a crowded entry

What callers would see: where most new connections go to one entry, its 400 threads are soon held by connections that callers keep open for up to 15 s (100 new ones a second are enough). Requests on further connections wait unread for one of them to end, while other entries could serve them.

Change: if all threads are taken, a new connection gets that of the connection that has been idle for longest, at least 100 ms; if none is idle it is closed unread, so that the caller goes elsewhere, or waits while no other entry is known. A connection is not kept open while others wait.

--- a/packages/node/src/carobspool_node/direct/_caller_connection.py
+++ b/packages/node/src/carobspool_node/direct/_caller_connection.py
@@ -48,6 +48,17 @@
         """Announce with the next answer that the connection will be closed."""
         self._close_after_answer = True
 
+    def wait_for_request(self, idle_timeout: Millis) -> bool:
+        """Wait for the first bytes of the next request; return whether the caller sends one."""
+        try:
+            return self._wait_for_request(idle_timeout)
+        except ConnectionBrokenError:
+            return False
+
+    def stop_waiting(self) -> None:
+        """End `wait_for_request` from another task; bytes that have arrived are still read."""
+        self._channel.shut_down_input()
+
     def read_request(self, limits: CallerLimits) -> CallerRequest | None:
         """Return the next request, ``None`` if the caller sends no more.
 
--- a/packages/node/src/carobspool_node/direct/_channel.py
+++ b/packages/node/src/carobspool_node/direct/_channel.py
@@ -284,6 +284,11 @@
         poller.register(self._socket, select.POLLIN)
         return bool(poller.poll(0))
 
+    def shut_down_input(self) -> None:
+        """End a wait for input in another task, as if the peer had closed the connection."""
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RD)
+
     def close(self) -> None:
         """Close the connection."""
         if self._cancellation is not None:
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -260,6 +260,7 @@
             peers=self._peer_api.handle,
             ready_path=self._deployment.ready_path,
             is_ready=lambda: self._is_ready,
+            others_serve=lambda: bool(self._peers.live()),
         )
         self._loads.set_own_change_callback(self._peers.schedule_load_hint)
         self._start_queue()
--- a/packages/node/src/carobspool_node/direct/_entry_listeners.py
+++ b/packages/node/src/carobspool_node/direct/_entry_listeners.py
@@ -26,6 +26,7 @@
     peers: Handler,
     ready_path: str,
     is_ready: Callable[[], bool],
+    others_serve: Callable[[], bool],
 ) -> Listener:
     """Start the listeners of an entry and return that of the callers.
 
@@ -38,6 +39,7 @@
         peers: Serves a call of another entry.
         ready_path: Path of the load balancer's health check.
         is_ready: Returns the answer to the health check.
+        others_serve: Returns whether callers can go to another entry.
     """
 
     def answer_ready(request: CallerRequest, caller: CallerConnection) -> None:
@@ -54,6 +56,7 @@
         names=names,
         limits=limits,
         handle=callers,
+        others_serve=others_serve,
     )
     ready_listener = Listener(
         settings.ready,
--- a/packages/node/src/carobspool_node/direct/_listener.py
+++ b/packages/node/src/carobspool_node/direct/_listener.py
@@ -6,12 +6,13 @@
 import socket
 import threading
 import time
+from collections import OrderedDict
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
 from absl import logging
 
-from carobspool_core import Clock
+from carobspool_core import Clock, Millis
 from carobspool_core.direct import LEAVING_RETRY_AFTER, CallerLimits
 from carobspool_node.direct._caller_connection import CallerConnection
 from carobspool_node.direct._errors import BadRequestError, CallerGoneError
@@ -22,6 +23,9 @@
 """How long `close_socket` waits for refusals in progress; each is written within a millisecond."""
 ACCEPT_QUEUE_LENGTH = 512
 """A full accept queue drops the SYN, which the client retransmits only after a second."""
+MIN_IDLE: Millis = 100.0
+"""Idle time after which a connection may be closed for another caller; the first request of a new
+connection arrives within a round trip."""
 
 Handler = Callable[[CallerRequest, CallerConnection], None]
 
@@ -31,11 +35,13 @@
 
     Args:
         address: Address to listen on.
-        workers: Connections served at once; further connections wait until one of these ends.
+        workers: Connections served at once. For further ones idle connections are closed.
         clock: The process's clock.
         names: Header names used by the callers.
         limits: Returns the current limits on requests.
         handle: Serves one request.
+        others_serve: Returns whether callers whose connections are closed unread can go elsewhere.
+            They wait for a worker otherwise.
     """
 
     def __init__(
@@ -47,7 +53,12 @@
         names: HeaderNames,
         limits: Callable[[], CallerLimits],
         handle: Handler,
+        others_serve: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._workers = workers
+        self._others_serve = others_serve
+        self._idle_since: OrderedDict[CallerConnection, Millis] = OrderedDict()
+        self._ending: set[CallerConnection] = set()
         self._clock = clock
         self._names = names
         self._limits = limits
@@ -131,14 +142,45 @@
                 continue
             with self._lock:
                 self._open_connections += 1
-            self._pool.submit(self._serve, sock)
+            if self._has_worker_for_another():
+                self._pool.submit(self._serve, sock)
+                continue
+            with self._lock:
+                self._open_connections -= 1
+            # The caller sees that its request was not read, and sends it to another entry.
+            sock.close()
+            logging.info("event=closed_unread open=%d busy=%d", self.open_connections, self.busy)
+
+    def _has_worker_for_another(self) -> bool:
+        """Return whether a new connection may wait for a worker.
+
+        Closes the connections that have been idle for longest if too few workers are free.
+        """
+        now = self._clock.now()
+        with self._lock:
+            missing = self._open_connections - len(self._ending) - self._workers
+            if missing <= 0:
+                return True
+            idle: list[CallerConnection] = []
+            for connection, since in self._idle_since.items():
+                if len(idle) >= missing or now - since < MIN_IDLE:
+                    break
+                idle.append(connection)
+            for connection in idle:
+                del self._idle_since[connection]
+                self._ending.add(connection)
+                connection.stop_waiting()
+        return len(idle) >= missing or not self._others_serve()
 
     def _serve(self, sock: socket.socket) -> None:
         connection: CallerConnection | None = None
         try:
             connection = CallerConnection(sock, self._clock, self._names)
-            while self._serve_one(connection):
-                pass
+            is_first = True
+            while self._wait_for_request(connection, is_first=is_first):
+                if not self._serve_one(connection):
+                    break
+                is_first = False
             connection.close()
         except CallerGoneError:
             if connection is not None:
@@ -151,6 +193,24 @@
             sock.close()
             with self._lock:
                 self._open_connections -= 1
+                if connection is not None:
+                    self._ending.discard(connection)
+
+    def _wait_for_request(self, connection: CallerConnection, *, is_first: bool) -> bool:
+        """Wait for the next request; return whether there is one.
+
+        Does not wait for a further request while other connections wait for a worker.
+        """
+        with self._lock:
+            others_wait = self._open_connections - len(self._ending) > self._workers
+            if others_wait and not is_first:
+                return False
+            self._idle_since[connection] = self._clock.now()
+        try:
+            return connection.wait_for_request(self._limits().idle_timeout)
+        finally:
+            with self._lock:
+                self._idle_since.pop(connection, None)
 
     def _serve_one(self, connection: CallerConnection) -> bool:
         try:
