Answers without end fill no memory on any call

What callers would see: a faulty server, store or peer may send bytes without end in a head or a body. An entry read the body of an answer as a whole, however long: 922 MB at one request, where its host has 300. Answers of the store and of calls from sidecars were read alike.

Change: a whole answer has at most 16 MiB, all that are being read 32 MiB together; answers over libcurl 8 MiB; an event 1 MiB; 16 interim answers; 1 MiB of an answer to an earlier request; 1 MB in short calls (reports, moves of runs). A stream to which bytes come but no event counts as silent.

Evidence: tests/test_endless_answers.py, eleven answers without end on seven calls. Failed try: pieces in a list; pieces of four bytes took 80 MB for 16 MB, hence a bytearray.

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -17,7 +17,7 @@
     RouteKind,
     WeightedService,
 )
-from carobspool_core.direct._events import EventSplitter, StreamEvent
+from carobspool_core.direct._events import EventSplitter, EventTooLongError, StreamEvent
 from carobspool_core.direct._failure_reports import FailureReports
 from carobspool_core.direct._fingerprint import (
     item_fingerprint,
@@ -110,6 +110,7 @@
     "CallerLimits",
     "Configuration",
     "EventSplitter",
+    "EventTooLongError",
     "FailureReports",
     "FleetLoads",
     "HandoverCandidate",
--- a/packages/core/src/carobspool_core/direct/_events.py
+++ b/packages/core/src/carobspool_core/direct/_events.py
@@ -19,6 +19,14 @@
     data: str
 
 
+MAX_EVENT_BYTES = 1024 * 1024
+"""Longest event, far above the tokens that an engine sends at once."""
+
+
+class EventTooLongError(Exception):
+    """The bytes of a stream are no event, or one that is too long."""
+
+
 class EventSplitter:
     """Incremental splitter; buffers the incomplete event at the end of the received bytes."""
 
@@ -33,7 +41,11 @@
         return bool(self._buffer.strip())
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Add received bytes and return the events that they complete."""
+        """Add received bytes and return the events that they complete.
+
+        Raises:
+            EventTooLongError: An event is longer than `MAX_EVENT_BYTES`.
+        """
         data = self._buffer + data
         events = []
         start = 0
@@ -46,6 +58,8 @@
             if raw.strip():
                 events.append(_parse(raw))
         self._buffer = data[start:]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise EventTooLongError(f"an event of more than {MAX_EVENT_BYTES} bytes")
         return events
 
 
--- a/packages/node/src/carobspool_node/direct/_channel.py
+++ b/packages/node/src/carobspool_node/direct/_channel.py
@@ -22,6 +22,11 @@
 )
 
 READ_BYTES = 65_536
+MAX_EXCHANGE_BYTES = 1_000_000
+"""Longest answer to a short call, far above the report of an upstream that lists some hundred
+runs."""
+MAX_INTERIM_ANSWERS = 16
+"""Answers with a status of 1xx before the final one; HTTP servers send one or two."""
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -153,7 +158,7 @@
         deadline: Millis,
         *,
         watch: CallerWatch | None = None,
-        max_bytes: int | None = None,
+        max_bytes: int = MAX_EXCHANGE_BYTES,
     ) -> tuple[int, bytes]:
         """Send a request and return the status and the body of its answer.
 
@@ -162,7 +167,7 @@
             body: Its body.
             deadline: Time by which the whole answer must have arrived.
             watch: Detects that the caller has disconnected.
-            max_bytes: Longest body that is accepted, ``None`` for any.
+            max_bytes: Longest body that is accepted.
 
         Raises:
             ConnectionBrokenError: The connection broke, or the answer is invalid or too long.
@@ -173,17 +178,20 @@
         self.send(encode_request(self._http, request, body), deadline, watch)
         status = 0
         answer = b""
+        interim = 0
         while True:
             event = self.next_event(deadline, watch)
             if isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
                 answer += bytes(event.data)
-                if max_bytes is not None and len(answer) > max_bytes:
+                if len(answer) > max_bytes:
                     raise ConnectionBrokenError(f"an answer of more than {max_bytes} bytes")
             elif isinstance(event, h11.EndOfMessage):
                 return status, answer
-            elif not isinstance(event, h11.InformationalResponse):
+            elif isinstance(event, h11.InformationalResponse) and interim < MAX_INTERIM_ANSWERS:
+                interim += 1
+            else:
                 raise ConnectionBrokenError("closed before an answer")
 
     def start_next_request(self) -> bool:
--- a/packages/node/src/carobspool_node/direct/_item_run.py
+++ b/packages/node/src/carobspool_node/direct/_item_run.py
@@ -10,6 +10,7 @@
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import (
     EventSplitter,
+    EventTooLongError,
     ItemWork,
     JobInput,
     JobItem,
@@ -128,6 +129,9 @@
                 detail=str(error),
                 not_before=self._isolation.item_not_before(fingerprint),
             )
+        except EventTooLongError as error:
+            self._loads.record_failure(upstream)
+            return RunOutcome(end=RunEnd.BROKEN, detail=str(error))
         except DeadlinePassedError:
             self._loads.record_failure(upstream)
             return RunOutcome(end=RunEnd.BROKEN, detail="deadline exceeded")
@@ -158,11 +162,17 @@
             upstream, run.forecast, is_resumed=work.last_event > 0
         )
         has_written = False
+        last_event_at = self._clock.now()
         for data in call.body(deadline, idle_timeout=MAX_EVENT_GAP):
             self._loads.record_activity(upstream)
             events = splitter.feed(data)
             if pauses is not None:
                 pauses.record(len(events))
+            now = self._clock.now()
+            if events:
+                last_event_at = now
+            elif now - last_event_at > MAX_EVENT_GAP:
+                raise CallFailedError("bytes arrive, but no event", sent=True)
             if events and not has_written:
                 has_written = True
                 self._isolation.record_written(partial(self._part_fingerprints, work.item))
--- a/packages/node/src/carobspool_node/direct/_start_check.py
+++ b/packages/node/src/carobspool_node/direct/_start_check.py
@@ -17,9 +17,6 @@
 from carobspool_node.direct._channel import CallerWatch, Channel
 from carobspool_node.direct._messages import HeaderNames, Headers
 
-MAX_REPORT_BYTES = 1_000_000
-"""Far above the report of an upstream that lists some hundred runs."""
-
 
 class StartReport(Struct, frozen=True, kw_only=True):
     """How upstreams are asked when they started.
@@ -71,7 +68,7 @@
         (names.expect_instance, upstream.instance.encode()),
     ]
     request = h11.Request(method=b"GET", target=report.path.encode(), headers=headers)
-    status, body = channel.exchange(request, b"", deadline, watch=watch, max_bytes=MAX_REPORT_BYTES)
+    status, body = channel.exchange(request, b"", deadline, watch=watch)
     if status != 200:
         raise NoReportError(f"status {status} instead of the upstream's report")
     return report.read_started(body)
--- a/packages/node/src/carobspool_node/direct/_stream_relay.py
+++ b/packages/node/src/carobspool_node/direct/_stream_relay.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from carobspool_core import Clock, Millis
-from carobspool_core.direct import EventSplitter, Upstream
+from carobspool_core.direct import EventSplitter, EventTooLongError, StreamEvent, Upstream
 from carobspool_node.direct._crash_isolation import CrashIsolation
 from carobspool_node.direct._loads import LoadTable
 from carobspool_node.direct._messages import Headers, UpstreamHead, end_to_end_headers
@@ -14,6 +14,7 @@
 from carobspool_node.direct._request_state import RequestState
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.direct._upstream_calls import UpstreamCall
+from carobspool_node.direct._upstream_connections import CallFailedError
 
 STREAM_IDLE_TIMEOUT: Millis = 900.0
 """Time without data after which a resumable stream continues at another upstream. Events arrive
@@ -21,7 +22,7 @@
 
 
 class StreamBrokenError(Exception):
-    """An upstream did not deliver the rest of an event stream, or skipped an event."""
+    """An upstream has answered without the rest of an event stream, or skipped an event."""
 
 
 class StreamRelay:
@@ -63,8 +64,8 @@
         """Relay a stream to its end, after the events that the caller has received.
 
         Raises:
-            StreamBrokenError: An event is missing, or the stream ends in the middle of one.
-            CallFailedError: The stream ended early.
+            StreamBrokenError: An event is missing.
+            CallFailedError: The stream ended early, or sends bytes that are no events.
             DeadlinePassedError: The deadline of the request has passed.
             CallerGoneError: The caller has disconnected.
         """
@@ -73,10 +74,11 @@
             upstream, state.forecast, is_resumed=state.streaming
         )
         silence = STREAM_IDLE_TIMEOUT if state.route.resumable else None
+        last_event_at = self._clock.now()
         for data in call.body(state.deadline, idle_timeout=silence):
             self._loads.record_activity(upstream)
             pieces = []
-            for event in splitter.feed(data):
+            for event in _split(splitter, data):
                 if state.last_event is not None and event.event_id is not None:
                     if event.event_id <= state.last_event:
                         continue
@@ -86,7 +88,10 @@
                 if event.event_id is not None:
                     state.last_event = event.event_id
             if not pieces:
+                if silence is not None and self._clock.now() - last_event_at > silence:
+                    raise CallFailedError("bytes arrive, but no event", sent=True)
                 continue
+            last_event_at = self._clock.now()
             if pauses is not None:
                 pauses.record(len(pieces))
             if not state.streaming:
@@ -102,7 +107,7 @@
             state.caller.send_piece(b"".join(pieces))
             state.progress.record_events(self._clock.now())
         if splitter.incomplete:
-            raise StreamBrokenError("the stream ends in the middle of an event")
+            raise CallFailedError("the stream ends in the middle of an event", sent=True)
         if not state.streaming:
             state.streaming = True
             state.caller.start_stream(head.status, answer_headers(head), head.reason)
@@ -113,6 +118,13 @@
         self._endings.record(state, "streamed", head.status)
 
 
+def _split(splitter: EventSplitter, data: bytes) -> list[StreamEvent]:
+    try:
+        return splitter.feed(data)
+    except EventTooLongError as error:
+        raise CallFailedError(str(error), sent=True) from error
+
+
 def answer_headers(head: UpstreamHead) -> Headers:
     """Return the headers of an upstream's answer that its caller receives."""
     return end_to_end_headers(head.headers, without=(b"content-length",))
--- a/packages/node/src/carobspool_node/direct/_upstream_calls.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_calls.py
@@ -11,7 +11,9 @@
 
 from carobspool_core import Millis
 from carobspool_core.direct import UNKNOWN_VERSION, Upstream
+from carobspool_node.direct._answer_memory import MAX_ANSWER_BYTES
 from carobspool_node.direct._channel import (
+    MAX_INTERIM_ANSWERS,
     CallerWatch,
     Cancellation,
     Channel,
@@ -42,6 +44,8 @@
 not be faster, and none has a part of the answer yet."""
 MAX_STRAY_ANSWERS = 4
 """Answers to earlier requests after which a connection counts as broken."""
+MAX_SKIPPED_BYTES = 1024 * 1024
+"""Longest answer to an earlier request that is discarded to reach the next one."""
 _UPSTREAM_RESTARTED = "the upstream has started again"
 
 
@@ -97,6 +101,7 @@
         self._channel: Channel | None = None
         self._complete = False
         self._connection_broken = False
+        self._ends_with_connection = False
         self._start_confirmed = True
 
     def start(
@@ -178,12 +183,36 @@
                 continue
             if isinstance(event, h11.EndOfMessage):
                 self._complete = True
+                self._connection_broken = self._ends_with_connection
                 return
             raise CallFailedError(f"unexpected {type(event).__name__}", sent=True)
 
     def read_body(self, deadline: Millis) -> bytes:
-        """Return the whole body."""
-        return b"".join(self.body(deadline))
+        """Return the whole body.
+
+        Raises:
+            CallFailedError: The answer ended early, or is too long.
+            DeadlinePassedError: ``deadline`` has passed.
+            CallerGoneError: The caller has disconnected.
+            CallCancelledError: Another task cancelled the call.
+        """
+        memory = self._connections.memory
+        # Pieces can be a few bytes long, so that a list of them would need ten times the memory.
+        body = bytearray()
+        try:
+            for piece in self.body(deadline):
+                size = len(body) + len(piece)
+                if size > MAX_ANSWER_BYTES or not memory.reserve(len(piece)):
+                    raise CallFailedError(f"an answer of {size} bytes or more", sent=True)
+                body += piece
+            return bytes(body)
+        finally:
+            memory.release(len(body))
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the answer has neither a length nor chunks and ends with its connection."""
+        return self._ends_with_connection
 
     @property
     def upstream_restarted(self) -> bool:
@@ -313,11 +342,14 @@
     ) -> UpstreamHead:
         for _ in range(MAX_STRAY_ANSWERS):
             event = channel.next_event(deadline, self._watch)
-            while isinstance(event, h11.InformationalResponse):
+            interim = 0
+            while isinstance(event, h11.InformationalResponse) and interim < MAX_INTERIM_ANSWERS:
+                interim += 1
                 event = channel.next_event(deadline, self._watch)
             if not isinstance(event, h11.Response):
                 raise ConnectionBrokenError("closed before an answer")
             headers = list(event.headers)
+            self._ends_with_connection = _ends_with_connection(headers)
             echoed = find_header(headers, self._names.request_id)
             if echoed is None and channel.fresh or echoed == request.request_id.encode():
                 if channel.idle_limit >= 0:
@@ -332,8 +364,11 @@
 
     def _skip_answer(self, channel: Channel, request: UpstreamRequest, deadline: Millis) -> None:
         """Discard an answer to an earlier request; keep the data received after that answer."""
-        while not isinstance(channel.next_event(deadline, self._watch), h11.EndOfMessage):
-            pass
+        skipped = 0
+        while not isinstance(event := channel.next_event(deadline, self._watch), h11.EndOfMessage):
+            skipped += len(event.data) if isinstance(event, h11.Data) else 0
+            if skipped > MAX_SKIPPED_BYTES:
+                raise ConnectionBrokenError("an answer without end to another request")
         rest = channel.http.trailing_data[0]
         http = h11.Connection(h11.CLIENT)
         _encode(http, request)
@@ -348,6 +383,11 @@
     return encode_request(http, head, request.body)
 
 
+def _ends_with_connection(headers: Headers) -> bool:
+    has_length = find_header(headers, b"content-length") is not None
+    return not has_length and find_header(headers, b"transfer-encoding") is None
+
+
 def _idle_limit(headers: Headers) -> Millis:
     value = find_header(headers, b"keep-alive")
     if value is None:
--- a/packages/node/src/carobspool_node/direct/_upstream_connections.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_connections.py
@@ -6,6 +6,7 @@
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import Upstream
+from carobspool_node.direct._answer_memory import AnswerMemory
 from carobspool_node.direct._channel import Channel, connect
 from carobspool_node.direct._errors import ConnectionBrokenError
 from carobspool_node.direct._open_calls import OpenCalls
@@ -51,6 +52,7 @@
         self._lock = threading.Lock()
         self._idle: dict[str, list[Channel]] = {}
         self._calls = OpenCalls(clock)
+        self._memory = AnswerMemory()
 
     @property
     def clock(self) -> Clock:
@@ -62,6 +64,11 @@
         """The calls in progress."""
         return self._calls
 
+    @property
+    def memory(self) -> AnswerMemory:
+        """The memory of the answers that are being read."""
+        return self._memory
+
     @property
     def start_report(self) -> StartReport | None:
         """How upstreams are asked when they started, ``None`` if they cannot be asked."""
--- a/packages/node/src/carobspool_node/store/_object_api.py
+++ b/packages/node/src/carobspool_node/store/_object_api.py
@@ -26,6 +26,7 @@
     WatchBatch,
     monotonic_clock,
 )
+from carobspool_node.bounded_answer import BoundedAnswer
 from carobspool_node.store._object_answers import (
     Broken,
     Reply,
@@ -225,7 +226,7 @@
         headers = ["Expect:"]
         if version is not None:
             headers.append(f"If-Version: {version}")
-        received = BytesIO()
+        received = BoundedAnswer()
         found: dict[str, str] = {}
         handle.setopt(pycurl.URL, self._url + path)
         handle.setopt(pycurl.NOSIGNAL, 1)
@@ -254,7 +255,7 @@
         return Reply(
             status=handle.getinfo(pycurl.RESPONSE_CODE),
             version=int(found.get(_VERSION_HEADER, "0")),
-            body=received.getvalue(),
+            body=received.value(),
         )
 
     def _handle(self) -> pycurl.Curl:
--- a/packages/node/src/carobspool_node/upstreams/_engine_orders.py
+++ b/packages/node/src/carobspool_node/upstreams/_engine_orders.py
@@ -5,7 +5,6 @@
 import json
 from dataclasses import dataclass
 from http import HTTPStatus
-from io import BytesIO
 from typing import Any
 
 import pycurl
@@ -25,6 +24,7 @@
     RunningModel,
 )
 from carobspool_core.border import BorderModel, validate
+from carobspool_node.bounded_answer import BoundedAnswer
 
 CONNECT_TIMEOUT: Millis = 1_000.0
 STATE_TIMEOUT: Millis = 2_000.0
@@ -111,7 +111,7 @@
     def _exchange(
         self, path: str, body: bytes | None, timeout: Millis
     ) -> Result[_Answer, OrderFailure]:
-        received = BytesIO()
+        received = BoundedAnswer()
         handle = pycurl.Curl()
         handle.setopt(pycurl.URL, self._url + path)
         handle.setopt(pycurl.NOSIGNAL, 1)
@@ -130,7 +130,7 @@
             return _fail(OrderFault.UNREACHABLE, f"curl error {error.args[0]}")
         finally:
             handle.close()
-        return Success(_Answer(status=status, body=received.getvalue()))
+        return Success(_Answer(status=status, body=received.value()))
 
     def _headers(self) -> list[str]:
         headers = ["Content-Type: application/json", "Expect:"]
--- a/packages/node/src/carobspool_node/upstreams/_upstream_http.py
+++ b/packages/node/src/carobspool_node/upstreams/_upstream_http.py
@@ -16,9 +16,12 @@
 import pycurl
 
 from carobspool_core import Millis
+from carobspool_node.bounded_answer import BoundedAnswer
 
 CONNECT_TIMEOUT: Millis = 1_000.0
 CONTROL_TIMEOUT: Millis = 2_000.0
+MAX_HEADERS = 256
+"""Header lines of an answer; libcurl bounds their bytes, but not those of interim answers."""
 
 
 class CallEnd(StrEnum):
@@ -91,33 +94,37 @@
         self,
         call: UpstreamCall,
         on_head: Callable[[int, dict[str, str]], None],
-        on_data: Callable[[bytes], None],
+        on_data: Callable[[bytes], int | None],
     ) -> CallResult:
         """Run the call in this thread.
 
         Args:
             call: What to send.
             on_head: Receives status and headers once, before any data.
-            on_data: Receives the body as it comes.
+            on_data: Receives the body as it comes; may return how many bytes it has accepted, which
+                ends the call if these are not all.
         """
         status = 0
         headers: dict[str, str] = {}
         told = False
 
-        def header_line(line: bytes) -> None:
+        def header_line(line: bytes) -> int | None:
             nonlocal status, told
+            if len(headers) >= MAX_HEADERS:
+                return 0
             text = line.decode("latin-1").strip()
             if text.startswith("HTTP/"):
                 status = int(text.split(" ", 2)[1])
                 headers.clear()
-                return
+                return None
             if text:
                 name, _, value = text.partition(":")
                 headers[name.strip().lower()] = value.strip()
-                return
+                return None
             if status >= 200 and not told:
                 told = True
                 on_head(status, dict(headers))
+            return None
 
         curl = self._prepare(call)
         curl.setopt(pycurl.HEADERFUNCTION, header_line)
@@ -190,6 +197,6 @@
 
 def call_whole(call: UpstreamCall) -> tuple[CallResult, bytes]:
     """Run a short control call and return its result with the whole body."""
-    pieces: list[bytes] = []
-    result = Exchange().run(call, lambda status, headers: None, pieces.append)
-    return result, b"".join(pieces)
+    received = BoundedAnswer()
+    result = Exchange().run(call, lambda status, headers: None, received.write)
+    return result, received.value()
--- a/packages/standins/src/carobspool_standins/platform_server.py
+++ b/packages/standins/src/carobspool_standins/platform_server.py
@@ -62,6 +62,16 @@
         """Whether the start that received the request has crashed."""
         return self._start.crashed
 
+    @property
+    def peer_has_closed(self) -> bool:
+        """Whether the peer has closed the connection."""
+        try:
+            return not self._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def send(self, data: bytes) -> None:
         """Send raw bytes; errors of a closed connection are ignored."""
         self._start.send(self._socket, data)
@@ -96,9 +106,17 @@
         self.send(head.encode() + b"Content-Type: text/event-stream\r\n")
         self.send(b"Transfer-Encoding: chunked\r\n\r\n")
 
+    def send_open_headers(self, request: ServedRequest) -> None:
+        """Send the headers of a signed answer with neither a length nor chunks.
+
+        Its body is sent with `send` and ends with the connection, at `close`.
+        """
+        head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request.request_id}\r\nServer-Stamp: s\r\n\r\n"
+        self.send(head.encode())
+
     def send_event(self, number: int, data: str = "") -> None:
         """Send a complete event as one chunk."""
-        self.send_chunk(f"id: {number}\ndata: {data or f'piece {number}'}\n\n".encode())
+        self.send_chunk(event_bytes(number, data))
 
     def send_chunk(self, data: bytes) -> None:
         """Send a chunk of a chunked body."""
@@ -136,6 +154,11 @@
 RequestHandler = Callable[[ServedRequest, ServerConnection], None]
 
 
+def event_bytes(number: int, data: str = "") -> bytes:
+    """Return the bytes of a complete event."""
+    return f"id: {number}\ndata: {data or f'piece {number}'}\n\n".encode()
+
+
 def signed_response_bytes(request_id: str, status: int, body: bytes, extra: str = "") -> bytes:
     """Return the bytes of a complete signed response."""
     head = f"HTTP/1.1 {status} Done\r\nRequest-Id: {request_id}\r\nServer-Stamp: s\r\n{extra}"
