A stream whose connection ends before its first event has been broken off

What callers would see: an answer may come with neither a length nor chunks and end with its connection. A server that ends such a stream before its first event was taken for one that had completed it: callers got an empty stream as a complete one, and a request that crashes its servers was cleared by it.

Change: such an end, and an end inside an event, is a broken call, for which the entry checks whether the server has ended.

--- a/packages/node/src/carobspool_node/direct/_item_run.py
+++ b/packages/node/src/carobspool_node/direct/_item_run.py
@@ -189,6 +189,8 @@
                 work.received_texts.append(event.data)
         if splitter.incomplete:
             raise CallFailedError("the stream ends in the middle of an event", sent=True)
+        if call.ends_with_connection and not has_written:
+            raise CallFailedError("the connection ended before the first event", sent=True)
         return RunOutcome(end=RunEnd.COMPLETED)
 
     def _part_fingerprints(self, item: JobItem) -> list[str]:
--- a/packages/node/src/carobspool_node/direct/_stream_relay.py
+++ b/packages/node/src/carobspool_node/direct/_stream_relay.py
@@ -108,6 +108,8 @@
             state.progress.record_events(self._clock.now())
         if splitter.incomplete:
             raise CallFailedError("the stream ends in the middle of an event", sent=True)
+        if call.ends_with_connection and not state.has_written:
+            raise CallFailedError("the connection ended before the first event", sent=True)
         if not state.streaming:
             state.streaming = True
             state.caller.start_stream(head.status, answer_headers(head), head.reason)
