--- a/packages/core/tests/test_suspects.py
+++ b/packages/core/tests/test_suspects.py
@@ -2,13 +2,23 @@
 
 from __future__ import annotations
 
+import random
 from random import Random
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Success
 
-from carobspool_core import ManualClock, Outcome, VerdictKind, make_suspect_gate, make_suspect_table
+from carobspool_core import (
+    ITEM_PREFIX,
+    PART_PREFIX,
+    ManualClock,
+    Outcome,
+    SuspectTable,
+    VerdictKind,
+    make_suspect_gate,
+    make_suspect_table,
+)
 
 CULPRIT = "culprit"
 DAY = 86_400_000.0
@@ -290,3 +300,125 @@
     ((update, age),) = one.quarantines(clock.now())
     other.merge(CULPRIT, update.values, clock.now(), age=age)
     assert other.check(CULPRIT, clock.now()).kind is VerdictKind.CLEAR
+
+
+PART = f"{PART_PREFIX}bad-1"
+OTHER_PART = f"{PART_PREFIX}c0-1"
+POPULAR = f"{PART_PREFIX}a11ce-1"
+CRASHES = 3
+
+
+def _part_table() -> SuspectTable:
+    return make_suspect_table(ManualClock(), crashes_to_quarantine=CRASHES)
+
+
+def _crash(table: SuspectTable, number: int, now: float, *fingerprints: str) -> None:
+    table.record_crash(f"h{number}", fingerprints, now, crash_id=f"c{number}")
+
+
+def _kind(table: SuspectTable, now: float, *fingerprints: str) -> VerdictKind:
+    found = table.verdicts(fingerprints, now)
+    kinds = {verdict.kind for verdict in found}
+    if VerdictKind.QUARANTINED in kinds:
+        return VerdictKind.QUARANTINED
+    return VerdictKind.SUSPECT if kinds else VerdictKind.CLEAR
+
+
+def test_a_part_that_unlike_requests_share_is_quarantined() -> None:
+    """Guards against requests that differ in all but one part and crash one upstream each."""
+    table = _part_table()
+    for number in range(CRASHES):
+        assert _kind(table, number * 1_000.0, f"new-{number}", POPULAR, PART) is not (
+            VerdictKind.QUARANTINED
+        )
+        _crash(table, number, number * 1_000.0, f"r{number}", POPULAR, PART)
+        table.record_completion(POPULAR, number * 1_000.0 + 50.0, lift=True)
+    assert _kind(table, 4_000.0, "another", POPULAR, PART) is VerdictKind.QUARANTINED
+    assert _kind(table, 4_000.0, "another", POPULAR) is VerdictKind.CLEAR
+
+
+def test_a_part_at_upstreams_that_are_lost_together_is_not_quarantined() -> None:
+    """Guards against refusing a popular part when a failure domain is lost."""
+    table = _part_table()
+    for number in range(6):
+        _crash(table, number, number * 10.0, POPULAR)
+    assert _kind(table, 100.0, POPULAR) is VerdictKind.SUSPECT
+    table.record_completion(POPULAR, 110.0, lift=True)
+    assert _kind(table, 120.0, POPULAR) is VerdictKind.CLEAR
+    for number in range(6, 9):
+        _crash(table, number, number * 1_000.0, POPULAR)
+    assert _kind(table, 9_000.0, POPULAR) is VerdictKind.QUARANTINED
+
+
+def test_what_ran_beside_a_culprit_is_free_once_the_culprit_is_known() -> None:
+    """Guards against a rare sound part, or a sound request, that is refused with the culprit."""
+    table = _part_table()
+    for number in range(CRASHES):
+        _crash(table, number, number * 1_000.0, PART, OTHER_PART, "sound")
+    assert _kind(table, 3_000.0, PART, OTHER_PART, "sound") is VerdictKind.QUARANTINED
+    assert _kind(table, 3_000.0, OTHER_PART) is VerdictKind.SUSPECT
+    assert _kind(table, 3_000.0, PART) is VerdictKind.SUSPECT
+    _crash(table, CRASHES, 4_000.0, PART)
+    assert _kind(table, 4_000.0, PART) is VerdictKind.QUARANTINED
+    assert _kind(table, 4_000.0, OTHER_PART) is VerdictKind.SUSPECT
+    assert _kind(table, 4_000.0, "sound") is VerdictKind.SUSPECT
+    assert table.unexplained_crashes("sound", 4_000.0).crashes == 0
+
+
+def test_a_suspect_whose_crashes_are_explained_is_clear() -> None:
+    """Guards against suspects that keep running alone after the culprit was found."""
+    table = _part_table()
+    for number in range(CRASHES):
+        _crash(table, number, number * 1_000.0, PART, f"beside-{number}")
+    assert [_kind(table, 3_000.0, f"beside-{n}") for n in range(CRASHES)] == (
+        [VerdictKind.CLEAR] * CRASHES
+    )
+
+
+def test_a_batch_item_explains_no_crash() -> None:
+    """Guards against an item, which runs again and again, that hides the part beside it."""
+    table = _part_table()
+    item = f"{ITEM_PREFIX}i"
+    for number in range(CRASHES + 2):
+        beside = (PART,) if number < CRASHES else ()
+        _crash(table, number, number * 1_000.0, item, *beside)
+    assert _kind(table, 6_000.0, PART) is VerdictKind.QUARANTINED
+
+
+def test_the_state_of_a_popular_part_stays_small_however_many_upstreams_crash() -> None:
+    """Guards against a hint that no longer has room for the newest crash."""
+    table, other = _part_table(), _part_table()
+    for number in range(500):
+        _crash(table, number, number * 1_000.0, POPULAR)
+        update = table.state(POPULAR, number * 1_000.0)
+        assert update is not None
+        other.merge(POPULAR, update.values, number * 1_000.0)
+        assert _kind(other, number * 1_000.0, POPULAR) is VerdictKind.SUSPECT
+        cleared = table.record_completion(POPULAR, number * 1_000.0 + 50.0, lift=True)
+        assert cleared is not None
+        other.merge(POPULAR, cleared.values, number * 1_000.0 + 50.0)
+        for each in (table, other):
+            state = each.state(POPULAR, number * 1_000.0 + 50.0)
+            assert state is not None
+            assert len(state.values["crashes"].split()) <= 40
+
+
+def test_entries_agree_on_a_part_in_whatever_order_they_hear_of_its_crashes() -> None:
+    """Guards against entries that differ for good in whether a part is refused."""
+    for seed in range(50):
+        draw = random.Random(seed)
+        one, other = _part_table(), _part_table()
+        told = []
+        for number in range(CRASHES + 1):
+            now = number * 1_000.0
+            _crash(one, number, now, PART)
+            if draw.random() < 0.2:
+                one.record_completion(PART, now + 1.0, lift=True)
+            state = one.state(PART, now + 1.0)
+            assert state is not None
+            told.append(state)
+        late = [*told, *draw.sample(told, 2)]
+        draw.shuffle(late)
+        for state in (*late, told[-1]):
+            other.merge(PART, state.values, 4_000.0)
+        assert _kind(one, 4_000.0, PART) is _kind(other, 4_000.0, PART)
