--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 import pytest
-from soak import competition, organisations, versions
+from soak import competition, crashing, organisations, versions
 from soak.soak import play
 
 SECONDS = 8.0
@@ -66,3 +66,12 @@
     assert record.accepted
     assert record.calls["versioned complete"] > 20
     assert record.calls["went on"] > 10
+
+
+def test_a_crashing_part_is_refused_under_a_random_schedule_of_faults(tmp_path: Path) -> None:
+    """Requests of which no two are alike share a part under which servers end, beside sound ones,
+    while entries are killed, stopped, paused and restarted."""
+    record = crashing.play(1, SECONDS, tmp_path)
+    assert record.violations == []
+    assert record.calls["culprit 422"] > 20
+    assert record.calls["sound calm 200"] > 50
