--- a/packages/node/src/carobspool_node/store/_object_api.py
+++ b/packages/node/src/carobspool_node/store/_object_api.py
@@ -26,7 +26,7 @@
     WatchBatch,
     monotonic_clock,
 )
-from carobspool_node.bounded_answer import BoundedAnswer
+from carobspool_node.answers import BoundedAnswer
 from carobspool_node.store._object_answers import (
     Broken,
     Reply,
--- a/packages/node/src/carobspool_node/upstreams/_engine_orders.py
+++ b/packages/node/src/carobspool_node/upstreams/_engine_orders.py
@@ -24,7 +24,7 @@
     RunningModel,
 )
 from carobspool_core.border import BorderModel, validate
-from carobspool_node.bounded_answer import BoundedAnswer
+from carobspool_node.answers import BoundedAnswer
 
 CONNECT_TIMEOUT: Millis = 1_000.0
 STATE_TIMEOUT: Millis = 2_000.0
--- a/packages/node/src/carobspool_node/upstreams/_upstream_http.py
+++ b/packages/node/src/carobspool_node/upstreams/_upstream_http.py
@@ -16,7 +16,7 @@
 import pycurl
 
 from carobspool_core import Millis
-from carobspool_node.bounded_answer import BoundedAnswer
+from carobspool_node.answers import BoundedAnswer
 
 CONNECT_TIMEOUT: Millis = 1_000.0
 CONTROL_TIMEOUT: Millis = 2_000.0
--- a/tests/direct/test_job_ends.py
+++ b/tests/direct/test_job_ends.py
@@ -27,6 +27,7 @@
     deployment,
     eventually,
     job_body,
+    occupy_connections,
     route,
 )
 
@@ -88,15 +89,13 @@
 
 
 def test_owner_that_accepts_no_calls_starts_no_item_of_an_ended_job(system: Deployment) -> None:
-    """Idle connections occupy all of the owner's slots for calls of peers, so that the other entry
+    """Unfinished calls occupy all of the owner's slots for calls of peers, so that the other entry
     writes the end to the store. Hints still arrive in both directions, and neither entry detects a
     fault. No further item of the job may reach the upstream."""
     engine = _RefusingEngine()
     owner, other = _start_entries_with_job(system, engine)
     with ExitStack() as silent:
-        for _ in range(130):
-            address = ("127.0.0.1", owner.peer_port)
-            silent.enter_context(socket.create_connection(address))
+        occupy_connections(silent, ("127.0.0.1", owner.peer_port), 130)
         assert other.call("DELETE", "/api/lots/j").status == 200
         _assert_no_arrival_after_bound(engine, time.monotonic())
     assert other.log_lines_containing("event=job_ended job=j through=store")
@@ -160,9 +159,7 @@
     stream = threading.Thread(target=lambda: owner.call("POST", "/long/x", headers=headers))
     stream.start()
     with ExitStack() as silent:
-        for _ in range(130):
-            address = ("127.0.0.1", owner.peer_port)
-            silent.enter_context(socket.create_connection(address))
+        occupy_connections(silent, ("127.0.0.1", owner.peer_port), 130)
         found: list[int] = []
         end = threading.Thread(
             target=lambda: found.append(other.call("DELETE", "/api/lots/j").status)
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -8,6 +8,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -312,6 +313,16 @@
         time.sleep(STEP_S)
 
 
+def occupy_connections(stack: ExitStack, address: tuple[str, int], count: int) -> None:
+    """Open connections with calls whose bodies do not arrive, until the stack is closed.
+
+    An entry closes idle connections for other callers, but not those on which a call has begun.
+    """
+    for _ in range(count):
+        sock = stack.enter_context(socket.create_connection(address, 1.0))
+        sock.sendall(b"POST /view HTTP/1.1\r\nHost: entry\r\nContent-Length: 10\r\n\r\n")
+
+
 def job_body(*item_ids: str, path: str = "/batch/1", tokens: int = 10) -> bytes:
     """Return the body of a request that submits a job with these items."""
     items = [
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -40,6 +40,7 @@
     deployment,
     fetch_results_page,
     job_body,
+    occupy_connections,
     route,
 )
 from disturbances import ALL_ENTRIES, Disturbances
@@ -452,8 +453,7 @@
         """
         address = ("127.0.0.1", self._entries[name].peer_port)
         with ExitStack() as silent, contextlib.suppress(OSError):
-            for _ in range(SILENT_CONNECTIONS):
-                silent.enter_context(socket.create_connection(address, 1.0))
+            occupy_connections(silent, address, SILENT_CONNECTIONS)
             time.sleep(0.5 + share * 2.5)
 
     def _cut_link(self, draw: random.Random) -> None:
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -77,7 +77,7 @@
 }
 """Fields that refer to a part of a site, and the placeholder that a portable day has there."""
 ON_VALUES = {"core", "front", "side", "store"}
-DAY_FIELDS = {"name", "seed", "plan", "faults", "closing"}
+DAY_FIELDS = {"name", "seed", "length_s", "plan", "faults", "closing"}
 CLOSING_KINDS = {"power_off_all", "wipe_after_ack", "kill_all"}
 REQUESTS_END_S = 34.0
 """Time until which a day sends requests; a later event would not affect any request."""
@@ -133,6 +133,7 @@
     assert set(day) <= DAY_FIELDS
     assert day["name"] == path.stem
     assert isinstance(day["seed"], int)
+    assert type(day.get("length_s", REQUESTS_END_S)) in (int, float)
     planned = ORGANISATION_PLANNED_KINDS if path in ORGANISATION_FILES else PLANNED_KINDS
     faults = ORGANISATION_FAULT_KINDS if path in ORGANISATION_FILES else FAULT_KINDS
     errors = [each for entry in day.get("plan", []) for each in _errors_in(entry, planned)]
--- a/tests/test_import_rules.py
+++ b/tests/test_import_rules.py
@@ -52,6 +52,12 @@
         )
         for module in ("_origin_messages", "_peer", "_stream_origins")
     },
+    **{
+        ("tools/cost_isolation.py", f"{NODE}.direct.{module}"): (
+            "measures what an entry does for each request and sends at a crash"
+        )
+        for module in ("_crash_isolation", "_suspect_messages", "_telemetry")
+    },
     **{
         ("tools/cost_hints.py", f"{NODE}.direct.{module}"): (
             "measures the bytes of hints with the encoders and the sender that entries use"
