--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -36,6 +36,7 @@
 }
 BOUNDS = {"grace_s": 8, "status_s": 120}
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+HEARTBEAT_S = 1.2
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
 
@@ -112,10 +113,14 @@
 Handler = Callable[[Request, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
-async def serve_http(handler: Handler, address: str = LOOPBACK, port: int = 0) -> asyncio.Server:
+async def serve_http(
+    handler: Handler, *, writers: set[asyncio.StreamWriter] | None = None
+) -> asyncio.Server:
     """Serve HTTP/1.1; the handler writes the whole answer, or closes the writer."""
+    open_writers = set() if writers is None else writers
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        open_writers.add(writer)
         try:
             while not writer.is_closing():
                 found = await read_headers(reader)
@@ -128,10 +133,11 @@
         except (ConnectionError, asyncio.IncompleteReadError, ValueError, asyncio.CancelledError):
             pass
         finally:
+            open_writers.discard(writer)
             with contextlib.suppress(Exception):
                 writer.close()
 
-    return await asyncio.start_server(serve, address, port, limit=1 << 20, backlog=2048)
+    return await asyncio.start_server(serve, LOOPBACK, 0, limit=1 << 20, backlog=2048)
 
 
 def port_of(server: asyncio.Server) -> int:
@@ -296,12 +302,14 @@
         self.sequence = 0
         self.address = ""
         self.arrived: list[Request] = []
-        self.before: list[bytes] = []
-        """Late second answers, to be sent where the next answer is expected."""
+        self.lost = False
+        self._listener: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen, register, and keep the registration up to date."""
-        self.address = f"{LOOPBACK}:{port_of(await serve_http(self._handle))}"
+        self._listener = await serve_http(self._handle, writers=self._writers)
+        self.address = f"{LOOPBACK}:{port_of(self._listener)}"
         await self.beat()
         asyncio.get_running_loop().create_task(self._beat_loop())
 
@@ -321,9 +329,20 @@
         await self.store.put("servers", self.instance, spec)
 
     async def _beat_loop(self) -> None:
-        while True:
-            await asyncio.sleep(1.2)
-            await self.beat()
+        while not self.lost:
+            await asyncio.sleep(HEARTBEAT_S)
+            if not self.lost:
+                await self.beat()
+        await asyncio.sleep(2 * HEARTBEAT_S)
+        await self.store.remove("servers", self.instance)
+
+    async def lose(self) -> None:
+        """End at once; the registration is removed after three heartbeats of silence."""
+        self.lost = True
+        assert self._listener is not None
+        self._listener.close()
+        for writer in list(self._writers):
+            reset(writer)
 
     async def _handle(
         self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
