--- a/review/1/case.py
+++ b/review/1/case.py
@@ -37,7 +37,8 @@
 CALM_S = 5.0
 UNFINISHED_S = 3.0
 ITEMS = {"desk": 4, "annex": 1}
-SERVERS = {"desk": 3, "annex": 1}
+SERVERS = {"desk": ("z1", "z1", "z2"), "annex": ("z3",)}
+"""The zones of the servers, by service."""
 
 
 class Servers:
@@ -107,10 +108,10 @@
     await deployment.store.put("config", "main", configuration(1, *routes))
     servers = {
         service: [
-            await deployment.server(f"i-{service}{number}", service, work.run)
-            for number in range(count)
+            await deployment.server(f"i-{service}{number}", service, work.run, zone=zone)
+            for number, zone in enumerate(zones)
         ]
-        for service, count in SERVERS.items()
+        for service, zones in SERVERS.items()
     }
     entries = [deployment.entry(f"edge-{number}") for number in range(2)]
     for entry in entries:
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -299,6 +299,7 @@
         self.service = service
         self.run = run
         self.slots = 8
+        self.zone = "z1"
         self.sequence = 0
         self.address = ""
         self.arrived: list[Request] = []
@@ -319,7 +320,7 @@
         spec = {
             "service": self.service,
             "address": self.address,
-            "zone": "z1",
+            "zone": self.zone,
             "version": "v1",
             "slots": self.slots,
             "state": "ready",
@@ -619,9 +620,12 @@
         self._network = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}"
         self._ports = free_ports(3)
 
-    async def server(self, instance: str, service: str, run: ServeRequest) -> Server:
+    async def server(
+        self, instance: str, service: str, run: ServeRequest, *, zone: str = "z1"
+    ) -> Server:
         """Start a server."""
         found = Server(self.store, instance, service, run)
+        found.zone = zone
         await found.start()
         self.servers.append(found)
         return found
