Items wait only for room at their own service

Cause: the pass over the waiting items of all services ended at the first item without room. Items of a service without servers come first once they are near due, again as soon as they are late and older than the others, and again from 0.6 of their retention on.

Ruled out: takeover (both entries own their jobs throughout), the proof of ownership (passes reach the items), the limit of runs (none ran).

Change: a service without room ends the pass for its own items only, and there only for items that may not use more of the reserved slots, so that a near-due item does not wait behind an ordinary one. Items past their retention or without a route are given up in each pass; they stood behind the same items and were not listed either.

--- a/packages/node/src/carobspool_node/direct/_item_order.py
+++ b/packages/node/src/carobspool_node/direct/_item_order.py
@@ -27,6 +27,7 @@
         job: The job of the item.
         work: The item and its state.
         route: The route of the item; ``None`` when no batch route matches its path any more.
+        service: Service that runs the item; empty without a route.
         urgency: Urgency class of the item.
         due: When the job is due, in wall-clock milliseconds. It is counted from the submission, not
             from when this entry became the owner: a job that was taken over has lost time already.
@@ -38,6 +39,7 @@
     job: OwnedJob
     work: ItemWork
     route: Route | None
+    service: str
     urgency: BatchUrgency
     due: float
     start_order: Millis
@@ -92,6 +94,7 @@
                     job=job,
                     work=work,
                     route=route,
+                    service=route.choose_service(work.item.item_id) if route is not None else "",
                     urgency=urgency,
                     due=due,
                     start_order=start_order,
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -38,6 +38,8 @@
 MIN_POLL_INTERVAL_S = 0.015
 """Shortest interval between two passes of the scheduling loop. Hints report freed capacity hundreds
 of times a second, and each pass visits all waiting items."""
+NOT_FULL = -1
+"""Lower than the urgency of any item."""
 NOT_RUN_RETRY_DELAY: Millis = 60.0
 BROKEN_RETRY_DELAY: Millis = 100.0
 START_PROOF_MAX_AGE: Millis = 1_500.0
@@ -300,25 +302,35 @@
         order = order_waiting_items(
             self.owned(), configuration, self._duration_estimate, now=self._clock.now()
         )
+        # A service without room stops its own items only, and only those that may not use more of
+        # its slots: items of one service may wait for a minute while another service is idle.
+        full: dict[str, int] = {}
         for waiting in order:
-            if self._stopped.is_set() or self._run_count >= MAX_CONCURRENT_RUNS:
+            if self._stopped.is_set():
                 break
+            if self._give_up(waiting) or self._run_count >= MAX_CONCURRENT_RUNS:
+                continue
+            if full.get(waiting.service, NOT_FULL) >= waiting.urgency:
+                continue
             if not self._try_start(waiting):
-                break
+                full[waiting.service] = waiting.urgency
         self._waiting = [each for each in order if not each.work.running]
 
-    def _try_start(self, waiting: WaitingItem) -> bool:
-        """Start an item if an upstream has capacity; return whether to try the next item.
+    def _give_up(self, waiting: WaitingItem) -> bool:
+        """Finish an item as dead that has no batch route or is past its retention."""
+        job, work, route = waiting.job, waiting.work, waiting.route
+        if route is not None and not self._is_past_retention(job, route):
+            return False
+        self._dead_letter(job, work, "no batch route" if route is None else "past retention")
+        return True
 
-        An item without a batch route or past its retention is finished as dead instead.
-        """
+    def _try_start(self, waiting: WaitingItem) -> bool:
+        """Start an item if an upstream has capacity; return whether its service may have more."""
         job, work, route = waiting.job, waiting.work, waiting.route
-        if route is None or self._is_past_retention(job, route):
-            self._dead_letter(job, work, "no batch route" if route is None else "past retention")
-            return True
+        assert route is not None
         if not self._may_start_items(job):
             return True
-        upstreams = self._usable(route.choose_service(work.item.item_id))
+        upstreams = self._usable(waiting.service)
         if not self._is_ahead_of_peers(waiting, upstreams):
             return False
         candidates = self._candidates(work, upstreams)
--- a/packages/node/tests/test_direct_job_runner.py
+++ b/packages/node/tests/test_direct_job_runner.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Sequence
 
 from carobspool_core import boottime_clock, wall_millis
 from carobspool_core.direct import (
     BatchUrgency,
     Configuration,
+    ItemOutcome,
     ItemWork,
     JobInput,
     JobItem,
@@ -40,18 +42,19 @@
 class _Runs:
     """Stands in for runs at an upstream: records their order and completes each at once."""
 
-    def __init__(self) -> None:
+    def __init__(self, expected: int = 6) -> None:
         self.order: list[str] = []
         self.done = threading.Event()
+        self._expected = expected
 
     def run(self, host: str, work: ItemWork, upstream: Upstream, run: BatchRun) -> RunOutcome:
         self.order.append(work.item.item_id)
-        if len(self.order) == 6:
+        if len(self.order) == self._expected:
             self.done.set()
         return RunOutcome(end=RunEnd.COMPLETED)
 
 
-def _route(prefix: str, target: float) -> Route:
+def _route(prefix: str, target: float, *, service: str = "engine", retention: float = 0.0) -> Route:
     return Route(
         name=prefix,
         host="h",
@@ -60,8 +63,9 @@
         timeout=1_000.0,
         target_latency=100.0,
         priority=1,
-        services=(WeightedService(service="engine", weight=1.0),),
+        services=(WeightedService(service=service, weight=1.0),),
         completion_target=target,
+        retention=retention,
     )
 
 
@@ -138,3 +142,90 @@
     assert run.cancellation.cancelled
     runner._evict_jobs()
     assert runner.get("j") is second
+
+
+class _System:
+    """A runner with the upstreams of each service, whose jobs are in a store of their own."""
+
+    def __init__(self, upstreams: dict[str, Sequence[Upstream]], *routes: Route) -> None:
+        self.clock = boottime_clock()
+        self.records = JobRecords(MemoryStore(MemoryObjects(), "e"), 1_048_576)
+        self.runs = _Runs(2)
+        configuration = Configuration(version=1, routes=routes)
+        self.loads = LoadTable(self.clock, "z", name="e1")
+        self.runner = JobRunner(
+            self.clock,
+            self.loads,
+            self.runs,  # type: ignore[arg-type]
+            Telemetry(),
+            configuration=lambda: configuration,
+            usable=lambda service: upstreams.get(service, ()),
+            ownership_uncertain_until=lambda: 0.0,
+        )
+
+    def add(self, job_id: str, path: str, *, age: float) -> OwnedJob:
+        """Add a job of two items."""
+        job = _job(job_id, path, float(wall_millis()) - age, self._make)
+        self.runner.add(job)
+        return job
+
+    def _make(self, job: JobInput, stored: StoredProgress) -> OwnedJob:
+        clock = self.clock
+        return OwnedJob(job, stored, self.records, "e#1", clock, requested_at=clock.now())
+
+
+def test_a_service_without_upstreams_stops_its_own_items_only() -> None:
+    """Guards against a pass that ends at the first item without room: the items of the service
+    without upstreams are due first."""
+    system = _System(
+        {"engine": [ENGINE]},
+        _route("/none/", 20_000.0, service="none"),
+        _route("/idle/", 60_000.0),
+    )
+    system.add("waiting", "/none/x", age=10_000.0)
+    system.add("idle", "/idle/x", age=0.0)
+    system.runner.start()
+    assert system.runs.done.wait(2.0)
+    system.runner.stop(1_000.0)
+    assert system.runs.order == ["idle0", "idle1"]
+
+
+def test_items_past_their_retention_are_given_up_behind_items_without_room() -> None:
+    """Guards against expired items that are never listed because an item before them waits."""
+    system = _System(
+        {},
+        _route("/short/", 20_000.0, service="none"),
+        _route("/long/", 60_000.0, service="none", retention=30_000.0),
+    )
+    system.add("waiting", "/short/x", age=10_000.0)
+    expired = system.add("expired", "/long/x", age=31_000.0)
+    system.runner.start()
+    deadline = system.clock.now() + 2_000.0
+    while len(expired.work.committed) < 2 and system.clock.now() < deadline:
+        time.sleep(0.02)
+    system.runner.stop(1_000.0)
+    assert [each.outcome for each in expired.work.committed] == [ItemOutcome.DEAD] * 2
+
+
+def test_near_due_items_use_reserved_slots_behind_an_item_that_may_not() -> None:
+    """Guards against near-due items that wait behind an item with less right to the slots. The
+    first one is due sooner, but its job has used little of its time."""
+    upstream = Upstream(
+        instance="i",
+        service="engine",
+        address=("127.0.0.1", 1),
+        failure_domain="z",
+        slots=8,
+        ready=True,
+    )
+    system = _System(
+        {"engine": [upstream]}, _route("/soon/", 20_000.0), _route("/late/", 120_000.0)
+    )
+    for _ in range(6):
+        system.loads.place_batch([upstream], urgency=BatchUrgency.ORDINARY, due=0.0)
+    system.add("ordinary", "/soon/x", age=0.0)
+    system.add("urgent", "/late/x", age=99_000.0)
+    system.runner.start()
+    assert system.runs.done.wait(2.0)
+    system.runner.stop(1_000.0)
+    assert system.runs.order == ["urgent0", "urgent1"]
