Entries tell each other which services their waiting batch items need

Cause: an entry leaves free slots to the more urgent items of its peers, and their hints said how many items wait, not for which service. As soon as the peers' items of a dead service outnumbered the free slots of an idle one, no item of the idle one started. The bound on that wait (300 ms) did not help: each attempt at a full service started it again.

Change: hints and announcements name the service of each group of waiting items by a key of four bytes, one key if all are equal; entries of the previous version skip it, and their own items still count for all services. Free slots are held for items of the same service only, and the bound on the wait is kept by service. Services share the 16 groups of a hint.

Failed before: test_items_finish_while_items_of_a_service_without_servers_wait[2] (not finished within 10 s), and the new cases of test_direct_backlog.py and test_direct_peers.py. Cost: 4 bytes in hints of entries where items wait for one service, up to 64 where they wait for several.

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -3,7 +3,13 @@
 The package uses no network, no threads and no wall clock; callers pass in the time.
 """
 
-from carobspool_core.direct._backlog import PeerBacklog, WaitingGroup, group_by_start_order
+from carobspool_core.direct._backlog import (
+    UNKNOWN_SERVICE,
+    PeerBacklog,
+    WaitingGroup,
+    group_by_service,
+    group_by_start_order,
+)
 from carobspool_core.direct._batch_order import (
     BatchUrgency,
     ItemDurationEstimate,
@@ -105,6 +111,7 @@
     "OWNERSHIP_UNCERTAIN_TIME",
     "PEER_LOAD_TTL",
     "SILENT_AFTER",
+    "UNKNOWN_SERVICE",
     "UNKNOWN_VERSION",
     "BatchUrgency",
     "CallerLimits",
@@ -148,6 +155,7 @@
     "failover_at",
     "fits_quota",
     "free_batch_slots",
+    "group_by_service",
     "group_by_start_order",
     "group_count",
     "group_of_entry",
--- a/packages/core/tests/test_direct_backlog.py
+++ b/packages/core/tests/test_direct_backlog.py
@@ -6,6 +6,7 @@
     BatchUrgency,
     PeerBacklog,
     WaitingGroup,
+    group_by_service,
     group_by_start_order,
     start_order_of,
 )
@@ -79,3 +80,37 @@
 def test_waiting_items_are_grouped_by_turn() -> None:
     assert group_by_start_order([5.0, 3.0, 5.0]) == (WaitingGroup(3.0, 1), WaitingGroup(5.0, 2))
     assert len(group_by_start_order(float(each) for each in range(100))) == MAX_GROUPS_PER_HINT
+
+
+def test_items_of_other_services_at_peers_hold_no_slots() -> None:
+    """Guards against an idle service whose slots are held for items of a service without any."""
+    backlog = PeerBacklog()
+    backlog.update_peer("e2", [WaitingGroup(4_000.0, 9, 1), WaitingGroup(5_000.0, 2, 2)], 0.0)
+    assert backlog.may_start(6_000.0, free_slots=3, now=10.0, service_key=2)
+    assert not backlog.may_start(6_000.0, free_slots=2, now=10.0, service_key=2)
+    assert not backlog.may_start(6_000.0, free_slots=3, now=10.0, service_key=1)
+
+
+def test_items_of_a_service_that_a_peer_does_not_name_hold_slots() -> None:
+    """Guards against an entry that overtakes the items of entries of the previous version."""
+    backlog = _backlog_of_peer((4_000.0, 9))
+    assert not backlog.may_start(6_000.0, free_slots=9, now=10.0, service_key=2)
+
+
+def test_a_full_service_does_not_restart_the_hold_of_another() -> None:
+    """Guards against slots that stay unused: the pass over the items tries both services."""
+    backlog = _backlog_of_peer((4_000.0, 9))
+    for now in (10.0, 150.0, 290.0):
+        assert not backlog.may_start(6_000.0, free_slots=0, now=now, service_key=1)
+        assert not backlog.may_start(6_000.0, free_slots=5, now=now, service_key=2)
+    backlog.update_peer("e2", [WaitingGroup(4_000.0, 9)], 300.0)
+    assert backlog.may_start(6_000.0, free_slots=5, now=11.0 + MAX_HOLD_TIME, service_key=2)
+
+
+def test_an_overloaded_service_leaves_groups_of_a_hint_to_others() -> None:
+    """Guards against hints in which the items of one service hide those of another."""
+    groups = group_by_service({1: map(float, range(100)), 2: [200.0, 300.0]})
+    assert len(groups) <= MAX_GROUPS_PER_HINT
+    assert groups[-2:] == (WaitingGroup(200.0, 1, 2), WaitingGroup(300.0, 1, 2))
+    many = group_by_service({key: map(float, range(9)) for key in range(100)})
+    assert len(many) == MAX_GROUPS_PER_HINT
--- a/packages/node/src/carobspool_node/direct/_announcement.py
+++ b/packages/node/src/carobspool_node/direct/_announcement.py
@@ -9,7 +9,7 @@
 from msgspec import Struct
 
 from carobspool_core.direct import by_instance, latest_starts
-from carobspool_node.direct._load_hint import pack_loads
+from carobspool_node.direct._load_hint import pack_loads, pack_service_keys
 from carobspool_node.direct._peer import AnnouncementContent
 from carobspool_node.organisations import pack_counts
 
@@ -53,6 +53,8 @@
     message = _common_fields(sender, hint, sequence)
     message |= {"k": pack_loads(hint.loads), "w": dict(hint.waiting)}
     message |= {"q": list(silent), "d": list(ended), "g": pack_counts(hint.counts)}
+    if hint.backlog:
+        message["t"] = pack_service_keys(hint.backlog)
     if hint.paces:
         message["m"] = hint.paces
     if hint.queued:
--- a/packages/node/src/carobspool_node/direct/_hint_receiver.py
+++ b/packages/node/src/carobspool_node/direct/_hint_receiver.py
@@ -23,6 +23,7 @@
     read_counts_hint,
     read_load_hint,
     unpack_loads,
+    unpack_service_keys,
 )
 from carobspool_node.direct._origin_messages import OriginsHint, read_origins_hint
 from carobspool_node.direct._peer import Peer
@@ -229,8 +230,10 @@
             f"{announcement.name}#{announcement.incarnation}",
             chain(announcement.open_jobs or (), announcement.done_jobs),
         )
+        services = unpack_service_keys(announcement.packed_services, len(announcement.backlog))
         groups = [
-            WaitingGroup(float(start_order), count) for start_order, count in announcement.backlog
+            WaitingGroup(float(start_order), count, service)
+            for (start_order, count), service in zip(announcement.backlog, services, strict=True)
         ]
         self._events.backlog(announcement.name, groups)
         self._apply_announced_loads(announcement, packed, counts)
--- a/packages/node/src/carobspool_node/direct/_item_order.py
+++ b/packages/node/src/carobspool_node/direct/_item_order.py
@@ -8,12 +8,14 @@
 
 from carobspool_core import Millis, wall_millis
 from carobspool_core.direct import (
+    UNKNOWN_SERVICE,
     BatchUrgency,
     Configuration,
     ItemDurationEstimate,
     ItemWork,
     Route,
     RouteKind,
+    short_key_of,
     start_order_of,
     urgency_of,
 )
@@ -45,6 +47,11 @@
     start_order: Millis
     wall: float
 
+    @property
+    def service_key(self) -> int:
+        """Key of the service in hints; `UNKNOWN_SERVICE` without a route."""
+        return short_key_of(self.service) if self.service else UNKNOWN_SERVICE
+
     def start_order_at(self, wall: float) -> Millis:
         """Return the item's start order at a later time, in wall-clock milliseconds."""
         return max(0.0, self.start_order - (wall - self.wall))
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -19,7 +19,7 @@
     Route,
     Upstream,
     WaitingGroup,
-    group_by_start_order,
+    group_by_service,
 )
 from carobspool_core.organisations import waiting_tokens_key
 from carobspool_node.direct._in_flight import BatchRun
@@ -219,7 +219,10 @@
     def backlog(self) -> Sequence[WaitingGroup]:
         """Return the waiting items of this entry, grouped for the hints to its peers."""
         wall = wall_millis()
-        return group_by_start_order(each.start_order_at(wall) for each in self._waiting)
+        start_orders: dict[int, list[Millis]] = {}
+        for each in self._waiting:
+            start_orders.setdefault(each.service_key, []).append(each.start_order_at(wall))
+        return group_by_service(start_orders)
 
     def update_peer_backlog(self, peer: str, groups: Sequence[WaitingGroup]) -> None:
         """Record the waiting items that a peer reports."""
@@ -370,7 +373,10 @@
         free_slots = self._loads.free_batch_slots(upstreams, urgency=waiting.urgency)
         with self._backlog_lock:
             return self._backlog.may_start(
-                start_order, free_slots=free_slots, now=self._clock.now()
+                start_order,
+                free_slots=free_slots,
+                now=self._clock.now(),
+                service_key=waiting.service_key,
             )
 
     def _is_past_retention(self, job: OwnedJob, route: Route) -> bool:
--- a/packages/node/src/carobspool_node/direct/_load_hint.py
+++ b/packages/node/src/carobspool_node/direct/_load_hint.py
@@ -9,13 +9,13 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 
 import cbor2
 from msgspec import Struct, field
 
 from carobspool_core import Json
-from carobspool_core.direct import Load, WaitingGroup, short_key_of
+from carobspool_core.direct import UNKNOWN_SERVICE, Load, WaitingGroup, short_key_of
 from carobspool_core.problems import Problem, UnusableRecordError
 from carobspool_node.direct._peer_messages import is_hint
 from carobspool_node.organisations import pack_counts, unpack_counts
@@ -24,6 +24,7 @@
 _COUNTS_HINT_KIND = "u"
 _LOAD_STRUCT = struct.Struct(">IHH")
 _GROUP_STRUCT = struct.Struct(">IH")
+_KEY_STRUCT = struct.Struct(">I")
 _MAX_UINT16 = 0xFFFF
 _MAX_UINT32 = 0xFFFFFFFF
 MAX_SEQUENCE = 2**53
@@ -85,13 +86,31 @@
     return {key: Load(online, batch) for key, online, batch in _LOAD_STRUCT.iter_unpack(packed)}
 
 
+def pack_service_keys(groups: Sequence[WaitingGroup]) -> bytes:
+    """Pack the services of waiting items: one key for each group, or one if all are equal."""
+    keys = [group.service_key for group in groups]
+    if len(set(keys)) == 1:
+        keys = keys[:1]
+    return b"".join(_KEY_STRUCT.pack(key) for key in keys)
+
+
+def unpack_service_keys(packed: bytes, count: int) -> list[int]:
+    """Unpack the services of ``count`` groups; without a key for each, all are unknown."""
+    if len(packed) % _KEY_STRUCT.size:
+        return [UNKNOWN_SERVICE] * count
+    keys = [key for (key,) in _KEY_STRUCT.iter_unpack(packed)]
+    if len(keys) == 1:
+        return keys * count
+    return keys if len(keys) == count else [UNKNOWN_SERVICE] * count
+
+
 def encode_load_hint(
     *,
     name: str,
     incarnation: str,
     sequence: int,
     loads: Mapping[str, Load],
-    backlog: Iterable[WaitingGroup],
+    backlog: Sequence[WaitingGroup],
     counts: Mapping[int, int] | None = None,
     waiting: bytes = b"",
     handovers: bytes = b"",
@@ -100,17 +119,22 @@
 
     Entries that do not read counts reject a load hint with counts. Entries that read counts accept
     what follows the counts. Handovers are added to each report of waiting requests, even if there
-    are none: they show that this entry reads handovers.
+    are none: they show that this entry reads handovers. The services of the waiting items come
+    last, since entries of the previous version do not read them.
     """
     groups = b"".join(
         _GROUP_STRUCT.pack(min(int(group.start_order), _MAX_UINT32), min(group.items, _MAX_UINT16))
         for group in backlog
     )
     message = [_LOAD_HINT_KIND, name, incarnation, sequence, pack_loads(loads), groups]
-    if counts or waiting or handovers:
+    services = pack_service_keys(backlog)
+    has_queue = bool(waiting or handovers)
+    if counts or has_queue or services:
         message.append(pack_counts(counts or {}))
-    if waiting or handovers:
-        message += [waiting, handovers]
+    if has_queue or services:
+        message += [waiting, handovers if has_queue else None]
+    if services:
+        message.append(services)
     return cbor2.dumps(message)
 
 
@@ -144,9 +168,14 @@
         ] if (
             0 <= sequence <= MAX_SEQUENCE and len(groups) % _GROUP_STRUCT.size == 0
         ):
+            services = unpack_service_keys(
+                _read_bytes(counts, 3) or b"", len(groups) // _GROUP_STRUCT.size
+            )
             backlog = [
-                WaitingGroup(float(start_order), items)
-                for start_order, items in _GROUP_STRUCT.iter_unpack(groups)
+                WaitingGroup(float(start_order), items, service)
+                for (start_order, items), service in zip(
+                    _GROUP_STRUCT.iter_unpack(groups), services, strict=True
+                )
             ]
             return LoadHint(
                 name=name,
--- a/packages/node/tests/test_direct_peers.py
+++ b/packages/node/tests/test_direct_peers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
 import cbor2
@@ -10,8 +10,18 @@
 from msgspec.structs import replace
 
 from carobspool_core import Millis
-from carobspool_core.direct import OWNERSHIP_UNCERTAIN_TIME, Load, WaitingGroup, short_key_of
-from carobspool_node.direct._announcement import Sender, encode_announcement_for_previous_version
+from carobspool_core.direct import (
+    OWNERSHIP_UNCERTAIN_TIME,
+    UNKNOWN_SERVICE,
+    Load,
+    WaitingGroup,
+    short_key_of,
+)
+from carobspool_node.direct._announcement import (
+    Sender,
+    encode_announcement,
+    encode_announcement_for_previous_version,
+)
 from carobspool_node.direct._hint_receiver import PeerCallbacks
 from carobspool_node.direct._hint_targets import HintTargets
 from carobspool_node.direct._load_hint import encode_load_hint, pack_loads
@@ -39,6 +49,7 @@
         self.ended: list[str] = []
         self.jobs: list[tuple[str, list[str]]] = []
         self.loads: dict[str, Load] = {}
+        self.backlog: Sequence[WaitingGroup] = ()
         self.peers = Peers(
             self.clock,
             Telemetry(),
@@ -58,6 +69,7 @@
             ended=self.ended.extend,
             jobs=lambda peer, job_ids: self.jobs.append((peer, list(job_ids))),
             loads=self._record_loads,
+            backlog=self._record_backlog,
         )
         self.peers._events = self.peers._receiver._events = events
         self.hear()
@@ -83,6 +95,9 @@
     ) -> None:
         self.loads = dict(loads)
 
+    def _record_backlog(self, peer: str, groups: Sequence[WaitingGroup]) -> None:
+        self.backlog = groups
+
     def wait(self, duration: Millis, *, hearing: bool) -> None:
         """Advance the clock, with an announcement of the peer at each tick if ``hearing``."""
         until = self.clock.time + duration
@@ -161,18 +176,49 @@
     assert entry.jobs == [("e2#1", ["open", "done"])]
 
 
-def _load_hint(*, sequence: int, loads: Mapping[str, Load], incarnation: str = "1") -> Any:
+def _load_hint(
+    *,
+    sequence: int,
+    loads: Mapping[str, Load],
+    incarnation: str = "1",
+    backlog: Sequence[WaitingGroup] = (WaitingGroup(4_000.0, 3),),
+) -> Any:
     return cbor2.loads(
         encode_load_hint(
             name="e2",
             incarnation=incarnation,
             sequence=sequence,
             loads=loads,
-            backlog=[WaitingGroup(4_000.0, 3)],
+            backlog=backlog,
         )
     )
 
 
+@pytest.mark.parametrize("services", [(7, 7), (7, 8)])
+def test_hints_name_the_services_of_waiting_items(entry: _Entry, services: tuple[int, int]) -> None:
+    """Guards against slots of one service that are held for items of another."""
+    groups = [WaitingGroup(4_000.0, 3, services[0]), WaitingGroup(5_000.0, 2, services[1])]
+    entry.hear(c=1)
+    entry.peers._receiver.receive(_load_hint(sequence=2, loads={}, backlog=groups))
+    assert list(entry.backlog) == groups
+    sender = Sender(name="e2", incarnation="1", address=("127.0.0.1", 1))
+    content = replace(_own_hint(), backlog=groups)
+    entry.backlog = ()
+    entry.peers._receiver.receive(
+        cbor2.loads(encode_announcement(sender, content, sequence=3, silent=(), ended=()))
+    )
+    assert list(entry.backlog) == groups
+
+
+def test_hints_of_the_previous_version_name_no_services(entry: _Entry) -> None:
+    """Guards against hints that are refused while entries of two versions run."""
+    entry.hear(c=1, p=[[4_000, 3]])
+    assert list(entry.backlog) == [WaitingGroup(4_000.0, 3, UNKNOWN_SERVICE)]
+    previous = _load_hint(sequence=2, loads={}, backlog=[WaitingGroup(4_000.0, 1, 7)])[:6]
+    entry.peers._receiver.receive(previous)
+    assert list(entry.backlog) == [WaitingGroup(4_000.0, 1, UNKNOWN_SERVICE)]
+
+
 def test_a_load_hint_reports_the_requests_in_flight_at_its_sender(entry: _Entry) -> None:
     """Loads of upstreams that the reader does not know are skipped."""
     entry.hear(c=1)
--- a/tests/direct/test_job_services.py
+++ b/tests/direct/test_job_services.py
@@ -40,7 +40,7 @@
         yield running
 
 
-@pytest.mark.parametrize("names", [("e1",)], ids=len)
+@pytest.mark.parametrize("names", [("e1",), ("e1", "e2")], ids=len)
 def test_items_finish_while_items_of_a_service_without_servers_wait(
     system: Deployment, names: tuple[str, ...]
 ) -> None:
