A pass over waiting batch items visits jobs, not items

Cause: each pass matched every item to its route, computed its urgency and sorted all items; hints and the count of waiting tokens went through all items again.

Change: items that no run has begun are grouped by route and service, once for each configuration. A pass orders groups. The report for hints is computed once a pass, and tokens are counted as items come and go. After a pass the loop rests for three times as long as the pass took, half a second at most.

test_ended_job_has_no_waiting_items and test_interrupted_items_resume_before_new_ones_start check the same by groups; the second now also checks the state while the item runs.

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -7,8 +7,8 @@
     UNKNOWN_SERVICE,
     PeerBacklog,
     WaitingGroup,
-    group_by_service,
     group_by_start_order,
+    lowest_groups,
 )
 from carobspool_core.direct._batch_order import (
     BatchUrgency,
@@ -33,6 +33,7 @@
 from carobspool_core.direct._fleet_loads import NO_LOAD, PEER_LOAD_TTL, FleetLoads, Load
 from carobspool_core.direct._groups import group_count, group_of_entry, upstreams_of_group
 from carobspool_core.direct._handover import HandoverCandidate, should_release_jobs
+from carobspool_core.direct._item_work import ItemWork, JobItem, PartialItem
 from carobspool_core.direct._job_codec import (
     job_from_json,
     job_to_json,
@@ -43,12 +44,9 @@
 from carobspool_core.direct._job_work import (
     ItemOutcome,
     ItemResult,
-    ItemWork,
     JobInput,
-    JobItem,
     JobProgress,
     JobWork,
-    PartialItem,
 )
 from carobspool_core.direct._leaving import (
     LEAVING_RETRY_AFTER,
@@ -65,6 +63,7 @@
     PeerStatus,
 )
 from carobspool_core.direct._load_pace import LoadSendLimiter
+from carobspool_core.direct._open_items import ItemGroup
 from carobspool_core.direct._placement import (
     BATCH_RESERVE,
     choose_batch_upstream,
@@ -122,6 +121,7 @@
     "FleetLoads",
     "HandoverCandidate",
     "ItemDurationEstimate",
+    "ItemGroup",
     "ItemOutcome",
     "ItemResult",
     "ItemWork",
@@ -155,12 +155,12 @@
     "failover_at",
     "fits_quota",
     "free_batch_slots",
-    "group_by_service",
     "group_by_start_order",
     "group_count",
     "group_of_entry",
     "has_time_for_job_call",
     "has_time_to_serve",
+    "lowest_groups",
     "identity_of",
     "is_retry_by_deadline",
     "item_fingerprint",
--- a/packages/core/src/carobspool_core/direct/_backlog.py
+++ b/packages/core/src/carobspool_core/direct/_backlog.py
@@ -16,7 +16,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 
 from msgspec import Struct
 
@@ -50,25 +50,30 @@
     service_key: int = UNKNOWN_SERVICE
 
 
-def group_by_start_order(
-    start_orders: Iterable[Millis], service_key: int = UNKNOWN_SERVICE
-) -> tuple[WaitingGroup, ...]:
+def group_by_start_order(start_orders: Iterable[Millis]) -> tuple[WaitingGroup, ...]:
     """Group waiting items of one service and return the groups for a hint, the lowest first."""
     counted = Counter(start_orders)
-    return tuple(
-        WaitingGroup(start_order, counted[start_order], service_key)
-        for start_order in sorted(counted)[:MAX_GROUPS_PER_HINT]
+    return lowest_groups(
+        WaitingGroup(start_order, counted[start_order]) for start_order in sorted(counted)
     )
 
 
-def group_by_service(start_orders: Mapping[int, Iterable[Millis]]) -> tuple[WaitingGroup, ...]:
-    """Group waiting items, given by the service's key, and return the groups for a hint."""
-    share = max(1, MAX_GROUPS_PER_HINT // max(1, len(start_orders)))
-    found = [
-        group
-        for service_key, of_service in start_orders.items()
-        for group in group_by_start_order(of_service, service_key)[:share]
-    ]
+def lowest_groups(ordered: Iterable[WaitingGroup]) -> tuple[WaitingGroup, ...]:
+    """Return the groups for a hint.
+
+    Args:
+        ordered: All groups, the lowest start order first.
+    """
+    by_service: dict[int, list[WaitingGroup]] = {}
+    for group in ordered:
+        groups = by_service.setdefault(group.service_key, [])
+        if groups and groups[-1].start_order == group.start_order:
+            items = groups[-1].items + group.items
+            groups[-1] = WaitingGroup(group.start_order, items, group.service_key)
+        elif len(groups) < MAX_GROUPS_PER_HINT:
+            groups.append(group)
+    share = max(1, MAX_GROUPS_PER_HINT // max(1, len(by_service)))
+    found = [group for groups in by_service.values() for group in groups[:share]]
     return tuple(sorted(found, key=lambda group: group.start_order)[:MAX_GROUPS_PER_HINT])
 
 
--- a/packages/core/src/carobspool_core/direct/_job_codec.py
+++ b/packages/core/src/carobspool_core/direct/_job_codec.py
@@ -10,14 +10,8 @@
 from msgspec.structs import replace
 
 from carobspool_core._ports import Json
-from carobspool_core.direct._job_work import (
-    ItemOutcome,
-    ItemResult,
-    JobInput,
-    JobItem,
-    JobProgress,
-    PartialItem,
-)
+from carobspool_core.direct._item_work import JobItem, PartialItem
+from carobspool_core.direct._job_work import ItemOutcome, ItemResult, JobInput, JobProgress
 from carobspool_core.direct._upstreams import UNKNOWN_VERSION
 from carobspool_core.problems import Problem, UnusableRecordError
 from carobspool_core.records import Bounds, Record, ValidatedBy, field, read_record
--- a/packages/core/src/carobspool_core/direct/_job_work.py
+++ b/packages/core/src/carobspool_core/direct/_job_work.py
@@ -14,7 +14,10 @@
 from msgspec import Struct, field
 
 from carobspool_core._clock import Millis
-from carobspool_core.direct._upstreams import UNKNOWN_VERSION, Upstream
+from carobspool_core.direct._configuration import Configuration
+from carobspool_core.direct._item_work import ItemWork, JobItem, PartialItem
+from carobspool_core.direct._open_items import ItemGroup, OpenItems
+from carobspool_core.direct._upstreams import UNKNOWN_VERSION
 
 
 class ItemOutcome(StrEnum):
@@ -24,16 +27,6 @@
     DEAD = "dead"
 
 
-class JobItem(Struct, frozen=True, kw_only=True):
-    """One request of a batch job, as submitted."""
-
-    item_id: str
-    path: str
-    headers: Mapping[str, str]
-    body: bytes
-    tokens: int
-
-
 class JobInput(Struct, frozen=True, kw_only=True):
     """A batch job as submitted; immutable.
 
@@ -66,21 +59,6 @@
     text: str
 
 
-class PartialItem(Struct, frozen=True, kw_only=True):
-    """The received events of an unfinished item.
-
-    Attributes:
-        last_event: Id of the last received event.
-        text: Data of the events in order, separated by line feeds.
-        version: Software version of the upstream that sent them; `UNKNOWN_VERSION` if the entry
-            that committed them did not record it.
-    """
-
-    last_event: int
-    text: str
-    version: str = UNKNOWN_VERSION
-
-
 class JobProgress(Struct, frozen=True, kw_only=True):
     """The committed progress of a job.
 
@@ -101,78 +79,6 @@
     parts: Mapping[str, PartialItem] = field(default_factory=dict)
 
 
-class ItemWork(Struct):
-    """An unfinished item with its received events and failed runs.
-
-    The task that runs the item appends events while another task reads them for a commit. The
-    number of events is derived from the list, so that text and number are always consistent.
-
-    Attributes:
-        item: The item as submitted.
-        failures: Number of failed runs.
-        committed_part: Events that an earlier owner committed.
-        received_texts: Data of the events after the committed ones, in order.
-        running: Whether a run is in progress.
-        not_before: Earliest time at which the next run may start.
-        version: Software version of the upstream that sent the received events.
-        waits_since: Since when the item waits for its next event from an upstream of that version,
-            ``None`` while it does not.
-    """
-
-    item: JobItem
-    failures: int = 0
-    committed_part: PartialItem | None = None
-    received_texts: list[str] = field(default_factory=list)
-    running: bool = False
-    not_before: Millis = 0.0
-    version: str = UNKNOWN_VERSION
-    waits_since: Millis | None = None
-
-    @property
-    def last_event(self) -> int:
-        """Id of the last received event, 0 if there is none; ids begin at 1."""
-        return len(self.received_texts) + (
-            self.committed_part.last_event if self.committed_part is not None else 0
-        )
-
-    @property
-    def text(self) -> str:
-        """The data of all events, separated by line feeds."""
-        return _join_texts(self.committed_part, self.received_texts)
-
-    def partial_item(self) -> PartialItem | None:
-        """Return the events received so far, ``None`` if there are none."""
-        texts = list(self.received_texts)
-        if not texts:
-            return self.committed_part
-        committed = self.committed_part.last_event if self.committed_part is not None else 0
-        return PartialItem(
-            last_event=committed + len(texts),
-            text=_join_texts(self.committed_part, texts),
-            version=self.version,
-        )
-
-    def may_resume_at(self, upstream: Upstream) -> bool:
-        """Whether the next run may resume at an upstream, or has nothing to resume."""
-        return not self.last_event or upstream.runs_version(self.version)
-
-    def may_start_over(self, now: Millis, *, repeated: Millis) -> bool:
-        """Whether starting over is better than waiting longer for an upstream of the version.
-
-        Args:
-            now: Current time.
-            repeated: Time that the received events take again. Once the item has waited for as
-                long, waiting may cost more.
-        """
-        return self.waits_since is not None and now - self.waits_since >= repeated
-
-    def discard_received(self) -> None:
-        """Discard all received events; the next run starts from the beginning."""
-        self.committed_part = None
-        self.received_texts = []
-        self.version = UNKNOWN_VERSION
-
-
 class JobWork:
     """The items of an owned job. Not thread-safe; callers hold a lock."""
 
@@ -185,16 +91,19 @@
         self._ended = progress.ended
         self._needs_commit = False
         committed_ids = {each.item_id for each in progress.results}
-        self._open = {
-            each.item_id: ItemWork(
-                item=each,
-                failures=progress.failures.get(each.item_id, 0),
-                committed_part=progress.parts.get(each.item_id),
-                version=_version_of(progress.parts.get(each.item_id)),
-            )
-            for each in job.items
-            if each.item_id not in committed_ids
-        }
+        self._open = OpenItems(
+            job.host,
+            [
+                ItemWork(
+                    item=each,
+                    failures=progress.failures.get(each.item_id, 0),
+                    committed_part=progress.parts.get(each.item_id),
+                    version=_version_of(progress.parts.get(each.item_id)),
+                )
+                for each in job.items
+                if each.item_id not in committed_ids
+            ],
+        )
 
     @property
     def job(self) -> JobInput:
@@ -229,31 +138,40 @@
     @property
     def events_received(self) -> int:
         """Number of events received for unfinished items."""
-        return sum(work.last_event for work in self._open.values())
+        return sum(work.last_event for work in self._open.begun())
 
     @property
     def waiting_tokens(self) -> int:
         """Tokens of the unfinished items; 0 after the caller has ended the job."""
-        if self._ended:
-            return 0
-        return sum(each.item.tokens for each in self._open.values())
+        return 0 if self._ended else self._open.tokens
+
+    def waiting_items(self, now: Millis, configuration: Configuration) -> list[ItemGroup]:
+        """Return the items that may start now.
 
-    def waiting_items(self, now: Millis) -> list[ItemWork]:
-        """Return the items that may start now, those with the most received events first."""
+        Each item that a run has begun is a group of its own, those with the most received events
+        first. Groups of the others follow.
+        """
         if self._ended:
             return []
-        waiting = [
-            work for work in self._open.values() if not work.running and now >= work.not_before
+        begun = [work for work in self._open.begun() if not work.running and now >= work.not_before]
+        begun.sort(key=lambda work: -work.last_event)
+        return [
+            *(self._open.group_of(work, configuration) for work in begun),
+            *self._open.untouched(configuration),
         ]
-        return sorted(waiting, key=lambda work: -work.last_event)
+
+    def start(self, work: ItemWork) -> None:
+        """Record that a run of an item starts."""
+        work.running = True
+        self._open.begin(work)
 
     def open_items(self) -> list[ItemWork]:
         """Return the items without a result."""
-        return list(self._open.values())
+        return self._open.all()
 
     def finish(self, work: ItemWork, outcome: ItemOutcome) -> None:
         """Record the result of an item; callers can read it after the next commit."""
-        if self._open.pop(work.item.item_id, None) is None:
+        if not self._open.remove(work.item.item_id):
             return
         text = work.text if outcome is ItemOutcome.COMPLETED else ""
         self._uncommitted.append(ItemResult(item_id=work.item.item_id, outcome=outcome, text=text))
@@ -277,7 +195,7 @@
 
     def progress_to_commit(self, owner: str) -> JobProgress:
         """Return the progress to commit."""
-        failures = {key: work.failures for key, work in self._open.items() if work.failures}
+        failures = {work.item.item_id: work.failures for work in self._open.all() if work.failures}
         results = (*self._committed, *self._uncommitted)
         self._needs_commit = False
         return JobProgress(
@@ -295,17 +213,17 @@
         self._ended = self._ended or progress.ended
         committed = {each.item_id for each in self._committed}
         self._uncommitted = [each for each in self._uncommitted if each.item_id not in committed]
-        for item_id in committed & set(self._open):
-            del self._open[item_id]
+        for item_id in committed:
+            self._open.remove(item_id)
 
     def _partial_items(self) -> dict[str, PartialItem]:
         parts: dict[str, PartialItem] = {}
         if self._ended:
             return parts
-        for item_id, work in self._open.items():
+        for work in self._open.all():
             partial = work.partial_item()
             if partial is not None:
-                parts[item_id] = partial
+                parts[work.item.item_id] = partial
         return parts
 
     def mark_uncommitted(self) -> None:
@@ -315,8 +233,3 @@
 
 def _version_of(part: PartialItem | None) -> str:
     return UNKNOWN_VERSION if part is None else part.version
-
-
-def _join_texts(committed_part: PartialItem | None, texts: Sequence[str]) -> str:
-    parts = list(texts) if committed_part is None else [committed_part.text, *texts]
-    return "\n".join(parts)
--- a/packages/core/tests/test_direct_backlog.py
+++ b/packages/core/tests/test_direct_backlog.py
@@ -6,8 +6,8 @@
     BatchUrgency,
     PeerBacklog,
     WaitingGroup,
-    group_by_service,
     group_by_start_order,
+    lowest_groups,
     start_order_of,
 )
 from carobspool_core.direct._backlog import MAX_GROUPS_PER_HINT, MAX_HOLD_TIME, PEER_REPORT_TTL
@@ -109,8 +109,10 @@
 
 def test_an_overloaded_service_leaves_groups_of_a_hint_to_others() -> None:
     """Guards against hints in which the items of one service hide those of another."""
-    groups = group_by_service({1: map(float, range(100)), 2: [200.0, 300.0]})
+    overloaded = [WaitingGroup(float(each), 1, 1) for each in range(100)]
+    others = [WaitingGroup(200.0, 1, 2), WaitingGroup(300.0, 1, 2)]
+    groups = lowest_groups(overloaded + others)
     assert len(groups) <= MAX_GROUPS_PER_HINT
-    assert groups[-2:] == (WaitingGroup(200.0, 1, 2), WaitingGroup(300.0, 1, 2))
-    many = group_by_service({key: map(float, range(9)) for key in range(100)})
+    assert list(groups[-2:]) == others
+    many = lowest_groups(WaitingGroup(float(each), 1, each) for each in range(100))
     assert len(many) == MAX_GROUPS_PER_HINT
--- a/packages/core/tests/test_direct_job_work.py
+++ b/packages/core/tests/test_direct_job_work.py
@@ -7,6 +7,7 @@
 
 from carobspool_core.direct import (
     UNKNOWN_VERSION,
+    Configuration,
     ItemOutcome,
     ItemWork,
     JobInput,
@@ -14,7 +15,10 @@
     JobProgress,
     JobWork,
     PartialItem,
+    Route,
+    RouteKind,
     Upstream,
+    WeightedService,
     job_from_json,
     job_to_json,
     progress_from_json,
@@ -34,6 +38,24 @@
     return JobWork(_job(count), JobProgress(owner="a#1", total=count))
 
 
+def _configuration(*services: str) -> Configuration:
+    route = Route(
+        name="r",
+        host="h",
+        path_prefix="/p/",
+        kind=RouteKind.BATCH,
+        timeout=1_000.0,
+        target_latency=100.0,
+        priority=0,
+        services=tuple(WeightedService(service=each, weight=1.0) for each in services),
+    )
+    return Configuration(version=1, routes=(route,))
+
+
+def _waiting(work: JobWork, service: str) -> list[list[str]]:
+    return [list(group.works) for group in work.waiting_items(0.0, _configuration(service))]
+
+
 def test_records_round_trip_through_json() -> None:
     job = _job()
     assert job_from_json("j", job_to_json(job)) == job
@@ -134,15 +156,55 @@
 def test_ended_job_has_no_waiting_items() -> None:
     work = _work()
     work.end()
-    assert work.waiting_items(0.0) == []
+    assert work.waiting_items(0.0, _configuration("a")) == []
     assert work.finished
     assert work.waiting_tokens == 0
 
 
 def test_interrupted_items_resume_before_new_ones_start() -> None:
     work = _work()
-    work.open_items()[2].received_texts.extend(["t"] * 5)
-    assert [each.item.item_id for each in work.waiting_items(0.0)] == ["i2", "i0", "i1"]
+    interrupted = work.open_items()[2]
+    work.start(interrupted)
+    assert _waiting(work, "a") == [["i0", "i1"]]
+    interrupted.received_texts.extend(["t"] * 5)
+    interrupted.running = False
+    assert _waiting(work, "a") == [["i2"], ["i0", "i1"]]
+
+
+def test_items_wait_by_the_service_that_runs_them() -> None:
+    """Guards against items that wait for the service of an earlier configuration."""
+    work = _work(40)
+    (group,) = work.waiting_items(0.0, _configuration("a"))
+    assert (group.service, len(group.works)) == ("a", 40)
+    groups = work.waiting_items(0.0, _configuration("a", "b"))
+    assert {each.service for each in groups} == {"a", "b"}
+    assert sum(len(each.works) for each in groups) == 40
+    (group,) = work.waiting_items(0.0, Configuration(version=2, routes=()))
+    assert group.route is None
+    for item in work.open_items():
+        work.finish(item, ItemOutcome.DEAD)
+    assert not work.waiting_items(0.0, _configuration("a"))
+    assert work.waiting_tokens == 0
+
+
+@given(st.lists(st.tuples(st.sampled_from(["start", "end", "finish"]), st.integers(0, 5))))
+def test_each_open_item_either_runs_or_waits_in_one_group(steps: list[tuple[str, int]]) -> None:
+    """Guards against items that no pass finds, and against items that start twice."""
+    work = _work(6)
+    works = {each.item.item_id: each for each in work.open_items()}
+    for step, number in steps:
+        item = works[f"i{number}"]
+        if step == "start" and item in work.open_items():
+            work.start(item)
+        elif step == "end":
+            item.running = False
+        elif step == "finish":
+            work.finish(item, ItemOutcome.COMPLETED)
+        waiting = [item_id for group in _waiting(work, "a") for item_id in group]
+        running = [key for key, each in works.items() if each.running]
+        left = [each.item.item_id for each in work.open_items()]
+        assert sorted(waiting) == sorted(set(left) - set(running))
+        assert work.waiting_tokens == 10 * len(left)
 
 
 @given(st.lists(st.sampled_from(["finish", "propose", "adopt", "lose"]), max_size=40))
--- a/packages/node/src/carobspool_node/direct/_item_order.py
+++ b/packages/node/src/carobspool_node/direct/_item_order.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from msgspec import Struct
 
@@ -14,7 +14,8 @@
     ItemDurationEstimate,
     ItemWork,
     Route,
-    RouteKind,
+    WaitingGroup,
+    lowest_groups,
     short_key_of,
     start_order_of,
     urgency_of,
@@ -22,15 +23,16 @@
 from carobspool_node.direct._owned_job import OwnedJob
 
 
-class WaitingItem(Struct, frozen=True, kw_only=True):
-    """An item that can be started.
+class WaitingItems(Struct, frozen=True, kw_only=True):
+    """Equally urgent items of one job that can be started.
 
     Attributes:
-        job: The job of the item.
-        work: The item and its state.
-        route: The route of the item; ``None`` when no batch route matches its path any more.
-        service: Service that runs the item; empty without a route.
-        urgency: Urgency class of the item.
+        job: The job of the items.
+        works: The items and their states by id; items that start or finish leave the mapping, or
+            are marked as running.
+        route: The route of the items; ``None`` when no batch route matches their paths any more.
+        service: Service that runs the items; empty without a route.
+        urgency: Urgency class of the items.
         due: When the job is due, in wall-clock milliseconds. It is counted from the submission, not
             from when this entry became the owner: a job that was taken over has lost time already.
         start_order: Position among the waiting items of all entries at the time ``wall``; the
@@ -39,7 +41,7 @@
     """
 
     job: OwnedJob
-    work: ItemWork
+    works: Mapping[str, ItemWork]
     route: Route | None
     service: str
     urgency: BatchUrgency
@@ -47,23 +49,38 @@
     start_order: Millis
     wall: float
 
-    @property
-    def service_key(self) -> int:
-        """Key of the service in hints; `UNKNOWN_SERVICE` without a route."""
-        return short_key_of(self.service) if self.service else UNKNOWN_SERVICE
-
     def start_order_at(self, wall: float) -> Millis:
-        """Return the item's start order at a later time, in wall-clock milliseconds."""
+        """Return the items' start order at a later time, in wall-clock milliseconds."""
         return max(0.0, self.start_order - (wall - self.wall))
 
 
+class WaitingReport(Struct, frozen=True):
+    """The waiting items that an entry reports to its peers.
+
+    Attributes:
+        groups: The items at the time ``wall``.
+        wall: Wall-clock milliseconds.
+    """
+
+    groups: tuple[WaitingGroup, ...] = ()
+    wall: float = 0.0
+
+    def groups_at(self, wall: float) -> tuple[WaitingGroup, ...]:
+        """Return the groups at a later time."""
+        elapsed = wall - self.wall
+        return tuple(
+            WaitingGroup(max(0.0, each.start_order - elapsed), each.items, each.service_key)
+            for each in self.groups
+        )
+
+
 def order_waiting_items(
     jobs: Iterable[OwnedJob],
     configuration: Configuration,
     pace: ItemDurationEstimate,
     *,
     now: Millis,
-) -> list[WaitingItem]:
+) -> list[WaitingItems]:
     """Return the items that can be started, those that can no longer be on time last.
 
     Args:
@@ -73,23 +90,22 @@
         now: The current time of the process's clock, to which the end of each item's retry delay is
             compared.
     """
-    found: list[WaitingItem] = []
+    found: list[WaitingItems] = []
     wall = wall_millis()
     for job in jobs:
-        if job.lost or job.releasing or job.finished:
+        if job.lost or job.releasing:
             continue
         with job.lock:
-            waiting = job.work.waiting_items(now)
+            groups = job.work.waiting_items(now, configuration)
+        if not groups:
+            continue
         job_route = configuration.route_for(job.input.host, job.input.path)
         target = job_route.completion_target if job_route is not None else 0.0
         retention = job_route.retention if job_route is not None else 0.0
         due = job.input.submitted + target
-        for work in waiting:
-            route = configuration.route_for(job.input.host, work.item.path)
-            if route is not None and route.kind is not RouteKind.BATCH:
-                route = None
-            age = wall - job.input.submitted
-            remaining = pace.estimate_remaining(work.last_event)
+        age = wall - job.input.submitted
+        for group in groups:
+            remaining = pace.estimate_remaining(group.last_event)
             urgency = urgency_of(
                 age=age, completion_target=target, retention=retention, remaining=remaining
             )
@@ -97,11 +113,11 @@
                 urgency, age=age, completion_target=target, remaining=remaining
             )
             found.append(
-                WaitingItem(
+                WaitingItems(
                     job=job,
-                    work=work,
-                    route=route,
-                    service=route.choose_service(work.item.item_id) if route is not None else "",
+                    works=group.works,
+                    route=group.route,
+                    service=group.service,
                     urgency=urgency,
                     due=due,
                     start_order=start_order,
@@ -110,3 +126,25 @@
             )
     found.sort(key=lambda each: each.start_order)
     return found
+
+
+def report_waiting_items(order: Iterable[WaitingItems]) -> WaitingReport:
+    """Return the report of the items that wait after a pass.
+
+    Args:
+        order: All items, in the order of `order_waiting_items`.
+    """
+    wall = wall_millis()
+    keys: dict[str, int] = {"": UNKNOWN_SERVICE}
+    waiting: list[WaitingGroup] = []
+    for each in order:
+        # Only an item that is a group of its own stays in its group while it runs.
+        count = len(each.works)
+        if count <= 1:
+            count = sum(not work.running for work in list(each.works.values()))
+        if not count:
+            continue
+        if each.service not in keys:
+            keys[each.service] = short_key_of(each.service)
+        waiting.append(WaitingGroup(each.start_order_at(wall), count, keys[each.service]))
+    return WaitingReport(lowest_groups(waiting), wall)
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -19,11 +19,16 @@
     Route,
     Upstream,
     WaitingGroup,
-    group_by_service,
+    short_key_of,
 )
 from carobspool_core.organisations import waiting_tokens_key
 from carobspool_node.direct._in_flight import BatchRun
-from carobspool_node.direct._item_order import WaitingItem, order_waiting_items
+from carobspool_node.direct._item_order import (
+    WaitingItems,
+    WaitingReport,
+    order_waiting_items,
+    report_waiting_items,
+)
 from carobspool_node.direct._item_run import ItemRunner, RunEnd, RunOutcome
 from carobspool_node.direct._loads import LoadTable
 from carobspool_node.direct._owned_job import OwnedJob
@@ -37,7 +42,12 @@
 earlier, so that this bounds how long capacity freed by other entries stays unnoticed."""
 MIN_POLL_INTERVAL_S = 0.015
 """Shortest interval between two passes of the scheduling loop. Hints report freed capacity hundreds
-of times a second, and each pass visits all waiting items."""
+of times a second, and each pass visits all jobs with waiting items."""
+PAUSE_PER_PASS = 3.0
+"""Pause after a pass, as a multiple of its duration: with ten thousand jobs a pass takes a tenth of
+a second, and requests need the processor too."""
+MAX_PAUSE_S = 0.5
+"""Bounds the pause after a pass during which the process was stopped."""
 NOT_FULL = -1
 """Lower than the urgency of any item."""
 NOT_RUN_RETRY_DELAY: Millis = 60.0
@@ -104,7 +114,7 @@
         self._duration_estimate = ItemDurationEstimate()
         self._backlog = PeerBacklog()
         self._backlog_lock = threading.Lock()
-        self._waiting: Sequence[WaitingItem] = ()
+        self._waiting = WaitingReport()
 
     @property
     def released(self) -> frozenset[str]:
@@ -218,11 +228,7 @@
 
     def backlog(self) -> Sequence[WaitingGroup]:
         """Return the waiting items of this entry, grouped for the hints to its peers."""
-        wall = wall_millis()
-        start_orders: dict[int, list[Millis]] = {}
-        for each in self._waiting:
-            start_orders.setdefault(each.service_key, []).append(each.start_order_at(wall))
-        return group_by_service(start_orders)
+        return self._waiting.groups_at(wall_millis())
 
     def update_peer_backlog(self, peer: str, groups: Sequence[WaitingGroup]) -> None:
         """Record the waiting items that a peer reports."""
@@ -245,16 +251,20 @@
         return found
 
     def _loop(self) -> None:
+        pause = MIN_POLL_INTERVAL_S
         while not self._stopped.is_set():
             self._wake.wait(MAX_POLL_INTERVAL_S)
-            self._stopped.wait(MIN_POLL_INTERVAL_S)
+            self._stopped.wait(pause)
             self._wake.clear()
+            started = self._clock.now()
             try:
                 self._evict_jobs()
                 self._submit_due_commits()
                 self._start_items()
             except Exception:  # noqa: BLE001
                 logging.exception("event=job_loop_failed")
+            took = (self._clock.now() - started) / 1000.0
+            pause = min(MAX_PAUSE_S, max(MIN_POLL_INTERVAL_S, took * PAUSE_PER_PASS))
 
     def _evict_jobs(self) -> None:
         jobs = self.owned()
@@ -315,41 +325,50 @@
                 continue
             if full.get(waiting.service, NOT_FULL) >= waiting.urgency:
                 continue
-            if not self._try_start(waiting):
+            if self._may_start_items(waiting.job) and not self._start_while_room(waiting):
                 full[waiting.service] = waiting.urgency
-        self._waiting = [each for each in order if not each.work.running]
+        self._waiting = report_waiting_items(order)
 
-    def _give_up(self, waiting: WaitingItem) -> bool:
-        """Finish an item as dead that has no batch route or is past its retention."""
-        job, work, route = waiting.job, waiting.work, waiting.route
+    def _give_up(self, waiting: WaitingItems) -> bool:
+        """Finish items as dead that have no batch route or are past their retention."""
+        job, route = waiting.job, waiting.route
         if route is not None and not self._is_past_retention(job, route):
             return False
-        self._dead_letter(job, work, "no batch route" if route is None else "past retention")
+        for work in list(waiting.works.values()):
+            self._dead_letter(job, work, "no batch route" if route is None else "past retention")
         return True
 
-    def _try_start(self, waiting: WaitingItem) -> bool:
-        """Start an item if an upstream has capacity; return whether its service may have more."""
-        job, work, route = waiting.job, waiting.work, waiting.route
+    def _start_while_room(self, waiting: WaitingItems) -> bool:
+        """Start items while an upstream has capacity; return whether their service may have more.
+
+        An item that only some upstreams can resume leaves capacity at the others.
+        """
+        route = waiting.route
         assert route is not None
-        if not self._may_start_items(job):
-            return True
         upstreams = self._usable(waiting.service)
-        if not self._is_ahead_of_peers(waiting, upstreams):
-            return False
-        candidates = self._candidates(work, upstreams)
-        placed = self._loads.place_batch(
-            candidates,
-            urgency=waiting.urgency,
-            due=waiting.due,
-            demand=self._loads.choice.demand_of_item(work.item.headers),
-        )
-        if placed is None:
-            return len(candidates) < len(upstreams)
-        upstream, run = placed
-        work.running = True
-        job.add_run(run)
-        self._run_count += 1
-        self._run_pool.submit(self._run, job, work, route, upstream, run)
+        for work in list(waiting.works.values()):
+            if self._run_count >= MAX_CONCURRENT_RUNS:
+                break
+            if not self._is_ahead_of_peers(waiting, upstreams):
+                return False
+            candidates = self._candidates(work, upstreams)
+            placed = self._loads.place_batch(
+                candidates,
+                urgency=waiting.urgency,
+                due=waiting.due,
+                demand=self._loads.choice.demand_of_item(work.item.headers),
+            )
+            if placed is None:
+                if len(candidates) == len(upstreams):
+                    return False
+                continue
+            upstream, run = placed
+            job = waiting.job
+            with job.lock:
+                job.work.start(work)
+            job.add_run(run)
+            self._run_count += 1
+            self._run_pool.submit(self._run, job, work, route, upstream, run)
         return True
 
     def _candidates(self, work: ItemWork, upstreams: Sequence[Upstream]) -> Sequence[Upstream]:
@@ -367,7 +386,7 @@
         repeated = self._duration_estimate.estimate_time_of(work.last_event)
         return upstreams if work.may_start_over(now, repeated=repeated) else resumable_at
 
-    def _is_ahead_of_peers(self, waiting: WaitingItem, upstreams: Sequence[Upstream]) -> bool:
+    def _is_ahead_of_peers(self, waiting: WaitingItems, upstreams: Sequence[Upstream]) -> bool:
         """Whether there is capacity for an item beyond what more urgent items of peers need."""
         start_order = waiting.start_order_at(wall_millis())
         free_slots = self._loads.free_batch_slots(upstreams, urgency=waiting.urgency)
@@ -376,7 +395,7 @@
                 start_order,
                 free_slots=free_slots,
                 now=self._clock.now(),
-                service_key=waiting.service_key,
+                service_key=short_key_of(waiting.service),
             )
 
     def _is_past_retention(self, job: OwnedJob, route: Route) -> bool:
--- a/packages/node/tests/test_direct_job_runner.py
+++ b/packages/node/tests/test_direct_job_runner.py
@@ -10,6 +10,7 @@
 from carobspool_core.direct import (
     BatchUrgency,
     Configuration,
+    ItemDurationEstimate,
     ItemOutcome,
     ItemWork,
     JobInput,
@@ -21,6 +22,7 @@
     WeightedService,
 )
 from carobspool_node.direct._in_flight import BatchRun
+from carobspool_node.direct._item_order import order_waiting_items
 from carobspool_node.direct._item_run import RunEnd, RunOutcome
 from carobspool_node.direct._job_records import JobRecords, StoredProgress
 from carobspool_node.direct._job_runner import JobRunner
@@ -229,3 +231,18 @@
     assert system.runs.done.wait(2.0)
     system.runner.stop(1_000.0)
     assert system.runs.order == ["urgent0", "urgent1"]
+
+
+def test_a_pass_visits_untouched_items_by_job() -> None:
+    """Guards against passes whose time grows with the number of waiting items."""
+    system = _System({}, _route("/none/", 20_000.0, service="none"))
+    for number in range(5):
+        system.add(f"j{number}", "/none/x", age=0.0)
+    system.runner._start_items()
+    configuration = system.runner._configuration()
+    assert configuration is not None
+    order = order_waiting_items(
+        system.runner.owned(), configuration, ItemDurationEstimate(), now=0.0
+    )
+    assert [len(each.works) for each in order] == [2] * 5
+    assert sum(each.items for each in system.runner.backlog()) == 10
