An item that cannot be sent is refused and does not stop other items

A job with an item whose id has no UTF-8 form (a lone surrogate in JSON) was accepted with 202. From then on each pass over the waiting items at its entry failed (event=job_loop_failed), so that no item of any job started there. Items whose path or headers HTTP does not allow were accepted too, and sent again every second until their retention was over.

Cause: the service of an item is chosen by a hash of its id, whose encoding failed; nothing at the border checked whether an item can be sent. Found while looking for further places at which one item stops a pass over all others.

Change: a submission is refused with 400 if one of its items cannot be sent as a request, named in the answer. The choice of a service takes any id, since such jobs may be stored. The same check uses the function that builds the request of a run, now in a module of its own.

Failed before: test_a_job_with_an_item_that_cannot_be_sent_is_refused (7 cases: 202 in place of 400), test_a_stored_item_whose_id_has_no_utf8_form_does_not_stop_others.

--- a/packages/core/src/carobspool_core/direct/_configuration.py
+++ b/packages/core/src/carobspool_core/direct/_configuration.py
@@ -80,7 +80,8 @@
     def choose_service(self, key: str) -> str:
         """Return the service for a request, chosen by weight; equal keys get the same service."""
         total = sum(weighted.weight for weighted in self.services)
-        point = xxh3_64_intdigest(key.encode()) / 2**64 * total
+        # Ids in JSON may contain lone surrogates, which UTF-8 can't represent.
+        point = xxh3_64_intdigest(key.encode(errors="replace")) / 2**64 * total
         for weighted in self.services:
             point -= weighted.weight
             if point < 0:
--- a/packages/core/src/carobspool_core/direct/_open_items.py
+++ b/packages/core/src/carobspool_core/direct/_open_items.py
@@ -103,7 +103,6 @@
                 return
 
     def _group(self, configuration: Configuration) -> None:
-        self._configuration = configuration
         found: dict[tuple[str, str], tuple[ItemGroup, dict[str, ItemWork]]] = {}
         for item_id, work in self._untouched.items():
             route, service = self._destination(work, configuration)
@@ -113,6 +112,7 @@
                 found[key] = ItemGroup(route, service, works), works
             found[key][1][item_id] = work
         self._groups = list(found.values())
+        self._configuration = configuration
 
     def _destination(
         self, work: ItemWork, configuration: Configuration
--- a/packages/node/src/carobspool_node/direct/_callers.py
+++ b/packages/node/src/carobspool_node/direct/_callers.py
@@ -24,6 +24,7 @@
 from carobspool_node.direct._errors import BadRequestError
 from carobspool_node.direct._failure_answer import failure_answer
 from carobspool_node.direct._forward import Forwarder
+from carobspool_node.direct._item_request import check_items
 from carobspool_node.direct._jobs import Jobs, Outcome, ResultsPage
 from carobspool_node.direct._messages import AUTHORIZATION, CallerRequest, HeaderNames
 from carobspool_node.direct._telemetry import Telemetry
@@ -168,6 +169,7 @@
             items=tuple(self._dialect.job_items(request.body)),
             organisation=access.owner_name,
         )
+        check_items(job, self._names)
         id_without_organisation = (
             qualified_job_id(request.request_id, None) if access.owner_name else None
         )
--- a/packages/node/src/carobspool_node/direct/_item_run.py
+++ b/packages/node/src/carobspool_node/direct/_item_run.py
@@ -22,15 +22,10 @@
 from carobspool_node.direct._crash_isolation import CrashIsolation
 from carobspool_node.direct._errors import CallCancelledError, DeadlinePassedError
 from carobspool_node.direct._in_flight import BatchRun
+from carobspool_node.direct._item_request import item_request
 from carobspool_node.direct._loads import LoadTable
-from carobspool_node.direct._messages import (
-    HeaderNames,
-    Headers,
-    UpstreamHead,
-    end_to_end_headers,
-    replace_credentials,
-)
-from carobspool_node.direct._upstream_calls import Joins, UpstreamCall, UpstreamRequest
+from carobspool_node.direct._messages import HeaderNames, UpstreamHead
+from carobspool_node.direct._upstream_calls import Joins, UpstreamCall
 from carobspool_node.direct._upstream_connections import CallFailedError, UpstreamConnections
 
 HEAD_TIMEOUT: Millis = 4_000.0
@@ -111,7 +106,13 @@
         call = UpstreamCall(self._connections, upstream, self._names, cancellation=run.cancellation)
         try:
             head = call.start(
-                self._request(job, work, upstream),
+                item_request(
+                    job,
+                    work.item,
+                    self._names,
+                    instance=upstream.instance,
+                    last_event=work.last_event,
+                ),
                 now + HEAD_TIMEOUT,
                 joins=Joins.BEFORE if work.last_event else Joins.AFTER,
             )
@@ -199,33 +200,6 @@
         parts = read_shared_parts(headers.get(self._names.prompt_parts.decode()))
         return [part_fingerprint(model, each) for each in parts]
 
-    def _request(self, job: JobInput, work: ItemWork, upstream: Upstream) -> UpstreamRequest:
-        names = self._names
-        item = work.item
-        replaced_names = (
-            *(names.request_id, names.expect_instance, names.run_backup, names.run_from),
-            *(b"host", b"content-length"),
-        )
-        item_headers: Headers = [
-            (key.encode(), value.encode()) for key, value in item.headers.items()
-        ]
-        item_headers = replace_credentials(
-            end_to_end_headers(item_headers, without=replaced_names), names, job.organisation
-        )
-        headers = [(b"Host", job.host.encode()), *item_headers]
-        headers.append((names.request_id, item.item_id.encode()))
-        headers.append((names.expect_instance, upstream.instance.encode()))
-        headers.append((b"Content-Length", str(len(item.body)).encode()))
-        if work.last_event:
-            headers.append((names.last_event, str(work.last_event).encode()))
-        return UpstreamRequest(
-            method=b"POST",
-            target=item.path.encode(),
-            headers=headers,
-            body=item.body,
-            request_id=item.item_id,
-        )
-
 
 def _item_fingerprint(job: JobInput, item: JobItem) -> str:
     """Return the fingerprint by which an item is recognised in each of its runs."""
--- a/packages/node/tests/test_direct_job_runner.py
+++ b/packages/node/tests/test_direct_job_runner.py
@@ -149,10 +149,12 @@
 class _System:
     """A runner with the upstreams of each service, whose jobs are in a store of their own."""
 
-    def __init__(self, upstreams: dict[str, Sequence[Upstream]], *routes: Route) -> None:
+    def __init__(
+        self, upstreams: dict[str, Sequence[Upstream]], *routes: Route, runs: int = 2
+    ) -> None:
         self.clock = boottime_clock()
         self.records = JobRecords(MemoryStore(MemoryObjects(), "e"), 1_048_576)
-        self.runs = _Runs(2)
+        self.runs = _Runs(runs)
         configuration = Configuration(version=1, routes=routes)
         self.loads = LoadTable(self.clock, "z", name="e1")
         self.runner = JobRunner(
@@ -246,3 +248,14 @@
     )
     assert [len(each.works) for each in order] == [2] * 5
     assert sum(each.items for each in system.runner.backlog()) == 10
+
+
+def test_a_stored_item_whose_id_has_no_utf8_form_does_not_stop_others() -> None:
+    """Guards against one item that ends each pass over the items of all jobs."""
+    system = _System({"engine": [ENGINE]}, _route("/idle/", 60_000.0), runs=4)
+    system.add("\ud800", "/idle/x", age=10_000.0)
+    system.add("sound", "/idle/x", age=0.0)
+    system.runner.start()
+    assert system.runs.done.wait(2.0)
+    system.runner.stop(1_000.0)
+    assert {"sound0", "sound1"} <= set(system.runs.order)
--- a/tests/direct/test_job_services.py
+++ b/tests/direct/test_job_services.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import json
 import time
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 from direct_harness import (
@@ -59,3 +61,31 @@
         results = eventually(lambda job=f"desk{number}": all_results(entries[0], job), 10.0)
         assert {each["state"] for each in results} == {"completed"}
     assert all_results(entries[0], "annex0") is None
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"id": "\ud800"},
+        {"path": "/desk/\ud800"},
+        {"path": "/desk/a b"},
+        {"path": "/desk/\u00e9"},
+        {"headers": {"M\ud800": "x"}},
+        {"headers": {"a name": "x"}},
+        {"headers": {"M": "\u0000"}},
+    ],
+    ids=ascii,
+)
+def test_a_job_with_an_item_that_cannot_be_sent_is_refused(
+    system: Deployment, changes: dict[str, Any]
+) -> None:
+    """Guards against an item that ends each pass over the items of all jobs, or never runs."""
+    system.start_server("desk", event_stream_handler(EVENTS))
+    entry = system.start_entry("e1")
+    body = json.loads(job_body("odd0", path="/desk/1"))
+    body["items"][0] |= changes
+    answer = entry.call("POST", "/desk/j", body=json.dumps(body).encode(), request_id="odd")
+    assert answer.status == 400
+    body = job_body("sound0", path="/desk/1")
+    assert entry.call("POST", "/desk/j", body=body, request_id="sound").status == 202
+    assert eventually(lambda: all_results(entry, "sound"), 5.0)
--- a/tests/test_import_rules.py
+++ b/tests/test_import_rules.py
@@ -58,6 +58,12 @@
         )
         for module in ("_crash_isolation", "_suspect_messages", "_telemetry")
     },
+    **{
+        ("tools/cost_item_scan.py", f"{NODE}.direct.{module}"): (
+            "measures one pass over the batch items that wait at an entry"
+        )
+        for module in ("_job_records", "_job_runner", "_loads", "_owned_job", "_telemetry")
+    },
     **{
         ("tools/cost_hints.py", f"{NODE}.direct.{module}"): (
             "measures the bytes of hints with the encoders and the sender that entries use"
