Log why batch items of a service wait

Each pass now records why the next item of a service waits (no upstream, no slot, more urgent items of peers, limit of runs), in one line when the reason changes, a second apart at least, and every five seconds.

--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -33,6 +33,7 @@
 from carobspool_node.direct._loads import LoadTable
 from carobspool_node.direct._owned_job import OwnedJob
 from carobspool_node.direct._telemetry import Telemetry
+from carobspool_node.direct._waiting_log import WaitingLog, WaitReason
 
 MAX_CONCURRENT_RUNS = 96
 """Items that one entry runs at once. It exceeds the slots of all engines of a fleet of this size,
@@ -115,6 +116,7 @@
         self._backlog = PeerBacklog()
         self._backlog_lock = threading.Lock()
         self._waiting = WaitingReport()
+        self._waiting_log = WaitingLog(clock)
 
     @property
     def released(self) -> frozenset[str]:
@@ -318,16 +320,19 @@
         # A service without room stops its own items only, and only those that may not use more of
         # its slots: items of one service may wait for a minute while another service is idle.
         full: dict[str, int] = {}
+        services: set[str] = set()
         for waiting in order:
             if self._stopped.is_set():
                 break
-            if self._give_up(waiting) or self._run_count >= MAX_CONCURRENT_RUNS:
+            if self._give_up(waiting):
                 continue
+            services.add(waiting.service)
             if full.get(waiting.service, NOT_FULL) >= waiting.urgency:
                 continue
             if self._may_start_items(waiting.job) and not self._start_while_room(waiting):
                 full[waiting.service] = waiting.urgency
         self._waiting = report_waiting_items(order)
+        self._waiting_log.retain_only(services)
 
     def _give_up(self, waiting: WaitingItems) -> bool:
         """Finish items as dead that have no batch route or are past their retention."""
@@ -347,9 +352,9 @@
         assert route is not None
         upstreams = self._usable(waiting.service)
         for work in list(waiting.works.values()):
-            if self._run_count >= MAX_CONCURRENT_RUNS:
-                break
-            if not self._is_ahead_of_peers(waiting, upstreams):
+            reason = self._reason_to_wait(waiting, upstreams)
+            if reason is not None:
+                self._waiting_log.record(waiting.service, reason, work.item.item_id, len(upstreams))
                 return False
             candidates = self._candidates(work, upstreams)
             placed = self._loads.place_batch(
@@ -358,10 +363,12 @@
                 due=waiting.due,
                 demand=self._loads.choice.demand_of_item(work.item.headers),
             )
-            if placed is None:
-                if len(candidates) == len(upstreams):
-                    return False
+            if placed is None and len(candidates) < len(upstreams):
                 continue
+            if placed is None:
+                reason = WaitReason.NO_SLOT
+                self._waiting_log.record(waiting.service, reason, work.item.item_id, len(upstreams))
+                return False
             upstream, run = placed
             job = waiting.job
             with job.lock:
@@ -386,17 +393,29 @@
         repeated = self._duration_estimate.estimate_time_of(work.last_event)
         return upstreams if work.may_start_over(now, repeated=repeated) else resumable_at
 
-    def _is_ahead_of_peers(self, waiting: WaitingItems, upstreams: Sequence[Upstream]) -> bool:
-        """Whether there is capacity for an item beyond what more urgent items of peers need."""
+    def _reason_to_wait(
+        self, waiting: WaitingItems, upstreams: Sequence[Upstream]
+    ) -> WaitReason | None:
+        """Return why no item may start, ``None`` if one may.
+
+        There must be capacity beyond what more urgent items of peers need.
+        """
+        if self._run_count >= MAX_CONCURRENT_RUNS:
+            return WaitReason.RUN_LIMIT
         start_order = waiting.start_order_at(wall_millis())
         free_slots = self._loads.free_batch_slots(upstreams, urgency=waiting.urgency)
         with self._backlog_lock:
-            return self._backlog.may_start(
+            may_start = self._backlog.may_start(
                 start_order,
                 free_slots=free_slots,
                 now=self._clock.now(),
                 service_key=short_key_of(waiting.service),
             )
+        if may_start:
+            return None
+        if free_slots > 0:
+            return WaitReason.PEERS_FIRST
+        return WaitReason.NO_SLOT if upstreams else WaitReason.NO_UPSTREAM
 
     def _is_past_retention(self, job: OwnedJob, route: Route) -> bool:
         return bool(route.retention) and wall_millis() - job.input.submitted >= route.retention
--- a/tests/direct/test_job_services.py
+++ b/tests/direct/test_job_services.py
@@ -61,6 +61,8 @@
         results = eventually(lambda job=f"desk{number}": all_results(entries[0], job), 10.0)
         assert {each["state"] for each in results} == {"completed"}
     assert all_results(entries[0], "annex0") is None
+    for entry in entries:
+        assert entry.log_lines_containing("event=items_wait service=annex reason=no_upstream")
 
 
 @pytest.mark.parametrize(
