A connection to an upstream carries no two requests with one id

Cause: all runs of an item have its id, and the next run often went over the connection on which the last one had failed. A late second answer to the failed run carries the id of the new run as well, so it was taken for its answer: a failure that did not happen was counted, and the real answer stayed unread on a connection that went back to the pool. The same held for each call that repeats an id on a kept connection: a caller that sends a request again under its id got the earlier answer, and a refusal could have been counted for a request that runs.

Evidence: the stand-in counts its runs; before, the second run of an item ended with status 500 while its server had yet to answer it.

Change: a connection remembers the ids of its last 16 requests, and the pool hands it to none of them again. What comes for another id is skipped as before, and now logged (event=second_answer). Looked at as well: calls about copies and moves of runs and probes use connections of their own; calls between entries have an id each; the store's connections are closed with a lost answer; sidecars open a connection a call; input on an idle connection closes it.

Two cases of test_direct_upstream_calls.py sent all their calls under one id and counted connections; each call has its own id now, with the same counts.

--- a/packages/node/src/carobspool_node/direct/_channel.py
+++ b/packages/node/src/carobspool_node/direct/_channel.py
@@ -10,6 +10,7 @@
 import select
 import socket
 import threading
+from collections import deque
 
 import h11
 
@@ -27,6 +28,9 @@
 runs."""
 MAX_INTERIM_ANSWERS = 16
 """Answers with a status of 1xx before the final one; HTTP servers send one or two."""
+REMEMBERED_REQUESTS = 16
+"""Requests that a connection remembers. A late second answer precedes the answer to the next
+request, so that the last one would do; this bounds the memory of connections that are kept long."""
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -123,7 +127,7 @@
     """
 
     __slots__ = (
-        *("_cancellation", "_clock", "_http", "_socket"),
+        *("_cancellation", "_clock", "_http", "_request_ids", "_socket"),
         *("fresh", "idle_limit", "last_used", "start_confirmed"),
     )
 
@@ -132,6 +136,7 @@
         self._http = http
         self._clock = clock
         self._cancellation: Cancellation | None = None
+        self._request_ids: deque[str] = deque(maxlen=REMEMBERED_REQUESTS)
         self.fresh = True
         self.last_used: Millis = clock.now()
         self.idle_limit: Millis = 0.0
@@ -194,6 +199,17 @@
             else:
                 raise ConnectionBrokenError("closed before an answer")
 
+    def record_request(self, request_id: str) -> None:
+        """Record the id of a request that is sent on the connection."""
+        self._request_ids.append(request_id)
+
+    def has_carried(self, request_id: str) -> bool:
+        """Whether a request with this id was sent on the connection.
+
+        A late second answer to it could not be told from the answer to a further one.
+        """
+        return request_id in self._request_ids
+
     def start_next_request(self) -> bool:
         """Prepare for the next request; return whether the connection can carry one."""
         http = self._http
--- a/packages/node/src/carobspool_node/direct/_upstream_calls.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_calls.py
@@ -131,8 +131,9 @@
             CallCancelledError: Another task cancelled the call; the request may have run.
         """
         self._connections.calls.add(self._open_call)
-        channel = self._acquire(joins, deadline)
+        channel = self._acquire(request.request_id, joins, deadline)
         self._channel = channel
+        channel.record_request(request.request_id)
         if self._open_call.upstream_restarted:
             raise CallFailedError(_UPSTREAM_RESTARTED, sent=False)
         channel.set_cancellation(self._open_call.cancellation)
@@ -267,12 +268,12 @@
             return
         channel.close()
 
-    def _acquire(self, joins: Joins | None, deadline: Millis) -> Channel:
+    def _acquire(self, request_id: str, joins: Joins | None, deadline: Millis) -> Channel:
         """Return a connection; one whose events may join others leads to a start that is known."""
         report = self._connections.start_report
         if joins is None or report is None or not self._upstream.started:
-            return self._connections.acquire(self._upstream)
-        channel = self._connections.acquire(self._upstream, asked=True)
+            return self._connections.acquire(self._upstream, request_id)
+        channel = self._connections.acquire(self._upstream, request_id, asked=True)
         if channel.start_confirmed is None:
             timeout = CHECK_TIMEOUT if joins is Joins.BEFORE else FIRST_CHECK_TIMEOUT
             deadline = min(deadline, self._clock.now() + timeout)
@@ -359,6 +360,13 @@
                 )
             # This is a late second answer to an earlier request on this connection. Accepting it
             # would give one caller another caller's answer; the answer to this request follows.
+            logging.info(
+                "event=second_answer upstream=%s request=%s answers=%s status=%d",
+                self._upstream.instance,
+                request.request_id,
+                (echoed or b"").decode("latin-1"),
+                event.status_code,
+            )
             self._skip_answer(channel, request, deadline)
         raise ConnectionBrokenError("only answers to other requests")
 
--- a/packages/node/src/carobspool_node/direct/_upstream_connections.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_connections.py
@@ -74,18 +74,19 @@
         """How upstreams are asked when they started, ``None`` if they cannot be asked."""
         return self._start_report
 
-    def acquire(self, upstream: Upstream, *, asked: bool = False) -> Channel:
+    def acquire(self, upstream: Upstream, request_id: str, *, asked: bool = False) -> Channel:
         """Return an idle connection from the pool, or a new one.
 
         Args:
             upstream: The upstream.
+            request_id: Id of the request; the connection has carried none with this id.
             asked: Whether only those idle connections will do on which the upstream has been asked
                 for its start.
 
         Raises:
             CallFailedError: No connection can be opened; nothing was sent.
         """
-        return self._take_idle(upstream, asked=asked) or self.open(upstream)
+        return self._take_idle(upstream, request_id, asked=asked) or self.open(upstream)
 
     def open(self, upstream: Upstream) -> Channel:
         """Return a new connection.
@@ -144,13 +145,16 @@
                 return
         channel.close()
 
-    def _take_idle(self, upstream: Upstream, *, asked: bool) -> Channel | None:
+    def _take_idle(self, upstream: Upstream, request_id: str, *, asked: bool) -> Channel | None:
         """Return an idle connection, ``None`` if there is none that can be used."""
         while True:
             with self._lock:
                 idle = self._idle.get(upstream.identity, [])
                 fitting = (
-                    each for each in reversed(idle) if not asked or each.start_confirmed is not None
+                    each
+                    for each in reversed(idle)
+                    if (not asked or each.start_confirmed is not None)
+                    and not each.has_carried(request_id)
                 )
                 channel = next(fitting, None)
                 if channel is not None:
--- a/packages/node/tests/test_direct_upstream_calls.py
+++ b/packages/node/tests/test_direct_upstream_calls.py
@@ -6,6 +6,7 @@
 import socket
 import threading
 import time
+import uuid
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -119,14 +120,19 @@
 def _call(
     connections: UpstreamConnections, upstream: Upstream, joins: Joins | None = Joins.BEFORE
 ) -> tuple[int, str]:
-    """Make a call; return its status and the version that it counts as."""
+    """Make a call under an id of its own; return its status and the version that it counts as."""
+    request_id = uuid.uuid4().hex
     call = UpstreamCall(connections, upstream, SERVER_NAMES)
     request = UpstreamRequest(
         method=b"POST",
         target=b"/",
-        headers=[(b"Host", b"h"), (b"Request-Id", b"r"), (b"Content-Length", b"0")],
+        headers=[
+            (b"Host", b"h"),
+            (b"Request-Id", request_id.encode()),
+            (b"Content-Length", b"0"),
+        ],
         body=b"",
-        request_id="r",
+        request_id=request_id,
     )
     deadline = connections.clock.now() + 5_000.0
     try:
@@ -257,3 +263,19 @@
             call.start(request, began + 5_000.0, joins=Joins.AFTER)
         call.close()
         assert clock.now() - began < CHECK_TIMEOUT
+
+
+def test_a_connection_carries_no_second_request_with_an_id() -> None:
+    """Guards against a late second answer that is taken for the answer to a further request."""
+    with _server() as server:
+        connections = UpstreamConnections(monotonic_clock())
+        upstream = _registered(server)
+        first = connections.acquire(upstream, "r")
+        first.record_request("r")
+        first.idle_limit = 5_000.0
+        connections._add_idle(upstream, first)
+        other = connections.acquire(upstream, "r")
+        assert other is not first
+        other.close()
+        assert connections.acquire(upstream, "s") is first
+        first.close()
--- a/packages/standins/src/carobspool_standins/platform_server.py
+++ b/packages/standins/src/carobspool_standins/platform_server.py
@@ -45,12 +45,23 @@
 
 
 class ServerConnection:
-    """The connection of one request, passed to the function that handles the request."""
+    """The connection of one request, passed to the function that handles the request.
+
+    Attributes:
+        closed: Whether the server has closed the connection.
+        sent: All bytes that were sent for the request.
+    """
 
     def __init__(self, sock: socket.socket, start: ServerStart) -> None:
         self._socket = sock
         self._start = start
         self.closed = False
+        self.sent = bytearray()
+
+    @property
+    def socket(self) -> socket.socket:
+        """The connection's socket, the same object for all requests on the connection."""
+        return self._socket
 
     @property
     def address(self) -> str:
@@ -74,6 +85,7 @@
 
     def send(self, data: bytes) -> None:
         """Send raw bytes; errors of a closed connection are ignored."""
+        self.sent += data
         self._start.send(self._socket, data)
 
     def send_response(
