Versions of streams are known after the loss of all entries

Two faults of one cause. Callers whose streams had broken off when all entries were killed got an answer of 200 that was joined from two software versions, if they came 15 s or more after the entries and the servers of the old version had left or come back at the new one meanwhile.

Cause: where a stream began was known in memory only. An entry that had just started trusted nothing for three times the longest time limit of a stream, 15 s at least, and after that the registrations alone, which by then showed the new version only. The time limit of a route bounds one attempt of a caller, not how long the caller holds on. A process that is started again with the settings of the first start trusted the registrations at once.

Change: the store keeps the versions at which streams may have begun and, while several count, the origins of streams in progress that are older than half a second, written once a second by each entry and 24 times a second by all. Entries read both in one listing when they start. A new version gets resumable streams once it is recorded. A version counts for 60 s after its last server, or as long as callers have said that they wait. Nothing is written for streams while one version counts.

--- a/packages/core/src/carobspool_core/stream_versions/__init__.py
+++ b/packages/core/src/carobspool_core/stream_versions/__init__.py
@@ -7,7 +7,14 @@
 This package decides only: it uses no network, no threads and no clock; callers pass in the time.
 """
 
-from carobspool_core.stream_versions._history import VersionHistory, VersionsView, stream_window
+from carobspool_core.stream_versions._history import (
+    MEMORY_PER_WINDOW,
+    ServiceVersion,
+    VersionHistory,
+    VersionsView,
+    stream_window,
+    window_of_deadline,
+)
 from carobspool_core.stream_versions._holders import holders_of, peers_to_ask
 from carobspool_core.stream_versions._origins import (
     KnownBy,
@@ -17,17 +24,24 @@
     StreamOrigin,
     decide_origin,
 )
+from carobspool_core.stream_versions._records import OpenStreams, VersionsRecord, write_interval
 
 __all__ = [
+    "MEMORY_PER_WINDOW",
     "KnownBy",
     "KnownOrigin",
+    "OpenStreams",
     "OriginAnswer",
     "OriginTable",
+    "ServiceVersion",
     "StreamOrigin",
     "VersionHistory",
+    "VersionsRecord",
     "VersionsView",
     "decide_origin",
     "holders_of",
     "peers_to_ask",
     "stream_window",
+    "window_of_deadline",
+    "write_interval",
 ]
--- a/packages/core/src/carobspool_core/stream_versions/_origins.py
+++ b/packages/core/src/carobspool_core/stream_versions/_origins.py
@@ -39,11 +39,13 @@
         origin: The origin.
         known_at: When this entry learned it.
         instance: The server that brought the first event; empty if the stream began at a peer.
+        is_recorded: Whether it was read from the record of an earlier process.
     """
 
     origin: StreamOrigin
     known_at: Millis
     instance: str = ""
+    is_recorded: bool = False
 
 
 class OriginTable:
@@ -54,12 +56,22 @@
     def __init__(self) -> None:
         self._known: dict[str, KnownOrigin] = {}
 
-    def add(self, stream_id: str, origin: StreamOrigin, now: Millis, *, instance: str = "") -> None:
+    def add(
+        self,
+        stream_id: str,
+        origin: StreamOrigin,
+        now: Millis,
+        *,
+        instance: str = "",
+        is_recorded: bool = False,
+    ) -> None:
         """Add an origin; two different ones of a stream leave its version uncertain."""
         known = self._known.pop(stream_id, None)
         if known is not None and known.origin != origin:
             origin = StreamOrigin(service=origin.service, version=UNKNOWN_VERSION)
-        self._known[stream_id] = KnownOrigin(origin=origin, known_at=now, instance=instance)
+        self._known[stream_id] = KnownOrigin(
+            origin=origin, known_at=now, instance=instance, is_recorded=is_recorded
+        )
         if len(self._known) > MAX_ORIGINS:
             del self._known[next(iter(self._known))]
 
@@ -110,12 +122,14 @@
 
     Attributes:
         OWN: This entry: the stream began here, or a peer has told it.
+        RECORD: The record that entries keep in the store, as this entry read it at its start.
         PEER: A peer that was asked.
         REGISTRATIONS: Nobody has to: one version alone has served for as long as a stream lasts.
         NOBODY: Nobody that answers.
     """
 
     OWN = "own"
+    RECORD = "record"
     PEER = "peer"
     REGISTRATIONS = "registrations"
     NOBODY = "nobody"
--- a/packages/node/src/carobspool_node/direct/_declared.py
+++ b/packages/node/src/carobspool_node/direct/_declared.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
 
 from absl import logging
@@ -17,7 +17,13 @@
     ViewVersion,
 )
 from carobspool_core.problems import UnusableRecordError, printable_text
-from carobspool_core.stream_versions import VersionHistory, VersionsView, stream_window
+from carobspool_core.stream_versions import (
+    ServiceVersion,
+    VersionHistory,
+    VersionsView,
+    stream_window,
+    window_of_deadline,
+)
 from carobspool_node.direct._bad_records import BadRecords
 from carobspool_node.direct._deployment import Deployment
 from carobspool_node.direct._follow import Follower
@@ -49,7 +55,6 @@
         on_configuration: Called after a newer configuration was applied.
         on_restarted: Called with each upstream that has restarted under the same id.
         on_upstreams: Called after each change of the upstreams.
-        first_start: Whether no upstream has served before this process starts.
     """
 
     def __init__(
@@ -63,16 +68,15 @@
         on_configuration: Callable[[], None],
         on_restarted: Callable[[Upstream], None],
         on_upstreams: Callable[[], None] = lambda: None,
-        first_start: bool = False,
     ) -> None:
         self._clock = clock
         self._deployment = deployment
         self._on_configuration = on_configuration
         self._on_restarted = on_restarted
         self._on_upstreams = on_upstreams
-        self._versions = VersionHistory(knows_past=first_start)
+        self._versions = VersionHistory()
         self._configuration: Configuration | None = None
-        self._stream_window = stream_window(None)
+        self._longest_window: Millis = 0.0
         self._stored_configuration: tuple[int, Json] | None = None
         self._upstreams = UpstreamList()
         self._upstreams_lock = threading.Lock()
@@ -111,8 +115,14 @@
 
     @property
     def stream_window(self) -> Millis:
-        """How long after its first event a stream may be taken up by its caller."""
-        return self._stream_window
+        """How long after its first event a stream may be taken up by its caller.
+
+        It does not become shorter while this process runs: streams that began under an earlier
+        configuration are still taken up.
+        """
+        if self._configuration is None:
+            return stream_window(None)
+        return self._longest_window
 
     @property
     def can_route(self) -> bool:
@@ -153,7 +163,42 @@
     def versions_of(self, service: str) -> VersionsView:
         """Return the software versions of a service at which a stream can have begun."""
         with self._upstreams_lock:
-            return self._versions.view(service, self._clock.now(), self._stream_window)
+            return self._versions.view(service, self._clock.now(), self.stream_window)
+
+    @property
+    def knows_past_versions(self) -> bool:
+        """Whether all versions are known that were registered within the window."""
+        with self._upstreams_lock:
+            return self._versions.is_complete(self._clock.now(), self.stream_window)
+
+    def registered_versions(self) -> frozenset[ServiceVersion]:
+        """Return the versions that are registered."""
+        with self._upstreams_lock:
+            return self._versions.registered()
+
+    def recent_versions(self, within: Millis) -> frozenset[ServiceVersion]:
+        """Return the versions that were registered within a time before now."""
+        with self._upstreams_lock:
+            return self._versions.recent(self._clock.now(), within)
+
+    def load_past_versions(self, versions: Iterable[ServiceVersion], window: Millis) -> None:
+        """Add all versions that can have served before this process started.
+
+        Args:
+            versions: The versions.
+            window: How long streams that began then may be taken up.
+        """
+        with self._upstreams_lock:
+            self._versions.load_past(versions, self._clock.now())
+            self._longest_window = max(self._longest_window, window)
+        self._on_upstreams()
+
+    def extend_stream_window(self, duration: Millis) -> None:
+        """Let the window cover a caller who waits for ``duration`` altogether."""
+        if duration > self._longest_window:
+            with self._upstreams_lock:
+                window = window_of_deadline(duration)
+                self._longest_window = max(self._longest_window, window)
 
     def largest_service(self) -> int:
         """Return the size of the largest service, without upstreams that are shutting down."""
@@ -271,7 +316,7 @@
         if current is not None and configuration.version <= current.version:
             return
         self._configuration = configuration
-        self._stream_window = stream_window(configuration)
+        self._longest_window = max(self._longest_window, stream_window(configuration))
         self._stored_configuration = (stored.version, stored.value)
         self._configuration_view.version = configuration.version
         logging.info(
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -5,6 +5,7 @@
 import threading
 import uuid
 from collections.abc import Mapping
+from functools import partial
 from pathlib import Path
 
 from absl import logging
@@ -38,6 +39,8 @@
 from carobspool_node.direct._settings import DirectSettings
 from carobspool_node.direct._stop_signal import StopSignal
 from carobspool_node.direct._stream_origins import StreamOrigins
+from carobspool_node.direct._stream_records import StreamRecords
+from carobspool_node.direct._stream_versions import candidates
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.direct._upstream_connections import UpstreamConnections
 from carobspool_node.direct._view_exchange import ViewExchange
@@ -114,7 +117,18 @@
                 doubt_streams=lambda upstream: self._origins.upstream_restarted(upstream),
             ),
             on_upstreams=lambda: self._origins.upstreams_changed(),
+        )
+        self._stream_records = StreamRecords(
+            self._clock,
+            self._store,
+            self._telemetry,
+            name=f"{settings.node}-{self._incarnation}",
+            views=self._declared,
             first_start=settings.first_start,
+            has_duty=self._membership.has_duty,
+            entries=lambda: 1 + len(self._peers.members()),
+            value_limit=settings.value_limit,
+            on_origins=lambda origin, streams: self._origins.load(origin, streams),
         )
         self._origins = StreamOrigins(
             self._clock,
@@ -122,6 +136,7 @@
             peers=self._peers,
             views=self._declared,
             window=lambda: self._declared.stream_window,
+            records=self._stream_records,
             call_peer=self._peer_caller.call,
         )
         self._group_assignment = GroupAssignment(
@@ -146,6 +161,7 @@
             self._loads,
             self._queue,
             self._group_assignment.split_upstreams,
+            partial(candidates, self._origins),
             self._quota,
             setting=settings.online_queue,
         )
@@ -284,6 +300,7 @@
         )
         self._declared.start()
         self._quarantines.start()
+        self._stream_records.start()
         self._runner.start()
         self._membership.start()
         self._recovery.start(first_start=settings.first_start)
@@ -294,6 +311,7 @@
         self._leaving.set()
         self._exit.run(callers)
         self._quarantines.stop()
+        self._stream_records.stop()
         return 0
 
     def _count_sharers(self) -> int:
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -232,7 +232,7 @@
             if verdict.kind is VerdictKind.QUARANTINED:
                 self._endings.end_quarantined(state)
                 return
-            split = self._split_upstreams(service).running(state.version)
+            split = self._versions.candidates(state, self._split_upstreams(service))
             if state.version is not None and not split.near and not split.far:
                 state.last_failure = f"no upstream runs the stream's version {state.version!r}"
             if state.deadline - self._clock.now() < MIN_CALL_TIME:
@@ -506,6 +506,7 @@
             raise CallFailedError("an answer with a foreign encoding", sent=True)
         if head.succeeded and state.route.kind is RouteKind.STREAM:
             self._relay.relay(state, upstream, call, head)
+            self._versions.complete(state)
             return True
         body = call.read_body(self._call_deadline(state))
         self._isolation.record_completion(state.fingerprints)
--- a/packages/node/src/carobspool_node/direct/_queued_requests.py
+++ b/packages/node/src/carobspool_node/direct/_queued_requests.py
@@ -48,6 +48,8 @@
         loads: Requests in flight at each upstream.
         queue: The requests that wait.
         split_upstreams: Returns the upstreams of a service.
+        candidates: Returns those of some upstreams at which a request may run with regard to their
+            software versions.
         quota: Request limits of the organisations.
         setting: The setting ``online_queue``.
     """
@@ -59,6 +61,7 @@
         loads: LoadTable,
         queue: OnlineQueue[Placement],
         split_upstreams: Callable[[str], UpstreamSplit],
+        candidates: Callable[[RequestState, UpstreamSplit], UpstreamSplit],
         quota: RequestQuota,
         *,
         setting: str,
@@ -68,6 +71,7 @@
         self._loads = loads
         self._queue = queue
         self._split_upstreams = split_upstreams
+        self._select = candidates
         self._quota = quota
         self._setting = setting
         self._configuration: Configuration | None = None
@@ -224,7 +228,7 @@
 
     def _candidates(self, state: RequestState, service: str) -> UpstreamSplit:
         """Return the upstreams of a service at which a request may run."""
-        return self._split_upstreams(service).running(state.version)
+        return self._select(state, self._split_upstreams(service))
 
     def _has_untried(self, state: RequestState, service: str) -> bool:
         split = self._candidates(state, service)
--- a/packages/node/src/carobspool_node/direct/_stream_origins.py
+++ b/packages/node/src/carobspool_node/direct/_stream_origins.py
@@ -3,7 +3,8 @@
 A caller can take a resumable stream up at any entry after its connection has broken, and the entry
 at which the stream began may be gone. While servers of several versions serve, that entry tells two
 peers, chosen by the stream's id, before it forwards the first event. Any entry finds them again by
-the id that the caller names. A stream whose version is not known for certain does not go on.
+the id that the caller names. What outlives the loss of all entries stands in the store
+(`StreamRecords`). A stream whose version is not known for certain does not go on.
 
 Nothing is sent while a single version serves: the registrations then tell the version of each
 stream.
@@ -12,7 +13,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from concurrent.futures import Future, ThreadPoolExecutor, as_completed
 from typing import Any, Protocol
 
@@ -32,6 +33,7 @@
     holders_of,
     peers_to_ask,
 )
+from carobspool_node.direct._group_assignment import UpstreamSplit
 from carobspool_node.direct._origin_messages import (
     MAX_STREAMS_SENT,
     OriginCall,
@@ -80,6 +82,9 @@
     def versions_of(self, service: str) -> VersionsView:
         """Return the software versions of a service at which a stream can have begun."""
 
+    def extend_stream_window(self, duration: Millis) -> None:
+        """Let the window cover a caller who waits for ``duration`` altogether."""
+
     def has_other_version(self, upstream: Upstream) -> bool:
         """Return whether an upstream has started again at another software version."""
 
@@ -87,6 +92,26 @@
         """Return whether a process with these ``versions`` lists the same starts of upstreams."""
 
 
+class OriginRecords(Protocol):
+    """What the store keeps of streams, for entries that start after all were lost."""
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the records of earlier processes are known."""
+
+    def has_version_of(self, upstream: Upstream) -> bool:
+        """Whether the store has a record that streams may have begun at an upstream's version."""
+
+    def begin(self, stream_id: str, origin: StreamOrigin, until: Millis) -> None:
+        """Add a stream in progress."""
+
+    def end(self, stream_ids: Iterable[str]) -> None:
+        """Remove streams that are complete, or whose versions are not certain any more."""
+
+    def upstreams_changed(self) -> None:
+        """Write what the changed registrations require."""
+
+
 class FoundOrigin(Struct, frozen=True, kw_only=True):
     """The origin of a stream that a caller takes up, with details for the log.
 
@@ -96,6 +121,7 @@
         age: Time since it was learned there; 0 if it follows from the registrations.
         asked: Number of peers that were asked.
         answered: Number of those that have answered.
+        is_record_read: Whether the store's records of earlier processes are known here.
     """
 
     origin: StreamOrigin | None
@@ -103,11 +129,14 @@
     age: Millis = 0.0
     asked: int = 0
     answered: int = 0
+    is_record_read: bool = True
 
     @property
     def may_be_known_elsewhere(self) -> bool:
-        """Whether a peer that may know the origin was not reached."""
-        return self.known_by is KnownBy.NOBODY and (not self.asked or self.answered < self.asked)
+        """Whether a peer or the store may know the origin, and could not be asked."""
+        if self.known_by is not KnownBy.NOBODY:
+            return False
+        return not self.is_record_read or not self.asked or self.answered < self.asked
 
 
 class StreamOrigins:
@@ -119,6 +148,7 @@
         peers: The other entries.
         views: The registered upstreams.
         window: Returns how long a stream may be taken up after its first event.
+        records: What the store keeps of streams.
         call_peer: Calls a peer, with operation, body and timeout; returns status and answer.
     """
 
@@ -130,6 +160,7 @@
         peers: OriginPeers,
         views: OriginViews,
         window: Callable[[], Millis],
+        records: OriginRecords,
         call_peer: Callable[[Peer, str, Any, Millis], tuple[int, Any]],
     ) -> None:
         self._clock = clock
@@ -137,6 +168,7 @@
         self._peers = peers
         self._views = views
         self._window = window
+        self._records = records
         self._call_peer = call_peer
         self._lock = threading.Lock()
         self._table = OriginTable()
@@ -145,22 +177,53 @@
         self._told_uncertain_until: Millis = float("-inf")
         self._calls = ThreadPoolExecutor(MAX_CONCURRENT_CALLS, thread_name_prefix="origin")
 
-    def begin(self, stream_id: str, upstream: Upstream, version: str) -> None:
+    def begin(self, stream_id: str, upstream: Upstream, version: str, until: Millis) -> None:
         """Record the origin of a stream, before its first event is forwarded.
 
         Args:
             stream_id: Request id of the caller's attempt that brings the first event.
             upstream: The upstream that has sent the event.
             version: Its software version; `UNKNOWN_VERSION` if that is not certain.
+            until: Until when its caller may take it up.
         """
         origin = StreamOrigin(service=upstream.service, version=version)
+        now = self._clock.now()
+        self._views.extend_stream_window(until - now)
         with self._lock:
-            self._table.add(stream_id, origin, self._clock.now(), instance=upstream.instance)
-        if not origin.is_certain:
+            self._table.add(stream_id, origin, now, instance=upstream.instance)
+        if origin.is_certain:
+            self._records.begin(stream_id, origin, until)
+        else:
             self._record_uncertain()
         if not origin.is_certain or self._must_tell(upstream.service):
             self._tell([stream_id], origin)
 
+    def complete(self, stream_id: str) -> None:
+        """Record that a stream has been forwarded to its end."""
+        self._records.end((stream_id,))
+
+    def load(self, origin: StreamOrigin, streams: Sequence[str]) -> None:
+        """Record the origin of streams that began before this process started."""
+        now = self._clock.now()
+        with self._lock:
+            for stream_id in streams:
+                self._table.add(stream_id, origin, now, is_recorded=True)
+
+    def where_streams_begin(self, split: UpstreamSplit) -> UpstreamSplit:
+        """Return the upstreams at which a resumable stream may begin.
+
+        A version serves streams only once the store has a record of it: the loss of all entries
+        would leave no trace of the version otherwise. If it has none of any, all are returned.
+        """
+        upstreams = (*split.near, *split.far)
+        recorded = {each.identity for each in upstreams if self._records.has_version_of(each)}
+        if not recorded or len(recorded) == len(upstreams):
+            return split
+        return UpstreamSplit(
+            near=[each for each in split.near if each.identity in recorded],
+            far=[each for each in split.far if each.identity in recorded],
+        )
+
     def versions(self) -> Mapping[str, int]:
         """Return what announcements state so that peers ask before they rely on registrations."""
         until = max(self._began_uncertain_until, self._told_uncertain_until)
@@ -179,7 +242,8 @@
             known = self._table.find(stream_id)
         if known is not None:
             origin = known.origin if known.origin.is_certain else None
-            return FoundOrigin(origin=origin, known_by=KnownBy.OWN, age=now - known.known_at)
+            known_by = KnownBy.RECORD if known.is_recorded else KnownBy.OWN
+            return FoundOrigin(origin=origin, known_by=known_by, age=now - known.known_at)
         service = route.choose_service(stream_id)
         own = self._views.versions_of(service)
         live = self._peers.live()
@@ -196,6 +260,7 @@
             age=max((each.age for each in answers if each.origin is not None), default=0.0),
             asked=len(asked),
             answered=len(answers),
+            is_record_read=self._records.is_loaded,
         )
 
     def receive(self, hint: OriginsHint) -> None:
@@ -225,6 +290,7 @@
         The announcement shows all peers that their registrations are outdated before a stream can
         have begun at the new version.
         """
+        self._records.upstreams_changed()
         for service in self._views.services():
             if not self._must_tell(service):
                 self._told.discard(service)
@@ -244,6 +310,7 @@
             doubted = self._table.doubt_instance(upstream.instance, upstream.version)
         if not doubted:
             return
+        self._records.end(doubted)
         self._peers.announce()
         logging.info(
             "event=origins_doubted upstream=%s version=%s streams=%d",
--- a/packages/node/src/carobspool_node/direct/_stream_versions.py
+++ b/packages/node/src/carobspool_node/direct/_stream_versions.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import math
+
 from absl import logging
 
+from carobspool_core import Millis
 from carobspool_core.direct import UNKNOWN_VERSION, Upstream
+from carobspool_node.direct._group_assignment import UpstreamSplit
 from carobspool_node.direct._messages import HeaderNames
 from carobspool_node.direct._request_endings import RequestEndings
 from carobspool_node.direct._request_state import RequestState
@@ -40,7 +44,16 @@
         if state.version is None:
             state.version = version
         if state.route.resumable and state.stream_id:
-            self._origins.begin(state.stream_id, upstream, state.version)
+            self._origins.begin(state.stream_id, upstream, state.version, self._caller_limit(state))
+
+    def complete(self, state: RequestState) -> None:
+        """Record that a stream has been forwarded to its end."""
+        if state.route.resumable and state.stream_id:
+            self._origins.complete(state.stream_id)
+
+    def candidates(self, state: RequestState, split: UpstreamSplit) -> UpstreamSplit:
+        """Return the upstreams at which a request may run with regard to their versions."""
+        return candidates(self._origins, state, split)
 
     def take_up(self, state: RequestState) -> bool:
         """Bind a stream that its caller takes up, or refuse it if its version is not certain.
@@ -75,6 +88,13 @@
         state.service, state.version = origin.service, origin.version
         return True
 
+    def _caller_limit(self, state: RequestState) -> Millis:
+        """Return until when the caller waits, which the time limit of the route does not bound."""
+        limit = state.request.time_limit(self._names.deadline, math.inf)
+        if limit == math.inf:
+            return state.deadline
+        return state.request.arrived + limit
+
     def record_failure(self, state: RequestState, upstream: Upstream) -> None:
         """Leave the version of a stream uncertain if its upstream may have had another one."""
         if state.streaming and self._origins.is_doubtful(upstream):
@@ -92,3 +112,16 @@
             upstream.instance,
             upstream.version,
         )
+
+
+def candidates(origins: StreamOrigins, state: RequestState, split: UpstreamSplit) -> UpstreamSplit:
+    """Return the upstreams at which a request may run with regard to their versions.
+
+    Args:
+        origins: Remembers where streams began.
+        state: The request.
+        split: The upstreams of its service.
+    """
+    if state.version is None and state.route.resumable:
+        return origins.where_streams_begin(split)
+    return split.running(state.version)
--- a/tools/cost_versions.py
+++ b/tools/cost_versions.py
@@ -1,29 +1,38 @@
 """What it costs an entry to remember the software versions at which streams began.
 
-python tools/cost_versions.py [--entries 24 300] [--streams 20000]
+python tools/cost_versions.py [--entries 24 300] [--streams 20000] [--open 40 400 8000]
 
-The sizes are those of the encoded hints; calls to peers are not made.
+The sizes are those of the encoded hints and values; calls to peers are not made, and the store is
+one in memory.
 """
 
 from __future__ import annotations
 
 import argparse
+import json
 import time
+import tracemalloc
 from collections.abc import Callable, Sequence
 
 from carobspool_core import boottime_clock
 from carobspool_core.direct import Upstream
 from carobspool_core.stream_versions import (
+    ServiceVersion,
     StreamOrigin,
     VersionHistory,
     VersionsView,
     peers_to_ask,
+    write_interval,
 )
 from carobspool_node.direct._origin_messages import encode_origins_hint
 from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._stream_origins import StreamOrigins
+from carobspool_node.direct._stream_records import ORIGINS_PREFIX, StreamRecords
+from carobspool_node.direct._telemetry import Telemetry
+from carobspool_standins.memory_store import MemoryObjects, MemoryStore
 
-WINDOW = 15_000.0
+WINDOW = 60_000.0
+FAR = 1e15
 UDP_AND_IP_BYTES = 28
 
 
@@ -60,10 +69,27 @@
 class _Views:
     """Registrations of one service, with one software version or two."""
 
+    can_route = True
+    stream_window = WINDOW
+    knows_past_versions = True
+
     def __init__(self, versions: Sequence[str]) -> None:
-        self._history = VersionHistory(knows_past=True)
+        self._history = VersionHistory()
+        self._history.load_past((), 0.0)
         self._history.record([("engine", version) for version in versions], 0.0)
 
+    def registered_versions(self) -> frozenset[ServiceVersion]:
+        return self._history.registered()
+
+    def recent_versions(self, within: float) -> frozenset[ServiceVersion]:
+        return self._history.recent(1.0, within)
+
+    def load_past_versions(self, versions: object, window: float) -> None:
+        pass
+
+    def extend_stream_window(self, duration: float) -> None:
+        pass
+
     def services(self) -> set[str]:
         return self._history.services()
 
@@ -86,12 +112,15 @@
 
 def _measure(entries: int, versions: Sequence[str], streams: int) -> None:
     peers = _Peers(entries)
+    views = _Views(versions)
+    records = _records(views, MemoryObjects(), entries)
     origins = StreamOrigins(
         boottime_clock(),
         name="edge-hall-0",
         peers=peers,
-        views=_Views(versions),
+        views=views,
         window=lambda: WINDOW,
+        records=records,
         call_peer=lambda peer, operation, body, timeout: (404, None),
     )
     upstream = Upstream(
@@ -103,7 +132,12 @@
         ready=True,
         version="v1",
     )
-    each = _microseconds_each(lambda n: origins.begin(f"{n:016x}", upstream), streams)
+
+    def stream(number: int) -> None:
+        origins.begin(f"{number:016x}", upstream, "v1", FAR)
+        origins.complete(f"{number:016x}")
+
+    each = _microseconds_each(stream, streams)
     names = [peer.name for peer in peers.live()]
     choice = _microseconds_each(lambda n: peers_to_ask(f"{n:016x}", "edge-hall-0", names), 1_000)
     print(
@@ -113,15 +147,60 @@
     )
 
 
+def _records(views: _Views, objects: MemoryObjects, entries: int) -> StreamRecords:
+    return StreamRecords(
+        boottime_clock(),
+        MemoryStore(objects, "edge-hall-0"),
+        Telemetry(),
+        name="edge-hall-0-0123abcd",
+        views=views,
+        first_start=True,
+        has_duty=lambda duty: True,
+        entries=lambda: entries,
+        value_limit=1_048_576,
+        on_origins=lambda origin, streams: None,
+    )
+
+
+def _measure_records(entries: int, streams: int) -> None:
+    """Measure one write of the origins of streams that are open at an entry, and their memory."""
+    objects = MemoryObjects()
+    records = _records(_Views(("v1", "v2")), objects, entries)
+    for _ in range(3):
+        records._step()
+    origin = StreamOrigin(service="engine", version="v1")
+    tracemalloc.start()
+    for number in range(streams):
+        records.begin(f"{number:016x}", origin, FAR)
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    time.sleep(0.6)
+    records._next_write = 0.0
+    started = time.process_time()
+    records._write_origins()
+    took = time.process_time() - started
+    (value,) = (each for key, each in objects.json_by_key.items() if key.startswith(ORIGINS_PREFIX))
+    size = len(value if isinstance(value, str) else json.dumps(value))
+    interval = write_interval(entries)
+    print(
+        f"{entries} entries, {streams} open streams an entry: a write each {interval / 1e3:.1f} s,"
+        f" {entries * 1e3 / interval:.0f} a second of all; {took * 1e3:.1f} ms and {size} bytes a"
+        f" write, {size / interval * 1e3:.0f} bytes/s an entry, {memory / 1e6:.2f} MB"
+    )
+
+
 def main() -> None:
     """Measure each number of entries, with one version and with two."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--entries", type=int, nargs="+", default=[24, 300])
     parser.add_argument("--streams", type=int, default=20_000)
+    parser.add_argument("--open", type=int, nargs="+", default=[40, 400, 8_000])
     options = parser.parse_args()
     for entries in options.entries:
         for versions in (("v1",), ("v1", "v2")):
             _measure(entries, versions, options.streams)
+        for streams in options.open:
+            _measure_records(entries, streams)
 
 
 if __name__ == "__main__":
