Streams in progress are told to peers at each further version

When a second version appears, an entry tells two peers the streams in progress that began while one version served. It did so for the first rollout only, unless the registrations happened to change after the old version had stopped to count: nothing else noted that the rollout was over. Streams that were in progress when the next version appeared were refused when their callers took them up after the loss of their entry.

Failed before: test_streams_in_progress_are_told_at_each_further_version (nothing was told).

--- a/packages/node/src/carobspool_node/direct/_stream_origins.py
+++ b/packages/node/src/carobspool_node/direct/_stream_origins.py
@@ -328,10 +328,16 @@
         return self._views.has_other_version(upstream)
 
     def remove_expired(self) -> None:
-        """Forget the origins of streams that can no longer be taken up."""
+        """Forget the origins of streams that can no longer be taken up, and rollouts that are over.
+
+        A version stops to count some time after the registrations have changed last.
+        """
         before = self._clock.now() - self._window()
         with self._lock:
             self._table.remove_older(before)
+        for service in list(self._told):
+            if not self._must_tell(service):
+                self._told.discard(service)
 
     def _record_uncertain(self) -> None:
         """Announce that streams have begun whose version the registrations do not tell.
--- a/packages/node/tests/test_direct_stream_origins.py
+++ b/packages/node/tests/test_direct_stream_origins.py
@@ -285,6 +285,18 @@
     assert (len(told), fleet.announced) == (2 * (MAX_STREAMS_SENT + 1), 1)
 
 
+def test_streams_in_progress_are_told_at_each_further_version() -> None:
+    """Guards against streams that began between two rollouts and are refused after the second."""
+    fleet = _Fleet("v1", "v2")
+    fleet.origins.upstreams_changed()
+    fleet.view = VersionsView(versions=frozenset({"v2"}), is_complete=True)
+    fleet.origins.remove_expired()
+    fleet.origins.begin("a", _upstream(), "v2", UNTIL)
+    fleet.view = VersionsView(versions=frozenset({"v2", "v3"}), is_complete=True)
+    fleet.origins.upstreams_changed()
+    assert [streams for _, streams, _ in fleet.told] == [["a"], ["a"]]
+
+
 def test_messages_read_as_they_were_sent() -> None:
     """Guards against an origin that changes on its way."""
     data = encode_origins_hint(name="e1", incarnation="x", origin=V1, streams=["a", "b"])
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -16,8 +16,8 @@
 
 DAYS = Path(__file__).parents[1] / "deploy" / "days"
 GIVEN_DAYS = {"rejoined": "d9fca7bb512b"}
-"""Days that were handed over for one site, with the first digits of their files' digests. They name classes and
-services of that site and are kept as they are."""
+"""Days that were handed over for one site, with the first digits of their files' digests. They name
+classes and services of that site and are kept as they are."""
 SCENARIO_FILES = sorted(path for path in DAYS.glob("*.toml") if path.stem not in GIVEN_DAYS)
 ORGANISATION_FILES = sorted(DAYS.glob("organisations/*.toml"))
 """Days for sites whose operators declare organisations; other sites refuse their kinds."""
