--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 import pytest
-from soak import competition, crashing, organisations, versions
+from soak import competition, crashing, losses, organisations, versions
 from soak.soak import play
 
 SECONDS = 8.0
@@ -75,3 +75,16 @@
     assert record.violations == []
     assert record.calls["culprit 422"] > 20
     assert record.calls["sound calm 200"] > 50
+
+
+def test_nothing_is_lost_or_joined_when_all_entries_are_lost_again_and_again(
+    tmp_path: Path,
+) -> None:
+    """One service has no server, servers answer a second time and late, and all entries are killed
+    while several software versions serve."""
+    record = losses.play(1, SECONDS, tmp_path)
+    assert record.violations == []
+    assert record.accepted
+    assert record.calls["unservable 202"] > 20
+    assert record.calls["failing completed"] > 50
+    assert record.calls["went on"] > 10
