Tests wait for the log lines that they count

The missing line is that of the last request: entries write their log in another thread, and the test read the file as soon as the answer had come. What is checked is unchanged, after at most 5 s.

Ruled out: a second answer that was not seen (each even request's connection carries one, and r11 answers r10 is the only line that is missing); lines dropped by the bounded queue (some 40 lines).

Three other tests that read the log directly after an answer wait in the same way.

--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -327,7 +327,7 @@
         fleet.lose(server)
     for caller in callers:
         caller.join()
-    assert any(entry.log_lines_containing("event=quarantined") for entry in entries)
+    eventually(lambda: any(e.log_lines_containing("event=quarantined") for e in entries), 5.0)
     for entry in entries:
         eventually(lambda e=entry: _call(e, "/once/slow", b"popular").status == 200, 3.0)
     assert _slow_requests(kept) > popular[-1]
@@ -361,7 +361,7 @@
     system.objects.put("quarantines", "c", [])
     entry = system.start_entry("e1")
     eventually(lambda: entry.log_lines_containing("event=quarantined fingerprint=b"), 5.0)
-    assert len(entry.log_lines_containing("event=bad_quarantine")) == 2
+    assert len(entry.await_log_lines("event=bad_quarantine", 2)) == 2
 
 
 def test_a_request_whose_answers_are_lost_is_not_taken_for_a_crashing_one(
--- a/tests/direct/test_online_queue.py
+++ b/tests/direct/test_online_queue.py
@@ -149,7 +149,7 @@
     eventually(lambda: len(callers.answers) == PLACES + 2, 5.0)
     assert gate.started[PLACES:] == ["high", "low"]
     assert {answer.status for answer in callers.answers.values()} == {200}
-    assert len(entry.log_lines_containing("event=dequeued ")) == 2
+    assert len(entry.await_log_lines("event=dequeued ", 2)) == 2
 
 
 def test_waiting_requests_are_refused_when_the_entry_closes(system: Deployment) -> None:
@@ -295,7 +295,7 @@
     assert {answer.status for answer in refused} == {503}
     assert all(0.3 <= float(answer.headers["retry-after"]) <= 3.0 for answer in refused)
     assert len({answer.headers["retry-after"] for answer in refused}) > len(refused) // 2
-    assert entry.log_lines_containing("event=queue_refused ")
+    assert entry.await_log_lines("event=queue_refused ")
     gate.release(100)
 
 
--- a/tests/direct/test_second_answers.py
+++ b/tests/direct/test_second_answers.py
@@ -11,7 +11,6 @@
 from direct_harness import (
     Answer,
     Deployment,
-    Entry,
     all_results,
     deployment,
     eventually,
@@ -111,7 +110,7 @@
         answer = entry.call("POST", target, body=b"x", request_id=f"r{number}")
         assert _text(answer) == f"r{number} run 1"
     assert servers.sent
-    assert len(_second_answers(entry)) == servers.sent
+    assert len(entry.await_log_lines("event=second_answer", servers.sent)) == servers.sent
 
 
 def _text(answer: Answer) -> str:
@@ -119,7 +118,3 @@
     assert answer.complete
     text = answer.body.decode()
     return text.partition("data: ")[2].strip() if "data: " in text else text
-
-
-def _second_answers(entry: Entry) -> list[str]:
-    return entry.log_lines_containing("event=second_answer")
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -37,6 +37,8 @@
 READY_S = 15.0
 REMOVAL_KNOWN_S = 15.0
 """How long entries may take to learn that servers were removed; usually it takes 0.3 s."""
+LOG_WRITTEN_S = 5.0
+"""How long a log line may take from its event to the file; usually it takes a millisecond."""
 STEP_S = 0.05
 PROGRAM = ("-m", "carobspool_platform")
 
@@ -162,6 +164,14 @@
         """Return the log lines that contain ``text``."""
         return [line for line in self.log.read_text().splitlines() if text in line]
 
+    def await_log_lines(self, text: str, count: int = 1) -> list[str]:
+        """Wait for ``count`` log lines that contain ``text``, and return all of them.
+
+        Another thread of the entry writes its log, so that a line can follow the answer.
+        """
+        eventually(lambda: len(self.log_lines_containing(text)) >= count, LOG_WRITTEN_S)
+        return self.log_lines_containing(text)
+
 
 @dataclass(slots=True)
 class Deployment:
