Each service keeps a share of the runs of an entry

Items of a service with an idle upstream waited as long as an entry owned items of a service with more slots than it runs items at once (96): those were due first, and took each run that ended.

Change: half of the runs are divided among the services whose items wait and that have slots, up to their slots; the other half goes to the items that are due first. A service alone still has all runs.

Failed before: test_a_service_with_many_slots_leaves_runs_to_others (the items of the idle service had not begun after 2 s).

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -81,6 +81,7 @@
     retry_delay,
     retry_delay_in_outage,
 )
+from carobspool_core.direct._run_shares import may_begin_run, reserved_runs
 from carobspool_core.direct._shared_view import ViewVersion
 from carobspool_core.direct._upstream_identity import (
     by_identity,
@@ -160,18 +161,20 @@
     "group_of_entry",
     "has_time_for_job_call",
     "has_time_to_serve",
-    "lowest_groups",
     "identity_of",
     "is_retry_by_deadline",
     "item_fingerprint",
     "job_from_json",
     "job_to_json",
     "latest_starts",
+    "lowest_groups",
+    "may_begin_run",
     "part_fingerprint",
     "progress_from_json",
     "progress_to_json",
     "queue_limit",
     "request_fingerprint",
+    "reserved_runs",
     "results_from_json",
     "retry_delay",
     "retry_delay_in_outage",
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -4,7 +4,8 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Iterable, Sequence
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor, wait
 
 from absl import logging
@@ -19,6 +20,8 @@
     Route,
     Upstream,
     WaitingGroup,
+    may_begin_run,
+    reserved_runs,
     short_key_of,
 )
 from carobspool_core.organisations import waiting_tokens_key
@@ -108,7 +111,7 @@
         self._commit_pool = ThreadPoolExecutor(8, thread_name_prefix="commit")
         self._verify_pool = ThreadPoolExecutor(4, thread_name_prefix="proof")
         self._reported_ends: dict[str, Millis] = {}
-        self._run_count = 0
+        self._runs: Counter[str] = Counter()
         self._committing: set[str] = set()
         self._verifying: set[str] = set()
         self._released: frozenset[str] = frozenset()
@@ -320,16 +323,21 @@
         # A service without room stops its own items only, and only those that may not use more of
         # its slots: items of one service may wait for a minute while another service is idle.
         full: dict[str, int] = {}
-        services: set[str] = set()
+        services = {each.service for each in order}
+        reserved = reserved_runs(
+            {each: sum(u.slots for u in self._usable(each)) for each in services},
+            MAX_CONCURRENT_RUNS,
+        )
         for waiting in order:
             if self._stopped.is_set():
                 break
             if self._give_up(waiting):
                 continue
-            services.add(waiting.service)
             if full.get(waiting.service, NOT_FULL) >= waiting.urgency:
                 continue
-            if self._may_start_items(waiting.job) and not self._start_while_room(waiting):
+            if not self._may_start_items(waiting.job):
+                continue
+            if not self._start_while_room(waiting, reserved):
                 full[waiting.service] = waiting.urgency
         self._waiting = report_waiting_items(order)
         self._waiting_log.retain_only(services)
@@ -343,16 +351,20 @@
             self._dead_letter(job, work, "no batch route" if route is None else "past retention")
         return True
 
-    def _start_while_room(self, waiting: WaitingItems) -> bool:
+    def _start_while_room(self, waiting: WaitingItems, reserved: Mapping[str, int]) -> bool:
         """Start items while an upstream has capacity; return whether their service may have more.
 
         An item that only some upstreams can resume leaves capacity at the others.
+
+        Args:
+            waiting: The items.
+            reserved: Runs that each service can always have.
         """
         route = waiting.route
         assert route is not None
         upstreams = self._usable(waiting.service)
         for work in list(waiting.works.values()):
-            reason = self._reason_to_wait(waiting, upstreams)
+            reason = self._reason_to_wait(waiting, upstreams, reserved)
             if reason is not None:
                 self._waiting_log.record(waiting.service, reason, work.item.item_id, len(upstreams))
                 return False
@@ -374,7 +386,8 @@
             with job.lock:
                 job.work.start(work)
             job.add_run(run)
-            self._run_count += 1
+            with self._lock:
+                self._runs[waiting.service] += 1
             self._run_pool.submit(self._run, job, work, route, upstream, run)
         return True
 
@@ -394,13 +407,17 @@
         return upstreams if work.may_start_over(now, repeated=repeated) else resumable_at
 
     def _reason_to_wait(
-        self, waiting: WaitingItems, upstreams: Sequence[Upstream]
+        self, waiting: WaitingItems, upstreams: Sequence[Upstream], reserved: Mapping[str, int]
     ) -> WaitReason | None:
         """Return why no item may start, ``None`` if one may.
 
         There must be capacity beyond what more urgent items of peers need.
         """
-        if self._run_count >= MAX_CONCURRENT_RUNS:
+        with self._lock:
+            has_run = may_begin_run(
+                waiting.service, runs=self._runs, reserved=reserved, limit=MAX_CONCURRENT_RUNS
+            )
+        if not has_run:
             return WaitReason.RUN_LIMIT
         start_order = waiting.start_order_at(wall_millis())
         free_slots = self._loads.free_batch_slots(upstreams, urgency=waiting.urgency)
@@ -496,7 +513,8 @@
         finally:
             job.remove_run(run)
             work.running = False
-            self._run_count -= 1
+            with self._lock:
+                self._runs[upstream.service] -= 1
             self._loads.end_batch(upstream, run)
             self._wake.set()
 
--- a/packages/node/tests/test_direct_job_runner.py
+++ b/packages/node/tests/test_direct_job_runner.py
@@ -25,20 +25,25 @@
 from carobspool_node.direct._item_order import order_waiting_items
 from carobspool_node.direct._item_run import RunEnd, RunOutcome
 from carobspool_node.direct._job_records import JobRecords, StoredProgress
-from carobspool_node.direct._job_runner import JobRunner
+from carobspool_node.direct._job_runner import MAX_CONCURRENT_RUNS, JobRunner
 from carobspool_node.direct._loads import LoadTable
 from carobspool_node.direct._owned_job import OwnedJob
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_standins.memory_store import MemoryObjects, MemoryStore
 
-ENGINE = Upstream(
-    instance="i",
-    service="engine",
-    address=("127.0.0.1", 1),
-    failure_domain="z",
-    slots=2,
-    ready=True,
-)
+
+def _upstream(service: str, slots: int) -> Upstream:
+    return Upstream(
+        instance=service,
+        service=service,
+        address=("127.0.0.1", 1),
+        failure_domain="z",
+        slots=slots,
+        ready=True,
+    )
+
+
+ENGINE = _upstream("engine", 2)
 
 
 class _Runs:
@@ -47,15 +52,24 @@
     def __init__(self, expected: int = 6) -> None:
         self.order: list[str] = []
         self.done = threading.Event()
+        self.before_end: Callable[[ItemWork], object] = lambda work: None
         self._expected = expected
 
     def run(self, host: str, work: ItemWork, upstream: Upstream, run: BatchRun) -> RunOutcome:
         self.order.append(work.item.item_id)
         if len(self.order) == self._expected:
             self.done.set()
+        self.before_end(work)
         return RunOutcome(end=RunEnd.COMPLETED)
 
 
+def _await(check: Callable[[], bool]) -> None:
+    deadline = time.monotonic() + 2.0
+    while not check():
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+
+
 def _route(prefix: str, target: float, *, service: str = "engine", retention: float = 0.0) -> Route:
     return Route(
         name=prefix,
@@ -71,15 +85,17 @@
     )
 
 
-def _job(job_id: str, path: str, submitted: float, make: Callable[..., OwnedJob]) -> OwnedJob:
+def _job(
+    job_id: str, path: str, submitted: float, make: Callable[..., OwnedJob], count: int = 2
+) -> OwnedJob:
     items = tuple(
         JobItem(item_id=f"{job_id}{number}", path=path, headers={}, body=b"", tokens=1)
-        for number in range(2)
+        for number in range(count)
     )
     job = JobInput(
         job_id=job_id, host="h", path=path, owner="e#1", submitted=submitted, items=items
     )
-    progress = JobProgress(owner="e#1", total=2)
+    progress = JobProgress(owner="e#1", total=count)
     return make(job, StoredProgress(progress=progress, segments=(), version=0))
 
 
@@ -167,9 +183,9 @@
             ownership_uncertain_until=lambda: 0.0,
         )
 
-    def add(self, job_id: str, path: str, *, age: float) -> OwnedJob:
-        """Add a job of two items."""
-        job = _job(job_id, path, float(wall_millis()) - age, self._make)
+    def add(self, job_id: str, path: str, *, age: float, items: int = 2) -> OwnedJob:
+        """Add a job."""
+        job = _job(job_id, path, float(wall_millis()) - age, self._make, items)
         self.runner.add(job)
         return job
 
@@ -204,9 +220,7 @@
     system.add("waiting", "/short/x", age=10_000.0)
     expired = system.add("expired", "/long/x", age=31_000.0)
     system.runner.start()
-    deadline = system.clock.now() + 2_000.0
-    while len(expired.work.committed) < 2 and system.clock.now() < deadline:
-        time.sleep(0.02)
+    _await(lambda: len(expired.work.committed) == 2)
     system.runner.stop(1_000.0)
     assert [each.outcome for each in expired.work.committed] == [ItemOutcome.DEAD] * 2
 
@@ -214,14 +228,7 @@
 def test_near_due_items_use_reserved_slots_behind_an_item_that_may_not() -> None:
     """Guards against near-due items that wait behind an item with less right to the slots. The
     first one is due sooner, but its job has used little of its time."""
-    upstream = Upstream(
-        instance="i",
-        service="engine",
-        address=("127.0.0.1", 1),
-        failure_domain="z",
-        slots=8,
-        ready=True,
-    )
+    upstream = _upstream("engine", 8)
     system = _System(
         {"engine": [upstream]}, _route("/soon/", 20_000.0), _route("/late/", 120_000.0)
     )
@@ -235,6 +242,27 @@
     assert system.runs.order == ["urgent0", "urgent1"]
 
 
+def test_a_service_with_many_slots_leaves_runs_to_others() -> None:
+    """Guards against one service whose earlier items take each run of an entry that becomes free,
+    while the upstream of another one is idle."""
+    large = _upstream("large", 2 * MAX_CONCURRENT_RUNS)
+    system = _System(
+        {"large": [large], "engine": [ENGINE]},
+        _route("/large/", 20_000.0, service="large"),
+        _route("/idle/", 60_000.0),
+    )
+    ends = threading.Semaphore(0)
+    system.runs.before_end = lambda work: work.item.path != "/large/x" or ends.acquire(timeout=5.0)
+    system.add("large", "/large/x", age=10_000.0, items=3 * MAX_CONCURRENT_RUNS)
+    system.runner.start()
+    _await(lambda: len(system.runs.order) == MAX_CONCURRENT_RUNS)
+    system.add("idle", "/idle/x", age=0.0)
+    ends.release(2)
+    _await(lambda: {"idle0", "idle1"} <= set(system.runs.order))
+    ends.release(3 * MAX_CONCURRENT_RUNS)
+    system.runner.stop(1_000.0)
+
+
 def test_a_pass_visits_untouched_items_by_job() -> None:
     """Guards against passes whose time grows with the number of waiting items."""
     system = _System({}, _route("/none/", 20_000.0, service="none"))
