Online requests wait only for those of their own service

With the online queue in force, an entry handed slots of one service to peers whose requests waited for another one, and counted those requests in the predicted wait: 40 requests that waited at a peer for a service that stood still took three of three slots from an idle-again service for 120 ms each, and would have had its callers refused (200 requests at a peer: refused with a target of 1 s).

Cause: reports named no service.

Change: reports name the services, by a key of four bytes for each number or one if all are equal, as an eleventh element of a load hint and the field us of an announcement. Entries of the previous build add up the numbers of a class, and their own count for all services.

Failed before: test_requests_do_not_wait_behind_those_of_another_service (slot_handed three times). The second half of test_a_request_waits_only_for_those_of_its_service shows the refusal with a report without services.

--- a/packages/core/src/carobspool_core/online_queue/__init__.py
+++ b/packages/core/src/carobspool_core/online_queue/__init__.py
@@ -10,7 +10,12 @@
     QueuedRequest,
     WaitingClass,
 )
-from carobspool_core.online_queue._fleet_waiting import REPORT_TTL, FleetWaiting
+from carobspool_core.online_queue._fleet_waiting import (
+    REPORT_TTL,
+    FleetReports,
+    FleetWaiting,
+    WaitingByService,
+)
 from carobspool_core.online_queue._free_slots import HINT_AGE, HOLD_TIME, Competition, FreeSlots
 from carobspool_core.online_queue._handover import choose_receiver
 from carobspool_core.online_queue._handovers import HANDOVER_TIME, Handover, Handovers
@@ -46,6 +51,7 @@
     "ArrivalRates",
     "Competition",
     "EntryQueue",
+    "FleetReports",
     "FleetWaiting",
     "FreeSlots",
     "Handover",
@@ -54,6 +60,7 @@
     "QueuedRequest",
     "ReturnTimes",
     "RunTimes",
+    "WaitingByService",
     "WaitingClass",
     "choose_receiver",
     "cost_of",
--- a/packages/core/src/carobspool_core/online_queue/_free_slots.py
+++ b/packages/core/src/carobspool_core/online_queue/_free_slots.py
@@ -41,7 +41,7 @@
 that are not reported yet; within it some ten hints of each entry arrive."""
 SCARCE_SHARE = 0.125
 """Slots are scarce if less than this share of them is free, one at each engine of 8 slots. While
-they are not, requests that wait at other entries wait for other services."""
+they are not, no request waits for longer than its entry needs to place it."""
 MAX_DOUBLINGS = 16
 """Periods after which a slot is free to any number of entries."""
 MAX_CONSIDERED = 64
--- a/packages/core/src/carobspool_core/online_queue/_queue_report.py
+++ b/packages/core/src/carobspool_core/online_queue/_queue_report.py
@@ -10,11 +10,13 @@
 
     Attributes:
         waiting: Packed numbers of waiting requests.
+        services: Packed keys of the services of these numbers.
         handovers: Packed handovers of this entry that last.
         version: Changes when other handovers last than before; their ages change all the time.
     """
 
     waiting: bytes = b""
+    services: bytes = b""
     handovers: bytes = b""
     version: int = 0
 
@@ -24,9 +26,9 @@
         return bool(self.waiting or self.handovers)
 
     @property
-    def state(self) -> tuple[bytes, int]:
+    def state(self) -> tuple[bytes, bytes, int]:
         """What must reach the peers when it changes."""
-        return self.waiting, self.version
+        return self.waiting, self.services, self.version
 
 
 NOTHING_QUEUED = QueueReport()
--- a/packages/core/tests/test_online_queue.py
+++ b/packages/core/tests/test_online_queue.py
@@ -7,12 +7,14 @@
 
 import pytest
 
+from carobspool_core.direct import UNKNOWN_SERVICE
 from carobspool_core.online_queue import (
     HOLD_TIME,
     MIN_RETRY_AFTER,
     REPORT_TTL,
     Competition,
     EntryQueue,
+    FleetReports,
     FleetWaiting,
     FreeSlots,
     QueuedRequest,
@@ -129,6 +131,22 @@
     assert peers.ahead((1, 0)) == 0
 
 
+def test_requests_at_peers_count_for_their_service() -> None:
+    """Those of an entry of the previous version, which names no services, count for all."""
+    reports = FleetReports()
+    early = reports.service(1)
+    reports.update("e1", {1: {(0, 0): 2}, 2: {(0, 0): 5, (1, 0): 1}}, 0.0)
+    reports.update("e2", {UNKNOWN_SERVICE: {(0, 0): 3}}, 10.0)
+    late = reports.service(2)
+    assert (early.equal((0, 0)), late.equal((0, 0)), late.ahead((1, 0))) == (5, 8, 8)
+    assert (len(reports), reports.count("e1"), reports.oldest_age(20.0)) == (2, 8, 20.0)
+    assert reports.update("e1", {1: {(0, 0): 2}}, 20.0)
+    assert not reports.update("e2", {1: {(0, 0): 4}}, 20.0)
+    assert (early.equal((0, 0)), late.equal((0, 0))) == (6, 0)
+    reports.expire(21.0 + REPORT_TTL)
+    assert (len(reports), len(early), len(late)) == (0, 0, 0)
+
+
 def test_refused_callers_do_not_return_together() -> None:
     """Each refused caller gets the time of another slot, within the bounds of Retry-After."""
     returns = ReturnTimes()
--- a/packages/node/src/carobspool_node/direct/_announcement.py
+++ b/packages/node/src/carobspool_node/direct/_announcement.py
@@ -57,8 +57,8 @@
         message["t"] = pack_service_keys(hint.backlog)
     if hint.paces:
         message["m"] = hint.paces
-    if hint.queued:
-        message["u"] = hint.queued
+    if hint.queue.waiting:
+        message |= {"u": hint.queue.waiting, "us": hint.queue.services}
     return cbor2.dumps(message | _relay_fields(sender) | _job_fields(hint))
 
 
--- a/packages/node/src/carobspool_node/direct/_entry_hints.py
+++ b/packages/node/src/carobspool_node/direct/_entry_hints.py
@@ -122,7 +122,7 @@
         counts=parts.quota.recent_counts(ANNOUNCEMENT_RESEND_TIME),
         backlog=parts.runner.backlog(),
         paces=b"" if parts.paces is None else parts.paces.packed(),
-        queued=parts.queue.reports.report().waiting,
+        queue=parts.queue.reports.report(),
     )
 
 
--- a/packages/node/src/carobspool_node/direct/_hint_receiver.py
+++ b/packages/node/src/carobspool_node/direct/_hint_receiver.py
@@ -23,7 +23,6 @@
     read_counts_hint,
     read_load_hint,
     unpack_loads,
-    unpack_service_keys,
 )
 from carobspool_node.direct._origin_messages import OriginsHint, read_origins_hint
 from carobspool_node.direct._peer import Peer
@@ -32,6 +31,7 @@
 from carobspool_node.direct._relayed_hints import RelayedHints
 from carobspool_node.direct._suspect_messages import SuspectState, read_suspects_hint
 from carobspool_node.hint_relays import HintRelays, read_bundle
+from carobspool_node.online_queue import unpack_keys
 from carobspool_node.organisations import unpack_counts
 
 MAX_DATAGRAM_BYTES = 60_000
@@ -67,8 +67,8 @@
         without_loads: Called with a peer's name when a hint without loads has arrived.
         suspects: Called with changed evidence against requests that crash upstreams.
         origins: Called with the origin of streams that began at a peer.
-        waiting: Called with a peer's name and the packed numbers of online requests that wait
-            there.
+        waiting: Called with a peer's name, the packed numbers of online requests that wait there
+            and the packed keys of their services.
         handovers: Called with a peer's name, the packed slots that it hands over, and its loads by
             the upstream's key, after `waiting` and before `loads`.
     """
@@ -85,7 +85,7 @@
     suspects: Callable[[Sequence[SuspectState]], None] = lambda suspects: None
     origins: Callable[[OriginsHint], None] = lambda hint: None
     paces: Callable[[bytes], None] = lambda packed: None
-    waiting: Callable[[str, bytes], None] = lambda peer, packed: None
+    waiting: Callable[[str, bytes, bytes], None] = lambda peer, packed, services: None
     handovers: HandoversCallback = lambda peer, packed, loads: None
 
 
@@ -208,7 +208,7 @@
         new = self._table.record_hint(hint, relayed=relayed)
         if new.loads:
             self._events.backlog(hint.name, hint.backlog)
-            self._events.waiting(hint.name, hint.waiting)
+            self._events.waiting(hint.name, hint.waiting, hint.waiting_services)
             self._events.handovers(hint.name, hint.handovers, hint.loads)
             self._events.loads(hint.name, self._by_known_identity(hint.loads), None, True)
         if new.counts:
@@ -230,7 +230,7 @@
             f"{announcement.name}#{announcement.incarnation}",
             chain(announcement.open_jobs or (), announcement.done_jobs),
         )
-        services = unpack_service_keys(announcement.packed_services, len(announcement.backlog))
+        services = unpack_keys(announcement.packed_services, len(announcement.backlog))
         groups = [
             WaitingGroup(float(start_order), count, service)
             for (start_order, count), service in zip(announcement.backlog, services, strict=True)
@@ -252,7 +252,9 @@
                 announcement.name, announcement.incarnation, announcement.sequence
             )
         if new.loads:
-            self._events.waiting(announcement.name, announcement.packed_waiting)
+            self._events.waiting(
+                announcement.name, announcement.packed_waiting, announcement.waiting_services
+            )
             loads = by_identity(
                 {key: Load(*pair) for key, pair in announcement.loads.items()}, starts
             )
--- a/packages/node/src/carobspool_node/direct/_hint_sender.py
+++ b/packages/node/src/carobspool_node/direct/_hint_sender.py
@@ -226,8 +226,7 @@
             loads=loads,
             backlog=backlog,
             counts=counts,
-            waiting=queue.waiting,
-            handovers=queue.handovers,
+            queue=queue,
         )
 
     def _counts_hint(self, counts: Mapping[int, int], sequence: int) -> bytes:
--- a/packages/node/src/carobspool_node/direct/_load_hint.py
+++ b/packages/node/src/carobspool_node/direct/_load_hint.py
@@ -15,16 +15,17 @@
 from msgspec import Struct, field
 
 from carobspool_core import Json
-from carobspool_core.direct import UNKNOWN_SERVICE, Load, WaitingGroup, short_key_of
+from carobspool_core.direct import Load, WaitingGroup, short_key_of
+from carobspool_core.online_queue import NOTHING_QUEUED, QueueReport
 from carobspool_core.problems import Problem, UnusableRecordError
 from carobspool_node.direct._peer_messages import is_hint
+from carobspool_node.online_queue import pack_keys, unpack_keys
 from carobspool_node.organisations import pack_counts, unpack_counts
 
 _LOAD_HINT_KIND = "l"
 _COUNTS_HINT_KIND = "u"
 _LOAD_STRUCT = struct.Struct(">IHH")
 _GROUP_STRUCT = struct.Struct(">IH")
-_KEY_STRUCT = struct.Struct(">I")
 _MAX_UINT16 = 0xFFFF
 _MAX_UINT32 = 0xFFFFFFFF
 MAX_SEQUENCE = 2**53
@@ -43,6 +44,7 @@
         counts: Changed counts of the requests that the sender has admitted, by the organisation's
             key.
         waiting: Numbers of the online requests that wait at the sender, packed.
+        waiting_services: Keys of the services of these numbers, packed.
         handovers: Slots that the sender hands over, packed; ``None`` if the sender reports none.
     """
 
@@ -53,6 +55,7 @@
     backlog: Sequence[WaitingGroup]
     counts: Mapping[int, int] = field(default_factory=dict)
     waiting: bytes = b""
+    waiting_services: bytes = b""
     handovers: bytes | None = None
 
 
@@ -87,21 +90,8 @@
 
 
 def pack_service_keys(groups: Sequence[WaitingGroup]) -> bytes:
-    """Pack the services of waiting items: one key for each group, or one if all are equal."""
-    keys = [group.service_key for group in groups]
-    if len(set(keys)) == 1:
-        keys = keys[:1]
-    return b"".join(_KEY_STRUCT.pack(key) for key in keys)
-
-
-def unpack_service_keys(packed: bytes, count: int) -> list[int]:
-    """Unpack the services of ``count`` groups; without a key for each, all are unknown."""
-    if len(packed) % _KEY_STRUCT.size:
-        return [UNKNOWN_SERVICE] * count
-    keys = [key for (key,) in _KEY_STRUCT.iter_unpack(packed)]
-    if len(keys) == 1:
-        return keys * count
-    return keys if len(keys) == count else [UNKNOWN_SERVICE] * count
+    """Pack the services of waiting items."""
+    return pack_keys([group.service_key for group in groups])
 
 
 def encode_load_hint(
@@ -112,15 +102,14 @@
     loads: Mapping[str, Load],
     backlog: Sequence[WaitingGroup],
     counts: Mapping[int, int] | None = None,
-    waiting: bytes = b"",
-    handovers: bytes = b"",
+    queue: QueueReport = NOTHING_QUEUED,
 ) -> bytes:
     """Encode a load hint.
 
     Entries that do not read counts reject a load hint with counts. Entries that read counts accept
     what follows the counts. Handovers are added to each report of waiting requests, even if there
-    are none: they show that this entry reads handovers. The services of the waiting items come
-    last, since entries of the previous version do not read them.
+    are none: they show that this entry reads handovers. The services of the waiting items and of
+    the waiting requests come last, since entries of the previous version do not read them.
     """
     groups = b"".join(
         _GROUP_STRUCT.pack(min(int(group.start_order), _MAX_UINT32), min(group.items, _MAX_UINT16))
@@ -128,13 +117,14 @@
     )
     message = [_LOAD_HINT_KIND, name, incarnation, sequence, pack_loads(loads), groups]
     services = pack_service_keys(backlog)
-    has_queue = bool(waiting or handovers)
-    if counts or has_queue or services:
+    if counts or queue.is_reported or services:
         message.append(pack_counts(counts or {}))
-    if has_queue or services:
-        message += [waiting, handovers if has_queue else None]
-    if services:
+    if queue.is_reported or services:
+        message += [queue.waiting, queue.handovers if queue.is_reported else None]
+    if services or queue.services:
         message.append(services)
+    if queue.services:
+        message.append(queue.services)
     return cbor2.dumps(message)
 
 
@@ -168,9 +158,7 @@
         ] if (
             0 <= sequence <= MAX_SEQUENCE and len(groups) % _GROUP_STRUCT.size == 0
         ):
-            services = unpack_service_keys(
-                _read_bytes(counts, 3) or b"", len(groups) // _GROUP_STRUCT.size
-            )
+            services = unpack_keys(_read_bytes(counts, 3) or b"", len(groups) // _GROUP_STRUCT.size)
             backlog = [
                 WaitingGroup(float(start_order), items, service)
                 for (start_order, items), service in zip(
@@ -185,6 +173,7 @@
                 backlog=backlog,
                 counts=_read_counts(counts),
                 waiting=_read_bytes(counts, 1) or b"",
+                waiting_services=_read_bytes(counts, 4) or b"",
                 handovers=_read_bytes(counts, 2),
             )
     raise _unusable("(body)", repr(message)[:80], "a load hint")
--- a/packages/node/src/carobspool_node/direct/_peer.py
+++ b/packages/node/src/carobspool_node/direct/_peer.py
@@ -8,6 +8,7 @@
 
 from carobspool_core import Millis
 from carobspool_core.direct import Load, WaitingGroup
+from carobspool_core.online_queue import NOTHING_QUEUED, QueueReport
 
 RELAYED_ALLOWANCE: Millis = 350.0
 """Time for which relayed hints extend the last direct sign of life, so that one lost heartbeat does
@@ -110,4 +111,4 @@
     answer_age: Millis = 0.0
     counts: Mapping[int, int] = field(default_factory=dict)
     paces: bytes = b""
-    queued: bytes = b""
+    queue: QueueReport = NOTHING_QUEUED
--- a/packages/node/src/carobspool_node/direct/_peer_messages.py
+++ b/packages/node/src/carobspool_node/direct/_peer_messages.py
@@ -111,6 +111,7 @@
     )
     packed_paces: bytes = field(alias="m", default=b"")
     packed_waiting: bytes = field(alias="u", default=b"")
+    waiting_services: bytes = field(alias="us", default=b"")
     packed_services: bytes = field(alias="t", default=b"")
     separates_kinds: bool = field(alias="y", default=False)
 
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -286,7 +286,7 @@
 
     def _send_loop(self) -> None:
         announced_state: Hashable = None
-        sent_loads: tuple[Mapping[str, Load], tuple[bytes, int]] = ({}, NOTHING_QUEUED.state)
+        sent_loads: tuple[Mapping[str, Load], Hashable] = ({}, NOTHING_QUEUED.state)
         send_limiter = LoadSendLimiter()
         heartbeat_at: Millis = 0.0
         check_at: Millis = 0.0
--- a/packages/node/src/carobspool_node/online_queue/__init__.py
+++ b/packages/node/src/carobspool_node/online_queue/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from carobspool_node.online_queue._queue import OnlineQueue
+from carobspool_node.online_queue._reports import pack_keys, unpack_keys
 from carobspool_node.online_queue._requests import QueueRefusedError, WaitingRequest
 
-__all__ = ["OnlineQueue", "QueueRefusedError", "WaitingRequest"]
+__all__ = ["OnlineQueue", "QueueRefusedError", "WaitingRequest", "pack_keys", "unpack_keys"]
--- a/packages/node/src/carobspool_node/online_queue/_peer_reports.py
+++ b/packages/node/src/carobspool_node/online_queue/_peer_reports.py
@@ -43,19 +43,30 @@
         """Return the waiting requests and the handovers, for hints to the other entries."""
         handovers = self._queues.handovers
         with self._lock:
+            waiting, services = b"", b""
+            if self._queues.waiting:
+                waiting, services = pack_waiting(self._queues.counts())
             return QueueReport(
-                pack_waiting(self._queues.counts()) if self._queues.waiting else b"",
+                waiting,
+                services,
                 pack_handovers(handovers.lasting(self._clock.now())),
                 handovers.version,
             )
 
-    def apply_report(self, peer: str, packed: bytes) -> None:
-        """Take over the report of a peer."""
+    def apply_report(self, peer: str, packed: bytes, services: bytes = b"") -> None:
+        """Take over the report of a peer.
+
+        Args:
+            peer: Name of the peer.
+            packed: Its numbers of waiting requests.
+            services: Keys of the services of these numbers.
+        """
         sharers = self._sharers()
         if sharers is not None and peer not in sharers:
             packed = b""
         with self._lock:
-            fewer = self._queues.peers.update(peer, unpack_waiting(packed), self._clock.now())
+            counts = unpack_waiting(packed, services)
+            fewer = self._queues.peers.update(peer, counts, self._clock.now())
             is_due = bool(packed) and self._queues.has_own_slots
         if (self._queues.waiting and fewer) or is_due:
             self._wake()
--- a/packages/node/src/carobspool_node/online_queue/_reports.py
+++ b/packages/node/src/carobspool_node/online_queue/_reports.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Sequence
 
-from carobspool_core.online_queue import Handover, WaitingClass
+from carobspool_core.direct import UNKNOWN_SERVICE
+from carobspool_core.online_queue import Handover, WaitingByService, WaitingClass
 
 _RECORD = struct.Struct(">BBH")
+_KEY = struct.Struct(">I")
 _HANDOVER = struct.Struct(">IIHH")
 _MAX_BYTE = 0xFF
 _MAX_COUNT = 0xFFFF
@@ -31,15 +33,43 @@
     ]
 
 
-def pack_waiting(counts: Mapping[WaitingClass, int]) -> bytes:
-    """Pack the numbers of waiting requests by rank and class, the most urgent first."""
-    return b"".join(
-        _RECORD.pack(min(rank, _MAX_BYTE), is_late, min(counts[rank, is_late], _MAX_COUNT))
-        for rank, is_late in sorted(counts)
+def pack_keys(keys: Sequence[int]) -> bytes:
+    """Pack the keys of the services of a list: one for each element, or one if all are equal."""
+    if len(set(keys)) == 1:
+        keys = keys[:1]
+    return b"".join(_KEY.pack(key) for key in keys)
+
+
+def unpack_keys(packed: bytes, count: int) -> list[int]:
+    """Unpack the services of ``count`` elements; without a key for each, all are unknown."""
+    if len(packed) % _KEY.size:
+        return [UNKNOWN_SERVICE] * count
+    keys = [key for (key,) in _KEY.iter_unpack(packed)]
+    if len(keys) == 1:
+        return keys * count
+    return keys if len(keys) == count else [UNKNOWN_SERVICE] * count
+
+
+def pack_waiting(counts: WaitingByService) -> tuple[bytes, bytes]:
+    """Pack the numbers of waiting requests by rank and class, the most urgent first.
+
+    Returns:
+        The numbers, and the keys of their services. Entries of the previous version read the
+        numbers only and add up those of one class.
+    """
+    found = sorted(
+        (waiting, key, number)
+        for key, numbers in counts.items()
+        for waiting, number in numbers.items()
     )
+    packed = [
+        _RECORD.pack(min(rank, _MAX_BYTE), is_late, min(number, _MAX_COUNT))
+        for (rank, is_late), _, number in found
+    ]
+    return b"".join(packed), pack_keys([key for _, key, _ in found])
 
 
-def unpack_waiting(packed: bytes) -> dict[WaitingClass, int]:
+def unpack_waiting(packed: bytes, services: bytes = b"") -> WaitingByService:
     """Unpack the numbers of waiting requests.
 
     Bytes that are no whole records, and classes that this version does not know, count as nothing
@@ -47,8 +77,10 @@
     """
     if len(packed) % _RECORD.size:
         return {}
-    found: dict[WaitingClass, int] = {}
-    for rank, is_late, count in _RECORD.iter_unpack(packed):
+    found: dict[int, dict[WaitingClass, int]] = {}
+    keys = unpack_keys(services, len(packed) // _RECORD.size)
+    for key, (rank, is_late, count) in zip(keys, _RECORD.iter_unpack(packed), strict=True):
         if is_late in (0, 1) and count:
-            found[rank, is_late] = found.get((rank, is_late), 0) + count
+            numbers = found.setdefault(key, {})
+            numbers[rank, is_late] = numbers.get((rank, is_late), 0) + count
     return found
--- a/packages/node/src/carobspool_node/online_queue/_service_queue.py
+++ b/packages/node/src/carobspool_node/online_queue/_service_queue.py
@@ -37,7 +37,7 @@
 
     Args:
         name: Name of this entry.
-        peers: Requests that wait at the other entries.
+        peers: Requests of the service that wait at the other entries.
         handovers: Slots that are handed over between entries.
         draw: Random numbers.
         on_handover: Called for each slot that is handed over.
--- a/packages/node/src/carobspool_node/online_queue/_service_queues.py
+++ b/packages/node/src/carobspool_node/online_queue/_service_queues.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import threading
-from collections import Counter
 from collections.abc import Callable, Mapping
 from random import Random
 from typing import Generic
 
 from carobspool_core import Millis
-from carobspool_core.direct import Load
-from carobspool_core.online_queue import FleetWaiting, Handovers, RunTimes, WaitingClass
+from carobspool_core.direct import Load, short_key_of
+from carobspool_core.online_queue import FleetReports, Handovers, RunTimes, WaitingByService
 from carobspool_node.online_queue._queue_log import QueueLog
 from carobspool_node.online_queue._reports import unpack_handovers
 from carobspool_node.online_queue._requests import P, QueueRefusedError, Ticket
@@ -55,7 +54,7 @@
         self._draw = draw
         self._services: dict[str, ServiceQueue[P]] = {}
         self._log = log
-        self.peers = FleetWaiting()
+        self.peers = FleetReports()
         self.handovers = Handovers(name, first_number=draw.getrandbits(16))
         self.waiting: WaitingTickets[P] = WaitingTickets(lock)
 
@@ -64,7 +63,11 @@
         service = self._services.get(name)
         if service is None:
             service = self._services[name] = ServiceQueue(
-                self._name, self.peers, self.handovers, self._draw, self._log.handed
+                self._name,
+                self.peers.service(short_key_of(name)),
+                self.handovers,
+                self._draw,
+                self._log.handed,
             )
         return service
 
@@ -73,12 +76,13 @@
         found = self._services.get(name)
         return RunTimes().run if found is None else found.times.run
 
-    def counts(self) -> Mapping[WaitingClass, int]:
-        """Return the number of waiting requests of all services by rank and class."""
-        found: Counter[WaitingClass] = Counter()
-        for service in self._services.values():
-            found.update(service.queue.counts())
-        return found
+    def counts(self) -> WaitingByService:
+        """Return the number of waiting requests by the service's key, and by rank and class."""
+        return {
+            short_key_of(name): service.queue.counts()
+            for name, service in self._services.items()
+            if len(service.queue)
+        }
 
     def observe(self, name: str, now: Millis) -> None:
         """Read the free slots of a service."""
--- a/packages/node/src/carobspool_node/online_queue/_service_slots.py
+++ b/packages/node/src/carobspool_node/online_queue/_service_slots.py
@@ -29,7 +29,7 @@
     """The free slots of one service. Not thread-safe; callers pass in the time.
 
     Args:
-        peers: Requests that wait at the other entries.
+        peers: Requests of the service that wait at the other entries.
         handovers: Slots that are handed over between entries.
         draw: Random numbers.
         on_handover: Called for each slot that is handed over.
--- a/packages/node/tests/test_online_queue.py
+++ b/packages/node/tests/test_online_queue.py
@@ -10,13 +10,16 @@
 import cbor2
 import pytest
 
-from carobspool_core.direct import Load, Upstream
+from carobspool_core.direct import UNKNOWN_SERVICE, Load, Upstream, short_key_of
+from carobspool_core.online_queue import QueueReport
 from carobspool_node.direct._load_hint import encode_load_hint, read_load_hint
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.online_queue import OnlineQueue, QueueRefusedError, WaitingRequest
 from carobspool_node.online_queue._reports import pack_waiting, unpack_waiting
 from carobspool_node.online_queue._requests import Ticket
 
+SERVICE = short_key_of("s")
+
 
 class _Clock:
     def __init__(self) -> None:
@@ -107,10 +110,10 @@
             except Exception as error:  # noqa: BLE001
                 outcome.append(error)
 
-        before = self.queue.reports.report().waiting
+        before = self.queue.reports.report().state
         thread = threading.Thread(target=run, daemon=True)
         thread.start()
-        _until(lambda: self.queue.reports.report().waiting != before or bool(outcome))
+        _until(lambda: self.queue.reports.report().state != before or bool(outcome))
         return thread, outcome
 
 
@@ -130,14 +133,19 @@
 def test_reports_are_the_eighth_element_and_absent_if_nothing_waits() -> None:
     """Entries of the previous build read seven elements, and a deployment without the setting must
     send the bytes that it sent before."""
-    counts = {(2, 1): 3, (0, 0): 70_000}
-    message = cbor2.loads(_hint(waiting=pack_waiting(counts)))
-    assert message[6:] == [b"", b"\x00\x00\xff\xff\x02\x01\x00\x03", b""]
+    waiting, services = pack_waiting({SERVICE: {(2, 1): 3, (0, 0): 70_000}})
+    message = cbor2.loads(_hint(queue=QueueReport(waiting, services)))
+    assert message[6:10] == [b"", b"\x00\x00\xff\xff\x02\x01\x00\x03", b"", b""]
+    assert message[10:] == [SERVICE.to_bytes(4, "big")]
     assert len(cbor2.loads(_hint())) == 6
     assert len(cbor2.loads(_hint(counts={1: 2}))) == 7
     read = read_load_hint(message)
     assert read is not None
-    assert unpack_waiting(read.waiting) == {(0, 0): 65_535, (2, 1): 3}
+    found = {(0, 0): 65_535, (2, 1): 3}
+    assert unpack_waiting(read.waiting, read.waiting_services) == {SERVICE: found}
+    previous = read_load_hint(message[:9])
+    assert previous is not None
+    assert unpack_waiting(previous.waiting, previous.waiting_services) == {UNKNOWN_SERVICE: found}
     later = read_load_hint([*message[:7], {"of": "a later build"}, 9])
     assert later is not None
     assert later.waiting == b""
@@ -145,6 +153,21 @@
     assert unpack_waiting(b"\x00\x07\x00\x01") == {}
 
 
+def test_a_request_waits_only_for_those_of_its_service() -> None:
+    """Guards against a refusal because of requests that wait at a peer for another service."""
+    entry = _Entry()
+    waiting, services = pack_waiting({short_key_of("other"): {(0, 0): 200}})
+    entry.queue.reports.apply_report("e2", waiting, services)
+    target = {"target_latency": 1_000.0}
+    thread, outcome = entry.wait(entry.request(**target))
+    assert not outcome
+    entry.queue.reports.apply_report("e2", waiting)
+    _, refused = entry.wait(entry.request(**target))
+    assert isinstance(refused[0], QueueRefusedError)
+    entry.queue.close()
+    thread.join(2.0)
+
+
 def test_a_place_is_given_up_if_the_caller_leaves_as_it_gets_it() -> None:
     """The slot of a request that is never sent would stay counted for ever."""
     entry = _Entry()
@@ -173,7 +196,9 @@
     refused = waits[1][1][0]
     assert isinstance(refused, QueueRefusedError)
     assert refused.status == 503
-    assert unpack_waiting(entry.queue.reports.report().waiting) == {(0, 0): 1, (1, 0): 1}
+    report = entry.queue.reports.report()
+    counts = unpack_waiting(report.waiting, report.services)
+    assert counts == {SERVICE: {(0, 0): 1, (1, 0): 1}}
     entry.queue.close()
     for thread, outcome in waits:
         thread.join(2.0)
--- a/packages/node/tests/test_slot_handover.py
+++ b/packages/node/tests/test_slot_handover.py
@@ -11,7 +11,7 @@
 import pytest
 
 from carobspool_core.direct import FleetLoads, Load, Upstream, short_key_of
-from carobspool_core.online_queue import HANDOVER_TIME, HOLD_TIME
+from carobspool_core.online_queue import HANDOVER_TIME, HOLD_TIME, QueueReport
 from carobspool_node.direct._load_hint import encode_load_hint, read_load_hint
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.online_queue._queue_log import QueueLog
@@ -74,14 +74,15 @@
 
     def hint(self, *, is_previous_build: bool = False) -> list[Any]:
         """Return this entry's load hint, as decoded."""
+        waiting, services = pack_waiting(self.queues.counts())
+        handovers = pack_handovers(self.handovers.lasting(self.now))
         data = encode_load_hint(
             name=self.name,
             incarnation="a",
             sequence=1,
             loads={SLOT: Load(self.own, 0)},
             backlog=(),
-            waiting=pack_waiting(self.queues.counts()),
-            handovers=pack_handovers(self.handovers.lasting(self.now)),
+            queue=QueueReport(waiting, services, handovers),
         )
         message: list[Any] = cbor2.loads(data)
         return message[:8] if is_previous_build else message
@@ -90,7 +91,8 @@
         """Receive a hint."""
         hint = read_load_hint(message)
         assert hint is not None
-        self.queues.peers.update(hint.name, unpack_waiting(hint.waiting), self.now)
+        counts = unpack_waiting(hint.waiting, hint.waiting_services)
+        self.queues.peers.update(hint.name, counts, self.now)
         self.queues.apply_handovers(hint.name, hint.handovers, hint.loads, self.now)
         self.loads.update_peer(hint.name, {SLOT: hint.loads[short_key_of(SLOT)]}, self.now)
         self.queues.start_all(self.now)
@@ -208,6 +210,7 @@
     _tell(receiver, sender)
     sender.receive(receiver.hint(is_previous_build=True))
     sender.end_one(sender.now + TICK)
-    assert sender.queues.peers.by_peer((0, 0)) == {"receiver": 1}
+    waiting = sender.queues.peers.service(short_key_of("s"))
+    assert waiting.by_peer((0, 0)) == {"receiver": 1}
     assert not sender.handovers.lasting(sender.now)
     assert not sender.handovers.readers.are_all
--- a/tests/direct/test_online_queue.py
+++ b/tests/direct/test_online_queue.py
@@ -283,6 +283,31 @@
     assert names <= set(gates[1].started)
 
 
+def test_requests_do_not_wait_behind_those_of_another_service(tmp_path: Path) -> None:
+    """Guards against refusals, and slots that are handed over, because of requests that wait at
+    another entry for a service that stands still."""
+    still = route("/still/", "streaming", "still", target_latency_ms=9_000, timeout_ms=9_000)
+    with deployment(tmp_path, *ROUTES, still) as system:
+        gate, still_gate, callers = _gate(system), Gate(), Callers()
+        system.start_server("still", still_gate.handle)
+        first, second = _two_entries(system)
+        _warm_up(first, gate, callers)
+        _fill(first, gate, callers)
+        for number in range(PLACES + 40):
+            callers.send(second, f"still-{number}", "/still/a")
+        _wait_queued(second, 40)
+        time.sleep(0.2)
+        for number in range(3):
+            callers.send(first, f"waiting-{number}")
+        _wait_queued(first, 3)
+        gate.release(PLACES + 3)
+        eventually(lambda: len(callers.answers) == PLACES + 3, 2.0)
+        assert {answer.status for answer in callers.answers.values()} == {200}
+        assert not first.log_lines_containing("event=slot_handed")
+        assert not first.log_lines_containing("event=queue_refused")
+        still_gate.release(PLACES + 40)
+
+
 def test_requests_that_cannot_be_on_time_are_refused_at_once(system: Deployment) -> None:
     """More requests wait than can start in time. Without the refusal they would all be late."""
     gate, callers = _gate(system), Callers()
