Waiting requests of one service do not displace those of another

An entry holds 256 waiting online requests, and 8 MB of their bodies. Beyond that it refused the least urgent of all: requests of a service that stands still could fill these places, and each request of another service with a less urgent rank was refused at once, though its slots became free all the time.

Change: only services with at least an equal share of the exceeded bound give way, among them the least urgent request as before. Requests of one service are refused in the order of before.

Failed before: test_a_service_that_stands_still_does_not_take_all_places[bytes, requests] (the request of the other service was refused).

--- a/packages/node/src/carobspool_node/online_queue/_service_queues.py
+++ b/packages/node/src/carobspool_node/online_queue/_service_queues.py
@@ -152,9 +152,20 @@
         self.waiting.remove(ticket)
 
     def evict_surplus(self, now: Millis) -> None:
-        """Refuse the least urgent requests of all services while too many wait."""
+        """Refuse the least urgent requests while too many wait.
+
+        Those of services with less than an equal share of the places stay: the others do not wait
+        for the same slots.
+        """
         while self.waiting.exceed_bounds:
-            fullest = max(self._services.values(), key=lambda each: each.queue.least_urgent())
+            queued = [each for each in self._services.values() if len(each.queue)]
+            if not queued:
+                return
+            shares = [self.waiting.share_of(each.tickets) for each in queued]
+            # The mean of equal numbers can exceed them by a rounding error.
+            equal = min(max(shares), sum(shares) / len(shares))
+            crowded = [queue for queue, share in zip(queued, shares, strict=True) if share >= equal]
+            fullest = max(crowded, key=lambda each: each.queue.least_urgent())
             evicted = fullest.evict(now)
             if evicted is None:
                 return
--- a/packages/node/src/carobspool_node/online_queue/_waiting_tickets.py
+++ b/packages/node/src/carobspool_node/online_queue/_waiting_tickets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Sequence
 from typing import Generic
 
 from carobspool_core.online_queue import MAX_WAITING
@@ -33,6 +34,12 @@
         """Whether more requests wait than the process may hold."""
         return len(self._tickets) > MAX_WAITING or self._body_bytes > MAX_BODY_BYTES
 
+    def share_of(self, tickets: Sequence[Ticket[P]]) -> float:
+        """Return the share of some of the requests in the bound that is exceeded, 0 to 1."""
+        if len(self._tickets) > MAX_WAITING:
+            return len(tickets) / len(self._tickets)
+        return sum(each.request.body_bytes for each in tickets) / max(1, self._body_bytes)
+
     def all(self) -> list[Ticket[P]]:
         """Return all waiting requests."""
         return list(self._tickets.values())
--- a/packages/node/tests/test_online_queue.py
+++ b/packages/node/tests/test_online_queue.py
@@ -14,7 +14,12 @@
 from carobspool_core.online_queue import QueueReport
 from carobspool_node.direct._load_hint import encode_load_hint, read_load_hint
 from carobspool_node.direct._telemetry import Telemetry
-from carobspool_node.online_queue import OnlineQueue, QueueRefusedError, WaitingRequest
+from carobspool_node.online_queue import (
+    OnlineQueue,
+    QueueRefusedError,
+    WaitingRequest,
+    _waiting_tickets,
+)
 from carobspool_node.online_queue._reports import pack_waiting, unpack_waiting
 from carobspool_node.online_queue._requests import Ticket
 
@@ -168,6 +173,29 @@
     thread.join(2.0)
 
 
+@pytest.mark.parametrize(
+    ("most", "body_bytes"), [(256, 3_000_000), (2, 0)], ids=["bytes", "requests"]
+)
+def test_a_service_that_stands_still_does_not_take_all_places(
+    monkeypatch: pytest.MonkeyPatch, most: int, body_bytes: int
+) -> None:
+    """Guards against requests of one service that fill the bounds of the process: those of another
+    one, which are less urgent, were all refused."""
+    monkeypatch.setattr(_waiting_tickets, "MAX_WAITING", most)
+    entry = _Entry()
+    still = [
+        entry.wait(entry.request(service="still", body_bytes=body_bytes, rank=lambda: 0))
+        for _ in range(2)
+    ]
+    other = entry.wait(entry.request(body_bytes=body_bytes, rank=lambda: 1))
+    _until(lambda: bool(still[0][1] or still[1][1]))
+    assert not other[1]
+    entry.queue.close()
+    for thread, outcome in (*still, other):
+        thread.join(2.0)
+        assert isinstance(outcome[0], QueueRefusedError)
+
+
 def test_a_place_is_given_up_if_the_caller_leaves_as_it_gets_it() -> None:
     """The slot of a request that is never sent would stay counted for ever."""
     entry = _Entry()
