Requests that cross the end of an idle wait are answered

Cause: for a new connection the entry ended the wait of the one idle for longest by shutting its input down. A request that had arrived by then was served, but the watch for callers that leave read that end of the input, took the caller for gone, cancelled the call and reset the connection.

Change: an event beside the socket ends the wait, so that the input shows only what the caller does. A connection whose request has crossed goes on and the next idle one gives way; before it counted as ending for as long as the request took, and the new caller waited for its thread.

Failed before: test_a_request_that_arrives_as_its_idle_connection_is_closed_is_answered (reset by the entry).

--- a/packages/node/src/carobspool_node/direct/_caller_connection.py
+++ b/packages/node/src/carobspool_node/direct/_caller_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import threading
 
@@ -25,11 +26,52 @@
 """
 
 
+class _WaitStoppedError(Exception):
+    """Raised when another task ends the wait for a request."""
+
+
+class _WaitStop:
+    """Ends the wait for a request from another task.
+
+    The input of the connection stays open: a request that arrives meanwhile is served, and the end
+    of the input still shows that its caller has left.
+    """
+
+    __slots__ = ("_event",)
+
+    def __init__(self) -> None:
+        self._event = os.eventfd(0, os.EFD_CLOEXEC | os.EFD_NONBLOCK)
+
+    def fileno(self) -> int:
+        """Return the descriptor to poll."""
+        return self._event
+
+    def check(self, flags: int) -> None:
+        """Raise `_WaitStoppedError`; the descriptor is readable once `set` was called."""
+        raise _WaitStoppedError
+
+    def set(self) -> None:
+        """End the wait that is in progress, or the next one at once."""
+        os.eventfd_write(self._event, 1)
+
+    def clear(self) -> None:
+        """Let the next wait last again, after `set`."""
+        os.eventfd_read(self._event)
+
+    def release(self) -> None:
+        """Close the descriptor; no other task may call `set` afterwards."""
+        os.close(self._event)
+
+
 class CallerConnection:
-    """An HTTP server connection that serves its requests one after the other."""
+    """An HTTP server connection that serves its requests one after the other.
+
+    `release` must be called once the connection is closed.
+    """
 
     def __init__(self, sock: socket.socket, clock: Clock, names: HeaderNames) -> None:
         prepare(sock)
+        self._stop = _WaitStop()
         self._clock = clock
         self._names = names
         self._channel = Channel(sock, h11.Connection(h11.SERVER), clock)
@@ -57,7 +99,15 @@
 
     def stop_waiting(self) -> None:
         """End `wait_for_request` from another task; bytes that have arrived are still read."""
-        self._channel.shut_down_input()
+        self._stop.set()
+
+    def keep_waiting(self) -> None:
+        """Take back `stop_waiting`, after which a request was read all the same."""
+        self._stop.clear()
+
+    def release(self) -> None:
+        """Release what the connection holds beside its socket."""
+        self._stop.release()
 
     def read_request(self, limits: CallerLimits) -> CallerRequest | None:
         """Return the next request, ``None`` if the caller sends no more.
@@ -172,10 +222,15 @@
     def _wait_for_request(self, idle_timeout: Millis) -> bool:
         if self._channel.http.trailing_data[0]:
             return True
+        deadline = self._clock.now() + idle_timeout
         try:
-            data = self._channel.receive(self._clock.now() + idle_timeout)
+            data = self._channel.receive(deadline, self._stop)
         except DeadlinePassedError:
             return False
+        except _WaitStoppedError:
+            if not self._channel.has_input():
+                return False
+            data = self._channel.receive(deadline)
         if not data:
             return False
         self._channel.http.receive_data(data)
--- a/packages/node/src/carobspool_node/direct/_channel.py
+++ b/packages/node/src/carobspool_node/direct/_channel.py
@@ -11,6 +11,7 @@
 import socket
 import threading
 from collections import deque
+from typing import Protocol
 
 import h11
 
@@ -81,6 +82,16 @@
                 _shut_down_socket(self._socket)
 
 
+class Watch(Protocol):
+    """What can end a wait for a socket from outside."""
+
+    def fileno(self) -> int | None:
+        """Return the descriptor to poll, ``None`` if there is none."""
+
+    def check(self, flags: int) -> None:
+        """Raise an exception if ``flags`` of poll show that the wait must end."""
+
+
 class CallerWatch:
     """Detects that the caller of a request has disconnected."""
 
@@ -252,7 +263,7 @@
                 self._raise_if_cancelled()
                 raise ConnectionBrokenError(f"not proper HTTP: {error}") from error
 
-    def receive(self, deadline: Millis, watch: CallerWatch | None = None) -> bytes:
+    def receive(self, deadline: Millis, watch: Watch | None = None) -> bytes:
         """Return the next bytes; empty if the peer has closed the connection."""
         self._wait(select.POLLIN, deadline, watch)
         try:
@@ -308,11 +319,6 @@
         poller.register(self._socket, select.POLLIN)
         return bool(poller.poll(0))
 
-    def shut_down_input(self) -> None:
-        """End a wait for input in another task, as if the peer had closed the connection."""
-        with contextlib.suppress(OSError):
-            self._socket.shutdown(socket.SHUT_RD)
-
     def close(self) -> None:
         """Close the connection."""
         if self._cancellation is not None:
@@ -325,7 +331,7 @@
             self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
         self.close()
 
-    def _wait(self, flags: int, deadline: Millis, watch: CallerWatch | None) -> int:
+    def _wait(self, flags: int, deadline: Millis, watch: Watch | None) -> int:
         own_fd = self._socket.fileno()
         if own_fd < 0:
             raise ConnectionBrokenError("connection closed")
--- a/packages/node/src/carobspool_node/direct/_listener.py
+++ b/packages/node/src/carobspool_node/direct/_listener.py
@@ -156,21 +156,29 @@
 
         Closes the connections that have been idle for longest if too few workers are free.
         """
-        now = self._clock.now()
         with self._lock:
-            missing = self._open_connections - len(self._ending) - self._workers
-            if missing <= 0:
-                return True
-            idle: list[CallerConnection] = []
-            for connection, since in self._idle_since.items():
-                if len(idle) >= missing or now - since < MIN_IDLE:
-                    break
-                idle.append(connection)
-            for connection in idle:
-                del self._idle_since[connection]
-                self._ending.add(connection)
-                connection.stop_waiting()
-        return len(idle) >= missing or not self._others_serve()
+            has_worker = self._end_idle_connections()
+        return has_worker or not self._others_serve()
+
+    def _end_idle_connections(self) -> bool:
+        """Close idle connections while others wait; return whether a worker is free for each.
+
+        The caller holds the lock.
+        """
+        missing = self._open_connections - len(self._ending) - self._workers
+        if missing <= 0:
+            return True
+        now = self._clock.now()
+        idle: list[CallerConnection] = []
+        for connection, since in self._idle_since.items():
+            if len(idle) >= missing or now - since < MIN_IDLE:
+                break
+            idle.append(connection)
+        for connection in idle:
+            del self._idle_since[connection]
+            self._ending.add(connection)
+            connection.stop_waiting()
+        return len(idle) >= missing
 
     def _serve(self, sock: socket.socket) -> None:
         connection: CallerConnection | None = None
@@ -195,6 +203,7 @@
                 self._open_connections -= 1
                 if connection is not None:
                     self._ending.discard(connection)
+                    connection.release()
 
     def _wait_for_request(self, connection: CallerConnection, *, is_first: bool) -> bool:
         """Wait for the next request; return whether there is one.
@@ -206,11 +215,18 @@
             if others_wait and not is_first:
                 return False
             self._idle_since[connection] = self._clock.now()
+        has_request = False
         try:
-            return connection.wait_for_request(self._limits().idle_timeout)
+            has_request = connection.wait_for_request(self._limits().idle_timeout)
         finally:
             with self._lock:
                 self._idle_since.pop(connection, None)
+                if has_request and connection in self._ending:
+                    # Its request has crossed the end of its wait; another connection gives way.
+                    self._ending.discard(connection)
+                    connection.keep_waiting()
+                    self._end_idle_connections()
+        return has_request
 
     def _serve_one(self, connection: CallerConnection) -> bool:
         try:
--- a/packages/node/tests/test_direct_caller_connection.py
+++ b/packages/node/tests/test_direct_caller_connection.py
@@ -39,11 +39,12 @@
 
 
 @pytest.fixture
-def connection(sockets: tuple[socket.socket, socket.socket]) -> CallerConnection:
+def connection(sockets: tuple[socket.socket, socket.socket]) -> Iterator[CallerConnection]:
     """The entry's side of the connection, with the request read."""
     found = CallerConnection(sockets[1], boottime_clock(), HeaderNames())
     assert found.read_request(CallerLimits()) is not None
-    return found
+    yield found
+    found.release()
 
 
 def _received(caller: socket.socket) -> bytes:
--- a/packages/node/tests/test_direct_listener.py
+++ b/packages/node/tests/test_direct_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import select
 import socket
 import threading
 import time
@@ -14,11 +15,14 @@
 from carobspool_core import boottime_clock
 from carobspool_core.direct import CallerLimits
 from carobspool_node.direct._caller_connection import CallerConnection
+from carobspool_node.direct._errors import CallerGoneError
 from carobspool_node.direct._listener import Listener
 from carobspool_node.direct._messages import CallerRequest, HeaderNames
 
 WORKERS = 8
 AGE_S = 0.2
+WATCHED_S = 0.1
+ARRIVED_S = 0.05
 READ_IN_S = 0.5
 """PROTOCOL.md: a caller gives up a request that is not read within a second."""
 
@@ -28,6 +32,7 @@
 
     def __init__(self, others_serve: Callable[[], bool] = lambda: True) -> None:
         self._ended = threading.Event()
+        self.left: list[str] = []
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.address = free.getsockname()
         self.listener = Listener(
@@ -51,6 +56,12 @@
         self.listener.close_socket()
 
     def _handle(self, request: CallerRequest, caller: CallerConnection) -> None:
+        if request.path == "/watched":
+            try:
+                _watch(caller, WATCHED_S)
+            except CallerGoneError:
+                self.left.append(request.path)
+                raise
         if request.path != "/stream":
             caller.answer(200, [], b"ok")
             return
@@ -60,6 +71,19 @@
         caller.finish_stream()
 
 
+def _watch(caller: CallerConnection, for_s: float) -> None:
+    """Watch the caller for as long as a request takes at its upstream."""
+    watch = caller.watch
+    descriptor = watch.fileno()
+    assert descriptor is not None
+    poller = select.poll()
+    poller.register(descriptor, select.POLLIN)
+    until = time.monotonic() + for_s
+    while time.monotonic() < until:
+        for _, flags in poller.poll(10.0):
+            watch.check(flags)
+
+
 @pytest.fixture
 def stack() -> Iterator[ExitStack]:
     with ExitStack() as found:
@@ -126,6 +150,52 @@
     assert len(streams) == WORKERS
 
 
+def _send_as_it_is_closed(
+    monkeypatch: pytest.MonkeyPatch, connection: http.client.HTTPConnection
+) -> None:
+    """Send a request just before the listener closes the connection that has idled for longest."""
+    stop_waiting = CallerConnection.stop_waiting
+
+    def stop_waiting_late(idle: CallerConnection) -> None:
+        monkeypatch.undo()
+        connection.request("GET", "/watched")
+        time.sleep(ARRIVED_S)
+        stop_waiting(idle)
+
+    monkeypatch.setattr(CallerConnection, "stop_waiting", stop_waiting_late)
+
+
+def test_a_request_that_arrives_as_its_idle_connection_is_closed_is_answered(
+    stack: ExitStack, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests that are passed on and then cut, as if their callers had left."""
+    entry = Entry()
+    stack.callback(entry.close)
+    kept = [_connect(stack, entry) for _ in range(WORKERS)]
+    assert [_call(each) for each in kept] == [200] * len(kept)
+    time.sleep(AGE_S)
+    _send_as_it_is_closed(monkeypatch, kept[0])
+    assert _call(_connect(stack, entry)) == 200
+    response = kept[0].getresponse()
+    assert (response.status, response.read()) == (200, b"ok")
+
+
+def test_a_caller_that_leaves_is_noticed_on_a_connection_that_is_to_be_closed(
+    stack: ExitStack, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests that run on for callers who have left."""
+    entry = Entry()
+    stack.callback(entry.close)
+    kept = [_connect(stack, entry) for _ in range(WORKERS)]
+    assert [_call(each) for each in kept] == [200] * len(kept)
+    time.sleep(AGE_S)
+    _send_as_it_is_closed(monkeypatch, kept[0])
+    assert _call(_connect(stack, entry)) == 200
+    kept[0].close()
+    time.sleep(2 * WATCHED_S)
+    assert entry.left == ["/watched"]
+
+
 def test_a_connection_in_use_is_not_closed_for_another_caller(stack: ExitStack) -> None:
     """Guards against closing a connection whose caller sends its next request."""
     entry = Entry()
