--- a/tests/direct/test_stream_backups.py
+++ b/tests/direct/test_stream_backups.py
@@ -85,7 +85,8 @@
     pauses = sorted(each.longest_pause for each in sure if each.request_id in lost)
     assert len(pauses) >= 4
     print(f"{len(pauses)} continued, longest pauses {[round(each, 3) for each in pauses]}")
-    assert pauses[int(len(pauses) * 0.95)] <= GAP_AIM_S
+    # The pauses at the entries tell a late continuation from a test process that reads late.
+    assert pauses[int(len(pauses) * 0.95)] <= GAP_AIM_S, fleet.lines("event=stream_continued")
 
 
 @pytest.mark.parametrize("fault", ["absent", "full", "crashed", "gap"])
