A job that cannot be taken over does not keep others without an owner

An error while one job was taken over ended the pass over all jobs without an owner, again in each pass; after a start it ended the thread that lists the stored jobs, so that none of them got an owner there.

Change: the error is logged with the job (event=takeover_failed), which stays an orphan, and the others go on. Failed before: test_a_job_that_cannot_be_taken_over_does_not_keep_others_without_an_owner [orphan, listed].

--- a/packages/node/src/carobspool_node/direct/_job_adoption.py
+++ b/packages/node/src/carobspool_node/direct/_job_adoption.py
@@ -176,14 +176,15 @@
         with self._orphans_lock:
             orphans = dict(self._orphans)
         for job_id, orphan in orphans.items():
-            if self._has_known_owner(job_id):
-                resolved = True
-            elif is_assigned(job_id) or now - orphan.since > FALLBACK_ADOPTION_DELAY:
-                resolved = self.ensure_owner(job_id, orphan.reason, lost_owner=orphan.lost_owner)
-                if resolved and self._runner.get(job_id) is not None:
-                    self._telemetry.observe_duration("job_orphan", self._clock.now() - orphan.since)
-            else:
-                resolved = False
+            is_due = now - orphan.since > FALLBACK_ADOPTION_DELAY
+            try:
+                resolved = self._has_known_owner(job_id) or (
+                    (is_assigned(job_id) or is_due) and self._adopt(job_id, orphan)
+                )
+            except Exception:  # noqa: BLE001
+                # The other orphans must not wait for one that fails each time.
+                logging.exception("event=takeover_failed job=%s", job_id)
+                continue
             if resolved:
                 with self._orphans_lock:
                     self._orphans.pop(job_id, None)
@@ -201,12 +202,24 @@
         if not is_successful(progress) or not is_successful(inputs):
             return False
         for job_id, stored in inputs.unwrap().objects.items():
-            if not self._has_known_owner(job_id):
+            if self._has_known_owner(job_id):
+                continue
+            try:
                 self._recover_job(
                     job_id, stored, progress.unwrap().objects.get(job_id), is_assigned
                 )
+            except Exception:  # noqa: BLE001
+                logging.exception("event=takeover_failed job=%s", job_id)
+                self.add_orphans([job_id], "recovered")
         return True
 
+    def _adopt(self, job_id: str, orphan: _Orphan) -> bool:
+        """Find an owner for an orphan; return whether nothing is left to do."""
+        resolved = self.ensure_owner(job_id, orphan.reason, lost_owner=orphan.lost_owner)
+        if resolved and self._runner.get(job_id) is not None:
+            self._telemetry.observe_duration("job_orphan", self._clock.now() - orphan.since)
+        return resolved
+
     def _recover_job(
         self,
         job_id: str,
--- a/packages/node/tests/test_direct_job_adoption.py
+++ b/packages/node/tests/test_direct_job_adoption.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 import pytest
 
@@ -58,18 +60,25 @@
         """Do nothing, since there is no peer."""
 
 
+def _store_job(records: JobRecords, job_id: str, owner: str) -> None:
+    item = JobItem(item_id="i", path="/", headers={}, body=b"", tokens=1)
+    given = JobInput(job_id=job_id, host="h", path="/", owner=owner, submitted=0.0, items=(item,))
+    assert records.create_input(given)
+
+
 def _start_with_stored_job(
     job_owner: str,
     peers: _Peers | None = None,
     clock: _Clock | None = None,
     *,
     are_peers_known: bool = False,
+    others: Sequence[str] = (),
 ) -> tuple[JobAdoption, _Runner]:
-    """Return the adoption and runner of an entry that has just started, with a job in the store."""
+    """Return the adoption and runner of an entry that has just started, with jobs in the store."""
     records = JobRecords(MemoryStore(MemoryObjects(), "e2"), 1_048_576)
-    item = JobItem(item_id="i", path="/", headers={}, body=b"", tokens=1)
-    given = JobInput(job_id="j", host="h", path="/", owner=job_owner, submitted=0.0, items=(item,))
-    assert records.create_input(given)
+    _store_job(records, "j", job_owner)
+    for job_id in others:
+        _store_job(records, job_id, job_owner)
     runner = _Runner()
     adoption = JobAdoption(
         clock or _Clock(),
@@ -118,6 +127,28 @@
     )
 
 
+@pytest.mark.parametrize("listed", [False, True], ids=["orphan", "listed"])
+def test_a_job_that_cannot_be_taken_over_does_not_keep_others_without_an_owner(
+    monkeypatch: pytest.MonkeyPatch, listed: bool
+) -> None:
+    """Guards against a takeover of all jobs that ends at the first one with an error."""
+    adoption, runner = _start_with_stored_job("e1#1", are_peers_known=True, others=["a", "z"])
+    start_owning = JobAdoption.start_owning
+
+    def fail_for_one(self: JobAdoption, job: JobInput, *args: Any, **named: Any) -> None:
+        if job.job_id == "j":
+            raise ValueError("a record of another kind")
+        start_owning(self, job, *args, **named)
+
+    monkeypatch.setattr(JobAdoption, "start_owning", fail_for_one)
+    if listed:
+        assert adoption.take_over_stored_jobs(lambda job_id, owner: True)
+    else:
+        adoption.add_orphans(["a", "j", "z"], "lost e1#1", lost_owner="e1#1")
+        adoption.adopt_orphans(lambda job_id: True)
+    assert set(runner.jobs) == {"a", "z"}
+
+
 @pytest.mark.parametrize("listed", [False, True], ids=["resubmitted", "listed"])
 def test_job_is_left_to_a_live_owner_that_has_not_named_it_yet(listed: bool) -> None:
     """A job can be read from the store before the store's answer has reached the entry that wrote
