--- a/packages/node/tests/test_direct_listener.py
+++ b/packages/node/tests/test_direct_listener.py
@@ -150,33 +150,34 @@
     assert len(streams) == WORKERS
 
 
-def _send_as_it_is_closed(
-    monkeypatch: pytest.MonkeyPatch, connection: http.client.HTTPConnection
-) -> None:
-    """Send a request just before the listener closes the connection that has idled for longest."""
+def _send_as_the_connection_is_closed(
+    stack: ExitStack, monkeypatch: pytest.MonkeyPatch
+) -> tuple[Entry, http.client.HTTPConnection]:
+    """Send a request on the connection that a listener is about to close for a new caller."""
+    entry = Entry()
+    stack.callback(entry.close)
+    kept = [_connect(stack, entry) for _ in range(WORKERS)]
+    assert [_call(each) for each in kept] == [200] * len(kept)
+    time.sleep(AGE_S)
     stop_waiting = CallerConnection.stop_waiting
 
     def stop_waiting_late(idle: CallerConnection) -> None:
         monkeypatch.undo()
-        connection.request("GET", "/watched")
+        kept[0].request("GET", "/watched")
         time.sleep(ARRIVED_S)
         stop_waiting(idle)
 
     monkeypatch.setattr(CallerConnection, "stop_waiting", stop_waiting_late)
+    assert _call(_connect(stack, entry)) == 200
+    return entry, kept[0]
 
 
 def test_a_request_that_arrives_as_its_idle_connection_is_closed_is_answered(
     stack: ExitStack, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against requests that are passed on and then cut, as if their callers had left."""
-    entry = Entry()
-    stack.callback(entry.close)
-    kept = [_connect(stack, entry) for _ in range(WORKERS)]
-    assert [_call(each) for each in kept] == [200] * len(kept)
-    time.sleep(AGE_S)
-    _send_as_it_is_closed(monkeypatch, kept[0])
-    assert _call(_connect(stack, entry)) == 200
-    response = kept[0].getresponse()
+    entry, crossing = _send_as_the_connection_is_closed(stack, monkeypatch)
+    response = crossing.getresponse()
     assert (response.status, response.read()) == (200, b"ok")
 
 
@@ -184,14 +185,8 @@
     stack: ExitStack, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against requests that run on for callers who have left."""
-    entry = Entry()
-    stack.callback(entry.close)
-    kept = [_connect(stack, entry) for _ in range(WORKERS)]
-    assert [_call(each) for each in kept] == [200] * len(kept)
-    time.sleep(AGE_S)
-    _send_as_it_is_closed(monkeypatch, kept[0])
-    assert _call(_connect(stack, entry)) == 200
-    kept[0].close()
+    entry, crossing = _send_as_the_connection_is_closed(stack, monkeypatch)
+    crossing.close()
     time.sleep(2 * WATCHED_S)
     assert entry.left == ["/watched"]
 
