--- a/packages/node/src/carobspool_node/direct/_waiting_log.py
+++ b/packages/node/src/carobspool_node/direct/_waiting_log.py
@@ -22,7 +22,8 @@
         NO_UPSTREAM: No upstream of the service is known.
         NO_SLOT: No upstream of the service has a slot that the next item may use.
         PEERS_FIRST: The free slots are left to more urgent items of peers.
-        RUN_LIMIT: This entry runs as many items as it can.
+        RUN_LIMIT: This entry runs as many items as it can, or leaves the other runs to services
+            with less than their share.
     """
 
     NO_UPSTREAM = "no_upstream"
