Origins of streams are written from their first event on

While several versions count, each entry wrote the streams in progress each 250 ms, but only those older than 100 ms. After the loss of all entries the younger ones were refused, though the write that could have named them took place anyway: the number of writes follows from the interval.

--- a/packages/core/src/carobspool_core/stream_versions/_records.py
+++ b/packages/core/src/carobspool_core/stream_versions/_records.py
@@ -15,8 +15,6 @@
 from carobspool_core.stream_versions._history import ServiceVersion
 from carobspool_core.stream_versions._origins import StreamOrigin
 
-MIN_AGE: Millis = 100.0
-"""Age from which the origin of a stream is written."""
 WRITE_INTERVAL: Millis = 250.0
 """Time between two writes of one entry: short streams last less than a second."""
 WRITES_PER_S = 24.0
@@ -64,7 +62,6 @@
 
 class _OpenStream(Struct, frozen=True):
     origin: StreamOrigin
-    since: Millis
     until: Millis
 
 
@@ -76,18 +73,15 @@
     def __init__(self) -> None:
         self._open: dict[str, _OpenStream] = {}
 
-    def begin(self, stream_id: str, origin: StreamOrigin, now: Millis, until: Millis) -> None:
+    def begin(self, stream_id: str, origin: StreamOrigin, until: Millis) -> None:
         """Add a stream whose version is certain, or go on with it.
 
         Args:
             stream_id: Request id of the caller's attempt that brought the first event.
             origin: Where it began.
-            now: Current time.
             until: Until when its caller may take it up.
         """
-        known = self._open.get(stream_id)
-        since = now if known is None else known.since
-        self._open[stream_id] = _OpenStream(origin, since, until)
+        self._open[stream_id] = _OpenStream(origin, until)
         if len(self._open) > MAX_OPEN:
             del self._open[next(iter(self._open))]
 
@@ -96,7 +90,7 @@
         self._open.pop(stream_id, None)
 
     def to_record(self, now: Millis, services: Iterable[str]) -> Mapping[StreamOrigin, list[str]]:
-        """Return the ids of the streams of some services that are old enough to be written.
+        """Return the ids of the streams of some services.
 
         Streams that can no longer be taken up are forgotten.
         """
@@ -105,6 +99,6 @@
         for stream_id, each in list(self._open.items()):
             if each.until <= now:
                 del self._open[stream_id]
-            elif each.origin.service in wanted and now - each.since >= MIN_AGE:
+            elif each.origin.service in wanted:
                 found.setdefault(each.origin, []).append(stream_id)
         return found
--- a/packages/node/src/carobspool_node/direct/_stream_records.py
+++ b/packages/node/src/carobspool_node/direct/_stream_records.py
@@ -192,7 +192,7 @@
         return (upstream.service, upstream.version) in self._versions.versions
 
     def begin(self, stream_id: str, origin: StreamOrigin, until: Millis) -> None:
-        """Add a stream in progress; it is written once it is old enough, if several versions serve.
+        """Add a stream in progress; it is written with the next write, if several versions serve.
 
         Args:
             stream_id: Request id of the caller's attempt that brought the first event.
@@ -200,7 +200,7 @@
             until: Until when its caller may take it up.
         """
         with self._open_lock:
-            self._open.begin(stream_id, origin, self._clock.now(), until)
+            self._open.begin(stream_id, origin, until)
 
     def end(self, stream_ids: Iterable[str]) -> None:
         """Remove streams that are complete, or whose versions are not certain any more."""
