Streams of a rollout are recorded as soon as they begin

While several versions count, entries wrote the streams in progress each 250 ms if they had changed. At an entry with few streams most of a stream's first 250 ms passed before the next write, and each stream cost two writes, since its end was one more change.

Change: a stream that begins is written at once, 250 ms after the last write at the soonest (less often in larger fleets, as before: 24 a second of all). Streams that are complete leave the record with the next write, those whose version is doubted at once, whatever the interval; a write that failed is repeated.

--- a/packages/core/src/carobspool_core/stream_versions/__init__.py
+++ b/packages/core/src/carobspool_core/stream_versions/__init__.py
@@ -24,10 +24,16 @@
     StreamOrigin,
     decide_origin,
 )
-from carobspool_core.stream_versions._records import OpenStreams, VersionsRecord, write_interval
+from carobspool_core.stream_versions._records import (
+    WRITE_INTERVAL,
+    OpenStreams,
+    VersionsRecord,
+    write_interval,
+)
 
 __all__ = [
     "MEMORY_PER_WINDOW",
+    "WRITE_INTERVAL",
     "KnownBy",
     "KnownOrigin",
     "OpenStreams",
--- a/packages/node/src/carobspool_node/direct/_stream_origins.py
+++ b/packages/node/src/carobspool_node/direct/_stream_origins.py
@@ -105,8 +105,11 @@
     def begin(self, stream_id: str, origin: StreamOrigin, until: Millis) -> None:
         """Add a stream in progress."""
 
-    def end(self, stream_ids: Iterable[str]) -> None:
-        """Remove streams that are complete, or whose versions are not certain any more."""
+    def end(self, stream_id: str) -> None:
+        """Remove a stream that is complete."""
+
+    def doubt(self, stream_ids: Iterable[str]) -> None:
+        """Remove streams whose versions are not certain any more."""
 
     def upstreams_changed(self) -> None:
         """Write what the changed registrations require."""
@@ -200,7 +203,7 @@
 
     def complete(self, stream_id: str) -> None:
         """Record that a stream has been forwarded to its end."""
-        self._records.end((stream_id,))
+        self._records.end(stream_id)
 
     def load(self, origin: StreamOrigin, streams: Sequence[str]) -> None:
         """Record the origin of streams that began before this process started."""
@@ -310,7 +313,7 @@
             doubted = self._table.doubt_instance(upstream.instance, upstream.version)
         if not doubted:
             return
-        self._records.end(doubted)
+        self._records.doubt(doubted)
         self._peers.announce()
         logging.info(
             "event=origins_doubted upstream=%s version=%s streams=%d",
--- a/packages/node/src/carobspool_node/direct/_stream_records.py
+++ b/packages/node/src/carobspool_node/direct/_stream_records.py
@@ -159,6 +159,9 @@
         self._missing_since: Millis | None = None
         self._open_lock = threading.Lock()
         self._open = OpenStreams()
+        # Whether a stream has begun, or become uncertain, that the last write does not show.
+        self._is_changed = False
+        self._recorded_services: frozenset[str] = frozenset()
         self._written: list[Json] = []
         self._written_at: Millis = float("-inf")
         self._written_revision = 0
@@ -192,7 +195,9 @@
         return (upstream.service, upstream.version) in self._versions.versions
 
     def begin(self, stream_id: str, origin: StreamOrigin, until: Millis) -> None:
-        """Add a stream in progress; it is written with the next write, if several versions serve.
+        """Add a stream in progress; it is written at once if several versions serve.
+
+        Writes follow each other after `write_interval` at the soonest.
 
         Args:
             stream_id: Request id of the caller's attempt that brought the first event.
@@ -201,12 +206,24 @@
         """
         with self._open_lock:
             self._open.begin(stream_id, origin, until)
+            self._is_changed = True
+        if self._recorded_services and self._clock.now() >= self._next_write:
+            self._wake.set()
+
+    def end(self, stream_id: str) -> None:
+        """Remove a stream that is complete; nobody takes it up, so that the next write is soon
+        enough."""
+        with self._open_lock:
+            self._open.end(stream_id)
 
-    def end(self, stream_ids: Iterable[str]) -> None:
-        """Remove streams that are complete, or whose versions are not certain any more."""
+    def doubt(self, stream_ids: Iterable[str]) -> None:
+        """Remove streams whose versions are not certain any more, from the store as well."""
         with self._open_lock:
             for stream_id in stream_ids:
                 self._open.end(stream_id)
+            self._is_changed = True
+            self._next_write = 0.0
+        self._wake.set()
 
     def _run(self) -> None:
         pause = RETRY_DELAY
@@ -370,33 +387,41 @@
             The time until the next write.
         """
         now = self._clock.now()
-        services = [
+        services = frozenset(
             service
             for service in self._views.services()
             if self._views.versions_of(service).sole_version is None
-        ]
-        if not services and not self._written:
-            return TICK
-        if now < self._next_write:
-            return self._next_write - now
+        )
+        is_other_set = services != self._recorded_services
+        self._recorded_services = services
+        is_old = bool(self._written) and now - self._written_at >= self._views.stream_window
         interval = write_interval(self._entries())
-        self._next_write = now + interval
         with self._open_lock:
-            streams = self._open.to_record(now, services)
-        origins = self._bounded(streams)
-        is_old = now - self._written_at >= self._views.stream_window
-        if origins != self._written or (origins and is_old):
-            self._put_origins(origins, now)
+            self._is_changed = self._is_changed or is_other_set
+            is_due = (self._is_changed and bool(services or self._written)) or is_old
+            if not is_due:
+                return TICK
+            if now < self._next_write:
+                return self._next_write - now
+            self._is_changed = False
+            origins = self._bounded(self._open.to_record(now, services))
+            if origins == self._written and not is_old:
+                return TICK
+            self._next_write = now + interval
+        if not self._put_origins(origins, now):
+            with self._open_lock:
+                self._is_changed = True
         return interval
 
-    def _put_origins(self, origins: list[Json], now: Millis) -> None:
+    def _put_origins(self, origins: list[Json], now: Millis) -> bool:
+        """Write the origins; return whether the store has them."""
         self._sequence += 1
         value: Json = {"origins": origins, "sequence": self._sequence}
         written = self._put(self._key, value, self._written_revision)
         if is_successful(written):
             self._written, self._written_at = origins, now
             self._written_revision = written.unwrap().version
-            return
+            return True
         failure = written.failure()
         if failure.fault is StoreFault.CONFLICT and failure.current is not None:
             # An earlier write of this process whose answer was lost.
@@ -404,6 +429,7 @@
         elif failure.fault is StoreFault.NOT_FOUND:
             self._written_revision = 0
         logging.info("event=origins_not_recorded fault=%s", failure.fault)
+        return False
 
     def _bounded(self, streams: Mapping[StreamOrigin, list[str]]) -> list[Json]:
         """Return the value's origins, without the last streams if they exceed its limit."""
