--- a/review/6/case.py
+++ b/review/6/case.py
@@ -27,6 +27,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 FREEZE_S = 3.5
 LOST_FOR_S = 4.5
+LOST_FROM_S = 1.5
 LATE_S = 5.8
 FINISH_S = 18.0
 J, K, M = "7c41e09b52d6a3f8", "51d0e27f93b84a66", "0be7c4125fa9d3e1"
@@ -82,12 +83,13 @@
         time.sleep(1.0)
         if TROUBLE:
             a.signal(signal.SIGSTOP)
-            time.sleep(2.0)
+            # B misses A for 2.2 s from A's last hint, which is up to 0.5 s older than the freeze.
+            time.sleep(LOST_FROM_S)
             window.append(time.monotonic())
             record.note("the store loses the answers of some writes from here on")
-            time.sleep(FREEZE_S - 2.0)
+            time.sleep(FREEZE_S - LOST_FROM_S)
             a.signal(signal.SIGCONT)
-            time.sleep(LOST_FOR_S - (FREEZE_S - 2.0))
+            time.sleep(LOST_FOR_S - (FREEZE_S - LOST_FROM_S))
             during = [each for each in store.writes if window[0] <= each[0]]
             record.note(f"{len(lost)} of {len(during)} writes were lost, x = 0.35 at most")
             if not lost or len(lost) > 0.35 * len(during):
