--- a/review/11/case.py
+++ b/review/6/second.py
@@ -1,4 +1,4 @@
-"""A job's old owner does not know yet that it was replaced when the new owner ends: nobody has it."""
+"""A job's old owner does not know that it was replaced when the new one ends: nobody has it."""
 
 from __future__ import annotations
 
@@ -45,7 +45,7 @@
         self._answer((503, {"error": "the store is down"}))
         return True
 
-    def do_GET(self) -> None:
+    def do_GET(self) -> None:  # noqa: N802
         if not self._refuses():
             super().do_GET()
 
@@ -138,7 +138,7 @@
 
 def main() -> int:
     """Run the case and return the exit code."""
-    record = Record(Path(__file__).with_name("record.txt"))
+    record = Record(Path(__file__).with_name("second-record.txt"))
     record.note(f"TROUBLE={int(TROUBLE)}")
     store = stores.Store()
     store.put("config", "main", configuration(1, batch_route("/batch/", "reading-desk")))
