--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,161 +1,170 @@
-"""A job is left to a live entry that does not know that it owns it, and is never finished.
-
-Two entries, A and B. A accepts the job J, whose items have to wait: the server of their service is
-busy with the job K. A freezes for 3.5 s. B finds it silent and takes J over: it creates J's
-progress under its own name. The store does that write, but answers late writes of that time not at
-all and does them some seconds later; so it is with the repetition of the write through A, which is
-awake again. B counts the takeover as missed, finds that A names J again, and forgets J. Then the
-write is done: the store's record names B.
-"""
+"""A job that is stored comes again at the waiting limit and gets its 202, but nobody runs it."""
 
 from __future__ import annotations
 
 import os
-import signal
 import sys
+import threading
 import time
 from pathlib import Path
 from typing import Any
 
-HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "parts-2"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "parts-2"))
 
-import engine  # noqa: E402
-import fleet  # noqa: E402
-import store as platform  # noqa: E402
+import engine as servers
+import store as stores
+from fleet import Entry, Record, batch_route, configuration, entries, job_body
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-FREEZE_S = 3.5
-LOST_FOR_S = 4.5
-LOST_FROM_S = 1.5
-LATE_S = 5.8
+ENTRIES = ["edge-1", "edge-2", "edge-3"]
+SERVERS, SLOTS = 3, 8
+EVENTS, PAUSE_S = 60, 0.03
+ITEMS, ITEM_TOKENS = 12, 5_000
+LIMIT = 1_200_000
+WAITING_JOBS = 16
+"""Jobs that wait at first; an entry of three takes a job of a third of what is left at most."""
+OTHER_ITEMS, SUBMIT_PAUSE_S = 4, 0.2
+"""Further jobs of other clients, which fill the limit up again and again."""
+LOST_FOR_S, LATE_S, MOST_LOST = 4.5, 4.4, 0.35
+DEADLINE_S = 4.0
+AGAIN_AT_S = 4.6
 FINISH_S = 18.0
-J, K, M = "7c41e09b52d6a3f8", "51d0e27f93b84a66", "0be7c4125fa9d3e1"
+CALM_S = 5.0
+LONGEST_S = 75.0
+COULD_NOT_RUN = 2
+
+
+class Case:
+    """The entries, the clients and what they have got."""
+
+    def __init__(self, record: Record, store: stores.Store, fleet: list[Entry]) -> None:
+        self.record = record
+        self.store = store
+        self.fleet = fleet
+        self.accepted: dict[str, list[str]] = {}
+
+    def submit(self, entry: Entry, job: str, items: list[str]) -> int:
+        """Submit a job once and return the status, 0 without an answer in time."""
+        status, _ = entry.call(
+            "POST",
+            "/batch/1",
+            request_id=job,
+            body=job_body(items, "/batch/1", ITEM_TOKENS),
+            headers={"Deadline-Ms": str(int(DEADLINE_S * 1000))},
+            timeout=DEADLINE_S,
+        )
+        if status == 202:
+            self.accepted[job] = items
+        return status
 
+    def unlisted(self) -> dict[str, int]:
+        """Return how many items of each accepted job are not listed, without finished jobs."""
+        found = {}
+        for job, items in self.accepted.items():
+            page = self.fleet[2].results(job)
+            listed = 0 if isinstance(page, int) else len(page["results"])
+            if listed < len(items):
+                found[job] = len(items) - listed
+        return found
 
-def pieces(request_id: str) -> tuple[int, float]:
-    """Return the number of events of an item and how long each takes."""
-    if request_id.startswith("k"):
-        return 70, 0.2
-    return (4, 0.2) if request_id.startswith("m") else (10, 0.15)
+
+def new_ids(count: int) -> list[str]:
+    """Return new ids."""
+    return [os.urandom(8).hex() for _ in range(count)]
 
 
 def main() -> int:
-    """Run the case; return its exit code."""
-    record = fleet.Record(HERE / "record.txt")
-    store = platform.Store()
+    """Run the case and return the exit code."""
+    record = Record(Path(__file__).with_name("record.txt"))
+    record.note(f"TROUBLE={int(TROUBLE)}")
+    store = stores.Store()
     store.note = record.note
-    desk = engine.serve(engine.Engine("i-desk0001", 4, pieces))
-    side = engine.serve(engine.Engine("i-side0001", 8, pieces))
-    desk.note = side.note = record.note
-    store.put(
-        "config",
-        "main",
-        fleet.configuration(
-            3, fleet.batch_route("/proof/", "desk"), fleet.batch_route("/side/", "side")
-        ),
-    )
-    store.put("servers", desk.instance, desk.registration("desk"))
-    store.put("servers", side.instance, side.registration("side"))
-    window: list[float] = []
-    lost: list[float] = []
+    route = batch_route("/batch/", "reading-desk") | {"max_count": LIMIT}
+    store.put("config", "main", configuration(1, route))
+    engines = [
+        servers.serve(servers.Engine(f"i-{number}", SLOTS, lambda request: (EVENTS, PAUSE_S)))
+        for number in range(SERVERS)
+    ]
+    for engine in engines:
+        store.put("servers", engine.instance, engine.registration("reading-desk"))
+    with entries(record, stores.serve(store), ENTRIES) as fleet:
+        time.sleep(4.0)
+        case = Case(record, store, fleet)
+        return play(case, engines)
+
+
+def play(case: Case, engines: list[servers.Engine]) -> int:
+    """Play the case and return the exit code."""
+    record, fleet = case.record, case.fleet
+    for number in range(WAITING_JOBS):
+        if case.submit(fleet[number % 3], new_ids(1)[0], new_ids(ITEMS)) != 202:
+            return COULD_NOT_RUN
+    job, items = new_ids(1)[0], new_ids(ITEMS)
+    record.note(f"job J is {job}")
+    begun = time.monotonic()
 
     def lose(method: str, kind: str, name: str, body: Any) -> float | None:
-        if not window or time.monotonic() > window[0] + LOST_FOR_S:
-            return None
-        if method == "POST" and kind == "progress" and name == J and len(lost) < 2:
-            lost.append(time.monotonic())
-            return LATE_S
-        return None
-
-    store.lose = lose
-    with fleet.entries(record, platform.serve(store), ["edge-a", "edge-b"]) as (a, b):
-        time.sleep(6.0)
-        ids_k = [f"k{number:015d}" for number in range(4)]
-        ids_j = [f"j{number:015d}" for number in range(4)]
-        ids_m = [f"m{number:015d}" for number in range(120)]
-        submit(b, K, "/proof/", ids_k)
-        if not wait_for(lambda: desk.running() == 4, 8.0):
-            return fleet.COULD_NOT_RUN
-        submit(a, J, "/proof/", ids_j)
-        submit(b, M, "/side/", ids_m)
-        sent_last = time.monotonic()
-        time.sleep(1.0)
-        if TROUBLE:
-            a.signal(signal.SIGSTOP)
-            # B misses A for 2.2 s from A's last hint, which is up to 0.5 s older than the freeze.
-            time.sleep(LOST_FROM_S)
-            window.append(time.monotonic())
-            record.note("the store loses the answers of some writes from here on")
-            time.sleep(FREEZE_S - LOST_FROM_S)
-            a.signal(signal.SIGCONT)
-            time.sleep(LOST_FOR_S - (FREEZE_S - LOST_FROM_S))
-            during = [each for each in store.writes if window[0] <= each[0]]
-            record.note(f"{len(lost)} of {len(during)} writes were lost, x = 0.35 at most")
-            if not lost or len(lost) > 0.35 * len(during):
-                record.note("the store did not lose what the case needs")
-                return fleet.COULD_NOT_RUN
-        calm_at = time.monotonic()
-        done = wait_for(lambda: finished(a, J) and finished(a, K) and finished(a, M), 35.0)
-        if not done:
-            # The rule asks for FINISH_S after the traffic; the wait above is longer.
-            assert time.monotonic() - max(calm_at, sent_last) > FINISH_S
-        for entry in (a, b):
-            for job in (J, K, M):
-                record.note(f"{entry.name}: {describe(entry.results(job))} of job {job}")
-        progress = store.spec("progress", J) or {}
-        record.note(f"store: the owner of {J} is {progress.get('owner')}")
+        is_lost = kind == "jobs" and name == job and time.monotonic() - begun < LOST_FOR_S
+        return LATE_S - (time.monotonic() - begun) if TROUBLE and is_lost else None
+
+    case.store.lose = lose
+    stopped = threading.Event()
+
+    def press() -> None:
+        while not stopped.wait(SUBMIT_PAUSE_S):
+            case.submit(fleet[2], new_ids(1)[0], new_ids(OTHER_ITEMS))
+
+    others = threading.Thread(target=press, daemon=True)
+    others.start()
+    status = case.submit(fleet[0], job, items)
+    record.note(f"J at {fleet[0].name}: {status or 'no answer'}")
+    if not TROUBLE and status != 202:
+        return COULD_NOT_RUN
+    number = 1
+    time.sleep(max(0.0, begun + AGAIN_AT_S - time.monotonic()))
+    while status != 202:
+        status = case.submit(fleet[number % 2], job, items)
+        record.note(f"J again at {fleet[number % 2].name}: {status or 'no answer'}")
+        number += 1
+        if status != 202:
+            time.sleep(1.0)
+        if time.monotonic() - begun > 20.0:
+            return COULD_NOT_RUN
+    stopped.set()
+    others.join()
+    writes = [each for each in case.store.writes if 0.0 <= each[0] - begun < LOST_FOR_S]
+    lost = [each for each in writes if each[2:] == ("jobs", job)]
+    record.note(f"the store took {len(writes)} writes in {LOST_FOR_S} s; {len(lost)} were for J")
+    if TROUBLE and len(lost) > MOST_LOST * len(writes):
+        return COULD_NOT_RUN
+    ended = time.monotonic()
+    while time.monotonic() - begun < LONGEST_S:
+        left = case.unlisted()
         now = time.monotonic()
-        runs = [*desk.runs, *side.runs]
-        of_job = [each for each in runs if each["id"] in ids_j]
-        recent = [each for each in of_job if each["end"] is None or each["end"] > now - 5.0]
-        any_end = [each for each in runs if each["end"] is None or each["end"] > now - 3.0]
-        record.note(
-            f"runs of {J}: {len(of_job)}, in the last 5 s: {len(recent)}; servers run"
-            f" {desk.running()} of 4 and {side.running()} of 8; items that ended in the last 3 s:"
-            f" {len(any_end)}"
-        )
-    if done:
-        record.note("held: each item of each job is listed")
-        return 0
-    if recent or any_end or desk.running() or side.running():
-        record.note("held: the rule's excuse is given")
-        return 0
-    record.note(f"BROKEN: LOST, items of {J} are not listed and no server has them")
+        had = [
+            run["id"]
+            for engine in engines
+            for run in engine.runs
+            if run["end"] is None or run["end"] > now - CALM_S
+        ]
+        if not left:
+            record.note("the rule held: all items of all accepted jobs are listed")
+            return 0
+        if now - ended > FINISH_S and not had:
+            break
+        time.sleep(1.0)
+    for each, count in left.items():
+        name = "J" if each == job else each
+        total = len(case.accepted[each])
+        record.note(f"{name}: {count} of {total} items are not listed {now - ended:.0f} s later")
+    ran = sum(run["id"] in items for engine in engines for run in engine.runs)
+    record.note(f"runs of items of J: {ran}; servers had {len(had)} items in the last {CALM_S} s")
+    record.note(f"the store names {case.store.spec('jobs', job)['owner']} as the owner of J")
+    if had:
+        return COULD_NOT_RUN
+    record.note("LOST is broken")
     return 1
 
 
-def submit(entry: fleet.Entry, job: str, prefix: str, ids: list[str]) -> None:
-    """Submit a job; it must be accepted."""
-    body = fleet.job_body(ids, f"{prefix}1")
-    status, _ = entry.call("POST", f"{prefix}1", request_id=job, body=body)
-    if status != 202:
-        raise SystemExit(fleet.COULD_NOT_RUN)
-
-
-def finished(entry: fleet.Entry, job: str) -> bool:
-    """Return whether each item of a job is listed."""
-    page = entry.results(job)
-    return isinstance(page, dict) and len(page["results"]) == page["total"]
-
-
-def describe(page: dict[str, Any] | int) -> str:
-    """Return what a read of results says."""
-    if isinstance(page, int):
-        return f"status {page}"
-    states = [each["state"] for each in page["results"]]
-    return f"{len(states)} of {page['total']} results ({', '.join(sorted(set(states)))})"
-
-
-def wait_for(check: Any, within_s: float) -> bool:
-    """Wait until a check is true; return whether it became true in time."""
-    until = time.monotonic() + within_s
-    while time.monotonic() < until:
-        if check():
-            return True
-        time.sleep(0.5)
-    return bool(check())
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    raise SystemExit(main())
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,171 +1,161 @@
-"""A server refuses items as not run with bytes that do not end; the items wait for a minute."""
+"""A job is left to a live entry that does not know that it owns it, and is never finished.
+
+Two entries, A and B. A accepts the job J, whose items have to wait: the server of their service is
+busy with the job K. A freezes for 3.5 s. B finds it silent and takes J over: it creates J's
+progress under its own name. The store does that write, but answers late writes of that time not at
+all and does them some seconds later; so it is with the repetition of the write through A, which is
+awake again. B counts the takeover as missed, finds that A names J again, and forgets J. Then the
+write is done: the store's record names B.
+"""
 
 from __future__ import annotations
 
-import contextlib
 import os
+import signal
 import sys
-import threading
 import time
 from pathlib import Path
 from typing import Any
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "parts-2"))
+HERE = Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "parts-2"))
 
-import engine as servers
-import store as stores
-from fleet import Record, batch_route, configuration, entries, job_body
+import engine  # noqa: E402
+import fleet  # noqa: E402
+import store as platform  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-MODE = os.environ.get("MODE", "endless")
-"""``endless``: bytes come until the caller closes; ``truncated``: they stop short of the length."""
-ENTRIES = ["edge-1", "edge-2", "edge-3"]
-SERVERS = 3
-SLOTS = 8
-EVENTS, PAUSE_S = 60, 0.03
-ITEMS = 12
-BYTES, BYTES_PAUSE_S = 2_000, 0.1
-"""In trouble a server sends 20 kB a second after the head of its answer."""
-TROUBLE_S = 3.0
+FREEZE_S = 3.5
+LOST_FOR_S = 4.5
+LOST_FROM_S = 1.5
+LATE_S = 5.8
 FINISH_S = 18.0
-CALM_S = 5.0
-LAST_FINISH_S = 3.0
-WATCH_UNTIL_S = 75.0
-COULD_NOT_RUN = 2
-
-
-class TroubledHandler(servers._Handler):
-    """Refuses requests as not run while ``troubled`` is set, with a body that does not end."""
-
-    troubled: threading.Event
-    record: Record
-
-    def do_POST(self) -> None:  # noqa: N802
-        if not self.troubled.is_set() or self._is_another():
-            super().do_POST()
-            return
-        self.rfile.read(int(self.headers.get("Content-Length", "0")))
-        request_id = self.headers.get("Request-Id", "")
-        name = self.engine.instance
-        self.record.note(f"server {name}: 503, Not-Executed, to {request_id}; its body: {MODE}")
-        begun = time.monotonic()
-        self.send_response(503)
-        self.send_header("Not-Executed", "1")
-        self.send_header("Request-Id", request_id)
-        if MODE == "truncated":
-            self.send_header("Content-Length", str(2 * BYTES))
-        self.end_headers()
-        self.close_connection = True
-        with contextlib.suppress(OSError):
-            is_first = True
-            while not self._has_left():
-                if is_first or MODE != "truncated":
-                    self.wfile.write(b"x" * BYTES)
-                is_first = False
-                time.sleep(BYTES_PAUSE_S)
-        took = time.monotonic() - begun
-        self.record.note(f"server {name}: the caller of {request_id} closed after {took:.1f} s")
-
-
-def serve_troubled(engine: servers.Engine, troubled: threading.Event, record: Record) -> None:
-    """Serve an engine that is in trouble while ``troubled`` is set."""
-    attributes = {"engine": engine, "troubled": troubled, "record": record}
-    handler = type("Handler", (TroubledHandler,), attributes)
-    server = servers._Server(("127.0.0.1", 0), handler)
-    engine.address = f"127.0.0.1:{server.server_address[1]}"
-    threading.Thread(target=server.serve_forever, daemon=True).start()
-
-
-def listed_items(entry: Any, job: str) -> dict[str, str] | None:
-    """Return the state of each listed item, ``None`` if the entry does not answer with 200."""
-    page = entry.results(job)
-    if isinstance(page, int):
-        return None
-    return {each["id"]: each["state"] for each in page["results"]}
+J, K, M = "7c41e09b52d6a3f8", "51d0e27f93b84a66", "0be7c4125fa9d3e1"
+
+
+def pieces(request_id: str) -> tuple[int, float]:
+    """Return the number of events of an item and how long each takes."""
+    if request_id.startswith("k"):
+        return 70, 0.2
+    return (4, 0.2) if request_id.startswith("m") else (10, 0.15)
 
 
 def main() -> int:
-    """Run the case and return the exit code."""
-    record = Record(Path(__file__).with_name("record.txt"))
-    record.note(f"TROUBLE={int(TROUBLE)} MODE={MODE}")
-    store = stores.Store()
-    store.put("config", "main", configuration(1, batch_route("/batch/", "reading-desk")))
-    troubled = threading.Event()
-    engines = [
-        servers.Engine(f"i-{number}", SLOTS, lambda request: (EVENTS, PAUSE_S))
-        for number in range(SERVERS)
-    ]
-    for engine in engines:
-        engine.note = record.note
-    serve_troubled(engines[0], troubled, record)
-    for engine in engines[1:]:
-        servers.serve(engine)
-    for engine in engines:
-        store.put("servers", engine.instance, engine.registration("reading-desk"))
-    with entries(record, stores.serve(store), ENTRIES) as fleet:
-        time.sleep(4.0)
+    """Run the case; return its exit code."""
+    record = fleet.Record(HERE / "record.txt")
+    store = platform.Store()
+    store.note = record.note
+    desk = engine.serve(engine.Engine("i-desk0001", 4, pieces))
+    side = engine.serve(engine.Engine("i-side0001", 8, pieces))
+    desk.note = side.note = record.note
+    store.put(
+        "config",
+        "main",
+        fleet.configuration(
+            3, fleet.batch_route("/proof/", "desk"), fleet.batch_route("/side/", "side")
+        ),
+    )
+    store.put("servers", desk.instance, desk.registration("desk"))
+    store.put("servers", side.instance, side.registration("side"))
+    window: list[float] = []
+    lost: list[float] = []
+
+    def lose(method: str, kind: str, name: str, body: Any) -> float | None:
+        if not window or time.monotonic() > window[0] + LOST_FOR_S:
+            return None
+        if method == "POST" and kind == "progress" and name == J and len(lost) < 2:
+            lost.append(time.monotonic())
+            return LATE_S
+        return None
+
+    store.lose = lose
+    with fleet.entries(record, platform.serve(store), ["edge-a", "edge-b"]) as (a, b):
+        time.sleep(6.0)
+        ids_k = [f"k{number:015d}" for number in range(4)]
+        ids_j = [f"j{number:015d}" for number in range(4)]
+        ids_m = [f"m{number:015d}" for number in range(120)]
+        submit(b, K, "/proof/", ids_k)
+        if not wait_for(lambda: desk.running() == 4, 8.0):
+            return fleet.COULD_NOT_RUN
+        submit(a, J, "/proof/", ids_j)
+        submit(b, M, "/side/", ids_m)
+        sent_last = time.monotonic()
+        time.sleep(1.0)
         if TROUBLE:
-            troubled.set()
-            record.note("trouble begins at server i-0")
-        job = os.urandom(8).hex()
-        items = [os.urandom(8).hex() for _ in range(ITEMS)]
-        begun = time.monotonic()
-        status, _ = fleet[0].call(
-            "POST", "/batch/1", request_id=job, body=job_body(items, "/batch/1")
-        )
-        if status != 202:
-            return COULD_NOT_RUN
-        time.sleep(TROUBLE_S)
-        troubled.clear()
-        record.note("trouble has ended: server i-0 serves every request from now on")
-        checked_at = time.monotonic() + FINISH_S
-        broken = False
-        known: dict[str, str] = {}
-        while True:
-            found = listed_items(fleet[1], job)
-            for item, state in (found or {}).items():
-                if item not in known:
-                    record.note(f"item {item} is listed as {state}")
-            known |= found or {}
-            if len(known) == ITEMS:
-                break
-            now = time.monotonic()
-            if not broken and now >= checked_at:
-                broken = is_broken(record, engines, items, known, now)
-                if not broken:
-                    return COULD_NOT_RUN
-            if now - begun > WATCH_UNTIL_S:
-                break
-            time.sleep(0.5)
-        took = time.monotonic() - begun
-        done = sum(state == "completed" for state in known.values())
-        ran = {run["id"] for engine in engines for run in engine.runs}
-        never = sum(item not in ran for item in items)
+            a.signal(signal.SIGSTOP)
+            # B misses A for 2.2 s from A's last hint, which is up to 0.5 s older than the freeze.
+            time.sleep(LOST_FROM_S)
+            window.append(time.monotonic())
+            record.note("the store loses the answers of some writes from here on")
+            time.sleep(FREEZE_S - LOST_FROM_S)
+            a.signal(signal.SIGCONT)
+            time.sleep(LOST_FOR_S - (FREEZE_S - LOST_FROM_S))
+            during = [each for each in store.writes if window[0] <= each[0]]
+            record.note(f"{len(lost)} of {len(during)} writes were lost, x = 0.35 at most")
+            if not lost or len(lost) > 0.35 * len(during):
+                record.note("the store did not lose what the case needs")
+                return fleet.COULD_NOT_RUN
+        calm_at = time.monotonic()
+        done = wait_for(lambda: finished(a, J) and finished(a, K) and finished(a, M), 35.0)
+        if not done:
+            # The rule asks for FINISH_S after the traffic; the wait above is longer.
+            assert time.monotonic() - max(calm_at, sent_last) > FINISH_S
+        for entry in (a, b):
+            for job in (J, K, M):
+                record.note(f"{entry.name}: {describe(entry.results(job))} of job {job}")
+        progress = store.spec("progress", J) or {}
+        record.note(f"store: the owner of {J} is {progress.get('owner')}")
+        now = time.monotonic()
+        runs = [*desk.runs, *side.runs]
+        of_job = [each for each in runs if each["id"] in ids_j]
+        recent = [each for each in of_job if each["end"] is None or each["end"] > now - 5.0]
+        any_end = [each for each in runs if each["end"] is None or each["end"] > now - 3.0]
         record.note(
-            f"after {took:.1f} s: {done} of {ITEMS} items completed, {len(known) - done} given up,"
-            f" {ITEMS - len(known)} not listed; {never} were never run by a server"
+            f"runs of {J}: {len(of_job)}, in the last 5 s: {len(recent)}; servers run"
+            f" {desk.running()} of 4 and {side.running()} of 8; items that ended in the last 3 s:"
+            f" {len(any_end)}"
         )
-        record.note("LOST is broken" if broken else "the rule held")
-        return 1 if broken else 0
-
-
-def is_broken(
-    record: Record,
-    engines: list[servers.Engine],
-    items: list[str],
-    known: dict[str, str],
-    now: float,
-) -> bool:
-    """Check LOST as `finish_s` is over: items are not listed, and no server had or finished one."""
-    missing = [item for item in items if item not in known]
-    runs = [run for engine in engines for run in engine.runs]
-    had = [run for run in runs if run["end"] is None or run["end"] > now - CALM_S]
-    record.note(
-        f"finish_s is over: {len(missing)} of {len(items)} items are not listed; in the last"
-        f" {CALM_S:.0f} s servers had {len(had)} items"
-    )
-    return bool(missing) and not had
+    if done:
+        record.note("held: each item of each job is listed")
+        return 0
+    if recent or any_end or desk.running() or side.running():
+        record.note("held: the rule's excuse is given")
+        return 0
+    record.note(f"BROKEN: LOST, items of {J} are not listed and no server has them")
+    return 1
+
+
+def submit(entry: fleet.Entry, job: str, prefix: str, ids: list[str]) -> None:
+    """Submit a job; it must be accepted."""
+    body = fleet.job_body(ids, f"{prefix}1")
+    status, _ = entry.call("POST", f"{prefix}1", request_id=job, body=body)
+    if status != 202:
+        raise SystemExit(fleet.COULD_NOT_RUN)
+
+
+def finished(entry: fleet.Entry, job: str) -> bool:
+    """Return whether each item of a job is listed."""
+    page = entry.results(job)
+    return isinstance(page, dict) and len(page["results"]) == page["total"]
+
+
+def describe(page: dict[str, Any] | int) -> str:
+    """Return what a read of results says."""
+    if isinstance(page, int):
+        return f"status {page}"
+    states = [each["state"] for each in page["results"]]
+    return f"{len(states)} of {page['total']} results ({', '.join(sorted(set(states)))})"
+
+
+def wait_for(check: Any, within_s: float) -> bool:
+    """Wait until a check is true; return whether it became true in time."""
+    until = time.monotonic() + within_s
+    while time.monotonic() < until:
+        if check():
+            return True
+        time.sleep(0.5)
+    return bool(check())
 
 
 if __name__ == "__main__":
-    raise SystemExit(main())
+    sys.exit(main())
