--- a/review/6/case.py
+++ b/review/6/case.py
@@ -25,9 +25,9 @@
 """Jobs that wait at first; an entry of three takes a job of a third of what is left at most."""
 OTHER_ITEMS, SUBMIT_PAUSE_S = 4, 0.2
 """Further jobs of other clients, which fill the limit up again and again."""
-LOST_FOR_S, LATE_S, MOST_LOST = 4.5, 4.4, 0.35
+LOST_FOR_S, LATE_S, MOST_LOST = 4.5, 4.8, 0.35
 DEADLINE_S = 4.0
-AGAIN_AT_S = 4.6
+AGAIN_AT_S = 5.0
 FINISH_S = 18.0
 CALM_S = 5.0
 LONGEST_S = 75.0
