Jobs: a late takeover, and an owner that lost its job, leave no job without an owner

Callers saw: a job accepted with 202, of which no item is ever run (LOST).

Cause: a takeover of unknown end counted as failed, and was forgotten once the old owner, awake again, named the job; hints of a peer counted more than the record; an owner that lost a job told nobody. After the late write there is no event that would start a search.

Change: jobs with an unanswered write are read again for 15 s; an entry runs each job whose record names it; records decide over hints where an orphan is assigned and in listings; a lost job is looked at again after 4 s; one entry compares the stored open jobs with what owners confirm, each 3 s, from the changes since. The stand-ins can do chosen writes late and unanswered.

--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -185,6 +185,7 @@
         )
         self._jobs, self._runner = parts.jobs, parts.runner
         self._recovery, self._retention = parts.recovery, parts.retention
+        self._reconciliation = parts.reconciliation
         self._exit = EntryExit(
             self._clock,
             self._runner,
@@ -305,6 +306,7 @@
         self._runner.start()
         self._membership.start()
         self._recovery.start(first_start=settings.first_start)
+        self._reconciliation.start()
         threading.Thread(target=self._poll_store, name="poll", daemon=True).start()
         while not self._stop.wait(CLEANUP_INTERVAL_S):
             self._clean_up()
--- a/packages/node/src/carobspool_node/direct/_entry_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_entry_jobs.py
@@ -13,8 +13,10 @@
 from carobspool_node.direct._item_run import ItemRunner
 from carobspool_node.direct._job_adoption import JobAdoption
 from carobspool_node.direct._job_catalog import JobCatalog
+from carobspool_node.direct._job_index import JobIndex
+from carobspool_node.direct._job_reconciliation import JobReconciliation, ask_peers
 from carobspool_node.direct._job_records import JobRecords
-from carobspool_node.direct._job_recovery import JobRecovery
+from carobspool_node.direct._job_recovery import ORPHAN_SEARCH_DUTY, JobRecovery
 from carobspool_node.direct._job_retention import JobRetention
 from carobspool_node.direct._job_runner import JobRunner
 from carobspool_node.direct._jobs import Jobs
@@ -37,12 +39,14 @@
         jobs: Operations on jobs.
         runner: Runs the owned jobs.
         recovery: Takes over the jobs of entries that are gone.
+        reconciliation: Finds stored jobs that no entry runs.
         retention: Removes the records of finished jobs.
     """
 
     jobs: Jobs
     runner: JobRunner
     recovery: JobRecovery
+    reconciliation: JobReconciliation
     retention: JobRetention
 
 
@@ -86,6 +90,9 @@
         usable=group_assignment.near,
         ownership_uncertain_until=lambda: peers.ownership_uncertain_until,
         has_other_version=declared.has_other_version,
+        on_taken=lambda job_id, version: adoption.add_unattended(
+            job_id, "taken by another entry", version=version
+        ),
     )
     records = JobRecords(
         store, settings.value_limit, BadRecords(clock, telemetry, "job_record", "key")
@@ -104,6 +111,7 @@
         peers,
         telemetry,
         are_peers_known=lambda: recovery.are_peers_known(),
+        confirm=ask_peers(peers, peer_caller),
     )
     if settings.first_start:
         adoption.assume_empty_store()
@@ -116,6 +124,21 @@
         leaving=leaving,
         has_duty=membership.has_duty,
     )
+    reconciliation = JobReconciliation(
+        clock,
+        JobIndex(clock, store),
+        adoption,
+        leaving=leaving,
+        has_duty=lambda: membership.has_duty(ORPHAN_SEARCH_DUTY),
+        are_peers_known=recovery.are_peers_known,
+        wake_adoption=recovery.wake,
+    )
     quota = WaitingQuota(runner, adoption, peers, are_peers_known=recovery.are_peers_known)
     jobs = Jobs(clock, catalog, runner, adoption, peers, peer_caller, quota)
-    return JobParts(jobs=jobs, runner=runner, recovery=recovery, retention=retention)
+    return JobParts(
+        jobs=jobs,
+        runner=runner,
+        recovery=recovery,
+        reconciliation=reconciliation,
+        retention=retention,
+    )
--- a/packages/node/src/carobspool_node/direct/_job_records.py
+++ b/packages/node/src/carobspool_node/direct/_job_records.py
@@ -110,7 +110,7 @@
             if not is_successful(written):
                 return Failure(written.failure())
             name, count = written.unwrap()
-            value = {"pieces": [name, count]}
+            value = {"pieces": [name, count], "owner": job.owner}
         return self._store.create(INPUTS + job.job_id, value)
 
     def read_input(self, job_id: str) -> Result[JobInput, StoreFailure]:
@@ -295,6 +295,32 @@
         return Success("".join(texts))
 
 
+def stored_owner(stored: StoredObject) -> str | None:
+    """Return the owner that an input or a progress names, without the pieces of the record.
+
+    ``None`` if it names none, as long inputs of the previous version.
+    """
+    owner = stored.value.get("owner") if isinstance(stored.value, dict) else None
+    return owner if isinstance(owner, str) else None
+
+
+def is_progress_open(stored: StoredObject) -> bool:
+    """Whether items of a job are left to run, by its progress without the pieces of the record.
+
+    An unusable progress counts as open.
+    """
+    try:
+        segments = _segments(stored.value) if isinstance(stored.value, dict) else ()
+    except UnusableRecordError:
+        return True
+    match stored.value:
+        case {"ended": True}:
+            return False
+        case {"total": int() as total, "results": list() as results}:
+            return sum(each.results for each in segments) + len(results) < total
+    return True
+
+
 def _stored_value(progress: JobProgress, segments: Sequence[Segment]) -> dict[str, Json]:
     value: dict[str, Json] = progress_to_json(progress)
     value["results"] = value["results"][sum(each.results for each in segments) :]
--- a/packages/node/src/carobspool_node/direct/_job_recovery.py
+++ b/packages/node/src/carobspool_node/direct/_job_recovery.py
@@ -84,6 +84,10 @@
         """Return whether this entry has run for long enough to know which peers are alive."""
         return self._clock.now() - self._started >= SETTLE_TIME
 
+    def wake(self) -> None:
+        """Look for owners of orphans now."""
+        self._wake.set()
+
     def peer_lost(self, peer: Peer) -> None:
         """Find new owners for the open jobs that a lost peer has named in its hints."""
         reason = f"lost {peer.identity}"
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -81,6 +81,8 @@
             jobs of this one.
         has_other_version: Returns whether an upstream has started again at another software
             version.
+        on_taken: Called with the id of a job whose record shows another owner, and the version of
+            that record.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         usable: Callable[[str], Sequence[Upstream]],
         ownership_uncertain_until: Callable[[], Millis],
         has_other_version: Callable[[Upstream], bool] = lambda upstream: False,
+        on_taken: Callable[[str, int], None] = lambda job_id, version: None,
     ) -> None:
         self._clock = clock
         self._loads = loads
@@ -103,6 +106,7 @@
         self._usable = usable
         self._ownership_uncertain_until = ownership_uncertain_until
         self._has_other_version = has_other_version
+        self._on_taken = on_taken
         self._lock = threading.Lock()
         self._jobs: dict[str, OwnedJob] = {}
         self._wake = threading.Event()
@@ -284,9 +288,12 @@
         evicted = [job for job in jobs if job.lost] + finished[:excess]
         for job in evicted:
             with self._lock:
-                if self._jobs.get(job.job_id) is job:
+                is_current = self._jobs.get(job.job_id) is job
+                if is_current:
                     del self._jobs[job.job_id]
             logging.info("event=job_dropped job=%s lost=%s", job.job_id, job.lost)
+            if is_current and job.lost_at_version is not None:
+                self._on_taken(job.job_id, job.lost_at_version)
 
     def _submit_due_commits(self) -> None:
         now = self._clock.now()
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -248,6 +248,13 @@
         # be wrong.
         return Outcome.UNKNOWN
 
+    def confirm_jobs(self, job_ids: Sequence[str]) -> list[str]:
+        """Return which of the jobs whose records name this entry this entry runs.
+
+        It starts to run the others if the store confirms that they are its own.
+        """
+        return self._adoption.confirm_jobs(job_ids)
+
     def _is_proven(self, job: OwnedJob) -> bool:
         return job.proof.is_valid(
             ownership_uncertain_until=self._peers.ownership_uncertain_until,
--- a/packages/node/src/carobspool_node/direct/_owned_job.py
+++ b/packages/node/src/carobspool_node/direct/_owned_job.py
@@ -65,6 +65,7 @@
         self._next_checkpoint_at: Millis = clock.now() + CHECKPOINT_INTERVAL
         self._events_committed = self._work.events_received
         self._lost = False
+        self._lost_at: int | None = None
         self._releasing = False
         self._proof = OwnershipProof(clock, requested_at=requested_at)
 
@@ -93,6 +94,11 @@
         """Whether this entry no longer owns the job."""
         return self._lost
 
+    @property
+    def lost_at_version(self) -> int | None:
+        """Version of the record that showed another owner, ``None`` if there is none."""
+        return self._lost_at
+
     @property
     def releasing(self) -> bool:
         """Whether this entry is about to release the job to another entry."""
@@ -224,6 +230,7 @@
         if is_successful(read):
             progress = read.unwrap().progress
             if progress.owner != self._owner:
+                self._lost_at = read.unwrap().version
                 self.mark_lost()
                 return False
             # The owner's name does not show an end: ended jobs keep their owner, since no entry has
@@ -291,6 +298,7 @@
         if not is_successful(current):
             return False
         if current.unwrap().progress.owner != self._owner:
+            self._lost_at = current.unwrap().version
             self.mark_lost()
             return False
         # The stored progress is an earlier write of this entry whose answer was lost.
--- a/packages/node/src/carobspool_node/direct/_peer_api.py
+++ b/packages/node/src/carobspool_node/direct/_peer_api.py
@@ -10,12 +10,14 @@
 from carobspool_core.records import read_record
 from carobspool_node.direct._bad_records import BadRecords
 from carobspool_node.direct._caller_connection import CallerConnection
+from carobspool_node.direct._job_reconciliation import JOBS_OPERATION
 from carobspool_node.direct._jobs import Jobs, Outcome
 from carobspool_node.direct._messages import CallerRequest
 from carobspool_node.direct._origin_messages import OriginCall
 from carobspool_node.direct._peer_calls import PEER_HEADERS
 from carobspool_node.direct._peer_messages import (
     EndCall,
+    JobsCall,
     ResultsCall,
     decode_cbor,
     read_store_call,
@@ -71,6 +73,8 @@
         if request.path == "/end":
             call = read_record(EndCall, body)
             return (200 if self._jobs.end_if_owned(call.id) is Outcome.DONE else 409), None
+        if request.path == f"/{JOBS_OPERATION}":
+            return 200, {"running": self._jobs.confirm_jobs(read_record(JobsCall, body).ids)}
         if request.path == "/store":
             return 200, self._store.serve_relay(read_store_call(body))
         if request.path == "/view":
--- a/packages/node/src/carobspool_node/direct/_peer_messages.py
+++ b/packages/node/src/carobspool_node/direct/_peer_messages.py
@@ -35,6 +35,8 @@
 MAX_WAIT_MS = 86_400_000.0
 """Longest wait that a peer may request for a read: one day, which a thread can sleep."""
 HIGHEST_PORT = 65_535
+MAX_JOBS_ASKED = 500
+"""Jobs in one question to a peer, which then has at most 100 kB."""
 MAX_CAPACITY = 1e6
 """Largest processor capacity of a host, in cores."""
 
@@ -130,6 +132,18 @@
     id: Name
 
 
+class JobsCall(Record):
+    """A peer's question which of some jobs, whose records name this entry, this entry runs."""
+
+    ids: Annotated[list[Name], Bounds(max_length=MAX_JOBS_ASKED)]
+
+
+class JobsAnswer(Record):
+    """A peer's answer with the jobs that it runs."""
+
+    running: list[Name]
+
+
 class _GetCall(Record):
     op: Literal["get"]
     key: Name
--- a/packages/node/tests/test_job_runner_faults.py
+++ b/packages/node/tests/test_job_runner_faults.py
@@ -174,3 +174,22 @@
     else:
         lost = random.choice([FaultKind.UNKNOWN_AFTER, FaultKind.UNKNOWN_BEFORE])
         node.store.inject(FaultRule(kind=lost, count=random.randint(1, 4)))
+
+
+@pytest.mark.parametrize("ends", [False, True], ids=["live", "killed"])
+@pytest.mark.parametrize("prefix", ["chunks/", "jobs/", "nodes/", "open/", "segments/"])
+def test_writes_that_take_effect_late(fleet: Fleet, prefix: str, ends: bool) -> None:
+    """Guards against chunks of a holder that does not know of its claim, or is gone by then."""
+    for name in ("a", "b"):
+        fleet.nodes[name] = Node(fleet, name)
+        fleet.nodes[name].store.inject(
+            FaultRule(kind=FaultKind.UNKNOWN_LATE, prefix=prefix, count=6)
+        )
+    job = fleet.submit(90)
+    for number in range(8):
+        time.sleep(0.1)
+        if ends and number == 2:
+            fleet.nodes["b"].kill()
+        fleet.objects.do_late_writes()
+    assert fleet.wait_for_end(job).status is JobStatus.COMPLETED
+    assert_whole(fleet, job, 90)
--- a/packages/standins/src/carobspool_standins/memory_store.py
+++ b/packages/standins/src/carobspool_standins/memory_store.py
@@ -9,7 +9,7 @@
 import json
 import threading
 from bisect import bisect_right
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import TypeVar
@@ -36,14 +36,20 @@
     """Outcome of a write that a `FaultRule` matches.
 
     ``UNKNOWN_AFTER`` fails after the write took effect, ``UNKNOWN_BEFORE`` before it; the caller
-    can't tell them apart. ``REFUSED`` rejects the write.
+    can't tell them apart. ``UNKNOWN_LATE`` fails before the write, which takes effect at the next
+    call of `MemoryObjects.do_late_writes` if its condition still holds. ``REFUSED`` rejects the
+    write.
     """
 
     UNKNOWN_AFTER = "unknown_after"
     UNKNOWN_BEFORE = "unknown_before"
+    UNKNOWN_LATE = "unknown_late"
     REFUSED = "refused"
 
 
+_NOT_DONE = (FaultKind.UNKNOWN_BEFORE, FaultKind.UNKNOWN_LATE)
+
+
 @dataclass(slots=True, kw_only=True)
 class FaultRule:
     """A fault for the next ``count`` writes of the given operations under a prefix."""
@@ -75,6 +81,7 @@
         json_by_key: Version and JSON text of each object, by key.
         history: All writes that took effect, in order.
         changed: Lock of the state; notified after each write.
+        late_writes: Writes that have failed and are still to take effect.
     """
 
     revision: int = 0
@@ -82,6 +89,13 @@
     json_by_key: dict[str, tuple[int, str]] = field(default_factory=dict)
     history: list[WriteRecord] = field(default_factory=list)
     changed: threading.Condition = field(default_factory=threading.Condition)
+    late_writes: list[Callable[[], object]] = field(default_factory=list)
+
+    def do_late_writes(self) -> None:
+        """Let the late writes take effect whose conditions hold."""
+        late, self.late_writes = self.late_writes, []
+        for write in late:
+            write()
 
     def compact(self) -> None:
         """Compact all events so far: a watch from an older revision fails."""
@@ -167,7 +181,9 @@
             fault = self._next_fault("delete", key)
             if fault is FaultKind.REFUSED:
                 return _failure(StoreFault.UNAVAILABLE, key)
-            if fault is FaultKind.UNKNOWN_BEFORE:
+            if fault is FaultKind.UNKNOWN_LATE:
+                self._objects.late_writes.append(lambda: self.delete(key, version=version))
+            if fault in _NOT_DONE:
                 return _failure(StoreFault.UNKNOWN, key)
             found = self._objects.json_by_key.get(key)
             if found is None:
@@ -222,7 +238,11 @@
             fault = self._next_fault(operation, key)
             if fault is FaultKind.REFUSED:
                 return _failure(StoreFault.UNAVAILABLE, key)
-            if fault is FaultKind.UNKNOWN_BEFORE:
+            if fault is FaultKind.UNKNOWN_LATE:
+                self._objects.late_writes.append(
+                    lambda: self._write(operation, key, value, version)
+                )
+            if fault in _NOT_DONE:
                 return _failure(StoreFault.UNKNOWN, key)
             if len(text) > MAX_VALUE_BYTES:
                 return _failure(StoreFault.TOO_LARGE, key)
--- a/packages/standins/src/carobspool_standins/platform_store.py
+++ b/packages/standins/src/carobspool_standins/platform_store.py
@@ -2,7 +2,8 @@
 
 The store holds objects by kind and name under a single revision counter, and supports conditional
 writes and long-polling watches. Attributes switch the faults: responses lost after a write took
-effect, error statuses, compacted history.
+effect, writes that take effect long after their connection is gone, error statuses, compacted
+history.
 """
 
 from __future__ import annotations
@@ -12,9 +13,10 @@
 import re
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from http import HTTPStatus
 from typing import Any
 
@@ -32,6 +34,8 @@
 
 PAGE_ITEMS = 500
 MAX_WATCH_S = 30.0
+LOST_CONNECTION_S = 0.2
+"""How long the connection of a lost write stays open and silent."""
 _PLACEHOLDER_PREFIX = "foreign bytes "
 _PLACEHOLDER = re.compile(rb'"(foreign bytes \d+)"')
 
@@ -50,6 +54,8 @@
             effect.
         suppress_watch_events: Whether watches receive no events; waiting watches stay open.
         delay_s: Delay before each call is processed, as in a slow store.
+        lose: Returns after how many seconds a write takes effect that gets no response, ``None``
+            for a write that is processed as usual; called with method, kind and name.
     """
 
     status: int = 0
@@ -57,6 +63,7 @@
     resets_before_write: int = 0
     suppress_watch_events: bool = False
     delay_s: float = 0.0
+    lose: Callable[[str, str, str], float | None] = lambda method, kind, name: None
 
 
 @dataclass(slots=True)
@@ -160,7 +167,10 @@
         if failure is not None:
             return failure
         if request.method == "POST":
-            return _create(objects, request, kind)
+            name = request.get_json(force=True)["metadata"]["name"]
+            create = partial(_create, objects, request, kind)
+            _lose_if_chosen(active_faults, request, kind, name, create)
+            return create()
         if "watch" in request.args:
             return _watch(objects, active_faults, request, kind)
         return _list(objects, request, kind)
@@ -175,9 +185,12 @@
                 if found is None:
                     return json_response({"error": "no such object"}, HTTPStatus.NOT_FOUND)
                 return objects.answer(found)
+        write = partial(_replace, objects, request, kind, name, "spec")
         if request.method == "DELETE":
-            return _delete(objects, request, kind, name)
-        return _replace(objects, request, kind, name, "spec")
+            write = partial(_delete, objects, request, kind, name)
+        request.get_data()
+        _lose_if_chosen(active_faults, request, kind, name, write)
+        return write()
 
     def status(request: Request, kind: str, name: str) -> Response:
         failure = _count_and_inject_faults(objects, active_faults, request)
@@ -228,6 +241,24 @@
     return None
 
 
+def _lose_if_chosen(
+    faults: PlatformFaults,
+    request: Request,
+    kind: str,
+    name: str,
+    write: Callable[[], Response],
+) -> None:
+    """Let a chosen write take effect later, if its condition still holds, without a response."""
+    delay_s = faults.lose(request.method, kind, name)
+    if delay_s is None:
+        return
+    timer = threading.Timer(delay_s, write)
+    timer.daemon = True
+    timer.start()
+    time.sleep(LOST_CONNECTION_S)
+    raise abort_connection(request)
+
+
 def _write_response(objects: PlatformObjects, request: Request, kind: str, name: str) -> Response:
     if objects.faults.resets_after_write > 0:
         objects.faults.resets_after_write -= 1
