Jobs: a job that is stored is run before its repeat gets 202; acceptances of unknown end are read back

Cause: at the limit `submit` looked whether the job is stored, not whether anybody runs it, and a cached input was enough; the entry that the record names had given the acceptance up.

Ruled out: the count of the limit, placement (docs/incidents/jobs-accepted-by-nobody.md).

Before: test_a_job_that_comes_again_at_the_waiting_limit_is_run and the nine cases of test_a_late_acceptance_is_run failed (no result in 18 s).

--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -118,14 +118,16 @@
                 organisations were declared.
         """
         job_id = job.job_id
-        if self._is_known_locally(job_id):
+        if self._has_known_owner(job_id):
             return Outcome.DONE
-        if id_without_organisation is not None and self._is_known_locally(id_without_organisation):
+        if id_without_organisation is not None and self._is_known(id_without_organisation):
+            self._ensure_owner(id_without_organisation)
             return Outcome.DONE
         tokens = sum(item.tokens for item in job.items)
         decision = self._quota.reserve(route, job.organisation, tokens)
         if decision is not QuotaDecision.FITS:
             if self._is_stored(job_id):
+                self._ensure_owner(job_id)
                 return Outcome.DONE
             is_over = decision is QuotaDecision.OVER
             return Outcome.OVER_QUOTA if is_over else Outcome.UNAVAILABLE
@@ -145,14 +147,19 @@
             return Outcome.DONE
         failure = created.failure()
         if failure.fault is StoreFault.CONFLICT:
-            if not self._adoption.ensure_owner(job_id, RESUBMITTED):
-                self._adoption.add_orphans([job_id], RESUBMITTED)
+            self._ensure_owner(job_id)
             return Outcome.DONE
         if failure.fault is StoreFault.UNKNOWN:
+            self._adoption.add_unsettled(job_id, "accepted without an answer")
             self._quota.add_accepted(route, job.organisation, tokens)
             return Outcome.UNKNOWN
         return Outcome.UNAVAILABLE
 
+    def _ensure_owner(self, job_id: str) -> None:
+        """Make sure that a stored job is run by somebody, at once or as soon as that is known."""
+        if not self._adoption.ensure_owner(job_id, RESUBMITTED):
+            self._adoption.add_orphans([job_id], RESUBMITTED, verify=True)
+
     def find_job_without_organisation(self, job_id: str, organisation: str | None) -> str | None:
         """Return the qualified id of a stored job with this id that belongs to no organisation.
 
@@ -261,16 +268,21 @@
             max_age=READ_PROOF_MAX_AGE,
         )
 
-    def _is_known_locally(self, job_id: str) -> bool:
-        """Whether a job is known without a call to the store."""
-        return (
-            self._runner.get(job_id) is not None
-            or self._peers.find_job_peer(job_id) is not None
-            or self._catalog.has_cached_input(job_id)
-        )
+    def _has_known_owner(self, job_id: str) -> bool:
+        """Whether this entry runs a job, or a peer names it: the job is stored, and has an owner.
+
+        A peer that does not know that it has lost the job loses it to an entry that runs it, or
+        `JobReconciliation` finds the job.
+        """
+        return self._adoption.runs(job_id) or self._peers.find_job_peer(job_id) is not None
+
+    def _is_known(self, job_id: str) -> bool:
+        """Whether a job is known to exist without a call to the store."""
+        return self._has_known_owner(job_id) or self._catalog.has_cached_input(job_id)
 
     def _is_stored(self, job_id: str) -> bool:
-        return not isinstance(self._read_input(job_id), Outcome)
+        """Whether the store has a job; a cached input does not show that it still has."""
+        return is_successful(self._catalog.records.read_input(job_id))
 
     def _results_from_peer(
         self, peer: Peer, job_id: str, after: int, wait: Millis
--- a/tests/direct/test_late_writes.py
+++ b/tests/direct/test_late_writes.py
@@ -15,12 +15,14 @@
 
 import pytest
 from direct_harness import (
+    STANDARD_ROUTES,
     Deployment,
     Entry,
     all_results,
     deployment,
     eventually,
     job_body,
+    route,
 )
 
 from carobspool_standins.platform_server import event_stream_handler
@@ -157,3 +159,46 @@
     time.sleep(4.0)
     system.objects.faults.status = 0
     _assert_finished(system, first, FINISH_S + 12.0)
+
+
+@pytest.fixture
+def limited(tmp_path: Path) -> Iterator[Deployment]:
+    """A deployment whose waiting limit five jobs reach."""
+    batch = route("/batch/", "batch", "engine", max_attempts=3, retention_s=60, max_count=150)
+    with deployment(tmp_path, *STANDARD_ROUTES[:-1], batch) as running:
+        yield running
+
+
+def test_a_job_that_comes_again_at_the_waiting_limit_is_run(limited: Deployment) -> None:
+    """Guards against a 202 for a job that is stored, at an entry without room for more, while the
+    entry that stored it counts its acceptance as failed."""
+    first, second = _start_entries(limited, "e1", "e2")
+    lost = _LostWrites(limited, "jobs")
+    assert _submit(first, timeout=4.0) != 202
+    lost.active = False
+    number = 0
+    while _submit(second, f"{number:016d}") == 202:
+        number += 1
+        assert number < 10
+    eventually(lambda: limited.objects.spec("jobs", JOB), LATE_S + 2.0)
+    assert _submit(second) == 202
+    _assert_finished(limited, second)
+
+
+@pytest.mark.parametrize("names", [("e1",), ("e1", "e2"), ("e1", "e2", "e3")], ids=len)
+@pytest.mark.parametrize("restarted", ["none", "first", "all"])
+def test_a_late_acceptance_is_run(
+    system: Deployment, names: tuple[str, ...], restarted: str
+) -> None:
+    """Guards against a job that is stored after the entry that accepted it has stopped reading it
+    back, or has ended, and after the entries that started since have listed the jobs."""
+    entries = _start_entries(system, *names)
+    lost = _LostWrites(system, "jobs", delay_s=LATE_S + 2.0)
+    assert _submit(entries[0], timeout=4.0) != 202
+    if restarted == "all":
+        entries = [_restart(system, each) for each in entries]
+    elif restarted == "first":
+        entries[0] = _restart(system, entries[0])
+    eventually(lambda: system.objects.spec("jobs", JOB), LATE_S + 5.0)
+    lost.active = False
+    _assert_finished(system, entries[-1])
