Answers: the end of a connection is no end of an answer while the request is unsent; statuses of HTTP only

Callers saw: a part of an answer as a complete one, when the server had answered a long upload early and shut its side down before it reset the connection; an answer of status 600 to 999 with that status.

Cause: an answer without framing ends with its connection, whatever became of the request; h11 and libcurl allow statuses up to 999.

Ruled out: plain resets (each reader sees them, 10 of 10 at 1 B to 8 MB), statuses 000 to 099 (both libraries refuse them).

--- a/packages/cli/src/carobspool_cli/_client.py
+++ b/packages/cli/src/carobspool_cli/_client.py
@@ -143,6 +143,8 @@
         _set_limits(handle, call, progress)
         try:
             handle.perform()
+            sent = handle.getinfo(pycurl.SIZE_UPLOAD_T)
+            length = handle.getinfo(pycurl.CONTENT_LENGTH_UPLOAD_T)
         except pycurl.error as error:
             code = error.args[0]
             return _TransportFailure(sent=code not in _NOT_SENT_ERRORS, detail=str(error.args[-1]))
@@ -150,6 +152,8 @@
             handle.close()
         if not head.is_whole:
             return _TransportFailure(sent=True, detail="closed inside the head of the answer")
+        if head.is_cut(sent=sent, length=length):
+            return _TransportFailure(sent=True, detail="closed before the request was sent")
         return _Reply(status=head.status, body=b"")
 
     def _headers(self, call: Call) -> list[str]:
--- a/packages/core/src/carobspool_core/__init__.pyi
+++ b/packages/core/src/carobspool_core/__init__.pyi
@@ -1,5 +1,5 @@
 from ._admission import Admission, make_admission
-from ._answer_head import AnswerHead
+from ._answer_head import AnswerHead, is_status
 from ._audit import AuditError, AuditKind, AuditRecord, audit_from_json, audit_to_json
 from ._chunks import (
     MAX_CHUNK_BYTES,
@@ -292,6 +292,7 @@
     "finished_items",
     "heartbeat_interval",
     "invalid_request",
+    "is_status",
     "iterate_indexes",
     "job_from_json",
     "job_to_json",
--- a/packages/core/src/carobspool_core/_answer_head.py
+++ b/packages/core/src/carobspool_core/_answer_head.py
@@ -5,7 +5,15 @@
 MAX_HEADERS = 256
 """Header lines of an answer; libcurl bounds their bytes, but not those of interim answers."""
 _LINE_ENDS = (b"\r\n", b"\n")
-_FIRST_FINAL_STATUS = 200
+_FIRST_STATUS, _FIRST_FINAL_STATUS, _LAST_STATUS = 100, 200, 599
+
+
+def is_status(status: int) -> bool:
+    """Return whether HTTP defines a status, or at least its class.
+
+    Since 0.3.
+    """
+    return _FIRST_STATUS <= status <= _LAST_STATUS
 
 
 class AnswerHead:
@@ -44,11 +52,24 @@
         """Whether the body has a length or comes in chunks, so that a cut of it shows."""
         return "content-length" in self._headers or "transfer-encoding" in self._headers
 
+    def is_cut(self, *, sent: float, length: float) -> bool:
+        """Whether an answer that ended in an orderly way may be cut all the same.
+
+        A server that closes a connection with a part of the request unread resets it. The end of
+        the connection is then not the end of a body that has neither a length nor chunks.
+
+        Args:
+            sent: Bytes of the request's body that were sent.
+            length: All bytes of the request's body.
+        """
+        return not self.has_framing and sent < length
+
     def read_line(self, line: bytes) -> int | None:
         """Read one line.
 
         Returns:
-            ``None``, or 0 if there are too many headers, which ends a transfer of libcurl.
+            ``None``, or 0 if there are too many headers or the status is none of HTTP, which ends
+            a transfer of libcurl.
 
         Raises:
             ValueError: A status line without a status.
@@ -63,7 +84,7 @@
             self._status = int(text.split(" ", 2)[1])
             self._headers = {}
             self._ended = False
-            return None
+            return None if is_status(self._status) else 0
         if text:
             name, _, value = text.partition(":")
             self._headers[name.strip().lower()] = value.strip()
--- a/packages/node/src/carobspool_node/direct/_channel.py
+++ b/packages/node/src/carobspool_node/direct/_channel.py
@@ -15,7 +15,7 @@
 
 import h11
 
-from carobspool_core import Clock, Millis
+from carobspool_core import Clock, Millis, is_status
 from carobspool_node.direct._errors import (
     CallCancelledError,
     CallerGoneError,
@@ -258,6 +258,8 @@
                     continue
                 if isinstance(event, type):
                     raise ConnectionBrokenError("bytes of another message")
+                if isinstance(event, h11.Response) and not is_status(event.status_code):
+                    raise ConnectionBrokenError(f"not proper HTTP: status {event.status_code}")
                 return event
             except h11.RemoteProtocolError as error:
                 self._raise_if_cancelled()
--- a/packages/node/src/carobspool_node/direct/_upstream_calls.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_calls.py
@@ -11,6 +11,7 @@
 
 from carobspool_core import Millis
 from carobspool_core.direct import UNKNOWN_VERSION, Upstream
+from carobspool_node.answers import unacknowledged_bytes
 from carobspool_node.direct._answer_memory import MAX_ANSWER_BYTES
 from carobspool_node.direct._channel import (
     MAX_INTERIM_ANSWERS,
@@ -103,6 +104,7 @@
         self._complete = False
         self._connection_broken = False
         self._ends_with_connection = False
+        self._sent_whole = True
         self._start_confirmed = True
 
     def start(
@@ -140,7 +142,8 @@
         channel.set_cancellation(self._open_call.cancellation)
         try:
             data = _encode(channel.http, request)
-            if not channel.send_or_answer(data, deadline, self._watch):
+            self._sent_whole = channel.send_or_answer(data, deadline, self._watch)
+            if not self._sent_whole:
                 channel.idle_limit = -1.0
             self._await_answer(channel, deadline, idle_deadline)
             head = self._read_head(channel, request, deadline)
@@ -184,6 +187,11 @@
                 yield bytes(event.data)
                 continue
             if isinstance(event, h11.EndOfMessage):
+                if self._ends_with_connection and not self._is_request_received(channel):
+                    # The server closed the connection with a part of the request unread, which
+                    # resets it: the end of the connection is not the end of the answer.
+                    self._connection_broken = True
+                    raise CallFailedError("closed before the request was sent", sent=True)
                 self._complete = True
                 self._connection_broken = self._ends_with_connection
                 return
@@ -315,6 +323,9 @@
             )
         return channel
 
+    def _is_request_received(self, channel: Channel) -> bool:
+        return self._sent_whole and not unacknowledged_bytes(channel.socket)
+
     def _raise_if_upstream_restarted(self, error: CallCancelledError) -> None:
         if self._open_call.upstream_restarted:
             raise CallFailedError(_UPSTREAM_RESTARTED, sent=True) from error
--- a/packages/node/src/carobspool_node/store/_object_api.py
+++ b/packages/node/src/carobspool_node/store/_object_api.py
@@ -258,6 +258,9 @@
         if not head.is_whole:
             self._drop_handle()
             return Broken(sent=True, detail="closed inside the head of the answer")
+        if head.is_cut(sent=handle.getinfo(pycurl.SIZE_UPLOAD_T), length=len(body or b"")):
+            self._drop_handle()
+            return Broken(sent=True, detail="closed before the request was sent")
         stated = head.headers.get(_VERSION_HEADER, "0")
         if not stated.isdecimal() or len(stated) > MAX_VERSION_DIGITS:
             return Broken(sent=True, detail=f"unreadable {_VERSION_HEADER}")
--- a/packages/node/src/carobspool_node/upstreams/_upstream_http.py
+++ b/packages/node/src/carobspool_node/upstreams/_upstream_http.py
@@ -16,7 +16,7 @@
 import pycurl
 
 from carobspool_core import AnswerHead, Millis
-from carobspool_node.answers import BoundedAnswer
+from carobspool_node.answers import BoundedAnswer, unacknowledged_bytes
 
 CONNECT_TIMEOUT: Millis = 1_000.0
 CONTROL_TIMEOUT: Millis = 2_000.0
@@ -117,6 +117,7 @@
         curl.setopt(pycurl.WRITEFUNCTION, on_data)
         try:
             curl.perform()
+            sent = curl.getinfo(pycurl.SIZE_UPLOAD_T) - self._unacknowledged()
         except pycurl.error as error:
             return self._failed(curl, error, head.status)
         finally:
@@ -126,6 +127,10 @@
         if not head.is_whole:
             end = CallEnd.ABORTED if self._aborted else CallEnd.BROKEN
             return CallResult(end=end, status=head.status, detail="closed inside the head")
+        if head.is_cut(sent=sent, length=len(call.body)):
+            end = CallEnd.ABORTED if self._aborted else CallEnd.BROKEN
+            detail = "closed before the request was sent"
+            return CallResult(end=end, status=head.status, detail=detail)
         return CallResult(end=CallEnd.COMPLETE, status=head.status)
 
     def _prepare(self, call: UpstreamCall) -> pycurl.Curl:
@@ -171,6 +176,10 @@
             self._sockets.append(opened)
         return opened
 
+    def _unacknowledged(self) -> int:
+        with self._lock:
+            return sum(unacknowledged_bytes(each) for each in self._sockets)
+
     def _failed(self, curl: pycurl.Curl, error: pycurl.error, status: int) -> CallResult:
         code = error.args[0]
         detail = str(error.args[1]) if len(error.args) > 1 else str(code)
--- a/packages/standins/src/carobspool_standins/platform_server.py
+++ b/packages/standins/src/carobspool_standins/platform_server.py
@@ -205,6 +205,8 @@
         version: Version of the software that the next start runs and that the server publishes.
         reports_start: Whether the report states the server's start.
         closes_after_report: Whether the server closes a connection after its report on itself.
+        reads_bodies: Whether requests are handled once their bodies have been read; else they are
+            handled with empty bodies after their heads, and the connection must be closed then.
     """
 
     instance: str
@@ -218,6 +220,7 @@
     version: str = "v1"
     closes_after_report: bool = False
     reports_start: bool = True
+    reads_bodies: bool = True
     _start: ServerStart | None = None
     _isolated_starts: list[ServerStart] = field(default_factory=list)
 
@@ -333,7 +336,7 @@
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     while True:
-        request = _read_request(http, sock, start)
+        request = _read_request(http, sock, start, reads_body=server.reads_bodies)
         if request is None:
             sock.close()
             return
@@ -360,7 +363,7 @@
 
 
 def _read_request(
-    http: h11.Connection, sock: socket.socket, start: ServerStart
+    http: h11.Connection, sock: socket.socket, start: ServerStart, *, reads_body: bool
 ) -> ServedRequest | None:
     head: h11.Request | None = None
     body = b""
@@ -376,7 +379,10 @@
             head = event
         elif isinstance(event, h11.Data):
             body += bytes(event.data)
-        elif isinstance(event, h11.EndOfMessage) and head is not None:
+        elif not isinstance(event, h11.EndOfMessage) or head is None:
+            return None
+        is_read = isinstance(event, h11.EndOfMessage)
+        if head is not None and (is_read or not reads_body):
             headers = {key.decode().lower(): value.decode() for key, value in head.headers}
             return ServedRequest(
                 head.method.decode(),
@@ -386,5 +392,3 @@
                 started=start.started,
                 version=start.version,
             )
-        else:
-            return None
