Exit: late in a planned stop, only requests are passed on that certainly end before the exit

Cause: a leaving entry passed a request on if three times the mean duration fitted, also when the balancer had removed it and only callers on open connections were left.

Ruled out: the exit itself; what crosses it is refused as not run.

--- a/packages/core/src/carobspool_core/direct/__init__.py
+++ b/packages/core/src/carobspool_core/direct/__init__.py
@@ -49,7 +49,9 @@
     JobWork,
 )
 from carobspool_core.direct._leaving import (
+    BALANCER_TIME,
     LEAVING_RETRY_AFTER,
+    Shutdown,
     has_time_for_job_call,
     has_time_to_serve,
 )
@@ -106,7 +108,9 @@
     "FORGET_AFTER",
     "GONE_AFTER",
     "LAPSE_GRACE",
+    "BALANCER_TIME",
     "LEAVING_RETRY_AFTER",
+    "Shutdown",
     "NO_LOAD",
     "OWNERSHIP_UNCERTAIN_TIME",
     "PEER_LOAD_TTL",
--- a/packages/core/src/carobspool_core/direct/_leaving.py
+++ b/packages/core/src/carobspool_core/direct/_leaving.py
@@ -9,8 +9,15 @@
 
 from __future__ import annotations
 
+from msgspec import Struct
+
 from carobspool_core._clock import Millis
 
+BALANCER_TIME: Millis = 2_500.0
+"""Time after the signal in which the load balancer may still send new callers, who have not chosen
+this entry. It removes an entry after two failed health checks, a second apart."""
+DEADLINE_MARGIN: Millis = 100.0
+"""Time for the answer to a request that ends at its deadline."""
 MAX_TO_MEAN_DURATION = 3.0
 """Ratio of the longest duration of a request to the mean of its service, on a full fleet."""
 MIN_TIME_LEFT: Millis = 500.0
@@ -22,16 +29,35 @@
 """Retry delay for callers: almost none, since the retry reaches another entry."""
 
 
-def has_time_to_serve(time_left: Millis | None, mean_duration: Millis) -> bool:
-    """Return whether a new request will probably end before this process exits.
+class Shutdown(Struct, frozen=True, kw_only=True):
+    """A shutdown in progress.
+
+    Attributes:
+        elapsed: Time since the signal.
+        time_left: Time until the process exits.
+    """
+
+    elapsed: Millis
+    time_left: Millis
+
+
+def has_time_to_serve(shutdown: Shutdown | None, *, mean_duration: Millis, longest: Millis) -> bool:
+    """Return whether a new request may be passed on although this process may be shutting down.
+
+    While the balancer still sends callers, a request is passed on if it will probably end in time.
+    Later ones come on connections that were open before; their callers lose nothing by a refusal,
+    so that only requests are passed on that certainly end in time.
 
     Args:
-        time_left: Time until the process exits; ``None`` if it is not shutting down.
+        shutdown: The shutdown, ``None`` if there is none.
         mean_duration: Mean duration of requests of the service.
+        longest: Time until the deadline of the request.
     """
-    if time_left is None:
+    if shutdown is None:
         return True
-    return time_left >= max(MIN_TIME_LEFT, mean_duration * MAX_TO_MEAN_DURATION)
+    if shutdown.elapsed >= BALANCER_TIME:
+        return shutdown.time_left >= longest + DEADLINE_MARGIN
+    return shutdown.time_left >= max(MIN_TIME_LEFT, mean_duration * MAX_TO_MEAN_DURATION)
 
 
 def has_time_for_job_call(time_left: Millis | None) -> bool:
--- a/packages/core/tests/test_direct_queueing.py
+++ b/packages/core/tests/test_direct_queueing.py
@@ -10,6 +10,8 @@
 import pytest
 
 from carobspool_core.direct import (
+    BALANCER_TIME,
+    Shutdown,
     can_finish_in_time,
     failover_at,
     has_time_to_serve,
@@ -113,7 +115,19 @@
 def test_entry_that_shuts_down_accepts_requests_it_can_finish(
     time_left: float | None, mean: float, accepted: bool
 ) -> None:
-    assert has_time_to_serve(time_left, mean) is accepted
+    shutdown = None if time_left is None else Shutdown(elapsed=500.0, time_left=time_left)
+    assert has_time_to_serve(shutdown, mean_duration=mean, longest=60_000.0) is accepted
+
+
+@pytest.mark.parametrize(
+    ("time_left", "mean", "accepted"),
+    [(3_100.0, 25.0, True), (3_050.0, 25.0, False), (2_900.0, 1.0, False), (3_200.0, 9e3, True)],
+)
+def test_after_the_balancer_has_removed_it_an_entry_accepts_what_certainly_ends(
+    time_left: float, mean: float, accepted: bool
+) -> None:
+    shutdown = Shutdown(elapsed=BALANCER_TIME, time_left=time_left)
+    assert has_time_to_serve(shutdown, mean_duration=mean, longest=3_000.0) is accepted
 
 
 @pytest.mark.parametrize(
--- a/packages/node/src/carobspool_node/direct/_entry.py
+++ b/packages/node/src/carobspool_node/direct/_entry.py
@@ -212,7 +212,7 @@
             self._connections,
             self._group_assignment.split_upstreams,
             self._telemetry,
-            lambda: self._exit.time_left,
+            lambda: self._exit.shutdown,
             self._isolation,
             self._queued,
             make_continued_streams(
--- a/packages/node/src/carobspool_node/direct/_exit.py
+++ b/packages/node/src/carobspool_node/direct/_exit.py
@@ -12,16 +12,19 @@
 from absl import logging
 
 from carobspool_core import Clock, Millis
-from carobspool_core.direct import SILENT_AFTER, HandoverCandidate, should_release_jobs
+from carobspool_core.direct import (
+    BALANCER_TIME,
+    SILENT_AFTER,
+    HandoverCandidate,
+    Shutdown,
+    should_release_jobs,
+)
 from carobspool_node.direct._job_runner import JobRunner
 from carobspool_node.direct._listener import Listener
 from carobspool_node.direct._messages import CallerRequest
 from carobspool_node.direct._peers import Peers
 from carobspool_node.direct._telemetry import Telemetry
 
-MIN_DRAIN_TIME: Millis = 2_500.0
-"""Least time for which an entry continues to serve after the signal. The load balancer removes it
-after two failed health checks, a second apart, and callers use open connections until then."""
 EXIT_MARGIN: Millis = 1_200.0
 """Time before the kill at which the entry exits even if requests are in progress. The exit takes up
 to 1.0 s: 0.4 s for the last commits, 0.5 s for the last log lines, 0.1 s for refusals in progress.
@@ -64,17 +67,28 @@
         self._telemetry = telemetry
         self._time_to_kill = limit
         self._before_close = before_close
+        self._started: Millis = 0.0
         self._exit_at: Millis | None = None
 
+    @property
+    def shutdown(self) -> Shutdown | None:
+        """The shutdown in progress, ``None`` if there is none."""
+        exit_at = self._exit_at
+        if exit_at is None:
+            return None
+        now = self._clock.now()
+        return Shutdown(elapsed=now - self._started, time_left=exit_at - now)
+
     @property
     def time_left(self) -> Millis | None:
         """Time until the latest exit of the process, ``None`` if it is not shutting down."""
-        return None if self._exit_at is None else self._exit_at - self._clock.now()
+        shutdown = self.shutdown
+        return None if shutdown is None else shutdown.time_left
 
     def run(self, callers: Listener) -> None:
         """Shut down; the process can exit when this returns."""
         logging.info("event=stop_requested busy=%d", callers.busy)
-        started = self._clock.now()
+        self._started = started = self._clock.now()
         self._exit_at = started + self._time_to_kill - EXIT_MARGIN
         callers.drain()
         self._peers.announce()
@@ -97,7 +111,7 @@
     def _serve_until_drained(self, callers: Listener, started: Millis) -> None:
         while (time_left := self.time_left) is not None and time_left > 0:
             has_jobs = self._hand_over_jobs(time_left)
-            drained = self._clock.now() - started >= MIN_DRAIN_TIME
+            drained = self._clock.now() - started >= BALANCER_TIME
             if drained and not has_jobs and callers.close_if_idle():
                 return
             threading.Event().wait(POLL_INTERVAL_S)
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -18,6 +18,7 @@
     LEAVING_RETRY_AFTER,
     Route,
     RouteKind,
+    Shutdown,
     Upstream,
     can_finish_in_time,
     failover_at,
@@ -97,7 +98,7 @@
         connections: Pool of connections to upstreams.
         split_upstreams: Returns the upstreams of a service.
         telemetry: Logs and metrics.
-        time_left: Returns the time until this process exits, ``None`` if it is not shutting down.
+        shutdown: Returns the shutdown in progress, ``None`` if there is none.
         isolation: Isolates requests that crash upstreams.
         queued: Lets requests wait for a slot, while that is in force.
         continued: Continues streams that may run only once.
@@ -112,7 +113,7 @@
         connections: UpstreamConnections,
         split_upstreams: Callable[[str], UpstreamSplit],
         telemetry: Telemetry,
-        time_left: Callable[[], Millis | None],
+        shutdown: Callable[[], Shutdown | None],
         isolation: CrashIsolation,
         queued: QueuedRequests,
         continued: ContinuedStreams,
@@ -124,7 +125,7 @@
         self._connections = connections
         self._split_upstreams = split_upstreams
         self._telemetry = telemetry
-        self._time_left = time_left
+        self._shutdown = shutdown
         self._isolation = isolation
         self._queued = queued
         self._continued = continued
@@ -192,20 +193,21 @@
         return state.may_have_run or state.runs > 0 or state.is_refunded
 
     def _has_time_before_exit(self, state: RequestState) -> bool:
-        """Return whether the request can probably end before this process exits."""
-        time_left = self._time_left()
-        if time_left is None:
+        """Return whether the request may be passed on before this process exits."""
+        shutdown = self._shutdown()
+        if shutdown is None:
             return True
         service = self._service_of(state)
         mean = self._loads.mean_duration(service)
-        if has_time_to_serve(time_left, mean):
+        longest = state.deadline - self._clock.now()
+        if has_time_to_serve(shutdown, mean_duration=mean, longest=longest):
             return True
         state.last_failure = "this entry is leaving"
         logging.info(
             "event=leaving_refused request=%s service=%s time_left_ms=%.0f mean_ms=%.0f",
             state.request.request_id,
             service,
-            time_left,
+            shutdown.time_left,
             mean,
         )
         return False
--- a/tests/direct/test_entry_exit.py
+++ b/tests/direct/test_entry_exit.py
@@ -10,19 +10,36 @@
 from __future__ import annotations
 
 import fcntl
+import http.client
 import os
 import signal
 import threading
 import time
+import uuid
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
-from direct_harness import Answer, Deployment, Entry, deployment, eventually, job_body, route
-
-from carobspool_standins.platform_server import event_stream_handler
+from direct_harness import (
+    HOST,
+    Answer,
+    Deployment,
+    Entry,
+    deployment,
+    eventually,
+    job_body,
+    route,
+)
+
+from carobspool_standins.platform_server import (
+    ServedRequest,
+    ServerConnection,
+    event_stream_handler,
+)
 
 SMALL_PIPE = 4096
+LATE_FROM_S = 2.6
+"""Time after the signal from which callers come on connections only that were open before."""
 DRAINED_S = 2.8
 """An entry without requests exits within this time after the signal."""
 
@@ -82,6 +99,79 @@
     ]
 
 
+class _KeptConnection:
+    """A caller's connection that is open before an entry is stopped, and carries one request."""
+
+    def __init__(self, entry: Entry) -> None:
+        self._connection = http.client.HTTPConnection("127.0.0.1", entry.port, timeout=10.0)
+        assert self.call("/once/x", b"short").status == 200
+
+    def call(self, target: str, body: bytes) -> Answer:
+        """Send a request and return its answer; its status is 0 if there is none."""
+        headers = {"Host": HOST, "Request-Id": uuid.uuid4().hex, "Deadline-Ms": "3000"}
+        try:
+            self._connection.request("POST", target, body=body, headers=headers)
+            response = self._connection.getresponse()
+            return Answer(response.status, {}, response.read())
+        except (OSError, http.client.HTTPException):
+            return Answer(0, {}, b"", complete=False)
+
+
+@pytest.mark.parametrize("target", ["/once/x", "/safe/x", "/stream/x"])
+def test_requests_on_open_connections_are_not_passed_on_and_cut_by_a_planned_stop(
+    system: Deployment, target: str
+) -> None:
+    """Guards against requests that are taken late in the grace of a planned stop because most
+    requests are short, and are cut at the exit of the entry."""
+    passed_on: list[float] = []
+
+    def handle(request: ServedRequest, connection: ServerConnection) -> None:
+        passed_on.append(time.monotonic())
+        if request.body == b"long":
+            # A safe request is repeated after half of its time.
+            time.sleep(1.3 if target == "/safe/x" else 2.4)
+        if target != "/stream/x" or request.target != target:
+            connection.send_response(request)
+            return
+        connection.send_stream_headers(request)
+        connection.send_event(1)
+        connection.end_stream()
+
+    for service in ("plain", "engine"):
+        system.start_server(service, handle).slots = 64
+    entry = system.start_entry("e1", shutdown_limit_s=8)
+    other = system.start_entry("e2")
+    eventually(lambda: len(entry.known_servers()) == 2, 5.0)
+    assert other.is_ready()
+    callers = [_KeptConnection(entry) for _ in range(124)]
+    entry.send_signal(signal.SIGTERM)
+    stopped = time.monotonic()
+    found: list[tuple[float, int]] = []
+
+    def call_late(caller: _KeptConnection, at: float, body: bytes) -> None:
+        time.sleep(max(0.0, stopped + at - time.monotonic()))
+        found.append((at, caller.call(target, body).status))
+
+    calls = [
+        threading.Thread(
+            target=call_late,
+            args=(caller, 0.055 * number, b"long" if number % 9 == 0 else b"short"),
+        )
+        for number, caller in enumerate(callers)
+    ]
+    for each in calls:
+        each.start()
+    for each in calls:
+        each.join()
+    entry.process.wait(10.0)
+    late = sorted((at, status) for at, status in found if at >= LATE_FROM_S)
+    served = [at for at, status in late if status == 200]
+    passed_on_late = [at for at in passed_on if at - stopped >= LATE_FROM_S]
+    assert len(served) == len(passed_on_late), late
+    assert {status for _, status in late} <= {0, 200, 503}
+    assert 503 in {status for _, status in late}
+
+
 def test_a_request_that_comes_while_an_entry_exits_is_not_cut(system: Deployment) -> None:
     """An entry without requests shuts down, but the reader of its output is slow, so that writing
     its last log lines takes a second. Requests that arrive in that second must be refused as not
