Answers without end: refusals are acted on by their head; sidecars and the command line bound answers

Cause: the body of a refusal was read to its end although its head says all. A sidecar kept all pieces of an open answer, and of an event that does not end; the command line held whole answers.

Ruled out: direct entries, store clients, peers, probes, calls to engines (tests of answers without end pass on the code before).

--- a/packages/cli/src/carobspool_cli/_client.py
+++ b/packages/cli/src/carobspool_cli/_client.py
@@ -9,7 +9,7 @@
 from http import HTTPStatus
 from io import BytesIO
 from pathlib import Path
-from typing import BinaryIO
+from typing import Any, BinaryIO
 
 import pycurl
 from returns.result import Failure, Result, Success
@@ -20,6 +20,8 @@
 CONNECT_TIMEOUT_MS: Millis = 2_000.0
 CALL_TIMEOUT_MS: Millis = 30_000.0
 STALL_TIMEOUT_S = 120
+MAX_BODY_BYTES = 32 * 1024 * 1024
+"""Longest answer that is held in memory; content of files goes to a file."""
 """A transfer without any progress for this long is aborted."""
 
 _NOT_SENT_ERRORS = (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
@@ -83,7 +85,7 @@
         last: _Reply | None = None
         transport_failures: list[tuple[str, _TransportFailure]] = []
         for entry in self.entries:
-            received = BytesIO()
+            received = _BoundedBody()
             reply = self._exchange(entry, call, received, progress)
             if isinstance(reply, _TransportFailure):
                 transport_failures.append((entry, reply))
@@ -166,6 +168,16 @@
         return headers
 
 
+class _BoundedBody(BytesIO):
+    """The body of an answer. libcurl ends a transfer whose bytes are not all accepted."""
+
+    def write(self, data: Any) -> int:
+        """Accept received bytes; return how many were accepted."""
+        if self.tell() + len(data) > MAX_BODY_BYTES:
+            return 0
+        return super().write(data)
+
+
 def _set_body(handle: pycurl.Curl, call: Call) -> None:
     if call.upload is not None:
         form = pycurl.CurlMime(handle)
--- a/packages/cli/tests/test_cut_answers.py
+++ b/packages/cli/tests/test_cut_answers.py
@@ -9,6 +9,12 @@
 
 from carobspool_cli._client import Call, Client
 from carobspool_standins.cut_answers import CutAnswer, answer_forms, serve_cut_answers
+from carobspool_standins.endless import (
+    ENDLESS_ANSWERS,
+    peak_memory_kb,
+    reset_peak_memory_kb,
+    serve_endless,
+)
 
 BODY = b'{"status": "done"}'
 FORMS = answer_forms(BODY)
@@ -42,3 +48,13 @@
         server.choose = lambda head, number: CutAnswer(form.data, len(form.data))
         assert isinstance(client.download("/x", target), Success)
     assert target.read_bytes() == BODY
+
+
+@pytest.mark.parametrize("name", ["body", "chunks", "header", "headers", "no HTTP"])
+def test_an_answer_without_end_does_not_fill_the_memory(name: str) -> None:
+    """Guards against an entry in trouble whose bytes end the command, or its machine."""
+    with serve_endless(*ENDLESS_ANSWERS[name]) as server:
+        client = Client(entries=("http://{}:{}".format(*server.address),), key=None)
+        before = reset_peak_memory_kb()
+        assert isinstance(client.call(Call(method="GET", path="/")), Failure)
+        assert peak_memory_kb() - before < 100_000
--- a/packages/node/src/carobspool_node/answers/_bounded_answer.py
+++ b/packages/node/src/carobspool_node/answers/_bounded_answer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
+MAX_RECEIVED_BYTES = 8 * 1024 * 1024
 """Far above the largest page of objects, some 1 MB."""
 
 
@@ -19,7 +19,7 @@
 
     def write(self, data: bytes) -> int:
         """Accept received bytes; return how many were accepted."""
-        if len(self._body) + len(data) > MAX_ANSWER_BYTES:
+        if len(self._body) + len(data) > MAX_RECEIVED_BYTES:
             return 0
         self._body += data
         return len(data)
--- a/packages/node/src/carobspool_node/direct/_forward.py
+++ b/packages/node/src/carobspool_node/direct/_forward.py
@@ -503,7 +503,7 @@
     ) -> bool:
         """Relay the upstream's answer; return whether the caller has received it."""
         if head.header(self._names.not_run) is not None or head.status == 421:
-            call.read_body(state.deadline)
+            call.discard_body()
             state.progress.turned_away = True
             state.turned_away += 1
             state.last_failure = f"turned away with {head.status}"
--- a/packages/node/src/carobspool_node/direct/_item_run.py
+++ b/packages/node/src/carobspool_node/direct/_item_run.py
@@ -151,12 +151,12 @@
     ) -> RunOutcome:
         deadline = self._clock.now() + MAX_RUN_DURATION
         if head.header(self._names.not_run) is not None or head.status == 421:
-            call.read_body(deadline)
+            call.discard_body()
             return RunOutcome(end=RunEnd.NOT_RUN, detail=f"status {head.status}")
         if head.header(self._names.signature) is None:
             raise CallFailedError("the response has no server signature header", sent=True)
         if not head.succeeded:
-            call.read_body(deadline)
+            call.read_body(self._clock.now() + MAX_EVENT_GAP)
             return _refusal_outcome(head.status)
         splitter = EventSplitter()
         pauses = self._loads.choice.follow_events(
--- a/packages/node/src/carobspool_node/direct/_upstream_calls.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_calls.py
@@ -11,8 +11,7 @@
 
 from carobspool_core import Millis
 from carobspool_core.direct import UNKNOWN_VERSION, Upstream
-from carobspool_node.answers import unacknowledged_bytes
-from carobspool_node.direct._answer_memory import MAX_ANSWER_BYTES
+from carobspool_node.answers import MAX_ANSWER_BYTES, unacknowledged_bytes
 from carobspool_node.direct._channel import (
     MAX_INTERIM_ANSWERS,
     CallerWatch,
@@ -48,6 +47,8 @@
 """Answers to earlier requests after which a connection counts as broken."""
 MAX_SKIPPED_BYTES = 1024 * 1024
 """Longest answer to an earlier request that is discarded to reach the next one."""
+MAX_DISCARD_TIME: Millis = 100.0
+"""Longest wait for the rest of an answer that is not used; a new connection costs some ms."""
 _UPSTREAM_RESTARTED = "the upstream has started again"
 
 
@@ -219,6 +220,22 @@
         finally:
             memory.release(len(body))
 
+    def discard_body(self, limit: Millis = MAX_DISCARD_TIME) -> None:
+        """Read the rest of an answer whose head says all, so that the connection can be kept.
+
+        A longer body, or one that does not end within ``limit``, is left, and `close` closes the
+        connection.
+        """
+        deadline = self._clock.now() + limit
+        size = 0
+        try:
+            for piece in self.body(deadline):
+                size += len(piece)
+                if size > MAX_SKIPPED_BYTES:
+                    return
+        except (CallFailedError, DeadlinePassedError):
+            return
+
     @property
     def ends_with_connection(self) -> bool:
         """Whether the answer has neither a length nor chunks and ends with its connection."""
--- a/packages/node/src/carobspool_node/direct/_upstream_connections.py
+++ b/packages/node/src/carobspool_node/direct/_upstream_connections.py
@@ -6,7 +6,7 @@
 
 from carobspool_core import Clock, Millis
 from carobspool_core.direct import Upstream
-from carobspool_node.direct._answer_memory import AnswerMemory
+from carobspool_node.answers import AnswerMemory
 from carobspool_node.direct._channel import Channel, connect
 from carobspool_node.direct._errors import ConnectionBrokenError
 from carobspool_node.direct._open_calls import OpenCalls
--- a/packages/node/src/carobspool_node/upstreams/_engine_runs.py
+++ b/packages/node/src/carobspool_node/upstreams/_engine_runs.py
@@ -22,6 +22,7 @@
     broken_upstream,
     unavailable,
 )
+from carobspool_node.answers import MAX_ANSWER_BYTES, AnswerMemory
 from carobspool_node.upstreams._engine_calls import (
     answer_call,
     cancel_at_engine,
@@ -40,6 +41,8 @@
 )
 
 MAX_START_DELAY: Millis = 1_500.0
+MAX_OPEN_BYTES = 64 * 1024 * 1024
+"""All answers that have not ended; a sidecar may take 256 MB."""
 _EVENT_STREAM = "text/event-stream"
 _CHAT_PATH = "/v1/chat/completions"
 _NOT_FOUND = 404
@@ -59,6 +62,8 @@
     started: bool = False
     status: int = 0
     error_body: bytes = b""
+    reserved: int = 0
+    """Bytes of its answer that count in the memory of all answers."""
 
 
 class EngineRuns:
@@ -83,6 +88,7 @@
         self._scheduler: Scheduler | None = None
         self._lock = threading.Lock()
         self._progress: dict[RequestId, _Progress] = {}
+        self._memory = AnswerMemory(MAX_OPEN_BYTES)
 
     def attach(self, scheduler: Scheduler) -> None:
         """Set the scheduler that is told of tokens and ends."""
@@ -138,7 +144,26 @@
     def forget(self, identity: RequestId) -> None:
         """Drop what is kept of a request that will not run again."""
         with self._lock:
-            self._progress.pop(identity, None)
+            progress = self._progress.pop(identity, None)
+        self._release(progress)
+
+    def _accept(self, progress: _Progress, data: bytes) -> bool:
+        """Count bytes of an answer; return whether it may go on."""
+        size = progress.reserved + len(data)
+        if size > MAX_ANSWER_BYTES or not self._memory.reserve(len(data)):
+            logging.warning("event=answer_too_long bytes=%d", size)
+            return False
+        progress.reserved = size
+        return True
+
+    def _release(self, progress: _Progress | None) -> None:
+        if progress is not None:
+            reserved, progress.reserved = progress.reserved, 0
+            self._memory.release(reserved)
+
+    def _restart(self, progress: _Progress, collector: AnswerCollector) -> None:
+        collector.restart()
+        self._release(progress)
 
     def _is_fresh(self, run: Run) -> bool:
         # A process frozen between the decision to start and the sending would, on waking, start
@@ -158,10 +183,12 @@
             streaming = _EVENT_STREAM in headers.get("content-type", "")
             run.head(status, headers)
 
-        def on_data(data: bytes) -> None:
+        def on_data(data: bytes) -> int | None:
+            if not self._accept(progress, data):
+                return 0
             piece = progress.cutter.feed(data) if streaming else data
             if not piece:
-                return
+                return 0 if progress.cutter.is_too_long else None
             run.data(piece)
             count = count_tokens(piece) if streaming else 1
             if count and progress.started:
@@ -169,6 +196,7 @@
             elif count:
                 progress.started = True
                 self._count(request.id, True, count)
+            return None
 
         result = progress.exchange.run(answer_call(self._upstream, request), on_head, on_data)
         failure = self._failure_of(result, progress)
@@ -190,10 +218,10 @@
             call = resume_call(self._upstream, request, collector.tokens)
             result = self._stream_batch(run, progress, call)
             if progress.status == _NOT_FOUND and result.end is CallEnd.COMPLETE:
-                collector.restart()
+                self._restart(progress, collector)
                 result = self._stream_batch(run, progress, stream_call(self._upstream, request))
         else:
-            collector.restart()
+            self._restart(progress, collector)
             result = self._stream_batch(run, progress, stream_call(self._upstream, request))
         self._finish_batch(run, progress, collector, result)
 
@@ -207,14 +235,17 @@
         def on_head(status: int, headers: dict[str, str]) -> None:
             progress.status = status
 
-        def on_data(data: bytes) -> None:
+        def on_data(data: bytes) -> int | None:
+            if not self._accept(progress, data):
+                return 0
             if progress.status != 200:
                 progress.error_body += data
-                return
+                return None
             first = collector.tokens == 0
             count = collector.feed(progress.cutter.feed(data))
             if count:
                 self._count(run.open.id, first, count)
+            return 0 if progress.cutter.is_too_long else None
 
         return progress.exchange.run(call, on_head, on_data)
 
@@ -245,7 +276,8 @@
 
     def _end(self, run: Run, failure: Failure | None) -> None:
         with self._lock:
-            self._progress.pop(run.open.id, None)
+            progress = self._progress.pop(run.open.id, None)
+        self._release(progress)
         run.end(failure, self._clock.now())
         self._tell().record_end(run.open.id)
 
--- a/packages/node/src/carobspool_node/upstreams/_event_stream.py
+++ b/packages/node/src/carobspool_node/upstreams/_event_stream.py
@@ -11,6 +11,7 @@
 
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]"
+MAX_EVENT_BYTES = 1024 * 1024
 CANCELLED = "cancelled"
 _DATA_PREFIX = b"data:"
 
@@ -54,6 +55,11 @@
         """Bytes of an event that has not ended yet."""
         return self._rest
 
+    @property
+    def is_too_long(self) -> bool:
+        """Whether the event that has not ended yet is longer than `MAX_EVENT_BYTES`."""
+        return len(self._rest) > MAX_EVENT_BYTES
+
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the events that are now whole, as they were received."""
         data = self._rest + data
--- a/packages/node/tests/test_runs.py
+++ b/packages/node/tests/test_runs.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import threading
+from dataclasses import replace
+
+import pytest
+
 from carobspool_core import (
     Data,
     End,
@@ -11,9 +16,12 @@
     Outcome,
     Priority,
     RequestId,
+    monotonic_clock,
     unavailable,
 )
+from carobspool_node.upstreams._engine_runs import EngineRuns
 from carobspool_node.upstreams._runs import MAX_ENDED_RUNS, REPLAY_TTL, Run, RunState, RunTable
+from carobspool_standins.endless import peak_memory_kb, reset_peak_memory_kb, serve_endless
 
 
 def _open(counter: int = 1) -> Open:
@@ -107,3 +115,58 @@
     table.expire(1.0)
     assert table.get(RequestId("e", 0)) is None
     assert table.get(RequestId("e", MAX_ENDED_RUNS)) is not None
+
+
+class _Scheduler:
+    """Takes what a run reports."""
+
+    def record_first_token(self, identity: RequestId) -> None:
+        """Do nothing."""
+
+    def record_tokens(self, identity: RequestId, count: int) -> None:
+        """Do nothing."""
+
+    def record_end(self, identity: RequestId) -> None:
+        """Do nothing."""
+
+
+_EVENTS = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+_ENDLESS = {
+    "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+    "error": (b"HTTP/1.1 500 No\r\n\r\n", b"x"),
+    "event": (_EVENTS, b"x"),
+    "events": (_EVENTS, b"data: {}\n\n"),
+    "header": (b"HTTP/1.1 200 OK\r\na: ", b"x"),
+}
+
+
+@pytest.mark.parametrize("priority", [Priority.ONLINE, Priority.BATCH])
+@pytest.mark.parametrize("answer", _ENDLESS.values(), ids=_ENDLESS)
+def test_an_answer_without_end_does_not_fill_a_sidecars_memory(
+    answer: tuple[bytes, bytes], priority: Priority
+) -> None:
+    """Guards against a faulty upstream whose bytes end the sidecar, and all its requests."""
+    ends: list[Message] = []
+    request = replace(_open(), priority=priority, path="/v1/chat/completions", body=b"{}")
+
+    def deliver(message: Message) -> None:
+        if isinstance(message, End):
+            ends.append(message)
+
+    with serve_endless(*answer) as server:
+        runs = EngineRuns(
+            "http://{}:{}".format(*server.address), monotonic_clock(), on_broken=lambda: None
+        )
+        runs.attach(_Scheduler())  # type: ignore[arg-type]
+        run = Run(request, deliver, 0.0)
+        run.begin(monotonic_clock().now())
+        before = reset_peak_memory_kb()
+        running = threading.Thread(target=runs.run, args=(run,), daemon=True)
+        running.start()
+        running.join(10.0)
+        assert not running.is_alive()
+        assert peak_memory_kb() - before < 100_000
+    (end,) = ends
+    assert isinstance(end, End)
+    assert end.failure is not None
+    assert end.failure.outcome is Outcome.UNKNOWN
--- a/tests/direct/test_unframed_answers.py
+++ b/tests/direct/test_unframed_answers.py
@@ -206,6 +206,55 @@
     assert [_call(entry, target) is not None for target in TARGETS] == [True] * len(TARGETS)
 
 
+@pytest.mark.parametrize(
+    ("target", "status"),
+    [
+        *(("/batch/1", status) for status in (421, 500, 503)),
+        *((target, status) for target in ("/once/x", "/stream/x") for status in (421, 503)),
+    ],
+)
+@pytest.mark.parametrize("length", [None, 100_000], ids=["endless", "truncated"])
+def test_a_refusal_whose_body_does_not_end_holds_nobody(
+    system: Deployment, status: int, length: int | None, target: str
+) -> None:
+    """Guards against items, and requests, that wait for the rest of an answer whose head has told
+    that they did not run."""
+
+    def refuse(request: ServedRequest, connection: ServerConnection) -> None:
+        if len(refused) >= 1:
+            (sound if target != "/once/x" else _answer_open)(request, connection)
+            return
+        refused.append(request.request_id)
+        head = f"HTTP/1.1 {status} No\r\nRequest-Id: {request.request_id}\r\n"
+        head += "Server-Stamp: s\r\n" if status == 500 else "Not-Executed: 1\r\n"
+        head += f"Content-Length: {length}\r\n" if length else ""
+        connection.send(head.encode() + b"\r\n" + b"x" * 2_000)
+        until = time.monotonic() + 10.0 * DEADLINE_S
+        while time.monotonic() < until and not connection.peer_has_closed:
+            time.sleep(0.05)
+            if length is None:
+                connection.send(b"x" * 1_000)
+        connection.close()
+
+    refused: list[str] = []
+    sound = event_stream_handler(EVENTS)
+    for service in ("plain", "engine"):
+        for _ in range(2):
+            system.start_server(service, refuse)
+    entry = system.start_entry("e1")
+    eventually(lambda: len(entry.known_servers()) == 4, 5.0)
+    if target == "/batch/1":
+        assert entry.call("POST", target, body=job_body("a"), request_id="job").status == 202
+        (result,) = eventually(lambda: all_results(entry, "job"), 8.0)
+        assert result["state"] == "completed"
+        return
+    begun = time.monotonic()
+    answer = _call(entry, target)
+    assert time.monotonic() - begun < 1.5
+    assert answer is not None
+    assert answer.status == 200
+
+
 def _memory_kb(entry: Entry, name: str) -> int:
     status = Path(f"/proc/{entry.process.pid}/status").read_text()
     return int(status.split(f"{name}:")[1].split()[0])
