Jobs: an entry that runs a job whose record names another owner verifies it

It may have no reason to read the record while the items wait for a server. The comparison of stored jobs left such a job to the entry that runs it without owning it. Found by reading; the test failed before (the entry kept its first record of the job).

--- a/packages/node/src/carobspool_node/direct/_job_adoption.py
+++ b/packages/node/src/carobspool_node/direct/_job_adoption.py
@@ -63,7 +63,7 @@
     """What is known of the owner that a job's record names.
 
     Attributes:
-        RUNS: It runs the job, or has got it back by this entry's question.
+        RUNS: It runs the job.
         MAY_RUN: It is live and may not have learned yet that it owns the job.
         DOES_NOT: It is gone, or does not run the job.
     """
@@ -318,12 +318,17 @@
     ) -> None:
         """Add a job that needs an owner unless its record changes.
 
+        If this entry runs the job, the record shows that it has lost it without knowing.
+
         Args:
             job_id: The job.
             reason: Why the job may have no owner, for the log.
             version: Version of its record.
             after: Time in which its owner can still show by a commit that it runs the job.
         """
+        if self.runs(job_id):
+            self._runner.handle_jobs_of_peer("store", [job_id])
+            return
         now = self._clock.now()
         orphan = _Orphan(
             since=now, reason=reason, verify=True, not_before=now + after, at_version=version
@@ -401,7 +406,9 @@
         """Remove an orphan, unless there is a new reason since it was looked at."""
         with self._orphans_lock:
             known = self._orphans.get(job_id)
-            if known is not None and known.unsettled_until == orphan.unsettled_until:
+            if known is None or known.since != orphan.since:
+                return
+            if known.unsettled_until == orphan.unsettled_until:
                 del self._orphans[job_id]
                 self._unnamed.pop(job_id, None)
 
@@ -447,7 +454,7 @@
         named = {owner for owner in owners.values() if owner is not None}
         peers = {owner: self._peers.by_identity(owner) for owner in named}
         for job_id, owner in owners.items():
-            if self.runs(job_id):
+            if owner in (None, self._peers.identity) and self.runs(job_id):
                 confirmed.add(job_id)
             peer = None if owner is None else peers[owner]
             if peer is None:
--- a/packages/node/tests/test_direct_job_owners.py
+++ b/packages/node/tests/test_direct_job_owners.py
@@ -36,6 +36,11 @@
     def get(self, job_id: str) -> OwnedJob | None:
         return self.jobs.get(job_id)
 
+    def handle_jobs_of_peer(self, peer: str, job_ids: Sequence[str]) -> None:
+        """Verify jobs at once."""
+        for job_id in job_ids:
+            self.jobs[job_id].verify()
+
 
 class _Clock:
     def __init__(self) -> None:
@@ -308,6 +313,19 @@
     assert entry.adoption.confirm_jobs(["j"]) == ["j"]
 
 
+def test_an_entry_that_runs_a_job_of_another_owner_learns_of_it(entry: _Entry) -> None:
+    """Guards against a job whose owner has ended, and which an entry takes for its own that has no
+    reason to read the record while the items wait."""
+    job = entry.store_job(OWN)
+    assert entry.adoption.ensure_owner("j", "submitted again")
+    first = entry.runner.jobs["j"]
+    entry.set_owner(job, "e1#0")
+    entry.reconcile()
+    assert first.lost
+    assert entry.runner.jobs["j"] is not first
+    assert not entry.runner.jobs["j"].lost
+
+
 def test_finished_and_changing_jobs_are_left_alone(entry: _Entry) -> None:
     """Guards against a takeover of a job that has ended, or whose owner commits progress."""
     ended = entry.store_job("e1#0", "ended")
