--- a/packages/node/src/carobspool_node/upstreams/_engine_runs.py
+++ b/packages/node/src/carobspool_node/upstreams/_engine_runs.py
@@ -61,7 +61,7 @@
     cancelled: bool = False
     started: bool = False
     status: int = 0
-    error_body: bytes = b""
+    error_body: bytearray = field(default_factory=bytearray)
     reserved: int = 0
     """Bytes of its answer that count in the memory of all answers."""
 
@@ -230,7 +230,7 @@
         assert collector is not None
         collector.continue_stream()
         progress.cutter = EventCutter()
-        progress.error_body = b""
+        progress.error_body = bytearray()
 
         def on_head(status: int, headers: dict[str, str]) -> None:
             progress.status = status
@@ -262,7 +262,7 @@
         failure = self._failure_of(result, progress)
         if failure is None and progress.status != 200:
             run.head(progress.status, {"content-type": "application/json"})
-            run.data(progress.error_body)
+            run.data(bytes(progress.error_body))
             self._end(run, None)
             return
         if failure is None and not (collector.finished and progress.cutter.done):
