Sidecar: a stream without a token for 1 MiB is broken off

Traced: 1.6 million empty events of 10 bytes are parsed before 16 MiB are reached, 5.0 and 6.7 s at a load average of 16.

--- a/packages/node/src/carobspool_node/upstreams/_engine_runs.py
+++ b/packages/node/src/carobspool_node/upstreams/_engine_runs.py
@@ -30,7 +30,12 @@
     resume_call,
     stream_call,
 )
-from carobspool_node.upstreams._event_stream import AnswerCollector, EventCutter, count_tokens
+from carobspool_node.upstreams._event_stream import (
+    MAX_EVENT_BYTES,
+    AnswerCollector,
+    EventCutter,
+    count_tokens,
+)
 from carobspool_node.upstreams._runs import Run
 from carobspool_node.upstreams._scheduler import Scheduler
 from carobspool_node.upstreams._upstream_http import (
@@ -62,6 +67,8 @@
     started: bool = False
     status: int = 0
     error_body: bytearray = field(default_factory=bytearray)
+    without_token: int = 0
+    """Bytes of its stream since the last token."""
     reserved: int = 0
     """Bytes of its answer that count in the memory of all answers."""
 
@@ -191,6 +198,8 @@
                 return 0 if progress.cutter.is_too_long else None
             run.data(piece)
             count = count_tokens(piece) if streaming else 1
+            if not _has_progress(progress, count, len(data)):
+                return 0
             if count and progress.started:
                 self._tell().record_tokens(request.id, count)
             elif count:
@@ -245,7 +254,9 @@
             count = collector.feed(progress.cutter.feed(data))
             if count:
                 self._count(run.open.id, first, count)
-            return 0 if progress.cutter.is_too_long else None
+            if progress.cutter.is_too_long or not _has_progress(progress, count, len(data)):
+                return 0
+            return None
 
         return progress.exchange.run(call, on_head, on_data)
 
@@ -310,3 +321,9 @@
         return broken_upstream(
             "upstream_broken", "the upstream broke the connection", outcome=Outcome.UNKNOWN
         )
+
+
+def _has_progress(progress: _Progress, tokens: int, size: int) -> bool:
+    """Count received bytes; return whether a token was among the last `MAX_EVENT_BYTES`."""
+    progress.without_token = 0 if tokens else progress.without_token + size
+    return progress.without_token <= MAX_EVENT_BYTES
