--- a/tests/direct/test_late_writes.py
+++ b/tests/direct/test_late_writes.py
@@ -32,7 +32,7 @@
 PEERS_KNOWN_S = 5.0
 LATE_S = 6.0
 """How long after its call the store does a lost write; its callers read back for some 5 s."""
-JOB = "7c41e09b52d6a3f8"
+JOB = "late-job"
 IDS = [f"i{number}" for number in range(3)]
 
 
