Sidecar: sound streams without text are not broken off

Cause: ended a stream after 1 MiB without a piece of text, to bound the time that endless empty events take to parse. Tool calls and reasoning carry no text, other kinds of streams no choices. Events without choices are not parsed for tokens; only a batch item needs a choice in each MiB.

--- a/packages/node/src/carobspool_node/upstreams/_engine_runs.py
+++ b/packages/node/src/carobspool_node/upstreams/_engine_runs.py
@@ -35,6 +35,7 @@
     AnswerCollector,
     EventCutter,
     count_tokens,
+    has_choices,
 )
 from carobspool_node.upstreams._runs import Run
 from carobspool_node.upstreams._scheduler import Scheduler
@@ -67,8 +68,8 @@
     started: bool = False
     status: int = 0
     error_body: bytearray = field(default_factory=bytearray)
-    without_token: int = 0
-    """Bytes of its stream since the last token."""
+    without_choice: int = 0
+    """Bytes of the events since the last one with a choice, while it is collected."""
     reserved: int = 0
     """Bytes of its answer that count in the memory of all answers."""
 
@@ -198,8 +199,6 @@
                 return 0 if progress.cutter.is_too_long else None
             run.data(piece)
             count = count_tokens(piece) if streaming else 1
-            if not _has_progress(progress, count, len(data)):
-                return 0
             if count and progress.started:
                 self._tell().record_tokens(request.id, count)
             elif count:
@@ -251,10 +250,11 @@
                 progress.error_body += data
                 return None
             first = collector.tokens == 0
-            count = collector.feed(progress.cutter.feed(data))
+            events = progress.cutter.feed(data)
+            count = collector.feed(events)
             if count:
                 self._count(run.open.id, first, count)
-            if progress.cutter.is_too_long or not _has_progress(progress, count, len(data)):
+            if progress.cutter.is_too_long or not _goes_on(progress, events):
                 return 0
             return None
 
@@ -323,7 +323,7 @@
         )
 
 
-def _has_progress(progress: _Progress, tokens: int, size: int) -> bool:
-    """Count received bytes; return whether a token was among the last `MAX_EVENT_BYTES`."""
-    progress.without_token = 0 if tokens else progress.without_token + size
-    return progress.without_token <= MAX_EVENT_BYTES
+def _goes_on(progress: _Progress, events: bytes) -> bool:
+    """Count received events; return whether a choice was in the last `MAX_EVENT_BYTES` of them."""
+    progress.without_choice = 0 if has_choices(events) else progress.without_choice + len(events)
+    return progress.without_choice <= MAX_EVENT_BYTES
--- a/packages/node/src/carobspool_node/upstreams/_event_stream.py
+++ b/packages/node/src/carobspool_node/upstreams/_event_stream.py
@@ -14,6 +14,7 @@
 MAX_EVENT_BYTES = 1024 * 1024
 CANCELLED = "cancelled"
 _DATA_PREFIX = b"data:"
+_CHOICES = b'"choices"'
 
 
 def count_tokens(events: bytes) -> int:
@@ -24,7 +25,8 @@
     """
     count = 0
     for event in events.split(EVENT_END):
-        if not event.startswith(_DATA_PREFIX) or event == DONE_EVENT:
+        # Parsing all of an endless stream of empty events would take seconds.
+        if not event.startswith(_DATA_PREFIX) or _CHOICES not in event:
             continue
         try:
             choices = json.loads(event[len(_DATA_PREFIX) :]).get("choices", ())
@@ -34,6 +36,14 @@
     return count
 
 
+def has_choices(events: bytes) -> bool:
+    """Return whether an answer goes on with these events, be it without a piece of its text.
+
+    Tool calls and reasoning come without text.
+    """
+    return _CHOICES in events
+
+
 def _text_of(choice: dict[str, Any]) -> str:
     return str(choice.get("delta", {}).get("content") or choice.get("text") or "")
 
