Direct entries: a cached input does not show that a job still exists

Cause: repeats under an id from before organisations, reads without progress and ends went by a cached input. For a job that the retention had removed they answered 202, 200 without results, and wrote progress. A read of a job without progress and without a known owner costs a read of its input now.

--- a/packages/node/src/carobspool_node/direct/_job_adoption.py
+++ b/packages/node/src/carobspool_node/direct/_job_adoption.py
@@ -18,7 +18,6 @@
 from msgspec import Struct
 from msgspec.structs import replace
 from returns.pipeline import is_successful
-from returns.result import Success
 
 from carobspool_core import Clock, Millis, StoredObject, StoreFailure, StoreFault
 from carobspool_core.direct import JobInput
@@ -245,25 +244,16 @@
         if lost_owner is None and not peers_known:
             return False
         requested_at = self._clock.now()
-        is_cached = self._catalog.has_cached_input(job_id)
-        job = self._catalog.read_input(job_id)
-        if not is_successful(job):
-            return job.failure().fault in _UNRECOVERABLE_FAULTS
-        state = self._catalog.current_progress(job.unwrap())
-        if not is_successful(state):
-            return state.failure().fault in _UNRECOVERABLE_FAULTS
-        if is_cached and state.unwrap().version == 0:
-            # Without progress in the store, a cached input does not show that the job still exists.
-            job = self._catalog.records.read_input(job_id)
-            if not is_successful(job):
-                return job.failure().fault in _UNRECOVERABLE_FAULTS
-            state = Success(initial_progress(job.unwrap()))
-        progress = state.unwrap().progress
+        read = self._catalog.read_job(job_id)
+        if not is_successful(read):
+            return read.failure().fault in _UNRECOVERABLE_FAULTS
+        job, state = read.unwrap()
+        progress = state.progress
         if self._catalog.cache_if_finished(job_id, progress):
             return True
         if progress.owner == self._peers.identity:
-            return self._resume_own(job.unwrap(), state.unwrap(), reason, requested_at)
-        if at_version is not None and state.unwrap().version != at_version:
+            return self._resume_own(job, state, reason, requested_at)
+        if at_version is not None and state.version != at_version:
             return True
         if not peers_known and progress.owner != lost_owner:
             # Another entry has taken the job over, and this process has received no hint from it
@@ -273,7 +263,7 @@
             keeper = self._find_keeper(job_id, progress.owner)
             if keeper is not _Keeper.DOES_NOT:
                 return keeper is _Keeper.RUNS
-        return self._take_over(job.unwrap(), state.unwrap(), reason)
+        return self._take_over(job, state, reason)
 
     def add_orphans(
         self,
--- a/packages/node/src/carobspool_node/direct/_job_catalog.py
+++ b/packages/node/src/carobspool_node/direct/_job_catalog.py
@@ -64,14 +64,26 @@
         """Return the cached progress of a job whose items all have results, else ``None``."""
         return self._finished.get(job_id)
 
-    def current_progress(self, job: JobInput) -> Result[StoredProgress, StoreFailure]:
-        """Return the stored progress of a job, or its initial progress if none is committed yet."""
-        read = self._records.read_progress(job.job_id)
-        if is_successful(read):
-            return read
-        if read.failure().fault is StoreFault.NOT_FOUND:
-            return Success(initial_progress(job))
-        return Failure(read.failure())
+    def read_job(self, job_id: str) -> Result[tuple[JobInput, StoredProgress], StoreFailure]:
+        """Return a job and its stored progress, or its initial progress if none is committed yet.
+
+        The failure is ``NOT_FOUND`` only if the store reports that the job does not exist.
+        """
+        is_cached = self.has_cached_input(job_id)
+        job = self.read_input(job_id)
+        if not is_successful(job):
+            return Failure(job.failure())
+        progress = self._records.read_progress(job_id)
+        if is_successful(progress):
+            return Success((job.unwrap(), progress.unwrap()))
+        if progress.failure().fault is not StoreFault.NOT_FOUND:
+            return Failure(progress.failure())
+        if is_cached:
+            # Without progress in the store, a cached input does not show that the job still exists.
+            job = self._records.read_input(job_id)
+            if not is_successful(job):
+                return Failure(job.failure())
+        return Success((job.unwrap(), initial_progress(job.unwrap())))
 
     def cache_if_finished(self, job_id: str, progress: JobProgress) -> bool:
         """Cache the progress if every item has a result; return whether the job needs no owner.
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -120,9 +120,10 @@
         job_id = job.job_id
         if self._has_known_owner(job_id):
             return Outcome.DONE
-        if id_without_organisation is not None and self._is_known(id_without_organisation):
-            self._ensure_owner(id_without_organisation)
-            return Outcome.DONE
+        if id_without_organisation is not None:
+            repeated = self._repeat_known(id_without_organisation)
+            if repeated is not None:
+                return repeated
         tokens = sum(item.tokens for item in job.items)
         decision = self._quota.reserve(route, job.organisation, tokens)
         if decision is not QuotaDecision.FITS:
@@ -136,6 +137,20 @@
         finally:
             self._quota.release(route, job.organisation, tokens)
 
+    def _repeat_known(self, job_id: str) -> Outcome | None:
+        """Return the outcome of a repeated submission if this entry knows the job."""
+        if self._has_known_owner(job_id):
+            return Outcome.DONE
+        if not self._catalog.has_cached_input(job_id):
+            return None
+        # The job may have been removed since it was cached.
+        stored = self._catalog.records.read_input(job_id)
+        if is_successful(stored):
+            self._ensure_owner(job_id)
+            return Outcome.DONE
+        is_removed = stored.failure().fault is StoreFault.NOT_FOUND
+        return None if is_removed else Outcome.UNAVAILABLE
+
     def _create(self, job: JobInput, route: Route, tokens: int) -> Outcome:
         job_id = job.job_id
         job = replace(job, owner=self._peers.identity, submitted=steady_wall_millis())
@@ -276,10 +291,6 @@
         """
         return self._adoption.runs(job_id) or self._peers.find_job_peer(job_id) is not None
 
-    def _is_known(self, job_id: str) -> bool:
-        """Whether a job is known to exist without a call to the store."""
-        return self._has_known_owner(job_id) or self._catalog.has_cached_input(job_id)
-
     def _is_stored(self, job_id: str) -> bool:
         """Whether the store has a job; a cached input does not show that it still has."""
         return is_successful(self._catalog.records.read_input(job_id))
@@ -306,10 +317,11 @@
             return _page_from(progress.total, after, progress.results)
         if read.failure().fault is not StoreFault.NOT_FOUND:
             return Outcome.UNAVAILABLE
-        job = self._read_input(job_id)
-        if isinstance(job, Outcome):
-            return job
-        return ResultsPage(total=len(job.items), after=after, results=())
+        # A cached input does not show that the job still exists.
+        job = self._catalog.records.read_input(job_id)
+        if not is_successful(job):
+            return _failure_outcome(job.failure())
+        return ResultsPage(total=len(job.unwrap().items), after=after, results=())
 
     def _read_input(self, job_id: str) -> JobInput | Outcome:
         job = self._catalog.read_input(job_id)
@@ -322,14 +334,11 @@
         entry report the end to all peers for some seconds. An owner that receives no hints detects
         the loss of contact and verifies its ownership before it starts further items.
         """
-        job = self._read_input(job_id)
-        if isinstance(job, Outcome):
-            return job
         for _ in range(MAX_END_ATTEMPTS):
-            read = self._catalog.current_progress(job)
+            read = self._catalog.read_job(job_id)
             if not is_successful(read):
-                return Outcome.UNAVAILABLE
-            state = read.unwrap()
+                return _failure_outcome(read.failure())
+            _, state = read.unwrap()
             if state.progress.ended:
                 self._report_ended(job_id)
                 return Outcome.DONE
--- a/packages/node/tests/test_direct_job_owners.py
+++ b/packages/node/tests/test_direct_job_owners.py
@@ -10,18 +10,30 @@
 from returns.pipeline import is_successful
 
 from carobspool_core import Millis
-from carobspool_core.direct import JobInput, JobItem
+from carobspool_core.direct import JobInput, JobItem, Route, RouteKind, WeightedService
 from carobspool_node.direct._job_adoption import UNATTENDED_TIME, UNSETTLED_TIME, JobAdoption
 from carobspool_node.direct._job_catalog import JobCatalog, initial_progress
 from carobspool_node.direct._job_index import LISTING_INTERVAL, JobIndex
 from carobspool_node.direct._job_reconciliation import QUIET_TIME, JobReconciliation
 from carobspool_node.direct._job_records import JobRecords
+from carobspool_node.direct._jobs import Jobs, Outcome
 from carobspool_node.direct._owned_job import OwnedJob
 from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._telemetry import Telemetry
+from carobspool_node.direct._waiting_quota import WaitingQuota
 from carobspool_standins.memory_store import FaultKind, FaultRule, MemoryObjects, MemoryStore
 
 OWN = "e2#1"
+_ROUTE = Route(
+    name="r",
+    host="h",
+    path_prefix="/",
+    kind=RouteKind.BATCH,
+    timeout=5_000.0,
+    target_latency=300.0,
+    priority=0,
+    services=(WeightedService(service="s", weight=1.0),),
+)
 
 
 @dataclass
@@ -93,6 +105,21 @@
             are_peers_known=lambda: True,
             confirm=self._confirm,
         )
+        quota = WaitingQuota(
+            self.runner,  # type: ignore[arg-type]
+            self.adoption,
+            self.peers,  # type: ignore[arg-type]
+            are_peers_known=lambda: True,
+        )
+        self.jobs = Jobs(
+            self.clock,
+            self.catalog,
+            self.runner,  # type: ignore[arg-type]
+            self.adoption,
+            self.peers,  # type: ignore[arg-type]
+            None,  # type: ignore[arg-type]
+            quota,
+        )
         self.index = JobIndex(self.clock, self.store)
         self.has_duty = True
         self.reconciliation = JobReconciliation(
@@ -261,6 +288,33 @@
     assert not entry.runner.jobs
 
 
+def test_a_cached_job_that_was_removed_is_not_found(entry: _Entry) -> None:
+    """Guards against callers who wait for results of a removed job, and ends that leave progress
+    of it in the store."""
+    entry.catalog.cache_input(entry.store_job("e1#1"))
+    assert entry.records.remove(entry.store.get("jobs/j").unwrap()) is None
+    assert entry.jobs.results("j", 0, 0.0) is Outcome.NOT_FOUND
+    assert entry.jobs.end("j") is Outcome.NOT_FOUND
+    assert not is_successful(entry.records.read_progress("j"))
+
+
+@pytest.mark.parametrize("state", ["stored", "removed", "store down"])
+def test_a_cached_job_of_no_organisation_is_looked_up_when_it_comes_again(
+    entry: _Entry, state: str
+) -> None:
+    """Guards against a removed job that counts as accepted because this entry has its input."""
+    entry.catalog.cache_input(entry.store_job("e1#1"))
+    if state == "removed":
+        assert entry.records.remove(entry.store.get("jobs/j").unwrap()) is None
+    entry.store.outage = state == "store down"
+    item = JobItem(item_id="i", path="/", headers={}, body=b"", tokens=1)
+    job = JobInput(job_id="o/j", host="h", path="/", owner="", submitted=0.0, items=(item,))
+    outcome = entry.jobs.submit(job, _ROUTE, id_without_organisation="j")
+    assert outcome is (Outcome.UNAVAILABLE if state == "store down" else Outcome.DONE)
+    ran = {"stored": {"j"}, "removed": {"o/j"}, "store down": set()}
+    assert set(entry.runner.jobs) == ran[state]
+
+
 @pytest.mark.parametrize("owner", [OWN, "e1#0"], ids=["own", "ended"])
 @pytest.mark.parametrize("has_progress", [False, True], ids=["accepted", "taken over"])
 @pytest.mark.parametrize("way", ["watched", "silent watch", "compacted", "new duty"])
