Soak: uploads that servers cut off, and runs beside processes and occupied memory

late_writes: two servers answer before they have read 3.5 MB, without a length, some with an orderly end, and reset. A part of an answer that counts as complete is a violation.

--- a/tests/soak/late_writes.py
+++ b/tests/soak/late_writes.py
@@ -2,19 +2,23 @@
 
 Beside the faults of `soak.soak`: the store loses a share of all writes and does them one to six
 seconds later, entries are killed and frozen meanwhile, and the waiting limit is reached again and
-again. Servers answer with statuses that HTTP does not define, and with bytes that do not end. At
-the end each job that the store holds must be finished, whoever was told of its acceptance.
+again. Servers answer with statuses that HTTP does not define, with bytes that do not end, and with
+parts of answers before they cut off an upload. At the end each job that the store holds must be
+finished, whoever was told of its acceptance.
 
 By hand: ``python tests/soak/late_writes.py --seeds 50 [--first N] [--seconds S]``.
 """
 
 from __future__ import annotations
 
+import contextlib
 import random
+import socket
 import sys
 import threading
 import time
-from collections.abc import Sequence
+import uuid
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -24,7 +28,7 @@
 
 from direct_harness import STANDARD_ROUTES, Deployment, deployment, eventually, route
 from soak.soak import HELD_PREFIX, Fault, Soak, run_seeds
-from soak_judge import Record
+from soak_judge import EVENTS, Record, events
 
 from carobspool_standins.platform_server import RequestHandler, ServedRequest, ServerConnection
 
@@ -35,6 +39,15 @@
 """Tokens that may wait: some five jobs, and those that are held."""
 NO_ANSWER_SHARE = 0.04
 ENDLESS_S = 4.0
+CUTTING = "cutting"
+"""Service whose servers cut off each upload. No relay is in between, which would read it all."""
+CUT_ROUTES = (
+    route("/cut-safe/", "safe", CUTTING),
+    route("/cut-once/", "unsafe", CUTTING),
+    route("/cut-stream/", "streaming", CUTTING, max_attempts=1),
+    route("/cut-resume/", "streaming", CUTTING, resumable=True),
+)
+UPLOAD = b"x" * 3_500_000
 FINISHED_S = 15.0
 """Time after the last submission in which all stored jobs finish."""
 
@@ -48,6 +61,10 @@
         self._losses_lock = threading.Lock()
         self._lost_until = 0.0
         system.objects.faults.lose = self._lose
+        for number in range(2):
+            server = system.start_server(CUTTING, self._cut_uploads(number))
+            server.reads_bodies = False
+            self._services[server.instance] = CUTTING
 
     def run(self) -> Record:
         """Inject faults under load, then check the promises."""
@@ -61,7 +78,8 @@
         batch = route(
             "/batch/", "batch", "engine", max_attempts=3, retention_s=60, max_count=WAITING_LIMIT
         )
-        self._system.write_configuration(self._version, *STANDARD_ROUTES[:-1], batch, *routes)
+        declared = (*STANDARD_ROUTES[:-1], *CUT_ROUTES, batch, *routes)
+        self._system.write_configuration(self._version, *declared)
 
     def _play_series(self, faults: Sequence[Fault], draw: random.Random, seconds: float) -> None:
         if self._lose_store_answers in faults:
@@ -103,6 +121,30 @@
 
         return handle_request
 
+    def _tasks(self) -> list[Callable[[random.Random], None]]:
+        return [*super()._tasks(), self._call_with_upload]
+
+    def _call_with_upload(self, draw: random.Random) -> None:
+        """Send a request whose upload each server cuts off, so that no answer is complete."""
+        entry = draw.choice(list(self._entries.values()))
+        kind = draw.choice(("safe", "once", "stream", "resume"))
+        request_id = uuid.uuid4().hex
+        target = f"/cut-{kind}/{draw.randrange(1_000)}"
+        answer = entry.call("POST", target, body=UPLOAD, request_id=request_id, timeout=5.0)
+        self._judge.check_online(kind, request_id, target, answer)
+        self._record.calls["upload cut"] += 1
+        time.sleep(0.1)
+
+    def _cut_uploads(self, number: int) -> RequestHandler:
+        draw = random.Random(f"{number}/cuts")
+
+        def handle_request(request: ServedRequest, connection: ServerConnection) -> None:
+            self._record.faulty_requests.add(request.request_id)
+            self._record.add_run(request.request_id)
+            _cut_upload(request, connection, draw)
+
+        return handle_request
+
     def _check_stored_jobs(self) -> None:
         """Check that every stored job is finished, or has ended."""
         try:
@@ -145,6 +187,17 @@
     connection.close()
 
 
+def _cut_upload(request: ServedRequest, connection: ServerConnection, draw: random.Random) -> None:
+    """Send the first bytes of an answer without a length, and cut off the upload."""
+    connection.send_open_headers(request)
+    connection.send(events(1, EVENTS // 2) if draw.random() < 0.5 else b"")
+    if draw.random() < 0.5:
+        with contextlib.suppress(OSError):
+            connection.socket.shutdown(socket.SHUT_WR)
+    time.sleep(draw.random() * 0.2)
+    connection.reset()
+
+
 def play(seed: int, seconds: float, folder: Path) -> Record:
     """Run the soak test with one seed and return its record."""
     with deployment(folder) as system:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,7 +6,8 @@
 records which requests servers ran and how callers were answered, and checks every promise against
 this record alone.
 
-By hand: ``python tests/soak/soak.py --seeds 50 [--first N] [--seconds S]``.
+By hand: ``python tests/soak/soak.py --seeds 50 [--first N] [--seconds S]``, also with ``--processes
+300 --memory 0.5``.
 """
 
 from __future__ import annotations
@@ -24,7 +25,7 @@
 import threading
 import time
 import uuid
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import ExitStack
 from pathlib import Path
 from typing import Any
@@ -569,7 +570,29 @@
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--first", type=int, default=int(time.time()) % 1_000_000)
     parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--processes", type=int, default=0, help="idle processes beside the test")
+    parser.add_argument("--memory", type=float, default=0.0, help="share of the memory to occupy")
     options = parser.parse_args()
+    with _occupied(options.processes, options.memory):
+        return _run_seeds(play_one, options)
+
+
+@contextlib.contextmanager
+def _occupied(processes: int, share: float) -> Iterator[None]:
+    """Occupy processes and a share of the memory that is available."""
+    available = int(Path("/proc/meminfo").read_text().split("MemAvailable:")[1].split()[0]) * 1024
+    occupied = bytearray(int(available * share))
+    # Memory that was never written takes no place.
+    occupied[::4096] = b"x" * len(occupied[::4096])
+    with ExitStack() as started:
+        for _ in range(processes):
+            process = subprocess.Popen(["sleep", "86400"])
+            started.callback(process.wait)
+            started.callback(process.kill)
+        yield
+
+
+def _run_seeds(play_one: Callable[[int, float, Path], Record], options: argparse.Namespace) -> int:
     broken = 0
     for seed in range(options.first, options.first + options.seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
