Soak: jobs have seven seconds from their acceptance, and servers break off items until enough had several runs

Traced earlier: the jobs were accepted 1.0 to 2.7 s before the check, since the soak submits until it checks. The soak's stated time is a takeover (5 s) and the items (2 s). A job that is younger than that is looked at again when it is due; the others are checked at once as before. Draws decided how many items had several runs: the faults' time now goes on, by up to 15 s, until servers broke off 20 items after their first event; the counts asked for are the same. Tried: three times as many jobs. They overload the three engines, and jobs wait up to 17 s: not kept.

--- a/tests/soak/pieces.py
+++ b/tests/soak/pieces.py
@@ -61,6 +61,8 @@
 CALLERS = 8
 ATTEMPTS = 4
 BREAK_SHARE = 0.3
+BROKEN_ITEMS = 20
+MAX_BREAKS_S = 15.0
 RESULTS_S = 10.0
 FRAMINGS = ("length", "chunks", "neither")
 PIECE = re.compile(r"(\S+) (\S+) (\d+) ([0-9a-f]{8})")
@@ -159,6 +161,7 @@
         self._copied: dict[EngineRun, str] = {}
         self._piece_jobs: dict[str, list[str]] = {}
         self._results: dict[tuple[str, int], tuple[str, str]] = {}
+        self._broken_items: set[str] = set()
 
     def run(self) -> Record:
         """Inject faults under load, then check the promises."""
@@ -172,6 +175,13 @@
         jobs = [self._submit_pieces, self._read_results, self._read_revisions]
         return [*super()._tasks(), *[self._call_pieces] * CALLERS, *jobs]
 
+    def _play_faults(self) -> None:
+        """Inject faults, then let servers break off answers until enough items had several runs."""
+        super()._play_faults()
+        until = time.monotonic() + MAX_BREAKS_S
+        while len(self._broken_items) < BROKEN_ITEMS and time.monotonic() < until:
+            time.sleep(0.1)
+
     def _write_configuration(self, *routes: dict[str, Any]) -> None:
         """Write a configuration with a route for each version of it up to this one."""
         self._version += 1
@@ -261,6 +271,8 @@
             if len(whole) == len(piece):
                 continue
             self._runs.end(run, f"{framing}, {'reset' if resets else 'closed'} after {cut} bytes")
+            if is_item and sent > len(piece):
+                self._broken_items.add(key)
             if resets:
                 connection.reset()
             else:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -280,6 +280,7 @@
         with self._record.lock:
             if 202 in statuses:
                 self._record.accepted[job_id] = items
+                self._record.accepted_at[job_id] = time.monotonic()
             elif set(statuses) <= NOT_DONE:
                 self._record.refused[job_id] = items
         if 202 in statuses and draw.random() < 0.15:
--- a/tests/soak_judge.py
+++ b/tests/soak_judge.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
+from typing import Any
 
 from direct_harness import Answer, Entry, all_results
 from disturbances import Disturbances
@@ -22,6 +23,9 @@
 items, if the entry has run undisturbed for as long. `ARRIVAL_SLACK_S` allows for the transit time
 to the server."""
 ARRIVAL_SLACK_S = 0.3
+JOB_TIME_S = 7.0
+"""Time after its acceptance in which a job finishes without faults: five seconds for a takeover and
+two for its items."""
 SHUTDOWN_S = 6.0
 DEADLINE_S = 2.5
 RUN_LOGGED_S = 1.0
@@ -39,6 +43,7 @@
         arrivals: When it reached a server.
         faulty_requests: Requests for which a server injected a fault.
         accepted: Items of each accepted job.
+        accepted_at: When the caller of each accepted job had its answer.
         refused: Items of each job for which every submission was refused.
         ended: When the end of each job was acknowledged.
         ends_in_doubt: Jobs whose end was neither acknowledged nor refused.
@@ -54,6 +59,7 @@
     arrivals: dict[str, list[float]] = field(default_factory=dict)
     faulty_requests: set[str] = field(default_factory=set)
     accepted: dict[str, list[str]] = field(default_factory=dict)
+    accepted_at: dict[str, float] = field(default_factory=dict)
     refused: dict[str, list[str]] = field(default_factory=dict)
     ended: dict[str, float] = field(default_factory=dict)
     ends_in_doubt: set[str] = field(default_factory=set)
@@ -180,9 +186,7 @@
                 # the call had no effect.
                 continue
             for entry in entries:
-                self._check_job(
-                    job_id, items, all_results(entry, job_id, headers=self._headers(job_id))
-                )
+                self._check_job(job_id, items, self._results_in_time(entry, job_id))
         for job_id, items in record.refused.items():
             if any(record.runs[item] for item in items):
                 record.add_violation(f"job {job_id}: ran although each submission was refused")
@@ -223,6 +227,16 @@
                     found.add(entry.name)
         return found
 
+    def _results_in_time(self, entry: Entry, job_id: str) -> list[dict[str, Any]] | None:
+        """Return the results of a job, or ``None`` if it is not finished when it has to be."""
+        until = self._record.accepted_at[job_id] + JOB_TIME_S
+        while True:
+            is_due = time.monotonic() >= until
+            results = all_results(entry, job_id, headers=self._headers(job_id))
+            if results is not None or is_due:
+                return results
+            time.sleep(0.05)
+
     def _check_job(
         self, job_id: str, items: list[str], results: list[dict[str, str]] | None
     ) -> None:
