--- a/tests/promises/test_shutdown.py
+++ b/tests/promises/test_shutdown.py
@@ -2,12 +2,23 @@
 
 from __future__ import annotations
 
+import http.client
+import json
 import threading
 import time
+from dataclasses import replace
 from pathlib import Path
+from urllib.parse import urlsplit
 
 import pytest
-from harness import Site, SitePlan, batch_items, run_concurrently, running_site
+from harness import (
+    Site,
+    SitePlan,
+    batch_items,
+    chat_body,
+    run_concurrently,
+    running_site,
+)
 from history import History, items_without_one_result
 
 pytestmark = pytest.mark.promise("graceful shutdown cuts nothing")
@@ -58,6 +69,28 @@
                 assert call.digest not in {run["digest"] for run in site.engine_runs()}
 
 
+@pytest.mark.parametrize("delay_s", [1.5, 3.0])
+def test_a_late_request_on_an_open_connection_is_not_passed_on(
+    tmp_path: Path, delay_s: float
+) -> None:
+    """Guards against requests that a stopping entry passes on and then cuts off."""
+    plan = replace(PLAN, entry={"shutdown_limit_ms": 3_000})
+    with running_site(tmp_path, plan) as site:
+        address = urlsplit(site.caller("entry-1").base)
+        connection = http.client.HTTPConnection(str(address.hostname), address.port, timeout=20.0)
+        connection.connect()
+        site.cluster.terminate("entry-1")
+        time.sleep(delay_s)
+        body = json.dumps(chat_body("late", stream=True, tokens=3_000))
+        headers = {"Authorization": f"Bearer {site.key.value}", "Content-Type": "application/json"}
+        connection.request("POST", "/v1/chat/completions", body=body, headers=headers)
+        answer = connection.getresponse()
+        answer.read()
+        assert (answer.status, answer.headers["carobspool-outcome"]) == (503, "not_run")
+        assert site.engine_runs() == []
+        assert site.cluster.stop("entry-1") == 0
+
+
 def test_claims_are_handed_over_at_once(tmp_path: Path) -> None:
     """A job continues immediately, without waiting for the stopped entry's lease to expire.
 
