Direct entries: an acceptance no longer announces and counts all open jobs

Ruled out: the store (its calls wait for 18 of 110 s, by samples), the client. Change: announce_soon (a pause of ten times the last announcement, 200 ms at most), recent_waiting_tokens (the same, plus what was added since).

--- a/packages/node/src/carobspool_node/direct/_job_adoption.py
+++ b/packages/node/src/carobspool_node/direct/_job_adoption.py
@@ -192,7 +192,7 @@
         self._runner.add(
             OwnedJob(job, stored, records, identity, self._clock, requested_at=requested_at)
         )
-        self._peers.announce()
+        self._peers.announce_soon()
         logging.info(
             "event=job_owned job=%s items=%d committed=%d",
             job.job_id,
--- a/packages/node/src/carobspool_node/direct/_job_runner.py
+++ b/packages/node/src/carobspool_node/direct/_job_runner.py
@@ -52,6 +52,10 @@
 a second, and requests need the processor too."""
 MAX_PAUSE_S = 0.5
 """Bounds the pause after a pass during which the process was stopped."""
+PAUSE_PER_COUNT = 10.0
+"""Pause after a count of all waiting tokens, as a multiple of its duration: each acceptance needs
+the count, and takes a lock for it."""
+MAX_COUNT_PAUSE: Millis = 200.0
 NOT_FULL = -1
 """Lower than the urgency of any item."""
 NOT_RUN_RETRY_DELAY: Millis = 60.0
@@ -116,6 +120,11 @@
         self._verify_pool = ThreadPoolExecutor(4, thread_name_prefix="proof")
         self._reported_ends: dict[str, Millis] = {}
         self._runs: Counter[str] = Counter()
+        self._counted_tokens: Mapping[str, int] = {}
+        self._added_tokens: Counter[str] = Counter()
+        """Tokens of the jobs that were added since the last count began, by key."""
+        self._count_again_at: Millis = 0.0
+        self._is_counting = False
         self._committing: set[str] = set()
         self._verifying: set[str] = set()
         self._released: frozenset[str] = frozenset()
@@ -172,9 +181,12 @@
         An entry that searches the store can take over a job that it is just accepting itself. The
         earlier record of the job then stops, so that its items do not run twice.
         """
+        key = self.waiting_key(job.input.host, job.input.path, job.input.organisation)
         with self._lock:
             replaced = self._jobs.get(job.job_id)
             self._jobs[job.job_id] = job
+            if key is not None:
+                self._added_tokens[key] += job.work.waiting_tokens
             is_end_reported = job.job_id in self._reported_ends
         if replaced is not None:
             replaced.mark_lost()
@@ -265,6 +277,30 @@
                 found[key] = found.get(key, 0) + job.work.waiting_tokens
         return found
 
+    def recent_waiting_tokens(self, key: str) -> int:
+        """Return `waiting_tokens` of a key, counted once in some time if that takes long.
+
+        Jobs that were added since are counted, items that were finished since still are.
+        """
+        now = self._clock.now()
+        with self._lock:
+            if self._is_counting or now < self._count_again_at:
+                return self._counted_tokens.get(key, 0) + self._added_tokens[key]
+            self._is_counting = True
+            added_before = Counter(self._added_tokens)
+        try:
+            # A job that is added meanwhile may be counted twice until the next count.
+            counted = self.waiting_tokens()
+            with self._lock:
+                self._counted_tokens = counted
+                self._added_tokens -= added_before
+                end = self._clock.now()
+                self._count_again_at = end + min(MAX_COUNT_PAUSE, (end - now) * PAUSE_PER_COUNT)
+                return counted.get(key, 0) + self._added_tokens[key]
+        finally:
+            with self._lock:
+                self._is_counting = False
+
     def _loop(self) -> None:
         pause = MIN_POLL_INTERVAL_S
         while not self._stopped.is_set():
--- a/packages/node/src/carobspool_node/direct/_peers.py
+++ b/packages/node/src/carobspool_node/direct/_peers.py
@@ -50,6 +50,10 @@
 UNRELATED_COUNTS_TIME: Millis = 600.0
 """How long heartbeats to those entries repeat a count while no organisation is near its limit: in
 one heartbeat at least. Counts hints that relays pass on report it too, and announcements."""
+PAUSE_PER_ANNOUNCEMENT = 10.0
+"""Pause after an announcement before one that may wait, as a multiple of its duration: that of
+thousands of open jobs takes milliseconds, and each acceptance asks for one."""
+MAX_ANNOUNCEMENT_PAUSE: Millis = 200.0
 ANNOUNCE_ENDED_FOR: Millis = 5_000.0
 """Time for which announcements name a job that this entry has ended in the store. At two a second
 these are ten announcements, and the time exceeds that of a takeover in progress (three calls of at
@@ -132,6 +136,8 @@
         self._announced_at: Millis = 0.0
         self._announced_to_all_at: Millis = 0.0
         self._repeat_until: Millis = clock.now() + REPEAT_ANNOUNCEMENT_FOR
+        self._may_announce_at: Millis = 0.0
+        self._is_announcement_due = False
         self._ended_at: dict[str, Millis] = {}
         self._loads_changed = threading.Event()
         self._stopped = threading.Event()
@@ -261,8 +267,21 @@
         with self._lock:
             self._announced_at = self._announced_to_all_at = now
             self._repeat_until = now + REPEAT_ANNOUNCEMENT_FOR
+            self._is_announcement_due = False
         targets = self._table.targets()
         self._announce_to(list(targets.current.values()), targets.others)
+        end = self._clock.now()
+        pause = min(MAX_ANNOUNCEMENT_PAUSE, (end - now) * PAUSE_PER_ANNOUNCEMENT)
+        with self._lock:
+            self._may_announce_at = end + pause
+
+    def announce_soon(self) -> None:
+        """Send an announcement to all peers at once, or shortly if the last one took long."""
+        with self._lock:
+            if self._clock.now() < self._may_announce_at:
+                self._is_announcement_due = True
+                return
+        self.announce()
 
     def members(self) -> frozenset[str]:
         """Return the names of peers with a hint within `FORGET_AFTER`, which covers a restart."""
@@ -302,7 +321,7 @@
                     check_at = now + CHECK_INTERVAL
                     self._check_silence()
                     urgent = (self._own.urgent(), tuple(self._table.silent()))
-                    if urgent != announced_state:
+                    if urgent != announced_state or self._must_announce(now):
                         announced_state = urgent
                         heartbeat_at = now + HEARTBEAT_INTERVAL
                         self.announce()
@@ -338,6 +357,10 @@
                 logging.exception("event=hint_failed")
             self._wait_for_change(pause)
 
+    def _must_announce(self, now: Millis) -> bool:
+        with self._lock:
+            return self._is_announcement_due and now >= self._may_announce_at
+
     def _targets_for_change(self) -> HintTargets:
         """Return the addresses for a change of loads or counts, which relays may pass on."""
         targets = self._table.targets()
--- a/packages/node/src/carobspool_node/direct/_waiting_quota.py
+++ b/packages/node/src/carobspool_node/direct/_waiting_quota.py
@@ -82,7 +82,7 @@
             return QuotaDecision.UNKNOWN
         peers = self._peers.live()
         reserved = self._reserved.get(key, 0)
-        own_tokens = self._runner.waiting_tokens().get(key, 0) + reserved
+        own_tokens = self._runner.recent_waiting_tokens(key) + reserved
         other_tokens = sum(each.waiting.get(key, 0) for each in peers)
         other_tokens += self._adoption.unowned_tokens(key)
         fits = fits_quota(
--- a/packages/node/tests/test_direct_foreign_jobs.py
+++ b/packages/node/tests/test_direct_foreign_jobs.py
@@ -85,7 +85,7 @@
     def by_identity(self, identity: str) -> None:
         return None
 
-    def announce(self) -> None:
+    def announce_soon(self) -> None:
         """Do nothing, since there is no peer."""
 
 
--- a/packages/node/tests/test_direct_job_adoption.py
+++ b/packages/node/tests/test_direct_job_adoption.py
@@ -59,7 +59,7 @@
         """Return the peer of an identity."""
         return next((each for each in self.live if each.identity == identity), None)
 
-    def announce(self) -> None:
+    def announce_soon(self) -> None:
         """Do nothing, since there is no peer."""
 
 
--- a/packages/node/tests/test_direct_job_ends.py
+++ b/packages/node/tests/test_direct_job_ends.py
@@ -57,7 +57,7 @@
     def by_identity(self, identity: str) -> None:
         """Return no peer."""
 
-    def announce(self) -> None:
+    def announce_soon(self) -> None:
         """Do nothing, since there is no peer."""
 
     def announce_ended(self, job_id: str) -> None:
--- a/packages/node/tests/test_direct_job_owners.py
+++ b/packages/node/tests/test_direct_job_owners.py
@@ -76,7 +76,7 @@
     def by_identity(self, identity: str) -> Peer | None:
         return next((each for each in self.known if each.identity == identity), None)
 
-    def announce(self) -> None:
+    def announce_soon(self) -> None:
         """Do nothing, since nobody receives it."""
 
 
