One check for cut answers, one for repeats of stored jobs

Jobs._repeat_stored serves repeats at the waiting limit and those of jobs known by their input. OwnedJob._mark_taken stands where its version and the loss were written twice, EntryExit keeps the start of the stop once, and two lines of the command line's limits had each other's explanation. Behaviour is the same; no test changed.

--- a/packages/cli/src/carobspool_cli/_client.py
+++ b/packages/cli/src/carobspool_cli/_client.py
@@ -20,9 +20,9 @@
 CONNECT_TIMEOUT_MS: Millis = 2_000.0
 CALL_TIMEOUT_MS: Millis = 30_000.0
 STALL_TIMEOUT_S = 120
+"""A transfer without any progress for this long is aborted."""
 MAX_BODY_BYTES = 32 * 1024 * 1024
 """Longest answer that is held in memory; content of files goes to a file."""
-"""A transfer without any progress for this long is aborted."""
 
 _NOT_SENT_ERRORS = (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
 
@@ -152,10 +152,9 @@
             return _TransportFailure(sent=code not in _NOT_SENT_ERRORS, detail=str(error.args[-1]))
         finally:
             handle.close()
-        if not head.is_whole:
-            return _TransportFailure(sent=True, detail="closed inside the head of the answer")
-        if head.is_cut(sent=sent, length=length):
-            return _TransportFailure(sent=True, detail="closed before the request was sent")
+        cut = head.find_cut(sent=sent, length=length)
+        if cut is not None:
+            return _TransportFailure(sent=True, detail=cut)
         return _Reply(status=head.status, body=b"")
 
     def _headers(self, call: Call) -> list[str]:
--- a/packages/core/src/carobspool_core/_answer_head.py
+++ b/packages/core/src/carobspool_core/_answer_head.py
@@ -52,8 +52,8 @@
         """Whether the body has a length or comes in chunks, so that a cut of it shows."""
         return "content-length" in self._headers or "transfer-encoding" in self._headers
 
-    def is_cut(self, *, sent: float, length: float) -> bool:
-        """Whether an answer that ended in an orderly way may be cut all the same.
+    def find_cut(self, *, sent: float, length: float) -> str | None:
+        """Return why an answer may be cut although its connection ended in order, or ``None``.
 
         A server that closes a connection with a part of the request unread resets it. The end of
         the connection is then not the end of a body that has neither a length nor chunks.
@@ -62,7 +62,11 @@
             sent: Bytes of the request's body that were sent.
             length: All bytes of the request's body.
         """
-        return not self.has_framing and sent < length
+        if not self.is_whole:
+            return "closed inside the head of the answer"
+        if not self.has_framing and sent < length:
+            return "closed before the request was sent"
+        return None
 
     def read_line(self, line: bytes) -> int | None:
         """Read one line.
--- a/packages/node/src/carobspool_node/direct/_exit.py
+++ b/packages/node/src/carobspool_node/direct/_exit.py
@@ -88,11 +88,11 @@
     def run(self, callers: Listener) -> None:
         """Shut down; the process can exit when this returns."""
         logging.info("event=stop_requested busy=%d", callers.busy)
-        self._started = started = self._clock.now()
-        self._exit_at = started + self._time_to_kill - EXIT_MARGIN
+        self._started = self._clock.now()
+        self._exit_at = self._started + self._time_to_kill - EXIT_MARGIN
         callers.drain()
         self._peers.announce()
-        self._serve_until_drained(callers, started)
+        self._serve_until_drained(callers)
         self._before_close()
         cut = callers.close()
         self._runner.stop(EXIT_COMMIT_TIMEOUT)
@@ -103,15 +103,15 @@
             callers.busy,
             len(cut),
             callers.open_connections,
-            self._clock.now() - started,
+            self._clock.now() - self._started,
         )
         self._telemetry.stop_logs()
         callers.close_socket()
 
-    def _serve_until_drained(self, callers: Listener, started: Millis) -> None:
+    def _serve_until_drained(self, callers: Listener) -> None:
         while (time_left := self.time_left) is not None and time_left > 0:
             has_jobs = self._hand_over_jobs(time_left)
-            drained = self._clock.now() - started >= BALANCER_TIME
+            drained = self._clock.now() - self._started >= BALANCER_TIME
             if drained and not has_jobs and callers.close_if_idle():
                 return
             threading.Event().wait(POLL_INTERVAL_S)
--- a/packages/node/src/carobspool_node/direct/_jobs.py
+++ b/packages/node/src/carobspool_node/direct/_jobs.py
@@ -122,13 +122,12 @@
             return Outcome.DONE
         if id_without_organisation is not None:
             repeated = self._repeat_known(id_without_organisation)
-            if repeated is not None:
+            if repeated is not Outcome.NOT_FOUND:
                 return repeated
         tokens = sum(item.tokens for item in job.items)
         decision = self._quota.reserve(route, job.organisation, tokens)
         if decision is not QuotaDecision.FITS:
-            if self._is_stored(job_id):
-                self._ensure_owner(job_id)
+            if self._repeat_stored(job_id) is Outcome.DONE:
                 return Outcome.DONE
             is_over = decision is QuotaDecision.OVER
             return Outcome.OVER_QUOTA if is_over else Outcome.UNAVAILABLE
@@ -137,19 +136,24 @@
         finally:
             self._quota.release(route, job.organisation, tokens)
 
-    def _repeat_known(self, job_id: str) -> Outcome | None:
-        """Return the outcome of a repeated submission if this entry knows the job."""
+    def _repeat_known(self, job_id: str) -> Outcome:
+        """Repeat the submission of a job, ``NOT_FOUND`` if this entry does not know it."""
         if self._has_known_owner(job_id):
             return Outcome.DONE
         if not self._catalog.has_cached_input(job_id):
-            return None
-        # The job may have been removed since it was cached.
+            return Outcome.NOT_FOUND
+        return self._repeat_stored(job_id)
+
+    def _repeat_stored(self, job_id: str) -> Outcome:
+        """Repeat the submission of a job, ``NOT_FOUND`` if the store does not have it.
+
+        A cached input does not show that the store still has the job.
+        """
         stored = self._catalog.records.read_input(job_id)
-        if is_successful(stored):
-            self._ensure_owner(job_id)
-            return Outcome.DONE
-        is_removed = stored.failure().fault is StoreFault.NOT_FOUND
-        return None if is_removed else Outcome.UNAVAILABLE
+        if not is_successful(stored):
+            return _failure_outcome(stored.failure())
+        self._ensure_owner(job_id)
+        return Outcome.DONE
 
     def _create(self, job: JobInput, route: Route, tokens: int) -> Outcome:
         job_id = job.job_id
@@ -291,10 +295,6 @@
         """
         return self._adoption.runs(job_id) or self._peers.find_job_peer(job_id) is not None
 
-    def _is_stored(self, job_id: str) -> bool:
-        """Whether the store has a job; a cached input does not show that it still has."""
-        return is_successful(self._catalog.records.read_input(job_id))
-
     def _results_from_peer(
         self, peer: Peer, job_id: str, after: int, wait: Millis
     ) -> ResultsPage | None:
--- a/packages/node/src/carobspool_node/direct/_owned_job.py
+++ b/packages/node/src/carobspool_node/direct/_owned_job.py
@@ -178,6 +178,11 @@
             self._changed.notify_all()
         self.cancel_runs("another entry owns the job")
 
+    def _mark_taken(self, version: int) -> None:
+        """Stop working on the job, whose record shows another owner at this version."""
+        self._lost_at = version
+        self.mark_lost()
+
     def start_release(self) -> None:
         """Stop starting items and cancel running ones, because this entry shuts down.
 
@@ -230,8 +235,7 @@
         if is_successful(read):
             progress = read.unwrap().progress
             if progress.owner != self._owner:
-                self._lost_at = read.unwrap().version
-                self.mark_lost()
+                self._mark_taken(read.unwrap().version)
                 return False
             # The owner's name does not show an end: ended jobs keep their owner, since no entry has
             # to take them over.
@@ -298,8 +302,7 @@
         if not is_successful(current):
             return False
         if current.unwrap().progress.owner != self._owner:
-            self._lost_at = current.unwrap().version
-            self.mark_lost()
+            self._mark_taken(current.unwrap().version)
             return False
         # The stored progress is an earlier write of this entry whose answer was lost.
         self._apply_stored(current.unwrap(), requested_at)
--- a/packages/node/src/carobspool_node/store/_object_api.py
+++ b/packages/node/src/carobspool_node/store/_object_api.py
@@ -255,12 +255,10 @@
             code = error.args[0]
             self._drop_handle()
             return Broken(sent=code not in _NEVER_SENT, detail=f"curl error {code}")
-        if not head.is_whole:
+        cut = head.find_cut(sent=handle.getinfo(pycurl.SIZE_UPLOAD_T), length=len(body or b""))
+        if cut is not None:
             self._drop_handle()
-            return Broken(sent=True, detail="closed inside the head of the answer")
-        if head.is_cut(sent=handle.getinfo(pycurl.SIZE_UPLOAD_T), length=len(body or b"")):
-            self._drop_handle()
-            return Broken(sent=True, detail="closed before the request was sent")
+            return Broken(sent=True, detail=cut)
         stated = head.headers.get(_VERSION_HEADER, "0")
         if not stated.isdecimal() or len(stated) > MAX_VERSION_DIGITS:
             return Broken(sent=True, detail=f"unreadable {_VERSION_HEADER}")
--- a/packages/node/src/carobspool_node/upstreams/_upstream_http.py
+++ b/packages/node/src/carobspool_node/upstreams/_upstream_http.py
@@ -124,13 +124,10 @@
             with self._lock:
                 self._sockets.clear()
             curl.close()
-        if not head.is_whole:
+        cut = head.find_cut(sent=sent, length=len(call.body))
+        if cut is not None:
             end = CallEnd.ABORTED if self._aborted else CallEnd.BROKEN
-            return CallResult(end=end, status=head.status, detail="closed inside the head")
-        if head.is_cut(sent=sent, length=len(call.body)):
-            end = CallEnd.ABORTED if self._aborted else CallEnd.BROKEN
-            detail = "closed before the request was sent"
-            return CallResult(end=end, status=head.status, detail=detail)
+            return CallResult(end=end, status=head.status, detail=cut)
         return CallResult(end=CallEnd.COMPLETE, status=head.status)
 
     def _prepare(self, call: UpstreamCall) -> pycurl.Curl:
