Tests: one set of stubs for the adoption of jobs

test_direct_job_adoption and test_direct_job_owners shared runner, peers and clock as copies; the clock is the core's ManualClock now. Two tests of late takeovers share their beginning. The checks are the same.

--- a/packages/node/tests/test_direct_job_adoption.py
+++ b/packages/node/tests/test_direct_job_adoption.py
@@ -3,66 +3,20 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 from typing import Any
 
 import pytest
+from _adoption_stubs import PeersStub, RunnerStub, peer_stub
 
-from carobspool_core import Millis
+from carobspool_core import ManualClock
 from carobspool_core.direct import JobInput, JobItem
 from carobspool_node.direct._job_adoption import UNNAMED_JOB_DELAY, JobAdoption
 from carobspool_node.direct._job_catalog import JobCatalog
 from carobspool_node.direct._job_records import JobRecords
-from carobspool_node.direct._owned_job import OwnedJob
-from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_standins.memory_store import MemoryObjects, MemoryStore
 
 
-@dataclass
-class _Runner:
-    """Records the added jobs and runs no items."""
-
-    jobs: dict[str, OwnedJob] = field(default_factory=dict)
-
-    def add(self, job: OwnedJob) -> None:
-        self.jobs[job.job_id] = job
-
-    def get(self, job_id: str) -> OwnedJob | None:
-        return self.jobs.get(job_id)
-
-    def waiting_key(self, host: str, path: str, organisation: str | None) -> str | None:
-        return path
-
-
-class _Clock:
-    def __init__(self) -> None:
-        self.time: Millis = 100_000.0
-
-    def now(self) -> Millis:
-        return self.time
-
-
-class _Peers:
-    """The peers whose hints have arrived, none at first."""
-
-    identity = "e2#1"
-
-    def __init__(self) -> None:
-        self.live: list[Peer] = []
-
-    def find_job_peer(self, job_id: str) -> Peer | None:
-        """Return the peer that names a job in its hints."""
-        return next((each for each in self.live if each.serves_job(job_id)), None)
-
-    def by_identity(self, identity: str) -> Peer | None:
-        """Return the peer of an identity."""
-        return next((each for each in self.live if each.identity == identity), None)
-
-    def announce_soon(self) -> None:
-        """Do nothing, since there is no peer."""
-
-
 def _store_job(records: JobRecords, job_id: str, owner: str) -> None:
     item = JobItem(item_id="i", path="/", headers={}, body=b"", tokens=1)
     given = JobInput(job_id=job_id, host="h", path="/", owner=owner, submitted=0.0, items=(item,))
@@ -71,23 +25,23 @@
 
 def _start_with_stored_job(
     job_owner: str,
-    peers: _Peers | None = None,
-    clock: _Clock | None = None,
+    peers: PeersStub | None = None,
+    clock: ManualClock | None = None,
     *,
     are_peers_known: bool = False,
     others: Sequence[str] = (),
-) -> tuple[JobAdoption, _Runner]:
+) -> tuple[JobAdoption, RunnerStub]:
     """Return the adoption and runner of an entry that has just started, with jobs in the store."""
     records = JobRecords(MemoryStore(MemoryObjects(), "e2"), 1_048_576)
     _store_job(records, "j", job_owner)
     for job_id in others:
         _store_job(records, job_id, job_owner)
-    runner = _Runner()
+    runner = RunnerStub()
     adoption = JobAdoption(
-        clock or _Clock(),
+        clock or ManualClock(100_000.0),
         JobCatalog(records),
         runner,  # type: ignore[arg-type]
-        peers or _Peers(),  # type: ignore[arg-type]
+        peers or PeersStub(),  # type: ignore[arg-type]
         Telemetry(),
         are_peers_known=lambda: are_peers_known,
     )
@@ -120,16 +74,6 @@
     assert set(runner.jobs) == {"j"}
 
 
-def _peer(name: str, *jobs: str) -> Peer:
-    return Peer(
-        name=name,
-        incarnation="1",
-        address=("127.0.0.1", 1),
-        last_heard_at=0.0,
-        open_jobs=frozenset(jobs),
-    )
-
-
 @pytest.mark.parametrize("listed", [False, True], ids=["orphan", "listed"])
 def test_a_job_that_cannot_be_taken_over_does_not_keep_others_without_an_owner(
     monkeypatch: pytest.MonkeyPatch, listed: bool
@@ -157,19 +101,19 @@
     """A job can be read from the store before the store's answer has reached the entry that wrote
     it, and before that entry's hints name it. An entry that listed the jobs at that moment, or to
     which the job was submitted again, took it from its live owner, and both ran its items."""
-    peers, clock = _Peers(), _Clock()
+    peers, clock = PeersStub(), ManualClock(100_000.0)
     adoption, runner = _start_with_stored_job("e1#1", peers, clock, are_peers_known=True)
-    peers.live = [_peer("e1")]
+    peers.live = [peer_stub("e1")]
     if listed:
         assert adoption.take_over_stored_jobs(lambda job_id, owner: True)
     else:
         assert not adoption.ensure_owner("j", "submitted again")
         adoption.add_orphans(["j"], "submitted again")
-    clock.time += 500.0
+    clock.advance(500.0)
     adoption.adopt_orphans(lambda job_id: True)
     assert not runner.jobs
-    peers.live = [_peer("e1", "j")]
-    clock.time += UNNAMED_JOB_DELAY
+    peers.live = [peer_stub("e1", "j")]
+    clock.advance(UNNAMED_JOB_DELAY)
     adoption.adopt_orphans(lambda job_id: True)
     peers.live = []
     adoption.adopt_orphans(lambda job_id: True)
@@ -179,15 +123,15 @@
 def test_job_that_its_live_owner_does_not_run_is_taken_over_after_a_while() -> None:
     """The answer to the write that made the owner the owner was lost, so the owner does not know
     that the job is its own. Without a limit on the delay, the job would never run."""
-    peers, clock = _Peers(), _Clock()
+    peers, clock = PeersStub(), ManualClock(100_000.0)
     adoption, runner = _start_with_stored_job("e1#1", peers, clock, are_peers_known=True)
-    peers.live = [_peer("e1")]
+    peers.live = [peer_stub("e1")]
     adoption.add_orphans(["j"], "submitted again")
     adoption.adopt_orphans(lambda job_id: True)
-    clock.time += UNNAMED_JOB_DELAY - 1.0
+    clock.advance(UNNAMED_JOB_DELAY - 1.0)
     adoption.adopt_orphans(lambda job_id: True)
     assert not runner.jobs
-    clock.time += 1.0
+    clock.advance(1.0)
     adoption.adopt_orphans(lambda job_id: True)
     assert set(runner.jobs) == {"j"}
 
@@ -195,18 +139,18 @@
 def test_new_owner_of_an_orphan_gets_time_to_name_the_job() -> None:
     """Two entries try for seconds to take over a job while the store refuses them. One succeeds
     after the outage, and the other reads the job before the new owner's hints name it."""
-    peers, clock = _Peers(), _Clock()
+    peers, clock = PeersStub(), ManualClock(100_000.0)
     adoption, runner = _start_with_stored_job("e3#1", peers, clock, are_peers_known=True)
-    peers.live = [_peer("e3")]
+    peers.live = [peer_stub("e3")]
     adoption.add_orphans(["j"], "lost e1#1", lost_owner="e1#1")
-    clock.time += UNNAMED_JOB_DELAY
+    clock.advance(UNNAMED_JOB_DELAY)
     adoption.adopt_orphans(lambda job_id: True)
     assert not runner.jobs
 
 
 def test_stored_jobs_count_as_waiting_until_their_owner_is_known() -> None:
     """Guards against quotas that forget accepted jobs after the loss of all entries."""
-    peers = _Peers()
+    peers = PeersStub()
     adoption, _ = _start_with_stored_job("e1#1", peers, others=["k"])
     assert not adoption.are_stored_jobs_known
     assert adoption.take_over_stored_jobs(lambda job_id, owner: False)
@@ -214,6 +158,6 @@
     assert adoption.unowned_tokens("/") == 2
     adoption.add_orphans(["j"], "lost e1#1", lost_owner="e1#1")
     assert adoption.unowned_tokens("/") == 2
-    peers.live.append(_peer("e3", "j"))
+    peers.live.append(peer_stub("e3", "j"))
     adoption.adopt_orphans(lambda job_id: False)
     assert adoption.unowned_tokens("/") == 1
--- a/packages/node/tests/test_direct_job_owners.py
+++ b/packages/node/tests/test_direct_job_owners.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass, field
 
 import pytest
+from _adoption_stubs import PeersStub, RunnerStub, peer_stub
 from msgspec.structs import replace
 from returns.pipeline import is_successful
 
-from carobspool_core import Millis
+from carobspool_core import ManualClock, Millis
 from carobspool_core.direct import JobInput, JobItem, Route, RouteKind, WeightedService
 from carobspool_node.direct._job_adoption import UNATTENDED_TIME, UNSETTLED_TIME, JobAdoption
 from carobspool_node.direct._job_catalog import JobCatalog, initial_progress
@@ -17,13 +17,12 @@
 from carobspool_node.direct._job_reconciliation import QUIET_TIME, JobReconciliation
 from carobspool_node.direct._job_records import JobRecords
 from carobspool_node.direct._jobs import Jobs, Outcome
-from carobspool_node.direct._owned_job import OwnedJob
 from carobspool_node.direct._peer import Peer
 from carobspool_node.direct._telemetry import Telemetry
 from carobspool_node.direct._waiting_quota import WaitingQuota
 from carobspool_standins.memory_store import FaultKind, FaultRule, MemoryObjects, MemoryStore
 
-OWN = "e2#1"
+OWN = PeersStub.identity
 _ROUTE = Route(
     name="r",
     host="h",
@@ -36,50 +35,6 @@
 )
 
 
-@dataclass
-class _Runner:
-    """Records the added jobs and runs no items."""
-
-    jobs: dict[str, OwnedJob] = field(default_factory=dict)
-
-    def add(self, job: OwnedJob) -> None:
-        self.jobs[job.job_id] = job
-
-    def get(self, job_id: str) -> OwnedJob | None:
-        return self.jobs.get(job_id)
-
-    def handle_jobs_of_peer(self, peer: str, job_ids: Sequence[str]) -> None:
-        """Verify jobs at once."""
-        for job_id in job_ids:
-            self.jobs[job_id].verify()
-
-
-class _Clock:
-    def __init__(self) -> None:
-        self.time: Millis = 100_000.0
-
-    def now(self) -> Millis:
-        return self.time
-
-
-class _Peers:
-    """The peers whose hints have arrived, none at first."""
-
-    identity = OWN
-
-    def __init__(self) -> None:
-        self.known: list[Peer] = []
-
-    def find_job_peer(self, job_id: str) -> Peer | None:
-        return next((each for each in self.known if each.serves_job(job_id)), None)
-
-    def by_identity(self, identity: str) -> Peer | None:
-        return next((each for each in self.known if each.identity == identity), None)
-
-    def announce_soon(self) -> None:
-        """Do nothing, since nobody receives it."""
-
-
 class _Leaving:
     def wait(self, timeout: float) -> bool:
         return True
@@ -91,7 +46,7 @@
     def __init__(self) -> None:
         self.objects = MemoryObjects()
         self.store = MemoryStore(self.objects, "e2")
-        self.clock, self.peers, self.runner = _Clock(), _Peers(), _Runner()
+        self.clock, self.peers, self.runner = ManualClock(100_000.0), PeersStub(), RunnerStub()
         self.records = JobRecords(self.store, 1_048_576)
         self.catalog = JobCatalog(self.records)
         self.asked: list[tuple[str, Sequence[str]]] = []
@@ -150,9 +105,9 @@
 
     def pass_time(self, time: Millis, *, assigned: bool = True) -> None:
         """Let time pass, with a look for orphans each half second."""
-        until = self.clock.time + time
-        while self.clock.time < until:
-            self.clock.time += 500.0
+        until = self.clock.now() + time
+        while self.clock.now() < until:
+            self.clock.advance(500.0)
             self.adoption.adopt_orphans(lambda job_id: assigned)
 
     def reconcile(self, times: int = 3) -> None:
@@ -167,16 +122,6 @@
     return _Entry()
 
 
-def _peer(name: str, *jobs: str) -> Peer:
-    return Peer(
-        name=name,
-        incarnation="1",
-        address=("127.0.0.1", 1),
-        last_heard_at=0.0,
-        open_jobs=frozenset(jobs),
-    )
-
-
 @pytest.mark.parametrize("delay", [500.0, 6_000.0, UNSETTLED_TIME - 500.0])
 def test_a_takeover_that_takes_effect_late_is_noticed(entry: _Entry, delay: Millis) -> None:
     """Guards against a takeover of unknown end that is forgotten when the old owner wakes up."""
@@ -184,7 +129,7 @@
     entry.store.inject(FaultRule(kind=FaultKind.UNKNOWN_LATE, prefix="progress/"))
     entry.adoption.add_orphans(["j"], "lost e1#1", lost_owner="e1#1")
     entry.adoption.adopt_orphans(lambda job_id: True)
-    entry.peers.known = [_peer("e1", "j")]
+    entry.peers.live = [peer_stub("e1", "j")]
     entry.pass_time(delay, assigned=False)
     entry.objects.do_late_writes()
     entry.pass_time(UNSETTLED_TIME, assigned=False)
@@ -197,7 +142,7 @@
     entry.store.inject(FaultRule(kind=FaultKind.UNKNOWN_BEFORE, prefix="progress/"))
     entry.adoption.add_orphans(["j"], "lost e1#1", lost_owner="e1#1")
     entry.adoption.adopt_orphans(lambda job_id: True)
-    entry.peers.known = [_peer("e1", "j")]
+    entry.peers.live = [peer_stub("e1", "j")]
     entry.pass_time(2 * UNSETTLED_TIME, assigned=False)
     reads = entry.store.calls["get"]
     entry.pass_time(UNSETTLED_TIME, assigned=False)
@@ -222,7 +167,7 @@
     it, which cannot learn of its loss while the store is down."""
     job = entry.store_job("e1#1")
     entry.set_owner(job, "e2#0")
-    entry.peers.known = [_peer("e1", "j")]
+    entry.peers.live = [peer_stub("e1", "j")]
     if listed:
         assert entry.adoption.take_over_stored_jobs(lambda job_id, owner: owner == "e2#0")
     else:
@@ -234,7 +179,7 @@
 def test_entries_to_which_an_orphan_is_not_assigned_do_not_read_a_named_job(entry: _Entry) -> None:
     """Guards against one call to the store per entry for each job of an entry that is lost."""
     entry.store_job("e1#1")
-    entry.peers.known = [_peer("e3", "j")]
+    entry.peers.live = [peer_stub("e3", "j")]
     before = dict(entry.store.calls)
     entry.adoption.add_orphans(["j"], "lost e1#1", lost_owner="e1#1")
     entry.pass_time(10_000.0, assigned=False)
@@ -259,7 +204,7 @@
             version=version,
         )
     elif change == "named":
-        entry.peers.known = [replace_incarnation(_peer("e3", "j"), "0")]
+        entry.peers.live = [replace_incarnation(peer_stub("e3", "j"), "0")]
     entry.pass_time(4 * UNATTENDED_TIME)
     assert set(entry.runner.jobs) == ({"j"} if change == "none" else set())
 
@@ -333,7 +278,7 @@
     if way == "silent watch":
         monkeypatch.setattr(MemoryStore, "_changes", lambda *args: ())
         entry.reconcile()
-        entry.clock.time += LISTING_INTERVAL
+        entry.clock.advance(LISTING_INTERVAL)
     entry.has_duty = True
     entry.reconcile()
     assert set(entry.runner.jobs) == {"j"}
@@ -342,7 +287,7 @@
 def test_jobs_of_live_owners_are_left_to_them(entry: _Entry) -> None:
     """Guards against jobs that are taken from owners whose hints do not name them, because they
     have more jobs than a hint holds. The owner is asked once for all of them."""
-    entry.peers.known = [_peer("e1", "j0")]
+    entry.peers.live = [peer_stub("e1", "j0")]
     entry.confirmed = [f"j{number}" for number in range(1, 400)]
     for number in range(400):
         entry.store_job("e1#1", f"j{number}")
@@ -353,7 +298,7 @@
 
 def test_a_job_that_its_live_owner_does_not_run_gets_another_owner(entry: _Entry) -> None:
     """Guards against a live owner that neither names a job nor reads its record."""
-    entry.peers.known = [_peer("e1")]
+    entry.peers.live = [peer_stub("e1")]
     entry.store_job("e1#1")
     entry.reconcile(times=4)
     assert set(entry.runner.jobs) == {"j"}
--- a/packages/node/tests/test_direct_many_jobs.py
+++ b/packages/node/tests/test_direct_many_jobs.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 import pytest
+from test_direct_peers import _own_hint
 
-from carobspool_core import Millis
+from carobspool_core import ManualClock, Millis
 from carobspool_core.direct import (
     Configuration,
     JobInput,
@@ -38,34 +39,14 @@
     priority=1,
     services=(WeightedService(service="s", weight=1.0),),
 )
-_CONTENT = AnnouncementContent(
-    loads={},
-    failures={},
-    open_jobs=frozenset(),
-    done_jobs=frozenset(),
-    waiting={},
-    versions={},
-    leaving=False,
-    released=frozenset(),
-    store_ok=True,
-    backlog=(),
-)
 _KEY = waiting_tokens_key("r", None)
 
 
-class _Clock:
-    def __init__(self) -> None:
-        self.time: Millis = 100_000.0
-
-    def now(self) -> Millis:
-        return self.time
-
-
 class _Entry:
     """The jobs of an entry without threads."""
 
     def __init__(self) -> None:
-        self.clock = _Clock()
+        self.clock = ManualClock(100_000.0)
         self.records = JobRecords(MemoryStore(MemoryObjects(), "e"), 1_048_576)
         self.counts = 0
         self.runner = JobRunner(
@@ -99,7 +80,7 @@
 
     def count_slowly() -> dict[str, int]:
         counts.append(1)
-        entry.clock.time += 5.0
+        entry.clock.advance(5.0)
         # A job is accepted while the others are counted.
         found = count()
         if len(counts) == 1:
@@ -112,7 +93,7 @@
         entry.accept(number)
         assert entry.runner.recent_waiting_tokens(_KEY) >= 10 * (number + 1)
     assert len(counts) == 1
-    entry.clock.time += MAX_COUNT_PAUSE
+    entry.clock.advance(MAX_COUNT_PAUSE)
     assert entry.runner.recent_waiting_tokens(_KEY) == 5_000
     assert len(counts) == 2
 
@@ -132,13 +113,13 @@
 ) -> None:
     """Guards against an entry that spends its time on announcements. The last job is announced as
     well, and each at once while that takes no time."""
-    clock = _Clock()
+    clock = ManualClock(100_000.0)
     sent: list[Millis] = []
 
     def describe() -> AnnouncementContent:
-        clock.time += duration
-        sent.append(clock.time)
-        return _CONTENT
+        clock.advance(duration)
+        sent.append(clock.now())
+        return _own_hint()
 
     peers = Peers(
         clock,
@@ -156,10 +137,10 @@
         ),
     )
     for _ in range(200):
-        clock.time += 2.0
+        clock.advance(2.0)
         peers.announce_soon()
     assert least <= len(sent) <= most
-    clock.time += MAX_ANNOUNCEMENT_PAUSE
-    assert peers._must_announce(clock.time) is (duration > 0.0)
+    clock.advance(MAX_ANNOUNCEMENT_PAUSE)
+    assert peers._must_announce(clock.now()) is (duration > 0.0)
     peers.announce()
-    assert not peers._must_announce(clock.time + MAX_ANNOUNCEMENT_PAUSE)
+    assert not peers._must_announce(clock.now() + MAX_ANNOUNCEMENT_PAUSE)
--- a/tests/direct/test_late_writes.py
+++ b/tests/direct/test_late_writes.py
@@ -104,15 +104,21 @@
     assert sorted(each["id"] for each in results) == IDS
 
 
+def _lose_takeover(system: Deployment, owner: Entry) -> _LostWrites:
+    """Submit a job, freeze its owner and lose the writes of the takeover; wait for the first."""
+    assert _submit(owner) == 202
+    time.sleep(1.0)
+    owner.send_signal(signal.SIGSTOP)
+    lost = _LostWrites(system, "progress")
+    eventually(lambda: lost.times, 5.0)
+    return lost
+
+
 def test_a_takeover_that_takes_effect_late_makes_the_entry_run_the_job(system: Deployment) -> None:
     """Guards against a job that its owner by the record counts as missed, and forgets once the
     former owner, awake again, names it."""
     first, second = _start_entries(system, "e1", "e2")
-    assert _submit(first) == 202
-    time.sleep(1.0)
-    first.send_signal(signal.SIGSTOP)
-    lost = _LostWrites(system, "progress")
-    eventually(lambda: lost.times, 5.0)
+    lost = _lose_takeover(system, first)
     time.sleep(1.0)
     first.send_signal(signal.SIGCONT)
     eventually(lambda: _owner(system) == "e2", LATE_S + 5.0)
@@ -125,11 +131,7 @@
 ) -> None:
     """Guards against an owner that gives a job up to an ended process and tells nobody."""
     first, second = _start_entries(system, "e1", "e2")
-    assert _submit(first) == 202
-    time.sleep(1.0)
-    first.send_signal(signal.SIGSTOP)
-    lost = _LostWrites(system, "progress")
-    eventually(lambda: lost.times, 5.0)
+    lost = _lose_takeover(system, first)
     _restart(system, second)
     first.send_signal(signal.SIGCONT)
     eventually(lambda: _owner(system) == "e2", LATE_S + 5.0)
