Tests: the order of arrival is checked once the requests wait

test_arrival_order_and_slots failed once among the unit tests of this read (6 workers). Traced: the engine stand-in records a request before it queues it, and the test read the load after the record.

--- a/packages/standins/tests/test_engine.py
+++ b/packages/standins/tests/test_engine.py
@@ -69,6 +69,11 @@
     return [run["outcome"] for run in client.call("GET", "/record").json["runs"]]
 
 
+def _open_runs(client: HttpClient) -> int:
+    load = client.call("GET", "/load").json
+    return int(load["running"] + load["waiting"])
+
+
 def test_stream_equals_whole_answer(client):
     """Runs of a request return the same text, streamed or not, and appear in the record."""
     whole = client.call("POST", CHAT, json_body=chat(max_tokens=12), headers={"X-Request-Id": "r1"})
@@ -170,7 +175,8 @@
             headers = {"X-Request-Id": str(number)}
             body = chat(min_tokens=60, max_tokens=60)
             pending.append(pool.submit(own.call, "POST", CHAT, json_body=body, headers=headers))
-            wait_for(lambda count=number + 1: len(outcomes(client)) == count)
+            # A request stands in the record before it waits.
+            wait_for(lambda count=number + 1: _open_runs(client) == count)
         load = client.call("GET", "/load").json
         assert (load["running"], load["waiting"], load["slots"]) == (1, 2, 1)
         client.call("POST", "/faults/reset")
